--- /dev/null
+++ b/packages/core/src/RoutingConfig.ts
@@ -0,0 +1,111 @@
+import type { ModelId, ServiceId, TeamId, UpstreamId, ZoneId } from './ids.ts';
+import type { Tokens } from './tokens.ts';
+
+/**
+ * The order in which waiting work is served: `lookup` is interactive and goes first, `certificate`
+ * covers calls that must not run twice, `summary` may wait for long but must not be dropped.
+ */
+export type WorkClass = 'lookup' | 'certificate' | 'summary';
+
+/** A team's rate over all hosts together, in tokens. */
+export interface TeamRate {
+  readonly tokensPerSecond: Tokens;
+  readonly burstTokens: Tokens;
+}
+
+/** A team (tenant) and the digests of the keys that its callers may show. */
+export interface TeamConfig {
+  readonly id: TeamId;
+  readonly rate: TeamRate;
+  /** SHA-256 digests (hex) of the keys in force; the keys themselves are never stored. */
+  readonly keyDigests: readonly string[];
+  /** Models the team may ask for; empty means all. */
+  readonly models: readonly ModelId[];
+  /** Weight in fair queueing; 1 unless the operator says otherwise. */
+  readonly weight: number;
+}
+
+/** What an engine is used for. */
+export type EngineRole = 'prefill' | 'decode';
+
+/** One model engine. */
+export interface EngineConfig {
+  readonly id: UpstreamId;
+  /** Base URL with an IP address, such as `http://127.0.0.1:9101`. */
+  readonly url: string;
+  readonly zone: ZoneId;
+  readonly role: EngineRole;
+  /** Memory in pieces of about a thousand tokens. */
+  readonly memoryPieces: number;
+  /** True where the engine refuses orders with an old fencing number. */
+  readonly checksFencing: boolean;
+}
+
+/** A model and the engines that serve it. */
+export interface PoolConfig {
+  readonly model: ModelId;
+  readonly engines: readonly EngineConfig[];
+  /** Largest prompt plus output, in tokens. */
+  readonly maxTokens: Tokens;
+  /** Target for the first token, in milliseconds. */
+  readonly ttftTargetMs: number;
+  /** Target for the time between tokens, in milliseconds. */
+  readonly itlTargetMs: number;
+  /** Rate of the link into each decode engine, in pieces a second. */
+  readonly linkPiecesPerSecond: number;
+}
+
+/** How a route of a plain service may be treated. */
+export interface ServiceRoute {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  /** Path prefix below the service, starting with a slash. */
+  readonly path: string;
+  /** True where a call may be repeated; false demands an Idempotency-Key and runs at most once. */
+  readonly idempotent: boolean;
+  readonly class: WorkClass;
+  /** Tokens charged to the team for one call. */
+  readonly costTokens: Tokens;
+}
+
+/** One server of a plain service. */
+export interface ServiceServer {
+  readonly id: UpstreamId;
+  readonly url: string;
+  readonly zone: ZoneId;
+  /** Calls the server may run at once. */
+  readonly maxConcurrent: number;
+}
+
+/** A plain service beside the model engines. */
+export interface ServiceConfig {
+  readonly id: ServiceId;
+  readonly servers: readonly ServiceServer[];
+  readonly routes: readonly ServiceRoute[];
+  readonly timeoutMs: number;
+}
+
+/** A rule about which requests may wait, and for how long; the first rule that matches counts. */
+export interface WaitRule {
+  /** Team it applies to; absent means all. */
+  readonly team?: TeamId;
+  /** Model it applies to; absent means all. */
+  readonly model?: ModelId;
+  readonly class: WorkClass;
+  /** Longest time in the queue, in milliseconds. */
+  readonly maxWaitMs: number;
+}
+
+/** The whole configuration that hosts act on. */
+export interface RoutingConfig {
+  readonly teams: readonly TeamConfig[];
+  readonly pools: readonly PoolConfig[];
+  readonly services: readonly ServiceConfig[];
+  readonly waitRules: readonly WaitRule[];
+}
+
+/** A configuration together with its place in the order of all accepted ones. */
+export interface VersionedConfig {
+  /** Grows with each accepted change; a host never goes back. 0 means none yet. */
+  readonly version: number;
+  readonly config: RoutingConfig;
+}
--- /dev/null
+++ b/packages/core/src/digest.ts
@@ -0,0 +1,21 @@
+import { createHash } from 'node:crypto';
+
+/**
+ * Gets the SHA-256 digest of a text.
+ *
+ * @param text - Any text; hashed as UTF-8.
+ * @returns 64 hexadecimal characters.
+ */
+export function sha256Hex(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/**
+ * Gets a 48-bit number from a text, evenly spread, for hashing onto hosts and buckets.
+ *
+ * @param text - Any text.
+ * @returns An integer from 0 to 2^48 - 1, the same in every process.
+ */
+export function hashNumber(text: string): number {
+  return createHash('sha256').update(text).digest().readUIntBE(0, 6);
+}
--- /dev/null
+++ b/packages/core/tests/VirtualClock.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { VirtualClock, sleep } from '@camphorvane/core';
+
+test('timers fire in order of time and see the time they were set for', async () => {
+  const clock = new VirtualClock();
+  const seen: string[] = [];
+  clock.after(20, () => seen.push(`b${clock.now()}`));
+  clock.after(10, () => seen.push(`a${clock.now()}`));
+  await clock.advance(15);
+  assert.deepEqual(seen, ['a10']);
+  await clock.advance(10);
+  assert.deepEqual(seen, ['a10', 'b20']);
+  assert.equal(clock.now(), 25);
+});
+
+test('a task that sleeps in a loop is woken at each of its times', async () => {
+  const clock = new VirtualClock();
+  const seen: number[] = [];
+  const task = async (left: number): Promise<void> => {
+    if (left === 0) return;
+    await sleep(clock, 100);
+    seen.push(clock.now());
+    await task(left - 1);
+  };
+  const running = task(3);
+  await clock.advance(1000);
+  await running;
+  assert.deepEqual(seen, [100, 200, 300]);
+});
+
+test('an aborted sleep ends at once and leaves no timer behind', async () => {
+  const clock = new VirtualClock();
+  const abort = new AbortController();
+  const waiting = sleep(clock, 1000, abort.signal);
+  abort.abort();
+  await waiting;
+  assert.equal(clock.pending(), 0);
+});
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,1 @@
+export * from './PoolScheduler.ts';
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,1 @@
+export * from './PeerLink.ts';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from './ObjectStore.ts';
--- /dev/null
+++ b/packages/upstream/src/ModelEngine.ts
@@ -0,0 +1,136 @@
+import type {
+  AttemptId,
+  LoadSnapshot,
+  ModelId,
+  Pieces,
+  Tokens,
+  UpstreamId,
+  WorkClass,
+} from '@camphorvane/core';
+import type { ResultAsync, Result } from 'neverthrow';
+
+/**
+ * Why an upstream did not do what it was asked.
+ *
+ * `dispatched` tells whether the upstream may have started: only where it is false may a refusal
+ * say `not_run`.
+ */
+export type UpstreamError =
+  | { readonly type: 'unreachable'; readonly dispatched: boolean; readonly message: string }
+  | { readonly type: 'rejected'; readonly dispatched: false; readonly message: string }
+  | { readonly type: 'broken'; readonly dispatched: true; readonly message: string }
+  | { readonly type: 'silent'; readonly dispatched: boolean; readonly message: string }
+  | { readonly type: 'mismatch'; readonly dispatched: true; readonly message: string }
+  | { readonly type: 'cancelled'; readonly dispatched: boolean; readonly message: string };
+
+/** Asks a prefill engine to run a prompt. */
+export interface PrefillCommand {
+  readonly attempt: AttemptId;
+  readonly model: ModelId;
+  readonly prompt: string;
+  /** Text that an earlier decode already delivered, to be run after the prompt on a resume. */
+  readonly continuation: string;
+  /** Lower goes first. */
+  readonly priority: number;
+}
+
+/** The KV cache that a prefill left on its engine; it is evicted within about a second. */
+export interface PrefillResult {
+  readonly attempt: AttemptId;
+  readonly kvHandle: string;
+  readonly promptTokens: Tokens;
+  readonly cachedTokens: Tokens;
+}
+
+/** Asks a decode engine to fetch a KV cache from a prefill engine. */
+export interface TransferCommand {
+  readonly attempt: AttemptId;
+  readonly kvHandle: string;
+  readonly sourceUrl: string;
+  readonly pieces: Pieces;
+}
+
+/** Asks a decode engine for output from an imported KV cache. */
+export interface DecodeCommand {
+  readonly attempt: AttemptId;
+  readonly kvHandle: string;
+  readonly maxTokens: Tokens;
+  /** Position of the first token to deliver, counted from 0 at the start of the answer. */
+  readonly fromPosition: number;
+  readonly priority: number;
+}
+
+/** One event of a decode stream. */
+export type DecodeEvent =
+  | {
+      readonly type: 'token';
+      readonly attempt: AttemptId;
+      readonly position: number;
+      readonly text: string;
+    }
+  | {
+      readonly type: 'done';
+      readonly attempt: AttemptId;
+      readonly reason: 'stop' | 'length';
+      readonly outputTokens: Tokens;
+    };
+
+/** An order to an engine, fenced by a number that only grows. */
+export type EngineOrder =
+  | { readonly type: 'role'; readonly role: 'prefill' | 'decode'; readonly fence: number }
+  | { readonly type: 'load_model'; readonly model: ModelId; readonly fence: number }
+  | { readonly type: 'load_adapter'; readonly adapter: string; readonly fence: number };
+
+/** One model engine, over HTTP in a running host and in memory in a scenario. */
+export interface ModelEngine {
+  readonly id: UpstreamId;
+
+  /** Runs a prompt; aborting the signal cancels it. */
+  prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError>;
+
+  /** Fetches a KV cache into this engine. */
+  transfer(cmd: TransferCommand, signal: AbortSignal): ResultAsync<void, UpstreamError>;
+
+  /** Streams output; the iteration ends after `done` or after one error. */
+  decode(
+    cmd: DecodeCommand,
+    signal: AbortSignal,
+  ): AsyncIterable<Result<DecodeEvent, UpstreamError>>;
+
+  /** Frees whatever an attempt holds on this engine; idempotent. */
+  cancel(attempt: AttemptId): ResultAsync<void, UpstreamError>;
+
+  /** Reads the lagging load report. */
+  load(): ResultAsync<LoadSnapshot, UpstreamError>;
+
+  /** Gives an order. */
+  order(order: EngineOrder): ResultAsync<void, UpstreamError>;
+}
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  readonly attempt: AttemptId;
+  readonly method: string;
+  /** Path and query as the server sees them. */
+  readonly path: string;
+  /** Lower-case names; the caller's key and hop-by-hop headers are already taken out. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly class: WorkClass;
+  readonly timeoutMs: number;
+}
+
+/** A whole answer of a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** One server of a plain service. */
+export interface PlainServer {
+  readonly id: UpstreamId;
+
+  /** Runs one call and reads its whole answer. */
+  call(call: ServiceCall, signal: AbortSignal): ResultAsync<ServiceAnswer, UpstreamError>;
+}
--- /dev/null
+++ b/packages/upstream/src/index.ts
@@ -0,0 +1,1 @@
+export * from './ModelEngine.ts';
