Add the HTTP interfaces towards callers and upstreams

Cause: the whole path needs both ends. Change: caller package (OpenAI-style completions, streamed or whole, plain-service routes, host advice, refusals with execution, bounded bodies, checks against smuggling and keys in odd places); upstream package (undici clients of engines and services, progress deadlines, a probe on a new connection, answers checked against their attempt and position).

--- /dev/null
+++ b/packages/caller/src/CallerBackend.ts
@@ -0,0 +1,103 @@
+import type { ModelId, Refusal, RequestId, ServiceId, Tokens, WorkClass } from '@camphorvane/core';
+import type { Result } from 'neverthrow';
+
+/** A host that a caller may use. */
+export interface AdvisedHost {
+  readonly host: string;
+  readonly zone: string;
+  /** `ip:port` to connect to. */
+  readonly address: string;
+}
+
+/** Which hosts a caller should use, best first, and for how long it may keep the answer. */
+export interface HostAdvice {
+  readonly hosts: readonly AdvisedHost[];
+  readonly keepForMs: number;
+}
+
+/** A completion as a caller asked for it. */
+export interface CompletionRequest {
+  /** The key that came with the request; undefined where there was none. */
+  readonly key: string | undefined;
+  readonly model: ModelId;
+  readonly prompt: string;
+  readonly maxTokens: Tokens;
+  readonly class: WorkClass;
+  /** True where another host passed the request on; it is not passed on again. */
+  readonly hopped: boolean;
+}
+
+/** What happens to a completion, in order; ends after `done` or `refused`. */
+export type CompletionEvent =
+  | { readonly type: 'token'; readonly position: number; readonly text: string }
+  | {
+      readonly type: 'done';
+      readonly reason: 'stop' | 'length';
+      readonly promptTokens: Tokens;
+      readonly cachedTokens: Tokens;
+      readonly outputTokens: Tokens;
+    }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+/** A call to a plain service as a caller made it. */
+export interface ServiceRequest {
+  readonly key: string | undefined;
+  readonly service: ServiceId;
+  readonly method: string;
+  /** Path and query below the service, starting with one slash. */
+  readonly path: string;
+  /** Only headers that may reach an upstream. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly idempotencyKey: string | undefined;
+  readonly body: Uint8Array;
+  readonly hopped: boolean;
+}
+
+/** The whole answer of a plain service. */
+export interface ServiceReply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** True where an earlier answer to the same Idempotency-Key is given again. */
+  readonly replayed: boolean;
+}
+
+/** What the HTTP interface asks of the host; a scenario calls it without HTTP. */
+export interface CallerBackend {
+  /** Gets a new id for a request. */
+  newRequestId(): RequestId;
+
+  /** Gets the hosts that the key's team should use. */
+  advise(key: string | undefined): Result<HostAdvice, Refusal>;
+
+  /** Gets the models that the key's team may ask for. */
+  models(key: string | undefined): Result<readonly ModelId[], Refusal>;
+
+  /**
+   * Serves a completion.
+   *
+   * @param id - The request's id.
+   * @param req - What the caller asked for.
+   * @param signal - Aborted when the caller has gone.
+   * @returns The events; ends after `done` or `refused`.
+   */
+  complete(
+    id: RequestId,
+    req: CompletionRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<CompletionEvent>;
+
+  /**
+   * Serves a call to a plain service.
+   *
+   * @param id - The request's id.
+   * @param req - What the caller asked for.
+   * @param signal - Aborted when the caller has gone.
+   * @returns The whole answer, or a refusal.
+   */
+  callService(
+    id: RequestId,
+    req: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceReply, Refusal>>;
+}
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,3 @@
+export * from './CallerBackend.ts';
+export * from './CallerServer.ts';
+export * from './http/refusalStatus.ts';
--- /dev/null
+++ b/packages/upstream/src/HttpModelEngine.ts
@@ -0,0 +1,223 @@
+import type { AttemptId, Clock, LoadSnapshot, Millis, UpstreamId } from '@camphorvane/core';
+import { ResultAsync, err, errAsync, ok, okAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { z } from 'zod';
+import { readDecodeEvents } from './decodeStream.ts';
+import type {
+  DecodeCommand,
+  DecodeEvent,
+  EngineOrder,
+  ModelEngine,
+  PrefillCommand,
+  PrefillResult,
+  TransferCommand,
+  UpstreamError,
+} from './ModelEngine.ts';
+import { ProgressDeadline } from './ProgressDeadline.ts';
+import { UpstreamConnections } from './UpstreamConnections.ts';
+import { toUpstreamError } from './upstreamErrors.ts';
+import { loadSnapshotSchema, prefillResultSchema } from './wire.ts';
+
+/** How long an engine may make no progress, by kind of call, in milliseconds. */
+export interface EngineTimeouts {
+  readonly prefillMs: Millis;
+  readonly transferMs: Millis;
+  /** Between two events of a decode stream. */
+  readonly decodeProgressMs: Millis;
+  readonly controlMs: Millis;
+}
+
+/** Defaults: a long prompt takes seconds, a token tens of milliseconds, a control call less. */
+export const DEFAULT_ENGINE_TIMEOUTS: EngineTimeouts = {
+  prefillMs: 30_000,
+  transferMs: 5_000,
+  decodeProgressMs: 3_000,
+  controlMs: 1_000,
+};
+
+const JSON_HEADERS = { 'content-type': 'application/json' };
+
+const LOAD_PATH = '/v1/load';
+
+/** A model engine reached over HTTP. */
+export class HttpModelEngine implements ModelEngine {
+  readonly id: UpstreamId;
+
+  private readonly clock: Clock;
+
+  private readonly timeouts: EngineTimeouts;
+
+  private readonly connections: UpstreamConnections;
+
+  /**
+   * @param id - The engine's name in the configuration.
+   * @param url - Its base URL.
+   * @param clock - Judges progress.
+   * @param timeouts - How long it may make no progress.
+   */
+  constructor(
+    id: UpstreamId,
+    url: string,
+    clock: Clock,
+    timeouts: EngineTimeouts = DEFAULT_ENGINE_TIMEOUTS,
+  ) {
+    this.id = id;
+    this.clock = clock;
+    this.timeouts = timeouts;
+    this.connections = new UpstreamConnections(url, clock);
+  }
+
+  /** Runs a prompt; the answer must carry the attempt's id. */
+  prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
+    return this.post(
+      '/v1/prefill',
+      cmd,
+      this.timeouts.prefillMs,
+      signal,
+      prefillResultSchema,
+    ).andThen((result) =>
+      result.attempt === cmd.attempt ? ok(result) : err(mismatch(cmd.attempt)),
+    );
+  }
+
+  /** Fetches a KV cache into this engine. */
+  transfer(cmd: TransferCommand, signal: AbortSignal): ResultAsync<void, UpstreamError> {
+    return this.post('/v1/transfer', cmd, this.timeouts.transferMs, signal);
+  }
+
+  /** Streams output; ends after `done` or after one error. */
+  async *decode(
+    cmd: DecodeCommand,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<DecodeEvent, UpstreamError>> {
+    const deadline = new ProgressDeadline(this.clock, this.timeouts.decodeProgressMs, signal);
+    try {
+      const res = await this.connections.send(
+        { method: 'POST', path: '/v1/decode', headers: JSON_HEADERS, body: JSON.stringify(cmd) },
+        deadline.signal(),
+      );
+      if (res.statusCode !== 200) {
+        yield err(await refusalOf(res));
+        return;
+      }
+      yield* readDecodeEvents(res.body, cmd, deadline);
+    } catch (thrown) {
+      yield err(this.afterFailure(thrown, deadline));
+    } finally {
+      deadline.close();
+    }
+  }
+
+  /** Frees whatever an attempt holds; idempotent. */
+  cancel(attempt: AttemptId): ResultAsync<void, UpstreamError> {
+    const never = new AbortController().signal;
+    return this.post('/v1/cancel', { attempt }, this.timeouts.controlMs, never);
+  }
+
+  /** Reads the lagging load report. */
+  load(): ResultAsync<LoadSnapshot, UpstreamError> {
+    const never = new AbortController().signal;
+    const call = { method: 'GET' as const, path: LOAD_PATH, headers: {} };
+    return this.exchange(call, this.timeouts.controlMs, never).andThen((text) =>
+      parse(text, loadSnapshotSchema),
+    );
+  }
+
+  /** Gives an order. */
+  order(order: EngineOrder): ResultAsync<void, UpstreamError> {
+    const never = new AbortController().signal;
+    return this.post('/v1/orders', order, this.timeouts.controlMs, never);
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.connections.destroy();
+  }
+
+  private post(
+    path: string,
+    body: object,
+    timeoutMs: Millis,
+    signal: AbortSignal,
+  ): ResultAsync<void, UpstreamError>;
+
+  private post<T>(
+    path: string,
+    body: object,
+    timeoutMs: Millis,
+    signal: AbortSignal,
+    schema: z.ZodType<T>,
+  ): ResultAsync<T, UpstreamError>;
+
+  private post<T>(
+    path: string,
+    body: object,
+    timeoutMs: Millis,
+    signal: AbortSignal,
+    schema?: z.ZodType<T>,
+  ): ResultAsync<T | undefined, UpstreamError> {
+    const call = {
+      method: 'POST' as const,
+      path,
+      headers: JSON_HEADERS,
+      body: JSON.stringify(body),
+    };
+    return this.exchange(call, timeoutMs, signal).andThen((text) =>
+      schema === undefined ? okAsync(undefined) : parse(text, schema),
+    );
+  }
+
+  private exchange(
+    call: Parameters<UpstreamConnections['send']>[0],
+    timeoutMs: Millis,
+    signal: AbortSignal,
+  ): ResultAsync<string, UpstreamError> {
+    const run = async (): Promise<Result<string, UpstreamError>> => {
+      const deadline = new ProgressDeadline(this.clock, timeoutMs, signal);
+      try {
+        const res = await this.connections.send(call, deadline.signal());
+        if (res.statusCode >= 400) return err(await refusalOf(res));
+        return ok(await res.body.text());
+      } catch (thrown) {
+        return err(this.afterFailure(thrown, deadline));
+      } finally {
+        deadline.close();
+      }
+    };
+    return new ResultAsync(run());
+  }
+
+  private afterFailure(thrown: unknown, deadline: ProgressDeadline): UpstreamError {
+    const failure = toUpstreamError(thrown, deadline.stopReason());
+    if (failure.type === 'silent') {
+      void this.connections.renewAndProbe(LOAD_PATH, this.timeouts.controlMs);
+    }
+    return failure;
+  }
+}
+
+function mismatch(attempt: AttemptId): UpstreamError {
+  return { type: 'mismatch', dispatched: true, message: `answer is not for attempt ${attempt}` };
+}
+
+/** An engine that answers with an error status has not run the command. */
+async function refusalOf(res: {
+  readonly statusCode: number;
+  readonly body: { text(): Promise<string> };
+}): Promise<UpstreamError> {
+  const text = await res.body.text();
+  const message = `status ${res.statusCode}: ${text.slice(0, 200)}`;
+  return res.statusCode < 500
+    ? { type: 'rejected', dispatched: false, message }
+    : { type: 'broken', dispatched: true, message };
+}
+
+function parse<T>(text: string, schema: z.ZodType<T>): ResultAsync<T, UpstreamError> {
+  const broken: UpstreamError = { type: 'broken', dispatched: true, message: 'malformed answer' };
+  try {
+    const parsed = schema.safeParse(JSON.parse(text));
+    return parsed.success ? okAsync(parsed.data) : errAsync(broken);
+  } catch {
+    return errAsync(broken);
+  }
+}
