--- /dev/null
+++ b/packages/platform/tests/CallBudget.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RandomSource, VirtualClock } from '@camphorvane/core';
+import { Backoff, BudgetedStore, CallBudget } from '@camphorvane/platform';
+import { errorOf } from './support/results.ts';
+import { MemoryObjectStore } from './support/MemoryObjectStore.ts';
+
+const RATES = { readsPerSecond: 8, writesPerSecond: 2 };
+
+const drain = (budget: CallBudget, take: () => boolean): number =>
+  take() ? 1 + drain(budget, take) : 0;
+
+test('status stops first and membership can use the last call', () => {
+  // A host is busy with claims and status reports when its group has to change. Were the budget
+  // gone, the host could not confirm its epoch and would refuse every caller.
+  const budget = new CallBudget(new VirtualClock(), RATES);
+  const used = (priority: 'status' | 'claims' | 'config' | 'membership'): number =>
+    drain(budget, () => budget.take('write', priority).isOk());
+  assert.deepEqual(
+    [used('status'), used('claims'), used('config'), used('membership')],
+    [4, 2, 1, 1],
+  );
+});
+
+test('a call that does not fit is refused at once and told when it would fit', async () => {
+  const clock = new VirtualClock();
+  const budget = new CallBudget(clock, RATES);
+  drain(budget, () => budget.take('write', 'claims').isOk());
+  const refused = errorOf(budget.take('write', 'claims'));
+  assert.deepEqual(refused, { type: 'over_budget', retryAfterMs: 500 });
+  await clock.advance(500);
+  assert.ok(budget.take('write', 'claims').isOk());
+});
+
+test('a platform that answers 429 is left alone by every part of the host but membership', async () => {
+  // Many hosts together ask too much. If only the part that was told waited, the others of the
+  // same host would go on and every caller of the platform would be slowed.
+  const clock = new VirtualClock();
+  const store = new MemoryObjectStore(clock);
+  const budget = new CallBudget(clock, RATES);
+  const claims = new BudgetedStore(store, budget, 'claims');
+  store.failNext({ type: 'over_budget', retryAfterMs: 3000 }, 'before');
+  await claims.get('claim', 'a');
+  const config = await new BudgetedStore(store, budget, 'config').get('config', 'root');
+  assert.deepEqual(errorOf(config), { type: 'over_budget', retryAfterMs: 3000 });
+  const membership = await new BudgetedStore(store, budget, 'membership').get('group', 'g');
+  assert.ok(membership.isOk());
+  await clock.advance(3000);
+  assert.ok((await claims.get('claim', 'a')).isOk());
+});
+
+test('a change of rates mints no calls', () => {
+  const budget = new CallBudget(new VirtualClock(), RATES);
+  drain(budget, () => budget.take('write', 'membership').isOk());
+  budget.setRates({ readsPerSecond: 800, writesPerSecond: 200 });
+  assert.equal(budget.left('write'), 0);
+});
+
+test('a host refused by its own budget does not pause its other parts', async () => {
+  const clock = new VirtualClock();
+  const budget = new CallBudget(clock, RATES);
+  drain(budget, () => budget.take('read', 'status').isOk());
+  await new BudgetedStore(new MemoryObjectStore(clock), budget, 'status').get('a', 'b');
+  assert.ok(budget.take('read', 'claims').isOk());
+});
+
+test('waits double up to their bound, differ between hosts and start over after a success', () => {
+  const waits = (seed: number): readonly number[] => {
+    const backoff = new Backoff(new RandomSource(seed), { baseMs: 100, maxMs: 1000 });
+    return Array.from({ length: 8 }, () => backoff.next());
+  };
+  const bounds = [100, 200, 400, 800, 1000, 1000, 1000, 1000];
+  assert.ok(waits(1).every((wait, i) => wait <= bounds[i]! && wait >= bounds[i]! / 4));
+  assert.notDeepEqual(waits(1), waits(2));
+  const backoff = new Backoff(new RandomSource(3), { baseMs: 100, maxMs: 1000 });
+  backoff.next();
+  backoff.reset();
+  assert.ok(backoff.next() <= 100);
+});
