Add the pool scheduler: exact memory ledger, fair queue, joint placement

Cause: hosts had a contract for placing work and nothing behind it. Change: FairPoolScheduler with a ledger of decode memory (expiring reservations, reclaim with a grace), links reserved before prefill, start-time fair queueing over teams with class floors, cache expectations that age, useful streams inferred from token intervals, early refusals.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,3 @@
 export * from './PoolScheduler.ts';
+export * from './FairPoolScheduler.ts';
+export * from './admit/QueueLimits.ts';
--- /dev/null
+++ b/packages/decisions/src/place/DecodeBoard.ts
@@ -0,0 +1,96 @@
+import type { Millis, Pieces, UpstreamId, WorkClass } from '@camphorvane/core';
+import type { MemoryLedger } from '../ledger/MemoryLedger.ts';
+import { IndexedHeap } from '../structures/IndexedHeap.ts';
+import type { EngineState } from './EngineState.ts';
+
+/**
+ * Share of memory and streams on each engine that summaries leave to lookups. A summary holds its
+ * memory for many seconds; without a rest of memory a lookup would wait for one to end, and a truck
+ * waits in the yard. A tenth of twenty requests is two, which a lookup leaves again within a second.
+ */
+const LEFT_TO_LOOKUPS = 0.1;
+
+/** Engines looked at for one request: the best few, so that the cost stays bounded. */
+const LOOK_AT = 8;
+
+/**
+ * The decode engines in order of load.
+ *
+ * The order follows the exact ledger and not the load reports, so that many requests placed at once
+ * spread out instead of all going to the engine that looked least loaded a second ago.
+ */
+export class DecodeBoard {
+  private readonly byLoad = new IndexedHeap<UpstreamId>();
+
+  private readonly byFree = new IndexedHeap<UpstreamId>();
+
+  private readonly engines = new Map<UpstreamId, EngineState>();
+
+  constructor(
+    private readonly ledger: MemoryLedger,
+    private itlTargetMs: Millis,
+  ) {}
+
+  /** Sets the target for the time between tokens. */
+  setTarget(itlTargetMs: Millis): void {
+    this.itlTargetMs = itlTargetMs;
+  }
+
+  /** Gets how many engines take work. */
+  get size(): number {
+    return this.byLoad.size;
+  }
+
+  /** Puts an engine into its place in the order, after anything about it has changed. */
+  refresh(engine: EngineState): void {
+    const { id, memoryPieces, role } = engine.cfg;
+    this.engines.set(id, engine);
+    if (engine.down || role !== 'decode') {
+      this.byLoad.delete(id);
+      this.byFree.delete(id);
+      return;
+    }
+    const free = this.ledger.getFree(id);
+    const streams = this.ledger.getHolders(id) / this.getUsefulStreams(engine);
+    this.byLoad.set(id, Math.max(streams, 1 - free / memoryPieces));
+    this.byFree.set(id, -free);
+  }
+
+  /** Takes an engine out. */
+  remove(id: UpstreamId): void {
+    this.engines.delete(id);
+    this.byLoad.delete(id);
+    this.byFree.delete(id);
+  }
+
+  /**
+   * Chooses the least loaded engine that has room.
+   *
+   * @param pieces - Memory that the request needs.
+   * @param kind - Its class.
+   * @param avoid - Engines that must not be chosen.
+   * @returns The engine, or undefined where none has room.
+   */
+  choose(pieces: Pieces, kind: WorkClass, avoid: readonly UpstreamId[]): EngineState | undefined {
+    const fits = (id: UpstreamId): boolean =>
+      !avoid.includes(id) && this.hasRoom(this.engines.get(id), pieces, kind);
+    const id = this.byLoad.find(fits, LOOK_AT) ?? this.byFree.find(fits, LOOK_AT);
+    return id === undefined ? undefined : this.engines.get(id);
+  }
+
+  private hasRoom(engine: EngineState | undefined, pieces: Pieces, kind: WorkClass): boolean {
+    if (engine === undefined) return false;
+    const { id, memoryPieces } = engine.cfg;
+    const free = this.ledger.getFree(id);
+    const holders = this.ledger.getHolders(id);
+    if (free < pieces) return false;
+    if (holders === 0) return true;
+    const useful = this.getUsefulStreams(engine);
+    const left = kind === 'summary' ? LEFT_TO_LOOKUPS : 0;
+    return holders + 1 <= useful * (1 - left) && free - pieces >= memoryPieces * left;
+  }
+
+  private getUsefulStreams(engine: EngineState): number {
+    return engine.speed.getUsefulStreams(this.itlTargetMs);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/place/EngineState.ts
@@ -0,0 +1,32 @@
+import type { EngineConfig, Millis, Tokens } from '@camphorvane/core';
+import { EngineSpeed } from './EngineSpeed.ts';
+
+/** What the scheduler knows of one engine besides its memory. */
+export interface EngineState {
+  cfg: EngineConfig;
+  readonly speed: EngineSpeed;
+  /** True from a failure until the engine answers again. */
+  down: boolean;
+  /** Prefill tokens that were placed and are not over: of lookups, and of all classes. */
+  lookupBacklog: Tokens;
+  backlog: Tokens;
+  /** Prefills that were placed and are not over: of lookups, and of all classes. */
+  lookupPrefills: number;
+  prefills: number;
+  /** When the last prefill was over, or when the engine got one after being idle. */
+  busySince: Millis;
+}
+
+/** Makes the state of an engine of which nothing is known yet. */
+export function newEngineState(cfg: EngineConfig): EngineState {
+  return {
+    cfg,
+    speed: new EngineSpeed(),
+    down: false,
+    lookupBacklog: 0,
+    backlog: 0,
+    lookupPrefills: 0,
+    prefills: 0,
+    busySince: 0,
+  };
+}
