Serve completions: reserve, prefill, transfer, decode, resume

Cause: the host has to drive engines. Change: stewards run the pool scheduler, holders ask and renew, an attempt frees what it holds whatever way it ends.

--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -68,6 +68,8 @@
 export type PeerResponse =
   | { readonly type: 'placed'; readonly placement: Placement }
   | { readonly type: 'refused'; readonly refusal: Refusal }
+  /** The request still waits; its holder asks again, which also shows that the holder lives. */
+  | { readonly type: 'waiting' }
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
   | { readonly type: 'not_steward'; readonly epoch: number };
--- /dev/null
+++ b/packages/router/src/host/InFlight.ts
@@ -0,0 +1,57 @@
+import type { Refusal, RequestId, TeamId } from '@camphorvane/core';
+
+/** One request that is being served. */
+export interface InFlightRequest {
+  readonly id: RequestId;
+  readonly team: TeamId;
+  readonly keyDigest: string;
+  /** Aborted when the caller has gone or the host ends the request. */
+  readonly abort: AbortController;
+}
+
+/** The requests that a host is serving. */
+export class InFlight {
+  private readonly requests = new Map<RequestId, InFlightRequest>();
+
+  private readonly idle: (() => void)[] = [];
+
+  /** Gets how many requests are being served. */
+  size(): number {
+    return this.requests.size;
+  }
+
+  /**
+   * Enters a request.
+   *
+   * @param request - The request.
+   * @returns A function that takes it out again.
+   */
+  enter(request: InFlightRequest): () => void {
+    this.requests.set(request.id, request);
+    return () => {
+      this.requests.delete(request.id);
+      if (this.requests.size === 0) this.idle.splice(0).forEach((resolve) => resolve());
+    };
+  }
+
+  /**
+   * Ends every request whose key is no longer in force.
+   *
+   * @param isInForce - Tells whether the key with a digest is in force.
+   * @param refusal - What their callers are told.
+   * @returns How many were ended.
+   */
+  endWithdrawn(isInForce: (keyDigest: string) => boolean, refusal: Refusal): number {
+    const withdrawn = [...this.requests.values()].filter((r) => !isInForce(r.keyDigest));
+    withdrawn.forEach((request) => request.abort.abort(refusal));
+    return withdrawn.length;
+  }
+
+  /** Gets a promise that resolves once no request is being served. */
+  whenIdle(): Promise<void> {
+    if (this.requests.size === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.idle.push(resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/host/ports.ts
@@ -0,0 +1,77 @@
+import type {
+  EngineConfig,
+  HostId,
+  Millis,
+  Refusal,
+  ServiceServer,
+  TeamId,
+  Tokens,
+  VersionedConfig,
+  ZoneId,
+} from '@camphorvane/core';
+import type { PeerAddress } from '@camphorvane/peer';
+import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import type { ResultAsync } from 'neverthrow';
+
+/** Ends a subscription. */
+export type Unsubscribe = () => void;
+
+/** Where a host gets its configuration. */
+export interface ConfigSource {
+  /** Gets the configuration in force, if there is one yet. */
+  current(): VersionedConfig | undefined;
+
+  /** Gets when the version was last known to be the newest, on the host's clock. */
+  confirmedAt(): Millis | undefined;
+
+  /** Calls back after each change. */
+  onChange(changed: (config: VersionedConfig) => void): Unsubscribe;
+}
+
+/** A host of the group, as callers and peers reach it. */
+export interface GroupMate {
+  readonly host: HostId;
+  readonly zone: ZoneId;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly leaving: boolean;
+}
+
+/** What serving needs to know of the group. */
+export interface GroupGate {
+  /** Gets all members, this host included. */
+  members(): readonly GroupMate[];
+
+  /** Gets who coordinates a key now, if this host knows. */
+  stewardOf(key: string): PeerAddress | undefined;
+
+  /** Tells whether this host may coordinate a key now; asked before each decision. */
+  maySteward(key: string): boolean;
+
+  /** Tells whether this host may use what it was given at all. */
+  mayAct(): boolean;
+
+  /** Calls back after each change of members or stewards. */
+  onChange(changed: () => void): Unsubscribe;
+}
+
+/** Tokens taken from a team's rate for one request. */
+export interface RateCharge {
+  readonly team: TeamId;
+  readonly tokens: Tokens;
+}
+
+/** Charges teams; over all hosts together none gets more than its rate and burst. */
+export interface RateGate {
+  /** Takes tokens, or refuses. */
+  charge(team: TeamId, tokens: Tokens): ResultAsync<RateCharge, Refusal>;
+
+  /** Gives back what a request did not use. */
+  refund(charge: RateCharge, unused: Tokens): void;
+}
+
+/** Makes the client of an engine. */
+export type EngineFactory = (cfg: EngineConfig) => ModelEngine;
+
+/** Makes the client of a plain service's server. */
+export type PlainServerFactory = (cfg: ServiceServer) => PlainServer;
--- /dev/null
+++ b/packages/router/src/placing/EngineWatch.ts
@@ -0,0 +1,80 @@
+import type { Clock, Millis, ModelId, UpstreamId } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import type { EngineObservation } from '@camphorvane/decisions';
+import type { PlacementClient } from './PlacementClient.ts';
+
+/** Milliseconds between two messages with observations. */
+const FLUSH_PERIOD_MS: Millis = 500;
+
+const FLUSH_TIMEOUT_MS: Millis = 1_000;
+
+/** Observations kept for one pool while no steward answers; older ones say nothing any more. */
+const MAX_PENDING = 256;
+
+interface IntervalSum {
+  totalMs: number;
+  count: number;
+  readonly streams: Set<string>;
+}
+
+/** Gathers what a host sees of engines, and tells the stewards of their pools in batches. */
+export class EngineWatch {
+  private readonly clock: Clock;
+
+  private readonly client: PlacementClient;
+
+  private readonly intervals = new Map<ModelId, Map<UpstreamId, IntervalSum>>();
+
+  private readonly pending = new Map<ModelId, EngineObservation[]>();
+
+  /**
+   * @param clock - Times the batches.
+   * @param client - Reaches the stewards.
+   */
+  constructor(clock: Clock, client: PlacementClient) {
+    this.clock = clock;
+    this.client = client;
+  }
+
+  /** Takes in the time between two tokens of one stream. */
+  interval(model: ModelId, engine: UpstreamId, stream: string, ms: Millis): void {
+    const engines = this.intervals.get(model) ?? new Map<UpstreamId, IntervalSum>();
+    const sum = engines.get(engine) ?? { totalMs: 0, count: 0, streams: new Set<string>() };
+    sum.totalMs += ms;
+    sum.count += 1;
+    sum.streams.add(stream);
+    engines.set(engine, sum);
+    this.intervals.set(model, engines);
+  }
+
+  /** Takes in one observation. */
+  seen(model: ModelId, observation: EngineObservation): void {
+    const list = this.pending.get(model) ?? [];
+    this.pending.set(model, [...list.slice(1 - MAX_PENDING), observation]);
+  }
+
+  /** Sends batches until stopped. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(this.clock, FLUSH_PERIOD_MS, signal);
+      const models = new Set([...this.intervals.keys(), ...this.pending.keys()]);
+      await Promise.all([...models].map((model) => this.flush(model)));
+    }
+  }
+
+  private async flush(model: ModelId): Promise<void> {
+    const means = [...(this.intervals.get(model) ?? [])].map(
+      ([engine, sum]): EngineObservation => ({
+        type: 'token_interval',
+        engine,
+        meanMs: sum.totalMs / sum.count,
+        streams: sum.streams.size,
+      }),
+    );
+    const observations = [...means, ...(this.pending.get(model) ?? [])];
+    this.intervals.delete(model);
+    this.pending.delete(model);
+    if (observations.length === 0) return;
+    await this.client.ask({ type: 'observe', model, observations }, FLUSH_TIMEOUT_MS);
+  }
+}
--- /dev/null
+++ b/packages/router/src/placing/ReservationKeeper.ts
@@ -0,0 +1,78 @@
+import type { Clock, Millis, ModelId, ReservationId } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import type { AdoptedReservation } from '@camphorvane/decisions';
+import type { PlacementClient } from './PlacementClient.ts';
+
+/** Milliseconds between two renewals; a reservation lives three of them. */
+const RENEW_PERIOD_MS: Millis = 1_000;
+
+/** Milliseconds to wait for the answer to a renewal. */
+const RENEW_TIMEOUT_MS: Millis = 900;
+
+/** A reservation that a request on this host uses. */
+export interface KeptReservation {
+  readonly model: ModelId;
+  /** Called when the steward no longer knows the reservation: its memory may be given away. */
+  readonly onLost: () => void;
+  readonly state: AdoptedReservation;
+}
+
+/**
+ * Renews the reservations of a host, one message for each pool.
+ *
+ * The renewals also show a new steward what its predecessor had given away.
+ */
+export class ReservationKeeper {
+  private readonly clock: Clock;
+
+  private readonly client: PlacementClient;
+
+  private readonly kept = new Map<ReservationId, KeptReservation>();
+
+  /**
+   * @param clock - Times the renewals.
+   * @param client - Reaches the stewards.
+   */
+  constructor(clock: Clock, client: PlacementClient) {
+    this.clock = clock;
+    this.client = client;
+  }
+
+  /** Gets how many reservations are kept. */
+  size(): number {
+    return this.kept.size;
+  }
+
+  /** Starts to keep a reservation, or replaces what is known of it. */
+  keep(reservation: KeptReservation): void {
+    this.kept.set(reservation.state.reservation, reservation);
+  }
+
+  /** Ends keeping a reservation. */
+  drop(reservation: ReservationId): void {
+    this.kept.delete(reservation);
+  }
+
+  /** Renews until stopped. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const models = new Set([...this.kept.values()].map((one) => one.model));
+      await Promise.all([...models].map((model) => this.renew(model)));
+      await sleep(this.clock, RENEW_PERIOD_MS, signal);
+    }
+  }
+
+  private async renew(model: ModelId): Promise<void> {
+    const held = [...this.kept.values()].filter((one) => one.model === model);
+    const res = await this.client.ask(
+      { type: 'renew', model, held: held.map((one) => one.state) },
+      RENEW_TIMEOUT_MS,
+    );
+    if (res?.type !== 'renewed') return;
+    res.lost.forEach((id) => {
+      const lost = this.kept.get(id);
+      this.kept.delete(id);
+      lost?.onLost();
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -0,0 +1,225 @@
+import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
+import type {
+  HostId,
+  Millis,
+  PoolConfig,
+  Refusal,
+  RequestId,
+  RoutingConfig,
+  Tokens,
+  UpstreamId,
+} from '@camphorvane/core';
+import { estimateTokens, notRun, outcomeUnknown } from '@camphorvane/core';
+import type { WorkItem } from '@camphorvane/decisions';
+import type { Placement } from '@camphorvane/peer';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { AuthenticatedCaller } from '../host/Authenticator.ts';
+import type { RateCharge, RateGate } from '../host/ports.ts';
+import type { AttemptOutcome, AttemptTools } from './CompletionAttempt.ts';
+import { CompletionAttempt } from './CompletionAttempt.ts';
+import { promptPrefixes } from './promptPrefixes.ts';
+import { waitBound } from './waitBound.ts';
+
+/** Attempts for one completion; more would let one bad prompt visit every engine. */
+const MAX_ATTEMPTS = 4;
+
+/** Engines kept away from a request after it failed there. */
+const MAX_AVOIDED = 4;
+
+/** A completion whose caller is known. */
+export interface KnownCompletion {
+  readonly id: RequestId;
+  readonly req: CompletionRequest;
+  readonly caller: AuthenticatedCaller;
+  readonly config: RoutingConfig;
+  /** Aborted when the caller has gone, or with a refusal as reason when the host ends it. */
+  readonly signal: AbortSignal;
+}
+
+/** What completion serving is made of. */
+export interface CompletionServingOptions extends AttemptTools {
+  readonly self: HostId;
+  readonly rates: RateGate;
+}
+
+interface Progress {
+  text: string;
+  position: number;
+  promptTokens: Tokens;
+  avoid: readonly UpstreamId[];
+  dispatched: boolean;
+  startedAt: Millis;
+}
+
+/** Serves completions: charge, reserve, run, resume where an engine fails, refund. */
+export class CompletionServing {
+  private readonly options: CompletionServingOptions;
+
+  /** @param options - What it is made of. */
+  constructor(options: CompletionServingOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Serves one completion.
+   *
+   * @param work - The completion.
+   * @returns Its events; ends after `done` or `refused`.
+   */
+  async *serve(work: KnownCompletion): AsyncGenerator<CompletionEvent> {
+    const pool = this.poolFor(work);
+    if (pool.isErr()) {
+      yield { type: 'refused', refusal: pool.error };
+      return;
+    }
+    const promptTokens = estimateTokens(work.req.prompt);
+    const charge = await this.options.rates.charge(
+      work.caller.team.id,
+      promptTokens + work.req.maxTokens,
+    );
+    if (charge.isErr()) {
+      yield { type: 'refused', refusal: charge.error };
+      return;
+    }
+    yield* this.serveCharged(work, pool.value, charge.value);
+  }
+
+  private async *serveCharged(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    charge: RateCharge,
+  ): AsyncGenerator<CompletionEvent> {
+    const progress: Progress = {
+      text: '',
+      position: 0,
+      promptTokens: estimateTokens(work.req.prompt),
+      avoid: [],
+      dispatched: false,
+      startedAt: this.options.clock.now(),
+    };
+    try {
+      yield* this.attempts(work, pool, progress);
+    } finally {
+      // What was dispatched cost its prompt; output that was never made is given back.
+      const used = progress.dispatched ? progress.promptTokens + progress.position : 0;
+      this.options.rates.refund(charge, Math.max(0, charge.tokens - used));
+    }
+  }
+
+  private async *attempts(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    progress: Progress,
+  ): AsyncGenerator<CompletionEvent> {
+    let last: AttemptOutcome | undefined;
+    let left = MAX_ATTEMPTS;
+    while (left > 0) {
+      left -= 1;
+      const placement = await this.reserve(work, pool, progress);
+      if (placement.isErr()) {
+        yield { type: 'refused', refusal: this.refusalFor(work, progress, placement.error) };
+        return;
+      }
+      last = yield* this.attempt(work, pool, progress, placement.value);
+      if (last.type === 'done') {
+        yield {
+          type: 'done',
+          reason: last.reason,
+          promptTokens: last.prefill.promptTokens,
+          cachedTokens: last.prefill.cachedTokens,
+          outputTokens: progress.position,
+        };
+        return;
+      }
+      if (work.signal.aborted) break;
+      progress.avoid = [...progress.avoid, last.engine].slice(-MAX_AVOIDED);
+      this.options.metrics.count('attempt.resumed');
+    }
+    const failure = outcomeUnknown('upstream_failed', 'The engines that ran this request failed.');
+    yield { type: 'refused', refusal: this.refusalFor(work, progress, failure) };
+  }
+
+  private async *attempt(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    progress: Progress,
+    placement: Placement,
+  ): AsyncGenerator<CompletionEvent, AttemptOutcome> {
+    const attempt = new CompletionAttempt(this.options, {
+      pool,
+      placement,
+      identity: { request: work.id, holder: this.options.self, team: work.caller.team.id },
+      prompt: work.req.prompt,
+      prefixes: promptPrefixes(work.req.prompt),
+      delivered: progress.text,
+      fromPosition: progress.position,
+      maxTokens: work.req.maxTokens,
+    });
+    progress.dispatched = true;
+    const tokens = attempt.run(work.signal);
+    let next = await tokens.next();
+    while (next.done !== true) {
+      if (progress.position === 0) {
+        const ttft = this.options.clock.now() - progress.startedAt;
+        this.options.metrics.timing('request.ttft', ttft, { class: work.req.class });
+      }
+      progress.text += next.value.text;
+      progress.position += 1;
+      yield { type: 'token', position: next.value.position, text: next.value.text };
+      next = await tokens.next();
+    }
+    return next.value;
+  }
+
+  private reserve(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    progress: Progress,
+  ): Promise<Result<Placement, Refusal>> {
+    const { req, caller } = work;
+    const item: WorkItem = {
+      request: work.id,
+      holder: this.options.self,
+      team: caller.team.id,
+      weight: caller.team.weight,
+      class: req.class,
+      promptTokens: progress.promptTokens + progress.position,
+      maxOutputTokens: Math.max(1, req.maxTokens - progress.position),
+      prefixes: promptPrefixes(req.prompt),
+      maxWaitMs: waitBound(work.config, pool, caller.team.id, req.class),
+      avoid: progress.avoid,
+    };
+    return this.options.placements.reserve(pool.model, item, work.signal);
+  }
+
+  private poolFor(work: KnownCompletion): Result<PoolConfig, Refusal> {
+    const { req, caller } = work;
+    const pool = this.options.directory.getPool(req.model);
+    if (pool === undefined) return err(notRun('unknown_model', 'There is no such model.'));
+    const allowed = caller.team.models.length === 0 || caller.team.models.includes(req.model);
+    if (!allowed) return err(notRun('model_not_allowed', 'The team may not use this model.'));
+    if (estimateTokens(req.prompt) + req.maxTokens > pool.maxTokens) {
+      return err(
+        notRun('prompt_too_long', `Prompt and output exceed ${pool.maxTokens} tokens together.`),
+      );
+    }
+    return ok(pool);
+  }
+
+  /** A refusal must not say "not run" once an engine was given the work. */
+  private refusalFor(work: KnownCompletion, progress: Progress, refusal: Refusal): Refusal {
+    const reason = work.signal.aborted ? endReason(work.signal) : refusal;
+    return progress.dispatched ? { ...reason, execution: 'unknown' } : reason;
+  }
+}
+
+/** Gets why a request was ended from outside: the host's refusal, or that its caller has gone. */
+function endReason(signal: AbortSignal): Refusal {
+  const reason: unknown = signal.reason;
+  return isRefusal(reason) ? reason : notRun('caller_gone', 'The caller closed its connection.');
+}
+
+function isRefusal(value: unknown): value is Refusal {
+  return typeof value === 'object' && value !== null && 'code' in value && 'execution' in value;
+}
