Add group membership: a pure state machine, its runner and the interface for model checking

Cause: hosts have to agree on who is steward of a key without a second coordination service. Change: GroupMember decides from messages, platform answers and the host list; GroupRunner drives it over Clock, ObjectStore and PeerLink (a new membership request and response); ExploredProtocol and two searches are the frame in which protocols are checked.

--- /dev/null
+++ b/packages/group/src/explore/search.ts
@@ -0,0 +1,135 @@
+import { RandomSource } from '@camphorvane/core';
+import type { Exploration, ExploredProtocol, Invariant, Violation } from './ExploredProtocol.ts';
+
+/** Bounds of an exhaustive search. */
+export interface SearchBounds {
+  /** Most actions from an initial state. */
+  readonly depth: number;
+  /** Most states to visit, a bound on memory. */
+  readonly maxStates: number;
+  /** Whether to end at the first violation. */
+  readonly stopAtFirst: boolean;
+}
+
+/** A state together with the way to it, as a list linked backwards. */
+interface Visit<State> {
+  readonly state: State;
+  readonly action?: string;
+  readonly parent?: Visit<State>;
+}
+
+function traceOf<State>(visit: Visit<State>): readonly string[] {
+  const lines: string[] = [];
+  let at: Visit<State> | undefined = visit;
+  while (at?.action !== undefined) {
+    lines.push(at.action);
+    at = at.parent;
+  }
+  return lines.reverse();
+}
+
+function broken<State>(
+  invariants: readonly Invariant<State>[],
+  visit: Visit<State>,
+  found: ReadonlyMap<string, Violation>,
+): readonly Violation[] {
+  return invariants.flatMap((invariant) => {
+    if (found.has(invariant.name)) return [];
+    const message = invariant.check(visit.state);
+    return message === undefined
+      ? []
+      : [{ invariant: invariant.name, message, trace: traceOf(visit) }];
+  });
+}
+
+/**
+ * Visits every state within a number of actions, breadth first, so that the first violation found
+ * has the shortest trace.
+ *
+ * @param protocol - What to search.
+ * @param bounds - How far.
+ * @returns What was found.
+ */
+export function searchAll<State, Action>(
+  protocol: ExploredProtocol<State, Action>,
+  bounds: SearchBounds,
+): Exploration {
+  const seen = new Set<string>();
+  const found = new Map<string, Violation>();
+  let transitions = 0;
+  let depth = 0;
+  let truncated = false;
+  const admit = (visit: Visit<State>): readonly Visit<State>[] => {
+    const key = protocol.key(visit.state);
+    if (seen.has(key)) return [];
+    if (seen.size >= bounds.maxStates) {
+      truncated = true;
+      return [];
+    }
+    seen.add(key);
+    broken(protocol.invariants, visit, found).forEach((one) => found.set(one.invariant, one));
+    return [visit];
+  };
+  const isOver = (): boolean => truncated || (bounds.stopAtFirst && found.size > 0);
+  let frontier = protocol.initial().flatMap((state) => admit({ state }));
+  const expand = (visit: Visit<State>): readonly Visit<State>[] => {
+    if (isOver()) return [];
+    return protocol.actions(visit.state).flatMap((action) => {
+      transitions += 1;
+      const state = protocol.apply(visit.state, action);
+      return admit({ state, action: protocol.describe(action), parent: visit });
+    });
+  };
+  while (frontier.length > 0 && depth < bounds.depth && !isOver()) {
+    frontier = frontier.flatMap(expand);
+    depth += 1;
+  }
+  const violations = [...found.values()];
+  return { statesVisited: seen.size, transitions, depth, truncated, violations };
+}
+
+/** Bounds of random runs. */
+export interface RandomBounds {
+  readonly runs: number;
+  /** Actions in each run. */
+  readonly length: number;
+  readonly seed: number;
+}
+
+/**
+ * Walks through a protocol at random, far deeper than a search of everything can go.
+ *
+ * @param protocol - What to walk through.
+ * @param bounds - How many runs of which length, and the seed.
+ * @returns What was found; a trace is as long as its run happened to be.
+ */
+export function searchRandomly<State, Action>(
+  protocol: ExploredProtocol<State, Action>,
+  bounds: RandomBounds,
+): Exploration {
+  const random = new RandomSource(bounds.seed);
+  const found = new Map<string, Violation>();
+  let transitions = 0;
+  const initial = protocol.initial();
+  Array.from({ length: bounds.runs }).forEach(() => {
+    const start = initial[random.int(0, initial.length - 1)];
+    if (start === undefined) return;
+    let visit: Visit<State> = { state: start };
+    let steps = 0;
+    while (steps < bounds.length) {
+      const actions = protocol.actions(visit.state);
+      const action = actions[random.int(0, Math.max(0, actions.length - 1))];
+      if (action === undefined) return;
+      const state = protocol.apply(visit.state, action);
+      visit = { state, action: protocol.describe(action), parent: visit };
+      transitions += 1;
+      steps += 1;
+      const violations = broken(protocol.invariants, visit, found);
+      violations.forEach((one) => found.set(one.invariant, one));
+      if (violations.length > 0) return;
+    }
+  });
+  const violations = [...found.values()];
+  const depth = bounds.length;
+  return { statesVisited: transitions, transitions, depth, truncated: false, violations };
+}
--- /dev/null
+++ b/packages/group/src/index.ts
@@ -0,0 +1,3 @@
+export * from './membership/index.ts';
+export * from './explore/ExploredProtocol.ts';
+export * from './explore/search.ts';
--- /dev/null
+++ b/packages/group/src/membership/index.ts
@@ -0,0 +1,10 @@
+export { actUntil, isMember, isSettled, mayAct, maySteward, settledAt } from './authority.ts';
+export * from './GroupMember.ts';
+export * from './GroupRecord.ts';
+export * from './GroupView.ts';
+export * from './MemberEffect.ts';
+export * from './MemberIdentity.ts';
+export * from './MemberInput.ts';
+export * from './MembershipMessage.ts';
+export * from './MembershipSettings.ts';
+export { initialState, type MemberState } from './MemberState.ts';
--- /dev/null
+++ b/packages/group/src/membership/proposal.ts
@@ -0,0 +1,232 @@
+import type { Millis } from '@camphorvane/core';
+import type { GroupRecord, PastEpoch, RecordMember } from './GroupRecord.ts';
+import { isSettled } from './authority.ts';
+import { isHeard, isNamed, silentMembers } from './knowledge.ts';
+import { memberKey, type MemberIdentity, type MemberKey } from './MemberIdentity.ts';
+import type { MembershipRules, MembershipSettings } from './MembershipSettings.ts';
+import { hasEnded, type MemberState } from './MemberState.ts';
+
+/** Earlier epochs that a record may carry; more changes wait until some have settled. */
+const MAX_LINEAGE = 8;
+
+/** How many times the usual spacing a retry of a failed read may reach. */
+const MAX_BACKOFF = 16;
+
+/**
+ * Gets the members that a majority calls silent.
+ *
+ * One member's word is not enough: a path that is broken only between two members would have the
+ * first of them remove the second again and again.
+ */
+function agreedSilent(
+  state: MemberState,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): readonly MemberKey[] {
+  const members = state.record?.members ?? [];
+  const reports = members.map((member) => {
+    if (memberKey(member) === memberKey(state.self)) return silentMembers(state, settings, now);
+    const isFresh = isHeard(state, member, settings, now);
+    return isFresh ? (state.peers[memberKey(member)]?.silent ?? []) : [];
+  });
+  return members
+    .map(memberKey)
+    .filter(
+      (key) =>
+        reports.filter((silent) => silent.includes(key)).length >= rules.quorum(members.length),
+    );
+}
+
+function isDraining(state: MemberState, member: MemberIdentity): boolean {
+  const key = memberKey(member);
+  if (state.leavingByList.includes(key)) return true;
+  const intent = key === memberKey(state.self) ? state.intent : state.peers[key]?.intent;
+  return intent === 'drain';
+}
+
+function asListed(state: MemberState, member: MemberIdentity): RecordMember {
+  const { host, incarnation, peerAddress, callerAddress, zone } = member;
+  const listed = state.listed.includes(memberKey(member));
+  const draining = isDraining(state, member);
+  return { host, incarnation, peerAddress, callerAddress, zone, draining, listed };
+}
+
+/** Gets the hosts outside that ask to be let in, the host itself included. */
+function applicants(
+  state: MemberState,
+  settings: MembershipSettings,
+  now: Millis,
+): readonly MemberIdentity[] {
+  const { record } = state;
+  if (record === undefined) return [];
+  const peers = Object.values(state.peers)
+    .filter(
+      (peer) =>
+        peer.intent === 'stay' &&
+        peer.heardAt !== undefined &&
+        now - peer.heardAt <= settings.suspectMs &&
+        !hasEnded(state, peer.identity) &&
+        !isNamed(record, peer.identity),
+    )
+    .map((peer) => peer.identity);
+  const isOutside = state.intent === 'stay' && !isNamed(record, state.self);
+  const all = isOutside ? [...peers, state.self] : peers;
+  return [...all].sort((a, b) => (memberKey(a) < memberKey(b) ? -1 : 1));
+}
+
+/**
+ * Gets the members that the group should have, as far as this host can tell.
+ *
+ * A host that restarted is let in only once its earlier incarnation is out, because keys are
+ * placed by host and two incarnations of one host would share a place.
+ */
+export function wantedMembers(
+  state: MemberState,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): readonly RecordMember[] {
+  if (state.record === undefined) return [];
+  const silent = agreedSilent(state, settings, rules, now);
+  const isLeaving = (member: MemberIdentity): boolean =>
+    state.intent === 'leave' && memberKey(member) === memberKey(state.self);
+  const staying = state.record.members.filter(
+    (member) =>
+      !hasEnded(state, member) && !silent.includes(memberKey(member)) && !isLeaving(member),
+  );
+  return applicants(state, settings, now)
+    .reduce<readonly MemberIdentity[]>((members, one) => {
+      const isTaken = members.some((member) => member.host === one.host);
+      return isTaken || members.length >= settings.maxMembers ? members : [...members, one];
+    }, staying)
+    .map((member) => asListed(state, member));
+}
+
+function isSame(a: readonly RecordMember[], b: readonly RecordMember[]): boolean {
+  return (
+    a.length === b.length &&
+    a.every((member, index) => {
+      const other = b[index];
+      return (
+        other !== undefined &&
+        memberKey(member) === memberKey(other) &&
+        member.draining === other.draining &&
+        member.listed === other.listed
+      );
+    })
+  );
+}
+
+/** Notes since when the group's members differ from those it should have. */
+export function withWish(
+  state: MemberState,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): MemberState {
+  if (state.record === undefined) return state;
+  const isFine = isSame(wantedMembers(state, settings, rules, now), state.record.members);
+  if (isFine === (state.wantSince === undefined)) return state;
+  return { ...state, wantSince: isFine ? undefined : now };
+}
+
+/**
+ * Tells whether the next epoch may be written now.
+ *
+ * Two conditions. Safety: a majority of the epoch before this one knows this one, so that by
+ * induction no epoch before this one can be confirmed any more, and the next record needs to speak
+ * of few. Use: a majority of this epoch is in reach, since without it the next epoch would take
+ * nothing over; a cut-off minority that still reaches the platform must not throw the others out.
+ */
+export function mayWrite(
+  state: MemberState,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): boolean {
+  const { record } = state;
+  if (record === undefined) return false;
+  if (rules.chained && state.quorumAt === undefined) return false;
+  const lineage = nextLineage(state, record, settings, rules, now);
+  if (lineage.length > MAX_LINEAGE) return false;
+  const inReach = record.members.filter(
+    (member) => hasEnded(state, member) || isHeard(state, member, settings, now),
+  );
+  return inReach.length >= rules.quorum(record.members.length);
+}
+
+/** Gets this host's place among those who would write; the first one in reach goes first. */
+function writerRank(state: MemberState, settings: MembershipSettings, now: Millis): number {
+  const live = (state.record?.members ?? []).filter((member) => {
+    const isSelf = memberKey(member) === memberKey(state.self);
+    return isSelf ? state.intent !== 'leave' : isHeard(state, member, settings, now);
+  });
+  const rank = live.findIndex((member) => memberKey(member) === memberKey(state.self));
+  return rank < 0 ? live.length : rank;
+}
+
+/** Tells whether this host should now read the object in order to write the next epoch. */
+export function isWriteDue(
+  state: MemberState,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): boolean {
+  if (state.wantSince === undefined || !mayWrite(state, settings, rules, now)) return false;
+  const rank = writerRank(state, settings, now);
+  const wait = rank === 0 ? 0 : (rank + settings.jitter) * settings.staggerMs;
+  return now >= state.wantSince + wait;
+}
+
+function nextLineage(
+  state: MemberState,
+  record: GroupRecord,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): readonly PastEpoch[] {
+  const earlier = isSettled(state, settings, rules, now) ? [] : record.lineage;
+  const current = { epoch: record.epoch, members: record.members };
+  return [...earlier, current].map((past) => ({
+    epoch: past.epoch,
+    members: past.members.map((member) => ({
+      ...member,
+      ended: ('ended' in member && member.ended) || hasEnded(state, member),
+    })),
+  }));
+}
+
+/** Makes the record of the next epoch. */
+export function nextRecord(
+  state: MemberState,
+  record: GroupRecord,
+  settings: MembershipSettings,
+  rules: MembershipRules,
+  now: Millis,
+): GroupRecord {
+  return {
+    group: state.group,
+    epoch: record.epoch + 1,
+    members: wantedMembers(state, settings, rules, now),
+    lineage: nextLineage(state, record, settings, rules, now),
+    nonce: `${memberKey(state.self)}#${state.nextCallId}`,
+  };
+}
+
+/** Makes the first record of a group. */
+export function firstRecord(state: MemberState): GroupRecord {
+  return {
+    group: state.group,
+    epoch: 1,
+    members: [asListed(state, state.self)],
+    lineage: [],
+    nonce: `${memberKey(state.self)}#${state.nextCallId}`,
+  };
+}
+
+/** Gets the time between failed reads: it doubles, so that an outage's end meets no rush. */
+export function backoff(state: MemberState, settings: MembershipSettings): Millis {
+  const factor = Math.min(MAX_BACKOFF, 2 ** state.failedReads);
+  return settings.urgentReadMs * factor * (1 + settings.jitter / 2);
+}
--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -13,6 +13,7 @@
   ReservationId,
   UpstreamId,
 } from '@camphorvane/core';
+import type { Hello, Welcome } from '@camphorvane/group';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where a peer listens. */
@@ -62,7 +63,8 @@
       readonly type: 'observe';
       readonly model: ModelId;
       readonly observations: readonly EngineObservation[];
-    };
+    }
+  | { readonly type: 'membership'; readonly message: Hello };
 
 /** What the other host answers. */
 export type PeerResponse =
@@ -70,7 +72,8 @@
   | { readonly type: 'refused'; readonly refusal: Refusal }
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
-  | { readonly type: 'not_steward'; readonly epoch: number };
+  | { readonly type: 'not_steward'; readonly epoch: number }
+  | { readonly type: 'membership'; readonly message: Welcome };
 
 /** Why a peer gave no answer. */
 export type PeerError =
--- /dev/null
+++ b/packages/peer/tests/group/GroupRunner.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { GroupWorld, KEYS } from '../support/GroupWorld.ts';
+
+test('hosts that start together become one group in which every key has one steward', async () => {
+  const world = new GroupWorld();
+  const ids = await world.startGroup(6);
+  ids.forEach((id) => {
+    assert.deepEqual(world.membersAt(id), ids);
+    assert.equal(world.runner(id).mayAct(), true);
+  });
+  KEYS.forEach((key) => assert.equal(world.stewards(key).length, 1, key));
+});
+
+test('a listener hears of a new member and of the permission to act', async () => {
+  const world = new GroupWorld();
+  const first = world.start('h1');
+  const seen: string[] = [];
+  const stopListening = first.runner.onChange((view) => {
+    seen.push(`${view.members.length} ${view.mayAct}`);
+  });
+  await world.run(5_000);
+  world.start('h2');
+  await world.run(5_000);
+  stopListening();
+  assert.deepEqual([...new Set(seen)], ['1 true', '2 true']);
+});
--- /dev/null
+++ b/packages/peer/tests/support/FakePlatform.ts
@@ -0,0 +1,68 @@
+import type { ResultAsync } from 'neverthrow';
+import { errAsync, okAsync } from 'neverthrow';
+import type {
+  Expected,
+  HostEntry,
+  ObjectStore,
+  PlatformError,
+  StoredObject,
+  WatchBatch,
+} from '@camphorvane/platform';
+
+const DOWN: PlatformError = { type: 'unavailable', message: 'the platform is down' };
+
+/** One platform for all hosts of a test. */
+export class FakePlatform {
+  readonly objects = new Map<string, StoredObject>();
+
+  hosts: readonly HostEntry[] = [];
+
+  down = false;
+
+  /** How many writes take effect without their answers arriving. */
+  lostAnswers = 0;
+
+  calls = 0;
+
+  private version = 0;
+
+  get(kind: string, name: string): StoredObject | undefined {
+    return this.objects.get(`${kind}/${name}`);
+  }
+
+  put(
+    kind: string,
+    name: string,
+    value: unknown,
+    expected: Expected,
+  ): ResultAsync<StoredObject, PlatformError> {
+    const current = this.get(kind, name);
+    if ((current?.version ?? 'absent') !== expected) return errAsync({ type: 'conflict', current });
+    this.version += 1;
+    const object = { kind, name, version: this.version, value: structuredClone(value) };
+    this.objects.set(`${kind}/${name}`, object);
+    if (this.lostAnswers === 0) return okAsync(object);
+    this.lostAnswers -= 1;
+    return errAsync({ type: 'unavailable', message: 'the answer is lost' });
+  }
+
+  /**
+   * Gets the store as one host sees it.
+   *
+   * @param isCut - Whether the host is cut off from the platform now.
+   */
+  storeFor(isCut: () => boolean): ObjectStore {
+    const guard = <T>(run: () => ResultAsync<T, PlatformError>): ResultAsync<T, PlatformError> => {
+      this.calls += 1;
+      return this.down || isCut() ? errAsync(DOWN) : run();
+    };
+    return {
+      get: (kind, name) => guard(() => okAsync(this.get(kind, name))),
+      put: (kind, name, value, expected) => guard(() => this.put(kind, name, value, expected)),
+      remove: () => errAsync(DOWN),
+      list: () => errAsync(DOWN),
+      watch: () => errAsync<WatchBatch, PlatformError>(DOWN),
+      hosts: () => guard(() => okAsync(this.hosts)),
+    };
+  }
+}
--- /dev/null
+++ b/packages/peer/tests/support/GroupWorld.ts
@@ -0,0 +1,193 @@
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { RandomSource, sleep, VirtualClock, type HostId, type Millis } from '@camphorvane/core';
+import {
+  DEFAULT_MEMBERSHIP,
+  type MemberIdentity,
+  type MembershipSettings,
+} from '@camphorvane/group';
+import {
+  GroupRunner,
+  type PeerAddress,
+  type PeerError,
+  type PeerLink,
+  type PeerRequest,
+  type PeerResponse,
+} from '../../src/index.ts';
+import { FakePlatform } from './FakePlatform.ts';
+import { HostClock } from './HostClock.ts';
+
+export const SETTINGS: MembershipSettings = DEFAULT_MEMBERSHIP;
+
+const ZONES = ['north', 'middle', 'south'];
+
+/** One way through the network between two hosts. */
+const LATENCY_MS = 1;
+
+/** Keys whose stewards are checked after each step of time. */
+export const KEYS = Array.from({ length: 12 }, (_, index) => `team-${index}`);
+
+/** A host that runs in a test. */
+export interface RunningHost {
+  readonly self: MemberIdentity;
+  readonly clock: HostClock;
+  readonly runner: GroupRunner;
+  dead: boolean;
+}
+
+/** Several hosts of one group over a platform and a network that a test can break. */
+export class GroupWorld {
+  readonly clock = new VirtualClock(1_000);
+
+  readonly platform = new FakePlatform();
+
+  readonly hosts = new Map<HostId, RunningHost>();
+
+  /** Every process that ever ran, since a paused one must not act after its host restarted. */
+  readonly processes: RunningHost[] = [];
+
+  /** Breaks of the network: whether two ends (a host, or `platform`) can reach each other. */
+  isCut: (from: string, to: string) => boolean = () => false;
+
+  messages = 0;
+
+  private readonly settings: MembershipSettings;
+
+  private starts = 0;
+
+  constructor(settings: Partial<MembershipSettings> = {}) {
+    this.settings = { ...SETTINGS, ...settings };
+  }
+
+  /** Starts a host, or starts it again as another incarnation. */
+  start(id: HostId, rate = 1): RunningHost {
+    this.starts += 1;
+    const number = Number(id.replace(/\D/g, ''));
+    const self: MemberIdentity = {
+      host: id,
+      incarnation: `i${this.starts}`,
+      peerAddress: `10.0.0.${number}:7000`,
+      callerAddress: `10.0.0.${number}:8000`,
+      zone: ZONES[number % ZONES.length] ?? 'north',
+    };
+    const clock = new HostClock(this.clock, rate);
+    const runner = new GroupRunner({
+      group: 'g0',
+      self,
+      settings: this.settings,
+      clock,
+      random: new RandomSource(this.starts),
+      store: this.platform.storeFor(() => this.isCut(id, 'platform')),
+      link: this.linkOf(id),
+    });
+    const host = { self, clock, runner, dead: false };
+    this.hosts.set(id, host);
+    this.processes.push(host);
+    this.list(id, 'live');
+    runner.start();
+    return host;
+  }
+
+  /** Starts several hosts and waits until they are one group. */
+  async startGroup(count: number): Promise<readonly HostId[]> {
+    const ids = Array.from({ length: count }, (_, index) => `h${index + 1}`);
+    ids.forEach((id) => this.start(id));
+    await this.run(15_000);
+    return ids;
+  }
+
+  host(id: HostId): RunningHost {
+    const host = this.hosts.get(id);
+    if (host === undefined) throw new Error(`no host ${id}`);
+    return host;
+  }
+
+  runner(id: HostId): GroupRunner {
+    return this.host(id).runner;
+  }
+
+  /** Ends a host's process without a word. */
+  crash(id: HostId): void {
+    const host = this.host(id);
+    host.dead = true;
+    host.runner.stop();
+  }
+
+  /** Changes what the platform's host list says of a host. */
+  list(id: HostId, state: 'live' | 'leaving' | 'gone'): void {
+    const rest = this.platform.hosts.filter((entry) => entry.id !== id);
+    const { zone, callerAddress, peerAddress } = this.host(id).self;
+    const entry = { id, zone, callerAddress, peerAddress };
+    this.platform.hosts = state === 'gone' ? rest : [...rest, { ...entry, state }];
+  }
+
+  /** Lets time pass, checking at each step that no key has two stewards. */
+  async run(span: Millis, step: Millis = 50): Promise<void> {
+    const until = this.clock.now() + span;
+    while (this.clock.now() < until) {
+      await this.clock.advance(step);
+      KEYS.forEach((key) => this.checkKey(key));
+    }
+  }
+
+  /** Gets the hosts that may act as a key's steward now. */
+  stewards(key: string): readonly HostId[] {
+    return this.processes
+      .filter((host) => !host.dead && !host.clock.paused && host.runner.maySteward(key))
+      .map((host) => host.self.host);
+  }
+
+  /** Gets the names of the members that a host knows. */
+  membersAt(id: HostId): readonly HostId[] {
+    return [
+      ...this.runner(id)
+        .view()
+        .members.map((member) => member.host),
+    ].sort();
+  }
+
+  private checkKey(key: string): void {
+    const stewards = this.stewards(key);
+    if (stewards.length > 1) {
+      throw new Error(`${key} has stewards ${stewards.join(', ')} at ${this.clock.now()}`);
+    }
+  }
+
+  private linkOf(from: HostId): PeerLink {
+    return {
+      ask: (to, req, timeoutMs) => new ResultAsync(this.carry(from, to, req, timeoutMs)),
+    };
+  }
+
+  private async carry(from: HostId, to: PeerAddress, req: PeerRequest, timeoutMs: Millis) {
+    this.messages += 1;
+    const target = this.hosts.get(to.host);
+    const isLost = (): boolean => this.isCut(from, to.host) || target?.dead !== false;
+    await sleep(this.clock, LATENCY_MS);
+    if (isLost() || target === undefined) return this.timeout(timeoutMs);
+    const answer = await Promise.race([
+      new Promise<PeerResponse | undefined>((resolve) => {
+        target.clock.whenAwake(() => {
+          const isMembership = req.type === 'membership' && !target.dead;
+          const message = isMembership ? target.runner.answer(req.message) : undefined;
+          resolve(message === undefined ? undefined : { type: 'membership', message });
+        });
+      }),
+      sleep(this.clock, timeoutMs).then(() => undefined),
+    ]);
+    await sleep(this.clock, LATENCY_MS);
+    if (answer === undefined || isLost()) return this.timeout(timeoutMs);
+    const back = await this.onceAwake(from, answer);
+    return okAsync<PeerResponse, PeerError>(back);
+  }
+
+  private onceAwake<T>(id: HostId, value: T): Promise<T> {
+    return new Promise((resolve) => {
+      this.host(id).clock.whenAwake(() => resolve(value));
+    });
+  }
+
+  private async timeout(timeoutMs: Millis) {
+    await sleep(this.clock, timeoutMs);
+    return errAsync<PeerResponse, PeerError>({ type: 'timeout', message: 'no answer' });
+  }
+}
