Add stand-ins of the platform, engines and services

Cause: the host code needs peers at its edges that keep the promises and have the faults of the real ones, in memory under a virtual clock and as processes over HTTP.

--- /dev/null
+++ b/packages/stand-ins/src/engine/engineRoutes.ts
@@ -0,0 +1,114 @@
+import type {
+  DecodeCommand,
+  DecodeEvent,
+  EngineOrder,
+  PrefillCommand,
+  TransferCommand,
+  UpstreamError,
+} from '@camphorvane/upstream';
+import { Hono } from 'hono';
+import type { Context } from 'hono';
+import type { Result } from 'neverthrow';
+import type { NodeEnv } from '../http/serveApp.ts';
+import { breakConnection, clientGone } from '../http/serveApp.ts';
+import type { EngineCore } from './EngineCore.ts';
+
+type Ctx = Context<NodeEnv>;
+type Events = AsyncIterator<Result<DecodeEvent, UpstreamError>>;
+
+/** Answers a failed command: JSON where it did not run, a broken connection in all other cases. */
+function fail(c: Ctx, error: UpstreamError, status: 409 | 422 = 422): Response {
+  if (error.type !== 'rejected') return breakConnection(c);
+  return c.json({ message: error.message }, status);
+}
+
+/** Turns a decode into lines of JSON; a broken stream breaks the connection. */
+function lines(c: Ctx, first: DecodeEvent, rest: Events): ReadableStream<Uint8Array> {
+  const line = (event: DecodeEvent): Uint8Array => Buffer.from(`${JSON.stringify(event)}\n`);
+  return new ReadableStream<Uint8Array>({
+    start: (out) => out.enqueue(line(first)),
+    pull: async (out) => {
+      const next = await rest.next();
+      if (next.done) out.close();
+      else if (next.value.isOk()) out.enqueue(line(next.value.value));
+      else c.env.incoming.socket.destroy();
+    },
+    cancel: async () => {
+      await rest.return?.();
+    },
+  });
+}
+
+async function decode(core: EngineCore, c: Ctx): Promise<Response> {
+  const cmd = await c.req.json<DecodeCommand>();
+  const events = core.decode(cmd, clientGone(c))[Symbol.asyncIterator]();
+  const first = await events.next();
+  if (first.done) return breakConnection(c);
+  if (first.value.isErr()) return fail(c, first.value.error);
+  const body = lines(c, first.value.value, events);
+  return c.body(body, 200, { 'content-type': 'application/x-ndjson' });
+}
+
+/**
+ * Serves a stand-in engine over HTTP.
+ *
+ * @param core - The engine.
+ * @returns The routes.
+ */
+export function engineRoutes(core: EngineCore): Hono<NodeEnv> {
+  const app = new Hono<NodeEnv>();
+  app.post('/v1/prefill', async (c) => {
+    const result = await core.prefill(await c.req.json<PrefillCommand>(), clientGone(c));
+    return result.match(
+      (value) => c.json(value),
+      (error) => fail(c, error),
+    );
+  });
+  app.post('/v1/transfer', async (c) => {
+    const result = await core.transfer(await c.req.json<TransferCommand>(), clientGone(c));
+    return result.match(
+      () => c.body(null, 204),
+      (error) => fail(c, error),
+    );
+  });
+  app.post('/v1/decode', (c) => decode(core, c));
+  app.post('/v1/cancel', async (c) => {
+    const { attempt } = await c.req.json<{ attempt: string }>();
+    const result = await core.cancel(attempt);
+    return result.match(
+      () => c.body(null, 204),
+      (error) => fail(c, error),
+    );
+  });
+  app.get('/v1/load', async (c) => {
+    const result = await core.load();
+    return result.match(
+      (value) => c.json(value),
+      (error) => fail(c, error),
+    );
+  });
+  app.post('/v1/orders', async (c) => {
+    const result = await core.order(await c.req.json<EngineOrder>());
+    return result.match(
+      () => c.body(null, 204),
+      (error) => fail(c, error, 409),
+    );
+  });
+  app.get('/v1/cache-events', (c) => c.json(core.cacheEvents(Number(c.req.query('after') ?? 0))));
+  app.get('/v1/kv/*', (c) => {
+    const handle = decodeURIComponent(c.req.path.slice('/v1/kv/'.length));
+    const cache = core.exportKv(handle);
+    return cache === undefined ? c.json({ message: 'gone' }, 404) : c.json(cache);
+  });
+  app.get('/test/records', (c) => c.json(core.records));
+  app.get('/test/load', (c) => c.json(core.currentLoad()));
+  app.post('/test/faults', async (c) => {
+    core.setFaults(await c.req.json());
+    return c.json(core.faults);
+  });
+  app.post('/test/crash', (c) => {
+    core.crash();
+    return c.body(null, 204);
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/stand-ins/src/service/serviceRoutes.ts
@@ -0,0 +1,45 @@
+import { Hono } from 'hono';
+import type { NodeEnv } from '../http/serveApp.ts';
+import { breakConnection, clientGone } from '../http/serveApp.ts';
+import { ATTEMPT_HEADER } from './ServiceCore.ts';
+import type { ServiceCore } from './ServiceCore.ts';
+
+const CALL_TIMEOUT_MS = 30_000;
+
+/**
+ * Serves a stand-in service over HTTP.
+ *
+ * @param core - The service.
+ * @returns The routes.
+ */
+export function serviceRoutes(core: ServiceCore): Hono<NodeEnv> {
+  const app = new Hono<NodeEnv>();
+  app.get('/test/records', (c) => c.json(core.records));
+  app.post('/test/faults', async (c) => {
+    core.setFaults(await c.req.json());
+    return c.json(core.faults);
+  });
+  app.all('*', async (c) => {
+    const url = new URL(c.req.url);
+    const headers = c.req.header();
+    const result = await core.call(
+      {
+        attempt: headers[ATTEMPT_HEADER] ?? '',
+        method: c.req.method,
+        path: `${url.pathname}${url.search}`,
+        headers,
+        body: new Uint8Array(await c.req.arrayBuffer()),
+        class: 'certificate',
+        timeoutMs: CALL_TIMEOUT_MS,
+      },
+      clientGone(c),
+    );
+    if (result.isOk()) {
+      return new Response(Buffer.from(result.value.body), { headers: result.value.headers });
+    }
+    return result.error.type === 'rejected'
+      ? c.json({ message: result.error.message }, 503)
+      : breakConnection(c);
+  });
+  return app;
+}
