Check declarations in TOML and turn them into a configuration

Cause: a fault in a declarations file has to be found before it reaches a host, and its error has to lead the operator to the place without repeating a key. Change: parseDeclarations with a strict schema, references held against each other, sizes bounded before parsing, errors with file, line, key, what was found and what is expected.

--- /dev/null
+++ b/packages/operator/src/declarations/declarationSchema.ts
@@ -0,0 +1,140 @@
+import { isIP } from 'node:net';
+import { z } from 'zod';
+import {
+  MAX_BURST,
+  MAX_ENTRIES,
+  MAX_KEYS,
+  MAX_MILLIS,
+  MAX_PIECES,
+  MAX_RATE,
+  MAX_TEAMS,
+  MAX_TOKENS,
+} from './limits.ts';
+
+const ID = /^[A-Za-z0-9][A-Za-z0-9._:/-]{0,99}$/;
+const DIGEST = /^[0-9a-f]{64}$/;
+const ROUTE_PATH = /^\/[A-Za-z0-9._~/-]{0,199}$/;
+
+/** Checks a whole number; NaN, fractions and infinities are told apart from nothing else. */
+function whole(low: number, high: number) {
+  const error = `a whole number from ${low} to ${high}`;
+  return z.int({ error }).min(low, { error }).max(high, { error });
+}
+
+function amount(low: number, high: number) {
+  const error = `a number from ${low} to ${high}`;
+  return z.number({ error }).min(low, { error }).max(high, { error });
+}
+
+function id() {
+  const error =
+    'a name of 1 to 100 letters, digits and . _ : / -, that starts with a letter or digit';
+  return z.string({ error }).regex(ID, { error });
+}
+
+function list<T extends z.ZodType>(item: T, most: number, what: string) {
+  const error = `a list of at most ${most} ${what}`;
+  return z.array(item, { error }).max(most, { error });
+}
+
+function choice<const T extends readonly string[]>(values: T) {
+  const error = `one of ${values.map((value) => JSON.stringify(value)).join(', ')}`;
+  return z.enum(values, { error });
+}
+
+function flag() {
+  return z.boolean({ error: 'true or false' });
+}
+
+/** Hosts connect by IP number: a name would bring a resolver into the path of every dispatch. */
+function isAddress(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const url = new URL(text);
+  const host = url.hostname.replace(/^\[|\]$/g, '');
+  const bare = url.username === '' && url.password === '' && url.search === '' && url.hash === '';
+  return url.protocol === 'http:' && isIP(host) > 0 && url.pathname === '/' && bare;
+}
+
+function address() {
+  const error = 'a URL of an IP address and a port, such as "http://10.0.0.7:9101"';
+  return z.string({ error }).refine(isAddress, { error });
+}
+
+function digest() {
+  const error = 'the SHA-256 digest of a key: 64 lower-case hexadecimal characters';
+  return z.string({ error }).regex(DIGEST, { error });
+}
+
+const workClass = choice(['lookup', 'certificate', 'summary']);
+
+const team = z.strictObject({
+  id: id(),
+  tokens_per_second: whole(1, MAX_RATE),
+  burst_tokens: whole(1, MAX_BURST),
+  key_digests: list(digest(), MAX_KEYS, 'key digests').default([]),
+  models: list(id(), MAX_ENTRIES, 'models').default([]),
+  weight: amount(0.01, 1000).default(1),
+});
+
+const engine = z.strictObject({
+  id: id(),
+  url: address(),
+  zone: id(),
+  role: choice(['prefill', 'decode']),
+  memory_pieces: whole(1, MAX_PIECES),
+  checks_fencing: flag(),
+});
+
+const pool = z.strictObject({
+  model: id(),
+  max_tokens: whole(1, MAX_TOKENS),
+  ttft_target_ms: whole(1, MAX_MILLIS),
+  itl_target_ms: whole(1, MAX_MILLIS),
+  link_pieces_per_second: amount(0.001, MAX_RATE),
+  engines: list(engine, MAX_ENTRIES, 'engines'),
+});
+
+const routePath = 'a path that starts with / and holds letters, digits and . _ ~ / -';
+
+const route = z.strictObject({
+  method: choice(['GET', 'POST', 'PUT', 'DELETE']),
+  path: z.string({ error: routePath }).regex(ROUTE_PATH, { error: routePath }),
+  idempotent: flag(),
+  class: workClass,
+  cost_tokens: whole(0, MAX_TOKENS),
+});
+
+const server = z.strictObject({
+  id: id(),
+  url: address(),
+  zone: id(),
+  max_concurrent: whole(1, 1_000_000),
+});
+
+const service = z.strictObject({
+  id: id(),
+  timeout_ms: whole(1, MAX_MILLIS),
+  servers: list(server, MAX_ENTRIES, 'servers'),
+  routes: list(route, MAX_ENTRIES, 'routes'),
+});
+
+const waitRule = z.strictObject({
+  team: id().optional(),
+  model: id().optional(),
+  class: workClass,
+  max_wait_ms: whole(0, MAX_MILLIS),
+});
+
+/** Checks a declarations file after TOML; see docs/CONFIG.md. */
+export const declarationSchema = z.strictObject(
+  {
+    teams: list(team, MAX_TEAMS, 'teams').default([]),
+    pools: list(pool, MAX_ENTRIES, 'pools').default([]),
+    services: list(service, MAX_ENTRIES, 'services').default([]),
+    wait_rules: list(waitRule, MAX_ENTRIES, 'wait rules').default([]),
+  },
+  { error: 'a table' },
+);
+
+/** A declarations file, as TOML holds it. */
+export type Declarations = z.infer<typeof declarationSchema>;
--- /dev/null
+++ b/packages/operator/src/declarations/parseDeclarations.ts
@@ -0,0 +1,124 @@
+import type { RoutingConfig } from '@camphorvane/core';
+import { err, ok, type Result } from 'neverthrow';
+import { TomlError, parse } from 'smol-toml';
+import type { z } from 'zod';
+import { describeFound, type DeclarationError } from './DeclarationError.ts';
+import { DeclarationLines, type DeclarationPath } from './DeclarationLines.ts';
+import { checkReferences, type ReferenceFault } from './checkReferences.ts';
+import { declarationSchema } from './declarationSchema.ts';
+import { MAX_ERRORS, MAX_FILE_BYTES, MAX_TEAMS } from './limits.ts';
+import { routingConfigOf } from './routingConfigOf.ts';
+
+type Parsed<T> = Result<T, readonly DeclarationError[]>;
+
+/**
+ * Reads and checks declarations.
+ *
+ * @param text - The TOML text.
+ * @param file - Name of the file, for errors.
+ * @returns The configuration, or what is wrong, at most {@link MAX_ERRORS} errors.
+ */
+export function parseDeclarations(text: string, file: string): Parsed<RoutingConfig> {
+  return checkSize(text, file)
+    .andThen(() => readToml(text, file))
+    .andThen((raw) => checkShape(raw, text, file))
+    .andThen((config) => checkWhole(config, text, file));
+}
+
+/** Refuses what is far too large before any time or memory goes into parsing it. */
+function checkSize(text: string, file: string): Parsed<void> {
+  const bytes = Buffer.byteLength(text);
+  if (bytes > MAX_FILE_BYTES) {
+    const expected = `at most ${MAX_FILE_BYTES} bytes`;
+    return err([{ file, key: '', found: `${bytes} bytes`, expected }]);
+  }
+  const teams = text.match(/^\s*\[\[\s*teams\s*\]\]/gm)?.length ?? 0;
+  if (teams > MAX_TEAMS) {
+    return err([{ file, key: 'teams', found: `${teams} teams`, expected: `at most ${MAX_TEAMS}` }]);
+  }
+  return ok(undefined);
+}
+
+function readToml(text: string, file: string): Parsed<unknown> {
+  try {
+    return ok(parse(text));
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    // Only the first line: the library's excerpt of the file could show a key.
+    const found = error.message.split('\n')[0]!.replace('Invalid TOML document: ', '');
+    return err([{ file, line: error.line, key: '', found, expected: 'valid TOML' }]);
+  }
+}
+
+function checkShape(raw: unknown, text: string, file: string): Parsed<RoutingConfig> {
+  const parsed = declarationSchema.safeParse(raw);
+  if (parsed.success) return ok(routingConfigOf(parsed.data));
+  const issues = firstOfEachPath(parsed.error.issues);
+  return err(
+    located(
+      issues.flatMap((issue) => faultsOf(issue, raw)),
+      text,
+      file,
+    ),
+  );
+}
+
+function checkWhole(config: RoutingConfig, text: string, file: string): Parsed<RoutingConfig> {
+  const faults = checkReferences(config);
+  return faults.length === 0 ? ok(config) : err(located(faults, text, file));
+}
+
+/** A value can break several rules at once; they share one sentence on what is expected. */
+function firstOfEachPath(issues: readonly z.core.$ZodIssue[]): readonly z.core.$ZodIssue[] {
+  const seen = new Set<string>();
+  return issues.filter((issue) => {
+    const key = issue.path.join('.');
+    const isNew = !seen.has(key);
+    seen.add(key);
+    return isNew;
+  });
+}
+
+function faultsOf(issue: z.core.$ZodIssue, raw: unknown): readonly ReferenceFault[] {
+  if (issue.code !== 'unrecognized_keys') {
+    const found = describeFound(valueAt(raw, issue.path));
+    return [{ path: issue.path, found, expected: issue.message }];
+  }
+  return issue.keys.map((key) => ({
+    path: [...issue.path, key],
+    found: 'an unknown key',
+    expected: 'one of the keys of docs/CONFIG.md',
+  }));
+}
+
+function valueAt(raw: unknown, path: DeclarationPath): unknown {
+  return path.reduce<unknown>(
+    (value, key) => (value as Readonly<Record<PropertyKey, unknown>> | undefined)?.[key],
+    raw,
+  );
+}
+
+function located(
+  faults: readonly ReferenceFault[],
+  text: string,
+  file: string,
+): readonly DeclarationError[] {
+  const lines = new DeclarationLines(text);
+  const errors = faults.slice(0, MAX_ERRORS).map((fault) => ({
+    file,
+    line: lines.getLine(fault.path),
+    key: keyOf(fault.path),
+    found: fault.found,
+    expected: fault.expected,
+  }));
+  const more = faults.length - errors.length;
+  if (more <= 0) return errors;
+  return [...errors, { file, key: '', found: `${more} more errors`, expected: 'none' }];
+}
+
+function keyOf(path: DeclarationPath): string {
+  return path.reduce<string>((key, part) => {
+    if (typeof part === 'number') return `${key}[${part}]`;
+    return key === '' ? String(part) : `${key}.${String(part)}`;
+  }, '');
+}
