--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -1,14 +1,5 @@
 import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
-import type {
-  HostId,
-  Millis,
-  PoolConfig,
-  Refusal,
-  RequestId,
-  RoutingConfig,
-  Tokens,
-  UpstreamId,
-} from '@camphorvane/core';
+import type { HostId, PoolConfig, Refusal, RequestId, RoutingConfig } from '@camphorvane/core';
 import { estimateTokens, notRun, outcomeUnknown } from '@camphorvane/core';
 import type { WorkItem } from '@camphorvane/decisions';
 import type { Placement } from '@camphorvane/peer';
@@ -18,14 +9,20 @@
 import type { RateCharge, RateGate } from '../host/ports.ts';
 import type { AttemptOutcome, AttemptTools } from './CompletionAttempt.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
+import { CompletionProgress } from './CompletionProgress.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
 import { waitBound } from './waitBound.ts';
 
 /** Attempts for one completion; more would let one bad prompt visit every engine. */
 const MAX_ATTEMPTS = 4;
 
-/** Engines kept away from a request after it failed there. */
-const MAX_AVOIDED = 4;
+/** What an attempt returns when its consumer stops reading; nobody looks at it any more. */
+const STOPPED: AttemptOutcome = {
+  type: 'failed',
+  engine: '',
+  stage: 'decode',
+  error: { type: 'cancelled', dispatched: true, message: 'no reader' },
+};
 
 /** A completion whose caller is known. */
 export interface KnownCompletion {
@@ -43,15 +40,6 @@
   readonly rates: RateGate;
 }
 
-interface Progress {
-  text: string;
-  position: number;
-  promptTokens: Tokens;
-  avoid: readonly UpstreamId[];
-  dispatched: boolean;
-  startedAt: Millis;
-}
-
 /** Serves completions: charge, reserve, run, resume where an engine fails, refund. */
 export class CompletionServing {
   private readonly options: CompletionServingOptions;
@@ -90,19 +78,15 @@
     pool: PoolConfig,
     charge: RateCharge,
   ): AsyncGenerator<CompletionEvent> {
-    const progress: Progress = {
-      text: '',
-      position: 0,
-      promptTokens: estimateTokens(work.req.prompt),
-      avoid: [],
-      dispatched: false,
-      startedAt: this.options.clock.now(),
-    };
+    const progress = new CompletionProgress(
+      estimateTokens(work.req.prompt),
+      this.options.clock.now(),
+    );
     try {
       yield* this.attempts(work, pool, progress);
     } finally {
       // What was dispatched cost its prompt; output that was never made is given back.
-      const used = progress.dispatched ? progress.promptTokens + progress.position : 0;
+      const used = progress.getUsedTokens();
       this.options.rates.refund(charge, Math.max(0, charge.tokens - used));
     }
   }
@@ -110,7 +94,7 @@
   private async *attempts(
     work: KnownCompletion,
     pool: PoolConfig,
-    progress: Progress,
+    progress: CompletionProgress,
   ): AsyncGenerator<CompletionEvent> {
     let last: AttemptOutcome | undefined;
     let left = MAX_ATTEMPTS;
@@ -128,12 +112,12 @@
           reason: last.reason,
           promptTokens: last.prefill.promptTokens,
           cachedTokens: last.prefill.cachedTokens,
-          outputTokens: progress.position,
+          outputTokens: progress.getPosition(),
         };
         return;
       }
       if (work.signal.aborted) break;
-      progress.avoid = [...progress.avoid, last.engine].slice(-MAX_AVOIDED);
+      progress.noteFailure(last.engine);
       this.options.metrics.count('attempt.resumed');
     }
     const failure = outcomeUnknown('upstream_failed', 'The engines that ran this request failed.');
@@ -143,7 +127,7 @@
   private async *attempt(
     work: KnownCompletion,
     pool: PoolConfig,
-    progress: Progress,
+    progress: CompletionProgress,
     placement: Placement,
   ): AsyncGenerator<CompletionEvent, AttemptOutcome> {
     const attempt = new CompletionAttempt(this.options, {
@@ -152,30 +136,37 @@
       identity: { request: work.id, holder: this.options.self, team: work.caller.team.id },
       prompt: work.req.prompt,
       prefixes: promptPrefixes(work.req.prompt),
-      delivered: progress.text,
-      fromPosition: progress.position,
+      delivered: progress.getText(),
+      fromPosition: progress.getPosition(),
       maxTokens: work.req.maxTokens,
     });
-    progress.dispatched = true;
+    progress.noteDispatch();
     const tokens = attempt.run(work.signal);
-    let next = await tokens.next();
-    while (next.done !== true) {
-      if (progress.position === 0) {
-        const ttft = this.options.clock.now() - progress.startedAt;
-        this.options.metrics.timing('request.ttft', ttft, { class: work.req.class });
+    try {
+      let next = await tokens.next();
+      while (next.done !== true) {
+        this.noteFirstToken(work, progress);
+        progress.noteToken(next.value.text);
+        yield { type: 'token', position: next.value.position, text: next.value.text };
+        next = await tokens.next();
       }
-      progress.text += next.value.text;
-      progress.position += 1;
-      yield { type: 'token', position: next.value.position, text: next.value.text };
-      next = await tokens.next();
+      return next.value;
+    } finally {
+      // A consumer that stops reading ends this generator here; the attempt must end with it.
+      await tokens.return(STOPPED);
     }
-    return next.value;
+  }
+
+  private noteFirstToken(work: KnownCompletion, progress: CompletionProgress): void {
+    if (progress.getPosition() > 0) return;
+    const ttft = this.options.clock.now() - progress.startedAt;
+    this.options.metrics.timing('request.ttft', ttft, { class: work.req.class });
   }
 
   private reserve(
     work: KnownCompletion,
     pool: PoolConfig,
-    progress: Progress,
+    progress: CompletionProgress,
   ): Promise<Result<Placement, Refusal>> {
     const { req, caller } = work;
     const item: WorkItem = {
@@ -184,11 +175,11 @@
       team: caller.team.id,
       weight: caller.team.weight,
       class: req.class,
-      promptTokens: progress.promptTokens + progress.position,
-      maxOutputTokens: Math.max(1, req.maxTokens - progress.position),
+      promptTokens: progress.promptTokens + progress.getPosition(),
+      maxOutputTokens: Math.max(1, req.maxTokens - progress.getPosition()),
       prefixes: promptPrefixes(req.prompt),
       maxWaitMs: waitBound(work.config, pool, caller.team.id, req.class),
-      avoid: progress.avoid,
+      avoid: progress.getAvoided(),
     };
     return this.options.placements.reserve(pool.model, item, work.signal);
   }
@@ -208,9 +199,13 @@
   }
 
   /** A refusal must not say "not run" once an engine was given the work. */
-  private refusalFor(work: KnownCompletion, progress: Progress, refusal: Refusal): Refusal {
+  private refusalFor(
+    work: KnownCompletion,
+    progress: CompletionProgress,
+    refusal: Refusal,
+  ): Refusal {
     const reason = work.signal.aborted ? endReason(work.signal) : refusal;
-    return progress.dispatched ? { ...reason, execution: 'unknown' } : reason;
+    return progress.wasDispatched() ? { ...reason, execution: 'unknown' } : reason;
   }
 }
 
--- /dev/null
+++ b/packages/router/src/serving/ServiceGates.ts
@@ -0,0 +1,154 @@
+import type {
+  CancelTimer,
+  Clock,
+  Millis,
+  Refusal,
+  RequestId,
+  ServiceId,
+  UpstreamId,
+} from '@camphorvane/core';
+import { notRun } from '@camphorvane/core';
+import { ServiceGate } from '@camphorvane/decisions';
+import type { GateCall, GateDecision } from '@camphorvane/decisions';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+
+type Chosen = Result<UpstreamId, Refusal>;
+
+interface OpenGate {
+  readonly gate: ServiceGate;
+  readonly answers: Map<RequestId, (chosen: Chosen) => void>;
+  cancelWake: CancelTimer;
+}
+
+/** Runs the gates of all plain services of a host. */
+export class ServiceGates {
+  private readonly clock: Clock;
+
+  private readonly directory: UpstreamDirectory;
+
+  private readonly hostCount: () => number;
+
+  private readonly gates = new Map<ServiceId, OpenGate>();
+
+  /**
+   * @param clock - Times waits.
+   * @param directory - Knows the servers.
+   * @param hostCount - Gets how many hosts share the servers' places.
+   */
+  constructor(clock: Clock, directory: UpstreamDirectory, hostCount: () => number) {
+    this.clock = clock;
+    this.directory = directory;
+    this.hostCount = hostCount;
+  }
+
+  /**
+   * Waits for a server.
+   *
+   * @param service - The service.
+   * @param call - The call.
+   * @param signal - Aborted when the caller has gone.
+   * @returns The server, or a refusal.
+   */
+  choose(service: ServiceId, call: GateCall, signal: AbortSignal): Promise<Chosen> {
+    const open = this.openGate(service);
+    return new Promise((resolve) => {
+      const gone = (): void => {
+        open.gate.withdraw(call.request);
+        this.answer(open, call.request, err(notRun('caller_gone', 'The caller has gone.')));
+      };
+      open.answers.set(call.request, (chosen) => {
+        signal.removeEventListener('abort', gone);
+        resolve(chosen);
+      });
+      signal.addEventListener('abort', gone, { once: true });
+      if (signal.aborted) {
+        gone();
+        return;
+      }
+      const refusal = open.gate.submit(call, this.clock.now());
+      if (refusal === undefined) this.pump(open);
+      else this.answer(open, call.request, err(refusal));
+    });
+  }
+
+  /** Ends a running call. */
+  ended(service: ServiceId, call: GateCall, server: UpstreamId, failed: boolean): void {
+    const open = this.openGate(service);
+    open.gate.ended(call.team, server, failed, this.clock.now());
+    this.pump(open);
+  }
+
+  /** Takes changed services, or a changed number of hosts, into force. */
+  refresh(): void {
+    this.gates.forEach((open, service) => {
+      this.reshape(open, service);
+      this.pump(open);
+    });
+  }
+
+  private openGate(service: ServiceId): OpenGate {
+    const known = this.gates.get(service);
+    if (known !== undefined) return known;
+    const open: OpenGate = {
+      gate: new ServiceGate(),
+      answers: new Map(),
+      cancelWake: () => undefined,
+    };
+    this.gates.set(service, open);
+    this.reshape(open, service);
+    return open;
+  }
+
+  /** Each host takes an equal part of a server's places, and at least one. */
+  private reshape(open: OpenGate, service: ServiceId): void {
+    const hosts = Math.max(1, this.hostCount());
+    const servers = this.directory.getService(service)?.servers ?? [];
+    open.gate.reshape(
+      servers.map(({ id, maxConcurrent }) => ({
+        id,
+        limit: Math.max(1, Math.floor(maxConcurrent / hosts)),
+      })),
+    );
+  }
+
+  private pump(open: OpenGate): void {
+    open.cancelWake();
+    const now = this.clock.now();
+    open.gate.step(now).forEach((decision) => this.carryOut(open, decision));
+    const wake = open.gate.nextWake();
+    if (wake === undefined) return;
+    // The gate's state is this host's own; a field of the entry is the natural place for its timer.
+    Object.assign(open, {
+      cancelWake: this.clock.after(Math.max(1, wake - now), () => this.pump(open)),
+    });
+  }
+
+  private carryOut(open: OpenGate, decision: GateDecision): void {
+    switch (decision.type) {
+      case 'place':
+        this.answer(open, decision.request, ok(decision.server));
+        break;
+      case 'refuse':
+        this.answer(open, decision.request, err(decision.refusal));
+        break;
+      default:
+        decision satisfies never;
+    }
+  }
+
+  private answer(open: OpenGate, request: RequestId, chosen: Chosen): void {
+    const answer = open.answers.get(request);
+    open.answers.delete(request);
+    answer?.(chosen);
+  }
+
+  /** Gets how long calls may wait at most, for the state dump. */
+  dump(): Readonly<Record<ServiceId, number>> {
+    return Object.fromEntries([...this.gates].map(([id, open]) => [id, open.gate.waitingCount]));
+  }
+}
+
+/** Longest wait of a call for a server, in milliseconds; part of the service's own timeout. */
+export const MAX_SERVICE_WAIT_MS: Millis = 2_000;
