Prove the whole path of one request in memory

Cause: the parts of a host had not run together. Before: the first lookup after a change of steward was not placed within 1 s. Conclusion: the path stands in memory.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,10 @@
       ],
       'no-continue': 'off',
       'no-console': 'error',
-      'no-underscore-dangle': ['error', { allowAfterThis: true }],
+      'no-underscore-dangle': [
+        'error',
+        { allowAfterThis: true, allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] },
+      ],
       'class-methods-use-this': 'off',
       'import-x/extensions': 'off',
       'import-x/prefer-default-export': 'off',
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -162,6 +162,7 @@
     void this.announce(signal);
     void this.config.run(signal);
     this.runner.start();
+    void this.desk.run(signal);
     void this.keeper.run(signal);
     void this.watch.run(signal);
     this.enterState('serving');
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,6 @@
+export * from './host/Host.ts';
+export * from './host/claims.ts';
+export * from './host/ports.ts';
+export * from './observe/Metrics.ts';
+export * from './settings/HostSettings.ts';
+export * from './version.ts';
--- a/packages/router/src/placing/PoolSteward.ts
+++ b/packages/router/src/placing/PoolSteward.ts
@@ -77,11 +77,14 @@
 
   private readonly listenUntil: Millis;
 
+  private pool: PoolConfig;
+
   private cancelWake: CancelTimer = () => undefined;
 
   /** @param options - What the steward is made of. */
   constructor(options: PoolStewardOptions) {
     this.options = options;
+    this.pool = options.pool;
     this.scheduler = new FairPoolScheduler(options.pool, {
       random: options.random,
       reservationPrefix: options.prefix,
@@ -155,6 +158,14 @@
 
   /** Takes a changed pool into force. */
   reshape(pool: PoolConfig): void {
+    if (pool === this.pool) return;
+    const known = new Set(this.pool.engines.map((engine) => engine.id));
+    this.pool = pool;
+    pool.engines
+      .filter((engine) => !known.has(engine.id))
+      .forEach((engine) => {
+        void this.pollLoad(engine.id);
+      });
     this.scheduler.reshape(pool, this.now());
     this.pump();
   }
--- a/packages/router/src/placing/StewardDesk.ts
+++ b/packages/router/src/placing/StewardDesk.ts
@@ -1,9 +1,13 @@
-import type { Clock, ModelId, RandomSource } from '@camphorvane/core';
+import type { Clock, Millis, ModelId, RandomSource } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
 import type { PeerRequest, PeerResponse } from '@camphorvane/peer';
 import type { GroupGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { PoolSteward } from './PoolSteward.ts';
 
+/** Milliseconds between two looks at which pools this host coordinates. */
+const REFRESH_PERIOD_MS: Millis = 250;
+
 /** Requests about places on a pool's engines. */
 export type PlacingRequest = Extract<
   PeerRequest,
@@ -87,6 +91,20 @@
       steward.stop();
       this.stewards.delete(model);
     });
+    // Opened before anybody asks, so that the time in which a new steward only listens is over by
+    // then, and the first caller after a change does not pay for it.
+    this.options.directory
+      .getModels()
+      .filter((model) => !this.stewards.has(model) && this.maySteward(model))
+      .forEach((model) => this.open(model));
+  }
+
+  /** Refreshes until stopped, since the right to coordinate also changes with time alone. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.refresh();
+      await sleep(this.options.clock, REFRESH_PERIOD_MS, signal);
+    }
   }
 
   /** Gets the state to be shown to operators. */
--- /dev/null
+++ b/packages/router/tests/Host.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { answerToken } from '@camphorvane/stand-ins';
+import { MemoryFleet, startCompletion, textOf } from './support/MemoryFleet.ts';
+
+const expected = (prompt: string, tokens: number): string =>
+  Array.from({ length: tokens }, (_, position) => answerToken(prompt, position)).join('');
+
+const question = (i: number): string => `question ${i} #tokens=20`;
+
+test('a completion is served whole, whichever host it reaches', async () => {
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const answers = await Promise.all(
+    fleet.hosts.map((host, i) => startCompletion(host, { prompt: question(i) }).ended(fleet)),
+  );
+  answers.forEach((events, i) => {
+    assert.equal(textOf(events), expected(question(i), 20));
+    assert.equal(events.at(-1)?.type, 'done');
+  });
+});
+
+test('memory of a summary whose caller has gone is freed', async () => {
+  // The caller closes its connection in the middle of a long answer. Were the engine not told, the
+  // memory would stay held to the end of an answer that nobody reads, and others would be refused.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const call = startCompletion(fleet.host(0), {
+    prompt: 'summary #tokens=2000',
+    maxTokens: 2_000,
+    class: 'summary',
+  });
+  await fleet.clock.advance(2_000);
+  assert.ok(call.events.length > 0);
+  assert.equal(fleet.heldAttempts().length, 1);
+  call.leave();
+  await fleet.clock.advance(1_000);
+  assert.deepEqual(fleet.heldAttempts(), []);
+});
+
+test('an answer goes on at the exact token when its decode engine crashes', async () => {
+  // The engine that streams an answer dies half-way. The caller must get the rest from another
+  // engine, with no token twice and none left out; it notices at most a pause.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const call = startCompletion(fleet.host(1), {
+    prompt: 'long comparison #tokens=200',
+    maxTokens: 200,
+  });
+  await fleet.clock.advance(1_000);
+  const before = call.events.length;
+  assert.ok(before > 10);
+  fleet.decodeEngineOf(call).crash();
+  const events = await call.ended(fleet);
+  assert.equal(textOf(events), expected('long comparison #tokens=200', 200));
+  assert.ok(events.length > before);
+});
+
+test('a withdrawn key ends the answers that it started', async () => {
+  // An operator withdraws a key while an answer is being streamed to whoever holds it. The stream
+  // must end within seconds, with an error that says so and not as a short but whole answer.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const call = startCompletion(fleet.host(2), {
+    prompt: 'lookup #tokens=2000',
+    maxTokens: 2_000,
+  });
+  await fleet.clock.advance(1_000);
+  await fleet.withdrawKeys();
+  await fleet.clock.advance(3_000);
+  const last = call.events.at(-1);
+  assert.equal(last?.type === 'refused' ? last.refusal.code : last?.type, 'key_withdrawn');
+  assert.equal(last?.type === 'refused' ? last.refusal.execution : '', 'unknown');
+  assert.deepEqual(fleet.heldAttempts(), []);
+});
+
+test('a draining host cuts nothing, takes nothing new and is named to nobody', async () => {
+  // A host is replaced while it streams an answer. Its caller must get the whole answer; other
+  // callers must not be sent to it any more, and are told that nothing ran when they come anyway.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const call = startCompletion(fleet.host(0), { prompt: 'slow #tokens=300', maxTokens: 300 });
+  await fleet.clock.advance(500);
+  const drained = fleet.host(0).drain();
+  await fleet.clock.advance(3_000);
+  const late = await startCompletion(fleet.host(0), {}).ended(fleet);
+  assert.deepEqual(
+    late.map((event) => (event.type === 'refused' ? event.refusal.code : event.type)),
+    ['host_draining'],
+  );
+  const advice = fleet.host(1).backend.advise(fleet.key)._unsafeUnwrap();
+  assert.deepEqual(advice.hosts.map((host) => host.host).sort(), ['h2', 'h3']);
+  assert.equal(textOf(await call.ended(fleet)), expected('slow #tokens=300', 300));
+  await fleet.clock.advance(20_000);
+  await drained;
+  assert.equal(fleet.host(0).getState(), 'stopped');
+});
--- /dev/null
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -0,0 +1,240 @@
+import type { RoutingConfig } from '@camphorvane/core';
+import { RandomSource, VirtualClock, sha256Hex } from '@camphorvane/core';
+import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
+import {
+  EngineCore,
+  MemoryNetwork,
+  MemoryObjectStore,
+  ServiceCore,
+  engineSettings,
+  serviceSettings,
+} from '@camphorvane/stand-ins';
+import { Host, Metrics } from '@camphorvane/router';
+import type { ClaimBook } from '@camphorvane/router';
+
+export const KEY = 'cvk_test_key_of_team_a';
+
+/** Steps of {@link STEP_MS} in which a test's wait must end. */
+const MAX_STEPS = 600;
+
+const STEP_MS = 100;
+
+const url = (id: string): string => `http://${id}`;
+
+export function testConfig(): RoutingConfig {
+  const engine = (id: string, role: 'prefill' | 'decode') => ({
+    id,
+    role,
+    url: url(id),
+    zone: 'z1',
+    memoryPieces: 40,
+    checksFencing: true,
+  });
+  return {
+    teams: [
+      {
+        id: 'a',
+        rate: { tokensPerSecond: 10_000, burstTokens: 20_000 },
+        keyDigests: [sha256Hex(KEY)],
+        models: [],
+        weight: 1,
+      },
+    ],
+    pools: [
+      {
+        model: 'm',
+        engines: [
+          engine('p1', 'prefill'),
+          engine('p2', 'prefill'),
+          engine('d1', 'decode'),
+          engine('d2', 'decode'),
+        ],
+        maxTokens: 40_000,
+        ttftTargetMs: 2_000,
+        itlTargetMs: 50,
+        linkPiecesPerSecond: 60,
+      },
+    ],
+    services: [
+      {
+        id: 'certs',
+        servers: [{ id: 's1', url: url('s1'), zone: 'z1', maxConcurrent: 8 }],
+        routes: [
+          { method: 'GET', path: '/lookup', idempotent: true, class: 'lookup', costTokens: 10 },
+          {
+            method: 'POST',
+            path: '/issue',
+            idempotent: false,
+            class: 'certificate',
+            costTokens: 10,
+          },
+        ],
+        timeoutMs: 2_000,
+      },
+    ],
+    waitRules: [],
+  };
+}
+
+const NO_CLAIMS: ClaimBook = {
+  claim: () => Promise.resolve({ type: 'claimed' }),
+  finish: () => Promise.resolve(),
+  abandon: () => Promise.resolve(),
+};
+
+/** A completion on its way. */
+export interface StartedCompletion {
+  readonly id: string;
+  readonly events: readonly CompletionEvent[];
+  /** Ends the caller's connection. */
+  leave(): void;
+  /** Lets time go on until the completion has ended. */
+  ended(fleet: MemoryFleet): Promise<readonly CompletionEvent[]>;
+}
+
+/** Starts a completion as the HTTP interface would. */
+export function startCompletion(host: Host, given: Partial<CompletionRequest>): StartedCompletion {
+  const req: CompletionRequest = {
+    key: KEY,
+    model: 'm',
+    prompt: 'hello there',
+    maxTokens: 20,
+    class: 'lookup',
+    hopped: false,
+    ...given,
+  };
+  const events: CompletionEvent[] = [];
+  const gone = new AbortController();
+  const id = host.backend.newRequestId();
+  const state = { done: false };
+  const run = async (): Promise<void> => {
+    for await (const event of host.backend.complete(id, req, gone.signal)) events.push(event);
+    state.done = true;
+  };
+  const running = run();
+  return {
+    id,
+    events,
+    leave: () => gone.abort(),
+    ended: async (fleet) => {
+      await fleet.advanceUntil(() => state.done);
+      await running;
+      return events;
+    },
+  };
+}
+
+/** Gets the text that a caller received. */
+export function textOf(events: readonly CompletionEvent[]): string {
+  return events.map((event) => (event.type === 'token' ? event.text : '')).join('');
+}
+
+/** Hosts, engines and a platform in memory, under a virtual clock. */
+export class MemoryFleet {
+  readonly key = KEY;
+
+  readonly clock = new VirtualClock();
+
+  readonly store = new MemoryObjectStore(this.clock);
+
+  readonly network = new MemoryNetwork({ latencyMs: 1, loss: 0 }, this.clock, new RandomSource(1));
+
+  readonly engines: ReadonlyMap<string, EngineCore>;
+
+  readonly service = new ServiceCore(serviceSettings({ id: 's1' }), this.clock);
+
+  readonly hosts: readonly Host[];
+
+  constructor(hostCount: number) {
+    const cfg = testConfig();
+    this.engines = new Map(
+      cfg.pools.flatMap((pool) =>
+        pool.engines.map((e) => [
+          e.id,
+          new EngineCore(engineSettings({ id: e.id, role: e.role }), this.clock, (source, handle) =>
+            Promise.resolve(this.engines.get(source.slice('http://'.length))?.exportKv(handle)),
+          ),
+        ]),
+      ),
+    );
+    this.hosts = Array.from({ length: hostCount }, (_, i) => this.makeHost(`h${i + 1}`, i));
+  }
+
+  async start(): Promise<void> {
+    void this.store.put('config', 'current', testConfig(), 'absent').map(() => undefined);
+    this.hosts.forEach((host) => host.start());
+    await this.clock.advance(20_000);
+  }
+
+  engine(id: string): EngineCore {
+    const engine = this.engines.get(id);
+    if (engine === undefined) throw new Error(`no engine ${id}`);
+    return engine;
+  }
+
+  /** Lets time go on until something holds, for a minute at most. */
+  async advanceUntil(holds: () => boolean): Promise<void> {
+    let steps = 0;
+    while (!holds() && steps < MAX_STEPS) {
+      await this.clock.advance(STEP_MS);
+      steps += 1;
+    }
+    if (!holds()) throw new Error('still waiting after a minute');
+  }
+
+  host(index: number): Host {
+    const host = this.hosts[index];
+    if (host === undefined) throw new Error(`no host ${index}`);
+    return host;
+  }
+
+  /** Gets the attempts that hold memory on any engine. */
+  heldAttempts(): readonly string[] {
+    return [...this.engines.values()].flatMap((engine) => engine.currentLoad().attempts);
+  }
+
+  /** Gets the engine that streams the answer to a call. */
+  decodeEngineOf(call: StartedCompletion): EngineCore {
+    const engine = ['d1', 'd2']
+      .map((id) => this.engine(id))
+      .find((one) => one.currentLoad().running > 0);
+    if (engine === undefined) throw new Error(`no engine streams ${call.id}`);
+    return engine;
+  }
+
+  /** Takes all keys of the team out of the configuration. */
+  async withdrawKeys(): Promise<void> {
+    const cfg = testConfig();
+    const teams = cfg.teams.map((team) => ({ ...team, keyDigests: [] }));
+    void this.store.put('config', 'current', { ...cfg, teams }, 1).map(() => undefined);
+    await this.clock.advance(10);
+  }
+
+  private makeHost(name: string, index: number): Host {
+    const identity = {
+      host: name,
+      zone: `z${index % 3}`,
+      callerAddress: `127.0.0.1:80${index}`,
+      peerAddress: `127.0.0.1:90${index}`,
+    };
+    const incarnation = `${name}i1`;
+    const sender = { host: name, incarnation, protocol: 1 };
+    const host = new Host({
+      identity,
+      incarnation,
+      group: 'g',
+      groupSize: 9,
+      drainGraceMs: 60_000,
+      clock: this.clock,
+      random: new RandomSource(100 + index),
+      store: this.store,
+      link: this.network.link(sender, this.clock),
+      engines: (cfg) => this.engine(cfg.id),
+      servers: () => this.service,
+      claims: NO_CLAIMS,
+      metrics: new Metrics(),
+    });
+    this.network.attach(name, host);
+    return host;
+  }
+}
--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -2,6 +2,7 @@
 import type {
   Expected,
   HostEntry,
+  HostRegistry,
   ObjectStore,
   ObjectVersion,
   PlatformError,
@@ -21,13 +22,16 @@
 
 const UNAVAILABLE: PlatformError = { type: 'unavailable', message: 'platform is down' };
 
+/** Milliseconds after its last announcement at which a host is taken for gone. */
+const ANNOUNCEMENT_LIFE_MS: Millis = 15_000;
+
 interface HostList {
   readonly at: Millis;
   readonly hosts: readonly HostEntry[];
 }
 
 /** A stand-in of the platform's object API in memory, with its outages and lost answers. */
-export class MemoryObjectStore implements ObjectStore {
+export class MemoryObjectStore implements ObjectStore, HostRegistry {
   /** Calls taken so far, for tests of the call budget. */
   readonly calls = { reads: 0, writes: 0 };
 
@@ -41,6 +45,8 @@
 
   private readonly waiting = new Set<AbortController>();
 
+  private readonly announcedAt = new Map<HostId, Millis>();
+
   private hostLists: readonly HostList[] = [];
 
   private readonly reads: CallRate;
@@ -119,7 +125,25 @@
     return this.read(() => {
       const shownAt = this.clock.now() - this.faultState.hostListLagMs;
       const shown = this.hostLists.filter((list) => list.at <= shownAt).at(-1);
-      return ok(shown?.hosts ?? []);
+      return ok((shown?.hosts ?? []).filter((host) => this.isAnnounced(host.id, shownAt)));
+    });
+  }
+
+  /** Takes in a host's heartbeat. */
+  announce(entry: HostEntry): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.announcedAt.set(entry.id, this.clock.now());
+      const known = this.currentHosts().find((host) => host.id === entry.id);
+      if (JSON.stringify(known) !== JSON.stringify(entry)) this.setHost(entry);
+      return ok(undefined);
+    });
+  }
+
+  /** Takes a host off the list at its own wish. */
+  withdraw(id: HostId): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.removeHost(id);
+      return ok(undefined);
     });
   }
 
@@ -139,6 +163,12 @@
     return [...this.objects.values()];
   }
 
+  /** A host that a test entered by hand stays; one that announces itself stays while it does. */
+  private isAnnounced(id: HostId, at: Millis): boolean {
+    const last = this.announcedAt.get(id);
+    return last === undefined || at - last <= ANNOUNCEMENT_LIFE_MS;
+  }
+
   private currentHosts(): readonly HostEntry[] {
     return this.hostLists.at(-1)?.hosts ?? [];
   }
--- a/packages/stand-ins/src/platform/storeRoutes.ts
+++ b/packages/stand-ins/src/platform/storeRoutes.ts
@@ -89,12 +89,12 @@
   app.get('/v1/hosts', async (c) => {
     const result = await store.hosts();
     return result.match(
-      (hosts) => c.json(hosts),
+      (hosts) => c.json({ hosts }),
       (error) => fail(c, error),
     );
   });
   app.put('/v1/hosts/:id', async (c) => {
-    store.setHost({ ...(await c.req.json<HostEntry>()), id: c.req.param('id') });
+    await store.announce({ ...(await c.req.json<HostEntry>()), id: c.req.param('id') });
     return c.body(null, 204);
   });
   app.delete('/v1/hosts/:id', (c) => {
