--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,3 +1,4 @@
 export * from './PoolScheduler.ts';
 export * from './FairPoolScheduler.ts';
 export * from './admit/QueueLimits.ts';
+export * from './structures/IndexedHeap.ts';
