--- /dev/null
+++ b/packages/operator/src/apply/readAccepted.ts
@@ -0,0 +1,161 @@
+import type { RoutingConfig } from '@camphorvane/core';
+import {
+  CONFIG_KIND,
+  ChunkReader,
+  MANIFEST_KIND,
+  ROOT_NAME,
+  assembleConfig,
+  readManifest,
+  readPart,
+  readRoot,
+  type ConfigManifest,
+  type ConfigRoot,
+  type ObjectStore,
+  type ObjectVersion,
+  type PlatformError,
+} from '@camphorvane/platform';
+import type { ResultAsync, Result } from 'neverthrow';
+import { err, errAsync, ok } from 'neverthrow';
+
+/** Why a stored configuration could not be read. */
+export type ReadError =
+  | { readonly type: 'unavailable'; readonly message: string }
+  | { readonly type: 'unreadable'; readonly message: string };
+
+/** The root in force and its version. */
+export interface AcceptedRoot {
+  readonly version: ObjectVersion;
+  readonly root: ConfigRoot;
+}
+
+/** The configuration in force as the platform holds it. */
+export interface AcceptedConfig extends AcceptedRoot {
+  readonly config: RoutingConfig;
+}
+
+/**
+ * Reads the root.
+ *
+ * @param store - The platform.
+ * @returns The root, or undefined before the first configuration.
+ */
+export function readAcceptedRoot(
+  store: ObjectStore,
+): ResultAsync<AcceptedRoot | undefined, ReadError> {
+  return store
+    .get(CONFIG_KIND, ROOT_NAME)
+    .mapErr(readError)
+    .andThen((object): Result<AcceptedRoot | undefined, ReadError> => {
+      if (object === undefined) return ok(undefined);
+      const root = readRoot(object.value);
+      if (root !== undefined) return ok({ version: object.version, root });
+      const message = `version ${object.version} was written in a form that is not understood`;
+      return err({ type: 'unreadable', message });
+    });
+}
+
+/**
+ * Reads the whole configuration in force.
+ *
+ * @param store - The platform.
+ * @returns The configuration, or undefined before the first one.
+ */
+export function readAccepted(
+  store: ObjectStore,
+): ResultAsync<AcceptedConfig | undefined, ReadError> {
+  return readAcceptedRoot(store).andThen((accepted) =>
+    accepted === undefined
+      ? ok(undefined)
+      : readManifestConfig(store, accepted.root.manifest).map((config) => ({
+          ...accepted,
+          config,
+        })),
+  );
+}
+
+/**
+ * Reads the parts of a manifest.
+ *
+ * @param store - The platform.
+ * @param manifest - Which parts.
+ * @returns The configuration that they make up.
+ */
+export function readManifestConfig(
+  store: ObjectStore,
+  manifest: ConfigManifest,
+): ResultAsync<RoutingConfig, ReadError> {
+  return new ChunkReader(store)
+    .read(manifest.parts.map((part) => part.digest))
+    .mapErr(readError)
+    .andThen((texts): Result<RoutingConfig, ReadError> => {
+      const parts = manifest.parts.map(({ digest }) => readPart(digest, texts.get(digest) ?? ''));
+      const lost = manifest.parts.filter((_, i) => parts[i] === undefined);
+      if (lost.length > 0) return err(unreadable(`part ${lost[0]!.name} is missing or damaged`));
+      return ok(assembleConfig(parts.flatMap((part) => (part === undefined ? [] : [part]))));
+    });
+}
+
+/**
+ * Reads an earlier configuration that the root still remembers.
+ *
+ * @param store - The platform.
+ * @param digest - Digest of its manifest.
+ * @returns The configuration.
+ */
+export function readArchived(
+  store: ObjectStore,
+  digest: string,
+): ResultAsync<RoutingConfig, ReadError> {
+  return readArchivedManifest(store, digest).andThen((manifest) =>
+    manifest === undefined
+      ? errAsync(unreadable('an earlier manifest is missing or damaged'))
+      : readManifestConfig(store, manifest),
+  );
+}
+
+/**
+ * Reads the manifest of an earlier configuration.
+ *
+ * @param store - The platform.
+ * @param digest - Its digest.
+ * @returns The manifest, or undefined where it is gone or damaged.
+ */
+export function readArchivedManifest(
+  store: ObjectStore,
+  digest: string,
+): ResultAsync<ConfigManifest | undefined, ReadError> {
+  return store
+    .get(MANIFEST_KIND, digest)
+    .mapErr(readError)
+    .map((object) => readManifest(digest, textOf(object?.value)));
+}
+
+/** Gets the text of a stored chunk or manifest, empty where the value is of another form. */
+function textOf(value: unknown): string {
+  const text = (value as { readonly text?: unknown } | undefined | null)?.text;
+  return typeof text === 'string' ? text : '';
+}
+
+function unreadable(message: string): ReadError {
+  return { type: 'unreadable', message };
+}
+
+/**
+ * Gets what a failed read means for an operator.
+ *
+ * @param error - How the platform failed.
+ * @returns `unavailable`, since the platform gave no answer that could be used.
+ */
+export function readError(error: PlatformError): ReadError {
+  switch (error.type) {
+    case 'unavailable':
+    case 'invalid':
+      return { type: 'unavailable', message: error.message };
+    case 'over_budget':
+      return { type: 'unavailable', message: 'the platform refuses calls for their rate' };
+    case 'conflict':
+      return { type: 'unavailable', message: 'the platform answered a read with a conflict' };
+    default:
+      return error satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/config/configSchema.ts
@@ -0,0 +1,95 @@
+import { z } from 'zod';
+
+/*
+ * What hosts accept from the platform and from peers. Fields that are not known are ignored, so that
+ * hosts of an older version go on while a newer one adds fields. Bounds on values are checked once,
+ * before a configuration is accepted; a host checks only that it can act on what it reads.
+ */
+
+const workClass = z.enum(['lookup', 'certificate', 'summary']);
+
+const team = z.object({
+  id: z.string(),
+  rate: z.object({ tokensPerSecond: z.number(), burstTokens: z.number() }),
+  keyDigests: z.array(z.string()),
+  models: z.array(z.string()),
+  weight: z.number(),
+});
+
+const pool = z.object({
+  model: z.string(),
+  engines: z.array(
+    z.object({
+      id: z.string(),
+      url: z.string(),
+      zone: z.string(),
+      role: z.enum(['prefill', 'decode']),
+      memoryPieces: z.number(),
+      checksFencing: z.boolean(),
+    }),
+  ),
+  maxTokens: z.number(),
+  ttftTargetMs: z.number(),
+  itlTargetMs: z.number(),
+  linkPiecesPerSecond: z.number(),
+});
+
+const service = z.object({
+  id: z.string(),
+  servers: z.array(
+    z.object({ id: z.string(), url: z.string(), zone: z.string(), maxConcurrent: z.number() }),
+  ),
+  routes: z.array(
+    z.object({
+      method: z.enum(['GET', 'POST', 'PUT', 'DELETE']),
+      path: z.string(),
+      idempotent: z.boolean(),
+      class: workClass,
+      costTokens: z.number(),
+    }),
+  ),
+  timeoutMs: z.number(),
+});
+
+const waitRule = z.object({
+  team: z.string().optional(),
+  model: z.string().optional(),
+  class: workClass,
+  maxWaitMs: z.number(),
+});
+
+/** Checks one part of a configuration. */
+export const partSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('teams'), teams: z.array(team) }),
+  z.object({ type: z.literal('pool'), pool }),
+  z.object({ type: z.literal('service'), service }),
+  z.object({ type: z.literal('wait_rules'), rules: z.array(waitRule) }),
+]);
+
+const manifest = z.object({
+  /** Buckets that the teams are spread over. */
+  buckets: z.int().positive(),
+  parts: z.array(z.object({ name: z.string(), digest: z.string(), bytes: z.int() })),
+});
+
+/** Checks a manifest. */
+export const manifestSchema = manifest;
+
+/** Checks the root. */
+export const rootSchema = z.object({
+  format: z.literal(1),
+  changeId: z.string(),
+  requestDigest: z.string(),
+  manifest,
+  history: z.array(
+    z.object({
+      version: z.int(),
+      changeId: z.string(),
+      requestDigest: z.string(),
+      manifestDigest: z.string(),
+    }),
+  ),
+});
+
+/** Checks a stored chunk or manifest. */
+export const blobSchema = z.object({ text: z.string(), touchedAt: z.number() });
