Apply, diff and follow the configuration

Cause: operators race, answers are lost after a write took effect, hosts start during outages and wake with old versions; an accepted configuration must be in force everywhere within seconds and never be undone. Change: applyConfig with a three-way comparison, idempotent by change id; unused parts collected after a grace; ConfigFollower that takes only higher versions, fetches only missing parts and tells when it was last confirmed; KeyRing that reports withdrawn keys. Tests use the stand-in platform.

--- /dev/null
+++ b/packages/operator/tests/apply/applyConfig.test.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { GRACE_MS, applyConfig, diffConfigs, readAccepted } from '@camphorvane/operator';
+import { CHUNK_KIND, CONFIG_KIND, ROOT_NAME } from '@camphorvane/platform';
+import fc from 'fast-check';
+import { configOf, drive, errorOf, operatorOn, team, valueOf } from '../support/platform.ts';
+
+const FIRST = { changeId: 'first', base: { type: 'none' } } as const;
+
+const on = (changeId: string, version: number, merge = false) =>
+  ({ changeId, base: { type: 'version', version }, merge }) as const;
+
+test('a configuration is accepted with a version and can be read back', async () => {
+  const { clock, store, apply } = operatorOn();
+  const config = configOf(team('a'), team('b'));
+  const applied = valueOf(await apply(config, FIRST));
+  assert.equal(applied.outcome, 'applied');
+  const read = valueOf(await drive(clock, readAccepted(store)));
+  assert.equal(read?.version, applied.version);
+  assert.deepEqual(diffConfigs(config, read.config), []);
+});
+
+test('applying the same change twice changes nothing, even after others have changed more', async () => {
+  const { apply } = operatorOn();
+  const first = valueOf(await apply(configOf(team('a')), FIRST));
+  valueOf(await apply(configOf(team('a'), team('b')), on('second', first.version)));
+  const again = valueOf(await apply(configOf(team('a')), FIRST));
+  assert.deepEqual(again, { version: first.version, outcome: 'already_applied', changes: [] });
+  const reused = errorOf(await apply(configOf(team('z')), FIRST));
+  assert.deepEqual(reused, { type: 'change_id_reused', version: first.version });
+});
+
+test('an answer that is lost after the change took effect is found by reading', async () => {
+  // The root is written and the answer never arrives. An operator who is told "failed" would apply
+  // again on a base that is no longer there, or tell others that a key still works.
+  const { clock, store, context, apply } = operatorOn();
+  const first = valueOf(await apply(configOf(team('a')), FIRST));
+  const pending = applyConfig(context, configOf(team('a', 2)), on('second', first.version));
+  const isWritten = () =>
+    store.snapshot().some((o) => o.kind === 'config-manifest' && o.version > 4);
+  while (!isWritten()) await clock.advance(1);
+  store.setFaults({ lostAnswers: 1 });
+  const applied = valueOf(await drive(clock, pending));
+  assert.equal(applied.outcome, 'already_applied');
+  assert.equal(store.faults.lostAnswers, 0);
+  const root = valueOf(await drive(clock, store.get(CONFIG_KIND, ROOT_NAME)));
+  assert.equal(root?.version, applied.version);
+});
+
+test('whichever answers are lost, a change takes effect once and its outcome is told truly', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 0, max: 4 }),
+      fc.integer({ min: 0, max: 60 }),
+      async (n, at) => {
+        const { clock, store, context } = operatorOn();
+        const pending = applyConfig(context, configOf(team('a'), team('b')), FIRST);
+        await clock.advance(at);
+        store.setFaults({ lostAnswers: n });
+        const { version } = valueOf(await drive(clock, pending));
+        const roots = store.snapshot().filter((object) => object.kind === CONFIG_KIND);
+        assert.deepEqual(
+          roots.map((root) => root.version),
+          [version],
+        );
+      },
+    ),
+    { seed: 11, numRuns: 60 },
+  );
+});
+
+test('with the platform down an operator is told that nothing was accepted', async () => {
+  const { store, apply } = operatorOn();
+  store.setFaults({ down: true });
+  assert.equal(errorOf(await apply(configOf(team('a')), FIRST)).type, 'unavailable');
+});
+
+test('a platform that goes down with the answer leaves the outcome open, and a later run tells it', async () => {
+  // The root was sent, then nothing answers any more. Neither "applied" nor "failed" would be true;
+  // the same change id gives the answer once the platform is back.
+  const { clock, store, context, apply } = operatorOn();
+  const pending = applyConfig(context, configOf(team('a')), FIRST);
+  const isWritten = () => store.snapshot().some((object) => object.kind === 'config-manifest');
+  while (!isWritten()) await clock.advance(1);
+  store.setFaults({ lostAnswers: 1 });
+  while (store.faults.lostAnswers > 0) await clock.advance(1);
+  store.setFaults({ down: true });
+  const open = errorOf(await drive(clock, pending));
+  assert.deepEqual(open, { type: 'outcome_unknown', changeId: 'first' });
+  store.setFaults({ down: false });
+  assert.equal(valueOf(await apply(configOf(team('a')), FIRST)).outcome, 'already_applied');
+});
+
+test('two operators who race get one acceptance and one conflict that names what both changed', async () => {
+  // Both start from the same version; one raises a team's weight and the other lowers it, in the same
+  // instant. Without the conflict the slower one would undo the other's change unseen.
+  const { clock, context, apply } = operatorOn();
+  const { version } = valueOf(await apply(configOf(team('a'), team('b')), FIRST));
+  const mine = configOf(team('a', 2), team('b'), team('c'));
+  const theirs = configOf(team('a', 3), team('b', 5));
+  const results = await drive(
+    clock,
+    Promise.all([
+      applyConfig(context, mine, on('mine', version, true)),
+      applyConfig(context, theirs, on('theirs', version, true)),
+    ]),
+  );
+  assert.equal(results.filter((result) => result.isOk()).length, 1);
+  const error = errorOf(results.find((result) => result.isErr())!);
+  assert.ok(error.type === 'conflict');
+  assert.deepEqual(error.both, ['team a']);
+});
+
+test('changes that do not touch each other are merged, but only when asked', async () => {
+  const { clock, store, apply } = operatorOn();
+  const { version } = valueOf(await apply(configOf(team('a'), team('b')), FIRST));
+  valueOf(await apply(configOf(team('a'), team('b', 5)), on('theirs', version)));
+  const mine = configOf(team('a', 2), team('b'), team('c'));
+  const refused = errorOf(await apply(mine, on('mine', version)));
+  assert.ok(refused.type === 'conflict');
+  assert.deepEqual(refused.both, []);
+  assert.deepEqual(
+    refused.theirs.map((change) => change.item),
+    ['team b'],
+  );
+  valueOf(await apply(mine, on('mine', version, true)));
+  const read = valueOf(await drive(clock, readAccepted(store)));
+  const wanted = configOf(team('a', 2), team('b', 5), team('c'));
+  assert.deepEqual(diffConfigs(wanted, read!.config), []);
+});
+
+test('a merge that would leave a reference leading nowhere is refused', async () => {
+  // One operator takes a team away while another writes a rule for it. Each change is sound by
+  // itself; together they would leave a rule for nobody.
+  const { apply } = operatorOn();
+  const base = configOf(team('a'), team('b'));
+  const { version } = valueOf(await apply(base, FIRST));
+  valueOf(await apply(configOf(team('a')), on('theirs', version)));
+  const waitRules = [{ team: 'b', class: 'summary', maxWaitMs: 1000 }] as const;
+  const refused = errorOf(await apply({ ...base, waitRules }, on('mine', version, true)));
+  assert.equal(refused.type, 'invalid');
+});
+
+test('a base that nobody remembers is refused, and a base given by its contents is not', async () => {
+  const { apply } = operatorOn();
+  const base = configOf(team('a'));
+  valueOf(await apply(base, FIRST));
+  assert.equal(errorOf(await apply(configOf(), on('x', 999))).type, 'base_unknown');
+  const options = { changeId: 'y', base: { type: 'config', config: base } } as const;
+  assert.equal(valueOf(await apply(configOf(team('a', 2)), options)).outcome, 'applied');
+});
+
+test('a part that is larger than the platform holds is refused before anything is written', async () => {
+  const { store, apply } = operatorOn();
+  const keyDigests = Array.from({ length: 12_000 }, (_, i) => String(i).padStart(64, '0'));
+  const error = errorOf(await apply(configOf({ ...team('a'), keyDigests }), FIRST));
+  assert.equal(error.type, 'part_too_large');
+  assert.deepEqual(store.snapshot(), []);
+});
+
+test('parts that nothing refers to go after an hour, and none that is in use or new', async () => {
+  const { clock, store, apply } = operatorOn();
+  const put = async (name: string) =>
+    drive(clock, store.put(CHUNK_KIND, name, { text: '', touchedAt: clock.wall() }, 'absent'));
+  const hex = [...'0123456789abcdef'];
+  await Promise.all(hex.map((digit) => put(`${digit}-old`)));
+  let { version } = valueOf(await apply(configOf(team('a')), FIRST));
+  await clock.advance(GRACE_MS + 1000);
+  await Promise.all(hex.map((digit) => put(`${digit}-new`)));
+  const changes = Array.from({ length: 60 }, (_, i) => i);
+  await changes.reduce(async (before, i) => {
+    await before;
+    ({ version } = valueOf(await apply(configOf(team('a', i + 2)), on(`c${i}`, version))));
+  }, Promise.resolve());
+  const names = store.snapshot().map((object) => object.name);
+  assert.equal(names.filter((name) => name.endsWith('-new')).length, 16);
+  assert.equal(names.filter((name) => name.endsWith('-old')).length, 0);
+  assert.ok(valueOf(await drive(clock, readAccepted(store))));
+});
+
+test('a difference names each item and the fields that changed', () => {
+  const before = configOf(team('a'), team('b'));
+  const after = configOf(team('a', 2), team('c'));
+  assert.deepEqual(diffConfigs(before, after), [
+    {
+      item: 'team a',
+      kind: 'changed',
+      fields: [{ field: 'weight', before: '1', after: '2' }],
+    },
+    { item: 'team b', kind: 'removed', fields: [] },
+    { item: 'team c', kind: 'added', fields: [] },
+  ]);
+});
--- /dev/null
+++ b/packages/operator/tests/support/platform.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { RandomSource, VirtualClock, type RoutingConfig, type TeamConfig } from '@camphorvane/core';
+import {
+  applyConfig,
+  type Applied,
+  type ApplyContext,
+  type ApplyError,
+  type ApplyOptions,
+} from '@camphorvane/operator';
+import { MemoryObjectStore } from '@camphorvane/stand-ins';
+import type { Result } from 'neverthrow';
+
+const STEP_MS = 5;
+const MAX_STEPS = 100_000;
+
+/** Moves time on until a promise is settled, and gets its value. */
+export async function drive<T>(clock: VirtualClock, promise: PromiseLike<T>): Promise<T> {
+  const state = { isDone: false };
+  const finish = (): void => {
+    state.isDone = true;
+  };
+  promise.then(finish, finish);
+  let steps = 0;
+  await clock.advance(0);
+  while (!state.isDone) {
+    assert.ok(steps < MAX_STEPS, 'the promise never settles');
+    await clock.advance(STEP_MS);
+    steps += 1;
+  }
+  return promise;
+}
+
+/** A platform of its own for one test, and an operator who works on it. */
+export function operatorOn(): {
+  readonly clock: VirtualClock;
+  readonly store: MemoryObjectStore;
+  readonly context: ApplyContext;
+  apply(config: RoutingConfig, options: ApplyOptions): Promise<Result<Applied, ApplyError>>;
+} {
+  const clock = new VirtualClock();
+  const store = new MemoryObjectStore(clock);
+  const context = { store, clock, random: new RandomSource(1) };
+  const apply = (config: RoutingConfig, options: ApplyOptions) =>
+    drive(clock, applyConfig(context, config, options));
+  return { clock, store, context, apply };
+}
+
+/** Makes a team. */
+export function team(id: string, weight = 1): TeamConfig {
+  const rate = { tokensPerSecond: 1000, burstTokens: 5000 };
+  return { id, rate, keyDigests: [], models: [], weight };
+}
+
+/** Makes a configuration of teams only. */
+export function configOf(...teams: readonly TeamConfig[]): RoutingConfig {
+  return { teams, pools: [], services: [], waitRules: [] };
+}
+
+/** Gets the value of a result, or fails the test with the error. */
+export function valueOf<T, E>(result: Result<T, E>): T {
+  if (result.isErr()) assert.fail(`expected a value, got ${JSON.stringify(result.error)}`);
+  return result.value;
+}
+
+/** Gets the error of a result, or fails the test with the value. */
+export function errorOf<T, E>(result: Result<T, E>): E {
+  if (result.isOk()) assert.fail(`expected an error, got ${JSON.stringify(result.value)}`);
+  return result.error;
+}
--- /dev/null
+++ b/packages/platform/tests/config/ConfigPart.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { bucketsFor, chunkConfig, configDigest } from '@camphorvane/platform';
+import fc from 'fast-check';
+import { configOf, manyTeams, team } from '../support/publish.ts';
+
+test('a change of one team changes one chunk', () => {
+  const { teams } = manyTeams(2000);
+  const before = new Set(chunkConfig(configOf(...teams)).manifest.parts.map((p) => p.digest));
+  fc.assert(
+    fc.property(fc.integer({ min: 0, max: 1999 }), (i) => {
+      const changed = teams.map((entry, k) => (k === i ? { ...entry, weight: 2 } : entry));
+      const { parts } = chunkConfig(configOf(...changed)).manifest;
+      assert.equal(parts.filter((part) => !before.has(part.digest)).length, 1);
+    }),
+    { numRuns: 20, seed: 7 },
+  );
+});
+
+test('the order of declarations and of keys makes no difference', () => {
+  const a = configOf(team('a', ['d1', 'd2']), team('b'));
+  const b = configOf(team('b'), team('a', ['d2', 'd1']));
+  assert.equal(configDigest(a), configDigest(b));
+  assert.deepEqual(chunkConfig(a), chunkConfig(b));
+  assert.notEqual(configDigest(a), configDigest(configOf(team('a', ['d1']), team('b'))));
+});
+
+test('buckets grow with the teams, and stay while they are about right', () => {
+  assert.deepEqual(
+    [0, 64, 65, 20_000, 10 ** 7].map((n) => bucketsFor(n)),
+    [1, 1, 2, 512, 1024],
+  );
+  assert.equal(bucketsFor(20_000, 128), 128);
+  assert.equal(bucketsFor(20_000, 64), 512);
+});
--- /dev/null
+++ b/packages/platform/tests/config/KeyRing.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { sha256Hex } from '@camphorvane/core';
+import { KeyRing, type WithdrawnKey } from '@camphorvane/platform';
+import { configOf, team } from '../support/publish.ts';
+
+const [KEY_A, KEY_B] = ['cvk_a', 'cvk_b'];
+const [DIGEST_A, DIGEST_B] = [sha256Hex(KEY_A), sha256Hex(KEY_B)];
+
+test('a key leads to its team only', () => {
+  const ring = new KeyRing();
+  ring.update(configOf(team('a', [DIGEST_A]), team('b', [DIGEST_B])));
+  const found = ring.lookup(KEY_B);
+  assert.ok(found.type === 'team');
+  assert.deepEqual([found.team.id, found.digest], ['b', DIGEST_B]);
+  assert.equal(ring.lookup(DIGEST_B).type, 'unknown');
+  assert.equal(ring.lookup('x'.repeat(100_000)).type, 'unknown');
+});
+
+test('a withdrawn key is refused as withdrawn, and whoever holds its streams is told', () => {
+  // An operator withdraws a key that leaked. Its holder has a long answer open and keeps sending;
+  // both have to end, and the refusal has to say why.
+  const ring = new KeyRing();
+  const told: WithdrawnKey[] = [];
+  ring.update(configOf(team('a', [DIGEST_A, DIGEST_B])));
+  ring.onWithdrawn((keys) => told.push(...keys));
+  ring.update(configOf(team('a', [DIGEST_B])));
+  assert.deepEqual(told, [{ digest: DIGEST_A, team: 'a' }]);
+  assert.equal(ring.lookup(KEY_A).type, 'withdrawn');
+  assert.equal(ring.isInForce(DIGEST_A, 'a'), false);
+  ring.update(configOf(team('a', [DIGEST_A, DIGEST_B])));
+  assert.equal(ring.lookup(KEY_A).type, 'team');
+  assert.equal(told.length, 1);
+});
+
+test('a key that moves to another team ends what the first team has open', () => {
+  const ring = new KeyRing();
+  const told: WithdrawnKey[] = [];
+  ring.update(configOf(team('a', [DIGEST_A]), team('b')));
+  ring.onWithdrawn((keys) => told.push(...keys));
+  ring.update(configOf(team('a'), team('b', [DIGEST_A])));
+  assert.deepEqual(told, [{ digest: DIGEST_A, team: 'a' }]);
+  assert.equal(ring.lookup(KEY_A).type, 'team');
+});
--- /dev/null
+++ b/packages/platform/tests/support/publish.ts
@@ -0,0 +1,44 @@
+import type { RoutingConfig, TeamConfig, VirtualClock } from '@camphorvane/core';
+import {
+  CHUNK_KIND,
+  CONFIG_KIND,
+  ROOT_NAME,
+  chunkConfig,
+  type ObjectStore,
+  type StoredObject,
+} from '@camphorvane/platform';
+import { drive } from './drive.ts';
+import { valueOf } from './results.ts';
+
+/** Makes a team that holds the digests given. */
+export function team(id: string, keyDigests: readonly string[] = []): TeamConfig {
+  const rate = { tokensPerSecond: 1000, burstTokens: 5000 };
+  return { id, rate, keyDigests, models: [], weight: 1 };
+}
+
+/** Makes a configuration of teams only. */
+export function configOf(...teams: readonly TeamConfig[]): RoutingConfig {
+  return { teams, pools: [], services: [], waitRules: [] };
+}
+
+/** Makes a configuration of many teams. */
+export function manyTeams(count: number): RoutingConfig {
+  return configOf(...Array.from({ length: count }, (_, i) => team(`team-${i}`)));
+}
+
+/** Writes a configuration as an operator's apply does, without its checks. */
+export async function publish(
+  clock: VirtualClock,
+  store: ObjectStore,
+  config: RoutingConfig,
+): Promise<StoredObject> {
+  const before = valueOf(await drive(clock, store.get(CONFIG_KIND, ROOT_NAME)));
+  const { chunks, manifest } = chunkConfig(config);
+  await chunks.reduce(async (earlier, { digest, text }) => {
+    await earlier;
+    await drive(clock, store.put(CHUNK_KIND, digest, { text, touchedAt: 0 }, 'absent'));
+  }, Promise.resolve());
+  const root = { format: 1, changeId: 'c', requestDigest: 'd', manifest, history: [] };
+  const expected = before?.version ?? 'absent';
+  return valueOf(await drive(clock, store.put(CONFIG_KIND, ROOT_NAME, root, expected)));
+}
