Follow the configuration, with peers standing in during an outage of the platform

Cause: hosts read one object each second and kept no version order. Change: ConfigFollower and KeyRing in the host; peers pass on root and parts, and a majority that knows of no newer version confirms it while the platform is silent; the platform is called within the host's budget. Conclusion: the interim configuration source is gone.

--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -14,6 +14,7 @@
   UpstreamId,
 } from '@camphorvane/core';
 import type { Hello, Welcome } from '@camphorvane/group';
+import type { StoredObject } from '@camphorvane/platform';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where a peer listens. */
@@ -46,6 +47,9 @@
 /** What one host asks of another. */
 export type PeerRequest =
   | { readonly type: 'reserve'; readonly model: ModelId; readonly item: WorkItem }
+  | { readonly type: 'config_version' }
+  | { readonly type: 'config_root' }
+  | { readonly type: 'config_chunk'; readonly digest: string }
   | { readonly type: 'withdraw'; readonly model: ModelId; readonly request: RequestId }
   | {
       readonly type: 'renew';
@@ -72,6 +76,9 @@
   | { readonly type: 'refused'; readonly refusal: Refusal }
   /** The request still waits; its holder asks again, which also shows that the holder lives. */
   | { readonly type: 'waiting' }
+  | { readonly type: 'config_version'; readonly version: number }
+  | { readonly type: 'config_root'; readonly object?: StoredObject }
+  | { readonly type: 'config_chunk'; readonly text?: string }
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
   | { readonly type: 'not_steward'; readonly epoch: number }
--- a/packages/router/src/host/Authenticator.ts
+++ b/packages/router/src/host/Authenticator.ts
@@ -1,5 +1,6 @@
-import type { Clock, Millis, Refusal, TeamConfig } from '@camphorvane/core';
-import { notRun, sha256Hex } from '@camphorvane/core';
+import type { Refusal, TeamConfig } from '@camphorvane/core';
+import { notRun } from '@camphorvane/core';
+import type { KeyRing } from '@camphorvane/platform';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { ConfigSource } from './ports.ts';
@@ -11,48 +12,27 @@
   readonly keyDigest: string;
 }
 
-/**
- * Longest time for which a host trusts its configuration without a confirmation, in milliseconds.
- *
- * A host that is cut off can't learn that a key was withdrawn. A key must stop within seconds, so
- * after this time the host refuses instead of letting a withdrawn key pass.
- */
-export const CONFIRMATION_LIFE_MS: Millis = 5_000;
-
-/** Finds the team of a key. */
+/** Finds the team of a key, where the host can tell whether the key is still in force. */
 export class Authenticator {
   private readonly config: ConfigSource;
 
-  private readonly clock: Clock;
-
-  private teams: ReadonlyMap<string, TeamConfig> = new Map();
+  private readonly keys: KeyRing;
 
   /**
    * @param config - The configuration in force.
-   * @param clock - Judges how old its confirmation is.
+   * @param keys - The keys in force.
    */
-  constructor(config: ConfigSource, clock: Clock) {
+  constructor(config: ConfigSource, keys: KeyRing) {
     this.config = config;
-    this.clock = clock;
-  }
-
-  /**
-   * Takes the teams of a configuration into force.
-   *
-   * @param teams - All teams.
-   */
-  setTeams(teams: readonly TeamConfig[]): void {
-    this.teams = new Map(teams.flatMap((team) => team.keyDigests.map((d) => [d, team] as const)));
-  }
-
-  /** Tells whether the key with a digest is in force. */
-  isInForce(keyDigest: string): boolean {
-    return this.teams.has(keyDigest);
+    this.keys = keys;
   }
 
   /**
    * Finds the caller of a key.
    *
+   * A host that is cut off from the platform and from a majority of its group can't learn that a
+   * key was withdrawn. A key must stop working within seconds, so such a host refuses.
+   *
    * @param key - The key as shown, if one was.
    * @returns The caller, or why there is none.
    */
@@ -60,24 +40,20 @@
     if (key === undefined) {
       return err(notRun('missing_key', 'Show a key as "Authorization: Bearer <key>".'));
     }
-    if (!this.isConfirmed()) {
-      return err(
-        notRun(
-          'key_state_unconfirmed',
-          'This host cannot tell at present whether keys are still in force.',
-          1_000,
-        ),
-      );
+    if (!this.config.isConfirmed()) {
+      const text = 'This host cannot tell at present whether keys are still in force.';
+      return err(notRun('key_state_unconfirmed', text, 1_000));
+    }
+    const found = this.keys.lookup(key);
+    switch (found.type) {
+      case 'team':
+        return ok({ team: found.team, keyDigest: found.digest });
+      case 'withdrawn':
+        return err(notRun('key_withdrawn', 'The key was withdrawn.'));
+      case 'unknown':
+        return err(notRun('unknown_key', 'The key is not in force.'));
+      default:
+        return found satisfies never;
     }
-    // The digest is looked up, not the key: the time a lookup takes tells nothing about a key.
-    const keyDigest = sha256Hex(key);
-    const team = this.teams.get(keyDigest);
-    if (team === undefined) return err(notRun('unknown_key', 'The key is not in force.'));
-    return ok({ team, keyDigest });
-  }
-
-  private isConfirmed(): boolean {
-    const at = this.config.confirmedAt();
-    return at !== undefined && this.clock.now() - at <= CONFIRMATION_LIFE_MS;
   }
 }
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -11,6 +11,7 @@
   PeerSender,
 } from '@camphorvane/peer';
 import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
+import { BudgetedStore, CallBudget, ConfigFollower, KeyRing } from '@camphorvane/platform';
 import type { Metrics } from '../observe/Metrics.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { EngineWatch } from '../placing/EngineWatch.ts';
@@ -21,13 +22,13 @@
 import { ServiceGates } from '../serving/ServiceGates.ts';
 import { ServiceServing } from '../serving/ServiceServing.ts';
 import { Authenticator } from './Authenticator.ts';
+import { ConfigRelay } from './ConfigRelay.ts';
 import type { ClaimBook } from './claims.ts';
 import { GroupAdapter } from './GroupAdapter.ts';
 import { HostBackend } from './HostBackend.ts';
 import { InFlight } from './InFlight.ts';
 import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
 import { StaticRates } from './StaticRates.ts';
-import { StoreConfigSource } from './StoreConfigSource.ts';
 import { UpstreamDirectory } from './UpstreamDirectory.ts';
 
 /** Milliseconds between two announcements in the platform's host list. */
@@ -45,6 +46,8 @@
   readonly incarnation: string;
   readonly group: string;
   readonly groupSize: number;
+  /** Hosts of the whole fleet, which share the platform's rates. */
+  readonly fleetHosts: number;
   readonly drainGraceMs: Millis;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -68,7 +71,11 @@
 
   private readonly stopping = new AbortController();
 
-  private readonly config: StoreConfigSource;
+  private readonly config: ConfigFollower;
+
+  private readonly relay: ConfigRelay;
+
+  private readonly keys = new KeyRing();
 
   private readonly runner: GroupRunner;
 
@@ -96,19 +103,26 @@
   constructor(options: HostOptions) {
     this.options = options;
     const { clock, random, store, link, metrics, identity, incarnation } = options;
-    this.config = new StoreConfigSource(store, clock);
+    const budget = new CallBudget(clock, CallBudget.ratesFor(options.fleetHosts));
     this.runner = new GroupRunner({
       group: options.group,
       self: { ...identity, incarnation },
       settings: { ...DEFAULT_MEMBERSHIP, maxMembers: options.groupSize },
       clock,
       random,
-      store,
+      store: new BudgetedStore(store, budget, 'membership'),
       link,
     });
     this.group = new GroupAdapter(this.runner, { ...identity, leaving: false });
+    this.relay = new ConfigRelay({ self: identity.host, clock, group: this.group, link });
+    this.config = new ConfigFollower({
+      store: new BudgetedStore(store, budget, 'config'),
+      clock,
+      random,
+      peers: this.relay,
+    });
     this.directory = new UpstreamDirectory(options.engines, options.servers);
-    this.authenticator = new Authenticator(this.config, clock);
+    this.authenticator = new Authenticator(this.config, this.keys);
     const { group, directory } = this;
     this.rates = new StaticRates(clock, () => group.members().length);
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
@@ -160,7 +174,8 @@
     this.config.onChange((config) => this.takeConfig(config));
     this.group.onChange(() => this.takeGroup());
     void this.announce(signal);
-    void this.config.run(signal);
+    this.config.start();
+    void this.relay.run(this.config, signal);
     this.runner.start();
     void this.desk.run(signal);
     void this.keeper.run(signal);
@@ -177,6 +192,10 @@
           ? { type: 'not_steward', epoch: 0 }
           : { type: 'membership', message };
       }
+      case 'config_version':
+      case 'config_root':
+      case 'config_chunk':
+        return this.relay.answer(req, this.config);
       case 'reserve':
       case 'withdraw':
       case 'renew':
@@ -210,6 +229,7 @@
   stop(): void {
     this.enterState('stopped');
     this.stopping.abort();
+    void this.config.stop();
     this.desk.stop();
     this.runner.stop();
   }
@@ -225,8 +245,7 @@
       identity: this.options.identity,
       incarnation: this.options.incarnation,
       state: this.state,
-      configVersion: this.config.current()?.version ?? 0,
-      configConfirmedAgoMs: this.confirmedAgo(),
+      config: this.config.state(),
       inFlight: this.inFlight.size(),
       reservations: this.keeper.size(),
       group: this.runner.dump(),
@@ -236,19 +255,14 @@
     };
   }
 
-  private confirmedAgo(): Millis | undefined {
-    const at = this.config.confirmedAt();
-    return at === undefined ? undefined : this.options.clock.now() - at;
-  }
-
   private takeConfig({ version, config }: VersionedConfig): void {
     this.directory.reshape(config);
-    this.authenticator.setTeams(config.teams);
+    this.keys.update(config);
     this.rates.setTeams(config.teams);
     this.desk.refresh();
     this.gates.refresh();
     const refusal = notRun('key_withdrawn', 'The key was withdrawn while the request ran.');
-    const ended = this.inFlight.endWithdrawn((d) => this.authenticator.isInForce(d), refusal);
+    const ended = this.inFlight.endWithdrawn((d, team) => this.keys.isInForce(d, team), refusal);
     this.options.metrics.count('config.changed');
     log('config_in_force', { version, ended });
   }
--- a/packages/router/src/host/InFlight.ts
+++ b/packages/router/src/host/InFlight.ts
@@ -37,12 +37,12 @@
   /**
    * Ends every request whose key is no longer in force.
    *
-   * @param isInForce - Tells whether the key with a digest is in force.
+   * @param isInForce - Tells whether the key with a digest still stands for a team.
    * @param refusal - What their callers are told.
    * @returns How many were ended.
    */
-  endWithdrawn(isInForce: (keyDigest: string) => boolean, refusal: Refusal): number {
-    const withdrawn = [...this.requests.values()].filter((r) => !isInForce(r.keyDigest));
+  endWithdrawn(isInForce: (keyDigest: string, team: TeamId) => boolean, refusal: Refusal): number {
+    const withdrawn = [...this.requests.values()].filter((r) => !isInForce(r.keyDigest, r.team));
     withdrawn.forEach((request) => request.abort.abort(refusal));
     return withdrawn.length;
   }
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -1,7 +1,6 @@
 import type {
   EngineConfig,
   HostId,
-  Millis,
   Refusal,
   ServiceServer,
   TeamId,
@@ -21,11 +20,8 @@
   /** Gets the configuration in force, if there is one yet. */
   current(): VersionedConfig | undefined;
 
-  /** Gets when the version was last known to be the newest, on the host's clock. */
-  confirmedAt(): Millis | undefined;
-
-  /** Calls back after each change. */
-  onChange(changed: (config: VersionedConfig) => void): Unsubscribe;
+  /** Tells whether the version is known to have been the newest a few seconds ago. */
+  isConfirmed(): boolean;
 }
 
 /** A host of the group, as callers and peers reach it. */
--- a/packages/router/src/settings/HostSettings.ts
+++ b/packages/router/src/settings/HostSettings.ts
@@ -30,7 +30,11 @@
     tls: z.strictObject({ ca: z.string(), cert: z.string(), key: z.string() }).optional(),
   }),
   operators: listener.extend({ credential }),
-  platform: z.strictObject({ url: httpUrl, token: z.string().optional() }),
+  platform: z.strictObject({
+    url: httpUrl,
+    /** Hosts of the whole fleet, which share the platform's rates of calls. */
+    fleetHosts: z.number().int().min(1).max(10_000).default(9),
+  }),
   group: z.strictObject({ size: z.number().int().min(3).max(15).default(9) }).prefault({}),
   drain: z
     .strictObject({ graceMs: z.number().int().min(0).max(3_600_000).default(120_000) })
--- a/packages/router/tests/support/MemoryFleet.ts
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -1,3 +1,5 @@
+import { applyConfig } from '@camphorvane/operator';
+import type { ApplyBase } from '@camphorvane/operator';
 import type { RoutingConfig } from '@camphorvane/core';
 import { RandomSource, VirtualClock, sha256Hex } from '@camphorvane/core';
 import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
@@ -157,11 +159,13 @@
         ]),
       ),
     );
-    this.hosts = Array.from({ length: hostCount }, (_, i) => this.makeHost(`h${i + 1}`, i));
+    this.hosts = Array.from({ length: hostCount }, (_, i) =>
+      this.makeHost(`h${i + 1}`, i, hostCount),
+    );
   }
 
   async start(): Promise<void> {
-    void this.store.put('config', 'current', testConfig(), 'absent').map(() => undefined);
+    void this.apply(testConfig(), 'first', { type: 'none' });
     this.hosts.forEach((host) => host.start());
     await this.clock.advance(20_000);
   }
@@ -182,6 +186,12 @@
     if (!holds()) throw new Error('still waiting after a minute');
   }
 
+  private async apply(cfg: RoutingConfig, changeId: string, base: ApplyBase): Promise<void> {
+    const context = { store: this.store, clock: this.clock, random: new RandomSource(2) };
+    const applied = await applyConfig(context, cfg, { changeId, base });
+    if (applied.isErr()) throw new Error(JSON.stringify(applied.error));
+  }
+
   host(index: number): Host {
     const host = this.hosts[index];
     if (host === undefined) throw new Error(`no host ${index}`);
@@ -206,11 +216,11 @@
   async withdrawKeys(): Promise<void> {
     const cfg = testConfig();
     const teams = cfg.teams.map((team) => ({ ...team, keyDigests: [] }));
-    void this.store.put('config', 'current', { ...cfg, teams }, 1).map(() => undefined);
+    void this.apply({ ...cfg, teams }, 'withdraw', { type: 'config', config: cfg });
     await this.clock.advance(10);
   }
 
-  private makeHost(name: string, index: number): Host {
+  private makeHost(name: string, index: number, hostCount: number): Host {
     const identity = {
       host: name,
       zone: `z${index % 3}`,
@@ -224,6 +234,7 @@
       incarnation,
       group: 'g',
       groupSize: 9,
+      fleetHosts: hostCount,
       drainGraceMs: 60_000,
       clock: this.clock,
       random: new RandomSource(100 + index),
