--- a/packages/caller/src/CallerServer.ts
+++ b/packages/caller/src/CallerServer.ts
@@ -37,6 +37,9 @@
 /** Milliseconds of silence after which the kernel starts to probe a caller's connection. */
 const KEEPALIVE_DELAY_MS = 5_000;
 
+/** Milliseconds that open connections get when listening ends. */
+const STOP_GRACE_MS = 500;
+
 /** Largest head of a request, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
@@ -113,15 +116,23 @@
     });
   }
 
-  /** Ends listening, and waits for connections that still answer. */
+  /**
+   * Ends listening. Requests have ended by then; connections that still stay open, kept by callers
+   * for later requests, are cut after a moment.
+   */
   stop(): Promise<void> {
     return new Promise((resolve) => {
-      if (this.server === undefined) {
+      const { server } = this;
+      if (server === undefined) {
         resolve();
         return;
       }
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      const cancel = this.options.clock.after(STOP_GRACE_MS, () => server.closeAllConnections());
+      server.close(() => {
+        cancel();
+        resolve();
+      });
+      server.closeIdleConnections();
     });
   }
 
--- /dev/null
+++ b/packages/caller/tests/support/FakeBackend.ts
@@ -0,0 +1,94 @@
+import type {
+  CallerBackend,
+  CompletionEvent,
+  CompletionRequest,
+  ServiceReply,
+  ServiceRequest,
+} from '@camphorvane/caller';
+import type { Refusal } from '@camphorvane/core';
+import { notRun } from '@camphorvane/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+export const TEST_KEY = 'cvk_a_key_for_tests';
+
+/** Answers with fixed tokens, and keeps what reached it. */
+export class FakeBackend implements CallerBackend {
+  readonly completions: CompletionRequest[] = [];
+
+  readonly calls: ServiceRequest[] = [];
+
+  /** Number of completions whose caller went before their end. */
+  gone = 0;
+
+  private events: readonly CompletionEvent[] = [
+    { type: 'token', position: 0, text: 'white ' },
+    { type: 'token', position: 1, text: 'spirit' },
+    { type: 'done', reason: 'stop', promptTokens: 5, cachedTokens: 2, outputTokens: 2 },
+  ];
+
+  private hangs = false;
+
+  /** Sets the events of all later completions. */
+  answerWith(events: readonly CompletionEvent[]): void {
+    this.events = events;
+  }
+
+  /** Makes completions wait for their caller to go, after the first event. */
+  hang(): void {
+    this.hangs = true;
+  }
+
+  newRequestId(): string {
+    return `r${this.completions.length + this.calls.length}`;
+  }
+
+  advise(key: string | undefined): ReturnType<CallerBackend['advise']> {
+    return this.known(key).map(() => ({
+      hosts: [{ host: 'h1', zone: 'z1', address: '127.0.0.1:1' }],
+      keepForMs: 10_000,
+    }));
+  }
+
+  models(key: string | undefined): ReturnType<CallerBackend['models']> {
+    return this.known(key).map(() => ['varnish-7b']);
+  }
+
+  async *complete(
+    _id: string,
+    req: CompletionRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<CompletionEvent> {
+    this.completions.push(req);
+    const known = this.known(req.key);
+    if (known.isErr()) {
+      yield { type: 'refused', refusal: known.error };
+      return;
+    }
+    if (this.hangs) {
+      yield* this.events.slice(0, 1);
+      await new Promise<void>((resolve) => {
+        signal.addEventListener('abort', () => resolve(), { once: true });
+      });
+      this.gone += 1;
+      return;
+    }
+    yield* this.events;
+  }
+
+  async callService(_id: string, req: ServiceRequest): Promise<Result<ServiceReply, Refusal>> {
+    this.calls.push(req);
+    return this.known(req.key).map(() => ({
+      status: 200,
+      headers: { 'content-type': 'text/plain' },
+      body: Buffer.from(`ran ${req.method} ${req.path}`),
+      replayed: false,
+    }));
+  }
+
+  private known(key: string | undefined): Result<void, Refusal> {
+    return key === TEST_KEY
+      ? ok(undefined)
+      : err(notRun('unknown_key', 'The key is not in force.'));
+  }
+}
--- /dev/null
+++ b/packages/caller/tests/support/withServer.ts
@@ -0,0 +1,32 @@
+import { CallerServer } from '@camphorvane/caller';
+import { SystemClock } from '@camphorvane/core';
+import { connect } from 'node:net';
+import { FakeBackend } from './FakeBackend.ts';
+
+/** Runs a test against a caller server on loopback, and stops it whatever happens. */
+export async function withServer(
+  run: (port: number, backend: FakeBackend) => Promise<void>,
+): Promise<void> {
+  const backend = new FakeBackend();
+  const server = new CallerServer({ backend, clock: new SystemClock(), isFleet: () => false });
+  const port = await server.start('127.0.0.1', 0);
+  try {
+    await run(port, backend);
+  } finally {
+    await server.stop();
+  }
+}
+
+/** Sends bytes over a socket of their own, and gets everything that comes back until its end. */
+export function rawExchange(port: number, text: string | Buffer): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, '127.0.0.1');
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk) => chunks.push(chunk));
+    socket.on('close', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code !== 'ECONNRESET' && error.code !== 'EPIPE') reject(error);
+    });
+    socket.end(text);
+  });
+}
