Carry questions between hosts over gRPC

Cause: the contract PeerLink/PeerHandler had no transport, so hosts could not be run as processes.

Change: GrpcPeerLink and GrpcPeerServer carry a oneof of typed messages (JSON for kinds without one yet).

--- /dev/null
+++ b/packages/peer/src/grpc/responseMapping.ts
@@ -0,0 +1,65 @@
+import type { Execution, Refusal, RefusalCode } from '@camphorvane/core';
+import type * as wire from '../generated/peer.ts';
+import type { PeerResponse } from '../PeerLink.ts';
+
+function refusalFromWire(msg: wire.Refused): Refusal {
+  return {
+    code: msg.code as RefusalCode,
+    message: msg.message,
+    execution: msg.execution as Execution,
+    retryAfterMs: msg.retryAfterMs,
+  };
+}
+
+type Body = wire.AskResponse['body'];
+
+type ResponseWriters = {
+  readonly [T in PeerResponse['type']]?: (res: Extract<PeerResponse, { type: T }>) => Body;
+};
+
+/** How each variant is written; one that is missing here travels as JSON. */
+const WRITERS: ResponseWriters = {
+  placed: (res) => ({ $case: 'placed', placed: res.placement }),
+  refused: (res) => ({ $case: 'refused', refused: res.refusal }),
+  renewed: (res) => ({ $case: 'renewed', renewed: res }),
+  ok: () => ({ $case: 'ok', ok: {} }),
+  not_steward: (res) => ({ $case: 'notSteward', notSteward: res }),
+};
+
+/**
+ * Turns an answer into its message. A variant without a message of its own travels as JSON.
+ *
+ * @param res - The answer.
+ * @returns The message.
+ */
+export function responseToWire(res: PeerResponse): wire.AskResponse {
+  const write = WRITERS[res.type] as ((from: PeerResponse) => Body) | undefined;
+  return { body: write?.(res) ?? { $case: 'json', json: JSON.stringify(res) } };
+}
+
+/**
+ * Reads an answer.
+ *
+ * @param msg - The message.
+ * @returns The answer, or undefined where a newer host sent a variant that is not known here.
+ */
+export function responseFromWire(msg: wire.AskResponse): PeerResponse | undefined {
+  const { body } = msg;
+  if (body === undefined) return undefined;
+  switch (body.$case) {
+    case 'json':
+      return JSON.parse(body.json) as PeerResponse;
+    case 'placed':
+      return { type: 'placed', placement: body.placed };
+    case 'refused':
+      return { type: 'refused', refusal: refusalFromWire(body.refused) };
+    case 'renewed':
+      return { type: 'renewed', lost: body.renewed.lost };
+    case 'ok':
+      return { type: 'ok' };
+    case 'notSteward':
+      return { type: 'not_steward', epoch: body.notSteward.epoch };
+    default:
+      return undefined;
+  }
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,1 +1,2 @@
 export * from './PeerLink.ts';
+export * from './grpc/index.ts';
