--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -13,6 +13,7 @@
   ReservationId,
   UpstreamId,
 } from '@camphorvane/core';
+import type { Hello, Welcome } from '@camphorvane/group';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where a peer listens. */
@@ -62,15 +63,19 @@
       readonly type: 'observe';
       readonly model: ModelId;
       readonly observations: readonly EngineObservation[];
-    };
+    }
+  | { readonly type: 'membership'; readonly message: Hello };
 
 /** What the other host answers. */
 export type PeerResponse =
   | { readonly type: 'placed'; readonly placement: Placement }
   | { readonly type: 'refused'; readonly refusal: Refusal }
+  /** The request still waits; its holder asks again, which also shows that the holder lives. */
+  | { readonly type: 'waiting' }
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
-  | { readonly type: 'not_steward'; readonly epoch: number };
+  | { readonly type: 'not_steward'; readonly epoch: number }
+  | { readonly type: 'membership'; readonly message: Welcome };
 
 /** Why a peer gave no answer. */
 export type PeerError =
--- a/packages/peer/tests/grpc/GrpcPeerLink.test.ts
+++ b/packages/peer/tests/grpc/GrpcPeerLink.test.ts
@@ -198,10 +198,7 @@
   };
   let relay: SilencingRelay | undefined;
   const pair = await startPair({
-    link: {
-      probeTimeoutMs: 300,
-      onVerdict: (host, verdict) => verdicts.push(`${host} ${verdict}`),
-    },
+    link: { probeTimeoutMs: 300, onVerdict },
     through: (port) => {
       relay = new SilencingRelay(port);
       return relay.listen();
