--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,3 +1,4 @@
 export * from './PeerLink.ts';
+export * from './grpc/index.ts';
 export { GROUP_KIND } from './group/GroupObject.ts';
 export * from './group/GroupRunner.ts';
