Claim calls that must run at most once in the platform

Cause: a caller whose host died sends a non-idempotent call again at another host; only a claim that outlives hosts keeps it from running twice, and answers of the platform can be lost or late. Refusals that follow from each outcome. A property test with writes that land after the host gave up found two keys that stayed barred though nothing ran (a second write of the same claim landing after the claim was given back, and one landing after another host's claim had been seen in its place); both are released now.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,3 +10,8 @@
 export * from './config/ConfigPeers.ts';
 export * from './config/ConfigFollower.ts';
 export * from './config/KeyRing.ts';
+export * from './claims/Claim.ts';
+export * from './claims/ClaimSweeper.ts';
+export * from './claims/IdempotencyClaims.ts';
+export * from './claims/claimRefusal.ts';
+export { CLAIM_KIND, MAX_KEPT_BYTES, claimName } from './claims/claimRecord.ts';
--- /dev/null
+++ b/packages/platform/tests/claims/IdempotencyClaims.test.ts
@@ -0,0 +1,286 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RandomSource, VirtualClock } from '@camphorvane/core';
+import {
+  CLAIM_KIND,
+  ClaimSweeper,
+  DEFAULT_RETENTION_MS,
+  IdempotencyClaims,
+  MAX_KEPT_BYTES,
+  claimRefusal,
+  type Claim,
+  type ClaimOutcome,
+  type ClaimRequest,
+  type HolderState,
+} from '@camphorvane/platform';
+import { MemoryObjectStore } from '@camphorvane/stand-ins';
+import fc from 'fast-check';
+import { TimeoutStore } from '../support/TimeoutStore.ts';
+import { drive } from '../support/drive.ts';
+
+const ANSWER = { status: 201, headers: { 'x-lot': '7' }, body: Buffer.from('{"certificate":7}') };
+
+const call = (host: string, attempt: string, more: Partial<ClaimRequest> = {}): ClaimRequest => ({
+  team: 'harbour',
+  service: 'certificates',
+  route: 'POST /issue',
+  key: 'batch-7',
+  requestDigest: 'd1',
+  attempt,
+  host,
+  incarnation: `${host}.1`,
+  ...more,
+});
+
+function setUp() {
+  const clock = new VirtualClock();
+  const store = new MemoryObjectStore(clock);
+  const states = new Map<string, HolderState>();
+  const host = (seed = 1): IdempotencyClaims =>
+    new IdempotencyClaims({
+      store,
+      clock,
+      random: new RandomSource(seed),
+      holderState: (id) => states.get(id) ?? 'live',
+    });
+  return { clock, store, states, host };
+}
+
+function granted(outcome: ClaimOutcome): Claim {
+  if (outcome.type !== 'claimed') assert.fail(`expected a claim, got ${outcome.type}`);
+  return outcome.claim;
+}
+
+test('a call that has run gives the same whole answer to a caller that sends it again', async () => {
+  const { clock, host } = setUp();
+  const [a, b] = [host(), host(2)];
+  const claim = granted(await drive(clock, a.claim(call('a', '1'))));
+  await drive(clock, a.finish(claim, ANSWER));
+  const again = await drive(clock, b.claim(call('b', '2')));
+  assert.ok(again.type === 'finished');
+  assert.deepEqual({ ...again.answer, body: Buffer.from(again.answer!.body) }, ANSWER);
+  assert.equal(a.getOpen(), 0);
+});
+
+test('a caller that sends again while the call runs is not given a second run', async () => {
+  // The caller's patience is shorter than the service's. It sends the same order again, to the same
+  // host and to another one; either must learn that the first is under way.
+  const { clock, host } = setUp();
+  const [a, b] = [host(), host(2)];
+  granted(await drive(clock, a.claim(call('a', '1'))));
+  const outcomes = [
+    await drive(clock, a.claim(call('a', '2'))),
+    await drive(clock, b.claim(call('b', '3'))),
+  ];
+  assert.deepEqual(
+    outcomes.map((outcome) => outcome.type),
+    ['in_use', 'in_use'],
+  );
+  assert.equal(claimRefusal(outcomes[0]!)?.execution, 'unknown');
+});
+
+test('a host that dies with a call on its way leaves it unknown for good', async () => {
+  // Nobody can tell whether the service has issued the certificate. The caller sends again, tomorrow
+  // and next month too, and must never get a second one.
+  const { clock, store, states, host } = setUp();
+  granted(await drive(clock, host().claim(call('a', '1'))));
+  states.set('a', 'gone');
+  const outcome = await drive(clock, host(2).claim(call('b', '2')));
+  assert.equal(outcome.type, 'outcome_unknown');
+  assert.equal(claimRefusal(outcome)?.execution, 'unknown');
+  await clock.advance(31 * DEFAULT_RETENTION_MS);
+  const sweeper = new ClaimSweeper({
+    store,
+    clock,
+    random: new RandomSource(4),
+    retentionMs: DEFAULT_RETENTION_MS,
+  });
+  const sweeps = Array.from({ length: 200 }, () => drive(clock, sweeper.sweep()));
+  await Promise.all(sweeps);
+  assert.equal((await drive(clock, host(3).claim(call('c', '3')))).type, 'outcome_unknown');
+});
+
+test('an answer that never came makes the call unknown at once, at every host', async () => {
+  const { clock, host } = setUp();
+  const a = host();
+  const claim = granted(await drive(clock, a.claim(call('a', '1'))));
+  await drive(clock, a.leaveUnknown(claim));
+  assert.equal((await drive(clock, a.claim(call('a', '2')))).type, 'outcome_unknown');
+  assert.equal((await drive(clock, host(2).claim(call('b', '3')))).type, 'outcome_unknown');
+});
+
+test('a claim whose answer was lost is recognised as its own', async () => {
+  // The claim is stored and the answer never arrives. Taking the stored claim for another's would
+  // tell the caller "under way" about a call that nobody runs.
+  const { clock, store, host } = setUp();
+  store.setFaults({ lostAnswers: 1 });
+  granted(await drive(clock, host().claim(call('a', '1'))));
+  assert.equal(store.snapshot().length, 1);
+});
+
+test('the same key with another body, and another team with the same key, are told apart', async () => {
+  const { clock, host } = setUp();
+  const a = host();
+  granted(await drive(clock, a.claim(call('a', '1'))));
+  const other = await drive(clock, a.claim(call('a', '2', { requestDigest: 'd2' })));
+  assert.equal(other.type, 'mismatch');
+  granted(await drive(clock, a.claim(call('a', '3', { team: 'yard' }))));
+  granted(await drive(clock, a.claim(call('a', '4', { route: 'POST /void' }))));
+});
+
+test('with the platform down a call is refused as not run, and the key is free afterwards', async () => {
+  // The write may have arrived just before the platform went. The caller is told "not run" and sends
+  // again later; the claim that was left behind must not bar it.
+  const { clock, store, host } = setUp();
+  const a = host();
+  store.setFaults({ lostAnswers: 1 });
+  const pending = a.claim(call('a', '1'));
+  while (store.faults.lostAnswers > 0) await clock.advance(1);
+  store.setFaults({ down: true });
+  const refusal = claimRefusal(await drive(clock, pending));
+  assert.deepEqual(
+    [refusal?.code, refusal?.execution],
+    ['idempotency_store_unavailable', 'not_run'],
+  );
+  assert.equal(store.snapshot().length, 1);
+  store.setFaults({ down: false });
+  await drive(clock, a.drained());
+  granted(await drive(clock, host(2).claim(call('b', '2'))));
+});
+
+test('an end that could not be stored is kept, answered from memory and stored later', async () => {
+  const { clock, store, host } = setUp();
+  const a = host();
+  const claim = granted(await drive(clock, a.claim(call('a', '1'))));
+  store.setFaults({ down: true });
+  void a.finish(claim, ANSWER);
+  await clock.advance(60_000);
+  assert.equal((await drive(clock, a.claim(call('a', '2')))).type, 'finished');
+  store.setFaults({ down: false });
+  await drive(clock, a.drained());
+  assert.equal((await drive(clock, host(2).claim(call('b', '3')))).type, 'finished');
+});
+
+test('a claim that was never dispatched is given back', async () => {
+  const { clock, store, host } = setUp();
+  const a = host();
+  const claim = granted(await drive(clock, a.claim(call('a', '1'))));
+  store.setFaults({ lostAnswers: 1 });
+  await drive(clock, a.abandon(claim));
+  granted(await drive(clock, host(2).claim(call('b', '2'))));
+});
+
+test('an answer too large to keep is known as carried out', async () => {
+  const { clock, host } = setUp();
+  const a = host();
+  const claim = granted(await drive(clock, a.claim(call('a', '1'))));
+  await drive(clock, a.finish(claim, { ...ANSWER, body: Buffer.alloc(MAX_KEPT_BYTES + 1) }));
+  const again = await drive(clock, a.claim(call('a', '2')));
+  assert.deepEqual(again, { type: 'finished', answer: undefined });
+  assert.equal(claimRefusal(again)?.execution, 'unknown');
+});
+
+test('a finished call is forgotten after its retention, by the next claim or by a sweep', async () => {
+  const { clock, store, host } = setUp();
+  const a = host();
+  const keys = Array.from({ length: 40 }, (_, i) => `key-${i}`);
+  const run = async (key: string) => {
+    const claim = granted(await drive(clock, a.claim(call('a', `1-${key}`, { key }))));
+    await drive(clock, a.finish(claim, ANSWER));
+  };
+  await keys.reduce((before, key) => before.then(() => run(key)), Promise.resolve());
+  await clock.advance(DEFAULT_RETENTION_MS + 1000);
+  granted(await drive(clock, a.claim(call('a', '2', { key: 'key-0' }))));
+  const random = new RandomSource(4);
+  const sweeper = new ClaimSweeper({ store, clock, random, retentionMs: DEFAULT_RETENTION_MS });
+  sweeper.start();
+  await clock.advance(DEFAULT_RETENTION_MS / 4);
+  await drive(clock, sweeper.stop());
+  assert.deepEqual(
+    store.snapshot().map((object) => object.kind),
+    [CLAIM_KIND],
+  );
+});
+
+type Event = 'lose' | 'down' | 'up' | 'slow' | 'fast' | 'a' | 'b' | 'c';
+
+type End = 'finish' | 'leave' | 'abandon';
+
+const EVENTS: readonly Event[] = ['lose', 'down', 'up', 'slow', 'fast', 'a', 'b', 'c'];
+
+const ENDS: readonly End[] = ['finish', 'leave', 'abandon'];
+
+/** Three hosts that give up on the platform after a while, and one caller who keeps sending. */
+class Resending {
+  readonly clock = new VirtualClock();
+
+  readonly store = new MemoryObjectStore(this.clock);
+
+  readonly dispatched: string[] = [];
+
+  private readonly hosts = { a: this.host(1), b: this.host(2), c: this.host(3) };
+
+  private readonly running: Promise<void>[] = [];
+
+  constructor(private readonly end: End) {}
+
+  apply(event: Event, attempt: string): void {
+    if (event === 'lose') this.store.setFaults({ lostAnswers: 1 });
+    else if (event === 'down' || event === 'up') this.store.setFaults({ down: event === 'down' });
+    else if (event === 'slow') this.store.setFaults({ delayMs: 900 });
+    else if (event === 'fast') this.store.setFaults({ delayMs: 3 });
+    else this.running.push(this.send(event, attempt));
+  }
+
+  async settle(): Promise<void> {
+    this.store.setFaults({ down: false, lostAnswers: 0, delayMs: 3 });
+    await drive(this.clock, Promise.all(this.running));
+    const ends = Object.values(this.hosts).map((host) => host.drained());
+    await drive(this.clock, Promise.all(ends));
+  }
+
+  claimAgain(): Promise<ClaimOutcome> {
+    return drive(this.clock, this.hosts.b.claim(call('b', 'last')));
+  }
+
+  private host(seed: number): IdempotencyClaims {
+    const store = new TimeoutStore(this.store, this.clock, 300);
+    return new IdempotencyClaims({ store, clock: this.clock, random: new RandomSource(seed) });
+  }
+
+  private async send(id: 'a' | 'b' | 'c', attempt: string): Promise<void> {
+    const outcome = await this.hosts[id].claim(call(id, attempt));
+    if (outcome.type !== 'claimed') return;
+    if (this.end === 'abandon') {
+      await this.hosts[id].abandon(outcome.claim);
+      return;
+    }
+    this.dispatched.push(attempt);
+    if (this.end === 'finish') await this.hosts[id].finish(outcome.claim, ANSWER);
+    else await this.hosts[id].leaveUnknown(outcome.claim);
+  }
+}
+
+test('whatever is lost, late or down, no call is dispatched twice and no key is barred in vain', async () => {
+  // A caller sends the same order again and again at three hosts, while the platform loses answers,
+  // carries out writes after the host has given up, and goes away. What a user would notice is a
+  // second certificate, or an order that was reported as not run and can never be given again.
+  const plan = fc.array(fc.record({ event: fc.constantFrom(...EVENTS), gap: fc.nat(700) }), {
+    maxLength: 25,
+  });
+  await fc.assert(
+    fc.asyncProperty(plan, fc.constantFrom(...ENDS), async (steps, end) => {
+      const run = new Resending(end);
+      await steps.reduce(async (before, { event, gap }, i) => {
+        await before;
+        run.apply(event, String(i));
+        await run.clock.advance(gap);
+      }, Promise.resolve());
+      await run.settle();
+      assert.ok(run.dispatched.length <= 1, `dispatched by ${run.dispatched.join()}`);
+      const last = await run.claimAgain();
+      assert.equal(last.type === 'claimed', run.dispatched.length === 0, last.type);
+    }),
+    { seed: 3, numRuns: 300 },
+  );
+});
