--- a/packages/router/src/cli/hostsCommand.ts
+++ b/packages/router/src/cli/hostsCommand.ts
@@ -31,7 +31,7 @@
       .option('key', {
         type: 'string',
         demandOption: true,
-        default: process.env['CAMPHORVANE_KEY'],
+        default: process.env.CAMPHORVANE_KEY,
         defaultDescription: 'the environment variable CAMPHORVANE_KEY',
         describe: 'Key of a team',
       })
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,5 +1,12 @@
 import type { CallerBackend } from '@camphorvane/caller';
-import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
+import type {
+  Clock,
+  HostId,
+  Incarnation,
+  Millis,
+  RandomSource,
+  VersionedConfig,
+} from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
 import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
 import { GroupRunner } from '@camphorvane/peer';
@@ -11,7 +18,13 @@
   PeerSender,
 } from '@camphorvane/peer';
 import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
-import { BudgetedStore, CallBudget, ConfigFollower, KeyRing } from '@camphorvane/platform';
+import {
+  BudgetedStore,
+  CallBudget,
+  ConfigFollower,
+  IdempotencyClaims,
+  KeyRing,
+} from '@camphorvane/platform';
 import type { Metrics } from '../observe/Metrics.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { EngineWatch } from '../placing/EngineWatch.ts';
@@ -23,7 +36,6 @@
 import { ServiceServing } from '../serving/ServiceServing.ts';
 import { Authenticator } from './Authenticator.ts';
 import { ConfigRelay } from './ConfigRelay.ts';
-import type { ClaimBook } from './claims.ts';
 import { GroupAdapter } from './GroupAdapter.ts';
 import { HostBackend } from './HostBackend.ts';
 import { InFlight } from './InFlight.ts';
@@ -55,7 +67,6 @@
   readonly link: PeerLink;
   readonly engines: EngineFactory;
   readonly servers: PlainServerFactory;
-  readonly claims: ClaimBook;
   readonly metrics: Metrics;
 }
 
@@ -97,6 +108,8 @@
 
   private readonly gates: ServiceGates;
 
+  private readonly claims: IdempotencyClaims;
+
   private state: HostState = 'starting';
 
   /** @param options - What the host is made of. */
@@ -136,6 +149,12 @@
     this.keeper = new ReservationKeeper(clock, placements);
     this.watch = new EngineWatch(clock, placements);
     this.gates = new ServiceGates(clock, directory, () => group.members().length);
+    this.claims = new IdempotencyClaims({
+      store: new BudgetedStore(store, budget, 'claims'),
+      clock,
+      random,
+      holderState: (host, start) => this.holderState(host, start),
+    });
     this.backend = new HostBackend({
       clock,
       random,
@@ -160,7 +179,8 @@
         directory,
         gates: this.gates,
         rates: this.rates,
-        claims: options.claims,
+        claims: this.claims,
+        self: { host: identity.host, incarnation },
         metrics,
       }),
       metrics,
@@ -220,6 +240,7 @@
     await this.announceOnce('leaving');
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
     await Promise.race([this.inFlight.whenIdle(), grace]);
+    await Promise.race([this.claims.drained(), grace]);
     await this.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.options.identity.host);
     this.stop();
@@ -230,6 +251,7 @@
     this.enterState('stopped');
     this.stopping.abort();
     void this.config.stop();
+    void this.claims.stop();
     this.desk.stop();
     this.runner.stop();
   }
@@ -272,6 +294,16 @@
     this.gates.refresh();
   }
 
+  /** A member of the epoch may still be running its call; one that is no longer there never will. */
+  private holderState(host: HostId, incarnation: Incarnation): 'live' | 'gone' | 'unknown' {
+    const view = this.runner.view();
+    if (view.epoch === 0) return 'unknown';
+    const isMember = view.members.some(
+      (member) => member.host === host && member.incarnation === incarnation,
+    );
+    return isMember ? 'live' : 'gone';
+  }
+
   private async announce(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.announceOnce(this.state === 'draining' ? 'leaving' : 'live');
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,4 @@
 export * from './host/Host.ts';
-export * from './host/claims.ts';
 export * from './host/ports.ts';
 export * from './observe/Metrics.ts';
 export * from './settings/HostSettings.ts';
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -1,6 +1,8 @@
 import type { ServiceReply, ServiceRequest } from '@camphorvane/caller';
 import type {
   Clock,
+  HostId,
+  Incarnation,
   Millis,
   Refusal,
   RequestId,
@@ -10,11 +12,12 @@
 } from '@camphorvane/core';
 import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
 import type { GateCall } from '@camphorvane/decisions';
+import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/platform';
+import { claimRefusal } from '@camphorvane/platform';
 import type { ServiceAnswer, UpstreamError } from '@camphorvane/upstream';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
-import type { ClaimBook, ClaimSubject } from '../host/claims.ts';
 import type { RateGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -40,7 +43,8 @@
   readonly directory: UpstreamDirectory;
   readonly gates: ServiceGates;
   readonly rates: RateGate;
-  readonly claims: ClaimBook;
+  readonly claims: IdempotencyClaims;
+  readonly self: { readonly host: HostId; readonly incarnation: Incarnation };
   readonly metrics: Metrics;
 }
 
@@ -99,39 +103,34 @@
    * a caller who sends the call again, here or at another host, does not run it a second time.
    */
   private async once(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
-    const subject = subjectOf(work);
-    if (subject.isErr()) return err(subject.error);
-    const claim = await this.options.claims.claim(subject.value);
-    switch (claim.type) {
-      case 'replay':
-        this.options.metrics.count('service.replayed');
-        return ok({ ...claim.answer, replayed: true });
-      case 'refused':
-        return err(claim.refusal);
-      case 'claimed':
-        return this.runClaimed(work, subject.value);
-      default:
-        return claim satisfies never;
+    const req = this.claimRequest(work);
+    if (req.isErr()) return err(req.error);
+    const outcome = await this.options.claims.claim(req.value);
+    if (outcome.type === 'claimed') return this.runClaimed(work, outcome.claim);
+    if (outcome.type === 'finished' && outcome.answer !== undefined) {
+      this.options.metrics.count('service.replayed');
+      return ok({ ...outcome.answer, replayed: true });
     }
+    return err(claimRefusal(outcome) ?? notRun('internal', 'The claim has no outcome.'));
   }
 
-  private async runClaimed(
-    work: KnownCall,
-    subject: ClaimSubject,
-  ): Promise<Result<ServiceReply, Refusal>> {
+  private async runClaimed(work: KnownCall, claim: Claim): Promise<Result<ServiceReply, Refusal>> {
+    const { claims } = this.options;
     const outcome = await this.tryUndispatched(work);
     switch (outcome.type) {
       case 'answer':
-        await this.options.claims.finish(subject, outcome.answer);
+        // The caller need not wait until the answer is stored; the claim alone bars a second run.
+        void claims.finish(claim, outcome.answer);
         return ok({ ...outcome.answer, replayed: false });
       case 'refused':
-        await this.options.claims.abandon(subject);
+        await claims.abandon(claim);
         return err(outcome.refusal);
       case 'failed':
         if (!outcome.error.dispatched) {
-          await this.options.claims.abandon(subject);
+          await claims.abandon(claim);
           return err(notRun('upstream_failed', 'No server took the call.', 1_000));
         }
+        void claims.leaveUnknown(claim);
         return err(
           outcomeUnknown('outcome_unknown', 'The call was sent, and no whole answer came back.'),
         );
@@ -140,6 +139,24 @@
     }
   }
 
+  private claimRequest(work: KnownCall): Result<ClaimRequest, Refusal> {
+    const { idempotencyKey, method, path, body } = work.req;
+    if (idempotencyKey === undefined) {
+      const text = 'This call runs at most once; send an Idempotency-Key.';
+      return err(notRun('idempotency_key_required', text));
+    }
+    const [pathname = ''] = path.split('?');
+    return ok({
+      team: work.caller.team.id,
+      service: work.service.id,
+      route: `${method} ${pathname}`,
+      key: idempotencyKey,
+      requestDigest: sha256Hex(`${method} ${path}\n${Buffer.from(body).toString('base64')}`),
+      attempt: work.id,
+      ...this.options.self,
+    });
+  }
+
   /** Moves on to another server only while none can have been given the call. */
   private async tryUndispatched(work: KnownCall): Promise<TryOutcome> {
     const failures: FailedTry[] = [];
@@ -209,23 +226,6 @@
   return ran ? { ...refusal, execution: 'unknown' } : refusal;
 }
 
-function subjectOf(work: KnownCall): Result<ClaimSubject, Refusal> {
-  const { idempotencyKey, method, path, body } = work.req;
-  if (idempotencyKey === undefined) {
-    return err(
-      notRun('idempotency_key_required', 'This call runs at most once; send an Idempotency-Key.'),
-    );
-  }
-  const digest = sha256Hex(`${method} ${path}\n${Buffer.from(body).toString('base64')}`);
-  return ok({
-    team: work.caller.team.id,
-    service: work.service.id,
-    idempotencyKey,
-    requestDigest: digest,
-    attempt: work.id,
-  });
-}
-
 /**
  * Finds the route of a call: the longest path prefix with the same method.
  *
--- a/packages/router/tests/Host.test.ts
+++ b/packages/router/tests/Host.test.ts
@@ -95,3 +95,31 @@
   await drained;
   assert.equal(fleet.host(0).getState(), 'stopped');
 });
+
+test('a certificate is issued once, whichever hosts its caller tries', async () => {
+  // The answer to a certificate's issue is lost on its way, and the caller sends it again to two
+  // other hosts. A second certificate would mean a recall; the first answer must come back instead.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const issue = (host: number): Promise<string> => fleet.issueCertificate(fleet.host(host), 'k1');
+  const first = await fleet.during(issue(0));
+  const again = await fleet.during(Promise.all([issue(1), issue(2)]));
+  assert.equal(fleet.service.records.length, 1);
+  assert.match(first, /^201|^200/);
+  assert.deepEqual(again, [`${first} replayed`, `${first} replayed`]);
+});
+
+test('a call that must not repeat says "unknown" once its server may have run it', async () => {
+  // The server goes down while it issues a certificate. Nobody can tell whether it was issued, so
+  // the caller must hear "unknown", also when it asks again, and no other server may get the call.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const issued = fleet.issueCertificate(fleet.host(0), 'k2');
+  await fleet.clock.advance(15);
+  fleet.service.crash();
+  assert.equal(await fleet.during(issued), 'outcome_unknown unknown');
+  fleet.service.setFaults({ down: false });
+  const again = await fleet.during(fleet.issueCertificate(fleet.host(1), 'k2'));
+  assert.equal(again, 'outcome_unknown unknown');
+  assert.ok(fleet.service.records.length <= 1);
+});
--- a/packages/router/tests/support/MemoryFleet.ts
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -12,7 +12,6 @@
   serviceSettings,
 } from '@camphorvane/stand-ins';
 import { Host, Metrics } from '@camphorvane/router';
-import type { ClaimBook } from '@camphorvane/router';
 
 export const KEY = 'cvk_test_key_of_team_a';
 
@@ -78,12 +77,6 @@
   };
 }
 
-const NO_CLAIMS: ClaimBook = {
-  claim: () => Promise.resolve({ type: 'claimed' }),
-  finish: () => Promise.resolve(),
-  abandon: () => Promise.resolve(),
-};
-
 /** A completion on its way. */
 export interface StartedCompletion {
   readonly id: string;
@@ -198,6 +191,39 @@
     return host;
   }
 
+  /** Lets time go on until a promise has settled. */
+  async during<T>(promise: Promise<T>): Promise<T> {
+    const state = { settled: false };
+    const settled = promise.finally(() => {
+      state.settled = true;
+    });
+    await this.advanceUntil(() => state.settled);
+    return settled;
+  }
+
+  /** Issues a certificate; gets its answer or refusal in short. */
+  async issueCertificate(host: Host, idempotencyKey: string): Promise<string> {
+    const reply = await host.backend.callService(
+      host.backend.newRequestId(),
+      {
+        key: KEY,
+        service: 'certs',
+        method: 'POST',
+        path: '/issue',
+        headers: { 'idempotency-key': idempotencyKey },
+        idempotencyKey,
+        body: Buffer.from('batch 7'),
+        hopped: false,
+      },
+      new AbortController().signal,
+    );
+    return reply.match(
+      (answer) =>
+        `${answer.status} ${Buffer.from(answer.body).toString()}${answer.replayed ? ' replayed' : ''}`,
+      (refusal) => `${refusal.code} ${refusal.execution}`,
+    );
+  }
+
   /** Gets the attempts that hold memory on any engine. */
   heldAttempts(): readonly string[] {
     return [...this.engines.values()].flatMap((engine) => engine.currentLoad().attempts);
@@ -242,7 +268,6 @@
       link: this.network.link(sender, this.clock),
       engines: (cfg) => this.engine(cfg.id),
       servers: () => this.service,
-      claims: NO_CLAIMS,
       metrics: new Metrics(),
     });
     this.network.attach(name, host);
