Add the scenario language and checks that are shown to fail

Cause: promises need scripted failures against the host code, in virtual time. Change: TOML scenarios with timed steps and expectations; a world of hosts that can be killed, paused, cut off and drained; callers that follow advice and send again; fifteen checks that hold in every run. A plain host with one fault at a time shows that each check finds its fault.

--- /dev/null
+++ b/packages/scenario/src/world/LinkedServer.ts
@@ -0,0 +1,38 @@
+import type { UpstreamId } from '@camphorvane/core';
+import { ATTEMPT_HEADER } from '@camphorvane/stand-ins';
+import type { ServiceCore } from '@camphorvane/stand-ins';
+import type { PlainServer, ServiceAnswer, ServiceCall, UpstreamError } from '@camphorvane/upstream';
+import { err, ok } from 'neverthrow';
+import type { ResultAsync } from 'neverthrow';
+import type { DispatchLog } from './DispatchLog.ts';
+import type { UpstreamLink } from './UpstreamLink.ts';
+
+/** A stand-in server of a plain service as one host reaches it. */
+export class LinkedServer implements PlainServer {
+  constructor(
+    private readonly core: ServiceCore,
+    private readonly link: UpstreamLink,
+    private readonly log: DispatchLog,
+  ) {}
+
+  /** Gets the server's name. */
+  get id(): UpstreamId {
+    return this.core.id;
+  }
+
+  /** Runs one call; an answer to another attempt is a mismatch, as in the HTTP client. */
+  call(call: ServiceCall, signal: AbortSignal): ResultAsync<ServiceAnswer, UpstreamError> {
+    this.log.dispatched(this.id, Buffer.from(call.body).toString('utf8'));
+    return this.link
+      .exchange(signal, call.timeoutMs, (far) => this.core.call(call, far))
+      .andThen((answer) =>
+        answer.headers[ATTEMPT_HEADER] === call.attempt
+          ? ok(answer)
+          : err<ServiceAnswer, UpstreamError>({
+              type: 'mismatch',
+              dispatched: true,
+              message: `${this.id} answered another attempt`,
+            }),
+      );
+  }
+}
--- a/packages/stand-ins/src/engine/EngineCore.ts
+++ b/packages/stand-ins/src/engine/EngineCore.ts
@@ -33,7 +33,7 @@
 import { PrefixCache } from './PrefixCache.ts';
 import type { CacheEventBatch } from './PrefixCache.ts';
 import { SerialLane } from './SerialLane.ts';
-import { interruptible } from './interruptible.ts';
+import { interruptible, manyListeners } from './interruptible.ts';
 import type { Waited } from './interruptible.ts';
 
 /** Reads the KV cache of another engine; undefined where it is gone or the engine is away. */
@@ -57,7 +57,7 @@
 
   private readonly ordersTaken: EngineOrder[] = [];
 
-  private life = new AbortController();
+  private life = manyListeners();
 
   private readonly kv: KvStore;
 
@@ -116,7 +116,7 @@
   /** Breaks all that runs and forgets all memory; the engine comes back after its restart time. */
   crash(): void {
     this.life.abort();
-    this.life = new AbortController();
+    this.life = manyListeners();
     this.batch.breakAll('engine crashed');
     this.kv.clear();
     this.cache.clear();
--- a/packages/stand-ins/src/engine/interruptible.ts
+++ b/packages/stand-ins/src/engine/interruptible.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { CancelTimer, Clock, Millis } from '@camphorvane/core';
 
 /** How a wait ended. */
@@ -34,3 +35,10 @@
     });
   });
 }
+
+/** Makes a controller whose signal any number of exchanges may listen to. */
+export function manyListeners(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
--- a/packages/stand-ins/src/network/MemoryNetwork.ts
+++ b/packages/stand-ins/src/network/MemoryNetwork.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@camphorvane/core';
 import type { Clock, HostId, Millis, RandomSource } from '@camphorvane/core';
 import type {
   PeerAddress,
@@ -120,7 +121,7 @@
   }
 
   private async pass(from: HostId, to: HostId): Promise<boolean> {
-    await interruptible(this.clock, this.settings.latencyMs, new AbortController().signal);
+    await sleep(this.clock, this.settings.latencyMs);
     const way = directed(from, to);
     const lost = this.settings.loss > 0 && this.random.next() < this.settings.loss;
     return !lost && !this.cuts.has(way) && !this.silent.has(way);
--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -1,7 +1,9 @@
-import type { Clock, HostId, Millis } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import type { CancelTimer, Clock, HostId, Millis } from '@camphorvane/core';
 import type {
   Expected,
   HostEntry,
+  HostRegistry,
   ObjectStore,
   ObjectVersion,
   PlatformError,
@@ -27,7 +29,7 @@
 }
 
 /** A stand-in of the platform's object API in memory, with its outages and lost answers. */
-export class MemoryObjectStore implements ObjectStore {
+export class MemoryObjectStore implements ObjectStore, HostRegistry {
   /** Calls taken so far, for tests of the call budget. */
   readonly calls = { reads: 0, writes: 0 };
 
@@ -43,6 +45,8 @@
 
   private hostLists: readonly HostList[] = [];
 
+  private readonly lapses = new Map<HostId, CancelTimer>();
+
   private readonly reads: CallRate;
 
   private readonly writes: CallRate;
@@ -123,14 +127,36 @@
     });
   }
 
+  /** Announces a host; without another announcement it lapses after a while. */
+  announce(entry: HostEntry): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.setHost(entry);
+      const lapse = (): void => this.removeHost(entry.id);
+      this.lapses.set(entry.id, this.clock.after(this.faultState.hostLifeMs, lapse));
+      return ok(undefined);
+    });
+  }
+
+  /** Takes a host off the list. */
+  withdraw(id: HostId): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.removeHost(id);
+      return ok(undefined);
+    });
+  }
+
   /** Enters a host into the list, or changes its entry; readers see it after the lag. */
   setHost(entry: HostEntry): void {
+    this.lapses.get(entry.id)?.();
+    this.lapses.delete(entry.id);
     const others = this.currentHosts().filter((host) => host.id !== entry.id);
     this.changeHosts([...others, entry].sort((a, b) => (a.id < b.id ? -1 : 1)));
   }
 
   /** Takes a host out of the list. */
   removeHost(id: HostId): void {
+    this.lapses.get(id)?.();
+    this.lapses.delete(id);
     this.changeHosts(this.currentHosts().filter((host) => host.id !== id));
   }
 
@@ -215,13 +241,12 @@
     run: () => Result<T, PlatformError>,
     retryAfterMs: Millis | undefined,
   ): Promise<Result<T, PlatformError>> {
-    const never = new AbortController().signal;
     const half = this.faultState.delayMs / 2;
-    await interruptible(this.clock, half, never);
+    await sleep(this.clock, half);
     if (this.faultState.down) return err(UNAVAILABLE);
     if (retryAfterMs !== undefined) return err({ type: 'over_budget', retryAfterMs });
     const result = run();
-    await interruptible(this.clock, half, never);
+    await sleep(this.clock, half);
     return result;
   }
 
--- a/packages/stand-ins/src/platform/storeRoutes.ts
+++ b/packages/stand-ins/src/platform/storeRoutes.ts
@@ -94,12 +94,19 @@
     );
   });
   app.put('/v1/hosts/:id', async (c) => {
-    store.setHost({ ...(await c.req.json<HostEntry>()), id: c.req.param('id') });
-    return c.body(null, 204);
+    const entry = { ...(await c.req.json<HostEntry>()), id: c.req.param('id') };
+    const result = await store.announce(entry);
+    return result.match(
+      () => c.body(null, 204),
+      (error) => fail(c, error),
+    );
   });
-  app.delete('/v1/hosts/:id', (c) => {
-    store.removeHost(c.req.param('id'));
-    return c.body(null, 204);
+  app.delete('/v1/hosts/:id', async (c) => {
+    const result = await store.withdraw(c.req.param('id'));
+    return result.match(
+      () => c.body(null, 204),
+      (error) => fail(c, error),
+    );
   });
   app.post('/test/faults', async (c) => {
     store.setFaults(await c.req.json());
--- a/packages/stand-ins/src/service/ServiceCore.ts
+++ b/packages/stand-ins/src/service/ServiceCore.ts
@@ -6,7 +6,7 @@
 import type { EngineFaults } from '../engine/EngineFaults.ts';
 import { NO_ENGINE_FAULTS } from '../engine/EngineFaults.ts';
 import type { ExecutionRecord } from '../engine/ExecutionRecord.ts';
-import { interruptible } from '../engine/interruptible.ts';
+import { interruptible, manyListeners } from '../engine/interruptible.ts';
 
 /** Header in which a service gets the attempt's id and gives it back. */
 export const ATTEMPT_HEADER = 'x-camphorvane-attempt';
@@ -50,7 +50,7 @@
 
   private faultState: EngineFaults = NO_ENGINE_FAULTS;
 
-  private life = new AbortController();
+  private life = manyListeners();
 
   private lostAnswers = 0;
 
@@ -89,7 +89,7 @@
   /** Breaks all calls; the server comes back after its restart time. */
   crash(): void {
     this.life.abort();
-    this.life = new AbortController();
+    this.life = manyListeners();
     this.setFaults({ down: true, silent: false });
     const { restartMs } = this.settings;
     if (restartMs !== undefined) this.clock.after(restartMs, () => this.setFaults({ down: false }));
