--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -23,6 +23,9 @@
 
 const UNAVAILABLE: PlatformError = { type: 'unavailable', message: 'platform is down' };
 
+/** Milliseconds after its last announcement at which a host is taken for gone. */
+const ANNOUNCEMENT_LIFE_MS: Millis = 15_000;
+
 interface HostList {
   readonly at: Millis;
   readonly hosts: readonly HostEntry[];
@@ -43,6 +46,8 @@
 
   private readonly waiting = new Set<AbortController>();
 
+  private readonly announcedAt = new Map<HostId, Millis>();
+
   private hostLists: readonly HostList[] = [];
 
   private readonly lapses = new Map<HostId, CancelTimer>();
@@ -123,7 +128,25 @@
     return this.read(() => {
       const shownAt = this.clock.now() - this.faultState.hostListLagMs;
       const shown = this.hostLists.filter((list) => list.at <= shownAt).at(-1);
-      return ok(shown?.hosts ?? []);
+      return ok((shown?.hosts ?? []).filter((host) => this.isAnnounced(host.id, shownAt)));
+    });
+  }
+
+  /** Takes in a host's heartbeat. */
+  announce(entry: HostEntry): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.announcedAt.set(entry.id, this.clock.now());
+      const known = this.currentHosts().find((host) => host.id === entry.id);
+      if (JSON.stringify(known) !== JSON.stringify(entry)) this.setHost(entry);
+      return ok(undefined);
+    });
+  }
+
+  /** Takes a host off the list at its own wish. */
+  withdraw(id: HostId): ResultAsync<void, PlatformError> {
+    return this.write(() => {
+      this.removeHost(id);
+      return ok(undefined);
     });
   }
 
@@ -165,6 +188,12 @@
     return [...this.objects.values()];
   }
 
+  /** A host that a test entered by hand stays; one that announces itself stays while it does. */
+  private isAnnounced(id: HostId, at: Millis): boolean {
+    const last = this.announcedAt.get(id);
+    return last === undefined || at - last <= ANNOUNCEMENT_LIFE_MS;
+  }
+
   private currentHosts(): readonly HostEntry[] {
     return this.hostLists.at(-1)?.hosts ?? [];
   }
--- a/packages/stand-ins/src/platform/storeRoutes.ts
+++ b/packages/stand-ins/src/platform/storeRoutes.ts
@@ -89,7 +89,7 @@
   app.get('/v1/hosts', async (c) => {
     const result = await store.hosts();
     return result.match(
-      (hosts) => c.json(hosts),
+      (hosts) => c.json({ hosts }),
       (error) => fail(c, error),
     );
   });
