--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -1,5 +1,5 @@
 import { sleep } from '@camphorvane/core';
-import type { CancelTimer, Clock, HostId, Millis } from '@camphorvane/core';
+import type { Clock, HostId, Millis } from '@camphorvane/core';
 import type {
   Expected,
   HostEntry,
@@ -50,8 +50,6 @@
 
   private hostLists: readonly HostList[] = [];
 
-  private readonly lapses = new Map<HostId, CancelTimer>();
-
   private readonly reads: CallRate;
 
   private readonly writes: CallRate;
@@ -150,36 +148,14 @@
     });
   }
 
-  /** Announces a host; without another announcement it lapses after a while. */
-  announce(entry: HostEntry): ResultAsync<void, PlatformError> {
-    return this.write(() => {
-      this.setHost(entry);
-      const lapse = (): void => this.removeHost(entry.id);
-      this.lapses.set(entry.id, this.clock.after(this.faultState.hostLifeMs, lapse));
-      return ok(undefined);
-    });
-  }
-
-  /** Takes a host off the list. */
-  withdraw(id: HostId): ResultAsync<void, PlatformError> {
-    return this.write(() => {
-      this.removeHost(id);
-      return ok(undefined);
-    });
-  }
-
   /** Enters a host into the list, or changes its entry; readers see it after the lag. */
   setHost(entry: HostEntry): void {
-    this.lapses.get(entry.id)?.();
-    this.lapses.delete(entry.id);
     const others = this.currentHosts().filter((host) => host.id !== entry.id);
     this.changeHosts([...others, entry].sort((a, b) => (a.id < b.id ? -1 : 1)));
   }
 
   /** Takes a host out of the list. */
   removeHost(id: HostId): void {
-    this.lapses.get(id)?.();
-    this.lapses.delete(id);
     this.changeHosts(this.currentHosts().filter((host) => host.id !== id));
   }
 
--- a/packages/stand-ins/src/platform/StoreFaults.ts
+++ b/packages/stand-ins/src/platform/StoreFaults.ts
@@ -9,8 +9,6 @@
   readonly lostAnswers: number;
   /** How old the list of hosts is. */
   readonly hostListLagMs: Millis;
-  /** How long a host stays on the list after it was last announced. */
-  readonly hostLifeMs: Millis;
   readonly writesPerSecond: number;
   readonly readsPerSecond: number;
 }
@@ -21,7 +19,6 @@
   delayMs: 3,
   lostAnswers: 0,
   hostListLagMs: 1000,
-  hostLifeMs: 12_000,
   writesPerSecond: 400,
   readsPerSecond: 2000,
 };
