--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -261,6 +261,11 @@
     return this.state;
   }
 
+  /** Gets the version of the configuration in force; 0 before the first. */
+  configVersion(): number {
+    return this.config.state().version;
+  }
+
   /** Gets the whole state in readable form, without any secret. */
   dump(): object {
     return {
--- a/packages/scenario/src/subject/routerSubject.ts
+++ b/packages/scenario/src/subject/routerSubject.ts
@@ -1,19 +1,16 @@
 import { Host, Metrics } from '@camphorvane/router';
-import type { ClaimBook } from '@camphorvane/router';
-import type { RoutingConfig } from '@camphorvane/core';
+import { RandomSource } from '@camphorvane/core';
+import type { Clock, RoutingConfig } from '@camphorvane/core';
+import { applyConfig, readAcceptedRoot } from '@camphorvane/operator';
+import type { ApplyBase } from '@camphorvane/operator';
 import type { ObjectStore } from '@camphorvane/platform';
 import type { HostEdges, Subject, SubjectHost } from './Subject.ts';
 
 const GROUP = 'g1';
 const GROUP_SIZE = 9;
+const PUBLISH_SEED = 1;
 const DRAIN_GRACE_MS = 60_000;
 
-const NO_CLAIMS: ClaimBook = {
-  claim: () => Promise.resolve({ type: 'claimed' }),
-  finish: () => Promise.resolve(),
-  abandon: () => Promise.resolve(),
-};
-
 function build(edges: HostEdges): SubjectHost {
   const { id, zone, callerAddress, peerAddress, starts, clock, random, store } = edges;
   const incarnation = `${id}#${starts}`;
@@ -22,6 +19,7 @@
     incarnation,
     group: GROUP,
     groupSize: GROUP_SIZE,
+    fleetHosts: GROUP_SIZE,
     drainGraceMs: DRAIN_GRACE_MS,
     clock,
     random,
@@ -29,7 +27,6 @@
     link: edges.peers({ host: id, incarnation, protocol: 1 }),
     engines: edges.engines,
     servers: edges.servers,
-    claims: NO_CLAIMS,
     metrics: new Metrics(),
   });
   edges.listen(host);
@@ -37,15 +34,20 @@
     backend: host.backend,
     start: async () => host.start(),
     drain: () => host.drain(),
-    configVersion: () => (host.dump() as { configVersion: number }).configVersion,
+    configVersion: () => host.configVersion(),
   };
 }
 
-async function publish(store: ObjectStore, _: unknown, config: RoutingConfig): Promise<number> {
-  const old = await store.get('config', 'current');
-  const expected = old.isOk() ? (old.value?.version ?? 'absent') : 'absent';
-  const put = await store.put('config', 'current', config, expected);
-  return put.isOk() ? put.value.version : 0;
+/** Each change of a scenario is an operator's own, made against whatever is in force. */
+async function publish(store: ObjectStore, clock: Clock, config: RoutingConfig): Promise<number> {
+  const context = { store, clock, random: new RandomSource(PUBLISH_SEED) };
+  const accepted = await readAcceptedRoot(store);
+  const before = accepted.isOk() ? accepted.value?.version : undefined;
+  const base: ApplyBase =
+    before === undefined ? { type: 'none' } : { type: 'version', version: before };
+  const changeId = `change-after-${before ?? 0}`;
+  const applied = await applyConfig(context, config, { changeId, base });
+  return applied.isOk() ? applied.value.version : 0;
 }
 
 /** The hosts that the binary runs. */
