Place lookups on each host's own part while no host coordinates their pool

Cause: after the coordinating host of a pool died or fell silent, nobody gave out engine memory until another one might take over (about seven seconds by the settings), and every lookup missed its target. Change: urgent work is placed by each host on an equal part of what engines report as free; summaries wait for the next coordinator. Before: the new test's lookups are refused with no_capacity. After: 8 of 8 are whole (npm test). Conclusion: the gap no longer stops lookups.

--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -4,6 +4,7 @@
   HostId,
   Incarnation,
   Millis,
+  ModelId,
   RandomSource,
   VersionedConfig,
 } from '@camphorvane/core';
@@ -28,6 +29,7 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { EngineWatch } from '../placing/EngineWatch.ts';
+import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
 import { PlacementClient } from '../placing/PlacementClient.ts';
 import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 import { StewardDesk } from '../placing/StewardDesk.ts';
@@ -102,6 +104,8 @@
 
   private readonly desk: StewardDesk;
 
+  private readonly fallback: FallbackPlacer;
+
   private readonly keeper: ReservationKeeper;
 
   private readonly watch: EngineWatch;
@@ -139,16 +143,19 @@
     const { group, directory } = this;
     this.rates = new StaticRates(clock, () => group.members().length);
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
+    const hostCount = (): number => group.members().length;
+    this.fallback = new FallbackPlacer({ clock, random, directory, hostCount, incarnation });
     const placements = new PlacementClient({
       self: identity.host,
       clock,
       group,
       link,
       desk: this.desk,
+      fallback: this.fallback,
     });
     this.keeper = new ReservationKeeper(clock, placements);
     this.watch = new EngineWatch(clock, placements);
-    this.gates = new ServiceGates(clock, directory, () => group.members().length);
+    this.gates = new ServiceGates(clock, directory, hostCount);
     this.claims = new IdempotencyClaims({
       store: new BudgetedStore(store, budget, 'claims'),
       clock,
@@ -253,6 +260,7 @@
     void this.config.stop();
     void this.claims.stop();
     this.desk.stop();
+    this.fallback.stop();
     this.runner.stop();
   }
 
@@ -261,6 +269,16 @@
     return this.state;
   }
 
+  /** Gets the name of the host. */
+  getName(): HostId {
+    return this.options.identity.host;
+  }
+
+  /** Gets the models whose pools this host coordinates now. */
+  getCoordinated(): readonly ModelId[] {
+    return this.desk.getModels();
+  }
+
   /** Gets the version of the configuration in force; 0 before the first. */
   configVersion(): number {
     return this.config.state().version;
@@ -277,6 +295,7 @@
       reservations: this.keeper.size(),
       group: this.runner.dump(),
       stewardOf: this.desk.dump(),
+      fallback: this.fallback.dump(),
       serviceQueues: this.gates.dump(),
       counters: this.options.metrics.getCounts(),
     };
--- a/packages/router/src/placing/PoolSteward.ts
+++ b/packages/router/src/placing/PoolSteward.ts
@@ -18,9 +18,7 @@
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
-
-/** Milliseconds after which a holder whose request still waits is told so. */
-const WAITING_ANSWER_MS: Millis = 2_000;
+import { WAITING_ANSWER_MS } from './waitingAnswer.ts';
 
 /**
  * Milliseconds after which a waiting request whose holder has not asked again is dropped: the
@@ -56,6 +54,8 @@
   readonly directory: UpstreamDirectory;
   /** Put before each reservation's id; differs between stewards and between their starts. */
   readonly prefix: string;
+  /** Milliseconds for which it only listens at its start; {@link REBUILD_MS} unless given. */
+  readonly listenMs?: Millis;
   /** Asked before anything is decided. */
   readonly mayAct: () => boolean;
 }
@@ -89,8 +89,9 @@
       random: options.random,
       reservationPrefix: options.prefix,
     });
-    this.listenUntil = options.clock.now() + REBUILD_MS;
-    options.clock.after(REBUILD_MS, () => this.pump());
+    const listenMs = options.listenMs ?? REBUILD_MS;
+    this.listenUntil = options.clock.now() + listenMs;
+    options.clock.after(listenMs, () => this.pump());
     options.pool.engines.forEach((engine) => {
       void this.pollLoad(engine.id);
     });
@@ -107,7 +108,7 @@
       const entry = this.waiting.get(item.request) ?? { answers: [], cancelTimer: () => undefined };
       entry.answers.push(resolve);
       entry.cancelTimer();
-      entry.cancelTimer = this.options.clock.after(WAITING_ANSWER_MS, () =>
+      entry.cancelTimer = this.options.clock.after(WAITING_ANSWER_MS[item.class], () =>
         this.tellWaiting(item.request),
       );
       this.waiting.set(item.request, entry);
@@ -170,6 +171,11 @@
     this.pump();
   }
 
+  /** Tells whether nothing waits and nothing is reserved. */
+  isIdle(): boolean {
+    return this.waiting.size === 0 && this.scheduler.reservationCount === 0;
+  }
+
   /** Gets the state to be shown to operators. */
   dump(): object {
     return {
--- a/packages/router/src/placing/ReservationKeeper.ts
+++ b/packages/router/src/placing/ReservationKeeper.ts
@@ -64,12 +64,9 @@
 
   private async renew(model: ModelId): Promise<void> {
     const held = [...this.kept.values()].filter((one) => one.model === model);
-    const res = await this.client.ask(
-      { type: 'renew', model, held: held.map((one) => one.state) },
-      RENEW_TIMEOUT_MS,
-    );
-    if (res?.type !== 'renewed') return;
-    res.lost.forEach((id) => {
+    const states = held.map((one) => one.state);
+    const lostIds = await this.client.renew(model, states, RENEW_TIMEOUT_MS);
+    lostIds.forEach((id) => {
       const lost = this.kept.get(id);
       this.kept.delete(id);
       lost?.onLost();
--- a/packages/router/src/placing/StewardDesk.ts
+++ b/packages/router/src/placing/StewardDesk.ts
@@ -107,6 +107,11 @@
     }
   }
 
+  /** Gets the models whose pools are coordinated here. */
+  getModels(): readonly ModelId[] {
+    return [...this.stewards.keys()];
+  }
+
   /** Gets the state to be shown to operators. */
   dump(): readonly object[] {
     return [...this.stewards.values()].map((steward) => steward.dump());
--- a/packages/router/tests/Host.test.ts
+++ b/packages/router/tests/Host.test.ts
@@ -123,3 +123,24 @@
   assert.equal(again, 'outcome_unknown unknown');
   assert.ok(fleet.service.records.length <= 1);
 });
+
+test('lookups are served while the host that coordinates their pool is silent', async () => {
+  // The host that gives out engine memory is frozen. Until another host may take over, nobody knows
+  // what is free; were lookups to wait for that, each would miss its target for some seconds.
+  const fleet = new MemoryFleet(3);
+  await fleet.start();
+  const steward = fleet.stewardOfPool();
+  const others = fleet.hosts.filter((host) => host !== steward);
+  fleet.cutOff(steward);
+  const calls = Array.from({ length: 8 }, (_, i) => i);
+  const answers = await Promise.all(
+    calls.map(async (i) => {
+      await fleet.clock.advance(0);
+      const host = others[i % others.length] ?? steward;
+      return startCompletion(host, { prompt: `lookup ${i} #tokens=5` }).ended(fleet);
+    }),
+  );
+  answers.forEach((events, i) => {
+    assert.equal(textOf(events), expected(`lookup ${i} #tokens=5`, 5));
+  });
+});
--- a/packages/router/tests/support/MemoryFleet.ts
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -191,6 +191,19 @@
     return host;
   }
 
+  /** Gets the host that coordinates the pool now. */
+  stewardOfPool(): Host {
+    const steward = this.hosts.find((host) => host.getCoordinated().includes('m'));
+    if (steward === undefined) throw new Error('nobody coordinates the pool');
+    return steward;
+  }
+
+  /** Cuts a host off from all others; the platform and engines stay within its reach. */
+  cutOff(host: Host): void {
+    const name = host.getName();
+    this.hosts.forEach((other) => this.network.cut(name, other.getName()));
+  }
+
   /** Lets time go on until a promise has settled. */
   async during<T>(promise: Promise<T>): Promise<T> {
     const state = { settled: false };
