Let short transfers go through the gaps before booked long ones

Cause: the link ledger kept one end time per decode engine, so the transfer of a long prompt, booked for the end of its prefill a second ahead, made the link look taken until then. Lookups were refused though the link was idle; the chooser also never looked at a second decode engine for its link. Change: bookings are spans; a transfer takes the first gap; a decode engine whose link would make the request late is passed over. A lookup is given up only when even an idle pool would be late.

--- a/packages/decisions/src/FairPoolScheduler.ts
+++ b/packages/decisions/src/FairPoolScheduler.ts
@@ -63,6 +63,9 @@
  */
 const CLEARLY_LATE = 1.25;
 
+/** Part of the expected time to the first token that is surely needed, whatever the estimate's error. */
+const SURELY_NEEDED = 0.8;
+
 const PRIORITY: Readonly<Record<WorkClass, number>> = { lookup: 0, certificate: 1, summary: 2 };
 
 const MAX_RANDOM_PREFIX = 2 ** 31 - 1;
@@ -204,12 +207,14 @@
 
   private toWork(item: WorkItem, now: Millis): QueuedWork {
     const cost = item.promptTokens + item.maxOutputTokens;
-    const waitMs =
-      item.class === 'lookup' ? Math.min(item.maxWaitMs, this.ttftTargetMs) : item.maxWaitMs;
+    const lookup = item.class === 'lookup';
+    const waitMs = lookup ? Math.min(item.maxWaitMs, this.ttftTargetMs) : item.maxWaitMs;
+    const neededMs = lookup ? this.chooser.getLeastMs(item, now) * SURELY_NEEDED : 0;
     return {
       item,
       submittedAt: now,
-      giveUpAt: now + waitMs,
+      lateAt: now + waitMs,
+      giveUpAt: now + waitMs - neededMs,
       pieces: piecesFor(cost),
       cost,
       previous: undefined,
@@ -296,7 +301,7 @@
     this.due.push(this.refusal(work.item, 'target_missed', text, this.retryAfter()));
   }
 
-  /** Places one request, or refuses one whose target can't be met any more; false if neither. */
+  /** Places one request; false where none can be placed now. */
   private placeNext(now: Millis): boolean {
     const head = (name: WorkClass): QueuedWork | undefined => this.queue.find(name, () => true, 1);
     const order = this.shares.order((name) => head(name)?.cost);
@@ -322,10 +327,6 @@
       TEAMS_TRIED,
     );
     if (work === undefined || placement === undefined) return false;
-    if (name === 'lookup' && placement.firstTokenAt > work.giveUpAt) {
-      this.giveUp(work);
-      return true;
-    }
     this.place(work, placement, now);
     return true;
   }
@@ -340,6 +341,7 @@
       placement.decode.cfg.id,
       piecesFor(item.promptTokens),
       placement.prefillReadyAt,
+      now,
     );
     const priority = PRIORITY[item.class];
     this.due.push(this.book.place(work, placement, priority, now, now + this.ttlMs));
--- a/packages/decisions/src/place/DecodeBoard.ts
+++ b/packages/decisions/src/place/DecodeBoard.ts
@@ -69,17 +69,25 @@
    * @param pieces - Memory that the request needs.
    * @param kind - Its class.
    * @param avoid - Engines that must not be chosen.
+   * @param suits - A further condition on the engine.
    * @returns The engine, or undefined where none has room.
    */
-  choose(pieces: Pieces, kind: WorkClass, avoid: readonly UpstreamId[]): EngineState | undefined {
-    const fits = (id: UpstreamId): boolean =>
-      !avoid.includes(id) && this.hasRoom(this.engines.get(id), pieces, kind);
+  choose(
+    pieces: Pieces,
+    kind: WorkClass,
+    avoid: readonly UpstreamId[],
+    suits: (engine: EngineState) => boolean,
+  ): EngineState | undefined {
+    const fits = (id: UpstreamId): boolean => {
+      const engine = this.engines.get(id);
+      if (engine === undefined || avoid.includes(id)) return false;
+      return this.hasRoom(engine, pieces, kind) && suits(engine);
+    };
     const id = this.byLoad.find(fits, LOOK_AT) ?? this.byFree.find(fits, LOOK_AT);
     return id === undefined ? undefined : this.engines.get(id);
   }
 
-  private hasRoom(engine: EngineState | undefined, pieces: Pieces, kind: WorkClass): boolean {
-    if (engine === undefined) return false;
+  private hasRoom(engine: EngineState, pieces: Pieces, kind: WorkClass): boolean {
     const { id, memoryPieces } = engine.cfg;
     const free = this.ledger.getFree(id);
     const holders = this.ledger.getHolders(id);
--- a/packages/decisions/src/place/EngineChooser.ts
+++ b/packages/decisions/src/place/EngineChooser.ts
@@ -1,8 +1,10 @@
-import { type Millis, type Tokens, piecesFor } from '@camphorvane/core';
+import { type Millis, type Pieces, type Tokens, piecesFor } from '@camphorvane/core';
 import type { LinkLedger } from '../ledger/LinkLedger.ts';
+import type { WorkItem } from '../PoolScheduler.ts';
 import type { QueuedWork } from '../queue/QueuedWork.ts';
 import type { EngineState } from './EngineState.ts';
 import type { EngineTable } from './EngineTable.ts';
+import type { PrefillChoice } from './PrefillBoard.ts';
 
 /**
  * Longest time that a finished prefill may wait for the link into its decode engine. Its result is
@@ -11,14 +13,15 @@
  */
 const MAX_LINK_WAIT_MS = 300;
 
+/** After this time engines are looked for again, where only the links were in the way. */
+const LINK_RETRY_MS = 50;
+
 /** Both engines of a request, chosen together. */
 export interface Placement {
   readonly prefill: EngineState;
   readonly decode: EngineState;
   readonly expectedCachedTokens: Tokens;
   readonly prefillReadyAt: Millis;
-  /** When the first token is expected, as far as the engines' speeds are known. */
-  readonly firstTokenAt: Millis;
 }
 
 /** What came of looking for engines. */
@@ -35,7 +38,8 @@
   ) {}
 
   /**
-   * Looks for engines for a request.
+   * Looks for engines for a request. A decode engine whose link is taken for too long, or so long
+   * that a lookup would miss its target, is passed over for the next one.
    *
    * @param work - The request.
    * @param now - Present time.
@@ -43,17 +47,32 @@
    */
   choose(work: QueuedWork, now: Millis): PlacementResult {
     const { item, pieces } = work;
-    const decode = this.table.decode.choose(pieces, item.class, item.avoid);
-    if (decode === undefined) return { type: 'no_room' };
     const prefill = this.table.prefill.choose(item, now);
     if (prefill === undefined) return { type: 'no_room' };
     const readyAt = now + prefill.readyInMs;
-    const linkWait = this.links.getWaitMs(decode.cfg.id, readyAt);
-    if (linkWait > MAX_LINK_WAIT_MS) {
-      return { type: 'link_busy', retryAt: now + linkWait - MAX_LINK_WAIT_MS };
-    }
-    const transferMs = this.links.getTransferMs(piecesFor(item.promptTokens));
-    const tokenMs = decode.speed.getIntervalMs(1) ?? 0;
+    const moved = piecesFor(item.promptTokens);
+    const inTime = (engine: EngineState): boolean => this.isInTime(work, engine, moved, readyAt);
+    const decode = this.table.decode.choose(pieces, item.class, item.avoid, inTime);
+    if (decode !== undefined) return this.placed(prefill, decode, readyAt);
+    const any = this.table.decode.choose(pieces, item.class, item.avoid, () => true);
+    return any === undefined
+      ? { type: 'no_room' }
+      : { type: 'link_busy', retryAt: now + LINK_RETRY_MS };
+  }
+
+  /**
+   * Gets the time from placement to the first token if nothing else were in the way.
+   *
+   * @param item - The request.
+   * @param now - Present time.
+   * @returns Milliseconds; what is not known of the engines yet counts as no time.
+   */
+  getLeastMs(item: WorkItem, now: Millis): Millis {
+    const prefillMs = this.table.prefill.getLeastMs(item, now);
+    return prefillMs + this.links.getTransferMs(piecesFor(item.promptTokens));
+  }
+
+  private placed(prefill: PrefillChoice, decode: EngineState, readyAt: Millis): PlacementResult {
     return {
       type: 'placed',
       placement: {
@@ -61,8 +80,15 @@
         decode,
         expectedCachedTokens: Math.round(prefill.expectedCachedTokens),
         prefillReadyAt: readyAt,
-        firstTokenAt: readyAt + linkWait + transferMs + tokenMs,
       },
     };
   }
+
+  private isInTime(work: QueuedWork, engine: EngineState, moved: Pieces, readyAt: Millis): boolean {
+    const waitMs = this.links.getWaitMs(engine.cfg.id, moved, readyAt);
+    if (waitMs > MAX_LINK_WAIT_MS) return false;
+    const tokenMs = engine.speed.getIntervalMs(1) ?? 0;
+    const firstTokenAt = readyAt + waitMs + this.links.getTransferMs(moved) + tokenMs;
+    return work.item.class !== 'lookup' || firstTokenAt <= work.lateAt;
+  }
 }
--- a/packages/decisions/src/place/PrefillBoard.ts
+++ b/packages/decisions/src/place/PrefillBoard.ts
@@ -83,6 +83,17 @@
       );
   }
 
+  /** Gets the time for a prompt on the engine with the least work, if it had none, in milliseconds. */
+  getLeastMs(item: WorkItem, now: Millis): Millis {
+    const id = this.byAll.peek();
+    const rate = id === undefined ? undefined : this.engines.get(id)?.speed.getPrefillRate();
+    if (rate === undefined) return 0;
+    const cached = this.cache
+      .expect(item.prefixes, now)
+      .reduce((most, hit) => Math.max(most, hit.tokens), 0);
+    return Math.max(0, item.promptTokens - cached) / rate;
+  }
+
   private rate(engine: EngineState | undefined, item: WorkItem, cached: Tokens): PrefillChoice[] {
     if (engine === undefined) return [];
     const rate = engine.speed.getPrefillRate();
