--- a/packages/operator/src/apply/ConfigApply.ts
+++ b/packages/operator/src/apply/ConfigApply.ts
@@ -55,6 +55,8 @@
 export interface Applied {
   readonly version: ObjectVersion;
   readonly outcome: 'applied' | 'already_applied' | 'unchanged';
+  /** The newest version; higher than `version` where others have changed more since. */
+  readonly inForce: ObjectVersion;
   /** How it differs from what was in force before; empty unless `applied`. */
   readonly changes: readonly ConfigChange[];
 }
@@ -84,6 +86,14 @@
 
 const AGAIN: Attempt = { type: 'again' };
 
+function unchangedAt(
+  version: ObjectVersion,
+  inForce: ObjectVersion,
+  outcome: Applied['outcome'],
+): Applied {
+  return { version, outcome, inForce, changes: [] };
+}
+
 function done(outcome: Outcome): Attempt {
   return { type: 'done', outcome };
 }
@@ -138,7 +148,7 @@
     if (plan.isErr()) return this.failed(plan.error);
     const before = accepted.value;
     if (before !== undefined && plan.value.changes.length === 0) {
-      return done(ok({ version: before.version, outcome: 'unchanged', changes: [] }));
+      return done(ok(unchangedAt(before.version, before.version, 'unchanged')));
     }
     return this.write(plan.value, before);
   }
@@ -152,7 +162,7 @@
     );
     if (found === undefined) return undefined;
     return found.requestDigest === this.requestDigest
-      ? ok({ version: found.version, outcome: 'already_applied', changes: [] })
+      ? ok(unchangedAt(found.version, version, 'already_applied'))
       : err({ type: 'change_id_reused', version: found.version });
   }
 
@@ -227,7 +237,8 @@
     const put = await this.context.store.put(CONFIG_KIND, ROOT_NAME, root, expected);
     if (put.isErr()) return this.rootFailed(put.error);
     await collectUnused(this.context, { version: put.value.version, root });
-    return done(ok({ version: put.value.version, outcome: 'applied', changes: plan.changes }));
+    const { version } = put.value;
+    return done(ok({ version, outcome: 'applied', inForce: version, changes: plan.changes }));
   }
 
   private async writeParts(
--- a/packages/operator/tests/apply/applyConfig.test.ts
+++ b/packages/operator/tests/apply/applyConfig.test.ts
@@ -23,9 +23,11 @@
 test('applying the same change twice changes nothing, even after others have changed more', async () => {
   const { apply } = operatorOn();
   const first = valueOf(await apply(configOf(team('a')), FIRST));
-  valueOf(await apply(configOf(team('a'), team('b')), on('second', first.version)));
+  const second = configOf(team('a'), team('b'));
+  const inForce = valueOf(await apply(second, on('second', first.version))).version;
   const again = valueOf(await apply(configOf(team('a')), FIRST));
-  assert.deepEqual(again, { version: first.version, outcome: 'already_applied', changes: [] });
+  const { version } = first;
+  assert.deepEqual(again, { version, outcome: 'already_applied', inForce, changes: [] });
   const reused = errorOf(await apply(configOf(team('z')), FIRST));
   assert.deepEqual(reused, { type: 'change_id_reused', version: first.version });
 });
