Add the operators' port and the whole command line; split the wiring of a host from its life

Change: check, diff, apply, status, dump, drain, key new beside serve and hosts; the port shows a dump without secrets; assembleHost makes the parts, Host runs them.

--- a/packages/router/src/cli/hostsCommand.ts
+++ b/packages/router/src/cli/hostsCommand.ts
@@ -1,6 +1,7 @@
+import { EXIT } from '@camphorvane/operator';
 import { request } from 'undici';
 import type { CommandModule } from 'yargs';
-import { EXIT } from './exitCodes.ts';
+import { JSON_OPTION } from './options.ts';
 
 interface HostsArgs {
   readonly address: string;
@@ -35,7 +36,7 @@
         defaultDescription: 'the environment variable CAMPHORVANE_KEY',
         describe: 'Key of a team',
       })
-      .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+      .options(JSON_OPTION)
       .example('$0 hosts 127.0.0.1:8801', 'List the hosts for the key in CAMPHORVANE_KEY'),
   handler: (args) => hosts(args),
 };
--- /dev/null
+++ b/packages/router/src/cli/options.ts
@@ -0,0 +1,26 @@
+/** `--json`, which every command has whose answer a program would read. */
+export const JSON_OPTION = {
+  json: { type: 'boolean', default: false, describe: 'Print JSON for programs' },
+} as const;
+
+/** `--platform`, for commands that speak with the object API themselves. */
+export const PLATFORM_OPTION = {
+  platform: {
+    type: 'string',
+    demandOption: true,
+    default: process.env.CAMPHORVANE_PLATFORM,
+    defaultDescription: 'the environment variable CAMPHORVANE_PLATFORM',
+    describe: 'Base URL of the object API, such as http://127.0.0.1:9000',
+  },
+} as const;
+
+/** `--credential`, for commands that ask a host's operators' port. */
+export const CREDENTIAL_OPTION = {
+  credential: {
+    type: 'string',
+    demandOption: true,
+    default: process.env.CAMPHORVANE_CREDENTIAL,
+    defaultDescription: 'the environment variable CAMPHORVANE_CREDENTIAL',
+    describe: "Credential of the host's operators' port",
+  },
+} as const;
--- a/packages/router/src/cli/serveCommand.ts
+++ b/packages/router/src/cli/serveCommand.ts
@@ -1,8 +1,8 @@
+import { EXIT } from '@camphorvane/operator';
 import type { CommandModule } from 'yargs';
 import { startHost } from '../host/RunningHost.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { describeSettingsError, readHostSettings } from '../settings/HostSettings.ts';
-import { EXIT } from './exitCodes.ts';
 
 const log = stateLog('serve');
 
@@ -29,13 +29,13 @@
   const settings = readHostSettings(file);
   if (settings.isErr()) {
     settings.error.forEach((error) => process.stderr.write(`${describeSettingsError(error)}\n`));
-    process.exitCode = EXIT.usage;
+    process.exitCode = EXIT.invalid;
     return;
   }
   const started = await startHost(settings.value);
   if (started.isErr()) {
     process.stderr.write(`${file}: ${started.error}\n`);
-    process.exitCode = EXIT.usage;
+    process.exitCode = EXIT.invalid;
     return;
   }
   const running = started.value;
@@ -43,7 +43,7 @@
   process.stdout.write(
     `${settings.value.host.id} serves callers on ${callers.ip}:${callers.port}\n`,
   );
-  await signalled();
+  await Promise.race([signalled(), running.drainAsked]);
   log('draining', { host: settings.value.host.id });
   const second = signalled().then(() => running.stop());
   await Promise.race([running.drain(), second]);
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,49 +1,13 @@
 import type { CallerBackend } from '@camphorvane/caller';
-import type {
-  Clock,
-  HostId,
-  Incarnation,
-  Millis,
-  ModelId,
-  RandomSource,
-  VersionedConfig,
-} from '@camphorvane/core';
+import type { HostId, Millis, ModelId, VersionedConfig } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
-import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
-import { GroupRunner } from '@camphorvane/peer';
-import type {
-  PeerHandler,
-  PeerLink,
-  PeerRequest,
-  PeerResponse,
-  PeerSender,
-} from '@camphorvane/peer';
-import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
-import {
-  BudgetedStore,
-  CallBudget,
-  ConfigFollower,
-  IdempotencyClaims,
-  KeyRing,
-} from '@camphorvane/platform';
-import type { Metrics } from '../observe/Metrics.ts';
+import type { HostStatus } from '@camphorvane/operator';
+import type { PeerHandler, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import { stateLog } from '../observe/StateLog.ts';
-import { EngineWatch } from '../placing/EngineWatch.ts';
-import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
-import { PlacementClient } from '../placing/PlacementClient.ts';
-import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
-import { StewardDesk } from '../placing/StewardDesk.ts';
-import { CompletionServing } from '../serving/CompletionServing.ts';
-import { ServiceGates } from '../serving/ServiceGates.ts';
-import { ServiceServing } from '../serving/ServiceServing.ts';
-import { Authenticator } from './Authenticator.ts';
-import { ConfigRelay } from './ConfigRelay.ts';
-import { GroupAdapter } from './GroupAdapter.ts';
-import { HostBackend } from './HostBackend.ts';
-import { InFlight } from './InFlight.ts';
-import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
-import { StaticRates } from './StaticRates.ts';
-import { UpstreamDirectory } from './UpstreamDirectory.ts';
+import { VERSION } from '../version.ts';
+import type { HostParts } from './assembleHost.ts';
+import { assembleHost } from './assembleHost.ts';
+import type { HostOptions } from './HostOptions.ts';
 
 /** Milliseconds between two announcements in the platform's host list. */
 const ANNOUNCE_PERIOD_MS: Millis = 5_000;
@@ -53,25 +17,6 @@
 
 const log = stateLog('host');
 
-/** What a host is made of; every edge is an interface, so that a host also runs in memory. */
-export interface HostOptions {
-  readonly identity: Omit<GroupMate, 'leaving'>;
-  /** Names this start of the host; never repeats. */
-  readonly incarnation: string;
-  readonly group: string;
-  readonly groupSize: number;
-  /** Hosts of the whole fleet, which share the platform's rates. */
-  readonly fleetHosts: number;
-  readonly drainGraceMs: Millis;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly store: ObjectStore & HostRegistry;
-  readonly link: PeerLink;
-  readonly engines: EngineFactory;
-  readonly servers: PlainServerFactory;
-  readonly metrics: Metrics;
-}
-
 /** What a host is doing. */
 export type HostState = 'starting' | 'serving' | 'draining' | 'stopped';
 
@@ -84,129 +29,29 @@
 
   private readonly stopping = new AbortController();
 
-  private readonly config: ConfigFollower;
-
-  private readonly relay: ConfigRelay;
-
-  private readonly keys = new KeyRing();
-
-  private readonly runner: GroupRunner;
-
-  private readonly group: GroupAdapter;
-
-  private readonly directory: UpstreamDirectory;
-
-  private readonly authenticator: Authenticator;
-
-  private readonly inFlight = new InFlight();
-
-  private readonly rates: StaticRates;
-
-  private readonly desk: StewardDesk;
-
-  private readonly fallback: FallbackPlacer;
-
-  private readonly keeper: ReservationKeeper;
-
-  private readonly watch: EngineWatch;
-
-  private readonly gates: ServiceGates;
-
-  private readonly claims: IdempotencyClaims;
+  private readonly parts: HostParts;
 
   private state: HostState = 'starting';
 
   /** @param options - What the host is made of. */
   constructor(options: HostOptions) {
     this.options = options;
-    const { clock, random, store, link, metrics, identity, incarnation } = options;
-    const budget = new CallBudget(clock, CallBudget.ratesFor(options.fleetHosts));
-    this.runner = new GroupRunner({
-      group: options.group,
-      self: { ...identity, incarnation },
-      settings: { ...DEFAULT_MEMBERSHIP, maxMembers: options.groupSize },
-      clock,
-      random,
-      store: new BudgetedStore(store, budget, 'membership'),
-      link,
-    });
-    this.group = new GroupAdapter(this.runner, { ...identity, leaving: false });
-    this.relay = new ConfigRelay({ self: identity.host, clock, group: this.group, link });
-    this.config = new ConfigFollower({
-      store: new BudgetedStore(store, budget, 'config'),
-      clock,
-      random,
-      peers: this.relay,
-    });
-    this.directory = new UpstreamDirectory(options.engines, options.servers);
-    this.authenticator = new Authenticator(this.config, this.keys);
-    const { group, directory } = this;
-    this.rates = new StaticRates(clock, () => group.members().length);
-    this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
-    const hostCount = (): number => group.members().length;
-    this.fallback = new FallbackPlacer({ clock, random, directory, hostCount, incarnation });
-    const placements = new PlacementClient({
-      self: identity.host,
-      clock,
-      group,
-      link,
-      desk: this.desk,
-      fallback: this.fallback,
-    });
-    this.keeper = new ReservationKeeper(clock, placements);
-    this.watch = new EngineWatch(clock, placements);
-    this.gates = new ServiceGates(clock, directory, hostCount);
-    this.claims = new IdempotencyClaims({
-      store: new BudgetedStore(store, budget, 'claims'),
-      clock,
-      random,
-      holderState: (host, start) => this.holderState(host, start),
-    });
-    this.backend = new HostBackend({
-      clock,
-      random,
-      incarnation,
-      authenticator: this.authenticator,
-      config: this.config,
-      group,
-      directory,
-      inFlight: this.inFlight,
-      completions: new CompletionServing({
-        self: identity.host,
-        clock,
-        directory,
-        placements,
-        keeper: this.keeper,
-        watch: this.watch,
-        metrics,
-        rates: this.rates,
-      }),
-      services: new ServiceServing({
-        clock,
-        directory,
-        gates: this.gates,
-        rates: this.rates,
-        claims: this.claims,
-        self: { host: identity.host, incarnation },
-        metrics,
-      }),
-      metrics,
-      isDraining: () => this.state === 'draining' || this.state === 'stopped',
-    });
+    this.parts = assembleHost(options, () => this.state === 'draining' || this.state === 'stopped');
+    this.backend = this.parts.backend;
   }
 
   /** Starts all tasks of the host. */
   start(): void {
     const { signal } = this.stopping;
-    this.config.onChange((config) => this.takeConfig(config));
-    this.group.onChange(() => this.takeGroup());
+    this.parts.config.onChange((config) => this.takeConfig(config));
+    this.parts.group.onChange(() => this.takeGroup());
     void this.announce(signal);
-    this.config.start();
-    void this.relay.run(this.config, signal);
-    this.runner.start();
-    void this.desk.run(signal);
-    void this.keeper.run(signal);
-    void this.watch.run(signal);
+    this.parts.config.start();
+    void this.parts.relay.run(this.parts.config, signal);
+    this.parts.runner.start();
+    void this.parts.desk.run(signal);
+    void this.parts.keeper.run(signal);
+    void this.parts.watch.run(signal);
     this.enterState('serving');
   }
 
@@ -214,7 +59,7 @@
   async answer(from: PeerSender, req: PeerRequest): Promise<PeerResponse> {
     switch (req.type) {
       case 'membership': {
-        const message = this.runner.answer(req.message);
+        const message = this.parts.runner.answer(req.message);
         return message === undefined
           ? { type: 'not_steward', epoch: 0 }
           : { type: 'membership', message };
@@ -222,14 +67,14 @@
       case 'config_version':
       case 'config_root':
       case 'config_chunk':
-        return this.relay.answer(req, this.config);
+        return this.parts.relay.answer(req, this.parts.config);
       case 'reserve':
       case 'withdraw':
       case 'renew':
       case 'prefill_ended':
       case 'release':
       case 'observe':
-        return this.desk.answer(req);
+        return this.parts.desk.answer(req);
       default:
         return req satisfies never;
     }
@@ -243,12 +88,12 @@
   async drain(): Promise<void> {
     if (this.state !== 'serving') return;
     this.enterState('draining');
-    this.runner.drain();
+    this.parts.runner.drain();
     await this.announceOnce('leaving');
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
-    await Promise.race([this.inFlight.whenIdle(), grace]);
-    await Promise.race([this.claims.drained(), grace]);
-    await this.runner.leave(LEAVE_TIMEOUT_MS);
+    await Promise.race([this.parts.inFlight.whenIdle(), grace]);
+    await Promise.race([this.parts.claims.drained(), grace]);
+    await this.parts.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.options.identity.host);
     this.stop();
   }
@@ -257,11 +102,11 @@
   stop(): void {
     this.enterState('stopped');
     this.stopping.abort();
-    void this.config.stop();
-    void this.claims.stop();
-    this.desk.stop();
-    this.fallback.stop();
-    this.runner.stop();
+    void this.parts.config.stop();
+    void this.parts.claims.stop();
+    this.parts.desk.stop();
+    this.parts.fallback.stop();
+    this.parts.runner.stop();
   }
 
   /** Gets what the host is doing. */
@@ -276,12 +121,27 @@
 
   /** Gets the models whose pools this host coordinates now. */
   getCoordinated(): readonly ModelId[] {
-    return this.desk.getModels();
+    return this.parts.desk.getModels();
   }
 
   /** Gets the version of the configuration in force; 0 before the first. */
   configVersion(): number {
-    return this.config.state().version;
+    return this.parts.config.state().version;
+  }
+
+  /** Gets the state in a line. */
+  status(): HostStatus {
+    const { identity } = this.options;
+    return {
+      host: identity.host,
+      zone: identity.zone,
+      program: VERSION,
+      state: this.state,
+      configVersion: this.configVersion(),
+      configConfirmed: this.parts.config.isConfirmed(),
+      epoch: this.parts.runner.view().epoch,
+      inFlight: this.parts.inFlight.size(),
+    };
   }
 
   /** Gets the whole state in readable form, without any secret. */
@@ -290,42 +150,35 @@
       identity: this.options.identity,
       incarnation: this.options.incarnation,
       state: this.state,
-      config: this.config.state(),
-      inFlight: this.inFlight.size(),
-      reservations: this.keeper.size(),
-      group: this.runner.dump(),
-      stewardOf: this.desk.dump(),
-      fallback: this.fallback.dump(),
-      serviceQueues: this.gates.dump(),
+      config: this.parts.config.state(),
+      inFlight: this.parts.inFlight.size(),
+      reservations: this.parts.keeper.size(),
+      group: this.parts.runner.dump(),
+      stewardOf: this.parts.desk.dump(),
+      fallback: this.parts.fallback.dump(),
+      serviceQueues: this.parts.gates.dump(),
       counters: this.options.metrics.getCounts(),
     };
   }
 
   private takeConfig({ version, config }: VersionedConfig): void {
-    this.directory.reshape(config);
-    this.keys.update(config);
-    this.rates.setTeams(config.teams);
-    this.desk.refresh();
-    this.gates.refresh();
+    this.parts.directory.reshape(config);
+    this.parts.keys.update(config);
+    this.parts.rates.setTeams(config.teams);
+    this.parts.desk.refresh();
+    this.parts.gates.refresh();
     const refusal = notRun('key_withdrawn', 'The key was withdrawn while the request ran.');
-    const ended = this.inFlight.endWithdrawn((d, team) => this.keys.isInForce(d, team), refusal);
+    const ended = this.parts.inFlight.endWithdrawn(
+      (d, team) => this.parts.keys.isInForce(d, team),
+      refusal,
+    );
     this.options.metrics.count('config.changed');
     log('config_in_force', { version, ended });
   }
 
   private takeGroup(): void {
-    this.desk.refresh();
-    this.gates.refresh();
-  }
-
-  /** A member of the epoch may still be running its call; one that is no longer there never will. */
-  private holderState(host: HostId, incarnation: Incarnation): 'live' | 'gone' | 'unknown' {
-    const view = this.runner.view();
-    if (view.epoch === 0) return 'unknown';
-    const isMember = view.members.some(
-      (member) => member.host === host && member.incarnation === incarnation,
-    );
-    return isMember ? 'live' : 'gone';
+    this.parts.desk.refresh();
+    this.parts.gates.refresh();
   }
 
   private async announce(signal: AbortSignal): Promise<void> {
--- a/packages/router/src/host/RunningHost.ts
+++ b/packages/router/src/host/RunningHost.ts
@@ -12,6 +12,7 @@
 import { HttpObjectStore } from '@camphorvane/platform';
 import { HttpModelEngine, HttpPlainServer } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
+import { OperatorServer } from '@camphorvane/operator';
 import type { Result } from 'neverthrow';
 import { Metrics } from '../observe/Metrics.ts';
 import type { HostSettings } from '../settings/HostSettings.ts';
@@ -27,6 +28,8 @@
 export interface RunningHost {
   readonly host: Host;
   readonly zone: ZoneId;
+  /** Resolves when an operator asks the host to drain. */
+  readonly drainAsked: Promise<void>;
   /** Leaves without cutting a request, then closes all listeners. */
   drain(): Promise<void>;
   /** Closes everything at once. */
@@ -80,14 +83,30 @@
     await peers.stop();
     return err(listening.error);
   }
+  const asked = operatorsWish();
+  const operators = new OperatorServer({
+    credential: settings.operators.credential,
+    secrets: [settings.peers.credential],
+    backend: {
+      dump: () => Promise.resolve({ host: host.dump(), links: link.dump(), peers: peers.dump() }),
+      status: () => host.status(),
+      drain: asked.ask,
+    },
+  });
+  const opened = await listenForOperators(operators, settings);
+  if (opened.isErr()) {
+    await Promise.all([peers.stop(), callers.stop()]);
+    return err(opened.error);
+  }
   host.start();
   const close = async (): Promise<void> => {
-    await Promise.all([callers.stop(), peers.stop()]);
+    await Promise.all([callers.stop(), peers.stop(), operators.close()]);
     link.close();
   };
   return ok({
     host,
     zone: settings.host.zone,
+    drainAsked: asked.promise,
     drain: async () => {
       await host.drain();
       await close();
@@ -127,6 +146,26 @@
   }
 }
 
+async function listenForOperators(
+  operators: OperatorServer,
+  { operators: { ip, port } }: HostSettings,
+): Promise<Result<number, string>> {
+  try {
+    return ok(await operators.listen({ hostname: ip, port }));
+  } catch (thrown) {
+    return err(`operators: ${thrown instanceof Error ? thrown.message : String(thrown)}`);
+  }
+}
+
+/** Carries an operator's wish to drain from the port to whoever ends the process. */
+function operatorsWish(): { readonly promise: Promise<void>; readonly ask: () => void } {
+  let ask = (): void => undefined;
+  const promise = new Promise<void>((resolve) => {
+    ask = resolve;
+  });
+  return { promise, ask: () => ask() };
+}
+
 /**
  * Gets the check of the hop header, whose value only hosts of the fleet can make.
  *
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,5 @@
 export * from './host/Host.ts';
+export * from './host/HostOptions.ts';
 export * from './host/ports.ts';
 export * from './observe/Metrics.ts';
 export * from './settings/HostSettings.ts';
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,7 +1,9 @@
+import { EXIT } from '@camphorvane/operator';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { EXIT } from './cli/exitCodes.ts';
+import { applyModule, checkModule, diffModule } from './cli/declarationCommands.ts';
 import { hostsCommand } from './cli/hostsCommand.ts';
+import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
 import { serveCommand } from './cli/serveCommand.ts';
 import { VERSION } from './version.ts';
 
@@ -9,14 +11,22 @@
   .scriptName('camphorvane')
   .usage('$0 <command>: a router for separate prefill and decode pools')
   .command(serveCommand)
+  .command(checkModule)
+  .command(diffModule)
+  .command(applyModule)
+  .command(statusModule)
+  .command(dumpModule)
+  .command(drainModule)
   .command(hostsCommand)
+  .command(keyModule)
   .version(VERSION)
   .demandCommand(1, 'Name a command.')
   .strict()
+  .recommendCommands()
   .fail((message, err, y) => {
     if (err !== undefined && err !== null) throw err;
     process.stderr.write(`${message}\n\n`);
     y.showHelp('error');
-    process.exit(EXIT.usage);
+    process.exit(EXIT.invalid);
   })
   .parse();
