--- a/packages/scenario/src/callers/Caller.ts
+++ b/packages/scenario/src/callers/Caller.ts
@@ -43,8 +43,7 @@
       const host = this.chooser.choose(request.work, failed);
       const send = await this.send(request, host);
       sends.push(send);
-      const broke = send.outcome.type === 'broken' || send.outcome.type === 'connection_refused';
-      if (broke) {
+      if (goesElsewhere(send)) {
         failed = [...failed, host];
         this.chooser.forget(request.work.team);
       }
@@ -172,6 +171,12 @@
   }
 }
 
+/** Tells whether the caller asks for other hosts: its connection broke, or its host is leaving. */
+function goesElsewhere({ outcome }: Send): boolean {
+  if (outcome.type === 'refused') return outcome.refusal.code === 'host_draining';
+  return outcome.type === 'broken' || outcome.type === 'connection_refused';
+}
+
 /** Gets when the caller sends again, if it does. */
 function waitBeforeResend(request: PlannedRequest, send: Send): Millis | undefined {
   switch (send.outcome.type) {
@@ -180,6 +185,7 @@
       return RESEND_DELAY_MS;
     case 'refused': {
       const { retryAfterMs } = send.outcome.refusal;
+      if (goesElsewhere(send)) return RESEND_DELAY_MS;
       if (!request.work.comes_back || retryAfterMs === undefined) return undefined;
       return retryAfterMs + RETRY_MARGIN_MS;
     }
--- a/packages/scenario/src/language/parseScenario.ts
+++ b/packages/scenario/src/language/parseScenario.ts
@@ -111,18 +111,41 @@
   }
 }
 
+/** Reads the text of the file that a scenario is based on; the path is relative to the scenario. */
+export type ReadBase = (path: string) => string;
+
+/** Puts a scenario's own tables over those of the file that it is based on, if it names one. */
+function withBase(
+  raw: unknown,
+  file: string,
+  readBase: ReadBase,
+): Result<unknown, readonly ScenarioError[]> {
+  if (typeof raw !== 'object' || raw === null || !('base' in raw)) return ok(raw);
+  const { base, ...own } = raw;
+  try {
+    const text = readBase(String(base));
+    return parseToml(text, String(base)).map((below) => ({ ...(below as object), ...own }));
+  } catch (error) {
+    const message = error instanceof Error ? error.message : 'cannot be read';
+    return err([{ place: file, key: 'base', message }]);
+  }
+}
+
 /**
  * Reads a scenario.
  *
  * @param text - The file's text.
  * @param file - The file's name, for errors.
+ * @param readBase - Reads the file that the scenario is based on.
  * @returns The scenario, or everything that is wrong with it.
  */
 export function parseScenario(
   text: string,
   file: string,
+  readBase: ReadBase,
 ): Result<Scenario, readonly ScenarioError[]> {
-  return parseToml(text, file).andThen((raw) => {
+  const merged = parseToml(text, file).andThen((raw) => withBase(raw, file, readBase));
+  return merged.andThen((raw) => {
     const parsed = scenarioSchema.safeParse(raw);
     if (!parsed.success) {
       return err(
--- a/packages/scenario/src/language/scenarioSchema.ts
+++ b/packages/scenario/src/language/scenarioSchema.ts
@@ -171,7 +171,7 @@
   /** Seconds during which steps happen. */
   duration: seconds,
   /** Seconds after it in which all work must end and all memory be free. */
-  settle: seconds.default(40),
+  settle: seconds.default(25),
   /** Seconds before time 0 in which hosts start and take the configuration. */
   warm_up: seconds.default(5),
   /** Seeds that the tests run. */
--- a/packages/scenario/src/main.ts
+++ b/packages/scenario/src/main.ts
@@ -1,10 +1,9 @@
-import { readFileSync } from 'node:fs';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { parseScenario } from './language/parseScenario.ts';
 import type { ScenarioError } from './language/parseScenario.ts';
+import { readScenario } from './language/readScenario.ts';
 import type { Scenario } from './language/scenarioSchema.ts';
 import { reportLines } from './report.ts';
 import { runScenario } from './runScenario.ts';
@@ -14,17 +13,8 @@
 const EXIT_FAILED = 1;
 const EXIT_BAD_FILE = 2;
 
-function read(file: string): Result<Scenario, readonly ScenarioError[]> {
-  try {
-    return parseScenario(readFileSync(file, 'utf8'), file);
-  } catch (error) {
-    const message = error instanceof Error ? error.message : 'cannot be read';
-    return err([{ place: file, key: '', message }]);
-  }
-}
-
 function readAll(files: readonly string[]): Result<readonly Scenario[], readonly ScenarioError[]> {
-  const results = files.map(read);
+  const results = files.map(readScenario);
   const errors = results.flatMap((result) => (result.isErr() ? result.error : []));
   return errors.length > 0
     ? err(errors)
--- a/packages/scenario/src/world/LinkedEngine.ts
+++ b/packages/scenario/src/world/LinkedEngine.ts
@@ -1,5 +1,11 @@
 import type { AttemptId, LoadSnapshot, UpstreamId } from '@camphorvane/core';
 import type { EngineCore } from '@camphorvane/stand-ins';
+import {
+  DEFAULT_ENGINE_TIMEOUTS,
+  ProgressDeadline,
+  readDecodeEvents,
+  toUpstreamError,
+} from '@camphorvane/upstream';
 import type {
   DecodeCommand,
   DecodeEvent,
@@ -10,13 +16,13 @@
   TransferCommand,
   UpstreamError,
 } from '@camphorvane/upstream';
+import { err } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
 import type { DispatchLog } from './DispatchLog.ts';
-import type { UpstreamLink } from './UpstreamLink.ts';
+import { StreamFailure } from './StreamFailure.ts';
+import type { Exchange, UpstreamLink } from './UpstreamLink.ts';
 
-const COMMAND_LIMIT_MS = 30_000;
-const SHORT_LIMIT_MS = 1000;
-const TOKEN_LIMIT_MS = 2000;
+const LIMITS = DEFAULT_ENGINE_TIMEOUTS;
 const NO_SIGNAL = new AbortController().signal;
 
 /** A stand-in engine as one host reaches it. */
@@ -35,64 +41,82 @@
   /** Runs a prompt. */
   prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
     this.log.dispatched(this.id, cmd.prompt);
-    return this.link.exchange(signal, COMMAND_LIMIT_MS, (far) => this.core.prefill(cmd, far));
+    return this.link.exchange(signal, LIMITS.prefillMs, (far) => this.core.prefill(cmd, far));
   }
 
   /** Fetches a KV cache into this engine. */
   transfer(cmd: TransferCommand, signal: AbortSignal): ResultAsync<void, UpstreamError> {
-    return this.link.exchange(signal, COMMAND_LIMIT_MS, (far) => this.core.transfer(cmd, far));
+    return this.link.exchange(signal, LIMITS.transferMs, (far) => this.core.transfer(cmd, far));
   }
 
-  /** Streams output. */
+  /** Streams output, read and checked by the very code that reads it from HTTP. */
   async *decode(
     cmd: DecodeCommand,
     signal: AbortSignal,
   ): AsyncIterable<Result<DecodeEvent, UpstreamError>> {
-    const exchange = this.link.open(signal);
+    const { life } = this.link.near;
+    const deadline = new ProgressDeadline(life, LIMITS.decodeProgressMs, signal);
+    const exchange = this.link.open(deadline.signal());
     try {
-      if (!(await this.link.arrive(exchange))) {
-        yield await this.link.limit(signal, TOKEN_LIMIT_MS).ended;
-        return;
-      }
-      const events = this.core.decode(cmd, exchange.signal)[Symbol.asyncIterator]();
-      let ended = false;
-      while (!ended) {
-        const event = await this.nextEvent(exchange, events, signal);
-        if (event !== undefined) yield event;
-        ended = event === undefined || event.isErr();
-      }
+      yield* readDecodeEvents(this.decodeBytes(cmd, exchange, deadline), cmd, deadline);
+    } catch (thrown) {
+      const known = thrown instanceof StreamFailure ? thrown.error : undefined;
+      yield err(known ?? toUpstreamError(thrown, deadline.stopReason()));
     } finally {
+      deadline.close();
       exchange.close();
     }
   }
 
   /** Frees whatever an attempt holds. */
   cancel(attempt: AttemptId): ResultAsync<void, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, SHORT_LIMIT_MS, () => this.core.cancel(attempt));
+    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.cancel(attempt));
   }
 
   /** Reads the lagging load report. */
   load(): ResultAsync<LoadSnapshot, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, SHORT_LIMIT_MS, () => this.core.load());
+    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.load());
   }
 
   /** Gives an order. */
   order(order: EngineOrder): ResultAsync<void, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, SHORT_LIMIT_MS, () => this.core.order(order));
+    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.order(order));
+  }
+
+  /** Gets the bytes of a decode stream as they come in over the link. */
+  private async *decodeBytes(
+    cmd: DecodeCommand,
+    exchange: Exchange,
+    deadline: ProgressDeadline,
+  ): AsyncIterable<Uint8Array> {
+    const stopped = rejectOnAbort(deadline.signal());
+    await Promise.race([this.link.arrive(exchange), stopped]);
+    const events = this.core.decode(cmd, exchange.signal)[Symbol.asyncIterator]();
+    let item = await Promise.race([this.nextOver(exchange, events), stopped]);
+    while (!item.done) {
+      if (item.value.isErr()) throw new StreamFailure(item.value.error);
+      yield Buffer.from(`${JSON.stringify(item.value.value)}\n`);
+      item = await Promise.race([this.nextOver(exchange, events), stopped]);
+    }
   }
 
-  private async nextEvent(
-    exchange: ReturnType<UpstreamLink['open']>,
+  private async nextOver(
+    exchange: Exchange,
     events: AsyncIterator<Result<DecodeEvent, UpstreamError>>,
-    signal: AbortSignal,
-  ): Promise<Result<DecodeEvent, UpstreamError> | undefined> {
-    const limit = this.link.limit(signal, TOKEN_LIMIT_MS);
-    const next = events.next().then(async (item) => {
-      if (!(await this.link.arrive(exchange))) return new Promise<undefined>(() => {});
-      return item.done ? undefined : item.value;
-    });
-    const event = await Promise.race([next, limit.ended]);
-    limit.stop();
-    return event;
+  ): Promise<IteratorResult<Result<DecodeEvent, UpstreamError>>> {
+    const item = await events.next();
+    await this.link.arrive(exchange);
+    return item;
   }
 }
+
+/** Rejects when a signal aborts, as a client's connection does. */
+function rejectOnAbort(signal: AbortSignal): Promise<never> {
+  const aborted = new Promise<never>((_, reject) => {
+    const abort = (): void => reject(new Error('connection closed'));
+    if (signal.aborted) abort();
+    signal.addEventListener('abort', abort, { once: true });
+  });
+  aborted.catch(() => undefined);
+  return aborted;
+}
--- a/packages/scenario/src/world/UpstreamLink.ts
+++ b/packages/scenario/src/world/UpstreamLink.ts
@@ -21,13 +21,10 @@
   close(): void;
 }
 
-/** How long a host's client waits before it calls an upstream silent. */
-const SILENCE_MS = 2000;
-
 /** Opens exchanges between one host and one upstream, with all that can happen on the way. */
 export class UpstreamLink {
   constructor(
-    private readonly near: LinkEnd,
+    readonly near: LinkEnd,
     private readonly upstream: string,
     private readonly wires: Wires,
   ) {}
@@ -77,22 +74,17 @@
     return new ResultAsync(done);
   }
 
-  /**
-   * Waits for one message from an upstream.
-   *
-   * @param exchange - The exchange.
-   * @returns True once the message is in the host; false where it never arrives.
-   */
-  async arrive(exchange: Exchange): Promise<boolean> {
+  /** Waits for one message from an upstream; one that is lost on the way never arrives. */
+  async arrive(exchange: Exchange): Promise<void> {
     const passed = await this.wires.carry(exchange.wire);
+    if (!passed) await new Promise(() => {});
     await this.near.life.gate();
-    return passed;
   }
 
   /** Times a wait at the host, and ends it when the host gives up. */
-  limit(
+  private limit(
     signal: AbortSignal,
-    limitMs: number = SILENCE_MS,
+    limitMs: number,
   ): { readonly ended: Promise<Result<never, UpstreamError>>; stop(): void } {
     const cell = { stop: (): void => undefined };
     const ended = new Promise<Result<never, UpstreamError>>((resolve) => {
--- a/packages/scenario/tests/checks.test.ts
+++ b/packages/scenario/tests/checks.test.ts
@@ -47,7 +47,7 @@
 `;
 
 function scenario(steps: string): Scenario {
-  const parsed = parseScenario(DECLARATIONS + steps, 'checks.toml');
+  const parsed = parseScenario(DECLARATIONS + steps, 'checks.toml', () => '');
   assert.ok(parsed.isOk(), JSON.stringify(parsed));
   return parsed.value;
 }
--- a/packages/scenario/tests/parseScenario.test.ts
+++ b/packages/scenario/tests/parseScenario.test.ts
@@ -17,7 +17,7 @@
 `;
 
 function errorsOf(text: string): readonly string[] {
-  return parseScenario(text, 'f.toml').match(
+  return parseScenario(text, 'f.toml', () => '').match(
     () => [],
     (errors) => errors.map(({ place, key, message }) => `${place}: ${key}: ${message}`),
   );
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -2,3 +2,5 @@
 export * from './ProgressDeadline.ts';
 export * from './HttpModelEngine.ts';
 export * from './HttpPlainServer.ts';
+export * from './decodeStream.ts';
+export * from './upstreamErrors.ts';
