Give each call without a caller a signal of its own

Cause: calls of a steward's polls shared one signal, and Node warned of its many listeners. Change: a signal for each call.

--- a/packages/scenario/src/world/LinkedEngine.ts
+++ b/packages/scenario/src/world/LinkedEngine.ts
@@ -23,7 +23,6 @@
 import type { Exchange, UpstreamLink } from './UpstreamLink.ts';
 
 const LIMITS = DEFAULT_ENGINE_TIMEOUTS;
-const NO_SIGNAL = new AbortController().signal;
 
 /** A stand-in engine as one host reaches it. */
 export class LinkedEngine implements ModelEngine {
@@ -70,17 +69,17 @@
 
   /** Frees whatever an attempt holds. */
   cancel(attempt: AttemptId): ResultAsync<void, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.cancel(attempt));
+    return this.link.exchange(never(), LIMITS.controlMs, () => this.core.cancel(attempt));
   }
 
   /** Reads the lagging load report. */
   load(): ResultAsync<LoadSnapshot, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.load());
+    return this.link.exchange(never(), LIMITS.controlMs, () => this.core.load());
   }
 
   /** Gives an order. */
   order(order: EngineOrder): ResultAsync<void, UpstreamError> {
-    return this.link.exchange(NO_SIGNAL, LIMITS.controlMs, () => this.core.order(order));
+    return this.link.exchange(never(), LIMITS.controlMs, () => this.core.order(order));
   }
 
   /** Gets the bytes of a decode stream as they come in over the link. */
@@ -120,3 +119,8 @@
   aborted.catch(() => undefined);
   return aborted;
 }
+
+/** Gets a signal that is never aborted. */
+function never(): AbortSignal {
+  return new AbortController().signal;
+}
