Let a skewed host use more of the platform's budget, and confirm keys at once after a pause

Cause: a caller keeps to one host, whose fixed part of the platform's writes (26.7 a second) was below its 40; and a host that woke from a pause kept waiting for a watch that was sent before it. Change: four parts while the platform takes every call, exactly one for 10 s after a start, a refusal or a lost answer; an unconfirmed version is read, not watched, and a request waits up to 300 ms for it.

--- a/packages/platform/src/BudgetedStore.ts
+++ b/packages/platform/src/BudgetedStore.ts
@@ -85,6 +85,7 @@
   /** A platform that refuses for its rate is left alone by all parts of the host, not by one. */
   private noted(error: PlatformError): PlatformError {
     if (error.type === 'over_budget') this.budget.pause(error.retryAfterMs);
+    if (error.type === 'unavailable') this.budget.noteTrouble();
     return error;
   }
 }
--- a/packages/platform/src/CallBudget.ts
+++ b/packages/platform/src/CallBudget.ts
@@ -24,6 +24,18 @@
 /** Seconds of its rate that a host may use at once, so that a start or a change of group fits. */
 const BURST_SECONDS = 4;
 
+/**
+ * How many times its part a host may use while the platform takes every call. Callers keep to one
+ * host for a while, so that one host may need several parts while the others need none.
+ */
+const SKEW_FACTOR = 4;
+
+/**
+ * Milliseconds for which a host keeps to its part after its start, after a refused call and after a
+ * call without an answer: then all hosts may ask at once, and their parts together just fit.
+ */
+const STRICT_MS = 10_000;
+
 /** Least burst, in calls: at 350 hosts a second of the rate is less than one write. */
 const MIN_BURST = 8;
 
@@ -60,6 +72,8 @@
 
   private pausedUntil: Millis;
 
+  private strictUntil: Millis;
+
   /**
    * @param clock - The clock that refills the budget.
    * @param rates - What this host may ask of the platform.
@@ -71,6 +85,7 @@
       write: newBucket(rates.writesPerSecond, clock.now()),
     };
     this.pausedUntil = clock.now();
+    this.strictUntil = clock.now() + STRICT_MS;
   }
 
   /**
@@ -127,6 +142,14 @@
    */
   pause(retryAfterMs: Millis): void {
     this.pausedUntil = Math.max(this.pausedUntil, this.clock.now() + retryAfterMs);
+    this.noteTrouble();
+  }
+
+  /** Notes that the platform refused a call or did not answer: the host keeps to its part. */
+  noteTrouble(): void {
+    this.refill('read');
+    this.refill('write');
+    this.strictUntil = this.clock.now() + STRICT_MS;
   }
 
   /**
@@ -142,7 +165,8 @@
   private refill(kind: CallKind): Bucket {
     const bucket = this.buckets[kind];
     const now = this.clock.now();
-    const grown = bucket.tokens + ((now - bucket.at) / 1000) * bucket.rate;
+    const factor = bucket.at >= this.strictUntil ? SKEW_FACTOR : 1;
+    const grown = bucket.tokens + ((now - bucket.at) / 1000) * bucket.rate * factor;
     bucket.tokens = Math.min(bucket.burst, grown);
     bucket.at = now;
     return bucket;
--- a/packages/platform/src/config/ConfigFollower.ts
+++ b/packages/platform/src/config/ConfigFollower.ts
@@ -62,6 +62,9 @@
 /** After an outage hosts come back spread over this time, in milliseconds. */
 const RETRY: { readonly baseMs: Millis; readonly maxMs: Millis } = { baseMs: 250, maxMs: 4000 };
 
+/** Milliseconds between two looks for a confirmation that somebody waits for. */
+const CONFIRM_STEP_MS = 20;
+
 interface SeenRoot {
   readonly object: StoredObject;
   readonly root: ConfigRoot;
@@ -163,6 +166,23 @@
     return this.options.clock.now() - this.confirmed <= CONFIRMATION_LIMIT_MS;
   }
 
+  /**
+   * Asks the platform at once where the version is unconfirmed, as after a pause of the process: a
+   * watch that was sent before the pause confirms nothing, and ends only after its whole wait.
+   *
+   * @param waitMs - Milliseconds to wait for the confirmation.
+   * @returns True once the version is confirmed.
+   */
+  async confirmNow(waitMs: Millis): Promise<boolean> {
+    const { clock } = this.options;
+    const until = clock.now() + waitMs;
+    if (!this.isConfirmed()) this.round.abort();
+    while (!this.isConfirmed() && clock.now() < until && !this.stopped.signal.aborted) {
+      await sleep(clock, CONFIRM_STEP_MS, this.stopped.signal);
+    }
+    return this.isConfirmed();
+  }
+
   /**
    * Adds a listener for configurations that come into force.
    *
@@ -214,8 +234,8 @@
   private async askPlatform(): Promise<boolean> {
     // The answer tells the state at some time after the call was sent, so that time is safe to use.
     const sentAt = this.options.clock.now();
-    const isRead =
-      this.after === undefined || this.isBehind() ? await this.readRoot() : await this.watchRoot();
+    const isUrgent = this.after === undefined || this.isBehind() || !this.isConfirmed();
+    const isRead = isUrgent ? await this.readRoot() : await this.watchRoot();
     if (!isRead || !(await this.settle())) return false;
     this.confirm(sentAt);
     return true;
--- a/packages/platform/tests/CallBudget.test.ts
+++ b/packages/platform/tests/CallBudget.test.ts
@@ -85,3 +85,18 @@
   backoff.reset();
   assert.ok(backoff.next() <= 100);
 });
+
+test('a host whose callers all come to it may use more than its part while the platform copes', async () => {
+  // One caller keeps to one host for a while and issues more certificates than that host's part of
+  // the platform's writes. Refusals would hit it although the fleet as a whole asks for little.
+  const clock = new VirtualClock();
+  const budget = new CallBudget(clock, RATES);
+  const take = (): boolean => budget.take('write', 'membership').isOk();
+  await clock.advance(20_000);
+  drain(budget, take);
+  await clock.advance(1_000);
+  assert.equal(drain(budget, take), 8);
+  budget.pause(0);
+  await clock.advance(1_000);
+  assert.equal(drain(budget, take), 2);
+});
--- a/packages/router/src/host/HostBackend.ts
+++ b/packages/router/src/host/HostBackend.ts
@@ -25,6 +25,12 @@
  */
 const ADVICE_LIFE_MS: Millis = 10_000;
 
+/**
+ * Milliseconds that a request waits for the confirmation of the keys, where it is missing: a host
+ * that wakes from a pause has it after one call, and need not refuse those who came first.
+ */
+const CONFIRM_WAIT_MS: Millis = 300;
+
 /** Milliseconds after which a caller of a draining host may try; it should ask for hosts first. */
 const DRAINING_RETRY_MS: Millis = 100;
 
@@ -91,7 +97,7 @@
     req: CompletionRequest,
     signal: AbortSignal,
   ): AsyncGenerator<CompletionEvent> {
-    const caller = this.accept(req.key);
+    const caller = await this.accept(req.key);
     const config = this.options.config.current()?.config;
     if (caller.isErr() || config === undefined) {
       const refusal = caller.isErr() ? caller.error : noConfig();
@@ -129,7 +135,7 @@
     req: ServiceRequest,
     signal: AbortSignal,
   ): Promise<Result<ServiceReply, Refusal>> {
-    const caller = this.accept(req.key);
+    const caller = await this.accept(req.key);
     if (caller.isErr()) return err(caller.error);
     const service = this.options.directory.getService(req.service);
     const route = service === undefined ? undefined : findRoute(service, req.method, req.path);
@@ -145,12 +151,13 @@
     }
   }
 
-  private accept(key: string | undefined): Result<AuthenticatedCaller, Refusal> {
+  private async accept(key: string | undefined): Promise<Result<AuthenticatedCaller, Refusal>> {
     if (this.options.isDraining()) {
       return err(
         notRun('host_draining', 'This host is leaving; ask for hosts again.', DRAINING_RETRY_MS),
       );
     }
+    await this.options.config.confirmNow(CONFIRM_WAIT_MS);
     return this.options.authenticator.authenticate(key).andThen((caller) => {
       this.options.metrics.count('request.accepted');
       return ok(caller);
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -1,6 +1,7 @@
 import type {
   EngineConfig,
   HostId,
+  Millis,
   Refusal,
   ServiceServer,
   TeamId,
@@ -22,6 +23,9 @@
 
   /** Tells whether the version is known to have been the newest a few seconds ago. */
   isConfirmed(): boolean;
+
+  /** Tries to have the version confirmed, for so many milliseconds. */
+  confirmNow(waitMs: Millis): Promise<boolean>;
 }
 
 /** A host of the group, as callers and peers reach it. */
