Add retry budgets, resume plans, crash suspicion and role shifting

Cause: serving needs decisions after a failure and for lasting imbalance, apart from I/O. Change: RetryBudget per team and upstream; planResume (exported KV, else prefill again where it pays, never for non-idempotent work); CrashSuspicion by digest, shared by age; RoleShifter with hysteresis, one move at a time, emptied before the fenced order; PressureMeter in the scheduler; draining and slow engines get no new work; refusals moved to Admission. Conclusion: policies are in place; wiring is in other packages.

--- a/packages/decisions/src/FairPoolScheduler.ts
+++ b/packages/decisions/src/FairPoolScheduler.ts
@@ -1,12 +1,14 @@
 import {
+  type EngineRole,
   type Millis,
   type RandomSource,
   type RequestId,
   type ReservationId,
+  type UpstreamId,
   type WorkClass,
-  notRun,
   piecesFor,
 } from '@camphorvane/core';
+import { Admission } from './admit/Admission.ts';
 import { DrainRate } from './admit/DrainRate.ts';
 import { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './admit/QueueLimits.ts';
 import { LinkLedger } from './ledger/LinkLedger.ts';
@@ -26,6 +28,7 @@
 import { ClassShares } from './queue/ClassShares.ts';
 import { FairQueue } from './queue/FairQueue.ts';
 import type { QueuedWork } from './queue/QueuedWork.ts';
+import { PressureMeter, type PoolPressure } from './shift/PressureMeter.ts';
 import { ReservationBook } from './ReservationBook.ts';
 import { IndexedHeap } from './structures/IndexedHeap.ts';
 
@@ -54,15 +57,6 @@
 /** Teams whose first request is tried in one class before the step gives up. */
 const TEAMS_TRIED = 4;
 
-/** Bounds of what a refusal tells the caller to wait, in milliseconds. */
-const RETRY_AFTER_MS = { least: 100, most: 60_000, unknown: 1_000 };
-
-/**
- * A lookup is refused on submission only when the expected wait exceeds its slack by this factor,
- * since the expectation is a measurement: a wrong refusal costs more than a short wait.
- */
-const CLEARLY_LATE = 1.25;
-
 /** Part of the expected time to the first token that is surely needed, whatever the estimate's error. */
 const SURELY_NEEDED = 0.8;
 
@@ -99,7 +93,7 @@
 
   private readonly book: ReservationBook;
 
-  private readonly limits: QueueLimits;
+  private readonly admission: Admission;
 
   private readonly ttlMs: Millis;
 
@@ -109,6 +103,11 @@
 
   private linkRetryAt: Millis = Infinity;
 
+  private readonly pressure = new PressureMeter();
+
+  /** The role of engines that the last request tried was short of. */
+  private lacking: EngineRole | undefined;
+
   /**
    * @param shape - The pool.
    * @param opts - Randomness and limits.
@@ -117,7 +116,8 @@
     this.links = new LinkLedger(shape.linkPiecesPerSecond);
     this.table = new EngineTable(shape, this.memory, this.links, this.cache);
     this.chooser = new EngineChooser(this.table, this.links);
-    this.limits = opts.queueLimits ?? DEFAULT_QUEUE_LIMITS;
+    const limits = opts.queueLimits ?? DEFAULT_QUEUE_LIMITS;
+    this.admission = new Admission(this.queue, this.table, this.drain, limits);
     this.ttlMs = opts.reservationTtlMs ?? DEFAULT_RESERVATION_TTL_MS;
     this.ttftTargetMs = shape.ttftTargetMs;
     const prefix = opts.reservationPrefix ?? opts.random.int(0, MAX_RANDOM_PREFIX).toString(36);
@@ -133,7 +133,7 @@
       return;
     }
     const work = this.toWork(item, now);
-    const refusal = this.refuseAtOnce(work, now);
+    const refusal = this.admission.refuseAtOnce(work, now);
     if (refusal !== undefined) {
       this.due.push(refusal);
       return;
@@ -175,10 +175,13 @@
 
   step(now: Millis): readonly SchedulerDecision[] {
     this.linkRetryAt = Infinity;
+    this.lacking = undefined;
+    this.table.endPauses(now);
     this.reclaimExpired(now);
     this.giveUpLate(now);
     this.drain.advance(now, this.queue.size > 0);
     while (this.placeNext(now));
+    this.pressure.advance(now, this.lacking);
     this.drain.advance(now, this.queue.size > 0);
     const decisions = this.due;
     this.due = [];
@@ -191,10 +194,26 @@
       this.memory.nextExpiry ?? Infinity,
       this.giveUps.peekKey() ?? Infinity,
       this.linkRetryAt,
+      this.table.nextTrial ?? Infinity,
     );
     return next === Infinity ? undefined : Math.max(now, next);
   }
 
+  /** Sets whether an engine is to get no new work, because it leaves or changes its role. */
+  setDraining(engine: UpstreamId, draining: boolean): void {
+    this.table.setDraining(engine, draining);
+  }
+
+  /** Gets how many reservations an engine carries; a draining engine is empty at 0. */
+  getHolders(engine: UpstreamId): number {
+    return this.book.getHolders(engine);
+  }
+
+  /** Gets which engines the waiting work has been short of; the role shifter acts on it. */
+  getPressure(): PoolPressure {
+    return this.pressure.get();
+  }
+
   /** Gets how many requests wait. */
   get waitingCount(): number {
     return this.waiting.size;
@@ -222,53 +241,6 @@
     };
   }
 
-  /**
-   * Refuses on submission what can't be served: a request larger than any engine, a queue beyond
-   * its bounds, or a lookup whose wait is known to exceed its target. The caller learns it while it
-   * can still go elsewhere, and no engine spends work on an answer that comes too late.
-   */
-  private refuseAtOnce(work: QueuedWork, now: Millis): SchedulerDecision | undefined {
-    const { item } = work;
-    if (work.pieces > this.table.largestMemory) {
-      return this.refusal(item, 'no_capacity', 'No decode engine has memory for this request.');
-    }
-    const full =
-      this.waiting.size >= this.limits.total ||
-      this.queue.getTeamSize(item.team) >= this.limits.perTeam;
-    if (full) return this.refusal(item, 'queue_full', 'Too many requests wait.', this.retryAfter());
-    if (item.class !== 'lookup') return undefined;
-    if (this.table.decode.size === 0 || this.table.prefill.size === 0) {
-      const after = RETRY_AFTER_MS.unknown;
-      return this.refusal(item, 'no_capacity', 'No engine of the pool is up.', after);
-    }
-    const ahead = this.queue.getCostAhead(item.team, item.weight, item.class);
-    const waitMs = this.drain.getWaitMs(ahead) ?? 0;
-    const slackMs = work.giveUpAt - now;
-    if (waitMs <= slackMs * CLEARLY_LATE) return undefined;
-    const text = 'The queue is longer than the target for the first token allows.';
-    return this.refusal(item, 'target_missed', text, this.clampRetry(waitMs - slackMs));
-  }
-
-  private refusal(
-    item: WorkItem,
-    code: 'no_capacity' | 'queue_full' | 'target_missed',
-    message: string,
-    retryAfterMs?: Millis,
-  ): SchedulerDecision {
-    const refusal = notRun(code, message, retryAfterMs);
-    return { type: 'refuse', request: item.request, holder: item.holder, refusal };
-  }
-
-  /** Gets when a caller may come back: when what waits now has got its place. */
-  private retryAfter(): Millis {
-    const ahead = this.queue.getCost('lookup') + this.queue.getCost('certificate');
-    return this.clampRetry(this.drain.getWaitMs(ahead) ?? RETRY_AFTER_MS.unknown);
-  }
-
-  private clampRetry(waitMs: Millis): Millis {
-    return Math.ceil(Math.min(RETRY_AFTER_MS.most, Math.max(RETRY_AFTER_MS.least, waitMs)));
-  }
-
   private leaveQueue(work: QueuedWork): void {
     this.waiting.delete(work.item.request);
     this.giveUps.delete(work.item.request);
@@ -297,8 +269,7 @@
   /** Refuses a waiting request at once: held back, it would only keep its caller from leaving. */
   private giveUp(work: QueuedWork): void {
     this.leaveQueue(work);
-    const text = 'No engine became free within the time that this request may wait.';
-    this.due.push(this.refusal(work.item, 'target_missed', text, this.retryAfter()));
+    this.due.push(this.admission.refuseLate(work.item));
   }
 
   /** Places one request; false where none can be placed now. */
@@ -319,6 +290,7 @@
       (candidate) => {
         const result = this.chooser.choose(candidate, now);
         if (result.type === 'placed') placement = result.placement;
+        if (result.type === 'no_room') this.lacking = result.lacking;
         if (result.type === 'link_busy') {
           this.linkRetryAt = Math.min(this.linkRetryAt, result.retryAt);
         }
--- a/packages/decisions/src/ReservationBook.ts
+++ b/packages/decisions/src/ReservationBook.ts
@@ -51,6 +51,11 @@
     return reservation === undefined ? undefined : this.booked.get(reservation)?.decision;
   }
 
+  /** Gets how many reservations use an engine, for prefill or for decode. */
+  getHolders(engine: UpstreamId): number {
+    return this.memory.getHolders(engine) + this.table.getPrefills(engine);
+  }
+
   /** Books a placement; the chooser has made sure that the memory is free. */
   place(
     work: QueuedWork,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,3 +3,8 @@
 export * from './admit/QueueLimits.ts';
 export * from './service/ServiceGate.ts';
 export * from './structures/IndexedHeap.ts';
+export * from './retry/RetryBudget.ts';
+export * from './retry/ResumePlan.ts';
+export * from './retry/CrashSuspicion.ts';
+export * from './shift/PressureMeter.ts';
+export * from './shift/RoleShifter.ts';
--- a/packages/decisions/src/place/DecodeBoard.ts
+++ b/packages/decisions/src/place/DecodeBoard.ts
@@ -1,7 +1,7 @@
 import type { Millis, Pieces, UpstreamId } from '@camphorvane/core';
 import type { MemoryLedger } from '../ledger/MemoryLedger.ts';
 import { IndexedHeap } from '../structures/IndexedHeap.ts';
-import type { EngineState } from './EngineState.ts';
+import { type EngineState, takesWork } from './EngineState.ts';
 
 /** Engines looked at for one request: the best few, so that the cost stays bounded. */
 const LOOK_AT = 8;
@@ -38,7 +38,7 @@
   refresh(engine: EngineState): void {
     const { id, memoryPieces, role } = engine.cfg;
     this.engines.set(id, engine);
-    if (engine.down || role !== 'decode') {
+    if (!takesWork(engine) || role !== 'decode') {
       this.byLoad.delete(id);
       this.byFree.delete(id);
       return;
--- a/packages/decisions/src/place/EngineChooser.ts
+++ b/packages/decisions/src/place/EngineChooser.ts
@@ -1,4 +1,10 @@
-import { type Millis, type Pieces, type Tokens, piecesFor } from '@camphorvane/core';
+import {
+  type EngineRole,
+  type Millis,
+  type Pieces,
+  type Tokens,
+  piecesFor,
+} from '@camphorvane/core';
 import type { LinkLedger } from '../ledger/LinkLedger.ts';
 import type { WorkItem } from '../PoolScheduler.ts';
 import { getLeftToLookups } from '../queue/leftToLookups.ts';
@@ -28,7 +34,7 @@
 /** What came of looking for engines. */
 export type PlacementResult =
   | { readonly type: 'placed'; readonly placement: Placement }
-  | { readonly type: 'no_room' }
+  | { readonly type: 'no_room'; readonly lacking: EngineRole }
   | { readonly type: 'link_busy'; readonly retryAt: Millis };
 
 /** Chooses prefill and decode engine together, so that no prefill runs without a place to go. */
@@ -50,7 +56,7 @@
     const { item, pieces } = work;
     const left = getLeftToLookups(work, now);
     const prefill = this.table.prefill.choose(item, now);
-    if (prefill === undefined) return { type: 'no_room' };
+    if (prefill === undefined) return { type: 'no_room', lacking: 'prefill' };
     const readyAt = now + prefill.readyInMs;
     const moved = piecesFor(item.promptTokens);
     const inTime = (engine: EngineState): boolean => this.isInTime(work, engine, moved, readyAt);
@@ -58,7 +64,7 @@
     if (decode !== undefined) return this.placed(prefill, decode, readyAt);
     const any = this.table.decode.choose(pieces, left, item.avoid, () => true);
     return any === undefined
-      ? { type: 'no_room' }
+      ? { type: 'no_room', lacking: 'decode' }
       : { type: 'link_busy', retryAt: now + LINK_RETRY_MS };
   }
 
--- a/packages/decisions/src/place/EngineTable.ts
+++ b/packages/decisions/src/place/EngineTable.ts
@@ -3,10 +3,14 @@
 import type { MemoryLedger } from '../ledger/MemoryLedger.ts';
 import type { EngineObservation, PoolShape } from '../PoolScheduler.ts';
 import type { CacheExpectation } from './CacheExpectation.ts';
+import { IndexedHeap } from '../structures/IndexedHeap.ts';
 import { DecodeBoard } from './DecodeBoard.ts';
 import { type EngineState, newEngineState } from './EngineState.ts';
 import { PrefillBoard } from './PrefillBoard.ts';
 
+/** Time for which a slow engine gets no new work: some ten steps of a very slow engine. */
+const SLOW_PAUSE_MS = 2_000;
+
 /** All engines of the pool, kept in order for both choices as events come in. */
 export class EngineTable {
   readonly decode: DecodeBoard;
@@ -15,6 +19,8 @@
 
   private readonly engines = new Map<UpstreamId, EngineState>();
 
+  private readonly slow = new IndexedHeap<UpstreamId>();
+
   constructor(
     shape: PoolShape,
     private readonly memory: MemoryLedger,
@@ -73,6 +79,36 @@
     this.prefill.refresh(engine);
   }
 
+  /** Gets how many prefills an engine has that are not over. */
+  getPrefills(id: UpstreamId): number {
+    return this.engines.get(id)?.prefills ?? 0;
+  }
+
+  /** Sets whether an engine is to get no new work. */
+  setDraining(id: UpstreamId, draining: boolean): void {
+    const engine = this.engines.get(id);
+    if (engine === undefined) return;
+    engine.draining = draining;
+    this.refresh(id);
+  }
+
+  /** Gets when a slow engine is tried again, if there is one. */
+  get nextTrial(): Millis | undefined {
+    return this.slow.peekKey();
+  }
+
+  /** Gives slow engines work again whose pause is over. */
+  endPauses(now: Millis): void {
+    let id = this.slow.peek();
+    while (id !== undefined && (this.slow.peekKey() ?? Infinity) <= now) {
+      this.slow.delete(id);
+      const engine = this.engines.get(id);
+      if (engine !== undefined) engine.slowUntil = 0;
+      this.refresh(id);
+      id = this.slow.peek();
+    }
+  }
+
   /** Takes in what was seen of an engine; engines that are not in the pool are ignored. */
   observe(seen: EngineObservation, now: Millis): void {
     const engine = this.engines.get(seen.engine);
@@ -99,10 +135,13 @@
         break;
       }
       case 'failed':
-        known.down = known.down || seen.reason === 'down';
+        if (seen.reason === 'down') known.down = true;
+        else this.relieve(known, now);
         break;
       case 'recovered':
         known.down = false;
+        known.slowUntil = 0;
+        this.slow.delete(seen.engine);
         break;
       case 'cache':
         if (seen.change === 'stored') this.cache.stored(seen.engine, seen.digest, now);
@@ -113,6 +152,17 @@
     }
   }
 
+  /**
+   * Takes new work off an engine for a while. What goes wrong: an engine stalls, its streams stop
+   * short of their progress deadlines, and it looks less loaded than the others just because
+   * nothing on it moves. It is tried again after the pause.
+   */
+  private relieve(engine: EngineState, now: Millis): void {
+    const relieved = engine;
+    relieved.slowUntil = now + SLOW_PAUSE_MS;
+    this.slow.set(engine.cfg.id, relieved.slowUntil);
+  }
+
   private put(cfg: EngineConfig): void {
     const engine = this.engines.get(cfg.id) ?? newEngineState(cfg);
     engine.cfg = cfg;
@@ -123,6 +173,7 @@
 
   private remove(id: UpstreamId): void {
     this.engines.delete(id);
+    this.slow.delete(id);
     this.decode.remove(id);
     this.prefill.remove(id);
     this.memory.close(id);
--- a/packages/decisions/src/place/PrefillBoard.ts
+++ b/packages/decisions/src/place/PrefillBoard.ts
@@ -2,7 +2,7 @@
 import type { WorkItem } from '../PoolScheduler.ts';
 import { IndexedHeap } from '../structures/IndexedHeap.ts';
 import type { CacheExpectation } from './CacheExpectation.ts';
-import type { EngineState } from './EngineState.ts';
+import { type EngineState, takesWork } from './EngineState.ts';
 
 /** Engines looked at for one request besides those with an expected cache hit. */
 const LOOK_AT = 4;
@@ -44,7 +44,7 @@
   refresh(engine: EngineState): void {
     const { id, role } = engine.cfg;
     this.engines.set(id, engine);
-    if (engine.down || role !== 'prefill') {
+    if (!takesWork(engine) || role !== 'prefill') {
       this.byLookups.delete(id);
       this.byAll.delete(id);
       return;
@@ -105,7 +105,7 @@
   }
 
   private hasRoom(engine: EngineState | undefined, kind: WorkClass): boolean {
-    if (engine === undefined || engine.down || engine.cfg.role !== 'prefill') return false;
+    if (engine === undefined || !takesWork(engine) || engine.cfg.role !== 'prefill') return false;
     const [count, backlog] =
       kind === 'lookup'
         ? [engine.lookupPrefills, engine.lookupBacklog]
