--- /dev/null
+++ b/packages/group/src/explore/membership/World.ts
@@ -0,0 +1,142 @@
+import { rendezvousFirst, type HostId, type Millis } from '@camphorvane/core';
+import type { GroupRecord } from '../../membership/GroupRecord.ts';
+import type { MemberEffect } from '../../membership/MemberEffect.ts';
+import type { MemberIdentity, MemberKey } from '../../membership/MemberIdentity.ts';
+import type { ListedHost, ReadOutcome, WriteOutcome } from '../../membership/MemberInput.ts';
+import type { Welcome } from '../../membership/MembershipMessage.ts';
+import type { MembershipSettings } from '../../membership/MembershipSettings.ts';
+import type { MemberState } from '../../membership/MemberState.ts';
+
+/** A host of the searched world. */
+export interface WorldHost {
+  readonly state: MemberState;
+  /** Units of its own clock that pass in one tick of true time. */
+  readonly rate: number;
+  readonly condition: 'running' | 'paused' | 'crashed';
+  /** Whether the platform's list shows it. */
+  readonly listed: boolean;
+  /** The highest epoch that this incarnation has known. */
+  readonly highestEpoch: number;
+  /** Since which tick it reaches neither a peer nor the platform. */
+  readonly aloneSince?: number;
+}
+
+type Ask = Extract<MemberEffect, { type: 'ask' }>;
+
+/** Something on its way; `by` and `to` name the incarnation that it comes from or goes to. */
+export type Flight =
+  | { readonly type: 'hello'; readonly by: MemberKey; readonly ask: Ask }
+  | {
+      readonly type: 'welcome';
+      readonly by: HostId;
+      readonly to: MemberKey;
+      readonly ask: Ask;
+      readonly message: Welcome;
+    }
+  | { readonly type: 'read'; readonly by: MemberKey; readonly id: number }
+  | {
+      readonly type: 'write';
+      readonly by: MemberKey;
+      readonly id: number;
+      readonly record: GroupRecord;
+      readonly expected: number | 'absent';
+    }
+  | { readonly type: 'read_hosts'; readonly by: MemberKey }
+  | {
+      readonly type: 'read_result';
+      readonly to: MemberKey;
+      readonly id: number;
+      readonly outcome: ReadOutcome;
+    }
+  | {
+      readonly type: 'write_result';
+      readonly to: MemberKey;
+      readonly id: number;
+      readonly outcome: WriteOutcome;
+    }
+  | {
+      readonly type: 'hosts_result';
+      readonly to: MemberKey;
+      readonly hosts: readonly ListedHost[] | undefined;
+    };
+
+/** A break of the network in two sides. */
+export interface Split {
+  /** Places of the hosts on the second side. */
+  readonly second: readonly number[];
+  readonly platformSide: 'first' | 'second';
+}
+
+/** A fault that strikes the next thing of its kind. */
+export type Trap = 'lose_write_answer' | 'delay_write' | 'delay_answer';
+
+/** Hosts, network and platform at one moment; a plain value. */
+export interface World {
+  readonly tick: number;
+  readonly hosts: readonly WorldHost[];
+  readonly stored?: { readonly record: GroupRecord; readonly version: number };
+  readonly versions: number;
+  readonly platformDown: boolean;
+  readonly split?: Split;
+  readonly trap?: Trap;
+  readonly flights: readonly Flight[];
+  /** How many faults may still strike. */
+  readonly faultsLeft: number;
+  /** The nonce under which each epoch was first stored. */
+  readonly nonces: Readonly<Record<number, string>>;
+}
+
+/** Rates of clocks: one runs twice as fast as the other, far worse than real ones. */
+export const SLOW = 1;
+export const FAST = 2;
+
+/**
+ * Settings on the scale of ticks: everything happens within a few of them, so that short traces
+ * reach far. The bound on drift makes (1 + d) squared the ratio of the two rates.
+ */
+export const WORLD_SETTINGS: MembershipSettings = {
+  actForMs: 6,
+  driftBound: Math.sqrt(FAST / SLOW) - 1,
+  vouchPeriodMs: 1,
+  suspectMs: 2,
+  platformReadMs: 6,
+  urgentReadMs: 1,
+  hostListMs: 4,
+  urgentHostListMs: 2,
+  goneAfterMs: 4,
+  staggerMs: 1,
+  maxMembers: 4,
+  jitter: 0,
+};
+
+/** Gets the identity of a host's n-th start. */
+export function identityAt(place: number, start: number): MemberIdentity {
+  const host = `h${place + 1}`;
+  return {
+    host,
+    incarnation: `i${start}`,
+    peerAddress: `${host}:7`,
+    callerAddress: `${host}:8`,
+    zone: `z${place}`,
+  };
+}
+
+/** Gets a host's own time. */
+export function localTime(world: World, host: WorldHost): Millis {
+  return world.tick * host.rate;
+}
+
+/**
+ * Gets one key for each host, whose steward that host is while all are members.
+ *
+ * @param hosts - How many hosts there are.
+ * @returns As many keys.
+ */
+export function keysFor(hosts: number): readonly string[] {
+  const ids = Array.from({ length: hosts }, (_, place) => identityAt(place, 1).host);
+  return ids.map((id) => {
+    let number = 0;
+    while (rendezvousFirst(`key-${number}`, ids) !== id) number += 1;
+    return `key-${number}`;
+  });
+}
--- a/packages/group/src/explore/search.ts
+++ b/packages/group/src/explore/search.ts
@@ -1,6 +1,9 @@
-import { RandomSource } from '@camphorvane/core';
+import { RandomSource, sha256Hex } from '@camphorvane/core';
 import type { Exploration, ExploredProtocol, Invariant, Violation } from './ExploredProtocol.ts';
 
+/** Hexadecimal characters of a digest that are kept: 96 bits, so that none of a million collide. */
+const DIGEST_LENGTH = 24;
+
 /** Bounds of an exhaustive search. */
 export interface SearchBounds {
   /** Most actions from an initial state. */
@@ -60,7 +63,8 @@
   let depth = 0;
   let truncated = false;
   const admit = (visit: Visit<State>): readonly Visit<State>[] => {
-    const key = protocol.key(visit.state);
+    // The digest in place of the key keeps some hundred thousand states within memory.
+    const key = sha256Hex(protocol.key(visit.state)).slice(0, DIGEST_LENGTH);
     if (seen.has(key)) return [];
     if (seen.size >= bounds.maxStates) {
       truncated = true;
--- a/packages/group/src/membership/GroupRecord.ts
+++ b/packages/group/src/membership/GroupRecord.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { rendezvousFirst, type HostId } from '@camphorvane/core';
 import { memberKey, type MemberIdentity } from './MemberIdentity.ts';
 
 /** A member as the group's object lists it. */
@@ -75,29 +74,6 @@
   return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
 }
 
-/**
- * Gets the steward of a key among the members of one epoch.
- *
- * Draining members are passed over while there is anybody else, so that a leaving host hands its
- * stewardships on while it still runs.
- *
- * @param key - A team, a pool part or whatever else has one steward.
- * @param members - All members of the epoch.
- * @returns The steward, or undefined in an empty group.
- */
-export function stewardAmong<M extends RecordMember>(
-  key: string,
-  members: readonly M[],
-): M | undefined {
-  const staying = members.filter((member) => !member.draining);
-  const candidates = staying.length > 0 ? staying : members;
-  const host: HostId | undefined = rendezvousFirst(
-    key,
-    candidates.map((member) => member.host),
-  );
-  return candidates.find((member) => member.host === host);
-}
-
 /**
  * Finds one incarnation in a list of members.
  *
--- a/packages/group/src/membership/GroupView.ts
+++ b/packages/group/src/membership/GroupView.ts
@@ -1,8 +1,9 @@
 import type { HostId, Millis } from '@camphorvane/core';
 import { actUntil, mayAct, settledAt } from './authority.ts';
-import { stewardAmong, type RecordMember } from './GroupRecord.ts';
+import type { RecordMember } from './GroupRecord.ts';
 import type { MembershipRules, MembershipSettings } from './MembershipSettings.ts';
 import type { MemberState } from './MemberState.ts';
+import { stewardAmong } from './stewardAmong.ts';
 
 /** What a host knows of its group at one moment. */
 export interface GroupView {
--- a/packages/group/src/membership/authority.ts
+++ b/packages/group/src/membership/authority.ts
@@ -1,8 +1,9 @@
 import type { Millis } from '@camphorvane/core';
-import { findMember, stewardAmong, type PastEpoch } from './GroupRecord.ts';
+import { findMember, type PastEpoch } from './GroupRecord.ts';
 import { memberKey } from './MemberIdentity.ts';
 import type { MembershipRules, MembershipSettings } from './MembershipSettings.ts';
 import { hasEnded, knownEpochOf, type MemberState } from './MemberState.ts';
+import { stewardAmong } from './stewardAmong.ts';
 
 /** Tells whether this incarnation is a member of the newest epoch that it knows. */
 export function isMember(state: MemberState): boolean {
--- a/packages/group/src/membership/index.ts
+++ b/packages/group/src/membership/index.ts
@@ -8,3 +8,4 @@
 export * from './MembershipMessage.ts';
 export * from './MembershipSettings.ts';
 export { initialState, type MemberState } from './MemberState.ts';
+export * from './stewardAmong.ts';
