--- /dev/null
+++ b/packages/group/src/groups/index.ts
@@ -0,0 +1,2 @@
+export * from './GroupPlan.ts';
+export * from './planGroups.ts';
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -1,4 +1,2 @@
+export * from './groups/index.ts';
 export * from './membership/index.ts';
-export * from './explore/ExploredProtocol.ts';
-export * from './explore/search.ts';
-export * from './explore/ExplorableProtocol.ts';
