--- a/packages/group/src/explore/search.ts
+++ b/packages/group/src/explore/search.ts
@@ -92,6 +92,28 @@
   return { statesVisited: seen.size, transitions, depth, truncated, violations };
 }
 
+/** What a search has found before it begins. */
+export const EMPTY_EXPLORATION: Exploration = {
+  statesVisited: 0,
+  transitions: 0,
+  depth: 0,
+  truncated: false,
+  violations: [],
+};
+
+/** Adds up two searches; the depth is that of the later one. */
+export function mergeExplorations(before: Exploration, later: Exploration): Exploration {
+  const known = new Set(before.violations.map((violation) => violation.invariant));
+  const fresh = later.violations.filter((violation) => !known.has(violation.invariant));
+  return {
+    statesVisited: before.statesVisited + later.statesVisited,
+    transitions: before.transitions + later.transitions,
+    depth: later.depth,
+    truncated: before.truncated || later.truncated,
+    violations: [...before.violations, ...fresh],
+  };
+}
+
 /** Bounds of random runs. */
 export interface RandomBounds {
   readonly runs: number;
