--- a/packages/peer/tests/group/failures.test.ts
+++ b/packages/peer/tests/group/failures.test.ts
@@ -66,7 +66,7 @@
   // their own keys, and nobody takes over a key of the other side.
   const world = new GroupWorld();
   const ids = await world.startGroup(5);
-  const {epoch} = world.runner('h1').view();
+  const { epoch } = world.runner('h1').view();
   const minority = new Set(['h1', 'h2', 'platform']);
   world.isCut = (a, b) => minority.has(a) !== minority.has(b);
   await world.run(MINUTE, 250);
@@ -236,7 +236,7 @@
   // by one, the other would come back and be thrown out again, and keys would move all the time.
   const world = new GroupWorld();
   const ids = await world.startGroup(5);
-  const {epoch} = world.runner('h1').view();
+  const { epoch } = world.runner('h1').view();
   world.isCut = (a, b) => [a, b].sort().join() === 'h1,h2';
   await world.run(MINUTE, 250);
   assert.equal(world.runner('h1').view().epoch, epoch);
