--- /dev/null
+++ b/packages/group/tests/membership/GroupMember.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { GroupMember } from '../../src/index.ts';
+import { MEMBERSHIP_RULES, parseGroupRecord, stewardOf } from '../../src/index.ts';
+import { hear, identity, memberWith, recordOf, SETTINGS, welcomeOf } from '../support/members.ts';
+
+const T = SETTINGS.actForMs;
+const W = MEMBERSHIP_RULES.takeoverWait(SETTINGS);
+
+/** Finds a key that moves between two lists of members as wanted. */
+function keyMoving(
+  from: string,
+  before: readonly string[],
+  to: string,
+  after: readonly string[],
+): string {
+  const names = Array.from({ length: 500 }, (_, index) => `key-${index}`);
+  const key = names.find(
+    (name) =>
+      stewardOf(name, recordOf(1, before)) === from && stewardOf(name, recordOf(1, after)) === to,
+  );
+  assert.ok(key);
+  return key;
+}
+
+test('a confirmation counts from the sending of what a majority answered', () => {
+  // Answers can be under way for long. Counted from their arrival, they would let a host act while
+  // others have taken over what it holds.
+  const member = memberWith('a', recordOf(4, ['a', 'b', 'c', 'd', 'e']), 0);
+  hear(member, welcomeOf('b', 4), 500, 2_000);
+  assert.equal(member.view(2_000).actUntil, T);
+  hear(member, welcomeOf('c', 4), 400, 2_000);
+  assert.equal(member.view(2_000).actUntil, 400 + T);
+});
+
+test('a vouch for an earlier epoch confirms nothing', () => {
+  const member = memberWith('a', recordOf(4, ['a', 'b', 'c']), 0);
+  hear(member, welcomeOf('b', 3), 1_000, 1_001);
+  hear(member, welcomeOf('c', 3), 1_000, 1_001);
+  assert.equal(member.view(1_001).actUntil, T);
+});
+
+test('a delayed record of a lower epoch is not taken back', () => {
+  // A message that was held up somewhere brings an old list of members. Taken, it would make a
+  // removed host steward again.
+  const member = memberWith('a', recordOf(4, ['a', 'b', 'c']), 0);
+  const message = { ...welcomeOf('b', 3), record: recordOf(3, ['a', 'b', 'x']) };
+  hear(member, message, 10, 20);
+  assert.equal(member.view(20).epoch, 4);
+});
+
+test('a key moves at once when its earlier steward says that it knows the new epoch', () => {
+  const before = ['a', 'b', 'c'];
+  const after = ['a', 'b', 'c', 'd'];
+  const key = keyMoving('b', before, 'd', after);
+  const member = memberWith('d', recordOf(5, after, [before]), 0);
+  assert.equal(member.maySteward(key, 1), false);
+  hear(member, welcomeOf('b', 5), 1, 2);
+  assert.equal(member.maySteward(key, 2), true);
+});
+
+test('a key of a host unheard of moves only after the wait', () => {
+  // The earlier steward crashed, or is cut off and still acts. Until it must have stopped by its
+  // own clock, two hosts would grant the rate of one team.
+  const before = ['a', 'b', 'c'];
+  const after = ['a', 'b'];
+  const key = keyMoving('c', before, 'a', after);
+  const member = memberWith('a', recordOf(5, after, [before]), 0);
+  hear(member, welcomeOf('b', 5), 10, 12);
+  assert.equal(member.view(12).takeoverAt, 12 + W);
+  hear(member, welcomeOf('b', 5), W, W + 11);
+  assert.equal(member.maySteward(key, W + 11), false);
+  assert.equal(member.maySteward(key, W + 12), true);
+});
+
+test('no epoch follows before a majority of the last but one knows the last', () => {
+  // Two changes in a row replace most members, and the first hosts never hear of it. They would go
+  // on vouching for each other while hosts of the third epoch take over.
+  const member = memberWith('a', recordOf(2, ['a', 'd', 'e'], [['a', 'b', 'c']]), 0);
+  ['d', 'e'].forEach((host) => hear(member, welcomeOf(host, 2), 10, 12));
+  member.step({ type: 'tick' }, 20);
+  const outside = { ...identity('f') };
+  const hello = { type: 'hello', group: 'g0', from: outside, epoch: 2, intent: 'stay' } as const;
+  member.step({ type: 'asked', message: hello }, 20);
+  assert.equal(writesAfterRead(member, 1_000), 0);
+  hear(member, welcomeOf('b', 2), 1_010, 1_012);
+  member.step({ type: 'asked', message: hello }, 1_012);
+  assert.equal(writesAfterRead(member, 2_000), 1);
+});
+
+function writesAfterRead(member: GroupMember, now: number): number {
+  const reads = member.step({ type: 'tick' }, now).filter((effect) => effect.type === 'read');
+  const [read] = reads;
+  if (read?.type !== 'read') return 0;
+  const record = recordOf(2, ['a', 'd', 'e'], [['a', 'b', 'c']]);
+  const outcome = { type: 'found', record, version: 2 } as const;
+  const effects = member.step({ type: 'read', id: read.id, outcome }, now);
+  return effects.filter((effect) => effect.type === 'write').length;
+}
+
+test('a host that leaves neither acts nor vouches from that moment on', () => {
+  const member = memberWith('a', recordOf(4, ['a', 'b', 'c']), 0);
+  assert.equal(member.view(1).mayAct, true);
+  member.step({ type: 'leave' }, 1);
+  assert.equal(member.view(1).mayAct, false);
+  const from = identity('b');
+  const hello = { type: 'hello', group: 'g0', from, epoch: 4, intent: 'stay' } as const;
+  const [reply] = member.step({ type: 'asked', message: hello }, 2);
+  assert.equal(reply?.type === 'reply' && reply.message.intent, 'leave');
+});
+
+test('a record written by a newer program is read without its unknown fields', () => {
+  const record = recordOf(4, ['a', 'b'], [['a']]);
+  const parsed = parseGroupRecord({ ...record, colour: 'blue' });
+  assert.deepEqual(parsed.unwrapOr(undefined), record);
+  assert.equal(parseGroupRecord({ ...record, epoch: 0 }).isErr(), true);
+});
