Hold back requests that crash engines, pay for retries, bound prefill by prompt length

Cause: a poisoned request visited engine after engine; repeats had no bound over requests; a silent prefill engine held a short prompt for 30 s.

--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -1,5 +1,6 @@
 import type {
   AdoptedReservation,
+  CrashReport,
   EngineObservation,
   ReservationEnd,
   WorkItem,
@@ -47,6 +48,7 @@
 /** What one host asks of another. */
 export type PeerRequest =
   | { readonly type: 'reserve'; readonly model: ModelId; readonly item: WorkItem }
+  | { readonly type: 'crashes'; readonly reports: readonly CrashReport[] }
   | { readonly type: 'config_version' }
   | { readonly type: 'config_root' }
   | { readonly type: 'config_chunk'; readonly digest: string }
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -64,6 +64,9 @@
           ? { type: 'not_steward', epoch: 0 }
           : { type: 'membership', message };
       }
+      case 'crashes':
+        this.parts.crashes.heard(req.reports);
+        return { type: 'ok' };
       case 'config_version':
       case 'config_root':
       case 'config_chunk':
@@ -156,6 +159,7 @@
       group: this.parts.runner.dump(),
       stewardOf: this.parts.desk.dump(),
       fallback: this.parts.fallback.dump(),
+      crashes: this.parts.crashes.dump(),
       serviceQueues: this.parts.gates.dump(),
       counters: this.options.metrics.getCounts(),
     };
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,5 +1,6 @@
 import type { CallerBackend } from '@camphorvane/caller';
 import type { HostId, Incarnation } from '@camphorvane/core';
+import { RetryBudget } from '@camphorvane/decisions';
 import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
 import { GroupRunner } from '@camphorvane/peer';
 import {
@@ -15,6 +16,7 @@
 import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 import { StewardDesk } from '../placing/StewardDesk.ts';
 import { CompletionServing } from '../serving/CompletionServing.ts';
+import { CrashDesk } from '../serving/CrashDesk.ts';
 import { ServiceGates } from '../serving/ServiceGates.ts';
 import { ServiceServing } from '../serving/ServiceServing.ts';
 import { Authenticator } from './Authenticator.ts';
@@ -35,6 +37,7 @@
   readonly keys: KeyRing;
   readonly claims: IdempotencyClaims;
   readonly rates: StaticRates;
+  readonly crashes: CrashDesk;
 }
 
 /** What places work on upstreams. */
@@ -96,7 +99,8 @@
     holderState: (host, start) => holderState(runner, host, start),
   });
   const rates = new StaticRates(clock, () => group.members().length);
-  return { runner, group, relay, config, keys: new KeyRing(), claims, rates };
+  const crashes = new CrashDesk({ self: identity.host, clock, group, link });
+  return { runner, group, relay, config, keys: new KeyRing(), claims, rates, crashes };
 }
 
 function assemblePlacing(options: HostOptions, { group }: SharedParts): PlacingParts {
@@ -149,6 +153,8 @@
       clock,
       metrics,
       rates,
+      retries: new RetryBudget(),
+      crashes: shared.crashes,
     }),
     services: new ServiceServing({
       clock,
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -41,12 +41,15 @@
       readonly prefill: PrefillResult;
       readonly outputTokens: Tokens;
     }
-  | {
-      readonly type: 'failed';
-      readonly engine: UpstreamId;
-      readonly stage: 'prefill' | 'transfer' | 'decode';
-      readonly error: UpstreamError;
-    };
+  | FailedAttempt;
+
+/** An attempt that failed, and where. */
+export interface FailedAttempt {
+  readonly type: 'failed';
+  readonly engine: UpstreamId;
+  readonly stage: 'prefill' | 'transfer' | 'decode';
+  readonly error: UpstreamError;
+}
 
 /** One token of an attempt. */
 export interface AttemptToken {
@@ -115,10 +118,7 @@
 
   private async prefill(
     engine: ModelEngine,
-  ): Promise<
-    | { readonly type: 'ran'; readonly result: PrefillResult }
-    | Extract<AttemptOutcome, { type: 'failed' }>
-  > {
+  ): Promise<{ readonly type: 'ran'; readonly result: PrefillResult } | FailedAttempt> {
     const { clock, metrics, placements, watch } = this.tools;
     const { placement, pool } = this.plan;
     const startedAt = clock.now();
@@ -266,7 +266,7 @@
     engine: UpstreamId,
     stage: 'prefill' | 'transfer' | 'decode',
     error: UpstreamError,
-  ): Extract<AttemptOutcome, { type: 'failed' }> {
+  ): FailedAttempt {
     this.tools.metrics.count('attempt.failed', { stage, error: error.type });
     if (error.type === 'unreachable') {
       this.tools.watch.seen(this.plan.pool.model, { type: 'failed', engine, reason: 'down' });
--- a/packages/router/src/serving/CompletionProgress.ts
+++ b/packages/router/src/serving/CompletionProgress.ts
@@ -16,10 +16,12 @@
   /**
    * @param promptTokens - Estimate of the prompt's tokens.
    * @param startedAt - When the request was accepted.
+   * @param digest - Digest of model and prompt.
    */
   constructor(
     readonly promptTokens: Tokens,
     readonly startedAt: Millis,
+    readonly digest: string,
   ) {}
 
   /** Gets the text delivered so far. */
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -1,14 +1,23 @@
 import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
-import type { HostId, PoolConfig, Refusal, RequestId, RoutingConfig } from '@camphorvane/core';
-import { estimateTokens, notRun, outcomeUnknown } from '@camphorvane/core';
-import type { WorkItem } from '@camphorvane/decisions';
+import type {
+  HostId,
+  Millis,
+  PoolConfig,
+  Refusal,
+  RequestId,
+  RoutingConfig,
+} from '@camphorvane/core';
+import { estimateTokens, notRun, outcomeUnknown, piecesFor } from '@camphorvane/core';
+import { planResume } from '@camphorvane/decisions';
+import type { RetryBudget, WorkItem } from '@camphorvane/decisions';
 import type { Placement } from '@camphorvane/peer';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RateGate } from '../host/ports.ts';
-import type { AttemptOutcome, AttemptTools } from './CompletionAttempt.ts';
+import type { AttemptOutcome, AttemptTools, FailedAttempt } from './CompletionAttempt.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
+import { CrashDesk } from './CrashDesk.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
 import { waitBound } from './waitBound.ts';
@@ -16,6 +25,17 @@
 /** Attempts for one completion; more would let one bad prompt visit every engine. */
 const MAX_ATTEMPTS = 4;
 
+/**
+ * Milliseconds of silence that a caller's connection is given while its answer moves to another
+ * engine; clients of OpenAI's interface wait for minutes, and people give up sooner.
+ */
+const RESUME_PATIENCE_MS: Millis = 15_000;
+
+/** Speed of prefill assumed where a resume is weighed; slow engines do more than this. */
+const PREFILL_TOKENS_PER_MS = 1;
+
+const MS_PER_SECOND = 1_000;
+
 /** What an attempt returns when its consumer stops reading; nobody looks at it any more. */
 const STOPPED: AttemptOutcome = {
   type: 'failed',
@@ -38,6 +58,8 @@
 export interface CompletionServingOptions extends AttemptTools {
   readonly self: HostId;
   readonly rates: RateGate;
+  readonly retries: RetryBudget;
+  readonly crashes: CrashDesk;
 }
 
 /** Serves completions: charge, reserve, run, resume where an engine fails, refund. */
@@ -81,6 +103,7 @@
     const progress = new CompletionProgress(
       estimateTokens(work.req.prompt),
       this.options.clock.now(),
+      CrashDesk.digestOf(work.req.model, work.req.prompt),
     );
     try {
       yield* this.attempts(work, pool, progress);
@@ -96,32 +119,86 @@
     pool: PoolConfig,
     progress: CompletionProgress,
   ): AsyncGenerator<CompletionEvent> {
-    let last: AttemptOutcome | undefined;
     let left = MAX_ATTEMPTS;
     while (left > 0) {
       left -= 1;
-      const placement = await this.reserve(work, pool, progress);
+      const placement = await this.placeNext(work, pool, progress);
       if (placement.isErr()) {
         yield { type: 'refused', refusal: this.refusalFor(work, progress, placement.error) };
         return;
       }
-      last = yield* this.attempt(work, pool, progress, placement.value);
-      if (last.type === 'done') {
+      const outcome = yield* this.attempt(work, pool, progress, placement.value);
+      if (outcome.type === 'done') {
+        this.options.crashes.succeeded(progress.digest);
         yield {
           type: 'done',
-          reason: last.reason,
-          promptTokens: last.prefill.promptTokens,
-          cachedTokens: last.prefill.cachedTokens,
+          reason: outcome.reason,
+          promptTokens: outcome.prefill.promptTokens,
+          cachedTokens: outcome.prefill.cachedTokens,
           outputTokens: progress.getPosition(),
         };
         return;
       }
-      if (work.signal.aborted) break;
-      progress.noteFailure(last.engine);
+      const end = this.endAfter(work, pool, progress, outcome);
+      if (end !== undefined) {
+        yield { type: 'refused', refusal: this.refusalFor(work, progress, end) };
+        return;
+      }
+    }
+    yield { type: 'refused', refusal: this.refusalFor(work, progress, enginesFailed()) };
+  }
+
+  /** Gets a place for the next attempt, unless the request has come to be held back. */
+  private async placeNext(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    progress: CompletionProgress,
+  ): Promise<Result<Placement, Refusal>> {
+    const heldBack = this.options.crashes.refusalFor(progress.digest);
+    if (heldBack !== undefined) return err(heldBack);
+    const placement = await this.reserve(work, pool, progress);
+    const isFirst = !progress.wasDispatched();
+    return placement.map((place) => {
+      const now = this.options.clock.now();
+      if (isFirst) this.options.retries.attempted(work.caller.team.id, place.prefill, now);
+      if (isFirst) this.options.retries.attempted(work.caller.team.id, place.decode, now);
+      return place;
+    });
+  }
+
+  /** Decides whether a completion goes on after a failed attempt; gets the refusal if it ends. */
+  private endAfter(
+    work: KnownCompletion,
+    pool: PoolConfig,
+    progress: CompletionProgress,
+    outcome: FailedAttempt,
+  ): Refusal | undefined {
+    if (work.signal.aborted) return enginesFailed();
+    progress.noteFailure(outcome.engine);
+    this.options.crashes.failed(progress.digest, outcome.engine, outcome.error);
+    const now = this.options.clock.now();
+    const plan = planResume(
+      {
+        idempotent: true,
+        promptTokens: progress.promptTokens,
+        deliveredTokens: progress.getPosition(),
+        maxOutputTokens: work.req.maxTokens,
+        patienceMs: RESUME_PATIENCE_MS,
+        kv: undefined,
+      },
+      {
+        prefillWaitMs: 0,
+        prefillRate: PREFILL_TOKENS_PER_MS,
+        transferMs: (piecesFor(progress.promptTokens) / pool.linkPiecesPerSecond) * MS_PER_SECOND,
+        mayRetry: () => this.options.retries.tryRetry(work.caller.team.id, outcome.engine, now),
+      },
+      now,
+    );
+    if (plan.type !== 'end') {
       this.options.metrics.count('attempt.resumed');
+      return undefined;
     }
-    const failure = outcomeUnknown('upstream_failed', 'The engines that ran this request failed.');
-    yield { type: 'refused', refusal: this.refusalFor(work, progress, failure) };
+    return plan.reason === 'budget_spent' ? budgetSpent() : enginesFailed();
   }
 
   private async *attempt(
@@ -209,6 +286,15 @@
   }
 }
 
+function enginesFailed(): Refusal {
+  return outcomeUnknown('upstream_failed', 'The engines that ran this request failed.');
+}
+
+function budgetSpent(): Refusal {
+  const text = 'The engine failed, and too many requests are being repeated already.';
+  return { ...outcomeUnknown('retry_budget_spent', text), retryAfterMs: 2_000 };
+}
+
 /** Gets why a request was ended from outside: the host's refusal, or that its caller has gone. */
 function endReason(signal: AbortSignal): Refusal {
   const reason: unknown = signal.reason;
--- a/packages/scenario/src/world/LinkedEngine.ts
+++ b/packages/scenario/src/world/LinkedEngine.ts
@@ -2,6 +2,7 @@
 import type { EngineCore } from '@camphorvane/stand-ins';
 import {
   DEFAULT_ENGINE_TIMEOUTS,
+  prefillTimeout,
   ProgressDeadline,
   readDecodeEvents,
   toUpstreamError,
@@ -40,7 +41,9 @@
   /** Runs a prompt. */
   prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
     this.log.dispatched(this.id, cmd.prompt);
-    return this.link.exchange(signal, LIMITS.prefillMs, (far) => this.core.prefill(cmd, far));
+    return this.link.exchange(signal, prefillTimeout(cmd, LIMITS), (far) =>
+      this.core.prefill(cmd, far),
+    );
   }
 
   /** Fetches a KV cache into this engine. */
--- a/packages/upstream/src/HttpModelEngine.ts
+++ b/packages/upstream/src/HttpModelEngine.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, Clock, LoadSnapshot, Millis, UpstreamId } from '@camphorvane/core';
+import { estimateTokens } from '@camphorvane/core';
 import { ResultAsync, err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { z } from 'zod';
@@ -20,16 +21,23 @@
 
 /** How long an engine may make no progress, by kind of call, in milliseconds. */
 export interface EngineTimeouts {
-  readonly prefillMs: Millis;
+  /** For any prompt, its wait behind other prompts included. */
+  readonly prefillBaseMs: Millis;
+  /** On top, for each token of the prompt. */
+  readonly prefillPerTokenMs: Millis;
   readonly transferMs: Millis;
   /** Between two events of a decode stream. */
   readonly decodeProgressMs: Millis;
   readonly controlMs: Millis;
 }
 
-/** Defaults: a long prompt takes seconds, a token tens of milliseconds, a control call less. */
+/**
+ * Defaults: a prefill takes a fraction of a millisecond for each token, so the bound grows with the
+ * prompt and a short prompt on a silent engine is not held for as long as a long one may take.
+ */
 export const DEFAULT_ENGINE_TIMEOUTS: EngineTimeouts = {
-  prefillMs: 30_000,
+  prefillBaseMs: 4_000,
+  prefillPerTokenMs: 2,
   transferMs: 5_000,
   decodeProgressMs: 3_000,
   controlMs: 1_000,
@@ -72,7 +80,7 @@
     return this.post(
       '/v1/prefill',
       cmd,
-      this.timeouts.prefillMs,
+      prefillTimeout(cmd, this.timeouts),
       signal,
       prefillResultSchema,
     ).andThen((result) =>
@@ -196,6 +204,21 @@
   }
 }
 
+/**
+ * Gets how long a prefill may take.
+ *
+ * @param cmd - The prompt, with what is run after it.
+ * @param timeouts - The bounds.
+ * @returns Milliseconds.
+ */
+export function prefillTimeout(
+  cmd: Pick<PrefillCommand, 'prompt' | 'continuation'>,
+  timeouts: EngineTimeouts,
+): Millis {
+  const tokens = estimateTokens(cmd.prompt) + estimateTokens(cmd.continuation);
+  return timeouts.prefillBaseMs + tokens * timeouts.prefillPerTokenMs;
+}
+
 function mismatch(attempt: AttemptId): UpstreamError {
   return { type: 'mismatch', dispatched: true, message: `answer is not for attempt ${attempt}` };
 }
