Send lookups to the fallback while a new coordinator only listens

Cause: a new coordinator said for 1.5 s that lookups wait, and they missed their target. Change: it tells urgent work that it does not place yet, and their host does.

--- a/packages/router/src/placing/PoolSteward.ts
+++ b/packages/router/src/placing/PoolSteward.ts
@@ -104,6 +104,9 @@
    * @returns A place, a refusal, or that it still waits.
    */
   reserve(item: WorkItem): Promise<PeerResponse> {
+    // A steward that only listens would let lookups wait past their target; their host places them.
+    const mustNotWait = this.now() < this.listenUntil && item.class !== 'summary';
+    if (mustNotWait) return Promise.resolve({ type: 'not_steward', epoch: 0 });
     return new Promise((resolve) => {
       const entry = this.waiting.get(item.request) ?? { answers: [], cancelTimer: () => undefined };
       entry.answers.push(resolve);
