--- /dev/null
+++ b/packages/group/src/shares/ShareSteward.ts
@@ -0,0 +1,352 @@
+import type { Millis, TeamId, TeamRate } from '@camphorvane/core';
+import { allocate, type AllocationContext, estimates } from './allocation.ts';
+import type { ShareReply, ShareSync, TeamGrant, TeamReport } from './ShareMessage.ts';
+import { sameRate, SHARE_RULES, type ShareRules, type ShareSettings } from './ShareSettings.ts';
+import {
+  openFirst,
+  openRecovering,
+  recorded,
+  refreshedLedger,
+  settled,
+  type TeamLedger,
+  withoutHolder,
+  withRecoveryEnded,
+} from './TeamLedger.ts';
+
+/** What a steward must know of its group at the moment of an answer. */
+export interface StewardContext {
+  readonly epoch: number;
+  /** Keys of the hosts that belong to the group and stay. */
+  readonly members: readonly string[];
+  /** Keys of all hosts that may hold a grant of an earlier steward; undefined where unknown. */
+  readonly mayHold: readonly string[] | undefined;
+  /** True where the group has had no epoch before this one. */
+  readonly isFirstEpoch: boolean;
+  /** Whether this host may act as the steward of a team now. */
+  maySteward(team: TeamId): boolean;
+  /** Whether this host was the steward of a team in every epoch after the given one. */
+  stewardThroughout(team: TeamId, since: number): boolean;
+}
+
+/** What a steward and one holder have exchanged. */
+interface HolderPair {
+  readonly lastSync: number;
+  readonly repliedAt: Millis;
+  readonly listedSession: number;
+  readonly listedEpoch: number;
+  /** Teams for which the last reply granted something that is not settled yet. */
+  readonly pending: readonly TeamId[];
+}
+
+/** An answer, and the holders that should report at once. */
+export interface StewardAnswer {
+  readonly reply: ShareReply;
+  readonly nudges: readonly string[];
+}
+
+const NEW_PAIR: HolderPair = {
+  lastSync: 0,
+  repliedAt: 0,
+  listedSession: 0,
+  listedEpoch: 0,
+  pending: [],
+};
+
+/** Keeps the accounts of the teams whose steward this host is, without any I/O. */
+export class ShareSteward {
+  private readonly settings: ShareSettings;
+
+  private readonly rules: ShareRules;
+
+  private rates: ReadonlyMap<TeamId, TeamRate> = new Map();
+
+  private readonly ledgers = new Map<TeamId, TeamLedger>();
+
+  private readonly pairs = new Map<string, HolderPair>();
+
+  private readonly recovering = new Set<TeamId>();
+
+  /** Teams whose shares may lie far from their targets at holders that do not report them. */
+  private readonly unsettled = new Map<string, Set<TeamId>>();
+
+  private session = 1;
+
+  private membersKey = '';
+
+  constructor(settings: ShareSettings, rules: ShareRules = SHARE_RULES) {
+    this.settings = settings;
+    this.rules = rules;
+  }
+
+  /** Copies this steward; what happens to one does not touch the other. */
+  fork(): ShareSteward {
+    const copy = new ShareSteward(this.settings, this.rules);
+    copy.rates = this.rates;
+    copy.session = this.session;
+    copy.membersKey = this.membersKey;
+    this.ledgers.forEach((ledger, team) => copy.ledgers.set(team, ledger));
+    this.pairs.forEach((pair, key) => copy.pairs.set(key, pair));
+    this.recovering.forEach((team) => copy.recovering.add(team));
+    this.unsettled.forEach((teams, key) => copy.unsettled.set(key, new Set(teams)));
+    return copy;
+  }
+
+  /** Sets the rates in force; what was earned until now is earned at the old ones. */
+  setTeams(rates: ReadonlyMap<TeamId, TeamRate>, now: Millis): void {
+    this.ledgers.forEach((ledger, team) => {
+      const old = this.rates.get(team);
+      if (old === undefined || sameRate(old, rates.get(team))) return;
+      this.ledgers.set(team, refreshedLedger(ledger, old, this.settings, now));
+    });
+    this.rates = rates;
+  }
+
+  /** Gets the accounts, for a dump. */
+  get accounts(): ReadonlyMap<TeamId, TeamLedger> {
+    return this.ledgers;
+  }
+
+  /**
+   * Answers a holder.
+   *
+   * @param holder - Key of the holder.
+   * @param sync - What it sent.
+   * @param ctx - What is known of the group at this moment.
+   * @param now - This host's clock.
+   * @returns The answer; undefined for a message that was overtaken by a later one.
+   */
+  answer(
+    holder: string,
+    sync: ShareSync,
+    ctx: StewardContext,
+    now: Millis,
+  ): StewardAnswer | undefined {
+    this.expire(now);
+    const pair = this.pairs.get(holder) ?? NEW_PAIR;
+    if (sync.sync <= pair.lastSync) return undefined;
+    this.noteMembers(ctx);
+    this.settle(holder, pair, sync, now);
+    const sessionBefore = this.session;
+    this.pairs.set(holder, {
+      lastSync: sync.sync,
+      repliedAt: now,
+      listedSession: Math.max(pair.listedSession, sync.listedSession),
+      listedEpoch: sync.listedSession > 0 ? sync.epoch : pair.listedEpoch,
+      pending: [],
+    });
+    const reports = sync.reports.filter((report) => this.rates.has(report.team));
+    const declined = reports.filter((report) => !this.mayKeep(report.team, ctx, now));
+    const taken = reports.filter((report) => !declined.includes(report));
+    const parts = taken.map((report) => this.take(holder, report, sync, ctx, now));
+    this.endRecoveries(ctx, now);
+    const extra = this.unsolicited(holder, new Set(reports.map((one) => one.team)), ctx, now);
+    const grants = [...parts.flatMap((part) => part.grants), ...extra];
+    this.notePending(holder, grants);
+    const opened = this.session > sessionBefore ? ctx.members : [];
+    const nudges = [...new Set([...parts.flatMap((part) => part.nudges), ...opened])];
+    const { epoch } = ctx;
+    const { session } = this;
+    const { ttlMs } = this.settings;
+    const names = declined.map((report) => report.team);
+    const reply = { sync: sync.sync, epoch, session, ttlMs, grants, declined: names };
+    return { reply, nudges: nudges.filter((key) => key !== holder) };
+  }
+
+  /** Frees what holders had whose grants have surely run out. */
+  private expire(now: Millis): void {
+    const wait = this.rules.expiryWait(this.settings);
+    const gone = [...this.pairs].filter(([, pair]) => now > pair.repliedAt + wait);
+    gone.forEach(([holder]) => {
+      this.ledgers.forEach((ledger, team) => this.free(team, ledger, holder, now));
+      this.pairs.set(holder, { ...(this.pairs.get(holder) ?? NEW_PAIR), repliedAt: Infinity });
+    });
+  }
+
+  private free(team: TeamId, ledger: TeamLedger, holder: string, now: Millis): void {
+    if (ledger.entries[holder] === undefined) return;
+    const rate = this.rates.get(team);
+    const base = rate === undefined ? ledger : refreshedLedger(ledger, rate, this.settings, now);
+    this.ledgers.set(team, withoutHolder(base, holder));
+    this.unsettle(team);
+  }
+
+  private noteMembers(ctx: StewardContext): void {
+    const key = ctx.members.join(' ');
+    if (key === this.membersKey) return;
+    this.membersKey = key;
+    this.unsettled.clear();
+    ctx.members.forEach((member) => this.unsettled.set(member, new Set(this.ledgers.keys())));
+  }
+
+  private unsettle(team: TeamId): void {
+    this.unsettled.forEach((teams) => teams.add(team));
+  }
+
+  private settle(holder: string, pair: HolderPair, sync: ShareSync, now: Millis): void {
+    const applied = sync.acked === pair.lastSync;
+    pair.pending.forEach((team) => {
+      const ledger = this.ledgers.get(team);
+      const rate = this.rates.get(team);
+      if (ledger === undefined || rate === undefined) return;
+      const fresh = refreshedLedger(ledger, rate, this.settings, now);
+      this.ledgers.set(team, settled(fresh, holder, applied, rate));
+    });
+  }
+
+  /** Opens or keeps the account of a team; false where this host may not act as its steward. */
+  private mayKeep(team: TeamId, ctx: StewardContext, now: Millis): boolean {
+    if (!ctx.maySteward(team)) return false;
+    const known = this.ledgers.get(team);
+    if (known === undefined) this.open(team, ctx, now);
+    else if (known.epoch !== ctx.epoch) {
+      // Another steward may have granted in between what this account still counts as free.
+      if (ctx.stewardThroughout(team, known.epoch)) {
+        this.ledgers.set(team, { ...known, epoch: ctx.epoch });
+      } else this.open(team, ctx, now);
+    }
+    return true;
+  }
+
+  private open(team: TeamId, ctx: StewardContext, now: Millis): void {
+    const rate = this.rates.get(team) as TeamRate;
+    this.session += 1;
+    if (ctx.isFirstEpoch) {
+      this.ledgers.set(team, openFirst(team, this.session, ctx.epoch, rate, now));
+    } else {
+      const until = now + this.rules.expiryWait(this.settings);
+      this.ledgers.set(team, openRecovering(team, this.session, ctx.epoch, until, now));
+      this.recovering.add(team);
+    }
+    this.unsettle(team);
+  }
+
+  private take(
+    holder: string,
+    report: TeamReport,
+    sync: ShareSync,
+    ctx: StewardContext,
+    now: Millis,
+  ): { readonly grants: readonly TeamGrant[]; readonly nudges: readonly string[] } {
+    const { team } = report;
+    const rate = this.rates.get(team) as TeamRate;
+    const base = this.ledgers.get(team) as TeamLedger;
+    const fresh = refreshedLedger(base, rate, this.settings, now);
+    const record = recorded(fresh, holder, report, sync.session, rate, now);
+    this.ledgers.set(team, record.ledger);
+    if (record.verdict === 'present_again') return { grants: [], nudges: [] };
+    if (this.endsRecovery(record.ledger, ctx, now)) this.endRecovery(team, now);
+    const allocation = this.allocate(team, holder, ctx, now);
+    const isVoid = record.verdict === 'void';
+    const grant = isVoid ? { ...allocation.grant, reset: true } : allocation.grant;
+    const waiting = this.waiting(team, holder, ctx, now);
+    return { grants: [grant], nudges: [...allocation.givers, ...waiting] };
+  }
+
+  /** Gets the holders whose wants can be met now from what is free. */
+  private waiting(
+    team: TeamId,
+    holder: string,
+    ctx: StewardContext,
+    now: Millis,
+  ): readonly string[] {
+    const ledger = this.ledgers.get(team) as TeamLedger;
+    if (ledger.bucket.level < 1) return [];
+    return estimates(ledger, holder, this.contextOf(team, ctx, now))
+      .filter((one) => one.wanted > 0)
+      .map((one) => one.holder);
+  }
+
+  private allocate(
+    team: TeamId,
+    holder: string,
+    ctx: StewardContext,
+    now: Millis,
+  ): ReturnType<typeof allocate> {
+    const ledger = this.ledgers.get(team) as TeamLedger;
+    const allocation = allocate(ledger, holder, this.contextOf(team, ctx, now));
+    this.ledgers.set(team, allocation.ledger);
+    this.unsettled.get(holder)?.delete(team);
+    if (allocation.grant.share < (ledger.entries[holder]?.share ?? 0)) this.unsettle(team);
+    return allocation;
+  }
+
+  private contextOf(team: TeamId, ctx: StewardContext, now: Millis): AllocationContext {
+    const { settings, rules } = this;
+    return { rate: this.rates.get(team) as TeamRate, settings, rules, members: ctx.members, now };
+  }
+
+  /** Moves shares of teams that a holder does not report: idle ones, after a change of members. */
+  private unsolicited(
+    holder: string,
+    reported: ReadonlySet<TeamId>,
+    ctx: StewardContext,
+    now: Millis,
+  ): readonly TeamGrant[] {
+    const waiting = [...(this.unsettled.get(holder) ?? [])].filter((team) => !reported.has(team));
+    return waiting.slice(0, this.settings.maxEntries).flatMap((team) => {
+      this.unsettled.get(holder)?.delete(team);
+      const ledger = this.ledgers.get(team);
+      if (ledger === undefined || !this.rates.has(team)) return [];
+      if (!this.mayKeep(team, ctx, now)) return [];
+      return this.move(team, holder, ctx, now);
+    });
+  }
+
+  private move(
+    team: TeamId,
+    holder: string,
+    ctx: StewardContext,
+    now: Millis,
+  ): readonly TeamGrant[] {
+    const rate = this.rates.get(team) as TeamRate;
+    const ledger = refreshedLedger(this.ledgers.get(team) as TeamLedger, rate, this.settings, now);
+    const known = ledger.entries[holder];
+    if (known === undefined && ledger.recoveringUntil !== undefined) return [];
+    const none = { share: 0, level: 0, demand: 0, wanted: 0, reportedAt: now, givenId: 0 };
+    const entries = { ...ledger.entries, [holder]: known ?? none };
+    this.ledgers.set(team, { ...ledger, entries });
+    const { grant } = this.allocate(team, holder, ctx, now);
+    const isSame = grant.share === (known?.share ?? 0) && grant.tokens === 0 && grant.take === 0;
+    return isSame ? [] : [grant];
+  }
+
+  private notePending(holder: string, grants: readonly TeamGrant[]): void {
+    const pair = this.pairs.get(holder) ?? NEW_PAIR;
+    const pending = grants
+      .filter(({ team }) => this.ledgers.get(team)?.entries[holder]?.pending !== undefined)
+      .map((grant) => grant.team);
+    this.pairs.set(holder, { ...pair, pending });
+  }
+
+  private endsRecovery(ledger: TeamLedger, ctx: StewardContext, now: Millis): boolean {
+    if (ledger.recoveringUntil === undefined) return false;
+    if (now > ledger.recoveringUntil) return true;
+    // Nothing can be left over once everybody who may hold a grant has listed what it holds.
+    return (
+      ctx.mayHold?.every((key) => {
+        const pair = this.pairs.get(key);
+        if (pair === undefined || pair.listedEpoch !== ctx.epoch) return false;
+        return pair.listedSession >= ledger.session;
+      }) ?? false
+    );
+  }
+
+  private endRecoveries(ctx: StewardContext, now: Millis): void {
+    [...this.recovering]
+      .filter((team) => {
+        const ledger = this.ledgers.get(team);
+        return ledger === undefined || this.endsRecovery(ledger, ctx, now);
+      })
+      .forEach((team) => this.endRecovery(team, now));
+  }
+
+  private endRecovery(team: TeamId, now: Millis): void {
+    this.recovering.delete(team);
+    const ledger = this.ledgers.get(team);
+    const rate = this.rates.get(team);
+    if (ledger === undefined || rate === undefined) return;
+    const fresh = refreshedLedger(ledger, rate, this.settings, now);
+    this.ledgers.set(team, withRecoveryEnded(fresh));
+    this.unsettle(team);
+  }
+}
--- /dev/null
+++ b/packages/group/src/shares/index.ts
@@ -0,0 +1,6 @@
+export * from './ShareHolder.ts';
+export * from './ShareMessage.ts';
+export * from './ShareSettings.ts';
+export * from './ShareSteward.ts';
+export type { HeldShare } from './HeldShare.ts';
+export type { TeamLedger } from './TeamLedger.ts';
