--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@camphorvane/core';
 import type { Clock, HostId, Millis } from '@camphorvane/core';
 import type {
   Expected,
@@ -245,13 +246,12 @@
     run: () => Result<T, PlatformError>,
     retryAfterMs: Millis | undefined,
   ): Promise<Result<T, PlatformError>> {
-    const never = new AbortController().signal;
     const half = this.faultState.delayMs / 2;
-    await interruptible(this.clock, half, never);
+    await sleep(this.clock, half);
     if (this.faultState.down) return err(UNAVAILABLE);
     if (retryAfterMs !== undefined) return err({ type: 'over_budget', retryAfterMs });
     const result = run();
-    await interruptible(this.clock, half, never);
+    await sleep(this.clock, half);
     return result;
   }
 
