Charge teams by shares of their rate over all hosts

Cause: each host gave a team a fixed part of its rate, which refuses callers that all come to one host.

Change: TeamRates runs a holder and a steward of shares over the links between hosts, and the host charges by it. An idle team's share lies spread over the members. The fixed parts are gone.

Ruled out: claims without a session, renewal across epochs, a full burst for teams merely new to this host (docs/design/0025-shares.md names the counterexamples).

Figures: tests bring about one host with all callers, five times the rate, the steward's death, removal from the group, a halved rate, 500 idle teams (no more messages).

--- a/packages/group/src/shares/HeldShare.ts
+++ b/packages/group/src/shares/HeldShare.ts
@@ -16,6 +16,8 @@
   readonly demandAt: Millis;
   readonly wanted: Tokens;
   readonly given?: GivenTokens;
+  /** Whether there ever was a share of this team here. */
+  readonly everHeld: boolean;
 }
 
 /** Makes the state of a team of which nothing is held. */
@@ -28,6 +30,7 @@
     demand: 0,
     demandAt: now,
     wanted: 0,
+    everHeld: false,
   };
 }
 
@@ -97,15 +100,16 @@
  * @returns What is held then; `given` is set where tokens wait to be reported.
  */
 export function granted(held: HeldShare, grant: TeamGrant, rate: TeamRate, id: number): HeldShare {
+  const everHeld = held.everHeld || grant.share > 0;
   if (grant.reset) {
     const bucket = pour({ ...held.bucket, level: 0 }, grant.tokens, grant.share, rate);
-    return { ...held, share: grant.share, bucket, given: undefined };
+    return { ...held, share: grant.share, bucket, given: undefined, everHeld };
   }
   const tokens = givenUp(held, grant, rate);
   const kept = { ...held.bucket, level: held.bucket.level - tokens };
   const bucket = pour(kept, grant.tokens, grant.share, rate);
   const given = tokens > 0 ? { id, tokens } : undefined;
-  return { ...held, share: grant.share, bucket, given };
+  return { ...held, share: grant.share, bucket, given, everHeld };
 }
 
 /** Describes a team for its steward. */
@@ -117,5 +121,6 @@
 ): TeamReport {
   const { share, wanted, given } = held;
   const demand = Math.round(demandAt(held, settings, now));
-  return { team, share, level: Math.floor(held.bucket.level), demand, wanted, given };
+  const known = held.everHeld;
+  return { team, share, level: Math.floor(held.bucket.level), demand, wanted, given, known };
 }
--- a/packages/group/src/shares/ShareHolder.ts
+++ b/packages/group/src/shares/ShareHolder.ts
@@ -26,6 +26,8 @@
   /** Until when its grants of that epoch hold, on this clock. */
   readonly until: Millis;
   readonly session: number;
+  /** The session for which the last message listed everything; 0 where it did not. */
+  readonly listed: number;
   /** Teams reported by the last message. */
   readonly inFlight: readonly TeamId[];
 }
@@ -44,6 +46,7 @@
   epoch: 0,
   until: 0,
   session: 0,
+  listed: 0,
   inFlight: [],
 };
 
@@ -177,11 +180,40 @@
     this.dirty.add(team);
   }
 
+  /**
+   * Drops everything held: this host was out of the group for a while, so that others may have
+   * counted it out and given its shares on.
+   */
+  dropAll(now: Millis): void {
+    this.held.forEach((held, team) => {
+      this.held.set(team, lapsed(held, now));
+      this.dirty.add(team);
+    });
+  }
+
   /** Presents everything held to the stewards of a new epoch. */
   epochChanged(): void {
     this.held.forEach((held, team) => {
-      if (held.share > 0) this.dirty.add(team);
+      if (held.everHeld) this.dirty.add(team);
     });
+    this.pairs.forEach((pair, key) => this.pairs.set(key, { ...pair, listed: 0 }));
+  }
+
+  /** Marks a team to be reported. */
+  touch(team: TeamId, now: Millis): void {
+    if (this.current(team, now) !== undefined) this.dirty.add(team);
+  }
+
+  /** Tells whether tokens of a team wait to be reported as given back. */
+  hasGift(team: TeamId): boolean {
+    return this.held.get(team)?.given !== undefined;
+  }
+
+  /** Tells whether a steward has not yet heard of everything held. */
+  hasUnlisted(steward: string): boolean {
+    const pair = this.pairs.get(steward);
+    if (pair !== undefined && pair.listed < pair.session) return true;
+    return (this.unlisted.get(steward)?.size ?? 0) > 0;
   }
 
   /** Gets the teams that have something to report. */
@@ -212,15 +244,21 @@
     const reports = teams.map((team) => this.report(team, steward, now));
     teams.forEach((team) => this.dirty.delete(team));
     const lastSync = pair.lastSync + 1;
-    this.pairs.set(steward, { ...pair, lastSync, sentAt: now, inFlight: teams });
     const listedSession = isListed ? pair.session : 0;
+    this.pairs.set(steward, {
+      ...pair,
+      ...{ lastSync, sentAt: now, inFlight: teams, listed: listedSession },
+    });
     const { acked, session } = pair;
     return { sync: lastSync, acked, epoch, session, listedSession, reports };
   }
 
   /** Notes that the last message to a steward got no reply: its teams are reported again. */
   failed(steward: string): void {
-    this.pairs.get(steward)?.inFlight.forEach((team) => this.dirty.add(team));
+    const pair = this.pairs.get(steward);
+    if (pair === undefined) return;
+    pair.inFlight.forEach((team) => this.dirty.add(team));
+    this.pairs.set(steward, { ...pair, listed: 0 });
   }
 
   /**
@@ -274,7 +312,7 @@
     pair.inFlight.forEach((team) => kept.delete(team));
     if (all) {
       this.held.forEach((held, team) => {
-        if (held.share > 0 && lookup(team) === steward) kept.add(team);
+        if (held.everHeld && lookup(team) === steward) kept.add(team);
       });
     }
     this.unlisted.set(steward, kept);
--- a/packages/group/src/shares/ShareMessage.ts
+++ b/packages/group/src/shares/ShareMessage.ts
@@ -1,17 +1,6 @@
-import type { HostId, Incarnation, Millis, TeamId } from '@camphorvane/core';
+import type { Millis, TeamId } from '@camphorvane/core';
 import type { Share } from './ShareSettings.ts';
 
-/** Names one start of a host, as holder or steward of shares. */
-export interface ShareHost {
-  readonly host: HostId;
-  readonly incarnation: Incarnation;
-}
-
-/** Gets a text that is equal only for the same start of the same host. */
-export function shareHostKey(host: ShareHost): string {
-  return `${host.host}@${host.incarnation}`;
-}
-
 /** Tokens that a holder has taken out of its bucket for the steward; counted once by its id. */
 export interface GivenTokens {
   readonly id: number;
@@ -29,6 +18,8 @@
   /** Tokens that a waiting request lacks. */
   readonly wanted: number;
   readonly given?: GivenTokens;
+  /** True where this holder ever had a grant of the team. */
+  readonly known: boolean;
 }
 
 /** What a holder sends to a steward; each one renews what the steward granted before. */
--- a/packages/group/src/shares/ShareSettings.ts
+++ b/packages/group/src/shares/ShareSettings.ts
@@ -41,7 +41,7 @@
   periodMs: 200,
   renewMs: 2_000,
   demandMs: 1_000,
-  evenPart: 0.2,
+  evenPart: 0.05,
   smallestMove: SHARE_UNITS / 40,
   wantMs: 100,
   keepMs: 100,
--- a/packages/group/src/shares/ShareSteward.ts
+++ b/packages/group/src/shares/ShareSteward.ts
@@ -3,22 +3,26 @@
 import { type HolderPair, NEW_HOLDER_PAIR } from './HolderPair.ts';
 import type { ShareReply, ShareSync, TeamGrant, TeamReport } from './ShareMessage.ts';
 import { sameRate, SHARE_RULES, type ShareRules, type ShareSettings } from './ShareSettings.ts';
+import { mergeNudges, type ShareNudge } from './ShareNudge.ts';
 import type { StewardContext } from './StewardContext.ts';
 import {
+  emptyEntry,
   openFirst,
   openRecovering,
   recorded,
   refreshedLedger,
   settled,
   type TeamLedger,
+  withEntry,
   withoutHolder,
   withRecoveryEnded,
 } from './TeamLedger.ts';
+import { UnsettledTeams } from './UnsettledTeams.ts';
 
 /** An answer, and the holders that should report at once. */
 export interface StewardAnswer {
   readonly reply: ShareReply;
-  readonly nudges: readonly string[];
+  readonly nudges: readonly ShareNudge[];
 }
 
 /** Keeps the accounts of the teams whose steward this host is, without any I/O. */
@@ -36,7 +40,7 @@
   private readonly recovering = new Set<TeamId>();
 
   /** Teams whose shares may lie far from their targets at holders that do not report them. */
-  private readonly unsettled = new Map<string, Set<TeamId>>();
+  private unsettled = new UnsettledTeams();
 
   private session = 1;
 
@@ -56,7 +60,7 @@
     this.ledgers.forEach((ledger, team) => copy.ledgers.set(team, ledger));
     this.pairs.forEach((pair, key) => copy.pairs.set(key, pair));
     this.recovering.forEach((team) => copy.recovering.add(team));
-    this.unsettled.forEach((teams, key) => copy.unsettled.set(key, new Set(teams)));
+    copy.unsettled = this.unsettled.fork();
     return copy;
   }
 
@@ -73,8 +77,7 @@
   /** Gets all that decides what this steward does next, as plain values. */
   get state(): unknown {
     const { ledgers, pairs, recovering, unsettled, session } = this;
-    const open = [...unsettled].map(([holder, teams]) => [holder, [...teams]]);
-    return [[...ledgers], [...pairs], [...recovering], open, session];
+    return [[...ledgers], [...pairs], [...recovering], unsettled.state, session];
   }
 
   /** Gets the accounts, for a dump. */
@@ -119,13 +122,31 @@
     const grants = [...parts.flatMap((part) => part.grants), ...extra];
     this.notePending(holder, grants);
     const opened = this.session > sessionBefore ? ctx.members : [];
-    const nudges = [...new Set([...parts.flatMap((part) => part.nudges), ...opened])];
-    const { epoch } = ctx;
-    const { session } = this;
-    const { ttlMs } = this.settings;
+    const nudges = mergeNudges(
+      parts.flatMap((part) => part.nudges),
+      opened,
+    );
     const names = declined.map((report) => report.team);
-    const reply = { sync: sync.sync, epoch, session, ttlMs, grants, declined: names };
-    return { reply, nudges: nudges.filter((key) => key !== holder) };
+    const reply = this.replyTo(sync, ctx, grants, names);
+    return { reply, nudges: nudges.filter((one) => one.holder !== holder) };
+  }
+
+  /**
+   * Opens the account of a team that this host may act for, so that an idle team lies spread over
+   * the members before its first request.
+   */
+  ensure(team: TeamId, ctx: StewardContext, now: Millis): void {
+    if (this.rates.has(team)) this.mayKeep(team, ctx, now);
+  }
+
+  private replyTo(
+    { sync }: ShareSync,
+    { epoch }: StewardContext,
+    grants: readonly TeamGrant[],
+    declined: readonly TeamId[],
+  ): ShareReply {
+    const { session } = this;
+    return { sync, epoch, session, ttlMs: this.settings.ttlMs, grants, declined };
   }
 
   /** Frees what holders had whose grants have surely run out. */
@@ -146,19 +167,14 @@
     const rate = this.rates.get(team);
     const base = rate === undefined ? ledger : refreshedLedger(ledger, rate, this.settings, now);
     this.ledgers.set(team, withoutHolder(base, holder));
-    this.unsettle(team);
+    this.unsettled.add(team);
   }
 
   private noteMembers(ctx: StewardContext): void {
     const key = ctx.members.join(' ');
     if (key === this.membersKey) return;
     this.membersKey = key;
-    this.unsettled.clear();
-    ctx.members.forEach((member) => this.unsettled.set(member, new Set(this.ledgers.keys())));
-  }
-
-  private unsettle(team: TeamId): void {
-    this.unsettled.forEach((teams) => teams.add(team));
+    this.unsettled.reset(ctx.members, [...this.ledgers.keys()]);
   }
 
   private settle(holder: string, pair: HolderPair, sync: ShareSync, now: Millis): void {
@@ -196,7 +212,7 @@
       this.ledgers.set(team, openRecovering(team, this.session, ctx.epoch, until, now));
       this.recovering.add(team);
     }
-    this.unsettle(team);
+    this.unsettled.add(team);
   }
 
   private take(
@@ -205,7 +221,7 @@
     sync: ShareSync,
     ctx: StewardContext,
     now: Millis,
-  ): { readonly grants: readonly TeamGrant[]; readonly nudges: readonly string[] } {
+  ): { readonly grants: readonly TeamGrant[]; readonly nudges: readonly ShareNudge[] } {
     const { team } = report;
     const rate = this.rates.get(team) as TeamRate;
     const base = this.ledgers.get(team) as TeamLedger;
@@ -213,12 +229,13 @@
     const record = recorded(fresh, holder, report, sync.session, rate, now);
     this.ledgers.set(team, record.ledger);
     if (record.verdict === 'present_again') return { grants: [], nudges: [] };
-    if (this.endsRecovery(record.ledger, ctx, now)) this.endRecovery(team, now);
+    if (this.endsRecovery(record.ledger, ctx, now)) this.endRecovery(team, ctx, now);
     const allocation = this.allocate(team, holder, ctx, now);
     const isVoid = record.verdict === 'void';
     const grant = isVoid ? { ...allocation.grant, reset: true } : allocation.grant;
     const waiting = this.waiting(team, holder, ctx, now);
-    return { grants: [grant], nudges: [...allocation.givers, ...waiting] };
+    const needed = [...allocation.givers, ...waiting];
+    return { grants: [grant], nudges: needed.map((key) => ({ holder: key, teams: [team] })) };
   }
 
   /** Gets the holders whose wants can be met now from what is free. */
@@ -244,8 +261,8 @@
     const ledger = this.ledgers.get(team) as TeamLedger;
     const allocation = allocate(ledger, holder, this.contextOf(team, ctx, now));
     this.ledgers.set(team, allocation.ledger);
-    this.unsettled.get(holder)?.delete(team);
-    if (allocation.grant.share < (ledger.entries[holder]?.share ?? 0)) this.unsettle(team);
+    this.unsettled.remove(holder, team);
+    if (allocation.grant.share < (ledger.entries[holder]?.share ?? 0)) this.unsettled.add(team);
     return allocation;
   }
 
@@ -261,9 +278,9 @@
     ctx: StewardContext,
     now: Millis,
   ): readonly TeamGrant[] {
-    const waiting = [...(this.unsettled.get(holder) ?? [])].filter((team) => !reported.has(team));
+    const waiting = this.unsettled.of(holder).filter((team) => !reported.has(team));
     return waiting.slice(0, this.settings.maxEntries).flatMap((team) => {
-      this.unsettled.get(holder)?.delete(team);
+      this.unsettled.remove(holder, team);
       const ledger = this.ledgers.get(team);
       if (ledger === undefined || !this.rates.has(team)) return [];
       if (!this.mayKeep(team, ctx, now)) return [];
@@ -281,9 +298,7 @@
     const ledger = refreshedLedger(this.ledgers.get(team) as TeamLedger, rate, this.settings, now);
     const known = ledger.entries[holder];
     if (known === undefined && ledger.recoveringUntil !== undefined) return [];
-    const none = { share: 0, level: 0, demand: 0, wanted: 0, reportedAt: now, givenId: 0 };
-    const entries = { ...ledger.entries, [holder]: known ?? none };
-    this.ledgers.set(team, { ...ledger, entries });
+    this.ledgers.set(team, withEntry(ledger, holder, known ?? emptyEntry(now)));
     const { grant } = this.allocate(team, holder, ctx, now);
     const isSame = grant.share === (known?.share ?? 0) && grant.tokens === 0 && grant.take === 0;
     return isSame ? [] : [grant];
@@ -299,7 +314,10 @@
 
   private endsRecovery(ledger: TeamLedger, ctx: StewardContext, now: Millis): boolean {
     if (ledger.recoveringUntil === undefined) return false;
-    if (now > ledger.recoveringUntil) return true;
+    return now > ledger.recoveringUntil || this.allListed(ledger, ctx);
+  }
+
+  private allListed(ledger: TeamLedger, ctx: StewardContext): boolean {
     // Nothing can be left over once everybody who may hold a grant has listed what it holds.
     return (
       ctx.mayHold?.every((key) => {
@@ -316,16 +334,17 @@
         const ledger = this.ledgers.get(team);
         return ledger === undefined || this.endsRecovery(ledger, ctx, now);
       })
-      .forEach((team) => this.endRecovery(team, now));
+      .forEach((team) => this.endRecovery(team, ctx, now));
   }
 
-  private endRecovery(team: TeamId, now: Millis): void {
+  private endRecovery(team: TeamId, ctx: StewardContext, now: Millis): void {
     this.recovering.delete(team);
     const ledger = this.ledgers.get(team);
     const rate = this.rates.get(team);
     if (ledger === undefined || rate === undefined) return;
     const fresh = refreshedLedger(ledger, rate, this.settings, now);
-    this.ledgers.set(team, withRecoveryEnded(fresh));
-    this.unsettle(team);
+    const isComplete = ctx.isWholeHistory && this.allListed(fresh, ctx);
+    this.ledgers.set(team, withRecoveryEnded(fresh, rate, isComplete));
+    this.unsettled.add(team);
   }
 }
--- a/packages/group/src/shares/StewardContext.ts
+++ b/packages/group/src/shares/StewardContext.ts
@@ -7,6 +7,8 @@
   readonly members: readonly string[];
   /** Keys of all hosts that may hold a grant of an earlier steward; undefined where unknown. */
   readonly mayHold: readonly string[] | undefined;
+  /** True where `mayHold` names every host that ever was in the group. */
+  readonly isWholeHistory: boolean;
   /** True where the group has had no epoch before this one. */
   readonly isFirstEpoch: boolean;
   /** Whether this host may act as the steward of a team now. */
--- a/packages/group/src/shares/TeamLedger.ts
+++ b/packages/group/src/shares/TeamLedger.ts
@@ -18,6 +18,8 @@
   readonly wanted: Tokens;
   readonly reportedAt: Millis;
   readonly pending?: PendingGrant;
+  /** Whether the holder ever had a grant of the team. */
+  readonly known: boolean;
   /** Id of the last gift that was counted. */
   readonly givenId: number;
 }
@@ -75,6 +77,14 @@
   return { ...ledger, bucket: accrue(ledger.bucket, ledger.free, rate, settings, now) };
 }
 
+/** Makes the entry of a holder that has nothing. */
+export function emptyEntry(now: Millis): LedgerEntry {
+  return {
+    ...{ share: 0, level: 0, demand: 0, wanted: 0 },
+    ...{ reportedAt: now, givenId: 0, known: false },
+  };
+}
+
 /** Replaces one entry. */
 export function withEntry(ledger: TeamLedger, holder: string, entry: LedgerEntry): TeamLedger {
   return { ...ledger, entries: { ...ledger.entries, [holder]: entry } };
@@ -83,11 +93,20 @@
 /**
  * Ends the wait for shares that nobody presented: they are free now, without tokens, since whoever
  * had them may have spent them.
+ *
+ * @param isComplete - True where every host that ever was in the group has listed what it had: a
+ *   team that none of them ever held is new, and its whole burst is there.
  */
-export function withRecoveryEnded(ledger: TeamLedger): TeamLedger {
+export function withRecoveryEnded(
+  ledger: TeamLedger,
+  rate: TeamRate,
+  isComplete: boolean,
+): TeamLedger {
   if (ledger.recoveringUntil === undefined) return ledger;
   const free = SHARE_UNITS - grantedShare(ledger);
-  return { ...ledger, recoveringUntil: undefined, free };
+  const isNew = isComplete && Object.values(ledger.entries).every((entry) => !entry.known);
+  const level = isNew ? rate.burstTokens : ledger.bucket.level;
+  return { ...ledger, recoveringUntil: undefined, free, bucket: { ...ledger.bucket, level } };
 }
 
 /** Frees what a holder had once its grant has surely run out; its tokens are lost. */
@@ -119,8 +138,8 @@
 }
 
 function entryOf(report: TeamReport, givenId: number, now: Millis): LedgerEntry {
-  const { share, level, demand, wanted } = report;
-  return { share, level, demand, wanted, reportedAt: now, givenId };
+  const { share, level, demand, wanted, known } = report;
+  return { share, level, demand, wanted, known, reportedAt: now, givenId };
 }
 
 /** Whether a report could be taken in; `void` where what it claims is not known to be granted. */
--- a/packages/group/src/shares/allocation.ts
+++ b/packages/group/src/shares/allocation.ts
@@ -93,6 +93,19 @@
   return Math.min(SHARE_UNITS, Math.ceil((tokens / rate.burstTokens) * SHARE_UNITS));
 }
 
+/** Gets the holders that have more than suits their demand. */
+function holdersInExcess(
+  ledger: TeamLedger,
+  holder: string,
+  ctx: AllocationContext,
+): readonly string[] {
+  const { smallestMove } = ctx.settings;
+  return Object.entries(ledger.entries)
+    .filter(([other]) => other !== holder)
+    .filter(([other, entry]) => entry.share > targetOf(ledger, other, ctx) + smallestMove)
+    .map(([other]) => other);
+}
+
 /** Grants more to a holder that wants tokens or has less than its target. */
 function raise(
   ledger: TeamLedger,
@@ -118,10 +131,14 @@
   const others = estimates(ledger, holder, ctx);
   const lack = Math.max(0, entry.wanted - tokens);
   const there = others.reduce((sum, one) => sum + one.spare, 0);
-  const exhausted = lack > 0 && there < lack;
+  // While shares may exist that nobody has presented yet, nobody knows what the team has.
+  const isKnown = ledger.recoveringUntil === undefined;
+  const exhausted = isKnown && lack > 0 && there < lack;
   const givers = lack > 0 && !exhausted ? giversFor(lack, others) : [];
+  const isBehind = goal - share > ctx.settings.smallestMove;
+  const excess = isBehind ? holdersInExcess(ledger, holder, ctx) : [];
   const grant = { team: ledger.team, share, tokens, take: 0, reset: false, exhausted };
-  return { ledger: next, grant, givers };
+  return { ledger: next, grant, givers: [...givers, ...excess] };
 }
 
 /** Asks a holder for what others want of it, or for what it has beyond its target. */
--- a/packages/group/src/shares/explore/ShareProtocol.ts
+++ b/packages/group/src/shares/explore/ShareProtocol.ts
@@ -44,6 +44,7 @@
     epoch: host.epoch,
     members: world.hosts.map((other) => other.key),
     mayHold: world.hosts.map((other) => other.key),
+    isWholeHistory: world.restarts === 0,
     isFirstEpoch: host.epoch === 1 && world.restarts === 0,
     maySteward: () => isSteward && host.epoch === world.epoch,
     stewardThroughout: (_team, since) =>
--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -11,9 +11,10 @@
   Refusal,
   RequestId,
   ReservationId,
+  TeamId,
   UpstreamId,
 } from '@camphorvane/core';
-import type { Hello, Welcome } from '@camphorvane/group';
+import type { Hello, ShareReply, ShareSync, Welcome } from '@camphorvane/group';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where a peer listens. */
@@ -64,6 +65,9 @@
       readonly model: ModelId;
       readonly observations: readonly EngineObservation[];
     }
+  | { readonly type: 'share_sync'; readonly message: ShareSync }
+  /** Asks a holder to report some teams to the asking steward at once. */
+  | { readonly type: 'share_nudge'; readonly teams: readonly TeamId[] }
   | { readonly type: 'membership'; readonly message: Hello };
 
 /** What the other host answers. */
@@ -75,6 +79,7 @@
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
   | { readonly type: 'not_steward'; readonly epoch: number }
+  | { readonly type: 'share_reply'; readonly message: ShareReply }
   | { readonly type: 'membership'; readonly message: Welcome };
 
 /** Why a peer gave no answer. */
--- a/packages/peer/src/group/GroupRunner.ts
+++ b/packages/peer/src/group/GroupRunner.ts
@@ -92,6 +92,11 @@
     this.stopping.abort();
   }
 
+  /** Gets the newest record that this host knows. */
+  record(): GroupRecord | undefined {
+    return this.member.state.record;
+  }
+
   /** Gets what this host knows of its group. */
   view(): GroupView {
     return this.member.view(this.now());
--- a/packages/peer/src/grpc/requestMapping.ts
+++ b/packages/peer/src/grpc/requestMapping.ts
@@ -46,6 +46,8 @@
   withdraw: (req) => ({ $case: 'withdraw', withdraw: req }),
   renew: (req) => ({ $case: 'renew', renew: req }),
   prefill_ended: (req) => ({ $case: 'prefillEnded', prefillEnded: req }),
+  share_sync: (req) => ({ $case: 'shareSync', shareSync: req.message }),
+  share_nudge: (req) => ({ $case: 'shareNudge', shareNudge: req }),
   release: (req) => ({ $case: 'release', release: req }),
 };
 
@@ -80,6 +82,10 @@
       return renewFromWire(body.renew);
     case 'prefillEnded':
       return { type: 'prefill_ended', ...body.prefillEnded };
+    case 'shareSync':
+      return { type: 'share_sync', message: body.shareSync };
+    case 'shareNudge':
+      return { type: 'share_nudge', teams: body.shareNudge.teams };
     case 'release':
       return releaseFromWire(body.release);
     default:
--- /dev/null
+++ b/packages/peer/src/shares/ChargeQueue.ts
@@ -0,0 +1,129 @@
+import {
+  type Clock,
+  type Millis,
+  type Refusal,
+  sleep,
+  type TeamId,
+  type TeamRate,
+  type Tokens,
+} from '@camphorvane/core';
+import type { ShareHolder } from '@camphorvane/group';
+import type { Result } from 'neverthrow';
+import { NO_SHARE_RETRY_MS, noShare, overRate } from './RateMessages.ts';
+import { LONGEST_WAIT_MS, WaitingCharges } from './WaitingCharges.ts';
+
+/** Time for which a team that lacked tokens everywhere is refused without asking again. */
+const EXHAUSTED_MS: Millis = 50;
+
+/** Pause before a steward is asked again for tokens that other holders are to give back. */
+const ASK_AGAIN_MS: Millis = 10;
+
+/** What a {@link ChargeQueue} needs. */
+export interface ChargeQueueOptions {
+  readonly clock: Clock;
+  readonly holder: ShareHolder;
+  readonly signal: AbortSignal;
+  readonly rateOf: (team: TeamId) => TeamRate | undefined;
+  /** Reports a team to its steward, and resolves once the answer was taken or is lost. */
+  readonly syncTeam: (team: TeamId) => Promise<void>;
+}
+
+/** The requests that lack tokens on this host and wait for those of other hosts. */
+export class ChargeQueue {
+  private readonly options: ChargeQueueOptions;
+
+  private readonly waiting = new Map<TeamId, WaitingCharges>();
+
+  private readonly exhaustedUntil = new Map<TeamId, Millis>();
+
+  constructor(options: ChargeQueueOptions) {
+    this.options = options;
+  }
+
+  /** Tells whether a team was found a moment ago to lack tokens everywhere. */
+  isExhausted(team: TeamId): boolean {
+    return this.now() < (this.exhaustedUntil.get(team) ?? 0);
+  }
+
+  /** Gets how many requests of a team wait. */
+  countOf(team: TeamId): number {
+    return this.waiting.get(team)?.count ?? 0;
+  }
+
+  /**
+   * Waits until tokens were charged, for at most {@link LONGEST_WAIT_MS}.
+   *
+   * @param team - The team.
+   * @param tokens - What is to be charged.
+   * @param rate - The rate of the team, for the refusal.
+   * @returns Nothing once they were charged, or the refusal.
+   */
+  wait(team: TeamId, tokens: Tokens, rate: TeamRate): Promise<Result<void, Refusal>> {
+    const waiting = this.waiting.get(team) ?? new WaitingCharges();
+    this.waiting.set(team, waiting);
+    const waited = waiting.wait(
+      tokens,
+      (run) => this.options.clock.after(LONGEST_WAIT_MS, run),
+      () => this.refusalAfterWait(team, tokens, rate),
+    );
+    void this.fetch(team, waiting);
+    return waited;
+  }
+
+  /** Tells the holder what each team's waiting requests lack. */
+  noteWants(): void {
+    this.waiting.forEach((waiting, team) => {
+      if (waiting.count === 0) return;
+      const burst = this.options.rateOf(team)?.burstTokens ?? 0;
+      const wanted = Math.ceil(Math.min(waiting.tokens, burst) - this.levelOf(team));
+      this.options.holder.want(team, Math.max(0, wanted), this.now());
+    });
+  }
+
+  /** Charges for those of a team that have enough now, first come first. */
+  serve(team: TeamId): void {
+    const waiting = this.waiting.get(team);
+    if (waiting === undefined) return;
+    const { holder } = this.options;
+    waiting.serve((tokens) => holder.charge(team, tokens, this.now()).type === 'charged');
+    if (waiting.count === 0) this.waiting.delete(team);
+  }
+
+  /** Refuses all of a team, since the whole team lacks tokens. */
+  refuse(team: TeamId): void {
+    const waiting = this.waiting.get(team);
+    const rate = this.options.rateOf(team);
+    if (waiting === undefined || rate === undefined) return;
+    const level = this.levelOf(team);
+    this.exhaustedUntil.set(team, this.now() + EXHAUSTED_MS);
+    waiting.refuse((tokens) => overRate(tokens - level, rate));
+    this.waiting.delete(team);
+  }
+
+  private now(): Millis {
+    return this.options.clock.now();
+  }
+
+  private levelOf(team: TeamId): number {
+    return this.options.holder.current(team, this.now())?.bucket.level ?? 0;
+  }
+
+  private refusalAfterWait(team: TeamId, tokens: Tokens, rate: TeamRate): Refusal {
+    const held = this.options.holder.current(team, this.now());
+    if (held === undefined || held.share === 0) return noShare(NO_SHARE_RETRY_MS);
+    return overRate(tokens - held.bucket.level, rate);
+  }
+
+  /** Asks the steward again and again while somebody waits; each wait has an end of its own. */
+  private async fetch(team: TeamId, waiting: WaitingCharges): Promise<void> {
+    if (waiting.isFetching) return;
+    waiting.startFetching();
+    const { clock, holder, signal, syncTeam } = this.options;
+    while (waiting.count > 0 && !signal.aborted) {
+      holder.touch(team, this.now());
+      await syncTeam(team);
+      if (waiting.count > 0) await sleep(clock, ASK_AGAIN_MS, signal);
+    }
+    if (this.waiting.get(team) === waiting) this.waiting.delete(team);
+  }
+}
--- /dev/null
+++ b/packages/peer/src/shares/TeamRateDump.ts
@@ -0,0 +1,29 @@
+import type { Millis, TeamId } from '@camphorvane/core';
+import type { ShareHolder } from '@camphorvane/group';
+
+/** A team's state as a dump shows it. */
+export interface TeamRateDump {
+  readonly share: number;
+  readonly level: number;
+  readonly validForMs: Millis;
+  readonly waiting: number;
+}
+
+/** Describes all that a holder has. */
+export function dumpOf(
+  holder: ShareHolder,
+  now: Millis,
+  waitingOf: (team: TeamId) => number,
+): Readonly<Record<TeamId, TeamRateDump>> {
+  const entries = [...holder.state.held.keys()].map((team) => {
+    const held = holder.current(team, now);
+    const dump: TeamRateDump = {
+      share: held?.share ?? 0,
+      level: Math.floor(held?.bucket.level ?? 0),
+      validForMs: Math.max(0, Math.round(holder.validUntil(team) - now)),
+      waiting: waitingOf(team),
+    };
+    return [team, dump] as const;
+  });
+  return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/packages/peer/src/shares/index.ts
@@ -0,0 +1,4 @@
+export * from './GroupAuthority.ts';
+export * from './ShareAuthority.ts';
+export * from './TeamRateDump.ts';
+export * from './TeamRates.ts';
--- /dev/null
+++ b/packages/peer/tests/shares/TeamRates.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { sleep } from '@camphorvane/core';
+import { RateFleet, team } from '../support/RateFleet.ts';
+
+const NAMES = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+interface Load {
+  readonly team: string;
+  readonly hosts: readonly string[];
+  readonly tokens: number;
+  readonly everyMs: number;
+}
+
+interface Seen {
+  readonly charged: number[];
+  readonly codes: string[];
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((a, b) => a + b, 0);
+}
+
+async function ask(fleet: RateFleet, load: Load, host: string, seen: Seen): Promise<void> {
+  const res = await fleet.host(host).rates.charge(load.team, load.tokens);
+  if (res.isErr()) seen.codes.push(res.error.code);
+  else seen.charged.push(load.tokens);
+}
+
+/** Charges at a fixed pace, at each host of the load in turn, and gets what became of it. */
+async function run(fleet: RateFleet, loads: readonly Load[], forMs: number): Promise<Seen[]> {
+  const until = fleet.clock.now() + forMs;
+  const tasks = loads.map((load) => {
+    const seen: Seen = { charged: [], codes: [] };
+    const task = async (): Promise<void> => {
+      let i = 0;
+      while (fleet.clock.now() < until) {
+        void ask(fleet, load, load.hosts[i % load.hosts.length] as string, seen);
+        i += 1;
+        await sleep(fleet.clock, load.everyMs);
+      }
+    };
+    void task();
+    return seen;
+  });
+  await fleet.clock.advance(forMs + 200);
+  return tasks;
+}
+
+/** Charges once. */
+async function chargeOnce(fleet: RateFleet, host: string, tokens: number): Promise<string> {
+  const charging = fleet.host(host).rates.charge('t', tokens);
+  await fleet.clock.advance(200);
+  return (await charging).match(
+    () => 'charged',
+    (refusal) => `${refusal.code} ${refusal.execution}`,
+  );
+}
+
+test('callers of one team at one host get the whole rate', async () => {
+  // All callers of a team were told the same host. With a fixed part of the rate for each host
+  // they would be refused five times out of six.
+  const fleet = RateFleet.start(NAMES, [team('t', 1000, 2000)]);
+  await fleet.clock.advance(3000);
+  const load = { team: 't', hosts: ['c'], tokens: 80, everyMs: 100 };
+  const [seen] = await run(fleet, [load], 10_000);
+  assert.deepEqual(seen?.codes, []);
+  assert.equal(await chargeOnce(fleet, 'd', 1500), 'charged');
+});
+
+test('a team at five times its rate gets its rate and burst and no more', async () => {
+  // A neighbour sends far too much to all hosts at once; refusals name when to come back.
+  const fleet = RateFleet.start(NAMES, [team('t', 1000, 2000), team('u', 1000, 2000)]);
+  await fleet.clock.advance(3000);
+  const messagesBefore = fleet.messages;
+  const loads = [
+    { team: 't', hosts: NAMES, tokens: 50, everyMs: 10 },
+    { team: 'u', hosts: NAMES, tokens: 50, everyMs: 100 },
+  ];
+  const [seen, other] = await run(fleet, loads, 10_000);
+  const received = sum(seen?.charged ?? []);
+  assert.ok(received <= 1000 * 10.2 + 2000);
+  assert.ok(received >= 0.95 * (1000 * 10 + 2000), `received ${received}`);
+  assert.deepEqual([...new Set(seen?.codes)], ['over_rate']);
+  assert.deepEqual(other?.codes, []);
+  assert.ok(fleet.messages - messagesBefore < 20_000);
+});
+
+test('a group goes on without the steward of a team and gives its share back later', async () => {
+  // The steward crashes. Until another may act, each host has what it was granted before; what
+  // the dead host held is given to the others once its grant has surely run out.
+  const fleet = RateFleet.start(NAMES, [team('t', 1000, 2000)]);
+  await fleet.clock.advance(3000);
+  const load = { team: 't', hosts: NAMES, tokens: 50, everyMs: 100 };
+  await run(fleet, [load], 3000);
+  const dead = fleet.stewardOf('t');
+  const rest = NAMES.filter((name) => name !== dead);
+  fleet.kill(dead);
+  const [during] = await run(fleet, [{ ...load, hosts: rest }], 5800);
+  fleet.change(rest, 200);
+  const [after] = await run(fleet, [{ ...load, hosts: rest }], 12_000);
+  const shares = rest.map((name) => fleet.host(name).rates.dump().t?.share ?? 0);
+  assert.deepEqual(during?.codes, []);
+  assert.deepEqual(after?.codes, []);
+  assert.ok(sum(shares) > 900_000, `${sum(shares)} units`);
+});
+
+test('a host that is out of its group admits nothing', async () => {
+  // A host is cut off and taken out of the group; its callers are told that nothing ran.
+  const fleet = RateFleet.start(NAMES, [team('t', 1000, 2000)]);
+  await fleet.clock.advance(3000);
+  fleet.change(['a', 'b', 'c'], 0);
+  assert.equal(await chargeOnce(fleet, 'e', 10), 'share_unavailable not_run');
+});
+
+test('a changed rate holds at once and keeps the shares', async () => {
+  // Operators halve a rate while traffic runs.
+  const fleet = RateFleet.start(NAMES, [team('t', 1000, 2000)]);
+  await fleet.clock.advance(3000);
+  const load = { team: 't', hosts: NAMES, tokens: 50, everyMs: 20 };
+  await run(fleet, [load], 6000);
+  fleet.setTeams([team('t', 500, 1000)]);
+  const [seen] = await run(fleet, [load], 10_000);
+  const received = sum(seen?.charged ?? []);
+  assert.ok(received <= 500 * 10.2 + 1000);
+  assert.ok(received >= 0.9 * 500 * 10, `received ${received}`);
+});
+
+test('messages do not grow with teams that are idle', async () => {
+  // Thousands of teams are configured and a handful call at any time.
+  const idle = Array.from({ length: 500 }, (_, i) => team(`idle${i}`, 1000, 2000));
+  const counts = await [[team('t', 1000, 2000)], [team('t', 1000, 2000), ...idle]].reduce(
+    async (before, teams) => {
+      const seen = await before;
+      const fleet = RateFleet.start(NAMES, teams);
+      await fleet.clock.advance(10_000);
+      const start = fleet.messages;
+      await fleet.clock.advance(20_000);
+      return [...seen, fleet.messages - start];
+    },
+    Promise.resolve([] as number[]),
+  );
+  assert.equal(counts[1], counts[0]);
+});
--- /dev/null
+++ b/packages/peer/tests/support/RateFleet.ts
@@ -0,0 +1,173 @@
+import { rendezvousFirst, sleep, type TeamConfig, VirtualClock } from '@camphorvane/core';
+import {
+  type PeerError,
+  type PeerHandler,
+  type PeerLink,
+  type PeerRequest,
+  type PeerResponse,
+  type PeerSender,
+  type ShareAuthority,
+  type ShareMember,
+  TeamRates,
+} from '@camphorvane/peer';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+
+/** One way between two hosts, in milliseconds. */
+const HOP_MS = 1;
+
+/** One epoch of a group as a test sets it up. */
+interface TestEpoch {
+  readonly members: readonly string[];
+}
+
+/** A host of a test fleet. */
+export interface RateHost {
+  readonly name: string;
+  readonly rates: TeamRates;
+  alive: boolean;
+}
+
+/**
+ * Hosts with the rates that run in a product, over links in memory. The group's epochs are set by
+ * the test; a steward may act from `settledAt` on, as membership would allow it.
+ */
+export class RateFleet {
+  readonly clock = new VirtualClock();
+
+  readonly hosts: RateHost[] = [];
+
+  messages = 0;
+
+  private epochs: TestEpoch[] = [];
+
+  private settledAt = 0;
+
+  private teams: readonly TeamConfig[] = [];
+
+  /** Starts a group of hosts in its first epoch. */
+  static start(names: readonly string[], teams: readonly TeamConfig[]): RateFleet {
+    const fleet = new RateFleet();
+    fleet.teams = teams;
+    fleet.epochs = [{ members: names }];
+    names.forEach((name) => fleet.add(name));
+    return fleet;
+  }
+
+  /** Gets a host. */
+  host(name: string): RateHost {
+    const host = this.hosts.find((one) => one.name === name);
+    if (host === undefined) throw new Error(`no host ${name}`);
+    return host;
+  }
+
+  /** Takes a configuration into force at all hosts. */
+  setTeams(teams: readonly TeamConfig[]): void {
+    this.teams = teams;
+    this.hosts.forEach((host) => host.rates.setTeams(teams));
+  }
+
+  /** Ends a host at once. */
+  kill(name: string): void {
+    const host = this.host(name);
+    host.alive = false;
+    host.rates.stop();
+  }
+
+  /** Starts the next epoch; stewards that are new in it may act after a wait. */
+  change(members: readonly string[], waitMs: number): void {
+    this.epochs.push({ members });
+    this.settledAt = this.clock.now() + waitMs;
+    members
+      .filter((name) => !this.hosts.some((host) => host.name === name))
+      .forEach((name) => this.add(name));
+  }
+
+  /** Gets the steward of a team. */
+  stewardOf(id: string, epoch = this.epochs.length): string {
+    return rendezvousFirst(id, this.epochs[epoch - 1]?.members ?? []) ?? '';
+  }
+
+  private add(name: string): void {
+    const options = { clock: this.clock, link: this.linkOf(name), authority: this.authority(name) };
+    const rates = new TeamRates(options);
+    rates.setTeams(this.teams);
+    rates.start();
+    this.hosts.push({ name, rates, alive: true });
+  }
+
+  private members(): readonly ShareMember[] {
+    const names = this.epochs.at(-1)?.members ?? [];
+    return names.map((host) => ({ key: `${host}/1`, address: { host, address: host } }));
+  }
+
+  private authority(self: string): ShareAuthority {
+    const isMember = (epoch: TestEpoch): boolean => epoch.members.includes(self);
+    const throughout = (id: string, since: number): boolean =>
+      this.epochs.every((_, i) => i + 1 <= since || this.stewardOf(id, i + 1) === self);
+    return {
+      self: () => `${self}/1`,
+      epoch: () => this.epochs.length,
+      members: () => this.members(),
+      stewardOf: (id) => `${this.stewardOf(id)}/1`,
+      mayAct: () => this.epochs.at(-1)?.members.includes(self) ?? false,
+      memberThroughout: (since) => this.epochs.slice(since).every(isMember),
+      context: () => ({
+        epoch: this.epochs.length,
+        members: this.members().map((member) => member.key),
+        mayHold: this.mayHold(),
+        isWholeHistory: this.epochs.length === 1,
+        isFirstEpoch: this.epochs.length === 1,
+        maySteward: (id) =>
+          this.stewardOf(id) === self &&
+          (this.clock.now() >= this.settledAt || throughout(id, this.epochs.length - 1)) &&
+          this.epochs.at(-1)?.members.includes(self) === true,
+        stewardThroughout: throughout,
+      }),
+    };
+  }
+
+  private mayHold(): readonly string[] {
+    const recent = this.clock.now() < this.settledAt ? this.epochs : this.epochs.slice(-1);
+    return [...new Set(recent.flatMap((epoch) => epoch.members))].map((name) => `${name}/1`);
+  }
+
+  private linkOf(from: string): PeerLink {
+    return {
+      ask: (to, req, timeoutMs) => new ResultAsync(this.carry(from, to.host, req, timeoutMs)),
+    };
+  }
+
+  private async carry(
+    from: string,
+    to: string,
+    req: PeerRequest,
+    timeoutMs: number,
+  ): Promise<Result<PeerResponse, PeerError>> {
+    this.messages += 1;
+    await sleep(this.clock, HOP_MS);
+    if (!this.host(to).alive) {
+      await sleep(this.clock, timeoutMs - HOP_MS);
+      return err({ type: 'timeout', message: 'no answer' });
+    }
+    const sender = { host: from, incarnation: '1', protocol: 1 };
+    const res = await this.handler(to).answer(sender, req);
+    await sleep(this.clock, HOP_MS);
+    return ok(res);
+  }
+
+  private handler(name: string): PeerHandler {
+    const { rates } = this.host(name);
+    return {
+      answer: (from: PeerSender, req: PeerRequest) => {
+        if (req.type === 'share_sync') return Promise.resolve(rates.answerSync(from, req.message));
+        if (req.type === 'share_nudge') return Promise.resolve(rates.answerNudge(from, req.teams));
+        return Promise.resolve({ type: 'ok' });
+      },
+    };
+  }
+}
+
+/** Makes a team with a rate. */
+export function team(id: string, tokensPerSecond: number, burstTokens: number): TeamConfig {
+  return { id, rate: { tokensPerSecond, burstTokens }, keyDigests: [], models: [], weight: 1 };
+}
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,8 +1,8 @@
 import type { CallerBackend } from '@camphorvane/caller';
 import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
-import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
-import { GroupRunner } from '@camphorvane/peer';
+import { DEFAULT_MEMBERSHIP, memberKey } from '@camphorvane/group';
+import { GroupAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
 import type {
   PeerHandler,
   PeerLink,
@@ -26,7 +26,6 @@
 import { HostBackend } from './HostBackend.ts';
 import { InFlight } from './InFlight.ts';
 import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
-import { StaticRates } from './StaticRates.ts';
 import { StoreConfigSource } from './StoreConfigSource.ts';
 import { UpstreamDirectory } from './UpstreamDirectory.ts';
 
@@ -80,7 +79,7 @@
 
   private readonly inFlight = new InFlight();
 
-  private readonly rates: StaticRates;
+  private readonly rates: TeamRates;
 
   private readonly desk: StewardDesk;
 
@@ -110,7 +109,11 @@
     this.directory = new UpstreamDirectory(options.engines, options.servers);
     this.authenticator = new Authenticator(this.config, clock);
     const { group, directory } = this;
-    this.rates = new StaticRates(clock, () => group.members().length);
+    const authority = new GroupAuthority(
+      this.runner,
+      memberKey({ host: identity.host, incarnation }),
+    );
+    this.rates = new TeamRates({ clock, link, authority });
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
     const placements = new PlacementClient({
       self: identity.host,
@@ -162,6 +165,7 @@
     void this.announce(signal);
     void this.config.run(signal);
     this.runner.start();
+    this.rates.start();
     void this.desk.run(signal);
     void this.keeper.run(signal);
     void this.watch.run(signal);
@@ -177,6 +181,10 @@
           ? { type: 'not_steward', epoch: 0 }
           : { type: 'membership', message };
       }
+      case 'share_sync':
+        return this.rates.answerSync(from, req.message);
+      case 'share_nudge':
+        return this.rates.answerNudge(from, req.teams);
       case 'reserve':
       case 'withdraw':
       case 'renew':
@@ -201,6 +209,7 @@
     await this.announceOnce('leaving');
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
     await Promise.race([this.inFlight.whenIdle(), grace]);
+    await this.rates.handBack();
     await this.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.options.identity.host);
     this.stop();
@@ -211,6 +220,7 @@
     this.enterState('stopped');
     this.stopping.abort();
     this.desk.stop();
+    this.rates.stop();
     this.runner.stop();
   }
 
@@ -230,6 +240,7 @@
       inFlight: this.inFlight.size(),
       reservations: this.keeper.size(),
       group: this.runner.dump(),
+      rates: this.rates.dump(),
       stewardOf: this.desk.dump(),
       serviceQueues: this.gates.dump(),
       counters: this.options.metrics.getCounts(),
