--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,5 +1,13 @@
 import type { CallerBackend } from '@camphorvane/caller';
-import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
+import type {
+  Clock,
+  HostId,
+  Incarnation,
+  Millis,
+  ModelId,
+  RandomSource,
+  VersionedConfig,
+} from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
 import { DEFAULT_MEMBERSHIP, memberKey } from '@camphorvane/group';
 import { GroupAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
@@ -11,9 +19,17 @@
   PeerSender,
 } from '@camphorvane/peer';
 import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
+import {
+  BudgetedStore,
+  CallBudget,
+  ConfigFollower,
+  IdempotencyClaims,
+  KeyRing,
+} from '@camphorvane/platform';
 import type { Metrics } from '../observe/Metrics.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { EngineWatch } from '../placing/EngineWatch.ts';
+import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
 import { PlacementClient } from '../placing/PlacementClient.ts';
 import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 import { StewardDesk } from '../placing/StewardDesk.ts';
@@ -21,12 +37,12 @@
 import { ServiceGates } from '../serving/ServiceGates.ts';
 import { ServiceServing } from '../serving/ServiceServing.ts';
 import { Authenticator } from './Authenticator.ts';
-import type { ClaimBook } from './claims.ts';
+import { ConfigRelay } from './ConfigRelay.ts';
 import { GroupAdapter } from './GroupAdapter.ts';
 import { HostBackend } from './HostBackend.ts';
 import { InFlight } from './InFlight.ts';
 import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
-import { StoreConfigSource } from './StoreConfigSource.ts';
+import { answerPeer } from './answerPeer.ts';
 import { UpstreamDirectory } from './UpstreamDirectory.ts';
 
 /** Milliseconds between two announcements in the platform's host list. */
@@ -44,6 +60,8 @@
   readonly incarnation: string;
   readonly group: string;
   readonly groupSize: number;
+  /** Hosts of the whole fleet, which share the platform's rates. */
+  readonly fleetHosts: number;
   readonly drainGraceMs: Millis;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -51,7 +69,6 @@
   readonly link: PeerLink;
   readonly engines: EngineFactory;
   readonly servers: PlainServerFactory;
-  readonly claims: ClaimBook;
   readonly metrics: Metrics;
 }
 
@@ -67,7 +84,11 @@
 
   private readonly stopping = new AbortController();
 
-  private readonly config: StoreConfigSource;
+  private readonly config: ConfigFollower;
+
+  private readonly relay: ConfigRelay;
+
+  private readonly keys = new KeyRing();
 
   private readonly runner: GroupRunner;
 
@@ -83,31 +104,42 @@
 
   private readonly desk: StewardDesk;
 
+  private readonly fallback: FallbackPlacer;
+
   private readonly keeper: ReservationKeeper;
 
   private readonly watch: EngineWatch;
 
   private readonly gates: ServiceGates;
 
+  private readonly claims: IdempotencyClaims;
+
   private state: HostState = 'starting';
 
   /** @param options - What the host is made of. */
   constructor(options: HostOptions) {
     this.options = options;
     const { clock, random, store, link, metrics, identity, incarnation } = options;
-    this.config = new StoreConfigSource(store, clock);
+    const budget = new CallBudget(clock, CallBudget.ratesFor(options.fleetHosts));
     this.runner = new GroupRunner({
       group: options.group,
       self: { ...identity, incarnation },
       settings: { ...DEFAULT_MEMBERSHIP, maxMembers: options.groupSize },
       clock,
       random,
-      store,
+      store: new BudgetedStore(store, budget, 'membership'),
       link,
     });
     this.group = new GroupAdapter(this.runner, { ...identity, leaving: false });
+    this.relay = new ConfigRelay({ self: identity.host, clock, group: this.group, link });
+    this.config = new ConfigFollower({
+      store: new BudgetedStore(store, budget, 'config'),
+      clock,
+      random,
+      peers: this.relay,
+    });
     this.directory = new UpstreamDirectory(options.engines, options.servers);
-    this.authenticator = new Authenticator(this.config, clock);
+    this.authenticator = new Authenticator(this.config, this.keys);
     const { group, directory } = this;
     const authority = new GroupAuthority(
       this.runner,
@@ -115,16 +147,25 @@
     );
     this.rates = new TeamRates({ clock, link, authority });
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
+    const hostCount = (): number => group.members().length;
+    this.fallback = new FallbackPlacer({ clock, random, directory, hostCount, incarnation });
     const placements = new PlacementClient({
       self: identity.host,
       clock,
       group,
       link,
       desk: this.desk,
+      fallback: this.fallback,
     });
     this.keeper = new ReservationKeeper(clock, placements);
     this.watch = new EngineWatch(clock, placements);
-    this.gates = new ServiceGates(clock, directory, () => group.members().length);
+    this.gates = new ServiceGates(clock, directory, hostCount);
+    this.claims = new IdempotencyClaims({
+      store: new BudgetedStore(store, budget, 'claims'),
+      clock,
+      random,
+      holderState: (host, start) => this.holderState(host, start),
+    });
     this.backend = new HostBackend({
       clock,
       random,
@@ -149,7 +190,8 @@
         directory,
         gates: this.gates,
         rates: this.rates,
-        claims: options.claims,
+        claims: this.claims,
+        self: { host: identity.host, incarnation },
         metrics,
       }),
       metrics,
@@ -163,7 +205,8 @@
     this.config.onChange((config) => this.takeConfig(config));
     this.group.onChange(() => this.takeGroup());
     void this.announce(signal);
-    void this.config.run(signal);
+    this.config.start();
+    void this.relay.run(this.config, signal);
     this.runner.start();
     this.rates.start();
     void this.desk.run(signal);
@@ -174,27 +217,8 @@
 
   /** Answers what other hosts ask. */
   async answer(from: PeerSender, req: PeerRequest): Promise<PeerResponse> {
-    switch (req.type) {
-      case 'membership': {
-        const message = this.runner.answer(req.message);
-        return message === undefined
-          ? { type: 'not_steward', epoch: 0 }
-          : { type: 'membership', message };
-      }
-      case 'share_sync':
-        return this.rates.answerSync(from, req.message);
-      case 'share_nudge':
-        return this.rates.answerNudge(from, req.teams);
-      case 'reserve':
-      case 'withdraw':
-      case 'renew':
-      case 'prefill_ended':
-      case 'release':
-      case 'observe':
-        return this.desk.answer(req);
-      default:
-        return req satisfies never;
-    }
+    const { runner, rates, relay, config, desk } = this;
+    return answerPeer({ runner, rates, relay, config, desk }, from, req);
   }
 
   /**
@@ -210,6 +234,7 @@
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
     await Promise.race([this.inFlight.whenIdle(), grace]);
     await this.rates.handBack();
+    await Promise.race([this.claims.drained(), grace]);
     await this.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.options.identity.host);
     this.stop();
@@ -219,8 +244,11 @@
   stop(): void {
     this.enterState('stopped');
     this.stopping.abort();
+    void this.config.stop();
+    void this.claims.stop();
     this.desk.stop();
     this.rates.stop();
+    this.fallback.stop();
     this.runner.stop();
   }
 
@@ -229,37 +257,47 @@
     return this.state;
   }
 
+  /** Gets the name of the host. */
+  getName(): HostId {
+    return this.options.identity.host;
+  }
+
+  /** Gets the models whose pools this host coordinates now. */
+  getCoordinated(): readonly ModelId[] {
+    return this.desk.getModels();
+  }
+
+  /** Gets the version of the configuration in force; 0 before the first. */
+  configVersion(): number {
+    return this.config.state().version;
+  }
+
   /** Gets the whole state in readable form, without any secret. */
   dump(): object {
     return {
       identity: this.options.identity,
       incarnation: this.options.incarnation,
       state: this.state,
-      configVersion: this.config.current()?.version ?? 0,
-      configConfirmedAgoMs: this.confirmedAgo(),
+      config: this.config.state(),
       inFlight: this.inFlight.size(),
       reservations: this.keeper.size(),
       group: this.runner.dump(),
       rates: this.rates.dump(),
       stewardOf: this.desk.dump(),
+      fallback: this.fallback.dump(),
       serviceQueues: this.gates.dump(),
       counters: this.options.metrics.getCounts(),
     };
   }
 
-  private confirmedAgo(): Millis | undefined {
-    const at = this.config.confirmedAt();
-    return at === undefined ? undefined : this.options.clock.now() - at;
-  }
-
   private takeConfig({ version, config }: VersionedConfig): void {
     this.directory.reshape(config);
-    this.authenticator.setTeams(config.teams);
+    this.keys.update(config);
     this.rates.setTeams(config.teams);
     this.desk.refresh();
     this.gates.refresh();
     const refusal = notRun('key_withdrawn', 'The key was withdrawn while the request ran.');
-    const ended = this.inFlight.endWithdrawn((d) => this.authenticator.isInForce(d), refusal);
+    const ended = this.inFlight.endWithdrawn((d, team) => this.keys.isInForce(d, team), refusal);
     this.options.metrics.count('config.changed');
     log('config_in_force', { version, ended });
   }
@@ -269,6 +307,16 @@
     this.gates.refresh();
   }
 
+  /** A member of the epoch may still be running its call; one that is no longer there never will. */
+  private holderState(host: HostId, incarnation: Incarnation): 'live' | 'gone' | 'unknown' {
+    const view = this.runner.view();
+    if (view.epoch === 0) return 'unknown';
+    const isMember = view.members.some(
+      (member) => member.host === host && member.incarnation === incarnation,
+    );
+    return isMember ? 'live' : 'gone';
+  }
+
   private async announce(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.announceOnce(this.state === 'draining' ? 'leaving' : 'live');
--- a/packages/router/tests/support/MemoryFleet.ts
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -1,3 +1,5 @@
+import { applyConfig } from '@camphorvane/operator';
+import type { ApplyBase } from '@camphorvane/operator';
 import type { RoutingConfig } from '@camphorvane/core';
 import { RandomSource, VirtualClock, sha256Hex } from '@camphorvane/core';
 import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
@@ -10,7 +12,6 @@
   serviceSettings,
 } from '@camphorvane/stand-ins';
 import { Host, Metrics } from '@camphorvane/router';
-import type { ClaimBook } from '@camphorvane/router';
 
 export const KEY = 'cvk_test_key_of_team_a';
 
@@ -76,12 +77,6 @@
   };
 }
 
-const NO_CLAIMS: ClaimBook = {
-  claim: () => Promise.resolve({ type: 'claimed' }),
-  finish: () => Promise.resolve(),
-  abandon: () => Promise.resolve(),
-};
-
 /** A completion on its way. */
 export interface StartedCompletion {
   readonly id: string;
@@ -157,11 +152,13 @@
         ]),
       ),
     );
-    this.hosts = Array.from({ length: hostCount }, (_, i) => this.makeHost(`h${i + 1}`, i));
+    this.hosts = Array.from({ length: hostCount }, (_, i) =>
+      this.makeHost(`h${i + 1}`, i, hostCount),
+    );
   }
 
   async start(): Promise<void> {
-    void this.store.put('config', 'current', testConfig(), 'absent').map(() => undefined);
+    void this.apply(testConfig(), 'first', { type: 'none' });
     this.hosts.forEach((host) => host.start());
     await this.clock.advance(20_000);
   }
@@ -182,12 +179,64 @@
     if (!holds()) throw new Error('still waiting after a minute');
   }
 
+  private async apply(cfg: RoutingConfig, changeId: string, base: ApplyBase): Promise<void> {
+    const context = { store: this.store, clock: this.clock, random: new RandomSource(2) };
+    const applied = await applyConfig(context, cfg, { changeId, base });
+    if (applied.isErr()) throw new Error(JSON.stringify(applied.error));
+  }
+
   host(index: number): Host {
     const host = this.hosts[index];
     if (host === undefined) throw new Error(`no host ${index}`);
     return host;
   }
 
+  /** Gets the host that coordinates the pool now. */
+  stewardOfPool(): Host {
+    const steward = this.hosts.find((host) => host.getCoordinated().includes('m'));
+    if (steward === undefined) throw new Error('nobody coordinates the pool');
+    return steward;
+  }
+
+  /** Cuts a host off from all others; the platform and engines stay within its reach. */
+  cutOff(host: Host): void {
+    const name = host.getName();
+    this.hosts.forEach((other) => this.network.cut(name, other.getName()));
+  }
+
+  /** Lets time go on until a promise has settled. */
+  async during<T>(promise: Promise<T>): Promise<T> {
+    const state = { settled: false };
+    const settled = promise.finally(() => {
+      state.settled = true;
+    });
+    await this.advanceUntil(() => state.settled);
+    return settled;
+  }
+
+  /** Issues a certificate; gets its answer or refusal in short. */
+  async issueCertificate(host: Host, idempotencyKey: string): Promise<string> {
+    const reply = await host.backend.callService(
+      host.backend.newRequestId(),
+      {
+        key: KEY,
+        service: 'certs',
+        method: 'POST',
+        path: '/issue',
+        headers: { 'idempotency-key': idempotencyKey },
+        idempotencyKey,
+        body: Buffer.from('batch 7'),
+        hopped: false,
+      },
+      new AbortController().signal,
+    );
+    return reply.match(
+      (answer) =>
+        `${answer.status} ${Buffer.from(answer.body).toString()}${answer.replayed ? ' replayed' : ''}`,
+      (refusal) => `${refusal.code} ${refusal.execution}`,
+    );
+  }
+
   /** Gets the attempts that hold memory on any engine. */
   heldAttempts(): readonly string[] {
     return [...this.engines.values()].flatMap((engine) => engine.currentLoad().attempts);
@@ -206,11 +255,11 @@
   async withdrawKeys(): Promise<void> {
     const cfg = testConfig();
     const teams = cfg.teams.map((team) => ({ ...team, keyDigests: [] }));
-    void this.store.put('config', 'current', { ...cfg, teams }, 1).map(() => undefined);
+    void this.apply({ ...cfg, teams }, 'withdraw', { type: 'config', config: cfg });
     await this.clock.advance(10);
   }
 
-  private makeHost(name: string, index: number): Host {
+  private makeHost(name: string, index: number, hostCount: number): Host {
     const identity = {
       host: name,
       zone: `z${index % 3}`,
@@ -224,6 +273,7 @@
       incarnation,
       group: 'g',
       groupSize: 9,
+      fleetHosts: hostCount,
       drainGraceMs: 60_000,
       clock: this.clock,
       random: new RandomSource(100 + index),
@@ -231,7 +281,6 @@
       link: this.network.link(sender, this.clock),
       engines: (cfg) => this.engine(cfg.id),
       servers: () => this.service,
-      claims: NO_CLAIMS,
       metrics: new Metrics(),
     });
     this.network.attach(name, host);
