Borrow tokens between members where no steward helps

Change: a request that has waited 30 ms borrows from other members; tokens lent count as spent at the lender, so the cap needs no steward.

--- a/packages/bench/src/rates/RateGroup.ts
+++ b/packages/bench/src/rates/RateGroup.ts
@@ -141,6 +141,7 @@
     answer: (from, req) => {
       const answer = (): PeerResponse => {
         if (req.type === 'share_sync') return rates.answerSync(from, req.message);
+        if (req.type === 'share_borrow') return rates.answerBorrow(req.team, req.tokens);
         if (req.type === 'share_nudge') return rates.answerNudge(from, req.teams);
         if (req.type !== 'membership') return { type: 'ok' };
         const message = runner.answer(req.message);
--- a/packages/bench/src/rates/runRateCase.ts
+++ b/packages/bench/src/rates/runRateCase.ts
@@ -140,6 +140,7 @@
     while (this.clock.now() < WARM_MS + LOAD_MS) {
       await sleep(this.clock, random.exponential(1000 / perSecond));
       const { live } = this.group;
+      if (live.length === 0) return;
       const isHome = this.rateCase.callers === 'one host' && live.includes(home);
       const host = isHome ? home : pick(random, live);
       const tokens = allowed + Math.ceil(random.exponential(prompt));
--- a/packages/group/src/shares/ShareHolder.ts
+++ b/packages/group/src/shares/ShareHolder.ts
@@ -1,6 +1,7 @@
 import type { Millis, TeamId, TeamRate, Tokens } from '@camphorvane/core';
 import {
   charged,
+  demandAt,
   granted,
   type HeldShare,
   lapsed,
@@ -11,27 +12,12 @@
   withDemand,
 } from './HeldShare.ts';
 import type { ShareReply, ShareSync } from './ShareMessage.ts';
+import { NEW_STEWARD_PAIR, type StewardPair } from './StewardPair.ts';
 import { sameRate, SHARE_RULES, type ShareRules, type ShareSettings } from './ShareSettings.ts';
 
 /** Gets the key of a team's steward under the newest epoch that this host knows. */
 export type StewardLookup = (team: TeamId) => string | undefined;
 
-/** What a holder and one steward have exchanged. */
-export interface StewardPair {
-  readonly lastSync: number;
-  readonly sentAt: Millis;
-  readonly acked: number;
-  /** Epoch under which the steward last answered. */
-  readonly epoch: number;
-  /** Until when its grants of that epoch hold, on this clock. */
-  readonly until: Millis;
-  readonly session: number;
-  /** The session for which the last message listed everything; 0 where it did not. */
-  readonly listed: number;
-  /** Teams reported by the last message. */
-  readonly inFlight: readonly TeamId[];
-}
-
 /** What became of a charge. */
 export type ChargeOutcome =
   | { readonly type: 'charged' }
@@ -39,17 +25,6 @@
   | { readonly type: 'no_grant' }
   | { readonly type: 'unknown_team' };
 
-const NEW_PAIR: StewardPair = {
-  lastSync: 0,
-  sentAt: 0,
-  acked: 0,
-  epoch: 0,
-  until: 0,
-  session: 0,
-  listed: 0,
-  inFlight: [],
-};
-
 /** What a {@link ShareHolder} knows; plain values, so that a search can copy it. */
 export interface ShareHolderState {
   readonly held: ReadonlyMap<TeamId, HeldShare>;
@@ -199,6 +174,38 @@
     this.pairs.forEach((pair, key) => this.pairs.set(key, { ...pair, listed: 0 }));
   }
 
+  /**
+   * Takes tokens out for a request of another host, leaving what this host's own demand of the
+   * next moment needs. They count as spent here and now, whatever becomes of them.
+   *
+   * @returns How many tokens were taken out.
+   */
+  lend(team: TeamId, tokens: Tokens, now: Millis): Tokens {
+    const held = this.current(team, now);
+    if (held === undefined) return 0;
+    const keep = (demandAt(held, this.settings, now) * this.settings.keepMs) / 1000;
+    const lent = Math.floor(Math.max(0, Math.min(tokens, held.bucket.level - keep)));
+    const next = charged(held, lent);
+    if (next !== undefined) this.held.set(team, next);
+    return next === undefined ? 0 : lent;
+  }
+
+  /**
+   * Charges a request with the help of borrowed tokens; what is left of them stays, as far as the
+   * share has room.
+   *
+   * @returns True if there were enough.
+   */
+  chargeWith(team: TeamId, tokens: Tokens, borrowed: Tokens, now: Millis): boolean {
+    const held = this.current(team, now);
+    const rate = this.rates.get(team);
+    if (held === undefined || rate === undefined) return false;
+    const next = charged(held, Math.max(0, tokens - borrowed));
+    if (next === undefined) return false;
+    this.held.set(team, refunded(next, Math.max(0, borrowed - tokens), rate));
+    return true;
+  }
+
   /** Marks a team to be reported. */
   touch(team: TeamId, now: Millis): void {
     if (this.current(team, now) !== undefined) this.dirty.add(team);
@@ -234,7 +241,7 @@
    * @param lookup - Gets each team's steward under that epoch.
    */
   sync(steward: string, epoch: number, lookup: StewardLookup, now: Millis): ShareSync {
-    const pair = this.pairs.get(steward) ?? NEW_PAIR;
+    const pair = this.pairs.get(steward) ?? NEW_STEWARD_PAIR;
     const unlisted = this.unlisted.get(steward) ?? new Set<TeamId>();
     const own = [...new Set([...unlisted, ...this.dirty])].filter(
       (team) => lookup(team) === steward && this.rates.has(team),
--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -12,6 +12,7 @@
   RequestId,
   ReservationId,
   TeamId,
+  Tokens,
   UpstreamId,
 } from '@camphorvane/core';
 import type { Hello, ShareReply, ShareSync, Welcome } from '@camphorvane/group';
@@ -70,6 +71,8 @@
       readonly observations: readonly EngineObservation[];
     }
   | { readonly type: 'share_sync'; readonly message: ShareSync }
+  /** Asks a holder for tokens of a team, for one request that waits. */
+  | { readonly type: 'share_borrow'; readonly team: TeamId; readonly tokens: Tokens }
   /** Asks a holder to report some teams to the asking steward at once. */
   | { readonly type: 'share_nudge'; readonly teams: readonly TeamId[] }
   | { readonly type: 'membership'; readonly message: Hello };
@@ -86,6 +89,7 @@
   | { readonly type: 'renewed'; readonly lost: readonly ReservationId[] }
   | { readonly type: 'ok' }
   | { readonly type: 'not_steward'; readonly epoch: number }
+  | { readonly type: 'share_lent'; readonly tokens: Tokens }
   | { readonly type: 'share_reply'; readonly message: ShareReply }
   | { readonly type: 'membership'; readonly message: Welcome };
 
--- a/packages/peer/src/grpc/requestMapping.ts
+++ b/packages/peer/src/grpc/requestMapping.ts
@@ -47,6 +47,7 @@
   renew: (req) => ({ $case: 'renew', renew: req }),
   prefill_ended: (req) => ({ $case: 'prefillEnded', prefillEnded: req }),
   share_sync: (req) => ({ $case: 'shareSync', shareSync: req.message }),
+  share_borrow: (req) => ({ $case: 'shareBorrow', shareBorrow: req }),
   share_nudge: (req) => ({ $case: 'shareNudge', shareNudge: req }),
   release: (req) => ({ $case: 'release', release: req }),
 };
@@ -84,6 +85,8 @@
       return { type: 'prefill_ended', ...body.prefillEnded };
     case 'shareSync':
       return { type: 'share_sync', message: body.shareSync };
+    case 'shareBorrow':
+      return { type: 'share_borrow', ...body.shareBorrow };
     case 'shareNudge':
       return { type: 'share_nudge', teams: body.shareNudge.teams };
     case 'release':
--- a/packages/peer/src/grpc/responseMapping.ts
+++ b/packages/peer/src/grpc/responseMapping.ts
@@ -22,6 +22,7 @@
   placed: (res) => ({ $case: 'placed', placed: res.placement }),
   refused: (res) => ({ $case: 'refused', refused: res.refusal }),
   renewed: (res) => ({ $case: 'renewed', renewed: res }),
+  share_lent: (res) => ({ $case: 'shareLent', shareLent: res }),
   share_reply: (res) => ({ $case: 'shareReply', shareReply: res.message }),
   ok: () => ({ $case: 'ok', ok: {} }),
   not_steward: (res) => ({ $case: 'notSteward', notSteward: res }),
@@ -56,6 +57,8 @@
       return { type: 'refused', refusal: refusalFromWire(body.refused) };
     case 'renewed':
       return { type: 'renewed', lost: body.renewed.lost };
+    case 'shareLent':
+      return { type: 'share_lent', tokens: body.shareLent.tokens };
     case 'shareReply':
       return { type: 'share_reply', message: body.shareReply };
     case 'ok':
--- a/packages/peer/src/shares/ChargeQueue.ts
+++ b/packages/peer/src/shares/ChargeQueue.ts
@@ -10,7 +10,7 @@
 import type { ShareHolder } from '@camphorvane/group';
 import type { Result } from 'neverthrow';
 import { NO_SHARE_RETRY_MS, noShare, overRate } from './RateMessages.ts';
-import { LONGEST_WAIT_MS, WaitingCharges } from './WaitingCharges.ts';
+import { LONGEST_WAIT_MS, type WaitingCharge, WaitingCharges } from './WaitingCharges.ts';
 
 /** Time for which a team that lacked tokens everywhere is refused without asking again. */
 const EXHAUSTED_MS: Millis = 50;
@@ -18,6 +18,9 @@
 /** Pause before a steward is asked again for tokens that other holders are to give back. */
 const ASK_AGAIN_MS: Millis = 10;
 
+/** How long the steward may take before other members are asked for tokens. */
+const BORROW_AFTER_MS: Millis = 30;
+
 /** What a {@link ChargeQueue} needs. */
 export interface ChargeQueueOptions {
   readonly clock: Clock;
@@ -26,6 +29,8 @@
   readonly rateOf: (team: TeamId) => TeamRate | undefined;
   /** Reports a team to its steward, and resolves once the answer was taken or is lost. */
   readonly syncTeam: (team: TeamId) => Promise<void>;
+  /** Borrows tokens from other members, and resolves to how many it got. */
+  readonly borrow: (team: TeamId, tokens: Tokens) => Promise<Tokens>;
 }
 
 /** The requests that lack tokens on this host and wait for those of other hosts. */
@@ -67,6 +72,7 @@
       () => this.refusalAfterWait(team, tokens, rate),
     );
     void this.fetch(team, waiting);
+    void this.borrowSoon(team, waiting);
     return waited;
   }
 
@@ -114,6 +120,44 @@
     return overRate(tokens - held.bucket.level, rate);
   }
 
+  /**
+   * Borrows from other members where the steward does not help in time.
+   *
+   * Made for the seconds after a steward's death, in which shares can't move: a request that is
+   * larger than what lies here would be refused although the team has the tokens. Tokens lent count
+   * as spent at the lender, so the cap holds whoever is steward and whatever is lost on the way.
+   */
+  private async borrowSoon(team: TeamId, waiting: WaitingCharges): Promise<void> {
+    if (waiting.isBorrowing) return;
+    waiting.setBorrowing(true);
+    await sleep(this.options.clock, BORROW_AFTER_MS, this.options.signal);
+    while (waiting.first !== undefined && (await this.borrowFor(team, waiting, waiting.first)));
+    waiting.setBorrowing(false);
+  }
+
+  /** Borrows for one request; false where the others had too little. */
+  private async borrowFor(
+    team: TeamId,
+    waiting: WaitingCharges,
+    charge: WaitingCharge,
+  ): Promise<boolean> {
+    const { holder, borrow, rateOf } = this.options;
+    const lack = Math.ceil(charge.tokens - this.levelOf(team));
+    const borrowed = lack <= 0 ? 0 : await borrow(team, lack);
+    const isWaiting = waiting.has(charge);
+    const needed = isWaiting ? charge.tokens : 0;
+    if (holder.chargeWith(team, needed, borrowed, this.now())) {
+      if (isWaiting) waiting.admit(charge);
+      return true;
+    }
+    holder.chargeWith(team, 0, borrowed, this.now());
+    const rate = rateOf(team);
+    if (rate === undefined || lack <= 0) return false;
+    this.exhaustedUntil.set(team, this.now() + EXHAUSTED_MS);
+    waiting.turnAway(charge, overRate(lack - borrowed, rate));
+    return true;
+  }
+
   /** Asks the steward again and again while somebody waits; each wait has an end of its own. */
   private async fetch(team: TeamId, waiting: WaitingCharges): Promise<void> {
     if (waiting.isFetching) return;
--- a/packages/peer/src/shares/TeamRates.ts
+++ b/packages/peer/src/shares/TeamRates.ts
@@ -39,6 +39,9 @@
   readonly settings?: ShareSettings;
 }
 
+/** After how long a member that was asked for tokens counts as silent. */
+const BORROW_TIMEOUT_MS: Millis = 15;
+
 /** Most teams of which a host finds out in one period whether they are its own. */
 const TEAMS_PLACED_PER_PERIOD = 200;
 
@@ -65,6 +68,9 @@
 
   private epoch = 0;
 
+  /** Spreads borrowing over the members. */
+  private nextLender = 0;
+
   /** Teams of which it is not yet known whether this host is to look after them. */
   private unplaced: TeamId[] = [];
 
@@ -80,6 +86,7 @@
       signal: this.stopping.signal,
       rateOf: (team) => this.rates.get(team),
       syncTeam: (team) => this.syncTeam(team),
+      borrow: (team, tokens) => this.borrow(team, tokens),
     });
   }
 
@@ -152,6 +159,12 @@
     return reply === undefined ? { type: 'ok' } : { type: 'share_reply', message: reply };
   }
 
+  /** Lends tokens for a request that waits at another host. */
+  answerBorrow(team: TeamId, tokens: Tokens): PeerResponse {
+    const lent = this.options.authority.mayAct() ? this.holder.lend(team, tokens, this.now()) : 0;
+    return { type: 'share_lent', tokens: lent };
+  }
+
   /** Reports teams to the steward that asked for it. */
   answerNudge(from: PeerSender, teams: readonly TeamId[]): PeerResponse {
     this.nudged(memberKey(from), teams);
@@ -293,6 +306,22 @@
     if (member !== undefined) await this.taskOf(member).sync();
   }
 
+  /** Borrows from one member after the other until there is enough. */
+  private async borrow(team: TeamId, tokens: Tokens): Promise<Tokens> {
+    const { authority, link } = this.options;
+    const others = authority.members().filter((member) => member.key !== authority.self());
+    const start = this.nextLender % Math.max(1, others.length);
+    this.nextLender += 1;
+    const lenders = [...others.slice(start), ...others.slice(0, start)];
+    return lenders.reduce(async (before, member) => {
+      const got = await before;
+      if (got >= tokens || !authority.mayAct()) return got;
+      const req = { type: 'share_borrow', team, tokens: tokens - got } as const;
+      const res = await link.ask(member.address, req, BORROW_TIMEOUT_MS);
+      return res.isOk() && res.value.type === 'share_lent' ? got + res.value.tokens : got;
+    }, Promise.resolve(0));
+  }
+
   private syncSoon(steward: string): void {
     const member = this.options.authority.members().find((one) => one.key === steward);
     if (member !== undefined) void this.taskOf(member).sync();
--- a/packages/peer/src/shares/WaitingCharges.ts
+++ b/packages/peer/src/shares/WaitingCharges.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 /** A request whose tokens are being fetched. */
-interface WaitingCharge {
+export interface WaitingCharge {
   readonly tokens: Tokens;
   readonly resolve: (result: Result<void, Refusal>) => void;
 }
@@ -11,6 +11,8 @@
 export class WaitingCharges {
   private fetching = false;
 
+  private borrowing = false;
+
   private waiting: readonly WaitingCharge[] = [];
 
   /** Tells whether somebody asks the steward on their behalf. */
@@ -23,6 +25,36 @@
     this.fetching = true;
   }
 
+  /** Tells whether somebody borrows on their behalf. */
+  get isBorrowing(): boolean {
+    return this.borrowing;
+  }
+
+  /** Gets the one that has waited longest. */
+  get first(): WaitingCharge | undefined {
+    return this.waiting[0];
+  }
+
+  /** Notes whether somebody borrows. */
+  setBorrowing(borrowing: boolean): void {
+    this.borrowing = borrowing;
+  }
+
+  /** Tells whether one still waits. */
+  has(charge: WaitingCharge): boolean {
+    return this.waiting.includes(charge);
+  }
+
+  /** Ends the wait of one that was charged. */
+  admit(charge: WaitingCharge): void {
+    this.end(charge, ok(undefined));
+  }
+
+  /** Refuses one. */
+  turnAway(charge: WaitingCharge, refusal: Refusal): void {
+    this.end(charge, err(refusal));
+  }
+
   /** Gets how many tokens they need together. */
   get tokens(): Tokens {
     return this.waiting.reduce((sum, one) => sum + one.tokens, 0);
--- a/packages/peer/tests/support/RateFleet.ts
+++ b/packages/peer/tests/support/RateFleet.ts
@@ -160,6 +160,9 @@
     return {
       answer: (from: PeerSender, req: PeerRequest) => {
         if (req.type === 'share_sync') return Promise.resolve(rates.answerSync(from, req.message));
+        if (req.type === 'share_borrow') {
+          return Promise.resolve(rates.answerBorrow(req.team, req.tokens));
+        }
         if (req.type === 'share_nudge') return Promise.resolve(rates.answerNudge(from, req.teams));
         return Promise.resolve({ type: 'ok' });
       },
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -67,6 +67,8 @@
       }
       case 'share_sync':
         return this.parts.rates.answerSync(from, req.message);
+      case 'share_borrow':
+        return this.parts.rates.answerBorrow(req.team, req.tokens);
       case 'share_nudge':
         return this.parts.rates.answerNudge(from, req.teams);
       case 'config_version':
