--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -49,6 +49,7 @@
     this.parts.config.start();
     void this.parts.relay.run(this.parts.config, signal);
     this.parts.runner.start();
+    this.parts.rates.start();
     void this.parts.desk.run(signal);
     void this.parts.keeper.run(signal);
     void this.parts.watch.run(signal);
@@ -67,6 +68,12 @@
       case 'crashes':
         this.parts.crashes.heard(req.reports);
         return { type: 'ok' };
+      case 'share_sync':
+        return this.parts.rates.answerSync(from, req.message);
+      case 'share_borrow':
+        return this.parts.rates.answerBorrow(req.team, req.tokens);
+      case 'share_nudge':
+        return this.parts.rates.answerNudge(from, req.teams);
       case 'config_version':
       case 'config_root':
       case 'config_chunk':
@@ -96,6 +103,7 @@
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
     await Promise.race([this.parts.inFlight.whenIdle(), grace]);
     await Promise.race([this.parts.claims.drained(), grace]);
+    await this.parts.rates.handBack();
     await this.parts.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.options.identity.host);
     this.stop();
@@ -108,6 +116,7 @@
     void this.parts.config.stop();
     void this.parts.claims.stop();
     this.parts.desk.stop();
+    this.parts.rates.stop();
     this.parts.fallback.stop();
     this.parts.runner.stop();
   }
@@ -157,6 +166,7 @@
       inFlight: this.parts.inFlight.size(),
       reservations: this.parts.keeper.size(),
       group: this.parts.runner.dump(),
+      rates: this.parts.rates.dump(),
       stewardOf: this.parts.desk.dump(),
       fallback: this.parts.fallback.dump(),
       crashes: this.parts.crashes.dump(),
