--- /dev/null
+++ b/packages/stand-ins/src/demo/freePort.ts
@@ -0,0 +1,14 @@
+import { createServer } from 'node:net';
+
+/** Gets a port on loopback that is free at the moment. */
+export function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      const port = typeof address === 'object' && address !== null ? address.port : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
