--- a/packages/stand-ins/src/demo/demoLoad.ts
+++ b/packages/stand-ins/src/demo/demoLoad.ts
@@ -45,7 +45,7 @@
   };
   return [
     { name: 'lookup', perSecond: 5, send: completion('lookup', 150, 24) },
-    { name: 'summary', perSecond: 0.8, send: completion('summary', 2000, 120) },
+    { name: 'summary', perSecond: 0.8, send: completion('summary', 1000, 120) },
     {
       name: 'certificate',
       perSecond: 3,
