--- a/packages/router/src/host/GroupAdapter.ts
+++ b/packages/router/src/host/GroupAdapter.ts
@@ -1,20 +1,28 @@
-import type { HostId } from '@camphorvane/core';
+import type { Clock, HostId, Millis } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
 import type { GroupRunner, PeerAddress } from '@camphorvane/peer';
 import type { GroupGate, GroupMate, Unsubscribe } from './ports.ts';
 
+/** Milliseconds between two looks for the permission to act that somebody waits for. */
+const WAIT_STEP_MS: Millis = 20;
+
 /** Shows a running group membership to the parts that serve. */
 export class GroupAdapter implements GroupGate {
   private readonly runner: GroupRunner;
 
   private readonly self: GroupMate;
 
+  private readonly clock: Clock;
+
   /**
    * @param runner - The membership.
    * @param self - This host, which is named even before it has joined.
+   * @param clock - Times waits.
    */
-  constructor(runner: GroupRunner, self: GroupMate) {
+  constructor(runner: GroupRunner, self: GroupMate, clock: Clock) {
     this.runner = runner;
     this.self = self;
+    this.clock = clock;
   }
 
   /** Gets all members, this host included. */
@@ -45,6 +53,12 @@
     return this.runner.mayAct();
   }
 
+  /** Waits so many milliseconds at most until this host may act. */
+  async waitToAct(waitMs: Millis): Promise<void> {
+    const until = this.clock.now() + waitMs;
+    while (!this.mayAct() && this.clock.now() < until) await sleep(this.clock, WAIT_STEP_MS);
+  }
+
   /** Calls back after each change of the epoch and of the permission to act. */
   onChange(changed: () => void): Unsubscribe {
     return this.runner.onChange(changed);
--- a/packages/router/src/host/HostBackend.ts
+++ b/packages/router/src/host/HostBackend.ts
@@ -26,8 +26,9 @@
 const ADVICE_LIFE_MS: Millis = 10_000;
 
 /**
- * Milliseconds that a request waits for the confirmation of the keys, where it is missing: a host
- * that wakes from a pause has it after one call, and need not refuse those who came first.
+ * Milliseconds that a request waits for the confirmation of the keys or of the membership, where
+ * one is missing: a host that wakes from a pause has both after one round of calls, and need not
+ * refuse those who came first.
  */
 const CONFIRM_WAIT_MS: Millis = 300;
 
@@ -157,7 +158,10 @@
         notRun('host_draining', 'This host is leaving; ask for hosts again.', DRAINING_RETRY_MS),
       );
     }
-    await this.options.config.confirmNow(CONFIRM_WAIT_MS);
+    await Promise.all([
+      this.options.config.confirmNow(CONFIRM_WAIT_MS),
+      this.options.group.waitToAct(CONFIRM_WAIT_MS),
+    ]);
     return this.options.authenticator.authenticate(key).andThen((caller) => {
       this.options.metrics.count('request.accepted');
       return ok(caller);
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -83,7 +83,7 @@
     store: new BudgetedStore(store, budget, 'membership'),
     link,
   });
-  const group = new GroupAdapter(runner, { ...identity, leaving: false });
+  const group = new GroupAdapter(runner, { ...identity, leaving: false }, clock);
   const relay = new ConfigRelay({ self: identity.host, clock, group, link });
   const config = new ConfigFollower({
     store: new BudgetedStore(store, budget, 'config'),
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -51,6 +51,9 @@
   /** Tells whether this host may use what it was given at all. */
   mayAct(): boolean;
 
+  /** Waits so many milliseconds at most until this host may act. */
+  waitToAct(waitMs: Millis): Promise<void>;
+
   /** Calls back after each change of members or stewards. */
   onChange(changed: () => void): Unsubscribe;
 }
