Borrow at once and drop the collection of tokens by stewards

Change: a request that lacks tokens borrows at once; stewards only move shares with demand (averaged over 4 s) and towards emptier buckets. Wants and claims are gone from the messages.

--- a/packages/group/src/shares/HeldShare.ts
+++ b/packages/group/src/shares/HeldShare.ts
@@ -14,7 +14,6 @@
   readonly frozenUntil: Millis;
   readonly demand: number;
   readonly demandAt: Millis;
-  readonly wanted: Tokens;
   readonly given?: GivenTokens;
   /** Whether there ever was a share of this team here. */
   readonly everHeld: boolean;
@@ -29,7 +28,6 @@
     frozenUntil: now,
     demand: 0,
     demandAt: now,
-    wanted: 0,
     everHeld: false,
   };
 }
@@ -77,15 +75,15 @@
 }
 
 /**
- * Works out what leaves the bucket when a share shrinks: its part of the tokens, what the rest
- * can't hold, and what the steward wants for somebody else.
+ * Works out what leaves the bucket when a share shrinks: its part of the tokens, and what the rest
+ * can't hold.
  */
 function givenUp(held: HeldShare, grant: TeamGrant, rate: TeamRate): number {
   const { level } = held.bucket;
   const cut = Math.max(0, held.share - grant.share);
   const part = held.share === 0 ? 0 : (level * cut) / held.share;
   const excess = level - capOf(grant.share, rate);
-  return Math.min(Math.ceil(Math.max(part, excess, grant.take, 0)), Math.floor(level));
+  return Math.min(Math.ceil(Math.max(part, excess, 0)), Math.floor(level));
 }
 
 /**
@@ -119,8 +117,8 @@
   settings: ShareSettings,
   now: Millis,
 ): TeamReport {
-  const { share, wanted, given } = held;
+  const { share, given } = held;
   const demand = Math.round(demandAt(held, settings, now));
   const known = held.everHeld;
-  return { team, share, level: Math.floor(held.bucket.level), demand, wanted, given, known };
+  return { team, share, level: Math.floor(held.bucket.level), demand, given, known };
 }
--- a/packages/group/src/shares/ShareHolder.ts
+++ b/packages/group/src/shares/ShareHolder.ts
@@ -138,14 +138,6 @@
     if (held !== undefined) this.held.set(team, withDemand(held, tokens, this.settings, now));
   }
 
-  /** Sets what waiting requests of a team lack; reported with the next message. */
-  want(team: TeamId, tokens: Tokens, now: Millis): void {
-    const held = this.current(team, now);
-    if (held === undefined) return;
-    this.held.set(team, { ...held, wanted: tokens });
-    this.dirty.add(team);
-  }
-
   /** Puts back what a charged request did not use. */
   refund(team: TeamId, tokens: Tokens, now: Millis): void {
     const held = this.current(team, now);
@@ -338,7 +330,7 @@
     const wasReported = pair.inFlight.includes(grant.team);
     const base = wasReported ? { ...held, given: undefined } : held;
     const next = granted(base, grant, rate, reply.sync);
-    this.held.set(grant.team, { ...next, steward, epoch: reply.epoch, wanted: 0 });
+    this.held.set(grant.team, { ...next, steward, epoch: reply.epoch });
     if (next.given !== undefined || next.share < held.share) this.dirty.add(grant.team);
     return true;
   }
--- a/packages/group/src/shares/ShareMessage.ts
+++ b/packages/group/src/shares/ShareMessage.ts
@@ -15,8 +15,6 @@
   readonly level: number;
   /** Tokens a second asked of it lately. */
   readonly demand: number;
-  /** Tokens that a waiting request lacks. */
-  readonly wanted: number;
   readonly given?: GivenTokens;
   /** True where this holder ever had a grant of the team. */
   readonly known: boolean;
@@ -42,12 +40,8 @@
   readonly share: Share;
   /** Tokens that the steward has taken out of its bucket for the holder. */
   readonly tokens: number;
-  /** Tokens that the holder is to give back beyond those that its smaller share can't hold. */
-  readonly take: number;
   /** True where what the holder had is void, its tokens included. */
   readonly reset: boolean;
-  /** True where the whole team lacks the tokens that the holder wants. */
-  readonly exhausted: boolean;
 }
 
 /** What a steward answers. */
--- a/packages/group/src/shares/ShareSettings.ts
+++ b/packages/group/src/shares/ShareSettings.ts
@@ -22,9 +22,7 @@
   readonly evenPart: number;
   /** Smallest difference from its target for which a share is moved. */
   readonly smallestMove: Share;
-  /** How long a holder's want of tokens counts after it was reported. */
-  readonly wantMs: Millis;
-  /** Demand, in milliseconds of it, that a holder keeps when others want its tokens. */
+  /** Demand, in milliseconds of it, that a holder keeps when it lends tokens. */
   readonly keepMs: Millis;
   /** Most teams in one message. */
   readonly maxEntries: number;
@@ -40,10 +38,9 @@
   driftBound: 0.001,
   periodMs: 200,
   renewMs: 2_000,
-  demandMs: 10_000,
+  demandMs: 4_000,
   evenPart: 0.1,
   smallestMove: SHARE_UNITS / 40,
-  wantMs: 100,
   keepMs: 100,
   maxEntries: 400,
 };
--- a/packages/group/src/shares/ShareSteward.ts
+++ b/packages/group/src/shares/ShareSteward.ts
@@ -1,5 +1,5 @@
 import type { Millis, TeamId, TeamRate } from '@camphorvane/core';
-import { allocate, type AllocationContext, estimates } from './allocation.ts';
+import { allocate, type AllocationContext } from './allocation.ts';
 import { type HolderPair, NEW_HOLDER_PAIR } from './HolderPair.ts';
 import type { ShareReply, ShareSync, TeamGrant, TeamReport } from './ShareMessage.ts';
 import { sameRate, SHARE_RULES, type ShareRules, type ShareSettings } from './ShareSettings.ts';
@@ -233,23 +233,8 @@
     const allocation = this.allocate(team, holder, ctx, now);
     const isVoid = record.verdict === 'void';
     const grant = isVoid ? { ...allocation.grant, reset: true } : allocation.grant;
-    const waiting = this.waiting(team, holder, ctx, now);
-    const needed = [...allocation.givers, ...waiting];
-    return { grants: [grant], nudges: needed.map((key) => ({ holder: key, teams: [team] })) };
-  }
-
-  /** Gets the holders whose wants can be met now from what is free. */
-  private waiting(
-    team: TeamId,
-    holder: string,
-    ctx: StewardContext,
-    now: Millis,
-  ): readonly string[] {
-    const ledger = this.ledgers.get(team) as TeamLedger;
-    if (ledger.bucket.level < 1) return [];
-    return estimates(ledger, holder, this.contextOf(team, ctx, now))
-      .filter((one) => one.wanted > 0)
-      .map((one) => one.holder);
+    const nudges = allocation.givers.map((key) => ({ holder: key, teams: [team] }));
+    return { grants: [grant], nudges };
   }
 
   private allocate(
@@ -300,7 +285,7 @@
     if (known === undefined && ledger.recoveringUntil !== undefined) return [];
     this.ledgers.set(team, withEntry(ledger, holder, known ?? emptyEntry(now)));
     const { grant } = this.allocate(team, holder, ctx, now);
-    const isSame = grant.share === (known?.share ?? 0) && grant.tokens === 0 && grant.take === 0;
+    const isSame = grant.share === (known?.share ?? 0) && grant.tokens === 0;
     return isSame ? [] : [grant];
   }
 
--- a/packages/group/src/shares/TeamLedger.ts
+++ b/packages/group/src/shares/TeamLedger.ts
@@ -15,7 +15,6 @@
   readonly share: Share;
   readonly level: number;
   readonly demand: number;
-  readonly wanted: Tokens;
   readonly reportedAt: Millis;
   readonly pending?: PendingGrant;
   /** Whether the holder ever had a grant of the team. */
@@ -80,7 +79,7 @@
 /** Makes the entry of a holder that has nothing. */
 export function emptyEntry(now: Millis): LedgerEntry {
   return {
-    ...{ share: 0, level: 0, demand: 0, wanted: 0 },
+    ...{ share: 0, level: 0, demand: 0 },
     ...{ reportedAt: now, givenId: 0, known: false },
   };
 }
@@ -138,8 +137,8 @@
 }
 
 function entryOf(report: TeamReport, givenId: number, now: Millis): LedgerEntry {
-  const { share, level, demand, wanted, known } = report;
-  return { share, level, demand, wanted, known, reportedAt: now, givenId };
+  const { share, level, demand, known } = report;
+  return { share, level, demand, known, reportedAt: now, givenId };
 }
 
 /** Whether a report could be taken in; `void` where what it claims is not known to be granted. */
--- a/packages/peer/src/shares/ChargeQueue.ts
+++ b/packages/peer/src/shares/ChargeQueue.ts
@@ -18,8 +18,11 @@
 /** Pause before a steward is asked again for tokens that other holders are to give back. */
 const ASK_AGAIN_MS: Millis = 10;
 
-/** How long the steward may take before other members are asked for tokens. */
-const BORROW_AFTER_MS: Millis = 30;
+/** What was found a moment ago not to be there. */
+interface Exhaustion {
+  readonly until: Millis;
+  readonly lack: Tokens;
+}
 
 /** What a {@link ChargeQueue} needs. */
 export interface ChargeQueueOptions {
@@ -39,15 +42,16 @@
 
   private readonly waiting = new Map<TeamId, WaitingCharges>();
 
-  private readonly exhaustedUntil = new Map<TeamId, Millis>();
+  private readonly exhausted = new Map<TeamId, Exhaustion>();
 
   constructor(options: ChargeQueueOptions) {
     this.options = options;
   }
 
-  /** Tells whether a team was found a moment ago to lack tokens everywhere. */
-  isExhausted(team: TeamId): boolean {
-    return this.now() < (this.exhaustedUntil.get(team) ?? 0);
+  /** Tells whether a team was found a moment ago to lack that many tokens everywhere. */
+  isExhausted(team: TeamId, lack: Tokens): boolean {
+    const known = this.exhausted.get(team);
+    return known !== undefined && this.now() < known.until && lack >= known.lack;
   }
 
   /** Gets how many requests of a team wait. */
@@ -72,20 +76,10 @@
       () => this.refusalAfterWait(team, tokens, rate),
     );
     void this.fetch(team, waiting);
-    void this.borrowSoon(team, waiting);
+    void this.borrowAll(team, waiting);
     return waited;
   }
 
-  /** Tells the holder what each team's waiting requests lack. */
-  noteWants(): void {
-    this.waiting.forEach((waiting, team) => {
-      if (waiting.count === 0) return;
-      const burst = this.options.rateOf(team)?.burstTokens ?? 0;
-      const wanted = Math.ceil(Math.min(waiting.tokens, burst) - this.levelOf(team));
-      this.options.holder.want(team, Math.max(0, wanted), this.now());
-    });
-  }
-
   /** Charges for those of a team that have enough now, first come first. */
   serve(team: TeamId): void {
     const waiting = this.waiting.get(team);
@@ -95,15 +89,8 @@
     if (waiting.count === 0) this.waiting.delete(team);
   }
 
-  /** Refuses all of a team, since the whole team lacks tokens. */
-  refuse(team: TeamId): void {
-    const waiting = this.waiting.get(team);
-    const rate = this.options.rateOf(team);
-    if (waiting === undefined || rate === undefined) return;
-    const level = this.levelOf(team);
-    this.exhaustedUntil.set(team, this.now() + EXHAUSTED_MS);
-    waiting.refuse((tokens) => overRate(tokens - level, rate));
-    this.waiting.delete(team);
+  private noteExhausted(team: TeamId, lack: Tokens): void {
+    this.exhausted.set(team, { until: this.now() + EXHAUSTED_MS, lack });
   }
 
   private now(): Millis {
@@ -114,6 +101,10 @@
     return this.options.holder.current(team, this.now())?.bucket.level ?? 0;
   }
 
+  private hasShare(team: TeamId): boolean {
+    return (this.options.holder.current(team, this.now())?.share ?? 0) > 0;
+  }
+
   private refusalAfterWait(team: TeamId, tokens: Tokens, rate: TeamRate): Refusal {
     const held = this.options.holder.current(team, this.now());
     if (held === undefined || held.share === 0) return noShare(NO_SHARE_RETRY_MS);
@@ -121,16 +112,16 @@
   }
 
   /**
-   * Borrows from other members where the steward does not help in time.
+   * Borrows from other members for one request after the other.
    *
-   * Made for the seconds after a steward's death, in which shares can't move: a request that is
-   * larger than what lies here would be refused although the team has the tokens. Tokens lent count
-   * as spent at the lender, so the cap holds whoever is steward and whatever is lost on the way.
+   * Made for large requests, skewed callers and the seconds after a steward's death, in which shares
+   * can't move: a request that is larger than what lies here would be refused although the team has
+   * the tokens. Tokens lent count as spent at the lender, so the cap holds whoever is steward and
+   * whatever is lost on the way.
    */
-  private async borrowSoon(team: TeamId, waiting: WaitingCharges): Promise<void> {
+  private async borrowAll(team: TeamId, waiting: WaitingCharges): Promise<void> {
     if (waiting.isBorrowing) return;
     waiting.setBorrowing(true);
-    await sleep(this.options.clock, BORROW_AFTER_MS, this.options.signal);
     while (waiting.first !== undefined && (await this.borrowFor(team, waiting, waiting.first)));
     waiting.setBorrowing(false);
   }
@@ -152,8 +143,9 @@
     }
     holder.chargeWith(team, 0, borrowed, this.now());
     const rate = rateOf(team);
-    if (rate === undefined || lack <= 0) return false;
-    this.exhaustedUntil.set(team, this.now() + EXHAUSTED_MS);
+    // Without any share here the steward is still to be heard; the wait has an end of its own.
+    if (rate === undefined || lack <= 0 || !this.hasShare(team)) return false;
+    this.noteExhausted(team, lack);
     waiting.turnAway(charge, overRate(lack - borrowed, rate));
     return true;
   }
--- a/packages/peer/src/shares/TeamRates.ts
+++ b/packages/peer/src/shares/TeamRates.ts
@@ -113,8 +113,8 @@
    * Takes tokens of a team's rate.
    *
    * Load: callers of one team at one host while its tokens lie at others. A request that lacks
-   * tokens here waits for at most 150 ms while the steward collects them; where
-   * the whole team has none it is refused at once and told when to come back.
+   * tokens here borrows from other members; where they have too few it is refused at once and told
+   * when to come back. It waits for at most 150 ms.
    *
    * @param team - The team of the caller's key.
    * @param tokens - Prompt plus allowed output.
@@ -130,7 +130,7 @@
     this.holder.demand(team, tokens, now);
     const outcome = this.holder.charge(team, tokens, now);
     if (outcome.type === 'charged') return okAsync({ team, tokens });
-    const isKnownShort = outcome.type === 'short' && this.queue.isExhausted(team);
+    const isKnownShort = outcome.type === 'short' && this.queue.isExhausted(team, outcome.lack);
     if (isKnownShort) return errAsync(overRate(outcome.lack, rate));
     return new ResultAsync(this.queue.wait(team, tokens, rate)).map(() => ({ team, tokens }));
   }
@@ -271,7 +271,6 @@
   private message(steward: string): ShareSync {
     const { authority } = this.options;
     this.followEpoch();
-    this.queue.noteWants();
     const lookup = (team: TeamId): string | undefined => authority.stewardOf(team);
     return this.holder.sync(steward, this.epoch, lookup, this.now());
   }
@@ -332,10 +331,7 @@
     const now = this.now();
     const lookup = (team: TeamId): string | undefined => authority.stewardOf(team);
     const grants = this.holder.apply(steward, reply, lookup, now);
-    grants.forEach((grant) => {
-      this.queue.serve(grant.team);
-      if (grant.exhausted) this.queue.refuse(grant.team);
-    });
+    grants.forEach((grant) => this.queue.serve(grant.team));
     const isUrgent = grants.some((grant) => this.holder.hasGift(grant.team));
     if (isUrgent || this.holder.hasUnlisted(steward)) this.syncSoon(steward);
   }
--- a/packages/peer/src/shares/WaitingCharges.ts
+++ b/packages/peer/src/shares/WaitingCharges.ts
@@ -55,11 +55,6 @@
     this.end(charge, err(refusal));
   }
 
-  /** Gets how many tokens they need together. */
-  get tokens(): Tokens {
-    return this.waiting.reduce((sum, one) => sum + one.tokens, 0);
-  }
-
   /** Gets how many wait. */
   get count(): number {
     return this.waiting.length;
@@ -99,11 +94,6 @@
     this.waiting.filter((one) => charge(one.tokens)).forEach((one) => this.end(one, ok(undefined)));
   }
 
-  /** Refuses all that wait. */
-  refuse(refusal: (tokens: Tokens) => Refusal): void {
-    this.waiting.forEach((one) => this.end(one, err(refusal(one.tokens))));
-  }
-
   private end(charge: WaitingCharge, result: Result<void, Refusal>): void {
     if (!this.waiting.includes(charge)) return;
     this.waiting = this.waiting.filter((one) => one !== charge);
