--- a/packages/group/src/explore/search.ts
+++ b/packages/group/src/explore/search.ts
@@ -1,6 +1,9 @@
-import { RandomSource } from '@camphorvane/core';
+import { RandomSource, sha256Hex } from '@camphorvane/core';
 import type { Exploration, ExploredProtocol, Invariant, Violation } from './ExploredProtocol.ts';
 
+/** Hexadecimal characters of a digest that are kept: 96 bits, so that none of a million collide. */
+const DIGEST_LENGTH = 24;
+
 /** Bounds of an exhaustive search. */
 export interface SearchBounds {
   /** Most actions from an initial state. */
@@ -60,7 +63,8 @@
   let depth = 0;
   let truncated = false;
   const admit = (visit: Visit<State>): readonly Visit<State>[] => {
-    const key = protocol.key(visit.state);
+    // The digest in place of the key keeps some hundred thousand states within memory.
+    const key = sha256Hex(protocol.key(visit.state)).slice(0, DIGEST_LENGTH);
     if (seen.has(key)) return [];
     if (seen.size >= bounds.maxStates) {
       truncated = true;
@@ -88,6 +92,28 @@
   return { statesVisited: seen.size, transitions, depth, truncated, violations };
 }
 
+/** What a search has found before it begins. */
+export const EMPTY_EXPLORATION: Exploration = {
+  statesVisited: 0,
+  transitions: 0,
+  depth: 0,
+  truncated: false,
+  violations: [],
+};
+
+/** Adds up two searches; the depth is that of the later one. */
+export function mergeExplorations(before: Exploration, later: Exploration): Exploration {
+  const known = new Set(before.violations.map((violation) => violation.invariant));
+  const fresh = later.violations.filter((violation) => !known.has(violation.invariant));
+  return {
+    statesVisited: before.statesVisited + later.statesVisited,
+    transitions: before.transitions + later.transitions,
+    depth: later.depth,
+    truncated: before.truncated || later.truncated,
+    violations: [...before.violations, ...fresh],
+  };
+}
+
 /** Bounds of random runs. */
 export interface RandomBounds {
   readonly runs: number;
--- a/packages/group/src/shares/explore/ShareProtocol.ts
+++ b/packages/group/src/explore/shares/ShareProtocol.ts
@@ -1,6 +1,6 @@
-import type { ExploredProtocol, Invariant } from '../../explore/ExploredProtocol.ts';
-import { SHARE_UNITS } from '../ShareSettings.ts';
-import type { StewardContext } from '../StewardContext.ts';
+import type { ExploredProtocol, Invariant } from '../ExploredProtocol.ts';
+import { SHARE_UNITS } from '../../shares/ShareSettings.ts';
+import type { StewardContext } from '../../shares/StewardContext.ts';
 import {
   clockOf,
   forkHost,
--- a/packages/group/src/shares/explore/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from './ShareProtocol.ts';
-export * from './ShareWorld.ts';
-export * from './worlds.ts';
