--- a/packages/group/src/explore/shares/index.ts
+++ b/packages/group/src/explore/shares/index.ts
@@ -25,7 +25,8 @@
   mutations: Object.keys(SHARE_MUTATIONS),
   defaultHosts: 2,
   defaultDepth: 5,
-  searchAll: (hosts, mutation, bounds) => searchAll(shareProtocol(worldOf(hosts, mutation)), bounds),
+  searchAll: (hosts, mutation, bounds) =>
+    searchAll(shareProtocol(worldOf(hosts, mutation)), bounds),
   searchRandomly: (hosts, mutation, bounds) => {
     const world = { ...worldOf(hosts, mutation), maxEpochs: 6, maxRestarts: 3 };
     return searchRandomly(shareProtocol(world), bounds);
