--- a/packages/group/src/shares/explore/ShareWorld.ts
+++ b/packages/group/src/explore/shares/ShareWorld.ts
@@ -1,8 +1,8 @@
 import type { Millis, TeamRate } from '@camphorvane/core';
-import { ShareHolder } from '../ShareHolder.ts';
-import type { ShareReply, ShareSync } from '../ShareMessage.ts';
-import type { ShareRules, ShareSettings } from '../ShareSettings.ts';
-import { ShareSteward } from '../ShareSteward.ts';
+import { ShareHolder } from '../../shares/ShareHolder.ts';
+import type { ShareReply, ShareSync } from '../../shares/ShareMessage.ts';
+import type { ShareRules, ShareSettings } from '../../shares/ShareSettings.ts';
+import { ShareSteward } from '../../shares/ShareSteward.ts';
 
 /** The one team of an explored world. */
 export const TEAM = 'team';
--- a/packages/group/src/shares/explore/worlds.ts
+++ b/packages/group/src/explore/shares/worlds.ts
@@ -1,4 +1,4 @@
-import { DEFAULT_SHARES, SHARE_RULES, type ShareRules } from '../ShareSettings.ts';
+import { DEFAULT_SHARES, SHARE_RULES, type ShareRules } from '../../shares/ShareSettings.ts';
 import type { ShareWorldOptions } from './ShareWorld.ts';
 
 /** Bound on drift in explored worlds: large, so that few steps show what a margin is for. */
@@ -18,7 +18,7 @@
 
 /** Rules with one safeguard taken away each; a search that finds no fault in them proves nothing. */
 export const SHARE_MUTATIONS: Readonly<Record<string, ShareRules>> = {
-  'a share counted twice': { ...SHARE_RULES, deductsFirst: false },
-  'no expiry check': { ...SHARE_RULES, checksExpiry: false },
-  'no drift margin': { ...SHARE_RULES, expiryWait: (settings) => settings.ttlMs },
+  'counted-twice': { ...SHARE_RULES, deductsFirst: false },
+  'no-expiry-check': { ...SHARE_RULES, checksExpiry: false },
+  'no-drift-margin': { ...SHARE_RULES, expiryWait: (settings) => settings.ttlMs },
 };
