--- a/packages/bench/src/policies/Oracle.ts
+++ b/packages/bench/src/policies/Oracle.ts
@@ -87,7 +87,7 @@
   private giveUp(request: SimRequest): void {
     const list = this.waiting[request.class];
     const at = list.indexOf(request);
-    if (at < 0) return;
+    if (at < 0 || this.ctx.book.hasFirstToken(request)) return;
     list.splice(at, 1);
     this.ctx.book.refused(request, 'target_missed', this.ctx.world.timeline.now);
   }
@@ -110,7 +110,9 @@
     const decode = this.chooseDecode(request);
     if (prefill === undefined || decode === undefined) return false;
     const lateAt = request.arrivesAt + request.firstTokenLimitMs;
-    if (world.timeline.now + this.getFirstTokenMs(request, prefill, decode) > lateAt) return false;
+    const firstTokenAt = world.timeline.now + this.getFirstTokenMs(request, prefill, decode);
+    // A stream that an engine lost has shown its first token already and goes on whenever it can.
+    if (firstTokenAt > lateAt && !this.ctx.book.hasFirstToken(request)) return false;
     this.start(request, prefill, decode);
     return true;
   }
@@ -201,6 +203,9 @@
       lost: (attempt) => {
         free(attempt);
         this.enqueue(request);
+        if (world.timeline.now >= request.arrivesAt + request.firstTokenLimitMs) {
+          this.giveUp(request);
+        }
         world.timeline.after(0, () => this.pass());
       },
     });
--- a/packages/decisions/src/admit/Admission.ts
+++ b/packages/decisions/src/admit/Admission.ts
@@ -44,6 +44,10 @@
     if (work.pieces > this.table.largestMemory) {
       return refuse(item, 'no_capacity', 'No decode engine has memory for this request.');
     }
+    if (this.table.decode.areAllIn(item.avoid) || this.table.prefill.areAllIn(item.avoid)) {
+      // Left in the queue it would hold up its team until its bound, for engines that never fit.
+      return refuse(item, 'no_capacity', 'The request has failed on every engine of the pool.');
+    }
     const full =
       this.queue.size >= this.limits.total ||
       this.queue.getTeamSize(item.team) >= this.limits.perTeam;
--- a/packages/decisions/src/place/DecodeBoard.ts
+++ b/packages/decisions/src/place/DecodeBoard.ts
@@ -34,6 +34,14 @@
     return this.byLoad.size;
   }
 
+  /** Tells whether a list names every decode engine of the pool, up or down. */
+  areAllIn(ids: readonly UpstreamId[]): boolean {
+    if (ids.length === 0) return false;
+    return [...this.engines.values()].every(
+      ({ cfg }) => cfg.role !== 'decode' || ids.includes(cfg.id),
+    );
+  }
+
   /** Puts an engine into its place in the order, after anything about it has changed. */
   refresh(engine: EngineState): void {
     const { id, memoryPieces, role } = engine.cfg;
--- a/packages/decisions/src/place/PrefillBoard.ts
+++ b/packages/decisions/src/place/PrefillBoard.ts
@@ -40,6 +40,14 @@
     return this.byAll.size;
   }
 
+  /** Tells whether a list names every prefill engine of the pool, up or down. */
+  areAllIn(ids: readonly UpstreamId[]): boolean {
+    if (ids.length === 0) return false;
+    return [...this.engines.values()].every(
+      ({ cfg }) => cfg.role !== 'prefill' || ids.includes(cfg.id),
+    );
+  }
+
   /** Puts an engine into its place in the order, after anything about it has changed. */
   refresh(engine: EngineState): void {
     const { id, role } = engine.cfg;
--- a/packages/decisions/tests/FairPoolScheduler.test.ts
+++ b/packages/decisions/tests/FairPoolScheduler.test.ts
@@ -58,6 +58,17 @@
   assert.equal(pools.waitingCount, 1);
 });
 
+test('refuses at once what has failed on every engine, and lets its team go on', () => {
+  // A request has failed on the only decode engine and is sent again with that engine to be avoided.
+  // Left waiting, it would hold up everything its team sends after it.
+  const pools = scheduler(pool(2, 1));
+  pools.submit(work('again', { avoid: ['d0'] }), 0);
+  pools.submit(work('next'), 0);
+  const decisions = pools.step(0);
+  assert.deepEqual(requests(decisions, 'refuse'), ['again']);
+  assert.deepEqual(requests(decisions, 'place'), ['next']);
+});
+
 test('refuses at once what no engine could ever hold', () => {
   const pools = scheduler(pool(1, 1, 2));
   pools.submit(work('huge', { promptTokens: 9_000 }), 0);
