Shorten takeovers, check what peers send, search past takeovers, and measure membership

Cause: a crash cost a key 6.1 s, much of a ten-second window; a message that another version misreads could have become state; a search of few steps hardly reached a takeover with two faults.

--- a/packages/group/src/explore/membership/MembershipProtocol.ts
+++ b/packages/group/src/explore/membership/MembershipProtocol.ts
@@ -17,7 +17,7 @@
 
 /** What can happen in a searched world. */
 export type WorldAction =
-  | { readonly type: 'pass' }
+  | { readonly type: 'pass'; readonly ticks: number }
   | { readonly type: 'tick'; readonly place: number }
   | { readonly type: 'arrive' | 'lose' | 'duplicate'; readonly flight: number }
   | { readonly type: 'fault'; readonly fault: Fault }
@@ -42,6 +42,9 @@
 /** Ticks after which hosts that started together are one settled group. */
 const FORMING_TICKS = 40;
 
+/** Ticks of a long wait, which takes a search of few steps past silence, takeover and recovery. */
+const LONG_WAIT = 5;
+
 /** Things on their way at once in a search by events; more are lost, oldest first. */
 const MAX_FLIGHTS = 10;
 
@@ -106,6 +109,15 @@
   }, later);
 }
 
+/** Lets time pass tick by tick; it ends at a broken rule, so that a long wait hides none. */
+function passing(world: World, ticks: number, search: MembershipSearch): World {
+  const after = withAloneness(pass(world, search.rules));
+  const isBroken = membershipInvariants(search.hosts, search.rules).some(
+    (invariant) => invariant.check(after) !== undefined,
+  );
+  return ticks <= 1 || isBroken ? after : passing(after, ticks - 1, search);
+}
+
 function coldStart(rates: readonly number[], faults: number): World {
   const hosts = rates.map((rate, place) => ({
     state: initialState('g0', identityAt(place, 1), 0),
@@ -167,12 +179,13 @@
   switch (grain) {
     case 'rounds': {
       const late = world.flights.map((_, flight): WorldAction => ({ type: 'arrive', flight }));
-      return [{ type: 'pass' }, ...repairs, ...late, ...faults];
+      const waits = [1, LONG_WAIT].map((ticks): WorldAction => ({ type: 'pass', ticks }));
+      return [...waits, ...repairs, ...late, ...faults];
     }
     case 'events': {
       const noTraps = faults.filter((one) => one.type !== 'fault' || one.fault.type !== 'trap');
       const strikes = world.tick % 8 === 0 ? noTraps : [];
-      return [{ type: 'pass' }, ...eventsIn(world), ...repairs, ...strikes];
+      return [{ type: 'pass', ticks: 1 }, ...eventsIn(world), ...repairs, ...strikes];
     }
     default:
       return grain satisfies never;
@@ -208,7 +221,9 @@
   const { rules, grain } = search;
   switch (action.type) {
     case 'pass':
-      return grain === 'rounds' ? pass(world, rules) : { ...world, tick: world.tick + 1 };
+      return grain === 'rounds'
+        ? passing(world, action.ticks, search)
+        : { ...world, tick: world.tick + action.ticks };
     case 'tick':
       return inputTo(world, action.place, { type: 'tick' }, rules);
     case 'arrive':
@@ -229,7 +244,7 @@
 function describe(action: WorldAction): string {
   switch (action.type) {
     case 'pass':
-      return 'time passes';
+      return action.ticks === 1 ? 'time passes' : `time passes ${action.ticks} times`;
     case 'tick':
       return `h${action.place + 1} runs`;
     case 'arrive':
--- a/packages/group/src/explore/membership/World.ts
+++ b/packages/group/src/explore/membership/World.ts
@@ -110,6 +110,9 @@
   jitter: 0,
 };
 
+/** Found once for each number of hosts, since every state is checked with them. */
+const KEYS_BY_HOSTS = new Map<number, readonly string[]>();
+
 /** Gets the identity of a host's n-th start. */
 export function identityAt(place: number, start: number): MemberIdentity {
   const host = `h${place + 1}`;
@@ -134,6 +137,14 @@
  * @returns As many keys.
  */
 export function keysFor(hosts: number): readonly string[] {
+  const known = KEYS_BY_HOSTS.get(hosts);
+  if (known !== undefined) return known;
+  const keys = findKeys(hosts);
+  KEYS_BY_HOSTS.set(hosts, keys);
+  return keys;
+}
+
+function findKeys(hosts: number): readonly string[] {
   const ids = Array.from({ length: hosts }, (_, place) => identityAt(place, 1).host);
   return ids.map((id) => {
     let number = 0;
--- a/packages/group/src/membership/GroupRecord.ts
+++ b/packages/group/src/membership/GroupRecord.ts
@@ -49,8 +49,8 @@
   listed: z.boolean(),
 };
 
-// Unknown fields are dropped, so that a newer program's record can be read by an older one.
-const recordSchema = z.object({
+/** Unknown fields are dropped, so that a newer program's record can be read by an older one. */
+export const recordSchema = z.object({
   group: z.string(),
   epoch: z.number().int().min(1),
   members: z.array(z.object(identityShape)),
--- a/packages/group/src/membership/MembershipSettings.ts
+++ b/packages/group/src/membership/MembershipSettings.ts
@@ -31,16 +31,18 @@
 /**
  * Settings for hosts about a millisecond apart.
  *
- * Three rounds of greetings fit into `actForMs`, so that one lost round stops nobody. Silence is
- * noticed after three rounds; together with the wait a crash costs about six seconds of a key.
+ * Four rounds of greetings fit into `actForMs`, so that two lost rounds stop nobody. Silence is
+ * noticed after three rounds; together with the wait a crash costs about four seconds of a key.
+ * Shorter periods would cost messages in proportion, and a pause of the process, such as a long
+ * collection of garbage, would count as a crash.
  */
 export const DEFAULT_MEMBERSHIP: MembershipSettings = {
-  actForMs: 3_000,
+  actForMs: 2_000,
   driftBound: 0.01,
-  vouchPeriodMs: 750,
-  suspectMs: 2_500,
+  vouchPeriodMs: 500,
+  suspectMs: 1_600,
   platformReadMs: 10_000,
-  urgentReadMs: 750,
+  urgentReadMs: 500,
   hostListMs: 10_000,
   urgentHostListMs: 2_500,
   goneAfterMs: 15_000,
--- a/packages/group/src/membership/index.ts
+++ b/packages/group/src/membership/index.ts
@@ -1,7 +1,15 @@
 export { actUntil, isMember, isSettled, mayAct, maySteward, settledAt } from './authority.ts';
 export * from './GroupMember.ts';
-export * from './GroupRecord.ts';
+export {
+  findMember,
+  parseGroupRecord,
+  type GroupRecord,
+  type PastEpoch,
+  type PastMember,
+  type RecordMember,
+} from './GroupRecord.ts';
 export * from './GroupView.ts';
+export * from './parseMessage.ts';
 export * from './MemberEffect.ts';
 export * from './MemberIdentity.ts';
 export * from './MemberInput.ts';
--- a/packages/peer/src/group/GroupRunner.ts
+++ b/packages/peer/src/group/GroupRunner.ts
@@ -3,6 +3,7 @@
 import {
   GroupMember,
   memberKey,
+  parseHello,
   type GroupRecord,
   type GroupView,
   type Hello,
@@ -33,7 +34,7 @@
   readonly link: PeerLink;
 }
 
-/** Told when the epoch, a member or the permission to act has changed. */
+/** Told when the epoch or the permission to act has changed, and when a takeover's wait is over. */
 export type GroupListener = (view: GroupView) => void;
 
 /** A runner's state as a dump shows it. */
@@ -54,8 +55,9 @@
   }[];
 }
 
-function changeKey(view: GroupView): string {
-  return `${view.epoch} ${view.mayAct}`;
+function changeKey(view: GroupView, now: Millis): string {
+  const isSettled = view.takeoverAt !== undefined && now >= view.takeoverAt;
+  return `${view.epoch} ${view.mayAct} ${isSettled}`;
 }
 
 /** Drives a {@link GroupMember} with a clock, the platform and links to peers. */
@@ -113,7 +115,8 @@
   }
 
   /**
-   * Listens for changes of the epoch and of the permission to act.
+   * Listens for changes of the epoch and of the permission to act, and for the end of the wait after
+   * which keys of lost hosts may be taken over.
    *
    * @param listener - Told the view after each change.
    * @returns A function that ends the listening.
@@ -125,10 +128,15 @@
     };
   }
 
-  /** Answers a peer's greeting; undefined for a greeting from another group. */
+  /** Answers a peer's greeting; undefined for one that is malformed or from another group. */
   answer(message: Hello): Welcome | undefined {
-    const replies = this.step({ type: 'asked', message });
-    return replies[0];
+    return parseHello(message).match(
+      (hello) => this.step({ type: 'asked', message: hello })[0],
+      (problem) => {
+        log('group %s got a malformed greeting: %s', this.options.group, problem);
+        return undefined;
+      },
+    );
   }
 
   /** Says that this host takes no new work: it is named to nobody and hands its stewardships on. */
@@ -255,7 +263,7 @@
 
   private notify(): void {
     const view = this.view();
-    const change = changeKey(view);
+    const change = changeKey(view, this.now());
     if (change === this.lastChange) return;
     this.lastChange = change;
     this.dropPeers();
--- a/packages/peer/src/group/PeerTask.ts
+++ b/packages/peer/src/group/PeerTask.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis } from '@camphorvane/core';
-import type { MemberEffect, Welcome } from '@camphorvane/group';
+import { parseWelcome, type MemberEffect, type Welcome } from '@camphorvane/group';
 import type { PeerLink } from '../PeerLink.ts';
 
 /** A greeting to one peer. */
@@ -70,10 +70,12 @@
       { type: 'membership', message: ask.message },
       this.timeoutMs,
     );
-    if (res.isOk() && res.value.type === 'membership') {
-      this.onAnswer(ask, res.value.message);
-      return;
-    }
-    this.unanswered += 1;
+    const answer = res.isOk() && res.value.type === 'membership' ? res.value.message : undefined;
+    parseWelcome(answer).match(
+      (message) => this.onAnswer(ask, message),
+      () => {
+        this.unanswered += 1;
+      },
+    );
   }
 }
--- a/packages/peer/tests/support/GroupWorld.ts
+++ b/packages/peer/tests/support/GroupWorld.ts
@@ -50,6 +50,9 @@
 
   messages = 0;
 
+  /** Size of all messages as JSON, without the framing of a transport. */
+  bytes = 0;
+
   private readonly settings: MembershipSettings;
 
   private starts = 0;
@@ -160,6 +163,7 @@
 
   private async carry(from: HostId, to: PeerAddress, req: PeerRequest, timeoutMs: Millis) {
     this.messages += 1;
+    this.bytes += JSON.stringify(req).length;
     const target = this.hosts.get(to.host);
     const isLost = (): boolean => this.isCut(from, to.host) || target?.dead !== false;
     await sleep(this.clock, LATENCY_MS);
@@ -176,6 +180,7 @@
     ]);
     await sleep(this.clock, LATENCY_MS);
     if (answer === undefined || isLost()) return this.timeout(timeoutMs);
+    this.bytes += JSON.stringify(answer).length;
     const back = await this.onceAwake(from, answer);
     return okAsync<PeerResponse, PeerError>(back);
   }
