Fit a membership test to the shorter periods, and make it fail without the read it is about

Cause: the test took times from the former default of 2.5 s for silence, and its first half would also have passed had no read taken place. Change: times within 1.6 s; a missing read fails the test. Conclusion: as strict as before, and the read is now part of what it shows.

--- a/packages/group/tests/membership/GroupMember.test.ts
+++ b/packages/group/tests/membership/GroupMember.test.ts
@@ -82,15 +82,16 @@
   const outside = { ...identity('f') };
   const hello = { type: 'hello', group: 'g0', from: outside, epoch: 2, intent: 'stay' } as const;
   member.step({ type: 'asked', message: hello }, 20);
-  assert.equal(writesAfterRead(member, 1_000), 0);
-  hear(member, welcomeOf('b', 2), 1_010, 1_012);
-  member.step({ type: 'asked', message: hello }, 1_012);
-  assert.equal(writesAfterRead(member, 2_000), 1);
+  assert.equal(writesAfterRead(member, 1_100), 0);
+  hear(member, welcomeOf('b', 2), 1_110, 1_112);
+  member.step({ type: 'asked', message: hello }, 1_112);
+  assert.equal(writesAfterRead(member, 1_600), 1);
 });
 
 function writesAfterRead(member: GroupMember, now: number): number {
   const reads = member.step({ type: 'tick' }, now).filter((effect) => effect.type === 'read');
   const [read] = reads;
+  assert.equal(read?.type, 'read');
   if (read?.type !== 'read') return 0;
   const record = recordOf(2, ['a', 'd', 'e'], [['a', 'b', 'c']]);
   const outcome = { type: 'found', record, version: 2 } as const;
