--- a/packages/group/src/shares/ShareSettings.ts
+++ b/packages/group/src/shares/ShareSettings.ts
@@ -31,7 +31,7 @@
 /**
  * Settings for hosts about a millisecond apart.
  *
- * A grant outlives the six seconds or so for which a team is without a steward after a crash. Half of
+ * A grant outlives the six seconds or so for which a team is without a steward after a crash. Part of
  * each rate is spread evenly: were nearly all of it to follow demand, the death of the one host that a
  * team uses would take nearly all of its rate for the rest of the grants' time; what others hold can be
  * borrowed at once.
@@ -42,7 +42,7 @@
   periodMs: 200,
   renewMs: 2_000,
   demandMs: 4_000,
-  evenPart: 0.5,
+  evenPart: 0.3,
   smallestMove: SHARE_UNITS / 40,
   keepMs: 100,
   maxEntries: 400,
--- a/packages/peer/src/grpc/index.ts
+++ b/packages/peer/src/grpc/index.ts
@@ -4,3 +4,4 @@
 export * from './PeerChannel.ts';
 export * from './PeerTls.ts';
 export * from './peerProtocol.ts';
+export * from './wireSize.ts';
--- a/packages/router/src/cli/declarationCommands.ts
+++ b/packages/router/src/cli/declarationCommands.ts
@@ -23,7 +23,7 @@
 
 interface ApplyArgs extends PlatformArgs {
   readonly 'base-version': number | undefined;
-  readonly base: string | undefined;
+  readonly 'base-file': string | undefined;
   readonly merge: boolean;
   readonly 'change-id': string | undefined;
 }
@@ -74,7 +74,7 @@
         type: 'number',
         describe: 'Version that the change starts from; 0 for the first configuration',
       })
-      .option('base', { type: 'string', describe: 'The declarations before the change, a file' })
+      .option('base-file', { type: 'string', describe: 'The declarations before the change, a file' })
       .option('merge', {
         type: 'boolean',
         default: false,
@@ -84,9 +84,9 @@
         type: 'string',
         describe: 'Name of an earlier apply whose outcome stayed open; never applied twice',
       })
-      .conflicts('base', 'base-version')
+      .conflicts('base-file', 'base-version')
       .example('$0 apply teams.toml --base-version 0', 'Apply the first configuration')
-      .example('$0 apply new.toml --base old.toml --merge', 'Apply the changes from old to new'),
+      .example('$0 apply new.toml --base-file old.toml --merge', 'Apply the changes from old to new'),
   handler: async (args) => {
     const result = await withFileAsync(args.file, (text) => apply(args, text));
     printResult(result, args.json);
@@ -94,8 +94,8 @@
 };
 
 async function apply(args: ApplyArgs, declarations: NamedText): Promise<CommandResult> {
-  const base = args.base === undefined ? undefined : readNamed(args.base);
-  if (base === 'unreadable') return unreadable(args.base ?? '');
+  const base = args['base-file'] === undefined ? undefined : readNamed(args['base-file']);
+  if (base === 'unreadable') return unreadable(args['base-file'] ?? '');
   const context = {
     store: storeOf(args.platform),
     clock: new SystemClock(),
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -47,6 +47,7 @@
     this.parts.group.onChange(() => this.takeGroup());
     void this.announce(signal);
     this.parts.config.start();
+    this.parts.sweeper.start();
     void this.parts.relay.run(this.parts.config, signal);
     this.parts.runner.start();
     this.parts.rates.start();
@@ -115,6 +116,7 @@
     this.stopping.abort();
     void this.parts.config.stop();
     void this.parts.claims.stop();
+    void this.parts.sweeper.stop();
     this.parts.desk.stop();
     this.parts.rates.stop();
     this.parts.fallback.stop();
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -6,7 +6,9 @@
 import {
   BudgetedStore,
   CallBudget,
+  ClaimSweeper,
   ConfigFollower,
+  DEFAULT_RETENTION_MS,
   IdempotencyClaims,
   KeyRing,
 } from '@camphorvane/platform';
@@ -35,6 +37,7 @@
   readonly config: ConfigFollower;
   readonly keys: KeyRing;
   readonly claims: IdempotencyClaims;
+  readonly sweeper: ClaimSweeper;
   readonly rates: TeamRates;
   readonly crashes: CrashDesk;
 }
@@ -97,11 +100,17 @@
     random,
     holderState: (host, start) => holderState(runner, host, start),
   });
+  const sweeper = new ClaimSweeper({
+    store: new BudgetedStore(store, budget, 'status'),
+    clock,
+    random,
+    retentionMs: DEFAULT_RETENTION_MS,
+  });
   const selfKey = memberKey({ host: identity.host, incarnation });
   const authority = new GroupAuthority(runner, selfKey);
   const rates = new TeamRates({ clock, link, authority });
   const crashes = new CrashDesk({ self: identity.host, clock, group, link });
-  return { runner, group, relay, config, keys: new KeyRing(), claims, rates, crashes };
+  return { runner, group, relay, config, keys: new KeyRing(), claims, sweeper, rates, crashes };
 }
 
 function assemblePlacing(options: HostOptions, { group }: SharedParts): PlacingParts {
