Hold followers to their promise over random outages and replacements

Cause: single tests of the follower do not show what several hosts that relay to each other do. One of them also proved too little: the host that wakes with an old version offered its root but not its parts, so a follower that took older versions still passed it.

--- a/packages/platform/tests/config/ConfigFollower.test.ts
+++ b/packages/platform/tests/config/ConfigFollower.test.ts
@@ -82,8 +82,11 @@
   // A host sleeps while a key is withdrawn, wakes during an outage and is the first that a restarted
   // host asks. The withdrawn key must not come to life at hosts that know better.
   const { clock, store, start } = setUp(t);
-  const first = await publish(clock, store, configOf(team('a', ['d1'])));
-  const host = start({ ...NO_PEERS, newestRoot: () => Promise.resolve(first) });
+  await publish(clock, store, configOf(team('a', ['d1'])));
+  const asleep = start();
+  await clock.advance(1000);
+  await drive(clock, asleep.stop());
+  const host = start(relay(asleep), 2);
   await clock.advance(1000);
   const second = await publish(clock, store, configOf(team('a')));
   await clock.advance(IN_FORCE_MS);
