--- a/packages/peer/src/grpc/PeerChannel.ts
+++ b/packages/peer/src/grpc/PeerChannel.ts
@@ -53,6 +53,8 @@
 
   private probing = false;
 
+  private closed = false;
+
   private lastVerdict: SilenceVerdict | undefined;
 
   constructor(options: PeerChannelOptions) {
@@ -69,6 +71,10 @@
    * @returns The answer, or why there is none.
    */
   ask(req: PeerRequest, timeoutMs: Millis): ResultAsync<PeerResponse, PeerError> {
+    if (this.closed) {
+      const message = 'the connection was closed';
+      return new ResultAsync(Promise.resolve(err({ type: 'unreachable', message })));
+    }
     // Load: a peer that stalls while many requests need it. Without a limit each of them would
     // hold memory here until its timeout, and the callers would learn late what is known at once.
     if (this.inFlight >= this.options.maxInFlight) {
@@ -80,6 +86,7 @@
 
   /** Closes the connection; calls that wait end as unreachable or by their timeout. */
   close(): void {
+    this.closed = true;
     this.client.close();
   }
 
@@ -126,7 +133,8 @@
    * since they were sent; a probe on a new connection beside one on the old tells the cases apart.
    */
   private async probe(): Promise<void> {
-    if (this.probing) return;
+    // A call may time out after its peer was dropped; gRPC throws on a closed connection.
+    if (this.probing || this.closed) return;
     this.probing = true;
     const old = this.client;
     const fresh = this.options.connect();
@@ -135,7 +143,7 @@
       this.probeOne(fresh),
     ]);
     this.probing = false;
-    if (oldAnswers || !freshAnswers) fresh.close();
+    if (this.closed || oldAnswers || !freshAnswers) fresh.close();
     else {
       this.client = fresh;
       this.retired += 1;
