--- a/packages/router/src/cli/declarationCommands.ts
+++ b/packages/router/src/cli/declarationCommands.ts
@@ -74,7 +74,10 @@
         type: 'number',
         describe: 'Version that the change starts from; 0 for the first configuration',
       })
-      .option('base-file', { type: 'string', describe: 'The declarations before the change, a file' })
+      .option('base-file', {
+        type: 'string',
+        describe: 'The declarations before the change, a file',
+      })
       .option('merge', {
         type: 'boolean',
         default: false,
@@ -86,7 +89,10 @@
       })
       .conflicts('base-file', 'base-version')
       .example('$0 apply teams.toml --base-version 0', 'Apply the first configuration')
-      .example('$0 apply new.toml --base-file old.toml --merge', 'Apply the changes from old to new'),
+      .example(
+        '$0 apply new.toml --base-file old.toml --merge',
+        'Apply the changes from old to new',
+      ),
   handler: async (args) => {
     const result = await withFileAsync(args.file, (text) => apply(args, text));
     printResult(result, args.json);
