Check that every change of a configuration is accepted in the end

Change: the check, two broken hosts that it and in_force must find, and an operator who begins anew after a conflict. Conclusion: racing changes of different parts are both in force.

--- a/packages/scenario/src/checks/allChecks.ts
+++ b/packages/scenario/src/checks/allChecks.ts
@@ -9,6 +9,7 @@
 } from './answerChecks.ts';
 import { checkExpectations } from './expectations.ts';
 import {
+  changesAreAccepted,
   configurationIsInForce,
   drainsCutNothing,
   keysStayInside,
@@ -33,6 +34,7 @@
   keysStayInside,
   teamsStayWithinRate,
   versionsOnlyGrow,
+  changesAreAccepted,
   configurationIsInForce,
   withdrawnKeysStop,
   leavingHostsGetNoWork,
--- a/packages/scenario/src/checks/fleetChecks.ts
+++ b/packages/scenario/src/checks/fleetChecks.ts
@@ -86,6 +86,14 @@
     );
   });
 
+/** Every change that an operator applies is accepted in the end, also when operators race. */
+export const changesAreAccepted: Check = (log) =>
+  log.applied.flatMap(({ at, version }) =>
+    version === undefined || version === 0
+      ? [violation('accepted', `the change of ${at} ms was not accepted`)]
+      : [],
+  );
+
 /** An accepted configuration is in force everywhere within seconds. */
 export const configurationIsInForce: Check = (log) =>
   log.applied.flatMap(({ at, version }) => {
--- a/packages/scenario/src/subject/routerSubject.ts
+++ b/packages/scenario/src/subject/routerSubject.ts
@@ -1,5 +1,5 @@
 import { Host, Metrics } from '@camphorvane/router';
-import { RandomSource } from '@camphorvane/core';
+import { RandomSource, sha256Hex } from '@camphorvane/core';
 import type { Clock, RoutingConfig } from '@camphorvane/core';
 import { applyConfig, readAcceptedRoot } from '@camphorvane/operator';
 import type { ApplyBase } from '@camphorvane/operator';
@@ -9,6 +9,7 @@
 const GROUP = 'g1';
 const GROUP_SIZE = 9;
 const PUBLISH_SEED = 1;
+const PUBLISH_TRIES = 5;
 const DRAIN_GRACE_MS = 60_000;
 
 function build(edges: HostEdges): SubjectHost {
@@ -38,16 +39,25 @@
   };
 }
 
-/** Each change of a scenario is an operator's own, made against whatever is in force. */
+/**
+ * Applies as an operator does who works against whatever is in force, and begins anew where
+ * somebody else was quicker with a change of the same parts.
+ */
 async function publish(store: ObjectStore, clock: Clock, config: RoutingConfig): Promise<number> {
   const context = { store, clock, random: new RandomSource(PUBLISH_SEED) };
-  const accepted = await readAcceptedRoot(store);
-  const before = accepted.isOk() ? accepted.value?.version : undefined;
-  const base: ApplyBase =
-    before === undefined ? { type: 'none' } : { type: 'version', version: before };
-  const changeId = `change-after-${before ?? 0}`;
-  const applied = await applyConfig(context, config, { changeId, base });
-  return applied.isOk() ? applied.value.version : 0;
+  let version = 0;
+  let tries = 0;
+  while (version === 0 && tries < PUBLISH_TRIES) {
+    tries += 1;
+    const accepted = await readAcceptedRoot(store);
+    const before = accepted.isOk() ? accepted.value?.version : undefined;
+    const base: ApplyBase =
+      before === undefined ? { type: 'none' } : { type: 'version', version: before };
+    const changeId = `change-${sha256Hex(JSON.stringify(config))}-${tries}`;
+    const applied = await applyConfig(context, config, { changeId, base, merge: true });
+    if (applied.isOk()) version = applied.value.version;
+  }
+  return version;
 }
 
 /** The hosts that the binary runs. */
--- a/packages/scenario/tests/checks.test.ts
+++ b/packages/scenario/tests/checks.test.ts
@@ -61,6 +61,7 @@
 }
 
 const WITHDRAWAL = '[[step]]\ndo = "withdraw_key"\nat = 3\nteam = "labs"\n';
+const CHANGE = '[[step]]\ndo = "set_rate"\nat = 3\nteam = "labs"\nrate = 1\nburst = 1\n';
 const DRAIN = '[[step]]\ndo = "drain_host"\nat = 2\nhost = "h1"\n';
 
 /** What each broken host does, the steps that bring it out, and the check that must find it. */
@@ -81,6 +82,8 @@
     'drain',
   ],
   ['keeps_withdrawn_keys', LOAD + WITHDRAWAL, 'withdrawn_key'],
+  ['loses_a_change', CHANGE, 'accepted'],
+  ['lags_behind', CHANGE, 'in_force'],
   ['never_ends', `${LOAD}patience = 100\n`, 'ends'],
 ];
 
--- a/packages/scenario/tests/support/NaiveHost.ts
+++ b/packages/scenario/tests/support/NaiveHost.ts
@@ -28,7 +28,9 @@
   | 'serves_while_leaving'
   | 'cuts_on_drain'
   | 'keeps_withdrawn_keys'
-  | 'never_ends';
+  | 'never_ends'
+  | 'loses_a_change'
+  | 'lags_behind';
 
 const POLL_MS = 1000;
 const DRAIN_MS = 8000;
@@ -231,7 +233,9 @@
     const found = await this.edges.store.get('naive', 'config');
     if (found.isErr() || found.value === undefined) return;
     const { version, value } = found.value;
-    const keeps = this.fault === 'keeps_withdrawn_keys' && this.config !== undefined;
+    const stays = this.fault === 'keeps_withdrawn_keys' || this.fault === 'lags_behind';
+    const keeps = stays && this.config !== undefined;
+    if (keeps && this.fault === 'lags_behind') return;
     if (!keeps) this.config = value as RoutingConfig;
     this.version = this.fault === 'goes_back' ? version - (this.ids % 2) : version;
   }
@@ -242,6 +246,7 @@
   return {
     build: (edges) => new NaiveHost(edges, fault),
     publish: async (store, _clock, config) => {
+      if (fault === 'loses_a_change' && config.teams[0]?.rate.burstTokens === 1) return 0;
       const old = await store.get('naive', 'config');
       const expected = old.isOk() ? (old.value?.version ?? 'absent') : 'absent';
       const put = await store.put('naive', 'config', config, expected);
