--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,7 +1,8 @@
 import type { CallerBackend } from '@camphorvane/caller';
 import type { HostId, Incarnation } from '@camphorvane/core';
-import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
-import { GroupRunner } from '@camphorvane/peer';
+import { RetryBudget } from '@camphorvane/decisions';
+import { DEFAULT_MEMBERSHIP, memberKey } from '@camphorvane/group';
+import { GroupAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
 import {
   BudgetedStore,
   CallBudget,
@@ -15,6 +16,7 @@
 import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 import { StewardDesk } from '../placing/StewardDesk.ts';
 import { CompletionServing } from '../serving/CompletionServing.ts';
+import { CrashDesk } from '../serving/CrashDesk.ts';
 import { ServiceGates } from '../serving/ServiceGates.ts';
 import { ServiceServing } from '../serving/ServiceServing.ts';
 import { Authenticator } from './Authenticator.ts';
@@ -23,7 +25,6 @@
 import { HostBackend } from './HostBackend.ts';
 import type { HostOptions } from './HostOptions.ts';
 import { InFlight } from './InFlight.ts';
-import { StaticRates } from './StaticRates.ts';
 import { UpstreamDirectory } from './UpstreamDirectory.ts';
 
 /** What agrees with other hosts: membership, configuration, keys, claims. */
@@ -34,7 +35,8 @@
   readonly config: ConfigFollower;
   readonly keys: KeyRing;
   readonly claims: IdempotencyClaims;
-  readonly rates: StaticRates;
+  readonly rates: TeamRates;
+  readonly crashes: CrashDesk;
 }
 
 /** What places work on upstreams. */
@@ -95,8 +97,11 @@
     random,
     holderState: (host, start) => holderState(runner, host, start),
   });
-  const rates = new StaticRates(clock, () => group.members().length);
-  return { runner, group, relay, config, keys: new KeyRing(), claims, rates };
+  const selfKey = memberKey({ host: identity.host, incarnation });
+  const authority = new GroupAuthority(runner, selfKey);
+  const rates = new TeamRates({ clock, link, authority });
+  const crashes = new CrashDesk({ self: identity.host, clock, group, link });
+  return { runner, group, relay, config, keys: new KeyRing(), claims, rates, crashes };
 }
 
 function assemblePlacing(options: HostOptions, { group }: SharedParts): PlacingParts {
@@ -149,6 +154,8 @@
       clock,
       metrics,
       rates,
+      retries: new RetryBudget(),
+      crashes: shared.crashes,
     }),
     services: new ServiceServing({
       clock,
