Let short prompts not make a prefill engine look slow

Cause: the speed of prefill was the mean of tokens over time; a prompt of 8 tokens takes 10 ms, nearly all of it fixed cost, so the estimate fell to 0.8 tokens a millisecond (true: 4). Every lookup of 600 tokens then counted as late on an idle pool, was refused, and never corrected the estimate. Ruled out: load (engines idle), rates (no over_rate), a missing coordinator (others were placed). Change: a prefill below 128 tokens counts only where it shows a higher speed.

--- a/packages/decisions/src/place/EngineSpeed.ts
+++ b/packages/decisions/src/place/EngineSpeed.ts
@@ -18,6 +18,13 @@
 /** Never less than one stream: an engine without work is never measured again. */
 const MIN_STREAMS = 1;
 
+/**
+ * Tokens below which a prefill is mostly its fixed cost. What goes wrong without this limit: after
+ * some prompts of a few tokens the engine seems so slow that every common lookup counts as late, is
+ * refused on an idle pool, and so never corrects the estimate.
+ */
+const SHORT_PROMPT: Tokens = 128;
+
 /** Weight of a new sample in the mean prefill speed. */
 const PREFILL_SAMPLE_WEIGHT = 0.25;
 
@@ -52,10 +59,14 @@
     this.sumProducts = this.sumProducts * DECAY + streams * meanMs;
   }
 
-  /** Takes in a prefill: tokens that were computed, and the time for which it kept the engine. */
+  /**
+   * Takes in a prefill: tokens that were computed, and the time for which it kept the engine. A short
+   * one shows only that the engine is at least that fast.
+   */
   observePrefill(tokens: Tokens, tookMs: Millis): void {
     if (tokens <= 0 || tookMs <= 0) return;
     const rate = tokens / tookMs;
+    if (tokens < SHORT_PROMPT && rate <= (this.prefillRate ?? Infinity)) return;
     this.prefillRate =
       this.prefillRate === undefined
         ? rate
