--- a/packages/group/src/shares/ShareSettings.ts
+++ b/packages/group/src/shares/ShareSettings.ts
@@ -22,9 +22,7 @@
   readonly evenPart: number;
   /** Smallest difference from its target for which a share is moved. */
   readonly smallestMove: Share;
-  /** How long a holder's want of tokens counts after it was reported. */
-  readonly wantMs: Millis;
-  /** Demand, in milliseconds of it, that a holder keeps when others want its tokens. */
+  /** Demand, in milliseconds of it, that a holder keeps when it lends tokens. */
   readonly keepMs: Millis;
   /** Most teams in one message. */
   readonly maxEntries: number;
@@ -33,17 +31,19 @@
 /**
  * Settings for hosts about a millisecond apart.
  *
- * A grant outlives the six seconds or so for which a team is without a steward after a crash.
+ * A grant outlives the six seconds or so for which a team is without a steward after a crash. Half of
+ * each rate is spread evenly: were nearly all of it to follow demand, the death of the one host that a
+ * team uses would take nearly all of its rate for the rest of the grants' time; what others hold can be
+ * borrowed at once.
  */
 export const DEFAULT_SHARES: ShareSettings = {
   ttlMs: 8_000,
   driftBound: 0.001,
   periodMs: 200,
   renewMs: 2_000,
-  demandMs: 10_000,
-  evenPart: 0.1,
+  demandMs: 4_000,
+  evenPart: 0.5,
   smallestMove: SHARE_UNITS / 40,
-  wantMs: 100,
   keepMs: 100,
   maxEntries: 400,
 };
--- a/packages/group/src/shares/index.ts
+++ b/packages/group/src/shares/index.ts
@@ -6,4 +6,3 @@
 export * from './StewardContext.ts';
 export type { HeldShare } from './HeldShare.ts';
 export type { TeamLedger } from './TeamLedger.ts';
-export * from './explore/index.ts';
--- a/packages/group/tests/shares/ShareProtocol.test.ts
+++ b/packages/group/tests/explore/shares/ShareProtocol.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { SHARE_MUTATIONS, SHARE_WORLD, shareProtocol } from '@camphorvane/group';
-import { searchAll, searchRandomly } from '../../src/explore/search.ts';
+import { searchAll, searchRandomly } from '../../../src/explore/search.ts';
+import { shareProtocol } from '../../../src/explore/shares/ShareProtocol.ts';
+import { SHARE_MUTATIONS, SHARE_WORLD } from '../../../src/explore/shares/worlds.ts';
 
 const BOUNDS = { depth: 4, maxStates: 60_000, stopAtFirst: true };
 
