--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { groupSlopes } from './groupSlopes.ts';
+import { atLetterSize, grpcSlopes, hostSlopes } from './hostSlopes.ts';
 import { memorySlopes } from './memorySlopes.ts';
 import { formatSlope, type Slope } from './Slope.ts';
 
@@ -19,4 +20,9 @@
 };
 
 print(memorySlopes());
+const hosts = await hostSlopes();
+print(hosts);
+const grpc = await grpcSlopes();
+print(grpc);
+if (!args.json) process.stdout.write(`${atLetterSize(hosts, grpc).join('\n')}\n`);
 print(await groupSlopes());
