--- a/packages/group/src/explore/protocols.ts
+++ b/packages/group/src/explore/protocols.ts
@@ -1,5 +1,6 @@
 import type { ExplorableProtocol } from './ExplorableProtocol.ts';
 import { EXPLORABLE_MEMBERSHIP } from './membership/index.ts';
+import { EXPLORABLE_SHARES } from './shares/index.ts';
 
 /** Every protocol that `npm run explore` knows. */
-export const PROTOCOLS: readonly ExplorableProtocol[] = [EXPLORABLE_MEMBERSHIP];
+export const PROTOCOLS: readonly ExplorableProtocol[] = [EXPLORABLE_MEMBERSHIP, EXPLORABLE_SHARES];
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,7 +1,7 @@
 import type { CallerBackend } from '@camphorvane/caller';
 import type { HostId, Incarnation } from '@camphorvane/core';
-import { DEFAULT_MEMBERSHIP } from '@camphorvane/group';
-import { GroupRunner } from '@camphorvane/peer';
+import { DEFAULT_MEMBERSHIP, memberKey } from '@camphorvane/group';
+import { GroupAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
 import {
   BudgetedStore,
   CallBudget,
@@ -23,7 +23,6 @@
 import { HostBackend } from './HostBackend.ts';
 import type { HostOptions } from './HostOptions.ts';
 import { InFlight } from './InFlight.ts';
-import { StaticRates } from './StaticRates.ts';
 import { UpstreamDirectory } from './UpstreamDirectory.ts';
 
 /** What agrees with other hosts: membership, configuration, keys, claims. */
@@ -34,7 +33,7 @@
   readonly config: ConfigFollower;
   readonly keys: KeyRing;
   readonly claims: IdempotencyClaims;
-  readonly rates: StaticRates;
+  readonly rates: TeamRates;
 }
 
 /** What places work on upstreams. */
@@ -95,7 +94,9 @@
     random,
     holderState: (host, start) => holderState(runner, host, start),
   });
-  const rates = new StaticRates(clock, () => group.members().length);
+  const selfKey = memberKey({ host: identity.host, incarnation });
+  const authority = new GroupAuthority(runner, selfKey);
+  const rates = new TeamRates({ clock, link, authority });
   return { runner, group, relay, config, keys: new KeyRing(), claims, rates };
 }
 
