Let summaries wait for their team's rate

Cause: summaries, which may wait, were refused while a dead host's tokens were missing. Ruled out: more of the rate spread evenly, which refused a skewed team. Change: RateQueue lets them wait in turn within their own bound, and refuses at once what could not be reached within it. The slopes count streams that are held instead of guessing them, over engines enough for them.

--- a/packages/bench/src/slopes/ControlFleet.ts
+++ b/packages/bench/src/slopes/ControlFleet.ts
@@ -26,6 +26,8 @@
   readonly messages: number;
   /** Bytes of questions and answers, sent and received, without framing. */
   readonly bytes: number;
+  /** Streams held at the end of the measurement. */
+  readonly streams: number;
 }
 
 const WARM_UP_MS = 20_000;
@@ -35,7 +37,7 @@
 const MOST_REFUSED = 0.02;
 
 const PREFILL_ENGINES = 2;
-const DECODE_ENGINES = 6;
+const DECODE_ENGINES = 24;
 const MEMORY_PIECES = 400;
 const MODEL = 'm';
 
@@ -85,6 +87,7 @@
     const rate = {
       messages: perHost(this.messages - before.messages),
       bytes: perHost(2 * (this.bytes - before.bytes)),
+      streams: this.inFlight() / this.load.hosts,
     };
     this.checkServed();
     this.hosts.forEach((host) => host.stop());
@@ -92,6 +95,10 @@
     return rate;
   }
 
+  private inFlight(): number {
+    return this.hosts.reduce((sum, host) => sum + host.status().inFlight, 0);
+  }
+
   /** Figures of a fleet that refuses say nothing about one that serves. */
   private checkServed(): void {
     const sent = this.whole + this.refusals.length;
--- a/packages/bench/src/slopes/hostSlopes.ts
+++ b/packages/bench/src/slopes/hostSlopes.ts
@@ -10,18 +10,15 @@
 /** Requests of one team in a second at the size of letter 1: 1,000 a second of 20,000 teams. */
 const REQUESTS_PER_TEAM = 0.05;
 
-/** Time between tokens of a lightly loaded stand-in engine, in milliseconds. */
-const STAND_IN_ITL_MS = 14;
-
 const MS_PER_SECOND = 1_000;
 
-const METERS: readonly (keyof ControlRate)[] = ['messages', 'bytes'];
+const METERS: readonly ('messages' | 'bytes')[] = ['messages', 'bytes'];
 
 interface Series {
   readonly name: string;
   readonly size: string;
   readonly loads: readonly FleetLoad[];
-  readonly x: (load: FleetLoad) => number;
+  readonly x: (load: FleetLoad, rate: ControlRate) => number;
 }
 
 const SERIES: readonly Series[] = [
@@ -55,8 +52,7 @@
       requestsPerSecond: 6,
       outputTokens,
     })),
-    x: (load) =>
-      (load.requestsPerSecond * load.outputTokens * STAND_IN_ITL_MS) / MS_PER_SECOND / load.hosts,
+    x: (_, rate) => rate.streams,
   },
 ];
 
@@ -64,7 +60,7 @@
   const rates = await loads.reduce(async (before, load) => {
     const list = await before;
     const rate = await new ControlFleet(load).measure();
-    return [...list, { x: x(load), rate }];
+    return [...list, { x: x(load, rate), rate }];
   }, Promise.resolve<readonly { readonly x: number; readonly rate: ControlRate }[]>([]));
   return METERS.map((meter) => {
     const points = rates.map((one): Point => ({ x: one.x, y: one.rate[meter] }));
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -19,6 +19,7 @@
 import { CompletionAttempt } from './CompletionAttempt.ts';
 import { CrashDesk } from './CrashDesk.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
+import { RateQueue } from './RateQueue.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
 import { waitBound } from './waitBound.ts';
 
@@ -66,9 +67,12 @@
 export class CompletionServing {
   private readonly options: CompletionServingOptions;
 
+  private readonly queue: RateQueue;
+
   /** @param options - What it is made of. */
   constructor(options: CompletionServingOptions) {
     this.options = options;
+    this.queue = new RateQueue(options.clock, options.rates);
   }
 
   /**
@@ -83,26 +87,32 @@
       yield { type: 'refused', refusal: pool.error };
       return;
     }
-    const promptTokens = estimateTokens(work.req.prompt);
-    const charge = await this.options.rates.charge(
-      work.caller.team.id,
-      promptTokens + work.req.maxTokens,
+    const acceptedAt = this.options.clock.now();
+    const charge = await this.queue.charge(
+      {
+        team: work.caller.team,
+        class: work.req.class,
+        tokens: estimateTokens(work.req.prompt) + work.req.maxTokens,
+        maxWaitMs: waitBound(work.config, pool.value, work.caller.team.id, work.req.class),
+      },
+      work.signal,
     );
     if (charge.isErr()) {
       yield { type: 'refused', refusal: charge.error };
       return;
     }
-    yield* this.serveCharged(work, pool.value, charge.value);
+    yield* this.serveCharged(work, pool.value, charge.value, acceptedAt);
   }
 
   private async *serveCharged(
     work: KnownCompletion,
     pool: PoolConfig,
     charge: RateCharge,
+    acceptedAt: Millis,
   ): AsyncGenerator<CompletionEvent> {
     const progress = new CompletionProgress(
       estimateTokens(work.req.prompt),
-      this.options.clock.now(),
+      acceptedAt,
       CrashDesk.digestOf(work.req.model, work.req.prompt),
     );
     try {
