--- a/packages/router/src/serving/RateQueue.ts
+++ b/packages/router/src/serving/RateQueue.ts
@@ -12,11 +12,23 @@
 import type { Result } from 'neverthrow';
 import type { RateCharge, RateGate } from '../host/ports.ts';
 
-/** Bounds of the pause between two tries to charge a waiting request, in milliseconds. */
-const TRY_AGAIN_MS = { least: 50, most: 1_000 };
+/**
+ * Bounds of the pause between two tries to charge a waiting request, in milliseconds. With shorter
+ * ones a summary takes the tokens in the moment that they suffice, and lookups find none.
+ */
+const TRY_AGAIN_MS = { least: 2_000, most: 4_000 };
 
 const MS_PER_SECOND = 1_000;
 
+/**
+ * Part of a team's rate that waiting summaries may take. They take what comes in as soon as it comes,
+ * so without a bound the team's lookups, which do not wait, would find nothing left.
+ */
+const WAITING_PART = 0.15;
+
+/** Milliseconds for which summaries hold back after a lookup of their team was refused. */
+const LOOKUPS_FIRST_MS: Millis = 2_000;
+
 /** What a request wants to be charged. */
 export interface RateWish {
   readonly team: TeamConfig;
@@ -48,6 +60,9 @@
 
   private readonly lines = new Map<TeamId, Line>();
 
+  /** When a request that does not wait was last refused, by team. */
+  private readonly refusedAt = new Map<TeamId, Millis>();
+
   /**
    * @param clock - Times waits.
    * @param rates - Charges teams.
@@ -74,6 +89,7 @@
     const hasLine = mayWait && this.getWaitingTokens(wish.team.id) > 0;
     if (hasLine) return this.waitBehindOthers(wish, 0, signal);
     const first = await this.rates.charge(wish.team.id, wish.tokens);
+    if (first.isErr() && !mayWait) this.refusedAt.set(wish.team.id, this.clock.now());
     if (first.isOk() || !mayWait || first.error.retryAfterMs === undefined) return first;
     return this.waitBehindOthers(wish, first.error.retryAfterMs, signal);
   }
@@ -89,7 +105,7 @@
   }
 
   private waitBehind({ team }: RateWish): Millis {
-    return (this.getWaitingTokens(team.id) / team.rate.tokensPerSecond) * MS_PER_SECOND;
+    return paceMs(team, this.getWaitingTokens(team.id));
   }
 
   private async waitInLine(
@@ -108,10 +124,19 @@
     });
     try {
       await before;
-      return await this.tryUntil(wish, until, signal);
+      await this.letLookupsPass(wish, until, signal);
+      const first = await this.rates.charge(wish.team.id, wish.tokens);
+      // Tokens that are there at once are plenty; only those that are waited for are scarce.
+      if (first.isOk()) {
+        leave();
+        return first;
+      }
+      const result = await this.tryUntil(wish, until, signal);
+      const restMs = result.isOk() ? paceMs(wish.team, wish.tokens) : 0;
+      void sleep(this.clock, restMs).then(leave);
+      return result;
     } finally {
       this.shorten(wish);
-      leave();
     }
   }
 
@@ -125,11 +150,24 @@
       const pause = result.error.retryAfterMs ?? TRY_AGAIN_MS.most;
       const bounded = Math.min(TRY_AGAIN_MS.most, Math.max(TRY_AGAIN_MS.least, pause));
       await sleep(this.clock, bounded, signal);
+      await this.letLookupsPass(wish, until, signal);
       result = await this.rates.charge(wish.team.id, wish.tokens);
     }
     return result;
   }
 
+  private async letLookupsPass(
+    { team }: RateWish,
+    until: Millis,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const waitMs = (): Millis => {
+      const refusedAt = this.refusedAt.get(team.id) ?? -Infinity;
+      return Math.min(refusedAt + LOOKUPS_FIRST_MS, until) - this.clock.now();
+    };
+    while (waitMs() > 0 && !signal.aborted) await sleep(this.clock, waitMs(), signal);
+  }
+
   private shorten({ team, tokens }: RateWish): void {
     const line = this.lines.get(team.id);
     if (line === undefined) return;
@@ -138,6 +176,11 @@
   }
 }
 
+/** Gets how long waiting summaries take for so many tokens of their team's rate. */
+function paceMs({ rate }: TeamConfig, tokens: Tokens): Millis {
+  return (tokens / (rate.tokensPerSecond * WAITING_PART)) * MS_PER_SECOND;
+}
+
 function behind(expectedMs: Millis): Refusal {
   const text =
     'The team is over its rate, and more of its requests wait than this one may wait for.';
--- a/packages/stand-ins/src/demo/demoDeclarations.ts
+++ b/packages/stand-ins/src/demo/demoDeclarations.ts
@@ -1,4 +1,5 @@
 import { sha256Hex } from '@camphorvane/core';
+import { ConfigBuilder } from '@camphorvane/operator';
 import type { DemoAddresses } from './DemoFleet.ts';
 
 /** A team of the demo with the key that its callers show. */
@@ -9,73 +10,39 @@
   readonly burstTokens: number;
 }
 
-function teamTable(team: DemoTeam): string {
-  return `[[teams]]
-id = "${team.id}"
-tokens_per_second = ${team.tokensPerSecond}
-burst_tokens = ${team.burstTokens}
-key_digests = ["${sha256Hex(team.key)}"]
-`;
-}
-
-function engineTable(id: string, url: string, role: string, zone: number): string {
-  return `[[pools.engines]]
-id = "${id}"
-url = "${url}"
-zone = "zone-${zone}"
-role = "${role}"
-memory_pieces = 40
-checks_fencing = true
-`;
-}
+const MEMORY_PIECES = 40;
 
 /**
- * Gets the declarations of the demo.
+ * Gets the declarations of the demo, printed by the builder library.
  *
  * @param at - Where the stand-ins listen.
  * @param teams - The teams.
  * @returns TOML, as an operator keeps it under version control.
  */
 export function demoDeclarations(at: DemoAddresses, teams: readonly DemoTeam[]): string {
-  const engines = [
-    ...at.prefill.map((url, index) => engineTable(`p${index + 1}`, url, 'prefill', index + 1)),
-    ...at.decode.map((url, index) => engineTable(`d${index + 1}`, url, 'decode', index + 1)),
-  ];
-  return `${teams.map(teamTable).join('\n')}
-[[pools]]
-model = "reports"
-max_tokens = 8192
-ttft_target_ms = 730
-itl_target_ms = 35
-link_pieces_per_second = 60
-
-${engines.join('\n')}
-[[services]]
-id = "certificates"
-timeout_ms = 5000
-
-[[services.servers]]
-id = "certificates-1"
-url = "${at.certificates}"
-zone = "zone-1"
-max_concurrent = 8
-
-[[services.routes]]
-method = "GET"
-path = "/lookup"
-idempotent = true
-class = "lookup"
-cost_tokens = 10
-
-[[services.routes]]
-method = "POST"
-path = "/issue"
-idempotent = false
-class = "certificate"
-cost_tokens = 10
-
-[[wait_rules]]
-class = "summary"
-max_wait_ms = 60000
-`;
+  const fleet = new ConfigBuilder();
+  teams.forEach(({ key, ...team }) => fleet.addTeam(team).addKeyDigest(sha256Hex(key)));
+  const pool = fleet.addPool({
+    model: 'reports',
+    maxTokens: 8192,
+    ttftTargetMs: 730,
+    itlTargetMs: 35,
+    linkPiecesPerSecond: 60,
+  });
+  const engine = (role: string, url: string, index: number) => ({
+    id: `${role}${index + 1}`,
+    url,
+    zone: `zone-${index + 1}`,
+    memoryPieces: MEMORY_PIECES,
+    checksFencing: true,
+  });
+  at.prefill.forEach((url, index) => pool.addPrefillEngine(engine('p', url, index)));
+  at.decode.forEach((url, index) => pool.addDecodeEngine(engine('d', url, index)));
+  fleet
+    .addService({ id: 'certificates', timeoutMs: 5000 })
+    .addServer({ id: 'certificates-1', url: at.certificates, zone: 'zone-1', maxConcurrent: 8 })
+    .addRepeatableRoute({ method: 'GET', path: '/lookup', class: 'lookup', costTokens: 10 })
+    .addOnceOnlyRoute({ method: 'POST', path: '/issue', class: 'certificate', costTokens: 10 });
+  fleet.addWaitRule({ class: 'summary', maxWaitMs: 60_000 });
+  return fleet.toToml();
 }
--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -1,29 +1,17 @@
-import { randomBytes } from 'node:crypto';
-import { RandomSource, sleep, SystemClock } from '@camphorvane/core';
-import { applyConfig, parseDeclarations } from '@camphorvane/operator';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { RandomSource, SystemClock } from '@camphorvane/core';
 import { request } from 'undici';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import type { ExecutionRecord } from '../engine/ExecutionRecord.ts';
 import { DemoCounts } from './DemoCounts.ts';
-import { demoDeclarations } from './demoDeclarations.ts';
 import type { DemoTeam } from './demoDeclarations.ts';
 import type { DemoAddresses } from './DemoFleet.ts';
 import { DemoFleet } from './DemoFleet.ts';
-import { callCertificates, complete } from './demoCalls.ts';
+import { demoTeam, setUp } from './demoSetup.ts';
 import { runLoad } from './demoLoad.ts';
 
 const SECOND_MS = 1000;
-const READY_LIMIT_MS = 60 * SECOND_MS;
-const POLL_MS = 250;
-
-/** Hosts that were just started take a few seconds to agree on who coordinates what. */
-const SETTLE_MS = 6 * SECOND_MS;
-const KEY_BYTES = 24;
-
-/** About as long as a lookup, since hosts take the speed of engines from what these run. */
-const READY_PROMPT = 'is everything ready? '.repeat(30);
+const TOKENS_PER_SECOND = 4000;
 
 const clock = new SystemClock();
 const stopped = new AbortController();
@@ -32,45 +20,6 @@
   process.stdout.write(`${line}\n`);
 };
 
-const team = (id: string): DemoTeam => ({
-  id,
-  key: `cvk_${randomBytes(KEY_BYTES).toString('base64url')}`,
-  tokensPerSecond: 4000,
-  burstTokens: 20_000,
-});
-
-/** Applies the declarations as an operator does. */
-async function apply(at: DemoAddresses, teams: readonly DemoTeam[], seed: number): Promise<void> {
-  const config = parseDeclarations(demoDeclarations(at, teams), 'demo.toml');
-  if (config.isErr()) throw new Error(`declarations: ${JSON.stringify(config.error)}`);
-  const store = new HttpObjectStore({ baseUrl: at.platform, clock });
-  const context = { store, clock, random: new RandomSource(seed) };
-  const change = { changeId: 'demo', base: { type: 'none' as const } };
-  const applied = await applyConfig(context, config.value, change);
-  if (applied.isErr()) throw new Error(`apply: ${JSON.stringify(applied.error)}`);
-  print(`configuration in force as version ${applied.value.version}`);
-}
-
-/** Waits until every host answers lookups of both kinds, so that start-up is not measured. */
-async function waitUntilReady(at: DemoAddresses, { key }: DemoTeam): Promise<void> {
-  const until = clock.now() + READY_LIMIT_MS;
-  const isReady = async (host: string): Promise<boolean> => {
-    const target = { host, key };
-    const work = { kind: 'ready', prompt: READY_PROMPT, maxTokens: 2, class: 'lookup' as const };
-    const answers = await Promise.all([
-      callCertificates(clock, target, 'ready', 'lookup'),
-      complete(clock, target, work),
-    ]);
-    return answers.every((answer) => answer.outcome.type === 'whole');
-  };
-  let ready = false;
-  while (!ready && clock.now() < until && !stopped.signal.aborted) {
-    ready = (await Promise.all(at.hosts.map(isReady))).every(Boolean);
-    if (!ready) await sleep(clock, POLL_MS, stopped.signal);
-  }
-  if (!ready && !stopped.signal.aborted) throw new Error('the hosts did not get ready');
-}
-
 /** Counts certificates that were issued more than once, as the service itself has noted. */
 async function issuedTwice(at: DemoAddresses): Promise<number> {
   const res = await request(`${at.certificates}/test/records`);
@@ -94,12 +43,10 @@
 
 async function run(fleet: DemoFleet, forMs: number, seed: number, stay: boolean): Promise<boolean> {
   const at = await fleet.start();
-  const teams = [team('labs'), team('ports')];
-  const [first, second] = teams as [DemoTeam, DemoTeam];
-  await apply(at, teams, seed);
-  await waitUntilReady(at, first);
-  print('all hosts answer; they form their group');
-  await sleep(clock, SETTLE_MS, stopped.signal);
+  const first = demoTeam('labs', TOKENS_PER_SECOND);
+  const second = demoTeam('ports', TOKENS_PER_SECOND);
+  const version = await setUp(clock, at, [first, second], stopped.signal);
+  print(`configuration in force as version ${version}; all hosts serve`);
   print(`3 hosts, 2 prefill and 2 decode engines, 1 certificate service: load for ${forMs} ms`);
   const random = new RandomSource(seed);
   const counts = new DemoCounts();
