Rename the object API's client package to store

Two things bore the name platform: this client, and from now on the folder that meets the users' platform. The client is named after what it talks to. No behaviour changes; types and tests as before.

--- a/packages/bench/src/configuration/afterOutage.ts
+++ b/packages/bench/src/configuration/afterOutage.ts
@@ -1,6 +1,6 @@
 import { RandomSource, VirtualClock, type Millis } from '@camphorvane/core';
 import { applyConfig } from '@camphorvane/operator';
-import { BudgetedStore, CallBudget, ConfigFollower } from '@camphorvane/platform';
+import { BudgetedStore, CallBudget, ConfigFollower } from '@camphorvane/store';
 import { MemoryObjectStore } from '@camphorvane/stand-ins';
 import { LockstepRandom } from './LockstepRandom.ts';
 import { fleetConfig } from './fleetConfig.ts';
--- a/packages/bench/src/configuration/configSizes.ts
+++ b/packages/bench/src/configuration/configSizes.ts
@@ -2,7 +2,7 @@
 import { runInNewContext } from 'node:vm';
 import { RandomSource, SystemClock, type Millis } from '@camphorvane/core';
 import { applyConfig } from '@camphorvane/operator';
-import { CHUNK_KIND, CONFIG_KIND, ConfigFollower, HttpObjectStore } from '@camphorvane/platform';
+import { CHUNK_KIND, CONFIG_KIND, ConfigFollower, HttpObjectStore } from '@camphorvane/store';
 import { MemoryObjectStore, serveApp, storeRoutes } from '@camphorvane/stand-ins';
 import { fleetConfig } from './fleetConfig.ts';
 
--- a/packages/bench/src/slopes/memorySlopes.ts
+++ b/packages/bench/src/slopes/memorySlopes.ts
@@ -1,6 +1,6 @@
 import { SystemClock, type TeamConfig } from '@camphorvane/core';
 import { DEFAULT_SHARES, ShareHolder, ShareSteward } from '@camphorvane/group';
-import { chunkConfig, readPart } from '@camphorvane/platform';
+import { chunkConfig, readPart } from '@camphorvane/store';
 import { teamsOf } from './groupSlopes.ts';
 import { type Slope, slopeOf } from './Slope.ts';
 
--- a/packages/operator/src/apply/ApplyContext.ts
+++ b/packages/operator/src/apply/ApplyContext.ts
@@ -1,5 +1,5 @@
 import type { Clock, RandomSource } from '@camphorvane/core';
-import type { ObjectStore } from '@camphorvane/platform';
+import type { ObjectStore } from '@camphorvane/store';
 
 /** What applying a configuration runs on. */
 export interface ApplyContext {
--- a/packages/operator/src/apply/ApplyError.ts
+++ b/packages/operator/src/apply/ApplyError.ts
@@ -1,4 +1,4 @@
-import type { ObjectVersion } from '@camphorvane/platform';
+import type { ObjectVersion } from '@camphorvane/store';
 import type { ReferenceFault } from '../declarations/checkReferences.ts';
 import type { ConfigChange, ItemName } from './ConfigItem.ts';
 
--- a/packages/operator/src/apply/BlobWriter.ts
+++ b/packages/operator/src/apply/BlobWriter.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from '@camphorvane/core';
-import type { ObjectStore, PlatformError, StoredObject } from '@camphorvane/platform';
+import type { ObjectStore, PlatformError, StoredObject } from '@camphorvane/store';
 import { ok, type Result } from 'neverthrow';
 
 /** How often another writer of the same blob may come between before the write is given up. */
--- a/packages/operator/src/apply/ConfigApply.ts
+++ b/packages/operator/src/apply/ConfigApply.ts
@@ -12,7 +12,7 @@
   type ConfigRoot,
   type ObjectVersion,
   type PlatformError,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { err, ok, type Result } from 'neverthrow';
 import { checkReferences } from '../declarations/checkReferences.ts';
 import type { ApplyContext } from './ApplyContext.ts';
--- a/packages/operator/src/apply/ConfigItem.ts
+++ b/packages/operator/src/apply/ConfigItem.ts
@@ -1,5 +1,5 @@
 import type { RoutingConfig, WaitRule } from '@camphorvane/core';
-import { splitConfig, stableJson, type ConfigPart } from '@camphorvane/platform';
+import { splitConfig, stableJson, type ConfigPart } from '@camphorvane/store';
 
 /** What operators change and conflict on: one team, pool or service, or the list of wait rules. */
 export type ItemName = `team ${string}` | `pool ${string}` | `service ${string}` | 'wait rules';
--- a/packages/operator/src/apply/collectUnused.ts
+++ b/packages/operator/src/apply/collectUnused.ts
@@ -1,5 +1,5 @@
 import { sha256Hex, type Millis } from '@camphorvane/core';
-import { CHUNK_KIND, MANIFEST_KIND, manifestText, type StoredObject } from '@camphorvane/platform';
+import { CHUNK_KIND, MANIFEST_KIND, manifestText, type StoredObject } from '@camphorvane/store';
 import type { ApplyContext } from './ApplyContext.ts';
 import { readAcceptedRoot, readArchivedManifest, type AcceptedRoot } from './readAccepted.ts';
 
--- a/packages/operator/src/apply/readAccepted.ts
+++ b/packages/operator/src/apply/readAccepted.ts
@@ -13,7 +13,7 @@
   type ObjectStore,
   type ObjectVersion,
   type PlatformError,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import type { ResultAsync, Result } from 'neverthrow';
 import { err, errAsync, ok } from 'neverthrow';
 
--- a/packages/operator/src/commands/declarationCommands.ts
+++ b/packages/operator/src/commands/declarationCommands.ts
@@ -1,5 +1,5 @@
 import type { RoutingConfig } from '@camphorvane/core';
-import type { ObjectStore, ObjectVersion } from '@camphorvane/platform';
+import type { ObjectStore, ObjectVersion } from '@camphorvane/store';
 import { sha256Hex } from '@camphorvane/core';
 import { err, ok, type Result } from 'neverthrow';
 import type { ApplyContext } from '../apply/ApplyContext.ts';
--- a/packages/operator/tests/apply/applyConfig.test.ts
+++ b/packages/operator/tests/apply/applyConfig.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { GRACE_MS, applyConfig, diffConfigs, readAccepted } from '@camphorvane/operator';
-import { CHUNK_KIND, CONFIG_KIND, ROOT_NAME } from '@camphorvane/platform';
+import { CHUNK_KIND, CONFIG_KIND, ROOT_NAME } from '@camphorvane/store';
 import fc from 'fast-check';
 import { configOf, drive, errorOf, operatorOn, team, valueOf } from '../support/platform.ts';
 
--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -17,7 +17,7 @@
   UpstreamId,
 } from '@camphorvane/core';
 import type { Hello, ShareReply, ShareSync, Welcome } from '@camphorvane/group';
-import type { StoredObject } from '@camphorvane/platform';
+import type { StoredObject } from '@camphorvane/store';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where a peer listens. */
--- a/packages/peer/src/group/GroupObject.ts
+++ b/packages/peer/src/group/GroupObject.ts
@@ -8,7 +8,7 @@
   type ReadOutcome,
   type WriteOutcome,
 } from '@camphorvane/group';
-import type { ObjectStore, PlatformError } from '@camphorvane/platform';
+import type { ObjectStore, PlatformError } from '@camphorvane/store';
 
 const log = debug('camphorvane:group');
 
--- a/packages/peer/src/group/GroupRunner.ts
+++ b/packages/peer/src/group/GroupRunner.ts
@@ -13,7 +13,7 @@
   type MembershipSettings,
   type Welcome,
 } from '@camphorvane/group';
-import type { ObjectStore } from '@camphorvane/platform';
+import type { ObjectStore } from '@camphorvane/store';
 import type { PeerLink } from '../PeerLink.ts';
 import { GroupObject } from './GroupObject.ts';
 import { PeerTask, type AskEffect } from './PeerTask.ts';
--- a/packages/peer/tests/support/FakePlatform.ts
+++ b/packages/peer/tests/support/FakePlatform.ts
@@ -7,7 +7,7 @@
   PlatformError,
   StoredObject,
   WatchBatch,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 
 const DOWN: PlatformError = { type: 'unavailable', message: 'the platform is down' };
 
--- a/packages/router/src/cli/declarationCommands.ts
+++ b/packages/router/src/cli/declarationCommands.ts
@@ -3,7 +3,7 @@
 import { RandomSource, SystemClock } from '@camphorvane/core';
 import type { CommandResult, NamedText } from '@camphorvane/operator';
 import { EXIT, applyCommand, checkCommand, diffCommand } from '@camphorvane/operator';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { HttpObjectStore } from '@camphorvane/store';
 import type { CommandModule } from 'yargs';
 import { JSON_OPTION, PLATFORM_OPTION } from './options.ts';
 import { printResult } from './printResult.ts';
--- a/packages/router/src/host/Authenticator.ts
+++ b/packages/router/src/host/Authenticator.ts
@@ -1,6 +1,6 @@
 import type { Refusal, TeamConfig } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import type { KeyRing } from '@camphorvane/platform';
+import type { KeyRing } from '@camphorvane/store';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { ConfigSource } from './ports.ts';
--- a/packages/router/src/host/ConfigRelay.ts
+++ b/packages/router/src/host/ConfigRelay.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Millis } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { PeerAddress, PeerLink, PeerRequest, PeerResponse } from '@camphorvane/peer';
-import type { ConfigFollower, ConfigPeers, StoredObject } from '@camphorvane/platform';
+import type { ConfigFollower, ConfigPeers, StoredObject } from '@camphorvane/store';
 import type { GroupGate } from './ports.ts';
 
 /** Milliseconds to wait for a peer. */
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
 import type { PeerLink } from '@camphorvane/peer';
-import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
+import type { HostRegistry, ObjectStore } from '@camphorvane/store';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
 
--- a/packages/router/src/host/RunningHost.ts
+++ b/packages/router/src/host/RunningHost.ts
@@ -9,7 +9,7 @@
   PEER_PROTOCOL,
   PeerTls,
 } from '@camphorvane/peer';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { HttpObjectStore } from '@camphorvane/store';
 import { HttpModelEngine, HttpPlainServer } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import { OperatorServer } from '@camphorvane/operator';
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -11,7 +11,7 @@
   DEFAULT_RETENTION_MS,
   IdempotencyClaims,
   KeyRing,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { EngineWatch } from '../placing/EngineWatch.ts';
 import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
 import { PlacementClient } from '../placing/PlacementClient.ts';
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -12,8 +12,8 @@
 } from '@camphorvane/core';
 import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
 import type { GateCall } from '@camphorvane/decisions';
-import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/platform';
-import { claimRefusal } from '@camphorvane/platform';
+import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
+import { claimRefusal } from '@camphorvane/store';
 import type { ServiceAnswer, UpstreamError } from '@camphorvane/upstream';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
--- a/packages/scenario/src/subject/Subject.ts
+++ b/packages/scenario/src/subject/Subject.ts
@@ -9,7 +9,7 @@
 } from '@camphorvane/core';
 import type { CallerBackend } from '@camphorvane/caller';
 import type { PeerHandler, PeerLink, PeerSender } from '@camphorvane/peer';
-import type { HostRegistry, ObjectStore } from '@camphorvane/platform';
+import type { HostRegistry, ObjectStore } from '@camphorvane/store';
 import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
 
 /** Everything that a host touches, in memory. */
--- a/packages/scenario/src/subject/routerSubject.ts
+++ b/packages/scenario/src/subject/routerSubject.ts
@@ -3,7 +3,7 @@
 import type { Clock, RoutingConfig } from '@camphorvane/core';
 import { applyConfig, readAcceptedRoot } from '@camphorvane/operator';
 import type { ApplyBase } from '@camphorvane/operator';
-import type { ObjectStore } from '@camphorvane/platform';
+import type { ObjectStore } from '@camphorvane/store';
 import type { HostEdges, Subject, SubjectHost } from './Subject.ts';
 
 const GROUP = 'g1';
--- a/packages/scenario/src/world/LinkedStore.ts
+++ b/packages/scenario/src/world/LinkedStore.ts
@@ -7,7 +7,7 @@
   PlatformError,
   StoredObject,
   WatchBatch,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import type { MemoryObjectStore } from '@camphorvane/stand-ins';
 import { err, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
--- a/packages/stand-ins/src/demo/demoSetup.ts
+++ b/packages/stand-ins/src/demo/demoSetup.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@camphorvane/core';
 import { RandomSource, sleep } from '@camphorvane/core';
 import { applyConfig, parseDeclarations } from '@camphorvane/operator';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { HttpObjectStore } from '@camphorvane/store';
 import { callCertificates, complete } from './demoCalls.ts';
 import type { DemoTeam } from './demoDeclarations.ts';
 import { demoDeclarations } from './demoDeclarations.ts';
--- a/packages/stand-ins/src/platform/MemoryObjectStore.ts
+++ b/packages/stand-ins/src/platform/MemoryObjectStore.ts
@@ -10,7 +10,7 @@
   StoredObject,
   WatchBatch,
   WatchEvent,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { err, ok, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { interruptible } from '../engine/interruptible.ts';
--- a/packages/stand-ins/src/platform/storeRoutes.ts
+++ b/packages/stand-ins/src/platform/storeRoutes.ts
@@ -1,4 +1,4 @@
-import type { Expected, HostEntry, PlatformError } from '@camphorvane/platform';
+import type { Expected, HostEntry, PlatformError } from '@camphorvane/store';
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import type { NodeEnv } from '../http/serveApp.ts';
--- a/packages/platform/tests/CallBudget.test.ts
+++ b/packages/store/tests/CallBudget.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
-import { Backoff, BudgetedStore, CallBudget } from '@camphorvane/platform';
+import { Backoff, BudgetedStore, CallBudget } from '@camphorvane/store';
 import { MemoryObjectStore } from '@camphorvane/stand-ins';
 import { errorOf } from './support/results.ts';
 import { drive } from './support/drive.ts';
--- a/packages/platform/tests/HttpObjectStore.test.ts
+++ b/packages/store/tests/HttpObjectStore.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { VirtualClock } from '@camphorvane/core';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { HttpObjectStore } from '@camphorvane/store';
 import { errorOf, valueOf } from './support/results.ts';
 
 type Answer = (req: IncomingMessage, res: ServerResponse) => void;
--- a/packages/platform/tests/HttpProtocol.test.ts
+++ b/packages/store/tests/HttpProtocol.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import { SystemClock } from '@camphorvane/core';
-import { HttpObjectStore } from '@camphorvane/platform';
+import { HttpObjectStore } from '@camphorvane/store';
 import { MemoryObjectStore, serveApp, storeRoutes } from '@camphorvane/stand-ins';
 import { errorOf, valueOf } from './support/results.ts';
 
--- a/packages/platform/tests/claims/IdempotencyClaims.test.ts
+++ b/packages/store/tests/claims/IdempotencyClaims.test.ts
@@ -12,7 +12,7 @@
   type ClaimOutcome,
   type ClaimRequest,
   type HolderState,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { MemoryObjectStore } from '@camphorvane/stand-ins';
 import fc from 'fast-check';
 import { TimeoutStore } from '../support/TimeoutStore.ts';
--- a/packages/platform/tests/config/ConfigFollower.test.ts
+++ b/packages/store/tests/config/ConfigFollower.test.ts
@@ -7,7 +7,7 @@
   NO_PEERS,
   ROOT_NAME,
   type ConfigPeers,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { MemoryObjectStore } from '@camphorvane/stand-ins';
 import { drive } from '../support/drive.ts';
 import { configOf, manyTeams, publish, team } from '../support/publish.ts';
--- a/packages/platform/tests/config/ConfigFollowers.property.test.ts
+++ b/packages/store/tests/config/ConfigFollowers.property.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
-import { ConfigFollower, configDigest, type ConfigPeers } from '@camphorvane/platform';
+import { ConfigFollower, configDigest, type ConfigPeers } from '@camphorvane/store';
 import { MemoryObjectStore } from '@camphorvane/stand-ins';
 import fc from 'fast-check';
 import { drive } from '../support/drive.ts';
--- a/packages/platform/tests/config/ConfigPart.test.ts
+++ b/packages/store/tests/config/ConfigPart.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { bucketsFor, chunkConfig, configDigest } from '@camphorvane/platform';
+import { bucketsFor, chunkConfig, configDigest } from '@camphorvane/store';
 import fc from 'fast-check';
 import { configOf, manyTeams, team } from '../support/publish.ts';
 
--- a/packages/platform/tests/config/KeyRing.test.ts
+++ b/packages/store/tests/config/KeyRing.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { sha256Hex } from '@camphorvane/core';
-import { KeyRing, type WithdrawnKey } from '@camphorvane/platform';
+import { KeyRing, type WithdrawnKey } from '@camphorvane/store';
 import { configOf, team } from '../support/publish.ts';
 
 const [KEY_A, KEY_B] = ['cvk_a', 'cvk_b'];
--- a/packages/platform/tests/support/TimeoutStore.ts
+++ b/packages/store/tests/support/TimeoutStore.ts
@@ -7,7 +7,7 @@
   PlatformError,
   StoredObject,
   WatchBatch,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { ResultAsync, errAsync } from 'neverthrow';
 
 /** A store whose caller gives up after a time, while the call goes on and may yet take effect. */
--- a/packages/platform/tests/support/publish.ts
+++ b/packages/store/tests/support/publish.ts
@@ -6,7 +6,7 @@
   chunkConfig,
   type ObjectStore,
   type StoredObject,
-} from '@camphorvane/platform';
+} from '@camphorvane/store';
 import { drive } from './drive.ts';
 import { valueOf } from './results.ts';
 
