--- a/packages/bench/src/slopes/ControlFleet.ts
+++ b/packages/bench/src/slopes/ControlFleet.ts
@@ -3,7 +3,7 @@
 import { applyConfig } from '@camphorvane/operator';
 import type { PeerLink } from '@camphorvane/peer';
 import { requestBytes, responseBytes } from '@camphorvane/peer';
-import { Host, Metrics } from '@camphorvane/router';
+import { groupAgreement, Host, Metrics } from '@camphorvane/router';
 import {
   EngineCore,
   MemoryNetwork,
@@ -167,14 +167,16 @@
     const host = new Host({
       identity,
       incarnation,
-      group: 'g',
-      groupSize: this.load.hosts,
-      fleetHosts: this.load.hosts,
+      agreement: groupAgreement({
+        group: 'g',
+        groupSize: this.load.hosts,
+        fleetHosts: this.load.hosts,
+        store: this.store,
+        link: this.counting(this.network.link(sender, this.clock)),
+      }),
       drainGraceMs: SECOND_MS,
       clock: this.clock,
       random: new RandomSource(100 + index),
-      store: this.store,
-      link: this.counting(this.network.link(sender, this.clock)),
       engines: (cfg) => this.engineOrThrow(cfg.id),
       servers: () => {
         throw new Error('no plain services are measured');
--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -1,4 +1,13 @@
-import type { ModelId, Refusal, RequestId, ServiceId, Tokens, WorkClass } from '@camphorvane/core';
+import type {
+  Millis,
+  ModelId,
+  PromptPart,
+  Refusal,
+  RequestId,
+  ServiceId,
+  Tokens,
+  WorkClass,
+} from '@camphorvane/core';
 import type { Result } from 'neverthrow';
 
 /** A host that a caller may use. */
@@ -62,6 +71,56 @@
   readonly replayed: boolean;
 }
 
+/** What a call that is passed on declares of the work that a model engine will have with it. */
+export interface DeclaredWork {
+  readonly promptTokens: Tokens;
+  readonly maxTokens: Tokens;
+  readonly parts: readonly PromptPart[];
+  /** Position after which the caller wants a stream to go on; undefined for a new one. */
+  readonly lastPosition: number | undefined;
+}
+
+/** A call that is passed on byte for byte, by host name and path. */
+export interface ForwardRequest {
+  readonly key: string | undefined;
+  /** Host name that the caller asked for. */
+  readonly host: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  /** Only headers that may reach an upstream; lower-case names. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Milliseconds that the caller will wait; undefined where it did not say. */
+  readonly patienceMs: Millis | undefined;
+  /** Undefined where the caller declared nothing. */
+  readonly work: DeclaredWork | undefined;
+}
+
+/** What happens to a call that is passed on, in order; ends after `done` or `refused`. */
+export type ForwardEvent =
+  | {
+      readonly type: 'head';
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string>>;
+    }
+  | { readonly type: 'data'; readonly bytes: Uint8Array }
+  | { readonly type: 'done' }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+/** What an edge that passes calls on asks of the host. */
+export interface ForwardBackend {
+  /**
+   * Serves a call that is passed on.
+   *
+   * @param id - The request's id, as its caller gave it.
+   * @param req - The call.
+   * @param signal - Aborted when the caller has gone.
+   * @returns The events; a `refused` after a `head` means that the answer broke off.
+   */
+  forward(id: RequestId, req: ForwardRequest, signal: AbortSignal): AsyncIterable<ForwardEvent>;
+}
+
 /** What the HTTP interface asks of the host; a scenario calls it without HTTP. */
 export interface CallerBackend {
   /** Gets a new id for a request. */
--- a/packages/caller/src/http/refusalStatus.ts
+++ b/packages/caller/src/http/refusalStatus.ts
@@ -29,6 +29,7 @@
   upstream_failed: 502,
   outcome_unknown: 502,
   retry_budget_spent: 503,
+  timed_out: 504,
   caller_gone: 499,
   internal: 500,
 };
--- a/packages/core/src/Refusal.ts
+++ b/packages/core/src/Refusal.ts
@@ -32,6 +32,7 @@
   'upstream_failed',
   'outcome_unknown',
   'retry_budget_spent',
+  'timed_out',
   'caller_gone',
   'internal',
 ] as const;
--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -23,6 +23,10 @@
   readonly models: readonly ModelId[];
   /** Weight in fair queueing; 1 unless the operator says otherwise. */
   readonly weight: number;
+  /** Goes before the priority of a route where it is given; lower goes first. */
+  readonly priority?: number;
+  /** Tokens charged for a call that does not say its own size. */
+  readonly plainCallTokens?: Tokens;
 }
 
 /** What an engine is used for. */
@@ -37,6 +41,8 @@
   readonly role: EngineRole;
   /** Memory in pieces of about a thousand tokens. */
   readonly memoryPieces: number;
+  /** Requests that the engine runs at once; absent where only its memory bounds them. */
+  readonly slots?: number;
   /** True where the engine refuses orders with an old fencing number. */
   readonly checksFencing: boolean;
 }
@@ -95,12 +101,56 @@
   readonly maxWaitMs: number;
 }
 
+/** What may be repeated on a route: any call, none after it was sent, or a stream by its own rule. */
+export type RouteKind = 'idempotent' | 'at_most_once' | 'stream';
+
+/** A service that takes a share of a route's requests. */
+export interface RouteTarget {
+  readonly service: ServiceId;
+  /** Share of the requests, relative to the other targets. */
+  readonly weight: number;
+}
+
+/** A route by host name and path, whose calls are passed on byte for byte. */
+export interface ForwardRoute {
+  readonly name: string;
+  readonly host: string;
+  /** Starts and ends with a slash; the longest prefix of a path wins. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  readonly targets: readonly RouteTarget[];
+  /** True where no key is needed. */
+  readonly open: boolean;
+  /** Longest time until the answer has ended, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time within which the answer, or the first event of a stream, is on time, in milliseconds. */
+  readonly targetMs: number;
+  /** Lower goes first. */
+  readonly priority: number;
+  /** Most upstreams that may run one request. */
+  readonly maxAttempts: number;
+  /** True where a broken stream may go on at another engine after its last event. */
+  readonly resumable: boolean;
+}
+
+/** Bounds on what callers may send, and on how long they may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
 /** The whole configuration that hosts act on. */
 export interface RoutingConfig {
   readonly teams: readonly TeamConfig[];
   readonly pools: readonly PoolConfig[];
   readonly services: readonly ServiceConfig[];
   readonly waitRules: readonly WaitRule[];
+  /** Routes by host name and path; absent where only our own interface is served. */
+  readonly routes?: readonly ForwardRoute[];
+  /** Bounds that the operators set; absent where the built-in ones hold. */
+  readonly limits?: CallerLimits;
 }
 
 /** A configuration together with its place in the order of all accepted ones. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,5 +7,6 @@
 export * from './digest.ts';
 export * from './rendezvous.ts';
 export * from './tokens.ts';
+export * from './Prompt.ts';
 export * from './RoutingConfig.ts';
 export * from './LoadSnapshot.ts';
--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -30,6 +30,8 @@
   readonly maxWaitMs: Millis;
   /** Engines that must not be chosen, because this request failed on them. */
   readonly avoid: readonly UpstreamId[];
+  /** Rank that the operators gave; lower goes first. Absent where only the class counts. */
+  readonly priority?: number;
 }
 
 /** A prefix of a prompt that an engine may have in its cache. */
--- /dev/null
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -0,0 +1,73 @@
+import type { HostId, Millis, Tokens, UpstreamId } from '@camphorvane/core';
+
+/** What one host has on one engine at present. */
+export interface EngineUse {
+  /** Prompt tokens that were sent to be read and are not read yet. */
+  readonly prefillTokens: Tokens;
+  /** Requests that hold a slot for output. */
+  readonly streams: number;
+  /** Memory of those requests, in tokens. */
+  readonly memoryTokens: Tokens;
+}
+
+/** An engine on which a host has nothing. */
+export const NO_USE: EngineUse = { prefillTokens: 0, streams: 0, memoryTokens: 0 };
+
+/**
+ * Milliseconds for which a peer's word about its use counts. Hosts tell each other five times a
+ * second; a host that was silent for this long is dead, cut off or frozen, and the requests it had
+ * are ending.
+ */
+const PEER_WORD_LIFE_MS: Millis = 1_500;
+
+interface PeerWord {
+  readonly at: Millis;
+  readonly uses: ReadonlyMap<UpstreamId, EngineUse>;
+}
+
+/** Adds up what this host knows that it and its peers have on each engine. */
+export class UseBook {
+  private readonly own = new Map<UpstreamId, EngineUse>();
+
+  private readonly peers = new Map<HostId, PeerWord>();
+
+  /** Adds to, or with negative figures takes from, what this host has on an engine. */
+  change(engine: UpstreamId, by: Partial<EngineUse>): void {
+    const use = this.own.get(engine) ?? NO_USE;
+    const next: EngineUse = {
+      prefillTokens: Math.max(0, use.prefillTokens + (by.prefillTokens ?? 0)),
+      streams: Math.max(0, use.streams + (by.streams ?? 0)),
+      memoryTokens: Math.max(0, use.memoryTokens + (by.memoryTokens ?? 0)),
+    };
+    const isEmpty = next.prefillTokens + next.streams + next.memoryTokens === 0;
+    if (isEmpty) this.own.delete(engine);
+    else this.own.set(engine, next);
+  }
+
+  /** Takes in what a peer says that it has; it replaces what the peer said before. */
+  hear(peer: HostId, uses: ReadonlyMap<UpstreamId, EngineUse>, now: Millis): void {
+    this.peers.set(peer, { at: now, uses });
+  }
+
+  /** Gets what this host has on each engine, to be told to its peers. */
+  getOwn(): ReadonlyMap<UpstreamId, EngineUse> {
+    return this.own;
+  }
+
+  /** Gets what all hosts together have on an engine, as far as this host knows. */
+  getTotal(engine: UpstreamId, now: Millis): EngineUse {
+    const own = this.own.get(engine) ?? NO_USE;
+    return [...this.peers.values()]
+      .filter((word) => now - word.at <= PEER_WORD_LIFE_MS)
+      .map((word) => word.uses.get(engine) ?? NO_USE)
+      .reduce(addUse, own);
+  }
+}
+
+function addUse(a: EngineUse, b: EngineUse): EngineUse {
+  return {
+    prefillTokens: a.prefillTokens + b.prefillTokens,
+    streams: a.streams + b.streams,
+    memoryTokens: a.memoryTokens + b.memoryTokens,
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -0,0 +1,118 @@
+import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
+import { notRun } from '@camphorvane/core';
+import type { EnginePair, LocalPlacement, PlacementWish } from './LocalPlacement.ts';
+
+/** A request that waits for engines. */
+export interface QueuedWish extends PlacementWish {
+  readonly request: RequestId;
+  readonly team: TeamId;
+  /** Lower goes first. */
+  readonly priority: number;
+  /** Time at which the request is refused if it has no engines by then. */
+  readonly giveUpAt: Millis;
+}
+
+/** What the queue decided for a request. */
+export type QueueDecision =
+  | { readonly type: 'place'; readonly request: RequestId; readonly pair: EnginePair }
+  | { readonly type: 'refuse'; readonly request: RequestId; readonly refusal: Refusal };
+
+/**
+ * Longest time in which a prompt that is sent now should be read, in milliseconds. Prompts wait here
+ * and not at an engine, where a more urgent one could not pass them, and where they would still be
+ * read after their caller has left. Three prompts of five thousand tokens keep an engine busy while
+ * the next ones are on their way.
+ */
+const MAX_READ_MS: Millis = 350;
+
+/** Requests that wait at most; more could not be served before their callers leave. */
+const MAX_WAITING = 512;
+
+/** Milliseconds after which a refused caller may try: the length of a short burst's tail. */
+const RETRY_AFTER_MS: Millis = 1_000;
+
+/** Milliseconds between two looks at the engines while requests wait: a tenth of a prefill. */
+export const QUEUE_LOOK_MS: Millis = 10;
+
+/**
+ * Requests of one pool that wait on this host for engines.
+ *
+ * Made for bursts: while no engine has room, the most urgent request of the team with the fewest
+ * running ones goes first, so that one team's burst delays mostly itself. A request that can't be on
+ * time any more is refused at once, and told when to come back.
+ */
+export class LocalQueue {
+  private readonly placement: LocalPlacement;
+
+  private readonly runningByTeam = new Map<TeamId, number>();
+
+  private waiting: readonly QueuedWish[] = [];
+
+  /** @param placement - Chooses engines. */
+  constructor(placement: LocalPlacement) {
+    this.placement = placement;
+  }
+
+  /** Gets how many requests wait. */
+  get size(): number {
+    return this.waiting.length;
+  }
+
+  /** Puts a request into the queue, or refuses it at once. */
+  submit(wish: QueuedWish): Refusal | undefined {
+    if (!this.placement.hasEngines()) {
+      return notRun('no_capacity', 'No engine of this model is known.', RETRY_AFTER_MS);
+    }
+    if (this.waiting.length >= MAX_WAITING) {
+      return notRun('queue_full', 'Too many requests wait for this model.', RETRY_AFTER_MS);
+    }
+    this.waiting = [...this.waiting, wish];
+    return undefined;
+  }
+
+  /** Takes a request out, because its caller has gone. */
+  withdraw(request: RequestId): void {
+    this.waiting = this.waiting.filter((wish) => wish.request !== request);
+  }
+
+  /** Notes that a placed request has ended. */
+  ended(team: TeamId): void {
+    const left = (this.runningByTeam.get(team) ?? 1) - 1;
+    if (left > 0) this.runningByTeam.set(team, left);
+    else this.runningByTeam.delete(team);
+  }
+
+  /**
+   * Gets the next decision that is due.
+   *
+   * @param now - Present time.
+   * @returns The decision; undefined where all who wait go on waiting. The caller notes the use of
+   *   the engines before it asks again.
+   */
+  next(now: Millis): QueueDecision | undefined {
+    const late = this.waiting.find((wish) => wish.giveUpAt <= now);
+    if (late !== undefined) {
+      this.withdraw(late.request);
+      const refusal = notRun('target_missed', 'No engine became free in time.', RETRY_AFTER_MS);
+      return { type: 'refuse', request: late.request, refusal };
+    }
+    const [first] = [...this.waiting].sort((a, b) => this.compare(a, b));
+    if (first === undefined) return undefined;
+    const pair = this.placement.choose(first, now);
+    if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair)) return undefined;
+    this.withdraw(first.request);
+    this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
+    return { type: 'place', request: first.request, pair };
+  }
+
+  /** A prompt that takes longer than the bound on an idle engine is not held back for its size. */
+  private allowedReadMs(wish: QueuedWish, pair: EnginePair): Millis {
+    return Math.max(MAX_READ_MS, this.placement.idleReadMs(wish, pair));
+  }
+
+  private compare(a: QueuedWish, b: QueuedWish): number {
+    if (a.priority !== b.priority) return a.priority - b.priority;
+    const running = (wish: QueuedWish): number => this.runningByTeam.get(wish.team) ?? 0;
+    return running(a) - running(b);
+  }
+}
--- a/packages/router/src/host/Authenticator.ts
+++ b/packages/router/src/host/Authenticator.ts
@@ -8,8 +8,8 @@
 /** A caller whose key is in force. */
 export interface AuthenticatedCaller {
   readonly team: TeamConfig;
-  /** Digest of the key, by which a later withdrawal finds the request. */
-  readonly keyDigest: string;
+  /** Digest of the key, by which a later withdrawal finds the request; none on open routes. */
+  readonly keyDigest: string | undefined;
 }
 
 /** Finds the team of a key, where the host can tell whether the key is still in force. */
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,5 +1,5 @@
-import type { CallerBackend } from '@camphorvane/caller';
-import type { HostId, Millis, ModelId, VersionedConfig } from '@camphorvane/core';
+import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
+import type { HostId, ModelId, VersionedConfig } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
 import type { HostStatus } from '@camphorvane/operator';
 import type { PeerHandler, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
@@ -9,12 +9,6 @@
 import { assembleHost } from './assembleHost.ts';
 import type { HostOptions } from './HostOptions.ts';
 
-/** Milliseconds between two announcements in the platform's host list. */
-const ANNOUNCE_PERIOD_MS: Millis = 5_000;
-
-/** Milliseconds that leaving the group may take before the host ends without it. */
-const LEAVE_TIMEOUT_MS: Millis = 10_000;
-
 const log = stateLog('host');
 
 /** What a host is doing. */
@@ -25,6 +19,9 @@
   /** Serves what callers ask. */
   readonly backend: CallerBackend;
 
+  /** Serves calls that are passed on. */
+  readonly forwarding: ForwardBackend;
+
   private readonly options: HostOptions;
 
   private readonly stopping = new AbortController();
@@ -33,62 +30,34 @@
 
   private state: HostState = 'starting';
 
+  private closed = false;
+
   /** @param options - What the host is made of. */
   constructor(options: HostOptions) {
     this.options = options;
-    this.parts = assembleHost(options, () => this.state === 'draining' || this.state === 'stopped');
+    this.parts = assembleHost(options, {
+      isDraining: () => this.state === 'draining' || this.state === 'stopped',
+      isClosed: () => this.closed,
+    });
     this.backend = this.parts.backend;
+    this.forwarding = this.parts.forwarding;
   }
 
   /** Starts all tasks of the host. */
   start(): void {
     const { signal } = this.stopping;
-    this.parts.config.onChange((config) => this.takeConfig(config));
-    this.parts.group.onChange(() => this.takeGroup());
-    void this.announce(signal);
-    this.parts.config.start();
-    this.parts.sweeper.start();
-    void this.parts.relay.run(this.parts.config, signal);
-    this.parts.runner.start();
-    this.parts.rates.start();
-    void this.parts.desk.run(signal);
+    const { agreement } = this.parts;
+    agreement.config.onChange((config) => this.takeConfig(config));
+    agreement.group.onChange(() => this.takeGroup());
+    agreement.start(signal);
     void this.parts.keeper.run(signal);
     void this.parts.watch.run(signal);
     this.enterState('serving');
   }
 
   /** Answers what other hosts ask. */
-  async answer(from: PeerSender, req: PeerRequest): Promise<PeerResponse> {
-    switch (req.type) {
-      case 'membership': {
-        const message = this.parts.runner.answer(req.message);
-        return message === undefined
-          ? { type: 'not_steward', epoch: 0 }
-          : { type: 'membership', message };
-      }
-      case 'crashes':
-        this.parts.crashes.heard(req.reports);
-        return { type: 'ok' };
-      case 'share_sync':
-        return this.parts.rates.answerSync(from, req.message);
-      case 'share_borrow':
-        return this.parts.rates.answerBorrow(req.team, req.tokens);
-      case 'share_nudge':
-        return this.parts.rates.answerNudge(from, req.teams);
-      case 'config_version':
-      case 'config_root':
-      case 'config_chunk':
-        return this.parts.relay.answer(req, this.parts.config);
-      case 'reserve':
-      case 'withdraw':
-      case 'renew':
-      case 'prefill_ended':
-      case 'release':
-      case 'observe':
-        return this.parts.desk.answer(req);
-      default:
-        return req satisfies never;
-    }
+  answer(from: PeerSender, req: PeerRequest): Promise<PeerResponse> {
+    return this.parts.agreement.answer(from, req);
   }
 
   /**
@@ -99,14 +68,12 @@
   async drain(): Promise<void> {
     if (this.state !== 'serving') return;
     this.enterState('draining');
-    this.parts.runner.drain();
-    await this.announceOnce('leaving');
+    const { agreement, inFlight } = this.parts;
+    await agreement.beginLeaving();
     const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
-    await Promise.race([this.parts.inFlight.whenIdle(), grace]);
-    await Promise.race([this.parts.claims.drained(), grace]);
-    await this.parts.rates.handBack();
-    await this.parts.runner.leave(LEAVE_TIMEOUT_MS);
-    await this.options.store.withdraw(this.options.identity.host);
+    await Promise.race([inFlight.whenIdle(), grace]);
+    if (agreement.claims !== undefined) await Promise.race([agreement.claims.drained(), grace]);
+    await agreement.leave();
     this.stop();
   }
 
@@ -114,13 +81,7 @@
   stop(): void {
     this.enterState('stopped');
     this.stopping.abort();
-    void this.parts.config.stop();
-    void this.parts.claims.stop();
-    void this.parts.sweeper.stop();
-    this.parts.desk.stop();
-    this.parts.rates.stop();
-    this.parts.fallback.stop();
-    this.parts.runner.stop();
+    this.parts.agreement.stop();
   }
 
   /** Gets what the host is doing. */
@@ -135,12 +96,12 @@
 
   /** Gets the models whose pools this host coordinates now. */
   getCoordinated(): readonly ModelId[] {
-    return this.parts.desk.getModels();
+    return this.parts.agreement.getCoordinated();
   }
 
   /** Gets the version of the configuration in force; 0 before the first. */
   configVersion(): number {
-    return this.parts.config.state().version;
+    return this.parts.agreement.config.state().version;
   }
 
   /** Gets the state in a line. */
@@ -152,8 +113,8 @@
       program: VERSION,
       state: this.state,
       configVersion: this.configVersion(),
-      configConfirmed: this.parts.config.isConfirmed(),
-      epoch: this.parts.runner.view().epoch,
+      configConfirmed: this.parts.agreement.config.isConfirmed(),
+      epoch: this.parts.agreement.getEpoch(),
       inFlight: this.parts.inFlight.size(),
     };
   }
@@ -164,14 +125,11 @@
       identity: this.options.identity,
       incarnation: this.options.incarnation,
       state: this.state,
-      config: this.parts.config.state(),
+      config: this.parts.agreement.config.state(),
       inFlight: this.parts.inFlight.size(),
       reservations: this.parts.keeper.size(),
-      group: this.parts.runner.dump(),
-      rates: this.parts.rates.dump(),
-      stewardOf: this.parts.desk.dump(),
-      fallback: this.parts.fallback.dump(),
-      crashes: this.parts.crashes.dump(),
+      ...this.parts.agreement.dump(),
+      crashes: this.parts.agreement.crashes.dump(),
       serviceQueues: this.parts.gates.dump(),
       counters: this.options.metrics.getCounts(),
     };
@@ -180,33 +138,24 @@
   private takeConfig({ version, config }: VersionedConfig): void {
     this.parts.directory.reshape(config);
     this.parts.keys.update(config);
-    this.parts.rates.setTeams(config.teams);
-    this.parts.desk.refresh();
+    this.parts.agreement.rates.setTeams(config.teams);
+    this.parts.agreement.placer.refresh();
     this.parts.gates.refresh();
-    const refusal = notRun('key_withdrawn', 'The key was withdrawn while the request ran.');
-    const ended = this.parts.inFlight.endWithdrawn(
-      (d, team) => this.parts.keys.isInForce(d, team),
-      refusal,
-    );
+    const ended = this.parts.agreement.endsWithdrawn ? this.endWithdrawn() : 0;
     this.options.metrics.count('config.changed');
     log('config_in_force', { version, ended });
   }
 
   private takeGroup(): void {
-    this.parts.desk.refresh();
+    this.parts.agreement.placer.refresh();
     this.parts.gates.refresh();
   }
 
-  private async announce(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.announceOnce(this.state === 'draining' ? 'leaving' : 'live');
-      await sleep(this.options.clock, ANNOUNCE_PERIOD_MS, signal);
-    }
-  }
-
-  private async announceOnce(state: 'live' | 'leaving'): Promise<void> {
-    const { host, ...rest } = this.options.identity;
-    await this.options.store.announce({ id: host, ...rest, state });
+  private endWithdrawn(): number {
+    return this.parts.inFlight.endWithdrawn(
+      (digest, team) => this.parts.keys.isInForce(digest, team),
+      notRun('key_withdrawn', 'The key was withdrawn while the request ran.'),
+    );
   }
 
   private enterState(state: HostState): void {
--- a/packages/router/src/host/HostBackend.ts
+++ b/packages/router/src/host/HostBackend.ts
@@ -6,14 +6,27 @@
   ServiceReply,
   ServiceRequest,
 } from '@camphorvane/caller';
-import type { Clock, Millis, ModelId, RandomSource, Refusal, RequestId } from '@camphorvane/core';
-import { notRun } from '@camphorvane/core';
+import type {
+  Clock,
+  Millis,
+  ModelId,
+  RandomSource,
+  Refusal,
+  RequestId,
+  ServiceConfig,
+} from '@camphorvane/core';
+import { notRun, outcomeUnknown } from '@camphorvane/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { CompletionServing } from '../serving/CompletionServing.ts';
+import type { ServingEvent } from '../serving/completionWork.ts';
+import { TEXT_TERMS } from '../serving/completionWork.ts';
 import type { ServiceServing } from '../serving/ServiceServing.ts';
-import { findRoute } from '../serving/ServiceServing.ts';
+import type { CallTerms } from '../serving/serviceWork.ts';
+import { MAX_TRIES } from '../serving/ServiceServing.ts';
+import { findRoute } from '../serving/findRoute.ts';
+import { MAX_SERVICE_WAIT_MS } from '../serving/ServiceGates.ts';
 import type { AuthenticatedCaller, Authenticator } from './Authenticator.ts';
 import type { InFlight } from './InFlight.ts';
 import type { ConfigSource, GroupGate } from './ports.ts';
@@ -106,13 +119,23 @@
       yield { type: 'refused', refusal };
       return;
     }
-    const { abort, leave } = this.enter(id, caller.value, signal);
+    const { abort, leave } = this.options.inFlight.join(id, caller.value, signal);
     try {
-      const work = { id, req, caller: caller.value, config, signal: abort.signal };
-      const events = this.options.completions.serve(work);
+      const events = this.options.completions.serve({
+        id,
+        model: req.model,
+        prompt: req.prompt,
+        maxTokens: req.maxTokens,
+        class: req.class,
+        caller: caller.value,
+        config,
+        terms: TEXT_TERMS,
+        signal: abort.signal,
+      });
       for await (const event of events) {
-        this.noteEvent(event);
-        yield event;
+        const shown = textEvent(event);
+        this.noteEvent(shown);
+        yield shown;
       }
     } finally {
       leave();
@@ -143,9 +166,10 @@
     if (service === undefined || route === undefined) {
       return err(notRun('unknown_service', 'No route of a service has this method and path.'));
     }
-    const { abort, leave } = this.enter(id, caller.value, signal);
+    const { abort, leave } = this.options.inFlight.join(id, caller.value, signal);
     try {
-      const work = { id, req, caller: caller.value, service, route, signal: abort.signal };
+      const terms = this.callTerms(service);
+      const work = { id, req, terms, caller: caller.value, service, route, signal: abort.signal };
       return await this.options.services.serve(work);
     } finally {
       leave();
@@ -168,28 +192,12 @@
     });
   }
 
-  /** Enters a request, and ties its end to its caller's. */
-  private enter(
-    id: RequestId,
-    caller: AuthenticatedCaller,
-    signal: AbortSignal,
-  ): { readonly abort: AbortController; readonly leave: () => void } {
-    const abort = new AbortController();
-    const gone = (): void => abort.abort();
-    signal.addEventListener('abort', gone, { once: true });
-    if (signal.aborted) gone();
-    const out = this.options.inFlight.enter({
-      id,
-      team: caller.team.id,
-      keyDigest: caller.keyDigest,
-      abort,
-    });
+  private callTerms({ timeoutMs }: ServiceConfig): CallTerms {
     return {
-      abort,
-      leave: () => {
-        signal.removeEventListener('abort', gone);
-        out();
-      },
+      maxTries: MAX_TRIES,
+      claimed: true,
+      maxWaitMs: Math.min(MAX_SERVICE_WAIT_MS, timeoutMs),
+      deadlineAt: this.options.clock.now() + MAX_SERVICE_WAIT_MS + timeoutMs,
     };
   }
 
@@ -213,6 +221,25 @@
   }
 }
 
+/** Engines that run text give text alone; anything else would be a fault of this program. */
+function textEvent(event: ServingEvent): CompletionEvent {
+  switch (event.type) {
+    case 'token':
+    case 'done':
+    case 'refused':
+      return event;
+    case 'head':
+    case 'piece':
+    case 'answer':
+      return {
+        type: 'refused',
+        refusal: outcomeUnknown('internal', 'An engine answered a text with something else.'),
+      };
+    default:
+      return event satisfies never;
+  }
+}
+
 function noConfig(): Refusal {
   return notRun('key_state_unconfirmed', 'This host has no configuration yet.', 1_000);
 }
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,6 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
-import type { PeerLink } from '@camphorvane/peer';
-import type { HostRegistry, ObjectStore } from '@camphorvane/store';
+import type { AgreementFactory } from '../agreement/HostAgreement.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { EngineFactory, GroupMate, PlainServerFactory } from './ports.ts';
 
@@ -9,15 +8,10 @@
   readonly identity: Omit<GroupMate, 'leaving'>;
   /** Names this start of the host; never repeats. */
   readonly incarnation: string;
-  readonly group: string;
-  readonly groupSize: number;
-  /** Hosts of the whole fleet, which share the platform's rates. */
-  readonly fleetHosts: number;
   readonly drainGraceMs: Millis;
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly store: ObjectStore & HostRegistry;
-  readonly link: PeerLink;
+  readonly agreement: AgreementFactory;
   readonly engines: EngineFactory;
   readonly servers: PlainServerFactory;
   readonly metrics: Metrics;
--- a/packages/router/src/host/InFlight.ts
+++ b/packages/router/src/host/InFlight.ts
@@ -1,10 +1,12 @@
 import type { Refusal, RequestId, TeamId } from '@camphorvane/core';
+import type { AuthenticatedCaller } from './Authenticator.ts';
 
 /** One request that is being served. */
 export interface InFlightRequest {
   readonly id: RequestId;
   readonly team: TeamId;
-  readonly keyDigest: string;
+  /** Digest of the caller's key; undefined on routes that need none. */
+  readonly keyDigest: string | undefined;
   /** Aborted when the caller has gone or the host ends the request. */
   readonly abort: AbortController;
 }
@@ -34,6 +36,31 @@
     };
   }
 
+  /**
+   * Enters a caller's request, and ties its end to its caller's.
+   *
+   * @param id - The request.
+   * @param caller - Who sent it.
+   * @param signal - Aborted when the caller has gone.
+   * @returns What ends the request, and a function that takes it out again.
+   */
+  join(
+    id: RequestId,
+    caller: AuthenticatedCaller,
+    signal: AbortSignal,
+  ): { readonly abort: AbortController; readonly leave: () => void } {
+    const abort = new AbortController();
+    const gone = (): void => abort.abort();
+    signal.addEventListener('abort', gone, { once: true });
+    if (signal.aborted) gone();
+    const out = this.enter({ id, team: caller.team.id, keyDigest: caller.keyDigest, abort });
+    const leave = (): void => {
+      signal.removeEventListener('abort', gone);
+      out();
+    };
+    return { abort, leave };
+  }
+
   /**
    * Ends every request whose key is no longer in force.
    *
@@ -42,7 +69,9 @@
    * @returns How many were ended.
    */
   endWithdrawn(isInForce: (keyDigest: string, team: TeamId) => boolean, refusal: Refusal): number {
-    const withdrawn = [...this.requests.values()].filter((r) => !isInForce(r.keyDigest, r.team));
+    const withdrawn = [...this.requests.values()].filter(
+      (r) => r.keyDigest !== undefined && !isInForce(r.keyDigest, r.team),
+    );
     withdrawn.forEach((request) => request.abort.abort(refusal));
     return withdrawn.length;
   }
--- a/packages/router/src/host/RunningHost.ts
+++ b/packages/router/src/host/RunningHost.ts
@@ -14,6 +14,7 @@
 import { err, ok } from 'neverthrow';
 import { OperatorServer } from '@camphorvane/operator';
 import type { Result } from 'neverthrow';
+import { groupAgreement } from '../agreement/GroupAgreement.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import type { HostSettings } from '../settings/HostSettings.ts';
 import { Host } from './Host.ts';
@@ -58,14 +59,16 @@
       peerAddress: addressOf(settings.peers),
     },
     incarnation,
-    group: `${settings.host.region}-1`,
-    groupSize: settings.group.size,
-    fleetHosts: settings.platform.fleetHosts,
+    agreement: groupAgreement({
+      group: `${settings.host.region}-1`,
+      groupSize: settings.group.size,
+      fleetHosts: settings.platform.fleetHosts,
+      store: new HttpObjectStore({ baseUrl: settings.platform.url, clock }),
+      link,
+    }),
     drainGraceMs: settings.drain.graceMs,
     clock,
     random: new RandomSource(randomBytes(4).readInt32BE()),
-    store: new HttpObjectStore({ baseUrl: settings.platform.url, clock }),
-    link,
     engines: (cfg) => new HttpModelEngine(cfg.id, cfg.url, clock),
     servers: (cfg) => new HttpPlainServer(cfg.id, cfg.url, clock),
     metrics: metricsOf(settings),
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -6,6 +6,7 @@
   ServiceServer,
   TeamId,
   Tokens,
+  UpstreamId,
   VersionedConfig,
   ZoneId,
 } from '@camphorvane/core';
@@ -73,6 +74,24 @@
   refund(charge: RateCharge, unused: Tokens): void;
 }
 
+/** What a request is sent to once more. */
+export interface RepeatTarget {
+  readonly team: TeamId;
+  /** Pool or service that serves the request. */
+  readonly service: string;
+  /** Upstream that got the first attempt, or on which the last one failed. */
+  readonly upstream: UpstreamId;
+}
+
+/** Bounds how much work is repeated. */
+export interface RepeatGate {
+  /** Notes a first attempt. */
+  attempted(target: RepeatTarget, now: Millis): void;
+
+  /** Pays for one more attempt; false where there is nothing left. */
+  tryRepeat(target: RepeatTarget, now: Millis): boolean;
+}
+
 /** Makes the client of an engine. */
 export type EngineFactory = (cfg: EngineConfig) => ModelEngine;
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,4 +1,6 @@
 export * from './host/Host.ts';
+export * from './agreement/GroupAgreement.ts';
+export * from './agreement/HostAgreement.ts';
 export * from './host/HostOptions.ts';
 export * from './host/ports.ts';
 export * from './observe/Metrics.ts';
--- a/packages/router/src/placing/EngineWatch.ts
+++ b/packages/router/src/placing/EngineWatch.ts
@@ -1,13 +1,11 @@
 import type { Clock, Millis, ModelId, UpstreamId } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { EngineObservation } from '@camphorvane/decisions';
-import type { PlacementClient } from './PlacementClient.ts';
+import type { Placer } from './Placer.ts';
 
 /** Milliseconds between two messages with observations. */
 const FLUSH_PERIOD_MS: Millis = 500;
 
-const FLUSH_TIMEOUT_MS: Millis = 1_000;
-
 /** Observations kept for one pool while no steward answers; older ones say nothing any more. */
 const MAX_PENDING = 256;
 
@@ -17,11 +15,11 @@
   readonly streams: Set<string>;
 }
 
-/** Gathers what a host sees of engines, and tells the stewards of their pools in batches. */
+/** Gathers what a host sees of engines, and tells whoever places on them in batches. */
 export class EngineWatch {
   private readonly clock: Clock;
 
-  private readonly client: PlacementClient;
+  private readonly placer: Placer;
 
   private readonly intervals = new Map<ModelId, Map<UpstreamId, IntervalSum>>();
 
@@ -29,11 +27,11 @@
 
   /**
    * @param clock - Times the batches.
-   * @param client - Reaches the stewards.
+   * @param placer - Takes the batches.
    */
-  constructor(clock: Clock, client: PlacementClient) {
+  constructor(clock: Clock, placer: Placer) {
     this.clock = clock;
-    this.client = client;
+    this.placer = placer;
   }
 
   /** Takes in the time between two tokens of one stream. */
@@ -75,6 +73,6 @@
     this.intervals.delete(model);
     this.pending.delete(model);
     if (observations.length === 0) return;
-    await this.client.ask({ type: 'observe', model, observations }, FLUSH_TIMEOUT_MS);
+    await this.placer.observe(model, observations);
   }
 }
--- a/packages/router/src/placing/PlacementClient.ts
+++ b/packages/router/src/placing/PlacementClient.ts
@@ -8,12 +8,19 @@
   WorkClass,
 } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
-import type { AdoptedReservation, ReservationEnd, WorkItem } from '@camphorvane/decisions';
+import type {
+  AdoptedReservation,
+  EngineObservation,
+  ReservationEnd,
+  WorkItem,
+} from '@camphorvane/decisions';
 import type { PeerLink, PeerRequest, PeerResponse, Placement } from '@camphorvane/peer';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { GroupGate } from '../host/ports.ts';
 import type { FallbackPlacer } from './FallbackPlacer.ts';
+import type { PlacedPair } from './Placer.ts';
 import type { PlacingRequest, StewardDesk } from './StewardDesk.ts';
 import { poolKey } from './StewardDesk.ts';
 import { WAITING_ANSWER_MS } from './waitingAnswer.ts';
@@ -47,7 +54,7 @@
 }
 
 /** Asks the steward of a pool, on whichever host it is. */
-export class PlacementClient {
+export class PlacementClient implements ChangingPlacer {
   private readonly options: PlacementClientOptions;
 
   /** When a host last left a question without an answer. */
@@ -70,7 +77,7 @@
     model: ModelId,
     item: WorkItem,
     signal: AbortSignal,
-  ): Promise<Result<Placement, Refusal>> {
+  ): Promise<Result<PlacedPair, Refusal>> {
     const { clock } = this.options;
     const until = clock.now() + item.maxWaitMs;
     while (!signal.aborted) {
@@ -121,6 +128,16 @@
     }
   }
 
+  /** Takes up or gives up coordinating pools, as the group and the configuration now say. */
+  refresh(): void {
+    this.options.desk.refresh();
+  }
+
+  /** Tells the steward what this host saw; lost observations are made up by later ones. */
+  async observe(model: ModelId, observations: readonly EngineObservation[]): Promise<void> {
+    await this.ask({ type: 'observe', model, observations }, SHORT_TIMEOUT_MS);
+  }
+
   /**
    * Asks the steward of a pool once.
    *
--- a/packages/router/src/placing/ReservationKeeper.ts
+++ b/packages/router/src/placing/ReservationKeeper.ts
@@ -1,7 +1,7 @@
 import type { Clock, Millis, ModelId, ReservationId } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { AdoptedReservation } from '@camphorvane/decisions';
-import type { PlacementClient } from './PlacementClient.ts';
+import type { Placer } from './Placer.ts';
 
 /** Milliseconds between two renewals; a reservation lives three of them. */
 const RENEW_PERIOD_MS: Millis = 1_000;
@@ -25,17 +25,17 @@
 export class ReservationKeeper {
   private readonly clock: Clock;
 
-  private readonly client: PlacementClient;
+  private readonly placer: Placer;
 
   private readonly kept = new Map<ReservationId, KeptReservation>();
 
   /**
    * @param clock - Times the renewals.
-   * @param client - Reaches the stewards.
+   * @param placer - Takes the renewals.
    */
-  constructor(clock: Clock, client: PlacementClient) {
+  constructor(clock: Clock, placer: Placer) {
     this.clock = clock;
-    this.client = client;
+    this.placer = placer;
   }
 
   /** Gets how many reservations are kept. */
@@ -65,7 +65,7 @@
   private async renew(model: ModelId): Promise<void> {
     const held = [...this.kept.values()].filter((one) => one.model === model);
     const states = held.map((one) => one.state);
-    const lostIds = await this.client.renew(model, states, RENEW_TIMEOUT_MS);
+    const lostIds = await this.placer.renew(model, states, RENEW_TIMEOUT_MS);
     lostIds.forEach((id) => {
       const lost = this.kept.get(id);
       this.kept.delete(id);
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -1,19 +1,24 @@
-import type { Clock, Millis, PoolConfig, Tokens, UpstreamId } from '@camphorvane/core';
+import type { Clock, Millis, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
 import { piecesFor } from '@camphorvane/core';
 import type { AdoptedReservation, PromptPrefix, ReservationEnd } from '@camphorvane/decisions';
-import type { Placement } from '@camphorvane/peer';
-import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
+import type {
+  AnswerHead,
+  DecodeEvent,
+  ModelEngine,
+  PrefillResult,
+  UpstreamError,
+} from '@camphorvane/upstream';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { EngineWatch } from '../placing/EngineWatch.ts';
-import type { PlacementClient } from '../placing/PlacementClient.ts';
+import type { PlacedPair, Placer } from '../placing/Placer.ts';
 import type { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 
 /** The parts of a host that an attempt uses. */
 export interface AttemptTools {
   readonly clock: Clock;
   readonly directory: UpstreamDirectory;
-  readonly placements: PlacementClient;
+  readonly placements: Placer;
   readonly keeper: ReservationKeeper;
   readonly watch: EngineWatch;
   readonly metrics: Metrics;
@@ -22,9 +27,9 @@
 /** What one attempt is to run. */
 export interface AttemptPlan {
   readonly pool: PoolConfig;
-  readonly placement: Placement;
+  readonly placement: PlacedPair;
   readonly identity: Pick<AdoptedReservation, 'request' | 'holder' | 'team'>;
-  readonly prompt: string;
+  readonly prompt: Prompt;
   readonly prefixes: readonly PromptPrefix[];
   /** Text already delivered by earlier attempts. */
   readonly delivered: string;
@@ -38,9 +43,17 @@
   | {
       readonly type: 'done';
       readonly reason: 'stop' | 'length';
-      readonly prefill: PrefillResult;
+      /** Undefined where the decode engine ran the prompt itself. */
+      readonly prefill: PrefillResult | undefined;
       readonly outputTokens: Tokens;
     }
+  | {
+      /** The decode engine gave a final answer of its own instead of a stream. */
+      readonly type: 'answered';
+      readonly engine: UpstreamId;
+      readonly head: AnswerHead;
+      readonly body: Uint8Array;
+    }
   | FailedAttempt;
 
 /** An attempt that failed, and where. */
@@ -51,11 +64,11 @@
   readonly error: UpstreamError;
 }
 
-/** One token of an attempt. */
-export interface AttemptToken {
-  readonly position: number;
-  readonly text: string;
-}
+/** One event of an attempt that is passed on. */
+export type AttemptEvent =
+  | { readonly type: 'head'; readonly head: AnswerHead }
+  | { readonly type: 'token'; readonly position: number; readonly text: string }
+  | { readonly type: 'piece'; readonly position: number; readonly bytes: Uint8Array };
 
 /**
  * One try at a completion on one pair of engines: prefill, transfer, decode.
@@ -85,9 +98,9 @@
    * Runs the attempt.
    *
    * @param signal - Aborted when the caller has gone.
-   * @returns Tokens as they come; the generator's return value is the outcome.
+   * @returns Events as they come; the generator's return value is the outcome.
    */
-  async *run(signal: AbortSignal): AsyncGenerator<AttemptToken, AttemptOutcome> {
+  async *run(signal: AbortSignal): AsyncGenerator<AttemptEvent, AttemptOutcome> {
     const stop = (): void => this.abort.abort();
     signal.addEventListener('abort', stop, { once: true });
     if (signal.aborted) stop();
@@ -102,16 +115,17 @@
     }
   }
 
-  private async *stages(): AsyncGenerator<AttemptToken, AttemptOutcome> {
+  private async *stages(): AsyncGenerator<AttemptEvent, AttemptOutcome> {
     const { placement } = this.plan;
-    const prefillEngine = this.engine(placement.prefill);
     const decodeEngine = this.engine(placement.decode);
+    if (decodeEngine === undefined) return this.failed(placement.decode, 'prefill', unconfigured());
+    if (placement.prefill === undefined) return yield* this.decode(decodeEngine, undefined);
+    const prefillEngine = this.engine(placement.prefill);
     if (prefillEngine === undefined)
       return this.failed(placement.prefill, 'prefill', unconfigured());
-    if (decodeEngine === undefined) return this.failed(placement.decode, 'prefill', unconfigured());
     const prefill = await this.prefill(prefillEngine);
     if (prefill.type === 'failed') return prefill;
-    const transfer = await this.transfer(decodeEngine, prefill.result);
+    const transfer = await this.transfer(decodeEngine, prefill.result, placement.prefill);
     if (transfer !== undefined) return transfer;
     return yield* this.decode(decodeEngine, prefill.result);
   }
@@ -151,9 +165,10 @@
   private async transfer(
     engine: ModelEngine,
     prefill: PrefillResult,
+    from: UpstreamId,
   ): Promise<AttemptOutcome | undefined> {
     const { placement } = this.plan;
-    const source = this.tools.directory.getEngine(placement.prefill);
+    const source = this.tools.directory.getEngine(from);
     const result = await engine.transfer(
       {
         attempt: placement.reservation,
@@ -170,15 +185,16 @@
 
   private async *decode(
     engine: ModelEngine,
-    prefill: PrefillResult,
-  ): AsyncGenerator<AttemptToken, AttemptOutcome> {
+    prefill: PrefillResult | undefined,
+  ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
     const { plan } = this;
     let delivered = 0;
     let lastAt: Millis | undefined;
     const stream = engine.decode(
       {
         attempt: plan.placement.reservation,
-        kvHandle: prefill.kvHandle,
+        prompt: typeof plan.prompt === 'string' ? undefined : plan.prompt,
+        kvHandle: prefill?.kvHandle,
         maxTokens: plan.maxTokens,
         fromPosition: plan.fromPosition,
         priority: plan.placement.priority,
@@ -187,22 +203,32 @@
     );
     for await (const event of stream) {
       if (event.isErr()) {
-        if (delivered === 0) {
+        if (delivered === 0 && prefill !== undefined) {
           this.tools.metrics.count('prefill.wasted_tokens', {}, prefill.promptTokens);
         }
         return this.failed(engine.id, 'decode', event.error);
       }
-      lastAt = this.noteInterval(engine.id, event.value, lastAt);
-      if (event.value.type === 'done') {
-        return {
-          type: 'done',
-          reason: event.value.reason,
-          prefill,
-          outputTokens: plan.fromPosition + delivered,
-        };
+      const { value } = event;
+      lastAt = this.noteInterval(engine.id, value, lastAt);
+      switch (value.type) {
+        case 'done':
+          return {
+            type: 'done',
+            reason: value.reason,
+            prefill,
+            outputTokens: plan.fromPosition + delivered,
+          };
+        case 'answer':
+          return { type: 'answered', engine: engine.id, head: value.head, body: value.body };
+        case 'head':
+        case 'token':
+        case 'piece':
+          if (value.type !== 'head') delivered += 1;
+          yield value;
+          break;
+        default:
+          value satisfies never;
       }
-      delivered += 1;
-      yield { position: event.value.position, text: event.value.text };
     }
     return this.failed(engine.id, 'decode', endedEarly());
   }
@@ -212,7 +238,7 @@
     event: DecodeEvent,
     lastAt: Millis | undefined,
   ): Millis | undefined {
-    if (event.type !== 'token') return lastAt;
+    if (event.type !== 'token' && event.type !== 'piece') return lastAt;
     const now = this.tools.clock.now();
     if (lastAt !== undefined) {
       const { pool, placement } = this.plan;
@@ -235,7 +261,7 @@
       state: {
         ...identity,
         reservation: placement.reservation,
-        prefill: placement.prefill,
+        prefill: placement.prefill ?? placement.decode,
         decode: placement.decode,
         pieces: placement.pieces,
         prefillRunning,
@@ -248,7 +274,8 @@
     this.abort.abort();
     this.tools.keeper.drop(placement.reservation);
     if (outcome?.type !== 'done') {
-      void this.engine(placement.prefill)?.cancel(placement.reservation);
+      const { prefill } = placement;
+      if (prefill !== undefined) void this.engine(prefill)?.cancel(placement.reservation);
       void this.engine(placement.decode)?.cancel(placement.reservation);
     }
     void this.tools.placements.release(
@@ -279,6 +306,7 @@
   if (callerGone || outcome === undefined) return 'caller_gone';
   switch (outcome.type) {
     case 'done':
+    case 'answered':
       return 'done';
     case 'failed':
       return outcome.stage === 'decode' ? 'failed_in_decode' : 'failed_before_decode';
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -1,31 +1,35 @@
-import type { CompletionEvent, CompletionRequest } from '@camphorvane/caller';
-import type {
-  HostId,
-  Millis,
-  PoolConfig,
-  Refusal,
-  RequestId,
-  RoutingConfig,
-} from '@camphorvane/core';
-import { estimateTokens, notRun, outcomeUnknown, piecesFor } from '@camphorvane/core';
+import type { HostId, Millis, PoolConfig, Refusal } from '@camphorvane/core';
+import { notRun, outcomeUnknown, piecesFor, promptTokens } from '@camphorvane/core';
 import { planResume } from '@camphorvane/decisions';
-import type { RetryBudget, WorkItem } from '@camphorvane/decisions';
-import type { Placement } from '@camphorvane/peer';
+import type { WorkItem } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { AuthenticatedCaller } from '../host/Authenticator.ts';
-import type { RateCharge, RateGate } from '../host/ports.ts';
-import type { AttemptOutcome, AttemptTools, FailedAttempt } from './CompletionAttempt.ts';
+import type { RateCharge, RateGate, RepeatGate } from '../host/ports.ts';
+import type { PlacedPair } from '../placing/Placer.ts';
+import type {
+  AttemptEvent,
+  AttemptOutcome,
+  AttemptTools,
+  FailedAttempt,
+} from './CompletionAttempt.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
-import { CrashDesk } from './CrashDesk.ts';
+import type { CrashDesk } from './CrashDesk.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
+import { endReason } from './endReason.ts';
 import { RateQueue } from './RateQueue.ts';
+import type { KnownCompletion, ServingEvent } from './completionWork.ts';
+import {
+  digestOf,
+  endEvent,
+  MAX_ATTEMPTS,
+  mayHaveRun,
+  repeatTarget,
+  usedTokens,
+  wasGivenAway,
+} from './completionWork.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
 import { waitBound } from './waitBound.ts';
 
-/** Attempts for one completion; more would let one bad prompt visit every engine. */
-const MAX_ATTEMPTS = 4;
-
 /**
  * Milliseconds of silence that a caller's connection is given while its answer moves to another
  * engine; clients of OpenAI's interface wait for minutes, and people give up sooner.
@@ -45,21 +49,11 @@
   error: { type: 'cancelled', dispatched: true, message: 'no reader' },
 };
 
-/** A completion whose caller is known. */
-export interface KnownCompletion {
-  readonly id: RequestId;
-  readonly req: CompletionRequest;
-  readonly caller: AuthenticatedCaller;
-  readonly config: RoutingConfig;
-  /** Aborted when the caller has gone, or with a refusal as reason when the host ends it. */
-  readonly signal: AbortSignal;
-}
-
 /** What completion serving is made of. */
 export interface CompletionServingOptions extends AttemptTools {
   readonly self: HostId;
   readonly rates: RateGate;
-  readonly retries: RetryBudget;
+  readonly repeats: RepeatGate;
   readonly crashes: CrashDesk;
 }
 
@@ -79,9 +73,9 @@
    * Serves one completion.
    *
    * @param work - The completion.
-   * @returns Its events; ends after `done` or `refused`.
+   * @returns Its events; ends after `done`, `answer` or `refused`.
    */
-  async *serve(work: KnownCompletion): AsyncGenerator<CompletionEvent> {
+  async *serve(work: KnownCompletion): AsyncGenerator<ServingEvent> {
     const pool = this.poolFor(work);
     if (pool.isErr()) {
       yield { type: 'refused', refusal: pool.error };
@@ -91,9 +85,9 @@
     const charge = await this.queue.charge(
       {
         team: work.caller.team,
-        class: work.req.class,
-        tokens: estimateTokens(work.req.prompt) + work.req.maxTokens,
-        maxWaitMs: waitBound(work.config, pool.value, work.caller.team.id, work.req.class),
+        class: work.class,
+        tokens: promptTokens(work.prompt) + work.maxTokens,
+        maxWaitMs: waitBound(work.config, pool.value, work.caller.team.id, work.class),
       },
       work.signal,
     );
@@ -109,17 +103,17 @@
     pool: PoolConfig,
     charge: RateCharge,
     acceptedAt: Millis,
-  ): AsyncGenerator<CompletionEvent> {
+  ): AsyncGenerator<ServingEvent> {
     const progress = new CompletionProgress(
-      estimateTokens(work.req.prompt),
+      promptTokens(work.prompt),
       acceptedAt,
-      CrashDesk.digestOf(work.req.model, work.req.prompt),
+      digestOf(work),
+      work.terms.fromPosition,
     );
     try {
       yield* this.attempts(work, pool, progress);
     } finally {
-      // What was dispatched cost its prompt; output that was never made is given back.
-      const used = progress.getUsedTokens();
+      const used = usedTokens(work, progress, charge);
       this.options.rates.refund(charge, Math.max(0, charge.tokens - used));
     }
   }
@@ -128,7 +122,7 @@
     work: KnownCompletion,
     pool: PoolConfig,
     progress: CompletionProgress,
-  ): AsyncGenerator<CompletionEvent> {
+  ): AsyncGenerator<ServingEvent> {
     let left = MAX_ATTEMPTS;
     while (left > 0) {
       left -= 1;
@@ -138,15 +132,9 @@
         return;
       }
       const outcome = yield* this.attempt(work, pool, progress, placement.value);
-      if (outcome.type === 'done') {
+      if (outcome.type !== 'failed') {
         this.options.crashes.succeeded(progress.digest);
-        yield {
-          type: 'done',
-          reason: outcome.reason,
-          promptTokens: outcome.prefill.promptTokens,
-          cachedTokens: outcome.prefill.cachedTokens,
-          outputTokens: progress.getPosition(),
-        };
+        yield endEvent(outcome, progress);
         return;
       }
       const end = this.endAfter(work, pool, progress, outcome);
@@ -163,19 +151,25 @@
     work: KnownCompletion,
     pool: PoolConfig,
     progress: CompletionProgress,
-  ): Promise<Result<Placement, Refusal>> {
+  ): Promise<Result<PlacedPair, Refusal>> {
     const heldBack = this.options.crashes.refusalFor(progress.digest);
     if (heldBack !== undefined) return err(heldBack);
     const placement = await this.reserve(work, pool, progress);
-    const isFirst = !progress.wasDispatched();
+    const isFirst = progress.getAvoided().length === 0;
     return placement.map((place) => {
-      const now = this.options.clock.now();
-      if (isFirst) this.options.retries.attempted(work.caller.team.id, place.prefill, now);
-      if (isFirst) this.options.retries.attempted(work.caller.team.id, place.decode, now);
+      if (isFirst) this.noteFirstAttempt(work, pool, place);
       return place;
     });
   }
 
+  private noteFirstAttempt(work: KnownCompletion, pool: PoolConfig, place: PlacedPair): void {
+    const now = this.options.clock.now();
+    const engines = [place.prefill, place.decode].filter((engine) => engine !== undefined);
+    engines.forEach((engine) =>
+      this.options.repeats.attempted(repeatTarget(work, pool, engine), now),
+    );
+  }
+
   /** Decides whether a completion goes on after a failed attempt; gets the refusal if it ends. */
   private endAfter(
     work: KnownCompletion,
@@ -183,16 +177,18 @@
     progress: CompletionProgress,
     outcome: FailedAttempt,
   ): Refusal | undefined {
-    if (work.signal.aborted) return enginesFailed();
     progress.noteFailure(outcome.engine);
+    if (mayHaveRun(work, outcome)) progress.noteRun();
+    if (work.signal.aborted) return enginesFailed();
     this.options.crashes.failed(progress.digest, outcome.engine, outcome.error);
+    if (progress.getRuns() >= work.terms.maxRuns) return enginesFailed();
     const now = this.options.clock.now();
     const plan = planResume(
       {
-        idempotent: true,
+        idempotent: work.terms.resumable || progress.getRuns() === 0,
         promptTokens: progress.promptTokens,
         deliveredTokens: progress.getPosition(),
-        maxOutputTokens: work.req.maxTokens,
+        maxOutputTokens: work.maxTokens,
         patienceMs: RESUME_PATIENCE_MS,
         kv: undefined,
       },
@@ -200,7 +196,8 @@
         prefillWaitMs: 0,
         prefillRate: PREFILL_TOKENS_PER_MS,
         transferMs: (piecesFor(progress.promptTokens) / pool.linkPiecesPerSecond) * MS_PER_SECOND,
-        mayRetry: () => this.options.retries.tryRetry(work.caller.team.id, outcome.engine, now),
+        mayRetry: () =>
+          this.options.repeats.tryRepeat(repeatTarget(work, pool, outcome.engine), now),
       },
       now,
     );
@@ -215,69 +212,77 @@
     work: KnownCompletion,
     pool: PoolConfig,
     progress: CompletionProgress,
-    placement: Placement,
-  ): AsyncGenerator<CompletionEvent, AttemptOutcome> {
+    placement: PlacedPair,
+  ): AsyncGenerator<ServingEvent, AttemptOutcome> {
     const attempt = new CompletionAttempt(this.options, {
       pool,
       placement,
       identity: { request: work.id, holder: this.options.self, team: work.caller.team.id },
-      prompt: work.req.prompt,
-      prefixes: promptPrefixes(work.req.prompt),
+      prompt: work.prompt,
+      prefixes: promptPrefixes(work.prompt),
       delivered: progress.getText(),
       fromPosition: progress.getPosition(),
-      maxTokens: work.req.maxTokens,
+      maxTokens: work.maxTokens,
     });
     progress.noteDispatch();
-    const tokens = attempt.run(work.signal);
+    const events = attempt.run(work.signal);
     try {
-      let next = await tokens.next();
+      let next = await events.next();
       while (next.done !== true) {
-        this.noteFirstToken(work, progress);
-        progress.noteToken(next.value.text);
-        yield { type: 'token', position: next.value.position, text: next.value.text };
-        next = await tokens.next();
+        this.noteEvent(work, progress, next.value);
+        yield next.value;
+        next = await events.next();
       }
       return next.value;
     } finally {
       // A consumer that stops reading ends this generator here; the attempt must end with it.
-      await tokens.return(STOPPED);
+      await events.return(STOPPED);
     }
   }
 
-  private noteFirstToken(work: KnownCompletion, progress: CompletionProgress): void {
-    if (progress.getPosition() > 0) return;
-    const ttft = this.options.clock.now() - progress.startedAt;
-    this.options.metrics.timing('request.ttft', ttft, { class: work.req.class });
+  private noteEvent(
+    work: KnownCompletion,
+    progress: CompletionProgress,
+    event: AttemptEvent,
+  ): void {
+    if (event.type === 'head') return;
+    if (!progress.hasDelivered()) {
+      const ttft = this.options.clock.now() - progress.startedAt;
+      this.options.metrics.timing('request.ttft', ttft, { class: work.class });
+    }
+    if (event.type === 'token') progress.noteToken(event.text);
+    else progress.notePiece(event.position);
   }
 
   private reserve(
     work: KnownCompletion,
     pool: PoolConfig,
     progress: CompletionProgress,
-  ): Promise<Result<Placement, Refusal>> {
-    const { req, caller } = work;
+  ): Promise<Result<PlacedPair, Refusal>> {
+    const { caller } = work;
     const item: WorkItem = {
       request: work.id,
       holder: this.options.self,
       team: caller.team.id,
       weight: caller.team.weight,
-      class: req.class,
+      class: work.class,
       promptTokens: progress.promptTokens + progress.getPosition(),
-      maxOutputTokens: Math.max(1, req.maxTokens - progress.getPosition()),
-      prefixes: promptPrefixes(req.prompt),
-      maxWaitMs: waitBound(work.config, pool, caller.team.id, req.class),
+      maxOutputTokens: Math.max(1, work.maxTokens - progress.getPosition()),
+      prefixes: promptPrefixes(work.prompt),
+      maxWaitMs: work.terms.maxWaitMs ?? waitBound(work.config, pool, caller.team.id, work.class),
       avoid: progress.getAvoided(),
+      priority: work.terms.priority,
     };
     return this.options.placements.reserve(pool.model, item, work.signal);
   }
 
   private poolFor(work: KnownCompletion): Result<PoolConfig, Refusal> {
-    const { req, caller } = work;
-    const pool = this.options.directory.getPool(req.model);
+    const { caller, model } = work;
+    const pool = this.options.directory.getPool(model);
     if (pool === undefined) return err(notRun('unknown_model', 'There is no such model.'));
-    const allowed = caller.team.models.length === 0 || caller.team.models.includes(req.model);
+    const allowed = caller.team.models.length === 0 || caller.team.models.includes(model);
     if (!allowed) return err(notRun('model_not_allowed', 'The team may not use this model.'));
-    if (estimateTokens(req.prompt) + req.maxTokens > pool.maxTokens) {
+    if (promptTokens(work.prompt) + work.maxTokens > pool.maxTokens) {
       return err(
         notRun('prompt_too_long', `Prompt and output exceed ${pool.maxTokens} tokens together.`),
       );
@@ -292,7 +297,9 @@
     refusal: Refusal,
   ): Refusal {
     const reason = work.signal.aborted ? endReason(work.signal) : refusal;
-    return progress.wasDispatched() ? { ...reason, execution: 'unknown' } : reason;
+    return wasGivenAway(work, progress)
+      ? { ...reason, execution: 'unknown' }
+      : { ...reason, execution: 'not_run' };
   }
 }
 
@@ -304,13 +311,3 @@
   const text = 'The engine failed, and too many requests are being repeated already.';
   return { ...outcomeUnknown('retry_budget_spent', text), retryAfterMs: 2_000 };
 }
-
-/** Gets why a request was ended from outside: the host's refusal, or that its caller has gone. */
-function endReason(signal: AbortSignal): Refusal {
-  const reason: unknown = signal.reason;
-  return isRefusal(reason) ? reason : notRun('caller_gone', 'The caller closed its connection.');
-}
-
-function isRefusal(value: unknown): value is Refusal {
-  return typeof value === 'object' && value !== null && 'code' in value && 'execution' in value;
-}
--- a/packages/router/src/serving/CrashDesk.ts
+++ b/packages/router/src/serving/CrashDesk.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Millis, Refusal, UpstreamId } from '@camphorvane/core';
 import { notRun, sha256Hex } from '@camphorvane/core';
 import { CrashSuspicion } from '@camphorvane/decisions';
-import type { CrashReport } from '@camphorvane/decisions';
+import type { CrashReport, CrashSuspicionOptions } from '@camphorvane/decisions';
 import type { PeerLink } from '@camphorvane/peer';
 import type { UpstreamError } from '@camphorvane/upstream';
 import type { GroupGate } from '../host/ports.ts';
@@ -14,18 +14,22 @@
   readonly self: HostId;
   readonly clock: Clock;
   readonly group: GroupGate;
-  readonly link: PeerLink;
+  /** Carries reports to other hosts; absent where hosts have no link. */
+  readonly link?: PeerLink;
+  /** When a request is held back; those not given have their defaults. */
+  readonly suspicion?: Partial<CrashSuspicionOptions>;
 }
 
 /** Holds back requests that crash the upstreams which run them, for all hosts of the group. */
 export class CrashDesk {
   private readonly options: CrashDeskOptions;
 
-  private readonly suspicion = new CrashSuspicion();
+  private readonly suspicion: CrashSuspicion;
 
   /** @param options - What the desk is made of. */
   constructor(options: CrashDeskOptions) {
     this.options = options;
+    this.suspicion = new CrashSuspicion(options.suspicion);
   }
 
   /**
@@ -81,12 +85,14 @@
   }
 
   private tellGroup(reports: readonly CrashReport[]): void {
-    this.options.group
+    const { group, link, self } = this.options;
+    if (link === undefined) return;
+    group
       .members()
-      .filter((mate) => mate.host !== this.options.self)
+      .filter((mate) => mate.host !== self)
       .forEach((mate) => {
         const peer = { host: mate.host, address: mate.peerAddress };
-        void this.options.link.ask(peer, { type: 'crashes', reports }, TELL_TIMEOUT_MS);
+        void link.ask(peer, { type: 'crashes', reports }, TELL_TIMEOUT_MS);
       });
   }
 }
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -1,15 +1,5 @@
-import type { ServiceReply, ServiceRequest } from '@camphorvane/caller';
-import type {
-  Clock,
-  HostId,
-  Incarnation,
-  Millis,
-  Refusal,
-  RequestId,
-  ServiceConfig,
-  ServiceRoute,
-  UpstreamId,
-} from '@camphorvane/core';
+import type { ServiceReply } from '@camphorvane/caller';
+import type { Clock, HostId, Incarnation, Millis, Refusal, UpstreamId } from '@camphorvane/core';
 import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
 import type { GateCall } from '@camphorvane/decisions';
 import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
@@ -17,25 +7,23 @@
 import type { ServiceAnswer, UpstreamError } from '@camphorvane/upstream';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { AuthenticatedCaller } from '../host/Authenticator.ts';
-import type { RateGate } from '../host/ports.ts';
+import type { RateGate, RepeatGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import type { CrashDesk } from './CrashDesk.ts';
+import { endReason } from './endReason.ts';
+import type { KnownCall } from './serviceWork.ts';
+import { digestOf, repeatTarget } from './serviceWork.ts';
 import type { ServiceGates } from './ServiceGates.ts';
-import { MAX_SERVICE_WAIT_MS } from './ServiceGates.ts';
 
-/** Servers that an idempotent call may be tried on. */
-const MAX_TRIES = 3;
+/** Servers that a call may be tried on where nothing else is said. */
+export const MAX_TRIES = 3;
 
-/** A service call whose caller and route are known. */
-export interface KnownCall {
-  readonly id: RequestId;
-  readonly req: ServiceRequest;
-  readonly caller: AuthenticatedCaller;
-  readonly service: ServiceConfig;
-  readonly route: ServiceRoute;
-  readonly signal: AbortSignal;
-}
+/** Milliseconds after which a caller may try where servers failed; most are back within seconds. */
+const RETRY_AFTER_MS: Millis = 1_000;
+
+/** Status from which an answer says that the server failed, and another one may do better. */
+const FIRST_FAILURE_STATUS = 500;
 
 /** What service serving is made of. */
 export interface ServiceServingOptions {
@@ -43,7 +31,10 @@
   readonly directory: UpstreamDirectory;
   readonly gates: ServiceGates;
   readonly rates: RateGate;
-  readonly claims: IdempotencyClaims;
+  /** Absent where each attempt of a caller is a call of its own, which runs once at most. */
+  readonly claims: IdempotencyClaims | undefined;
+  readonly repeats: RepeatGate;
+  readonly crashes: CrashDesk;
   readonly self: { readonly host: HostId; readonly incarnation: Incarnation };
   readonly metrics: Metrics;
 }
@@ -55,7 +46,7 @@
 }
 
 type TryOutcome =
-  | { readonly type: 'answer'; readonly answer: ServiceAnswer }
+  | { readonly type: 'answer'; readonly server: UpstreamId; readonly answer: ServiceAnswer }
   | { readonly type: 'refused'; readonly refusal: Refusal }
   | ({ readonly type: 'failed' } & FailedTry);
 
@@ -77,23 +68,84 @@
   async serve(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
     const charge = await this.options.rates.charge(work.caller.team.id, work.route.costTokens);
     if (charge.isErr()) return err(charge.error);
-    const reply = work.route.idempotent ? await this.repeatable(work) : await this.once(work);
+    const reply = await this.serveCharged(work);
     const ran = reply.isOk() || reply.error.execution === 'unknown';
     if (!ran) this.options.rates.refund(charge.value, charge.value.tokens);
     return reply;
   }
 
+  private async serveCharged(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
+    const heldBack = this.options.crashes.refusalFor(digestOf(work));
+    if (heldBack !== undefined) return err(heldBack);
+    if (work.route.idempotent) return this.repeatable(work);
+    const { claims } = this.options;
+    return claims === undefined || !work.terms.claimed
+      ? this.onceUnclaimed(work)
+      : this.onceClaimed(work, claims);
+  }
+
+  /** Tries servers until one does its work; a server's own failure is the answer if none does. */
   private async repeatable(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
     const failures: FailedTry[] = [];
-    while (failures.length < MAX_TRIES) {
+    let failed: ServiceAnswer | undefined;
+    let tries = 0;
+    while (tries < work.terms.maxTries && (tries === 0 || this.mayRepeat(work, failures))) {
+      tries += 1;
       const outcome = await this.tryOnce(work, failures);
-      if (outcome.type === 'answer') return ok({ ...outcome.answer, replayed: false });
-      if (outcome.type === 'refused') return err(truthful(outcome.refusal, failures));
+      if (outcome.type === 'refused') {
+        return failed === undefined
+          ? err(truthful(outcome.refusal, failures))
+          : ok({ ...failed, replayed: false });
+      }
+      if (outcome.type === 'answer' && outcome.answer.status < FIRST_FAILURE_STATUS) {
+        return ok({ ...outcome.answer, replayed: false });
+      }
+      if (outcome.type === 'answer') failed = outcome.answer;
+      failures.push(outcome.type === 'answer' ? ownFailure(outcome.server) : outcome);
       if (work.signal.aborted) break;
-      failures.push(outcome);
     }
-    const failed = notRun('upstream_failed', 'The servers of this service failed.', 1_000);
-    return err(truthful(failed, failures));
+    if (failed !== undefined) return ok({ ...failed, replayed: false });
+    return err(truthful(this.failedRefusal(work), failures));
+  }
+
+  private mayRepeat(work: KnownCall, failures: readonly FailedTry[]): boolean {
+    const last = failures.at(-1);
+    if (last === undefined) return true;
+    const now = this.options.clock.now();
+    if (now >= work.terms.deadlineAt) return false;
+    return this.options.repeats.tryRepeat(repeatTarget(work, last.server), now);
+  }
+
+  private failedRefusal(work: KnownCall): Refusal {
+    if (work.signal.aborted) return endReason(work.signal);
+    return this.options.clock.now() >= work.terms.deadlineAt
+      ? notRun('timed_out', 'The servers of this service gave no answer in time.')
+      : notRun('upstream_failed', 'The servers of this service failed.', RETRY_AFTER_MS);
+  }
+
+  /** Runs a call once at most, for a caller that sends it again under another id or not at all. */
+  private async onceUnclaimed(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
+    const outcome = await this.tryUndispatched(work);
+    switch (outcome.type) {
+      case 'answer':
+        return ok({ ...outcome.answer, replayed: false });
+      case 'refused':
+        return err(outcome.refusal);
+      case 'failed':
+        return err(this.unclaimedRefusal(work, outcome));
+      default:
+        return outcome satisfies never;
+    }
+  }
+
+  private unclaimedRefusal(work: KnownCall, { error }: FailedTry): Refusal {
+    if (!error.dispatched) {
+      return notRun('upstream_failed', 'No server took the call.', RETRY_AFTER_MS);
+    }
+    const text = 'The call was sent, and no whole answer came back.';
+    return this.options.clock.now() >= work.terms.deadlineAt
+      ? outcomeUnknown('timed_out', text)
+      : outcomeUnknown('outcome_unknown', text);
   }
 
   /**
@@ -102,11 +154,14 @@
    * After dispatch there is an answer or there is "outcome unknown". The claim stays then, so that
    * a caller who sends the call again, here or at another host, does not run it a second time.
    */
-  private async once(work: KnownCall): Promise<Result<ServiceReply, Refusal>> {
+  private async onceClaimed(
+    work: KnownCall,
+    claims: IdempotencyClaims,
+  ): Promise<Result<ServiceReply, Refusal>> {
     const req = this.claimRequest(work);
     if (req.isErr()) return err(req.error);
-    const outcome = await this.options.claims.claim(req.value);
-    if (outcome.type === 'claimed') return this.runClaimed(work, outcome.claim);
+    const outcome = await claims.claim(req.value);
+    if (outcome.type === 'claimed') return this.runClaimed(work, claims, outcome.claim);
     if (outcome.type === 'finished' && outcome.answer !== undefined) {
       this.options.metrics.count('service.replayed');
       return ok({ ...outcome.answer, replayed: true });
@@ -114,8 +169,11 @@
     return err(claimRefusal(outcome) ?? notRun('internal', 'The claim has no outcome.'));
   }
 
-  private async runClaimed(work: KnownCall, claim: Claim): Promise<Result<ServiceReply, Refusal>> {
-    const { claims } = this.options;
+  private async runClaimed(
+    work: KnownCall,
+    claims: IdempotencyClaims,
+    claim: Claim,
+  ): Promise<Result<ServiceReply, Refusal>> {
     const outcome = await this.tryUndispatched(work);
     switch (outcome.type) {
       case 'answer':
@@ -128,7 +186,7 @@
       case 'failed':
         if (!outcome.error.dispatched) {
           await claims.abandon(claim);
-          return err(notRun('upstream_failed', 'No server took the call.', 1_000));
+          return err(notRun('upstream_failed', 'No server took the call.', RETRY_AFTER_MS));
         }
         void claims.leaveUnknown(claim);
         return err(
@@ -165,7 +223,8 @@
       outcome.type === 'failed' &&
       !outcome.error.dispatched &&
       failures.length + 1 < MAX_TRIES &&
-      !work.signal.aborted
+      !work.signal.aborted &&
+      this.mayRepeat(work, [outcome])
     ) {
       failures.push(outcome);
       outcome = await this.tryOnce(work, failures);
@@ -178,19 +237,37 @@
       request: `${work.id}.${failures.length}`,
       team: work.caller.team.id,
       class: work.route.class,
-      maxWaitMs: Math.min(MAX_SERVICE_WAIT_MS, work.service.timeoutMs),
+      maxWaitMs: work.terms.maxWaitMs,
       avoid: failures.map((failure) => failure.server),
     };
     const chosen = await this.options.gates.choose(work.service.id, call, work.signal);
     if (chosen.isErr()) return { type: 'refused', refusal: chosen.error };
+    if (failures.length === 0) {
+      this.options.repeats.attempted(repeatTarget(work, chosen.value), this.options.clock.now());
+    }
     const result = await this.dispatch(work, call, chosen.value);
-    this.options.gates.ended(work.service.id, call, chosen.value, result.isErr());
+    this.options.gates.ended(work.service.id, call, chosen.value, hasFailed(result));
+    this.noteCrash(work, chosen.value, result);
     return result.match(
-      (answer): TryOutcome => ({ type: 'answer', answer }),
+      (answer): TryOutcome => ({ type: 'answer', server: chosen.value, answer }),
       (error): TryOutcome => ({ type: 'failed', server: chosen.value, error }),
     );
   }
 
+  private noteCrash(
+    work: KnownCall,
+    server: UpstreamId,
+    result: Result<ServiceAnswer, UpstreamError>,
+  ): void {
+    const digest = digestOf(work);
+    if (result.isOk()) this.options.crashes.succeeded(digest);
+    else this.options.crashes.failed(digest, server, result.error);
+  }
+
+  private leftMs(work: KnownCall): Millis {
+    return work.terms.deadlineAt - this.options.clock.now();
+  }
+
   private dispatch(
     work: KnownCall,
     call: GateCall,
@@ -213,45 +290,25 @@
         headers: work.req.headers,
         body: work.req.body,
         class: work.route.class,
-        timeoutMs: work.service.timeoutMs,
+        timeoutMs: Math.min(work.service.timeoutMs, Math.max(1, this.leftMs(work))),
+        team: work.caller.team.id,
       },
       signal,
     );
   }
 }
 
-/** A refusal must not say "not run" once a server may have run the call. */
-function truthful(refusal: Refusal, failures: readonly FailedTry[]): Refusal {
-  const ran = failures.some((failure) => failure.error.dispatched);
-  return ran ? { ...refusal, execution: 'unknown' } : refusal;
+function ownFailure(server: UpstreamId): FailedTry {
+  const message = 'the server answered with a failure of its own';
+  return { server, error: { type: 'broken', dispatched: true, message } };
 }
 
-/**
- * Finds the route of a call: the longest path prefix with the same method.
- *
- * @param service - The service.
- * @param method - The call's method.
- * @param path - The call's path, with its query.
- * @returns The route, if there is one.
- */
-export function findRoute(
-  service: ServiceConfig,
-  method: string,
-  path: string,
-): ServiceRoute | undefined {
-  const [pathname = ''] = path.split('?');
-  const matches = service.routes.filter(
-    (route) => route.method === method && isBelow(pathname, route.path),
-  );
-  return [...matches].sort((a, b) => b.path.length - a.path.length)[0];
+function hasFailed(result: Result<ServiceAnswer, UpstreamError>): boolean {
+  return result.isErr() || result.value.status >= FIRST_FAILURE_STATUS;
 }
 
-function isBelow(pathname: string, prefix: string): boolean {
-  const bare = prefix.endsWith('/') ? prefix.slice(0, -1) : prefix;
-  return pathname === bare || pathname.startsWith(`${bare}/`);
-}
-
-/** Longest time that a call may take, wait included, in milliseconds. */
-export function callBound(service: ServiceConfig): Millis {
-  return service.timeoutMs + MAX_SERVICE_WAIT_MS;
+/** A refusal must not say "not run" once a server may have run the call. */
+function truthful(refusal: Refusal, failures: readonly FailedTry[]): Refusal {
+  const ran = failures.some((failure) => failure.error.dispatched);
+  return ran ? { ...refusal, execution: 'unknown' } : refusal;
 }
--- a/packages/router/src/serving/promptPrefixes.ts
+++ b/packages/router/src/serving/promptPrefixes.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import { estimateTokens } from '@camphorvane/core';
+import type { OpaquePrompt, Prompt } from '@camphorvane/core';
 import type { PromptPrefix } from '@camphorvane/decisions';
 
 /** Characters of the shortest prefix; each next one is twice as long. */
@@ -16,7 +17,19 @@
  * @param prompt - The prompt.
  * @returns Prefixes, shortest first; none for short prompts.
  */
-export function promptPrefixes(prompt: string): readonly PromptPrefix[] {
+export function promptPrefixes(prompt: Prompt): readonly PromptPrefix[] {
+  return typeof prompt === 'string' ? textPrefixes(prompt) : declaredPrefixes(prompt);
+}
+
+/** The callers name the parts, so nothing is hashed. */
+function declaredPrefixes({ parts }: OpaquePrompt): readonly PromptPrefix[] {
+  return parts.map((part, index) => ({
+    digest: part.id,
+    tokens: parts.slice(0, index + 1).reduce((sum, one) => sum + one.tokens, 0),
+  }));
+}
+
+function textPrefixes(prompt: string): readonly PromptPrefix[] {
   const lengths = Array.from(
     { length: MAX_PREFIXES },
     (_, i) => FIRST_PREFIX_CHARS * 2 ** i,
--- a/packages/router/tests/support/MemoryFleet.ts
+++ b/packages/router/tests/support/MemoryFleet.ts
@@ -11,7 +11,7 @@
   engineSettings,
   serviceSettings,
 } from '@camphorvane/stand-ins';
-import { Host, Metrics } from '@camphorvane/router';
+import { groupAgreement, Host, Metrics } from '@camphorvane/router';
 
 export const KEY = 'cvk_test_key_of_team_a';
 
@@ -271,14 +271,16 @@
     const host = new Host({
       identity,
       incarnation,
-      group: 'g',
-      groupSize: 9,
-      fleetHosts: hostCount,
+      agreement: groupAgreement({
+        group: 'g',
+        groupSize: 9,
+        fleetHosts: hostCount,
+        store: this.store,
+        link: this.network.link(sender, this.clock),
+      }),
       drainGraceMs: 60_000,
       clock: this.clock,
       random: new RandomSource(100 + index),
-      store: this.store,
-      link: this.network.link(sender, this.clock),
       engines: (cfg) => this.engine(cfg.id),
       servers: () => this.service,
       metrics: new Metrics(),
--- a/packages/scenario/src/subject/routerSubject.ts
+++ b/packages/scenario/src/subject/routerSubject.ts
@@ -1,4 +1,4 @@
-import { Host, Metrics } from '@camphorvane/router';
+import { groupAgreement, Host, Metrics } from '@camphorvane/router';
 import { RandomSource, sha256Hex } from '@camphorvane/core';
 import type { Clock, RoutingConfig } from '@camphorvane/core';
 import { applyConfig, readAcceptedRoot } from '@camphorvane/operator';
@@ -18,14 +18,16 @@
   const host = new Host({
     identity: { host: id, zone, callerAddress, peerAddress },
     incarnation,
-    group: GROUP,
-    groupSize: GROUP_SIZE,
-    fleetHosts: GROUP_SIZE,
     drainGraceMs: DRAIN_GRACE_MS,
     clock,
     random,
-    store,
-    link: edges.peers({ host: id, incarnation, protocol: 1 }),
+    agreement: groupAgreement({
+      group: GROUP,
+      groupSize: GROUP_SIZE,
+      fleetHosts: GROUP_SIZE,
+      store,
+      link: edges.peers({ host: id, incarnation, protocol: 1 }),
+    }),
     engines: edges.engines,
     servers: edges.servers,
     metrics: new Metrics(),
--- a/packages/scenario/src/world/LinkedEngine.ts
+++ b/packages/scenario/src/world/LinkedEngine.ts
@@ -1,3 +1,4 @@
+import { textOf } from '@camphorvane/core';
 import type { AttemptId, LoadSnapshot, UpstreamId } from '@camphorvane/core';
 import type { EngineCore } from '@camphorvane/stand-ins';
 import {
@@ -40,7 +41,7 @@
 
   /** Runs a prompt. */
   prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
-    this.log.dispatched(this.id, cmd.prompt);
+    this.log.dispatched(this.id, textOf(cmd.prompt) ?? '');
     return this.link.exchange(signal, prefillTimeout(cmd, LIMITS), (far) =>
       this.core.prefill(cmd, far),
     );
--- a/packages/stand-ins/src/engine/EngineCore.ts
+++ b/packages/stand-ins/src/engine/EngineCore.ts
@@ -1,4 +1,4 @@
-import { estimateTokens, piecesFor } from '@camphorvane/core';
+import { estimateTokens, piecesFor, textOf } from '@camphorvane/core';
 import { err, ok, ResultAsync } from 'neverthrow';
 import type {
   AttemptId,
@@ -164,7 +164,7 @@
       return queue;
     };
     if (this.faultState.down) return fail(REFUSED);
-    const entry = this.kv.get(cmd.kvHandle);
+    const entry = cmd.kvHandle === undefined ? undefined : this.kv.get(cmd.kvHandle);
     if (entry === undefined) return fail(rejected(`no KV cache ${cmd.kvHandle}`));
     this.record('decode', cmd.attempt, entry.cache.prompt, 0);
     cell.stream = { cmd, entry, queue };
@@ -231,17 +231,19 @@
     signal: AbortSignal,
   ): Promise<Outcome<PrefillResult>> {
     if (signal.aborted) return this.interrupted(signal, false);
-    const promptTokens = estimateTokens(cmd.prompt + cmd.continuation);
-    const cachedTokens = this.cache.use(cmd.prompt);
+    const prompt = textOf(cmd.prompt);
+    if (prompt === undefined) return err(rejected('this engine takes text'));
+    const promptTokens = estimateTokens(prompt + cmd.continuation);
+    const cachedTokens = this.cache.use(prompt);
     const computed = Math.max(1, promptTokens - cachedTokens);
-    this.record('prefill', cmd.attempt, cmd.prompt, computed);
-    if (this.crashOnPoison(cmd.prompt)) return err(this.broken());
+    this.record('prefill', cmd.attempt, prompt, computed);
+    if (this.crashOnPoison(prompt)) return err(this.broken());
     const work = this.settings.prefillOverheadMs + computed * this.settings.prefillMsPerToken;
     const took = await this.pause(this.heated(work), signal);
     if (took !== 'elapsed') return this.interrupted(signal, true);
     const kvHandle = `${this.id}/${cmd.attempt}`;
     const pieces = piecesFor(promptTokens);
-    const cache = { prompt: cmd.prompt, continuation: cmd.continuation, pieces };
+    const cache = { prompt, continuation: cmd.continuation, pieces };
     this.kv.put({ handle: kvHandle, attempt: cmd.attempt, cache, pieces }, this.settings.kvLifeMs);
     return ok({ attempt: cmd.attempt, kvHandle, promptTokens, cachedTokens });
   }
--- a/packages/upstream/src/HttpModelEngine.ts
+++ b/packages/upstream/src/HttpModelEngine.ts
@@ -1,5 +1,5 @@
 import type { AttemptId, Clock, LoadSnapshot, Millis, UpstreamId } from '@camphorvane/core';
-import { estimateTokens } from '@camphorvane/core';
+import { promptTokens } from '@camphorvane/core';
 import { ResultAsync, err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { z } from 'zod';
@@ -77,6 +77,7 @@
 
   /** Runs a prompt; the answer must carry the attempt's id. */
   prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
+    if (typeof cmd.prompt !== 'string') return errAsync(takesText());
     return this.post(
       '/v1/prefill',
       cmd,
@@ -98,6 +99,10 @@
     cmd: DecodeCommand,
     signal: AbortSignal,
   ): AsyncGenerator<Result<DecodeEvent, UpstreamError>> {
+    if (cmd.prompt !== undefined) {
+      yield err(takesText());
+      return;
+    }
     const deadline = new ProgressDeadline(this.clock, this.timeouts.decodeProgressMs, signal);
     try {
       const res = await this.connections.send(
@@ -215,10 +220,15 @@
   cmd: Pick<PrefillCommand, 'prompt' | 'continuation'>,
   timeouts: EngineTimeouts,
 ): Millis {
-  const tokens = estimateTokens(cmd.prompt) + estimateTokens(cmd.continuation);
+  const tokens = promptTokens(cmd.prompt) + promptTokens(cmd.continuation);
   return timeouts.prefillBaseMs + tokens * timeouts.prefillPerTokenMs;
 }
 
+function takesText(): UpstreamError {
+  const message = 'an engine of this interface runs text only';
+  return { type: 'rejected', dispatched: false, message };
+}
+
 function mismatch(attempt: AttemptId): UpstreamError {
   return { type: 'mismatch', dispatched: true, message: `answer is not for attempt ${attempt}` };
 }
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -2,7 +2,10 @@
   AttemptId,
   LoadSnapshot,
   ModelId,
+  OpaquePrompt,
   Pieces,
+  Prompt,
+  TeamId,
   Tokens,
   UpstreamId,
   WorkClass,
@@ -27,7 +30,7 @@
 export interface PrefillCommand {
   readonly attempt: AttemptId;
   readonly model: ModelId;
-  readonly prompt: string;
+  readonly prompt: Prompt;
   /** Text that an earlier decode already delivered, to be run after the prompt on a resume. */
   readonly continuation: string;
   /** Lower goes first. */
@@ -53,21 +56,46 @@
 /** Asks a decode engine for output from an imported KV cache. */
 export interface DecodeCommand {
   readonly attempt: AttemptId;
-  readonly kvHandle: string;
+  /** The call to pass on; absent for text, whose KV cache says all. */
+  readonly prompt?: OpaquePrompt;
+  /** KV cache to go on from; undefined where the engine is to run the prompt itself. */
+  readonly kvHandle: string | undefined;
   readonly maxTokens: Tokens;
   /** Position of the first token to deliver, counted from 0 at the start of the answer. */
   readonly fromPosition: number;
   readonly priority: number;
 }
 
-/** One event of a decode stream. */
+/** Status and headers of an upstream's answer, as it gave them. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Lower-case names, without the headers that concern one connection. */
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** One event of a decode stream; calls that are passed on have a head, text has none. */
 export type DecodeEvent =
+  | { readonly type: 'head'; readonly attempt: AttemptId; readonly head: AnswerHead }
+  | {
+      /** The engine's own final answer instead of a stream, such as an error of its own. */
+      readonly type: 'answer';
+      readonly attempt: AttemptId;
+      readonly head: AnswerHead;
+      readonly body: Uint8Array;
+    }
   | {
       readonly type: 'token';
       readonly attempt: AttemptId;
       readonly position: number;
       readonly text: string;
     }
+  | {
+      /** One event of a call that is passed on, byte for byte. */
+      readonly type: 'piece';
+      readonly attempt: AttemptId;
+      readonly position: number;
+      readonly bytes: Uint8Array;
+    }
   | {
       readonly type: 'done';
       readonly attempt: AttemptId;
@@ -117,7 +145,10 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
   readonly class: WorkClass;
+  /** Milliseconds until the caller gives up; the server is told to stop by then. */
   readonly timeoutMs: number;
+  /** Team of the caller's key; undefined on routes that need none. */
+  readonly team?: TeamId;
 }
 
 /** A whole answer of a plain service. */
