--- /dev/null
+++ b/packages/peer/src/hints/index.ts
@@ -0,0 +1,2 @@
+export * from './HostHint.ts';
+export * from './HintSocket.ts';
--- /dev/null
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -0,0 +1,154 @@
+import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
+import type { FollowedKind, WatchableStore } from '@camphorvane/store';
+import { KindFollower } from '@camphorvane/store';
+import type { Unsubscribe } from '../host/ports.ts';
+import { stateLog } from '../observe/StateLog.ts';
+import { composeRouting } from './composeRouting.ts';
+import type { DeployedConfig, DeploymentFormat } from '@camphorvane/store';
+import type { ConfigFeed } from './HostAgreement.ts';
+import { ServerRoster } from './ServerRoster.ts';
+
+/**
+ * Longest wait of one watch, in milliseconds. A watch can go silent for good, and a change must be in
+ * force two seconds after it was accepted.
+ */
+const WATCH_MS: Millis = 1_200;
+
+const log = stateLog('deployment');
+
+/** What a feed is made of. */
+export interface DeploymentFeedOptions {
+  readonly store: WatchableStore;
+  readonly format: DeploymentFormat;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /**
+   * Milliseconds without an answer of the store after which no key is taken; absent where a host that
+   * is cut off from the store goes on with the keys that it knows.
+   */
+  readonly strictKeysMs: Millis | undefined;
+}
+
+/** Keeps a host on the newest configuration and the newest list of servers. */
+export class DeploymentFeed implements ConfigFeed {
+  private readonly options: DeploymentFeedOptions;
+
+  private readonly configs: KindFollower;
+
+  private readonly servers: KindFollower;
+
+  private readonly roster = new ServerRoster();
+
+  private readonly listeners = new Set<(config: VersionedConfig) => void>();
+
+  private deployed: DeployedConfig | undefined;
+
+  private hasServers = false;
+
+  private inForce: VersionedConfig | undefined;
+
+  private composedFrom = '';
+
+  /** @param options - The store and how its objects read. */
+  constructor(options: DeploymentFeedOptions) {
+    this.options = options;
+    this.configs = this.follow(options.format.configKind, (round) => this.takeConfig(round));
+    this.servers = this.follow(options.format.serverKind, (round) => this.takeServers(round));
+  }
+
+  /** Follows until stopped. */
+  start(signal: AbortSignal): void {
+    void this.configs.run(signal);
+    void this.servers.run(signal);
+  }
+
+  /** {@inheritDoc ConfigFeed.current} */
+  current(): VersionedConfig | undefined {
+    return this.inForce;
+  }
+
+  /** {@inheritDoc ConfigFeed.isConfirmed} */
+  isConfirmed(): boolean {
+    const { strictKeysMs, clock } = this.options;
+    if (this.inForce === undefined) return false;
+    return strictKeysMs === undefined || clock.now() - this.configs.getAnsweredAt() < strictKeysMs;
+  }
+
+  /** {@inheritDoc ConfigFeed.confirmNow} */
+  async confirmNow(): Promise<boolean> {
+    return this.isConfirmed();
+  }
+
+  /** {@inheritDoc ConfigFeed.onChange} */
+  onChange(listener: (config: VersionedConfig) => void): Unsubscribe {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** {@inheritDoc ConfigFeed.state} */
+  state(): { readonly version: number; readonly answeredMsAgo: Millis; readonly servers: number } {
+    const now = this.options.clock.now();
+    return {
+      version: this.inForce?.version ?? 0,
+      answeredMsAgo: Math.round(now - this.configs.getAnsweredAt()),
+      servers: this.roster.list(now).length,
+    };
+  }
+
+  private follow(kind: string, onRound: (round: FollowedKind) => void): KindFollower {
+    const { store, clock, random } = this.options;
+    return new KindFollower({
+      store,
+      kind,
+      clock,
+      random,
+      watchMs: WATCH_MS,
+      onRound,
+      onStore: (state, reason) => log(`store_${state}`, { kind, reason }),
+    });
+  }
+
+  /** Takes a configuration that is newer than the one in force; an older one is a late answer. */
+  private takeConfig({ objects }: FollowedKind): void {
+    const { format } = this.options;
+    const object = objects.get(format.configName);
+    if (object === undefined) return;
+    const read = format.readConfig(object);
+    if (read.isErr()) {
+      log('config_unreadable', { problem: read.error, revision: object.version });
+      return;
+    }
+    if (this.deployed !== undefined && read.value.version <= this.deployed.version) return;
+    this.deployed = read.value;
+    this.compose();
+  }
+
+  private takeServers({ objects, awayMs }: FollowedKind): void {
+    const { format, clock } = this.options;
+    const listed = [...objects.values()]
+      .map((object) => format.readServer(object))
+      .filter((server) => server !== undefined);
+    this.roster.update(listed, awayMs, clock.now());
+    this.hasServers = true;
+    this.compose();
+    const change = this.roster.nextChange(clock.now());
+    if (change !== undefined) clock.after(change - clock.now(), () => this.compose());
+  }
+
+  private compose(): void {
+    if (this.deployed === undefined || !this.hasServers) return;
+    const servers = this.roster.list(this.options.clock.now());
+    const from = JSON.stringify([this.deployed.version, servers]);
+    if (from === this.composedFrom) return;
+    this.composedFrom = from;
+    const config = composeRouting(this.deployed, servers);
+    const inForce = { version: this.deployed.version, config };
+    this.inForce = inForce;
+    log('servers', {
+      version: inForce.version,
+      usable: servers.filter((server) => !server.leaving).length,
+      leaving: servers.filter((server) => server.leaving).length,
+    });
+    this.listeners.forEach((listener) => listener(inForce));
+  }
+}
--- /dev/null
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -0,0 +1,305 @@
+import type { Clock, Millis, ModelId } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import type { EngineUse, RateTolerance, RepeatAllowance } from '@camphorvane/decisions';
+import { RepeatBudget } from '@camphorvane/decisions';
+import type { PeerResponse } from '@camphorvane/peer';
+import type { HintLink, HostHint } from '@camphorvane/peer/hints';
+import type { StoredObject, WatchableStore } from '@camphorvane/store';
+import { OwnRecord } from '@camphorvane/store';
+import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
+import { LocalPlacer } from '../placing/LocalPlacer.ts';
+import { stateLog } from '../observe/StateLog.ts';
+import { CrashDesk } from '../serving/CrashDesk.ts';
+import { serviceRepeats } from '../serving/teamRepeats.ts';
+import type { DeploymentFormat } from '@camphorvane/store';
+import { DeploymentFeed } from './DeploymentFeed.ts';
+import { EvenRates } from './EvenRates.ts';
+import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
+import type { HostRecord } from './HostRoster.ts';
+import { HostRoster } from './HostRoster.ts';
+
+/** Milliseconds between two writes of this host's record. */
+const RECORD_PERIOD_MS: Millis = 3_000;
+
+/** Milliseconds between two reads of all hosts' records; an answer that is a little old will do. */
+const RECORDS_READ_MS: Millis = 1_000;
+
+/** Milliseconds between two hints; a burst of requests takes longer than that to fill an engine. */
+const HINT_PERIOD_MS: Millis = 200;
+
+/** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
+const CRASHES_TO_HOLD_BACK = 3;
+
+/** Milliseconds for which such a request is held back; its caller sends it for some seconds. */
+const HOLD_BACK_MS: Millis = 60_000;
+
+const log = stateLog('hosts');
+
+/** What hosts that share nothing but a store are made of. */
+export interface StoreAgreementOptions {
+  readonly store: WatchableStore;
+  readonly format: DeploymentFormat;
+  readonly hints: HintLink;
+  readonly tolerance: RateTolerance;
+  readonly repeats: RepeatAllowance;
+  /** See {@link DeploymentFeed}; also whether requests end when their key is withdrawn. */
+  readonly strictKeysMs: Millis | undefined;
+}
+
+/**
+ * Hosts that each act on their own knowledge, with the store as the only common truth.
+ *
+ * Nobody coordinates, so no host's death, freeze or cut makes others wait. Each takes an equal share
+ * of rates and repeats, places on engines by itself, and tells the others what it has there.
+ */
+export class StoreAgreement implements HostAgreement, GroupGate {
+  readonly config: DeploymentFeed;
+
+  readonly group: GroupGate = this;
+
+  readonly rates: EvenRates;
+
+  readonly repeats: RepeatGate;
+
+  readonly placer: LocalPlacer;
+
+  readonly crashes: CrashDesk;
+
+  readonly claims = undefined;
+
+  readonly endsWithdrawn: boolean;
+
+  private readonly options: StoreAgreementOptions;
+
+  private readonly context: AgreementContext;
+
+  private readonly clock: Clock;
+
+  private readonly hosts: HostRoster;
+
+  private readonly record: OwnRecord;
+
+  private readonly listeners = new Set<() => void>();
+
+  private leaving = false;
+
+  private sequence = 0;
+
+  private sharers = 0;
+
+  /**
+   * @param options - The store and the bounds that hold for all hosts together.
+   * @param context - This host.
+   */
+  constructor(options: StoreAgreementOptions, context: AgreementContext) {
+    this.options = options;
+    this.context = context;
+    const { clock, random, identity, incarnation, directory } = context;
+    const { store, format } = options;
+    this.clock = clock;
+    this.endsWithdrawn = options.strictKeysMs !== undefined;
+    this.config = new DeploymentFeed({
+      store,
+      format,
+      clock,
+      random,
+      strictKeysMs: options.strictKeysMs,
+    });
+    this.hosts = new HostRoster(identity.host);
+    this.record = new OwnRecord(store, format.hostKind, identity.host);
+    const sharers = (): number => this.hosts.countSharers();
+    this.rates = new EvenRates(clock, options.tolerance, sharers);
+    this.repeats = serviceRepeats(new RepeatBudget(options.repeats, sharers));
+    this.placer = new LocalPlacer(clock, directory, incarnation);
+    this.crashes = new CrashDesk({
+      self: identity.host,
+      clock,
+      group: this,
+      suspicion: { crashes: CRASHES_TO_HOLD_BACK, memoryMs: HOLD_BACK_MS },
+    });
+    options.hints.onHint((hint) => this.hear(hint));
+  }
+
+  /** {@inheritDoc HostAgreement.start} */
+  start(signal: AbortSignal): void {
+    this.config.start(signal);
+    void this.keepRecord(signal);
+    void this.readRecords(signal);
+    void this.tellPeers(signal);
+  }
+
+  /** Tells whether this host knows enough to serve callers. */
+  isReady(): boolean {
+    return this.config.current() !== undefined && this.hosts.isKnown();
+  }
+
+  /** {@inheritDoc HostAgreement.beginLeaving} */
+  async beginLeaving(): Promise<void> {
+    this.leaving = true;
+    this.sendHint();
+    await this.writeRecord();
+  }
+
+  /** {@inheritDoc HostAgreement.leave} */
+  async leave(): Promise<void> {
+    this.sendHint();
+  }
+
+  /** Ends everything; tasks end with their signal. */
+  stop(): void {
+    this.listeners.clear();
+  }
+
+  /** Hosts that share a store ask each other nothing. */
+  async answer(): Promise<PeerResponse> {
+    return { type: 'not_steward', epoch: 0 };
+  }
+
+  /** {@inheritDoc HostAgreement.getCoordinated} */
+  getCoordinated(): readonly ModelId[] {
+    return [];
+  }
+
+  /** {@inheritDoc HostAgreement.getEpoch} */
+  getEpoch(): number {
+    return 0;
+  }
+
+  /** {@inheritDoc GroupGate.members} */
+  members(): readonly GroupMate[] {
+    const self = { ...this.context.identity, leaving: this.leaving };
+    const mates = this.hosts.getMates(this.clock.now());
+    return [self, ...mates.filter((mate) => mate.host !== self.host)];
+  }
+
+  /** Nobody coordinates. */
+  stewardOf(): undefined {
+    return undefined;
+  }
+
+  /** Nobody coordinates. */
+  maySteward(): boolean {
+    return false;
+  }
+
+  /** A share that is this host's own may always be used. */
+  mayAct(): boolean {
+    return true;
+  }
+
+  /** {@inheritDoc GroupGate.waitToAct} */
+  async waitToAct(): Promise<void> {
+    // There is nothing to wait for.
+  }
+
+  /** {@inheritDoc GroupGate.onChange} */
+  onChange(changed: () => void): Unsubscribe {
+    this.listeners.add(changed);
+    return () => this.listeners.delete(changed);
+  }
+
+  /** {@inheritDoc HostAgreement.dump} */
+  dump(): object {
+    return {
+      hosts: this.hosts.getMates(this.clock.now()).map((mate) => mate.host),
+      sharers: this.hosts.countSharers(),
+      rates: this.rates.dump(),
+      placing: this.placer.dump(),
+    };
+  }
+
+  private async keepRecord(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.writeRecord();
+      await sleep(this.clock, RECORD_PERIOD_MS, signal);
+    }
+  }
+
+  private async writeRecord(): Promise<void> {
+    const { identity, incarnation } = this.context;
+    const record: HostRecord = { ...identity, incarnation, leaving: this.leaving };
+    // The beat makes each write a change, by which others see that this host lives.
+    const problem = await this.record.write({ ...record, beat: Math.round(this.clock.now()) });
+    if (problem !== undefined) log('record_not_written', { reason: problem.type });
+  }
+
+  private async readRecords(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const freshness = this.hosts.isKnown() ? 'any' : 'newest';
+      const read = await this.options.store.snapshot(this.options.format.hostKind, freshness);
+      if (read.isOk()) this.takeRecords(read.value.objects);
+      await sleep(this.clock, RECORDS_READ_MS, signal);
+    }
+  }
+
+  private takeRecords(objects: readonly StoredObject[]): void {
+    const records = objects
+      .map((object) => ({ record: readRecord(object), version: object.version }))
+      .flatMap(({ record, version }) => (record === undefined ? [] : [{ record, version }]));
+    this.hosts.update(records, this.clock.now());
+    this.hosts.getExpired().forEach(({ host, version }) => {
+      log('host_forgotten', { host });
+      void this.options.store.remove(this.options.format.hostKind, host, version);
+    });
+    const sharers = this.hosts.countSharers();
+    if (sharers === this.sharers) return;
+    log('sharers', { before: this.sharers, now: sharers });
+    this.sharers = sharers;
+    this.rates.refresh();
+    this.listeners.forEach((changed) => changed());
+  }
+
+  private async tellPeers(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.sendHint();
+      await sleep(this.clock, HINT_PERIOD_MS, signal);
+    }
+  }
+
+  private sendHint(): void {
+    this.sequence += 1;
+    const hint: HostHint = {
+      host: this.context.identity.host,
+      incarnation: this.context.incarnation,
+      sequence: this.sequence,
+      leaving: this.leaving,
+      engines: [...this.placer.getUse()].map(([engine, use]) => ({ engine, ...use })),
+    };
+    this.options.hints.send(hint, this.hosts.getPeerAddresses());
+  }
+
+  private hear(hint: HostHint): void {
+    if (hint.host === this.context.identity.host) return;
+    this.hosts.hear(hint.host, hint.leaving, this.clock.now());
+    const uses = hint.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
+    this.placer.hear(hint.host, new Map(uses));
+  }
+}
+
+/** Gets a host's record; undefined for an object of another shape. */
+function readRecord({ value }: StoredObject): HostRecord | undefined {
+  const record = value as Partial<HostRecord> | null;
+  if (record === null || typeof record !== 'object') return undefined;
+  const { host, zone, callerAddress, peerAddress, incarnation, leaving } = record;
+  const texts = [host, zone, callerAddress, peerAddress, incarnation];
+  if (texts.some((text) => typeof text !== 'string')) return undefined;
+  return { ...(record as HostRecord), leaving: leaving === true };
+}
+
+/**
+ * Gets the factory of an agreement over a store.
+ *
+ * @param options - The store and the bounds.
+ * @param made - Told of the agreement, whose readiness the edges ask for.
+ * @returns The factory.
+ */
+export function storeAgreement(
+  options: StoreAgreementOptions,
+  made: (agreement: StoreAgreement) => void,
+): AgreementFactory {
+  return (context) => {
+    const agreement = new StoreAgreement(options, context);
+    made(agreement);
+    return agreement;
+  };
+}
--- /dev/null
+++ b/packages/router/src/agreement/composeRouting.ts
@@ -0,0 +1,95 @@
+import type {
+  EngineConfig,
+  PoolConfig,
+  RoutingConfig,
+  ServiceConfig,
+  ServiceServer,
+} from '@camphorvane/core';
+import { TOKENS_PER_PIECE } from '@camphorvane/core';
+import type {
+  DeployedConfig,
+  DeployedEngines,
+  DeployedService,
+  ServerRecord,
+} from '@camphorvane/store';
+
+/** Target for the first token where only routes have targets, in milliseconds. */
+const POOL_TTFT_TARGET_MS = 1_000;
+
+/** Target between tokens where only routes have targets, in milliseconds. */
+const POOL_ITL_TARGET_MS = 100;
+
+/** Bound of one try at a plain server, in milliseconds; each route has its own, tighter one. */
+const SERVICE_TIMEOUT_MS = 60_000;
+
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+
+/**
+ * Joins a configuration and the servers that are there into what hosts act on.
+ *
+ * @param config - The configuration.
+ * @param servers - All servers that may get work.
+ * @returns The routing configuration.
+ */
+export function composeRouting(
+  config: DeployedConfig,
+  servers: readonly ServerRecord[],
+): RoutingConfig {
+  const of = (service: DeployedService): readonly ServerRecord[] =>
+    servers.filter((server) => server.service === service.id && !server.leaving);
+  return {
+    teams: config.teams,
+    routes: config.routes,
+    limits: config.limits,
+    waitRules: [],
+    pools: config.services.flatMap((service) =>
+      service.engines === undefined ? [] : [poolOf(service, service.engines, of(service))],
+    ),
+    services: config.services
+      .filter((service) => service.engines === undefined)
+      .map((service) => serviceOf(service, of(service))),
+  };
+}
+
+function poolOf(
+  service: DeployedService,
+  engines: DeployedEngines,
+  servers: readonly ServerRecord[],
+): PoolConfig {
+  const bitsPerPiece = engines.tokenBytes * TOKENS_PER_PIECE * BITS_PER_BYTE;
+  return {
+    model: service.id,
+    engines: servers.map((server) => engineOf(server, engines)),
+    maxTokens: engines.memoryTokens,
+    ttftTargetMs: POOL_TTFT_TARGET_MS,
+    itlTargetMs: POOL_ITL_TARGET_MS,
+    linkPiecesPerSecond: (engines.linkMbps * BITS_PER_MEGABIT) / bitsPerPiece,
+  };
+}
+
+function engineOf(server: ServerRecord, engines: DeployedEngines): EngineConfig {
+  return {
+    id: server.id,
+    url: `http://${server.address}`,
+    zone: server.zone,
+    role: server.role ?? 'decode',
+    memoryPieces: Math.floor(engines.memoryTokens / TOKENS_PER_PIECE),
+    slots: server.slots,
+    checksFencing: false,
+  };
+}
+
+function serviceOf(service: DeployedService, servers: readonly ServerRecord[]): ServiceConfig {
+  return {
+    id: service.id,
+    routes: [],
+    timeoutMs: SERVICE_TIMEOUT_MS,
+    servers: servers.map((server): ServiceServer => ({
+      id: server.id,
+      url: `http://${server.address}`,
+      zone: server.zone,
+      maxConcurrent: server.slots,
+    })),
+  };
+}
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,5 +1,5 @@
 import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
-import type { HostId, ModelId, VersionedConfig } from '@camphorvane/core';
+import type { HostId, Millis, ModelId, VersionedConfig } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
 import type { HostStatus } from '@camphorvane/operator';
 import type { PeerHandler, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
@@ -67,10 +67,26 @@
    */
   async drain(): Promise<void> {
     if (this.state !== 'serving') return;
+    await this.beginDrain();
+    await this.finishDrain(this.options.drainGraceMs);
+  }
+
+  /** Tells everybody that this host leaves; calls that are passed on are still served. */
+  async beginDrain(): Promise<void> {
     this.enterState('draining');
+    await this.parts.agreement.beginLeaving();
+  }
+
+  /**
+   * Takes nothing any more, lets what runs end, and stops.
+   *
+   * @param graceMs - Milliseconds that running requests may take.
+   * @returns A promise that resolves when the host has stopped.
+   */
+  async finishDrain(graceMs: Millis): Promise<void> {
+    this.closed = true;
     const { agreement, inFlight } = this.parts;
-    await agreement.beginLeaving();
-    const grace = sleep(this.options.clock, this.options.drainGraceMs, this.stopping.signal);
+    const grace = sleep(this.options.clock, graceMs, this.stopping.signal);
     await Promise.race([inFlight.whenIdle(), grace]);
     if (agreement.claims !== undefined) await Promise.race([agreement.claims.drained(), grace]);
     await agreement.leave();
--- /dev/null
+++ b/packages/router/src/host/PlatformHost.ts
@@ -0,0 +1,130 @@
+import { randomBytes } from 'node:crypto';
+import type { Millis } from '@camphorvane/core';
+import { RandomSource, sleep, SystemClock } from '@camphorvane/core';
+import { HintSocket } from '@camphorvane/peer/hints';
+import type { PlatformSettings } from '@camphorvane/platform';
+import {
+  DirectoryServer,
+  Ingress,
+  ObjectApiStore,
+  PLATFORM_FORMAT,
+  PlatformEngine,
+  PlatformServer,
+} from '@camphorvane/platform';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { StoreAgreement } from '../agreement/StoreAgreement.ts';
+import { storeAgreement } from '../agreement/StoreAgreement.ts';
+import { Metrics } from '../observe/Metrics.ts';
+import { Host } from './Host.ts';
+
+/** Bytes of randomness that name one start of a host; enough that no two starts share a name. */
+const INCARNATION_BYTES = 9;
+
+/**
+ * Milliseconds for which a leaving host still takes requests. Callers leave it at their next answer,
+ * or when they ask for hosts again; a request that comes later might not end within the grace.
+ */
+const LEAVING_MS: Millis = 2_500;
+
+/** Milliseconds before the end of the grace at which what still runs is given up. */
+const END_MARGIN_MS: Millis = 400;
+
+/** A host on the platform that listens. */
+export interface PlatformHost {
+  readonly host: Host;
+  /** Leaves without cutting a request that can end within the grace. */
+  leave(): Promise<void>;
+}
+
+/**
+ * Starts a host on the users' platform: the same serving, before the platform's callers and servers.
+ *
+ * @param settings - The checked settings.
+ * @returns The running host, or one sentence that says why it can't run.
+ */
+export async function startPlatformHost(
+  settings: PlatformSettings,
+): Promise<Result<PlatformHost, string>> {
+  const clock = new SystemClock();
+  const hints = new HintSocket();
+  const metrics = new Metrics();
+  let agreement: StoreAgreement | undefined;
+  const host = new Host({
+    identity: {
+      host: settings.host,
+      zone: settings.zone,
+      callerAddress: `${settings.callers.ip}:${settings.callers.port}`,
+      peerAddress: `${settings.ip}:${settings.peerPort}`,
+    },
+    incarnation: randomBytes(INCARNATION_BYTES).toString('base64url'),
+    drainGraceMs: settings.graceMs,
+    clock,
+    random: new RandomSource(randomBytes(4).readInt32BE()),
+    agreement: storeAgreement(
+      {
+        store: new ObjectApiStore(settings.storeAddress, clock),
+        format: PLATFORM_FORMAT,
+        hints,
+        tolerance: settings.quota,
+        repeats: settings.retries,
+        strictKeysMs: settings.strictKeysMs,
+      },
+      (made) => {
+        agreement = made;
+      },
+    ),
+    engines: (cfg) => new PlatformEngine(cfg, clock),
+    servers: (cfg) => new PlatformServer(cfg, clock),
+    metrics,
+  });
+  if (agreement === undefined) return err('the agreement was not made');
+  const { config, group, isReady } = parts(agreement);
+  let leaving = false;
+  const ingress = new Ingress({
+    backend: host.forwarding,
+    isLeaving: () => leaving,
+    limits: () => config.current()?.config.limits,
+  });
+  const directory = new DirectoryServer(
+    {
+      addressesFor: (zone) =>
+        group
+          .members()
+          .filter((mate) => !mate.leaving)
+          .map((mate) => ({ address: mate.callerAddress, near: mate.zone === zone }))
+          .sort((a, b) => Number(b.near) - Number(a.near))
+          .map(({ address }) => address),
+      isReady: () => !leaving && isReady(),
+      metrics: () => metrics.getText(),
+    },
+    settings.maxListLifeMs,
+  );
+  const bound = await hints.listen(settings.ip, settings.peerPort);
+  if (bound.isErr()) return err(`hints: ${bound.error}`);
+  const opened = await directory.listen([settings.directory, settings.readiness]);
+  if (opened.isErr()) return err(`directory: ${opened.error}`);
+  const listening = await ingress.listen(settings.callers);
+  if (listening.isErr()) return err(`callers: ${listening.error}`);
+  config.onChange(({ config: { limits } }) => {
+    if (limits !== undefined) ingress.applyLimits(limits);
+  });
+  host.start();
+  return ok({
+    host,
+    leave: async () => {
+      leaving = true;
+      void host.beginDrain();
+      await sleep(clock, LEAVING_MS);
+      ingress.stopListening();
+      await host.finishDrain(settings.graceMs - LEAVING_MS - END_MARGIN_MS);
+    },
+  });
+}
+
+function parts(agreement: StoreAgreement): Pick<StoreAgreement, 'config' | 'group'> & {
+  readonly isReady: () => boolean;
+} {
+  const { config, group } = agreement;
+  return { config, group, isReady: () => agreement.isReady() };
+}
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -5,12 +5,14 @@
 import { hostsCommand } from './cli/hostsCommand.ts';
 import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
 import { serveCommand } from './cli/serveCommand.ts';
+import { servePlatformModule } from './cli/servePlatformModule.ts';
 import { VERSION } from './version.ts';
 
 void yargs(hideBin(process.argv))
   .scriptName('camphorvane')
   .usage('$0 <command>: a router for separate prefill and decode pools')
   .command(serveCommand)
+  .command(servePlatformModule)
   .command(checkModule)
   .command(diffModule)
   .command(applyModule)
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -1,4 +1,5 @@
 import { StatsD } from 'hot-shots';
+import { Counter, Histogram, Registry } from 'prom-client';
 
 /** Names of all counters; docs/OPERATIONS.md lists them. */
 export type CounterName =
@@ -18,6 +19,11 @@
 /** Names of all timings, in milliseconds. */
 export type TimingName = 'request.ttft' | 'request.token_interval';
 
+/** Bounds of the histograms, in milliseconds: from a hop between zones to a caller's patience. */
+const BUCKETS_MS = [
+  5, 10, 25, 50, 100, 200, 300, 450, 600, 900, 1_400, 2_000, 4_000, 8_000, 14_000,
+];
+
 /** Small closed sets of values by which a metric is split; never ids. */
 export type MetricTags = Readonly<Record<string, string>>;
 
@@ -31,6 +37,12 @@
 
   private readonly counts = new Map<string, number>();
 
+  private readonly registry = new Registry();
+
+  private readonly counters = new Map<CounterName, Counter>();
+
+  private readonly histograms = new Map<TimingName, Histogram>();
+
   /** @param client - Sends to the collector; absent where none is set. */
   constructor(client?: StatsD) {
     this.client = client;
@@ -67,6 +79,7 @@
   count(name: CounterName, tags: MetricTags = {}, amount = 1): void {
     const key = [name, ...Object.values(tags)].join('.');
     this.counts.set(key, (this.counts.get(key) ?? 0) + amount);
+    this.counterOf(name, tags).inc({ ...tags }, amount);
     this.client?.increment(name, amount, { ...tags });
   }
 
@@ -78,6 +91,7 @@
    * @param tags - How it is split.
    */
   timing(name: TimingName, ms: number, tags: MetricTags = {}): void {
+    this.histogramOf(name, tags).observe({ ...tags }, ms);
     this.client?.timing(name, ms, { ...tags });
   }
 
@@ -86,8 +100,44 @@
     return Object.fromEntries([...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)));
   }
 
+  /** Gets all counters and timings as Prometheus text. */
+  getText(): Promise<string> {
+    return this.registry.metrics();
+  }
+
   /** Ends sending. */
   close(): void {
     this.client?.close(() => undefined);
   }
+
+  private counterOf(name: CounterName, tags: MetricTags): Counter {
+    const known = this.counters.get(name);
+    if (known !== undefined) return known;
+    const counter = new Counter({
+      name: `${promName(name)}_total`,
+      help: `Counter ${name}.`,
+      labelNames: Object.keys(tags),
+      registers: [this.registry],
+    });
+    this.counters.set(name, counter);
+    return counter;
+  }
+
+  private histogramOf(name: TimingName, tags: MetricTags): Histogram {
+    const known = this.histograms.get(name);
+    if (known !== undefined) return known;
+    const histogram = new Histogram({
+      name: `${promName(name)}_ms`,
+      help: `Timing ${name} in milliseconds.`,
+      labelNames: Object.keys(tags),
+      buckets: [...BUCKETS_MS],
+      registers: [this.registry],
+    });
+    this.histograms.set(name, histogram);
+    return histogram;
+  }
+}
+
+function promName(name: string): string {
+  return `camphorvane_${name.replaceAll('.', '_')}`;
 }
--- a/packages/router/src/observe/StateLog.ts
+++ b/packages/router/src/observe/StateLog.ts
@@ -1,23 +1,33 @@
-import createDebug from 'debug';
+import type { BoundedLog } from './BoundedLog.ts';
 
 /** What a log line carries besides its name; plain values, never a key or a prompt. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /**
- * Writes one line for each change of state.
+ * Writes one line for a decision or a change of belief.
  *
  * @param change - Name of the change, in snake case.
  * @param fields - Its details.
  */
 export type StateLog = (change: string, fields: LogFields) => void;
 
+let output: BoundedLog | undefined;
+
+/**
+ * Sends all lines of this process to an output from now on; before that none is written.
+ *
+ * @param log - The output; undefined ends writing.
+ */
+export function setLogOutput(log: BoundedLog | undefined): void {
+  output = log;
+}
+
 /**
- * Gets the log of one part of the program; on with `DEBUG=camphorvane:*`.
+ * Gets the log of one part of the program.
  *
  * @param part - Name of the part.
- * @returns The log, which writes JSON.
+ * @returns The log.
  */
 export function stateLog(part: string): StateLog {
-  const write = createDebug(`camphorvane:${part}`);
-  return (change, fields) => write('%s', JSON.stringify({ change, ...fields }));
+  return (change, fields) => output?.write(part, change, fields);
 }
--- /dev/null
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -0,0 +1,317 @@
+import type {
+  CancelTimer,
+  Clock,
+  HostId,
+  ModelId,
+  Refusal,
+  RequestId,
+  ReservationId,
+  TeamId,
+  Tokens,
+  UpstreamId,
+} from '@camphorvane/core';
+import { notRun, piecesFor } from '@camphorvane/core';
+import {
+  EngineHealth,
+  LocalPlacement,
+  LocalQueue,
+  QUEUE_LOOK_MS,
+  UseBook,
+} from '@camphorvane/decisions';
+import type {
+  EngineObservation,
+  EnginePair,
+  EngineUse,
+  QueueDecision,
+  ReservationEnd,
+  WorkItem,
+} from '@camphorvane/decisions';
+import type { UpstreamError } from '@camphorvane/upstream';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
+import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { PlacedPair } from './Placer.ts';
+
+/** Priority given to engines where the operators gave none: the middle of the scale. */
+const DEFAULT_PRIORITY = 5;
+
+type Answer = Result<PlacedPair, Refusal>;
+
+interface Waiting {
+  readonly item: WorkItem;
+  readonly answer: (answer: Answer) => void;
+}
+
+interface Held {
+  readonly model: ModelId;
+  readonly team: TeamId;
+  readonly pair: EnginePair;
+  readonly promptTokens: Tokens;
+  readonly memoryTokens: Tokens;
+  /** Prompt tokens in front of and of this prefill when it was sent. */
+  readonly queuedTokens: Tokens;
+}
+
+interface Pool {
+  readonly placement: LocalPlacement;
+  readonly queue: LocalQueue;
+  readonly waiting: Map<RequestId, Waiting>;
+}
+
+/** Places requests on this host's own knowledge of the engines, with what peers say of their use. */
+export class LocalPlacer implements ChangingPlacer {
+  private readonly clock: Clock;
+
+  private readonly directory: UpstreamDirectory;
+
+  private readonly prefix: string;
+
+  private readonly book = new UseBook();
+
+  private readonly health = new EngineHealth();
+
+  private readonly pools = new Map<ModelId, Pool>();
+
+  private readonly held = new Map<ReservationId, Held>();
+
+  /** Reservations whose prompt is not read yet. */
+  private readonly prefilling = new Set<ReservationId>();
+
+  /** Next look at a pool whose requests wait. */
+  private readonly looks = new Map<Pool, CancelTimer>();
+
+  private placed = 0;
+
+  /**
+   * @param clock - Times waits.
+   * @param directory - Knows the engines.
+   * @param incarnation - Names this start of the host; reservations begin with it.
+   */
+  constructor(clock: Clock, directory: UpstreamDirectory, incarnation: string) {
+    this.clock = clock;
+    this.directory = directory;
+    this.prefix = incarnation;
+  }
+
+  /** {@inheritDoc Placer.reserve} */
+  reserve(model: ModelId, item: WorkItem, signal: AbortSignal): Promise<Answer> {
+    const pool = this.poolFor(model);
+    return new Promise((resolve) => {
+      const gone = (): void => {
+        pool.queue.withdraw(item.request);
+        this.answer(pool, item.request, err(notRun('caller_gone', 'The caller has gone.')));
+      };
+      const answer = (result: Answer): void => {
+        signal.removeEventListener('abort', gone);
+        resolve(result);
+      };
+      pool.waiting.set(item.request, { item, answer });
+      signal.addEventListener('abort', gone, { once: true });
+      if (signal.aborted) {
+        gone();
+        return;
+      }
+      const refusal = pool.queue.submit({
+        request: item.request,
+        team: item.team,
+        priority: item.priority ?? DEFAULT_PRIORITY,
+        giveUpAt: this.clock.now() + item.maxWaitMs,
+        promptTokens: item.promptTokens,
+        maxOutputTokens: item.maxOutputTokens,
+        avoid: item.avoid,
+      });
+      if (refusal === undefined) this.pump(pool);
+      else this.answer(pool, item.request, err(refusal));
+    });
+  }
+
+  /** {@inheritDoc Placer.prefillEnded} */
+  prefillEnded(_model: ModelId, reservation: ReservationId): void {
+    const held = this.held.get(reservation);
+    if (held === undefined) return;
+    this.endPrefill(reservation, held);
+    this.pumpOf(held.model);
+  }
+
+  /** Reservations of a host that places on its own can't be lost to another one. */
+  async renew(): Promise<readonly ReservationId[]> {
+    return [];
+  }
+
+  /** {@inheritDoc Placer.release} */
+  async release(_model: ModelId, reservation: ReservationId, end: ReservationEnd): Promise<void> {
+    const held = this.held.get(reservation);
+    if (held === undefined) return;
+    this.held.delete(reservation);
+    this.endPrefill(reservation, held);
+    this.book.change(held.pair.decode, { streams: -1, memoryTokens: -held.memoryTokens });
+    if (end === 'done') this.health.succeeded(held.pair.decode);
+    this.pools.get(held.model)?.queue.ended(held.team);
+    this.pumpOf(held.model);
+  }
+
+  /** {@inheritDoc Placer.attemptFailed} */
+  attemptFailed(engine: UpstreamId, error: UpstreamError): void {
+    switch (error.type) {
+      case 'unreachable':
+      case 'silent':
+      case 'broken':
+      case 'mismatch':
+        this.health.failed(engine, this.clock.now());
+        break;
+      case 'rejected':
+      case 'cancelled':
+        break;
+      default:
+        error satisfies never;
+    }
+  }
+
+  /** {@inheritDoc Placer.observe} */
+  async observe(_model: ModelId, observations: readonly EngineObservation[]): Promise<void> {
+    observations.forEach((seen) => this.take(seen));
+  }
+
+  /** Takes in what a peer has on the engines. */
+  hear(peer: HostId, uses: ReadonlyMap<string, EngineUse>): void {
+    this.book.hear(peer, uses, this.clock.now());
+  }
+
+  /** Gets what this host has on the engines, to be told to its peers. */
+  getUse(): ReadonlyMap<string, EngineUse> {
+    return this.book.getOwn();
+  }
+
+  /** {@inheritDoc ChangingPlacer.refresh} */
+  refresh(): void {
+    this.pools.forEach((pool, model) => {
+      this.reshape(pool, model);
+      this.pump(pool);
+    });
+  }
+
+  /** Gets the state to be shown to operators. */
+  dump(): object {
+    const waiting = [...this.pools].map(([model, pool]) => [model, pool.queue.size] as const);
+    return {
+      placed: this.placed,
+      held: this.held.size,
+      waiting: Object.fromEntries(waiting),
+      use: Object.fromEntries(this.book.getOwn()),
+    };
+  }
+
+  private take(seen: EngineObservation): void {
+    const now = this.clock.now();
+    switch (seen.type) {
+      case 'failed':
+        this.health.failed(seen.engine, now);
+        break;
+      case 'recovered':
+        this.health.succeeded(seen.engine);
+        break;
+      case 'load':
+      case 'token_interval':
+      case 'prefill_done':
+      case 'cache':
+        break;
+      default:
+        seen satisfies never;
+    }
+  }
+
+  private poolFor(model: ModelId): Pool {
+    const known = this.pools.get(model);
+    if (known !== undefined) return known;
+    const placement = new LocalPlacement(this.book, this.health);
+    const pool: Pool = {
+      placement,
+      queue: new LocalQueue(placement),
+      waiting: new Map(),
+    };
+    this.pools.set(model, pool);
+    this.reshape(pool, model);
+    return pool;
+  }
+
+  private reshape(pool: Pool, model: ModelId): void {
+    pool.placement.reshape(this.directory.getPool(model)?.engines ?? []);
+  }
+
+  private pumpOf(model: ModelId): void {
+    const pool = this.pools.get(model);
+    if (pool !== undefined) this.pump(pool);
+  }
+
+  private pump(pool: Pool): void {
+    this.looks.get(pool)?.();
+    this.looks.delete(pool);
+    let decision = pool.queue.next(this.clock.now());
+    while (decision !== undefined) {
+      this.carryOut(pool, decision);
+      decision = pool.queue.next(this.clock.now());
+    }
+    if (pool.queue.size === 0) return;
+    this.looks.set(
+      pool,
+      this.clock.after(QUEUE_LOOK_MS, () => this.pump(pool)),
+    );
+  }
+
+  private carryOut(pool: Pool, decision: QueueDecision): void {
+    switch (decision.type) {
+      case 'place':
+        this.place(pool, decision.request, decision.pair);
+        break;
+      case 'refuse':
+        this.answer(pool, decision.request, err(decision.refusal));
+        break;
+      default:
+        decision satisfies never;
+    }
+  }
+
+  private place(pool: Pool, request: RequestId, pair: EnginePair): void {
+    const waiting = pool.waiting.get(request);
+    if (waiting === undefined) return;
+    const { item } = waiting;
+    const model = [...this.pools].find(([, one]) => one === pool)?.[0] ?? '';
+    const memoryTokens = item.promptTokens + item.maxOutputTokens;
+    this.placed += 1;
+    const reservation = `${this.prefix}.p${this.placed}`;
+    const reader = pair.prefill ?? pair.decode;
+    this.book.change(reader, { prefillTokens: item.promptTokens });
+    this.book.change(pair.decode, { streams: 1, memoryTokens });
+    const queuedTokens = this.book.getTotal(reader, this.clock.now()).prefillTokens;
+    this.prefilling.add(reservation);
+    this.held.set(reservation, {
+      model,
+      team: item.team,
+      pair,
+      promptTokens: item.promptTokens,
+      memoryTokens,
+      queuedTokens,
+    });
+    const placed: PlacedPair = {
+      reservation,
+      prefill: pair.prefill,
+      decode: pair.decode,
+      pieces: piecesFor(memoryTokens),
+      priority: item.priority ?? DEFAULT_PRIORITY,
+    };
+    this.answer(pool, request, ok(placed));
+  }
+
+  private endPrefill(reservation: ReservationId, held: Held): void {
+    if (!this.prefilling.delete(reservation)) return;
+    const reader = held.pair.prefill ?? held.pair.decode;
+    this.book.change(reader, { prefillTokens: -held.promptTokens });
+  }
+
+  private answer(pool: Pool, request: RequestId, answer: Answer): void {
+    const waiting = pool.waiting.get(request);
+    pool.waiting.delete(request);
+    waiting?.answer(answer);
+  }
+}
--- a/packages/router/src/placing/PlacementClient.ts
+++ b/packages/router/src/placing/PlacementClient.ts
@@ -133,6 +133,9 @@
     this.options.desk.refresh();
   }
 
+  /** The steward learns of failures by observations and by how reservations end. */
+  attemptFailed(): void {}
+
   /** Tells the steward what this host saw; lost observations are made up by later ones. */
   async observe(model: ModelId, observations: readonly EngineObservation[]): Promise<void> {
     await this.ask({ type: 'observe', model, observations }, SHORT_TIMEOUT_MS);
--- a/packages/router/src/placing/Placer.ts
+++ b/packages/router/src/placing/Placer.ts
@@ -5,6 +5,7 @@
   ReservationEnd,
   WorkItem,
 } from '@camphorvane/decisions';
+import type { UpstreamError } from '@camphorvane/upstream';
 import type { Result } from 'neverthrow';
 
 /** Engines that a request may use until its reservation ends. */
@@ -47,6 +48,9 @@
   /** Ends a reservation. */
   release(model: ModelId, reservation: ReservationId, end: ReservationEnd): Promise<void>;
 
+  /** Notes at once that an attempt failed on an engine. */
+  attemptFailed(engine: UpstreamId, error: UpstreamError): void;
+
   /** Takes in what this host saw of the engines. */
   observe(model: ModelId, observations: readonly EngineObservation[]): Promise<void>;
 }
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -223,6 +223,7 @@
         case 'head':
         case 'token':
         case 'piece':
+          if (prefill === undefined && delivered === 0) this.notePromptRead();
           if (value.type !== 'head') delivered += 1;
           yield value;
           break;
@@ -233,6 +234,12 @@
     return this.failed(engine.id, 'decode', endedEarly());
   }
 
+  /** An engine that reads the prompt itself shows by its first event that it has done so. */
+  private notePromptRead(): void {
+    const { pool, placement } = this.plan;
+    this.tools.placements.prefillEnded(pool.model, placement.reservation);
+  }
+
   private noteInterval(
     engine: UpstreamId,
     event: DecodeEvent,
@@ -295,6 +302,7 @@
     error: UpstreamError,
   ): FailedAttempt {
     this.tools.metrics.count('attempt.failed', { stage, error: error.type });
+    this.tools.placements.attemptFailed(engine, error);
     if (error.type === 'unreachable') {
       this.tools.watch.seen(this.plan.pool.model, { type: 'failed', engine, reason: 'down' });
     }
--- a/packages/store/src/PlatformHttp.ts
+++ b/packages/store/src/PlatformHttp.ts
@@ -5,7 +5,7 @@
 
 /** One HTTP call to the platform. */
 export interface PlatformCall {
-  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Path and query below the base URL. */
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
--- /dev/null
+++ b/packages/store/src/follow/Deployment.ts
@@ -0,0 +1,66 @@
+import type {
+  CallerLimits,
+  EngineRole,
+  ForwardRoute,
+  ServiceId,
+  TeamConfig,
+  Tokens,
+  UpstreamId,
+  ZoneId,
+} from '@camphorvane/core';
+import type { StoredObject } from '../ObjectStore.ts';
+import type { Result } from 'neverthrow';
+
+/** What the operators say of the engines of a service. */
+export interface DeployedEngines {
+  readonly memoryTokens: Tokens;
+  readonly tokenBytes: number;
+  readonly linkMbps: number;
+}
+
+/** A service as the operators declare it; its servers announce themselves. */
+export interface DeployedService {
+  readonly id: ServiceId;
+  /** Undefined for a plain service. */
+  readonly engines: DeployedEngines | undefined;
+}
+
+/** A configuration that names no servers. */
+export interface DeployedConfig {
+  /** Grows with each change. */
+  readonly version: number;
+  readonly teams: readonly TeamConfig[];
+  readonly routes: readonly ForwardRoute[];
+  readonly services: readonly DeployedService[];
+  readonly limits: CallerLimits;
+}
+
+/** A server as it announces itself. */
+export interface ServerRecord {
+  readonly id: UpstreamId;
+  readonly service: ServiceId;
+  /** `ip:port`. */
+  readonly address: string;
+  readonly zone: ZoneId;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** True once it must get no new work. */
+  readonly leaving: boolean;
+  /** Undefined for a server of a plain service. */
+  readonly role: EngineRole | undefined;
+}
+
+/** Where a deployment keeps its objects, and how they read. */
+export interface DeploymentFormat {
+  readonly configKind: string;
+  readonly configName: string;
+  readonly serverKind: string;
+  /** Kind of the records that this program's own hosts write. */
+  readonly hostKind: string;
+
+  /** Reads the configuration, or says what is wrong with it. */
+  readConfig(object: StoredObject): Result<DeployedConfig, string>;
+
+  /** Reads a server; undefined for an entry that names none to use. */
+  readServer(object: StoredObject): ServerRecord | undefined;
+}
--- /dev/null
+++ b/packages/store/src/follow/KindFollower.ts
@@ -0,0 +1,135 @@
+import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import { Backoff } from '../Backoff.ts';
+import type { ObjectVersion, StoredObject, WatchEvent } from '../ObjectStore.ts';
+import type { WatchableStore } from './WatchableStore.ts';
+
+/** What a follower shows of a kind after each round. */
+export interface FollowedKind {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  /** Milliseconds for which the store gave no answer before this one; 0 in steady state. */
+  readonly awayMs: Millis;
+}
+
+/** What a follower is made of. */
+export interface KindFollowerOptions {
+  readonly store: WatchableStore;
+  readonly kind: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Longest wait of one watch, in milliseconds. */
+  readonly watchMs: Millis;
+  /** Called after each round in which the store answered. */
+  readonly onRound: (kind: FollowedKind) => void;
+  /** Called when the store is lost, with why, and when it is back. */
+  readonly onStore?: (state: 'lost' | 'regained', reason: string) => void;
+}
+
+/** Retries while the store is away, in milliseconds: soon, since changes must be in force soon. */
+const RETRY = { baseMs: 100, maxMs: 500 };
+
+/**
+ * Keeps a copy of all objects of a kind: a snapshot, then watches from its version on.
+ *
+ * A watch can be cut, can lose its history, or can go silent for good; each ends within the wait and
+ * the deadline of a call, and a new snapshot then shows what was missed. Old answers that arrive late
+ * never replace newer objects, since an object's version only grows.
+ */
+export class KindFollower {
+  private readonly options: KindFollowerOptions;
+
+  private readonly backoff: Backoff;
+
+  private objects: ReadonlyMap<string, StoredObject> = new Map();
+
+  /** Where the next watch goes on; undefined where a snapshot is needed. */
+  private after: ObjectVersion | undefined;
+
+  private answeredAt: Millis;
+
+  private isLost = false;
+
+  /** @param options - The store, the kind, and who is told. */
+  constructor(options: KindFollowerOptions) {
+    this.options = options;
+    this.backoff = new Backoff(options.random, RETRY);
+    this.answeredAt = options.clock.now();
+  }
+
+  /** Gets when the store last answered, on the host's clock. */
+  getAnsweredAt(): Millis {
+    return this.answeredAt;
+  }
+
+  /** Follows until stopped. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const problem =
+        this.after === undefined ? await this.readAll() : await this.wait(this.after, signal);
+      if (problem !== undefined && !signal.aborted) {
+        this.after = undefined;
+        this.noteLost(problem);
+        await sleep(this.options.clock, this.backoff.next(), signal);
+      }
+    }
+  }
+
+  /** Reads everything; gets why that failed. */
+  private async readAll(): Promise<string | undefined> {
+    const snapshot = await this.options.store.snapshot(this.options.kind, 'newest');
+    if (snapshot.isErr()) return describe(snapshot.error);
+    this.objects = new Map(snapshot.value.objects.map((object) => [object.name, object]));
+    this.after = snapshot.value.version;
+    this.noteRound();
+    return undefined;
+  }
+
+  /** Waits for changes; gets why that failed. A history that is gone is read anew at once. */
+  private async wait(after: ObjectVersion, signal: AbortSignal): Promise<string | undefined> {
+    const { store, kind, watchMs } = this.options;
+    const batch = await store.watch(kind, after, watchMs, signal);
+    if (batch.isErr()) {
+      this.after = undefined;
+      return batch.error.type === 'invalid' ? undefined : describe(batch.error);
+    }
+    const { events, next } = batch.value;
+    this.objects = events.reduce(applyEvent, this.objects);
+    this.after = Math.max(after, next);
+    this.noteRound();
+    return undefined;
+  }
+
+  private noteRound(): void {
+    const now = this.options.clock.now();
+    const awayMs = this.isLost ? now - this.answeredAt : 0;
+    this.answeredAt = now;
+    this.backoff.reset();
+    if (this.isLost) this.options.onStore?.('regained', `away for ${Math.round(awayMs)} ms`);
+    this.isLost = false;
+    this.options.onRound({ objects: this.objects, awayMs });
+  }
+
+  private noteLost(reason: string): void {
+    if (this.isLost) return;
+    this.isLost = true;
+    this.options.onStore?.('lost', reason);
+  }
+}
+
+function applyEvent(
+  objects: ReadonlyMap<string, StoredObject>,
+  event: WatchEvent,
+): ReadonlyMap<string, StoredObject> {
+  const name = event.type === 'put' ? event.object.name : event.name;
+  const version = event.type === 'put' ? event.object.version : event.version;
+  const known = objects.get(name);
+  if (known !== undefined && known.version > version) return objects;
+  const next = new Map(objects);
+  if (event.type === 'put') next.set(name, event.object);
+  else next.delete(name);
+  return next;
+}
+
+function describe(error: { readonly type: string; readonly message?: string }): string {
+  return error.message ?? error.type;
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -15,3 +15,8 @@
 export * from './claims/IdempotencyClaims.ts';
 export * from './claims/claimRefusal.ts';
 export { CLAIM_KIND, MAX_KEPT_BYTES, claimName } from './claims/claimRecord.ts';
+export * from './PlatformHttp.ts';
+export * from './follow/WatchableStore.ts';
+export * from './follow/KindFollower.ts';
+export * from './follow/OwnRecord.ts';
+export * from './follow/Deployment.ts';
--- a/packages/upstream/src/ProgressDeadline.ts
+++ b/packages/upstream/src/ProgressDeadline.ts
@@ -14,7 +14,7 @@
 export class ProgressDeadline {
   private readonly clock: Clock;
 
-  private readonly span: Millis;
+  private span: Millis;
 
   private readonly abort = new AbortController();
 
@@ -58,6 +58,12 @@
     this.cancelTimer = this.clock.after(this.span, () => this.stop('silent'));
   }
 
+  /** Changes the time allowed without progress, and counts this as progress. */
+  allow(span: Millis): void {
+    this.span = span;
+    this.progress();
+  }
+
   /** Frees the timer and the listener; the signal is left as it is. */
   close(): void {
     this.cancelTimer();
