--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,14 @@
 // Airbnb's guide, with the few lines that the house style puts before it.
 export default tseslint.config(
   {
-    ignores: ['**/node_modules/**', 'dist/**', 'tools/**', 'eslint.config.mjs', '**/generated/**'],
+    ignores: [
+      '**/node_modules/**',
+      'dist/**',
+      'target/**',
+      'tools/**',
+      'eslint.config.mjs',
+      '**/generated/**',
+    ],
   },
   plugins.stylistic,
   plugins.importX,
@@ -15,7 +22,7 @@
   ...configs.base.typescript,
   prettier,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
@@ -53,7 +60,7 @@
     },
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: {
       // node:test returns a promise from test() that its runner awaits.
       '@typescript-eslint/no-floating-promises': 'off',
--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -75,6 +75,8 @@
 export interface DeclaredWork {
   readonly promptTokens: Tokens;
   readonly maxTokens: Tokens;
+  /** The caller's estimate of its output; often far off, right at the median. */
+  readonly expectedTokens?: Tokens;
   readonly parts: readonly PromptPart[];
   /** Position after which the caller wants a stream to go on; undefined for a new one. */
   readonly lastPosition: number | undefined;
--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -30,6 +30,10 @@
   readonly maxWaitMs: Millis;
   /** Engines that must not be chosen, because this request failed on them. */
   readonly avoid: readonly UpstreamId[];
+  /** Output that is expected; absent where nothing but the maximum is known. */
+  readonly expectedOutputTokens?: Tokens;
+  /** Milliseconds from submission after which the first token is late; absent where it never is. */
+  readonly onTimeMs?: Millis;
   /** Rank that the operators gave; lower goes first. Absent where only the class counts. */
   readonly priority?: number;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,7 +9,7 @@
 export * from './shift/PressureMeter.ts';
 export * from './shift/RoleShifter.ts';
 export * from './retry/RepeatBudget.ts';
-export * from './rates/EvenShare.ts';
+export * from './rates/CountedRates.ts';
 export * from './local/EngineUse.ts';
 export * from './local/EngineHealth.ts';
 export * from './local/LocalPlacement.ts';
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -1,4 +1,4 @@
-import type { EngineConfig, Millis, Tokens, UpstreamId, ZoneId } from '@camphorvane/core';
+import type { EngineConfig, Millis, Tokens, UpstreamId } from '@camphorvane/core';
 import { TOKENS_PER_PIECE } from '@camphorvane/core';
 import type { EngineHealth } from './EngineHealth.ts';
 import type { UseBook } from './EngineUse.ts';
@@ -6,7 +6,8 @@
 /** A request that asks for engines. */
 export interface PlacementWish {
   readonly promptTokens: Tokens;
-  readonly maxOutputTokens: Tokens;
+  /** Memory that the request takes on average while it runs, in tokens. */
+  readonly memoryTokens: Tokens;
   /** Engines on which the request failed. */
   readonly avoid: readonly UpstreamId[];
 }
@@ -22,23 +23,51 @@
 /** A decode engine that reads prompts does so at half the speed, between the tokens of others. */
 const DECODE_READ_FACTOR = 2;
 
+/**
+ * What a transfer between zones is worth in waiting, in milliseconds: it takes twice as long as one
+ * within a zone, and its bytes are paid for three times over.
+ */
+const OTHER_ZONE_MS: Millis = 40;
+
+/**
+ * What reading a prompt on a decode engine is worth in waiting, in milliseconds: its streams stand
+ * still for as long as it reads, so prefill engines are kept busier than by a quarter of a second
+ * before it is done.
+ */
+const READ_AT_DECODE_MS: Millis = 120;
+
+/** What a full engine is worth in waiting, in milliseconds: steps grow longer as it fills. */
+const FULL_ENGINE_MS: Millis = 250;
+
 /**
  * Part of an engine's memory that hosts fill. The rest covers what hosts that chose at the same
  * moment put there unseen; an engine that runs out preempts a running stream and reads it anew.
  */
 const MEMORY_PART = 0.95;
 
-interface Candidate {
+interface Reader {
+  readonly cfg: EngineConfig;
+  readonly readMs: Millis;
+}
+
+interface Writer {
   readonly cfg: EngineConfig;
   readonly fill: number;
+  /** Whether a prompt is being read there already. */
+  readonly isReading: boolean;
+}
+
+interface Choice {
+  readonly pair: EnginePair;
+  readonly cost: Millis;
 }
 
 /**
  * Chooses engines with what this host knows, without asking anybody.
  *
  * Made for hosts that may lose each other at any moment: each one places on its own, on what its
- * peers said within the last second. Prefill goes where the prompt will be read first, decode where
- * the least memory is taken, both in one zone where that costs nothing.
+ * peers said within the last second. The pair with the least expected wait wins; a decode engine
+ * reads the prompt itself where the prefill engines are taken or gone.
  */
 export class LocalPlacement {
   private engines: readonly EngineConfig[] = [];
@@ -59,7 +88,6 @@
   /** Takes a changed list of engines into force. */
   reshape(engines: readonly EngineConfig[]): void {
     this.engines = engines;
-    this.health.keepOnly(new Set(engines.map((engine) => engine.id)));
   }
 
   /** Tells whether there is any engine that gives output. */
@@ -75,50 +103,47 @@
    * @returns The engines, or undefined while no decode engine has room.
    */
   choose(wish: PlacementWish, now: Millis): EnginePair | undefined {
-    const decodes = this.roomyDecodes(wish, now);
-    const [first] = decodes;
-    if (first === undefined) return undefined;
-    const prefill = this.soonestPrefill(wish, now);
-    const direct: EnginePair = {
-      prefill: undefined,
-      decode: first.cfg.id,
-      readMs: this.health.readMs(first.cfg.id, wish.promptTokens) * DECODE_READ_FACTOR,
-    };
-    if (prefill === undefined) return direct;
-    const decode = nearest(decodes, prefill.cfg.zone);
-    return { prefill: prefill.cfg.id, decode: decode.cfg.id, readMs: prefill.readMs };
+    const writers = this.writers(wish, now);
+    const readers = this.readers(wish, now);
+    const apart = writers.flatMap((writer) => readers.map((reader) => apartChoice(reader, writer)));
+    const direct = writers
+      .filter((writer) => !writer.isReading)
+      .map((writer) => this.directChoice(writer, wish));
+    return [...apart, ...direct].reduce<Choice | undefined>(cheaper, undefined)?.pair;
   }
 
-  /** Gets the time in which an idle engine would read the prompt. */
+  /** Gets the time in which idle engines would read the prompt. */
   idleReadMs(wish: PlacementWish, pair: EnginePair): Millis {
     const ms = this.health.readMs(pair.prefill ?? pair.decode, wish.promptTokens);
     return pair.prefill === undefined ? ms * DECODE_READ_FACTOR : ms;
   }
 
-  private soonestPrefill(
-    wish: PlacementWish,
-    now: Millis,
-  ): { readonly cfg: EngineConfig; readonly readMs: Millis } | undefined {
-    return this.usable('prefill', wish, now)
-      .map((cfg) => {
-        const queued = this.book.getTotal(cfg.id, now).prefillTokens;
-        return { cfg, readMs: this.health.readMs(cfg.id, queued + wish.promptTokens) };
-      })
-      .sort((a, b) => a.readMs - b.readMs)[0];
+  private directChoice({ cfg, fill }: Writer, wish: PlacementWish): Choice {
+    const readMs = this.health.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
+    return {
+      pair: { prefill: undefined, decode: cfg.id, readMs },
+      cost: readMs + READ_AT_DECODE_MS + fill * FULL_ENGINE_MS,
+    };
   }
 
-  /** Gets the decode engines with room, emptiest first. */
-  private roomyDecodes(wish: PlacementWish, now: Millis): readonly Candidate[] {
-    const need = wish.promptTokens + wish.maxOutputTokens;
+  private readers(wish: PlacementWish, now: Millis): readonly Reader[] {
+    return this.usable('prefill', wish, now).map((cfg) => {
+      const queued = this.book.getTotal(cfg.id, now).prefillTokens;
+      return { cfg, readMs: this.health.readMs(cfg.id, queued + wish.promptTokens) };
+    });
+  }
+
+  /** Gets the decode engines with room for the whole request. */
+  private writers(wish: PlacementWish, now: Millis): readonly Writer[] {
     return this.usable('decode', wish, now)
       .map((cfg) => ({ cfg, use: this.book.getTotal(cfg.id, now) }))
       .filter(({ cfg, use }) => use.streams < (cfg.slots ?? Infinity))
       .map(({ cfg, use }) => ({
         cfg,
-        fill: (use.memoryTokens + need) / (cfg.memoryPieces * TOKENS_PER_PIECE),
+        fill: (use.memoryTokens + wish.memoryTokens) / (cfg.memoryPieces * TOKENS_PER_PIECE),
+        isReading: use.prefillTokens > 0,
       }))
-      .filter(({ fill }) => fill <= MEMORY_PART)
-      .sort((a, b) => a.fill - b.fill);
+      .filter(({ fill }) => fill <= MEMORY_PART);
   }
 
   /** Gets the engines of a role; those that failed lately only where no other is there. */
@@ -133,13 +158,14 @@
   }
 }
 
-/** Difference of fill below which the zone decides: a few requests on an engine of eighteen. */
-const SAME_FILL = 0.15;
+function apartChoice(reader: Reader, writer: Writer): Choice {
+  const zoneMs = reader.cfg.zone === writer.cfg.zone ? 0 : OTHER_ZONE_MS;
+  return {
+    pair: { prefill: reader.cfg.id, decode: writer.cfg.id, readMs: reader.readMs },
+    cost: reader.readMs + zoneMs + writer.fill * FULL_ENGINE_MS,
+  };
+}
 
-function nearest(decodes: readonly Candidate[], zone: ZoneId): Candidate {
-  const [first] = decodes;
-  const near = decodes.find(
-    (one) => one.cfg.zone === zone && one.fill - (first?.fill ?? 0) <= SAME_FILL,
-  );
-  return near ?? (first as Candidate);
+function cheaper(best: Choice | undefined, choice: Choice): Choice {
+  return best === undefined || choice.cost < best.cost ? choice : best;
 }
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -8,6 +8,8 @@
   readonly team: TeamId;
   /** Lower goes first. */
   readonly priority: number;
+  /** Time after which its first token can't be on time any more. */
+  readonly lateAt: Millis;
   /** Time at which the request is refused if it has no engines by then. */
   readonly giveUpAt: Millis;
 }
@@ -25,6 +27,12 @@
  */
 const MAX_READ_MS: Millis = 350;
 
+/**
+ * Milliseconds by which the reading of a late prompt may be longer than on an idle engine. A late
+ * answer is worth a fifth of one on time, so it takes only what nobody else wants.
+ */
+const LATE_READ_MARGIN_MS: Millis = 60;
+
 /** Requests that wait at most; more could not be served before their callers leave. */
 const MAX_WAITING = 512;
 
@@ -39,7 +47,8 @@
  *
  * Made for bursts: while no engine has room, the most urgent request of the team with the fewest
  * running ones goes first, so that one team's burst delays mostly itself. A request that can't be on
- * time any more is refused at once, and told when to come back.
+ * time any more lets all others pass: served in order of arrival, one burst would make everybody late
+ * for as long as it lasts. It takes engines that are idle, until its caller would have left.
  */
 export class LocalQueue {
   private readonly placement: LocalPlacement;
@@ -96,21 +105,24 @@
       const refusal = notRun('target_missed', 'No engine became free in time.', RETRY_AFTER_MS);
       return { type: 'refuse', request: late.request, refusal };
     }
-    const [first] = [...this.waiting].sort((a, b) => this.compare(a, b));
+    const [first] = [...this.waiting].sort((a, b) => this.compare(a, b, now));
     if (first === undefined) return undefined;
     const pair = this.placement.choose(first, now);
-    if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair)) return undefined;
+    if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair, now)) return undefined;
     this.withdraw(first.request);
     this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
     return { type: 'place', request: first.request, pair };
   }
 
   /** A prompt that takes longer than the bound on an idle engine is not held back for its size. */
-  private allowedReadMs(wish: QueuedWish, pair: EnginePair): Millis {
-    return Math.max(MAX_READ_MS, this.placement.idleReadMs(wish, pair));
+  private allowedReadMs(wish: QueuedWish, pair: EnginePair, now: Millis): Millis {
+    const idleMs = this.placement.idleReadMs(wish, pair) + LATE_READ_MARGIN_MS;
+    return now >= wish.lateAt ? idleMs : Math.max(MAX_READ_MS, idleMs);
   }
 
-  private compare(a: QueuedWish, b: QueuedWish): number {
+  private compare(a: QueuedWish, b: QueuedWish, now: Millis): number {
+    const late = Number(a.lateAt <= now) - Number(b.lateAt <= now);
+    if (late !== 0) return late;
     if (a.priority !== b.priority) return a.priority - b.priority;
     const running = (wish: QueuedWish): number => this.runningByTeam.get(wish.team) ?? 0;
     return running(a) - running(b);
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -1,4 +1,4 @@
-import type { HostId, Incarnation, Tokens, UpstreamId } from '@camphorvane/core';
+import type { HostId, Incarnation, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
 
 /** What a host has on one engine, as it tells its peers. */
 export interface EngineHint {
@@ -21,6 +21,8 @@
   readonly sequence: number;
   readonly leaving: boolean;
   readonly engines: readonly EngineHint[];
+  /** Tokens charged to each team since the host started. */
+  readonly charged: readonly (readonly [TeamId, Tokens])[];
 }
 
 type EngineRow = readonly [UpstreamId, number, number, number];
@@ -38,8 +40,9 @@
     one.streams,
     one.memoryTokens,
   ]);
-  const { host, incarnation, sequence, leaving } = hint;
-  return Buffer.from(JSON.stringify([host, incarnation, sequence, leaving ? 1 : 0, rows]));
+  const { host, incarnation, sequence, leaving, charged } = hint;
+  const fields = [host, incarnation, sequence, leaving ? 1 : 0, rows, charged];
+  return Buffer.from(JSON.stringify(fields));
 }
 
 /**
@@ -51,9 +54,10 @@
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
   const parsed = parseJson(bytes);
   if (!Array.isArray(parsed)) return undefined;
-  const [host, incarnation, sequence, leaving, rows] = parsed as readonly unknown[];
+  const [host, incarnation, sequence, leaving, rows, charged] = parsed as readonly unknown[];
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
+  if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   const engines = rows.map(readRow);
   if (engines.some((engine) => engine === undefined)) return undefined;
   return {
@@ -62,6 +66,7 @@
     sequence,
     leaving: leaving === 1,
     engines: engines.filter((engine) => engine !== undefined),
+    charged: charged as readonly (readonly [TeamId, Tokens])[],
   };
 }
 
@@ -78,6 +83,12 @@
   };
 }
 
+function isCharge(row: unknown): boolean {
+  if (!Array.isArray(row)) return false;
+  const [team, tokens] = row as readonly unknown[];
+  return typeof team === 'string' && typeof tokens === 'number' && Number.isFinite(tokens);
+}
+
 function isCount(value: unknown): boolean {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -1,18 +1,22 @@
 import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
-import type { FollowedKind, WatchableStore } from '@camphorvane/store';
+import type {
+  FollowedKind,
+  WatchableStore,
+  DeployedConfig,
+  DeploymentFormat,
+} from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
 import type { Unsubscribe } from '../host/ports.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { composeRouting } from './composeRouting.ts';
-import type { DeployedConfig, DeploymentFormat } from '@camphorvane/store';
 import type { ConfigFeed } from './HostAgreement.ts';
 import { ServerRoster } from './ServerRoster.ts';
 
 /**
- * Longest wait of one watch, in milliseconds. A watch can go silent for good, and a change must be in
- * force two seconds after it was accepted.
+ * Longest wait of one watch, in milliseconds. A watch can go silent for good; what it missed must be
+ * in force about five seconds after its connection was lost, and each call to the store costs.
  */
-const WATCH_MS: Millis = 1_200;
+const WATCH_MS: Millis = 2_400;
 
 const log = stateLog('deployment');
 
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -82,10 +82,14 @@
     return this.lastRoundAt !== undefined;
   }
 
-  /** Gets how many hosts share the rates: all that have a record, this one included. */
+  /** Gets all other hosts that have a record, in the order of their names. */
+  getOthers(): readonly HostId[] {
+    return [...this.records.keys()].filter((host) => host !== this.self).sort();
+  }
+
+  /** Gets how many hosts share the bounds that hold for all together, this one included. */
   countSharers(): number {
-    const others = [...this.records.keys()].filter((host) => host !== this.self).length;
-    return others + 1;
+    return this.getOthers().length + 1;
   }
 
   /** Gets the records of hosts that have been gone for long, with their versions. */
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -1,19 +1,18 @@
-import type { Clock, Millis, ModelId } from '@camphorvane/core';
+import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { EngineUse, RateTolerance, RepeatAllowance } from '@camphorvane/decisions';
 import { RepeatBudget } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { HintLink, HostHint } from '@camphorvane/peer/hints';
-import type { StoredObject, WatchableStore } from '@camphorvane/store';
+import type { StoredObject, WatchableStore, DeploymentFormat } from '@camphorvane/store';
 import { OwnRecord } from '@camphorvane/store';
 import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { CrashDesk } from '../serving/CrashDesk.ts';
 import { serviceRepeats } from '../serving/teamRepeats.ts';
-import type { DeploymentFormat } from '@camphorvane/store';
 import { DeploymentFeed } from './DeploymentFeed.ts';
-import { EvenRates } from './EvenRates.ts';
+import { SharedRates } from './SharedRates.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
 import type { HostRecord } from './HostRoster.ts';
 import { HostRoster } from './HostRoster.ts';
@@ -24,8 +23,15 @@
 /** Milliseconds between two reads of all hosts' records; an answer that is a little old will do. */
 const RECORDS_READ_MS: Millis = 1_000;
 
-/** Milliseconds between two hints; a burst of requests takes longer than that to fill an engine. */
-const HINT_PERIOD_MS: Millis = 200;
+/** Longest time between two hints, in milliseconds; who is silent for longer is taken for gone. */
+const HINT_PERIOD_MS: Millis = 250;
+
+/**
+ * Shortest time between two hints, in milliseconds. What a host has just placed or charged is told
+ * this soon, so that peers do not place on the same engine; more often, hints would cost more
+ * processor time than requests.
+ */
+const HINT_GAP_MS: Millis = 40;
 
 /** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
 const CRASHES_TO_HOLD_BACK = 3;
@@ -57,7 +63,7 @@
 
   readonly group: GroupGate = this;
 
-  readonly rates: EvenRates;
+  readonly rates: SharedRates;
 
   readonly repeats: RepeatGate;
 
@@ -85,7 +91,10 @@
 
   private sequence = 0;
 
-  private sharers = 0;
+  /** Requests placed when the last hint was sent. */
+  private toldPlaced = 0;
+
+  private sharers: readonly HostId[] = [];
 
   /**
    * @param options - The store and the bounds that hold for all hosts together.
@@ -108,7 +117,7 @@
     this.hosts = new HostRoster(identity.host);
     this.record = new OwnRecord(store, format.hostKind, identity.host);
     const sharers = (): number => this.hosts.countSharers();
-    this.rates = new EvenRates(clock, options.tolerance, sharers);
+    this.rates = new SharedRates(clock, options.tolerance);
     this.repeats = serviceRepeats(new RepeatBudget(options.repeats, sharers));
     this.placer = new LocalPlacer(clock, directory, incarnation);
     this.crashes = new CrashDesk({
@@ -241,29 +250,39 @@
       log('host_forgotten', { host });
       void this.options.store.remove(this.options.format.hostKind, host, version);
     });
-    const sharers = this.hosts.countSharers();
-    if (sharers === this.sharers) return;
-    log('sharers', { before: this.sharers, now: sharers });
+    const sharers = this.hosts.getOthers();
+    if (sharers.join() === this.sharers.join()) return;
+    log('sharers', { before: this.sharers.length + 1, now: sharers.length + 1 });
     this.sharers = sharers;
-    this.rates.refresh();
+    this.rates.setSharers(sharers);
     this.listeners.forEach((changed) => changed());
   }
 
   private async tellPeers(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.sendHint();
-      await sleep(this.clock, HINT_PERIOD_MS, signal);
+      await sleep(this.clock, HINT_GAP_MS, signal);
+      const until = this.clock.now() + HINT_PERIOD_MS - HINT_GAP_MS;
+      while (!signal.aborted && !this.hasNews() && this.clock.now() < until) {
+        await sleep(this.clock, HINT_GAP_MS, signal);
+      }
     }
   }
 
+  private hasNews(): boolean {
+    return this.placer.getPlacedCount() !== this.toldPlaced;
+  }
+
   private sendHint(): void {
     this.sequence += 1;
+    this.toldPlaced = this.placer.getPlacedCount();
     const hint: HostHint = {
       host: this.context.identity.host,
       incarnation: this.context.incarnation,
       sequence: this.sequence,
       leaving: this.leaving,
       engines: [...this.placer.getUse()].map(([engine, use]) => ({ engine, ...use })),
+      charged: this.rates.getCharged(),
     };
     this.options.hints.send(hint, this.hosts.getPeerAddresses());
   }
@@ -271,6 +290,7 @@
   private hear(hint: HostHint): void {
     if (hint.host === this.context.identity.host) return;
     this.hosts.hear(hint.host, hint.leaving, this.clock.now());
+    this.rates.hear(hint);
     const uses = hint.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
     this.placer.hear(hint.host, new Map(uses));
   }
--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -57,11 +57,12 @@
 /** Addresses and bounds hold for one life of a process; the next one takes what has changed. */
 function reload(file: string | undefined, before: PlatformSettings): void {
   const read = readSettings(file);
-  const isSame = read.isOk() && JSON.stringify(read.value) === JSON.stringify(before);
-  log('reload', {
-    outcome: read.isErr() ? 'unreadable' : isSame ? 'unchanged' : 'taken_at_next_start',
-    problem: read.isErr() ? read.error.join('; ') : undefined,
-  });
+  if (read.isErr()) {
+    log('reload', { outcome: 'unreadable', problem: read.error.join('; ') });
+    return;
+  }
+  const isSame = JSON.stringify(read.value) === JSON.stringify(before);
+  log('reload', { outcome: isSame ? 'unchanged' : 'taken_at_next_start' });
 }
 
 function terminated(): Promise<void> {
--- a/packages/router/src/observe/stdoutSink.ts
+++ b/packages/router/src/observe/stdoutSink.ts
@@ -29,7 +29,7 @@
   // A reader that has gone must not end the process; its lines are lost with it.
   destination.on('error', () => undefined);
   const logger = pino(
-    { base: null, timestamp: false, formatters: { level: () => ({}) } },
+    { base: null, timestamp: false, formatters: { level: (level) => ({ level }) } },
     destination,
   );
   return {
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -2,6 +2,7 @@
   CancelTimer,
   Clock,
   HostId,
+  Millis,
   ModelId,
   Refusal,
   RequestId,
@@ -31,8 +32,14 @@
 import type { Result } from 'neverthrow';
 import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { stateLog } from '../observe/StateLog.ts';
 import type { PlacedPair } from './Placer.ts';
 
+const log = stateLog('placing');
+
+/** Part of its output that a running request holds, with room for outputs that grow together. */
+const MEAN_OUTPUT_PART = 0.6;
+
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
@@ -40,6 +47,7 @@
 
 interface Waiting {
   readonly item: WorkItem;
+  readonly since: Millis;
   readonly answer: (answer: Answer) => void;
 }
 
@@ -106,7 +114,7 @@
         signal.removeEventListener('abort', gone);
         resolve(result);
       };
-      pool.waiting.set(item.request, { item, answer });
+      pool.waiting.set(item.request, { item, answer, since: this.clock.now() });
       signal.addEventListener('abort', gone, { once: true });
       if (signal.aborted) {
         gone();
@@ -116,9 +124,10 @@
         request: item.request,
         team: item.team,
         priority: item.priority ?? DEFAULT_PRIORITY,
+        lateAt: this.clock.now() + (item.onTimeMs ?? item.maxWaitMs),
         giveUpAt: this.clock.now() + item.maxWaitMs,
         promptTokens: item.promptTokens,
-        maxOutputTokens: item.maxOutputTokens,
+        memoryTokens: meanMemory(item),
         avoid: item.avoid,
       });
       if (refusal === undefined) this.pump(pool);
@@ -183,6 +192,11 @@
     return this.book.getOwn();
   }
 
+  /** Gets how many requests were placed since the start. */
+  getPlacedCount(): number {
+    return this.placed;
+  }
+
   /** {@inheritDoc ChangingPlacer.refresh} */
   refresh(): void {
     this.pools.forEach((pool, model) => {
@@ -277,7 +291,7 @@
     if (waiting === undefined) return;
     const { item } = waiting;
     const model = [...this.pools].find(([, one]) => one === pool)?.[0] ?? '';
-    const memoryTokens = item.promptTokens + item.maxOutputTokens;
+    const memoryTokens = meanMemory(item);
     this.placed += 1;
     const reservation = `${this.prefix}.p${this.placed}`;
     const reader = pair.prefill ?? pair.decode;
@@ -300,6 +314,13 @@
       pieces: piecesFor(memoryTokens),
       priority: item.priority ?? DEFAULT_PRIORITY,
     };
+    log('placed', {
+      id: request,
+      prefill: pair.prefill,
+      decode: pair.decode,
+      expectedReadMs: Math.round(pair.readMs),
+      waitedMs: Math.round(this.clock.now() - waiting.since),
+    });
     this.answer(pool, request, ok(placed));
   }
 
@@ -315,3 +336,13 @@
     waiting?.answer(answer);
   }
 }
+
+/**
+ * Gets the memory that a request takes on average while it runs. Its output grows from nothing, and
+ * requests on one engine are at different points of theirs; held for the whole output from the start,
+ * a third of the memory would stay empty.
+ */
+function meanMemory({ promptTokens, maxOutputTokens, expectedOutputTokens }: WorkItem): Tokens {
+  const output = Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
+  return promptTokens + output * MEAN_OUTPUT_PART;
+}
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -9,11 +9,14 @@
   UpstreamError,
 } from '@camphorvane/upstream';
 import type { Metrics } from '../observe/Metrics.ts';
+import { stateLog } from '../observe/StateLog.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { EngineWatch } from '../placing/EngineWatch.ts';
 import type { PlacedPair, Placer } from '../placing/Placer.ts';
 import type { ReservationKeeper } from '../placing/ReservationKeeper.ts';
 
+const log = stateLog('attempt');
+
 /** The parts of a host that an attempt uses. */
 export interface AttemptTools {
   readonly clock: Clock;
@@ -151,6 +154,8 @@
     this.keep(false);
     if (result.isErr()) return this.failed(engine.id, 'prefill', result.error);
     metrics.count('prefill.tokens', {}, result.value.promptTokens);
+    const tookMs = Math.round(clock.now() - startedAt);
+    log('prefilled', { id: this.plan.identity.request, engine: engine.id, tookMs });
     watch.seen(pool.model, {
       type: 'prefill_done',
       engine: engine.id,
@@ -303,6 +308,9 @@
   ): FailedAttempt {
     this.tools.metrics.count('attempt.failed', { stage, error: error.type });
     this.tools.placements.attemptFailed(engine, error);
+    const { dispatched, message } = error;
+    const id = this.plan.identity.request;
+    log('attempt_failed', { id, engine, stage, error: error.type, dispatched, message });
     if (error.type === 'unreachable') {
       this.tools.watch.seen(this.plan.pool.model, { type: 'failed', engine, reason: 'down' });
     }
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -271,6 +271,8 @@
       prefixes: promptPrefixes(work.prompt),
       maxWaitMs: work.terms.maxWaitMs ?? waitBound(work.config, pool, caller.team.id, work.class),
       avoid: progress.getAvoided(),
+      expectedOutputTokens: work.terms.expectedTokens,
+      onTimeMs: work.terms.onTimeMs,
       priority: work.terms.priority,
     };
     return this.options.placements.reserve(pool.model, item, work.signal);
--- a/packages/router/src/serving/Forwarding.ts
+++ b/packages/router/src/serving/Forwarding.ts
@@ -18,6 +18,7 @@
 import type { ConfigSource } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import { stateLog } from '../observe/StateLog.ts';
 import type { CompletionServing } from './CompletionServing.ts';
 import type { ServingEvent } from './completionWork.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
@@ -36,7 +37,13 @@
  * Part of the target within which a stream must have its engines; the rest covers the reading of
  * the prompt, the transfer and the way back.
  */
-const STREAM_WAIT_PART = 0.6;
+const STREAM_ON_TIME_PART = 0.6;
+
+/**
+ * Targets for which a stream may wait for engines in all. Callers leave a stream that has not begun
+ * after four targets; one that gets engines by now begins before that.
+ */
+const STREAM_WAIT_TARGETS = 2.8;
 
 /** Part of the target for which a plain call waits for a server. */
 const CALL_WAIT_PART = 1;
@@ -53,6 +60,8 @@
   keyDigest: undefined,
 };
 
+const log = stateLog('request');
+
 /** What forwarding is made of. */
 export interface ForwardingOptions {
   readonly clock: Clock;
@@ -95,9 +104,10 @@
     req: ForwardRequest,
     signal: AbortSignal,
   ): AsyncGenerator<ForwardEvent> {
+    const startedAt = this.options.clock.now();
     const routed = this.routeOf(id, req);
     if (routed.isErr()) {
-      this.noteRefusal(routed.error);
+      this.noteRefusal(id, routed.error, startedAt);
       yield { type: 'refused', refusal: routed.error };
       return;
     }
@@ -112,8 +122,8 @@
           ? this.stream(call, abort.signal)
           : this.call(call, abort.signal);
       for await (const event of events) {
-        if (event.type === 'refused') this.noteRefusal(event.refusal);
-        if (event.type === 'done') this.options.metrics.count('request.whole');
+        if (event.type === 'refused') this.noteRefusal(id, event.refusal, startedAt);
+        if (event.type === 'done') this.noteWhole(id, call, startedAt);
         yield event;
       }
     } finally {
@@ -143,6 +153,9 @@
     const deadlineAt = this.options.clock.now() + patienceMs;
     return this.callerOf(route, req).map((caller) => {
       this.options.metrics.count('request.accepted');
+      const { name } = route;
+      const { service } = target;
+      log('accepted', { id, route: name, service, team: caller.team.id, version: this.version() });
       return { id, req, route, service: target.service, caller, config, deadlineAt };
     });
   }
@@ -177,7 +190,9 @@
         maxRuns: route.maxAttempts,
         resumable: route.resumable,
         fromPosition: work?.lastPosition === undefined ? 0 : work.lastPosition + 1,
-        maxWaitMs: Math.min(route.targetMs * STREAM_WAIT_PART, this.leftMs(call)),
+        expectedTokens: work?.expectedTokens,
+        maxWaitMs: Math.min(route.targetMs * STREAM_WAIT_TARGETS, this.leftMs(call)),
+        onTimeMs: route.targetMs * STREAM_ON_TIME_PART,
         priority: caller.team.priority ?? route.priority,
       },
       signal,
@@ -231,8 +246,22 @@
     return Math.max(0, deadlineAt - this.options.clock.now());
   }
 
-  private noteRefusal(refusal: Refusal): void {
-    this.options.metrics.count('request.refused', { code: refusal.code });
+  private noteWhole(id: RequestId, { route, service }: RoutedCall, startedAt: Millis): void {
+    const tookMs = Math.round(this.options.clock.now() - startedAt);
+    this.options.metrics.count('request.whole', { kind: route.kind });
+    this.options.metrics.timing('request.whole', tookMs, { kind: route.kind });
+    log('whole', { id, route: route.name, service, tookMs });
+  }
+
+  private noteRefusal(id: RequestId, refusal: Refusal, startedAt: Millis): void {
+    const { code, execution, retryAfterMs } = refusal;
+    this.options.metrics.count('request.refused', { code });
+    const tookMs = Math.round(this.options.clock.now() - startedAt);
+    log('refused', { id, code, execution, retryAfterMs, tookMs, version: this.version() });
+  }
+
+  private version(): number {
+    return this.options.config.current()?.version ?? 0;
   }
 }
 
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -10,6 +10,7 @@
 import type { RateGate, RepeatGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import { stateLog } from '../observe/StateLog.ts';
 import type { CrashDesk } from './CrashDesk.ts';
 import { endReason } from './endReason.ts';
 import type { KnownCall } from './serviceWork.ts';
@@ -25,6 +26,8 @@
 /** Status from which an answer says that the server failed, and another one may do better. */
 const FIRST_FAILURE_STATUS = 500;
 
+const log = stateLog('service');
+
 /** What service serving is made of. */
 export interface ServiceServingOptions {
   readonly clock: Clock;
@@ -248,6 +251,10 @@
     const result = await this.dispatch(work, call, chosen.value);
     this.options.gates.ended(work.service.id, call, chosen.value, hasFailed(result));
     this.noteCrash(work, chosen.value, result);
+    if (result.isErr()) {
+      const { type, dispatched, message } = result.error;
+      log('try_failed', { id: work.id, server: chosen.value, error: type, dispatched, message });
+    }
     return result.match(
       (answer): TryOutcome => ({ type: 'answer', server: chosen.value, answer }),
       (error): TryOutcome => ({ type: 'failed', server: chosen.value, error }),
--- a/packages/router/src/serving/completionWork.ts
+++ b/packages/router/src/serving/completionWork.ts
@@ -28,8 +28,12 @@
   readonly resumable: boolean;
   /** Position of the first token to deliver; above 0 where the caller goes on itself. */
   readonly fromPosition: number;
+  /** Output that is expected, in tokens; absent where nothing but the maximum is known. */
+  readonly expectedTokens?: Tokens;
   /** Longest wait for engines, in milliseconds; absent where the rules of the pool say it. */
   readonly maxWaitMs?: Millis;
+  /** Milliseconds of waiting after which the first token is late; absent where it never is. */
+  readonly onTimeMs?: Millis;
   /** Rank that the operators gave; lower goes first. */
   readonly priority?: number;
 }
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -8,8 +8,8 @@
   UpstreamId,
   ZoneId,
 } from '@camphorvane/core';
-import type { StoredObject } from '../ObjectStore.ts';
 import type { Result } from 'neverthrow';
+import type { StoredObject } from '../ObjectStore.ts';
 
 /** What the operators say of the engines of a service. */
 export interface DeployedEngines {
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -16,7 +16,9 @@
 };
 
 const named = process.argv.slice(2);
-const files = (named.length > 0 ? named.flatMap(expand) : walk('packages')).sort();
+const files = (
+  named.length > 0 ? named.flatMap(expand) : [...walk('packages'), ...walk('platform')]
+).sort();
 if (files.length === 0) {
   console.error('no test files found');
   process.exit(1);
