Pass on a body that only its connection ends as such; offer a read prompt to a second decode engine

A clean close can also be a crash; nobody can tell, so nothing may vouch for such a body. Ruled out: late extra answers, connections used again (each call has its own).

--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -67,6 +67,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** True where only the end of the server's connection ended the body. */
+  readonly endsWithConnection?: boolean;
   /** True where an earlier answer to the same Idempotency-Key is given again. */
   readonly replayed: boolean;
 }
@@ -105,6 +107,8 @@
       readonly type: 'head';
       readonly status: number;
       readonly headers: Readonly<Record<string, string>>;
+      /** True where the end of the connection is to end the body, as it did on the way here. */
+      readonly endsWithConnection?: boolean;
     }
   | { readonly type: 'data'; readonly bytes: Uint8Array }
   | { readonly type: 'done' }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,3 +14,4 @@
 export * from './local/EngineHealth.ts';
 export * from './local/LocalPlacement.ts';
 export * from './local/LocalQueue.ts';
+export * from './local/meanMemory.ts';
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -112,6 +112,28 @@
     return [...apart, ...direct].reduce<Choice | undefined>(cheaper, undefined)?.pair;
   }
 
+  /**
+   * Chooses a decode engine for a prompt that is read already.
+   *
+   * @param wish - The request.
+   * @param prefill - Engine that holds the prompt's memory.
+   * @param now - Present time.
+   * @returns The engine, or undefined where none has room.
+   */
+  chooseDecode(
+    wish: PlacementWish,
+    prefill: UpstreamId | undefined,
+    now: Millis,
+  ): UpstreamId | undefined {
+    const cfg = this.engines.find((engine) => engine.id === prefill);
+    const reader = cfg === undefined ? undefined : { cfg, readMs: 0 };
+    return this.writers(wish, now)
+      .map((writer) =>
+        reader === undefined ? this.directChoice(writer, wish) : apartChoice(reader, writer),
+      )
+      .reduce<Choice | undefined>(cheaper, undefined)?.pair.decode;
+  }
+
   /** Gets the time in which idle engines would read the prompt. */
   idleReadMs(wish: PlacementWish, pair: EnginePair): Millis {
     const ms = this.health.readMs(pair.prefill ?? pair.decode, wish.promptTokens);
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -16,6 +16,7 @@
   EngineHealth,
   LocalPlacement,
   LocalQueue,
+  meanMemory,
   QUEUE_LOOK_MS,
   UseBook,
 } from '@camphorvane/decisions';
@@ -37,9 +38,6 @@
 
 const log = stateLog('placing');
 
-/** Part of its output that a running request holds, with room for outputs that grow together. */
-const MEAN_OUTPUT_PART = 0.6;
-
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
@@ -143,6 +141,22 @@
     this.pumpOf(held.model);
   }
 
+  /** {@inheritDoc Placer.moveDecode} */
+  moveDecode(reservation: ReservationId, avoid: readonly UpstreamId[]): UpstreamId | undefined {
+    const held = this.held.get(reservation);
+    const pool = held === undefined ? undefined : this.pools.get(held.model);
+    if (held === undefined || pool === undefined) return undefined;
+    const { pair, memoryTokens, promptTokens } = held;
+    const wish = { promptTokens, memoryTokens, avoid };
+    const decode = pool.placement.chooseDecode(wish, pair.prefill, this.clock.now());
+    if (decode === undefined) return undefined;
+    this.book.change(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
+    this.book.change(decode, { streams: 1, memoryTokens });
+    this.held.set(reservation, { ...held, pair: { ...pair, decode } });
+    log('decode_moved', { reservation, from: pair.decode, to: decode });
+    return decode;
+  }
+
   /** Reservations of a host that places on its own can't be lost to another one. */
   async renew(): Promise<readonly ReservationId[]> {
     return [];
@@ -336,13 +350,3 @@
     waiting?.answer(answer);
   }
 }
-
-/**
- * Gets the memory that a request takes on average while it runs. Its output grows from nothing, and
- * requests on one engine are at different points of theirs; held for the whole output from the start,
- * a third of the memory would stay empty.
- */
-function meanMemory({ promptTokens, maxOutputTokens, expectedOutputTokens }: WorkItem): Tokens {
-  const output = Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
-  return promptTokens + output * MEAN_OUTPUT_PART;
-}
--- a/packages/router/src/placing/PlacementClient.ts
+++ b/packages/router/src/placing/PlacementClient.ts
@@ -133,6 +133,11 @@
     this.options.desk.refresh();
   }
 
+  /** A steward gives both engines at once; a new pair is a new reservation. */
+  moveDecode(): undefined {
+    return undefined;
+  }
+
   /** The steward learns of failures by observations and by how reservations end. */
   attemptFailed(): void {}
 
--- a/packages/router/src/placing/Placer.ts
+++ b/packages/router/src/placing/Placer.ts
@@ -35,6 +35,16 @@
     signal: AbortSignal,
   ): Promise<Result<PlacedPair, Refusal>>;
 
+  /**
+   * Gets another decode engine for a prompt that is read already, because the one that was chosen did
+   * not take the request.
+   *
+   * @param reservation - The reservation, which holds for the new engine from now on.
+   * @param avoid - Engines that did not take it.
+   * @returns The engine; undefined where there is none now, or the placer can't move a reservation.
+   */
+  moveDecode(reservation: ReservationId, avoid: readonly UpstreamId[]): UpstreamId | undefined;
+
   /** Notes that a prefill is over. */
   prefillEnded(model: ModelId, reservation: ReservationId): void;
 
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -1,77 +1,24 @@
-import type { Clock, Millis, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
+import type { Millis, UpstreamId } from '@camphorvane/core';
 import { piecesFor } from '@camphorvane/core';
-import type { AdoptedReservation, PromptPrefix, ReservationEnd } from '@camphorvane/decisions';
-import type {
-  AnswerHead,
-  DecodeEvent,
-  ModelEngine,
-  PrefillResult,
-  UpstreamError,
-} from '@camphorvane/upstream';
-import type { Metrics } from '../observe/Metrics.ts';
+import type { ReservationEnd } from '@camphorvane/decisions';
+import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import { stateLog } from '../observe/StateLog.ts';
-import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
-import type { EngineWatch } from '../placing/EngineWatch.ts';
-import type { PlacedPair, Placer } from '../placing/Placer.ts';
-import type { ReservationKeeper } from '../placing/ReservationKeeper.ts';
-
-const log = stateLog('attempt');
-
-/** The parts of a host that an attempt uses. */
-export interface AttemptTools {
-  readonly clock: Clock;
-  readonly directory: UpstreamDirectory;
-  readonly placements: Placer;
-  readonly keeper: ReservationKeeper;
-  readonly watch: EngineWatch;
-  readonly metrics: Metrics;
-}
-
-/** What one attempt is to run. */
-export interface AttemptPlan {
-  readonly pool: PoolConfig;
-  readonly placement: PlacedPair;
-  readonly identity: Pick<AdoptedReservation, 'request' | 'holder' | 'team'>;
-  readonly prompt: Prompt;
-  readonly prefixes: readonly PromptPrefix[];
-  /** Text already delivered by earlier attempts. */
-  readonly delivered: string;
-  /** Position of the first token to deliver. */
-  readonly fromPosition: number;
-  readonly maxTokens: Tokens;
-}
 
-/** How an attempt ended. */
-export type AttemptOutcome =
-  | {
-      readonly type: 'done';
-      readonly reason: 'stop' | 'length';
-      /** Undefined where the decode engine ran the prompt itself. */
-      readonly prefill: PrefillResult | undefined;
-      readonly outputTokens: Tokens;
-    }
-  | {
-      /** The decode engine gave a final answer of its own instead of a stream. */
-      readonly type: 'answered';
-      readonly engine: UpstreamId;
-      readonly head: AnswerHead;
-      readonly body: Uint8Array;
-    }
-  | FailedAttempt;
+import type {
+  AttemptEvent,
+  AttemptOutcome,
+  AttemptPlan,
+  AttemptTools,
+  FailedAttempt,
+} from './completionAttemptPlan.ts';
 
-/** An attempt that failed, and where. */
-export interface FailedAttempt {
-  readonly type: 'failed';
-  readonly engine: UpstreamId;
-  readonly stage: 'prefill' | 'transfer' | 'decode';
-  readonly error: UpstreamError;
-}
+const log = stateLog('attempt');
 
-/** One event of an attempt that is passed on. */
-export type AttemptEvent =
-  | { readonly type: 'head'; readonly head: AnswerHead }
-  | { readonly type: 'token'; readonly position: number; readonly text: string }
-  | { readonly type: 'piece'; readonly position: number; readonly bytes: Uint8Array };
+/**
+ * Milliseconds after a prefill for which its result is still offered to another decode engine. Engines
+ * keep it for half a second, and the transfer must have begun by then.
+ */
+const HANDLE_LIFE_MS: Millis = 350;
 
 /**
  * One try at a completion on one pair of engines: prefill, transfer, decode.
@@ -88,6 +35,9 @@
 
   private lost = false;
 
+  /** The decode engine that has the request now. */
+  private decodeAt: UpstreamId;
+
   /**
    * @param tools - The parts of the host that it uses.
    * @param plan - What it runs.
@@ -95,6 +45,7 @@
   constructor(tools: AttemptTools, plan: AttemptPlan) {
     this.tools = tools;
     this.plan = plan;
+    this.decodeAt = plan.placement.decode;
   }
 
   /**
@@ -130,7 +81,36 @@
     if (prefill.type === 'failed') return prefill;
     const transfer = await this.transfer(decodeEngine, prefill.result, placement.prefill);
     if (transfer !== undefined) return transfer;
-    return yield* this.decode(decodeEngine, prefill.result);
+    return yield* this.decodeSomewhere(decodeEngine, prefill.result);
+  }
+
+  /**
+   * Gives the prompt's memory to a decode engine, and to another one where the first does not take it.
+   *
+   * A decode engine that has just crashed, or filled up unseen, refuses after the prompt was read. To
+   * read it again would cost a tenth of a second of a prefill engine each time; one would notice it as
+   * prefill work that grows while answers do not.
+   */
+  private async *decodeSomewhere(
+    first: ModelEngine,
+    prefill: PrefillResult,
+  ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
+    const { clock, placements } = this.tools;
+    const until = clock.now() + HANDLE_LIFE_MS;
+    let engine = first;
+    let outcome = yield* this.decode(engine, prefill);
+    const refusedBy: UpstreamId[] = [];
+    while (outcome.type === 'failed' && !outcome.error.dispatched && clock.now() < until) {
+      refusedBy.push(engine.id);
+      if (this.abort.signal.aborted || !this.plan.mayRepeat()) return outcome;
+      const next = placements.moveDecode(this.plan.placement.reservation, refusedBy);
+      const nextEngine = next === undefined ? undefined : this.engine(next);
+      if (nextEngine === undefined) return outcome;
+      engine = nextEngine;
+      this.decodeAt = engine.id;
+      outcome = yield* this.decode(engine, prefill);
+    }
+    return outcome;
   }
 
   private async prefill(
@@ -288,7 +268,7 @@
     if (outcome?.type !== 'done') {
       const { prefill } = placement;
       if (prefill !== undefined) void this.engine(prefill)?.cancel(placement.reservation);
-      void this.engine(placement.decode)?.cancel(placement.reservation);
+      void this.engine(this.decodeAt)?.cancel(placement.reservation);
     }
     void this.tools.placements.release(
       pool.model,
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -11,7 +11,7 @@
   AttemptOutcome,
   AttemptTools,
   FailedAttempt,
-} from './CompletionAttempt.ts';
+} from './completionAttemptPlan.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
 import type { CrashDesk } from './CrashDesk.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
@@ -223,6 +223,11 @@
       delivered: progress.getText(),
       fromPosition: progress.getPosition(),
       maxTokens: work.maxTokens,
+      mayRepeat: () =>
+        this.options.repeats.tryRepeat(
+          repeatTarget(work, pool, placement.decode),
+          this.options.clock.now(),
+        ),
     });
     progress.noteDispatch();
     const events = attempt.run(work.signal);
--- a/packages/router/src/serving/Forwarding.ts
+++ b/packages/router/src/serving/Forwarding.ts
@@ -237,8 +237,9 @@
       yield { type: 'refused', refusal: reply.error };
       return;
     }
-    yield { type: 'head', status: reply.value.status, headers: reply.value.headers };
-    yield { type: 'data', bytes: reply.value.body };
+    const { status, headers, body, endsWithConnection } = reply.value;
+    yield { type: 'head', status, headers, endsWithConnection };
+    yield { type: 'data', bytes: body };
     yield { type: 'done' };
   }
 
--- /dev/null
+++ b/packages/router/src/serving/completionAttemptPlan.ts
@@ -0,0 +1,66 @@
+import type { Clock, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
+import type { AdoptedReservation, PromptPrefix } from '@camphorvane/decisions';
+import type { AnswerHead, PrefillResult, UpstreamError } from '@camphorvane/upstream';
+import type { Metrics } from '../observe/Metrics.ts';
+import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { EngineWatch } from '../placing/EngineWatch.ts';
+import type { PlacedPair, Placer } from '../placing/Placer.ts';
+import type { ReservationKeeper } from '../placing/ReservationKeeper.ts';
+
+/** The parts of a host that an attempt uses. */
+export interface AttemptTools {
+  readonly clock: Clock;
+  readonly directory: UpstreamDirectory;
+  readonly placements: Placer;
+  readonly keeper: ReservationKeeper;
+  readonly watch: EngineWatch;
+  readonly metrics: Metrics;
+}
+
+/** What one attempt is to run. */
+export interface AttemptPlan {
+  readonly pool: PoolConfig;
+  readonly placement: PlacedPair;
+  readonly identity: Pick<AdoptedReservation, 'request' | 'holder' | 'team'>;
+  readonly prompt: Prompt;
+  readonly prefixes: readonly PromptPrefix[];
+  /** Text already delivered by earlier attempts. */
+  readonly delivered: string;
+  /** Position of the first token to deliver. */
+  readonly fromPosition: number;
+  readonly maxTokens: Tokens;
+  /** Pays for sending the request to one more engine; false where the budget is spent. */
+  readonly mayRepeat: () => boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+  | {
+      readonly type: 'done';
+      readonly reason: 'stop' | 'length';
+      /** Undefined where the decode engine ran the prompt itself. */
+      readonly prefill: PrefillResult | undefined;
+      readonly outputTokens: Tokens;
+    }
+  | {
+      /** The decode engine gave a final answer of its own instead of a stream. */
+      readonly type: 'answered';
+      readonly engine: UpstreamId;
+      readonly head: AnswerHead;
+      readonly body: Uint8Array;
+    }
+  | FailedAttempt;
+
+/** An attempt that failed, and where. */
+export interface FailedAttempt {
+  readonly type: 'failed';
+  readonly engine: UpstreamId;
+  readonly stage: 'prefill' | 'transfer' | 'decode';
+  readonly error: UpstreamError;
+}
+
+/** One event of an attempt that is passed on. */
+export type AttemptEvent =
+  | { readonly type: 'head'; readonly head: AnswerHead }
+  | { readonly type: 'token'; readonly position: number; readonly text: string }
+  | { readonly type: 'piece'; readonly position: number; readonly bytes: Uint8Array };
--- a/packages/router/src/serving/completionWork.ts
+++ b/packages/router/src/serving/completionWork.ts
@@ -13,7 +13,7 @@
 import type { AnswerHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RepeatTarget } from '../host/ports.ts';
-import type { AttemptOutcome, FailedAttempt } from './CompletionAttempt.ts';
+import type { AttemptOutcome, FailedAttempt } from './completionAttemptPlan.ts';
 import type { CompletionProgress } from './CompletionProgress.ts';
 import { CrashDesk } from './CrashDesk.ts';
 
--- a/packages/upstream/src/FreshCall.ts
+++ b/packages/upstream/src/FreshCall.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from '@camphorvane/core';
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { UpstreamCall } from './UpstreamConnections.ts';
 import type { UpstreamError } from './ModelEngine.ts';
@@ -11,6 +11,9 @@
  */
 const CONNECT_TIMEOUT_MS: Millis = 400;
 
+/** Codes of a connection that broke off; undici reports an orderly close with one of its own. */
+const BROKEN_OFF: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+
 /** Bounds of one call. */
 export interface FreshCallBounds {
   /** Milliseconds until the head of the answer must be there. */
@@ -38,6 +41,9 @@
 
   private ended = false;
 
+  /** Whether the connection broke off instead of being closed. */
+  private wasReset = false;
+
   /**
    * @param origin - Base URL of the upstream.
    * @param clock - Judges progress.
@@ -48,7 +54,7 @@
     this.bounds = bounds;
     this.client = new Client(origin, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: this.connector(),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -76,12 +82,21 @@
     return res;
   }
 
-  /** Reads a body to its end, in pieces as they come; each one moves the deadline. */
+  /**
+   * Reads a body to its end, in pieces as they come; each one moves the deadline.
+   *
+   * A body without a length ends with its connection, and undici takes a reset for that end too. An
+   * upstream that crashes in the middle of such a body would then look as if it had sent all of it,
+   * and its caller would get half an answer for a whole one. So a reset there is an error.
+   */
   async *read(res: Dispatcher.ResponseData): AsyncGenerator<Uint8Array> {
     for await (const chunk of res.body) {
       this.deadline.progress();
       yield chunk as Uint8Array;
     }
+    if (this.wasReset && endsWithConnection(res)) {
+      throw new Error('connection reset in a body without a length');
+    }
   }
 
   /**
@@ -109,6 +124,19 @@
     }
   }
 
+  /** Connects as undici does, and sees how the connection ends. */
+  private connector(): buildConnector.connector {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    return (options, callback) =>
+      connect(options, (...args) => {
+        const [, socket] = args;
+        socket?.once('error', (error: NodeJS.ErrnoException) => {
+          this.wasReset ||= BROKEN_OFF.has(error.code ?? '');
+        });
+        callback(...args);
+      });
+  }
+
   /** Ends the connection. */
   close(): void {
     if (this.ended) return;
@@ -117,3 +145,15 @@
     void this.client.destroy();
   }
 }
+
+/**
+ * Tells whether only the end of its connection ends a body.
+ *
+ * @param res - Head of the answer.
+ * @returns True where neither a length nor chunks say how long it is.
+ */
+export function endsWithConnection(res: Pick<Dispatcher.ResponseData, 'headers'>): boolean {
+  return (
+    res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
+  );
+}
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -71,6 +71,11 @@
   readonly status: number;
   /** Lower-case names, without the headers that concern one connection. */
   readonly headers: Readonly<Record<string, string>>;
+  /**
+   * True where only the end of the connection ends the body. Nobody can tell then whether the body is
+   * whole, so it is passed on in the same way, and never with a length that would vouch for it.
+   */
+  readonly endsWithConnection?: boolean;
 }
 
 /** One event of a decode stream; calls that are passed on have a head, text has none. */
@@ -152,9 +157,7 @@
 }
 
 /** A whole answer of a plain service. */
-export interface ServiceAnswer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
+export interface ServiceAnswer extends AnswerHead {
   readonly body: Uint8Array;
 }
 
