--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -80,6 +80,11 @@
     return this.engines.get(id);
   }
 
+  /** Gets the names of all engines of the configuration. */
+  getEngineIds(): readonly UpstreamId[] {
+    return [...this.engines.keys()];
+  }
+
   /** Gets a server of a plain service, if the configuration has it. */
   getServer(id: UpstreamId): DirectoryServer | undefined {
     return this.servers.get(id);
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -2,13 +2,9 @@
   CancelTimer,
   Clock,
   HostId,
-  Millis,
   ModelId,
-  Refusal,
   RequestId,
   ReservationId,
-  TeamId,
-  Tokens,
   UpstreamId,
 } from '@camphorvane/core';
 import { notRun, piecesFor } from '@camphorvane/core';
@@ -30,10 +26,10 @@
 } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
 import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
+import type { HeldReservation, LocalPool, ReserveAnswer } from './localPool.ts';
 import type { PlacedPair } from './Placer.ts';
 
 const log = stateLog('placing');
@@ -41,30 +37,6 @@
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
-type Answer = Result<PlacedPair, Refusal>;
-
-interface Waiting {
-  readonly item: WorkItem;
-  readonly since: Millis;
-  readonly answer: (answer: Answer) => void;
-}
-
-interface Held {
-  readonly model: ModelId;
-  readonly team: TeamId;
-  readonly pair: EnginePair;
-  readonly promptTokens: Tokens;
-  readonly memoryTokens: Tokens;
-  /** Prompt tokens in front of and of this prefill when it was sent. */
-  readonly queuedTokens: Tokens;
-}
-
-interface Pool {
-  readonly placement: LocalPlacement;
-  readonly queue: LocalQueue;
-  readonly waiting: Map<RequestId, Waiting>;
-}
-
 /** Places requests on this host's own knowledge of the engines, with what peers say of their use. */
 export class LocalPlacer implements ChangingPlacer {
   private readonly clock: Clock;
@@ -77,15 +49,15 @@
 
   private readonly health = new EngineHealth();
 
-  private readonly pools = new Map<ModelId, Pool>();
+  private readonly pools = new Map<ModelId, LocalPool>();
 
-  private readonly held = new Map<ReservationId, Held>();
+  private readonly held = new Map<ReservationId, HeldReservation>();
 
   /** Reservations whose prompt is not read yet. */
   private readonly prefilling = new Set<ReservationId>();
 
   /** Next look at a pool whose requests wait. */
-  private readonly looks = new Map<Pool, CancelTimer>();
+  private readonly looks = new Map<LocalPool, CancelTimer>();
 
   private placed = 0;
 
@@ -101,14 +73,14 @@
   }
 
   /** {@inheritDoc Placer.reserve} */
-  reserve(model: ModelId, item: WorkItem, signal: AbortSignal): Promise<Answer> {
+  reserve(model: ModelId, item: WorkItem, signal: AbortSignal): Promise<ReserveAnswer> {
     const pool = this.poolFor(model);
     return new Promise((resolve) => {
       const gone = (): void => {
         pool.queue.withdraw(item.request);
         this.answer(pool, item.request, err(notRun('caller_gone', 'The caller has gone.')));
       };
-      const answer = (result: Answer): void => {
+      const answer = (result: ReserveAnswer): void => {
         signal.removeEventListener('abort', gone);
         resolve(result);
       };
@@ -213,6 +185,7 @@
 
   /** {@inheritDoc ChangingPlacer.refresh} */
   refresh(): void {
+    this.health.keepOnly(new Set(this.directory.getEngineIds()));
     this.pools.forEach((pool, model) => {
       this.reshape(pool, model);
       this.pump(pool);
@@ -249,11 +222,11 @@
     }
   }
 
-  private poolFor(model: ModelId): Pool {
+  private poolFor(model: ModelId): LocalPool {
     const known = this.pools.get(model);
     if (known !== undefined) return known;
     const placement = new LocalPlacement(this.book, this.health);
-    const pool: Pool = {
+    const pool: LocalPool = {
       placement,
       queue: new LocalQueue(placement),
       waiting: new Map(),
@@ -263,7 +236,7 @@
     return pool;
   }
 
-  private reshape(pool: Pool, model: ModelId): void {
+  private reshape(pool: LocalPool, model: ModelId): void {
     pool.placement.reshape(this.directory.getPool(model)?.engines ?? []);
   }
 
@@ -272,7 +245,7 @@
     if (pool !== undefined) this.pump(pool);
   }
 
-  private pump(pool: Pool): void {
+  private pump(pool: LocalPool): void {
     this.looks.get(pool)?.();
     this.looks.delete(pool);
     let decision = pool.queue.next(this.clock.now());
@@ -287,7 +260,7 @@
     );
   }
 
-  private carryOut(pool: Pool, decision: QueueDecision): void {
+  private carryOut(pool: LocalPool, decision: QueueDecision): void {
     switch (decision.type) {
       case 'place':
         this.place(pool, decision.request, decision.pair);
@@ -300,7 +273,7 @@
     }
   }
 
-  private place(pool: Pool, request: RequestId, pair: EnginePair): void {
+  private place(pool: LocalPool, request: RequestId, pair: EnginePair): void {
     const waiting = pool.waiting.get(request);
     if (waiting === undefined) return;
     const { item } = waiting;
@@ -311,7 +284,6 @@
     const reader = pair.prefill ?? pair.decode;
     this.book.change(reader, { prefillTokens: item.promptTokens });
     this.book.change(pair.decode, { streams: 1, memoryTokens });
-    const queuedTokens = this.book.getTotal(reader, this.clock.now()).prefillTokens;
     this.prefilling.add(reservation);
     this.held.set(reservation, {
       model,
@@ -319,7 +291,6 @@
       pair,
       promptTokens: item.promptTokens,
       memoryTokens,
-      queuedTokens,
     });
     const placed: PlacedPair = {
       reservation,
@@ -338,13 +309,13 @@
     this.answer(pool, request, ok(placed));
   }
 
-  private endPrefill(reservation: ReservationId, held: Held): void {
+  private endPrefill(reservation: ReservationId, held: HeldReservation): void {
     if (!this.prefilling.delete(reservation)) return;
     const reader = held.pair.prefill ?? held.pair.decode;
     this.book.change(reader, { prefillTokens: -held.promptTokens });
   }
 
-  private answer(pool: Pool, request: RequestId, answer: Answer): void {
+  private answer(pool: LocalPool, request: RequestId, answer: ReserveAnswer): void {
     const waiting = pool.waiting.get(request);
     pool.waiting.delete(request);
     waiting?.answer(answer);
