--- a/packages/decisions/src/rates/CountedRates.ts
+++ b/packages/decisions/src/rates/CountedRates.ts
@@ -20,35 +20,54 @@
 /** Part of the slack that goes into the pace; the rest goes into the burst. */
 const PACED_SLACK = 0.5;
 
-/** Milliseconds without a word after which a peer is taken to use its equal part of every rate. */
-const SILENT_AFTER_MS: Millis = 1_000;
+/**
+ * Milliseconds without a word after which a peer is taken to use its equal part of every rate. Until
+ * then it is taken to go on as before; a shorter time would take two lost datagrams for a dead host.
+ */
+const SILENT_AFTER_MS: Millis = 700;
+
+/** Milliseconds over which the pace of a peer's charges is measured: some requests of one team. */
+const PACE_MS: Millis = 1_000;
 
 const MS_PER_SECOND = 1_000;
 
 interface Bucket {
   readonly perMs: number;
   readonly capacity: Tokens;
-  level: number;
-  at: Millis;
+  readonly level: number;
 }
 
 interface Peer {
-  readonly incarnation: Incarnation;
-  readonly heardAt: Millis;
+  readonly incarnation: Incarnation | undefined;
+  /** When it last said something; undefined for one that never did. */
+  readonly heardAt: Millis | undefined;
   readonly totals: ReadonlyMap<TeamId, Tokens>;
+  /** Tokens a millisecond that it charges to each team of late. */
+  readonly paces: ReadonlyMap<TeamId, number>;
+  /** Taken out of the buckets since its last word, for what it has charged meanwhile. */
+  readonly assumed: ReadonlyMap<TeamId, Tokens>;
 }
 
+const UNKNOWN_PEER: Peer = {
+  incarnation: undefined,
+  heardAt: undefined,
+  totals: new Map(),
+  paces: new Map(),
+  assumed: new Map(),
+};
+
 /**
  * Charges teams against the rate that all hosts share, by what the hosts count.
  *
  * Each host keeps one bucket for the whole rate of a team, takes out what it charges itself, and what
- * its peers say that they have charged. So a team may send all its requests to one host. What peers
- * charge in the moment before they say so is covered by the tolerance, and is made up afterwards,
- * since the level goes below zero.
+ * its peers say that they have charged. So a team may send all its requests to one host. Between two
+ * words a peer is taken to go on at its pace, and its next word sets that right; what it charges
+ * beyond is covered by the tolerance, and is made up afterwards, since the level goes below zero.
  *
  * A peer that is silent may be dead, or cut off and serving callers all the same; nobody can tell
  * which. It is taken to use one equal part of the rate, and uses no more itself, since it hears
- * nobody. So no set of hosts that lost each other can break a rate, whatever the store does.
+ * nobody; the burst is divided in the same way. So no set of hosts that lost each other can break a
+ * rate, whatever the store does.
  */
 export class CountedRates {
   private readonly tolerance: RateTolerance;
@@ -58,13 +77,13 @@
   /** What this host has charged since it started. */
   private readonly totals = new Map<TeamId, Tokens>();
 
-  private readonly peers = new Map<HostId, Peer>();
-
   /** Until when callers of a team were told to come back, one after the other. */
   private readonly returnsUntil = new Map<TeamId, Millis>();
 
   /** All other hosts that may be serving callers. */
-  private sharers: readonly HostId[] = [];
+  private readonly peers = new Map<HostId, Peer>();
+
+  private settledAt: Millis = 0;
 
   /** @param tolerance - How far hosts may go beyond a rate together. */
   constructor(tolerance: RateTolerance) {
@@ -73,26 +92,28 @@
 
   /** Takes changed rates into force; a team that is not among them is not limited. */
   reshape(rates: ReadonlyMap<TeamId, TeamRate>, now: Millis): void {
+    this.settle(now);
     [...this.buckets.keys()]
       .filter((team) => !rates.has(team))
       .forEach((team) => this.buckets.delete(team));
     rates.forEach((rate, team) => {
       const shape = this.shapeOf(rate);
-      const old = this.buckets.get(team);
       // A host that has just started knows nothing of what others charged a moment ago.
-      const first = shape.capacity / (this.sharers.length + 1);
-      const level = old === undefined ? first : Math.min(this.levelAt(old, now), shape.capacity);
-      this.buckets.set(team, { ...shape, level, at: now });
+      const first = shape.capacity / this.hostCount();
+      const level = Math.min(this.buckets.get(team)?.level ?? first, shape.capacity);
+      this.buckets.set(team, { ...shape, level });
     });
   }
 
   /** Takes a changed set of other hosts into force. */
   setSharers(hosts: readonly HostId[], now: Millis): void {
     this.settle(now);
-    this.sharers = hosts;
     [...this.peers.keys()]
       .filter((host) => !hosts.includes(host))
       .forEach((host) => this.peers.delete(host));
+    hosts
+      .filter((host) => !this.peers.has(host))
+      .forEach((host) => this.peers.set(host, UNKNOWN_PEER));
   }
 
   /**
@@ -111,12 +132,14 @@
   ): void {
     this.settle(now);
     const known = this.peers.get(host);
-    const isSame = known !== undefined && known.incarnation === incarnation;
-    // What a peer charged while it was silent was accounted for by its equal part.
-    const isContinuous = isSame && now - known.heardAt <= SILENT_AFTER_MS;
-    if (isContinuous) this.takeOut(known.totals, totals);
-    const before = isSame ? known.totals : new Map<TeamId, Tokens>();
-    this.peers.set(host, { incarnation, heardAt: now, totals: new Map([...before, ...totals]) });
+    if (known === undefined) return;
+    const isSame = known.incarnation === incarnation;
+    const merged = new Map([...(isSame ? known.totals : []), ...totals]);
+    // What a peer charged while it was silent is covered by the equal part that it was given.
+    const isContinuous = isSame && !isSilent(known, now);
+    if (isContinuous) this.correct(known, merged);
+    const paces = isContinuous ? this.measure(known, merged, now) : this.firstPaces();
+    this.peers.set(host, { incarnation, heardAt: now, totals: merged, paces, assumed: new Map() });
   }
 
   /**
@@ -129,43 +152,22 @@
    * @returns Whether they were taken, or when they will be there.
    */
   charge(team: TeamId, tokens: Tokens, now: Millis): ChargeOutcome {
+    this.settle(now);
     const bucket = this.buckets.get(team);
     if (bucket === undefined) return { type: 'charged' };
-    const level = this.levelAt(bucket, now);
-    const needed = Math.min(tokens, bucket.capacity);
-    if (level < needed) return this.refuse(team, bucket, needed - level, tokens, now);
-    bucket.level = level - tokens;
-    bucket.at = now;
+    const needed = Math.min(tokens, bucket.capacity * this.ownPart(now));
+    if (bucket.level < needed) {
+      return this.refuse(team, bucket, needed - bucket.level, tokens, now);
+    }
+    this.buckets.set(team, { ...bucket, level: bucket.level - tokens });
     this.totals.set(team, (this.totals.get(team) ?? 0) + tokens);
     return { type: 'charged' };
   }
 
-  /**
-   * Tells a refused caller when to come back: after those who were told so before it. With one time
-   * for all they would come back together, and all but the first would be refused once more.
-   */
-  private refuse(
-    team: TeamId,
-    bucket: Bucket,
-    lacking: Tokens,
-    tokens: Tokens,
-    now: Millis,
-  ): ChargeOutcome {
-    const perMs = Math.max(bucket.perMs * this.ownPart(now), Number.EPSILON);
-    const hosts = this.sharers.length + 1;
-    const soonest = now + lacking / perMs;
-    // Every host tells its own callers, so each one lets them come at its part of the pace.
-    const at = Math.max(soonest, this.returnsUntil.get(team) ?? 0);
-    this.returnsUntil.set(team, at + (tokens / perMs) * hosts);
-    return { type: 'over_rate', retryAfterMs: Math.ceil(at - now) };
-  }
-
   /** Gives back what a request did not use. */
   refund(team: TeamId, tokens: Tokens, now: Millis): void {
-    const bucket = this.buckets.get(team);
-    if (bucket === undefined) return;
-    bucket.level = Math.min(bucket.capacity, this.levelAt(bucket, now) + tokens);
-    bucket.at = now;
+    this.settle(now);
+    this.takeOut(team, -tokens);
     this.totals.set(team, (this.totals.get(team) ?? 0) - tokens);
   }
 
@@ -176,47 +178,108 @@
 
   /** Gets what decides on a team's requests now, for the log. */
   inspect(team: TeamId, now: Millis): { readonly level: Tokens; readonly silentPeers: number } {
-    const bucket = this.buckets.get(team);
-    const level = bucket === undefined ? Infinity : this.levelAt(bucket, now);
-    return { level, silentPeers: this.countSilent(now) };
+    this.settle(now);
+    return { level: this.buckets.get(team)?.level ?? Infinity, silentPeers: this.countSilent(now) };
   }
 
   /** Gets the level of each team's bucket, for the state dump. */
   dump(now: Millis): Readonly<Record<TeamId, number>> {
+    this.settle(now);
     return Object.fromEntries(
-      [...this.buckets].map(([team, bucket]) => [team, Math.floor(this.levelAt(bucket, now))]),
+      [...this.buckets].map(([team, { level }]) => [team, Math.floor(level)]),
     );
   }
 
-  private takeOut(before: ReadonlyMap<TeamId, Tokens>, totals: ReadonlyMap<TeamId, Tokens>): void {
-    totals.forEach((total, team) => {
-      const bucket = this.buckets.get(team);
-      if (bucket !== undefined) bucket.level -= total - (before.get(team) ?? 0);
-    });
+  /**
+   * Tells a refused caller when to come back: after those who were told so before it. With one time
+   * for all they would come back together, and all but the first would be refused once more.
+   */
+  private refuse(
+    team: TeamId,
+    bucket: Bucket,
+    lacking: Tokens,
+    tokens: Tokens,
+    now: Millis,
+  ): ChargeOutcome {
+    const soonest = now + lacking / bucket.perMs;
+    const at = Math.max(soonest, this.returnsUntil.get(team) ?? 0);
+    // Every host tells its own callers, so each one lets them come at its part of the pace.
+    this.returnsUntil.set(team, at + (tokens / bucket.perMs) * this.hostCount());
+    return { type: 'over_rate', retryAfterMs: Math.ceil(at - now) };
   }
 
-  /** Brings all levels up to now, before the pace changes. */
+  /** Brings all buckets up to now: what came in, and what peers are taken to have charged. */
   private settle(now: Millis): void {
+    const passedMs = now - this.settledAt;
+    if (passedMs <= 0) return;
+    this.settledAt = now;
+    const part = this.ownPart(now);
     this.buckets.forEach((bucket, team) => {
-      this.buckets.set(team, { ...bucket, level: this.levelAt(bucket, now), at: now });
+      const level = Math.min(bucket.capacity * part, bucket.level + passedMs * bucket.perMs);
+      this.buckets.set(team, { ...bucket, level });
     });
+    this.peers.forEach((peer, host) => this.assume(host, peer, passedMs, now));
   }
 
-  private levelAt(bucket: Bucket, now: Millis): number {
-    const filled = (now - bucket.at) * bucket.perMs * this.ownPart(now);
-    return Math.min(bucket.capacity, bucket.level + filled);
+  private assume(host: HostId, peer: Peer, passedMs: Millis, now: Millis): void {
+    const paces = isSilent(peer, now) ? this.firstPaces() : peer.paces;
+    const taken = [...paces].map(([team, pace]) => [team, pace * passedMs] as const);
+    taken.forEach(([team, tokens]) => this.takeOut(team, tokens));
+    const assumed = taken.map(
+      ([team, tokens]) => [team, tokens + (peer.assumed.get(team) ?? 0)] as const,
+    );
+    this.peers.set(host, { ...peer, assumed: new Map(assumed) });
   }
 
-  /** Gets the part of each rate that is not left to silent hosts. */
+  /** Sets what was assumed of a peer right, by what it says. */
+  private correct(known: Peer, totals: ReadonlyMap<TeamId, Tokens>): void {
+    this.buckets.forEach((_, team) => {
+      const charged = (totals.get(team) ?? 0) - (known.totals.get(team) ?? 0);
+      this.takeOut(team, charged - (known.assumed.get(team) ?? 0));
+    });
+  }
+
+  private takeOut(team: TeamId, tokens: Tokens): void {
+    const bucket = this.buckets.get(team);
+    if (bucket === undefined) return;
+    const level = Math.min(bucket.capacity, bucket.level - tokens);
+    this.buckets.set(team, { ...bucket, level });
+  }
+
+  /** A peer of which nothing is known is taken to use its equal part. */
+  private firstPaces(): ReadonlyMap<TeamId, number> {
+    const hosts = this.hostCount();
+    return new Map([...this.buckets].map(([team, bucket]) => [team, bucket.perMs / hosts]));
+  }
+
+  private measure(
+    known: Peer,
+    totals: ReadonlyMap<TeamId, Tokens>,
+    now: Millis,
+  ): ReadonlyMap<TeamId, number> {
+    const passedMs = Math.max(1, now - (known.heardAt ?? now));
+    const weight = 1 - Math.exp(-passedMs / PACE_MS);
+    const teams = [...this.buckets.keys()];
+    return new Map(
+      teams.map((team) => {
+        const charged = (totals.get(team) ?? 0) - (known.totals.get(team) ?? 0);
+        const before = known.paces.get(team) ?? 0;
+        return [team, before + (Math.max(0, charged) / passedMs - before) * weight];
+      }),
+    );
+  }
+
+  /** Gets the part of each burst that is not left to silent hosts. */
   private ownPart(now: Millis): number {
-    return 1 - this.countSilent(now) / (this.sharers.length + 1);
+    return 1 - this.countSilent(now) / this.hostCount();
   }
 
   private countSilent(now: Millis): number {
-    return this.sharers.filter((host) => {
-      const peer = this.peers.get(host);
-      return peer === undefined || now - peer.heardAt > SILENT_AFTER_MS;
-    }).length;
+    return [...this.peers.values()].filter((peer) => isSilent(peer, now)).length;
+  }
+
+  private hostCount(): number {
+    return this.peers.size + 1;
   }
 
   private shapeOf(rate: TeamRate): Pick<Bucket, 'perMs' | 'capacity'> {
@@ -230,3 +293,7 @@
     };
   }
 }
+
+function isSilent({ heardAt }: Peer, now: Millis): boolean {
+  return heardAt === undefined || now - heardAt > SILENT_AFTER_MS;
+}
