--- /dev/null
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decodeHint, encodeHint } from '@camphorvane/peer/hints';
+import type { HostHint } from '@camphorvane/peer/hints';
+import fc from 'fast-check';
+
+const HINT: HostHint = {
+  host: 'h',
+  incarnation: 'i',
+  sequence: 3,
+  leaving: true,
+  engines: [{ engine: 'e', prefillTokens: 1, streams: 2, memoryTokens: 3 }],
+  charged: [['t', 400]],
+};
+
+test('a hint is read as it was written', () => {
+  assert.deepEqual(decodeHint(encodeHint(HINT)), HINT);
+});
+
+// Anything may arrive at an open port. What is no hint must neither end the process nor be taken for
+// one.
+test('whatever else arrives is no hint', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => decodeHint(bytes) === undefined),
+  );
+  fc.assert(
+    fc.property(fc.json(), (text) => {
+      const hint = decodeHint(Buffer.from(text));
+      return hint === undefined || typeof hint.host === 'string';
+    }),
+  );
+  const spoilt = [
+    ['h', 'i', 3, 1, [['e', -1, 0, 0]], []],
+    ['h', 'i', 3, 1, [], [['t', 'x']]],
+    ['h', 'i', 'x', 1, [], []],
+    ['h', 'i', 3, 1, 'x', []],
+  ];
+  spoilt.forEach((one) => assert.equal(decodeHint(Buffer.from(JSON.stringify(one))), undefined));
+});
--- /dev/null
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RandomSource, VirtualClock } from '@camphorvane/core';
+import type { FollowedKind, PlatformError, WatchBatch, WatchableStore } from '@camphorvane/store';
+import { KindFollower } from '@camphorvane/store';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+type Step =
+  | { readonly type: 'snapshot'; readonly names: readonly string[]; readonly version: number }
+  | { readonly type: 'watch'; readonly put?: string; readonly gone?: string; readonly next: number }
+  | { readonly type: 'fail'; readonly error: PlatformError };
+
+const AWAY: PlatformError = { type: 'unavailable', message: 'away' };
+
+const object = (name: string, version: number) => ({ kind: 'k', name, version, value: name });
+
+/** A store that answers as a list says, call by call, and then keeps watches waiting. */
+function scripted(steps: Step[]): { readonly store: WatchableStore; readonly calls: string[] } {
+  const calls: string[] = [];
+  const hang = new ResultAsync<WatchBatch, PlatformError>(
+    new Promise<Result<WatchBatch, PlatformError>>(() => {}),
+  );
+  const store = {
+    snapshot: () => {
+      calls.push('snapshot');
+      const step = steps.shift();
+      if (step?.type !== 'snapshot') return errAsync(step?.type === 'fail' ? step.error : AWAY);
+      const { names, version } = step;
+      return okAsync({ objects: names.map((name) => object(name, version)), version });
+    },
+    watch: (_kind: string, after: number) => {
+      calls.push(`watch ${after}`);
+      const step = steps.shift();
+      if (step === undefined) return hang;
+      if (step.type !== 'watch') return errAsync(step.type === 'fail' ? step.error : AWAY);
+      const put = step.put === undefined ? [] : [object(step.put, step.next)];
+      const gone = step.gone === undefined ? [] : [step.gone];
+      return okAsync({
+        events: [
+          ...put.map((one) => ({ type: 'put' as const, object: one })),
+          ...gone.map((name) => ({
+            type: 'removed' as const,
+            kind: 'k',
+            name,
+            version: step.next,
+          })),
+        ],
+        next: step.next,
+      });
+    },
+  };
+  return { store: store as unknown as WatchableStore, calls };
+}
+
+async function follow(steps: Step[]): Promise<{
+  readonly rounds: readonly FollowedKind[];
+  readonly calls: readonly string[];
+  readonly states: readonly string[];
+}> {
+  const { store, calls } = scripted(steps);
+  const clock = new VirtualClock();
+  const rounds: FollowedKind[] = [];
+  const states: string[] = [];
+  const stop = new AbortController();
+  const follower = new KindFollower({
+    store,
+    kind: 'k',
+    clock,
+    random: new RandomSource(1),
+    watchMs: 1_000,
+    onRound: (round) => rounds.push(round),
+    onStore: (state) => states.push(state),
+  });
+  void follower.run(stop.signal);
+  await clock.advance(5_000);
+  stop.abort();
+  return { rounds, calls, states };
+}
+
+const namesOf = (round: FollowedKind | undefined): readonly string[] => [
+  ...(round?.objects.keys() ?? []),
+];
+
+test('changes are applied from the snapshot on', async () => {
+  const { rounds, calls } = await follow([
+    { type: 'snapshot', names: ['a', 'b'], version: 5 },
+    { type: 'watch', put: 'c', gone: 'a', next: 7 },
+  ]);
+  assert.deepEqual(namesOf(rounds.at(-1)), ['b', 'c']);
+  assert.deepEqual(calls, ['snapshot', 'watch 5', 'watch 7']);
+});
+
+// The store drops its history while a server leaves. A follower that went on with its old copy would
+// send requests to that server for as long as nothing else changes.
+test('a history that is gone is made up for by a new snapshot at once', async () => {
+  const { rounds, states } = await follow([
+    { type: 'snapshot', names: ['a', 'b'], version: 5 },
+    { type: 'fail', error: { type: 'invalid', message: 'the store answered 410' } },
+    { type: 'snapshot', names: ['b'], version: 9 },
+  ]);
+  assert.deepEqual(namesOf(rounds.at(-1)), ['b']);
+  assert.equal(rounds.at(-1)?.awayMs, 0);
+  assert.deepEqual(states, []);
+});
+
+test('an outage is told, with its length, and ends with a snapshot', async () => {
+  const { rounds, states } = await follow([
+    { type: 'snapshot', names: ['a'], version: 5 },
+    { type: 'fail', error: AWAY },
+    { type: 'fail', error: AWAY },
+    { type: 'snapshot', names: ['a'], version: 6 },
+  ]);
+  assert.deepEqual(states, ['lost', 'regained']);
+  assert.ok((rounds.at(-1)?.awayMs ?? 0) > 0);
+});
