--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -40,7 +40,6 @@
   readonly decode: string;
   readonly readAt: Millis;
   readonly endAt: Millis;
-  read: boolean;
 }
 
 const ENGINES: readonly EngineConfig[] = ['p1', 'p2', 'p3', 'd1', 'd2', 'd3', 'd4', 'd5'].map(
@@ -70,6 +69,7 @@
   const arrivals = new Map<string, { at: Millis; promptTokens: number; memoryTokens: number }>();
   const freeAt = new Map<string, Millis>();
   let running: Running[] = [];
+  const read = new Set<Running>();
   let outcome: Outcome = { asked: 0, onTime: 0, served: 0, refused: 0 };
   let owed = 0;
   Array.from({ length: (load.forMs + 5_000) / STEP_MS }, (_, i) => i * STEP_MS).forEach((now) => {
@@ -94,9 +94,9 @@
       });
     }
     running
-      .filter((one) => !one.read && one.readAt <= now)
+      .filter((one) => !read.has(one) && one.readAt <= now)
       .forEach((one) => {
-        one.read = true;
+        read.add(one);
         hosts[one.host]?.book.change(one.engine, { prefillTokens: -one.promptTokens });
       });
     running
@@ -140,7 +140,6 @@
             decode,
             readAt,
             endAt,
-            read: false,
           });
           const isOnTime = readAt - arrival.at <= TARGET_MS;
           outcome = {
