Pace hints, records and watches by the size of the fleet

Now words take a fixed number a second, three hosts watch and the others are told what is newest and read it cheaply.

--- a/packages/decisions/src/local/EngineUse.ts
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -1,4 +1,5 @@
 import type { HostId, Millis, Tokens, UpstreamId } from '@camphorvane/core';
+import { wordPace } from './wordPace.ts';
 
 /** What one host has on one engine at present. */
 export interface EngineUse {
@@ -14,11 +15,10 @@
 export const NO_USE: EngineUse = { prefillTokens: 0, streams: 0, memoryTokens: 0 };
 
 /**
- * Milliseconds for which a peer's word about its use counts. Hosts tell each other five times a
- * second; a host that was silent for this long is dead, cut off or frozen, and the requests it had
- * are ending.
+ * Milliseconds for which a peer's word about its use counts at least. A host that was silent for this
+ * long is dead, cut off or frozen, and the requests it had are ending.
  */
-const PEER_WORD_LIFE_MS: Millis = 1_500;
+const LEAST_WORD_LIFE_MS: Millis = 1_500;
 
 interface PeerWord {
   readonly at: Millis;
@@ -57,8 +57,9 @@
   /** Gets what all hosts together have on an engine, as far as this host knows. */
   getTotal(engine: UpstreamId, now: Millis): EngineUse {
     const own = this.own.get(engine) ?? NO_USE;
+    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.peers.size + 1).silentMs);
     return [...this.peers.values()]
-      .filter((word) => now - word.at <= PEER_WORD_LIFE_MS)
+      .filter((word) => now - word.at <= lifeMs)
       .map((word) => word.uses.get(engine) ?? NO_USE)
       .reduce(addUse, own);
   }
--- a/packages/decisions/src/rates/CountedRates.ts
+++ b/packages/decisions/src/rates/CountedRates.ts
@@ -1,4 +1,5 @@
 import type { HostId, Incarnation, Millis, TeamId, TeamRate, Tokens } from '@camphorvane/core';
+import { wordPace } from '../local/wordPace.ts';
 
 /** How far all hosts together may go beyond a team's rate without breaking it. */
 export interface RateTolerance {
@@ -20,12 +21,6 @@
 /** Part of the slack that goes into the pace; the rest goes into the burst. */
 const PACED_SLACK = 0.5;
 
-/**
- * Milliseconds without a word after which a peer is taken to use its equal part of every rate. Until
- * then it is taken to go on as before; a shorter time would take two lost datagrams for a dead host.
- */
-const SILENT_AFTER_MS: Millis = 700;
-
 /** Milliseconds over which the pace of a peer's charges is measured: some requests of one team. */
 const PACE_MS: Millis = 1_000;
 
@@ -136,7 +131,7 @@
     const isSame = known.incarnation === incarnation;
     const merged = new Map([...(isSame ? known.totals : []), ...totals]);
     // What a peer charged while it was silent is covered by the equal part that it was given.
-    const isContinuous = isSame && !isSilent(known, now);
+    const isContinuous = isSame && !this.isSilent(known, now);
     if (isContinuous) this.correct(known, merged);
     const paces = isContinuous ? this.measure(known, merged, now) : this.firstPaces();
     this.peers.set(host, { incarnation, heardAt: now, totals: merged, paces, assumed: new Map() });
@@ -222,7 +217,7 @@
   }
 
   private assume(host: HostId, peer: Peer, passedMs: Millis, now: Millis): void {
-    const paces = isSilent(peer, now) ? this.firstPaces() : peer.paces;
+    const paces = this.isSilent(peer, now) ? this.firstPaces() : peer.paces;
     const taken = [...paces].map(([team, pace]) => [team, pace * passedMs] as const);
     taken.forEach(([team, tokens]) => this.takeOut(team, tokens));
     const assumed = taken.map(
@@ -275,7 +270,13 @@
   }
 
   private countSilent(now: Millis): number {
-    return [...this.peers.values()].filter((peer) => isSilent(peer, now)).length;
+    return [...this.peers.values()].filter((peer) => this.isSilent(peer, now)).length;
+  }
+
+  /** Until a peer is silent it is taken to go on as before; two lost words are no death. */
+  private isSilent({ heardAt }: Peer, now: Millis): boolean {
+    const { silentMs } = wordPace(this.hostCount());
+    return heardAt === undefined || now - heardAt > silentMs;
   }
 
   private hostCount(): number {
@@ -293,7 +294,3 @@
     };
   }
 }
-
-function isSilent({ heardAt }: Peer, now: Millis): boolean {
-  return heardAt === undefined || now - heardAt > SILENT_AFTER_MS;
-}
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -23,6 +23,8 @@
   readonly engines: readonly EngineHint[];
   /** Tokens charged to each team since the host started. */
   readonly charged: readonly (readonly [TeamId, Tokens])[];
+  /** Versions of the store's changes up to which the host knows configuration and servers. */
+  readonly versions: { readonly config: number; readonly servers: number };
 }
 
 type EngineRow = readonly [UpstreamId, number, number, number];
@@ -40,8 +42,9 @@
     one.streams,
     one.memoryTokens,
   ]);
-  const { host, incarnation, sequence, leaving, charged } = hint;
-  const fields = [host, incarnation, sequence, leaving ? 1 : 0, rows, charged];
+  const { host, incarnation, sequence, leaving, charged, versions } = hint;
+  const known = [versions.config, versions.servers];
+  const fields = [host, incarnation, sequence, leaving ? 1 : 0, rows, charged, known];
   return Buffer.from(JSON.stringify(fields));
 }
 
@@ -54,10 +57,12 @@
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
   const parsed = parseJson(bytes);
   if (!Array.isArray(parsed)) return undefined;
-  const [host, incarnation, sequence, leaving, rows, charged] = parsed as readonly unknown[];
+  const [host, incarnation, sequence, leaving, rows, charged, known] = parsed as readonly unknown[];
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
+  const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
+  if (!isCount(config) || !isCount(servers)) return undefined;
   const engines = rows.map(readRow);
   if (engines.some((engine) => engine === undefined)) return undefined;
   return {
@@ -67,6 +72,7 @@
     leaving: leaving === 1,
     engines: engines.filter((engine) => engine !== undefined),
     charged: charged as readonly (readonly [TeamId, Tokens])[],
+    versions: { config, servers },
   };
 }
 
@@ -89,7 +95,7 @@
   return typeof team === 'string' && typeof tokens === 'number' && Number.isFinite(tokens);
 }
 
-function isCount(value: unknown): boolean {
+function isCount(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -11,6 +11,7 @@
   leaving: true,
   engines: [{ engine: 'e', prefillTokens: 1, streams: 2, memoryTokens: 3 }],
   charged: [['t', 400]],
+  versions: { config: 7, servers: 9 },
 };
 
 test('a hint is read as it was written', () => {
@@ -30,10 +31,11 @@
     }),
   );
   const spoilt = [
-    ['h', 'i', 3, 1, [['e', -1, 0, 0]], []],
-    ['h', 'i', 3, 1, [], [['t', 'x']]],
-    ['h', 'i', 'x', 1, [], []],
-    ['h', 'i', 3, 1, 'x', []],
+    ['h', 'i', 3, 1, [['e', -1, 0, 0]], [], [1, 1]],
+    ['h', 'i', 3, 1, [], [['t', 'x']], [1, 1]],
+    ['h', 'i', 'x', 1, [], [], [1, 1]],
+    ['h', 'i', 3, 1, [], [], ['x', 1]],
+    ['h', 'i', 3, 1, 'x', [], [1, 1]],
   ];
   spoilt.forEach((one) => assert.equal(decodeHint(Buffer.from(JSON.stringify(one))), undefined));
 });
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -4,6 +4,8 @@
   WatchableStore,
   DeployedConfig,
   DeploymentFormat,
+  ObjectVersion,
+  FollowMode,
 } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
 import type { Unsubscribe } from '../host/ports.ts';
@@ -31,6 +33,8 @@
    * is cut off from the store goes on with the keys that it knows.
    */
   readonly strictKeysMs: Millis | undefined;
+  /** Gets how this host follows now. */
+  readonly mode: () => FollowMode;
 }
 
 /** Keeps a host on the newest configuration and the newest list of servers. */
@@ -66,6 +70,17 @@
     void this.servers.run(signal);
   }
 
+  /** Gets the versions of the store up to which this host knows configuration and servers. */
+  getVersions(): { readonly config: ObjectVersion; readonly servers: ObjectVersion } {
+    return { config: this.configs.getVersion(), servers: this.servers.getVersion() };
+  }
+
+  /** Takes in the versions that a peer knows. */
+  hearOf(versions: { readonly config: ObjectVersion; readonly servers: ObjectVersion }): void {
+    this.configs.hearOf(versions.config);
+    this.servers.hearOf(versions.servers);
+  }
+
   /** {@inheritDoc ConfigFeed.current} */
   current(): VersionedConfig | undefined {
     return this.inForce;
@@ -107,6 +122,7 @@
       clock,
       random,
       watchMs: WATCH_MS,
+      mode: this.options.mode,
       onRound,
       onStore: (state, reason) => log(`store_${state}`, { kind, reason }),
     });
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -1,4 +1,5 @@
 import type { HostId, Incarnation, Millis, ZoneId } from '@camphorvane/core';
+import { wordPace } from '@camphorvane/decisions';
 import type { GroupMate } from '../host/ports.ts';
 
 /** What a host writes of itself into the store. */
@@ -11,14 +12,17 @@
   readonly leaving: boolean;
 }
 
-/** Milliseconds without a hint after which a host is not recommended to callers. */
-const SILENT_AFTER_MS: Millis = 1_200;
+/** Milliseconds without a hint before which a host is recommended to callers in any fleet. */
+const LEAST_SILENT_MS: Millis = 1_200;
 
 /**
- * Milliseconds without a heartbeat in the store, while the store was there, after which a host's part
- * of the rates is dealt out again. Long on purpose: a host that is only cut off still uses its part.
+ * Periods of its heartbeat in the store, while the store was there, after which a host's part of the
+ * rates is dealt out again. Long on purpose: a host that is only cut off still uses its part.
  */
-export const RECORD_LIFE_MS: Millis = 20_000;
+const RECORD_LIVES = 7;
+
+/** Most time that one reading of the records counts for; the rest was an outage of the store. */
+const LONGEST_ROUND_MS: Millis = 5_000;
 
 interface SeenRecord {
   readonly record: HostRecord;
@@ -60,7 +64,8 @@
     records: readonly { readonly record: HostRecord; readonly version: number }[],
     now: Millis,
   ): void {
-    const passed = this.lastRoundAt === undefined ? 0 : Math.min(now - this.lastRoundAt, 2_000);
+    const passed =
+      this.lastRoundAt === undefined ? 0 : Math.min(now - this.lastRoundAt, LONGEST_ROUND_MS);
     this.lastRoundAt = now;
     this.records = new Map(
       records.map(({ record, version }) => {
@@ -95,7 +100,7 @@
   /** Gets the records of hosts that have been gone for long, with their versions. */
   getExpired(): readonly { readonly host: HostId; readonly version: number }[] {
     return [...this.records.values()]
-      .filter(({ record, ageMs }) => record.host !== this.self && ageMs > RECORD_LIFE_MS)
+      .filter(({ record, ageMs }) => record.host !== this.self && ageMs > this.recordLifeMs())
       .map(({ record, version }) => ({ host: record.host, version }));
   }
 
@@ -130,8 +135,20 @@
     return heard.some((mate) => mate.host !== this.self) ? heard : all;
   }
 
+  /** Gets how long a record counts that nobody renews. */
+  recordLifeMs(): Millis {
+    return wordPace(this.countSharers()).recordMs * RECORD_LIVES;
+  }
+
+  /** Gets this host's place among those that were heard of lately, in the order of their names. */
+  getRank(now: Millis): number {
+    return [...this.records.keys()].filter((host) => host < this.self && this.isHeard(host, now))
+      .length;
+  }
+
   private isHeard(host: HostId, now: Millis): boolean {
     const at = this.heardAt.get(host);
-    return at !== undefined && now - at <= SILENT_AFTER_MS;
+    const silentMs = Math.max(LEAST_SILENT_MS, wordPace(this.countSharers()).silentMs);
+    return at !== undefined && now - at <= silentMs;
   }
 }
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -1,10 +1,15 @@
 import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
-import type { EngineUse, RateTolerance, RepeatAllowance } from '@camphorvane/decisions';
-import { RepeatBudget } from '@camphorvane/decisions';
+import type { EngineUse, RateTolerance, RepeatAllowance, WordPace } from '@camphorvane/decisions';
+import { RepeatBudget, wordPace } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { HintLink, HostHint } from '@camphorvane/peer/hints';
-import type { StoredObject, WatchableStore, DeploymentFormat } from '@camphorvane/store';
+import type {
+  StoredObject,
+  WatchableStore,
+  DeploymentFormat,
+  FollowMode,
+} from '@camphorvane/store';
 import { OwnRecord } from '@camphorvane/store';
 import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
@@ -17,21 +22,17 @@
 import type { HostRecord } from './HostRoster.ts';
 import { HostRoster } from './HostRoster.ts';
 
-/** Milliseconds between two writes of this host's record. */
-const RECORD_PERIOD_MS: Millis = 3_000;
-
-/** Milliseconds between two reads of all hosts' records; an answer that is a little old will do. */
-const RECORDS_READ_MS: Millis = 1_000;
-
-/** Longest time between two hints, in milliseconds; who is silent for longer is taken for gone. */
-const HINT_PERIOD_MS: Millis = 250;
+/** Part of the time between two writes of a record after which all are read; old answers will do. */
+const RECORDS_READ_PART = 1 / 3;
 
 /**
- * Shortest time between two hints, in milliseconds. What a host has just placed or charged is told
- * this soon, so that peers do not place on the same engine; more often, hints would cost more
- * processor time than requests.
+ * Hosts that watch the store themselves, and tell the others of changes. With three, two may die or
+ * be cut off at once and changes are still told at once; everybody else reads now and then.
  */
-const HINT_GAP_MS: Millis = 40;
+const WATCHERS = 3;
+
+/** Hosts up to which everybody watches: the calls saved by fewer would not pay for the delay. */
+const ALL_WATCH_UP_TO = 9;
 
 /** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
 const CRASHES_TO_HOLD_BACK = 3;
@@ -91,8 +92,8 @@
 
   private sequence = 0;
 
-  /** Requests placed when the last hint was sent. */
-  private toldPlaced = 0;
+  /** What the last hint told of. */
+  private toldNews = '';
 
   private sharers: readonly HostId[] = [];
 
@@ -113,6 +114,7 @@
       clock,
       random,
       strictKeysMs: options.strictKeysMs,
+      mode: () => this.followMode(),
     });
     this.hosts = new HostRoster(identity.host);
     this.record = new OwnRecord(store, format.hostKind, identity.host);
@@ -220,7 +222,7 @@
   private async keepRecord(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.writeRecord();
-      await sleep(this.clock, RECORD_PERIOD_MS, signal);
+      await sleep(this.clock, this.pace().recordMs, signal);
     }
   }
 
@@ -237,7 +239,7 @@
       const freshness = this.hosts.isKnown() ? 'any' : 'newest';
       const read = await this.options.store.snapshot(this.options.format.hostKind, freshness);
       if (read.isOk()) this.takeRecords(read.value.objects);
-      await sleep(this.clock, RECORDS_READ_MS, signal);
+      await sleep(this.clock, this.pace().recordMs * RECORDS_READ_PART, signal);
     }
   }
 
@@ -261,21 +263,38 @@
   private async tellPeers(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.sendHint();
-      await sleep(this.clock, HINT_GAP_MS, signal);
-      const until = this.clock.now() + HINT_PERIOD_MS - HINT_GAP_MS;
+      const { periodMs, gapMs } = this.pace();
+      const until = this.clock.now() + periodMs;
+      await sleep(this.clock, gapMs, signal);
       while (!signal.aborted && !this.hasNews() && this.clock.now() < until) {
-        await sleep(this.clock, HINT_GAP_MS, signal);
+        await sleep(this.clock, gapMs, signal);
       }
     }
   }
 
   private hasNews(): boolean {
-    return this.placer.getPlacedCount() !== this.toldPlaced;
+    return this.newsMark() !== this.toldNews;
+  }
+
+  /** Changes with each placed request and each change of the store that this host has learned. */
+  private newsMark(): string {
+    const { config, servers } = this.config.getVersions();
+    return `${this.placer.getPlacedCount()} ${config} ${servers}`;
+  }
+
+  private pace(): WordPace {
+    return wordPace(this.hosts.countSharers());
+  }
+
+  /** A few hosts watch; the others are told by them, and read now and then. */
+  private followMode(): FollowMode {
+    const isSmall = this.hosts.countSharers() <= ALL_WATCH_UP_TO;
+    return isSmall || this.hosts.getRank(this.clock.now()) < WATCHERS ? 'watch' : 'poll';
   }
 
   private sendHint(): void {
     this.sequence += 1;
-    this.toldPlaced = this.placer.getPlacedCount();
+    this.toldNews = this.newsMark();
     const hint: HostHint = {
       host: this.context.identity.host,
       incarnation: this.context.incarnation,
@@ -283,6 +302,7 @@
       leaving: this.leaving,
       engines: [...this.placer.getUse()].map(([engine, use]) => ({ engine, ...use })),
       charged: this.rates.getCharged(),
+      versions: this.config.getVersions(),
     };
     this.options.hints.send(hint, this.hosts.getPeerAddresses());
   }
@@ -291,6 +311,7 @@
     if (hint.host === this.context.identity.host) return;
     this.hosts.hear(hint.host, hint.leaving, this.clock.now());
     this.rates.hear(hint);
+    this.config.hearOf(hint.versions);
     const uses = hint.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
     this.placer.hear(hint.host, new Map(uses));
   }
--- a/packages/router/tests/agreement/HostRoster.test.ts
+++ b/packages/router/tests/agreement/HostRoster.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { HostRecord } from '../../src/agreement/HostRoster.ts';
-import { HostRoster, RECORD_LIFE_MS } from '../../src/agreement/HostRoster.ts';
+import { HostRoster } from '../../src/agreement/HostRoster.ts';
 
 function record(host: string, leaving = false): HostRecord {
   return {
@@ -47,7 +47,7 @@
 
 test('a record that nobody renews while the store is there expires', () => {
   const roster = new HostRoster('a');
-  Array.from({ length: RECORD_LIFE_MS / 1_000 + 2 }, (_, i) => i * 1_000).forEach((now) =>
+  Array.from({ length: roster.recordLifeMs() / 1_000 + 4 }, (_, i) => i * 1_000).forEach((now) =>
     roster.update(list(['a', 'b']), now),
   );
   assert.deepEqual(roster.getExpired(), [{ host: 'b', version: 1 }]);
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -11,6 +11,12 @@
   readonly awayMs: Millis;
 }
 
+/**
+ * How a follower learns of changes: by a watch, which ends with each change, or by cheap reads that
+ * may be a little old. A fleet has a few hosts that watch, and tell the others what is newest.
+ */
+export type FollowMode = 'watch' | 'poll';
+
 /** What a follower is made of. */
 export interface KindFollowerOptions {
   readonly store: WatchableStore;
@@ -19,12 +25,23 @@
   readonly random: RandomSource;
   /** Longest wait of one watch, in milliseconds. */
   readonly watchMs: Millis;
+  /** Gets how to follow now; a watch where it is absent. */
+  readonly mode?: () => FollowMode;
   /** Called after each round in which the store answered. */
   readonly onRound: (kind: FollowedKind) => void;
   /** Called when the store is lost, with why, and when it is back. */
   readonly onStore?: (state: 'lost' | 'regained', reason: string) => void;
 }
 
+/** Milliseconds between two cheap reads where nobody says that there is something newer. */
+const POLL_MS: Millis = 2_000;
+
+/** Milliseconds between two cheap reads while what is known to be newer is not in them. */
+const CATCH_UP_MS: Millis = 150;
+
+/** Cheap reads after which what is known to be newer is read at its full price. */
+const CHEAP_TRIES = 2;
+
 /** Retries while the store is away, in milliseconds: soon, since changes must be in force soon. */
 const RETRY = { baseMs: 100, maxMs: 500 };
 
@@ -49,6 +66,11 @@
 
   private isLost = false;
 
+  /** Highest version that a peer has named. */
+  private named: ObjectVersion = 0;
+
+  private wake: () => void = () => undefined;
+
   /** @param options - The store, the kind, and who is told. */
   constructor(options: KindFollowerOptions) {
     this.options = options;
@@ -61,11 +83,22 @@
     return this.answeredAt;
   }
 
+  /** Gets the version of the store up to which changes are known; 0 before the first answer. */
+  getVersion(): ObjectVersion {
+    return this.after ?? 0;
+  }
+
+  /** Takes in that a peer knows of a version; one that is newer than this copy is read soon. */
+  hearOf(version: ObjectVersion): void {
+    if (version <= this.named) return;
+    this.named = version;
+    if (version > this.getVersion()) this.wake();
+  }
+
   /** Follows until stopped. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const problem =
-        this.after === undefined ? await this.readAll() : await this.wait(this.after, signal);
+      const problem = await this.step(signal);
       if (problem !== undefined && !signal.aborted) {
         this.after = undefined;
         this.noteLost(problem);
@@ -74,10 +107,32 @@
     }
   }
 
-  /** Reads everything; gets why that failed. */
-  private async readAll(): Promise<string | undefined> {
-    const snapshot = await this.options.store.snapshot(this.options.kind, 'newest');
+  private step(signal: AbortSignal): Promise<string | undefined> {
+    if (this.after === undefined) return this.readAll('newest');
+    const mode = this.options.mode?.() ?? 'watch';
+    return mode === 'watch' ? this.wait(this.after, signal) : this.poll(signal);
+  }
+
+  /** Waits for a word of a peer or for the next cheap read, and catches up. */
+  private async poll(signal: AbortSignal): Promise<string | undefined> {
+    const woken = new AbortController();
+    this.wake = () => woken.abort();
+    await sleep(this.options.clock, POLL_MS, AbortSignal.any([signal, woken.signal]));
+    let tries = 0;
+    let problem = await this.readAll('any');
+    while (problem === undefined && this.named > this.getVersion() && !signal.aborted) {
+      tries += 1;
+      await sleep(this.options.clock, CATCH_UP_MS, signal);
+      problem = await this.readAll(tries > CHEAP_TRIES ? 'newest' : 'any');
+    }
+    return problem;
+  }
+
+  /** Reads everything; gets why that failed. An answer that is older than this copy changes nothing. */
+  private async readAll(freshness: 'newest' | 'any'): Promise<string | undefined> {
+    const snapshot = await this.options.store.snapshot(this.options.kind, freshness);
     if (snapshot.isErr()) return describe(snapshot.error);
+    if (snapshot.value.version < this.getVersion()) return undefined;
     this.objects = new Map(snapshot.value.objects.map((object) => [object.name, object]));
     this.after = snapshot.value.version;
     this.noteRound();
