Serve callers within their rate when a host dies while the store is away

No host has a grant of its teams by then, so each member that a majority vouches for takes one equal part of as many parts as the epoch has members. Repeats of a service were earned twice a request (prefill and decode engine); now once, and 0.85 of the allowance is used. The warning about listeners came from claims settled at once on one stop signal, which is bounded; a folder named as a scenario is told so.

--- a/packages/decisions/src/local/meanMemory.ts
+++ b/packages/decisions/src/local/meanMemory.ts
@@ -2,7 +2,7 @@
 import type { WorkItem } from '../PoolScheduler.ts';
 
 /** Part of its output that a running request holds, with room for outputs that grow together. */
-const MEAN_OUTPUT_PART = 0.6;
+const MEAN_OUTPUT_PART = 0.75;
 
 /**
  * Gets the memory that a request takes on average while it runs. Its output grows from nothing, and
--- a/packages/decisions/src/retry/RepeatBudget.ts
+++ b/packages/decisions/src/retry/RepeatBudget.ts
@@ -10,7 +10,7 @@
 }
 
 /** Part of the allowance that is used; requests whose repeats are under way stay within the rest. */
-const USED_ALLOWANCE = 0.7;
+const USED_ALLOWANCE = 0.85;
 
 /** Part of the slack that may be spent at once; the rest comes back over the window. */
 const SAVED_SLACK = 0.5;
--- a/packages/router/src/agreement/GroupAgreement.ts
+++ b/packages/router/src/agreement/GroupAgreement.ts
@@ -22,6 +22,7 @@
 import { CrashDesk } from '../serving/CrashDesk.ts';
 import { teamRepeats } from '../serving/teamRepeats.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
+import { OutageRates } from './OutageRates.ts';
 
 /** Milliseconds between two announcements in the store's host list. */
 const ANNOUNCE_PERIOD_MS: Millis = 5_000;
@@ -45,7 +46,9 @@
 
   readonly group: GroupAdapter;
 
-  readonly rates: TeamRates;
+  readonly rates: OutageRates;
+
+  private readonly shares: TeamRates;
 
   readonly repeats: RepeatGate;
 
@@ -114,11 +117,18 @@
       retentionMs: DEFAULT_RETENTION_MS,
     });
     const selfKey = memberKey({ host: identity.host, incarnation });
-    this.rates = new TeamRates({
+    this.shares = new TeamRates({
       clock,
       link,
       authority: new GroupAuthority(this.runner, selfKey),
     });
+    this.rates = new OutageRates({
+      clock,
+      self: identity.host,
+      shares: this.shares,
+      members: () => group.members().map((mate) => mate.host),
+      mayAct: () => group.mayAct(),
+    });
     this.repeats = teamRepeats(new RetryBudget());
     this.crashes = new CrashDesk({ self: identity.host, clock, group, link });
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
@@ -146,7 +156,7 @@
     this.sweeper.start();
     void this.relay.run(this.config, signal);
     this.runner.start();
-    this.rates.start();
+    this.shares.start();
     void this.desk.run(signal);
   }
 
@@ -159,7 +169,7 @@
 
   /** {@inheritDoc HostAgreement.leave} */
   async leave(): Promise<void> {
-    await this.rates.handBack();
+    await this.shares.handBack();
     await this.runner.leave(LEAVE_TIMEOUT_MS);
     await this.options.store.withdraw(this.context.identity.host);
   }
@@ -170,7 +180,7 @@
     void this.claims.stop();
     void this.sweeper.stop();
     this.desk.stop();
-    this.rates.stop();
+    this.shares.stop();
     this.fallback.stop();
     this.runner.stop();
   }
@@ -188,11 +198,11 @@
         this.crashes.heard(req.reports);
         return { type: 'ok' };
       case 'share_sync':
-        return this.rates.answerSync(from, req.message);
+        return this.shares.answerSync(from, req.message);
       case 'share_borrow':
-        return this.rates.answerBorrow(req.team, req.tokens);
+        return this.shares.answerBorrow(req.team, req.tokens);
       case 'share_nudge':
-        return this.rates.answerNudge(from, req.teams);
+        return this.shares.answerNudge(from, req.teams);
       case 'config_version':
       case 'config_root':
       case 'config_chunk':
@@ -223,7 +233,7 @@
   dump(): object {
     return {
       group: this.runner.dump(),
-      rates: this.rates.dump(),
+      rates: this.shares.dump(),
       stewardOf: this.desk.dump(),
       fallback: this.fallback.dump(),
     };
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -79,14 +79,18 @@
   readonly team: TeamId;
   /** Pool or service that serves the request. */
   readonly service: string;
-  /** Upstream that got the first attempt, or on which the last one failed. */
+  /** Upstream on which the last attempt failed. */
   readonly upstream: UpstreamId;
 }
 
 /** Bounds how much work is repeated. */
 export interface RepeatGate {
-  /** Notes a first attempt. */
-  attempted(target: RepeatTarget, now: Millis): void;
+  /** Notes a request's first attempt, with the upstreams that it uses. */
+  attempted(
+    request: Omit<RepeatTarget, 'upstream'>,
+    upstreams: readonly UpstreamId[],
+    now: Millis,
+  ): void;
 
   /** Pays for one more attempt; false where there is nothing left. */
   tryRepeat(target: RepeatTarget, now: Millis): boolean;
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -165,9 +165,8 @@
   private noteFirstAttempt(work: KnownCompletion, pool: PoolConfig, place: PlacedPair): void {
     const now = this.options.clock.now();
     const engines = [place.prefill, place.decode].filter((engine) => engine !== undefined);
-    engines.forEach((engine) =>
-      this.options.repeats.attempted(repeatTarget(work, pool, engine), now),
-    );
+    const request = { team: work.caller.team.id, service: pool.model };
+    this.options.repeats.attempted(request, engines, now);
   }
 
   /** Decides whether a completion goes on after a failed attempt; gets the refusal if it ends. */
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -246,7 +246,8 @@
     const chosen = await this.options.gates.choose(work.service.id, call, work.signal);
     if (chosen.isErr()) return { type: 'refused', refusal: chosen.error };
     if (failures.length === 0) {
-      this.options.repeats.attempted(repeatTarget(work, chosen.value), this.options.clock.now());
+      const request = { team: work.caller.team.id, service: work.service.id };
+      this.options.repeats.attempted(request, [chosen.value], this.options.clock.now());
     }
     const result = await this.dispatch(work, call, chosen.value);
     this.options.gates.ended(work.service.id, call, chosen.value, hasFailed(result));
--- a/packages/router/src/serving/teamRepeats.ts
+++ b/packages/router/src/serving/teamRepeats.ts
@@ -9,7 +9,8 @@
  */
 export function teamRepeats(budget: RetryBudget): RepeatGate {
   return {
-    attempted: ({ team, upstream }, now) => budget.attempted(team, upstream, now),
+    attempted: ({ team }, upstreams, now) =>
+      upstreams.forEach((upstream) => budget.attempted(team, upstream, now)),
     tryRepeat: ({ team, upstream }, now) => budget.tryRetry(team, upstream, now),
   };
 }
@@ -22,7 +23,7 @@
  */
 export function serviceRepeats(budget: RepeatBudget): RepeatGate {
   return {
-    attempted: ({ service }, now) => budget.attempted(service, now),
+    attempted: ({ service }, _upstreams, now) => budget.attempted(service, now),
     tryRepeat: ({ service }, now) => budget.tryRepeat(service, now),
   };
 }
--- a/packages/scenario/src/language/readScenario.ts
+++ b/packages/scenario/src/language/readScenario.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { readFileSync, statSync } from 'node:fs';
 import path from 'node:path';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -15,9 +15,15 @@
 export function readScenario(file: string): Result<Scenario, readonly ScenarioError[]> {
   const read = (name: string): string => readFileSync(name, 'utf8');
   try {
+    if (statSync(file).isDirectory()) return err([isFolder(file)]);
     return parseScenario(read(file), file, (base) => read(path.join(path.dirname(file), base)));
   } catch (error) {
     const message = error instanceof Error ? error.message : 'cannot be read';
     return err([{ place: file, key: '', message }]);
   }
 }
+
+function isFolder(file: string): ScenarioError {
+  const message = `is a folder; name scenario files, such as ${path.join(file, '*.toml')}`;
+  return { place: file, key: '', message };
+}
--- a/packages/store/src/claims/ClaimSettler.ts
+++ b/packages/store/src/claims/ClaimSettler.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { sleep, type Clock, type Millis, type RandomSource } from '@camphorvane/core';
 import { Backoff } from '../Backoff.ts';
 import type { ObjectStore, ObjectVersion } from '../ObjectStore.ts';
@@ -39,6 +40,8 @@
     this.store = store;
     this.clock = clock;
     this.random = random;
+    // Each claim that is being settled listens for the stop; their number is bounded as said above.
+    setMaxListeners(0, this.stopped.signal);
   }
 
   /** Gets the number of claims whose end is not stored yet. */
