Tell a request's story from logs; never wait for a reader of the logs, not even at the end

Found by a test that failed first: with a reader that stopped reading the process could not end, since pino's own stream writes its rest synchronously at exit. The lines now go through a stream without that, and the last ones are waited for for 200 ms at most.

--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -41,7 +41,7 @@
   log('stop_begins', { host: settings.value.host });
   await started.value.leave();
   log('stop', { host: settings.value.host });
-  sink.flush();
+  await sink.flush();
   process.exit(EXIT.ok);
 }
 
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { applyModule, checkModule, diffModule } from './cli/declarationCommands.ts';
+import { explainCommand } from './cli/explainCommand.ts';
 import { hostsCommand } from './cli/hostsCommand.ts';
 import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
 import { serveCommand } from './cli/serveCommand.ts';
@@ -20,6 +21,7 @@
   .command(dumpModule)
   .command(drainModule)
   .command(hostsCommand)
+  .command(explainCommand)
   .command(keyModule)
   .version(VERSION)
   .demandCommand(1, 'Name a command.')
--- a/packages/router/src/observe/stdoutSink.ts
+++ b/packages/router/src/observe/stdoutSink.ts
@@ -1,4 +1,5 @@
-import { destination as openDestination, pino } from 'pino';
+import { pino } from 'pino';
+import { SonicBoom } from 'sonic-boom';
 import type { LineSink } from './BoundedLog.ts';
 
 /** File descriptor of standard output. */
@@ -13,13 +14,25 @@
 /** Milliseconds after which gathered lines are written, however few. */
 const FLUSH_MS = 250;
 
+/** Milliseconds that the end of the process waits for its last lines to be taken. */
+const LAST_FLUSH_MS = 200;
+
+/** A sink whose last lines can be waited for. */
+export interface FlushableSink extends LineSink {
+  /** Writes what is gathered; resolves after a short time also where nobody reads. */
+  flush(): Promise<void>;
+}
+
 /**
  * Writes JSON lines to standard output, without ever waiting for its reader.
  *
- * @returns The sink, and a function that writes what is gathered before the process ends.
+ * The stream is not the one that pino would make: that one writes its rest synchronously when the
+ * process ends, and a reader that does not read would keep a host from ever ending.
+ *
+ * @returns The sink.
  */
-export function stdoutSink(): LineSink & { readonly flush: () => void } {
-  const destination = openDestination({
+export function stdoutSink(): FlushableSink {
+  const stream = new SonicBoom({
     fd: STDOUT,
     sync: false,
     minLength: WRITE_BYTES,
@@ -27,19 +40,17 @@
     periodicFlush: FLUSH_MS,
   });
   // A reader that has gone must not end the process; its lines are lost with it.
-  destination.on('error', () => undefined);
+  stream.on('error', () => undefined);
   const logger = pino(
     { base: null, timestamp: false, formatters: { level: (level) => ({ level }) } },
-    destination,
+    stream,
   );
   return {
     write: (fields) => logger.info(fields),
-    flush: () => {
-      try {
-        destination.flushSync();
-      } catch {
-        // The output is not open or its reader has gone: there is nobody to read the last lines.
-      }
-    },
+    flush: () =>
+      new Promise((resolve) => {
+        setTimeout(resolve, LAST_FLUSH_MS);
+        stream.flush(() => resolve());
+      }),
   };
 }
--- /dev/null
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { explainRequest } from '../../src/observe/explainRequest.ts';
+
+const LINES = [
+  'h1 {"t":1000,"part":"deployment","event":"store_lost","kind":"config","reason":"reset"}',
+  'h1 {"t":1500,"part":"request","event":"accepted","id":"r1","version":7}',
+  'h1 {"t":1700,"part":"attempt","event":"attempt_failed","id":"r1","engine":"e1","dispatched":true}',
+  'h2 {"t":1600,"part":"request","event":"accepted","id":"r2","version":7}',
+  'h2 {"t":1650,"part":"deployment","event":"store_lost","kind":"config","reason":"reset"}',
+  'h1 {"t":1710,"part":"request","event":"refused","id":"r1","code":"upstream_failed"}',
+  'h1 {"t":17',
+  'a line of something else',
+];
+
+test('the story of a request has its own lines and what its host believed', () => {
+  const story = explainRequest('r1', [...LINES].reverse());
+  assert.equal(story.length, 4);
+  assert.match(story[0] ?? '', /-500 ms \* h1 deployment\.store_lost/);
+  assert.match(story[3] ?? '', /210 ms {3}h1 request\.refused code=upstream_failed/);
+});
+
+test('a request that no log names has no story', () => {
+  assert.deepEqual(explainRequest('r9', LINES), []);
+});
--- /dev/null
+++ b/packages/router/tests/observe/stdoutSink.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { test } from 'node:test';
+
+const WRITER = `
+import { stdoutSink } from './packages/router/src/observe/stdoutSink.ts';
+const sink = stdoutSink();
+const startedAt = Date.now();
+for (let i = 0; i < 200000; i += 1) sink.write({ event: 'x', filler: 'y'.repeat(80), i });
+setTimeout(() => { process.stderr.write(String(Date.now() - startedAt)); process.exit(0); }, 100);
+`;
+
+// The reader of the logs stops reading, so the pipe is full. If writing waited for it, the host would
+// stop serving callers because of its logs.
+test('a reader that does not read holds nothing up', async () => {
+  const args = ['--import', 'tsx', '--input-type=module', '-e', WRITER];
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  child.stdout.pause();
+  let message = '';
+  child.stderr.on('data', (chunk: Buffer) => {
+    message += chunk.toString();
+  });
+  const limit = setTimeout(() => child.kill('SIGKILL'), 30_000);
+  const code = await new Promise((resolve) => {
+    child.on('exit', resolve);
+  });
+  clearTimeout(limit);
+  assert.equal(code, 0, `ended with ${String(code)}: ${message}`);
+});
