--- a/packages/router/src/observe/stdoutSink.ts
+++ b/packages/router/src/observe/stdoutSink.ts
@@ -1,5 +1,5 @@
 import { pino } from 'pino';
-import { SonicBoom } from 'sonic-boom';
+import SonicBoom from 'sonic-boom';
 import type { LineSink } from './BoundedLog.ts';
 
 /** File descriptor of standard output. */
