Leave a watch that shows less than a peer knows, and end each within three seconds

Ruled out: the placing (the engine was listed as usable), the duration of the prefill alone (0.45 s of the 2.47 s). Test first seen failing: a silent watch kept the old list. Forwarded calls have tests of their own, with scripted engines and servers.

--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -15,10 +15,11 @@
 import { ServerRoster } from './ServerRoster.ts';
 
 /**
- * Longest wait of one watch, in milliseconds. A watch can go silent for good; what it missed must be
- * in force about five seconds after its connection was lost, and each call to the store costs.
+ * Longest wait of one watch, in milliseconds. A watch can go silent for good. Together with the
+ * deadline of a call it ends within three seconds, so that a server that leaves meanwhile gets no
+ * request later than its notice allows; a shorter wait would cost more calls to the store.
  */
-const WATCH_MS: Millis = 2_400;
+const WATCH_MS: Millis = 1_800;
 
 const log = stateLog('deployment');
 
@@ -70,9 +71,9 @@
     void this.servers.run(signal);
   }
 
-  /** Gets the versions of the store up to which this host knows configuration and servers. */
+  /** Gets the versions of the store at the last changes of configuration and servers known here. */
   getVersions(): { readonly config: ObjectVersion; readonly servers: ObjectVersion } {
-    return { config: this.configs.getVersion(), servers: this.servers.getVersion() };
+    return { config: this.configs.getChangedAt(), servers: this.servers.getChangedAt() };
   }
 
   /** Takes in the versions that a peer knows. */
--- a/packages/router/src/cli/serveCommand.ts
+++ b/packages/router/src/cli/serveCommand.ts
@@ -1,7 +1,10 @@
+import { SystemClock } from '@camphorvane/core';
 import { EXIT } from '@camphorvane/operator';
 import type { CommandModule } from 'yargs';
 import { startHost } from '../host/RunningHost.ts';
-import { stateLog } from '../observe/StateLog.ts';
+import { BoundedLog } from '../observe/BoundedLog.ts';
+import { setLogOutput, stateLog } from '../observe/StateLog.ts';
+import { stdoutSink } from '../observe/stdoutSink.ts';
 import { describeSettingsError, readHostSettings } from '../settings/HostSettings.ts';
 
 const log = stateLog('serve');
@@ -26,6 +29,7 @@
 };
 
 async function serve(file: string): Promise<void> {
+  setLogOutput(new BoundedLog(new SystemClock(), stdoutSink()));
   const settings = readHostSettings(file);
   if (settings.isErr()) {
     settings.error.forEach((error) => process.stderr.write(`${describeSettingsError(error)}\n`));
--- /dev/null
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import { after, test } from 'node:test';
+import type { UpstreamError } from '@camphorvane/upstream';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import {
+  endOf,
+  failing,
+  ForwardFleet,
+  textOfAnswer,
+  wholeStream,
+} from '../support/ForwardFleet.ts';
+
+after(() => ForwardFleet.stopAll());
+
+const CRASHED: UpstreamError = { type: 'broken', dispatched: true, message: 'crashed' };
+const FULL: UpstreamError = { type: 'rejected', dispatched: false, message: 'full' };
+const DOWN: UpstreamError = { type: 'unreachable', dispatched: false, message: 'down' };
+
+test('a stream is read by one engine, answered by another, and passed on piece by piece', async () => {
+  const fleet = new ForwardFleet({});
+  const events = await fleet.send('/llm/x');
+  assert.equal(textOfAnswer(events), '0;1;2;3;');
+  assert.equal(endOf(events), 'done');
+  assert.deepEqual(fleet.prefills, ['p1']);
+});
+
+// A decode engine has filled up unseen, and refuses after the prompt was read. To read the prompt
+// again would double the load on prefill engines in the very moment in which they are busiest.
+test('a prompt that was read is offered to another decode engine', async () => {
+  const fleet = new ForwardFleet({ decode: { d1: failing(0, FULL), d2: wholeStream } });
+  const twice = await Promise.all([fleet.send('/llm/x'), fleet.send('/llm/y')]);
+  twice.forEach((events) => assert.equal(textOfAnswer(events), '0;1;2;3;'));
+  assert.equal(fleet.prefills.length, 2);
+});
+
+// An engine crashes in the middle of a stream that may not run twice. What was passed on is all that
+// there is, and nobody may say that the request has not run.
+test('a stream that may not go on elsewhere ends, and says that it may have run', async () => {
+  const script = failing(2, CRASHED);
+  const fleet = new ForwardFleet({ decode: { d1: script, d2: script } });
+  const events = await fleet.send('/llm/x');
+  assert.equal(textOfAnswer(events), '0;1;');
+  assert.equal(endOf(events), 'upstream_failed unknown');
+  assert.equal(fleet.decodes.length, 1);
+});
+
+// The same crash, where the operators allow the stream to go on. The caller must get each piece once.
+test('a stream that may go on does so at the piece where it stopped', async () => {
+  let crashes = 0;
+  const once: typeof wholeStream = async function* script(cmd) {
+    crashes += 1;
+    if (crashes > 1) yield* wholeStream(cmd);
+    else yield* failing(2, CRASHED)(cmd, new AbortController().signal);
+  };
+  const fleet = new ForwardFleet({ decode: { d1: once, d2: once }, route: { resumable: true } });
+  const events = await fleet.send('/llm/x');
+  assert.equal(textOfAnswer(events), '0;1;2;3;');
+  assert.equal(events.filter((event) => event.type === 'head').length, 1);
+  assert.equal(endOf(events), 'done');
+  assert.equal(new Set(fleet.decodes).size, 2);
+});
+
+// A caller goes on by itself after its connection broke, and names the last piece that it has.
+test('a caller that goes on gets what it lacks', async () => {
+  const fleet = new ForwardFleet({ route: { resumable: true } });
+  const work = { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: 1 };
+  assert.equal(textOfAnswer(await fleet.send('/llm/x', { work })), '2;3;');
+});
+
+// All decode engines are down. Nothing has run, and the caller may send the request again.
+test('a stream that no engine took is refused as not run', async () => {
+  const fleet = new ForwardFleet({ decode: { d1: failing(0, DOWN), d2: failing(0, DOWN) } });
+  const events = await fleet.send('/llm/x');
+  assert.match(endOf(events), / not_run$/);
+});
+
+// A caller closes its connection while its answer is made. The engine would hold its memory for a
+// summary that nobody reads.
+test('the engine stops when the caller has gone', async () => {
+  let stopped = false;
+  const fleet = new ForwardFleet({
+    decode: Object.fromEntries(
+      ['d1', 'd2'].map((id) => [
+        id,
+        async function* script(cmd, signal) {
+          yield* (await import('../support/ForwardFleet.ts')).pieces(cmd, 0, 1);
+          await new Promise<void>((resolve) => {
+            signal.addEventListener('abort', () => resolve(), { once: true });
+          });
+          stopped = true;
+        } satisfies import('../support/ForwardFleet.ts').DecodeScript,
+      ]),
+    ),
+  });
+  const gone = new AbortController();
+  const sent = fleet.send('/llm/x', {}, gone.signal);
+  setTimeout(() => gone.abort(), 50);
+  await sent;
+  assert.ok(stopped);
+  assert.ok(fleet.cancelled.length > 0);
+});
+
+test('an engine’s own failure is passed on as it is, and not repeated', async () => {
+  const fleet = new ForwardFleet({
+    decode: Object.fromEntries(
+      ['d1', 'd2'].map((id) => [
+        id,
+        async function* script(cmd) {
+          const head = { status: 500, headers: { 'x-own': '1' } };
+          yield (await import('neverthrow')).ok({
+            type: 'answer' as const,
+            attempt: cmd.attempt,
+            head,
+            body: Buffer.from('failed'),
+          });
+        } satisfies import('../support/ForwardFleet.ts').DecodeScript,
+      ]),
+    ),
+  });
+  const events = await fleet.send('/llm/x');
+  assert.deepEqual(events[0], { type: 'head', status: 500, headers: { 'x-own': '1' } });
+  assert.equal(textOfAnswer(events), 'failed');
+  assert.equal(fleet.decodes.length, 1);
+});
+
+// A server runs a certificate's issue, and its answer is lost. Sent to the other server, the
+// certificate would be issued twice.
+test('a call that must not repeat is sent once, whatever becomes of it', async () => {
+  const fleet = new ForwardFleet({
+    call: { s1: () => errAsync(CRASHED), s2: () => errAsync(CRASHED) },
+  });
+  const events = await fleet.send('/once/x', { work: undefined });
+  assert.equal(endOf(events), 'outcome_unknown unknown');
+  assert.equal(fleet.calls.length, 1);
+});
+
+test('a call that must not repeat goes on to another server where the first was not reached', async () => {
+  const fleet = new ForwardFleet({ call: { s1: () => errAsync(DOWN) } });
+  const results = await Promise.all([
+    fleet.send('/once/x', { work: undefined }),
+    fleet.send('/once/y', { work: undefined }),
+  ]);
+  results.forEach((events) => assert.equal(textOfAnswer(events), 'ok'));
+});
+
+test('a lookup goes to another server after a failure, and gets the last failure if all fail', async () => {
+  const failed = { status: 500, headers: {}, body: Buffer.from('own failure') };
+  const fleet = new ForwardFleet({
+    call: { s1: () => okAsync(failed), s2: () => okAsync(failed) },
+  });
+  const events = await fleet.send('/safe/x', { method: 'GET', work: undefined });
+  assert.equal(textOfAnswer(events), 'own failure');
+  assert.deepEqual([...fleet.calls].sort(), ['s1', 's2']);
+});
+
+// A server takes a call and never answers. The caller is told when its route's time is over, and not
+// when it has given up by itself.
+test('a call that no server answers ends at the time of its route', async () => {
+  const fleet = new ForwardFleet({
+    call: Object.fromEntries(
+      ['s1', 's2'].map((id) => [
+        id,
+        (_call, signal) =>
+          new ResultAsync(
+            new Promise((resolve) => {
+              signal.addEventListener('abort', async () => resolve(await errAsync(CRASHED)), {
+                once: true,
+              });
+            }),
+          ),
+      ]),
+    ),
+    route: { timeoutMs: 200 },
+  });
+  const startedAt = Date.now();
+  const events = await fleet.send('/safe/x', { method: 'GET', work: undefined });
+  assert.equal(endOf(events), 'timed_out unknown');
+  assert.ok(Date.now() - startedAt < 600);
+});
+
+test('a key that is not in force, and a path without a route, reach no upstream', async () => {
+  const fleet = new ForwardFleet({});
+  assert.equal(endOf(await fleet.send('/llm/x', { key: 'other' })), 'unknown_key not_run');
+  assert.equal(endOf(await fleet.send('/llm/x', { key: undefined })), 'missing_key not_run');
+  assert.equal(endOf(await fleet.send('/nowhere/x')), 'unknown_service not_run');
+  assert.equal(endOf(await fleet.send('/llm/x', { host: 'o.example' })), 'unknown_service not_run');
+  assert.deepEqual([...fleet.prefills, ...fleet.calls], []);
+});
+
+// A host is told to stop while requests still come. Those that come while it leaves are served; once
+// it is closed they are refused truthfully, and sent to another host.
+test('a leaving host serves until it closes', async () => {
+  const fleet = new ForwardFleet({});
+  await fleet.host.beginDrain();
+  assert.equal(endOf(await fleet.send('/llm/x')), 'done');
+  await fleet.host.finishDrain(100);
+  assert.equal(endOf(await fleet.send('/llm/x')), 'host_draining not_run');
+});
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -42,6 +42,12 @@
 /** Cheap reads after which what is known to be newer is read at its full price. */
 const CHEAP_TRIES = 2;
 
+/**
+ * Milliseconds that a watch is given to show what a peer knows already. After that its connection is
+ * taken to have gone silent, and everything is read anew over another one.
+ */
+const WATCH_LAG_MS: Millis = 250;
+
 /** Retries while the store is away, in milliseconds: soon, since changes must be in force soon. */
 const RETRY = { baseMs: 100, maxMs: 500 };
 
@@ -66,7 +72,10 @@
 
   private isLost = false;
 
-  /** Highest version that a peer has named. */
+  /** Version of the store at the last change of this kind that is known here. */
+  private changedAt: ObjectVersion = 0;
+
+  /** Highest version of a change that a peer has named. */
   private named: ObjectVersion = 0;
 
   private wake: () => void = () => undefined;
@@ -88,7 +97,12 @@
     return this.after ?? 0;
   }
 
-  /** Takes in that a peer knows of a version; one that is newer than this copy is read soon. */
+  /** Gets the version of the store at the last change of this kind; 0 before the first answer. */
+  getChangedAt(): ObjectVersion {
+    return this.changedAt;
+  }
+
+  /** Takes in that a peer knows of a change; one that is newer than this copy is read soon. */
   hearOf(version: ObjectVersion): void {
     if (version <= this.named) return;
     this.named = version;
@@ -135,6 +149,8 @@
     if (snapshot.value.version < this.getVersion()) return undefined;
     this.objects = new Map(snapshot.value.objects.map((object) => [object.name, object]));
     this.after = snapshot.value.version;
+    const versions = snapshot.value.objects.map((object) => object.version);
+    this.changedAt = versions.reduce((a, b) => Math.max(a, b), this.changedAt);
     this.noteRound();
     return undefined;
   }
@@ -142,7 +158,15 @@
   /** Waits for changes; gets why that failed. A history that is gone is read anew at once. */
   private async wait(after: ObjectVersion, signal: AbortSignal): Promise<string | undefined> {
     const { store, kind, watchMs } = this.options;
-    const batch = await store.watch(kind, after, watchMs, signal);
+    const overtaken = new AbortController();
+    this.wake = () => this.giveUpLater(overtaken);
+    const either = AbortSignal.any([signal, overtaken.signal]);
+    const batch = await store.watch(kind, after, watchMs, either);
+    this.wake = () => undefined;
+    if (overtaken.signal.aborted) {
+      this.after = undefined;
+      return undefined;
+    }
     if (batch.isErr()) {
       this.after = undefined;
       return batch.error.type === 'invalid' ? undefined : describe(batch.error);
@@ -150,10 +174,21 @@
     const { events, next } = batch.value;
     this.objects = events.reduce(applyEvent, this.objects);
     this.after = Math.max(after, next);
+    if (events.length > 0) this.changedAt = this.after;
     this.noteRound();
     return undefined;
   }
 
+  /**
+   * A watch can go silent for good while new connections work. A peer that knows of a newer change is
+   * a sign of it long before the watch's own deadline.
+   */
+  private giveUpLater(overtaken: AbortController): void {
+    this.options.clock.after(WATCH_LAG_MS, () => {
+      if (this.named > this.getVersion()) overtaken.abort();
+    });
+  }
+
   private noteRound(): void {
     const now = this.options.clock.now();
     const awayMs = this.isLost ? now - this.answeredAt : 0;
--- a/packages/store/tests/follow/KindFollower.test.ts
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -3,12 +3,13 @@
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import type { FollowedKind, PlatformError, WatchBatch, WatchableStore } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
 type Step =
   | { readonly type: 'snapshot'; readonly names: readonly string[]; readonly version: number }
   | { readonly type: 'watch'; readonly put?: string; readonly gone?: string; readonly next: number }
+  | { readonly type: 'hang' }
   | { readonly type: 'fail'; readonly error: PlatformError };
 
 const AWAY: PlatformError = { type: 'unavailable', message: 'away' };
@@ -29,9 +30,10 @@
       const { names, version } = step;
       return okAsync({ objects: names.map((name) => object(name, version)), version });
     },
-    watch: (_kind: string, after: number) => {
+    watch: (_kind: string, after: number, _waitMs: number, signal: AbortSignal) => {
       calls.push(`watch ${after}`);
       const step = steps.shift();
+      if (step?.type === 'hang') return untilAborted(signal);
       if (step === undefined) return hang;
       if (step.type !== 'watch') return errAsync(step.type === 'fail' ? step.error : AWAY);
       const put = step.put === undefined ? [] : [object(step.put, step.next)];
@@ -53,6 +55,14 @@
   return { store: store as unknown as WatchableStore, calls };
 }
 
+function untilAborted(signal: AbortSignal): ResultAsync<WatchBatch, PlatformError> {
+  return new ResultAsync(
+    new Promise<Result<WatchBatch, PlatformError>>((resolve) => {
+      signal.addEventListener('abort', () => resolve(err(AWAY)), { once: true });
+    }),
+  );
+}
+
 async function follow(steps: Step[]): Promise<{
   readonly rounds: readonly FollowedKind[];
   readonly calls: readonly string[];
@@ -114,3 +124,31 @@
   assert.deepEqual(states, ['lost', 'regained']);
   assert.ok((rounds.at(-1)?.awayMs ?? 0) > 0);
 });
+
+// The connection of a watch goes silent while a server leaves. A peer whose watch works has heard of
+// it, and says so; waiting for the watch's own deadline would send requests to that server meanwhile.
+test('a watch that shows less than a peer knows is given up for a new snapshot', async () => {
+  const { store } = scripted([
+    { type: 'snapshot', names: ['a', 'b'], version: 5 },
+    { type: 'hang' },
+    { type: 'snapshot', names: ['b'], version: 9 },
+  ]);
+  const clock = new VirtualClock();
+  const rounds: FollowedKind[] = [];
+  const stop = new AbortController();
+  const follower = new KindFollower({
+    store,
+    kind: 'k',
+    clock,
+    random: new RandomSource(1),
+    watchMs: 60_000,
+    onRound: (round) => rounds.push(round),
+  });
+  void follower.run(stop.signal);
+  await clock.advance(1_000);
+  assert.deepEqual(namesOf(rounds.at(-1)), ['a', 'b']);
+  follower.hearOf(8);
+  await clock.advance(1_000);
+  stop.abort();
+  assert.deepEqual(namesOf(rounds.at(-1)), ['b']);
+});
