--- a/packages/router/tests/serving/Forwarding.test.ts
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
+import type { DecodeScript } from '../support/ForwardFleet.ts';
 import {
   endOf,
   failing,
   ForwardFleet,
+  pieces,
   textOfAnswer,
   wholeStream,
 } from '../support/ForwardFleet.ts';
@@ -83,12 +85,12 @@
       ['d1', 'd2'].map((id) => [
         id,
         async function* script(cmd, signal) {
-          yield* (await import('../support/ForwardFleet.ts')).pieces(cmd, 0, 1);
+          yield* pieces(cmd, 0, 1);
           await new Promise<void>((resolve) => {
             signal.addEventListener('abort', () => resolve(), { once: true });
           });
           stopped = true;
-        } satisfies import('../support/ForwardFleet.ts').DecodeScript,
+        } satisfies DecodeScript,
       ]),
     ),
   });
@@ -107,13 +109,13 @@
         id,
         async function* script(cmd) {
           const head = { status: 500, headers: { 'x-own': '1' } };
-          yield (await import('neverthrow')).ok({
+          yield ok({
             type: 'answer' as const,
             attempt: cmd.attempt,
             head,
             body: Buffer.from('failed'),
           });
-        } satisfies import('../support/ForwardFleet.ts').DecodeScript,
+        } satisfies DecodeScript,
       ]),
     ),
   });
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -14,9 +14,8 @@
   ServiceCall,
   UpstreamError,
 } from '@camphorvane/upstream';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
-import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
+import { err, errAsync, ok, okAsync } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
 import { SharedRates } from '../../src/agreement/SharedRates.ts';
 import { LocalPlacer } from '../../src/placing/LocalPlacer.ts';
 import { CrashDesk } from '../../src/serving/CrashDesk.ts';
@@ -153,9 +152,7 @@
           id: 'plain',
           timeoutMs: 60_000,
           routes: [],
-          servers: ['s1', 's2'].map((id): ServiceServer => {
-            return { id, url: `http://${id}`, zone: 'a', maxConcurrent: 4 };
-          }),
+          servers: ['s1', 's2'].map((id): ServiceServer => ({ id, url: `http://${id}`, zone: 'a', maxConcurrent: 4 })),
         },
       ],
       waitRules: [],
