--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -152,7 +152,12 @@
           id: 'plain',
           timeoutMs: 60_000,
           routes: [],
-          servers: ['s1', 's2'].map((id): ServiceServer => ({ id, url: `http://${id}`, zone: 'a', maxConcurrent: 4 })),
+          servers: ['s1', 's2'].map((id): ServiceServer => ({
+            id,
+            url: `http://${id}`,
+            zone: 'a',
+            maxConcurrent: 4,
+          })),
         },
       ],
       waitRules: [],
