--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -1,16 +1,7 @@
-import type { HostId, Incarnation, Millis, ZoneId } from '@camphorvane/core';
+import type { HostId, Millis } from '@camphorvane/core';
 import { wordPace } from '@camphorvane/decisions';
 import type { GroupMate } from '../host/ports.ts';
-
-/** What a host writes of itself into the store. */
-export interface HostRecord {
-  readonly host: HostId;
-  readonly incarnation: Incarnation;
-  readonly zone: ZoneId;
-  readonly callerAddress: string;
-  readonly peerAddress: string;
-  readonly leaving: boolean;
-}
+import type { HostRecord } from './hostRecord.ts';
 
 /** Milliseconds without a hint before which a host is recommended to callers in any fleet. */
 const LEAST_SILENT_MS: Millis = 1_200;
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -19,7 +19,8 @@
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { SharedRates } from './SharedRates.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
-import type { HostRecord } from './HostRoster.ts';
+import type { HostRecord } from './hostRecord.ts';
+import { readHostRecord } from './hostRecord.ts';
 import { HostRoster } from './HostRoster.ts';
 
 /** Part of the time between two writes of a record after which all are read; old answers will do. */
@@ -56,8 +57,8 @@
 /**
  * Hosts that each act on their own knowledge, with the store as the only common truth.
  *
- * Nobody coordinates, so no host's death, freeze or cut makes others wait. Each takes an equal share
- * of rates and repeats, places on engines by itself, and tells the others what it has there.
+ * Nobody coordinates, so no host's death, freeze or cut makes others wait. Each places on engines by
+ * itself, charges rates by what all have charged, and tells the others what it has and has charged.
  */
 export class StoreAgreement implements HostAgreement, GroupGate {
   readonly config: DeploymentFeed;
@@ -92,6 +93,9 @@
 
   private sequence = 0;
 
+  /** The newest word of each peer. */
+  private readonly lastWords = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
+
   /** What the last hint told of. */
   private toldNews = '';
 
@@ -245,7 +249,7 @@
 
   private takeRecords(objects: readonly StoredObject[]): void {
     const records = objects
-      .map((object) => ({ record: readRecord(object), version: object.version }))
+      .map((object) => ({ record: readHostRecord(object), version: object.version }))
       .flatMap(({ record, version }) => (record === undefined ? [] : [{ record, version }]));
     this.hosts.update(records, this.clock.now());
     this.hosts.getExpired().forEach(({ host, version }) => {
@@ -307,8 +311,16 @@
     this.options.hints.send(hint, this.hosts.getPeerAddresses());
   }
 
+  /** Datagrams can overtake each other; an older word would take back what a newer one said. */
+  private isOld({ host, incarnation, sequence }: HostHint): boolean {
+    const last = this.lastWords.get(host);
+    if (last?.incarnation === incarnation && last.sequence >= sequence) return true;
+    this.lastWords.set(host, { incarnation, sequence });
+    return false;
+  }
+
   private hear(hint: HostHint): void {
-    if (hint.host === this.context.identity.host) return;
+    if (hint.host === this.context.identity.host || this.isOld(hint)) return;
     this.hosts.hear(hint.host, hint.leaving, this.clock.now());
     this.rates.hear(hint);
     this.config.hearOf(hint.versions);
@@ -317,16 +329,6 @@
   }
 }
 
-/** Gets a host's record; undefined for an object of another shape. */
-function readRecord({ value }: StoredObject): HostRecord | undefined {
-  const record = value as Partial<HostRecord> | null;
-  if (record === null || typeof record !== 'object') return undefined;
-  const { host, zone, callerAddress, peerAddress, incarnation, leaving } = record;
-  const texts = [host, zone, callerAddress, peerAddress, incarnation];
-  if (texts.some((text) => typeof text !== 'string')) return undefined;
-  return { ...(record as HostRecord), leaving: leaving === true };
-}
-
 /**
  * Gets the factory of an agreement over a store.
  *
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -227,6 +227,7 @@
     if (known !== undefined) return known;
     const placement = new LocalPlacement(this.book, this.health);
     const pool: LocalPool = {
+      model,
       placement,
       queue: new LocalQueue(placement),
       waiting: new Map(),
@@ -277,7 +278,7 @@
     const waiting = pool.waiting.get(request);
     if (waiting === undefined) return;
     const { item } = waiting;
-    const model = [...this.pools].find(([, one]) => one === pool)?.[0] ?? '';
+    const { model } = pool;
     const memoryTokens = meanMemory(item);
     this.placed += 1;
     const reservation = `${this.prefix}.p${this.placed}`;
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -24,6 +24,7 @@
 
 /** The requests of one model on this host. */
 export interface LocalPool {
+  readonly model: ModelId;
   readonly placement: LocalPlacement;
   readonly queue: LocalQueue;
   readonly waiting: Map<RequestId, WaitingRequest>;
--- a/packages/router/tests/agreement/HostRoster.test.ts
+++ b/packages/router/tests/agreement/HostRoster.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { HostRecord } from '../../src/agreement/HostRoster.ts';
+import type { HostRecord } from '../../src/agreement/hostRecord.ts';
 import { HostRoster } from '../../src/agreement/HostRoster.ts';
 
 function record(host: string, leaving = false): HostRecord {
