--- a/packages/store/src/PlatformHttp.ts
+++ b/packages/store/src/PlatformHttp.ts
@@ -46,25 +46,33 @@
 /** Connections of one host to the platform: a few watches wait while short calls go on. */
 const DEFAULT_CONNECTIONS = 16;
 
+/**
+ * Milliseconds that making a connection may take. A host that is cut off sends its opening packet in
+ * vain, and the system sends it again after seconds only; a new connection gets through at once when
+ * the cut has healed.
+ */
+const CONNECT_TIMEOUT_MS: Millis = 500;
+
 /** Carries single calls to the platform over HTTP, with a deadline on the project's clock. */
 export class PlatformHttp {
   private readonly baseUrl: string;
 
   private readonly clock: Clock;
 
-  private readonly dispatcher: Dispatcher;
+  private readonly connections: number;
+
+  /** Connections that were given from outside, which are not this class's to renew. */
+  private readonly given: Dispatcher | undefined;
+
+  private dispatcher: Dispatcher;
 
   /** @param options - Where the platform is and what the calls run on. */
   constructor(options: PlatformHttpOptions) {
     this.baseUrl = options.baseUrl.replace(/\/+$/, '');
     this.clock = options.clock;
-    this.dispatcher =
-      options.dispatcher ??
-      new Agent({
-        connections: options.connections ?? DEFAULT_CONNECTIONS,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
+    this.connections = options.connections ?? DEFAULT_CONNECTIONS;
+    this.given = options.dispatcher;
+    this.dispatcher = options.dispatcher ?? this.newAgent();
   }
 
   /**
@@ -90,8 +98,9 @@
     const cancel = this.clock.after(call.timeoutMs, end);
     call.signal?.addEventListener('abort', end, { once: true });
     try {
-      return ok(await this.exchange(call, abort.signal));
+      return ok(await Promise.race([this.exchange(call, abort.signal), rejectOn(abort.signal)]));
     } catch (error) {
+      if (abort.signal.aborted) this.renew();
       return err(unavailable(describe(error, abort.signal.aborted, call)));
     } finally {
       cancel();
@@ -99,6 +108,28 @@
     }
   }
 
+  /**
+   * Leaves all connections so far; calls that are under way on them may end.
+   *
+   * Where one connection has gone silent, something on the way has lost track of it, and most likely
+   * of its siblings too. Each call that tried one of them would wait for its deadline.
+   */
+  private renew(): void {
+    if (this.given !== undefined) return;
+    const old = this.dispatcher;
+    this.dispatcher = this.newAgent();
+    void old.close();
+  }
+
+  private newAgent(): Agent {
+    return new Agent({
+      connections: this.connections,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
   private async exchange(call: PlatformCall, signal: AbortSignal): Promise<PlatformAnswer> {
     const hasBody = call.body !== undefined;
     const res = await request(`${this.baseUrl}${call.path}`, {
@@ -117,6 +148,19 @@
   }
 }
 
+/**
+ * Rejects when a signal is aborted. undici takes an abort into account only once a request has its
+ * connection, so a call that waits for one would outlive its deadline by seconds, and a change of the
+ * configuration would be seen that much later.
+ */
+function rejectOn(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    signal.addEventListener('abort', () => reject(new Error('ended by its deadline')), {
+      once: true,
+    });
+  });
+}
+
 /** Makes the error for a call that got no answer. */
 export function unavailable(message: string): PlatformError {
   return { type: 'unavailable', message };
--- /dev/null
+++ b/packages/store/tests/PlatformHttp.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { test } from 'node:test';
+import { SystemClock } from '@camphorvane/core';
+import { PlatformHttp } from '@camphorvane/store';
+import type { Dispatcher } from 'undici';
+
+// Something between a host and the store loses track of all open connections: they stay open and say
+// nothing any more, while new ones work. A host that tries its old connections one after the other
+// learns of a change seconds too late, and refuses a caller by a configuration that is gone.
+test('after one connection went silent the next call uses a new one', async () => {
+  const open = new Set<Socket>();
+  const silent = new Set<Socket>();
+  const server = createServer((req, res) => {
+    if (!silent.has(req.socket)) setTimeout(() => res.end('{}'), 20);
+  });
+  server.on('connection', (socket) => open.add(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const baseUrl = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const http = new PlatformHttp({ baseUrl, clock: new SystemClock(), connections: 4 });
+  const call = (timeoutMs: number) => http.call({ method: 'GET', path: '/', timeoutMs });
+  const first = await Promise.all([call(1_000), call(1_000), call(1_000)]);
+  assert.ok(first.every((answer) => answer.isOk()));
+  open.forEach((socket) => silent.add(socket));
+  assert.equal((await call(100)).isErr(), true);
+  assert.equal((await call(500)).isOk(), true);
+  await http.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+// A host is cut off from the store, so a new connection to it can't be made, and nothing says so. A
+// call that waited for the connection instead of its own deadline would keep the host on an old
+// configuration for seconds after the cut has healed.
+test('a call that gets no connection ends at its own deadline', async () => {
+  const never = { dispatch: () => true } as unknown as Dispatcher;
+  const http = new PlatformHttp({
+    baseUrl: 'http://127.0.0.1:1',
+    clock: new SystemClock(),
+    dispatcher: never,
+  });
+  const startedAt = Date.now();
+  const answer = await http.call({ method: 'GET', path: '/', timeoutMs: 50 });
+  assert.equal(answer._unsafeUnwrapErr().type, 'unavailable');
+  assert.ok(Date.now() - startedAt < 500);
+});
