Draw engines by lot in large fleets, against herding on old words

From 20 hosts on; smaller fleets choose as before. The test of silent connections could open a new one by itself; it now has as many connections as are silent.

--- a/packages/decisions/src/local/EngineUse.ts
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -49,6 +49,11 @@
     this.peers.set(peer, { at: now, uses });
   }
 
+  /** Gets how many peers have said what they have. */
+  getPeerCount(): number {
+    return this.peers.size;
+  }
+
   /** Gets what this host has on each engine, to be told to its peers. */
   getOwn(): ReadonlyMap<UpstreamId, EngineUse> {
     return this.own;
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -1,5 +1,5 @@
 import type { EngineConfig, Millis, Tokens, UpstreamId } from '@camphorvane/core';
-import { TOKENS_PER_PIECE } from '@camphorvane/core';
+import { RandomSource, TOKENS_PER_PIECE } from '@camphorvane/core';
 import type { EngineHealth } from './EngineHealth.ts';
 import type { UseBook } from './EngineUse.ts';
 
@@ -45,6 +45,15 @@
  */
 const MEMORY_PART = 0.95;
 
+/**
+ * Hosts from which on engines are drawn by lot before the best is taken. So many hosts choose on words
+ * that are up to a second old; all would choose the engine that looked emptiest, and fill it together.
+ */
+const DRAW_FROM_HOSTS = 20;
+
+/** Engines of each role that are drawn. */
+const DRAWN = 3;
+
 interface Reader {
   readonly cfg: EngineConfig;
   readonly readMs: Millis;
@@ -76,13 +85,17 @@
 
   private readonly health: EngineHealth;
 
+  private readonly random: RandomSource;
+
   /**
+   * @param random - Draws engines in large fleets.
    * @param book - What all hosts have on the engines.
    * @param health - How the engines did lately.
    */
-  constructor(book: UseBook, health: EngineHealth) {
+  constructor(book: UseBook, health: EngineHealth, random: RandomSource = new RandomSource(1)) {
     this.book = book;
     this.health = health;
+    this.random = random;
   }
 
   /** Takes a changed list of engines into force. */
@@ -103,8 +116,8 @@
    * @returns The engines, or undefined while no decode engine has room.
    */
   choose(wish: PlacementWish, now: Millis): EnginePair | undefined {
-    const writers = this.writers(wish, now);
-    const readers = this.readers(wish, now);
+    const writers = this.draw(this.writers(wish, now));
+    const readers = this.draw(this.readers(wish, now));
     const apart = writers.flatMap((writer) => readers.map((reader) => apartChoice(reader, writer)));
     const direct = writers
       .filter((writer) => !writer.isReading)
@@ -140,6 +153,15 @@
     return pair.prefill === undefined ? ms * DECODE_READ_FACTOR : ms;
   }
 
+  private draw<T>(all: readonly T[]): readonly T[] {
+    if (this.book.getPeerCount() + 1 < DRAW_FROM_HOSTS || all.length <= DRAWN) return all;
+    return all
+      .map((one) => ({ one, lot: this.random.next() }))
+      .sort((a, b) => a.lot - b.lot)
+      .slice(0, DRAWN)
+      .map(({ one }) => one);
+  }
+
   private directChoice({ cfg, fill }: Writer, wish: PlacementWish): Choice {
     const readMs = this.health.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
     return {
--- a/packages/decisions/tests/local/LocalPlacement.test.ts
+++ b/packages/decisions/tests/local/LocalPlacement.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { EngineConfig } from '@camphorvane/core';
+import { RandomSource } from '@camphorvane/core';
 import { EngineHealth, LocalPlacement, UseBook } from '@camphorvane/decisions';
 
 const WISH = { promptTokens: 5_000, memoryTokens: 8_000, avoid: [] };
@@ -78,3 +79,19 @@
   book.change('d1', { memoryTokens: 72_000 });
   assert.equal(placement.choose(WISH, 0), undefined);
 });
+
+// Ninety hosts choose at the same moment, on words that are a second old. If all took the engine that
+// looked emptiest, it would be filled several times over, and refuse prompts that were read in vain.
+test('hosts of a large fleet do not all choose the same engine', () => {
+  const engines = Array.from({ length: 20 }, (_, i) => engine(`d${i}`, 'decode'));
+  const chosen = Array.from({ length: 90 }, (_, seed) => {
+    const book = new UseBook();
+    Array.from({ length: 89 }, (__, i) => book.hear(`h${i}`, new Map(), 0));
+    book.change('d0', { memoryTokens: 100 });
+    const placement = new LocalPlacement(book, new EngineHealth(), new RandomSource(seed));
+    placement.reshape(engines);
+    return placement.choose(WISH, 0)?.decode;
+  });
+  const most = Math.max(...engines.map(({ id }) => chosen.filter((one) => one === id).length));
+  assert.ok(most <= 25, `${most} of 90 chose one engine`);
+});
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -125,7 +125,7 @@
     const sharers = (): number => this.hosts.countSharers();
     this.rates = new SharedRates(clock, options.tolerance);
     this.repeats = serviceRepeats(new RepeatBudget(options.repeats, sharers));
-    this.placer = new LocalPlacer(clock, directory, incarnation);
+    this.placer = new LocalPlacer(clock, random, directory, incarnation);
     this.crashes = new CrashDesk({
       self: identity.host,
       clock,
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -3,6 +3,7 @@
   Clock,
   HostId,
   ModelId,
+  RandomSource,
   RequestId,
   ReservationId,
   UpstreamId,
@@ -59,14 +60,23 @@
   /** Next look at a pool whose requests wait. */
   private readonly looks = new Map<LocalPool, CancelTimer>();
 
+  private readonly random: RandomSource;
+
   private placed = 0;
 
   /**
    * @param clock - Times waits.
+   * @param random - Draws engines in large fleets.
    * @param directory - Knows the engines.
    * @param incarnation - Names this start of the host; reservations begin with it.
    */
-  constructor(clock: Clock, directory: UpstreamDirectory, incarnation: string) {
+  constructor(
+    clock: Clock,
+    random: RandomSource,
+    directory: UpstreamDirectory,
+    incarnation: string,
+  ) {
+    this.random = random;
     this.clock = clock;
     this.directory = directory;
     this.prefix = incarnation;
@@ -225,7 +235,7 @@
   private poolFor(model: ModelId): LocalPool {
     const known = this.pools.get(model);
     if (known !== undefined) return known;
-    const placement = new LocalPlacement(this.book, this.health);
+    const placement = new LocalPlacement(this.book, this.health, this.random);
     const pool: LocalPool = {
       model,
       placement,
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -194,7 +194,7 @@
       group,
       rates: new SharedRates(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       repeats: serviceRepeats(new RepeatBudget(allowance, () => 1)),
-      placer: new LocalPlacer(clock, directory, 'i'),
+      placer: new LocalPlacer(clock, new RandomSource(1), directory, 'i'),
       crashes: new CrashDesk({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
       claims: undefined,
       endsWithdrawn: false,
--- a/packages/store/tests/PlatformHttp.test.ts
+++ b/packages/store/tests/PlatformHttp.test.ts
@@ -20,10 +20,13 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const baseUrl = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const http = new PlatformHttp({ baseUrl, clock: new SystemClock(), connections: 4 });
+  const http = new PlatformHttp({ baseUrl, clock: new SystemClock(), connections: 3 });
   const call = (timeoutMs: number) => http.call({ method: 'GET', path: '/', timeoutMs });
   const first = await Promise.all([call(1_000), call(1_000), call(1_000)]);
-  assert.ok(first.every((answer) => answer.isOk()));
+  assert.deepEqual(
+    first.map((answer) => (answer.isOk() ? 'ok' : JSON.stringify(answer.error))),
+    ['ok', 'ok', 'ok'],
+  );
   open.forEach((socket) => silent.add(socket));
   assert.equal((await call(100)).isErr(), true);
   assert.equal((await call(500)).isOk(), true);
