--- a/packages/scenario/src/world/LinkedEngine.ts
+++ b/packages/scenario/src/world/LinkedEngine.ts
@@ -120,6 +120,7 @@
     if (signal.aborted) abort();
     signal.addEventListener('abort', abort, { once: true });
   });
+  // Whoever races against it sees the rejection; where the other side won, nobody is left to tell.
   aborted.catch(() => undefined);
   return aborted;
 }
