Relay words of large fleets through a few hosts, as sums

Cause: every host of a fleet of 91 spoke to every other up to three times a second, 24,000 datagrams in all. Ruled out: slower words alone (rates would be exceeded at the onset of a burst, as peers' pace is learned late); a digest that lists hosts one by one (36 KB at 91 hosts, too much for links of 7 Mbit/s). Now each host tells three relays, which answer with sums; size depends on engines and teams only. Tests: words per host at 12 and 90 hosts, sums, death of all relays, halves that rejoin, a team's rate over a relay's death.

--- a/packages/decisions/src/local/EngineUse.ts
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -20,8 +20,13 @@
  */
 const LEAST_WORD_LIFE_MS: Millis = 1_500;
 
+/** Name under which the sum of all peers is kept where it comes as one. */
+const ALL_PEERS = '';
+
 interface PeerWord {
   readonly at: Millis;
+  /** Hosts whose use it is. */
+  readonly hosts: number;
   readonly uses: ReadonlyMap<UpstreamId, EngineUse>;
 }
 
@@ -46,12 +51,19 @@
 
   /** Takes in what a peer says that it has; it replaces what the peer said before. */
   hear(peer: HostId, uses: ReadonlyMap<UpstreamId, EngineUse>, now: Millis): void {
-    this.peers.set(peer, { at: now, uses });
+    this.peers.delete(ALL_PEERS);
+    this.peers.set(peer, { at: now, hosts: 1, uses });
+  }
+
+  /** Takes in what all peers together have; it replaces all that any of them said before. */
+  hearSum(uses: ReadonlyMap<UpstreamId, EngineUse>, hosts: number, now: Millis): void {
+    this.peers.clear();
+    this.peers.set(ALL_PEERS, { at: now, hosts, uses });
   }
 
-  /** Gets how many peers have said what they have. */
-  getPeerCount(): number {
-    return this.peers.size;
+  /** Gets how many hosts have said what they have, this one included. */
+  getHostCount(): number {
+    return [...this.peers.values()].reduce((sum, word) => sum + word.hosts, 1);
   }
 
   /** Gets what this host has on each engine, to be told to its peers. */
@@ -62,7 +74,7 @@
   /** Gets what all hosts together have on an engine, as far as this host knows. */
   getTotal(engine: UpstreamId, now: Millis): EngineUse {
     const own = this.own.get(engine) ?? NO_USE;
-    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.peers.size + 1).silentMs);
+    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.getHostCount()).silentMs);
     return [...this.peers.values()]
       .filter((word) => now - word.at <= lifeMs)
       .map((word) => word.uses.get(engine) ?? NO_USE)
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -154,7 +154,7 @@
   }
 
   private draw<T>(all: readonly T[]): readonly T[] {
-    if (this.book.getPeerCount() + 1 < DRAW_FROM_HOSTS || all.length <= DRAWN) return all;
+    if (this.book.getHostCount() < DRAW_FROM_HOSTS || all.length <= DRAWN) return all;
     return all
       .map((one) => ({ one, lot: this.random.next() }))
       .sort((a, b) => a.lot - b.lot)
--- a/packages/decisions/src/rates/CountedRates.ts
+++ b/packages/decisions/src/rates/CountedRates.ts
@@ -32,7 +32,20 @@
   readonly level: number;
 }
 
+/** A word that stands for several peers: what a relaying host has heard. */
+export interface CrowdWord {
+  /** The relaying host. */
+  readonly relay: HostId;
+  readonly incarnation: Incarnation;
+  /** Peers whose charges are in the totals. */
+  readonly heard: number;
+  /** Tokens by team that these peers have charged since the relay first heard of each. */
+  readonly totals: ReadonlyMap<TeamId, Tokens>;
+}
+
 interface Peer {
+  /** Hosts that it stands for. */
+  readonly hosts: number;
   readonly incarnation: Incarnation | undefined;
   /** When it last said something; undefined for one that never did. */
   readonly heardAt: Millis | undefined;
@@ -44,6 +57,7 @@
 }
 
 const UNKNOWN_PEER: Peer = {
+  hosts: 1,
   incarnation: undefined,
   heardAt: undefined,
   totals: new Map(),
@@ -51,6 +65,10 @@
   assumed: new Map(),
 };
 
+/** Names under which peers are kept that a relaying host has heard, and those that it has not. */
+const HEARD_CROWD = 'heard by a relay';
+const SILENT_CROWD = 'not heard by a relay';
+
 /**
  * Charges teams against the rate that all hosts share, by what the hosts count.
  *
@@ -75,9 +93,11 @@
   /** Until when callers of a team were told to come back, one after the other. */
   private readonly returnsUntil = new Map<TeamId, Millis>();
 
-  /** All other hosts that may be serving callers. */
+  /** All other hosts that may be serving callers, one by one or as two crowds. */
   private readonly peers = new Map<HostId, Peer>();
 
+  private sharers: readonly HostId[] = [];
+
   private settledAt: Millis = 0;
 
   /** @param tolerance - How far hosts may go beyond a rate together. */
@@ -103,12 +123,27 @@
   /** Takes a changed set of other hosts into force. */
   setSharers(hosts: readonly HostId[], now: Millis): void {
     this.settle(now);
-    [...this.peers.keys()]
-      .filter((host) => !hosts.includes(host))
-      .forEach((host) => this.peers.delete(host));
-    hosts
-      .filter((host) => !this.peers.has(host))
-      .forEach((host) => this.peers.set(host, UNKNOWN_PEER));
+    this.sharers = hosts;
+    const crowd = this.peers.get(HEARD_CROWD);
+    if (crowd === undefined) this.listPeers();
+    else this.setCrowds(crowd);
+  }
+
+  /** Takes in what a relaying host has heard of all peers; it replaces what they said themselves. */
+  hearCrowd({ relay, incarnation, heard, totals }: CrowdWord, now: Millis): void {
+    this.settle(now);
+    const known = this.peers.get(HEARD_CROWD);
+    const source = `${relay} ${incarnation}`;
+    const spoke = known !== undefined && !this.isSilent(known, now) ? known : undefined;
+    // Another relay counts from another start: its sums can't be compared with those of the last one.
+    const isContinuous = spoke?.incarnation === source;
+    if (spoke !== undefined && isContinuous) this.correct(spoke, totals);
+    const lastPaces = spoke?.paces ?? this.firstPaces(heard);
+    const paces =
+      spoke !== undefined && isContinuous ? this.measure(spoke, totals, now) : lastPaces;
+    const hosts = Math.min(heard, this.sharers.length);
+    const assumed = new Map<TeamId, Tokens>();
+    this.setCrowds({ hosts, incarnation: source, heardAt: now, totals, paces, assumed });
   }
 
   /**
@@ -126,6 +161,7 @@
     now: Millis,
   ): void {
     this.settle(now);
+    if (this.peers.has(HEARD_CROWD)) this.listPeers();
     const known = this.peers.get(host);
     if (known === undefined) return;
     const isSame = known.incarnation === incarnation;
@@ -133,8 +169,9 @@
     // What a peer charged while it was silent is covered by the equal part that it was given.
     const isContinuous = isSame && !this.isSilent(known, now);
     if (isContinuous) this.correct(known, merged);
-    const paces = isContinuous ? this.measure(known, merged, now) : this.firstPaces();
-    this.peers.set(host, { incarnation, heardAt: now, totals: merged, paces, assumed: new Map() });
+    const paces = isContinuous ? this.measure(known, merged, now) : this.firstPaces(1);
+    const assumed = new Map<TeamId, Tokens>();
+    this.peers.set(host, { hosts: 1, incarnation, heardAt: now, totals: merged, paces, assumed });
   }
 
   /**
@@ -216,8 +253,23 @@
     this.peers.forEach((peer, host) => this.assume(host, peer, passedMs, now));
   }
 
+  /** Keeps peers one by one, with what is known of each. */
+  private listPeers(): void {
+    const known = new Map(this.peers);
+    this.peers.clear();
+    this.sharers.forEach((host) => this.peers.set(host, known.get(host) ?? UNKNOWN_PEER));
+  }
+
+  /** Keeps peers as those that the relay hears and the rest, of whom nothing is known. */
+  private setCrowds(heard: Peer): void {
+    const hosts = Math.min(heard.hosts, this.sharers.length);
+    this.peers.clear();
+    this.peers.set(HEARD_CROWD, { ...heard, hosts });
+    this.peers.set(SILENT_CROWD, { ...UNKNOWN_PEER, hosts: this.sharers.length - hosts });
+  }
+
   private assume(host: HostId, peer: Peer, passedMs: Millis, now: Millis): void {
-    const paces = this.isSilent(peer, now) ? this.firstPaces() : peer.paces;
+    const paces = this.isSilent(peer, now) ? this.firstPaces(peer.hosts) : peer.paces;
     const taken = [...paces].map(([team, pace]) => [team, pace * passedMs] as const);
     taken.forEach(([team, tokens]) => this.takeOut(team, tokens));
     const assumed = taken.map(
@@ -241,10 +293,10 @@
     this.buckets.set(team, { ...bucket, level });
   }
 
-  /** A peer of which nothing is known is taken to use its equal part. */
-  private firstPaces(): ReadonlyMap<TeamId, number> {
-    const hosts = this.hostCount();
-    return new Map([...this.buckets].map(([team, bucket]) => [team, bucket.perMs / hosts]));
+  /** Peers of which nothing is known are taken to use their equal parts. */
+  private firstPaces(peers: number): ReadonlyMap<TeamId, number> {
+    const part = peers / this.hostCount();
+    return new Map([...this.buckets].map(([team, bucket]) => [team, bucket.perMs * part]));
   }
 
   private measure(
@@ -270,7 +322,9 @@
   }
 
   private countSilent(now: Millis): number {
-    return [...this.peers.values()].filter((peer) => this.isSilent(peer, now)).length;
+    return [...this.peers.values()]
+      .filter((peer) => this.isSilent(peer, now))
+      .reduce((sum, peer) => sum + peer.hosts, 0);
   }
 
   /** Until a peer is silent it is taken to go on as before; two lost words are no death. */
@@ -280,7 +334,7 @@
   }
 
   private hostCount(): number {
-    return this.peers.size + 1;
+    return this.sharers.length + 1;
   }
 
   private shapeOf(rate: TeamRate): Pick<Bucket, 'perMs' | 'capacity'> {
--- a/packages/peer/src/hints/HintSocket.ts
+++ b/packages/peer/src/hints/HintSocket.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:dgram';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { HostDigest } from './HostDigest.ts';
+import { decodeDigest, encodeDigest, isDigest } from './HostDigest.ts';
 import type { HostHint } from './HostHint.ts';
 import { decodeHint, encodeHint } from './HostHint.ts';
 
@@ -10,8 +12,14 @@
   /** Sends a hint to each address (`ip:port`); nobody knows whether it arrives. */
   send(hint: HostHint, to: readonly string[]): void;
 
+  /** Sends a digest to the host that it is made for. */
+  sendDigest(digest: HostDigest, to: string): void;
+
   /** Calls back with each hint that arrives. */
   onHint(listener: (hint: HostHint) => void): void;
+
+  /** Calls back with each digest that arrives. */
+  onDigest(listener: (digest: HostDigest) => void): void;
 }
 
 /** Hints over UDP. */
@@ -38,22 +46,30 @@
   /** {@inheritDoc HintLink.send} */
   send(hint: HostHint, to: readonly string[]): void {
     const bytes = encodeHint(hint);
-    to.forEach((address) => {
-      const [ip = '', port = ''] = address.split(':');
-      this.socket.send(bytes, Number(port), ip, (error) => {
-        if (error !== null) this.failures += 1;
-      });
-    });
+    to.forEach((address) => this.sendBytes(bytes, address));
+  }
+
+  /** {@inheritDoc HintLink.sendDigest} */
+  sendDigest(digest: HostDigest, to: string): void {
+    this.sendBytes(encodeDigest(digest), to);
   }
 
   /** {@inheritDoc HintLink.onHint} */
   onHint(listener: (hint: HostHint) => void): void {
     this.socket.on('message', (bytes) => {
-      const hint = decodeHint(bytes);
+      const hint = isDigest(bytes) ? undefined : decodeHint(bytes);
       if (hint !== undefined) listener(hint);
     });
   }
 
+  /** {@inheritDoc HintLink.onDigest} */
+  onDigest(listener: (digest: HostDigest) => void): void {
+    this.socket.on('message', (bytes) => {
+      const digest = isDigest(bytes) ? decodeDigest(bytes) : undefined;
+      if (digest !== undefined) listener(digest);
+    });
+  }
+
   /** Gets how many sends failed, for the state dump. */
   getFailures(): number {
     return this.failures;
@@ -63,4 +79,11 @@
   close(): void {
     this.socket.close();
   }
+
+  private sendBytes(bytes: Buffer, address: string): void {
+    const [ip = '', port = ''] = address.split(':');
+    this.socket.send(bytes, Number(port), ip, (error) => {
+      if (error !== null) this.failures += 1;
+    });
+  }
 }
--- /dev/null
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -0,0 +1,93 @@
+import type { HostId, Incarnation, TeamId, Tokens } from '@camphorvane/core';
+import type { EngineHint } from './HostHint.ts';
+import { isCharge, isCount, parseDatagram, readRow, writeRow } from './hintRows.ts';
+
+/** First field of a digest's datagram; a hint has a host's name there and another shape. */
+const TAG = 'digest';
+
+const START = Buffer.from(`["${TAG}",`);
+
+/**
+ * What a relaying host tells one other host of all the rest, in place of a word from each of them.
+ *
+ * With every host speaking to every other, words grow with the square of the fleet. A digest holds
+ * sums, so its size depends on engines and teams and not on hosts.
+ */
+export interface HostDigest {
+  /** The relaying host. */
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  /** Grows with each digest of one start. */
+  readonly sequence: number;
+  /** Hosts whose words are in the sums, the receiver left out. */
+  readonly heard: number;
+  /** What these hosts have on each engine. */
+  readonly engines: readonly EngineHint[];
+  /** Tokens that these hosts have charged to each team since the relay first heard of them. */
+  readonly charged: readonly (readonly [TeamId, Tokens])[];
+  /** Hosts with a record in the store that the relay has not heard lately. */
+  readonly silent: readonly HostId[];
+  readonly leaving: readonly HostId[];
+  /** Newest versions of the store's changes that any of them knows. */
+  readonly versions: { readonly config: number; readonly servers: number };
+}
+
+/**
+ * Writes a digest as JSON, fields by place.
+ *
+ * @param digest - The digest.
+ * @returns The datagram.
+ */
+export function encodeDigest(digest: HostDigest): Buffer {
+  const { host, incarnation, sequence, heard, engines, charged, silent, leaving } = digest;
+  const known = [digest.versions.config, digest.versions.servers];
+  const rows = engines.map(writeRow);
+  return Buffer.from(
+    JSON.stringify([
+      TAG,
+      host,
+      incarnation,
+      sequence,
+      heard,
+      rows,
+      charged,
+      silent,
+      leaving,
+      known,
+    ]),
+  );
+}
+
+/**
+ * Reads a datagram.
+ *
+ * @param bytes - What arrived.
+ * @returns The digest; undefined for anything that is none.
+ */
+export function decodeDigest(bytes: Uint8Array): HostDigest | undefined {
+  const fields = parseDatagram(bytes);
+  if (fields?.[0] !== TAG) return undefined;
+  const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
+  if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
+  if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
+  if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
+  if (!isNames(silent) || !isNames(leaving)) return undefined;
+  const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
+  if (!isCount(config) || !isCount(servers)) return undefined;
+  const engines = rows.map(readRow).filter((engine) => engine !== undefined);
+  if (engines.length < rows.length) return undefined;
+  return {
+    ...{ host, incarnation, sequence, heard, engines, silent, leaving },
+    charged: charged as readonly (readonly [TeamId, Tokens])[],
+    versions: { config, servers },
+  };
+}
+
+/** Tells by its first bytes whether a datagram is a digest, without reading it. */
+export function isDigest(bytes: Uint8Array): boolean {
+  return START.equals(bytes.subarray(0, START.length));
+}
+
+function isNames(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every((name) => typeof name === 'string');
+}
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -1,4 +1,5 @@
 import type { HostId, Incarnation, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
+import { isCharge, isCount, parseDatagram, readRow, writeRow } from './hintRows.ts';
 
 /** What a host has on one engine, as it tells its peers. */
 export interface EngineHint {
@@ -27,8 +28,6 @@
   readonly versions: { readonly config: number; readonly servers: number };
 }
 
-type EngineRow = readonly [UpstreamId, number, number, number];
-
 /**
  * Writes a hint in as few bytes as JSON takes: fields by place, engines as rows.
  *
@@ -36,12 +35,7 @@
  * @returns The datagram.
  */
 export function encodeHint(hint: HostHint): Buffer {
-  const rows = hint.engines.map((one): EngineRow => [
-    one.engine,
-    one.prefillTokens,
-    one.streams,
-    one.memoryTokens,
-  ]);
+  const rows = hint.engines.map(writeRow);
   const { host, incarnation, sequence, leaving, charged, versions } = hint;
   const known = [versions.config, versions.servers];
   const fields = [host, incarnation, sequence, leaving ? 1 : 0, rows, charged, known];
@@ -55,9 +49,9 @@
  * @returns The hint; undefined for anything that is none.
  */
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
-  const parsed = parseJson(bytes);
-  if (!Array.isArray(parsed)) return undefined;
-  const [host, incarnation, sequence, leaving, rows, charged, known] = parsed as readonly unknown[];
+  const fields = parseDatagram(bytes);
+  if (fields === undefined) return undefined;
+  const [host, incarnation, sequence, leaving, rows, charged, known] = fields;
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
@@ -75,35 +69,3 @@
     versions: { config, servers },
   };
 }
-
-function readRow(row: unknown): EngineHint | undefined {
-  if (!Array.isArray(row)) return undefined;
-  const [engine, prefillTokens, streams, memoryTokens] = row as readonly unknown[];
-  if (typeof engine !== 'string') return undefined;
-  if (![prefillTokens, streams, memoryTokens].every(isCount)) return undefined;
-  return {
-    engine,
-    prefillTokens: prefillTokens as number,
-    streams: streams as number,
-    memoryTokens: memoryTokens as number,
-  };
-}
-
-function isCharge(row: unknown): boolean {
-  if (!Array.isArray(row)) return false;
-  const [team, tokens] = row as readonly unknown[];
-  return typeof team === 'string' && typeof tokens === 'number' && Number.isFinite(tokens);
-}
-
-function isCount(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
-
-/** Bytes that are no JSON are no hint; there is nobody to tell. */
-function parseJson(bytes: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/peer/src/hints/index.ts
+++ b/packages/peer/src/hints/index.ts
@@ -1,2 +1,3 @@
+export * from './HostDigest.ts';
 export * from './HostHint.ts';
 export * from './HintSocket.ts';
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -15,6 +15,20 @@
 /** Most time that one reading of the records counts for; the rest was an outage of the store. */
 const LONGEST_ROUND_MS: Millis = 5_000;
 
+/**
+ * Hosts that relay words in a large fleet and watch the store for the others. With three, two may die
+ * or be cut off at once and words still pass.
+ */
+const RELAYS = 3;
+
+/** What a relaying host says of the others. */
+export interface HeardHosts {
+  readonly host: HostId;
+  /** Hosts with a record that it has not heard lately. */
+  readonly silent: readonly HostId[];
+  readonly leaving: readonly HostId[];
+}
+
 interface SeenRecord {
   readonly record: HostRecord;
   readonly version: number;
@@ -40,6 +54,9 @@
 
   private lastRoundAt: Millis | undefined;
 
+  /** Place, among the hosts that were not heard of, of the one that was told last. */
+  private explored = -1;
+
   /** @param self - This host. */
   constructor(self: HostId) {
     this.self = self;
@@ -73,6 +90,16 @@
     this.saysLeaving.set(host, leaving);
   }
 
+  /** Takes in which hosts a relaying host has heard; those that it doesn't name are well. */
+  hearAll({ host, silent, leaving }: HeardHosts, now: Millis): void {
+    const unheard = new Set(silent);
+    const goers = new Set(leaving);
+    [...this.records.keys()]
+      .filter((one) => !unheard.has(one))
+      .forEach((one) => this.hear(one, goers.has(one), now));
+    this.hear(host, goers.has(host), now);
+  }
+
   /** Tells whether the store's records were read at least once. */
   isKnown(): boolean {
     return this.lastRoundAt !== undefined;
@@ -102,6 +129,54 @@
       .map(({ record }) => record.peerAddress);
   }
 
+  /** Gets the address of another host for hints; undefined for one without a record. */
+  getPeerAddress(host: HostId): string | undefined {
+    return this.records.get(host)?.record.peerAddress;
+  }
+
+  /** Notes a sign of life that says nothing else. */
+  sawAlive(host: HostId, now: Millis): void {
+    this.heardAt.set(host, now);
+  }
+
+  /**
+   * Gets where this host's words go in a large fleet: to the hosts that relay them, and to one host
+   * that nobody has heard, another one each time.
+   *
+   * Hosts that lost each other for a while choose relays among those they still hear, and two halves
+   * would stay apart for good. A word to the strongest of the unheard, then to the next, joins them
+   * again; it also finds a living relay after all known ones have died at once.
+   */
+  getWordAddresses(now: Millis): readonly string[] {
+    const relays = this.getRelays(now).filter((record) => record.host !== this.self);
+    const told = new Set(relays.map((record) => record.host));
+    const unheard = this.getRanked().filter(
+      ({ host }) => host !== this.self && !told.has(host) && !this.isHeard(host, now),
+    );
+    this.explored = unheard.length === 0 ? 0 : (this.explored + 1) % unheard.length;
+    const next = unheard[this.explored];
+    return [...relays, ...(next === undefined ? [] : [next])].map((record) => record.peerAddress);
+  }
+
+  /** Tells whether this host is one that relays words, as far as it knows. */
+  isRelay(now: Millis): boolean {
+    return this.getRelays(now).some((record) => record.host === this.self);
+  }
+
+  /** Gets the strongest hosts of those that were heard of lately; of all, where none was heard. */
+  private getRelays(now: Millis): readonly HostRecord[] {
+    const ranked = this.getRanked();
+    const heard = ranked.filter(({ host }) => host === this.self || this.isHeard(host, now));
+    const isAlone = heard.every((record) => record.host === this.self);
+    return (isAlone ? ranked : heard).slice(0, RELAYS);
+  }
+
+  private getRanked(): readonly HostRecord[] {
+    return [...this.records.values()]
+      .map(({ record }) => record)
+      .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
+  }
+
   /**
    * Gets the hosts that callers may use: those heard of lately.
    *
@@ -131,15 +206,12 @@
     return wordPace(this.countSharers()).recordMs * RECORD_LIVES;
   }
 
-  /** Gets this host's place among those that were heard of lately, in the order of their names. */
-  getRank(now: Millis): number {
-    return [...this.records.keys()].filter((host) => host < this.self && this.isHeard(host, now))
-      .length;
-  }
-
   private isHeard(host: HostId, now: Millis): boolean {
     const at = this.heardAt.get(host);
-    const silentMs = Math.max(LEAST_SILENT_MS, wordPace(this.countSharers()).silentMs);
-    return at !== undefined && now - at <= silentMs;
+    return at !== undefined && now - at <= this.silentMs();
+  }
+
+  private silentMs(): Millis {
+    return Math.max(LEAST_SILENT_MS, wordPace(this.countSharers()).silentMs);
   }
 }
--- /dev/null
+++ b/packages/router/src/agreement/PeerTalk.ts
@@ -0,0 +1,183 @@
+import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import type { WordPace } from '@camphorvane/decisions';
+import { wordPace } from '@camphorvane/decisions';
+import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { HostRoster } from './HostRoster.ts';
+import { RelayBoard } from './RelayBoard.ts';
+
+/** Digest periods without a digest after which another relay is listened to. */
+const RELAY_SILENT_PERIODS = 3;
+
+/** Part by which another relay must hear more hosts to be listened to instead. */
+const RELAY_HEARS_MORE = 1.1;
+
+/** What a host says of itself; who says it, and when, is added here. */
+export type OwnWord = Omit<HostHint, 'host' | 'incarnation' | 'sequence'>;
+
+/** What talking to peers is made of. */
+export interface PeerTalkOptions {
+  readonly self: HostId;
+  readonly incarnation: Incarnation;
+  readonly clock: Clock;
+  readonly link: HintLink;
+  readonly roster: HostRoster;
+  /** Gets what this host has to say now. */
+  readonly word: () => OwnWord;
+  /** Gets a mark that changes with each news that peers should hear of soon. */
+  readonly newsMark: () => string;
+  /** Told of each word of a peer that is newer than the last one. */
+  readonly onHint: (hint: HostHint) => void;
+  /** Told of each digest that this host goes by. */
+  readonly onDigest: (digest: HostDigest) => void;
+}
+
+interface FollowedRelay {
+  readonly host: HostId;
+  readonly heard: number;
+  readonly at: Millis;
+}
+
+/**
+ * Tells peers what this host has, and hears what they have.
+ *
+ * In a small fleet everybody tells everybody. In a larger one each host tells a few relays, and each
+ * host that gets words answers with digests of all it has heard. Nobody is elected: who is told is
+ * the teller's choice, and whoever is told relays. A relay that dies, freezes or is cut off falls
+ * silent for its listeners, who go by another one that they tell already.
+ */
+export class PeerTalk {
+  private readonly options: PeerTalkOptions;
+
+  private readonly board = new RelayBoard();
+
+  private readonly lastWords = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
+
+  private sequence = 0;
+
+  private toldNews = '';
+
+  private relay: FollowedRelay | undefined;
+
+  /** @param options - What it is made of. */
+  constructor(options: PeerTalkOptions) {
+    this.options = options;
+    options.link.onHint((hint) => this.hearHint(hint));
+    options.link.onDigest((digest) => this.hearDigest(digest));
+  }
+
+  /** Talks until stopped. */
+  start(signal: AbortSignal): void {
+    void this.tell(signal);
+    void this.relayWords(signal);
+  }
+
+  /** Tells what this host has at once. */
+  sendNow(): void {
+    const { link, roster, clock } = this.options;
+    this.toldNews = this.options.newsMark();
+    const hint = this.ownHint();
+    const addresses = this.pace().isRelayed
+      ? roster.getWordAddresses(clock.now())
+      : roster.getPeerAddresses();
+    link.send(hint, addresses);
+  }
+
+  private async tell(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      this.sendNow();
+      const { periodMs, gapMs } = this.pace();
+      const until = clock.now() + periodMs;
+      await sleep(clock, gapMs, signal);
+      while (!signal.aborted && !this.hasNews() && clock.now() < until) {
+        await sleep(clock, gapMs, signal);
+      }
+    }
+  }
+
+  private async relayWords(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(this.options.clock, this.pace().digestMs, signal);
+      if (this.pace().isRelayed) this.sendDigests();
+    }
+  }
+
+  private sendDigests(): void {
+    const { self, clock, link, roster } = this.options;
+    const now = clock.now();
+    this.board.forget(this.pace().silentMs, now);
+    const listeners = this.board.getHeard().filter((host) => host !== self);
+    if (listeners.length === 0) return;
+    this.board.hear(this.ownHint(), now);
+    const heard = new Set(this.board.getHeard());
+    const silent = roster.getOthers().filter((host) => !heard.has(host));
+    listeners.forEach((host) => {
+      const address = roster.getPeerAddress(host);
+      if (address !== undefined) link.sendDigest(this.digestFor(host, silent), address);
+    });
+    this.hearDigest(this.digestFor(self, silent));
+  }
+
+  private digestFor(receiver: HostId, silent: readonly HostId[]): HostDigest {
+    const { self, incarnation } = this.options;
+    this.sequence += 1;
+    const head = { host: self, incarnation, sequence: this.sequence, silent };
+    return this.board.digestFor(receiver, head);
+  }
+
+  private ownHint(): HostHint {
+    const { self, incarnation, word } = this.options;
+    this.sequence += 1;
+    return { host: self, incarnation, sequence: this.sequence, ...word() };
+  }
+
+  private hasNews(): boolean {
+    return this.options.newsMark() !== this.toldNews;
+  }
+
+  private hearHint(hint: HostHint): void {
+    const { self, clock, roster, onHint } = this.options;
+    if (hint.host === self || this.isOld(hint)) return;
+    if (!this.pace().isRelayed) {
+      onHint(hint);
+      return;
+    }
+    roster.hear(hint.host, hint.leaving, clock.now());
+    this.board.hear(hint, clock.now());
+  }
+
+  private hearDigest(digest: HostDigest): void {
+    if (!this.pace().isRelayed) return;
+    this.options.roster.sawAlive(digest.host, this.options.clock.now());
+    if (!this.goesBy(digest)) return;
+    this.relay = { host: digest.host, heard: digest.heard, at: this.options.clock.now() };
+    this.options.onDigest(digest);
+  }
+
+  /** One relay is followed at a time: sums of two can't be added or compared. */
+  private goesBy(digest: HostDigest): boolean {
+    const { relay } = this;
+    if (this.isOld(digest)) return false;
+    if (relay === undefined || relay.host === digest.host) return true;
+    const silentMs = this.pace().digestMs * RELAY_SILENT_PERIODS;
+    const isSilent = this.options.clock.now() - relay.at > silentMs;
+    return isSilent || digest.heard > relay.heard * RELAY_HEARS_MORE;
+  }
+
+  /** Datagrams can overtake each other; an older word would take back what a newer one said. */
+  private isOld({
+    host,
+    incarnation,
+    sequence,
+  }: Pick<HostHint, 'host' | 'incarnation' | 'sequence'>): boolean {
+    const last = this.lastWords.get(host);
+    if (last?.incarnation === incarnation && last.sequence >= sequence) return true;
+    this.lastWords.set(host, { incarnation, sequence });
+    return false;
+  }
+
+  private pace(): WordPace {
+    return wordPace(this.options.roster.countSharers());
+  }
+}
--- a/packages/router/src/agreement/SharedRates.ts
+++ b/packages/router/src/agreement/SharedRates.ts
@@ -2,7 +2,7 @@
 import { notRun } from '@camphorvane/core';
 import { CountedRates } from '@camphorvane/decisions';
 import type { RateTolerance } from '@camphorvane/decisions';
-import type { HostHint } from '@camphorvane/peer/hints';
+import type { HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { errAsync, okAsync } from 'neverthrow';
 import type { ResultAsync } from 'neverthrow';
 import type { RateCharge } from '../host/ports.ts';
@@ -46,6 +46,12 @@
     this.rates.hear(host, incarnation, new Map(charged), this.clock.now());
   }
 
+  /** Takes in what all peers together have charged, as a relaying host has heard it. */
+  hearSum({ host, incarnation, heard, charged }: HostDigest): void {
+    const word = { relay: host, incarnation, heard, totals: new Map(charged) };
+    this.rates.hearCrowd(word, this.clock.now());
+  }
+
   /** Gets what this host has charged, to be told to its peers. */
   getCharged(): readonly (readonly [TeamId, Tokens])[] {
     return [...this.rates.getTotals()];
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -3,7 +3,7 @@
 import type { EngineUse, RateTolerance, RepeatAllowance, WordPace } from '@camphorvane/decisions';
 import { RepeatBudget, wordPace } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
-import type { HintLink, HostHint } from '@camphorvane/peer/hints';
+import type { EngineHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import type {
   StoredObject,
   WatchableStore,
@@ -22,19 +22,12 @@
 import type { HostRecord } from './hostRecord.ts';
 import { readHostRecord } from './hostRecord.ts';
 import { HostRoster } from './HostRoster.ts';
+import { PeerTalk } from './PeerTalk.ts';
+import type { OwnWord } from './PeerTalk.ts';
 
 /** Part of the time between two writes of a record after which all are read; old answers will do. */
 const RECORDS_READ_PART = 1 / 3;
 
-/**
- * Hosts that watch the store themselves, and tell the others of changes. With three, two may die or
- * be cut off at once and changes are still told at once; everybody else reads now and then.
- */
-const WATCHERS = 3;
-
-/** Hosts up to which everybody watches: the calls saved by fewer would not pay for the delay. */
-const ALL_WATCH_UP_TO = 9;
-
 /** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
 const CRASHES_TO_HOLD_BACK = 3;
 
@@ -48,6 +41,8 @@
   readonly store: WatchableStore;
   readonly format: DeploymentFormat;
   readonly hints: HintLink;
+  /** See {@link HostRecord.strength}. */
+  readonly strength: number;
   readonly tolerance: RateTolerance;
   readonly repeats: RepeatAllowance;
   /** See {@link DeploymentFeed}; also whether requests end when their key is withdrawn. */
@@ -91,13 +86,7 @@
 
   private leaving = false;
 
-  private sequence = 0;
-
-  /** The newest word of each peer. */
-  private readonly lastWords = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
-
-  /** What the last hint told of. */
-  private toldNews = '';
+  private readonly talk: PeerTalk;
 
   private sharers: readonly HostId[] = [];
 
@@ -132,7 +121,17 @@
       group: this,
       suspicion: { crashes: CRASHES_TO_HOLD_BACK, memoryMs: HOLD_BACK_MS },
     });
-    options.hints.onHint((hint) => this.hear(hint));
+    this.talk = new PeerTalk({
+      self: identity.host,
+      incarnation,
+      clock,
+      link: options.hints,
+      roster: this.hosts,
+      word: () => this.ownWord(),
+      newsMark: () => this.newsMark(),
+      onHint: (hint) => this.hear(hint),
+      onDigest: (digest) => this.hearSum(digest),
+    });
   }
 
   /** {@inheritDoc HostAgreement.start} */
@@ -140,7 +139,7 @@
     this.config.start(signal);
     void this.keepRecord(signal);
     void this.readRecords(signal);
-    void this.tellPeers(signal);
+    this.talk.start(signal);
   }
 
   /** Tells whether this host knows enough to serve callers. */
@@ -151,13 +150,13 @@
   /** {@inheritDoc HostAgreement.beginLeaving} */
   async beginLeaving(): Promise<void> {
     this.leaving = true;
-    this.sendHint();
+    this.talk.sendNow();
     await this.writeRecord();
   }
 
   /** {@inheritDoc HostAgreement.leave} */
   async leave(): Promise<void> {
-    this.sendHint();
+    this.talk.sendNow();
   }
 
   /** Ends everything; tasks end with their signal. */
@@ -232,7 +231,8 @@
 
   private async writeRecord(): Promise<void> {
     const { identity, incarnation } = this.context;
-    const record: HostRecord = { ...identity, incarnation, leaving: this.leaving };
+    const { strength } = this.options;
+    const record: HostRecord = { ...identity, incarnation, leaving: this.leaving, strength };
     // The beat makes each write a change, by which others see that this host lives.
     const problem = await this.record.write({ ...record, beat: Math.round(this.clock.now()) });
     if (problem !== undefined) log('record_not_written', { reason: problem.type });
@@ -264,22 +264,6 @@
     this.listeners.forEach((changed) => changed());
   }
 
-  private async tellPeers(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      this.sendHint();
-      const { periodMs, gapMs } = this.pace();
-      const until = this.clock.now() + periodMs;
-      await sleep(this.clock, gapMs, signal);
-      while (!signal.aborted && !this.hasNews() && this.clock.now() < until) {
-        await sleep(this.clock, gapMs, signal);
-      }
-    }
-  }
-
-  private hasNews(): boolean {
-    return this.newsMark() !== this.toldNews;
-  }
-
   /** Changes with each placed request and each change of the store that this host has learned. */
   private newsMark(): string {
     const { config, servers } = this.config.getVersions();
@@ -292,43 +276,37 @@
 
   /** A few hosts watch; the others are told by them, and read now and then. */
   private followMode(): FollowMode {
-    const isSmall = this.hosts.countSharers() <= ALL_WATCH_UP_TO;
-    return isSmall || this.hosts.getRank(this.clock.now()) < WATCHERS ? 'watch' : 'poll';
+    return !this.pace().isRelayed || this.hosts.isRelay(this.clock.now()) ? 'watch' : 'poll';
   }
 
-  private sendHint(): void {
-    this.sequence += 1;
-    this.toldNews = this.newsMark();
-    const hint: HostHint = {
-      host: this.context.identity.host,
-      incarnation: this.context.incarnation,
-      sequence: this.sequence,
+  private ownWord(): OwnWord {
+    return {
       leaving: this.leaving,
       engines: [...this.placer.getUse()].map(([engine, use]) => ({ engine, ...use })),
       charged: this.rates.getCharged(),
       versions: this.config.getVersions(),
     };
-    this.options.hints.send(hint, this.hosts.getPeerAddresses());
-  }
-
-  /** Datagrams can overtake each other; an older word would take back what a newer one said. */
-  private isOld({ host, incarnation, sequence }: HostHint): boolean {
-    const last = this.lastWords.get(host);
-    if (last?.incarnation === incarnation && last.sequence >= sequence) return true;
-    this.lastWords.set(host, { incarnation, sequence });
-    return false;
   }
 
   private hear(hint: HostHint): void {
-    if (hint.host === this.context.identity.host || this.isOld(hint)) return;
     this.hosts.hear(hint.host, hint.leaving, this.clock.now());
     this.rates.hear(hint);
     this.config.hearOf(hint.versions);
-    const uses = hint.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
-    this.placer.hear(hint.host, new Map(uses));
+    this.placer.hear(hint.host, usesOf(hint.engines));
+  }
+
+  private hearSum(digest: HostDigest): void {
+    this.hosts.hearAll(digest, this.clock.now());
+    this.rates.hearSum(digest);
+    this.config.hearOf(digest.versions);
+    this.placer.hearSum(usesOf(digest.engines), digest.heard);
   }
 }
 
+function usesOf(engines: readonly EngineHint[]): ReadonlyMap<string, EngineUse> {
+  return new Map(engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]));
+}
+
 /**
  * Gets the factory of an agreement over a store.
  *
--- a/packages/router/src/agreement/hostRecord.ts
+++ b/packages/router/src/agreement/hostRecord.ts
@@ -9,6 +9,8 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly leaving: boolean;
+  /** How much the host can carry beside its callers, against others; the strongest relay words. */
+  readonly strength: number;
 }
 
 /**
@@ -23,5 +25,6 @@
   const { host, zone, callerAddress, peerAddress, incarnation, leaving } = record;
   const texts = [host, zone, callerAddress, peerAddress, incarnation];
   if (texts.some((text) => typeof text !== 'string')) return undefined;
-  return { ...(record as HostRecord), leaving: leaving === true };
+  const strength = typeof record.strength === 'number' ? record.strength : 0;
+  return { ...(record as HostRecord), leaving: leaving === true, strength };
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -66,6 +66,7 @@
         store: new ObjectApiStore(settings.storeAddress, clock),
         format: PLATFORM_FORMAT,
         hints,
+        strength: settings.linkMbps,
         tolerance: settings.quota,
         repeats: settings.retries,
         strictKeysMs: settings.strictKeysMs,
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -183,6 +183,11 @@
     this.book.hear(peer, uses, this.clock.now());
   }
 
+  /** Takes in what all peers together have on the engines. */
+  hearSum(uses: ReadonlyMap<string, EngineUse>, hosts: number): void {
+    this.book.hearSum(uses, hosts, this.clock.now());
+  }
+
   /** Gets what this host has on the engines, to be told to its peers. */
   getUse(): ReadonlyMap<string, EngineUse> {
     return this.book.getOwn();
--- a/packages/router/tests/agreement/HostRoster.test.ts
+++ b/packages/router/tests/agreement/HostRoster.test.ts
@@ -11,6 +11,7 @@
     callerAddress: `${host}:80`,
     peerAddress: `${host}:90`,
     leaving,
+    strength: 1,
   };
 }
 
--- /dev/null
+++ b/packages/router/tests/agreement/PeerTalk.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { wordPace } from '@camphorvane/decisions';
+import type { TalkHost } from '../support/TalkFleet.ts';
+import { TalkFleet } from '../support/TalkFleet.ts';
+
+const USE = { prefillTokens: 10, streams: 1, memoryTokens: 100 };
+
+/** What a host believes that all together have on an engine. */
+const streamsAt = (fleet: TalkFleet, host: TalkHost): number =>
+  host.book.getTotal('e', fleet.clock.now()).streams;
+
+const namesOf = (fleet: TalkFleet, host: TalkHost): readonly string[] =>
+  host.roster.getMates(fleet.clock.now()).map((mate) => mate.host);
+
+async function play(count: number, run: (fleet: TalkFleet) => Promise<void>): Promise<void> {
+  const fleet = new TalkFleet(count);
+  try {
+    await run(fleet);
+  } finally {
+    fleet.end();
+  }
+}
+
+/** Has each host place something new every so often, so that there is always news. */
+async function busy(fleet: TalkFleet, forMs: number): Promise<void> {
+  const stepMs = 50;
+  const steps = Array.from({ length: forMs / stepMs }, (_, i) => i);
+  await steps.reduce(async (before) => {
+    await before;
+    fleet.hosts.forEach((host) => Object.assign(host, { news: host.news + 1 }));
+    await fleet.clock.advance(stepMs);
+  }, Promise.resolve());
+}
+
+// With every host speaking to every other, a fleet ten times as large has each host say ten times as
+// much, and weak hosts spend their processor and link on it in place of their callers.
+test('what an ordinary host says does not grow with the fleet', async () => {
+  const costs: { readonly words: number; readonly bytes: number }[] = [];
+  const measure = (count: number) =>
+    play(count, async (fleet) => {
+      await busy(fleet, 4_000);
+      const ordinary = fleet.hosts.slice(6);
+      const words = ordinary.reduce((sum, host) => sum + host.sent, 0) / ordinary.length;
+      const bytes = ordinary.reduce((sum, host) => sum + host.bytes, 0) / ordinary.length;
+      costs.push({ words: words / 4, bytes: bytes / 4 });
+    });
+  await measure(12);
+  await measure(90);
+  const [small, large] = costs;
+  assert.ok(large !== undefined && small !== undefined);
+  assert.ok(
+    large.words <= small.words,
+    `${large.words} words a second, ${small.words} in a small one`,
+  );
+  assert.ok(large.words < 15, `${large.words} words a second`);
+});
+
+test('each host learns what all others together have on an engine', async () => {
+  await play(30, async (fleet) => {
+    fleet.hosts.forEach((host) => Object.assign(host, { use: new Map([['e', USE]]) }));
+    await fleet.clock.advance(2_000);
+    fleet.hosts.forEach((host) => assert.equal(streamsAt(fleet, host), 29, host.name));
+  });
+});
+
+// The three hosts that pass on words die at the same moment. Everybody else speaks to the dead then,
+// and would for as long as their records last; callers would be sent to dead hosts all the while.
+test('after the death of all relays the others find a new one', async () => {
+  await play(30, async (fleet) => {
+    await fleet.clock.advance(3_000);
+    fleet.hosts.slice(0, 3).forEach((host) => Object.assign(host, { isDown: true }));
+    await fleet.clock.advance(3 * wordPace(30).silentMs);
+    const living = fleet.hosts.slice(3);
+    const expected = living.map((host) => host.name);
+    living.forEach((host) => assert.deepEqual(namesOf(fleet, host), expected, host.name));
+  });
+});
+
+// A network splits the fleet in two, each with relays of its own, and heals. Nobody has a reason to
+// speak to the other half any more, so both would go on apart.
+test('halves that lost each other find each other again', async () => {
+  await play(30, async (fleet) => {
+    await fleet.clock.advance(2_000);
+    const left = new Set(fleet.hosts.filter((_, i) => i % 2 === 0).map((host) => host.name));
+    Object.assign(fleet, {
+      passes: (from: TalkHost, to: TalkHost) => left.has(from.name) === left.has(to.name),
+    });
+    await fleet.clock.advance(10_000);
+    fleet.hosts.forEach((host) => assert.equal(namesOf(fleet, host).length, 15, host.name));
+    Object.assign(fleet, { passes: () => true });
+    await fleet.clock.advance(4 * wordPace(30).silentMs);
+    fleet.hosts.forEach((host) => assert.equal(namesOf(fleet, host).length, 30, host.name));
+  });
+});
+
+// One team sends eight times its rate to a fleet that tells each other by relays, one of which dies
+// in the middle. What each host learns late, or from another relay, must not be given away twice.
+test('a team far beyond its rate stays within the tolerance, also when a relay dies', async () => {
+  const team = 't';
+  const rate = { tokensPerSecond: 20_000, burstTokens: 20_000 };
+  const stepMs = 50;
+  const windowMs = 8_000;
+  const charged: number[] = [];
+  await play(30, async (fleet) => {
+    fleet.hosts.forEach((host) => host.rates.reshape(new Map([[team, rate]]), 0));
+    await fleet.clock.advance(1_000);
+    let turn = 0;
+    const step = async (index: number): Promise<void> => {
+      if (index === 120) Object.assign(fleet.hosts[0] ?? {}, { isDown: true });
+      const asked = Array.from({ length: (8 * rate.tokensPerSecond * stepMs) / 1_000 / 500 });
+      const got = asked.filter(() => {
+        turn += 1;
+        const host = fleet.hosts[turn % fleet.hosts.length];
+        if (host === undefined || host.isDown) return false;
+        Object.assign(host, { news: host.news + 1 });
+        return host.rates.charge(team, 500, fleet.clock.now()).type === 'charged';
+      });
+      charged.push(got.length * 500);
+      await fleet.clock.advance(stepMs);
+    };
+    await Array.from({ length: 400 }, (_, i) => i).reduce(async (before, index) => {
+      await before;
+      await step(index);
+    }, Promise.resolve());
+  });
+  const steps = windowMs / stepMs;
+  const windows = charged.map((_, i) => charged.slice(i, i + steps).reduce((a, b) => a + b, 0));
+  const allowed = ((rate.tokensPerSecond * windowMs) / 1_000 + rate.burstTokens) * 1.1 + 12_000;
+  assert.ok(Math.max(...windows) <= allowed, `${Math.max(...windows)} of ${allowed}`);
+  const all = charged.reduce((a, b) => a + b, 0);
+  assert.ok(all >= rate.tokensPerSecond * 20 * 0.9, `${all} in 20 s`);
+});
--- /dev/null
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -0,0 +1,150 @@
+import type { Millis } from '@camphorvane/core';
+import { VirtualClock } from '@camphorvane/core';
+import { CountedRates, UseBook } from '@camphorvane/decisions';
+import type { EngineUse } from '@camphorvane/decisions';
+import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import { HostRoster } from '../../src/agreement/HostRoster.ts';
+import type { HostRecord } from '../../src/agreement/hostRecord.ts';
+import { PeerTalk } from '../../src/agreement/PeerTalk.ts';
+
+const DELAY_MS: Millis = 1;
+const TOLERANCE = { over: 0.1, slackTokens: 12_000, windowMs: 8_000 };
+
+/** A host that talks, with all that it does with what it hears. */
+export interface TalkHost {
+  readonly name: string;
+  readonly roster: HostRoster;
+  readonly rates: CountedRates;
+  readonly book: UseBook;
+  /** Digests that it went by. */
+  readonly digests: HostDigest[];
+  use: ReadonlyMap<string, EngineUse>;
+  sent: number;
+  bytes: number;
+  news: number;
+  isDown: boolean;
+}
+
+/** Hosts that talk to each other over a network of datagrams, under a virtual clock. */
+export class TalkFleet {
+  readonly clock = new VirtualClock();
+
+  readonly hosts: readonly TalkHost[];
+
+  private readonly links = new Map<
+    string,
+    { hint?: (hint: HostHint) => void; digest?: (digest: HostDigest) => void }
+  >();
+
+  /** One for each host: a signal is one process's own. */
+  private readonly stops: AbortController[] = [];
+
+  /** Tells whether a datagram passes. */
+  passes: (from: TalkHost, to: TalkHost) => boolean = () => true;
+
+  /** @param count - Hosts; the first ones are the strongest. */
+  constructor(count: number) {
+    const names = Array.from({ length: count }, (_, i) => `h${String(i).padStart(3, '0')}`);
+    const records = names.map((host, i) => ({ record: recordOf(host, count - i), version: 1 }));
+    this.hosts = names.map((name) => {
+      const roster = new HostRoster(name);
+      roster.update(records, 0);
+      const rates = new CountedRates(TOLERANCE);
+      rates.setSharers(roster.getOthers(), 0);
+      const host: TalkHost = {
+        ...{ name, roster, rates, book: new UseBook(), digests: [], use: new Map() },
+        ...{ sent: 0, bytes: 0, news: 0, isDown: false },
+      };
+      return host;
+    });
+    this.hosts.forEach((host) => this.start(host));
+  }
+
+  /** Ends all talk. */
+  end(): void {
+    this.stops.forEach((stop) => stop.abort());
+  }
+
+  private start(host: TalkHost): void {
+    const { clock } = this;
+    const talk = new PeerTalk({
+      self: host.name,
+      incarnation: 's',
+      clock,
+      link: this.linkOf(host),
+      roster: host.roster,
+      word: () => ({
+        leaving: false,
+        engines: [...host.use].map(([engine, use]) => ({ engine, ...use })),
+        charged: [...host.rates.getTotals()],
+        versions: { config: 1, servers: 1 },
+      }),
+      newsMark: () => `${host.news}`,
+      onHint: (hint) => {
+        host.roster.hear(hint.host, hint.leaving, clock.now());
+        host.rates.hear(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
+        host.book.hear(
+          hint.host,
+          new Map(hint.engines.map((one) => [one.engine, one])),
+          clock.now(),
+        );
+      },
+      onDigest: (digest) => {
+        host.digests.push(digest);
+        host.roster.hearAll(digest, clock.now());
+        const { heard, incarnation } = digest;
+        const totals = new Map(digest.charged);
+        host.rates.hearCrowd({ relay: digest.host, incarnation, heard, totals }, clock.now());
+        const uses = digest.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
+        host.book.hearSum(new Map(uses), heard, clock.now());
+      },
+    });
+    const stop = new AbortController();
+    this.stops.push(stop);
+    talk.start(stop.signal);
+  }
+
+  private linkOf(from: TalkHost): HintLink {
+    const handlers: { hint?: (hint: HostHint) => void; digest?: (digest: HostDigest) => void } = {};
+    this.links.set(from.name, handlers);
+    const deliver = (address: string, bytes: number, run: (to: TalkHost) => void): void => {
+      const to = this.hosts.find((host) => `${host.name}:1` === address);
+      if (from.isDown || to === undefined) return;
+      Object.assign(from, { sent: from.sent + 1, bytes: from.bytes + bytes });
+      if (!this.passes(from, to)) return;
+      this.clock.after(DELAY_MS, () => {
+        if (!to.isDown) run(to);
+      });
+    };
+    return {
+      send: (hint, to) =>
+        to.forEach((address) =>
+          deliver(address, JSON.stringify(hint).length, (host) =>
+            this.links.get(host.name)?.hint?.(hint),
+          ),
+        ),
+      sendDigest: (digest, address) =>
+        deliver(address, JSON.stringify(digest).length, (host) =>
+          this.links.get(host.name)?.digest?.(digest),
+        ),
+      onHint: (listener) => {
+        handlers.hint = listener;
+      },
+      onDigest: (listener) => {
+        handlers.digest = listener;
+      },
+    };
+  }
+}
+
+function recordOf(host: string, strength: number): HostRecord {
+  return {
+    host,
+    incarnation: 's',
+    zone: 'a',
+    callerAddress: `${host}:80`,
+    peerAddress: `${host}:1`,
+    leaving: false,
+    strength,
+  };
+}
