Catch SIGHUP from the first moment; spread calls over equal servers; count repeats over their window

The listener is now the first module that is loaded. Equals are drawn by lot now; test with 90 idle hosts. The bucket held half of the slack only; repeats and requests are counted over the window itself now.

--- a/packages/decisions/src/retry/RepeatBudget.ts
+++ b/packages/decisions/src/retry/RepeatBudget.ts
@@ -1,4 +1,5 @@
 import type { Millis, ServiceId } from '@camphorvane/core';
+import { WindowCount } from './WindowCount.ts';
 
 /** What all hosts together may send beyond the first attempt of each request. */
 export interface RepeatAllowance {
@@ -12,12 +13,9 @@
 /** Part of the allowance that is used; requests whose repeats are under way stay within the rest. */
 const USED_ALLOWANCE = 0.85;
 
-/** Part of the slack that may be spent at once; the rest comes back over the window. */
-const SAVED_SLACK = 0.5;
-
-interface Level {
-  readonly value: number;
-  readonly at: Millis;
+interface Counts {
+  readonly requests: WindowCount;
+  readonly repeats: WindowCount;
 }
 
 /**
@@ -25,14 +23,15 @@
  *
  * Made for a service whose servers fail or are full: repeats then add to the load that made the first
  * attempts fail. The allowance holds for all hosts together, so each takes an equal part of the slack
- * and what its own requests earn.
+ * and what its own requests earn. Both are counted over the very window that the allowance speaks of:
+ * servers crash at once, and the requests that they had on all hosts must be repeated in one moment.
  */
 export class RepeatBudget {
   private readonly allowance: RepeatAllowance;
 
   private readonly hostCount: () => number;
 
-  private readonly levels = new Map<ServiceId, Level>();
+  private readonly counts = new Map<ServiceId, Counts>();
 
   /**
    * @param allowance - What all hosts together may repeat.
@@ -45,33 +44,28 @@
 
   /** Notes a request's first attempt, which earns part of a repeat. */
   attempted(service: ServiceId, now: Millis): void {
-    this.add(service, this.allowance.ratio * USED_ALLOWANCE, now);
+    this.countsOf(service).requests.add(now);
   }
 
   /** Pays for one repeat; false where there is none left. */
   tryRepeat(service: ServiceId, now: Millis): boolean {
-    if (this.levelOf(service, now) < 1) return false;
-    this.add(service, -1, now);
+    const { requests, repeats } = this.countsOf(service);
+    const earned = requests.count(now) * this.allowance.ratio * USED_ALLOWANCE;
+    if (repeats.count(now) + 1 > Math.max(1, this.slackPart() + earned)) return false;
+    repeats.add(now);
     return true;
   }
 
-  private add(service: ServiceId, change: number, now: Millis): void {
-    const value = Math.min(this.most(), this.levelOf(service, now) + change);
-    this.levels.set(service, { value, at: now });
-  }
-
-  private levelOf(service: ServiceId, now: Millis): number {
-    const level = this.levels.get(service);
-    if (level === undefined) return this.most();
-    const perMs = (this.slackPart() * (1 - SAVED_SLACK)) / this.allowance.windowMs;
-    return Math.min(this.most(), level.value + (now - level.at) * perMs);
-  }
-
-  /** A repeat can always be saved up, also where a host's part of the slack is below one. */
-  private most(): number {
-    return Math.max(1, this.slackPart() * SAVED_SLACK);
+  private countsOf(service: ServiceId): Counts {
+    const known = this.counts.get(service);
+    if (known !== undefined) return known;
+    const { windowMs } = this.allowance;
+    const counts = { requests: new WindowCount(windowMs), repeats: new WindowCount(windowMs) };
+    this.counts.set(service, counts);
+    return counts;
   }
 
+  /** One repeat can always be paid, also where a host's part of the slack is below one. */
   private slackPart(): number {
     return (this.allowance.slack * USED_ALLOWANCE) / Math.max(1, this.hostCount());
   }
--- a/packages/decisions/src/service/ServiceGate.ts
+++ b/packages/decisions/src/service/ServiceGate.ts
@@ -1,5 +1,5 @@
 import type { Millis, Refusal, RequestId, TeamId, UpstreamId, WorkClass } from '@camphorvane/core';
-import { notRun } from '@camphorvane/core';
+import { notRun, RandomSource } from '@camphorvane/core';
 
 /** A server of a plain service as the gate sees it. */
 export interface GateServer {
@@ -58,12 +58,19 @@
  * the fewest running calls goes first, so a burst delays mostly the team that sent it.
  */
 export class ServiceGate {
+  private readonly random: RandomSource;
+
   private readonly servers = new Map<UpstreamId, ServerState>();
 
   private readonly runningByTeam = new Map<TeamId, number>();
 
   private waiting: readonly WaitingCall[] = [];
 
+  /** @param random - Draws among servers that are equally loaded. */
+  constructor(random: RandomSource = new RandomSource(0)) {
+    this.random = random;
+  }
+
   /**
    * Takes the servers of a changed configuration into force; running calls stay counted.
    *
@@ -166,12 +173,22 @@
     return running(a) - running(b);
   }
 
-  /** Gets the least loaded server with room; one that failed lately only where no other has. */
+  /**
+   * Gets the least loaded server with room; one that failed lately only where no other has.
+   *
+   * Equals are drawn by lot. A host of a large fleet has nothing on most servers most of the time; if
+   * each took the first of the list, that one would get twice as many calls as the others.
+   */
   private choose(call: GateCall, now: Millis): UpstreamId | undefined {
     const open = [...this.servers]
       .filter(([id, state]) => state.running < state.limit && !call.avoid.includes(id))
-      .sort(([, a], [, b]) => a.running / a.limit - b.running / b.limit);
-    const rested = open.find(([, state]) => state.restUntil <= now);
-    return (rested ?? open[0])?.[0];
+      .map(([id, state]) => ({ id, state, lot: this.random.next() }))
+      .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.lot - b.lot);
+    const rested = open.find(({ state }) => state.restUntil <= now);
+    return (rested ?? open[0])?.id;
   }
 }
+
+function loadOf({ running, limit }: ServerState): number {
+  return running / limit;
+}
--- a/packages/decisions/tests/retry/RepeatBudget.test.ts
+++ b/packages/decisions/tests/retry/RepeatBudget.test.ts
@@ -33,3 +33,19 @@
   while (budget.tryRepeat('bad', 0));
   assert.ok(budget.tryRepeat('good', 0));
 });
+
+// A crashed server ends all that ran on it at the same moment. Repeats that were saved up for only a
+// few of these requests would leave the rest refused, although the allowance of the window is there.
+test('what a window allows may be spent in one moment, and comes back when it has passed', () => {
+  const budget = new RepeatBudget(ALLOWANCE, () => 6);
+  Array.from({ length: 100 }, (_, i) => i * 100).forEach((now) => budget.attempted('s', now));
+  const spend = (now: number): number => {
+    const paid = Array.from({ length: 100 }).filter(() => budget.tryRepeat('s', now));
+    return paid.length;
+  };
+  const part = ALLOWANCE.slack / 6 + ALLOWANCE.ratio * 100;
+  const spent = spend(10_000);
+  assert.ok(spent > part * 0.8 && spent <= part, `${spent} of ${part}`);
+  assert.equal(spend(15_000), 0);
+  assert.ok(spend(20_500) >= Math.floor((ALLOWANCE.slack / 6) * 0.8));
+});
--- /dev/null
+++ b/packages/decisions/tests/service/ServiceGate.spread.test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RandomSource } from '@camphorvane/core';
+import { ServiceGate } from '@camphorvane/decisions';
+
+// Ninety hosts get a call now and then, each while it has nothing else on any server. If each chose the
+// first of equals, one server would have all calls and its callers would wait, beside idle servers.
+test('calls of many hosts that are idle themselves are spread over all servers', () => {
+  const servers = ['s1', 's2', 's3', 's4'];
+  const counts = new Map<string, number>();
+  Array.from({ length: 90 }, (_, host) => host).forEach((host) => {
+    const gate = new ServiceGate(new RandomSource(host * 7_919 + 1));
+    gate.reshape(servers.map((id) => ({ id, limit: 1 })));
+    Array.from({ length: 4 }, (_, i) => i * 1_000).forEach((now) => {
+      const call = { request: `r${now}`, team: 't', class: 'lookup', maxWaitMs: 100 } as const;
+      gate.submit({ ...call, avoid: [] }, now);
+      const [decision] = gate.step(now);
+      assert.ok(decision?.type === 'place');
+      counts.set(decision.server, (counts.get(decision.server) ?? 0) + 1);
+      gate.ended('t', decision.server, false, now + 50);
+    });
+  });
+  const most = Math.max(...counts.values());
+  assert.ok(most < 1.5 * 90, `${[...counts.values()].join()} calls`);
+});
--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -10,6 +10,7 @@
 import { setLogOutput, stateLog } from '../observe/StateLog.ts';
 import { stdoutSink } from '../observe/stdoutSink.ts';
 import { VERSION } from '../version.ts';
+import { onHangup } from './hangups.ts';
 
 const log = stateLog('process');
 
@@ -36,7 +37,7 @@
     return;
   }
   log('start', { host: settings.value.host, version: VERSION });
-  process.on('SIGHUP', () => reload(file, settings.value));
+  onHangup(() => reload(file, settings.value));
   await terminated();
   log('stop_begins', { host: settings.value.host });
   await started.value.leave();
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -50,7 +50,7 @@
   const authenticator = new Authenticator(config, keys);
   const keeper = new ReservationKeeper(clock, placer);
   const watch = new EngineWatch(clock, placer);
-  const gates = new ServiceGates(clock, directory, () => group.members().length);
+  const gates = new ServiceGates(clock, random, directory, () => group.members().length);
   const inFlight = new InFlight();
   const completions = new CompletionServing({
     self: identity.host,
--- a/packages/router/src/serving/ServiceGates.ts
+++ b/packages/router/src/serving/ServiceGates.ts
@@ -2,6 +2,7 @@
   CancelTimer,
   Clock,
   Millis,
+  RandomSource,
   Refusal,
   RequestId,
   ServiceId,
@@ -26,6 +27,8 @@
 export class ServiceGates {
   private readonly clock: Clock;
 
+  private readonly random: RandomSource;
+
   private readonly directory: UpstreamDirectory;
 
   private readonly hostCount: () => number;
@@ -34,11 +37,18 @@
 
   /**
    * @param clock - Times waits.
+   * @param random - Draws among equals.
    * @param directory - Knows the servers.
    * @param hostCount - Gets how many hosts share the servers' places.
    */
-  constructor(clock: Clock, directory: UpstreamDirectory, hostCount: () => number) {
+  constructor(
+    clock: Clock,
+    random: RandomSource,
+    directory: UpstreamDirectory,
+    hostCount: () => number,
+  ) {
     this.clock = clock;
+    this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
   }
@@ -92,7 +102,7 @@
     const known = this.gates.get(service);
     if (known !== undefined) return known;
     const open: OpenGate = {
-      gate: new ServiceGate(),
+      gate: new ServiceGate(this.random),
       answers: new Map(),
       cancelWake: () => undefined,
     };
