Say in the logs how streams came, and print from logs why requests were late

Cause: a stream is late by its first event or by a pause, and no line said either; the table of what binds had to be guessed from waits. Change: the end line of a stream carries its first event and longest pause, the placing line what the request waited for; 'camphorvane losses' prints late and lost requests by cause, route, team and moment.

--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -125,6 +125,8 @@
   readonly timeoutMs: number;
   /** Time within which the answer, or the first event of a stream, is on time, in milliseconds. */
   readonly targetMs: number;
+  /** Longest pause between two events of a stream that is on time, in milliseconds; absent: any. */
+  readonly longestPauseMs?: number;
   /** Lower goes first. */
   readonly priority: number;
   /** Most upstreams that may run one request. */
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -14,9 +14,18 @@
   readonly giveUpAt: Millis;
 }
 
+/** What a request waits for: room at a decode engine, the reading of a prompt, or those before it. */
+export type Lack = 'room' | 'reading' | 'turn';
+
 /** What the queue decided for a request. */
 export type QueueDecision =
-  | { readonly type: 'place'; readonly request: RequestId; readonly pair: EnginePair }
+  | {
+      readonly type: 'place';
+      readonly request: RequestId;
+      readonly pair: EnginePair;
+      /** What it waited for last; undefined where it did not wait. */
+      readonly lacked: Lack | undefined;
+    }
   | { readonly type: 'refuse'; readonly request: RequestId; readonly refusal: Refusal };
 
 /**
@@ -57,6 +66,9 @@
 
   private waiting: readonly QueuedWish[] = [];
 
+  /** What those who wait have waited for last. */
+  private readonly lacks = new Map<RequestId, Lack>();
+
   /** @param placement - Chooses engines. */
   constructor(placement: LocalPlacement) {
     this.placement = placement;
@@ -82,6 +94,7 @@
   /** Takes a request out, because its caller has gone. */
   withdraw(request: RequestId): void {
     this.waiting = this.waiting.filter((wish) => wish.request !== request);
+    this.lacks.delete(request);
   }
 
   /** Notes that a placed request has ended. */
@@ -108,10 +121,21 @@
     const [first] = [...this.waiting].sort((a, b) => this.compare(a, b, now));
     if (first === undefined) return undefined;
     const pair = this.placement.choose(first, now);
-    if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair, now)) return undefined;
+    if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair, now)) {
+      this.noteLacks(first, pair === undefined ? 'room' : 'reading');
+      return undefined;
+    }
+    const lacked = this.lacks.get(first.request);
     this.withdraw(first.request);
     this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
-    return { type: 'place', request: first.request, pair };
+    return { type: 'place', request: first.request, pair, lacked };
+  }
+
+  private noteLacks(first: QueuedWish, lack: Lack): void {
+    this.waiting.forEach(({ request }) => {
+      if (request === first.request) this.lacks.set(request, lack);
+      else if (!this.lacks.has(request)) this.lacks.set(request, 'turn');
+    });
   }
 
   /** A prompt that takes longer than the bound on an idle engine is not held back for its size. */
--- /dev/null
+++ b/packages/router/src/cli/lossesCommand.ts
@@ -0,0 +1,48 @@
+import { readFileSync } from 'node:fs';
+import { EXIT } from '@camphorvane/operator/exit';
+import type { CommandModule } from 'yargs';
+import { parseLogLines } from '../observe/logLines.ts';
+import { lossTable } from '../observe/lossTable.ts';
+import { requestStories } from '../observe/requestStories.ts';
+
+/** File descriptor of standard input. */
+const STDIN = 0;
+
+interface LossesArgs {
+  readonly files: readonly string[];
+  readonly late: number;
+  readonly window: number;
+}
+
+/** `losses`: prints which requests were late or lost, when, and for what reason. */
+export const lossesCommand: CommandModule<object, LossesArgs> = {
+  command: 'losses [files..]',
+  describe: 'Print from logs of hosts which requests were late or lost, when, and why',
+  builder: (y) =>
+    y
+      .positional('files', {
+        type: 'string',
+        array: true,
+        default: [],
+        describe: 'Logs of hosts; standard input where none is named',
+      })
+      .option('late', {
+        type: 'number',
+        default: 0.2,
+        describe: 'What a late answer is worth, as a part of one on time',
+      })
+      .option('window', { type: 'number', default: 2_000, describe: 'Length of a moment, in ms' })
+      .example('$0 losses hosts.log --late 0.5', 'count a late answer as half of one on time'),
+  handler: ({ files, late, window }) => {
+    const sources = files.length > 0 ? files : [STDIN];
+    const lines = sources.flatMap((source) => readFileSync(source, 'utf8').split('\n'));
+    const stories = requestStories(parseLogLines(lines));
+    if (stories.length === 0) {
+      process.stderr.write('no line of these logs tells of an accepted request\n');
+      process.exitCode = EXIT.invalid;
+      return;
+    }
+    const table = lossTable(stories, { lateWorth: late, windowMs: window });
+    process.stdout.write(`${table.join('\n')}\n`);
+  },
+};
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers';
 import { applyModule, checkModule, diffModule } from './cli/declarationCommands.ts';
 import { explainCommand } from './cli/explainCommand.ts';
+import { lossesCommand } from './cli/lossesCommand.ts';
 import { hostsCommand } from './cli/hostsCommand.ts';
 import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
 import { serveCommand } from './cli/serveCommand.ts';
@@ -22,6 +23,7 @@
   .command(drainModule)
   .command(hostsCommand)
   .command(explainCommand)
+  .command(lossesCommand)
   .command(keyModule)
   .version(VERSION)
   .demandCommand(1, 'Name a command.')
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -17,7 +17,8 @@
   | 'config.changed';
 
 /** Names of all timings, in milliseconds. */
-export type TimingName = 'request.ttft' | 'request.whole' | 'request.token_interval';
+export type TimingName =
+  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval';
 
 /** Bounds of the histograms, in milliseconds: from a hop between zones to a caller's patience. */
 const BUCKETS_MS = [
--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -1,11 +1,5 @@
-/** One line of a log, with the host that wrote it where that is known. */
-interface LogLine {
-  readonly t: number;
-  readonly host: string;
-  readonly part: string;
-  readonly event: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
+import type { LogLine } from './logLines.ts';
+import { parseLogLines } from './logLines.ts';
 
 /** Events that change what a host believes; they explain decisions made soon after. */
 const BELIEFS: ReadonlySet<string> = new Set([
@@ -28,7 +22,7 @@
  * @returns The story, a line for each event, with milliseconds since the first; empty for an unknown id.
  */
 export function explainRequest(id: string, lines: readonly string[]): readonly string[] {
-  const all = lines.flatMap((line) => parseLine(line));
+  const all = parseLogLines(lines);
   const own = all.filter((line) => line.fields.id === id).sort(byTime);
   const [first] = own;
   const last = own.at(-1);
@@ -48,25 +42,6 @@
   return a.t - b.t;
 }
 
-function parseLine(line: string): readonly LogLine[] {
-  const start = line.indexOf('{');
-  if (start < 0) return [];
-  const fields = parseJson(line.slice(start));
-  if (fields === undefined || typeof fields.t !== 'number') return [];
-  const { t, part, event, level, ...rest } = fields;
-  const host = line.slice(0, start).trim().split(/\s+/).at(-1) ?? '';
-  return [{ t, host, part: String(part ?? ''), event: String(event), fields: rest }];
-}
-
-/** A line that was cut off when its process ended tells nothing. */
-function parseJson(text: string): Record<string, unknown> | undefined {
-  try {
-    return JSON.parse(text) as Record<string, unknown>;
-  } catch {
-    return undefined;
-  }
-}
-
 function describe(line: LogLine, startedAt: number): string {
   const after = `${String(line.t - startedAt).padStart(7)} ms`;
   const fields = Object.entries(line.fields)
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -19,7 +19,6 @@
 } from '@camphorvane/decisions';
 import type {
   EngineObservation,
-  EnginePair,
   EngineUse,
   QueueDecision,
   ReservationEnd,
@@ -35,6 +34,8 @@
 
 const log = stateLog('placing');
 
+type PlaceDecision = Extract<QueueDecision, { readonly type: 'place' }>;
+
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
@@ -279,7 +280,7 @@
   private carryOut(pool: LocalPool, decision: QueueDecision): void {
     switch (decision.type) {
       case 'place':
-        this.place(pool, decision.request, decision.pair);
+        this.place(pool, decision);
         break;
       case 'refuse':
         this.answer(pool, decision.request, err(decision.refusal));
@@ -289,7 +290,7 @@
     }
   }
 
-  private place(pool: LocalPool, request: RequestId, pair: EnginePair): void {
+  private place(pool: LocalPool, { request, pair, lacked }: PlaceDecision): void {
     const waiting = pool.waiting.get(request);
     if (waiting === undefined) return;
     const { item } = waiting;
@@ -323,6 +324,7 @@
       promptTokens: item.promptTokens,
       memoryTokens: Math.round(memoryTokens),
       waitedMs: Math.round(this.clock.now() - waiting.since),
+      lacked,
     });
     this.answer(pool, request, ok(placed));
   }
--- a/packages/router/src/serving/Forwarding.ts
+++ b/packages/router/src/serving/Forwarding.ts
@@ -23,6 +23,7 @@
 import type { ServingEvent } from './completionWork.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
 import type { ServiceServing } from './ServiceServing.ts';
+import { StreamPace } from './StreamPace.ts';
 
 /** Milliseconds that a caller is taken to wait where it does not say. */
 const DEFAULT_PATIENCE_MS: Millis = 30_000;
@@ -117,13 +118,13 @@
       abort.abort(timedOut()),
     );
     try {
-      const events =
-        call.route.kind === 'stream'
-          ? this.stream(call, abort.signal)
-          : this.call(call, abort.signal);
+      const isStream = call.route.kind === 'stream';
+      const events = isStream ? this.stream(call, abort.signal) : this.call(call, abort.signal);
+      const pace = new StreamPace(startedAt);
       for await (const event of events) {
+        if (event.type === 'data') pace.note(this.options.clock.now());
         if (event.type === 'refused') this.noteRefusal(id, event.refusal, startedAt);
-        if (event.type === 'done') this.noteWhole(id, call, startedAt);
+        if (event.type === 'done') this.noteWhole(call, pace, startedAt);
         yield event;
       }
     } finally {
@@ -153,9 +154,11 @@
     const deadlineAt = this.options.clock.now() + patienceMs;
     return this.callerOf(route, req).map((caller) => {
       this.options.metrics.count('request.accepted');
-      const { name } = route;
+      const { name, kind, targetMs, longestPauseMs } = route;
       const { service } = target;
-      log('accepted', { id, route: name, service, team: caller.team.id, version: this.version() });
+      const aims = { kind, targetMs, longestPauseMs };
+      const version = this.version();
+      log('accepted', { id, route: name, service, team: caller.team.id, ...aims, version });
       return { id, req, route, service: target.service, caller, config, deadlineAt };
     });
   }
@@ -247,11 +250,24 @@
     return Math.max(0, deadlineAt - this.options.clock.now());
   }
 
-  private noteWhole(id: RequestId, { route, service }: RoutedCall, startedAt: Millis): void {
+  private noteWhole({ id, route, service }: RoutedCall, pace: StreamPace, startedAt: Millis): void {
+    const { kind } = route;
     const tookMs = Math.round(this.options.clock.now() - startedAt);
-    this.options.metrics.count('request.whole', { kind: route.kind });
-    this.options.metrics.timing('request.whole', tookMs, { kind: route.kind });
-    log('whole', { id, route: route.name, service, tookMs });
+    const times = pace.get();
+    const firstMs = Math.round(times.firstMs ?? tookMs);
+    const pauseMs = Math.round(times.longestPauseMs);
+    this.options.metrics.count('request.whole', { kind });
+    this.options.metrics.timing('request.whole', tookMs, { kind });
+    if (kind === 'stream') this.options.metrics.timing('request.pause', pauseMs, { kind });
+    log('whole', {
+      id,
+      route: route.name,
+      service,
+      tookMs,
+      firstMs,
+      pauseMs,
+      events: times.events,
+    });
   }
 
   private noteRefusal(id: RequestId, refusal: Refusal, startedAt: Millis): void {
--- /dev/null
+++ b/packages/router/tests/observe/lossTable.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseLogLines } from '../../src/observe/logLines.ts';
+import { lossTable } from '../../src/observe/lossTable.ts';
+import type { RequestStory } from '../../src/observe/requestStories.ts';
+import { requestStories } from '../../src/observe/requestStories.ts';
+
+const AIMS = '"kind":"stream","targetMs":900,"longestPauseMs":300,"team":"t"';
+
+const accepted = (id: string, t: number): string =>
+  `h1 {"t":${t},"part":"request","event":"accepted","id":"${id}","route":"r",${AIMS}}`;
+
+const line = (id: string, t: number, event: string, fields: string): string =>
+  `h1 {"t":${t},"part":"x","event":"${event}","id":"${id}",${fields}}`;
+
+const storyOf = (...lines: readonly string[]): RequestStory | undefined =>
+  requestStories(parseLogLines(lines))[0];
+
+test('a stream whose first event and pauses are within their bounds is on time', () => {
+  const story = storyOf(
+    accepted('a', 0),
+    line('a', 3_000, 'whole', '"firstMs":899,"pauseMs":300,"tookMs":3000'),
+  );
+  assert.equal(story?.end, 'on_time');
+});
+
+test('a late stream is laid to what took longest', () => {
+  const late = '"firstMs":1500,"pauseMs":50,"tookMs":4000';
+  const placed = '"waitedMs":1100,"lacked":"room"';
+  const waited = storyOf(
+    accepted('a', 0),
+    line('a', 1_100, 'placed', placed),
+    line('a', 1_300, 'prefilled', '"tookMs":200'),
+    line('a', 4_000, 'whole', late),
+  );
+  assert.equal(waited?.cause, 'waited for room');
+  const failed = storyOf(
+    accepted('b', 0),
+    line('b', 50, 'placed', '"waitedMs":50'),
+    line('b', 1_200, 'attempt_failed', '"error":"silent"'),
+    line('b', 4_000, 'whole', late),
+  );
+  assert.equal(failed?.cause, 'failed tries');
+});
+
+test('a stream that stood still between events is late by its pause', () => {
+  const story = storyOf(
+    accepted('a', 0),
+    line('a', 3_000, 'whole', '"firstMs":400,"pauseMs":301,"tookMs":3000'),
+  );
+  assert.deepEqual([story?.end, story?.cause], ['late', 'pause between events']);
+});
+
+// A host is killed while it answers. Its logs stop, and nothing else says how the request ended.
+test('a request without an end is unfinished', () => {
+  assert.equal(
+    storyOf(accepted('a', 0), line('a', 5, 'placed', '"waitedMs":5'))?.end,
+    'unfinished',
+  );
+});
+
+test('the table counts a late answer for a part, and names the worst moments', () => {
+  const stories = requestStories(
+    parseLogLines([
+      accepted('a', 0),
+      line('a', 900, 'whole', '"firstMs":100,"pauseMs":0,"tookMs":900'),
+      accepted('b', 100),
+      line('b', 3_000, 'whole', '"firstMs":2000,"pauseMs":0,"tookMs":2900'),
+      accepted('c', 5_000),
+      line('c', 5_010, 'refused', '"code":"over_rate"'),
+    ]),
+  );
+  const table = lossTable(stories, { lateWorth: 0.2, windowMs: 2_000 });
+  assert.equal(table[0], '3 requests, 1 on time, worth lost 1.8');
+  assert.match(table[3] ?? '', /r +over_rate +0 +1 +0 +1\.0/);
+  assert.match(table.join('\n'), /\n +4000 +1 +0 +0 +1 +0 +1\.0/);
+});
