Give up a watch that begins behind what a peer has named already

Cause: a peer's word of a newer version wakes only a watch that waits at that moment. Named between two watches it was known from then on, so its repeats were passed over, and a watch on a silent connection went on to its deadline. Ruled out: the wait before a retry (500 ms at most), connections left behind (renewed together). Test first: fails before, passes after.

--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -164,6 +164,8 @@
     const { store, kind, watchMs } = this.options;
     const overtaken = new AbortController();
     this.wake = () => this.giveUpLater(overtaken);
+    // What a peer named while no watch waited is not told again.
+    if (this.named > after) this.wake();
     const either = AbortSignal.any([signal, overtaken.signal]);
     const batch = await store.watch(kind, after, watchMs, either);
     this.wake = () => undefined;
--- a/packages/store/tests/follow/KindFollower.test.ts
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -152,3 +152,32 @@
   stop.abort();
   assert.deepEqual(namesOf(rounds.at(-1)), ['b']);
 });
+
+// A peer names a change between two watches, and the connection of the next one has gone silent. The
+// same word comes again several times a second, but a word that is known already is no news: requests
+// would go to a server that leaves until the watch's own deadline.
+test('what a peer named between two watches counts for the next one', async () => {
+  const { store } = scripted([
+    { type: 'snapshot', names: ['a', 'b'], version: 5 },
+    { type: 'hang' },
+    { type: 'snapshot', names: ['b'], version: 9 },
+  ]);
+  const clock = new VirtualClock();
+  const rounds: FollowedKind[] = [];
+  const stop = new AbortController();
+  const follower: KindFollower = new KindFollower({
+    store,
+    kind: 'k',
+    clock,
+    random: new RandomSource(1),
+    watchMs: 60_000,
+    onRound: (round) => {
+      rounds.push(round);
+      follower.hearOf(8);
+    },
+  });
+  void follower.run(stop.signal);
+  await clock.advance(1_000);
+  stop.abort();
+  assert.deepEqual(namesOf(rounds.at(-1)), ['b']);
+});
