--- a/packages/core/src/LoadSnapshot.ts
+++ b/packages/core/src/LoadSnapshot.ts
@@ -10,4 +10,6 @@
   readonly waiting: number;
   /** Attempts that hold memory now; the pool's steward compares them with its ledger. */
   readonly attempts: readonly AttemptId[];
+  /** Orders that the engine has taken since its start; absent where it does not say. */
+  readonly ordersTaken?: number;
 }
--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -45,6 +45,10 @@
   readonly slots?: number;
   /** True where the engine refuses orders with an old fencing number. */
   readonly checksFencing: boolean;
+  /** Milliseconds that a change of its role takes; absent where its role can't be changed. */
+  readonly roleSwitchMs?: number;
+  /** Output tokens in one event of a stream; 1 where absent. */
+  readonly eventTokens?: Tokens;
 }
 
 /** A model and the engines that serve it. */
--- a/packages/decisions/src/FairPoolScheduler.ts
+++ b/packages/decisions/src/FairPoolScheduler.ts
@@ -1,5 +1,4 @@
 import {
-  type EngineRole,
   type Millis,
   type RandomSource,
   type RequestId,
@@ -28,7 +27,6 @@
 import { ClassShares } from './queue/ClassShares.ts';
 import { FairQueue } from './queue/FairQueue.ts';
 import type { QueuedWork } from './queue/QueuedWork.ts';
-import { PressureMeter, type PoolPressure } from './shift/PressureMeter.ts';
 import { ReservationBook } from './ReservationBook.ts';
 import { IndexedHeap } from './structures/IndexedHeap.ts';
 
@@ -103,11 +101,6 @@
 
   private linkRetryAt: Millis = Infinity;
 
-  private readonly pressure = new PressureMeter();
-
-  /** The role of engines that the last request tried was short of. */
-  private lacking: EngineRole | undefined;
-
   /**
    * @param shape - The pool.
    * @param opts - Randomness and limits.
@@ -175,13 +168,11 @@
 
   step(now: Millis): readonly SchedulerDecision[] {
     this.linkRetryAt = Infinity;
-    this.lacking = undefined;
     this.table.endPauses(now);
     this.reclaimExpired(now);
     this.giveUpLate(now);
     this.drain.advance(now, this.queue.size > 0);
     while (this.placeNext(now));
-    this.pressure.advance(now, this.lacking);
     this.drain.advance(now, this.queue.size > 0);
     const decisions = this.due;
     this.due = [];
@@ -209,11 +200,6 @@
     return this.book.getHolders(engine);
   }
 
-  /** Gets which engines the waiting work has been short of; the role shifter acts on it. */
-  getPressure(): PoolPressure {
-    return this.pressure.get();
-  }
-
   /** Gets how many requests wait. */
   get waitingCount(): number {
     return this.waiting.size;
@@ -290,7 +276,6 @@
       (candidate) => {
         const result = this.chooser.choose(candidate, now);
         if (result.type === 'placed') placement = result.placement;
-        if (result.type === 'no_room') this.lacking = result.lacking;
         if (result.type === 'link_busy') {
           this.linkRetryAt = Math.min(this.linkRetryAt, result.retryAt);
         }
--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -34,6 +34,8 @@
   readonly expectedOutputTokens?: Tokens;
   /** Milliseconds from submission after which the first token is late; absent where it never is. */
   readonly onTimeMs?: Millis;
+  /** Longest pause between events of its answer that is on time, in milliseconds; absent: any. */
+  readonly longestPauseMs?: Millis;
   /** Rank that the operators gave; lower goes first. Absent where only the class counts. */
   readonly priority?: number;
 }
--- a/packages/decisions/src/local/EngineHealth.ts
+++ b/packages/decisions/src/local/EngineHealth.ts
@@ -12,16 +12,33 @@
 /** Prompt tokens an engine reads in a millisecond, until it has shown its own speed. */
 const ASSUMED_TOKENS_PER_MS = 50;
 
-/** Weight of the newest measurement; about the last eight prefills count. */
-const SPEED_WEIGHT = 0.15;
+/** Prompts that an engine's speed is taken from: the last ones, so that it follows a change. */
+const SPEED_SAMPLES = 15;
+
+/**
+ * Place of the speed that is taken among those measured. Some prompts wait behind others of which this
+ * host does not know yet, and seem slow; a few were read before, and take no time at all.
+ */
+const SPEED_QUANTILE = 0.8;
+
+/** Weight of the newest time between tokens; about the last eight measurements count. */
+const TOKEN_WEIGHT = 0.15;
 
 interface Health {
   readonly failures: number;
   readonly restUntil: Millis;
-  readonly tokensPerMs: number;
+  /** Prompt tokens read in a millisecond, for each of the last prompts. */
+  readonly readSpeeds: readonly number[];
+  /** Milliseconds between two output tokens of a stream; undefined until there were some. */
+  readonly tokenMs: Millis | undefined;
 }
 
-const HEALTHY: Health = { failures: 0, restUntil: 0, tokensPerMs: ASSUMED_TOKENS_PER_MS };
+const HEALTHY: Health = {
+  failures: 0,
+  restUntil: 0,
+  readSpeeds: [],
+  tokenMs: undefined,
+};
 
 /**
  * Remembers how engines did for this host: which failed lately, and how fast each reads prompts.
@@ -57,17 +74,29 @@
   }
 
   /**
-   * Takes in the time that a prefill took.
+   * Takes in the time that a prefill took on an engine that had nothing else to read, as far as known.
    *
    * @param engine - The engine.
-   * @param tokens - What it had to read until this prefill was done, prompts before it included.
+   * @param tokens - Tokens of the prompt.
    * @param tookMs - Milliseconds from sending to the answer.
    */
   prefillTook(engine: UpstreamId, tokens: Tokens, tookMs: Millis): void {
     const health = this.known.get(engine) ?? HEALTHY;
     const measured = tokens / Math.max(1, tookMs);
-    const tokensPerMs = health.tokensPerMs * (1 - SPEED_WEIGHT) + measured * SPEED_WEIGHT;
-    this.known.set(engine, { ...health, tokensPerMs });
+    const readSpeeds = [...health.readSpeeds, measured].slice(-SPEED_SAMPLES);
+    this.known.set(engine, { ...health, readSpeeds });
+  }
+
+  /**
+   * Takes in how fast an engine made the output of streams.
+   *
+   * @param engine - The engine.
+   * @param tokenMs - Milliseconds between two tokens of a stream.
+   */
+  tokensTook(engine: UpstreamId, tokenMs: Millis): void {
+    const health = this.known.get(engine) ?? HEALTHY;
+    const known = health.tokenMs ?? tokenMs;
+    this.known.set(engine, { ...health, tokenMs: known + (tokenMs - known) * TOKEN_WEIGHT });
   }
 
   /** Tells whether the engine is passed over at present. */
@@ -75,8 +104,47 @@
     return (this.known.get(engine)?.restUntil ?? 0) > now;
   }
 
-  /** Gets the time that the engine takes to read so many tokens. */
-  readMs(engine: UpstreamId, tokens: Tokens): Millis {
-    return tokens / (this.known.get(engine) ?? HEALTHY).tokensPerMs;
+  /**
+   * Gets the time that an engine takes to read so many tokens.
+   *
+   * @param engine - The engine.
+   * @param tokens - What it is to read.
+   * @param alike - Engines of its kind, whose speed is taken until it has shown its own.
+   * @returns Milliseconds.
+   */
+  readMs(engine: UpstreamId, tokens: Tokens, alike: readonly UpstreamId[]): Millis {
+    const readPerMs = this.readPerMs(engine) ?? this.meanReadPerMs(alike);
+    return tokens / (readPerMs ?? ASSUMED_TOKENS_PER_MS);
+  }
+
+  /** Gets the time of an output token of an engine, or of its kind; undefined before there was one. */
+  tokenMs(engine: UpstreamId, alike: readonly UpstreamId[]): Millis | undefined {
+    return this.known.get(engine)?.tokenMs ?? this.meanTokenMs(alike);
+  }
+
+  /** Tells whether the engine failed when it was last tried. */
+  isFailing(engine: UpstreamId): boolean {
+    return (this.known.get(engine)?.failures ?? 0) > 0;
+  }
+
+  /** Gets the mean speed of those engines that have shown one; undefined where none has. */
+  meanReadPerMs(engines: readonly UpstreamId[]): number | undefined {
+    return meanOf(engines.map((engine) => this.readPerMs(engine)));
   }
+
+  /** Gets the mean time of an output token, over engines that have made some. */
+  meanTokenMs(engines: readonly UpstreamId[]): Millis | undefined {
+    return meanOf(engines.map((engine) => this.known.get(engine)?.tokenMs));
+  }
+
+  private readPerMs(engine: UpstreamId): number | undefined {
+    const speeds = [...(this.known.get(engine)?.readSpeeds ?? [])].sort((a, b) => a - b);
+    return speeds[Math.floor(speeds.length * SPEED_QUANTILE)];
+  }
+}
+
+function meanOf(values: readonly (number | undefined)[]): number | undefined {
+  const known = values.filter((value) => value !== undefined);
+  if (known.length === 0) return undefined;
+  return known.reduce((sum, value) => sum + value, 0) / known.length;
 }
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -1,6 +1,8 @@
 import type { EngineConfig, Millis, Tokens, UpstreamId } from '@camphorvane/core';
 import { RandomSource, TOKENS_PER_PIECE } from '@camphorvane/core';
+import type { EngineMoves } from '../shift/EngineMoves.ts';
 import type { EngineHealth } from './EngineHealth.ts';
+import type { EngineKnowledge } from './EngineKnowledge.ts';
 import type { UseBook } from './EngineUse.ts';
 
 /** A request that asks for engines. */
@@ -10,6 +12,8 @@
   readonly memoryTokens: Tokens;
   /** Engines on which the request failed. */
   readonly avoid: readonly UpstreamId[];
+  /** Longest pause between events that is on time for streams of this pool; absent: any. */
+  readonly longestPauseMs?: Millis;
 }
 
 /** The engines for a request; without a prefill engine the decode engine reads the prompt itself. */
@@ -36,6 +40,12 @@
  */
 const READ_AT_DECODE_MS: Millis = 120;
 
+/**
+ * Part of the pause that a stream may have which the reading of a prompt beside it may take. The rest
+ * covers what the estimate misses, and the way to the caller.
+ */
+const PAUSE_PART = 0.9;
+
 /** What a full engine is worth in waiting, in milliseconds: steps grow longer as it fills. */
 const FULL_ENGINE_MS: Millis = 250;
 
@@ -43,7 +53,7 @@
  * Part of an engine's memory that hosts fill. The rest covers what hosts that chose at the same
  * moment put there unseen; an engine that runs out preempts a running stream and reads it anew.
  */
-const MEMORY_PART = 0.95;
+export const MEMORY_PART = 0.95;
 
 /**
  * Hosts from which on engines are drawn by lot before the best is taken. So many hosts choose on words
@@ -62,6 +72,7 @@
 interface Writer {
   readonly cfg: EngineConfig;
   readonly fill: number;
+  readonly streams: number;
   /** Whether a prompt is being read there already. */
   readonly isReading: boolean;
 }
@@ -81,26 +92,31 @@
 export class LocalPlacement {
   private engines: readonly EngineConfig[] = [];
 
-  private readonly book: UseBook;
+  private names: readonly UpstreamId[] = [];
+
+  private readonly use: UseBook;
 
   private readonly health: EngineHealth;
 
+  private readonly moves: EngineMoves;
+
   private readonly random: RandomSource;
 
   /**
+   * @param knowledge - What this host knows of the engines.
    * @param random - Draws engines in large fleets.
-   * @param book - What all hosts have on the engines.
-   * @param health - How the engines did lately.
    */
-  constructor(book: UseBook, health: EngineHealth, random: RandomSource = new RandomSource(1)) {
-    this.book = book;
+  constructor({ use, health, moves }: EngineKnowledge, random = new RandomSource(1)) {
+    this.use = use;
     this.health = health;
+    this.moves = moves;
     this.random = random;
   }
 
   /** Takes a changed list of engines into force. */
   reshape(engines: readonly EngineConfig[]): void {
     this.engines = engines;
+    this.names = engines.map(({ id }) => id);
   }
 
   /** Tells whether there is any engine that gives output. */
@@ -121,6 +137,7 @@
     const apart = writers.flatMap((writer) => readers.map((reader) => apartChoice(reader, writer)));
     const direct = writers
       .filter((writer) => !writer.isReading)
+      .filter((writer) => readers.length === 0 || this.mayRead(writer, wish))
       .map((writer) => this.directChoice(writer, wish));
     return [...apart, ...direct].reduce<Choice | undefined>(cheaper, undefined)?.pair;
   }
@@ -149,12 +166,12 @@
 
   /** Gets the time in which idle engines would read the prompt. */
   idleReadMs(wish: PlacementWish, pair: EnginePair): Millis {
-    const ms = this.health.readMs(pair.prefill ?? pair.decode, wish.promptTokens);
+    const ms = this.readMs(pair.prefill ?? pair.decode, wish.promptTokens);
     return pair.prefill === undefined ? ms * DECODE_READ_FACTOR : ms;
   }
 
   private draw<T>(all: readonly T[]): readonly T[] {
-    if (this.book.getHostCount() < DRAW_FROM_HOSTS || all.length <= DRAWN) return all;
+    if (this.use.getHostCount() < DRAW_FROM_HOSTS || all.length <= DRAWN) return all;
     return all
       .map((one) => ({ one, lot: this.random.next() }))
       .sort((a, b) => a.lot - b.lot)
@@ -162,8 +179,29 @@
       .map(({ one }) => one);
   }
 
+  /**
+   * Tells whether a decode engine may read a prompt without making its streams late.
+   *
+   * While it reads, its other streams get a token for each chunk only, so an event of theirs takes as
+   * long as the reading on top of its usual time. With prompts of thousands of tokens that is more than
+   * a stream may pause, and one request that is read sooner would make ten others late: on a site with
+   * slow engines 77 prompts read this way made 74 streams late.
+   */
+  private mayRead({ cfg, streams }: Writer, wish: PlacementWish): boolean {
+    if (streams === 0) return true;
+    const { longestPauseMs = Infinity } = wish;
+    const tokenMs = this.health.tokenMs(cfg.id, this.names) ?? 0;
+    const eventMs = tokenMs * (cfg.eventTokens ?? 1);
+    const readMs = this.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
+    return readMs + eventMs <= longestPauseMs * PAUSE_PART;
+  }
+
+  private readMs(engine: UpstreamId, tokens: Tokens): Millis {
+    return this.health.readMs(engine, tokens, this.names);
+  }
+
   private directChoice({ cfg, fill }: Writer, wish: PlacementWish): Choice {
-    const readMs = this.health.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
+    const readMs = this.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
     return {
       pair: { prefill: undefined, decode: cfg.id, readMs },
       cost: readMs + READ_AT_DECODE_MS + fill * FULL_ENGINE_MS,
@@ -172,31 +210,38 @@
 
   private readers(wish: PlacementWish, now: Millis): readonly Reader[] {
     return this.usable('prefill', wish, now).map((cfg) => {
-      const queued = this.book.getTotal(cfg.id, now).prefillTokens;
-      return { cfg, readMs: this.health.readMs(cfg.id, queued + wish.promptTokens) };
+      const queued = this.use.getTotal(cfg.id, now).prefillTokens;
+      return { cfg, readMs: this.readMs(cfg.id, queued + wish.promptTokens) };
     });
   }
 
   /** Gets the decode engines with room for the whole request. */
   private writers(wish: PlacementWish, now: Millis): readonly Writer[] {
     return this.usable('decode', wish, now)
-      .map((cfg) => ({ cfg, use: this.book.getTotal(cfg.id, now) }))
+      .map((cfg) => ({ cfg, use: this.use.getTotal(cfg.id, now) }))
       .filter(({ cfg, use }) => use.streams < (cfg.slots ?? Infinity))
       .map(({ cfg, use }) => ({
         cfg,
         fill: (use.memoryTokens + wish.memoryTokens) / (cfg.memoryPieces * TOKENS_PER_PIECE),
+        streams: use.streams,
         isReading: use.prefillTokens > 0,
       }))
       .filter(({ fill }) => fill <= MEMORY_PART);
   }
 
-  /** Gets the engines of a role; those that failed lately only where no other is there. */
+  /**
+   * Gets the engines of a role; those that failed lately only where no other is there, and none that
+   * changes its role.
+   */
   private usable(
     role: EngineConfig['role'],
     wish: PlacementWish,
     now: Millis,
   ): readonly EngineConfig[] {
-    const all = this.engines.filter((cfg) => cfg.role === role && !wish.avoid.includes(cfg.id));
+    const all = this.engines.filter(
+      ({ id, role: own }) =>
+        own === role && !wish.avoid.includes(id) && this.moves.roleOf(id, now) === undefined,
+    );
     const rested = all.filter((cfg) => !this.health.isResting(cfg.id, now));
     return rested.length > 0 ? rested : all;
   }
--- a/packages/decisions/src/shift/RoleShifter.ts
+++ b/packages/decisions/src/shift/RoleShifter.ts
@@ -1,157 +1,193 @@
-import type { EngineRole, Millis, UpstreamId } from '@camphorvane/core';
-import type { PoolPressure } from './PressureMeter.ts';
+import type { EngineRole, Millis, UpstreamId, ZoneId } from '@camphorvane/core';
+import type { RoleSplit, SplitGrounds } from './RoleSplit.ts';
+import { bestSplit, expectedLate } from './RoleSplit.ts';
+import { DEMAND_SPAN_MS } from './DemandHistory.ts';
 
 /** An engine as the shifter sees it. */
 export interface ShiftableEngine {
   readonly id: UpstreamId;
+  readonly zone: ZoneId;
+  /** Its role; the one that it is changing to where it changes. */
   readonly role: EngineRole;
-  /** Whether the engine is up; one that is down counts for nothing. */
-  readonly up: boolean;
-  /** Requests that it still carries; the order goes out at 0. */
-  readonly holders: number;
+  readonly isChanging: boolean;
+  /** Whether it failed when it was last used; it is not moved then, as it may not take the order. */
+  readonly isFailing: boolean;
+  /** What it carries, to be compared with engines of the same role. */
+  readonly load: number;
 }
 
-/** What is to be done to an engine. Orders carry a fencing number, so that an old one is refused. */
-export type ShiftDecision =
-  | { readonly type: 'drain'; readonly engine: UpstreamId }
-  | { readonly type: 'undrain'; readonly engine: UpstreamId }
+/** What a decision was made on. */
+export interface RoleForecast {
+  readonly present: RoleSplit;
+  readonly wanted: RoleSplit;
+  /** Parts of the requests that are expected to be late with the present and the wanted split. */
+  readonly lateNow: number;
+  readonly lateThen: number;
+  /** Requests that the forecast is made on. */
+  readonly requests: number;
+}
+
+/** Why no engine is moved. */
+export type StayReason =
+  'little_demand' | 'engines_changed' | 'moving' | 'balanced' | 'not_lasting' | 'no_engine';
+
+/** What is to be done about the roles. */
+export type RoleDecision =
+  | { readonly type: 'stay'; readonly reason: StayReason; readonly forecast?: RoleForecast }
   | {
-      readonly type: 'order_role';
-      readonly engine: UpstreamId;
+      readonly type: 'move';
+      readonly engines: readonly UpstreamId[];
       readonly role: EngineRole;
-      readonly fence: number;
+      readonly forecast: RoleForecast;
     };
 
-/** Limits of a {@link RoleShifter}. */
-export interface RoleShifterOptions {
-  /** Share of time short of a role above which engines are moved to it. */
-  readonly short: number;
-  /** Share of time short of the other role above which none is taken from it. */
-  readonly spare: number;
-  /** Time for which the need must last. */
-  readonly lastingMs: Millis;
-  /** Time after a move before the next one is considered. */
-  readonly pauseMs: Millis;
-  /** Engines under way between roles at a time. */
-  readonly mostAtOnce: number;
-  /** Engines that each role keeps. */
-  readonly leastInRole: number;
-  /** Time after which a move that is not done is given up. */
-  readonly giveUpMs: Millis;
+/** What the shifter is asked with. */
+export interface RoleView extends SplitGrounds {
+  readonly engines: readonly ShiftableEngine[];
+  /** Milliseconds for which an engine that changes its role does nothing. */
+  readonly switchMs: Millis;
+  /** Milliseconds by which this host holds back, since others are to act before it. */
+  readonly holdBackMs: Millis;
 }
 
+/** Requests on which a forecast is made at least: with fewer, chance decides. */
+const LEAST_REQUESTS = 16;
+
+/** Milliseconds of demand on which a forecast is made at least. */
+const LEAST_DEMAND_MS: Millis = 2_000;
+
+/** Fewer late requests, as a part of all, for which a role is changed. */
+const LEAST_GAIN = 0.04;
+
 /**
- * Short above a half and spare below a twentieth are far apart, so that one moved engine does not
- * ask for the move back. A need of fifteen seconds outlasts a burst. After a move the pause lets its
- * effect show. One engine at a time bounds the loss if the measure is wrong.
+ * Fewer late requests, as a part of those late now, for which a role is changed. Where many are late in
+ * any case, the forecast differs by so much from one burst to the next.
  */
-export const DEFAULT_ROLE_SHIFTER: RoleShifterOptions = {
-  short: 0.5,
-  spare: 0.05,
-  lastingMs: 15_000,
-  pauseMs: 60_000,
-  mostAtOnce: 1,
-  leastInRole: 1,
-  giveUpMs: 120_000,
-};
-
-interface Move {
-  readonly role: EngineRole;
-  readonly startedAt: Millis;
-  readonly ordered: boolean;
-}
+const LEAST_GAIN_PART = 0.25;
+
+/** Milliseconds for which a change must be wanted; a clump of requests is over by then. */
+const LASTING_MS: Millis = 800;
 
 /**
- * Moves engines between prefill and decode when work lasts that is short of one role only.
- *
- * Made for a day that turns from lookups to long reports, or for heat that took several engines of
- * one role. The harm it must not do: move to and fro with each burst, each time losing an engine's
- * caches and seconds of its work; take the last engine of a role; or cut the streams of the engine
- * that moves, which is therefore emptied first.
+ * Milliseconds after a change of the engines in which none is moved. Most engines that crash are back
+ * after some seconds, which is sooner than another one could take their place.
  */
-export class RoleShifter {
-  private readonly moves = new Map<UpstreamId, Move>();
+const SETTLE_MS: Millis = 6_000;
+
+/** Milliseconds that the last streams of a decode engine may take until it changes. */
+const STREAM_MS: Millis = 6_000;
 
-  private readonly opts: RoleShifterOptions;
+/** Milliseconds over which a change must pay for what is lost while it is made. */
+const PAYBACK_MS: Millis = 30_000;
 
+/** Part of a role's engines that may change at a time. */
+const MOVED_PART = 0.25;
+
+/**
+ * Moves engines between prefill and decode to where requests would wait.
+ *
+ * Made for engines that are split otherwise than the work: decode memory is full and requests are late
+ * while prefill engines idle, or the reverse when prompts grow. The forecast replays what was asked
+ * lately, with more than that and with the loss of an engine. The harm it must not do: move to and fro
+ * with each burst, each time losing an engine for seconds; take the last engine of a role; act on
+ * demand of which it has seen too little.
+ */
+export class RoleShifter {
   private wanted: EngineRole | undefined;
 
   private wantedSince: Millis = 0;
 
-  private quietUntil: Millis = -Infinity;
+  private engineNames = '';
 
-  /** @param opts - Limits; those not given have their defaults. */
-  constructor(opts: Partial<RoleShifterOptions> = {}) {
-    this.opts = { ...DEFAULT_ROLE_SHIFTER, ...opts };
-  }
+  private changedAt: Millis = -Infinity;
 
   /**
    * Decides what is due.
    *
-   * @param engines - The pool's engines with their present roles.
-   * @param pressure - What work has been short of.
-   * @param fence - Fencing number of the steward that asks; it only grows.
+   * @param view - Engines and demand.
    * @param now - Present time.
+   * @returns The engines to move now, or why none is moved.
    */
-  decide(
-    engines: readonly ShiftableEngine[],
-    pressure: PoolPressure,
-    fence: number,
-    now: Millis,
-  ): readonly ShiftDecision[] {
-    return [
-      ...this.settle(engines, now),
-      ...this.order(engines, fence),
-      ...this.begin(engines, pressure, now),
-    ];
-  }
-
-  /** Ends moves that are done, whose engine has gone, or that take too long. */
-  private settle(engines: readonly ShiftableEngine[], now: Millis): readonly ShiftDecision[] {
-    return [...this.moves].flatMap(([id, move]) => {
-      const engine = engines.find((other) => other.id === id);
-      const done = engine?.role === move.role;
-      const late = now - move.startedAt > this.opts.giveUpMs;
-      if (engine !== undefined && !done && !late) return [];
-      this.moves.delete(id);
-      this.quietUntil = now + this.opts.pauseMs;
-      return [{ type: 'undrain', engine: id } as const];
-    });
-  }
-
-  private order(engines: readonly ShiftableEngine[], fence: number): readonly ShiftDecision[] {
-    return engines.flatMap(({ id, holders }) => {
-      const move = this.moves.get(id);
-      if (move === undefined || move.ordered || holders > 0) return [];
-      this.moves.set(id, { ...move, ordered: true });
-      return [{ type: 'order_role', engine: id, role: move.role, fence } as const];
-    });
+  decide(view: RoleView, now: Millis): RoleDecision {
+    this.noteEngines(view.engines, now);
+    const requests = view.spans.reduce((sum, span) => sum + span.requests, 0);
+    if (requests < LEAST_REQUESTS || view.spans.length * DEMAND_SPAN_MS < LEAST_DEMAND_MS) {
+      return this.stay('little_demand');
+    }
+    if (view.engines.some((engine) => engine.isChanging)) return this.stay('moving');
+    if (now - this.changedAt < SETTLE_MS) return this.stay('engines_changed');
+    const forecast = forecastOf(view, requests);
+    const moved = forecast.wanted.readers - forecast.present.readers;
+    if (moved === 0 || !isWorth(view, forecast)) return this.stay('balanced', forecast);
+    return this.moveWhenLasting(view, forecast, now);
   }
 
-  private begin(
-    engines: readonly ShiftableEngine[],
-    pressure: PoolPressure,
-    now: Millis,
-  ): readonly ShiftDecision[] {
-    const role = this.getShortRole(pressure);
-    if (role !== this.wanted) {
+  private moveWhenLasting(view: RoleView, forecast: RoleForecast, now: Millis): RoleDecision {
+    const { present, wanted } = forecast;
+    const role = wanted.readers > present.readers ? 'prefill' : 'decode';
+    if (this.wanted !== role) {
       this.wanted = role;
       this.wantedSince = now;
     }
-    const ripe = now - this.wantedSince >= this.opts.lastingMs && now >= this.quietUntil;
-    if (role === undefined || !ripe || this.moves.size >= this.opts.mostAtOnce) return [];
-    const staying = engines.filter(({ id, up }) => up && !this.moves.has(id));
-    const givers = staying.filter((engine) => engine.role !== role);
-    if (givers.length <= this.opts.leastInRole) return [];
-    const chosen = givers.reduce((best, next) => (next.holders < best.holders ? next : best));
-    this.moves.set(chosen.id, { role, startedAt: now, ordered: false });
-    return [{ type: 'drain', engine: chosen.id }];
+    if (now - this.wantedSince < LASTING_MS + view.holdBackMs) {
+      return { type: 'stay', reason: 'not_lasting', forecast };
+    }
+    const engines = chooseMoved(view.engines, role, Math.abs(wanted.readers - present.readers));
+    if (engines.length === 0) return this.stay('no_engine', forecast);
+    return { type: 'move', engines, role, forecast };
   }
 
-  private getShortRole(pressure: PoolPressure): EngineRole | undefined {
-    const { short, spare } = this.opts;
-    if (pressure.prefill > short && pressure.decode < spare) return 'prefill';
-    if (pressure.decode > short && pressure.prefill < spare) return 'decode';
-    return undefined;
+  private stay(reason: StayReason, forecast?: RoleForecast): RoleDecision {
+    this.wanted = undefined;
+    return { type: 'stay', reason, forecast };
   }
+
+  /** Notes when engines come, go, or end changing their role. */
+  private noteEngines(engines: readonly ShiftableEngine[], now: Millis): void {
+    const joined = engines
+      .map(({ id }) => id)
+      .sort()
+      .join();
+    if (joined !== this.engineNames && this.engineNames !== '') this.changedAt = now;
+    this.engineNames = joined;
+  }
+}
+
+function forecastOf(view: RoleView, requests: number): RoleForecast {
+  const count = (role: EngineRole): number =>
+    view.engines.filter((engine) => engine.role === role).length;
+  const present = { readers: count('prefill'), decoders: count('decode') };
+  const wanted = bestSplit(view, present);
+  const lateNow = expectedLate(view, present);
+  return { present, wanted, lateNow, lateThen: expectedLate(view, wanted), requests };
+}
+
+/** Tells whether a change pays: engines that change their role are missing meanwhile. */
+function isWorth(view: RoleView, { present, wanted, lateNow, lateThen }: RoleForecast): boolean {
+  const gain = lateNow - lateThen;
+  if (gain < Math.max(LEAST_GAIN, lateNow * LEAST_GAIN_PART)) return false;
+  const meanwhile = {
+    readers: Math.min(present.readers, wanted.readers),
+    decoders: Math.min(present.decoders, wanted.decoders),
+  };
+  const lost = Math.max(0, expectedLate(view, meanwhile) - lateNow);
+  // A decode engine ends its streams before it changes.
+  const awayMs = view.switchMs + (wanted.readers > present.readers ? STREAM_MS : 0);
+  return gain * PAYBACK_MS > lost * awayMs;
+}
+
+/** Gets the engines that lose least by a change, from the zone that has most of their role. */
+function chooseMoved(
+  engines: readonly ShiftableEngine[],
+  role: EngineRole,
+  count: number,
+): readonly UpstreamId[] {
+  const givers = engines.filter((engine) => engine.role !== role);
+  const inZone = (zone: ZoneId): number => givers.filter((engine) => engine.zone === zone).length;
+  const most = Math.min(count, givers.length - 1, Math.ceil(givers.length * MOVED_PART));
+  return givers
+    .filter((engine) => !engine.isFailing)
+    .sort((a, b) => inZone(b.zone) - inZone(a.zone) || a.load - b.load)
+    .slice(0, Math.max(0, most))
+    .map(({ id }) => id);
 }
--- a/packages/decisions/tests/local/LocalPlacement.test.ts
+++ b/packages/decisions/tests/local/LocalPlacement.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { EngineConfig } from '@camphorvane/core';
 import { RandomSource } from '@camphorvane/core';
-import { EngineHealth, LocalPlacement, UseBook } from '@camphorvane/decisions';
+import { EngineKnowledge, LocalPlacement } from '@camphorvane/decisions';
 
 const WISH = { promptTokens: 5_000, memoryTokens: 8_000, avoid: [] };
 
@@ -12,12 +12,12 @@
 
 function setUp(engines: readonly EngineConfig[]): {
   readonly placement: LocalPlacement;
-  readonly book: UseBook;
-  readonly health: EngineHealth;
+  readonly book: EngineKnowledge['use'];
+  readonly health: EngineKnowledge['health'];
 } {
-  const book = new UseBook();
-  const health = new EngineHealth();
-  const placement = new LocalPlacement(book, health);
+  const knowledge = new EngineKnowledge();
+  const { use: book, health } = knowledge;
+  const placement = new LocalPlacement(knowledge);
   placement.reshape(engines);
   return { placement, book, health };
 }
@@ -85,13 +85,71 @@
 test('hosts of a large fleet do not all choose the same engine', () => {
   const engines = Array.from({ length: 20 }, (_, i) => engine(`d${i}`, 'decode'));
   const chosen = Array.from({ length: 90 }, (_, seed) => {
-    const book = new UseBook();
+    const knowledge = new EngineKnowledge();
+    const { use: book } = knowledge;
     Array.from({ length: 89 }, (__, i) => book.hear(`h${i}`, new Map(), 0));
     book.change('d0', { memoryTokens: 100 });
-    const placement = new LocalPlacement(book, new EngineHealth(), new RandomSource(seed));
+    const placement = new LocalPlacement(knowledge, new RandomSource(seed));
     placement.reshape(engines);
     return placement.choose(WISH, 0)?.decode;
   });
   const most = Math.max(...engines.map(({ id }) => chosen.filter((one) => one === id).length));
   assert.ok(most <= 25, `${most} of 90 chose one engine`);
 });
+
+/** Prefill engines that are busy for so long that a decode engine would read sooner. */
+function setUpBusyReaders(tokenMs: number, streams: number) {
+  const pool = [engine('p1', 'prefill'), { ...engine('d1', 'decode'), eventTokens: 12 }];
+  const all = setUp(pool);
+  all.health.prefillTook('p1', 3_300, 100);
+  all.health.tokensTook('d1', tokenMs);
+  all.book.change('p1', { prefillTokens: 30_000 });
+  all.book.change('d1', { streams, memoryTokens: 100 });
+  return all;
+}
+
+// A slow engine reads a prompt of 5,000 tokens for 300 ms. Its ten streams would stand still for that
+// long, and each of their callers sees an answer that stutters, so that one gets its own sooner.
+test('no prompt is read beside streams that would pause too long', () => {
+  const { placement } = setUpBusyReaders(4, 10);
+  const allowed = { ...WISH, promptTokens: 5_000 };
+  assert.equal(placement.choose({ ...allowed, longestPauseMs: 300 }, 0)?.prefill, 'p1');
+  assert.equal(placement.choose({ ...allowed, longestPauseMs: 500 }, 0)?.prefill, undefined);
+  assert.equal(placement.choose(allowed, 0)?.prefill, undefined);
+});
+
+test('a short prompt, or one that nobody has to pause for, is read where there is time', () => {
+  const busy = setUpBusyReaders(4, 10).placement;
+  const short = { ...WISH, promptTokens: 2_000, longestPauseMs: 300 };
+  assert.equal(busy.choose(short, 0)?.prefill, undefined);
+  const empty = setUpBusyReaders(4, 0).placement;
+  const long = { ...WISH, promptTokens: 9_000, longestPauseMs: 300 };
+  assert.equal(empty.choose(long, 0)?.prefill, undefined);
+});
+
+// All prefill engines are gone. A stutter in some answers is better than no answer to anybody.
+test('without any prefill engine a prompt is read beside streams in any case', () => {
+  const { placement, book } = setUp([engine('d1', 'decode')]);
+  book.change('d1', { streams: 10, memoryTokens: 100 });
+  const wish = { ...WISH, promptTokens: 9_000, longestPauseMs: 10 };
+  assert.equal(placement.choose(wish, 0)?.decode, 'd1');
+});
+
+// An engine is changing its role, which the list does not show yet. It refuses whatever is sent to it.
+test('an engine that changes its role gets nothing', () => {
+  const knowledge = new EngineKnowledge();
+  const placement = new LocalPlacement(knowledge);
+  placement.reshape(POOL);
+  knowledge.moves.begin('p1', 'decode', 20_000);
+  knowledge.moves.begin('d1', 'prefill', 20_000);
+  const pair = placement.choose(WISH, 0);
+  assert.deepEqual([pair?.prefill, pair?.decode], ['p2', 'd2']);
+});
+
+test('the speed of an engine is what its last prompts show, whatever single ones say', () => {
+  const { health } = setUp(POOL);
+  const took = [100, 100, 100, 1, 100, 300, 100, 100, 100, 100];
+  took.forEach((ms) => health.prefillTook('p1', 3_000, ms));
+  assert.equal(health.readMs('p1', 3_000, []), 100);
+  assert.equal(health.readMs('p2', 3_000, ['p1', 'p2']), 100);
+});
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { EngineConfig, Millis } from '@camphorvane/core';
 import { RandomSource } from '@camphorvane/core';
-import { EngineHealth, LocalPlacement, LocalQueue, UseBook } from '@camphorvane/decisions';
+import { EngineKnowledge, LocalPlacement, LocalQueue } from '@camphorvane/decisions';
 
 const STEP_MS = 5;
 const HINT_MS = 40;
@@ -61,8 +61,9 @@
 function play(load: Load, seed: number): Outcome {
   const random = new RandomSource(seed);
   const hosts = Array.from({ length: load.hosts }, () => {
-    const book = new UseBook();
-    const placement = new LocalPlacement(book, new EngineHealth());
+    const knowledge = new EngineKnowledge();
+    const book = knowledge.use;
+    const placement = new LocalPlacement(knowledge);
     placement.reshape(ENGINES);
     return { book, queue: new LocalQueue(placement) };
   });
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,10 +1,24 @@
 import type { HostId, Incarnation, TeamId, Tokens } from '@camphorvane/core';
-import type { EngineHint } from './HostHint.ts';
-import { isCharge, isCount, parseDatagram, readRow, writeRow } from './hintRows.ts';
+import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
+import {
+  isCharge,
+  isCount,
+  parseDatagram,
+  readDemand,
+  readMove,
+  readRow,
+  readRows,
+  writeDemand,
+  writeMove,
+  writeRow,
+} from './hintRows.ts';
 
 /** First field of a digest's datagram; a hint has a host's name there and another shape. */
 const TAG = 'digest';
 
+/** Place of the demand among the fields; those before it are read by name. */
+const DEMAND_FIELD = 10;
+
 const START = Buffer.from(`["${TAG}",`);
 
 /**
@@ -25,6 +39,10 @@
   readonly engines: readonly EngineHint[];
   /** Tokens that these hosts have charged to each team since the relay first heard of them. */
   readonly charged: readonly (readonly [TeamId, Tokens])[];
+  /** What was asked of these hosts for each pool since the relay first heard of them. */
+  readonly demand: readonly DemandHint[];
+  /** Engines that any of them has ordered into another role. */
+  readonly moves: readonly MoveHint[];
   /** Hosts with a record in the store that the relay has not heard lately. */
   readonly silent: readonly HostId[];
   readonly leaving: readonly HostId[];
@@ -54,6 +72,8 @@
       silent,
       leaving,
       known,
+      digest.demand.map(writeDemand),
+      digest.moves.map(writeMove),
     ]),
   );
 }
@@ -68,16 +88,20 @@
   const fields = parseDatagram(bytes);
   if (fields?.[0] !== TAG) return undefined;
   const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
+  const [demand, moves] = fields.slice(DEMAND_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   if (!isNames(silent) || !isNames(leaving)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
-  const engines = rows.map(readRow).filter((engine) => engine !== undefined);
-  if (engines.length < rows.length) return undefined;
+  const engines = readRows(rows, readRow);
+  const asked = readRows(demand, readDemand);
+  const moving = readRows(moves, readMove);
+  if (engines === undefined || asked === undefined || moving === undefined) return undefined;
   return {
     ...{ host, incarnation, sequence, heard, engines, silent, leaving },
+    ...{ demand: asked, moves: moving },
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
   };
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -1,5 +1,25 @@
-import type { HostId, Incarnation, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import { isCharge, isCount, parseDatagram, readRow, writeRow } from './hintRows.ts';
+import type {
+  EngineRole,
+  HostId,
+  Incarnation,
+  Millis,
+  ModelId,
+  TeamId,
+  Tokens,
+  UpstreamId,
+} from '@camphorvane/core';
+import {
+  isCharge,
+  isCount,
+  parseDatagram,
+  readDemand,
+  readMove,
+  readRow,
+  readRows,
+  writeDemand,
+  writeMove,
+  writeRow,
+} from './hintRows.ts';
 
 /** What a host has on one engine, as it tells its peers. */
 export interface EngineHint {
@@ -9,6 +29,25 @@
   readonly memoryTokens: Tokens;
 }
 
+/** What was asked of a host for one pool since its start, as it tells its peers. */
+export interface DemandHint {
+  readonly model: ModelId;
+  readonly requests: number;
+  readonly promptTokens: Tokens;
+  /** Memory that the requests hold on average. */
+  readonly memoryTokens: Tokens;
+  /** That memory times the output tokens of its request. */
+  readonly memorySteps: number;
+}
+
+/** An engine that the host has ordered into another role. */
+export interface MoveHint {
+  readonly engine: UpstreamId;
+  readonly role: EngineRole;
+  /** Milliseconds until peers may use it again in any case; 0 where the order was taken back. */
+  readonly leftMs: Millis;
+}
+
 /**
  * What a host tells all others several times a second.
  *
@@ -26,6 +65,8 @@
   readonly engines: readonly EngineHint[];
   /** Tokens charged to each team since the host started. */
   readonly charged: readonly (readonly [TeamId, Tokens])[];
+  readonly demand: readonly DemandHint[];
+  readonly moves: readonly MoveHint[];
   /** Versions of the store's changes up to which the host knows configuration and servers. */
   readonly versions: { readonly config: number; readonly servers: number };
 }
@@ -40,7 +81,10 @@
   const rows = hint.engines.map(writeRow);
   const { host, incarnation, sequence, leaving, asks, charged, versions } = hint;
   const known = [versions.config, versions.servers];
-  const fields = [host, incarnation, sequence, leaving ? 1 : 0, rows, charged, known, asks ? 1 : 0];
+  const demand = hint.demand.map(writeDemand);
+  const moves = hint.moves.map(writeMove);
+  const flags = [leaving ? 1 : 0, asks ? 1 : 0];
+  const fields = [host, incarnation, sequence, flags, rows, charged, known, demand, moves];
   return Buffer.from(JSON.stringify(fields));
 }
 
@@ -53,22 +97,27 @@
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
   const fields = parseDatagram(bytes);
   if (fields === undefined) return undefined;
-  const [host, incarnation, sequence, leaving, rows, charged, known, asks] = fields;
+  const [host, incarnation, sequence, flags, rows, charged, known, demand, moves] = fields;
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
-  const engines = rows.map(readRow);
-  if (engines.some((engine) => engine === undefined)) return undefined;
+  const engines = readRows(rows, readRow);
+  const asked = readRows(demand, readDemand);
+  const moving = readRows(moves, readMove);
+  if (engines === undefined || asked === undefined || moving === undefined) return undefined;
+  const [leaving, asks] = Array.isArray(flags) ? (flags as readonly unknown[]) : [];
   return {
     host,
     incarnation,
     sequence,
     leaving: leaving === 1,
     asks: asks === 1,
-    engines: engines.filter((engine) => engine !== undefined),
+    engines,
     charged: charged as readonly (readonly [TeamId, Tokens])[],
+    demand: asked,
+    moves: moving,
     versions: { config, servers },
   };
 }
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from '@camphorvane/core';
-import type { EngineHint } from './HostHint.ts';
+import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
 
 type EngineRow = readonly [UpstreamId, number, number, number];
 
@@ -22,6 +22,53 @@
   };
 }
 
+type DemandRow = readonly [string, number, number, number, number];
+
+/** Gets the demand on one pool as a row. */
+export function writeDemand(one: DemandHint): DemandRow {
+  const { model, requests, promptTokens, memoryTokens, memorySteps } = one;
+  return [model, requests, promptTokens, Math.round(memoryTokens), Math.round(memorySteps)];
+}
+
+/** Reads a row of {@link writeDemand}; undefined for anything that is none. */
+export function readDemand(row: unknown): DemandHint | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [model, requests, promptTokens, memoryTokens, memorySteps] = row as readonly unknown[];
+  if (typeof model !== 'string') return undefined;
+  if (![requests, promptTokens, memoryTokens, memorySteps].every(isCount)) return undefined;
+  return {
+    model,
+    requests: requests as number,
+    promptTokens: promptTokens as number,
+    memoryTokens: memoryTokens as number,
+    memorySteps: memorySteps as number,
+  };
+}
+
+/** Gets an engine that changes its role as a row. */
+export function writeMove({ engine, role, leftMs }: MoveHint): readonly [string, string, number] {
+  return [engine, role, Math.round(leftMs)];
+}
+
+/** Reads a row of {@link writeMove}; undefined for anything that is none. */
+export function readMove(row: unknown): MoveHint | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [engine, role, leftMs] = row as readonly unknown[];
+  if (typeof engine !== 'string' || !isCount(leftMs)) return undefined;
+  return role === 'prefill' || role === 'decode' ? { engine, role, leftMs } : undefined;
+}
+
+/** Reads all rows of a list; undefined where it is no list, or one of its rows is none. */
+export function readRows<T>(
+  rows: unknown,
+  read: (row: unknown) => T | undefined,
+): readonly T[] | undefined {
+  if (!Array.isArray(rows)) return undefined;
+  const all = rows.map(read);
+  const good = all.filter((one) => one !== undefined);
+  return good.length === all.length ? good : undefined;
+}
+
 /** Tells whether a value is a team with the tokens charged to it. */
 export function isCharge(row: unknown): boolean {
   if (!Array.isArray(row)) return false;
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -12,6 +12,8 @@
   asks: true,
   engines: [{ engine: 'e', prefillTokens: 1, streams: 2, memoryTokens: 3 }],
   charged: [['t', 400]],
+  demand: [{ model: 'm', requests: 2, promptTokens: 6_000, memoryTokens: 7_000, memorySteps: 9 }],
+  moves: [{ engine: 'e', role: 'decode', leftMs: 6_000 }],
   versions: { config: 7, servers: 9 },
 };
 
@@ -32,11 +34,16 @@
     }),
   );
   const spoilt = [
-    ['h', 'i', 3, 1, [['e', -1, 0, 0]], [], [1, 1]],
-    ['h', 'i', 3, 1, [], [['t', 'x']], [1, 1]],
-    ['h', 'i', 'x', 1, [], [], [1, 1]],
-    ['h', 'i', 3, 1, [], [], ['x', 1]],
-    ['h', 'i', 3, 1, 'x', [], [1, 1]],
+    ['h', 'i', 3, [1, 0], [['e', -1, 0, 0]], [], [1, 1], [], []],
+    ['h', 'i', 3, [1, 0], [], [['t', 'x']], [1, 1], [], []],
+    ['h', 'i', 'x', [1, 0], [], [], [1, 1], [], []],
+    ['h', 'i', 3, [1, 0], [], [], ['x', 1], [], []],
+    ['h', 'i', 3, [1, 0], 'x', [], [1, 1], [], []],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [['m', 1, -1, 1, 1]], []],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [['e', 'both', 1]]],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], undefined],
   ];
+  const sound = ['h', 'i', 3, [1, 0], [], [], [1, 1], [], []];
+  assert.ok(decodeHint(Buffer.from(JSON.stringify(sound))) !== undefined);
   spoilt.forEach((one) => assert.equal(decodeHint(Buffer.from(JSON.stringify(one))), undefined));
 });
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -1,5 +1,7 @@
-import type { HostId, Incarnation, Millis, TeamId, Tokens } from '@camphorvane/core';
-import type { EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { HostId, Incarnation, Millis, ModelId, TeamId, Tokens } from '@camphorvane/core';
+import type { PoolDemand } from '@camphorvane/decisions';
+import { NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
+import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
 
 /**
  * Engines that one digest names at most, those with the most on them: about 40 bytes each, and a
@@ -29,12 +31,17 @@
   /** The part of it that each host has charged. */
   private readonly chargedBy = new Map<HostId, Map<TeamId, Tokens>>();
 
+  /** What was asked of each host since it was first heard of here. */
+  private readonly askedOf = new Map<HostId, ReadonlyMap<ModelId, PoolDemand>>();
+
   /** Takes in the word of a host, this one included. */
   hear(hint: HostHint, now: Millis): void {
     const before = this.words.get(hint.host)?.hint;
     this.words.set(hint.host, { hint, at: now });
     // What a host charged before it was first heard of here is part of nobody's sum.
-    if (before !== undefined) this.addCharges(hint, before);
+    if (before === undefined) return;
+    this.addCharges(hint, before);
+    this.addDemand(hint, before);
   }
 
   /** Forgets hosts that have been silent for a while. */
@@ -71,6 +78,8 @@
       heard: others.length,
       engines: sumEngines(others),
       charged: this.chargedWithout(receiver),
+      demand: this.demandWithout(receiver),
+      moves: others.flatMap((hint) => hint.moves),
       leaving: others.filter((hint) => hint.leaving).map((hint) => hint.host),
       versions: {
         config: Math.max(0, ...all.map((versions) => versions.config)),
@@ -91,6 +100,27 @@
     this.chargedBy.set(hint.host, own);
   }
 
+  private addDemand(hint: HostHint, before: HostHint): void {
+    const known = new Map(
+      (sameStart(hint, before) ? before.demand : []).map((one) => [one.model, one]),
+    );
+    const own = new Map(this.askedOf.get(hint.host));
+    hint.demand.forEach((total) => {
+      const more = subtractDemand(total, known.get(total.model) ?? NO_DEMAND);
+      own.set(total.model, sumDemand(own.get(total.model) ?? NO_DEMAND, more));
+    });
+    this.askedOf.set(hint.host, own);
+  }
+
+  private demandWithout(receiver: HostId): readonly DemandHint[] {
+    const sums = new Map<ModelId, PoolDemand>();
+    [...this.askedOf]
+      .filter(([host]) => host !== receiver)
+      .flatMap(([, asked]) => [...asked])
+      .forEach(([model, more]) => sums.set(model, sumDemand(sums.get(model) ?? NO_DEMAND, more)));
+    return [...sums].map(([model, sum]) => ({ model, ...sum }));
+  }
+
   private chargedWithout(receiver: HostId): readonly (readonly [TeamId, Tokens])[] {
     const own = this.chargedBy.get(receiver);
     return [...this.charged].map(([team, total]) => [team, total - (own?.get(team) ?? 0)] as const);
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -1,41 +1,30 @@
 import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
-import { sleep } from '@camphorvane/core';
 import type { EngineUse, RateTolerance, RepeatAllowance, WordPace } from '@camphorvane/decisions';
-import { RepeatBudget, wordPace } from '@camphorvane/decisions';
+import { EngineKnowledge, RepeatBudget, wordPace } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { EngineHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
-import type {
-  StoredObject,
-  WatchableStore,
-  DeploymentFormat,
-  FollowMode,
-} from '@camphorvane/store';
-import { OwnRecord } from '@camphorvane/store';
+import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
 import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
-import { stateLog } from '../observe/StateLog.ts';
+import type { RoleControl } from '../placing/RoleControl.ts';
 import { CrashDesk } from '../serving/CrashDesk.ts';
 import { serviceRepeats } from '../serving/teamRepeats.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { SharedRates } from './SharedRates.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
-import type { HostRecord } from './hostRecord.ts';
-import { readHostRecord } from './hostRecord.ts';
+import { HostRecords } from './HostRecords.ts';
 import { HostRoster } from './HostRoster.ts';
 import { PeerTalk } from './PeerTalk.ts';
+import { roleControlOf } from './roleControlOf.ts';
 import type { OwnWord } from './PeerTalk.ts';
 
-/** Part of the time between two writes of a record after which all are read; old answers will do. */
-const RECORDS_READ_PART = 1 / 3;
-
 /** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
 const CRASHES_TO_HOLD_BACK = 3;
 
 /** Milliseconds for which such a request is held back; its caller sends it for some seconds. */
 const HOLD_BACK_MS: Millis = 60_000;
 
-const log = stateLog('hosts');
-
 /** What hosts that share nothing but a store are made of. */
 export interface StoreAgreementOptions {
   readonly store: WatchableStore;
@@ -47,6 +36,9 @@
   readonly repeats: RepeatAllowance;
   /** See {@link DeploymentFeed}; also whether requests end when their key is withdrawn. */
   readonly strictKeysMs: Millis | undefined;
+  /** Milliseconds for which a lease holds that lets one host act for all. */
+  readonly leaseMs: Millis;
+  readonly metrics: Metrics;
 }
 
 /**
@@ -80,7 +72,7 @@
 
   private readonly hosts: HostRoster;
 
-  private readonly record: OwnRecord;
+  private readonly records: HostRecords;
 
   private readonly listeners = new Set<() => void>();
 
@@ -88,7 +80,9 @@
 
   private readonly talk: PeerTalk;
 
-  private sharers: readonly HostId[] = [];
+  private readonly knowledge = new EngineKnowledge();
+
+  private readonly roles: RoleControl;
 
   /**
    * @param options - The store and the bounds that hold for all hosts together.
@@ -110,11 +104,17 @@
       mode: () => this.followMode(),
     });
     this.hosts = new HostRoster(identity.host, identity.zone);
-    this.record = new OwnRecord(store, format.hostKind, identity.host);
+    this.records = new HostRecords({
+      ...{ store, clock, identity, incarnation, strength: options.strength },
+      kind: format.hostKind,
+      roster: this.hosts,
+      isLeaving: () => this.leaving,
+      onSharers: (others) => this.takeSharers(others),
+    });
     const sharers = (): number => this.hosts.countSharers();
     this.rates = new SharedRates(clock, options.tolerance);
     this.repeats = serviceRepeats(new RepeatBudget(options.repeats, sharers));
-    this.placer = new LocalPlacer(clock, random, directory, incarnation);
+    this.placer = new LocalPlacer(clock, random, directory, this.knowledge, incarnation);
     this.crashes = new CrashDesk({
       self: identity.host,
       clock,
@@ -132,14 +132,19 @@
       onHint: (hint) => this.hear(hint),
       onDigest: (digest) => this.hearSum(digest),
     });
+    this.roles = roleControlOf({
+      ...{ options, context, knowledge: this.knowledge },
+      rank: () => this.rank(),
+      announce: () => this.talk.sendNow(),
+    });
   }
 
   /** {@inheritDoc HostAgreement.start} */
   start(signal: AbortSignal): void {
     this.config.start(signal);
-    void this.keepRecord(signal);
-    void this.readRecords(signal);
+    this.records.start(signal);
     this.talk.start(signal);
+    void this.roles.run(signal);
   }
 
   /** Tells whether this host knows enough to serve callers. */
@@ -151,7 +156,7 @@
   async beginLeaving(): Promise<void> {
     this.leaving = true;
     this.talk.sendNow();
-    await this.writeRecord();
+    await this.records.write();
   }
 
   /** {@inheritDoc HostAgreement.leave} */
@@ -222,44 +227,7 @@
     };
   }
 
-  private async keepRecord(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.writeRecord();
-      await sleep(this.clock, this.pace().recordMs, signal);
-    }
-  }
-
-  private async writeRecord(): Promise<void> {
-    const { identity, incarnation } = this.context;
-    const { strength } = this.options;
-    const record: HostRecord = { ...identity, incarnation, leaving: this.leaving, strength };
-    // The beat makes each write a change, by which others see that this host lives.
-    const problem = await this.record.write({ ...record, beat: Math.round(this.clock.now()) });
-    if (problem !== undefined) log('record_not_written', { reason: problem.type });
-  }
-
-  private async readRecords(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const freshness = this.hosts.isKnown() ? 'any' : 'newest';
-      const read = await this.options.store.snapshot(this.options.format.hostKind, freshness);
-      if (read.isOk()) this.takeRecords(read.value.objects);
-      await sleep(this.clock, this.pace().recordMs * RECORDS_READ_PART, signal);
-    }
-  }
-
-  private takeRecords(objects: readonly StoredObject[]): void {
-    const records = objects
-      .map((object) => ({ record: readHostRecord(object), version: object.version }))
-      .flatMap(({ record, version }) => (record === undefined ? [] : [{ record, version }]));
-    this.hosts.update(records, this.clock.now());
-    this.hosts.getExpired().forEach(({ host, version }) => {
-      log('host_forgotten', { host });
-      void this.options.store.remove(this.options.format.hostKind, host, version);
-    });
-    const sharers = this.hosts.getOthers();
-    if (sharers.join() === this.sharers.join()) return;
-    log('sharers', { before: this.sharers.length + 1, now: sharers.length + 1 });
-    this.sharers = sharers;
+  private takeSharers(sharers: readonly HostId[]): void {
     this.rates.setSharers(sharers);
     this.listeners.forEach((changed) => changed());
   }
@@ -282,24 +250,41 @@
   private ownWord(): OwnWord {
     return {
       leaving: this.leaving,
-      engines: [...this.placer.getUse()].map(([engine, use]) => ({ engine, ...use })),
+      engines: [...this.knowledge.use.getOwn()].map(([engine, use]) => ({ engine, ...use })),
       charged: this.rates.getCharged(),
+      demand: this.knowledge.demand.getOwn(),
+      moves: this.knowledge.moves.getOwn(this.clock.now()),
       versions: this.config.getVersions(),
     };
   }
 
   private hear(hint: HostHint): void {
-    this.hosts.hear(hint.host, hint.leaving, this.clock.now());
+    const now = this.clock.now();
+    this.hosts.hear(hint.host, hint.leaving, now);
     this.rates.hear(hint);
     this.config.hearOf(hint.versions);
-    this.placer.hear(hint.host, usesOf(hint.engines));
+    const { use, demand, moves } = this.knowledge;
+    use.hear(hint.host, usesOf(hint.engines), now);
+    demand.hear(hint.host, hint.incarnation, hint.demand, now);
+    moves.hear(hint.moves, now);
   }
 
   private hearSum(digest: HostDigest): void {
-    this.hosts.hearAll(digest, this.clock.now());
+    const now = this.clock.now();
+    this.hosts.hearAll(digest, now);
     this.rates.hearSum(digest);
     this.config.hearOf(digest.versions);
-    this.placer.hearSum(usesOf(digest.engines), digest.heard);
+    const { use, demand, moves } = this.knowledge;
+    use.hearSum(usesOf(digest.engines), digest.heard, now);
+    demand.hearRelay(`${digest.host} ${digest.incarnation}`, digest.demand, now);
+    moves.hear(digest.moves, now);
+  }
+
+  /** Gets how many hosts come before this one by name, among those that are there to stay. */
+  private rank(): number | undefined {
+    if (this.leaving) return undefined;
+    const { host } = this.context.identity;
+    return this.members().filter((mate) => !mate.leaving && mate.host < host).length;
   }
 }
 
--- a/packages/router/src/agreement/composeRouting.ts
+++ b/packages/router/src/agreement/composeRouting.ts
@@ -77,6 +77,8 @@
     memoryPieces: Math.floor(engines.memoryTokens / TOKENS_PER_PIECE),
     slots: server.slots,
     checksFencing: false,
+    roleSwitchMs: engines.roleSwitchMs,
+    eventTokens: engines.eventTokens,
   };
 }
 
--- /dev/null
+++ b/packages/router/src/agreement/roleControlOf.ts
@@ -0,0 +1,38 @@
+import type { EngineKnowledge } from '@camphorvane/decisions';
+import { StoreLease } from '@camphorvane/store';
+import { RoleControl } from '../placing/RoleControl.ts';
+import type { AgreementContext } from './HostAgreement.ts';
+import type { StoreAgreementOptions } from './StoreAgreement.ts';
+
+/** Name of the lease of the host that moves engines between the roles. */
+const ROLES_LEASE = 'roles';
+
+/** What the control of the roles of a host is made from. */
+export interface RoleControlSources {
+  readonly options: Pick<StoreAgreementOptions, 'store' | 'format' | 'leaseMs' | 'metrics'>;
+  readonly context: AgreementContext;
+  readonly knowledge: EngineKnowledge;
+  /** See {@link RoleControlOptions.rank}. */
+  readonly rank: () => number | undefined;
+  /** See {@link RoleControlOptions.announce}. */
+  readonly announce: () => void;
+}
+
+/**
+ * Makes the control of the roles for hosts that share a store.
+ *
+ * @param sources - The store and this host.
+ * @returns The control, which does nothing before it is run.
+ */
+export function roleControlOf(sources: RoleControlSources): RoleControl {
+  const { options, context, knowledge, rank, announce } = sources;
+  const { store, format, leaseMs, metrics } = options;
+  const { clock, identity, incarnation, directory } = context;
+  // A host that takes the place of another one may have its name, but not its address.
+  const holder = `${identity.host} ${identity.peerAddress}`;
+  const lease = new StoreLease({
+    ...{ store, clock, holder, incarnation, leaseMs },
+    ...{ kind: format.leaseKind, name: ROLES_LEASE },
+  });
+  return new RoleControl({ clock, directory, knowledge, lease, holder, rank, announce, metrics });
+}
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -70,6 +70,8 @@
         tolerance: settings.quota,
         repeats: settings.retries,
         strictKeysMs: settings.strictKeysMs,
+        leaseMs: settings.leaseMs,
+        metrics,
       },
       (made) => {
         agreement = made;
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -1,5 +1,5 @@
 import { StatsD } from 'hot-shots';
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Names of all counters; docs/OPERATIONS.md lists them. */
 export type CounterName =
@@ -14,7 +14,11 @@
   | 'reservation.lost'
   | 'service.dispatched'
   | 'service.replayed'
-  | 'config.changed';
+  | 'config.changed'
+  | 'role.order';
+
+/** Names of all gauges. */
+export type GaugeName = 'engines';
 
 /** Names of all timings, in milliseconds. */
 export type TimingName =
@@ -44,6 +48,8 @@
 
   private readonly histograms = new Map<TimingName, Histogram>();
 
+  private readonly gauges = new Map<GaugeName, Gauge>();
+
   /** @param client - Sends to the collector; absent where none is set. */
   constructor(client?: StatsD) {
     this.client = client;
@@ -96,6 +102,18 @@
     this.client?.timing(name, ms, { ...tags });
   }
 
+  /**
+   * Sets a gauge.
+   *
+   * @param name - The gauge.
+   * @param value - What it shows from now on.
+   * @param tags - How it is split.
+   */
+  gauge(name: GaugeName, value: number, tags: MetricTags = {}): void {
+    this.gaugeOf(name, tags).set({ ...tags }, value);
+    this.client?.gauge(name, value, { ...tags });
+  }
+
   /** Gets all counters since the start, by name and tags. */
   getCounts(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)));
@@ -124,6 +142,19 @@
     return counter;
   }
 
+  private gaugeOf(name: GaugeName, tags: MetricTags): Gauge {
+    const known = this.gauges.get(name);
+    if (known !== undefined) return known;
+    const gauge = new Gauge({
+      name: promName(name),
+      help: `Gauge ${name}.`,
+      labelNames: Object.keys(tags),
+      registers: [this.registry],
+    });
+    this.gauges.set(name, gauge);
+    return gauge;
+  }
+
   private histogramOf(name: TimingName, tags: MetricTags): Histogram {
     const known = this.histograms.get(name);
     if (known !== undefined) return known;
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -1,7 +1,8 @@
 import type {
   CancelTimer,
   Clock,
-  HostId,
+  EngineConfig,
+  Millis,
   ModelId,
   RandomSource,
   RequestId,
@@ -9,17 +10,10 @@
   UpstreamId,
 } from '@camphorvane/core';
 import { notRun, piecesFor } from '@camphorvane/core';
-import {
-  EngineHealth,
-  LocalPlacement,
-  LocalQueue,
-  meanMemory,
-  QUEUE_LOOK_MS,
-  UseBook,
-} from '@camphorvane/decisions';
+import { LocalPlacement, LocalQueue, meanMemory, QUEUE_LOOK_MS } from '@camphorvane/decisions';
 import type {
+  EngineKnowledge,
   EngineObservation,
-  EngineUse,
   QueueDecision,
   ReservationEnd,
   WorkItem,
@@ -47,9 +41,7 @@
 
   private readonly prefix: string;
 
-  private readonly book = new UseBook();
-
-  private readonly health = new EngineHealth();
+  private readonly knowledge: EngineKnowledge;
 
   private readonly pools = new Map<ModelId, LocalPool>();
 
@@ -69,23 +61,27 @@
    * @param clock - Times waits.
    * @param random - Draws engines in large fleets.
    * @param directory - Knows the engines.
+   * @param knowledge - What this host knows of the engines, from itself and from its peers.
    * @param incarnation - Names this start of the host; reservations begin with it.
    */
   constructor(
     clock: Clock,
     random: RandomSource,
     directory: UpstreamDirectory,
+    knowledge: EngineKnowledge,
     incarnation: string,
   ) {
     this.random = random;
     this.clock = clock;
     this.directory = directory;
+    this.knowledge = knowledge;
     this.prefix = incarnation;
   }
 
   /** {@inheritDoc Placer.reserve} */
   reserve(model: ModelId, item: WorkItem, signal: AbortSignal): Promise<ReserveAnswer> {
     const pool = this.poolFor(model);
+    if (item.avoid.length === 0) this.knowledge.demand.asked(model, item, this.clock.now());
     return new Promise((resolve) => {
       const gone = (): void => {
         pool.queue.withdraw(item.request);
@@ -110,6 +106,7 @@
         promptTokens: item.promptTokens,
         memoryTokens: meanMemory(item),
         avoid: item.avoid,
+        longestPauseMs: item.longestPauseMs,
       });
       if (refusal === undefined) this.pump(pool);
       else this.answer(pool, item.request, err(refusal));
@@ -117,9 +114,15 @@
   }
 
   /** {@inheritDoc Placer.prefillEnded} */
-  prefillEnded(_model: ModelId, reservation: ReservationId): void {
+  prefillEnded(_model: ModelId, reservation: ReservationId, tookMs?: Millis): void {
     const held = this.held.get(reservation);
     if (held === undefined) return;
+    const { prefill } = held.pair;
+    if (tookMs !== undefined && prefill !== undefined) {
+      const { health } = this.knowledge;
+      if (held.wasIdle) health.prefillTook(prefill, held.promptTokens, tookMs);
+      health.succeeded(prefill);
+    }
     this.endPrefill(reservation, held);
     this.pumpOf(held.model);
   }
@@ -129,12 +132,12 @@
     const held = this.held.get(reservation);
     const pool = held === undefined ? undefined : this.pools.get(held.model);
     if (held === undefined || pool === undefined) return undefined;
-    const { pair, memoryTokens, promptTokens } = held;
-    const wish = { promptTokens, memoryTokens, avoid };
+    const { pair, memoryTokens, promptTokens, longestPauseMs } = held;
+    const wish = { promptTokens, memoryTokens, avoid, longestPauseMs };
     const decode = pool.placement.chooseDecode(wish, pair.prefill, this.clock.now());
     if (decode === undefined) return undefined;
-    this.book.change(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
-    this.book.change(decode, { streams: 1, memoryTokens });
+    this.knowledge.use.change(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
+    this.knowledge.use.change(decode, { streams: 1, memoryTokens });
     this.held.set(reservation, { ...held, pair: { ...pair, decode } });
     log('decode_moved', { reservation, from: pair.decode, to: decode });
     return decode;
@@ -151,8 +154,8 @@
     if (held === undefined) return;
     this.held.delete(reservation);
     this.endPrefill(reservation, held);
-    this.book.change(held.pair.decode, { streams: -1, memoryTokens: -held.memoryTokens });
-    if (end === 'done') this.health.succeeded(held.pair.decode);
+    this.knowledge.use.change(held.pair.decode, { streams: -1, memoryTokens: -held.memoryTokens });
+    if (end === 'done') this.knowledge.health.succeeded(held.pair.decode);
     this.pools.get(held.model)?.queue.ended(held.team);
     this.pumpOf(held.model);
   }
@@ -164,7 +167,7 @@
       case 'silent':
       case 'broken':
       case 'mismatch':
-        this.health.failed(engine, this.clock.now());
+        this.knowledge.health.failed(engine, this.clock.now());
         break;
       case 'rejected':
       case 'cancelled':
@@ -179,21 +182,6 @@
     observations.forEach((seen) => this.take(seen));
   }
 
-  /** Takes in what a peer has on the engines. */
-  hear(peer: HostId, uses: ReadonlyMap<string, EngineUse>): void {
-    this.book.hear(peer, uses, this.clock.now());
-  }
-
-  /** Takes in what all peers together have on the engines. */
-  hearSum(uses: ReadonlyMap<string, EngineUse>, hosts: number): void {
-    this.book.hearSum(uses, hosts, this.clock.now());
-  }
-
-  /** Gets what this host has on the engines, to be told to its peers. */
-  getUse(): ReadonlyMap<string, EngineUse> {
-    return this.book.getOwn();
-  }
-
   /** Gets how many requests were placed since the start. */
   getPlacedCount(): number {
     return this.placed;
@@ -201,7 +189,9 @@
 
   /** {@inheritDoc ChangingPlacer.refresh} */
   refresh(): void {
-    this.health.keepOnly(new Set(this.directory.getEngineIds()));
+    const engines = this.directory.getModels().flatMap((model) => this.enginesOf(model));
+    this.knowledge.moves.settle(engines, this.clock.now());
+    this.knowledge.health.keepOnly(new Set(this.directory.getEngineIds()));
     this.pools.forEach((pool, model) => {
       this.reshape(pool, model);
       this.pump(pool);
@@ -215,7 +205,7 @@
       placed: this.placed,
       held: this.held.size,
       waiting: Object.fromEntries(waiting),
-      use: Object.fromEntries(this.book.getOwn()),
+      use: Object.fromEntries(this.knowledge.use.getOwn()),
     };
   }
 
@@ -223,13 +213,15 @@
     const now = this.clock.now();
     switch (seen.type) {
       case 'failed':
-        this.health.failed(seen.engine, now);
+        this.knowledge.health.failed(seen.engine, now);
         break;
       case 'recovered':
-        this.health.succeeded(seen.engine);
+        this.knowledge.health.succeeded(seen.engine);
         break;
-      case 'load':
       case 'token_interval':
+        this.takeInterval(seen.engine, seen.meanMs);
+        break;
+      case 'load':
       case 'prefill_done':
       case 'cache':
         break;
@@ -238,10 +230,15 @@
     }
   }
 
+  private takeInterval(id: UpstreamId, meanMs: Millis): void {
+    const tokens = this.directory.getEngine(id)?.cfg.eventTokens ?? 1;
+    this.knowledge.health.tokensTook(id, meanMs / tokens);
+  }
+
   private poolFor(model: ModelId): LocalPool {
     const known = this.pools.get(model);
     if (known !== undefined) return known;
-    const placement = new LocalPlacement(this.book, this.health, this.random);
+    const placement = new LocalPlacement(this.knowledge, this.random);
     const pool: LocalPool = {
       model,
       placement,
@@ -254,7 +251,11 @@
   }
 
   private reshape(pool: LocalPool, model: ModelId): void {
-    pool.placement.reshape(this.directory.getPool(model)?.engines ?? []);
+    pool.placement.reshape(this.enginesOf(model));
+  }
+
+  private enginesOf(model: ModelId): readonly EngineConfig[] {
+    return this.directory.getPool(model)?.engines ?? [];
   }
 
   private pumpOf(model: ModelId): void {
@@ -299,14 +300,17 @@
     this.placed += 1;
     const reservation = `${this.prefix}.p${this.placed}`;
     const reader = pair.prefill ?? pair.decode;
-    this.book.change(reader, { prefillTokens: item.promptTokens });
-    this.book.change(pair.decode, { streams: 1, memoryTokens });
+    const wasIdle = this.knowledge.use.getTotal(reader, this.clock.now()).prefillTokens === 0;
+    this.knowledge.use.change(reader, { prefillTokens: item.promptTokens });
+    this.knowledge.use.change(pair.decode, { streams: 1, memoryTokens });
     this.prefilling.add(reservation);
     this.held.set(reservation, {
       model,
       team: item.team,
       pair,
       promptTokens: item.promptTokens,
+      wasIdle,
+      longestPauseMs: item.longestPauseMs,
       memoryTokens,
     });
     const placed: PlacedPair = {
@@ -332,7 +336,7 @@
   private endPrefill(reservation: ReservationId, held: HeldReservation): void {
     if (!this.prefilling.delete(reservation)) return;
     const reader = held.pair.prefill ?? held.pair.decode;
-    this.book.change(reader, { prefillTokens: -held.promptTokens });
+    this.knowledge.use.change(reader, { prefillTokens: -held.promptTokens });
   }
 
   private answer(pool: LocalPool, request: RequestId, answer: ReserveAnswer): void {
--- a/packages/router/src/placing/Placer.ts
+++ b/packages/router/src/placing/Placer.ts
@@ -45,8 +45,14 @@
    */
   moveDecode(reservation: ReservationId, avoid: readonly UpstreamId[]): UpstreamId | undefined;
 
-  /** Notes that a prefill is over. */
-  prefillEnded(model: ModelId, reservation: ReservationId): void;
+  /**
+   * Notes that a prefill is over.
+   *
+   * @param model - The pool's model.
+   * @param reservation - The reservation.
+   * @param tookMs - Milliseconds that the engine took to read the prompt; undefined where it did not.
+   */
+  prefillEnded(model: ModelId, reservation: ReservationId, tookMs?: Millis): void;
 
   /** Extends reservations; gets those that are lost. */
   renew(
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -19,7 +19,11 @@
   readonly team: TeamId;
   readonly pair: EnginePair;
   readonly promptTokens: Tokens;
+  /** Whether its prefill engine had nothing else to read, as far as known. */
+  readonly wasIdle: boolean;
   readonly memoryTokens: Tokens;
+  /** See {@link WorkItem.longestPauseMs}. */
+  readonly longestPauseMs: Millis | undefined;
 }
 
 /** The requests of one model on this host. */
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -130,18 +130,20 @@
       },
       this.abort.signal,
     );
-    placements.prefillEnded(pool.model, placement.reservation);
+    const tookMs = clock.now() - startedAt;
+    const { reservation } = placement;
+    placements.prefillEnded(pool.model, reservation, result.isOk() ? tookMs : undefined);
     this.keep(false);
     if (result.isErr()) return this.failed(engine.id, 'prefill', result.error);
     metrics.count('prefill.tokens', {}, result.value.promptTokens);
-    const tookMs = Math.round(clock.now() - startedAt);
-    log('prefilled', { id: this.plan.identity.request, engine: engine.id, tookMs });
+    const id = this.plan.identity.request;
+    log('prefilled', { id, engine: engine.id, tookMs: Math.round(tookMs) });
     watch.seen(pool.model, {
       type: 'prefill_done',
       engine: engine.id,
       tokens: result.value.promptTokens,
       cachedTokens: result.value.cachedTokens,
-      tookMs: clock.now() - startedAt,
+      tookMs,
       prefixes: this.plan.prefixes,
     });
     return { type: 'ran', result: result.value };
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -277,6 +277,7 @@
       avoid: progress.getAvoided(),
       expectedOutputTokens: work.terms.expectedTokens,
       onTimeMs: work.terms.onTimeMs,
+      longestPauseMs: work.terms.longestPauseMs,
       priority: work.terms.priority,
     };
     return this.options.placements.reserve(pool.model, item, work.signal);
--- a/packages/router/src/serving/Forwarding.ts
+++ b/packages/router/src/serving/Forwarding.ts
@@ -196,6 +196,7 @@
         expectedTokens: work?.expectedTokens,
         maxWaitMs: Math.min(route.targetMs * STREAM_WAIT_TARGETS, this.leftMs(call)),
         onTimeMs: route.targetMs * STREAM_ON_TIME_PART,
+        longestPauseMs: route.longestPauseMs,
         priority: caller.team.priority ?? route.priority,
       },
       signal,
--- a/packages/router/src/serving/completionWork.ts
+++ b/packages/router/src/serving/completionWork.ts
@@ -34,6 +34,8 @@
   readonly maxWaitMs?: Millis;
   /** Milliseconds of waiting after which the first token is late; absent where it never is. */
   readonly onTimeMs?: Millis;
+  /** Longest pause between events that is on time, in milliseconds; absent: any. */
+  readonly longestPauseMs?: Millis;
   /** Rank that the operators gave; lower goes first. */
   readonly priority?: number;
 }
--- a/packages/router/tests/agreement/PeerTalk.test.ts
+++ b/packages/router/tests/agreement/PeerTalk.test.ts
@@ -131,3 +131,57 @@
   const all = charged.reduce((a, b) => a + b, 0);
   assert.ok(all >= rate.tokensPerSecond * 20 * 0.9, `${all} in 20 s`);
 });
+
+const ITEM = {
+  ...{ request: 'r', holder: 'h', team: 't', weight: 1, class: 'lookup' as const, prefixes: [] },
+  ...{ promptTokens: 3_000, maxOutputTokens: 800, maxWaitMs: 2_500, avoid: [] },
+};
+
+/** Requests of the last half minute that a host knows of. */
+const demandAt = (fleet: TalkFleet, host: TalkHost): number =>
+  host.demand.getSpans('m', fleet.clock.now()).reduce((sum, span) => sum + span.requests, 0);
+
+// The host that decides about the roles sees a small part of the callers itself. It must know what is
+// asked of all, also where words come as sums of a relay, and also after that relay has died.
+test('each host learns what is asked of all others together', async () => {
+  const learn = (count: number) =>
+    play(count, async (fleet) => {
+      await busy(fleet, 2_000);
+      fleet.hosts.forEach((host) => host.demand.asked('m', ITEM, fleet.clock.now()));
+      await busy(fleet, 3_000);
+      const known = fleet.hosts.map((host) => demandAt(fleet, host));
+      assert.deepEqual(
+        known,
+        fleet.hosts.map(() => count),
+      );
+      Object.assign(fleet.hosts[0] ?? {}, { isDown: true });
+      await busy(fleet, 3_000);
+      const living = fleet.hosts.slice(1);
+      living.forEach((host) => host.demand.asked('m', ITEM, fleet.clock.now()));
+      await busy(fleet, 3_000);
+      living.forEach((host) => {
+        const more = demandAt(fleet, host) - count;
+        assert.ok(more >= (count - 1) * 0.9 && more <= count * 1.1, `${host.name} ${more}`);
+      });
+    });
+  await learn(6);
+  await learn(30);
+});
+
+test('all hosts learn which engines change their role', async () => {
+  const learn = (count: number) =>
+    play(count, async (fleet) => {
+      await busy(fleet, 2_000);
+      const [first, ...others] = fleet.hosts;
+      Object.assign(first ?? {}, { moves: [{ engine: 'e', role: 'decode', leftMs: 9_000 }] });
+      await busy(fleet, 1_000);
+      const now = fleet.clock.now();
+      const unaware = others.filter((host) => host.heardMoves.roleOf('e', now) !== 'decode');
+      assert.deepEqual(
+        unaware.map((host) => host.name),
+        [],
+      );
+    });
+  await learn(6);
+  await learn(30);
+});
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -1,7 +1,7 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
 import type { EngineConfig, ForwardRoute, RoutingConfig, ServiceServer } from '@camphorvane/core';
 import { RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
-import { RepeatBudget } from '@camphorvane/decisions';
+import { EngineKnowledge, RepeatBudget } from '@camphorvane/decisions';
 import { Host, Metrics } from '@camphorvane/router';
 import type { AgreementContext, HostAgreement } from '@camphorvane/router';
 import type {
@@ -194,7 +194,7 @@
       group,
       rates: new SharedRates(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       repeats: serviceRepeats(new RepeatBudget(allowance, () => 1)),
-      placer: new LocalPlacer(clock, new RandomSource(1), directory, 'i'),
+      placer: new LocalPlacer(clock, new RandomSource(1), directory, new EngineKnowledge(), 'i'),
       crashes: new CrashDesk({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
       claims: undefined,
       endsWithdrawn: false,
--- /dev/null
+++ b/packages/router/tests/support/RoleFleet.ts
@@ -0,0 +1,142 @@
+import type { EngineConfig, EngineRole } from '@camphorvane/core';
+import { VirtualClock } from '@camphorvane/core';
+import { EngineKnowledge } from '@camphorvane/decisions';
+import type { LeaseState } from '@camphorvane/store';
+import type { EngineOrder, UpstreamError } from '@camphorvane/upstream';
+import { ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Metrics } from '../../src/observe/Metrics.ts';
+import { RoleControl } from '../../src/placing/RoleControl.ts';
+
+const MODEL = 'm';
+
+/** What a fleet's surroundings do. */
+export interface RoleScript {
+  readonly lease: LeaseState;
+  /** What engines answer to orders, one after the other; the last answer stays. */
+  readonly answers: readonly Result<void, UpstreamError>[];
+  /** Orders that an engine says it has taken, or why it says nothing. */
+  readonly report: Result<number, UpstreamError>;
+  /** Hosts that are to act before this one. */
+  readonly rank: number | undefined;
+}
+
+/** An order that was given. */
+export interface GivenOrder {
+  readonly engine: string;
+  readonly order: EngineOrder;
+}
+
+/** A host before three prefill and three decode engines, whose demand fills decode memory. */
+export class RoleFleet {
+  readonly clock = new VirtualClock();
+
+  readonly knowledge = new EngineKnowledge();
+
+  readonly orders: GivenOrder[] = [];
+
+  announced = 0;
+
+  private script: RoleScript = {
+    lease: { type: 'held', fence: 41 },
+    answers: [ok(undefined)],
+    report: ok(3),
+    rank: 0,
+  };
+
+  private readonly roles = new Map<string, EngineRole>(
+    ['p1', 'p2', 'p3', 'd1', 'd2', 'd3'].map((id) => [id, id[0] === 'p' ? 'prefill' : 'decode']),
+  );
+
+  private readonly stop = new AbortController();
+
+  constructor() {
+    const { clock, knowledge } = this;
+    [...this.roles.keys()].forEach((id) => {
+      knowledge.health.prefillTook(id, 3_000, 100);
+      knowledge.health.tokensTook(id, 4);
+    });
+    const control = new RoleControl({
+      clock,
+      knowledge,
+      directory: {
+        getModels: () => [MODEL],
+        getPool: () => ({
+          ...{ model: MODEL, engines: this.engines(), maxTokens: 40_000 },
+          ...{ ttftTargetMs: 900, itlTargetMs: 50, linkPiecesPerSecond: 100 },
+        }),
+        getEngine: (id) => ({ cfg: this.cfgOf(id), engine: this.engineOf(id) as never }),
+      },
+      lease: {
+        hold: async () => this.script.lease,
+        getFence: () => {
+          const { lease } = this.script;
+          return lease.type === 'held' ? lease.fence : undefined;
+        },
+      },
+      holder: 'h1',
+      rank: () => this.script.rank,
+      announce: () => {
+        this.announced += 1;
+      },
+      metrics: new Metrics(),
+    });
+    void control.run(this.stop.signal);
+  }
+
+  /** Changes what the surroundings do. */
+  set(change: Partial<RoleScript>): void {
+    this.script = { ...this.script, ...change };
+  }
+
+  /** Ends the control. */
+  end(): void {
+    this.stop.abort();
+  }
+
+  /** Lets requests come for a while. */
+  async play(forMs: number): Promise<void> {
+    const steps = Array.from({ length: forMs / 100 }, (_, i) => i);
+    await steps.reduce(async (before, i) => {
+      await before;
+      this.knowledge.demand.asked(MODEL, this.item(i), this.clock.now());
+      await this.clock.advance(100);
+    }, Promise.resolve());
+  }
+
+  /** Has the list of engines show a changed role. */
+  complete(id: string, role: EngineRole): void {
+    this.roles.set(id, role);
+  }
+
+  private item(i: number) {
+    return {
+      ...{ request: `r${i}`, holder: 'h1', team: 't', weight: 1, class: 'lookup' as const },
+      ...{ promptTokens: 3_000, maxOutputTokens: 900, expectedOutputTokens: 800, prefixes: [] },
+      ...{ maxWaitMs: 2_500, onTimeMs: 540, avoid: [] },
+    };
+  }
+
+  private engines(): readonly EngineConfig[] {
+    return [...this.roles.keys()].map((id) => this.cfgOf(id));
+  }
+
+  private cfgOf(id: string): EngineConfig {
+    return {
+      ...{ id, url: `http://${id}`, zone: 'a', memoryPieces: 40, checksFencing: false },
+      ...{ role: this.roles.get(id) ?? 'decode', roleSwitchMs: 6_000 },
+    };
+  }
+
+  private engineOf(engine: string) {
+    return {
+      load: async () => this.script.report.map((ordersTaken) => ({ ordersTaken })),
+      order: async (order: EngineOrder) => {
+        this.orders.push({ engine, order });
+        const [answer = ok(undefined), ...rest] = this.script.answers;
+        if (rest.length > 0) this.set({ answers: rest });
+        return answer;
+      },
+    };
+  }
+}
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '@camphorvane/core';
 import { VirtualClock } from '@camphorvane/core';
-import { CountedRates, UseBook } from '@camphorvane/decisions';
-import type { EngineUse } from '@camphorvane/decisions';
+import { CountedRates, DemandBook, EngineMoves, UseBook } from '@camphorvane/decisions';
+import type { EngineMove, EngineUse } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { HostRoster } from '../../src/agreement/HostRoster.ts';
 import type { HostRecord } from '../../src/agreement/hostRecord.ts';
@@ -19,6 +19,10 @@
   /** Digests that it went by. */
   readonly digests: HostDigest[];
   use: ReadonlyMap<string, EngineUse>;
+  readonly demand: DemandBook;
+  /** Engines that it has ordered into another role. */
+  moves: readonly EngineMove[];
+  readonly heardMoves: EngineMoves;
   sent: number;
   bytes: number;
   news: number;
@@ -56,6 +60,7 @@
       rates.setSharers(roster.getOthers(), 0);
       const host: TalkHost = {
         ...{ name, roster, rates, book: new UseBook(), digests: [], use: new Map() },
+        ...{ demand: new DemandBook(), moves: [], heardMoves: new EngineMoves() },
         ...{ sent: 0, bytes: 0, news: 0, isDown: false },
       };
       return host;
@@ -80,6 +85,8 @@
         leaving: false,
         engines: [...host.use].map(([engine, use]) => ({ engine, ...use })),
         charged: [...host.rates.getTotals()],
+        demand: host.demand.getOwn(),
+        moves: host.moves,
         versions: { config: 1, servers: 1 },
       }),
       newsMark: () => `${host.news}`,
@@ -91,6 +98,8 @@
           new Map(hint.engines.map((one) => [one.engine, one])),
           clock.now(),
         );
+        host.demand.hear(hint.host, hint.incarnation, hint.demand, clock.now());
+        host.heardMoves.hear(hint.moves, clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
@@ -100,6 +109,9 @@
         host.rates.hearCrowd({ relay: digest.host, incarnation, heard, totals }, clock.now());
         const uses = digest.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
         host.book.hearSum(new Map(uses), heard, clock.now());
+        const relay = `${digest.host} ${incarnation}`;
+        host.demand.hearRelay(relay, digest.demand, clock.now());
+        host.heardMoves.hear(digest.moves, clock.now());
       },
     });
     const stop = new AbortController();
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -16,6 +16,10 @@
   readonly memoryTokens: Tokens;
   readonly tokenBytes: number;
   readonly linkMbps: number;
+  /** Milliseconds that a change of an engine's role takes; undefined where it can't be changed. */
+  readonly roleSwitchMs: number | undefined;
+  /** Output tokens in one event of a stream; undefined where nothing is said. */
+  readonly eventTokens: Tokens | undefined;
 }
 
 /** A service as the operators declare it; its servers announce themselves. */
@@ -57,6 +61,8 @@
   readonly serverKind: string;
   /** Kind of the records that this program's own hosts write. */
   readonly hostKind: string;
+  /** Kind of the leases by which one of them acts for all. */
+  readonly leaseKind: string;
 
   /** Reads the configuration, or says what is wrong with it. */
   readConfig(object: StoredObject): Result<DeployedConfig, string>;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -20,3 +20,4 @@
 export * from './follow/KindFollower.ts';
 export * from './follow/OwnRecord.ts';
 export * from './follow/Deployment.ts';
+export * from './lease/StoreLease.ts';
--- /dev/null
+++ b/packages/store/tests/lease/StoreLease.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Clock } from '@camphorvane/core';
+import { VirtualClock } from '@camphorvane/core';
+import { StoreLease } from '@camphorvane/store';
+import { OneObject } from '../support/OneObject.ts';
+import { SuspendedClock } from '../support/SuspendedClock.ts';
+
+const LEASE_MS = 3_000;
+
+function leaseOf(store: OneObject, clock: Clock, holder: string, incarnation = 's'): StoreLease {
+  const options = { store, clock, holder, incarnation, kind: 'leases', name: 'roles' };
+  return new StoreLease({ ...options, leaseMs: LEASE_MS });
+}
+
+async function holdWithin(lease: StoreLease, clock: VirtualClock, ms: number): Promise<boolean> {
+  const rounds = Array.from({ length: ms / 500 }, (_, i) => i);
+  return rounds.reduce(async (before) => {
+    if (await before) return true;
+    await clock.advance(500);
+    return (await lease.hold()).type === 'held';
+  }, Promise.resolve(false));
+}
+
+test('the first host that asks holds the lease at once, and keeps it', async () => {
+  const clock = new VirtualClock();
+  const lease = leaseOf(new OneObject(), clock, 'a');
+  assert.deepEqual(await lease.hold(), { type: 'held', fence: 41 });
+  await clock.advance(2_000);
+  assert.deepEqual(await lease.hold(), { type: 'held', fence: 42 });
+});
+
+test('a lease that is not renewed ends by itself', async () => {
+  const clock = new VirtualClock();
+  const lease = leaseOf(new OneObject(), clock, 'a');
+  await lease.hold();
+  assert.equal(lease.getFence(), 41);
+  await clock.advance(LEASE_MS);
+  assert.equal(lease.getFence(), undefined);
+});
+
+// The holder is killed right after its write. Another host must be able to act, but not within a lease
+// of the last moment at which the dead one may have acted.
+test('another host takes over, a whole lease after the last one could act', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  const first = leaseOf(store, clock, 'a');
+  const second = leaseOf(store, clock, 'b');
+  await first.hold();
+  let lastActedAt = 0;
+  const watch = (): void => {
+    if (first.getFence() !== undefined) lastActedAt = clock.now();
+  };
+  const rounds = Array.from({ length: 40 }, (_, i) => i);
+  const heldAt = await rounds.reduce<Promise<number | undefined>>(async (before) => {
+    const found = await before;
+    if (found !== undefined) return found;
+    await clock.advance(250);
+    watch();
+    return (await second.hold()).type === 'held' ? clock.now() : undefined;
+  }, Promise.resolve(undefined));
+  assert.ok(heldAt !== undefined, 'nobody holds the lease');
+  assert.ok(heldAt - lastActedAt >= LEASE_MS, `${heldAt - lastActedAt} ms apart`);
+  assert.ok((second.getFence() ?? 0) > 41);
+});
+
+test('a holder that renews is never replaced', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  const [first, second] = [leaseOf(store, clock, 'a'), leaseOf(store, clock, 'b')];
+  const rounds = Array.from({ length: 60 }, (_, i) => i);
+  await rounds.reduce(async (before) => {
+    await before;
+    assert.equal((await first.hold()).type, 'held');
+    assert.equal((await second.hold()).type, 'not_held');
+    await clock.advance(500);
+  }, Promise.resolve());
+});
+
+// The holder's process is suspended while its renewal is on its way, and another host takes the lease.
+// Its own steady clock says that no time has passed.
+test('a host that was suspended does not act on what it held before', async () => {
+  const store = new OneObject();
+  const real = new VirtualClock();
+  const own = new SuspendedClock(real);
+  const first = leaseOf(store, own, 'a');
+  await first.hold();
+  await real.advance(7_000);
+  own.suspendedMs = 7_000;
+  assert.equal(first.getFence(), undefined);
+  assert.equal(await holdWithin(leaseOf(store, real, 'b'), real, 20_000), true);
+  assert.equal((await first.hold()).type, 'not_held');
+});
+
+// The time of day is set to another value on a machine. The lease must not be acted on until it was
+// renewed, and then holds as before.
+test('a jump of the time of day costs a renewal, not the lease', async () => {
+  const store = new OneObject();
+  const real = new VirtualClock();
+  const own = new SuspendedClock(real);
+  const lease = leaseOf(store, own, 'a');
+  await lease.hold();
+  own.wallStepMs = 2_400;
+  assert.equal(lease.getFence(), undefined);
+  assert.equal((await lease.hold()).type, 'held');
+});
+
+// The answer to a write is lost after the write took effect. The host must not take its own write for
+// another host's.
+test('a write whose answer was lost is taken up by the next one', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  const lease = leaseOf(store, clock, 'a');
+  store.losesAnswer = true;
+  assert.deepEqual(await lease.hold(), { type: 'not_held', reason: 'store_away' });
+  store.losesAnswer = false;
+  assert.equal((await lease.hold()).type, 'held');
+});
+
+test('while the store is away nobody acts beyond the lease', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  const lease = leaseOf(store, clock, 'a');
+  await lease.hold();
+  store.isDown = true;
+  await clock.advance(2_000);
+  assert.equal((await lease.hold()).type, 'not_held');
+  await clock.advance(1_000);
+  assert.equal(lease.getFence(), undefined);
+});
+
+test('a new start of the same host goes on at once', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  await leaseOf(store, clock, 'a', 's1').hold();
+  assert.equal((await leaseOf(store, clock, 'a', 's2').hold()).type, 'held');
+});
+
+test('an object that nobody of this program wrote is waited out', async () => {
+  const store = new OneObject();
+  const clock = new VirtualClock();
+  store.object = { kind: 'leases', name: 'roles', version: 7, value: 'garbage' };
+  const lease = leaseOf(store, clock, 'a');
+  assert.equal((await lease.hold()).type, 'not_held');
+  assert.equal(await holdWithin(lease, clock, 20_000), true);
+});
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -110,7 +110,15 @@
 
 /** An order to an engine, fenced by a number that only grows. */
 export type EngineOrder =
-  | { readonly type: 'role'; readonly role: 'prefill' | 'decode'; readonly fence: number }
+  | {
+      readonly type: 'role';
+      readonly role: 'prefill' | 'decode';
+      readonly fence: number;
+      /** Who gives the order. */
+      readonly holder?: string;
+      /** Orders that the engine must have taken before; an order that comes late fails on it. */
+      readonly expected?: number;
+    }
   | { readonly type: 'load_model'; readonly model: ModelId; readonly fence: number }
   | { readonly type: 'load_adapter'; readonly adapter: string; readonly fence: number };
 
