Take a server that vanishes after the first list since an outage for gone

Six hosts show 7 usable servers from 24.25 s on, this one 8, and at 26.61 s it sent the server a request: it took the vanished entry for one that had lapsed in the outage, which it uses for 2.3 s more, although its first list had shown it. Ruled out: a silent watch (the host read the change at 24.25 s with the others). Change: only what the first list since an outage lacks counts as lapsed. Tests first: two failed.

--- a/packages/decisions/src/shift/RoleSplit.ts
+++ b/packages/decisions/src/shift/RoleSplit.ts
@@ -107,7 +107,8 @@
   const readMs = sizes.promptTokens / grounds.readPerMs;
   const waitMs = Math.max(MIN_WAIT_MS, onTimeMs - readMs);
   return FACTORS.reduce(
-    (sum, { factor, weight }) => sum + weight * forecastLate(spans, capacity, { onTimeMs: waitMs, factor }),
+    (sum, { factor, weight }) =>
+      sum + weight * forecastLate(spans, capacity, { onTimeMs: waitMs, factor }),
     0,
   );
 }
--- a/packages/router/src/agreement/ServerRoster.ts
+++ b/packages/router/src/agreement/ServerRoster.ts
@@ -33,9 +33,11 @@
    * @param now - Present time.
    */
   update(listed: readonly ServerRecord[], awayMs: Millis, now: Millis): void {
-    if (awayMs >= LAPSE_AFTER_MS) this.graceUntil = now + RETURN_GRACE_MS;
     const next = new Map(listed.map((server) => [server.id, server]));
-    const kept = new Map([...this.missing, ...this.servers]);
+    const isReturn = awayMs >= LAPSE_AFTER_MS;
+    if (isReturn) this.graceUntil = now + RETURN_GRACE_MS;
+    // What vanishes after the first list since the outage has not lapsed: it was taken out.
+    const kept = isReturn ? new Map([...this.missing, ...this.servers]) : this.missing;
     const isGrace = now < this.graceUntil;
     this.missing = isGrace
       ? new Map([...kept].filter(([id, server]) => !next.has(id) && !server.leaving))
--- a/packages/router/tests/agreement/ServerRoster.test.ts
+++ b/packages/router/tests/agreement/ServerRoster.test.ts
@@ -61,3 +61,22 @@
   const change = roster.nextChange(10_000);
   assert.ok(change !== undefined && change > 12_000 && change < 12_500);
 });
+
+// The store is back and lists a server, which leaves a moment later. Its entry is taken out while this
+// host still waits for entries that lapsed: used on, it would get requests for two seconds more.
+test('a server that leaves after the return of the store gets no work', () => {
+  const roster = new ServerRoster();
+  roster.update([server('a'), server('b')], 0, 0);
+  roster.update([server('a'), server('b')], 8_900, 10_000);
+  roster.update([server('a')], 0, 10_250);
+  assert.deepEqual(ids(roster, 10_300), ['a']);
+});
+
+test('a server that was missing after an outage, came back and left again is gone', () => {
+  const roster = new ServerRoster();
+  roster.update([server('a'), server('b')], 0, 0);
+  roster.update([server('a')], 4_000, 10_000);
+  roster.update([server('a'), server('b')], 0, 10_500);
+  roster.update([server('a')], 0, 11_000);
+  assert.deepEqual(ids(roster, 11_100), ['a']);
+});
