Let requests that can be on time pass late ones of other hosts, and tell of room given back

Cause: each host goes by its own queue. With seven hosts and a dozen requests waiting, a host whose requests are all late takes the next room although another host's could still be on time; and room that is given back was told to peers only with the next regular word, up to 200 ms later. Hypothesis: hosts that know how many on-time requests wait elsewhere serve more of them on time.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,4 +20,5 @@
 export * from './local/LocalPlacement.ts';
 export * from './local/LocalQueue.ts';
 export * from './local/meanMemory.ts';
+export * from './local/WaitingBook.ts';
 export * from './local/wordPace.ts';
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -57,7 +57,9 @@
  * Made for bursts: while no engine has room, the most urgent request of the team with the fewest
  * running ones goes first, so that one team's burst delays mostly itself. A request that can't be on
  * time any more lets all others pass: served in order of arrival, one burst would make everybody late
- * for as long as it lasts. It takes engines that are idle, until its caller would have left.
+ * for as long as it lasts. It lets those on other hosts pass too: room on the engines is everybody's,
+ * and where each host goes by its own queue alone, a late request on one takes what would have made
+ * another host's be on time. It takes engines that nobody else wants, until its caller would have left.
  */
 export class LocalQueue {
   private readonly placement: LocalPlacement;
@@ -69,9 +71,15 @@
   /** What those who wait have waited for last. */
   private readonly lacks = new Map<RequestId, Lack>();
 
-  /** @param placement - Chooses engines. */
-  constructor(placement: LocalPlacement) {
+  private readonly peersOnTime: (now: Millis) => number;
+
+  /**
+   * @param placement - Chooses engines.
+   * @param peersOnTime - Gets how many requests wait on other hosts and can still be on time.
+   */
+  constructor(placement: LocalPlacement, peersOnTime: (now: Millis) => number = () => 0) {
     this.placement = placement;
+    this.peersOnTime = peersOnTime;
   }
 
   /** Gets how many requests wait. */
@@ -79,6 +87,11 @@
     return this.waiting.length;
   }
 
+  /** Counts the requests that wait and can still be on time, to be told to peers. */
+  countOnTime(now: Millis): number {
+    return this.waiting.filter((wish) => wish.lateAt > now).length;
+  }
+
   /** Puts a request into the queue, or refuses it at once. */
   submit(wish: QueuedWish): Refusal | undefined {
     if (!this.placement.hasEngines()) {
@@ -120,6 +133,10 @@
     }
     const [first] = [...this.waiting].sort((a, b) => this.compare(a, b, now));
     if (first === undefined) return undefined;
+    if (first.lateAt <= now && this.peersOnTime(now) > 0) {
+      this.noteLacks(first, 'turn');
+      return undefined;
+    }
     const pair = this.placement.choose(first, now);
     if (pair === undefined || pair.readMs > this.allowedReadMs(first, pair, now)) {
       this.noteLacks(first, pair === undefined ? 'room' : 'reading');
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -23,6 +23,8 @@
   readonly forMs: Millis;
   /** Whether late requests wait in order of arrival, as they would without a rule for them. */
   readonly inOrder?: boolean;
+  /** Whether each host goes by its own queue alone. */
+  readonly alone?: boolean;
 }
 
 interface Outcome {
@@ -65,7 +67,11 @@
     const book = knowledge.use;
     const placement = new LocalPlacement(knowledge);
     placement.reshape(ENGINES);
-    return { book, queue: new LocalQueue(placement) };
+    const { waiting } = knowledge;
+    const peersOnTime = (now: Millis): number => waiting.countOnTime('m', now);
+    const queue =
+      load.alone === true ? new LocalQueue(placement) : new LocalQueue(placement, peersOnTime);
+    return { book, waiting, queue };
   });
   const arrivals = new Map<string, { at: Millis; promptTokens: number; memoryTokens: number }>();
   const freeAt = new Map<string, Millis>();
@@ -111,7 +117,9 @@
     if (now % HINT_MS === 0) {
       hosts.forEach((to) =>
         hosts.forEach((from, j) => {
-          if (to !== from) to.book.hear(`h${j}`, new Map(from.book.getOwn()), now);
+          if (to === from) return;
+          to.book.hear(`h${j}`, new Map(from.book.getOwn()), now);
+          to.waiting.hear(`h${j}`, new Map([['m', from.queue.countOnTime(now)]]), now);
         }),
       );
     }
@@ -185,6 +193,27 @@
   assert.ok(share(ruled) >= share(inOrder) * 1.15, JSON.stringify({ ruled, inOrder }));
 });
 
+// The same burst. On a host whose requests are all late the next room goes to one of them, while on
+// another host one that could still be on time waits. Hosts know of each other's queues instead.
+test('in a burst a late request lets those on other hosts pass that can be on time', () => {
+  const load: Load = {
+    hosts: 9,
+    perSecond: (at) => (at > 5_000 && at < 15_000 ? 30 : 11),
+    promptTokens: steady,
+    forMs: 20_000,
+  };
+  const share = (one: Outcome): number => one.onTime / one.asked;
+  const gains = [11, 12, 13].map((seed) => {
+    const together = play(load, seed);
+    const alone = play({ ...load, alone: true }, seed);
+    return { together: share(together), alone: share(alone) };
+  });
+  const mean = (of: (one: { together: number; alone: number }) => number): number =>
+    gains.reduce((sum, one) => sum + of(one), 0) / gains.length;
+  const gain = mean((one) => one.together) - mean((one) => one.alone);
+  assert.ok(gain >= 0.05, JSON.stringify(gains));
+});
+
 // Long and short prompts come together. A short one must not wait behind a row of long ones.
 test('short prompts are on time among long ones', () => {
   const mixed = (random: RandomSource): number => (random.next() < 0.3 ? 11_000 : 800);
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -38,6 +38,8 @@
   readonly memoryTokens: Tokens;
   /** That memory times the output tokens of its request. */
   readonly memorySteps: number;
+  /** Requests that wait on the host now and can still be on time. */
+  readonly onTimeWaiting: number;
 }
 
 /** An engine that the host has ordered into another role. */
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -22,26 +22,32 @@
   };
 }
 
-type DemandRow = readonly [string, number, number, number, number];
+/** Numbers of a row about demand. */
+const DEMAND_COUNTS = 5;
+
+type DemandRow = readonly [string, number, number, number, number, number];
 
 /** Gets the demand on one pool as a row. */
 export function writeDemand(one: DemandHint): DemandRow {
-  const { model, requests, promptTokens, memoryTokens, memorySteps } = one;
-  return [model, requests, promptTokens, Math.round(memoryTokens), Math.round(memorySteps)];
+  const { model, requests, promptTokens, onTimeWaiting } = one;
+  const memory = [Math.round(one.memoryTokens), Math.round(one.memorySteps)] as const;
+  return [model, requests, promptTokens, ...memory, onTimeWaiting];
 }
 
 /** Reads a row of {@link writeDemand}; undefined for anything that is none. */
 export function readDemand(row: unknown): DemandHint | undefined {
   if (!Array.isArray(row)) return undefined;
-  const [model, requests, promptTokens, memoryTokens, memorySteps] = row as readonly unknown[];
-  if (typeof model !== 'string') return undefined;
-  if (![requests, promptTokens, memoryTokens, memorySteps].every(isCount)) return undefined;
+  const [model, ...counts] = row as readonly unknown[];
+  if (typeof model !== 'string' || counts.length !== DEMAND_COUNTS) return undefined;
+  if (!counts.every(isCount)) return undefined;
+  const [requests, promptTokens, memoryTokens, memorySteps, onTimeWaiting] = counts;
   return {
     model,
     requests: requests as number,
     promptTokens: promptTokens as number,
     memoryTokens: memoryTokens as number,
     memorySteps: memorySteps as number,
+    onTimeWaiting: onTimeWaiting as number,
   };
 }
 
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -11,7 +11,12 @@
   heard: 40,
   engines: [{ engine: 'e', prefillTokens: 1, streams: 2, memoryTokens: 3 }],
   charged: [['t', 400]],
-  demand: [{ model: 'm', requests: 2, promptTokens: 6_000, memoryTokens: 7_000, memorySteps: 9 }],
+  demand: [
+    {
+      ...{ model: 'm', requests: 2, promptTokens: 6_000 },
+      ...{ memoryTokens: 7_000, memorySteps: 9, onTimeWaiting: 4 },
+    },
+  ],
   moves: [{ engine: 'e', role: 'prefill', leftMs: 0 }],
   silent: ['a'],
   leaving: ['b'],
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -12,7 +12,12 @@
   asks: true,
   engines: [{ engine: 'e', prefillTokens: 1, streams: 2, memoryTokens: 3 }],
   charged: [['t', 400]],
-  demand: [{ model: 'm', requests: 2, promptTokens: 6_000, memoryTokens: 7_000, memorySteps: 9 }],
+  demand: [
+    {
+      ...{ model: 'm', requests: 2, promptTokens: 6_000 },
+      ...{ memoryTokens: 7_000, memorySteps: 9, onTimeWaiting: 4 },
+    },
+  ],
   moves: [{ engine: 'e', role: 'decode', leftMs: 6_000 }],
   versions: { config: 7, servers: 9 },
 };
@@ -39,7 +44,7 @@
     ['h', 'i', 'x', [1, 0], [], [], [1, 1], [], []],
     ['h', 'i', 3, [1, 0], [], [], ['x', 1], [], []],
     ['h', 'i', 3, [1, 0], 'x', [], [1, 1], [], []],
-    ['h', 'i', 3, [1, 0], [], [], [1, 1], [['m', 1, -1, 1, 1]], []],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [['m', 1, -1, 1, 1, 0]], []],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [['e', 'both', 1]]],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], undefined],
   ];
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -118,7 +118,14 @@
       .filter(([host]) => host !== receiver)
       .flatMap(([, asked]) => [...asked])
       .forEach(([model, more]) => sums.set(model, sumDemand(sums.get(model) ?? NO_DEMAND, more)));
-    return [...sums].map(([model, sum]) => ({ model, ...sum }));
+    const others = [...this.words.values()].filter(({ hint }) => hint.host !== receiver);
+    const waiting = others.flatMap(({ hint }) => hint.demand);
+    return [...sums].map(([model, sum]) => ({
+      ...{ model, ...sum },
+      onTimeWaiting: waiting
+        .filter((one) => one.model === model)
+        .reduce((all, one) => all + one.onTimeWaiting, 0),
+    }));
   }
 
   private chargedWithout(receiver: HostId): readonly (readonly [TeamId, Tokens])[] {
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -2,7 +2,13 @@
 import type { EngineUse, RateTolerance, RepeatAllowance, WordPace } from '@camphorvane/decisions';
 import { EngineKnowledge, RepeatBudget, wordPace } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
-import type { EngineHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type {
+  DemandHint,
+  EngineHint,
+  HintLink,
+  HostDigest,
+  HostHint,
+} from '@camphorvane/peer/hints';
 import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
 import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -232,10 +238,13 @@
     this.listeners.forEach((changed) => changed());
   }
 
-  /** Changes with each placed request and each change of the store that this host has learned. */
+  /**
+   * Changes with each request that takes or gives back room on an engine, and with each change of the
+   * store that this host has learned. Requests of other hosts wait for the room that is given back.
+   */
   private newsMark(): string {
     const { config, servers } = this.config.getVersions();
-    return `${this.placer.getPlacedCount()} ${config} ${servers}`;
+    return `${this.placer.getChangeCount()} ${config} ${servers}`;
   }
 
   private pace(): WordPace {
@@ -252,7 +261,9 @@
       leaving: this.leaving,
       engines: [...this.knowledge.use.getOwn()].map(([engine, use]) => ({ engine, ...use })),
       charged: this.rates.getCharged(),
-      demand: this.knowledge.demand.getOwn(),
+      demand: this.knowledge.demand
+        .getOwn()
+        .map((one) => ({ ...one, onTimeWaiting: this.placer.countOnTime(one.model) })),
       moves: this.knowledge.moves.getOwn(this.clock.now()),
       versions: this.config.getVersions(),
     };
@@ -263,8 +274,9 @@
     this.hosts.hear(hint.host, hint.leaving, now);
     this.rates.hear(hint);
     this.config.hearOf(hint.versions);
-    const { use, demand, moves } = this.knowledge;
+    const { use, demand, moves, waiting } = this.knowledge;
     use.hear(hint.host, usesOf(hint.engines), now);
+    waiting.hear(hint.host, waitingOf(hint.demand), now);
     demand.hear(hint.host, hint.incarnation, hint.demand, now);
     moves.hear(hint.moves, now);
   }
@@ -274,8 +286,9 @@
     this.hosts.hearAll(digest, now);
     this.rates.hearSum(digest);
     this.config.hearOf(digest.versions);
-    const { use, demand, moves } = this.knowledge;
+    const { use, demand, moves, waiting } = this.knowledge;
     use.hearSum(usesOf(digest.engines), digest.heard, now);
+    waiting.hearSum(waitingOf(digest.demand), now);
     demand.hearRelay(`${digest.host} ${digest.incarnation}`, digest.demand, now);
     moves.hear(digest.moves, now);
   }
@@ -292,6 +305,10 @@
   return new Map(engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]));
 }
 
+function waitingOf(demand: readonly DemandHint[]): ReadonlyMap<ModelId, number> {
+  return new Map(demand.map(({ model, onTimeWaiting }) => [model, onTimeWaiting]));
+}
+
 /**
  * Gets the factory of an agreement over a store.
  *
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -57,6 +57,8 @@
 
   private placed = 0;
 
+  private released = 0;
+
   /**
    * @param clock - Times waits.
    * @param random - Draws engines in large fleets.
@@ -153,6 +155,7 @@
     const held = this.held.get(reservation);
     if (held === undefined) return;
     this.held.delete(reservation);
+    this.released += 1;
     this.endPrefill(reservation, held);
     this.knowledge.use.change(held.pair.decode, { streams: -1, memoryTokens: -held.memoryTokens });
     if (end === 'done') this.knowledge.health.succeeded(held.pair.decode);
@@ -182,9 +185,14 @@
     observations.forEach((seen) => this.take(seen));
   }
 
-  /** Gets how many requests were placed since the start. */
-  getPlacedCount(): number {
-    return this.placed;
+  /** Gets a count that grows with each request that takes or gives back room on an engine. */
+  getChangeCount(): number {
+    return this.placed + this.released;
+  }
+
+  /** Counts the requests of a pool that wait on this host and can still be on time. */
+  countOnTime(model: ModelId): number {
+    return this.pools.get(model)?.queue.countOnTime(this.clock.now()) ?? 0;
   }
 
   /** {@inheritDoc ChangingPlacer.refresh} */
@@ -242,7 +250,7 @@
     const pool: LocalPool = {
       model,
       placement,
-      queue: new LocalQueue(placement),
+      queue: new LocalQueue(placement, (now) => this.knowledge.waiting.countOnTime(model, now)),
       waiting: new Map(),
     };
     this.pools.set(model, pool);
--- a/packages/router/tests/agreement/PeerTalk.test.ts
+++ b/packages/router/tests/agreement/PeerTalk.test.ts
@@ -185,3 +185,21 @@
   await learn(6);
   await learn(30);
 });
+
+test('all hosts learn how many requests wait on the others and can still be on time', async () => {
+  const learn = (count: number) =>
+    play(count, async (fleet) => {
+      fleet.hosts.forEach((host) => host.demand.asked('m', ITEM, fleet.clock.now()));
+      await busy(fleet, 3_000);
+      const [first, second, ...others] = fleet.hosts;
+      Object.assign(first ?? {}, { waiting: 3 });
+      Object.assign(second ?? {}, { waiting: 2 });
+      await busy(fleet, 1_000);
+      const now = fleet.clock.now();
+      others.forEach((host) => assert.equal(host.peersWaiting.countOnTime('m', now), 5, host.name));
+      assert.equal(first?.peersWaiting.countOnTime('m', now), 2);
+      assert.equal(others[0]?.peersWaiting.countOnTime('m', now + 1_000), 0);
+    });
+  await learn(6);
+  await learn(30);
+});
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -1,8 +1,14 @@
 import type { Millis } from '@camphorvane/core';
 import { VirtualClock } from '@camphorvane/core';
-import { CountedRates, DemandBook, EngineMoves, UseBook } from '@camphorvane/decisions';
+import {
+  CountedRates,
+  DemandBook,
+  EngineMoves,
+  UseBook,
+  WaitingBook,
+} from '@camphorvane/decisions';
 import type { EngineMove, EngineUse } from '@camphorvane/decisions';
-import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { DemandHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { HostRoster } from '../../src/agreement/HostRoster.ts';
 import type { HostRecord } from '../../src/agreement/hostRecord.ts';
 import { PeerTalk } from '../../src/agreement/PeerTalk.ts';
@@ -20,6 +26,9 @@
   readonly digests: HostDigest[];
   use: ReadonlyMap<string, EngineUse>;
   readonly demand: DemandBook;
+  /** Requests that wait on it and can still be on time. */
+  waiting: number;
+  readonly peersWaiting: WaitingBook;
   /** Engines that it has ordered into another role. */
   moves: readonly EngineMove[];
   readonly heardMoves: EngineMoves;
@@ -60,7 +69,13 @@
       rates.setSharers(roster.getOthers(), 0);
       const host: TalkHost = {
         ...{ name, roster, rates, book: new UseBook(), digests: [], use: new Map() },
-        ...{ demand: new DemandBook(), moves: [], heardMoves: new EngineMoves() },
+        ...{
+          demand: new DemandBook(),
+          waiting: 0,
+          peersWaiting: new WaitingBook(),
+          moves: [],
+          heardMoves: new EngineMoves(),
+        },
         ...{ sent: 0, bytes: 0, news: 0, isDown: false },
       };
       return host;
@@ -85,7 +100,7 @@
         leaving: false,
         engines: [...host.use].map(([engine, use]) => ({ engine, ...use })),
         charged: [...host.rates.getTotals()],
-        demand: host.demand.getOwn(),
+        demand: host.demand.getOwn().map((one) => ({ ...one, onTimeWaiting: host.waiting })),
         moves: host.moves,
         versions: { config: 1, servers: 1 },
       }),
@@ -100,6 +115,7 @@
         );
         host.demand.hear(hint.host, hint.incarnation, hint.demand, clock.now());
         host.heardMoves.hear(hint.moves, clock.now());
+        host.peersWaiting.hear(hint.host, waitingOf(hint.demand), clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
@@ -112,6 +128,7 @@
         const relay = `${digest.host} ${incarnation}`;
         host.demand.hearRelay(relay, digest.demand, clock.now());
         host.heardMoves.hear(digest.moves, clock.now());
+        host.peersWaiting.hearSum(waitingOf(digest.demand), clock.now());
       },
     });
     const stop = new AbortController();
@@ -167,3 +184,7 @@
     strength,
   };
 }
+
+function waitingOf(demand: readonly DemandHint[]): ReadonlyMap<string, number> {
+  return new Map(demand.map(({ model, onTimeWaiting }) => [model, onTimeWaiting]));
+}
