Keep what is held on engines in a class of its own

Change: the reservations, what they take on their engines, and which prompts are still read move to HeldWork; LocalPlacer keeps the queues. Nothing decides otherwise.

--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -23,7 +23,8 @@
 import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
-import type { HeldReservation, LocalPool, ReserveAnswer } from './localPool.ts';
+import { HeldWork } from './HeldWork.ts';
+import type { LocalPool, ReserveAnswer } from './localPool.ts';
 import type { PlacedPair } from './Placer.ts';
 
 const log = stateLog('placing');
@@ -39,25 +40,19 @@
 
   private readonly directory: UpstreamDirectory;
 
-  private readonly prefix: string;
-
   private readonly knowledge: EngineKnowledge;
 
   private readonly pools = new Map<ModelId, LocalPool>();
 
-  private readonly held = new Map<ReservationId, HeldReservation>();
-
-  /** Reservations whose prompt is not read yet. */
-  private readonly prefilling = new Set<ReservationId>();
+  private readonly held: HeldWork;
 
   /** Next look at a pool whose requests wait. */
   private readonly looks = new Map<LocalPool, CancelTimer>();
 
   private readonly random: RandomSource;
 
-  private placed = 0;
-
-  private released = 0;
+  /** Requests that took or gave back room on an engine. */
+  private changes = 0;
 
   /**
    * @param clock - Times waits.
@@ -77,7 +72,7 @@
     this.clock = clock;
     this.directory = directory;
     this.knowledge = knowledge;
-    this.prefix = incarnation;
+    this.held = new HeldWork(knowledge, incarnation);
   }
 
   /** {@inheritDoc Placer.reserve} */
@@ -116,17 +111,9 @@
   }
 
   /** {@inheritDoc Placer.prefillEnded} */
-  prefillEnded(_model: ModelId, reservation: ReservationId, tookMs?: Millis): void {
-    const held = this.held.get(reservation);
-    if (held === undefined) return;
-    const { prefill } = held.pair;
-    if (tookMs !== undefined && prefill !== undefined) {
-      const { health } = this.knowledge;
-      if (held.wasIdle) health.prefillTook(prefill, held.promptTokens, tookMs);
-      health.succeeded(prefill);
-    }
-    this.endPrefill(reservation, held);
-    this.pumpOf(held.model);
+  prefillEnded(model: ModelId, reservation: ReservationId, tookMs?: Millis): void {
+    this.held.endPrefill(reservation, tookMs);
+    this.pumpOf(model);
   }
 
   /** {@inheritDoc Placer.moveDecode} */
@@ -138,9 +125,7 @@
     const wish = { promptTokens, memoryTokens, avoid, longestPauseMs };
     const decode = pool.placement.chooseDecode(wish, pair.prefill, this.clock.now());
     if (decode === undefined) return undefined;
-    this.knowledge.use.change(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
-    this.knowledge.use.change(decode, { streams: 1, memoryTokens });
-    this.held.set(reservation, { ...held, pair: { ...pair, decode } });
+    this.held.moveDecode(reservation, decode);
     log('decode_moved', { reservation, from: pair.decode, to: decode });
     return decode;
   }
@@ -152,13 +137,9 @@
 
   /** {@inheritDoc Placer.release} */
   async release(_model: ModelId, reservation: ReservationId, end: ReservationEnd): Promise<void> {
-    const held = this.held.get(reservation);
+    const held = this.held.release(reservation, end);
     if (held === undefined) return;
-    this.held.delete(reservation);
-    this.released += 1;
-    this.endPrefill(reservation, held);
-    this.knowledge.use.change(held.pair.decode, { streams: -1, memoryTokens: -held.memoryTokens });
-    if (end === 'done') this.knowledge.health.succeeded(held.pair.decode);
+    this.changes += 1;
     this.pools.get(held.model)?.queue.ended(held.team);
     this.pumpOf(held.model);
   }
@@ -185,9 +166,9 @@
     observations.forEach((seen) => this.take(seen));
   }
 
-  /** Gets a count that grows with each request that takes or gives back room on an engine. */
+  /** Gets a count that grows with each change that peers should hear of soon. */
   getChangeCount(): number {
-    return this.placed + this.released;
+    return this.changes;
   }
 
   /** Counts the requests of a pool that wait on this host and can still be on time. */
@@ -210,7 +191,7 @@
   dump(): object {
     const waiting = [...this.pools].map(([model, pool]) => [model, pool.queue.size] as const);
     return {
-      placed: this.placed,
+      placed: this.held.count,
       held: this.held.size,
       waiting: Object.fromEntries(waiting),
       use: Object.fromEntries(this.knowledge.use.getOwn()),
@@ -305,22 +286,10 @@
     const { item } = waiting;
     const { model } = pool;
     const memoryTokens = meanMemory(item);
-    this.placed += 1;
-    const reservation = `${this.prefix}.p${this.placed}`;
-    const reader = pair.prefill ?? pair.decode;
-    const wasIdle = this.knowledge.use.getTotal(reader, this.clock.now()).prefillTokens === 0;
-    this.knowledge.use.change(reader, { prefillTokens: item.promptTokens });
-    this.knowledge.use.change(pair.decode, { streams: 1, memoryTokens });
-    this.prefilling.add(reservation);
-    this.held.set(reservation, {
-      model,
-      team: item.team,
-      pair,
-      promptTokens: item.promptTokens,
-      wasIdle,
-      longestPauseMs: item.longestPauseMs,
-      memoryTokens,
-    });
+    const { team, promptTokens, longestPauseMs } = item;
+    const work = { model, team, pair, promptTokens, longestPauseMs, memoryTokens };
+    const reservation = this.held.begin(work, this.clock.now());
+    this.changes += 1;
     const placed: PlacedPair = {
       reservation,
       prefill: pair.prefill,
@@ -341,12 +310,6 @@
     this.answer(pool, request, ok(placed));
   }
 
-  private endPrefill(reservation: ReservationId, held: HeldReservation): void {
-    if (!this.prefilling.delete(reservation)) return;
-    const reader = held.pair.prefill ?? held.pair.decode;
-    this.knowledge.use.change(reader, { prefillTokens: -held.promptTokens });
-  }
-
   private answer(pool: LocalPool, request: RequestId, answer: ReserveAnswer): void {
     const waiting = pool.waiting.get(request);
     pool.waiting.delete(request);
