Ask engines that failed a request whether they are up, and tell peers which are not

Change: one failure takes an engine out of use until it answers a question for its load; peers hear of it and ask for themselves, so that a host that is cut off takes no engine from the others. Ruled out: resting an engine for a fixed time (most return under another name within 4 s; the rest ends too late or too early).

--- a/packages/decisions/src/local/EngineHealth.ts
+++ b/packages/decisions/src/local/EngineHealth.ts
@@ -50,6 +50,24 @@
 export class EngineHealth {
   private readonly known = new Map<UpstreamId, Health>();
 
+  /** Engines that are not used until a probe finds them up. */
+  private readonly suspected = new Set<UpstreamId>();
+
+  /** Takes an engine out of use until it is trusted again. */
+  suspect(engine: UpstreamId): void {
+    this.suspected.add(engine);
+  }
+
+  /** Notes that an engine answered a probe. */
+  trust(engine: UpstreamId): void {
+    this.suspected.delete(engine);
+  }
+
+  /** Tells whether an engine is out of use until it answers. */
+  isSuspected(engine: UpstreamId): boolean {
+    return this.suspected.has(engine);
+  }
+
   /** Forgets engines that are not listed any more. */
   keepOnly(engines: ReadonlySet<UpstreamId>): void {
     [...this.known.keys()].filter((id) => !engines.has(id)).forEach((id) => this.known.delete(id));
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -231,7 +231,7 @@
 
   /**
    * Gets the engines of a role; those that failed lately only where no other is there, and none that
-   * changes its role.
+   * changes its role or is being probed.
    */
   private usable(
     role: EngineConfig['role'],
@@ -239,12 +239,15 @@
     now: Millis,
   ): readonly EngineConfig[] {
     const all = this.engines.filter(
-      ({ id, role: own }) =>
-        own === role && !wish.avoid.includes(id) && this.moves.roleOf(id, now) === undefined,
+      ({ id, role: own }) => own === role && !wish.avoid.includes(id) && this.isUsable(id, now),
     );
     const rested = all.filter((cfg) => !this.health.isResting(cfg.id, now));
     return rested.length > 0 ? rested : all;
   }
+
+  private isUsable(id: UpstreamId, now: Millis): boolean {
+    return !this.health.isSuspected(id) && this.moves.roleOf(id, now) === undefined;
+  }
 }
 
 function apartChoice(reader: Reader, writer: Writer): Choice {
--- a/packages/decisions/tests/local/LocalPlacement.test.ts
+++ b/packages/decisions/tests/local/LocalPlacement.test.ts
@@ -74,6 +74,17 @@
   assert.notEqual(placement.choose({ ...WISH, avoid: ['d2'] }, 100), undefined);
 });
 
+// An engine gave no answer. What is sent to it is lost, also where it is the only one; a request waits
+// until it answers again, or another one comes.
+test('an engine that is being probed gets nothing', () => {
+  const { placement, health } = setUp(POOL);
+  health.suspect('d1');
+  assert.equal(placement.choose(WISH, 0)?.decode, 'd2');
+  assert.equal(placement.choose({ ...WISH, avoid: ['d2'] }, 0), undefined);
+  health.trust('d1');
+  assert.equal(placement.choose({ ...WISH, avoid: ['d2'] }, 0)?.decode, 'd1');
+});
+
 test('a decode engine is not filled beyond its memory', () => {
   const { placement, book } = setUp([engine('d1', 'decode')]);
   book.change('d1', { memoryTokens: 72_000 });
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,8 +1,9 @@
-import type { HostId, Incarnation, TeamId, Tokens } from '@camphorvane/core';
+import type { HostId, Incarnation, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
 import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
 import {
   isCharge,
   isCount,
+  isNames,
   parseDatagram,
   readDemand,
   readMove,
@@ -43,6 +44,8 @@
   readonly demand: readonly DemandHint[];
   /** Engines that any of them has ordered into another role. */
   readonly moves: readonly MoveHint[];
+  /** Engines that gave no answer to one of these hosts. */
+  readonly down: readonly UpstreamId[];
   /** Hosts with a record in the store that the relay has not heard lately. */
   readonly silent: readonly HostId[];
   readonly leaving: readonly HostId[];
@@ -74,6 +77,7 @@
       known,
       digest.demand.map(writeDemand),
       digest.moves.map(writeMove),
+      digest.down,
     ]),
   );
 }
@@ -88,11 +92,11 @@
   const fields = parseDatagram(bytes);
   if (fields?.[0] !== TAG) return undefined;
   const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
-  const [demand, moves] = fields.slice(DEMAND_FIELD);
+  const [demand, moves, down] = fields.slice(DEMAND_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
-  if (!isNames(silent) || !isNames(leaving)) return undefined;
+  if (!isNames(silent) || !isNames(leaving) || !isNames(down)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
   const engines = readRows(rows, readRow);
@@ -101,7 +105,7 @@
   if (engines === undefined || asked === undefined || moving === undefined) return undefined;
   return {
     ...{ host, incarnation, sequence, heard, engines, silent, leaving },
-    ...{ demand: asked, moves: moving },
+    ...{ demand: asked, moves: moving, down },
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
   };
@@ -111,7 +115,3 @@
 export function isDigest(bytes: Uint8Array): boolean {
   return START.equals(bytes.subarray(0, START.length));
 }
-
-function isNames(value: unknown): value is readonly string[] {
-  return Array.isArray(value) && value.every((name) => typeof name === 'string');
-}
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -11,6 +11,7 @@
 import {
   isCharge,
   isCount,
+  isNames,
   parseDatagram,
   readDemand,
   readMove,
@@ -69,6 +70,8 @@
   readonly charged: readonly (readonly [TeamId, Tokens])[];
   readonly demand: readonly DemandHint[];
   readonly moves: readonly MoveHint[];
+  /** Engines that gave no answer to the host. */
+  readonly down: readonly UpstreamId[];
   /** Versions of the store's changes up to which the host knows configuration and servers. */
   readonly versions: { readonly config: number; readonly servers: number };
 }
@@ -86,7 +89,18 @@
   const demand = hint.demand.map(writeDemand);
   const moves = hint.moves.map(writeMove);
   const flags = [leaving ? 1 : 0, asks ? 1 : 0];
-  const fields = [host, incarnation, sequence, flags, rows, charged, known, demand, moves];
+  const fields = [
+    host,
+    incarnation,
+    sequence,
+    flags,
+    rows,
+    charged,
+    known,
+    demand,
+    moves,
+    hint.down,
+  ];
   return Buffer.from(JSON.stringify(fields));
 }
 
@@ -99,12 +113,13 @@
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
   const fields = parseDatagram(bytes);
   if (fields === undefined) return undefined;
-  const [host, incarnation, sequence, flags, rows, charged, known, demand, moves] = fields;
+  const [host, incarnation, sequence, flags, rows, charged, known, demand, moves, down] = fields;
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
+  if (!isNames(down)) return undefined;
   const engines = readRows(rows, readRow);
   const asked = readRows(demand, readDemand);
   const moving = readRows(moves, readMove);
@@ -120,6 +135,7 @@
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     demand: asked,
     moves: moving,
+    down,
     versions: { config, servers },
   };
 }
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -87,6 +87,11 @@
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
 
+/** Tells whether a value is a list of names. */
+export function isNames(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every((name) => typeof name === 'string');
+}
+
 /** Gets the fields of a datagram; bytes that are no JSON list are nobody's word. */
 export function parseDatagram(bytes: Uint8Array): readonly unknown[] | undefined {
   try {
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -18,6 +18,7 @@
     },
   ],
   moves: [{ engine: 'e', role: 'prefill', leftMs: 0 }],
+  down: ['e2'],
   silent: ['a'],
   leaving: ['b'],
   versions: { config: 7, servers: 9 },
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -80,6 +80,7 @@
       charged: this.chargedWithout(receiver),
       demand: this.demandWithout(receiver),
       moves: others.flatMap((hint) => hint.moves),
+      down: [...new Set(others.flatMap((hint) => hint.down))],
       leaving: others.filter((hint) => hint.leaving).map((hint) => hint.host),
       versions: {
         config: Math.max(0, ...all.map((versions) => versions.config)),
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -239,8 +239,9 @@
   }
 
   /**
-   * Changes with each request that takes or gives back room on an engine, and with each change of the
-   * store that this host has learned. Requests of other hosts wait for the room that is given back.
+   * Changes with each request that takes or gives back room on an engine, with each engine that is found
+   * down or up, and with each change of the store that this host has learned. Requests of other hosts
+   * wait for the room that is given back.
    */
   private newsMark(): string {
     const { config, servers } = this.config.getVersions();
@@ -265,6 +266,7 @@
         .getOwn()
         .map((one) => ({ ...one, onTimeWaiting: this.placer.countOnTime(one.model) })),
       moves: this.knowledge.moves.getOwn(this.clock.now()),
+      down: this.placer.probes.getDown(),
       versions: this.config.getVersions(),
     };
   }
@@ -279,6 +281,7 @@
     waiting.hear(hint.host, waitingOf(hint.demand), now);
     demand.hear(hint.host, hint.incarnation, hint.demand, now);
     moves.hear(hint.moves, now);
+    this.placer.probes.hear(hint.down);
   }
 
   private hearSum(digest: HostDigest): void {
@@ -291,6 +294,7 @@
     waiting.hearSum(waitingOf(digest.demand), now);
     demand.hearRelay(`${digest.host} ${digest.incarnation}`, digest.demand, now);
     moves.hear(digest.moves, now);
+    this.placer.probes.hear(digest.down);
   }
 
   /** Gets how many hosts come before this one by name, among those that are there to stay. */
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -23,6 +23,7 @@
 import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
+import { EngineProbes } from './EngineProbes.ts';
 import { HeldWork } from './HeldWork.ts';
 import type { LocalPool, ReserveAnswer } from './localPool.ts';
 import type { PlacedPair } from './Placer.ts';
@@ -51,7 +52,10 @@
 
   private readonly random: RandomSource;
 
-  /** Requests that took or gave back room on an engine. */
+  /** Finds out which engines are up. */
+  readonly probes: EngineProbes;
+
+  /** Requests that took or gave back room on an engine, and engines found down or up. */
   private changes = 0;
 
   /**
@@ -73,6 +77,8 @@
     this.directory = directory;
     this.knowledge = knowledge;
     this.held = new HeldWork(knowledge, incarnation);
+    const { health } = knowledge;
+    this.probes = new EngineProbes({ clock, directory, health, onChange: () => this.pumpAll() });
   }
 
   /** {@inheritDoc Placer.reserve} */
@@ -150,6 +156,9 @@
       case 'unreachable':
       case 'silent':
       case 'broken':
+        this.knowledge.health.failed(engine, this.clock.now());
+        this.probes.suspect(engine);
+        break;
       case 'mismatch':
         this.knowledge.health.failed(engine, this.clock.now());
         break;
@@ -252,6 +261,11 @@
     if (pool !== undefined) this.pump(pool);
   }
 
+  private pumpAll(): void {
+    this.changes += 1;
+    this.pools.forEach((pool) => this.pump(pool));
+  }
+
   private pump(pool: LocalPool): void {
     this.looks.get(pool)?.();
     this.looks.delete(pool);
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -102,6 +102,7 @@
         charged: [...host.rates.getTotals()],
         demand: host.demand.getOwn().map((one) => ({ ...one, onTimeWaiting: host.waiting })),
         moves: host.moves,
+        down: [],
         versions: { config: 1, servers: 1 },
       }),
       newsMark: () => `${host.news}`,
