Let a try that reached nobody cost no repeat

Change: UpstreamError "unreachable" tells whether something answered at the address; where nothing did, the next try is not charged. Arrivals that a server turns away are charged as before. Test: three cases in Forwarding.test.ts; two fail before, the third guards what is still charged.

--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -2,6 +2,7 @@
 import { piecesFor } from '@camphorvane/core';
 import type { ReservationEnd } from '@camphorvane/decisions';
 import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
+import { reachedNobody } from '@camphorvane/upstream';
 import { stateLog } from '../observe/StateLog.ts';
 
 import type {
@@ -102,7 +103,8 @@
     const refusedBy: UpstreamId[] = [];
     while (outcome.type === 'failed' && !outcome.error.dispatched && clock.now() < until) {
       refusedBy.push(engine.id);
-      if (this.abort.signal.aborted || !this.plan.mayRepeat()) return outcome;
+      if (this.abort.signal.aborted) return outcome;
+      if (!reachedNobody(outcome.error) && !this.plan.mayRepeat()) return outcome;
       const next = placements.moveDecode(this.plan.placement.reservation, refusedBy);
       const nextEngine = next === undefined ? undefined : this.engine(next);
       if (nextEngine === undefined) return outcome;
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -2,6 +2,7 @@
 import { notRun, outcomeUnknown, piecesFor, promptTokens } from '@camphorvane/core';
 import { planResume } from '@camphorvane/decisions';
 import type { WorkItem } from '@camphorvane/decisions';
+import { reachedNobody } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateCharge, RateGate, RepeatGate } from '../host/ports.ts';
@@ -196,6 +197,7 @@
         prefillRate: PREFILL_TOKENS_PER_MS,
         transferMs: (piecesFor(progress.promptTokens) / pool.linkPiecesPerSecond) * MS_PER_SECOND,
         mayRetry: () =>
+          reachedNobody(outcome.error) ||
           this.options.repeats.tryRepeat(repeatTarget(work, pool, outcome.engine), now),
       },
       now,
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -5,6 +5,7 @@
 import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
 import { claimRefusal } from '@camphorvane/store';
 import type { ServiceAnswer, UpstreamError } from '@camphorvane/upstream';
+import { reachedNobody } from '@camphorvane/upstream';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateGate, RepeatGate } from '../host/ports.ts';
@@ -116,6 +117,7 @@
     if (last === undefined) return true;
     const now = this.options.clock.now();
     if (now >= work.terms.deadlineAt) return false;
+    if (reachedNobody(last.error)) return true;
     return this.options.repeats.tryRepeat(repeatTarget(work, last.server), now);
   }
 
--- a/packages/router/tests/serving/Forwarding.test.ts
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -145,6 +145,33 @@
   results.forEach((events) => assert.equal(textOfAnswer(events), 'ok'));
 });
 
+// A server is down, and nobody takes connections at its address. A try there adds to nobody's load; if
+// it were paid for as a repeat, the budget would be spent on it, and calls that the other server could
+// run would be refused.
+test('a try that reached no server needs no budget', async () => {
+  const fleet = new ForwardFleet({ call: { s1: () => errAsync(DOWN) }, repeats: 0 });
+  const paths = Array.from({ length: 6 }, (_, i) => `/once/${i}`);
+  const results = await Promise.all(paths.map((path) => fleet.send(path, { work: undefined })));
+  results.forEach((events) => assert.equal(textOfAnswer(events), 'ok'));
+});
+
+test('a try that a server turned away is paid for', async () => {
+  const full = (): ReturnType<typeof errAsync<never, UpstreamError>> => errAsync(FULL);
+  const fleet = new ForwardFleet({ call: { s1: full, s2: full }, repeats: 0 });
+  const paths = Array.from({ length: 4 }, (_, i) => `/once/${i}`);
+  const results = await Promise.all(paths.map((path) => fleet.send(path, { work: undefined })));
+  results.forEach((events) => assert.match(endOf(events), / not_run$/));
+  assert.equal(fleet.calls.length, paths.length + 1);
+});
+
+// The engine that was chosen for an answer is down, after the prompt was read. The prompt goes to the
+// other one, also where all repeats are spent.
+test('a prompt that was read goes on past an engine that is down without a budget', async () => {
+  const fleet = new ForwardFleet({ decode: { d1: failing(0, DOWN) }, repeats: 0 });
+  const results = await Promise.all(['/llm/a', '/llm/b', '/llm/c'].map((path) => fleet.send(path)));
+  results.forEach((events) => assert.equal(endOf(events), 'done'));
+});
+
 test('a lookup goes to another server after a failure, and gets the last failure if all fail', async () => {
   const failed = { status: 500, headers: {}, body: Buffer.from('own failure') };
   const fleet = new ForwardFleet({
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -40,6 +40,8 @@
   readonly decode?: Readonly<Record<string, DecodeScript>>;
   readonly call?: Readonly<Record<string, CallScript>>;
   readonly route?: Partial<ForwardRoute>;
+  /** Repeats beyond the first one, which can always be paid. */
+  readonly repeats?: number;
 }
 
 /** One host between scripted engines and servers, without a network. */
@@ -179,7 +181,8 @@
       waitToAct: async () => undefined,
       onChange: () => () => undefined,
     };
-    const allowance = { ratio: 1, slack: 100, windowMs: 10_000 };
+    const { repeats: slack = 100 } = this.options;
+    const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
     return {
       config: {
         current: () => inForce,
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -19,7 +19,13 @@
  * say `not_run`.
  */
 export type UpstreamError =
-  | { readonly type: 'unreachable'; readonly dispatched: boolean; readonly message: string }
+  | {
+      readonly type: 'unreachable';
+      readonly dispatched: boolean;
+      /** True where something at the upstream's address answered, though not the upstream. */
+      readonly answered?: boolean;
+      readonly message: string;
+    }
   | { readonly type: 'rejected'; readonly dispatched: false; readonly message: string }
   | { readonly type: 'broken'; readonly dispatched: true; readonly message: string }
   | { readonly type: 'silent'; readonly dispatched: boolean; readonly message: string }
--- a/packages/upstream/src/upstreamErrors.ts
+++ b/packages/upstream/src/upstreamErrors.ts
@@ -30,6 +30,15 @@
   return { type: 'broken', dispatched: true, message };
 }
 
+/**
+ * Tells whether a try surely reached no upstream. The next one adds to nobody's load then, so that no
+ * budget of repeats needs to pay for it: with a server down, all hosts together would spend theirs on
+ * refused connections, and requests that could run elsewhere would be refused.
+ */
+export function reachedNobody(error: UpstreamError): boolean {
+  return error.type === 'unreachable' && !error.dispatched && error.answered !== true;
+}
+
 function errorCode(thrown: unknown): string {
   if (typeof thrown !== 'object' || thrown === null) return '';
   const { code } = thrown as { readonly code?: unknown };
