While more wait than there is room for, let what holds little go first

A long answer keeps memory for 9 s, a short one for 1 s, so that one long one cost several others their turn. Change: each request is ranked by memory times output tokens among the last hundred of its pool. While others are likely to wait that hold less (rank x those on time elsewhere >= 1), it lets them pass for its rank's part of its patience; each host orders its own queue the same way. Late ones last as before. Ruled out: comparing with the cheapest request that waits on any host; with many hosts and news 0.2 s old only one at a time could go on.

--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -1,5 +1,6 @@
 import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
+import { HoldRanks } from './HoldRanks.ts';
 import type { EnginePair, LocalPlacement, PlacementWish } from './LocalPlacement.ts';
 
 /** A request that waits for engines. */
@@ -8,6 +9,10 @@
   readonly team: TeamId;
   /** Lower goes first. */
   readonly priority: number;
+  /** Its memory times the output tokens for which it holds it. */
+  readonly memorySteps: number;
+  /** Time at which it came. */
+  readonly since: Millis;
   /** Time after which its first token can't be on time any more. */
   readonly lateAt: Millis;
   /** Time at which the request is refused if it has no engines by then. */
@@ -42,6 +47,12 @@
  */
 const LATE_READ_MARGIN_MS: Millis = 60;
 
+/**
+ * Part of its patience for which the request that holds most lets others pass. The rest is left for it
+ * to find room in, so that large requests are served less often in a rush, but not starved.
+ */
+const LET_PASS_PART = 0.8;
+
 /** Requests that wait at most; more could not be served before their callers leave. */
 const MAX_WAITING = 512;
 
@@ -60,6 +71,10 @@
  * for as long as it lasts. It lets those on other hosts pass too: room on the engines is everybody's,
  * and where each host goes by its own queue alone, a late request on one takes what would have made
  * another host's be on time. It takes engines that nobody else wants, until its caller would have left.
+ *
+ * While more wait than there is room for, what holds little memory for a short time goes first: the
+ * same memory serves several short answers in the time of one long one. How long a request lets others
+ * pass follows from how many of those that wait are likely to hold less than it does.
  */
 export class LocalQueue {
   private readonly placement: LocalPlacement;
@@ -71,6 +86,8 @@
   /** What those who wait have waited for last. */
   private readonly lacks = new Map<RequestId, Lack>();
 
+  private readonly ranks = new HoldRanks();
+
   private readonly peersOnTime: (now: Millis) => number;
 
   /**
@@ -101,6 +118,7 @@
       return notRun('queue_full', 'Too many requests wait for this model.', RETRY_AFTER_MS);
     }
     this.waiting = [...this.waiting, wish];
+    this.ranks.note(wish.memorySteps);
     return undefined;
   }
 
@@ -133,7 +151,7 @@
     }
     const [first] = [...this.waiting].sort((a, b) => this.compare(a, b, now));
     if (first === undefined) return undefined;
-    if (first.lateAt <= now && this.peersOnTime(now) > 0) {
+    if (this.letsOthersPass(first, now)) {
       this.noteLacks(first, 'turn');
       return undefined;
     }
@@ -148,6 +166,15 @@
     return { type: 'place', request: first.request, pair, lacked };
   }
 
+  /** Tells whether a request leaves free room to those that wait on other hosts. */
+  private letsOthersPass(wish: QueuedWish, now: Millis): boolean {
+    const others = this.peersOnTime(now);
+    if (wish.lateAt <= now) return others > 0;
+    const rank = this.ranks.rankOf(wish.memorySteps);
+    const lighterOthers = rank * others;
+    return lighterOthers >= 1 && waitedPart(wish, now) < rank * LET_PASS_PART;
+  }
+
   private noteLacks(first: QueuedWish, lack: Lack): void {
     this.waiting.forEach(({ request }) => {
       if (request === first.request) this.lacks.set(request, lack);
@@ -166,6 +193,16 @@
     if (late !== 0) return late;
     if (a.priority !== b.priority) return a.priority - b.priority;
     const running = (wish: QueuedWish): number => this.runningByTeam.get(wish.team) ?? 0;
-    return running(a) - running(b);
+    return running(a) - running(b) || this.order(a, now) - this.order(b, now);
+  }
+
+  /** The order of requests on time: those that hold little first, but each in the end. */
+  private order(wish: QueuedWish, now: Millis): number {
+    return this.ranks.rankOf(wish.memorySteps) * LET_PASS_PART - waitedPart(wish, now);
   }
 }
+
+/** Gets the part that has passed of the time in which a request can be on time. */
+function waitedPart({ since, lateAt }: QueuedWish, now: Millis): number {
+  return (now - since) / Math.max(1, lateAt - since);
+}
--- a/packages/decisions/src/local/meanMemory.ts
+++ b/packages/decisions/src/local/meanMemory.ts
@@ -17,6 +17,17 @@
   maxOutputTokens,
   expectedOutputTokens,
 }: WorkItem): Tokens {
-  const output = Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
-  return promptTokens + output * MEAN_OUTPUT_PART;
+  return promptTokens + outputOf({ maxOutputTokens, expectedOutputTokens }) * MEAN_OUTPUT_PART;
+}
+
+/** Gets that memory times the output tokens until whose last one it is held. */
+export function memorySteps(item: WorkItem): number {
+  return meanMemory(item) * outputOf(item);
+}
+
+function outputOf({
+  maxOutputTokens,
+  expectedOutputTokens,
+}: Pick<WorkItem, 'maxOutputTokens' | 'expectedOutputTokens'>): Tokens {
+  return Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
 }
--- a/packages/decisions/src/shift/DemandBook.ts
+++ b/packages/decisions/src/shift/DemandBook.ts
@@ -1,5 +1,5 @@
 import type { Incarnation, Millis, ModelId } from '@camphorvane/core';
-import { meanMemory } from '../local/meanMemory.ts';
+import { meanMemory, memorySteps } from '../local/meanMemory.ts';
 import type { WorkItem } from '../PoolScheduler.ts';
 import type { PoolDemand } from './DemandHistory.ts';
 import { DemandHistory, NO_DEMAND, sumDemand } from './DemandHistory.ts';
@@ -28,13 +28,11 @@
 
   /** Counts a request that came to this host. */
   asked(model: ModelId, item: WorkItem, now: Millis): void {
-    const memoryTokens = meanMemory(item);
-    const output = Math.min(item.maxOutputTokens, item.expectedOutputTokens ?? Infinity);
     const total = sumDemand(this.own.get(model) ?? NO_DEMAND, {
       requests: 1,
       promptTokens: item.promptTokens,
-      memoryTokens,
-      memorySteps: memoryTokens * output,
+      memoryTokens: meanMemory(item),
+      memorySteps: memorySteps(item),
     });
     this.own.set(model, total);
     this.historyOf(model).hear(OWN, OWN, total, now);
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -21,6 +21,10 @@
   /** Factor by which the first prefill engine is slower. */
   readonly slowFirst?: number;
   readonly forMs: Millis;
+  /** Time that an answer takes; always the same where absent. */
+  readonly streamMs?: (random: RandomSource) => Millis;
+  /** Whether hosts are kept from knowing how much a request holds. */
+  readonly areAllAlike?: boolean;
   /** Whether late requests wait in order of arrival, as they would without a rule for them. */
   readonly inOrder?: boolean;
   /** Whether each host goes by its own queue alone. */
@@ -32,6 +36,8 @@
   readonly onTime: number;
   readonly served: number;
   readonly refused: number;
+  /** Served ones of the tenth with the longest answers. */
+  readonly longServed: number;
 }
 
 interface Running {
@@ -56,6 +62,9 @@
   }),
 );
 
+/** A tenth of answers whose length is spread as that of calls is. */
+const isLong = (streamMs: Millis): boolean => streamMs > STREAM_MS * 2.3;
+
 /**
  * Plays hosts that place on the same engines with a lagging word of each other. Prefill engines read
  * one prompt after the other; an answer takes a fixed time.
@@ -73,11 +82,14 @@
       load.alone === true ? new LocalQueue(placement) : new LocalQueue(placement, peersOnTime);
     return { book, waiting, queue };
   });
-  const arrivals = new Map<string, { at: Millis; promptTokens: number; memoryTokens: number }>();
+  const arrivals = new Map<
+    string,
+    { at: Millis; promptTokens: number; memoryTokens: number; streamMs: Millis }
+  >();
   const freeAt = new Map<string, Millis>();
   let running: Running[] = [];
   const read = new Set<Running>();
-  let outcome: Outcome = { asked: 0, onTime: 0, served: 0, refused: 0 };
+  let outcome: Outcome = { asked: 0, onTime: 0, served: 0, refused: 0, longServed: 0 };
   let owed = 0;
   Array.from({ length: (load.forMs + 5_000) / STEP_MS }, (_, i) => i * STEP_MS).forEach((now) => {
     owed += now < load.forMs ? (load.perSecond(now) * STEP_MS) / 1_000 : 0;
@@ -86,8 +98,9 @@
       const host = load.hostOf?.(random) ?? random.int(0, load.hosts - 1);
       const promptTokens = Math.round(load.promptTokens(random));
       const request = `r${outcome.asked}`;
-      const memoryTokens = promptTokens + 3_000;
-      arrivals.set(request, { at: now, promptTokens, memoryTokens });
+      const streamMs = load.streamMs?.(random) ?? STREAM_MS;
+      const memoryTokens = promptTokens + streamMs;
+      arrivals.set(request, { at: now, promptTokens, memoryTokens, streamMs });
       outcome = { ...outcome, asked: outcome.asked + 1 };
       hosts[host]?.queue.submit({
         request,
@@ -97,6 +110,8 @@
         giveUpAt: now + PATIENCE_MS,
         promptTokens,
         memoryTokens,
+        memorySteps: load.areAllAlike === true ? 1 : memoryTokens * streamMs,
+        since: now,
         avoid: [],
       });
     }
@@ -140,7 +155,7 @@
           book.change(engine, { prefillTokens: arrival.promptTokens });
           book.change(decode, { streams: 1, memoryTokens: arrival.memoryTokens });
           const { promptTokens, memoryTokens } = arrival;
-          const endAt = readAt + STREAM_MS;
+          const endAt = readAt + arrival.streamMs;
           running.push({
             host,
             engine,
@@ -155,6 +170,7 @@
             ...outcome,
             served: outcome.served + 1,
             onTime: outcome.onTime + (isOnTime ? 1 : 0),
+            longServed: outcome.longServed + Number(isLong(arrival.streamMs)),
           };
         }
         decision = queue.next(now);
@@ -214,6 +230,30 @@
   assert.ok(gain >= 0.05, JSON.stringify(gains));
 });
 
+// Some answers are ten times as long as others, and a burst brings twice what the engines hold. Served
+// as they come, one long answer keeps the memory of several short ones, whose callers are refused. Long
+// ones let the others pass for a while, but are served too.
+test('in a burst more callers are served because short answers go first', () => {
+  const load: Load = {
+    hosts: 7,
+    perSecond: (at) => (at > 5_000 && at < 15_000 ? 45 : 11),
+    promptTokens: steady,
+    streamMs: (random) => -Math.log(1 - random.next()) * STREAM_MS,
+    forMs: 20_000,
+  };
+  const plays = [11, 12, 13].map((seed) => ({
+    ruled: play(load, seed),
+    alike: play({ ...load, areAllAlike: true }, seed),
+  }));
+  const mean = (of: (one: (typeof plays)[number]) => number): number =>
+    plays.reduce((sum, one) => sum + of(one), 0) / plays.length;
+  const gain = mean(({ ruled, alike }) => (ruled.onTime - alike.onTime) / ruled.asked);
+  assert.ok(gain >= 0.04, JSON.stringify(plays));
+  const longServed = mean(({ ruled }) => ruled.longServed);
+  const longAlike = mean(({ alike }) => alike.longServed);
+  assert.ok(longServed >= longAlike * 0.75, `${longServed} against ${longAlike}`);
+});
+
 // Long and short prompts come together. A short one must not wait behind a row of long ones.
 test('short prompts are on time among long ones', () => {
   const mixed = (random: RandomSource): number => (random.next() < 0.3 ? 11_000 : 800);
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -10,7 +10,13 @@
   UpstreamId,
 } from '@camphorvane/core';
 import { notRun, piecesFor } from '@camphorvane/core';
-import { LocalPlacement, LocalQueue, meanMemory, QUEUE_LOOK_MS } from '@camphorvane/decisions';
+import {
+  LocalPlacement,
+  LocalQueue,
+  meanMemory,
+  memorySteps,
+  QUEUE_LOOK_MS,
+} from '@camphorvane/decisions';
 import type {
   EngineKnowledge,
   EngineObservation,
@@ -108,6 +114,8 @@
         giveUpAt: this.clock.now() + item.maxWaitMs,
         promptTokens: item.promptTokens,
         memoryTokens: meanMemory(item),
+        memorySteps: memorySteps(item),
+        since: this.clock.now(),
         avoid: item.avoid,
         longestPauseMs: item.longestPauseMs,
       });
