End the questions to engines when the host stops

Cause: a host that left while an engine was down went on asking it, each time 1.5 s later, so that whatever ran the host did not end: Forwarding.test.ts hung after its last test. Change: EngineProbes.stop, called by the placer's stop, which the agreement calls. Test: "a host that stops asks no engine any more", failing before; Forwarding.test.ts ends by itself.

--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -172,6 +172,7 @@
 
   /** Ends everything; tasks end with their signal. */
   stop(): void {
+    this.placer.stop();
     this.listeners.clear();
   }
 
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -1,5 +1,4 @@
-import type { Clock, Millis, UpstreamId } from '@camphorvane/core';
-import { sleep } from '@camphorvane/core';
+import type { CancelTimer, Clock, Millis, UpstreamId } from '@camphorvane/core';
 import type { EngineHealth } from '@camphorvane/decisions';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
@@ -47,6 +46,11 @@
   /** Engines that gave no answer. */
   private readonly down = new Set<UpstreamId>();
 
+  /** Next questions to engines that gave no answer. */
+  private readonly timers = new Map<UpstreamId, CancelTimer>();
+
+  private hasStopped = false;
+
   private readonly answeredAt = new Map<UpstreamId, Millis>();
 
   /** @param options - What they are made with. */
@@ -56,7 +60,7 @@
 
   /** Takes an engine out of use until it answers a probe, because a request failed on it. */
   suspect(engine: UpstreamId): void {
-    if (this.asking.has(engine)) return;
+    if (this.hasStopped || this.asking.has(engine)) return;
     this.asking.add(engine);
     this.options.health.suspect(engine);
     void this.ask(engine, FIRST_RETRY_MS);
@@ -79,6 +83,12 @@
     return this.down.size > listed * LIKELY_DOWN_PART ? [] : [...this.down];
   }
 
+  /** Asks no engine any more. */
+  stop(): void {
+    this.hasStopped = true;
+    this.timers.forEach((cancel) => cancel());
+  }
+
   private async ask(id: UpstreamId, retryMs: Millis): Promise<void> {
     const { clock, directory } = this.options;
     const engine = directory.getEngine(id)?.engine;
@@ -88,8 +98,14 @@
       return;
     }
     this.noteDown(id, report.error.message);
-    await sleep(clock, retryMs);
-    await this.ask(id, Math.min(LONGEST_RETRY_MS, retryMs * 2));
+    if (this.hasStopped) return;
+    const nextMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
+    this.timers.set(
+      id,
+      clock.after(retryMs, () => {
+        void this.ask(id, nextMs);
+      }),
+    );
   }
 
   private noteDown(id: UpstreamId, reason: string): void {
@@ -101,6 +117,7 @@
 
   private end(id: UpstreamId, reason: 'answered' | 'not_listed'): void {
     this.asking.delete(id);
+    this.timers.delete(id);
     this.answeredAt.set(id, this.options.clock.now());
     this.options.health.trust(id);
     if (reason === 'not_listed') this.answeredAt.delete(id);
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -204,6 +204,12 @@
     });
   }
 
+  /** Ends what runs by itself; requests that wait are left to their callers. */
+  stop(): void {
+    this.probes.stop();
+    this.looks.forEach((cancel) => cancel());
+  }
+
   /** Gets the state to be shown to operators. */
   dump(): object {
     const waiting = [...this.pools].map(([model, pool]) => [model, pool.queue.size] as const);
--- a/packages/router/tests/placing/EngineProbes.test.ts
+++ b/packages/router/tests/placing/EngineProbes.test.ts
@@ -109,3 +109,17 @@
   assert.deepEqual(fleet.probes.getDown(), []);
   assert.ok(fleet.changes >= 3);
 });
+
+// A host leaves while an engine is down. Were it to go on asking, its process would not end.
+test('a host that stops asks no engine any more', async () => {
+  const fleet = new ProbedFleet();
+  fleet.down.add('e1');
+  fleet.probes.suspect('e1');
+  await fleet.clock.advance(1);
+  const asked = fleet.asked.get('e1');
+  fleet.probes.stop();
+  fleet.probes.suspect('e2');
+  await fleet.clock.advance(10_000);
+  assert.equal(fleet.asked.get('e1'), asked, 'it was asked after the stop');
+  assert.equal(fleet.asked.get('e2'), undefined, 'a new one was asked after the stop');
+});
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -183,6 +183,8 @@
     };
     const { repeats: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
+    const knowledge = new EngineKnowledge();
+    const placer = new LocalPlacer(clock, new RandomSource(1), directory, knowledge, 'i');
     return {
       config: {
         current: () => inForce,
@@ -197,14 +199,14 @@
       group,
       rates: new SharedRates(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       repeats: serviceRepeats(new RepeatBudget(allowance, () => 1)),
-      placer: new LocalPlacer(clock, new RandomSource(1), directory, new EngineKnowledge(), 'i'),
+      placer,
       crashes: new CrashDesk({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
       claims: undefined,
       endsWithdrawn: false,
       start: () => undefined,
       beginLeaving: async () => undefined,
       leave: async () => undefined,
-      stop: () => undefined,
+      stop: () => placer.stop(),
       answer: async () => ({ type: 'ok' }),
       getCoordinated: () => [],
       getEpoch: () => 0,
