Let a prompt that was read wait for room at another decode engine

Change: for as long as the prefill engine keeps the prompt (350 of 500 ms) the host looks for room at the others every 10 ms. Ruled out: a second try at the engine that refused (it is the fullest). Test: Forwarding "a prompt that was read waits for room at another decode engine"; before, prompts were read twice.

--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -1,5 +1,5 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
-import { piecesFor } from '@camphorvane/core';
+import { piecesFor, sleep } from '@camphorvane/core';
 import type { ReservationEnd } from '@camphorvane/decisions';
 import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import { reachedNobody } from '@camphorvane/upstream';
@@ -21,6 +21,9 @@
  */
 const HANDLE_LIFE_MS: Millis = 350;
 
+/** Milliseconds between two looks for room; room comes back every some tens of milliseconds. */
+const ROOM_LOOK_MS: Millis = 10;
+
 /**
  * One try at a completion on one pair of engines: prefill, transfer, decode.
  *
@@ -90,13 +93,14 @@
    *
    * A decode engine that has just crashed, or filled up unseen, refuses after the prompt was read. To
    * read it again would cost a tenth of a second of a prefill engine each time; one would notice it as
-   * prefill work that grows while answers do not.
+   * prefill work that grows while answers do not. In a rush the other engines are full too, and the
+   * prompt waits for room rather than being given up.
    */
   private async *decodeSomewhere(
     first: ModelEngine,
     prefill: PrefillResult,
   ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
-    const { clock, placements } = this.tools;
+    const { clock } = this.tools;
     const until = clock.now() + HANDLE_LIFE_MS;
     let engine = first;
     let outcome = yield* this.decode(engine, prefill);
@@ -105,16 +109,28 @@
       refusedBy.push(engine.id);
       if (this.abort.signal.aborted) return outcome;
       if (!reachedNobody(outcome.error) && !this.plan.mayRepeat()) return outcome;
-      const next = placements.moveDecode(this.plan.placement.reservation, refusedBy);
-      const nextEngine = next === undefined ? undefined : this.engine(next);
-      if (nextEngine === undefined) return outcome;
-      engine = nextEngine;
+      const next = await this.nextDecode(refusedBy, until);
+      if (next === undefined) return outcome;
+      engine = next;
       this.decodeAt = engine.id;
       outcome = yield* this.decode(engine, prefill);
     }
     return outcome;
   }
 
+  /** Waits for a decode engine with room, for as long as the prompt's memory is kept. */
+  private async nextDecode(
+    refusedBy: readonly UpstreamId[],
+    until: Millis,
+  ): Promise<ModelEngine | undefined> {
+    const { clock, placements } = this.tools;
+    const next = placements.moveDecode(this.plan.placement.reservation, refusedBy);
+    if (next !== undefined) return this.engine(next);
+    if (this.abort.signal.aborted || clock.now() + ROOM_LOOK_MS >= until) return undefined;
+    await sleep(clock, ROOM_LOOK_MS);
+    return this.nextDecode(refusedBy, until);
+  }
+
   private async prefill(
     engine: ModelEngine,
   ): Promise<{ readonly type: 'ran'; readonly result: PrefillResult } | FailedAttempt> {
--- a/packages/router/tests/serving/Forwarding.test.ts
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -62,6 +62,22 @@
   assert.equal(new Set(fleet.decodes).size, 2);
 });
 
+// An engine refuses prompts that were read, and the other one is full for a moment. Given up, the prompts
+// would be read anew, while callers wait and prefill engines have less time for others.
+test('a prompt that was read waits for room at another decode engine', async () => {
+  const slow: DecodeScript = async function* script(cmd) {
+    await new Promise<void>((resolve) => {
+      setTimeout(resolve, 80);
+    });
+    yield* wholeStream(cmd);
+  };
+  const fleet = new ForwardFleet({ decode: { d1: failing(0, FULL), d2: slow } });
+  const paths = Array.from({ length: 6 }, (_, i) => `/llm/${i}`);
+  const results = await Promise.all(paths.map((path) => fleet.send(path)));
+  results.forEach((events) => assert.equal(endOf(events), 'done'));
+  assert.equal(fleet.prefills.length, paths.length, 'a prompt was read twice');
+});
+
 // A caller goes on by itself after its connection broke, and names the last piece that it has.
 test('a caller that goes on gets what it lacks', async () => {
   const fleet = new ForwardFleet({ route: { resumable: true } });
