Share the places at plain servers by the calls that hosts have

Cause: each host had an equal part of a server's places (1 of 6 with six hosts). Change: hints carry the calls that a host has on each service, or waiting for it. A host gets what it has calls for and an equal part of what is left; where there is not enough, its part of the calls; a host that is not heard keeps its equal part. All reckon with told calls, also of their own. WaitingBook becomes PeerCounts, which both use. New log line service.placed; camphorvane losses tells a wait for a plain server from one for an engine.

--- a/packages/decisions/src/local/PeerCounts.ts
+++ b/packages/decisions/src/local/PeerCounts.ts
@@ -1,39 +1,49 @@
-import type { HostId, Millis, ModelId } from '@camphorvane/core';
-
-/**
- * Milliseconds for which a peer's word about its queue counts. Words come within 200 ms; a request that
- * was on time half a second ago is placed, late or gone by now.
- */
-const WORD_LIFE_MS: Millis = 500;
+import type { HostId, Millis } from '@camphorvane/core';
 
 /** Name under which the sum of all peers is kept where it comes as one. */
 const ALL_PEERS = '';
 
-interface PeerQueues {
+interface PeerWord {
   readonly at: Millis;
-  readonly onTime: ReadonlyMap<ModelId, number>;
+  /** Peers that this word is of. */
+  readonly peers: number;
+  readonly counts: ReadonlyMap<string, number>;
 }
 
-/** Knows how many requests wait on other hosts that can still be on time. */
-export class WaitingBook {
-  private readonly peers = new Map<HostId, PeerQueues>();
+/** Knows what peers count by some name, for as long as their words are fresh. */
+export class PeerCounts {
+  private readonly words = new Map<HostId, PeerWord>();
+
+  private readonly lifeMs: Millis;
+
+  /** @param lifeMs - Milliseconds for which a word counts. */
+  constructor(lifeMs: Millis) {
+    this.lifeMs = lifeMs;
+  }
+
+  /** Takes in what a peer counts; it replaces what it said before. */
+  hear(peer: HostId, counts: ReadonlyMap<string, number>, now: Millis): void {
+    this.words.delete(ALL_PEERS);
+    this.words.set(peer, { at: now, peers: 1, counts });
+  }
+
+  /** Takes in what so many peers count together; it replaces all that any of them said. */
+  hearSum(counts: ReadonlyMap<string, number>, peers: number, now: Millis): void {
+    this.words.clear();
+    this.words.set(ALL_PEERS, { at: now, peers, counts });
+  }
 
-  /** Takes in what a peer says that waits on it; it replaces what it said before. */
-  hear(peer: HostId, onTime: ReadonlyMap<ModelId, number>, now: Millis): void {
-    this.peers.delete(ALL_PEERS);
-    this.peers.set(peer, { at: now, onTime });
+  /** Gets what all peers count together that were heard lately. */
+  sum(name: string, now: Millis): number {
+    return this.fresh(now).reduce((sum, { counts }) => sum + (counts.get(name) ?? 0), 0);
   }
 
-  /** Takes in what waits on all peers together; it replaces all that any of them said. */
-  hearSum(onTime: ReadonlyMap<ModelId, number>, now: Millis): void {
-    this.peers.clear();
-    this.peers.set(ALL_PEERS, { at: now, onTime });
+  /** Gets how many peers were heard lately. */
+  heard(now: Millis): number {
+    return this.fresh(now).reduce((sum, { peers }) => sum + peers, 0);
   }
 
-  /** Gets how many requests for a pool wait on other hosts and can still be on time. */
-  countOnTime(model: ModelId, now: Millis): number {
-    return [...this.peers.values()]
-      .filter(({ at }) => now - at <= WORD_LIFE_MS)
-      .reduce((sum, { onTime }) => sum + (onTime.get(model) ?? 0), 0);
+  private fresh(now: Millis): readonly PeerWord[] {
+    return [...this.words.values()].filter(({ at }) => now - at <= this.lifeMs);
   }
 }
--- a/packages/decisions/src/service/ServiceGate.ts
+++ b/packages/decisions/src/service/ServiceGate.ts
@@ -20,11 +20,17 @@
 
 /** What the gate decided for a call. */
 export type GateDecision =
-  | { readonly type: 'place'; readonly request: RequestId; readonly server: UpstreamId }
+  | {
+      readonly type: 'place';
+      readonly request: RequestId;
+      readonly server: UpstreamId;
+      readonly waitedMs: Millis;
+    }
   | { readonly type: 'refuse'; readonly request: RequestId; readonly refusal: Refusal };
 
 interface WaitingCall {
   readonly call: GateCall;
+  readonly since: Millis;
   readonly giveUpAt: Millis;
 }
 
@@ -66,6 +72,9 @@
 
   private waiting: readonly WaitingCall[] = [];
 
+  /** Calls that this host may have on all servers together. */
+  private most = Infinity;
+
   /** @param random - Draws among servers that are equally loaded. */
   constructor(random: RandomSource = new RandomSource(0)) {
     this.random = random;
@@ -75,8 +84,10 @@
    * Takes the servers of a changed configuration into force; running calls stay counted.
    *
    * @param servers - All servers.
+   * @param most - Calls that this host may have on all of them together.
    */
-  reshape(servers: readonly GateServer[]): void {
+  reshape(servers: readonly GateServer[], most = Infinity): void {
+    this.most = most;
     const kept = servers.map((server): [UpstreamId, ServerState] => {
       const old = this.servers.get(server.id);
       const state = { running: old?.running ?? 0, restUntil: old?.restUntil ?? 0 };
@@ -86,6 +97,11 @@
     kept.forEach(([id, state]) => this.servers.set(id, state));
   }
 
+  /** Gets how many calls wait or run. */
+  get callCount(): number {
+    return this.waiting.length + this.runningCount;
+  }
+
   /** Gets how many calls wait. */
   get waitingCount(): number {
     return this.waiting.length;
@@ -103,7 +119,7 @@
     if (this.waiting.length >= MAX_WAITING || ofTeam >= MAX_WAITING_PER_TEAM) {
       return notRun('queue_full', 'Too many calls wait for this service.', RETRY_AFTER_MS);
     }
-    this.waiting = [...this.waiting, { call, giveUpAt: now + call.maxWaitMs }];
+    this.waiting = [...this.waiting, { call, since: now, giveUpAt: now + call.maxWaitMs }];
     return undefined;
   }
 
@@ -142,6 +158,10 @@
     return Math.min(...this.waiting.map((one) => one.giveUpAt)) + 1;
   }
 
+  private get runningCount(): number {
+    return [...this.servers.values()].reduce((sum, { running }) => sum + running, 0);
+  }
+
   private placeAll(now: Millis): readonly GateDecision[] {
     const placed: GateDecision[] = [];
     let next = this.placeOne(now);
@@ -153,6 +173,7 @@
   }
 
   private placeOne(now: Millis): GateDecision | undefined {
+    if (this.waiting.length === 0 || this.runningCount >= this.most) return undefined;
     const ordered = [...this.waiting].sort((a, b) => this.compare(a, b));
     const choice = ordered
       .map((one) => ({ one, server: this.choose(one.call, now) }))
@@ -163,7 +184,8 @@
     const state = this.servers.get(choice.server);
     if (state !== undefined) state.running += 1;
     this.runningByTeam.set(call.team, (this.runningByTeam.get(call.team) ?? 0) + 1);
-    return { type: 'place', request: call.request, server: choice.server };
+    const waitedMs = now - choice.one.since;
+    return { type: 'place', request: call.request, server: choice.server, waitedMs };
   }
 
   private compare(a: WaitingCall, b: WaitingCall): number {
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -77,7 +77,7 @@
     const placement = new LocalPlacement(knowledge);
     placement.reshape(ENGINES);
     const { waiting } = knowledge;
-    const peersOnTime = (now: Millis): number => waiting.countOnTime('m', now);
+    const peersOnTime = (now: Millis): number => waiting.sum('m', now);
     const queue =
       load.alone === true ? new LocalQueue(placement) : new LocalQueue(placement, peersOnTime);
     return { book, waiting, queue };
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,4 +1,4 @@
-import type { HostId, Incarnation, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
+import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
 import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
 import {
   isCharge,
@@ -46,6 +46,8 @@
   readonly moves: readonly MoveHint[];
   /** Engines that gave no answer to one of these hosts. */
   readonly down: readonly UpstreamId[];
+  /** Calls that these hosts have on each plain service, or waiting for it. */
+  readonly calls: readonly (readonly [ServiceId, number])[];
   /** Hosts with a record in the store that the relay has not heard lately. */
   readonly silent: readonly HostId[];
   readonly leaving: readonly HostId[];
@@ -78,6 +80,7 @@
       digest.demand.map(writeDemand),
       digest.moves.map(writeMove),
       digest.down,
+      digest.calls,
     ]),
   );
 }
@@ -92,10 +95,11 @@
   const fields = parseDatagram(bytes);
   if (fields?.[0] !== TAG) return undefined;
   const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
-  const [demand, moves, down] = fields.slice(DEMAND_FIELD);
+  const [demand, moves, down, calls] = fields.slice(DEMAND_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
+  if (!Array.isArray(calls) || !calls.every(isCharge)) return undefined;
   if (!isNames(silent) || !isNames(leaving) || !isNames(down)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
@@ -106,6 +110,7 @@
   return {
     ...{ host, incarnation, sequence, heard, engines, silent, leaving },
     ...{ demand: asked, moves: moving, down },
+    calls: calls as readonly (readonly [ServiceId, number])[],
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
   };
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -4,6 +4,7 @@
   Incarnation,
   Millis,
   ModelId,
+  ServiceId,
   TeamId,
   Tokens,
   UpstreamId,
@@ -22,6 +23,9 @@
   writeRow,
 } from './hintRows.ts';
 
+/** Place of the engines that are down among the fields; those before it are read by name. */
+const DOWN_FIELD = 9;
+
 /** What a host has on one engine, as it tells its peers. */
 export interface EngineHint {
   readonly engine: UpstreamId;
@@ -72,6 +76,8 @@
   readonly moves: readonly MoveHint[];
   /** Engines that gave no answer to the host. */
   readonly down: readonly UpstreamId[];
+  /** Calls that the host has on each plain service, or waiting for it. */
+  readonly calls: readonly (readonly [ServiceId, number])[];
   /** Versions of the store's changes up to which the host knows configuration and servers. */
   readonly versions: { readonly config: number; readonly servers: number };
 }
@@ -100,6 +106,7 @@
     demand,
     moves,
     hint.down,
+    hint.calls,
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -113,13 +120,14 @@
 export function decodeHint(bytes: Uint8Array): HostHint | undefined {
   const fields = parseDatagram(bytes);
   if (fields === undefined) return undefined;
-  const [host, incarnation, sequence, flags, rows, charged, known, demand, moves, down] = fields;
+  const [host, incarnation, sequence, flags, rows, charged, known, demand, moves] = fields;
+  const [down, calls] = fields.slice(DOWN_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
-  if (!isNames(down)) return undefined;
+  if (!isNames(down) || !Array.isArray(calls) || !calls.every(isCharge)) return undefined;
   const engines = readRows(rows, readRow);
   const asked = readRows(demand, readDemand);
   const moving = readRows(moves, readMove);
@@ -136,6 +144,7 @@
     demand: asked,
     moves: moving,
     down,
+    calls: calls as readonly (readonly [ServiceId, number])[],
     versions: { config, servers },
   };
 }
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -18,6 +18,7 @@
     },
   ],
   moves: [{ engine: 'e', role: 'prefill', leftMs: 0 }],
+  calls: [['orders', 4]],
   down: ['e2'],
   silent: ['a'],
   leaving: ['b'],
--- a/packages/router/src/agreement/HostAgreement.ts
+++ b/packages/router/src/agreement/HostAgreement.ts
@@ -11,6 +11,7 @@
 } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Placer } from '../placing/Placer.ts';
+import type { CallShares } from '../serving/CallShares.ts';
 import type { CrashDesk } from '../serving/CrashDesk.ts';
 
 /** A configuration that changes while the host runs. */
@@ -84,6 +85,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly directory: UpstreamDirectory;
+  /** What the hosts have on plain services. */
+  readonly calls: CallShares;
 }
 
 /** Makes the agreement of a host. */
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -1,4 +1,12 @@
-import type { HostId, Incarnation, Millis, ModelId, TeamId, Tokens } from '@camphorvane/core';
+import type {
+  HostId,
+  Incarnation,
+  Millis,
+  ModelId,
+  ServiceId,
+  TeamId,
+  Tokens,
+} from '@camphorvane/core';
 import type { PoolDemand } from '@camphorvane/decisions';
 import { NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
 import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
@@ -81,6 +89,7 @@
       demand: this.demandWithout(receiver),
       moves: others.flatMap((hint) => hint.moves),
       down: [...new Set(others.flatMap((hint) => hint.down))],
+      calls: sumCalls(others),
       leaving: others.filter((hint) => hint.leaving).map((hint) => hint.host),
       versions: {
         config: Math.max(0, ...all.map((versions) => versions.config)),
@@ -142,6 +151,14 @@
   return a.incarnation === b.incarnation;
 }
 
+function sumCalls(hints: readonly HostHint[]): readonly (readonly [ServiceId, number])[] {
+  const sums = new Map<ServiceId, number>();
+  hints
+    .flatMap((hint) => hint.calls)
+    .forEach(([service, calls]) => sums.set(service, (sums.get(service) ?? 0) + calls));
+  return [...sums];
+}
+
 function sumEngines(hints: readonly HostHint[]): readonly EngineHint[] {
   const sums = new Map<string, EngineHint>();
   hints
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -268,6 +268,7 @@
         .map((one) => ({ ...one, onTimeWaiting: this.placer.countOnTime(one.model) })),
       moves: this.knowledge.moves.getOwn(this.clock.now()),
       down: this.placer.probes.getDown(),
+      calls: [...this.context.calls.getOwn()],
       versions: this.config.getVersions(),
     };
   }
@@ -283,6 +284,7 @@
     demand.hear(hint.host, hint.incarnation, hint.demand, now);
     moves.hear(hint.moves, now);
     this.placer.probes.hear(hint.down);
+    this.context.calls.hear(hint.host, new Map(hint.calls), now);
   }
 
   private hearSum(digest: HostDigest): void {
@@ -292,10 +294,11 @@
     this.config.hearOf(digest.versions);
     const { use, demand, moves, waiting } = this.knowledge;
     use.hearSum(usesOf(digest.engines), digest.heard, now);
-    waiting.hearSum(waitingOf(digest.demand), now);
+    waiting.hearSum(waitingOf(digest.demand), digest.heard, now);
     demand.hearRelay(`${digest.host} ${digest.incarnation}`, digest.demand, now);
     moves.hear(digest.moves, now);
     this.placer.probes.hear(digest.down);
+    this.context.calls.hearSum(new Map(digest.calls), digest.heard, now);
   }
 
   /** Gets how many hosts come before this one by name, among those that are there to stay. */
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -3,6 +3,7 @@
 import type { HostAgreement } from '../agreement/HostAgreement.ts';
 import { EngineWatch } from '../placing/EngineWatch.ts';
 import { ReservationKeeper } from '../placing/ReservationKeeper.ts';
+import { CallShares } from '../serving/CallShares.ts';
 import { CompletionServing } from '../serving/CompletionServing.ts';
 import { Forwarding } from '../serving/Forwarding.ts';
 import { ServiceGates } from '../serving/ServiceGates.ts';
@@ -44,13 +45,14 @@
 export function assembleHost(options: HostOptions, hostGates: HostGates): HostParts {
   const { clock, random, identity, incarnation, metrics } = options;
   const directory = new UpstreamDirectory(options.engines, options.servers);
-  const agreement = options.agreement({ clock, random, identity, incarnation, directory });
+  const calls = new CallShares();
+  const agreement = options.agreement({ clock, random, identity, incarnation, directory, calls });
   const { config, group, rates, repeats, crashes, claims, placer } = agreement;
   const keys = new KeyRing();
   const authenticator = new Authenticator(config, keys);
   const keeper = new ReservationKeeper(clock, placer);
   const watch = new EngineWatch(clock, placer);
-  const gates = new ServiceGates(clock, random, directory, () => group.members().length);
+  const gates = new ServiceGates(clock, random, directory, () => group.members().length, calls);
   const inFlight = new InFlight();
   const completions = new CompletionServing({
     self: identity.host,
--- a/packages/router/src/observe/requestStories.ts
+++ b/packages/router/src/observe/requestStories.ts
@@ -77,8 +77,9 @@
   const failures = lines.filter(isFailure);
   const placed = lines.filter((line) => line.event === 'placed');
   const prefilled = lines.filter((line) => line.event === 'prefilled');
-  const waits = placed.map(({ fields }): TimeLoss => ({
-    cause: `waited for ${String(fields.lacked ?? 'room')}`,
+  const waits = placed.map(({ part, fields }): TimeLoss => ({
+    cause:
+      part === 'service' ? 'waited for a server' : `waited for ${String(fields.lacked ?? 'room')}`,
     ms: numberOf(fields.waitedMs),
   }));
   const reads = prefilled.map(({ fields }): TimeLoss => ({
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -254,7 +254,7 @@
     const pool: LocalPool = {
       model,
       placement,
-      queue: new LocalQueue(placement, (now) => this.knowledge.waiting.countOnTime(model, now)),
+      queue: new LocalQueue(placement, (now) => this.knowledge.waiting.sum(model, now)),
       waiting: new Map(),
     };
     this.pools.set(model, pool);
--- a/packages/router/src/serving/ServiceGates.ts
+++ b/packages/router/src/serving/ServiceGates.ts
@@ -14,10 +14,15 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { stateLog } from '../observe/StateLog.ts';
+import type { CallShares } from './CallShares.ts';
+
+const log = stateLog('service');
 
 type Chosen = Result<UpstreamId, Refusal>;
 
 interface OpenGate {
+  readonly service: ServiceId;
   readonly gate: ServiceGate;
   readonly answers: Map<RequestId, (chosen: Chosen) => void>;
   cancelWake: CancelTimer;
@@ -33,6 +38,8 @@
 
   private readonly hostCount: () => number;
 
+  private readonly shares: CallShares;
+
   private readonly gates = new Map<ServiceId, OpenGate>();
 
   /**
@@ -40,17 +47,21 @@
    * @param random - Draws among equals.
    * @param directory - Knows the servers.
    * @param hostCount - Gets how many hosts share the servers' places.
+   * @param shares - Knows what the other hosts have on the servers.
    */
   constructor(
     clock: Clock,
     random: RandomSource,
     directory: UpstreamDirectory,
     hostCount: () => number,
+    shares: CallShares,
   ) {
     this.clock = clock;
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
+    this.shares = shares;
+    shares.setOwn(() => this.countCalls());
   }
 
   /**
@@ -92,41 +103,46 @@
 
   /** Takes changed services, or a changed number of hosts, into force. */
   refresh(): void {
-    this.gates.forEach((open, service) => {
-      this.reshape(open, service);
-      this.pump(open);
-    });
+    this.gates.forEach((open) => this.pump(open));
   }
 
   private openGate(service: ServiceId): OpenGate {
     const known = this.gates.get(service);
     if (known !== undefined) return known;
     const open: OpenGate = {
+      service,
       gate: new ServiceGate(this.random),
       answers: new Map(),
       cancelWake: () => undefined,
     };
     this.gates.set(service, open);
-    this.reshape(open, service);
     return open;
   }
 
-  /** Each host takes an equal part of a server's places, and at least one. */
-  private reshape(open: OpenGate, service: ServiceId): void {
+  /** Takes this host's share of the places into force, at least one at each server, and gets it. */
+  private reshape({ gate, service }: OpenGate, now: Millis): number {
     const hosts = Math.max(1, this.hostCount());
     const servers = this.directory.getService(service)?.servers ?? [];
-    open.gate.reshape(
-      servers.map(({ id, maxConcurrent }) => ({
-        id,
-        limit: Math.max(1, Math.floor(maxConcurrent / hosts)),
-      })),
-    );
+    const places = servers.reduce((sum, { maxConcurrent }) => sum + maxConcurrent, 0);
+    const share = this.shares.shareOf(service, places, hosts, now);
+    const part = share / Math.max(1, places);
+    const limits = servers.map(({ id, maxConcurrent }) => ({
+      id,
+      limit: Math.max(1, Math.min(maxConcurrent, Math.ceil(maxConcurrent * part))),
+    }));
+    gate.reshape(limits, Math.max(servers.length, Math.floor(share)));
+    return share;
+  }
+
+  private countCalls(): ReadonlyMap<ServiceId, number> {
+    return new Map([...this.gates].map(([id, { gate }]) => [id, gate.callCount]));
   }
 
   private pump(open: OpenGate): void {
     open.cancelWake();
     const now = this.clock.now();
-    open.gate.step(now).forEach((decision) => this.carryOut(open, decision));
+    const share = this.reshape(open, now);
+    open.gate.step(now).forEach((decision) => this.carryOut(open, decision, share));
     const wake = open.gate.nextWake();
     if (wake === undefined) return;
     // The gate's state is this host's own; a field of the entry is the natural place for its timer.
@@ -135,9 +151,16 @@
     });
   }
 
-  private carryOut(open: OpenGate, decision: GateDecision): void {
+  private carryOut(open: OpenGate, decision: GateDecision, share: number): void {
     switch (decision.type) {
       case 'place':
+        log('placed', {
+          id: decision.request,
+          server: decision.server,
+          waitedMs: Math.round(decision.waitedMs),
+          calls: open.gate.callCount,
+          share: Math.round(share * 10) / 10,
+        });
         this.answer(open, decision.request, ok(decision.server));
         break;
       case 'refuse':
--- a/packages/router/tests/agreement/PeerTalk.test.ts
+++ b/packages/router/tests/agreement/PeerTalk.test.ts
@@ -196,9 +196,9 @@
       Object.assign(second ?? {}, { waiting: 2 });
       await busy(fleet, 1_000);
       const now = fleet.clock.now();
-      others.forEach((host) => assert.equal(host.peersWaiting.countOnTime('m', now), 5, host.name));
-      assert.equal(first?.peersWaiting.countOnTime('m', now), 2);
-      assert.equal(others[0]?.peersWaiting.countOnTime('m', now + 1_000), 0);
+      others.forEach((host) => assert.equal(host.peersWaiting.sum('m', now), 5, host.name));
+      assert.equal(first?.peersWaiting.sum('m', now), 2);
+      assert.equal(others[0]?.peersWaiting.sum('m', now + 1_000), 0);
     });
   await learn(6);
   await learn(30);
--- a/packages/router/tests/observe/lossTable.test.ts
+++ b/packages/router/tests/observe/lossTable.test.ts
@@ -43,6 +43,16 @@
   assert.equal(failed?.cause, 'failed tries');
 });
 
+test('a late call is laid to its wait for a server', () => {
+  const placed = '{"t":390,"part":"service","event":"placed","id":"a","waitedMs":380}';
+  const late = '"firstMs":470,"pauseMs":0,"tookMs":470';
+  const kind = accepted('a', 0).replace('"targetMs":900', '"targetMs":386');
+  assert.equal(
+    storyOf(kind, `h1 ${placed}`, line('a', 470, 'whole', late))?.cause,
+    'waited for a server',
+  );
+});
+
 test('a stream that stood still between events is late by its pause', () => {
   const story = storyOf(
     accepted('a', 0),
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -1,12 +1,6 @@
 import type { Millis } from '@camphorvane/core';
 import { VirtualClock } from '@camphorvane/core';
-import {
-  CountedRates,
-  DemandBook,
-  EngineMoves,
-  UseBook,
-  WaitingBook,
-} from '@camphorvane/decisions';
+import { CountedRates, DemandBook, EngineMoves, UseBook, PeerCounts } from '@camphorvane/decisions';
 import type { EngineMove, EngineUse } from '@camphorvane/decisions';
 import type { DemandHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { HostRoster } from '../../src/agreement/HostRoster.ts';
@@ -28,7 +22,7 @@
   readonly demand: DemandBook;
   /** Requests that wait on it and can still be on time. */
   waiting: number;
-  readonly peersWaiting: WaitingBook;
+  readonly peersWaiting: PeerCounts;
   /** Engines that it has ordered into another role. */
   moves: readonly EngineMove[];
   readonly heardMoves: EngineMoves;
@@ -72,7 +66,7 @@
         ...{
           demand: new DemandBook(),
           waiting: 0,
-          peersWaiting: new WaitingBook(),
+          peersWaiting: new PeerCounts(500),
           moves: [],
           heardMoves: new EngineMoves(),
         },
@@ -103,6 +97,7 @@
         demand: host.demand.getOwn().map((one) => ({ ...one, onTimeWaiting: host.waiting })),
         moves: host.moves,
         down: [],
+        calls: [],
         versions: { config: 1, servers: 1 },
       }),
       newsMark: () => `${host.news}`,
@@ -129,7 +124,7 @@
         const relay = `${digest.host} ${incarnation}`;
         host.demand.hearRelay(relay, digest.demand, clock.now());
         host.heardMoves.hear(digest.moves, clock.now());
-        host.peersWaiting.hearSum(waitingOf(digest.demand), clock.now());
+        host.peersWaiting.hearSum(waitingOf(digest.demand), heard, clock.now());
       },
     });
     const stop = new AbortController();
