--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -19,6 +19,12 @@
   readonly giveUpAt: Millis;
 }
 
+/** A request with what it holds compared with others. */
+interface RankedWish extends QueuedWish {
+  /** Part of the requests before it that hold less. */
+  readonly rank: number;
+}
+
 /** What a request waits for: room at a decode engine, the reading of a prompt, or those before it. */
 export type Lack = 'room' | 'reading' | 'turn';
 
@@ -81,7 +87,7 @@
 
   private readonly runningByTeam = new Map<TeamId, number>();
 
-  private waiting: readonly QueuedWish[] = [];
+  private waiting: readonly RankedWish[] = [];
 
   /** What those who wait have waited for last. */
   private readonly lacks = new Map<RequestId, Lack>();
@@ -117,7 +123,7 @@
     if (this.waiting.length >= MAX_WAITING) {
       return notRun('queue_full', 'Too many requests wait for this model.', RETRY_AFTER_MS);
     }
-    this.waiting = [...this.waiting, wish];
+    this.waiting = [...this.waiting, { ...wish, rank: this.ranks.rankOf(wish.memorySteps) }];
     this.ranks.note(wish.memorySteps);
     return undefined;
   }
@@ -167,12 +173,11 @@
   }
 
   /** Tells whether a request leaves free room to those that wait on other hosts. */
-  private letsOthersPass(wish: QueuedWish, now: Millis): boolean {
+  private letsOthersPass(wish: RankedWish, now: Millis): boolean {
     const others = this.peersOnTime(now);
     if (wish.lateAt <= now) return others > 0;
-    const rank = this.ranks.rankOf(wish.memorySteps);
-    const lighterOthers = rank * others;
-    return lighterOthers >= 1 && waitedPart(wish, now) < rank * LET_PASS_PART;
+    const lighterOthers = wish.rank * others;
+    return lighterOthers >= 1 && waitedPart(wish, now) < wish.rank * LET_PASS_PART;
   }
 
   private noteLacks(first: QueuedWish, lack: Lack): void {
@@ -188,18 +193,18 @@
     return now >= wish.lateAt ? idleMs : Math.max(MAX_READ_MS, idleMs);
   }
 
-  private compare(a: QueuedWish, b: QueuedWish, now: Millis): number {
+  private compare(a: RankedWish, b: RankedWish, now: Millis): number {
     const late = Number(a.lateAt <= now) - Number(b.lateAt <= now);
     if (late !== 0) return late;
     if (a.priority !== b.priority) return a.priority - b.priority;
-    const running = (wish: QueuedWish): number => this.runningByTeam.get(wish.team) ?? 0;
-    return running(a) - running(b) || this.order(a, now) - this.order(b, now);
+    const running = (wish: RankedWish): number => this.runningByTeam.get(wish.team) ?? 0;
+    return running(a) - running(b) || order(a, now) - order(b, now);
   }
+}
 
-  /** The order of requests on time: those that hold little first, but each in the end. */
-  private order(wish: QueuedWish, now: Millis): number {
-    return this.ranks.rankOf(wish.memorySteps) * LET_PASS_PART - waitedPart(wish, now);
-  }
+/** The order of requests on time: those that hold little first, but each in the end. */
+function order(wish: RankedWish, now: Millis): number {
+  return wish.rank * LET_PASS_PART - waitedPart(wish, now);
 }
 
 /** Gets the part that has passed of the time in which a request can be on time. */
