Call prefill and decode engines so; end two circles of imports

Splits of the roles and the options of a placement spoke of readers, writers and decoders, words that the field does not have. HostHint and hintRows, BoundedLog and StateLog imported each other: the parts of a hint and the fields of a log line have files of their own now.

--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -64,12 +64,12 @@
 /** Engines of each role that are drawn. */
 const DRAWN = 3;
 
-interface Reader {
+interface PrefillOption {
   readonly cfg: EngineConfig;
   readonly readMs: Millis;
 }
 
-interface Writer {
+interface DecodeOption {
   readonly cfg: EngineConfig;
   readonly fill: number;
   readonly streams: number;
@@ -132,13 +132,15 @@
    * @returns The engines, or undefined while no decode engine has room.
    */
   choose(wish: PlacementWish, now: Millis): EnginePair | undefined {
-    const writers = this.draw(this.writers(wish, now));
-    const readers = this.draw(this.readers(wish, now));
-    const apart = writers.flatMap((writer) => readers.map((reader) => apartChoice(reader, writer)));
-    const direct = writers
-      .filter((writer) => !writer.isReading)
-      .filter((writer) => readers.length === 0 || this.mayRead(writer, wish))
-      .map((writer) => this.directChoice(writer, wish));
+    const decodes = this.draw(this.decodes(wish, now));
+    const prefills = this.draw(this.prefills(wish, now));
+    const apart = decodes.flatMap((decode) =>
+      prefills.map((prefill) => apartChoice(prefill, decode)),
+    );
+    const direct = decodes
+      .filter((decode) => !decode.isReading)
+      .filter((decode) => prefills.length === 0 || this.mayRead(decode, wish))
+      .map((decode) => this.directChoice(decode, wish));
     return [...apart, ...direct].reduce<Choice | undefined>(cheaper, undefined)?.pair;
   }
 
@@ -156,10 +158,10 @@
     now: Millis,
   ): UpstreamId | undefined {
     const cfg = this.engines.find((engine) => engine.id === prefill);
-    const reader = cfg === undefined ? undefined : { cfg, readMs: 0 };
-    return this.writers(wish, now)
-      .map((writer) =>
-        reader === undefined ? this.directChoice(writer, wish) : apartChoice(reader, writer),
+    const source = cfg === undefined ? undefined : { cfg, readMs: 0 };
+    return this.decodes(wish, now)
+      .map((decode) =>
+        source === undefined ? this.directChoice(decode, wish) : apartChoice(source, decode),
       )
       .reduce<Choice | undefined>(cheaper, undefined)?.pair.decode;
   }
@@ -187,7 +189,7 @@
    * a stream may pause, and one request that is read sooner would make ten others late: on a site with
    * slow engines 77 prompts read this way made 74 streams late.
    */
-  private mayRead({ cfg, streams }: Writer, wish: PlacementWish): boolean {
+  private mayRead({ cfg, streams }: DecodeOption, wish: PlacementWish): boolean {
     if (streams === 0) return true;
     const { longestPauseMs = Infinity } = wish;
     const tokenMs = this.health.tokenMs(cfg.id, this.names) ?? 0;
@@ -200,7 +202,7 @@
     return this.health.readMs(engine, tokens, this.names);
   }
 
-  private directChoice({ cfg, fill }: Writer, wish: PlacementWish): Choice {
+  private directChoice({ cfg, fill }: DecodeOption, wish: PlacementWish): Choice {
     const readMs = this.readMs(cfg.id, wish.promptTokens) * DECODE_READ_FACTOR;
     return {
       pair: { prefill: undefined, decode: cfg.id, readMs },
@@ -208,7 +210,7 @@
     };
   }
 
-  private readers(wish: PlacementWish, now: Millis): readonly Reader[] {
+  private prefills(wish: PlacementWish, now: Millis): readonly PrefillOption[] {
     return this.usable('prefill', wish, now).map((cfg) => {
       const queued = this.use.getTotal(cfg.id, now).prefillTokens;
       return { cfg, readMs: this.readMs(cfg.id, queued + wish.promptTokens) };
@@ -216,7 +218,7 @@
   }
 
   /** Gets the decode engines with room for the whole request. */
-  private writers(wish: PlacementWish, now: Millis): readonly Writer[] {
+  private decodes(wish: PlacementWish, now: Millis): readonly DecodeOption[] {
     return this.usable('decode', wish, now)
       .map((cfg) => ({ cfg, use: this.use.getTotal(cfg.id, now) }))
       .filter(({ cfg, use }) => use.streams < (cfg.slots ?? Infinity))
@@ -250,11 +252,11 @@
   }
 }
 
-function apartChoice(reader: Reader, writer: Writer): Choice {
-  const zoneMs = reader.cfg.zone === writer.cfg.zone ? 0 : OTHER_ZONE_MS;
+function apartChoice(prefill: PrefillOption, decode: DecodeOption): Choice {
+  const zoneMs = prefill.cfg.zone === decode.cfg.zone ? 0 : OTHER_ZONE_MS;
   return {
-    pair: { prefill: reader.cfg.id, decode: writer.cfg.id, readMs: reader.readMs },
-    cost: reader.readMs + zoneMs + writer.fill * FULL_ENGINE_MS,
+    pair: { prefill: prefill.cfg.id, decode: decode.cfg.id, readMs: prefill.readMs },
+    cost: prefill.readMs + zoneMs + decode.fill * FULL_ENGINE_MS,
   };
 }
 
--- a/packages/decisions/src/shift/RoleShifter.ts
+++ b/packages/decisions/src/shift/RoleShifter.ts
@@ -117,14 +117,14 @@
     if (view.engines.some((engine) => engine.isChanging)) return this.stay('moving');
     if (now - this.changedAt < SETTLE_MS) return this.stay('engines_changed');
     const forecast = forecastOf(view, requests);
-    const moved = forecast.wanted.readers - forecast.present.readers;
+    const moved = forecast.wanted.prefillEngines - forecast.present.prefillEngines;
     if (moved === 0 || !isWorth(view, forecast)) return this.stay('balanced', forecast);
     return this.moveWhenLasting(view, forecast, now);
   }
 
   private moveWhenLasting(view: RoleView, forecast: RoleForecast, now: Millis): RoleDecision {
     const { present, wanted } = forecast;
-    const role = wanted.readers > present.readers ? 'prefill' : 'decode';
+    const role = wanted.prefillEngines > present.prefillEngines ? 'prefill' : 'decode';
     if (this.wanted !== role) {
       this.wanted = role;
       this.wantedSince = now;
@@ -132,7 +132,11 @@
     if (now - this.wantedSince < LASTING_MS + view.holdBackMs) {
       return { type: 'stay', reason: 'not_lasting', forecast };
     }
-    const engines = chooseMoved(view.engines, role, Math.abs(wanted.readers - present.readers));
+    const engines = chooseMoved(
+      view.engines,
+      role,
+      Math.abs(wanted.prefillEngines - present.prefillEngines),
+    );
     if (engines.length === 0) return this.stay('no_engine', forecast);
     return { type: 'move', engines, role, forecast };
   }
@@ -156,7 +160,7 @@
 function forecastOf(view: RoleView, requests: number): RoleForecast {
   const count = (role: EngineRole): number =>
     view.engines.filter((engine) => engine.role === role).length;
-  const present = { readers: count('prefill'), decoders: count('decode') };
+  const present = { prefillEngines: count('prefill'), decodeEngines: count('decode') };
   const wanted = bestSplit(view, present);
   const lateNow = expectedLate(view, present);
   return { present, wanted, lateNow, lateThen: expectedLate(view, wanted), requests };
@@ -168,12 +172,12 @@
   const leastGain = Math.min(lateNow, 1 - lateNow) * LEAST_GAIN_PART;
   if (gain < Math.max(LEAST_GAIN, leastGain)) return false;
   const meanwhile = {
-    readers: Math.min(present.readers, wanted.readers),
-    decoders: Math.min(present.decoders, wanted.decoders),
+    prefillEngines: Math.min(present.prefillEngines, wanted.prefillEngines),
+    decodeEngines: Math.min(present.decodeEngines, wanted.decodeEngines),
   };
   const lost = Math.max(0, expectedLate(view, meanwhile) - lateNow);
   // A decode engine ends its streams before it changes.
-  const awayMs = view.switchMs + (wanted.readers > present.readers ? STREAM_MS : 0);
+  const awayMs = view.switchMs + (wanted.prefillEngines > present.prefillEngines ? STREAM_MS : 0);
   return gain * PAYBACK_MS > lost * awayMs;
 }
 
--- a/packages/decisions/src/shift/RoleSplit.ts
+++ b/packages/decisions/src/shift/RoleSplit.ts
@@ -18,8 +18,8 @@
 
 /** Engines of each role. */
 export interface RoleSplit {
-  readonly readers: number;
-  readonly decoders: number;
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
 }
 
 /** Splits that are compared; with more engines than this, one engine more or less tells little. */
@@ -49,10 +49,13 @@
  * Losses of engines that are reckoned with: a crash takes one, or a sixth of many, for seconds. A split
  * whose last prefill engine is lost stops nearly all requests, so it must be worth that risk.
  */
-const LOSSES: readonly (Weighed & { readonly readers: number; readonly decoders: number })[] = [
-  { readers: 0, decoders: 0, weight: 0.7 },
-  { readers: 1, decoders: 0, weight: 0.15 },
-  { readers: 0, decoders: 1, weight: 0.15 },
+const LOSSES: readonly (Weighed & {
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
+})[] = [
+  { prefillEngines: 0, decodeEngines: 0, weight: 0.7 },
+  { prefillEngines: 1, decodeEngines: 0, weight: 0.15 },
+  { prefillEngines: 0, decodeEngines: 1, weight: 0.15 },
 ];
 
 /** Part of the engines of a role that a crash takes. */
@@ -83,26 +86,27 @@
  * @returns The split; each role keeps one engine.
  */
 export function bestSplit(grounds: SplitGrounds, present: RoleSplit): RoleSplit {
-  const all = present.readers + present.decoders;
+  const all = present.prefillEngines + present.decodeEngines;
   const steps = Math.min(all, COMPARED_SPLITS);
   const compared = Array.from({ length: steps }, (_, i) => Math.round((i / steps) * all));
-  const rated = [...new Set([...compared, present.readers])]
-    .filter((readers) => readers > 0 && readers < all)
-    .map((readers) => ({
-      split: { readers, decoders: all - readers },
-      late: expectedLate(grounds, { readers, decoders: all - readers }),
-      distance: Math.abs(readers - present.readers),
+  const rated = [...new Set([...compared, present.prefillEngines])]
+    .filter((prefillEngines) => prefillEngines > 0 && prefillEngines < all)
+    .map((prefillEngines) => ({
+      split: { prefillEngines, decodeEngines: all - prefillEngines },
+      late: expectedLate(grounds, { prefillEngines, decodeEngines: all - prefillEngines }),
+      distance: Math.abs(prefillEngines - present.prefillEngines),
     }));
   const [best] = rated.sort((a, b) => a.late - b.late || a.distance - b.distance);
   return best?.split ?? present;
 }
 
-function lateWith(grounds: SplitGrounds, { readers, decoders }: RoleSplit): number {
+function lateWith(grounds: SplitGrounds, { prefillEngines, decodeEngines }: RoleSplit): number {
   const { spans, onTimeMs, tokenMs } = grounds;
-  const readPerMs = grounds.readPerMs * (readers > 0 ? readers : decoders * DECODE_READ_PART);
+  const readPerMs =
+    grounds.readPerMs * (prefillEngines > 0 ? prefillEngines : decodeEngines * DECODE_READ_PART);
   const sizes = meanRequest(spans);
   const usable = Math.max(1, grounds.memoryTokens - sizes.memoryTokens * UNUSED_REQUESTS);
-  const capacity = { readPerMs, memoryTokens: usable * decoders, tokenMs };
+  const capacity = { readPerMs, memoryTokens: usable * decodeEngines, tokenMs };
   // Its own prompt is read within the time that a request has.
   const readMs = sizes.promptTokens / grounds.readPerMs;
   const waitMs = Math.max(MIN_WAIT_MS, onTimeMs - readMs);
@@ -128,7 +132,10 @@
   const lost = (engines: number, part: number): number =>
     part === 0 ? 0 : Math.max(1, Math.round(engines * LOST_PART));
   return {
-    readers: Math.max(0, split.readers - lost(split.readers, loss.readers)),
-    decoders: Math.max(0, split.decoders - lost(split.decoders, loss.decoders)),
+    prefillEngines: Math.max(
+      0,
+      split.prefillEngines - lost(split.prefillEngines, loss.prefillEngines),
+    ),
+    decodeEngines: Math.max(0, split.decodeEngines - lost(split.decodeEngines, loss.decodeEngines)),
   };
 }
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,5 +1,5 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
+import type { DemandHint, EngineHint, MoveHint } from './hintParts.ts';
 import {
   isCharge,
   isCount,
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from '@camphorvane/core';
-import type { DemandHint, EngineHint, MoveHint } from './HostHint.ts';
+import type { DemandHint, EngineHint, MoveHint } from './hintParts.ts';
 
 type EngineRow = readonly [UpstreamId, number, number, number];
 
--- a/packages/router/src/observe/BoundedLog.ts
+++ b/packages/router/src/observe/BoundedLog.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from '@camphorvane/core';
-import type { LogFields } from './StateLog.ts';
+import type { LogFields } from './LogFields.ts';
 
 /** Where lines go. */
 export interface LineSink {
--- a/packages/router/src/observe/StateLog.ts
+++ b/packages/router/src/observe/StateLog.ts
@@ -1,7 +1,5 @@
 import type { BoundedLog } from './BoundedLog.ts';
-
-/** What a log line carries besides its name; plain values, never a key or a prompt. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+import type { LogFields } from './LogFields.ts';
 
 /**
  * Writes one line for a decision or a change of belief.
--- a/packages/router/src/placing/HeldWork.ts
+++ b/packages/router/src/placing/HeldWork.ts
@@ -48,11 +48,11 @@
   begin(work: Omit<HeldReservation, 'wasIdle'>, now: Millis): ReservationId {
     const { use } = this.knowledge;
     const { pair, promptTokens, memoryTokens } = work;
-    const reader = pair.prefill ?? pair.decode;
-    const wasIdle = use.getTotal(reader, now).prefillTokens === 0;
+    const prefillAt = pair.prefill ?? pair.decode;
+    const wasIdle = use.getTotal(prefillAt, now).prefillTokens === 0;
     this.begun += 1;
     const reservation = `${this.prefix}.p${this.begun}`;
-    use.change(reader, { prefillTokens: promptTokens });
+    use.change(prefillAt, { prefillTokens: promptTokens });
     use.change(pair.decode, { streams: 1, memoryTokens });
     this.prefilling.add(reservation);
     this.held.set(reservation, { ...work, wasIdle });
--- a/packages/router/src/placing/RoleControl.ts
+++ b/packages/router/src/placing/RoleControl.ts
@@ -173,8 +173,9 @@
   private note(model: ModelId, view: RoleView, decision: RoleDecision): void {
     const { forecast } = decision;
     const reason = decision.type === 'move' ? decision.engines.join(' ') : decision.reason;
-    const split = forecast && `${forecast.present.readers}+${forecast.present.decoders}`;
-    const wanted = forecast && `${forecast.wanted.readers}+${forecast.wanted.decoders}`;
+    const split =
+      forecast && `${forecast.present.prefillEngines}+${forecast.present.decodeEngines}`;
+    const wanted = forecast && `${forecast.wanted.prefillEngines}+${forecast.wanted.decodeEngines}`;
     const told = `${decision.type} ${reason} ${split} ${wanted}`;
     if (this.told.get(model) === told) return;
     this.told.set(model, told);
