Spend less processor time on gossip and on starts

An idle host woke each 60 ms to compare a text of its news, sorted the names of all hosts whenever it asked for its pace, decoded the whole configuration and all server entries with each cheap read, and a relay added up the hints of all hosts anew for each receiver of a digest. A start loaded and compiled 800 KB of source on each host.

--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -6,6 +6,8 @@
   DeploymentFormat,
   ObjectVersion,
   FollowMode,
+  ServerRecord,
+  StoredObject,
 } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
 import type { Unsubscribe } from '../host/ports.ts';
@@ -36,6 +38,14 @@
   readonly strictKeysMs: Millis | undefined;
   /** Gets how this host follows now. */
   readonly mode: () => FollowMode;
+  /** Called when this host has learned of a change in the store. */
+  readonly onNews: () => void;
+}
+
+/** An entry of the store, and the server that it names, if any. */
+interface ReadServer {
+  readonly object: StoredObject;
+  readonly server: ServerRecord | undefined;
 }
 
 /** Keeps a host on the newest configuration and the newest list of servers. */
@@ -58,6 +68,12 @@
 
   private composedFrom = '';
 
+  private readConfigVersion: ObjectVersion | undefined;
+
+  private readServers: ReadonlyMap<string, ReadServer> = new Map();
+
+  private announced = '';
+
   /** @param options - The store and how its objects read. */
   constructor(options: DeploymentFeedOptions) {
     this.options = options;
@@ -132,8 +148,10 @@
   /** Takes a configuration that is newer than the one in force; an older one is a late answer. */
   private takeConfig({ objects }: FollowedKind): void {
     const { format } = this.options;
+    this.announce();
     const object = objects.get(format.configName);
-    if (object === undefined) return;
+    if (object === undefined || object.version === this.readConfigVersion) return;
+    this.readConfigVersion = object.version;
     const read = format.readConfig(object);
     if (read.isErr()) {
       log('config_unreadable', { problem: read.error, revision: object.version });
@@ -146,9 +164,14 @@
 
   private takeServers({ objects, awayMs }: FollowedKind): void {
     const { format, clock } = this.options;
-    const listed = [...objects.values()]
-      .map((object) => format.readServer(object))
-      .filter((server) => server !== undefined);
+    this.announce();
+    const read = [...objects.values()].map((object): ReadServer => {
+      const known = this.readServers.get(object.name);
+      if (known?.object.version === object.version) return known;
+      return { object, server: format.readServer(object) };
+    });
+    this.readServers = new Map(read.map((one) => [one.object.name, one]));
+    const listed = read.map(({ server }) => server).filter((server) => server !== undefined);
     this.roster.update(listed, awayMs, clock.now());
     this.hasServers = true;
     this.compose();
@@ -156,6 +179,14 @@
     if (change !== undefined) clock.after(change - clock.now(), () => this.compose());
   }
 
+  private announce(): void {
+    const { config, servers } = this.getVersions();
+    const versions = `${config} ${servers}`;
+    if (versions === this.announced) return;
+    this.announced = versions;
+    this.options.onNews();
+  }
+
   private compose(): void {
     if (this.deployed === undefined || !this.hasServers) return;
     const servers = this.roster.list(this.options.clock.now());
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -61,6 +61,12 @@
 
   private records: ReadonlyMap<HostId, SeenRecord> = new Map();
 
+  /** All records, the strongest first. */
+  private ranked: readonly HostRecord[] = [];
+
+  /** Names of all other hosts with a record, in order. */
+  private others: readonly HostId[] = [];
+
   private readonly heardAt = new Map<HostId, Millis>();
 
   private readonly saysLeaving = new Map<HostId, boolean>();
@@ -99,6 +105,10 @@
         return [record.host, { record, version, ageMs: isSame ? known.ageMs + passed : 0 }];
       }),
     );
+    this.others = [...this.records.keys()].filter((host) => host !== this.self).sort();
+    this.ranked = [...this.records.values()]
+      .map(({ record }) => record)
+      .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
   }
 
   /** Takes in that a host said something. */
@@ -124,12 +134,12 @@
 
   /** Gets all other hosts that have a record, in the order of their names. */
   getOthers(): readonly HostId[] {
-    return [...this.records.keys()].filter((host) => host !== this.self).sort();
+    return this.others;
   }
 
   /** Gets how many hosts share the bounds that hold for all together, this one included. */
   countSharers(): number {
-    return this.getOthers().length + 1;
+    return this.others.length + 1;
   }
 
   /** Gets the records of hosts that have been gone for long, with their versions. */
@@ -170,7 +180,7 @@
     // A relay makes its own digests.
     const home = this.isRelay(now) ? undefined : nearest;
     const told = new Set(relays.map((record) => record.host));
-    const unheard = this.getRanked().filter(
+    const unheard = this.ranked.filter(
       ({ host }) => host !== this.self && !told.has(host) && !this.isHeard(host, now),
     );
     this.explored = unheard.length === 0 ? 0 : (this.explored + 1) % unheard.length;
@@ -190,23 +200,15 @@
    * strongest where zones are few. Where none was heard, all count as heard.
    */
   private getRelays(now: Millis): readonly HostRecord[] {
-    const ranked = this.getRanked();
-    const heard = ranked.filter(({ host }) => host === this.self || this.isHeard(host, now));
+    const heard = this.ranked.filter(({ host }) => host === this.self || this.isHeard(host, now));
     const isAlone = heard.every((record) => record.host === this.self);
-    const usable = isAlone ? ranked : heard;
-    const firsts = usable.filter(
-      (record, index) => usable.findIndex((one) => one.zone === record.zone) === index,
-    );
-    const rest = usable.filter((record) => !firsts.includes(record));
+    const usable = isAlone ? this.ranked : heard;
+    const byZone = new Map([...usable].reverse().map((record) => [record.zone, record]));
+    const firsts = usable.filter((record) => byZone.get(record.zone) === record);
+    const rest = usable.filter((record) => byZone.get(record.zone) !== record);
     return [...firsts, ...rest].slice(0, Math.max(LEAST_RELAYS, firsts.length));
   }
 
-  private getRanked(): readonly HostRecord[] {
-    return [...this.records.values()]
-      .map(({ record }) => record)
-      .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
-  }
-
   /**
    * Gets the hosts that callers may use: those heard of lately.
    *
--- a/packages/router/src/agreement/PeerTalk.ts
+++ b/packages/router/src/agreement/PeerTalk.ts
@@ -1,10 +1,11 @@
 import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
-import { sleep } from '@camphorvane/core';
+import { InterruptibleSleep, sleep } from '@camphorvane/core';
 import type { WordPace } from '@camphorvane/decisions';
 import { wordPace } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import type { HostRoster } from './HostRoster.ts';
 import { RelayBoard } from './RelayBoard.ts';
+import type { WordSums } from './RelayBoard.ts';
 
 /** Digest periods without a digest after which another relay is listened to. */
 const RELAY_SILENT_PERIODS = 3;
@@ -24,8 +25,6 @@
   readonly roster: HostRoster;
   /** Gets what this host has to say now. */
   readonly word: () => OwnWord;
-  /** Gets a mark that changes with each news that peers should hear of soon. */
-  readonly newsMark: () => string;
   /** Told of each word of a peer that is newer than the last one. */
   readonly onHint: (hint: HostHint) => void;
   /** Told of each digest that this host goes by. */
@@ -55,13 +54,17 @@
 
   private sequence = 0;
 
-  private toldNews = '';
+  /** Whether there is something that peers should learn before the next period. */
+  private hasNews = false;
+
+  private readonly pause: InterruptibleSleep;
 
   private relay: FollowedRelay | undefined;
 
   /** @param options - What it is made of. */
   constructor(options: PeerTalkOptions) {
     this.options = options;
+    this.pause = new InterruptibleSleep(options.clock);
     options.link.onHint((hint) => this.hearHint(hint));
     options.link.onDigest((digest) => this.hearDigest(digest));
   }
@@ -72,10 +75,16 @@
     void this.relayWords(signal);
   }
 
+  /** Has peers learn soon what has changed here. */
+  noteNews(): void {
+    this.hasNews = true;
+    this.pause.interrupt();
+  }
+
   /** Tells what this host has at once. */
   sendNow(): void {
     const { link, roster, clock } = this.options;
-    this.toldNews = this.options.newsMark();
+    this.hasNews = false;
     const hint = this.ownHint();
     if (!this.pace().isRelayed) {
       link.send(hint, roster.getPeerAddresses());
@@ -92,11 +101,8 @@
     while (!signal.aborted) {
       this.sendNow();
       const { periodMs, gapMs } = this.pace();
-      const until = clock.now() + periodMs;
       await sleep(clock, gapMs, signal);
-      while (!signal.aborted && !this.hasNews() && clock.now() < until) {
-        await sleep(clock, gapMs, signal);
-      }
+      if (!this.hasNews) await this.pause.wait(periodMs - gapMs, signal);
     }
   }
 
@@ -114,20 +120,21 @@
     const listeners = this.board.getAsking().filter((host) => host !== self);
     if (this.board.getHeard().every((host) => host === self)) return;
     this.board.hear(this.ownHint(), now);
+    const sums = this.board.sumUp();
     const heard = new Set(this.board.getHeard());
     const silent = roster.getOthers().filter((host) => !heard.has(host));
     listeners.forEach((host) => {
       const address = roster.getPeerAddress(host);
-      if (address !== undefined) link.sendDigest(this.digestFor(host, silent), address);
+      if (address !== undefined) link.sendDigest(this.digestFor(host, sums, silent), address);
     });
-    this.hearDigest(this.digestFor(self, silent));
+    this.hearDigest(this.digestFor(self, sums, silent));
   }
 
-  private digestFor(receiver: HostId, silent: readonly HostId[]): HostDigest {
+  private digestFor(receiver: HostId, sums: WordSums, silent: readonly HostId[]): HostDigest {
     const { self, incarnation } = this.options;
     this.sequence += 1;
     const head = { host: self, incarnation, sequence: this.sequence, silent };
-    return this.board.digestFor(receiver, head);
+    return this.board.digestFor(receiver, sums, head);
   }
 
   private ownHint(): HostHint {
@@ -136,10 +143,6 @@
     return { host: self, incarnation, sequence: this.sequence, asks: false, ...word() };
   }
 
-  private hasNews(): boolean {
-    return this.options.newsMark() !== this.toldNews;
-  }
-
   private hearHint(hint: HostHint): void {
     const { self, clock, roster, onHint } = this.options;
     if (hint.host === self || this.isOld(hint)) return;
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -6,6 +6,7 @@
   ServiceId,
   TeamId,
   Tokens,
+  UpstreamId,
 } from '@camphorvane/core';
 import type { PoolDemand } from '@camphorvane/decisions';
 import { NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
@@ -22,6 +23,20 @@
   readonly at: Millis;
 }
 
+/** What all hosts that were heard of lately have said, added up. */
+export interface WordSums {
+  readonly engines: ReadonlyMap<UpstreamId, EngineHint>;
+  readonly calls: ReadonlyMap<ServiceId, number>;
+  /** How many hosts found an engine down. */
+  readonly down: ReadonlyMap<UpstreamId, number>;
+  readonly demand: ReadonlyMap<ModelId, PoolDemand>;
+  readonly waiting: ReadonlyMap<ModelId, number>;
+  /** Hints of hosts that move engines between the roles. */
+  readonly moving: readonly HostHint[];
+  readonly leaving: readonly HostId[];
+  readonly versions: HostDigest['versions'];
+}
+
 /** What a digest says beside the sums. */
 export type DigestHead = Pick<HostDigest, 'host' | 'incarnation' | 'sequence' | 'silent'>;
 
@@ -69,32 +84,56 @@
     return [...this.words.values()].filter(({ hint }) => hint.asks).map(({ hint }) => hint.host);
   }
 
+  /** Sums up what all hosts have said, once for all digests that are made of it. */
+  sumUp(): WordSums {
+    const hints = [...this.words.values()].map(({ hint }) => hint);
+    const demands = [...this.askedOf.values()].flatMap((asked) => [...asked]);
+    return {
+      engines: sumEngines(hints),
+      calls: sumCounts(hints.flatMap((hint) => hint.calls)),
+      down: sumCounts(hints.flatMap((hint) => hint.down.map((engine) => [engine, 1] as const))),
+      demand: demands.reduce(
+        (sums, [model, more]) => sums.set(model, sumDemand(sums.get(model) ?? NO_DEMAND, more)),
+        new Map<ModelId, PoolDemand>(),
+      ),
+      waiting: sumCounts(hints.flatMap(({ demand }) => demand.map(waitingOf))),
+      moving: hints.filter((hint) => hint.moves.length > 0),
+      leaving: hints.filter((hint) => hint.leaving).map((hint) => hint.host),
+      versions: {
+        config: Math.max(0, ...hints.map(({ versions }) => versions.config)),
+        servers: Math.max(0, ...hints.map(({ versions }) => versions.servers)),
+      },
+    };
+  }
+
   /**
-   * Sums up what all hosts but one have said.
+   * Gets what all hosts but one have said.
    *
    * @param receiver - The host that is told.
+   * @param sums - What all have said.
    * @param head - Who tells it.
    * @returns The digest.
    */
-  digestFor(receiver: HostId, head: DigestHead): HostDigest {
-    const others = [...this.words.values()]
-      .map(({ hint }) => hint)
-      .filter((hint) => hint.host !== receiver);
-    const all = [...this.words.values()].map(({ hint }) => hint.versions);
+  digestFor(receiver: HostId, sums: WordSums, head: DigestHead): HostDigest {
+    const own = this.words.get(receiver)?.hint;
     return {
       ...head,
-      heard: others.length,
-      engines: sumEngines(others),
+      heard: this.words.size - (own === undefined ? 0 : 1),
+      engines: enginesWithout(sums.engines, own),
       charged: this.chargedWithout(receiver),
-      demand: this.demandWithout(receiver),
-      moves: others.flatMap((hint) => hint.moves),
-      down: [...new Set(others.flatMap((hint) => hint.down))],
-      calls: sumCalls(others),
-      leaving: others.filter((hint) => hint.leaving).map((hint) => hint.host),
-      versions: {
-        config: Math.max(0, ...all.map((versions) => versions.config)),
-        servers: Math.max(0, ...all.map((versions) => versions.servers)),
-      },
+      demand: this.demandWithout(receiver, sums),
+      moves: sums.moving.filter(({ host }) => host !== receiver).flatMap((hint) => hint.moves),
+      down: [
+        ...countsWithout(
+          sums.down,
+          own?.down.map((engine) => [engine, 1] as const),
+        ),
+      ]
+        .filter(([, hosts]) => hosts > 0)
+        .map(([engine]) => engine),
+      calls: [...countsWithout(sums.calls, own?.calls)],
+      leaving: sums.leaving.filter((host) => host !== receiver),
+      versions: sums.versions,
     };
   }
 
@@ -122,19 +161,12 @@
     this.askedOf.set(hint.host, own);
   }
 
-  private demandWithout(receiver: HostId): readonly DemandHint[] {
-    const sums = new Map<ModelId, PoolDemand>();
-    [...this.askedOf]
-      .filter(([host]) => host !== receiver)
-      .flatMap(([, asked]) => [...asked])
-      .forEach(([model, more]) => sums.set(model, sumDemand(sums.get(model) ?? NO_DEMAND, more)));
-    const others = [...this.words.values()].filter(({ hint }) => hint.host !== receiver);
-    const waiting = others.flatMap(({ hint }) => hint.demand);
-    return [...sums].map(([model, sum]) => ({
-      ...{ model, ...sum },
-      onTimeWaiting: waiting
-        .filter((one) => one.model === model)
-        .reduce((all, one) => all + one.onTimeWaiting, 0),
+  private demandWithout(receiver: HostId, { demand, waiting }: WordSums): readonly DemandHint[] {
+    const asked = this.askedOf.get(receiver);
+    const others = countsWithout(waiting, this.words.get(receiver)?.hint.demand.map(waitingOf));
+    return [...demand].map(([model, sum]) => ({
+      ...{ model, ...subtractDemand(sum, asked?.get(model) ?? NO_DEMAND) },
+      onTimeWaiting: others.get(model) ?? 0,
     }));
   }
 
@@ -151,27 +183,61 @@
   return a.incarnation === b.incarnation;
 }
 
-function sumCalls(hints: readonly HostHint[]): readonly (readonly [ServiceId, number])[] {
-  const sums = new Map<ServiceId, number>();
-  hints
-    .flatMap((hint) => hint.calls)
-    .forEach(([service, calls]) => sums.set(service, (sums.get(service) ?? 0) + calls));
-  return [...sums];
+function waitingOf({ model, onTimeWaiting }: DemandHint): readonly [ModelId, number] {
+  return [model, onTimeWaiting];
 }
 
-function sumEngines(hints: readonly HostHint[]): readonly EngineHint[] {
-  const sums = new Map<string, EngineHint>();
-  hints
+type Counts = readonly (readonly [string, number])[];
+
+function sumCounts(counts: Counts): ReadonlyMap<string, number> {
+  return counts.reduce(
+    (sums, [name, count]) => sums.set(name, (sums.get(name) ?? 0) + count),
+    new Map<string, number>(),
+  );
+}
+
+function countsWithout(
+  sums: ReadonlyMap<string, number>,
+  own: Counts = [],
+): ReadonlyMap<string, number> {
+  return own.reduce(
+    (left, [name, count]) => left.set(name, (left.get(name) ?? 0) - count),
+    new Map(sums),
+  );
+}
+
+function sumEngines(hints: readonly HostHint[]): ReadonlyMap<UpstreamId, EngineHint> {
+  return hints
     .flatMap((hint) => hint.engines)
-    .forEach((one) => {
+    .reduce((sums, one) => {
       const sum = sums.get(one.engine);
-      sums.set(one.engine, {
+      return sums.set(one.engine, {
         engine: one.engine,
         prefillTokens: one.prefillTokens + (sum?.prefillTokens ?? 0),
         streams: one.streams + (sum?.streams ?? 0),
         memoryTokens: one.memoryTokens + (sum?.memoryTokens ?? 0),
       });
-    });
-  if (sums.size <= MAX_ENGINES) return [...sums.values()];
-  return [...sums.values()].sort((a, b) => b.memoryTokens - a.memoryTokens).slice(0, MAX_ENGINES);
+    }, new Map<UpstreamId, EngineHint>());
+}
+
+/** Gets the use of the engines by all hosts but one; an engine that only it uses is left out. */
+function enginesWithout(
+  sums: ReadonlyMap<UpstreamId, EngineHint>,
+  own: HostHint | undefined,
+): readonly EngineHint[] {
+  const ownUse = new Map(own?.engines.map((one) => [one.engine, one]));
+  const others = [...sums.values()]
+    .map((sum) => {
+      const use = ownUse.get(sum.engine);
+      if (use === undefined) return sum;
+      return {
+        engine: sum.engine,
+        prefillTokens: Math.max(0, sum.prefillTokens - use.prefillTokens),
+        streams: Math.max(0, sum.streams - use.streams),
+        memoryTokens: Math.max(0, sum.memoryTokens - use.memoryTokens),
+      };
+    })
+    .filter((use) => use.prefillTokens + use.streams + use.memoryTokens > 0);
+  if (others.length <= MAX_ENGINES) return others;
+  return others.sort((a, b) => b.memoryTokens - a.memoryTokens).slice(0, MAX_ENGINES);
 }
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -108,6 +108,7 @@
       random,
       strictKeysMs: options.strictKeysMs,
       mode: () => this.followMode(),
+      onNews: () => this.talk.noteNews(),
     });
     this.hosts = new HostRoster(identity.host, identity.zone);
     this.records = new HostRecords({
@@ -120,7 +121,10 @@
     const sharers = (): number => this.hosts.countSharers();
     this.rates = new SharedRates(clock, options.tolerance);
     this.repeats = serviceRepeats(new RepeatBudget(options.repeats, sharers));
-    this.placer = new LocalPlacer(clock, random, directory, this.knowledge, incarnation);
+    this.placer = new LocalPlacer({
+      ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
+      onNews: () => this.talk.noteNews(),
+    });
     this.crashes = new CrashDesk({
       self: identity.host,
       clock,
@@ -134,7 +138,6 @@
       link: options.hints,
       roster: this.hosts,
       word: () => this.ownWord(),
-      newsMark: () => this.newsMark(),
       onHint: (hint) => this.hear(hint),
       onDigest: (digest) => this.hearSum(digest),
     });
@@ -239,16 +242,6 @@
     this.listeners.forEach((changed) => changed());
   }
 
-  /**
-   * Changes with each request that takes or gives back room on an engine, with each engine that is found
-   * down or up, and with each change of the store that this host has learned. Requests of other hosts
-   * wait for the room that is given back.
-   */
-  private newsMark(): string {
-    const { config, servers } = this.config.getVersions();
-    return `${this.placer.getChangeCount()} ${config} ${servers}`;
-  }
-
   private pace(): WordPace {
     return wordPace(this.hosts.countSharers());
   }
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -41,6 +41,22 @@
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
+/** What a placer is made of. */
+export interface LocalPlacerOptions {
+  /** Times waits. */
+  readonly clock: Clock;
+  /** Draws engines in large fleets. */
+  readonly random: RandomSource;
+  /** Knows the engines. */
+  readonly directory: UpstreamDirectory;
+  /** What this host knows of the engines, from itself and from its peers. */
+  readonly knowledge: EngineKnowledge;
+  /** Names this start of the host; reservations begin with it. */
+  readonly incarnation: string;
+  /** Called when a request takes or gives back room, and when an engine is found down or up. */
+  readonly onNews: () => void;
+}
+
 /** Places requests on this host's own knowledge of the engines, with what peers say of their use. */
 export class LocalPlacer implements ChangingPlacer {
   private readonly clock: Clock;
@@ -61,27 +77,15 @@
   /** Finds out which engines are up. */
   readonly probes: EngineProbes;
 
-  /** Requests that took or gave back room on an engine, and engines found down or up. */
-  private changes = 0;
-
-  /**
-   * @param clock - Times waits.
-   * @param random - Draws engines in large fleets.
-   * @param directory - Knows the engines.
-   * @param knowledge - What this host knows of the engines, from itself and from its peers.
-   * @param incarnation - Names this start of the host; reservations begin with it.
-   */
-  constructor(
-    clock: Clock,
-    random: RandomSource,
-    directory: UpstreamDirectory,
-    knowledge: EngineKnowledge,
-    incarnation: string,
-  ) {
+  private readonly onNews: () => void;
+
+  /** @param options - What it is made of. */
+  constructor({ clock, random, directory, knowledge, incarnation, onNews }: LocalPlacerOptions) {
     this.random = random;
     this.clock = clock;
     this.directory = directory;
     this.knowledge = knowledge;
+    this.onNews = onNews;
     this.held = new HeldWork(knowledge, incarnation);
     const { health } = knowledge;
     this.probes = new EngineProbes({ clock, directory, health, onChange: () => this.pumpAll() });
@@ -153,7 +157,7 @@
   async release(_model: ModelId, reservation: ReservationId, end: ReservationEnd): Promise<void> {
     const held = this.held.release(reservation, end);
     if (held === undefined) return;
-    this.changes += 1;
+    this.onNews();
     this.pools.get(held.model)?.queue.ended(held.team);
     this.pumpOf(held.model);
   }
@@ -183,11 +187,6 @@
     observations.forEach((seen) => this.take(seen));
   }
 
-  /** Gets a count that grows with each change that peers should hear of soon. */
-  getChangeCount(): number {
-    return this.changes;
-  }
-
   /** Counts the requests of a pool that wait on this host and can still be on time. */
   countOnTime(model: ModelId): number {
     return this.pools.get(model)?.queue.countOnTime(this.clock.now()) ?? 0;
@@ -276,7 +275,7 @@
   }
 
   private pumpAll(): void {
-    this.changes += 1;
+    this.onNews();
     this.pools.forEach((pool) => this.pump(pool));
   }
 
@@ -317,7 +316,7 @@
     const { team, promptTokens, longestPauseMs } = item;
     const work = { model, team, pair, promptTokens, longestPauseMs, memoryTokens };
     const reservation = this.held.begin(work, this.clock.now());
-    this.changes += 1;
+    this.onNews();
     const placed: PlacedPair = {
       reservation,
       prefill: pair.prefill,
--- a/packages/router/tests/agreement/PeerTalk.test.ts
+++ b/packages/router/tests/agreement/PeerTalk.test.ts
@@ -28,7 +28,7 @@
   const steps = Array.from({ length: forMs / stepMs }, (_, i) => i);
   await steps.reduce(async (before) => {
     await before;
-    fleet.hosts.forEach((host) => Object.assign(host, { news: host.news + 1 }));
+    fleet.hosts.forEach((host) => host.noteNews());
     await fleet.clock.advance(stepMs);
   }, Promise.resolve());
 }
@@ -113,7 +113,7 @@
         turn += 1;
         const host = fleet.hosts[turn % fleet.hosts.length];
         if (host === undefined || host.isDown) return false;
-        Object.assign(host, { news: host.news + 1 });
+        host.noteNews();
         return host.rates.charge(team, 500, fleet.clock.now()).type === 'charged';
       });
       charged.push(got.length * 500);
--- /dev/null
+++ b/packages/router/tests/agreement/RelayBoard.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HostHint } from '@camphorvane/peer/hints';
+import { RelayBoard } from '../../src/agreement/RelayBoard.ts';
+
+const hint = (host: string, more: Partial<HostHint> = {}): HostHint => ({
+  ...{ host, incarnation: 'i', sequence: 1, leaving: false, asks: true },
+  ...{ engines: [], charged: [], demand: [], moves: [], down: [], calls: [] },
+  versions: { config: 1, servers: 1 },
+  ...more,
+});
+
+const use = (engine: string, streams: number) => ({
+  engine,
+  prefillTokens: 10 * streams,
+  streams,
+  memoryTokens: 100 * streams,
+});
+
+const HEAD = { host: 'relay', incarnation: 'r', sequence: 1, silent: [] };
+
+// Guards against a host that counts its own use of an engine twice: once itself, once in a digest.
+test('a digest holds what all hosts but the receiver have said', () => {
+  const board = new RelayBoard();
+  board.hear(hint('a', { engines: [use('e', 2)], calls: [['s', 3]], down: ['x', 'y'] }), 0);
+  board.hear(hint('b', { engines: [use('e', 1), use('f', 4)], calls: [['s', 5]] }), 0);
+  board.hear(hint('c', { down: ['x'], leaving: true, versions: { config: 7, servers: 2 } }), 0);
+  const sums = board.sumUp();
+  const forA = board.digestFor('a', sums, HEAD);
+  assert.deepEqual(forA.engines, [use('e', 1), use('f', 4)]);
+  assert.deepEqual(forA.calls, [['s', 5]]);
+  assert.deepEqual(forA.down, ['x']);
+  assert.deepEqual(forA.leaving, ['c']);
+  assert.equal(forA.heard, 2);
+  const forB = board.digestFor('b', sums, HEAD);
+  assert.deepEqual(forB.engines, [use('e', 2)]);
+  assert.deepEqual(forB.down, ['x', 'y']);
+  assert.deepEqual(forB.versions, { config: 7, servers: 2 });
+  assert.equal(board.digestFor('stranger', sums, HEAD).heard, 3);
+});
+
+test('a digest counts the requests that wait on all hosts but the receiver', () => {
+  const board = new RelayBoard();
+  const demand = (requests: number, onTimeWaiting: number) => [
+    { model: 'm', requests, promptTokens: 0, memoryTokens: 0, memorySteps: 0, onTimeWaiting },
+  ];
+  const hearAll = (requests: number): void => {
+    board.hear(hint('a', { demand: demand(requests, 2) }), 0);
+    board.hear(hint('b', { demand: demand(requests, 3) }), 0);
+  };
+  hearAll(10);
+  hearAll(14);
+  const [forA] = board.digestFor('a', board.sumUp(), HEAD).demand;
+  assert.equal(forA?.requests, 4);
+  assert.equal(forA?.onTimeWaiting, 3);
+});
--- a/packages/router/tests/measure/words.ts
+++ b/packages/router/tests/measure/words.ts
@@ -17,7 +17,7 @@
   await Array.from({ length: (SECONDS * 1_000) / STEP_MS }).reduce<Promise<void>>(
     async (before) => {
       await before;
-      fleet.hosts.forEach((host) => Object.assign(host, { news: host.news + 1 }));
+      fleet.hosts.forEach((host) => host.noteNews());
       await fleet.clock.advance(STEP_MS);
     },
     Promise.resolve(),
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -184,7 +184,10 @@
     const { repeats: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
     const knowledge = new EngineKnowledge();
-    const placer = new LocalPlacer(clock, new RandomSource(1), directory, knowledge, 'i');
+    const placer = new LocalPlacer({
+      ...{ clock, random: new RandomSource(1), directory, knowledge, incarnation: 'i' },
+      onNews: () => undefined,
+    });
     return {
       config: {
         current: () => inForce,
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -28,7 +28,8 @@
   readonly heardMoves: EngineMoves;
   sent: number;
   bytes: number;
-  news: number;
+  /** Says that there is something that peers should learn soon. */
+  noteNews: () => void;
   isDown: boolean;
 }
 
@@ -70,7 +71,7 @@
           moves: [],
           heardMoves: new EngineMoves(),
         },
-        ...{ sent: 0, bytes: 0, news: 0, isDown: false },
+        ...{ sent: 0, bytes: 0, noteNews: () => undefined, isDown: false },
       };
       return host;
     });
@@ -100,7 +101,6 @@
         calls: [],
         versions: { config: 1, servers: 1 },
       }),
-      newsMark: () => `${host.news}`,
       onHint: (hint) => {
         host.roster.hear(hint.host, hint.leaving, clock.now());
         host.rates.hear(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
@@ -127,6 +127,7 @@
         host.peersWaiting.hearSum(waitingOf(digest.demand), heard, clock.now());
       },
     });
+    Object.assign(host, { noteNews: () => talk.noteNews() });
     const stop = new AbortController();
     this.stops.push(stop);
     talk.start(stop.signal);
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
-import { sleep } from '@camphorvane/core';
+import { InterruptibleSleep, sleep } from '@camphorvane/core';
 import { Backoff } from '../Backoff.ts';
 import type { ObjectVersion, StoredObject, WatchEvent } from '../ObjectStore.ts';
 import type { WatchableStore } from './WatchableStore.ts';
@@ -84,10 +84,13 @@
 
   private wake: () => void = () => undefined;
 
+  private readonly pause: InterruptibleSleep;
+
   /** @param options - The store, the kind, and who is told. */
   constructor(options: KindFollowerOptions) {
     this.options = options;
     this.backoff = new Backoff(options.random, RETRY);
+    this.pause = new InterruptibleSleep(options.clock);
     this.answeredAt = options.clock.now();
   }
 
@@ -133,9 +136,8 @@
 
   /** Waits for a word of a peer or for the next cheap read, and catches up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
-    const woken = new AbortController();
-    this.wake = () => woken.abort();
-    await sleep(this.options.clock, POLL_MS, AbortSignal.any([signal, woken.signal]));
+    this.wake = () => this.pause.interrupt();
+    await this.pause.wait(POLL_MS, signal);
     let tries = 0;
     let problem = await this.readAll('any');
     while (problem === undefined && this.named > this.getVersion() && !signal.aborted) {
--- a/tools/build-platform.mjs
+++ b/tools/build-platform.mjs
@@ -1,5 +1,6 @@
-// Bundles what runs on the users' platform into one file.
-import { mkdirSync } from 'node:fs';
+// Builds what runs on the users' platform: one bundle, its compiled code, and what starts it.
+import { execFileSync } from 'node:child_process';
+import { copyFileSync, mkdirSync, readFileSync } from 'node:fs';
 import path from 'node:path';
 import { build } from 'esbuild';
 
@@ -34,17 +35,32 @@
   },
 };
 
-mkdirSync('target', { recursive: true });
+/** Compiled code fits a runtime only with the flags that it was made with. */
+const runtimeFlags = () => {
+  const [, flags] = /^run = "node (.*) target\/camphorvane\.cjs"$/m.exec(
+    readFileSync('deploy/system.toml', 'utf8'),
+  );
+  return flags.split(' ');
+};
+
+const out = process.argv[2] ?? 'target';
+mkdirSync(out, { recursive: true });
 await build({
   entryPoints: ['packages/router/src/platformMain.ts'],
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  outfile: 'target/camphorvane.cjs',
+  outfile: path.join(out, 'host.cjs'),
   minify: true,
   keepNames: true,
   logLevel: 'warning',
-  metafile: true,
   plugins: [slimUndici],
 });
+const start = path.join(out, 'camphorvane.cjs');
+copyFileSync('tools/platform-start.cjs', start);
+// Without settings the program ends at once, after it has loaded.
+execFileSync(process.execPath, [...runtimeFlags(), start, '--write-cache'], {
+  env: { PATH: process.env.PATH ?? '' },
+  stdio: ['ignore', 'ignore', 'ignore'],
+});
