Have a third of each zone take callers in large fleets; the rest stands by

Load it answers: 195 hosts with hardly one request a second each. Every host placed on what the others had placed unseen by it, and digests came each 390 ms.

Ruled out there: the 964 answers 429. Served tokens of the four teams refused most lie at or above their rates in each four seconds; team lovo181 asked up to 214 thousand a second at a rate of 26 thousand.

Change: the strongest hosts of each zone, a third of its processors and at least three hosts, take callers (decisions/local/isServing). Each host decides that for itself by those that it hears, so the next ones follow when a host falls silent. The directory names the serving hosts of the caller's zone in place of 64 addresses whose last 25 were the same for all zones. Hints say how soon the next one comes, so a silent serving host is noticed in 1.8 s at most and not in 10; hosts that stand by speak and are told less often. Strength is now the processor, not the link.

Found on the way: a host followed the first relay that it heard although it asks another one, until that one was silent; it goes by the one it asks now.

Fleets up to 20 hosts are served as before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,4 +22,5 @@
 export * from './local/LocalQueue.ts';
 export * from './local/meanMemory.ts';
 export * from './local/PeerCounts.ts';
+export * from './local/isServing.ts';
 export * from './local/wordPace.ts';
--- a/packages/decisions/src/local/wordPace.ts
+++ b/packages/decisions/src/local/wordPace.ts
@@ -4,13 +4,17 @@
 export interface WordPace {
   /** Whether words go through a few relaying hosts, which pass on sums of them. */
   readonly isRelayed: boolean;
-  /** Longest time between two words, in milliseconds. */
+  /** Longest time between two words of a host that takes callers, in milliseconds. */
   readonly periodMs: Millis;
+  /** Longest time between two words of a host that stands by, in milliseconds. */
+  readonly standbyPeriodMs: Millis;
   /** Shortest time between two words where there is news, in milliseconds. */
   readonly gapMs: Millis;
-  /** Milliseconds between two digests of a relaying host. */
+  /** Milliseconds between two digests of a relaying host for a host that takes callers. */
   readonly digestMs: Millis;
-  /** Milliseconds without a word after which a host is not counted on. */
+  /** Milliseconds between two digests of a relaying host for a host that stands by. */
+  readonly standbyDigestMs: Millis;
+  /** Milliseconds without a word or a digest after which what it said does not count any more. */
   readonly silentMs: Millis;
   /** Milliseconds between two writes of a host's record in the store. */
   readonly recordMs: Millis;
@@ -39,14 +43,22 @@
 const RELAYED_GAP_MS: Millis = 60;
 
 /**
- * Digests in a second that all relaying hosts send together; each costs about 50 microseconds. At 91
- * hosts one comes each 182 ms: with 455 ms, hosts filled the same engines, and 207 instead of 79
- * thousand prompt tokens were read in vain in 16 s of a busy day.
+ * Digests in a second that all relaying hosts send together to those that take callers. With fewer, hosts
+ * place on old knowledge and fill the same engines.
  */
 const DIGESTS_PER_SECOND = 500;
 
 const LEAST_DIGEST_MS: Millis = 100;
 
+/** A host that stands by has no request to place, and needs only to know who is there. */
+const LEAST_STANDBY_DIGEST_MS: Millis = 500;
+
+/** Part of the hosts of a large fleet that take callers, about. */
+const SERVING_PART = 1 / 3;
+
+/** Factor by which hosts that stand by speak less often. */
+const STANDBY_PACE = 2;
+
 /** Fleets just above the small ones speak no more often than this without news. */
 const LEAST_PERIOD_MS: Millis = 300;
 
@@ -76,15 +88,35 @@
 export function wordPace(hosts: number): WordPace {
   const isRelayed = hosts > ALL_SPEAK_UP_TO;
   const gapMs = isRelayed ? RELAYED_GAP_MS : SMALL_GAP_MS;
-  const relayedMs = Math.max(LEAST_PERIOD_MS, everyMs(hosts, WORDS_PER_SECOND));
-  const periodMs = isRelayed ? Math.min(LONGEST_PERIOD_MS, relayedMs) : SMALL_PERIOD_MS;
-  const digestMs = Math.max(LEAST_DIGEST_MS, everyMs(hosts, DIGESTS_PER_SECOND));
+  const servingHosts = hosts * SERVING_PART;
+  const periodMs = isRelayed ? relayedPeriodMs(servingHosts) : SMALL_PERIOD_MS;
+  const standbyPeriodMs = isRelayed ? relayedPeriodMs(hosts * STANDBY_PACE) : SMALL_PERIOD_MS;
+  const digestMs = Math.max(LEAST_DIGEST_MS, everyMs(servingHosts, DIGESTS_PER_SECOND));
+  const standbyDigestMs = Math.max(LEAST_STANDBY_DIGEST_MS, everyMs(hosts, DIGESTS_PER_SECOND));
   const recordMs = Math.min(
     LONGEST_RECORD_MS,
     Math.max(LEAST_RECORD_MS, everyMs(hosts, RECORDS_PER_SECOND)),
   );
-  const silentMs = periodMs * SILENT_PERIODS + SILENT_MARGIN_MS;
-  return { isRelayed, periodMs, gapMs, digestMs, silentMs, recordMs };
+  const silentMs = lifeOfWord(isRelayed ? Math.max(periodMs, standbyDigestMs) : periodMs);
+  return {
+    ...{ isRelayed, periodMs, standbyPeriodMs, gapMs, digestMs, standbyDigestMs },
+    ...{ silentMs, recordMs },
+  };
+}
+
+/**
+ * Gets how long a word counts.
+ *
+ * @param nextMs - Milliseconds within which the next one was to come.
+ * @returns Milliseconds.
+ */
+export function lifeOfWord(nextMs: Millis): Millis {
+  return nextMs * SILENT_PERIODS + SILENT_MARGIN_MS;
+}
+
+function relayedPeriodMs(hosts: number): Millis {
+  const evenMs = Math.max(LEAST_PERIOD_MS, everyMs(hosts, WORDS_PER_SECOND));
+  return Math.min(LONGEST_PERIOD_MS, evenMs);
 }
 
 function everyMs(hosts: number, perSecond: number): Millis {
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -51,6 +51,8 @@
   /** Hosts with a record in the store that the relay has not heard lately. */
   readonly silent: readonly HostId[];
   readonly leaving: readonly HostId[];
+  /** Hosts that take callers. */
+  readonly serving: readonly HostId[];
   /** Newest versions of the store's changes that any of them knows. */
   readonly versions: { readonly config: number; readonly servers: number };
 }
@@ -81,6 +83,7 @@
       digest.moves.map(writeMove),
       digest.down,
       digest.calls,
+      digest.serving,
     ]),
   );
 }
@@ -95,12 +98,13 @@
   const fields = parseDatagram(bytes);
   if (fields?.[0] !== TAG) return undefined;
   const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
-  const [demand, moves, down, calls] = fields.slice(DEMAND_FIELD);
+  const [demand, moves, down, calls, serving] = fields.slice(DEMAND_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   if (!Array.isArray(calls) || !calls.every(isCharge)) return undefined;
-  if (!isNames(silent) || !isNames(leaving) || !isNames(down)) return undefined;
+  if (!isNames(silent) || !isNames(leaving) || !isNames(serving)) return undefined;
+  if (!isNames(down)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
   const engines = readRows(rows, readRow);
@@ -108,7 +112,7 @@
   const moving = readRows(moves, readMove);
   if (engines === undefined || asked === undefined || moving === undefined) return undefined;
   return {
-    ...{ host, incarnation, sequence, heard, engines, silent, leaving },
+    ...{ host, incarnation, sequence, heard, engines, silent, leaving, serving },
     ...{ demand: asked, moves: moving, down },
     calls: calls as readonly (readonly [ServiceId, number])[],
     charged: charged as readonly (readonly [TeamId, Tokens])[],
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -1,4 +1,12 @@
-import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
+import type {
+  HostId,
+  Incarnation,
+  Millis,
+  ServiceId,
+  TeamId,
+  Tokens,
+  UpstreamId,
+} from '@camphorvane/core';
 import {
   isCharge,
   isCount,
@@ -17,6 +25,12 @@
 /** Place of the engines that are down among the fields; those before it are read by name. */
 const DOWN_FIELD = 9;
 
+/** How often a host wants digests; each place is the number that stands for it in a datagram. */
+const DIGEST_WISHES = ['none', 'seldom', 'often'] as const;
+
+/** How often a host wants digests. */
+export type DigestWish = (typeof DIGEST_WISHES)[number];
+
 /**
  * What a host tells all others several times a second.
  *
@@ -29,8 +43,12 @@
   /** Grows with each hint of one start; an older one that arrives later is dropped. */
   readonly sequence: number;
   readonly leaving: boolean;
-  /** Whether the host wants digests from whom it tells this. */
-  readonly asks: boolean;
+  /** How often the host wants digests from the receiver. */
+  readonly digests: DigestWish;
+  /** Whether the host takes callers; one that does not stands by. */
+  readonly serving: boolean;
+  /** Milliseconds within which the host's next hint is to come. */
+  readonly nextMs: Millis;
   readonly engines: readonly EngineHint[];
   /** Tokens charged to each team since the host started. */
   readonly charged: readonly (readonly [TeamId, Tokens])[];
@@ -52,11 +70,11 @@
  */
 export function encodeHint(hint: HostHint): Buffer {
   const rows = hint.engines.map(writeRow);
-  const { host, incarnation, sequence, leaving, asks, charged, versions } = hint;
+  const { host, incarnation, sequence, leaving, charged, versions } = hint;
   const known = [versions.config, versions.servers];
   const demand = hint.demand.map(writeDemand);
   const moves = hint.moves.map(writeMove);
-  const flags = [leaving ? 1 : 0, asks ? 1 : 0];
+  const flags = [Number(leaving), DIGEST_WISHES.indexOf(hint.digests), Number(hint.serving)];
   const fields = [
     host,
     incarnation,
@@ -69,6 +87,7 @@
     moves,
     hint.down,
     hint.calls,
+    Math.round(hint.nextMs),
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -83,24 +102,27 @@
   const fields = parseDatagram(bytes);
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, known, demand, moves] = fields;
-  const [down, calls] = fields.slice(DOWN_FIELD);
+  const [down, calls, nextMs] = fields.slice(DOWN_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
+  if (!isCount(nextMs)) return undefined;
   if (!isNames(down) || !Array.isArray(calls) || !calls.every(isCharge)) return undefined;
   const engines = readRows(rows, readRow);
   const asked = readRows(demand, readDemand);
   const moving = readRows(moves, readMove);
   if (engines === undefined || asked === undefined || moving === undefined) return undefined;
-  const [leaving, asks] = Array.isArray(flags) ? (flags as readonly unknown[]) : [];
+  const [leaving, wish, serving] = Array.isArray(flags) ? (flags as readonly unknown[]) : [];
   return {
     host,
     incarnation,
     sequence,
     leaving: leaving === 1,
-    asks: asks === 1,
+    digests: DIGEST_WISHES[Number(wish)] ?? 'none',
+    serving: serving === 1,
+    nextMs,
     engines,
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     demand: asked,
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -21,6 +21,7 @@
   calls: [['orders', 4]],
   down: ['e2'],
   silent: ['a'],
+  serving: ['b'],
   leaving: ['b'],
   versions: { config: 7, servers: 9 },
 };
--- a/packages/router/src/agreement/GroupAgreement.ts
+++ b/packages/router/src/agreement/GroupAgreement.ts
@@ -95,7 +95,11 @@
       store: new BudgetedStore(store, budget, 'membership'),
       link,
     });
-    const group = new GroupAdapter(this.runner, { ...identity, leaving: false }, clock);
+    const group = new GroupAdapter(
+      this.runner,
+      { ...identity, leaving: false, serving: true },
+      clock,
+    );
     this.group = group;
     this.relay = new ConfigRelay({ self: identity.host, clock, group, link });
     this.config = new ConfigFollower({
--- a/packages/router/src/agreement/HostAgreement.ts
+++ b/packages/router/src/agreement/HostAgreement.ts
@@ -4,7 +4,7 @@
 import type {
   ConfigSource,
   GroupGate,
-  GroupMate,
+  HostIdentity,
   RateGate,
   RepeatGate,
   Unsubscribe,
@@ -80,7 +80,7 @@
 
 /** What an agreement is made with. */
 export interface AgreementContext {
-  readonly identity: Omit<GroupMate, 'leaving'>;
+  readonly identity: HostIdentity;
   readonly incarnation: string;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -1,10 +1,11 @@
 import type { HostId, Millis, ZoneId } from '@camphorvane/core';
-import { wordPace } from '@camphorvane/decisions';
+import { isServing, lifeOfWord, wordPace } from '@camphorvane/decisions';
+import type { HostHint } from '@camphorvane/peer/hints';
 import type { GroupMate } from '../host/ports.ts';
 import type { HostRecord } from './hostRecord.ts';
 
-/** Milliseconds without a hint before which a host is recommended to callers in any fleet. */
-const LEAST_SILENT_MS: Millis = 1_200;
+/** Milliseconds for which a hint counts at least. */
+const LEAST_LIFE_MS: Millis = 1_200;
 
 /**
  * Periods of its heartbeat in the store, while the store was there, after which a host's part of the
@@ -38,6 +39,26 @@
   /** Hosts with a record that it has not heard lately. */
   readonly silent: readonly HostId[];
   readonly leaving: readonly HostId[];
+  /** Hosts that take callers. */
+  readonly serving: readonly HostId[];
+}
+
+/** What a host says of itself. */
+export type HostWord = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
+
+/** What a host said of itself, and until when that counts. */
+interface HeardWord {
+  readonly leaving: boolean;
+  readonly serving: boolean;
+  readonly until: Millis;
+}
+
+/** What a relaying host said last of the others, and until when that counts. */
+interface RelayWord {
+  readonly silent: ReadonlySet<HostId>;
+  readonly leaving: ReadonlySet<HostId>;
+  readonly serving: ReadonlySet<HostId>;
+  readonly until: Millis;
 }
 
 interface SeenRecord {
@@ -67,9 +88,12 @@
   /** Names of all other hosts with a record, in order. */
   private others: readonly HostId[] = [];
 
-  private readonly heardAt = new Map<HostId, Millis>();
+  private readonly words = new Map<HostId, HeardWord>();
+
+  /** Until when other signs of life count. */
+  private readonly seenUntil = new Map<HostId, Millis>();
 
-  private readonly saysLeaving = new Map<HostId, boolean>();
+  private relayWord: RelayWord | undefined;
 
   private lastRoundAt: Millis | undefined;
 
@@ -111,20 +135,21 @@
       .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
   }
 
-  /** Takes in that a host said something. */
-  hear(host: HostId, leaving: boolean, now: Millis): void {
-    this.heardAt.set(host, now);
-    this.saysLeaving.set(host, leaving);
+  /** Takes in what a host says of itself. */
+  hear({ host, leaving, serving, nextMs }: HostWord, now: Millis): void {
+    const until = now + Math.max(LEAST_LIFE_MS, lifeOfWord(nextMs));
+    this.words.set(host, { leaving, serving, until });
   }
 
   /** Takes in which hosts a relaying host has heard; those that it doesn't name are well. */
-  hearAll({ host, silent, leaving }: HeardHosts, now: Millis): void {
-    const unheard = new Set(silent);
-    const goers = new Set(leaving);
-    [...this.records.keys()]
-      .filter((one) => !unheard.has(one))
-      .forEach((one) => this.hear(one, goers.has(one), now));
-    this.hear(host, goers.has(host), now);
+  hearAll({ host, silent, leaving, serving }: HeardHosts, now: Millis): void {
+    this.sawAlive(host, now);
+    this.relayWord = {
+      silent: new Set(silent),
+      leaving: new Set(leaving),
+      serving: new Set(serving),
+      until: now + this.silentMs(),
+    };
   }
 
   /** Tells whether the store's records were read at least once. */
@@ -163,7 +188,18 @@
 
   /** Notes a sign of life that says nothing else. */
   sawAlive(host: HostId, now: Millis): void {
-    this.heardAt.set(host, now);
+    this.seenUntil.set(host, now + this.silentMs());
+  }
+
+  /** Tells whether this host takes callers; see {@link isServing}. */
+  isServing(now: Millis): boolean {
+    const zone = this.ranked.filter(
+      (record) =>
+        record.zone === this.zone &&
+        (record.host === this.self ||
+          (this.isHeard(record.host, now) && !this.isLeaving(record, now))),
+    );
+    return isServing(this.self, zone, this.countSharers());
   }
 
   /**
@@ -176,9 +212,7 @@
    */
   getWordAddresses(now: Millis): WordAddresses {
     const relays = this.getRelays(now).filter((record) => record.host !== this.self);
-    const nearest = relays.find((record) => record.zone === this.zone) ?? relays[0];
-    // A relay makes its own digests.
-    const home = this.isRelay(now) ? undefined : nearest;
+    const home = this.homeAmong(this.getRelays(now));
     const told = new Set(relays.map((record) => record.host));
     const unheard = this.ranked.filter(
       ({ host }) => host !== this.self && !told.has(host) && !this.isHeard(host, now),
@@ -190,6 +224,11 @@
     return { asked: asked.map(addressOf), others: others.map(addressOf) };
   }
 
+  /** Gets the relaying host that this host asks for digests; undefined for one that relays itself. */
+  getHomeRelay(now: Millis): HostId | undefined {
+    return this.homeAmong(this.getRelays(now))?.host;
+  }
+
   /** Tells whether this host is one that relays words, as far as it knows. */
   isRelay(now: Millis): boolean {
     return this.getRelays(now).some((record) => record.host === this.self);
@@ -219,16 +258,14 @@
    * @returns The hosts, this one included unless it has no record.
    */
   getMates(now: Millis): readonly GroupMate[] {
-    const all = [...this.records.values()].map(({ record }): GroupMate => {
-      const says = record.host === this.self ? undefined : this.saysLeaving.get(record.host);
-      return {
-        host: record.host,
-        zone: record.zone,
-        callerAddress: record.callerAddress,
-        peerAddress: record.peerAddress,
-        leaving: says ?? record.leaving,
-      };
-    });
+    const all = [...this.records.values()].map(({ record }): GroupMate => ({
+      host: record.host,
+      zone: record.zone,
+      callerAddress: record.callerAddress,
+      peerAddress: record.peerAddress,
+      leaving: this.isLeaving(record, now),
+      serving: record.host === this.self ? this.isServing(now) : this.saysServing(record.host, now),
+    }));
     const heard = all.filter((mate) => mate.host === this.self || this.isHeard(mate.host, now));
     return heard.some((mate) => mate.host !== this.self) ? heard : all;
   }
@@ -238,13 +275,44 @@
     return wordPace(this.countSharers()).recordMs * RECORD_LIVES;
   }
 
+  /** A relay makes its own digests. */
+  private homeAmong(relays: readonly HostRecord[]): HostRecord | undefined {
+    if (relays.some((record) => record.host === this.self)) return undefined;
+    return relays.find((record) => record.zone === this.zone) ?? relays[0];
+  }
+
   private isHeard(host: HostId, now: Millis): boolean {
-    const at = this.heardAt.get(host);
-    return at !== undefined && now - at <= this.silentMs();
+    const isSeen = (this.seenUntil.get(host) ?? 0) >= now;
+    return isSeen || this.wordOf(host, now) !== undefined || this.isWellByRelay(host, now);
+  }
+
+  private isWellByRelay(host: HostId, now: Millis): boolean {
+    const { relayWord } = this;
+    if (relayWord === undefined || relayWord.until < now) return false;
+    return this.records.has(host) && !relayWord.silent.has(host);
+  }
+
+  private isLeaving({ host, leaving }: HostRecord, now: Millis): boolean {
+    if (host === this.self) return leaving;
+    const word = this.wordOf(host, now);
+    if (word !== undefined) return word.leaving;
+    return this.isWellByRelay(host, now) ? this.relayWord?.leaving.has(host) === true : leaving;
+  }
+
+  private saysServing(host: HostId, now: Millis): boolean {
+    const word = this.wordOf(host, now);
+    if (word !== undefined) return word.serving;
+    return !this.isWellByRelay(host, now) || this.relayWord?.serving.has(host) === true;
+  }
+
+  /** Gets what a host said of itself, while that counts. */
+  private wordOf(host: HostId, now: Millis): HeardWord | undefined {
+    const word = this.words.get(host);
+    return word === undefined || word.until < now ? undefined : word;
   }
 
   private silentMs(): Millis {
-    return Math.max(LEAST_SILENT_MS, wordPace(this.countSharers()).silentMs);
+    return Math.max(LEAST_LIFE_MS, wordPace(this.countSharers()).silentMs);
   }
 }
 
--- a/packages/router/src/agreement/PeerTalk.ts
+++ b/packages/router/src/agreement/PeerTalk.ts
@@ -13,8 +13,17 @@
 /** Part by which another relay must hear more hosts to be listened to instead. */
 const RELAY_HEARS_MORE = 1.1;
 
+/**
+ * Milliseconds after its last news for which a host that stands by gets digests as often as one that
+ * takes callers: some callers go on with an old answer of the directory.
+ */
+const BUSY_MS: Millis = 3_000;
+
 /** What a host says of itself; who says it, and when, is added here. */
-export type OwnWord = Omit<HostHint, 'host' | 'incarnation' | 'sequence' | 'asks'>;
+export type OwnWord = Omit<
+  HostHint,
+  'host' | 'incarnation' | 'sequence' | 'digests' | 'serving' | 'nextMs'
+>;
 
 /** What talking to peers is made of. */
 export interface PeerTalkOptions {
@@ -54,6 +63,11 @@
 
   private sequence = 0;
 
+  /** When each host was sent a digest last. */
+  private readonly digestedAt = new Map<HostId, Millis>();
+
+  private newsAt: Millis = -Infinity;
+
   /** Whether there is something that peers should learn before the next period. */
   private hasNews = false;
 
@@ -78,6 +92,7 @@
   /** Has peers learn soon what has changed here. */
   noteNews(): void {
     this.hasNews = true;
+    this.newsAt = this.options.clock.now();
     this.pause.interrupt();
   }
 
@@ -92,7 +107,10 @@
     }
     const { asked, others } = roster.getWordAddresses(clock.now());
     const isDeaf = this.isSilent();
-    link.send({ ...hint, asks: true }, isDeaf ? [...asked, ...others] : asked);
+    link.send(
+      { ...hint, digests: this.isBusy() ? 'often' : 'seldom' },
+      isDeaf ? [...asked, ...others] : asked,
+    );
     if (!isDeaf) link.send(hint, others);
   }
 
@@ -100,9 +118,9 @@
     const { clock } = this.options;
     while (!signal.aborted) {
       this.sendNow();
-      const { periodMs, gapMs } = this.pace();
+      const { gapMs } = this.pace();
       await sleep(clock, gapMs, signal);
-      if (!this.hasNews) await this.pause.wait(periodMs - gapMs, signal);
+      if (!this.hasNews) await this.pause.wait(this.periodMs() - gapMs, signal);
     }
   }
 
@@ -116,20 +134,29 @@
   private sendDigests(): void {
     const { self, clock, link, roster } = this.options;
     const now = clock.now();
-    this.board.forget(this.pace().silentMs, now);
-    const listeners = this.board.getAsking().filter((host) => host !== self);
+    this.board.forget(now);
+    const listeners = this.board.getAsking().filter(({ host }) => host !== self);
     if (this.board.getHeard().every((host) => host === self)) return;
     this.board.hear(this.ownHint(), now);
     const sums = this.board.sumUp();
     const heard = new Set(this.board.getHeard());
     const silent = roster.getOthers().filter((host) => !heard.has(host));
-    listeners.forEach((host) => {
+    const due = listeners.filter((listener) => this.isDue(listener, now));
+    due.forEach(({ host }) => {
+      this.digestedAt.set(host, now);
       const address = roster.getPeerAddress(host);
       if (address !== undefined) link.sendDigest(this.digestFor(host, sums, silent), address);
     });
     this.hearDigest(this.digestFor(self, sums, silent));
   }
 
+  /** A digest that is due within half a period is sent now: the next round would be too late. */
+  private isDue({ host, digests }: Pick<HostHint, 'host' | 'digests'>, now: Millis): boolean {
+    const { digestMs, standbyDigestMs } = this.pace();
+    const sinceMs = now - (this.digestedAt.get(host) ?? -Infinity);
+    return digests === 'often' || sinceMs >= standbyDigestMs - digestMs / 2;
+  }
+
   private digestFor(receiver: HostId, sums: WordSums, silent: readonly HostId[]): HostDigest {
     const { self, incarnation } = this.options;
     this.sequence += 1;
@@ -140,7 +167,11 @@
   private ownHint(): HostHint {
     const { self, incarnation, word } = this.options;
     this.sequence += 1;
-    return { host: self, incarnation, sequence: this.sequence, asks: false, ...word() };
+    return {
+      ...{ host: self, incarnation, sequence: this.sequence, digests: 'none' as const },
+      ...{ serving: this.isServing(), nextMs: this.periodMs() },
+      ...word(),
+    };
   }
 
   private hearHint(hint: HostHint): void {
@@ -150,7 +181,7 @@
       onHint(hint);
       return;
     }
-    roster.hear(hint.host, hint.leaving, clock.now());
+    roster.hear(hint, clock.now());
     this.board.hear(hint, clock.now());
   }
 
@@ -165,17 +196,38 @@
   /** One relay is followed at a time: sums of two can't be added or compared. */
   private goesBy(digest: HostDigest): boolean {
     const { relay } = this;
+    const { roster, clock } = this.options;
     if (this.isOld(digest)) return false;
-    if (relay === undefined || relay.host === digest.host) return true;
-    return this.isSilent() || digest.heard > relay.heard * RELAY_HEARS_MORE;
+    if (relay === undefined || relay.host === digest.host || this.isSilent()) return true;
+    // The one that this host asks goes on sending; what others were asked for once ends.
+    const isHome = digest.host === roster.getHomeRelay(clock.now());
+    const heardEnough = isHome ? relay.heard / RELAY_HEARS_MORE : relay.heard * RELAY_HEARS_MORE;
+    return digest.heard > heardEnough;
   }
 
   /** Tells whether no digest came for a while; a single lost one is no reason to change relays. */
   private isSilent(): boolean {
-    const silentMs = this.pace().digestMs * RELAY_SILENT_PERIODS;
+    const { digestMs, standbyDigestMs } = this.pace();
+    const expectedMs = this.isBusy() ? digestMs : standbyDigestMs;
+    const silentMs = expectedMs * RELAY_SILENT_PERIODS;
     return this.relay === undefined || this.options.clock.now() - this.relay.at > silentMs;
   }
 
+  /** Tells whether this host takes callers, or has had some lately although it stands by. */
+  private isBusy(): boolean {
+    return this.isServing() || this.options.clock.now() - this.newsAt < BUSY_MS;
+  }
+
+  private isServing(): boolean {
+    return this.options.roster.isServing(this.options.clock.now());
+  }
+
+  /** Gets the time within which the next hint of this host follows the last one. */
+  private periodMs(): Millis {
+    const { periodMs, standbyPeriodMs } = this.pace();
+    return this.isServing() ? periodMs : standbyPeriodMs;
+  }
+
   /** Datagrams can overtake each other; an older word would take back what a newer one said. */
   private isOld({
     host,
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/RelayBoard.ts
@@ -9,7 +9,7 @@
   UpstreamId,
 } from '@camphorvane/core';
 import type { PoolDemand } from '@camphorvane/decisions';
-import { NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
+import { lifeOfWord, NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
 import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
 
 /**
@@ -34,6 +34,7 @@
   /** Hints of hosts that move engines between the roles. */
   readonly moving: readonly HostHint[];
   readonly leaving: readonly HostId[];
+  readonly serving: readonly HostId[];
   readonly versions: HostDigest['versions'];
 }
 
@@ -67,10 +68,10 @@
     this.addDemand(hint, before);
   }
 
-  /** Forgets hosts that have been silent for a while. */
-  forget(silentMs: Millis, now: Millis): void {
+  /** Forgets hosts whose next hints have not come. */
+  forget(now: Millis): void {
     [...this.words]
-      .filter(([, { at }]) => now - at > silentMs)
+      .filter(([, { at, hint }]) => now - at > lifeOfWord(hint.nextMs))
       .forEach(([host]) => this.words.delete(host));
   }
 
@@ -79,9 +80,11 @@
     return [...this.words.keys()];
   }
 
-  /** Gets the hosts that were heard of lately and want digests. */
-  getAsking(): readonly HostId[] {
-    return [...this.words.values()].filter(({ hint }) => hint.asks).map(({ hint }) => hint.host);
+  /** Gets the hosts that were heard of lately and want digests, and how often. */
+  getAsking(): readonly Pick<HostHint, 'host' | 'digests'>[] {
+    return [...this.words.values()]
+      .map(({ hint }) => hint)
+      .filter((hint) => hint.digests !== 'none');
   }
 
   /** Sums up what all hosts have said, once for all digests that are made of it. */
@@ -99,6 +102,7 @@
       waiting: sumCounts(hints.flatMap(({ demand }) => demand.map(waitingOf))),
       moving: hints.filter((hint) => hint.moves.length > 0),
       leaving: hints.filter((hint) => hint.leaving).map((hint) => hint.host),
+      serving: hints.filter((hint) => hint.serving).map((hint) => hint.host),
       versions: {
         config: Math.max(0, ...hints.map(({ versions }) => versions.config)),
         servers: Math.max(0, ...hints.map(({ versions }) => versions.servers)),
@@ -133,6 +137,7 @@
         .map(([engine]) => engine),
       calls: [...countsWithout(sums.calls, own?.calls)],
       leaving: sums.leaving.filter((host) => host !== receiver),
+      serving: sums.serving,
       versions: sums.versions,
     };
   }
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -196,8 +196,10 @@
 
   /** {@inheritDoc GroupGate.members} */
   members(): readonly GroupMate[] {
-    const self = { ...this.context.identity, leaving: this.leaving };
-    const mates = this.hosts.getMates(this.clock.now());
+    const now = this.clock.now();
+    const serving = this.hosts.isServing(now);
+    const self = { ...this.context.identity, leaving: this.leaving, serving };
+    const mates = this.hosts.getMates(now);
     return [self, ...mates.filter((mate) => mate.host !== self.host)];
   }
 
@@ -268,7 +270,7 @@
 
   private hear(hint: HostHint): void {
     const now = this.clock.now();
-    this.hosts.hear(hint.host, hint.leaving, now);
+    this.hosts.hear(hint, now);
     this.rates.hear(hint);
     this.config.hearOf(hint.versions);
     const { use, demand, moves, waiting } = this.knowledge;
--- a/packages/router/src/host/GroupAdapter.ts
+++ b/packages/router/src/host/GroupAdapter.ts
@@ -33,6 +33,7 @@
       callerAddress: member.callerAddress,
       peerAddress: member.peerAddress,
       leaving: member.draining,
+      serving: true,
     }));
     return mates.some((mate) => mate.host === this.self.host) ? mates : [...mates, this.self];
   }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -16,6 +16,7 @@
 import type { StoreAgreement } from '../agreement/StoreAgreement.ts';
 import { storeAgreement } from '../agreement/StoreAgreement.ts';
 import { Metrics } from '../observe/Metrics.ts';
+import { callerAddresses } from './callerAddresses.ts';
 import { Host } from './Host.ts';
 
 /** Bytes of randomness that name one start of a host; enough that no two starts share a name. */
@@ -66,7 +67,7 @@
         store: new ObjectApiStore(settings.storeAddress, clock),
         format: PLATFORM_FORMAT,
         hints,
-        strength: settings.linkMbps,
+        strength: settings.processorCores,
         tolerance: settings.quota,
         repeats: settings.retries,
         strictKeysMs: settings.strictKeysMs,
@@ -91,13 +92,7 @@
   });
   const directory = new DirectoryServer(
     {
-      addressesFor: (zone) =>
-        group
-          .members()
-          .filter((mate) => !mate.leaving)
-          .map((mate) => ({ address: mate.callerAddress, near: mate.zone === zone }))
-          .sort((a, b) => Number(b.near) - Number(a.near))
-          .map(({ address }) => address),
+      addressesFor: (zone) => callerAddresses(group.members(), zone),
       isReady: () => !leaving && isReady(),
       metrics: () => metrics.getText(),
     },
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -36,8 +36,13 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly leaving: boolean;
+  /** Whether it takes callers; one that does not stands by. */
+  readonly serving: boolean;
 }
 
+/** Who a host is, and how callers and peers reach it. */
+export type HostIdentity = Omit<GroupMate, 'leaving' | 'serving'>;
+
 /** What serving needs to know of the group. */
 export interface GroupGate {
   /** Gets all members, this host included. */
--- a/packages/router/tests/agreement/HostRoster.test.ts
+++ b/packages/router/tests/agreement/HostRoster.test.ts
@@ -15,6 +15,8 @@
   };
 }
 
+const word = (host: string, leaving = false) => ({ host, leaving, serving: true, nextMs: 200 });
+
 const list = (hosts: readonly string[], version = 1) =>
   hosts.map((host) => ({ record: record(host), version }));
 
@@ -24,7 +26,7 @@
 test('callers are sent to hosts that were heard of lately', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b', 'c']), 0);
-  roster.hear('b', false, 100);
+  roster.hear(word('b', false), 100);
   assert.deepEqual(names(roster, 200), ['a', 'b']);
 });
 
@@ -33,7 +35,7 @@
 test('a host that hears nobody names all', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b', 'c']), 0);
-  roster.hear('b', false, 0);
+  roster.hear(word('b', false), 0);
   assert.deepEqual(names(roster, 5_000), ['a', 'b', 'c']);
 });
 
@@ -57,6 +59,6 @@
 test('a leaving host is told by its own word before its record says so', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b']), 0);
-  roster.hear('b', true, 0);
+  roster.hear(word('b', true), 0);
   assert.equal(roster.getMates(10).find((mate) => mate.host === 'b')?.leaving, true);
 });
--- a/packages/router/tests/agreement/RelayBoard.test.ts
+++ b/packages/router/tests/agreement/RelayBoard.test.ts
@@ -4,7 +4,15 @@
 import { RelayBoard } from '../../src/agreement/RelayBoard.ts';
 
 const hint = (host: string, more: Partial<HostHint> = {}): HostHint => ({
-  ...{ host, incarnation: 'i', sequence: 1, leaving: false, asks: true },
+  ...{
+    host,
+    incarnation: 'i',
+    sequence: 1,
+    leaving: false,
+    digests: 'often' as const,
+    serving: true,
+  },
+  nextMs: 300,
   ...{ engines: [], charged: [], demand: [], moves: [], down: [], calls: [] },
   versions: { config: 1, servers: 1 },
   ...more,
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/TalkFleet.ts
@@ -102,7 +102,7 @@
         versions: { config: 1, servers: 1 },
       }),
       onHint: (hint) => {
-        host.roster.hear(hint.host, hint.leaving, clock.now());
+        host.roster.hear(hint, clock.now());
         host.rates.hear(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
         host.book.hear(
           hint.host,
