Make fewer calls to the store in large fleets

All hosts wrote their records at 4 a second up to 20 s (10 a second at 195), read configuration and servers each 2 s although relays tell them of changes, began with reads at the full price, and ended watches after 1.8 s on all sites.

Change: a watch lasts as long as the stable window allows (1.8 s to 3.8 s); records are written at 1.5 a second by all; a host that a relay tells of changes reads unasked the less often the more hosts there are, 10 times a second over all; the first read may be old, since the watch or the poll after it goes on from its version. One after a failure still may not.

--- a/packages/decisions/src/local/wordPace.ts
+++ b/packages/decisions/src/local/wordPace.ts
@@ -18,6 +18,10 @@
   readonly silentMs: Millis;
   /** Milliseconds between two writes of a host's record in the store. */
   readonly recordMs: Millis;
+  /** Milliseconds between two cheap reads of all records. */
+  readonly recordReadMs: Millis;
+  /** Milliseconds between two cheap reads of the configuration, and of the servers. */
+  readonly pollMs: Millis;
 }
 
 /**
@@ -71,11 +75,26 @@
 /** What a word may be late by, beyond its periods. */
 const SILENT_MARGIN_MS: Millis = 200;
 
-/** Records that all hosts together write in a second; each write to the store has its price. */
-const RECORDS_PER_SECOND = 4;
+/**
+ * Records that all hosts together write in a second. Who is there is told by words; the records say who
+ * shares the rates, which changes seldom.
+ */
+const RECORDS_PER_SECOND = 1.5;
 
 const LEAST_RECORD_MS: Millis = 3_000;
-const LONGEST_RECORD_MS: Millis = 20_000;
+const LONGEST_RECORD_MS: Millis = 60_000;
+
+/** Times in a second at which any host reads all records; a new host is found so. */
+const RECORD_READS_PER_SECOND = 12;
+
+const LEAST_RECORD_READ_MS: Millis = 1_000;
+const LONGEST_RECORD_READ_MS: Millis = 7_000;
+
+/** Times in a second at which any host reads the configuration, or the servers, unasked. */
+const POLLS_PER_SECOND = 10;
+
+const LEAST_POLL_MS: Millis = 2_000;
+const LONGEST_POLL_MS: Millis = 10_000;
 
 const MS_PER_SECOND = 1_000;
 
@@ -93,14 +112,17 @@
   const standbyPeriodMs = isRelayed ? relayedPeriodMs(hosts * STANDBY_PACE) : SMALL_PERIOD_MS;
   const digestMs = Math.max(LEAST_DIGEST_MS, everyMs(servingHosts, DIGESTS_PER_SECOND));
   const standbyDigestMs = Math.max(LEAST_STANDBY_DIGEST_MS, everyMs(hosts, DIGESTS_PER_SECOND));
-  const recordMs = Math.min(
-    LONGEST_RECORD_MS,
-    Math.max(LEAST_RECORD_MS, everyMs(hosts, RECORDS_PER_SECOND)),
+  const recordMs = within(LEAST_RECORD_MS, everyMs(hosts, RECORDS_PER_SECOND), LONGEST_RECORD_MS);
+  const recordReadMs = within(
+    LEAST_RECORD_READ_MS,
+    everyMs(hosts, RECORD_READS_PER_SECOND),
+    LONGEST_RECORD_READ_MS,
   );
+  const pollMs = within(LEAST_POLL_MS, everyMs(hosts, POLLS_PER_SECOND), LONGEST_POLL_MS);
   const silentMs = lifeOfWord(isRelayed ? Math.max(periodMs, standbyDigestMs) : periodMs);
   return {
     ...{ isRelayed, periodMs, standbyPeriodMs, gapMs, digestMs, standbyDigestMs },
-    ...{ silentMs, recordMs },
+    ...{ silentMs, recordMs, recordReadMs, pollMs },
   };
 }
 
@@ -115,8 +137,11 @@
 }
 
 function relayedPeriodMs(hosts: number): Millis {
-  const evenMs = Math.max(LEAST_PERIOD_MS, everyMs(hosts, WORDS_PER_SECOND));
-  return Math.min(LONGEST_PERIOD_MS, evenMs);
+  return within(LEAST_PERIOD_MS, everyMs(hosts, WORDS_PER_SECOND), LONGEST_PERIOD_MS);
+}
+
+function within(least: Millis, ms: Millis, most: Millis): Millis {
+  return Math.min(most, Math.max(least, ms));
 }
 
 function everyMs(hosts: number, perSecond: number): Millis {
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -16,13 +16,6 @@
 import type { ConfigFeed } from './HostAgreement.ts';
 import { ServerRoster } from './ServerRoster.ts';
 
-/**
- * Longest wait of one watch, in milliseconds. A watch can go silent for good. Together with the
- * deadline of a call it ends within three seconds, so that a server that leaves meanwhile gets no
- * request later than its notice allows; a shorter wait would cost more calls to the store.
- */
-const WATCH_MS: Millis = 1_800;
-
 const log = stateLog('deployment');
 
 /** What a feed is made of. */
@@ -36,8 +29,15 @@
    * is cut off from the store goes on with the keys that it knows.
    */
   readonly strictKeysMs: Millis | undefined;
+  /**
+   * Longest wait of one watch, in milliseconds. A watch can go silent for good, and what changes
+   * meanwhile is learned when it ends; each one costs a call.
+   */
+  readonly watchMs: Millis;
   /** Gets how this host follows now. */
   readonly mode: () => FollowMode;
+  /** See {@link KindFollowerOptions.pollMs}. */
+  readonly pollMs: () => Millis;
   /** Called when this host has learned of a change in the store. */
   readonly onNews: () => void;
 }
@@ -138,8 +138,9 @@
       kind,
       clock,
       random,
-      watchMs: WATCH_MS,
+      watchMs: this.options.watchMs,
       mode: this.options.mode,
+      pollMs: this.options.pollMs,
       onRound,
       onStore: (state, reason) => log(`store_${state}`, { kind, reason }),
     });
--- a/packages/router/src/agreement/HostRecords.ts
+++ b/packages/router/src/agreement/HostRecords.ts
@@ -9,9 +9,6 @@
 import { readHostRecord } from './hostRecord.ts';
 import type { HostRoster } from './HostRoster.ts';
 
-/** Part of the time between two writes of a record after which all are read; old answers will do. */
-const RECORDS_READ_PART = 1 / 3;
-
 const log = stateLog('hosts');
 
 /** What the records of the hosts are kept with. */
@@ -72,7 +69,7 @@
     while (!signal.aborted) {
       const read = await store.snapshot(kind, roster.isKnown() ? 'any' : 'newest');
       if (read.isOk()) this.take(read.value.objects);
-      await sleep(clock, this.pace().recordMs * RECORDS_READ_PART, signal);
+      await sleep(clock, this.pace().recordReadMs, signal);
     }
   }
 
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -11,7 +11,9 @@
  * Periods of its heartbeat in the store, while the store was there, after which a host's part of the
  * rates is dealt out again. Long on purpose: a host that is only cut off still uses its part.
  */
-const RECORD_LIVES = 7;
+const RECORD_LIVES = 3;
+
+const LEAST_RECORD_LIFE_MS: Millis = 21_000;
 
 /** Most time that one reading of the records counts for; the rest was an outage of the store. */
 const LONGEST_ROUND_MS: Millis = 5_000;
@@ -191,6 +193,11 @@
     this.seenUntil.set(host, now + this.silentMs());
   }
 
+  /** Tells whether a relaying host tells this one what others say. */
+  isToldByRelay(now: Millis): boolean {
+    return this.relayWord !== undefined && this.relayWord.until >= now;
+  }
+
   /** Tells whether this host takes callers; see {@link isServing}. */
   isServing(now: Millis): boolean {
     const zone = this.ranked.filter(
@@ -272,7 +279,7 @@
 
   /** Gets how long a record counts that nobody renews. */
   recordLifeMs(): Millis {
-    return wordPace(this.countSharers()).recordMs * RECORD_LIVES;
+    return Math.max(LEAST_RECORD_LIFE_MS, wordPace(this.countSharers()).recordMs * RECORD_LIVES);
   }
 
   /** A relay makes its own digests. */
@@ -287,9 +294,8 @@
   }
 
   private isWellByRelay(host: HostId, now: Millis): boolean {
-    const { relayWord } = this;
-    if (relayWord === undefined || relayWord.until < now) return false;
-    return this.records.has(host) && !relayWord.silent.has(host);
+    if (!this.isToldByRelay(now) || !this.records.has(host)) return false;
+    return this.relayWord?.silent.has(host) === false;
   }
 
   private isLeaving({ host, leaving }: HostRecord, now: Millis): boolean {
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -9,6 +9,7 @@
   HostDigest,
   HostHint,
 } from '@camphorvane/peer/hints';
+import { LEAST_POLL_MS } from '@camphorvane/store';
 import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
 import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -42,6 +43,8 @@
   readonly repeats: RepeatAllowance;
   /** See {@link DeploymentFeed}; also whether requests end when their key is withdrawn. */
   readonly strictKeysMs: Millis | undefined;
+  /** See {@link DeploymentFeedOptions.watchMs}. */
+  readonly watchMs: Millis;
   /** Milliseconds for which a lease holds that lets one host act for all. */
   readonly leaseMs: Millis;
   readonly metrics: Metrics;
@@ -107,7 +110,9 @@
       clock,
       random,
       strictKeysMs: options.strictKeysMs,
+      watchMs: options.watchMs,
       mode: () => this.followMode(),
+      pollMs: () => this.pollMs(),
       onNews: () => this.talk.noteNews(),
     });
     this.hosts = new HostRoster(identity.host, identity.zone);
@@ -253,6 +258,12 @@
     return !this.pace().isRelayed || this.hosts.isRelay(this.clock.now()) ? 'watch' : 'poll';
   }
 
+  /** Any host that reads a change tells all others, so each reads the less often the more there are. */
+  private pollMs(): Millis {
+    const isTold = this.hosts.isToldByRelay(this.clock.now());
+    return isTold ? this.pace().pollMs : LEAST_POLL_MS;
+  }
+
   private ownWord(): OwnWord {
     return {
       leaving: this.leaving,
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -71,6 +71,7 @@
         tolerance: settings.quota,
         repeats: settings.retries,
         strictKeysMs: settings.strictKeysMs,
+        watchMs: settings.watchMs,
         leaseMs: settings.leaseMs,
         metrics,
       },
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -27,14 +27,16 @@
   readonly watchMs: Millis;
   /** Gets how to follow now; a watch where it is absent. */
   readonly mode?: () => FollowMode;
+  /** Gets the milliseconds between two cheap reads where nobody says that there is something newer. */
+  readonly pollMs?: () => Millis;
   /** Called after each round in which the store answered. */
   readonly onRound: (kind: FollowedKind) => void;
   /** Called when the store is lost, with why, and when it is back. */
   readonly onStore?: (state: 'lost' | 'regained', reason: string) => void;
 }
 
-/** Milliseconds between two cheap reads where nobody says that there is something newer. */
-const POLL_MS: Millis = 2_000;
+/** Milliseconds between two cheap reads of a host that nobody tells of changes. */
+export const LEAST_POLL_MS: Millis = 2_000;
 
 /** Milliseconds between two cheap reads while what is known to be newer is not in them. */
 const CATCH_UP_MS: Millis = 200;
@@ -76,6 +78,9 @@
 
   private isLost = false;
 
+  /** Whether the store was asked for everything before. */
+  private hasRead = false;
+
   /** Version of the store at the last change of this kind that is known here. */
   private changedAt: ObjectVersion = 0;
 
@@ -129,15 +134,25 @@
   }
 
   private step(signal: AbortSignal): Promise<string | undefined> {
-    if (this.after === undefined) return this.readAll('newest');
+    if (this.after === undefined) return this.readAll(this.isFirstRead() ? 'any' : 'newest');
     const mode = this.options.mode?.() ?? 'watch';
     return mode === 'watch' ? this.wait(this.after, signal) : this.poll(signal);
   }
 
+  /**
+   * An old answer is good enough to begin with: the watch or the poll after it goes on from its version.
+   * After a failure it is not, since it could be older than what this host has acted on.
+   */
+  private isFirstRead(): boolean {
+    const isFirst = !this.hasRead;
+    this.hasRead = true;
+    return isFirst;
+  }
+
   /** Waits for a word of a peer or for the next cheap read, and catches up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
     this.wake = () => this.pause.interrupt();
-    await this.pause.wait(POLL_MS, signal);
+    await this.pause.wait(this.options.pollMs?.() ?? LEAST_POLL_MS, signal);
     let tries = 0;
     let problem = await this.readAll('any');
     while (problem === undefined && this.named > this.getVersion() && !signal.aborted) {
