Reckon with the age of what peers said of prompts at an engine

Cause: the end of a reading was no news, so peers heard of it with the next period only, up to 1.6 s later in the largest fleets. Idle engines looked busy and prompts queued at the others.

Change: a prompt that is read is news, and what a peer has queued at an engine counts less by the time that has passed since its word. Constants unchanged.

--- a/packages/decisions/src/local/EngineUse.ts
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -11,6 +11,15 @@
   readonly memoryTokens: Tokens;
 }
 
+/** Prompts that were sent to an engine to be read, in tokens. */
+export interface PromptQueue {
+  readonly own: Tokens;
+  /** What peers had there when they last said so. */
+  readonly peers: Tokens;
+  /** Milliseconds since the newest word of a peer with a prompt there; infinite without any. */
+  readonly peersAgeMs: Millis;
+}
+
 /** An engine on which a host has nothing. */
 export const NO_USE: EngineUse = { prefillTokens: 0, streams: 0, memoryTokens: 0 };
 
@@ -74,12 +83,29 @@
   /** Gets what all hosts together have on an engine, as far as this host knows. */
   getTotal(engine: UpstreamId, now: Millis): EngineUse {
     const own = this.own.get(engine) ?? NO_USE;
-    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.getHostCount()).silentMs);
-    return [...this.peers.values()]
-      .filter((word) => now - word.at <= lifeMs)
+    return this.freshWords(now)
       .map((word) => word.uses.get(engine) ?? NO_USE)
       .reduce(addUse, own);
   }
+
+  /** Gets the prompts that wait at an engine, and how old the newest word of them is. */
+  getPromptQueue(engine: UpstreamId, now: Millis): PromptQueue {
+    const words = this.freshWords(now).map(({ at, uses }) => ({
+      ageMs: now - at,
+      tokens: uses.get(engine)?.prefillTokens ?? 0,
+    }));
+    const queued = words.filter(({ tokens }) => tokens > 0);
+    return {
+      own: this.own.get(engine)?.prefillTokens ?? 0,
+      peers: queued.reduce((sum, { tokens }) => sum + tokens, 0),
+      peersAgeMs: Math.min(...queued.map(({ ageMs }) => ageMs)),
+    };
+  }
+
+  private freshWords(now: Millis): readonly PeerWord[] {
+    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.getHostCount()).silentMs);
+    return [...this.peers.values()].filter((word) => now - word.at <= lifeMs);
+  }
 }
 
 function addUse(a: EngineUse, b: EngineUse): EngineUse {
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -212,11 +212,23 @@
 
   private prefills(wish: PlacementWish, now: Millis): readonly PrefillOption[] {
     return this.usable('prefill', wish, now).map((cfg) => {
-      const queued = this.use.getTotal(cfg.id, now).prefillTokens;
-      return { cfg, readMs: this.readMs(cfg.id, queued + wish.promptTokens) };
+      const readMs = this.queueMs(cfg.id, now) + this.readMs(cfg.id, wish.promptTokens);
+      return { cfg, readMs };
     });
   }
 
+  /**
+   * Gets the time until an engine has read the prompts that are there.
+   *
+   * It goes on reading while the words of peers are on their way: without their age, prompts that were
+   * read long since keep this host away from idle engines.
+   */
+  private queueMs(engine: UpstreamId, now: Millis): Millis {
+    const { own, peers, peersAgeMs } = this.use.getPromptQueue(engine, now);
+    const peersMs = peers === 0 ? 0 : Math.max(0, this.readMs(engine, peers) - peersAgeMs);
+    return (own === 0 ? 0 : this.readMs(engine, own)) + peersMs;
+  }
+
   /** Gets the decode engines with room for the whole request. */
   private decodes(wish: PlacementWish, now: Millis): readonly DecodeOption[] {
     return this.usable('decode', wish, now)
--- a/packages/decisions/tests/local/LocalPlacement.test.ts
+++ b/packages/decisions/tests/local/LocalPlacement.test.ts
@@ -164,3 +164,14 @@
   assert.equal(health.readMs('p1', 3_000, []), 100);
   assert.equal(health.readMs('p2', 3_000, ['p1', 'p2']), 100);
 });
+
+// Guards against idle engines that get no prompt since an old word of a peer still counts in full.
+test('a prompt that a peer sent a while ago is taken for read', () => {
+  const { placement, book, health } = setUp(POOL);
+  ['p1', 'p2'].forEach((id) => health.prefillTook(id, 5_000, 100));
+  const queued = { prefillTokens: 10_000, streams: 0, memoryTokens: 0 };
+  book.hear('peer', new Map([['p1', queued]]), 0);
+  book.change('p2', { prefillTokens: 5_000 });
+  assert.equal(placement.choose(WISH, 50)?.prefill, 'p2');
+  assert.equal(placement.choose(WISH, 180)?.prefill, 'p1');
+});
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -53,7 +53,7 @@
   readonly knowledge: EngineKnowledge;
   /** Names this start of the host; reservations begin with it. */
   readonly incarnation: string;
-  /** Called when a request takes or gives back room, and when an engine is found down or up. */
+  /** Called when a request takes or gives back room, when a prompt is read, and when an engine is found down or up. */
   readonly onNews: () => void;
 }
 
@@ -131,6 +131,7 @@
   /** {@inheritDoc Placer.prefillEnded} */
   prefillEnded(model: ModelId, reservation: ReservationId, tookMs?: Millis): void {
     this.held.endPrefill(reservation, tookMs);
+    this.onNews();
     this.pumpOf(model);
   }
 
