--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,4 +23,4 @@
 export * from './local/meanMemory.ts';
 export * from './local/PeerCounts.ts';
 export * from './local/isServing.ts';
-export * from './local/wordPace.ts';
+export * from './local/gossipPace.ts';
--- a/packages/decisions/src/local/EngineKnowledge.ts
+++ b/packages/decisions/src/local/EngineKnowledge.ts
@@ -6,7 +6,7 @@
 import { PeerCounts } from './PeerCounts.ts';
 
 /**
- * Milliseconds for which a peer's word about its queue counts. Words come within 200 ms; a request that
+ * Milliseconds for which a peer's hint about its queue counts. Hints come within 200 ms; a request that
  * was on time half a second ago is placed, late or gone by now.
  */
 const WAITING_LIFE_MS: Millis = 500;
--- a/packages/decisions/src/local/EngineUse.ts
+++ b/packages/decisions/src/local/EngineUse.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis, Tokens, UpstreamId } from '@camphorvane/core';
-import { wordPace } from './wordPace.ts';
+import { gossipPace } from './gossipPace.ts';
 
 /** What one host has on one engine at present. */
 export interface EngineUse {
@@ -16,7 +16,7 @@
   readonly own: Tokens;
   /** What peers had there when they last said so. */
   readonly peers: Tokens;
-  /** Milliseconds since the newest word of a peer with a prompt there; infinite without any. */
+  /** Milliseconds since the newest hint of a peer with a prompt there; infinite without any. */
   readonly peersAgeMs: Millis;
 }
 
@@ -24,15 +24,15 @@
 export const NO_USE: EngineUse = { prefillTokens: 0, streams: 0, memoryTokens: 0 };
 
 /**
- * Milliseconds for which a peer's word about its use counts at least. A host that was silent for this
+ * Milliseconds for which a peer's hint about its use counts at least. A host that was silent for this
  * long is dead, cut off or frozen, and the requests it had are ending.
  */
-const LEAST_WORD_LIFE_MS: Millis = 1_500;
+const LEAST_HINT_LIFE_MS: Millis = 1_500;
 
 /** Name under which the sum of all peers is kept where it comes as one. */
 const ALL_PEERS = '';
 
-interface PeerWord {
+interface PeerReport {
   readonly at: Millis;
   /** Hosts whose use it is. */
   readonly hosts: number;
@@ -43,7 +43,7 @@
 export class UseBook {
   private readonly own = new Map<UpstreamId, EngineUse>();
 
-  private readonly peers = new Map<HostId, PeerWord>();
+  private readonly peers = new Map<HostId, PeerReport>();
 
   /** Adds to, or with negative figures takes from, what this host has on an engine. */
   change(engine: UpstreamId, by: Partial<EngineUse>): void {
@@ -59,20 +59,20 @@
   }
 
   /** Takes in what a peer says that it has; it replaces what the peer said before. */
-  hear(peer: HostId, uses: ReadonlyMap<UpstreamId, EngineUse>, now: Millis): void {
+  receive(peer: HostId, uses: ReadonlyMap<UpstreamId, EngineUse>, now: Millis): void {
     this.peers.delete(ALL_PEERS);
     this.peers.set(peer, { at: now, hosts: 1, uses });
   }
 
   /** Takes in what all peers together have; it replaces all that any of them said before. */
-  hearSum(uses: ReadonlyMap<UpstreamId, EngineUse>, hosts: number, now: Millis): void {
+  receiveSum(uses: ReadonlyMap<UpstreamId, EngineUse>, hosts: number, now: Millis): void {
     this.peers.clear();
     this.peers.set(ALL_PEERS, { at: now, hosts, uses });
   }
 
   /** Gets how many hosts have said what they have, this one included. */
   getHostCount(): number {
-    return [...this.peers.values()].reduce((sum, word) => sum + word.hosts, 1);
+    return [...this.peers.values()].reduce((sum, hint) => sum + hint.hosts, 1);
   }
 
   /** Gets what this host has on each engine, to be told to its peers. */
@@ -83,18 +83,18 @@
   /** Gets what all hosts together have on an engine, as far as this host knows. */
   getTotal(engine: UpstreamId, now: Millis): EngineUse {
     const own = this.own.get(engine) ?? NO_USE;
-    return this.freshWords(now)
-      .map((word) => word.uses.get(engine) ?? NO_USE)
+    return this.freshReports(now)
+      .map((hint) => hint.uses.get(engine) ?? NO_USE)
       .reduce(addUse, own);
   }
 
-  /** Gets the prompts that wait at an engine, and how old the newest word of them is. */
+  /** Gets the prompts that wait at an engine, and how old the newest hint of them is. */
   getPromptQueue(engine: UpstreamId, now: Millis): PromptQueue {
-    const words = this.freshWords(now).map(({ at, uses }) => ({
+    const hints = this.freshReports(now).map(({ at, uses }) => ({
       ageMs: now - at,
       tokens: uses.get(engine)?.prefillTokens ?? 0,
     }));
-    const queued = words.filter(({ tokens }) => tokens > 0);
+    const queued = hints.filter(({ tokens }) => tokens > 0);
     return {
       own: this.own.get(engine)?.prefillTokens ?? 0,
       peers: queued.reduce((sum, { tokens }) => sum + tokens, 0),
@@ -102,9 +102,9 @@
     };
   }
 
-  private freshWords(now: Millis): readonly PeerWord[] {
-    const lifeMs = Math.max(LEAST_WORD_LIFE_MS, wordPace(this.getHostCount()).silentMs);
-    return [...this.peers.values()].filter((word) => now - word.at <= lifeMs);
+  private freshReports(now: Millis): readonly PeerReport[] {
+    const lifeMs = Math.max(LEAST_HINT_LIFE_MS, gossipPace(this.getHostCount()).silentMs);
+    return [...this.peers.values()].filter((hint) => now - hint.at <= lifeMs);
   }
 }
 
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -50,13 +50,15 @@
 const FULL_ENGINE_MS: Millis = 250;
 
 /**
- * Part of an engine's memory that hosts fill. The rest covers what hosts that chose at the same
- * moment put there unseen; an engine that runs out preempts a running stream and reads it anew.
+ * Parts of an engine's memory that hosts fill, in fleets whose hosts hear of each other at once and in
+ * those where they hear from relays. The rest covers what hosts that chose at the same moment put there
+ * unseen; an engine that runs out preempts a running stream and reads it anew.
  */
-export const MEMORY_PART = 0.95;
+const MEMORY_PART = 0.95;
+const RELAYED_MEMORY_PART = 0.95;
 
 /**
- * Hosts from which on engines are drawn by lot before the best is taken. So many hosts choose on words
+ * Hosts from which on engines are drawn by lot before the best is taken. So many hosts choose on hints
  * that are up to a second old; all would choose the engine that looked emptiest, and fill it together.
  */
 const DRAW_FROM_HOSTS = 20;
@@ -220,7 +222,7 @@
   /**
    * Gets the time until an engine has read the prompts that are there.
    *
-   * It goes on reading while the words of peers are on their way: without their age, prompts that were
+   * It goes on reading while the hints of peers are on their way: without their age, prompts that were
    * read long since keep this host away from idle engines.
    */
   private queueMs(engine: UpstreamId, now: Millis): Millis {
@@ -240,7 +242,7 @@
         streams: use.streams,
         isReading: use.prefillTokens > 0,
       }))
-      .filter(({ fill }) => fill <= MEMORY_PART);
+      .filter(({ fill }) => fill <= memoryPart(this.use.getHostCount()));
   }
 
   /**
@@ -264,6 +266,16 @@
   }
 }
 
+/**
+ * Gets the part of an engine's memory that hosts fill.
+ *
+ * @param hosts - Hosts that place on the engine.
+ * @returns The part.
+ */
+export function memoryPart(hosts: number): number {
+  return hosts < DRAW_FROM_HOSTS ? MEMORY_PART : RELAYED_MEMORY_PART;
+}
+
 function apartChoice(prefill: PrefillOption, decode: DecodeOption): Choice {
   const zoneMs = prefill.cfg.zone === decode.cfg.zone ? 0 : OTHER_ZONE_MS;
   return {
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -55,7 +55,7 @@
 
 /**
  * Part of its patience for which the request that holds most lets others pass. The rest is left for it
- * to find room in, so that large requests are served less often in a rush, but not starved.
+ * to find room in, so that large requests are served less often under overload, but not starved.
  */
 const LET_PASS_PART = 0.8;
 
@@ -66,7 +66,7 @@
 const RETRY_AFTER_MS: Millis = 1_000;
 
 /** Milliseconds between two looks at the engines while requests wait: a tenth of a prefill. */
-export const QUEUE_LOOK_MS: Millis = 10;
+export const QUEUE_RECHECK_MS: Millis = 10;
 
 /**
  * Requests of one pool that wait on this host for engines.
--- a/packages/decisions/src/local/PeerCounts.ts
+++ b/packages/decisions/src/local/PeerCounts.ts
@@ -3,34 +3,34 @@
 /** Name under which the sum of all peers is kept where it comes as one. */
 const ALL_PEERS = '';
 
-interface PeerWord {
+interface PeerReport {
   readonly at: Millis;
-  /** Peers that this word is of. */
+  /** Peers that this hint is of. */
   readonly peers: number;
   readonly counts: ReadonlyMap<string, number>;
 }
 
-/** Knows what peers count by some name, for as long as their words are fresh. */
+/** Knows what peers count by some name, for as long as their hints are fresh. */
 export class PeerCounts {
-  private readonly words = new Map<HostId, PeerWord>();
+  private readonly hints = new Map<HostId, PeerReport>();
 
   private readonly lifeMs: Millis;
 
-  /** @param lifeMs - Milliseconds for which a word counts. */
+  /** @param lifeMs - Milliseconds for which a hint counts. */
   constructor(lifeMs: Millis) {
     this.lifeMs = lifeMs;
   }
 
   /** Takes in what a peer counts; it replaces what it said before. */
-  hear(peer: HostId, counts: ReadonlyMap<string, number>, now: Millis): void {
-    this.words.delete(ALL_PEERS);
-    this.words.set(peer, { at: now, peers: 1, counts });
+  receive(peer: HostId, counts: ReadonlyMap<string, number>, now: Millis): void {
+    this.hints.delete(ALL_PEERS);
+    this.hints.set(peer, { at: now, peers: 1, counts });
   }
 
   /** Takes in what so many peers count together; it replaces all that any of them said. */
-  hearSum(counts: ReadonlyMap<string, number>, peers: number, now: Millis): void {
-    this.words.clear();
-    this.words.set(ALL_PEERS, { at: now, peers, counts });
+  receiveSum(counts: ReadonlyMap<string, number>, peers: number, now: Millis): void {
+    this.hints.clear();
+    this.hints.set(ALL_PEERS, { at: now, peers, counts });
   }
 
   /** Gets what all peers count together that were heard lately. */
@@ -43,7 +43,7 @@
     return this.fresh(now).reduce((sum, { peers }) => sum + peers, 0);
   }
 
-  private fresh(now: Millis): readonly PeerWord[] {
-    return [...this.words.values()].filter(({ at }) => now - at <= this.lifeMs);
+  private fresh(now: Millis): readonly PeerReport[] {
+    return [...this.hints.values()].filter(({ at }) => now - at <= this.lifeMs);
   }
 }
--- a/packages/decisions/src/local/wordPace.ts
+++ b/packages/decisions/src/local/gossipPace.ts
@@ -1,20 +1,20 @@
 import type { Millis } from '@camphorvane/core';
 
 /** How often hosts tell each other what they have, and what follows from silence. */
-export interface WordPace {
-  /** Whether words go through a few relaying hosts, which pass on sums of them. */
+export interface GossipPace {
+  /** Whether hints go through a few relaying hosts, which pass on sums of them. */
   readonly isRelayed: boolean;
-  /** Longest time between two words of a host that takes callers, in milliseconds. */
+  /** Longest time between two hints of a host that takes callers, in milliseconds. */
   readonly periodMs: Millis;
-  /** Longest time between two words of a host that stands by, in milliseconds. */
+  /** Longest time between two hints of a host that stands by, in milliseconds. */
   readonly standbyPeriodMs: Millis;
-  /** Shortest time between two words where there is news, in milliseconds. */
+  /** Shortest time between two hints where there is news, in milliseconds. */
   readonly gapMs: Millis;
   /** Milliseconds between two digests of a relaying host for a host that takes callers. */
   readonly digestMs: Millis;
   /** Milliseconds between two digests of a relaying host for a host that stands by. */
   readonly standbyDigestMs: Millis;
-  /** Milliseconds without a word or a digest after which what it said does not count any more. */
+  /** Milliseconds without a hint or a digest after which what it said does not count any more. */
   readonly silentMs: Millis;
   /** Milliseconds between two writes of a host's record in the store. */
   readonly recordMs: Millis;
@@ -25,23 +25,23 @@
 }
 
 /**
- * Hosts up to which each speaks to all others. Words then reach everybody within 40 ms; with more
+ * Hosts up to which each speaks to all others. Hints then reach everybody within 40 ms; with more
  * hosts they grow with the square of the fleet, to 24,000 a second at 91 hosts.
  */
 const ALL_SPEAK_UP_TO = 9;
 
-/** Longest and shortest time between two words where all speak to all. */
+/** Longest and shortest time between two hints where all speak to all. */
 const SMALL_PERIOD_MS: Millis = 200;
 const SMALL_GAP_MS: Millis = 40;
 
 /**
- * Words in a second that a relaying host takes in where there is no news. Each costs it about
+ * Hints in a second that a relaying host takes in where there is no news. Each costs it about
  * 40 microseconds, so this is half a hundredth of a core.
  */
-const WORDS_PER_SECOND = 120;
+const HINTS_PER_SECOND = 120;
 
 /**
- * Shortest time between two words where there is news. Hosts of a large fleet place a request every
+ * Shortest time between two hints where there is news. Hosts of a large fleet place a request every
  * few seconds each, so a short gap costs little, and the engines' use is known before the next one.
  */
 const RELAYED_GAP_MS: Millis = 60;
@@ -69,14 +69,14 @@
 /** With periods above this, hosts would learn of a dead one later than callers do. */
 const LONGEST_PERIOD_MS: Millis = 3_000;
 
-/** Periods without a word that make a host silent: two lost words are no sign of death. */
+/** Periods without a hint that make a host silent: two lost hints are no sign of death. */
 const SILENT_PERIODS = 3;
 
-/** What a word may be late by, beyond its periods. */
+/** What a hint may be late by, beyond its periods. */
 const SILENT_MARGIN_MS: Millis = 200;
 
 /**
- * Records that all hosts together write in a second. Who is there is told by words; the records say who
+ * Records that all hosts together write in a second. Who is there is told by hints; the records say who
  * shares the rates, which changes seldom.
  */
 const RECORDS_PER_SECOND = 1.5;
@@ -104,7 +104,7 @@
  * @param hosts - Hosts of the fleet.
  * @returns The pace.
  */
-export function wordPace(hosts: number): WordPace {
+export function gossipPace(hosts: number): GossipPace {
   const isRelayed = hosts > ALL_SPEAK_UP_TO;
   const gapMs = isRelayed ? RELAYED_GAP_MS : SMALL_GAP_MS;
   const servingHosts = hosts * SERVING_PART;
@@ -119,7 +119,7 @@
     LONGEST_RECORD_READ_MS,
   );
   const pollMs = within(LEAST_POLL_MS, everyMs(hosts, POLLS_PER_SECOND), LONGEST_POLL_MS);
-  const silentMs = lifeOfWord(isRelayed ? Math.max(periodMs, standbyDigestMs) : periodMs);
+  const silentMs = hintLifetime(isRelayed ? Math.max(periodMs, standbyDigestMs) : periodMs);
   return {
     ...{ isRelayed, periodMs, standbyPeriodMs, gapMs, digestMs, standbyDigestMs },
     ...{ silentMs, recordMs, recordReadMs, pollMs },
@@ -127,17 +127,17 @@
 }
 
 /**
- * Gets how long a word counts.
+ * Gets how long a hint counts.
  *
  * @param nextMs - Milliseconds within which the next one was to come.
  * @returns Milliseconds.
  */
-export function lifeOfWord(nextMs: Millis): Millis {
+export function hintLifetime(nextMs: Millis): Millis {
   return nextMs * SILENT_PERIODS + SILENT_MARGIN_MS;
 }
 
 function relayedPeriodMs(hosts: number): Millis {
-  return within(LEAST_PERIOD_MS, everyMs(hosts, WORDS_PER_SECOND), LONGEST_PERIOD_MS);
+  return within(LEAST_PERIOD_MS, everyMs(hosts, HINTS_PER_SECOND), LONGEST_PERIOD_MS);
 }
 
 function within(least: Millis, ms: Millis, most: Millis): Millis {
--- a/packages/decisions/src/rates/CountedRates.ts
+++ b/packages/decisions/src/rates/CountedRates.ts
@@ -1,5 +1,7 @@
 import type { HostId, Incarnation, Millis, TeamId, TeamRate, Tokens } from '@camphorvane/core';
-import { wordPace } from '../local/wordPace.ts';
+import { gossipPace } from '../local/gossipPace.ts';
+import { UNKNOWN_PEER } from './ratePeers.ts';
+import type { CrowdReport, RatePeer } from './ratePeers.ts';
 
 /** How far all hosts together may go beyond a team's rate without breaking it. */
 export interface RateTolerance {
@@ -32,39 +34,6 @@
   readonly level: number;
 }
 
-/** A word that stands for several peers: what a relaying host has heard. */
-export interface CrowdWord {
-  /** The relaying host. */
-  readonly relay: HostId;
-  readonly incarnation: Incarnation;
-  /** Peers whose charges are in the totals. */
-  readonly heard: number;
-  /** Tokens by team that these peers have charged since the relay first heard of each. */
-  readonly totals: ReadonlyMap<TeamId, Tokens>;
-}
-
-interface Peer {
-  /** Hosts that it stands for. */
-  readonly hosts: number;
-  readonly incarnation: Incarnation | undefined;
-  /** When it last said something; undefined for one that never did. */
-  readonly heardAt: Millis | undefined;
-  readonly totals: ReadonlyMap<TeamId, Tokens>;
-  /** Tokens a millisecond that it charges to each team of late. */
-  readonly paces: ReadonlyMap<TeamId, number>;
-  /** Taken out of the buckets since its last word, for what it has charged meanwhile. */
-  readonly assumed: ReadonlyMap<TeamId, Tokens>;
-}
-
-const UNKNOWN_PEER: Peer = {
-  hosts: 1,
-  incarnation: undefined,
-  heardAt: undefined,
-  totals: new Map(),
-  paces: new Map(),
-  assumed: new Map(),
-};
-
 /** Names under which peers are kept that a relaying host has heard, and those that it has not. */
 const HEARD_CROWD = 'heard by a relay';
 const SILENT_CROWD = 'not heard by a relay';
@@ -74,7 +43,7 @@
  *
  * Each host keeps one bucket for the whole rate of a team, takes out what it charges itself, and what
  * its peers say that they have charged. So a team may send all its requests to one host. Between two
- * words a peer is taken to go on at its pace, and its next word sets that right; what it charges
+ * hints a peer is taken to go on at its pace, and its next hint sets that right; what it charges
  * beyond is covered by the tolerance, and is made up afterwards, since the level goes below zero.
  *
  * A peer that is silent may be dead, or cut off and serving callers all the same; nobody can tell
@@ -94,7 +63,7 @@
   private readonly returnsUntil = new Map<TeamId, Millis>();
 
   /** All other hosts that may be serving callers, one by one or as two crowds. */
-  private readonly peers = new Map<HostId, Peer>();
+  private readonly peers = new Map<HostId, RatePeer>();
 
   private sharers: readonly HostId[] = [];
 
@@ -130,7 +99,7 @@
   }
 
   /** Takes in what a relaying host has heard of all peers; it replaces what they said themselves. */
-  hearCrowd({ relay, incarnation, heard, totals }: CrowdWord, now: Millis): void {
+  receiveDigest({ relay, incarnation, heard, totals }: CrowdReport, now: Millis): void {
     this.settle(now);
     const known = this.peers.get(HEARD_CROWD);
     const source = `${relay} ${incarnation}`;
@@ -143,7 +112,7 @@
       spoke !== undefined && isContinuous ? this.measure(spoke, totals, now) : lastPaces;
     const hosts = Math.min(heard, this.sharers.length);
     const assumed = new Map<TeamId, Tokens>();
-    this.setCrowds({ hosts, incarnation: source, heardAt: now, totals, paces, assumed });
+    this.setCrowds({ hosts, incarnation: source, receivedAt: now, totals, paces, assumed });
   }
 
   /**
@@ -154,7 +123,7 @@
    * @param totals - Tokens by team; teams that it does not name are as before.
    * @param now - Present time.
    */
-  hear(
+  receive(
     host: HostId,
     incarnation: Incarnation,
     totals: ReadonlyMap<TeamId, Tokens>,
@@ -171,7 +140,14 @@
     if (isContinuous) this.correct(known, merged);
     const paces = isContinuous ? this.measure(known, merged, now) : this.firstPaces(1);
     const assumed = new Map<TeamId, Tokens>();
-    this.peers.set(host, { hosts: 1, incarnation, heardAt: now, totals: merged, paces, assumed });
+    this.peers.set(host, {
+      hosts: 1,
+      incarnation,
+      receivedAt: now,
+      totals: merged,
+      paces,
+      assumed,
+    });
   }
 
   /**
@@ -261,14 +237,14 @@
   }
 
   /** Keeps peers as those that the relay hears and the rest, of whom nothing is known. */
-  private setCrowds(heard: Peer): void {
+  private setCrowds(heard: RatePeer): void {
     const hosts = Math.min(heard.hosts, this.sharers.length);
     this.peers.clear();
     this.peers.set(HEARD_CROWD, { ...heard, hosts });
     this.peers.set(SILENT_CROWD, { ...UNKNOWN_PEER, hosts: this.sharers.length - hosts });
   }
 
-  private assume(host: HostId, peer: Peer, passedMs: Millis, now: Millis): void {
+  private assume(host: HostId, peer: RatePeer, passedMs: Millis, now: Millis): void {
     const paces = this.isSilent(peer, now) ? this.firstPaces(peer.hosts) : peer.paces;
     const taken = [...paces].map(([team, pace]) => [team, pace * passedMs] as const);
     taken.forEach(([team, tokens]) => this.takeOut(team, tokens));
@@ -279,7 +255,7 @@
   }
 
   /** Sets what was assumed of a peer right, by what it says. */
-  private correct(known: Peer, totals: ReadonlyMap<TeamId, Tokens>): void {
+  private correct(known: RatePeer, totals: ReadonlyMap<TeamId, Tokens>): void {
     this.buckets.forEach((_, team) => {
       const charged = (totals.get(team) ?? 0) - (known.totals.get(team) ?? 0);
       this.takeOut(team, charged - (known.assumed.get(team) ?? 0));
@@ -300,11 +276,11 @@
   }
 
   private measure(
-    known: Peer,
+    known: RatePeer,
     totals: ReadonlyMap<TeamId, Tokens>,
     now: Millis,
   ): ReadonlyMap<TeamId, number> {
-    const passedMs = Math.max(1, now - (known.heardAt ?? now));
+    const passedMs = Math.max(1, now - (known.receivedAt ?? now));
     const weight = 1 - Math.exp(-passedMs / PACE_MS);
     const teams = [...this.buckets.keys()];
     return new Map(
@@ -327,10 +303,10 @@
       .reduce((sum, peer) => sum + peer.hosts, 0);
   }
 
-  /** Until a peer is silent it is taken to go on as before; two lost words are no death. */
-  private isSilent({ heardAt }: Peer, now: Millis): boolean {
-    const { silentMs } = wordPace(this.hostCount());
-    return heardAt === undefined || now - heardAt > silentMs;
+  /** Until a peer is silent it is taken to go on as before; two lost hints are no death. */
+  private isSilent({ receivedAt }: RatePeer, now: Millis): boolean {
+    const { silentMs } = gossipPace(this.hostCount());
+    return receivedAt === undefined || now - receivedAt > silentMs;
   }
 
   private hostCount(): number {
--- a/packages/decisions/src/shift/DemandBook.ts
+++ b/packages/decisions/src/shift/DemandBook.ts
@@ -35,7 +35,7 @@
       memorySteps: memorySteps(item),
     });
     this.own.set(model, total);
-    this.historyOf(model).hear(OWN, OWN, total, now);
+    this.historyOf(model).receive(OWN, OWN, total, now);
     const patience = item.onTimeMs ?? item.maxWaitMs;
     const mean = this.onTimeMs.get(model) ?? patience;
     this.onTimeMs.set(model, mean + (patience - mean) * PATIENCE_WEIGHT);
@@ -49,7 +49,7 @@
    * @param totals - All that was asked since then, by pool.
    * @param now - Present time.
    */
-  hear(
+  receive(
     source: string,
     incarnation: Incarnation,
     totals: readonly (PoolDemand & { readonly model: ModelId })[],
@@ -58,7 +58,7 @@
     totals.forEach(({ model, ...total }) => {
       const history = this.historyOf(model);
       if (this.heard.has(source)) history.expect(source, incarnation);
-      history.hear(source, incarnation, total, now);
+      history.receive(source, incarnation, total, now);
     });
     this.heard.add(source);
   }
@@ -71,7 +71,7 @@
    *   time, so its first count can't be compared with the last one of the relay before.
    * @param now - Present time.
    */
-  hearRelay(
+  receiveRelayed(
     relay: string,
     totals: readonly (PoolDemand & { readonly model: ModelId })[],
     now: Millis,
@@ -81,7 +81,7 @@
       this.histories.forEach((history) => history.forget(RELAYED));
     }
     this.relay = relay;
-    this.hear(RELAYED, relay, totals, now);
+    this.receive(RELAYED, relay, totals, now);
   }
 
   /** Gets what was asked of this host since its start, to be told to its peers. */
--- a/packages/decisions/src/shift/DemandHistory.ts
+++ b/packages/decisions/src/shift/DemandHistory.ts
@@ -52,7 +52,7 @@
    * @param total - All that was asked since that start.
    * @param now - Present time.
    */
-  hear(source: string, incarnation: Incarnation, total: PoolDemand, now: Millis): void {
+  receive(source: string, incarnation: Incarnation, total: PoolDemand, now: Millis): void {
     const known = this.sources.get(source);
     this.sources.set(source, { incarnation, total });
     // What was asked before this source was first heard of came at times that nobody knows.
--- a/packages/decisions/src/shift/EngineMoves.ts
+++ b/packages/decisions/src/shift/EngineMoves.ts
@@ -46,7 +46,7 @@
   }
 
   /** Takes in what a peer says of the engines that it has ordered. */
-  hear(heard: readonly EngineMove[], now: Millis): void {
+  receive(heard: readonly EngineMove[], now: Millis): void {
     heard.forEach(({ engine, role, leftMs }) => {
       const known = this.moves.get(engine);
       if (known?.isOwn === true) return;
--- a/packages/decisions/tests/local/LocalPlacement.test.ts
+++ b/packages/decisions/tests/local/LocalPlacement.test.ts
@@ -32,14 +32,22 @@
 test('prefill goes where the prompt is read first, as peers count too', () => {
   const { placement, book } = setUp(POOL);
   book.change('p1', { prefillTokens: 5_000 });
-  book.hear('peer', new Map([['p2', { prefillTokens: 20_000, streams: 0, memoryTokens: 0 }]]), 0);
+  book.receive(
+    'peer',
+    new Map([['p2', { prefillTokens: 20_000, streams: 0, memoryTokens: 0 }]]),
+    0,
+  );
   assert.equal(placement.choose(WISH, 0)?.prefill, 'p1');
 });
 
-// A peer dies with work on an engine. Its last word must not keep that engine shut for ever.
+// A peer dies with work on an engine. Its last hint must not keep that engine shut for ever.
 test('what a silent peer said is forgotten', () => {
   const { placement, book } = setUp([engine('d1', 'decode')]);
-  book.hear('peer', new Map([['d1', { prefillTokens: 0, streams: 9, memoryTokens: 80_000 }]]), 0);
+  book.receive(
+    'peer',
+    new Map([['d1', { prefillTokens: 0, streams: 9, memoryTokens: 80_000 }]]),
+    0,
+  );
   assert.equal(placement.choose(WISH, 1_000), undefined);
   assert.equal(placement.choose(WISH, 2_000)?.decode, 'd1');
 });
@@ -91,14 +99,14 @@
   assert.equal(placement.choose(WISH, 0), undefined);
 });
 
-// Ninety hosts choose at the same moment, on words that are a second old. If all took the engine that
+// Ninety hosts choose at the same moment, on hints that are a second old. If all took the engine that
 // looked emptiest, it would be filled several times over, and refuse prompts that were read in vain.
 test('hosts of a large fleet do not all choose the same engine', () => {
   const engines = Array.from({ length: 20 }, (_, i) => engine(`d${i}`, 'decode'));
   const chosen = Array.from({ length: 90 }, (_, seed) => {
     const knowledge = new EngineKnowledge();
     const { use: book } = knowledge;
-    Array.from({ length: 89 }, (__, i) => book.hear(`h${i}`, new Map(), 0));
+    Array.from({ length: 89 }, (__, i) => book.receive(`h${i}`, new Map(), 0));
     book.change('d0', { memoryTokens: 100 });
     const placement = new LocalPlacement(knowledge, new RandomSource(seed));
     placement.reshape(engines);
@@ -165,12 +173,12 @@
   assert.equal(health.readMs('p2', 3_000, ['p1', 'p2']), 100);
 });
 
-// Guards against idle engines that get no prompt since an old word of a peer still counts in full.
+// Guards against idle engines that get no prompt since an old hint of a peer still counts in full.
 test('a prompt that a peer sent a while ago is taken for read', () => {
   const { placement, book, health } = setUp(POOL);
   ['p1', 'p2'].forEach((id) => health.prefillTook(id, 5_000, 100));
   const queued = { prefillTokens: 10_000, streams: 0, memoryTokens: 0 };
-  book.hear('peer', new Map([['p1', queued]]), 0);
+  book.receive('peer', new Map([['p1', queued]]), 0);
   book.change('p2', { prefillTokens: 5_000 });
   assert.equal(placement.choose(WISH, 50)?.prefill, 'p2');
   assert.equal(placement.choose(WISH, 180)?.prefill, 'p1');
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -133,8 +133,8 @@
       hosts.forEach((to) =>
         hosts.forEach((from, j) => {
           if (to === from) return;
-          to.book.hear(`h${j}`, new Map(from.book.getOwn()), now);
-          to.waiting.hear(`h${j}`, new Map([['m', from.queue.countOnTime(now)]]), now);
+          to.book.receive(`h${j}`, new Map(from.book.getOwn()), now);
+          to.waiting.receive(`h${j}`, new Map([['m', from.queue.countOnTime(now)]]), now);
         }),
       );
     }
--- a/packages/decisions/tests/rates/CountedRates.test.ts
+++ b/packages/decisions/tests/rates/CountedRates.test.ts
@@ -38,7 +38,7 @@
     if (now % options.wordMs === 0) {
       rates.forEach((one, i) =>
         rates.forEach((other, j) => {
-          if (i !== j) one.hear(names[j] ?? '', 's', new Map(other.getTotals()), now);
+          if (i !== j) one.receive(names[j] ?? '', 's', new Map(other.getTotals()), now);
         }),
       );
     }
@@ -121,7 +121,7 @@
   rates.reshape(new Map([[TEAM, RATE]]), 0);
   let refused = 0;
   Array.from({ length: 2_000 }, (_, step) => step * STEP_MS).forEach((now) => {
-    hosts.slice(1, 5).forEach((host) => rates.hear(host, 's', new Map(), now));
+    hosts.slice(1, 5).forEach((host) => rates.receive(host, 's', new Map(), now));
     if (now % 100 === 0 && rates.charge(TEAM, 830, now).type === 'over_rate') refused += 1;
   });
   assert.equal(refused, 0);
@@ -133,10 +133,10 @@
   const rates = new CountedRates(TOLERANCE);
   rates.setSharers(['p'], 0);
   rates.reshape(new Map([[TEAM, RATE]]), 0);
-  rates.hear('p', 'first', new Map([[TEAM, 5_000]]), 0);
-  rates.hear('p', 'first', new Map([[TEAM, 9_000]]), 100);
+  rates.receive('p', 'first', new Map([[TEAM, 5_000]]), 0);
+  rates.receive('p', 'first', new Map([[TEAM, 9_000]]), 100);
   const before = rates.inspect(TEAM, 100).level;
-  rates.hear('p', 'second', new Map([[TEAM, 0]]), 100);
+  rates.receive('p', 'second', new Map([[TEAM, 0]]), 100);
   assert.equal(rates.inspect(TEAM, 100).level, before);
 });
 
--- a/packages/decisions/tests/shift/EngineMoves.test.ts
+++ b/packages/decisions/tests/shift/EngineMoves.test.ts
@@ -28,24 +28,24 @@
   const own = new EngineMoves();
   const peer = new EngineMoves();
   own.begin('e', 'decode', 20_000);
-  peer.hear(own.getOwn(1_000), 1_000);
+  peer.receive(own.getOwn(1_000), 1_000);
   assert.equal(peer.roleOf('e', 1_000), 'decode');
   own.takeBack('e', 1_100);
-  peer.hear(own.getOwn(1_100), 1_100);
+  peer.receive(own.getOwn(1_100), 1_100);
   assert.equal(peer.roleOf('e', 1_100), undefined);
 });
 
 // A peer that has not yet seen the list change goes on telling of a change that is complete here.
 test('old news of a complete change does no harm once the list shows it', () => {
   const moves = new EngineMoves();
-  moves.hear([{ engine: 'e', role: 'decode', leftMs: 9_000 }], 0);
+  moves.receive([{ engine: 'e', role: 'decode', leftMs: 9_000 }], 0);
   moves.settle(listed('decode'), 100);
   assert.equal(moves.roleOf('e', 100), undefined);
 });
 
 test('only the host that ordered a change tells of it', () => {
   const peer = new EngineMoves();
-  peer.hear([{ engine: 'e', role: 'decode', leftMs: 9_000 }], 0);
+  peer.receive([{ engine: 'e', role: 'decode', leftMs: 9_000 }], 0);
   assert.deepEqual(peer.getOwn(0), []);
 });
 
--- a/packages/group/src/membership/proposal.ts
+++ b/packages/group/src/membership/proposal.ts
@@ -225,7 +225,7 @@
   };
 }
 
-/** Gets the time between failed reads: it doubles, so that an outage's end meets no rush. */
+/** Gets the time between failed reads: it doubles, so that an outage's end meets no burst. */
 export function backoff(state: MemberState, settings: MembershipSettings): Millis {
   const factor = Math.min(MAX_BACKOFF, 2 ** state.failedReads);
   return settings.urgentReadMs * factor * (1 + settings.jitter / 2);
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -23,9 +23,9 @@
 const START = Buffer.from(`["${TAG}",`);
 
 /**
- * What a relaying host tells one other host of all the rest, in place of a word from each of them.
+ * What a relaying host tells one other host of all the rest, in place of a hint from each of them.
  *
- * With every host speaking to every other, words grow with the square of the fleet. A digest holds
+ * With every host speaking to every other, hints grow with the square of the fleet. A digest holds
  * sums, so its size depends on engines and teams and not on hosts.
  */
 export interface HostDigest {
@@ -34,7 +34,7 @@
   readonly incarnation: Incarnation;
   /** Grows with each digest of one start. */
   readonly sequence: number;
-  /** Hosts whose words are in the sums, the receiver left out. */
+  /** Hosts whose hints are in the sums, the receiver left out. */
   readonly heard: number;
   /** What these hosts have on each engine. */
   readonly engines: readonly EngineHint[];
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -92,7 +92,7 @@
   return Array.isArray(value) && value.every((name) => typeof name === 'string');
 }
 
-/** Gets the fields of a datagram; bytes that are no JSON list are nobody's word. */
+/** Gets the fields of a datagram; bytes that are no JSON list are no hint. */
 export function parseDatagram(bytes: Uint8Array): readonly unknown[] | undefined {
   try {
     const parsed = JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown;
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -93,9 +93,9 @@
   }
 
   /** Takes in the versions that a peer knows. */
-  hearOf(versions: { readonly config: ObjectVersion; readonly servers: ObjectVersion }): void {
-    this.configs.hearOf(versions.config);
-    this.servers.hearOf(versions.servers);
+  noteNewer(versions: { readonly config: ObjectVersion; readonly servers: ObjectVersion }): void {
+    this.configs.noteNewer(versions.config);
+    this.servers.noteNewer(versions.servers);
   }
 
   /** {@inheritDoc ConfigFeed.current} */
--- a/packages/router/src/agreement/RelayBoard.ts
+++ b/packages/router/src/agreement/DigestBuilder.ts
@@ -9,7 +9,7 @@
   UpstreamId,
 } from '@camphorvane/core';
 import type { PoolDemand } from '@camphorvane/decisions';
-import { lifeOfWord, NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
+import { hintLifetime, NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
 import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
 
 /**
@@ -18,13 +18,13 @@
  */
 const MAX_ENGINES = 1_200;
 
-interface HeardWord {
+interface ReceivedHint {
   readonly hint: HostHint;
   readonly at: Millis;
 }
 
 /** What all hosts that were heard of lately have said, added up. */
-export interface WordSums {
+export interface HintSums {
   readonly engines: ReadonlyMap<UpstreamId, EngineHint>;
   readonly calls: ReadonlyMap<ServiceId, number>;
   /** How many hosts found an engine down. */
@@ -42,12 +42,12 @@
 export type DigestHead = Pick<HostDigest, 'host' | 'incarnation' | 'sequence' | 'silent'>;
 
 /**
- * Gathers the words of many hosts, and sums them up for each one of them.
+ * Gathers the hints of many hosts, and sums them up for each one of them.
  *
  * A host is left out of the sums that are made for it: it knows better what it has itself.
  */
-export class RelayBoard {
-  private readonly words = new Map<HostId, HeardWord>();
+export class DigestBuilder {
+  private readonly hints = new Map<HostId, ReceivedHint>();
 
   /** What all hosts have charged since they were first heard of here. */
   private readonly charged = new Map<TeamId, Tokens>();
@@ -58,10 +58,10 @@
   /** What was asked of each host since it was first heard of here. */
   private readonly askedOf = new Map<HostId, ReadonlyMap<ModelId, PoolDemand>>();
 
-  /** Takes in the word of a host, this one included. */
-  hear(hint: HostHint, now: Millis): void {
-    const before = this.words.get(hint.host)?.hint;
-    this.words.set(hint.host, { hint, at: now });
+  /** Takes in the hint of a host, this one included. */
+  receive(hint: HostHint, now: Millis): void {
+    const before = this.hints.get(hint.host)?.hint;
+    this.hints.set(hint.host, { hint, at: now });
     // What a host charged before it was first heard of here is part of nobody's sum.
     if (before === undefined) return;
     this.addCharges(hint, before);
@@ -70,26 +70,26 @@
 
   /** Forgets hosts whose next hints have not come. */
   forget(now: Millis): void {
-    [...this.words]
-      .filter(([, { at, hint }]) => now - at > lifeOfWord(hint.nextMs))
-      .forEach(([host]) => this.words.delete(host));
+    [...this.hints]
+      .filter(([, { at, hint }]) => now - at > hintLifetime(hint.nextMs))
+      .forEach(([host]) => this.hints.delete(host));
   }
 
   /** Gets the hosts that were heard of lately. */
   getHeard(): readonly HostId[] {
-    return [...this.words.keys()];
+    return [...this.hints.keys()];
   }
 
   /** Gets the hosts that were heard of lately and want digests, and how often. */
   getAsking(): readonly Pick<HostHint, 'host' | 'digests'>[] {
-    return [...this.words.values()]
+    return [...this.hints.values()]
       .map(({ hint }) => hint)
       .filter((hint) => hint.digests !== 'none');
   }
 
   /** Sums up what all hosts have said, once for all digests that are made of it. */
-  sumUp(): WordSums {
-    const hints = [...this.words.values()].map(({ hint }) => hint);
+  sumUp(): HintSums {
+    const hints = [...this.hints.values()].map(({ hint }) => hint);
     const demands = [...this.askedOf.values()].flatMap((asked) => [...asked]);
     return {
       engines: sumEngines(hints),
@@ -118,11 +118,11 @@
    * @param head - Who tells it.
    * @returns The digest.
    */
-  digestFor(receiver: HostId, sums: WordSums, head: DigestHead): HostDigest {
-    const own = this.words.get(receiver)?.hint;
+  digestFor(receiver: HostId, sums: HintSums, head: DigestHead): HostDigest {
+    const own = this.hints.get(receiver)?.hint;
     return {
       ...head,
-      heard: this.words.size - (own === undefined ? 0 : 1),
+      heard: this.hints.size - (own === undefined ? 0 : 1),
       engines: enginesWithout(sums.engines, own),
       charged: this.chargedWithout(receiver),
       demand: this.demandWithout(receiver, sums),
@@ -166,9 +166,9 @@
     this.askedOf.set(hint.host, own);
   }
 
-  private demandWithout(receiver: HostId, { demand, waiting }: WordSums): readonly DemandHint[] {
+  private demandWithout(receiver: HostId, { demand, waiting }: HintSums): readonly DemandHint[] {
     const asked = this.askedOf.get(receiver);
-    const others = countsWithout(waiting, this.words.get(receiver)?.hint.demand.map(waitingOf));
+    const others = countsWithout(waiting, this.hints.get(receiver)?.hint.demand.map(waitingOf));
     return [...demand].map(([model, sum]) => ({
       ...{ model, ...subtractDemand(sum, asked?.get(model) ?? NO_DEMAND) },
       onTimeWaiting: others.get(model) ?? 0,
--- a/packages/router/src/agreement/GroupAgreement.ts
+++ b/packages/router/src/agreement/GroupAgreement.ts
@@ -19,7 +19,7 @@
 import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
 import { PlacementClient } from '../placing/PlacementClient.ts';
 import { StewardDesk } from '../placing/StewardDesk.ts';
-import { CrashDesk } from '../serving/CrashDesk.ts';
+import { CrashGuard } from '../serving/CrashGuard.ts';
 import { teamRepeats } from '../serving/teamRepeats.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
 import { OutageRates } from './OutageRates.ts';
@@ -54,7 +54,7 @@
 
   readonly placer: PlacementClient;
 
-  readonly crashes: CrashDesk;
+  readonly crashes: CrashGuard;
 
   readonly claims: IdempotencyClaims;
 
@@ -130,11 +130,11 @@
       clock,
       self: identity.host,
       shares: this.shares,
-      members: () => group.members().map((mate) => mate.host),
+      members: () => group.members().map((member) => member.host),
       mayAct: () => group.mayAct(),
     });
     this.repeats = teamRepeats(new RetryBudget());
-    this.crashes = new CrashDesk({ self: identity.host, clock, group, link });
+    this.crashes = new CrashGuard({ self: identity.host, clock, group, link });
     this.desk = new StewardDesk({ clock, random, group, directory, incarnation });
     this.fallback = new FallbackPlacer({
       clock,
--- a/packages/router/src/agreement/HostAgreement.ts
+++ b/packages/router/src/agreement/HostAgreement.ts
@@ -12,7 +12,7 @@
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Placer } from '../placing/Placer.ts';
 import type { CallShares } from '../serving/CallShares.ts';
-import type { CrashDesk } from '../serving/CrashDesk.ts';
+import type { CrashGuard } from '../serving/CrashGuard.ts';
 
 /** A configuration that changes while the host runs. */
 export interface ConfigFeed extends ConfigSource {
@@ -39,7 +39,7 @@
  * What hosts agree on, and how: who is there, which configuration holds, who may use what.
  *
  * Serving does not know which way it is. A group of hosts with coordinators is one way; hosts that
- * share nothing but the store and a word of their load is the other.
+ * share nothing but the store and hints of their load is the other.
  */
 export interface HostAgreement {
   readonly config: ConfigFeed;
@@ -47,7 +47,7 @@
   readonly rates: TeamGate;
   readonly repeats: RepeatGate;
   readonly placer: ChangingPlacer;
-  readonly crashes: CrashDesk;
+  readonly crashes: CrashGuard;
   /** Absent where calls that must not repeat are not claimed in the store. */
   readonly claims: IdempotencyClaims | undefined;
   /** Whether requests end when the key that they came with is withdrawn. */
--- a/packages/router/src/agreement/HostRecords.ts
+++ b/packages/router/src/agreement/HostRecords.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Incarnation } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
-import type { WordPace } from '@camphorvane/decisions';
-import { wordPace } from '@camphorvane/decisions';
+import type { GossipPace } from '@camphorvane/decisions';
+import { gossipPace } from '@camphorvane/decisions';
 import type { StoredObject, WatchableStore } from '@camphorvane/store';
 import { OwnRecord } from '@camphorvane/store';
 import { stateLog } from '../observe/StateLog.ts';
@@ -90,7 +90,7 @@
     onSharers(sharers);
   }
 
-  private pace(): WordPace {
-    return wordPace(this.options.roster.countSharers());
+  private pace(): GossipPace {
+    return gossipPace(this.options.roster.countSharers());
   }
 }
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -1,7 +1,7 @@
 import type { HostId, Millis, ZoneId } from '@camphorvane/core';
-import { isServing, lifeOfWord, wordPace } from '@camphorvane/decisions';
+import { isServing, hintLifetime, gossipPace } from '@camphorvane/decisions';
 import type { HostHint } from '@camphorvane/peer/hints';
-import type { GroupMate } from '../host/ports.ts';
+import type { FleetMember } from '../host/ports.ts';
 import type { HostRecord } from './hostRecord.ts';
 
 /** Milliseconds for which a hint counts at least. */
@@ -19,19 +19,19 @@
 const LONGEST_ROUND_MS: Millis = 5_000;
 
 /**
- * Hosts that relay words in a large fleet at least, and watch the store for the others. With three, two
- * may die or be cut off at once and words still pass.
+ * Hosts that relay hints in a large fleet at least, and watch the store for the others. With three, two
+ * may die or be cut off at once and hints still pass.
  */
 const LEAST_RELAYS = 3;
 
-/** Where a host's words go in a large fleet. */
-export interface WordAddresses {
+/** Where a host's hints go in a large fleet. */
+export interface HintAddresses {
   /**
    * Hosts that are asked for digests: the relay of the same zone, since bytes between zones cost more,
    * and one host that nobody has heard.
    */
   readonly asked: readonly string[];
-  /** Hosts that are only told. */
+  /** Hosts that only get hints. */
   readonly others: readonly string[];
 }
 
@@ -46,17 +46,17 @@
 }
 
 /** What a host says of itself. */
-export type HostWord = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
+export type HintHead = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
 
 /** What a host said of itself, and until when that counts. */
-interface HeardWord {
+interface ReceivedHint {
   readonly leaving: boolean;
   readonly serving: boolean;
   readonly until: Millis;
 }
 
 /** What a relaying host said last of the others, and until when that counts. */
-interface RelayWord {
+interface ReceivedDigest {
   readonly silent: ReadonlySet<HostId>;
   readonly leaving: ReadonlySet<HostId>;
   readonly serving: ReadonlySet<HostId>;
@@ -90,16 +90,16 @@
   /** Names of all other hosts with a record, in order. */
   private others: readonly HostId[] = [];
 
-  private readonly words = new Map<HostId, HeardWord>();
+  private readonly hints = new Map<HostId, ReceivedHint>();
 
   /** Until when other signs of life count. */
   private readonly seenUntil = new Map<HostId, Millis>();
 
-  private relayWord: RelayWord | undefined;
+  private digest: ReceivedDigest | undefined;
 
   private lastRoundAt: Millis | undefined;
 
-  /** Place, among the hosts that were not heard of, of the one that was told last. */
+  /** Place, among the hosts that were not heard of, of the one that got a hint last. */
   private explored = -1;
 
   /**
@@ -138,15 +138,15 @@
   }
 
   /** Takes in what a host says of itself. */
-  hear({ host, leaving, serving, nextMs }: HostWord, now: Millis): void {
-    const until = now + Math.max(LEAST_LIFE_MS, lifeOfWord(nextMs));
-    this.words.set(host, { leaving, serving, until });
+  receive({ host, leaving, serving, nextMs }: HintHead, now: Millis): void {
+    const until = now + Math.max(LEAST_LIFE_MS, hintLifetime(nextMs));
+    this.hints.set(host, { leaving, serving, until });
   }
 
   /** Takes in which hosts a relaying host has heard; those that it doesn't name are well. */
-  hearAll({ host, silent, leaving, serving }: HeardHosts, now: Millis): void {
+  receiveDigest({ host, silent, leaving, serving }: HeardHosts, now: Millis): void {
     this.sawAlive(host, now);
-    this.relayWord = {
+    this.digest = {
       silent: new Set(silent),
       leaving: new Set(leaving),
       serving: new Set(serving),
@@ -176,7 +176,7 @@
       .map(({ record, version }) => ({ host: record.host, version }));
   }
 
-  /** Gets the addresses of all other hosts, to be told hints. */
+  /** Gets the addresses of all other hosts. */
   getPeerAddresses(): readonly string[] {
     return [...this.records.values()]
       .filter(({ record }) => record.host !== this.self)
@@ -195,7 +195,7 @@
 
   /** Tells whether a relaying host tells this one what others say. */
   isToldByRelay(now: Millis): boolean {
-    return this.relayWord !== undefined && this.relayWord.until >= now;
+    return this.digest !== undefined && this.digest.until >= now;
   }
 
   /** Tells whether this host takes callers; see {@link isServing}. */
@@ -210,19 +210,19 @@
   }
 
   /**
-   * Gets where this host's words go in a large fleet: to the hosts that relay them, and to one host
+   * Gets where this host's hints go in a large fleet: to the hosts that relay them, and to one host
    * that nobody has heard, another one each time.
    *
    * Hosts that lost each other for a while choose relays among those they still hear, and two halves
-   * would stay apart for good. A word to the strongest of the unheard, then to the next, joins them
+   * would stay apart for good. A hint to the strongest of the unheard, then to the next, joins them
    * again; it also finds a living relay after all known ones have died at once.
    */
-  getWordAddresses(now: Millis): WordAddresses {
+  getHintAddresses(now: Millis): HintAddresses {
     const relays = this.getRelays(now).filter((record) => record.host !== this.self);
     const home = this.homeAmong(this.getRelays(now));
-    const told = new Set(relays.map((record) => record.host));
+    const relaying = new Set(relays.map((record) => record.host));
     const unheard = this.ranked.filter(
-      ({ host }) => host !== this.self && !told.has(host) && !this.isHeard(host, now),
+      ({ host }) => host !== this.self && !relaying.has(host) && !this.isHeard(host, now),
     );
     this.explored = unheard.length === 0 ? 0 : (this.explored + 1) % unheard.length;
     const next = unheard[this.explored];
@@ -236,13 +236,13 @@
     return this.homeAmong(this.getRelays(now))?.host;
   }
 
-  /** Tells whether this host is one that relays words, as far as it knows. */
+  /** Tells whether this host is one that relays hints, as far as it knows. */
   isRelay(now: Millis): boolean {
     return this.getRelays(now).some((record) => record.host === this.self);
   }
 
   /**
-   * Gets the hosts that relay words: the strongest that was heard of lately in each zone, and the next
+   * Gets the hosts that relay hints: the strongest that was heard of lately in each zone, and the next
    * strongest where zones are few. Where none was heard, all count as heard.
    */
   private getRelays(now: Millis): readonly HostRecord[] {
@@ -264,8 +264,8 @@
    * @param now - Present time.
    * @returns The hosts, this one included unless it has no record.
    */
-  getMates(now: Millis): readonly GroupMate[] {
-    const all = [...this.records.values()].map(({ record }): GroupMate => ({
+  getMembers(now: Millis): readonly FleetMember[] {
+    const all = [...this.records.values()].map(({ record }): FleetMember => ({
       host: record.host,
       zone: record.zone,
       callerAddress: record.callerAddress,
@@ -273,13 +273,15 @@
       leaving: this.isLeaving(record, now),
       serving: record.host === this.self ? this.isServing(now) : this.saysServing(record.host, now),
     }));
-    const heard = all.filter((mate) => mate.host === this.self || this.isHeard(mate.host, now));
-    return heard.some((mate) => mate.host !== this.self) ? heard : all;
+    const heard = all.filter(
+      (member) => member.host === this.self || this.isHeard(member.host, now),
+    );
+    return heard.some((member) => member.host !== this.self) ? heard : all;
   }
 
   /** Gets how long a record counts that nobody renews. */
   recordLifeMs(): Millis {
-    return Math.max(LEAST_RECORD_LIFE_MS, wordPace(this.countSharers()).recordMs * RECORD_LIVES);
+    return Math.max(LEAST_RECORD_LIFE_MS, gossipPace(this.countSharers()).recordMs * RECORD_LIVES);
   }
 
   /** A relay makes its own digests. */
@@ -290,35 +292,35 @@
 
   private isHeard(host: HostId, now: Millis): boolean {
     const isSeen = (this.seenUntil.get(host) ?? 0) >= now;
-    return isSeen || this.wordOf(host, now) !== undefined || this.isWellByRelay(host, now);
+    return isSeen || this.hintOf(host, now) !== undefined || this.isWellByRelay(host, now);
   }
 
   private isWellByRelay(host: HostId, now: Millis): boolean {
     if (!this.isToldByRelay(now) || !this.records.has(host)) return false;
-    return this.relayWord?.silent.has(host) === false;
+    return this.digest?.silent.has(host) === false;
   }
 
   private isLeaving({ host, leaving }: HostRecord, now: Millis): boolean {
     if (host === this.self) return leaving;
-    const word = this.wordOf(host, now);
-    if (word !== undefined) return word.leaving;
-    return this.isWellByRelay(host, now) ? this.relayWord?.leaving.has(host) === true : leaving;
+    const hint = this.hintOf(host, now);
+    if (hint !== undefined) return hint.leaving;
+    return this.isWellByRelay(host, now) ? this.digest?.leaving.has(host) === true : leaving;
   }
 
   private saysServing(host: HostId, now: Millis): boolean {
-    const word = this.wordOf(host, now);
-    if (word !== undefined) return word.serving;
-    return !this.isWellByRelay(host, now) || this.relayWord?.serving.has(host) === true;
+    const hint = this.hintOf(host, now);
+    if (hint !== undefined) return hint.serving;
+    return !this.isWellByRelay(host, now) || this.digest?.serving.has(host) === true;
   }
 
   /** Gets what a host said of itself, while that counts. */
-  private wordOf(host: HostId, now: Millis): HeardWord | undefined {
-    const word = this.words.get(host);
-    return word === undefined || word.until < now ? undefined : word;
+  private hintOf(host: HostId, now: Millis): ReceivedHint | undefined {
+    const hint = this.hints.get(host);
+    return hint === undefined || hint.until < now ? undefined : hint;
   }
 
   private silentMs(): Millis {
-    return Math.max(LEAST_LIFE_MS, wordPace(this.countSharers()).silentMs);
+    return Math.max(LEAST_LIFE_MS, gossipPace(this.countSharers()).silentMs);
   }
 }
 
--- a/packages/router/src/agreement/PeerTalk.ts
+++ b/packages/router/src/agreement/PeerGossip.ts
@@ -1,11 +1,11 @@
 import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
 import { InterruptibleSleep, sleep } from '@camphorvane/core';
-import type { WordPace } from '@camphorvane/decisions';
-import { wordPace } from '@camphorvane/decisions';
+import type { GossipPace } from '@camphorvane/decisions';
+import { gossipPace } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import type { HostRoster } from './HostRoster.ts';
-import { RelayBoard } from './RelayBoard.ts';
-import type { WordSums } from './RelayBoard.ts';
+import { DigestBuilder } from './DigestBuilder.ts';
+import type { HintSums } from './DigestBuilder.ts';
 
 /** Digest periods without a digest after which another relay is listened to. */
 const RELAY_SILENT_PERIODS = 3;
@@ -20,21 +20,21 @@
 const BUSY_MS: Millis = 3_000;
 
 /** What a host says of itself; who says it, and when, is added here. */
-export type OwnWord = Omit<
+export type OwnReport = Omit<
   HostHint,
   'host' | 'incarnation' | 'sequence' | 'digests' | 'serving' | 'nextMs'
 >;
 
 /** What talking to peers is made of. */
-export interface PeerTalkOptions {
+export interface PeerGossipOptions {
   readonly self: HostId;
   readonly incarnation: Incarnation;
   readonly clock: Clock;
   readonly link: HintLink;
   readonly roster: HostRoster;
   /** Gets what this host has to say now. */
-  readonly word: () => OwnWord;
-  /** Told of each word of a peer that is newer than the last one. */
+  readonly hint: () => OwnReport;
+  /** Told of each hint of a peer that is newer than the last one. */
   readonly onHint: (hint: HostHint) => void;
   /** Told of each digest that this host goes by. */
   readonly onDigest: (digest: HostDigest) => void;
@@ -54,12 +54,12 @@
  * is told is the teller's choice, and whoever is asked relays. A relay that dies, freezes or is cut off
  * falls silent for its listeners, who then ask all that they tell.
  */
-export class PeerTalk {
-  private readonly options: PeerTalkOptions;
+export class PeerGossip {
+  private readonly options: PeerGossipOptions;
 
-  private readonly board = new RelayBoard();
+  private readonly board = new DigestBuilder();
 
-  private readonly lastWords = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
+  private readonly lastHints = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
 
   private sequence = 0;
 
@@ -76,17 +76,17 @@
   private relay: FollowedRelay | undefined;
 
   /** @param options - What it is made of. */
-  constructor(options: PeerTalkOptions) {
+  constructor(options: PeerGossipOptions) {
     this.options = options;
     this.pause = new InterruptibleSleep(options.clock);
-    options.link.onHint((hint) => this.hearHint(hint));
-    options.link.onDigest((digest) => this.hearDigest(digest));
+    options.link.onHint((hint) => this.receiveHint(hint));
+    options.link.onDigest((digest) => this.receiveDigest(digest));
   }
 
   /** Talks until stopped. */
   start(signal: AbortSignal): void {
     void this.tell(signal);
-    void this.relayWords(signal);
+    void this.relayHints(signal);
   }
 
   /** Has peers learn soon what has changed here. */
@@ -105,7 +105,7 @@
       link.send(hint, roster.getPeerAddresses());
       return;
     }
-    const { asked, others } = roster.getWordAddresses(clock.now());
+    const { asked, others } = roster.getHintAddresses(clock.now());
     const isDeaf = this.isSilent();
     link.send(
       { ...hint, digests: this.isBusy() ? 'often' : 'seldom' },
@@ -124,7 +124,7 @@
     }
   }
 
-  private async relayWords(signal: AbortSignal): Promise<void> {
+  private async relayHints(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(this.options.clock, this.pace().digestMs, signal);
       if (this.pace().isRelayed) this.sendDigests();
@@ -137,7 +137,7 @@
     this.board.forget(now);
     const listeners = this.board.getAsking().filter(({ host }) => host !== self);
     if (this.board.getHeard().every((host) => host === self)) return;
-    this.board.hear(this.ownHint(), now);
+    this.board.receive(this.ownHint(), now);
     const sums = this.board.sumUp();
     const heard = new Set(this.board.getHeard());
     const silent = roster.getOthers().filter((host) => !heard.has(host));
@@ -147,7 +147,7 @@
       const address = roster.getPeerAddress(host);
       if (address !== undefined) link.sendDigest(this.digestFor(host, sums, silent), address);
     });
-    this.hearDigest(this.digestFor(self, sums, silent));
+    this.receiveDigest(this.digestFor(self, sums, silent));
   }
 
   /** A digest that is due within half a period is sent now: the next round would be too late. */
@@ -157,7 +157,7 @@
     return digests === 'often' || sinceMs >= standbyDigestMs - digestMs / 2;
   }
 
-  private digestFor(receiver: HostId, sums: WordSums, silent: readonly HostId[]): HostDigest {
+  private digestFor(receiver: HostId, sums: HintSums, silent: readonly HostId[]): HostDigest {
     const { self, incarnation } = this.options;
     this.sequence += 1;
     const head = { host: self, incarnation, sequence: this.sequence, silent };
@@ -165,27 +165,27 @@
   }
 
   private ownHint(): HostHint {
-    const { self, incarnation, word } = this.options;
+    const { self, incarnation, hint } = this.options;
     this.sequence += 1;
     return {
       ...{ host: self, incarnation, sequence: this.sequence, digests: 'none' as const },
       ...{ serving: this.isServing(), nextMs: this.periodMs() },
-      ...word(),
+      ...hint(),
     };
   }
 
-  private hearHint(hint: HostHint): void {
+  private receiveHint(hint: HostHint): void {
     const { self, clock, roster, onHint } = this.options;
     if (hint.host === self || this.isOld(hint)) return;
     if (!this.pace().isRelayed) {
       onHint(hint);
       return;
     }
-    roster.hear(hint, clock.now());
-    this.board.hear(hint, clock.now());
+    roster.receive(hint, clock.now());
+    this.board.receive(hint, clock.now());
   }
 
-  private hearDigest(digest: HostDigest): void {
+  private receiveDigest(digest: HostDigest): void {
     if (!this.pace().isRelayed) return;
     this.options.roster.sawAlive(digest.host, this.options.clock.now());
     if (!this.goesBy(digest)) return;
@@ -228,19 +228,19 @@
     return this.isServing() ? periodMs : standbyPeriodMs;
   }
 
-  /** Datagrams can overtake each other; an older word would take back what a newer one said. */
+  /** Datagrams can overtake each other; an older hint would take back what a newer one said. */
   private isOld({
     host,
     incarnation,
     sequence,
   }: Pick<HostHint, 'host' | 'incarnation' | 'sequence'>): boolean {
-    const last = this.lastWords.get(host);
+    const last = this.lastHints.get(host);
     if (last?.incarnation === incarnation && last.sequence >= sequence) return true;
-    this.lastWords.set(host, { incarnation, sequence });
+    this.lastHints.set(host, { incarnation, sequence });
     return false;
   }
 
-  private pace(): WordPace {
-    return wordPace(this.options.roster.countSharers());
+  private pace(): GossipPace {
+    return gossipPace(this.options.roster.countSharers());
   }
 }
--- a/packages/router/src/agreement/SharedRates.ts
+++ b/packages/router/src/agreement/SharedRates.ts
@@ -27,7 +27,7 @@
   private readonly rates: CountedRates;
 
   /** Rates that stand in the log; teams are set anew with each change of the servers too. */
-  private told: ReadonlyMap<TeamId, TeamRate> = new Map();
+  private logged: ReadonlyMap<TeamId, TeamRate> = new Map();
 
   /**
    * @param clock - Fills the buckets.
@@ -43,8 +43,8 @@
     const limited = teams.filter((team) => team.rate.tokensPerSecond > 0);
     const rates = new Map(limited.map((team) => [team.id, team.rate]));
     this.rates.reshape(rates, this.clock.now());
-    limited.filter(({ id, rate }) => !isSameRate(rate, this.told.get(id))).forEach(logRate);
-    this.told = rates;
+    limited.filter(({ id, rate }) => !isSameRate(rate, this.logged.get(id))).forEach(logRate);
+    this.logged = rates;
   }
 
   /** Takes a changed set of other hosts into force. */
@@ -53,17 +53,17 @@
   }
 
   /** Takes in what a peer has charged. */
-  hear({ host, incarnation, charged }: HostHint): void {
-    this.rates.hear(host, incarnation, new Map(charged), this.clock.now());
+  receive({ host, incarnation, charged }: HostHint): void {
+    this.rates.receive(host, incarnation, new Map(charged), this.clock.now());
   }
 
   /** Takes in what all peers together have charged, as a relaying host has heard it. */
-  hearSum({ host, incarnation, heard, charged }: HostDigest): void {
-    const word = { relay: host, incarnation, heard, totals: new Map(charged) };
-    this.rates.hearCrowd(word, this.clock.now());
+  receiveSum({ host, incarnation, heard, charged }: HostDigest): void {
+    const hint = { relay: host, incarnation, heard, totals: new Map(charged) };
+    this.rates.receiveDigest(hint, this.clock.now());
   }
 
-  /** Gets what this host has charged, to be told to its peers. */
+  /** Gets what this host has charged, to be logged to its peers. */
   getCharged(): readonly (readonly [TeamId, Tokens])[] {
     return [...this.rates.getTotals()];
   }
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
-import type { EngineUse, RateTolerance, RepeatAllowance, WordPace } from '@camphorvane/decisions';
-import { EngineKnowledge, RepeatBudget, wordPace } from '@camphorvane/decisions';
+import type { EngineUse, RateTolerance, RepeatAllowance, GossipPace } from '@camphorvane/decisions';
+import { EngineKnowledge, RepeatBudget, gossipPace } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type {
   DemandHint,
@@ -11,20 +11,20 @@
 } from '@camphorvane/peer/hints';
 import { LEAST_POLL_MS } from '@camphorvane/store';
 import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
-import type { GroupGate, GroupMate, RepeatGate, Unsubscribe } from '../host/ports.ts';
+import type { GroupGate, FleetMember, RepeatGate, Unsubscribe } from '../host/ports.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
 import type { RoleControl } from '../placing/RoleControl.ts';
-import { CrashDesk } from '../serving/CrashDesk.ts';
+import { CrashGuard } from '../serving/CrashGuard.ts';
 import { serviceRepeats } from '../serving/teamRepeats.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { SharedRates } from './SharedRates.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
 import { HostRecords } from './HostRecords.ts';
 import { HostRoster } from './HostRoster.ts';
-import { PeerTalk } from './PeerTalk.ts';
+import { PeerGossip } from './PeerGossip.ts';
 import { roleControlOf } from './roleControlOf.ts';
-import type { OwnWord } from './PeerTalk.ts';
+import type { OwnReport } from './PeerGossip.ts';
 
 /** Upstreams that one request must crash to be held back: with fewer, chance would do it. */
 const CRASHES_TO_HOLD_BACK = 3;
@@ -67,7 +67,7 @@
 
   readonly placer: LocalPlacer;
 
-  readonly crashes: CrashDesk;
+  readonly crashes: CrashGuard;
 
   readonly claims = undefined;
 
@@ -87,7 +87,7 @@
 
   private leaving = false;
 
-  private readonly talk: PeerTalk;
+  private readonly talk: PeerGossip;
 
   private readonly knowledge = new EngineKnowledge();
 
@@ -130,21 +130,21 @@
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
       onNews: () => this.talk.noteNews(),
     });
-    this.crashes = new CrashDesk({
+    this.crashes = new CrashGuard({
       self: identity.host,
       clock,
       group: this,
       suspicion: { crashes: CRASHES_TO_HOLD_BACK, memoryMs: HOLD_BACK_MS },
     });
-    this.talk = new PeerTalk({
+    this.talk = new PeerGossip({
       self: identity.host,
       incarnation,
       clock,
       link: options.hints,
       roster: this.hosts,
-      word: () => this.ownWord(),
-      onHint: (hint) => this.hear(hint),
-      onDigest: (digest) => this.hearSum(digest),
+      hint: () => this.ownReport(),
+      onHint: (hint) => this.receive(hint),
+      onDigest: (digest) => this.receiveSum(digest),
     });
     this.roles = roleControlOf({
       ...{ options, context, knowledge: this.knowledge },
@@ -200,12 +200,12 @@
   }
 
   /** {@inheritDoc GroupGate.members} */
-  members(): readonly GroupMate[] {
+  members(): readonly FleetMember[] {
     const now = this.clock.now();
     const serving = this.hosts.isServing(now);
     const self = { ...this.context.identity, leaving: this.leaving, serving };
-    const mates = this.hosts.getMates(now);
-    return [self, ...mates.filter((mate) => mate.host !== self.host)];
+    const members = this.hosts.getMembers(now);
+    return [self, ...members.filter((member) => member.host !== self.host)];
   }
 
   /** Nobody coordinates. */
@@ -237,7 +237,7 @@
   /** {@inheritDoc HostAgreement.dump} */
   dump(): object {
     return {
-      hosts: this.hosts.getMates(this.clock.now()).map((mate) => mate.host),
+      hosts: this.hosts.getMembers(this.clock.now()).map((member) => member.host),
       sharers: this.hosts.countSharers(),
       rates: this.rates.dump(),
       placing: this.placer.dump(),
@@ -249,8 +249,8 @@
     this.listeners.forEach((changed) => changed());
   }
 
-  private pace(): WordPace {
-    return wordPace(this.hosts.countSharers());
+  private pace(): GossipPace {
+    return gossipPace(this.hosts.countSharers());
   }
 
   /** A few hosts watch; the others are told by them, and read now and then. */
@@ -264,7 +264,7 @@
     return isTold ? this.pace().pollMs : LEAST_POLL_MS;
   }
 
-  private ownWord(): OwnWord {
+  private ownReport(): OwnReport {
     return {
       leaving: this.leaving,
       engines: [...this.knowledge.use.getOwn()].map(([engine, use]) => ({ engine, ...use })),
@@ -279,39 +279,39 @@
     };
   }
 
-  private hear(hint: HostHint): void {
+  private receive(hint: HostHint): void {
     const now = this.clock.now();
-    this.hosts.hear(hint, now);
-    this.rates.hear(hint);
-    this.config.hearOf(hint.versions);
+    this.hosts.receive(hint, now);
+    this.rates.receive(hint);
+    this.config.noteNewer(hint.versions);
     const { use, demand, moves, waiting } = this.knowledge;
-    use.hear(hint.host, usesOf(hint.engines), now);
-    waiting.hear(hint.host, waitingOf(hint.demand), now);
-    demand.hear(hint.host, hint.incarnation, hint.demand, now);
-    moves.hear(hint.moves, now);
-    this.placer.probes.hear(hint.down);
-    this.context.calls.hear(hint.host, new Map(hint.calls), now);
+    use.receive(hint.host, usesOf(hint.engines), now);
+    waiting.receive(hint.host, waitingOf(hint.demand), now);
+    demand.receive(hint.host, hint.incarnation, hint.demand, now);
+    moves.receive(hint.moves, now);
+    this.placer.probes.receive(hint.down);
+    this.context.calls.receive(hint.host, new Map(hint.calls), now);
   }
 
-  private hearSum(digest: HostDigest): void {
+  private receiveSum(digest: HostDigest): void {
     const now = this.clock.now();
-    this.hosts.hearAll(digest, now);
-    this.rates.hearSum(digest);
-    this.config.hearOf(digest.versions);
+    this.hosts.receiveDigest(digest, now);
+    this.rates.receiveSum(digest);
+    this.config.noteNewer(digest.versions);
     const { use, demand, moves, waiting } = this.knowledge;
-    use.hearSum(usesOf(digest.engines), digest.heard, now);
-    waiting.hearSum(waitingOf(digest.demand), digest.heard, now);
-    demand.hearRelay(`${digest.host} ${digest.incarnation}`, digest.demand, now);
-    moves.hear(digest.moves, now);
-    this.placer.probes.hear(digest.down);
-    this.context.calls.hearSum(new Map(digest.calls), digest.heard, now);
+    use.receiveSum(usesOf(digest.engines), digest.heard, now);
+    waiting.receiveSum(waitingOf(digest.demand), digest.heard, now);
+    demand.receiveRelayed(`${digest.host} ${digest.incarnation}`, digest.demand, now);
+    moves.receive(digest.moves, now);
+    this.placer.probes.receive(digest.down);
+    this.context.calls.receiveSum(new Map(digest.calls), digest.heard, now);
   }
 
   /** Gets how many hosts come before this one by name, among those that are there to stay. */
   private rank(): number | undefined {
     if (this.leaving) return undefined;
     const { host } = this.context.identity;
-    return this.members().filter((mate) => !mate.leaving && mate.host < host).length;
+    return this.members().filter((member) => !member.leaving && member.host < host).length;
   }
 }
 
--- a/packages/router/src/agreement/hostRecord.ts
+++ b/packages/router/src/agreement/hostRecord.ts
@@ -9,7 +9,7 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly leaving: boolean;
-  /** How much the host can carry beside its callers, against others; the strongest relay words. */
+  /** How much the host can carry beside its callers, against others; the strongest relay hints. */
   readonly strength: number;
 }
 
--- a/packages/router/src/host/GroupAdapter.ts
+++ b/packages/router/src/host/GroupAdapter.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Millis } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { GroupRunner, PeerAddress } from '@camphorvane/peer';
-import type { GroupGate, GroupMate, Unsubscribe } from './ports.ts';
+import type { GroupGate, FleetMember, Unsubscribe } from './ports.ts';
 
 /** Milliseconds between two looks for the permission to act that somebody waits for. */
 const WAIT_STEP_MS: Millis = 20;
@@ -10,7 +10,7 @@
 export class GroupAdapter implements GroupGate {
   private readonly runner: GroupRunner;
 
-  private readonly self: GroupMate;
+  private readonly self: FleetMember;
 
   private readonly clock: Clock;
 
@@ -19,14 +19,14 @@
    * @param self - This host, which is named even before it has joined.
    * @param clock - Times waits.
    */
-  constructor(runner: GroupRunner, self: GroupMate, clock: Clock) {
+  constructor(runner: GroupRunner, self: FleetMember, clock: Clock) {
     this.runner = runner;
     this.self = self;
     this.clock = clock;
   }
 
   /** Gets all members, this host included. */
-  members(): readonly GroupMate[] {
+  members(): readonly FleetMember[] {
     const mates = this.runner.view().members.map((member) => ({
       host: member.host,
       zone: member.zone,
--- a/packages/router/src/host/callerAddresses.ts
+++ b/packages/router/src/host/callerAddresses.ts
@@ -1,5 +1,5 @@
 import type { ZoneId } from '@camphorvane/core';
-import type { GroupMate } from './ports.ts';
+import type { FleetMember } from './ports.ts';
 
 /** Hosts that are named to a caller at least, where there are as many. */
 const LEAST_NAMED = 2;
@@ -15,7 +15,7 @@
  * @param zone - The caller's zone.
  * @returns Addresses, those of the caller's zone first.
  */
-export function callerAddresses(hosts: readonly GroupMate[], zone: ZoneId): readonly string[] {
+export function callerAddresses(hosts: readonly FleetMember[], zone: ZoneId): readonly string[] {
   const staying = hosts.filter((host) => !host.leaving);
   const serving = staying.filter((host) => host.serving);
   const usable = serving.length >= LEAST_NAMED ? serving : staying;
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -30,7 +30,7 @@
 }
 
 /** A host of the group, as callers and peers reach it. */
-export interface GroupMate {
+export interface FleetMember {
   readonly host: HostId;
   readonly zone: ZoneId;
   readonly callerAddress: string;
@@ -41,12 +41,12 @@
 }
 
 /** Who a host is, and how callers and peers reach it. */
-export type HostIdentity = Omit<GroupMate, 'leaving' | 'serving'>;
+export type HostIdentity = Omit<FleetMember, 'leaving' | 'serving'>;
 
 /** What serving needs to know of the group. */
 export interface GroupGate {
   /** Gets all members, this host included. */
-  members(): readonly GroupMate[];
+  members(): readonly FleetMember[];
 
   /** Gets who coordinates a key now, if this host knows. */
   stewardOf(key: string): PeerAddress | undefined;
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -35,7 +35,7 @@
  * An engine that crashes is still listed for some seconds. Tried with requests, each host loses several
  * to it, and with each of them a prompt that was read for nothing: on a day with two crashes 59 prompts
  * of 550. One failure, here or at a peer, is enough to take it out of use until it answers again. A
- * peer's word alone does not: a host that is cut off would take all engines from the others.
+ * peer's hint alone does not: a host that is cut off would take all engines from the others.
  */
 export class EngineProbes {
   private readonly options: EngineProbesOptions;
@@ -67,7 +67,7 @@
   }
 
   /** Takes in which engines a peer finds down. */
-  hear(engines: readonly UpstreamId[]): void {
+  receive(engines: readonly UpstreamId[]): void {
     const now = this.options.clock.now();
     engines
       .filter((engine) => now - (this.answeredAt.get(engine) ?? -Infinity) > ANSWER_LIFE_MS)
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -15,7 +15,7 @@
   LocalQueue,
   meanMemory,
   memorySteps,
-  QUEUE_LOOK_MS,
+  QUEUE_RECHECK_MS,
 } from '@camphorvane/decisions';
 import type {
   EngineKnowledge,
@@ -31,7 +31,7 @@
 import { stateLog } from '../observe/StateLog.ts';
 import { EngineProbes } from './EngineProbes.ts';
 import { HeldWork } from './HeldWork.ts';
-import type { LocalPool, ReserveAnswer } from './localPool.ts';
+import type { LocalPlacerOptions, LocalPool, ReserveAnswer } from './localPool.ts';
 import type { PlacedPair } from './Placer.ts';
 
 const log = stateLog('placing');
@@ -41,22 +41,6 @@
 /** Priority given to engines where the operators gave none: the middle of the scale. */
 const DEFAULT_PRIORITY = 5;
 
-/** What a placer is made of. */
-export interface LocalPlacerOptions {
-  /** Times waits. */
-  readonly clock: Clock;
-  /** Draws engines in large fleets. */
-  readonly random: RandomSource;
-  /** Knows the engines. */
-  readonly directory: UpstreamDirectory;
-  /** What this host knows of the engines, from itself and from its peers. */
-  readonly knowledge: EngineKnowledge;
-  /** Names this start of the host; reservations begin with it. */
-  readonly incarnation: string;
-  /** Called when a request takes or gives back room, when a prompt is read, and when an engine is found down or up. */
-  readonly onNews: () => void;
-}
-
 /** Places requests on this host's own knowledge of the engines, with what peers say of their use. */
 export class LocalPlacer implements ChangingPlacer {
   private readonly clock: Clock;
@@ -69,8 +53,8 @@
 
   private readonly held: HeldWork;
 
-  /** Next look at a pool whose requests wait. */
-  private readonly looks = new Map<LocalPool, CancelTimer>();
+  /** Next scheduling pass of a pool whose requests wait. */
+  private readonly rechecks = new Map<LocalPool, CancelTimer>();
 
   private readonly random: RandomSource;
 
@@ -88,7 +72,12 @@
     this.onNews = onNews;
     this.held = new HeldWork(knowledge, incarnation);
     const { health } = knowledge;
-    this.probes = new EngineProbes({ clock, directory, health, onChange: () => this.pumpAll() });
+    this.probes = new EngineProbes({
+      clock,
+      directory,
+      health,
+      onChange: () => this.scheduleAll(),
+    });
   }
 
   /** {@inheritDoc Placer.reserve} */
@@ -123,7 +112,7 @@
         avoid: item.avoid,
         longestPauseMs: item.longestPauseMs,
       });
-      if (refusal === undefined) this.pump(pool);
+      if (refusal === undefined) this.schedule(pool);
       else this.answer(pool, item.request, err(refusal));
     });
   }
@@ -132,7 +121,7 @@
   prefillEnded(model: ModelId, reservation: ReservationId, tookMs?: Millis): void {
     this.held.endPrefill(reservation, tookMs);
     this.onNews();
-    this.pumpOf(model);
+    this.scheduleModel(model);
   }
 
   /** {@inheritDoc Placer.moveDecode} */
@@ -160,7 +149,7 @@
     if (held === undefined) return;
     this.onNews();
     this.pools.get(held.model)?.queue.ended(held.team);
-    this.pumpOf(held.model);
+    this.scheduleModel(held.model);
   }
 
   /** {@inheritDoc Placer.attemptFailed} */
@@ -200,14 +189,14 @@
     this.knowledge.health.keepOnly(new Set(this.directory.getEngineIds()));
     this.pools.forEach((pool, model) => {
       this.reshape(pool, model);
-      this.pump(pool);
+      this.schedule(pool);
     });
   }
 
   /** Ends what runs by itself; requests that wait are left to their callers. */
   stop(): void {
     this.probes.stop();
-    this.looks.forEach((cancel) => cancel());
+    this.rechecks.forEach((cancel) => cancel());
   }
 
   /** Gets the state to be shown to operators. */
@@ -270,28 +259,28 @@
     return this.directory.getPool(model)?.engines ?? [];
   }
 
-  private pumpOf(model: ModelId): void {
+  private scheduleModel(model: ModelId): void {
     const pool = this.pools.get(model);
-    if (pool !== undefined) this.pump(pool);
+    if (pool !== undefined) this.schedule(pool);
   }
 
-  private pumpAll(): void {
+  private scheduleAll(): void {
     this.onNews();
-    this.pools.forEach((pool) => this.pump(pool));
+    this.pools.forEach((pool) => this.schedule(pool));
   }
 
-  private pump(pool: LocalPool): void {
-    this.looks.get(pool)?.();
-    this.looks.delete(pool);
+  private schedule(pool: LocalPool): void {
+    this.rechecks.get(pool)?.();
+    this.rechecks.delete(pool);
     let decision = pool.queue.next(this.clock.now());
     while (decision !== undefined) {
       this.carryOut(pool, decision);
       decision = pool.queue.next(this.clock.now());
     }
     if (pool.queue.size === 0) return;
-    this.looks.set(
+    this.rechecks.set(
       pool,
-      this.clock.after(QUEUE_LOOK_MS, () => this.pump(pool)),
+      this.clock.after(QUEUE_RECHECK_MS, () => this.schedule(pool)),
     );
   }
 
--- a/packages/router/src/placing/RoleControl.ts
+++ b/packages/router/src/placing/RoleControl.ts
@@ -75,7 +75,7 @@
   private readonly shifters = new Map<ModelId, RoleShifter>();
 
   /** What the log says of each pool, so that a decision is written once. */
-  private readonly told = new Map<ModelId, string>();
+  private readonly logged = new Map<ModelId, string>();
 
   /** @param options - What it is made of. */
   constructor(options: RoleControlOptions) {
@@ -176,9 +176,9 @@
     const split =
       forecast && `${forecast.present.prefillEngines}+${forecast.present.decodeEngines}`;
     const wanted = forecast && `${forecast.wanted.prefillEngines}+${forecast.wanted.decodeEngines}`;
-    const told = `${decision.type} ${reason} ${split} ${wanted}`;
-    if (this.told.get(model) === told) return;
-    this.told.set(model, told);
+    const logged = `${decision.type} ${reason} ${split} ${wanted}`;
+    if (this.logged.get(model) === logged) return;
+    this.logged.set(model, logged);
     log('decision', {
       model,
       decision: decision.type,
--- a/packages/router/src/serving/CallShares.ts
+++ b/packages/router/src/serving/CallShares.ts
@@ -2,22 +2,22 @@
 import { PeerCounts, placeShare } from '@camphorvane/decisions';
 
 /**
- * Milliseconds for which a peer's word about its calls counts. Words come every 200 ms, and digests of
+ * Milliseconds for which a peer's hint about its calls counts. Hints come every 200 ms, and digests of
  * large fleets up to 700 ms apart; a peer that misses several counts as one that says nothing.
  */
-const WORD_LIFE_MS: Millis = 1_500;
+const HINT_LIFE_MS: Millis = 1_500;
 
 /**
  * What the hosts have on plain services, and what each may have.
  *
  * All hosts reckon with the calls that they have told each other, their own ones too. Were each to reckon
- * with its own calls as they are now, all would take more than their part in the moment in which a rush
+ * with its own calls as they are now, all would take more than their part in the moment in which a burst
  * begins, and before they hear of each other's: servers with 6 places got 14 calls at once.
  */
 export class CallShares {
-  private readonly peers = new PeerCounts(WORD_LIFE_MS);
+  private readonly peers = new PeerCounts(HINT_LIFE_MS);
 
-  private told: ReadonlyMap<ServiceId, number> = new Map();
+  private reported: ReadonlyMap<ServiceId, number> = new Map();
 
   private countOwn: () => ReadonlyMap<ServiceId, number> = () => new Map();
 
@@ -28,18 +28,18 @@
 
   /** Gets the calls of this host, to be told to its peers. */
   getOwn(): ReadonlyMap<ServiceId, number> {
-    this.told = this.countOwn();
-    return this.told;
+    this.reported = this.countOwn();
+    return this.reported;
   }
 
   /** Takes in what a peer says of its calls. */
-  hear(peer: HostId, calls: ReadonlyMap<ServiceId, number>, now: Millis): void {
-    this.peers.hear(peer, calls, now);
+  receive(peer: HostId, calls: ReadonlyMap<ServiceId, number>, now: Millis): void {
+    this.peers.receive(peer, calls, now);
   }
 
   /** Takes in what so many peers have together. */
-  hearSum(calls: ReadonlyMap<ServiceId, number>, peers: number, now: Millis): void {
-    this.peers.hearSum(calls, peers, now);
+  receiveSum(calls: ReadonlyMap<ServiceId, number>, peers: number, now: Millis): void {
+    this.peers.receiveSum(calls, peers, now);
   }
 
   /**
@@ -54,7 +54,7 @@
   shareOf(service: ServiceId, places: number, hosts: number, now: Millis): number {
     const unheard = Math.max(0, hosts - 1 - this.peers.heard(now));
     const others = this.peers.sum(service, now);
-    const own = this.told.get(service) ?? 0;
+    const own = this.reported.get(service) ?? 0;
     return placeShare({ places, own, others, unheard, hosts });
   }
 }
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -93,7 +93,7 @@
    *
    * A decode engine that has just crashed, or filled up unseen, refuses after the prompt was read. To
    * read it again would cost a tenth of a second of a prefill engine each time; one would notice it as
-   * prefill work that grows while answers do not. In a rush the other engines are full too, and the
+   * prefill work that grows while answers do not. Under overload the other engines are full too, and the
    * prompt waits for room rather than being given up.
    */
   private async *decodeSomewhere(
--- a/packages/router/src/serving/CompletionServing.ts
+++ b/packages/router/src/serving/CompletionServing.ts
@@ -14,7 +14,7 @@
   FailedAttempt,
 } from './completionAttemptPlan.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
-import type { CrashDesk } from './CrashDesk.ts';
+import type { CrashGuard } from './CrashGuard.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
 import { endReason } from './endReason.ts';
 import { RateQueue } from './RateQueue.ts';
@@ -55,7 +55,7 @@
   readonly self: HostId;
   readonly rates: RateGate;
   readonly repeats: RepeatGate;
-  readonly crashes: CrashDesk;
+  readonly crashes: CrashGuard;
 }
 
 /** Serves completions: charge, reserve, run, resume where an engine fails, refund. */
--- a/packages/router/src/serving/CrashDesk.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -9,8 +9,8 @@
 /** Milliseconds to wait for a peer to take a report. */
 const TELL_TIMEOUT_MS: Millis = 1_000;
 
-/** What a crash desk is made of. */
-export interface CrashDeskOptions {
+/** What a crash guard is made of. */
+export interface CrashGuardOptions {
   readonly self: HostId;
   readonly clock: Clock;
   readonly group: GroupGate;
@@ -21,13 +21,13 @@
 }
 
 /** Holds back requests that crash the upstreams which run them, for all hosts of the group. */
-export class CrashDesk {
-  private readonly options: CrashDeskOptions;
+export class CrashGuard {
+  private readonly options: CrashGuardOptions;
 
   private readonly suspicion: CrashSuspicion;
 
-  /** @param options - What the desk is made of. */
-  constructor(options: CrashDeskOptions) {
+  /** @param options - what the guard is made of. */
+  constructor(options: CrashGuardOptions) {
     this.options = options;
     this.suspicion = new CrashSuspicion(options.suspicion);
   }
@@ -89,9 +89,9 @@
     if (link === undefined) return;
     group
       .members()
-      .filter((mate) => mate.host !== self)
-      .forEach((mate) => {
-        const peer = { host: mate.host, address: mate.peerAddress };
+      .filter((member) => member.host !== self)
+      .forEach((member) => {
+        const peer = { host: member.host, address: member.peerAddress };
         void link.ask(peer, { type: 'crashes', reports }, TELL_TIMEOUT_MS);
       });
   }
--- a/packages/router/src/serving/ServiceGates.ts
+++ b/packages/router/src/serving/ServiceGates.ts
@@ -89,7 +89,7 @@
         return;
       }
       const refusal = open.gate.submit(call, this.clock.now());
-      if (refusal === undefined) this.pump(open);
+      if (refusal === undefined) this.schedule(open);
       else this.answer(open, call.request, err(refusal));
     });
   }
@@ -98,12 +98,12 @@
   ended(service: ServiceId, call: GateCall, server: UpstreamId, failed: boolean): void {
     const open = this.openGate(service);
     open.gate.ended(call.team, server, failed, this.clock.now());
-    this.pump(open);
+    this.schedule(open);
   }
 
   /** Takes changed services, or a changed number of hosts, into force. */
   refresh(): void {
-    this.gates.forEach((open) => this.pump(open));
+    this.gates.forEach((open) => this.schedule(open));
   }
 
   private openGate(service: ServiceId): OpenGate {
@@ -138,7 +138,7 @@
     return new Map([...this.gates].map(([id, { gate }]) => [id, gate.callCount]));
   }
 
-  private pump(open: OpenGate): void {
+  private schedule(open: OpenGate): void {
     open.cancelWake();
     const now = this.clock.now();
     const share = this.reshape(open, now);
@@ -147,7 +147,7 @@
     if (wake === undefined) return;
     // The gate's state is this host's own; a field of the entry is the natural place for its timer.
     Object.assign(open, {
-      cancelWake: this.clock.after(Math.max(1, wake - now), () => this.pump(open)),
+      cancelWake: this.clock.after(Math.max(1, wake - now), () => this.schedule(open)),
     });
   }
 
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -12,7 +12,7 @@
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import { stateLog } from '../observe/StateLog.ts';
-import type { CrashDesk } from './CrashDesk.ts';
+import type { CrashGuard } from './CrashGuard.ts';
 import { endReason } from './endReason.ts';
 import type { KnownCall } from './serviceWork.ts';
 import { digestOf, repeatTarget } from './serviceWork.ts';
@@ -38,7 +38,7 @@
   /** Absent where each attempt of a caller is a call of its own, which runs once at most. */
   readonly claims: IdempotencyClaims | undefined;
   readonly repeats: RepeatGate;
-  readonly crashes: CrashDesk;
+  readonly crashes: CrashGuard;
   readonly self: { readonly host: HostId; readonly incarnation: Incarnation };
   readonly metrics: Metrics;
 }
--- a/packages/router/src/serving/completionWork.ts
+++ b/packages/router/src/serving/completionWork.ts
@@ -15,7 +15,7 @@
 import type { RateCharge, RepeatTarget } from '../host/ports.ts';
 import type { AttemptOutcome, FailedAttempt } from './completionAttemptPlan.ts';
 import type { CompletionProgress } from './CompletionProgress.ts';
-import { CrashDesk } from './CrashDesk.ts';
+import { CrashGuard } from './CrashGuard.ts';
 
 /** Attempts for one completion; more would let one bad prompt visit every engine. */
 export const MAX_ATTEMPTS = 4;
@@ -97,9 +97,9 @@
 }
 
 export function digestOf({ model, prompt, caller }: KnownCompletion): string {
-  if (typeof prompt === 'string') return CrashDesk.digestOf(model, prompt);
+  if (typeof prompt === 'string') return CrashGuard.digestOf(model, prompt);
   const { path, body } = prompt.call;
-  return CrashDesk.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
+  return CrashGuard.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
 }
 
 export function endEvent(
--- a/packages/router/src/serving/serviceWork.ts
+++ b/packages/router/src/serving/serviceWork.ts
@@ -2,7 +2,7 @@
 import type { Millis, RequestId, ServiceConfig, ServiceRoute, UpstreamId } from '@camphorvane/core';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RepeatTarget } from '../host/ports.ts';
-import { CrashDesk } from './CrashDesk.ts';
+import { CrashGuard } from './CrashGuard.ts';
 
 /** How often and how long a call may be tried. */
 export interface CallTerms {
@@ -32,7 +32,7 @@
 }
 
 export function digestOf({ caller, req }: KnownCall): string {
-  return CrashDesk.digestOf(
+  return CrashGuard.digestOf(
     caller.team.id,
     req.method,
     req.path,
--- a/packages/router/tests/agreement/RelayBoard.test.ts
+++ b/packages/router/tests/agreement/DigestBuilder.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { HostHint } from '@camphorvane/peer/hints';
-import { RelayBoard } from '../../src/agreement/RelayBoard.ts';
+import { DigestBuilder } from '../../src/agreement/DigestBuilder.ts';
 
 const hint = (host: string, more: Partial<HostHint> = {}): HostHint => ({
   ...{
@@ -29,10 +29,10 @@
 
 // Guards against a host that counts its own use of an engine twice: once itself, once in a digest.
 test('a digest holds what all hosts but the receiver have said', () => {
-  const board = new RelayBoard();
-  board.hear(hint('a', { engines: [use('e', 2)], calls: [['s', 3]], down: ['x', 'y'] }), 0);
-  board.hear(hint('b', { engines: [use('e', 1), use('f', 4)], calls: [['s', 5]] }), 0);
-  board.hear(hint('c', { down: ['x'], leaving: true, versions: { config: 7, servers: 2 } }), 0);
+  const board = new DigestBuilder();
+  board.receive(hint('a', { engines: [use('e', 2)], calls: [['s', 3]], down: ['x', 'y'] }), 0);
+  board.receive(hint('b', { engines: [use('e', 1), use('f', 4)], calls: [['s', 5]] }), 0);
+  board.receive(hint('c', { down: ['x'], leaving: true, versions: { config: 7, servers: 2 } }), 0);
   const sums = board.sumUp();
   const forA = board.digestFor('a', sums, HEAD);
   assert.deepEqual(forA.engines, [use('e', 1), use('f', 4)]);
@@ -48,16 +48,16 @@
 });
 
 test('a digest counts the requests that wait on all hosts but the receiver', () => {
-  const board = new RelayBoard();
+  const board = new DigestBuilder();
   const demand = (requests: number, onTimeWaiting: number) => [
     { model: 'm', requests, promptTokens: 0, memoryTokens: 0, memorySteps: 0, onTimeWaiting },
   ];
-  const hearAll = (requests: number): void => {
-    board.hear(hint('a', { demand: demand(requests, 2) }), 0);
-    board.hear(hint('b', { demand: demand(requests, 3) }), 0);
+  const receiveAll = (requests: number): void => {
+    board.receive(hint('a', { demand: demand(requests, 2) }), 0);
+    board.receive(hint('b', { demand: demand(requests, 3) }), 0);
   };
-  hearAll(10);
-  hearAll(14);
+  receiveAll(10);
+  receiveAll(14);
   const [forA] = board.digestFor('a', board.sumUp(), HEAD).demand;
   assert.equal(forA?.requests, 4);
   assert.equal(forA?.onTimeWaiting, 3);
--- a/packages/router/tests/agreement/HostRoster.test.ts
+++ b/packages/router/tests/agreement/HostRoster.test.ts
@@ -15,18 +15,18 @@
   };
 }
 
-const word = (host: string, leaving = false) => ({ host, leaving, serving: true, nextMs: 200 });
+const hint = (host: string, leaving = false) => ({ host, leaving, serving: true, nextMs: 200 });
 
 const list = (hosts: readonly string[], version = 1) =>
   hosts.map((host) => ({ record: record(host), version }));
 
 const names = (roster: HostRoster, now: number): readonly string[] =>
-  roster.getMates(now).map((mate) => mate.host);
+  roster.getMembers(now).map((mate) => mate.host);
 
 test('callers are sent to hosts that were heard of lately', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b', 'c']), 0);
-  roster.hear(word('b', false), 100);
+  roster.receive(hint('b', false), 100);
   assert.deepEqual(names(roster, 200), ['a', 'b']);
 });
 
@@ -35,7 +35,7 @@
 test('a host that hears nobody names all', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b', 'c']), 0);
-  roster.hear(word('b', false), 0);
+  roster.receive(hint('b', false), 0);
   assert.deepEqual(names(roster, 5_000), ['a', 'b', 'c']);
 });
 
@@ -56,9 +56,9 @@
   assert.deepEqual(roster.getExpired(), [{ host: 'b', version: 1 }]);
 });
 
-test('a leaving host is told by its own word before its record says so', () => {
+test('a leaving host is told by its own hint before its record says so', () => {
   const roster = new HostRoster('a', 'a');
   roster.update(list(['a', 'b']), 0);
-  roster.hear(word('b', true), 0);
-  assert.equal(roster.getMates(10).find((mate) => mate.host === 'b')?.leaving, true);
+  roster.receive(hint('b', true), 0);
+  assert.equal(roster.getMembers(10).find((mate) => mate.host === 'b')?.leaving, true);
 });
--- a/packages/router/tests/agreement/PeerTalk.test.ts
+++ b/packages/router/tests/agreement/PeerGossip.test.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { wordPace } from '@camphorvane/decisions';
-import type { TalkHost } from '../support/TalkFleet.ts';
-import { TalkFleet } from '../support/TalkFleet.ts';
+import { gossipPace } from '@camphorvane/decisions';
+import type { GossipHost } from '../support/GossipFleet.ts';
+import { GossipFleet } from '../support/GossipFleet.ts';
 
 const USE = { prefillTokens: 10, streams: 1, memoryTokens: 100 };
 
 /** What a host believes that all together have on an engine. */
-const streamsAt = (fleet: TalkFleet, host: TalkHost): number =>
+const streamsAt = (fleet: GossipFleet, host: GossipHost): number =>
   host.book.getTotal('e', fleet.clock.now()).streams;
 
-const namesOf = (fleet: TalkFleet, host: TalkHost): readonly string[] =>
-  host.roster.getMates(fleet.clock.now()).map((mate) => mate.host);
+const namesOf = (fleet: GossipFleet, host: GossipHost): readonly string[] =>
+  host.roster.getMembers(fleet.clock.now()).map((mate) => mate.host);
 
-async function play(count: number, run: (fleet: TalkFleet) => Promise<void>): Promise<void> {
-  const fleet = new TalkFleet(count);
+async function play(count: number, run: (fleet: GossipFleet) => Promise<void>): Promise<void> {
+  const fleet = new GossipFleet(count);
   try {
     await run(fleet);
   } finally {
@@ -23,7 +23,7 @@
 }
 
 /** Has each host place two requests a second. */
-async function busy(fleet: TalkFleet, forMs: number): Promise<void> {
+async function busy(fleet: GossipFleet, forMs: number): Promise<void> {
   const stepMs = 500;
   const steps = Array.from({ length: forMs / stepMs }, (_, i) => i);
   await steps.reduce(async (before) => {
@@ -70,7 +70,7 @@
   await play(30, async (fleet) => {
     await fleet.clock.advance(3_000);
     fleet.hosts.slice(0, 3).forEach((host) => Object.assign(host, { isDown: true }));
-    await fleet.clock.advance(3 * wordPace(30).silentMs);
+    await fleet.clock.advance(3 * gossipPace(30).silentMs);
     const living = fleet.hosts.slice(3);
     const expected = living.map((host) => host.name);
     living.forEach((host) => assert.deepEqual(namesOf(fleet, host), expected, host.name));
@@ -84,12 +84,12 @@
     await fleet.clock.advance(2_000);
     const left = new Set(fleet.hosts.filter((_, i) => i % 2 === 0).map((host) => host.name));
     Object.assign(fleet, {
-      passes: (from: TalkHost, to: TalkHost) => left.has(from.name) === left.has(to.name),
+      passes: (from: GossipHost, to: GossipHost) => left.has(from.name) === left.has(to.name),
     });
     await fleet.clock.advance(10_000);
     fleet.hosts.forEach((host) => assert.equal(namesOf(fleet, host).length, 15, host.name));
     Object.assign(fleet, { passes: () => true });
-    await fleet.clock.advance(4 * wordPace(30).silentMs);
+    await fleet.clock.advance(4 * gossipPace(30).silentMs);
     fleet.hosts.forEach((host) => assert.equal(namesOf(fleet, host).length, 30, host.name));
   });
 });
@@ -138,7 +138,7 @@
 };
 
 /** Requests of the last half minute that a host knows of. */
-const demandAt = (fleet: TalkFleet, host: TalkHost): number =>
+const demandAt = (fleet: GossipFleet, host: GossipHost): number =>
   host.demand.getSpans('m', fleet.clock.now()).reduce((sum, span) => sum + span.requests, 0);
 
 // The host that decides about the roles sees a small part of the callers itself. It must know what is
--- a/packages/router/tests/host/callerAddresses.test.ts
+++ b/packages/router/tests/host/callerAddresses.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { callerAddresses } from '../../src/host/callerAddresses.ts';
-import type { GroupMate } from '../../src/host/ports.ts';
+import type { FleetMember } from '../../src/host/ports.ts';
 
-const mate = (host: string, zone: string, more: Partial<GroupMate> = {}): GroupMate => ({
+const mate = (host: string, zone: string, more: Partial<FleetMember> = {}): FleetMember => ({
   ...{ host, zone, callerAddress: host, peerAddress: host, leaving: false, serving: true },
   ...more,
 });
@@ -15,7 +15,7 @@
 
 // Guards against callers of all zones who are sent to the same few hosts of one zone.
 test('where hosts stand by, callers are sent to the serving hosts of their own zone', () => {
-  const zone = (name: string): readonly GroupMate[] => [
+  const zone = (name: string): readonly FleetMember[] => [
     ...[1, 2, 3].map((i) => mate(`${name}${i}`, name)),
     ...[4, 5, 6].map((i) => mate(`${name}${i}`, name, { serving: false })),
   ];
--- a/packages/router/tests/measure/words.ts
+++ b/packages/router/tests/measure/gossip.ts
@@ -1,4 +1,4 @@
-import { TalkFleet } from '../support/TalkFleet.ts';
+import { GossipFleet } from '../support/GossipFleet.ts';
 
 const SECONDS = 4;
 const STEP_MS = 500;
@@ -6,7 +6,7 @@
 
 /** Prints what hosts of a fleet say in a second where each places two requests a second. */
 async function measure(count: number): Promise<void> {
-  const fleet = new TalkFleet(count);
+  const fleet = new GossipFleet(count);
   const use = new Map(
     Array.from({ length: 3 }, (_, i) => [
       `i-${i}`,
--- a/packages/router/tests/placing/EngineProbes.test.ts
+++ b/packages/router/tests/placing/EngineProbes.test.ts
@@ -90,11 +90,11 @@
 test('a peer is believed only as far as the engine itself gives no answer', async () => {
   const fleet = new ProbedFleet();
   fleet.down.add('e2');
-  fleet.probes.hear(['e1', 'e2']);
+  fleet.probes.receive(['e1', 'e2']);
   await fleet.clock.advance(1);
   assert.equal(fleet.health.isSuspected('e1'), false);
   assert.equal(fleet.health.isSuspected('e2'), true);
-  Array.from({ length: 20 }, () => fleet.probes.hear(['e1', 'e2']));
+  Array.from({ length: 20 }, () => fleet.probes.receive(['e1', 'e2']));
   await fleet.clock.advance(100);
   assert.equal(fleet.asked.get('e1'), 1);
 });
--- a/packages/router/tests/serving/ServiceGates.test.ts
+++ b/packages/router/tests/serving/ServiceGates.test.ts
@@ -72,7 +72,7 @@
   const tell = (): void =>
     hosts.forEach((to, i) =>
       hosts.forEach((from, j) => {
-        if (i !== j) to.shares.hear(`h${j}`, from.shares.getOwn(), clock.now());
+        if (i !== j) to.shares.receive(`h${j}`, from.shares.getOwn(), clock.now());
       }),
     );
   let owed = 0;
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -18,7 +18,7 @@
 import type { Result, ResultAsync } from 'neverthrow';
 import { SharedRates } from '../../src/agreement/SharedRates.ts';
 import { LocalPlacer } from '../../src/placing/LocalPlacer.ts';
-import { CrashDesk } from '../../src/serving/CrashDesk.ts';
+import { CrashGuard } from '../../src/serving/CrashGuard.ts';
 import { serviceRepeats } from '../../src/serving/teamRepeats.ts';
 
 export const KEY = 'the-key';
@@ -203,7 +203,7 @@
       rates: new SharedRates(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       repeats: serviceRepeats(new RepeatBudget(allowance, () => 1)),
       placer,
-      crashes: new CrashDesk({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
+      crashes: new CrashGuard({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
       claims: undefined,
       endsWithdrawn: false,
       start: () => undefined,
--- a/packages/router/tests/support/TalkFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -5,13 +5,13 @@
 import type { DemandHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { HostRoster } from '../../src/agreement/HostRoster.ts';
 import type { HostRecord } from '../../src/agreement/hostRecord.ts';
-import { PeerTalk } from '../../src/agreement/PeerTalk.ts';
+import { PeerGossip } from '../../src/agreement/PeerGossip.ts';
 
 const DELAY_MS: Millis = 1;
 const TOLERANCE = { over: 0.1, slackTokens: 12_000, windowMs: 8_000 };
 
 /** A host that talks, with all that it does with what it hears. */
-export interface TalkHost {
+export interface GossipHost {
   readonly name: string;
   readonly roster: HostRoster;
   readonly rates: CountedRates;
@@ -34,10 +34,10 @@
 }
 
 /** Hosts that talk to each other over a network of datagrams, under a virtual clock. */
-export class TalkFleet {
+export class GossipFleet {
   readonly clock = new VirtualClock();
 
-  readonly hosts: readonly TalkHost[];
+  readonly hosts: readonly GossipHost[];
 
   private readonly links = new Map<
     string,
@@ -48,7 +48,7 @@
   private readonly stops: AbortController[] = [];
 
   /** Tells whether a datagram passes. */
-  passes: (from: TalkHost, to: TalkHost) => boolean = () => true;
+  passes: (from: GossipHost, to: GossipHost) => boolean = () => true;
 
   /** @param count - Hosts; the first ones are the strongest. */
   constructor(count: number) {
@@ -62,7 +62,7 @@
       roster.update(records, 0);
       const rates = new CountedRates(TOLERANCE);
       rates.setSharers(roster.getOthers(), 0);
-      const host: TalkHost = {
+      const host: GossipHost = {
         ...{ name, roster, rates, book: new UseBook(), digests: [], use: new Map() },
         ...{
           demand: new DemandBook(),
@@ -83,15 +83,15 @@
     this.stops.forEach((stop) => stop.abort());
   }
 
-  private start(host: TalkHost): void {
+  private start(host: GossipHost): void {
     const { clock } = this;
-    const talk = new PeerTalk({
+    const talk = new PeerGossip({
       self: host.name,
       incarnation: 's',
       clock,
       link: this.linkOf(host),
       roster: host.roster,
-      word: () => ({
+      hint: () => ({
         leaving: false,
         engines: [...host.use].map(([engine, use]) => ({ engine, ...use })),
         charged: [...host.rates.getTotals()],
@@ -102,29 +102,29 @@
         versions: { config: 1, servers: 1 },
       }),
       onHint: (hint) => {
-        host.roster.hear(hint, clock.now());
-        host.rates.hear(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
-        host.book.hear(
+        host.roster.receive(hint, clock.now());
+        host.rates.receive(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
+        host.book.receive(
           hint.host,
           new Map(hint.engines.map((one) => [one.engine, one])),
           clock.now(),
         );
-        host.demand.hear(hint.host, hint.incarnation, hint.demand, clock.now());
-        host.heardMoves.hear(hint.moves, clock.now());
-        host.peersWaiting.hear(hint.host, waitingOf(hint.demand), clock.now());
+        host.demand.receive(hint.host, hint.incarnation, hint.demand, clock.now());
+        host.heardMoves.receive(hint.moves, clock.now());
+        host.peersWaiting.receive(hint.host, waitingOf(hint.demand), clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
-        host.roster.hearAll(digest, clock.now());
+        host.roster.receiveDigest(digest, clock.now());
         const { heard, incarnation } = digest;
         const totals = new Map(digest.charged);
-        host.rates.hearCrowd({ relay: digest.host, incarnation, heard, totals }, clock.now());
+        host.rates.receiveDigest({ relay: digest.host, incarnation, heard, totals }, clock.now());
         const uses = digest.engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]);
-        host.book.hearSum(new Map(uses), heard, clock.now());
+        host.book.receiveSum(new Map(uses), heard, clock.now());
         const relay = `${digest.host} ${incarnation}`;
-        host.demand.hearRelay(relay, digest.demand, clock.now());
-        host.heardMoves.hear(digest.moves, clock.now());
-        host.peersWaiting.hearSum(waitingOf(digest.demand), heard, clock.now());
+        host.demand.receiveRelayed(relay, digest.demand, clock.now());
+        host.heardMoves.receive(digest.moves, clock.now());
+        host.peersWaiting.receiveSum(waitingOf(digest.demand), heard, clock.now());
       },
     });
     Object.assign(host, { noteNews: () => talk.noteNews() });
@@ -133,10 +133,10 @@
     talk.start(stop.signal);
   }
 
-  private linkOf(from: TalkHost): HintLink {
+  private linkOf(from: GossipHost): HintLink {
     const handlers: { hint?: (hint: HostHint) => void; digest?: (digest: HostDigest) => void } = {};
     this.links.set(from.name, handlers);
-    const deliver = (address: string, bytes: number, run: (to: TalkHost) => void): void => {
+    const deliver = (address: string, bytes: number, run: (to: GossipHost) => void): void => {
       const to = this.hosts.find((host) => `${host.name}:1` === address);
       if (from.isDown || to === undefined) return;
       Object.assign(from, { sent: from.sent + 1, bytes: from.bytes + bytes });
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -43,7 +43,7 @@
 
 /**
  * Cheap reads after which what is known to be newer is read at its full price: 0.8 s, so that with the
- * word of it a change is in force within 1.3 s. Sooner, most hosts of a large fleet would read each
+ * hint of it a change is in force within 1.3 s. Sooner, most hosts of a large fleet would read each
  * change at the full price, since cheap answers lag.
  */
 const CHEAP_TRIES = 4;
@@ -115,7 +115,7 @@
   }
 
   /** Takes in that a peer knows of a change; one that is newer than this copy is read soon. */
-  hearOf(version: ObjectVersion): void {
+  noteNewer(version: ObjectVersion): void {
     if (version <= this.named) return;
     this.named = version;
     if (version > this.getVersion()) this.wake();
@@ -149,7 +149,7 @@
     return isFirst;
   }
 
-  /** Waits for a word of a peer or for the next cheap read, and catches up. */
+  /** Waits for a hint of a peer or for the next cheap read, and catches up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
     this.wake = () => this.pause.interrupt();
     await this.pause.wait(this.options.pollMs?.() ?? LEAST_POLL_MS, signal);
--- a/packages/store/tests/follow/KindFollower.test.ts
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -147,7 +147,7 @@
   void follower.run(stop.signal);
   await clock.advance(1_000);
   assert.deepEqual(namesOf(rounds.at(-1)), ['a', 'b']);
-  follower.hearOf(8);
+  follower.noteNewer(8);
   await clock.advance(1_000);
   stop.abort();
   assert.deepEqual(namesOf(rounds.at(-1)), ['b']);
@@ -173,7 +173,7 @@
     watchMs: 60_000,
     onRound: (round) => {
       rounds.push(round);
-      follower.hearOf(8);
+      follower.noteNewer(8);
     },
   });
   void follower.run(stop.signal);
@@ -210,7 +210,7 @@
   assert.equal(calls.length, 1);
   await clock.advance(2_000);
   assert.equal(calls.length, 2);
-  follower.hearOf(8);
+  follower.noteNewer(8);
   await clock.advance(100);
   stop.abort();
   assert.equal(follower.getVersion(), 9);
