--- a/packages/decisions/src/local/EngineHealth.ts
+++ b/packages/decisions/src/local/EngineHealth.ts
@@ -43,9 +43,8 @@
 /**
  * Remembers how engines did for this host: which failed lately, and how fast each reads prompts.
  *
- * Made for engines that are down, dark or slow while the list of servers still names them. Without
- * it every request would try them again; one would notice it as first tokens that come late or
- * never on a fixed part of the requests.
+ * Made for engines that are down, dark or slow while the list of servers still names them: without it
+ * every request would try them again.
  */
 export class EngineHealth {
   private readonly known = new Map<UpstreamId, Health>();
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -35,8 +35,7 @@
 
 /**
  * What reading a prompt on a decode engine is worth in waiting, in milliseconds: its streams stand
- * still for as long as it reads, so prefill engines are kept busier than by a quarter of a second
- * before it is done.
+ * still for as long as it reads.
  */
 const READ_AT_DECODE_MS: Millis = 120;
 
@@ -50,16 +49,14 @@
 const FULL_ENGINE_MS: Millis = 250;
 
 /**
- * Parts of an engine's memory that hosts fill, in fleets whose hosts hear of each other at once and in
- * those where they hear from relays. The rest covers what hosts that chose at the same moment put there
- * unseen; an engine that runs out preempts a running stream and reads it anew.
+ * Part of an engine's memory that hosts fill. The rest covers what hosts that chose at the same
+ * moment put there unseen; an engine that runs out preempts a running stream and reads it anew.
  */
-const MEMORY_PART = 0.95;
-const RELAYED_MEMORY_PART = 0.95;
+export const MEMORY_PART = 0.95;
 
 /**
- * Hosts from which on engines are drawn by lot before the best is taken. So many hosts choose on hints
- * that are up to a second old; all would choose the engine that looked emptiest, and fill it together.
+ * Hosts from which on engines are drawn by lot before the best is taken. On digests that are a little old
+ * all would choose the engine that looked emptiest, and fill it together.
  */
 const DRAW_FROM_HOSTS = 20;
 
@@ -187,9 +184,8 @@
    * Tells whether a decode engine may read a prompt without making its streams late.
    *
    * While it reads, its other streams get a token for each chunk only, so an event of theirs takes as
-   * long as the reading on top of its usual time. With prompts of thousands of tokens that is more than
-   * a stream may pause, and one request that is read sooner would make ten others late: on a site with
-   * slow engines 77 prompts read this way made 74 streams late.
+   * long as the reading on top of its usual time. One request that is read sooner can make all of them
+   * late.
    */
   private mayRead({ cfg, streams }: DecodeOption, wish: PlacementWish): boolean {
     if (streams === 0) return true;
@@ -242,7 +238,7 @@
         streams: use.streams,
         isReading: use.prefillTokens > 0,
       }))
-      .filter(({ fill }) => fill <= memoryPart(this.use.getHostCount()));
+      .filter(({ fill }) => fill <= MEMORY_PART);
   }
 
   /**
@@ -266,16 +262,6 @@
   }
 }
 
-/**
- * Gets the part of an engine's memory that hosts fill.
- *
- * @param hosts - Hosts that place on the engine.
- * @returns The part.
- */
-export function memoryPart(hosts: number): number {
-  return hosts < DRAW_FROM_HOSTS ? MEMORY_PART : RELAYED_MEMORY_PART;
-}
-
 function apartChoice(prefill: PrefillOption, decode: DecodeOption): Choice {
   const zoneMs = prefill.cfg.zone === decode.cfg.zone ? 0 : OTHER_ZONE_MS;
   return {
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -42,15 +42,11 @@
 /**
  * Longest time in which a prompt that is sent now should be read, in milliseconds. Prompts wait here
  * and not at an engine, where a more urgent one could not pass them, and where they would still be
- * read after their caller has left. Three prompts of five thousand tokens keep an engine busy while
- * the next ones are on their way.
+ * read after their caller has left.
  */
 const MAX_READ_MS: Millis = 350;
 
-/**
- * Milliseconds by which the reading of a late prompt may be longer than on an idle engine. A late
- * answer is worth a fifth of one on time, so it takes only what nobody else wants.
- */
+/** Milliseconds by which the reading of a late prompt may be longer than on an idle engine. */
 const LATE_READ_MARGIN_MS: Millis = 60;
 
 /**
--- a/packages/decisions/src/local/gossipPace.ts
+++ b/packages/decisions/src/local/gossipPace.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '@camphorvane/core';
+import { SERVING_PART } from './isServing.ts';
 
 /** How often hosts tell each other what they have, and what follows from silence. */
 export interface GossipPace {
@@ -24,32 +25,20 @@
   readonly pollMs: Millis;
 }
 
-/**
- * Hosts up to which each speaks to all others. Hints then reach everybody within 40 ms; with more
- * hosts they grow with the square of the fleet, to 24,000 a second at 91 hosts.
- */
-const ALL_SPEAK_UP_TO = 9;
+/** Hosts up to which each sends hints to all others; their number grows with the square of the fleet. */
+const FULL_MESH_UP_TO = 9;
 
-/** Longest and shortest time between two hints where all speak to all. */
+/** Longest and shortest time between two hints of a host in a full mesh. */
 const SMALL_PERIOD_MS: Millis = 200;
 const SMALL_GAP_MS: Millis = 40;
 
-/**
- * Hints in a second that a relaying host takes in where there is no news. Each costs it about
- * 40 microseconds, so this is half a hundredth of a core.
- */
+/** Hints in a second that a relaying host takes in where there is no news. */
 const HINTS_PER_SECOND = 120;
 
-/**
- * Shortest time between two hints where there is news. Hosts of a large fleet place a request every
- * few seconds each, so a short gap costs little, and the engines' use is known before the next one.
- */
+/** Shortest time between two hints where there is news, so that a burst does not cost a hint a request. */
 const RELAYED_GAP_MS: Millis = 60;
 
-/**
- * Digests in a second that all relaying hosts send together to those that take callers. With fewer, hosts
- * place on old knowledge and fill the same engines.
- */
+/** Digests in a second that all relaying hosts send together to those that take callers. */
 const DIGESTS_PER_SECOND = 500;
 
 const LEAST_DIGEST_MS: Millis = 100;
@@ -57,16 +46,11 @@
 /** A host that stands by has no request to place, and needs only to know who is there. */
 const LEAST_STANDBY_DIGEST_MS: Millis = 500;
 
-/** Part of the hosts of a large fleet that take callers, about. */
-const SERVING_PART = 1 / 3;
-
-/** Factor by which hosts that stand by speak less often. */
-const STANDBY_PACE = 2;
+/** Factor by which hosts that stand by send hints less often. */
+const STANDBY_SLOWDOWN = 2;
 
-/** Fleets just above the small ones speak no more often than this without news. */
 const LEAST_PERIOD_MS: Millis = 300;
 
-/** With periods above this, hosts would learn of a dead one later than callers do. */
 const LONGEST_PERIOD_MS: Millis = 3_000;
 
 /** Periods without a hint that make a host silent: two lost hints are no sign of death. */
@@ -105,11 +89,11 @@
  * @returns The pace.
  */
 export function gossipPace(hosts: number): GossipPace {
-  const isRelayed = hosts > ALL_SPEAK_UP_TO;
+  const isRelayed = hosts > FULL_MESH_UP_TO;
   const gapMs = isRelayed ? RELAYED_GAP_MS : SMALL_GAP_MS;
   const servingHosts = hosts * SERVING_PART;
   const periodMs = isRelayed ? relayedPeriodMs(servingHosts) : SMALL_PERIOD_MS;
-  const standbyPeriodMs = isRelayed ? relayedPeriodMs(hosts * STANDBY_PACE) : SMALL_PERIOD_MS;
+  const standbyPeriodMs = isRelayed ? relayedPeriodMs(hosts * STANDBY_SLOWDOWN) : SMALL_PERIOD_MS;
   const digestMs = Math.max(LEAST_DIGEST_MS, everyMs(servingHosts, DIGESTS_PER_SECOND));
   const standbyDigestMs = Math.max(LEAST_STANDBY_DIGEST_MS, everyMs(hosts, DIGESTS_PER_SECOND));
   const recordMs = within(LEAST_RECORD_MS, everyMs(hosts, RECORDS_PER_SECOND), LONGEST_RECORD_MS);
--- a/packages/decisions/src/local/isServing.ts
+++ b/packages/decisions/src/local/isServing.ts
@@ -11,7 +11,7 @@
 const SERVE_ALL_UP_TO = 20;
 
 /** Part of a zone's strength that takes callers; the rest stands by. */
-const SERVING_PART = 1 / 3;
+export const SERVING_PART = 1 / 3;
 
 /** Hosts of a zone that take callers at least, so that callers can leave one that has died. */
 const LEAST_SERVING = 3;
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -33,8 +33,7 @@
  * Finds out whether an engine is up, by a question that costs it nothing.
  *
  * An engine that crashes is still listed for some seconds. Tried with requests, each host loses several
- * to it, and with each of them a prompt that was read for nothing: on a day with two crashes 59 prompts
- * of 550. One failure, here or at a peer, is enough to take it out of use until it answers again. A
+ * to it, and with each of them a prompt that was read for nothing. One failure, here or at a peer, is enough to take it out of use until it answers again. A
  * peer's hint alone does not: a host that is cut off would take all engines from the others.
  */
 export class EngineProbes {
--- a/packages/router/src/placing/roleView.ts
+++ b/packages/router/src/placing/roleView.ts
@@ -1,7 +1,7 @@
 import type { EngineConfig, Millis, ModelId } from '@camphorvane/core';
 import { TOKENS_PER_PIECE } from '@camphorvane/core';
 import type { EngineKnowledge, RoleView, ShiftableEngine } from '@camphorvane/decisions';
-import { memoryPart } from '@camphorvane/decisions';
+import { MEMORY_PART } from '@camphorvane/decisions';
 
 /** What a view is made from. */
 export interface RoleViewSources {
@@ -34,7 +34,7 @@
     engines: engines.map((cfg) => shiftable(cfg, knowledge, now)),
     spans: demand.getSpans(model, now),
     readPerMs,
-    memoryTokens: pieces * TOKENS_PER_PIECE * memoryPart(knowledge.use.getHostCount()),
+    memoryTokens: pieces * TOKENS_PER_PIECE * MEMORY_PART,
     tokenMs,
     onTimeMs,
     switchMs,
--- a/packages/router/src/serving/CallShares.ts
+++ b/packages/router/src/serving/CallShares.ts
@@ -10,9 +10,8 @@
 /**
  * What the hosts have on plain services, and what each may have.
  *
- * All hosts reckon with the calls that they have told each other, their own ones too. Were each to reckon
- * with its own calls as they are now, all would take more than their part in the moment in which a burst
- * begins, and before they hear of each other's: servers with 6 places got 14 calls at once.
+ * All hosts use the counts that they have sent each other, their own ones too. With its own calls as they
+ * are now, each would take more than its part when a burst begins, before it knows of the others'.
  */
 export class CallShares {
   private readonly peers = new PeerCounts(HINT_LIFE_MS);
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -91,10 +91,9 @@
   /**
    * Gives the prompt's memory to a decode engine, and to another one where the first does not take it.
    *
-   * A decode engine that has just crashed, or filled up unseen, refuses after the prompt was read. To
-   * read it again would cost a tenth of a second of a prefill engine each time; one would notice it as
-   * prefill work that grows while answers do not. Under overload the other engines are full too, and the
-   * prompt waits for room rather than being given up.
+   * A decode engine that has just crashed, or filled up unseen, refuses after the prompt was read; reading
+   * it again would load the prefill engines once more. Under overload the other engines are full too, and
+   * the prompt waits for room.
    */
   private async *decodeSomewhere(
     first: ModelEngine,
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -41,11 +41,7 @@
 /** Milliseconds between two cheap reads while what is known to be newer is not in them. */
 const CATCH_UP_MS: Millis = 200;
 
-/**
- * Cheap reads after which what is known to be newer is read at its full price: 0.8 s, so that with the
- * hint of it a change is in force within 1.3 s. Sooner, most hosts of a large fleet would read each
- * change at the full price, since cheap answers lag.
- */
+/** Cheap reads, which may lag, after which what is known to be newer is read at its full price. */
 const CHEAP_TRIES = 4;
 
 /**
