--- a/packages/router/src/agreement/PeerGossip.ts
+++ b/packages/router/src/agreement/PeerGossip.ts
@@ -3,10 +3,13 @@
 import type { GossipPace } from '@camphorvane/decisions';
 import { gossipPace } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import { stateLog } from '../observe/StateLog.ts';
 import type { HostRoster } from './HostRoster.ts';
 import { DigestBuilder } from './DigestBuilder.ts';
 import type { HintSums } from './DigestBuilder.ts';
 
+const log = stateLog('hosts');
+
 /** Digest periods without a digest after which another relay is listened to. */
 const RELAY_SILENT_PERIODS = 3;
 
@@ -66,6 +69,8 @@
   /** When each host was sent a digest last. */
   private readonly digestedAt = new Map<HostId, Millis>();
 
+  private wasServing: boolean | undefined;
+
   private newsAt: Millis = -Infinity;
 
   /** Whether there is something that peers should learn before the next period. */
@@ -100,6 +105,7 @@
   sendNow(): void {
     const { link, roster, clock } = this.options;
     this.hasNews = false;
+    this.logServing();
     const hint = this.ownHint();
     if (!this.pace().isRelayed) {
       link.send(hint, roster.getPeerAddresses());
@@ -218,6 +224,13 @@
     return this.isServing() || this.options.clock.now() - this.newsAt < BUSY_MS;
   }
 
+  private logServing(): void {
+    const isServing = this.isServing();
+    if (isServing === this.wasServing) return;
+    this.wasServing = isServing;
+    log(isServing ? 'takes_callers' : 'stands_by', { hosts: this.options.roster.countSharers() });
+  }
+
   private isServing(): boolean {
     return this.options.roster.isServing(this.options.clock.now());
   }
