--- a/packages/router/tests/agreement/PeerGossip.test.ts
+++ b/packages/router/tests/agreement/PeerGossip.test.ts
@@ -203,3 +203,40 @@
   await learn(6);
   await learn(30);
 });
+
+const servingOf = (fleet: GossipFleet, host: GossipHost): readonly string[] =>
+  host.roster
+    .getMembers(fleet.clock.now())
+    .filter((member) => member.serving && member.zone === 'a')
+    .map((member) => member.host);
+
+// Guards against callers who are sent to dead hosts while living ones of their zone stand by.
+test('when the serving hosts of a zone die, others of the zone take their callers', async () => {
+  await play(60, async (fleet) => {
+    await fleet.clock.advance(4_000);
+    const zone = fleet.hosts.filter((_, i) => i % 3 === 0).map((host) => host.name);
+    const observer = fleet.hosts.find((host) => host.name === 'h040');
+    assert.ok(observer !== undefined);
+    const before = servingOf(fleet, observer);
+    assert.ok(before.length >= 3 && before.length <= zone.length / 2, `${before.length} serve`);
+    fleet.hosts
+      .filter((host) => before.includes(host.name))
+      .forEach((host) => Object.assign(host, { isDown: true }));
+    await fleet.clock.advance(5_000);
+    const after = servingOf(fleet, observer);
+    assert.ok(after.length >= 3, `${after.length} serve`);
+    assert.deepEqual(
+      after.filter((host) => before.includes(host)),
+      [],
+    );
+  });
+});
+
+test('a host that hears nobody takes callers itself', async () => {
+  await play(60, async (fleet) => {
+    Object.assign(fleet, { passes: () => false });
+    await fleet.clock.advance(4_000);
+    const now = fleet.clock.now();
+    fleet.hosts.forEach((host) => assert.equal(host.roster.isServing(now), true, host.name));
+  });
+});
