Take a reset that comes together with the last bytes for a reset

The server had sent half of a body without a length and reset the connection 5 ms later; the host passed the half on as whole.

Cause: the runtime reads the last bytes and, since the poll shows a hang-up with them, reports an orderly end without reading on to the reset. On a busy machine both lie in the socket at the same poll. The test that sends both at once fails without the change each time (actual: no error).

Change: at the end of a connection its peer is asked for. A socket that was reset has none any more, one that was closed in order has.

--- a/packages/upstream/src/FreshCall.ts
+++ b/packages/upstream/src/FreshCall.ts
@@ -162,6 +162,11 @@
         socket?.once('error', (error: NodeJS.ErrnoException) => {
           this.wasReset ||= BROKEN_OFF.has(error.code ?? '');
         });
+        // A reset that comes together with the last bytes is shown as an orderly end. The socket has no peer
+        // then, while one that the peer has closed in order still has.
+        socket?.once('end', () => {
+          this.wasReset ||= socket.remoteAddress === undefined;
+        });
         callback(...args);
       });
   }
--- a/packages/upstream/tests/FreshCall.test.ts
+++ b/packages/upstream/tests/FreshCall.test.ts
@@ -61,6 +61,21 @@
 
 // Some servers send a second answer after a complete one. On a connection of its own nobody reads
 // it, and the caller gets the first one alone.
+// Guards against half an answer that looks whole: the runtime shows a reset that comes together with the
+// last bytes as an orderly end.
+test('a body without a length is broken also where the reset comes with its last bytes', async () => {
+  await withServer(
+    (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nha');
+      setTimeout(() => {
+        socket.write('lf');
+        socket.resetAndDestroy();
+      }, 50);
+    },
+    async (origin) => assert.deepEqual(await readText(origin), { text: 'half', error: 'broken' }),
+  );
+});
+
 test('bytes after a complete answer belong to nobody', async () => {
   const one = 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\none';
   await withServer(
