--- a/packages/router/src/agreement/PeerGossip.ts
+++ b/packages/router/src/agreement/PeerGossip.ts
@@ -28,18 +28,18 @@
   'host' | 'incarnation' | 'sequence' | 'digests' | 'serving' | 'nextMs'
 >;
 
-/** What talking to peers is made of. */
+/** What gossip is made of. */
 export interface PeerGossipOptions {
   readonly self: HostId;
   readonly incarnation: Incarnation;
   readonly clock: Clock;
   readonly link: HintLink;
   readonly roster: HostRoster;
-  /** Gets what this host has to say now. */
+  /** Gets the content of this host's next hint. */
   readonly hint: () => OwnReport;
-  /** Told of each hint of a peer that is newer than the last one. */
+  /** Called with each hint of a peer that is newer than the last one. */
   readonly onHint: (hint: HostHint) => void;
-  /** Told of each digest that this host goes by. */
+  /** Called with each digest of the relay that this host follows. */
   readonly onDigest: (digest: HostDigest) => void;
 }
 
@@ -50,17 +50,16 @@
 }
 
 /**
- * Tells peers what this host has, and hears what they have.
+ * Exchanges hints with the other hosts.
  *
- * In a small fleet everybody tells everybody. In a larger one each host tells a few relays, one in
- * each zone, and asks the one in its own zone for digests of all it has heard. Nobody is elected: who
- * is told is the teller's choice, and whoever is asked relays. A relay that dies, freezes or is cut off
- * falls silent for its listeners, who then ask all that they tell.
+ * A small fleet is a full mesh. In a larger one each host sends its hints to a few relays, one in each
+ * zone, and asks the relay of its own zone for digests of all hints. Nobody is elected: each host chooses
+ * its relays, and whoever is asked relays. When its relay falls silent, a host asks all of them.
  */
 export class PeerGossip {
   private readonly options: PeerGossipOptions;
 
-  private readonly board = new DigestBuilder();
+  private readonly builder = new DigestBuilder();
 
   private readonly lastHints = new Map<HostId, Pick<HostHint, 'incarnation' | 'sequence'>>();
 
@@ -140,12 +139,12 @@
   private sendDigests(): void {
     const { self, clock, link, roster } = this.options;
     const now = clock.now();
-    this.board.forget(now);
-    const listeners = this.board.getAsking().filter(({ host }) => host !== self);
-    if (this.board.getHeard().every((host) => host === self)) return;
-    this.board.receive(this.ownHint(), now);
-    const sums = this.board.sumUp();
-    const heard = new Set(this.board.getHeard());
+    this.builder.forget(now);
+    const listeners = this.builder.getAsking().filter(({ host }) => host !== self);
+    if (this.builder.getHeard().every((host) => host === self)) return;
+    this.builder.receive(this.ownHint(), now);
+    const sums = this.builder.sumUp();
+    const heard = new Set(this.builder.getHeard());
     const silent = roster.getOthers().filter((host) => !heard.has(host));
     const due = listeners.filter((listener) => this.isDue(listener, now));
     due.forEach(({ host }) => {
@@ -167,7 +166,7 @@
     const { self, incarnation } = this.options;
     this.sequence += 1;
     const head = { host: self, incarnation, sequence: this.sequence, silent };
-    return this.board.digestFor(receiver, sums, head);
+    return this.builder.digestFor(receiver, sums, head);
   }
 
   private ownHint(): HostHint {
@@ -188,7 +187,7 @@
       return;
     }
     roster.receive(hint, clock.now());
-    this.board.receive(hint, clock.now());
+    this.builder.receive(hint, clock.now());
   }
 
   private receiveDigest(digest: HostDigest): void {
