--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -39,7 +39,7 @@
   readonly url: string;
   readonly zone: ZoneId;
   readonly role: EngineRole;
-  /** Memory in pieces of about a thousand tokens. */
+  /** Memory in pieces; see `TOKENS_PER_PIECE`. */
   readonly memoryPieces: number;
   /** Requests that the engine runs at once; absent where only its memory bounds them. */
   readonly slots?: number;
--- a/packages/core/src/tokens.ts
+++ b/packages/core/src/tokens.ts
@@ -4,7 +4,7 @@
 /** A number of pieces of engine memory, {@link TOKENS_PER_PIECE} tokens each. */
 export type Pieces = number;
 
-/** Engine memory is counted in pieces of about a thousand tokens (brief, sizes of today). */
+/** Tokens in one piece, the unit of engine memory. */
 export const TOKENS_PER_PIECE = 1024;
 
 /** Bytes of text that make about one token, used where no engine has counted the tokens yet. */
--- a/packages/decisions/src/local/gossipPace.ts
+++ b/packages/decisions/src/local/gossipPace.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '@camphorvane/core';
 import { SERVING_PART } from './isServing.ts';
 
-/** How often hosts tell each other what they have, and what follows from silence. */
+/** Periods of gossip, and the timeouts that follow from them. */
 export interface GossipPace {
   /** Whether hints go through a few relaying hosts, which pass on sums of them. */
   readonly isRelayed: boolean;
@@ -60,7 +60,7 @@
 const SILENT_MARGIN_MS: Millis = 200;
 
 /**
- * Records that all hosts together write in a second. Who is there is told by hints; the records say who
+ * Records that all hosts together write in a second. Hints show which hosts are up; the records say who
  * shares the rates, which changes seldom.
  */
 const RECORDS_PER_SECOND = 1.5;
--- a/packages/decisions/src/local/isServing.ts
+++ b/packages/decisions/src/local/isServing.ts
@@ -22,7 +22,7 @@
  * Made for fleets with many more hosts than the load needs: with a few callers on each, every host
  * places on what others placed unseen by it, and engines refuse what does not fit. The strongest hosts
  * of each zone take the callers; another one follows when one of them falls silent. Nobody is elected:
- * each host decides for itself, by those that it hears.
+ * each host decides for itself, by the hints that it receives.
  *
  * @param host - The host.
  * @param zone - The hosts of its zone that are up, itself included, the strongest first.
--- a/packages/decisions/src/rates/ratePeers.ts
+++ b/packages/decisions/src/rates/ratePeers.ts
@@ -1,13 +1,13 @@
 import type { HostId, Incarnation, Millis, TeamId, Tokens } from '@camphorvane/core';
 
-/** A report that stands for several peers: what a relaying host has heard. */
+/** A report that stands for several peers, as a relay sums it up. */
 export interface CrowdReport {
   /** The relaying host. */
   readonly relay: HostId;
   readonly incarnation: Incarnation;
   /** Peers whose charges are in the totals. */
   readonly heard: number;
-  /** Tokens by team that these peers have charged since the relay first heard of each. */
+  /** Tokens by team that these peers have charged since the relay's first hint of each. */
   readonly totals: ReadonlyMap<TeamId, Tokens>;
 }
 
