--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -29,6 +29,14 @@
   readonly plainCallTokens?: Tokens;
 }
 
+/** Bounds on requests to an upstream that has just started. */
+export interface SlowStartBounds {
+  /** Milliseconds after its start for which an upstream is bounded. */
+  readonly forMs: number;
+  /** Requests a second that it takes meanwhile, from all hosts together. */
+  readonly requestsPerSecond: number;
+}
+
 /** What an engine is used for. */
 export type EngineRole = 'prefill' | 'decode';
 
@@ -49,6 +57,8 @@
   readonly roleSwitchMs?: number;
   /** Output tokens in one event of a stream; 1 where absent. */
   readonly eventTokens?: Tokens;
+  /** Absent where an engine takes its full load from its start on. */
+  readonly slowStart?: SlowStartBounds;
 }
 
 /** A model and the engines that serve it. */
@@ -84,6 +94,8 @@
   readonly zone: ZoneId;
   /** Calls the server may run at once. */
   readonly maxConcurrent: number;
+  /** Absent where a server takes its full load from its start on. */
+  readonly slowStart?: SlowStartBounds;
 }
 
 /** A plain service beside the model engines. */
--- a/packages/decisions/src/local/EngineKnowledge.ts
+++ b/packages/decisions/src/local/EngineKnowledge.ts
@@ -4,6 +4,7 @@
 import { EngineHealth } from './EngineHealth.ts';
 import { UseBook } from './EngineUse.ts';
 import { PeerCounts } from './PeerCounts.ts';
+import { SlowStart } from './SlowStart.ts';
 
 /**
  * Milliseconds for which a peer's hint about its queue counts. Hints come within 200 ms; a request that
@@ -27,4 +28,12 @@
 
   /** What was asked of the pools. */
   readonly demand = new DemandBook();
+
+  /** Which engines have just started. */
+  readonly slowStart: SlowStart;
+
+  /** @param slowStart - Which upstreams have just started. */
+  constructor(slowStart = new SlowStart()) {
+    this.slowStart = slowStart;
+  }
 }
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -4,6 +4,7 @@
 import type { EngineHealth } from './EngineHealth.ts';
 import type { EngineKnowledge } from './EngineKnowledge.ts';
 import type { UseBook } from './EngineUse.ts';
+import type { SlowStart } from './SlowStart.ts';
 
 /** A request that asks for engines. */
 export interface PlacementWish {
@@ -99,16 +100,19 @@
 
   private readonly moves: EngineMoves;
 
+  private readonly slowStart: SlowStart;
+
   private readonly random: RandomSource;
 
   /**
    * @param knowledge - What this host knows of the engines.
    * @param random - Draws engines in large fleets.
    */
-  constructor({ use, health, moves }: EngineKnowledge, random = new RandomSource(1)) {
+  constructor({ use, health, moves, slowStart }: EngineKnowledge, random = new RandomSource(1)) {
     this.use = use;
     this.health = health;
     this.moves = moves;
+    this.slowStart = slowStart;
     this.random = random;
   }
 
@@ -243,7 +247,7 @@
 
   /**
    * Gets the engines of a role; those that failed lately only where no other is there, and none that
-   * changes its role or is being probed.
+   * changes its role, is being probed, or has just started and gets no more for now.
    */
   private usable(
     role: EngineConfig['role'],
@@ -258,7 +262,8 @@
   }
 
   private isUsable(id: UpstreamId, now: Millis): boolean {
-    return !this.health.isSuspected(id) && this.moves.roleOf(id, now) === undefined;
+    if (this.health.isSuspected(id) || this.moves.roleOf(id, now) !== undefined) return false;
+    return this.slowStart.allowance(id, now) > 0;
   }
 }
 
--- a/packages/decisions/src/service/ServiceGate.ts
+++ b/packages/decisions/src/service/ServiceGate.ts
@@ -6,6 +6,8 @@
   readonly id: UpstreamId;
   /** Calls that this host may have on the server at once. */
   readonly limit: number;
+  /** Calls that this host may send to the server now; absent where only the limit binds. */
+  readonly allowance?: number;
 }
 
 /** A call that asks for a server. */
@@ -37,6 +39,8 @@
 interface ServerState {
   readonly limit: number;
   running: number;
+  /** Calls that may still be sent to it. */
+  allowance: number;
   /** Not chosen before this time, because a call failed there. */
   restUntil: Millis;
 }
@@ -91,7 +95,8 @@
     const kept = servers.map((server): [UpstreamId, ServerState] => {
       const old = this.servers.get(server.id);
       const state = { running: old?.running ?? 0, restUntil: old?.restUntil ?? 0 };
-      return [server.id, { ...state, limit: server.limit }];
+      const { limit, allowance = Infinity } = server;
+      return [server.id, { ...state, limit, allowance }];
     });
     this.servers.clear();
     kept.forEach(([id, state]) => this.servers.set(id, state));
@@ -116,6 +121,9 @@
    */
   submit(call: GateCall, now: Millis): Refusal | undefined {
     const ofTeam = this.waiting.filter((one) => one.call.team === call.team).length;
+    if (this.servers.size === 0) {
+      return notRun('no_capacity', 'The service has no servers.', RETRY_AFTER_MS);
+    }
     if (this.waiting.length >= MAX_WAITING || ofTeam >= MAX_WAITING_PER_TEAM) {
       return notRun('queue_full', 'Too many calls wait for this service.', RETRY_AFTER_MS);
     }
@@ -182,7 +190,10 @@
     const { call } = choice.one;
     this.withdraw(call.request);
     const state = this.servers.get(choice.server);
-    if (state !== undefined) state.running += 1;
+    if (state !== undefined) {
+      state.running += 1;
+      state.allowance -= 1;
+    }
     this.runningByTeam.set(call.team, (this.runningByTeam.get(call.team) ?? 0) + 1);
     const waitedMs = now - choice.one.since;
     return { type: 'place', request: call.request, server: choice.server, waitedMs };
@@ -203,7 +214,7 @@
    */
   private choose(call: GateCall, now: Millis): UpstreamId | undefined {
     const open = [...this.servers]
-      .filter(([id, state]) => state.running < state.limit && !call.avoid.includes(id))
+      .filter(([id, state]) => hasRoom(state) && !call.avoid.includes(id))
       .map(([id, state]) => ({ id, state, lot: this.random.next() }))
       .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.lot - b.lot);
     const rested = open.find(({ state }) => state.restUntil <= now);
@@ -211,6 +222,10 @@
   }
 }
 
+function hasRoom({ running, limit, allowance }: ServerState): boolean {
+  return running < limit && allowance > 0;
+}
+
 function loadOf({ running, limit }: ServerState): number {
   return running / limit;
 }
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,15 +1,17 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { DemandHint, EngineHint, MoveHint } from './hintParts.ts';
+import type { DemandHint, DrainedZones, EngineHint, MoveHint } from './hintParts.ts';
 import {
   isCharge,
   isCount,
   isNames,
   parseDatagram,
   readDemand,
+  readDrained,
   readMove,
   readRow,
   readRows,
   writeDemand,
+  writeDrained,
   writeMove,
   writeRow,
 } from './hintRows.ts';
@@ -55,6 +57,8 @@
   readonly serving: readonly HostId[];
   /** Newest versions of the store's changes that any of them knows. */
   readonly versions: { readonly config: number; readonly servers: number };
+  /** Drained zones as the host says that has read them last. */
+  readonly drained: DrainedZones;
 }
 
 /**
@@ -84,6 +88,7 @@
       digest.down,
       digest.calls,
       digest.serving,
+      writeDrained(digest.drained),
     ]),
   );
 }
@@ -98,7 +103,7 @@
   const fields = parseDatagram(bytes);
   if (fields?.[0] !== TAG) return undefined;
   const [, host, incarnation, sequence, heard, rows, charged, silent, leaving, known] = fields;
-  const [demand, moves, down, calls, serving] = fields.slice(DEMAND_FIELD);
+  const [demand, moves, down, calls, serving, drainedRow] = fields.slice(DEMAND_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isCount(sequence) || !isCount(heard) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
@@ -107,6 +112,8 @@
   if (!isNames(down)) return undefined;
   const [config, servers] = Array.isArray(known) ? (known as readonly unknown[]) : [];
   if (!isCount(config) || !isCount(servers)) return undefined;
+  const drained = readDrained(drainedRow);
+  if (drained === undefined) return undefined;
   const engines = readRows(rows, readRow);
   const asked = readRows(demand, readDemand);
   const moving = readRows(moves, readMove);
@@ -117,6 +124,7 @@
     calls: calls as readonly (readonly [ServiceId, number])[],
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
+    drained,
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -13,14 +13,16 @@
   isNames,
   parseDatagram,
   readDemand,
+  readDrained,
   readMove,
   readRow,
   readRows,
   writeDemand,
+  writeDrained,
   writeMove,
   writeRow,
 } from './hintRows.ts';
-import type { DemandHint, EngineHint, MoveHint } from './hintParts.ts';
+import type { DemandHint, DrainedZones, EngineHint, MoveHint } from './hintParts.ts';
 
 /** Place of the engines that are down among the fields; those before it are read by name. */
 const DOWN_FIELD = 9;
@@ -60,6 +62,7 @@
   readonly calls: readonly (readonly [ServiceId, number])[];
   /** Versions of the store's changes up to which the host knows configuration and servers. */
   readonly versions: { readonly config: number; readonly servers: number };
+  readonly drained: DrainedZones;
 }
 
 /**
@@ -88,6 +91,7 @@
     hint.down,
     hint.calls,
     Math.round(hint.nextMs),
+    writeDrained(hint.drained),
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -102,7 +106,7 @@
   const fields = parseDatagram(bytes);
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, known, demand, moves] = fields;
-  const [down, calls, nextMs] = fields.slice(DOWN_FIELD);
+  const [down, calls, nextMs, drainedRow] = fields.slice(DOWN_FIELD);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isCharge)) return undefined;
@@ -114,6 +118,8 @@
   const asked = readRows(demand, readDemand);
   const moving = readRows(moves, readMove);
   if (engines === undefined || asked === undefined || moving === undefined) return undefined;
+  const drained = readDrained(drainedRow);
+  if (drained === undefined) return undefined;
   const [leaving, wish, serving] = Array.isArray(flags) ? (flags as readonly unknown[]) : [];
   return {
     host,
@@ -130,5 +136,6 @@
     down,
     calls: calls as readonly (readonly [ServiceId, number])[],
     versions: { config, servers },
+    drained,
   };
 }
--- a/packages/peer/src/hints/hintParts.ts
+++ b/packages/peer/src/hints/hintParts.ts
@@ -1,4 +1,4 @@
-import type { EngineRole, Millis, ModelId, Tokens, UpstreamId } from '@camphorvane/core';
+import type { EngineRole, Millis, ModelId, Tokens, UpstreamId, ZoneId } from '@camphorvane/core';
 
 /** What a host has on one engine, as it tells its peers. */
 export interface EngineHint {
@@ -21,6 +21,13 @@
   readonly onTimeWaiting: number;
 }
 
+/** Availability zones whose servers get no work. */
+export interface DrainedZones {
+  /** Version of the store at which they were read; 0 where they were not. */
+  readonly version: number;
+  readonly zones: readonly ZoneId[];
+}
+
 /** An engine that the host has ordered into another role. */
 export interface MoveHint {
   readonly engine: UpstreamId;
--- a/packages/peer/src/hints/hintRows.ts
+++ b/packages/peer/src/hints/hintRows.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from '@camphorvane/core';
-import type { DemandHint, EngineHint, MoveHint } from './hintParts.ts';
+import type { DemandHint, DrainedZones, EngineHint, MoveHint } from './hintParts.ts';
 
 type EngineRow = readonly [UpstreamId, number, number, number];
 
@@ -64,6 +64,22 @@
   return role === 'prefill' || role === 'decode' ? { engine, role, leftMs } : undefined;
 }
 
+/** Gets the drained zones as a row. */
+export function writeDrained({ version, zones }: DrainedZones): readonly (number | string)[] {
+  return [version, ...zones];
+}
+
+/**
+ * Reads a row of {@link writeDrained}; undefined for anything that is none. Hosts of an earlier version,
+ * which may run during an update, send no such row.
+ */
+export function readDrained(row: unknown): DrainedZones | undefined {
+  if (row === undefined) return { version: 0, zones: [] };
+  if (!Array.isArray(row)) return undefined;
+  const [version, ...zones] = row as readonly unknown[];
+  return isCount(version) && isNames(zones) ? { version, zones } : undefined;
+}
+
 /** Reads all rows of a list; undefined where it is no list, or one of its rows is none. */
 export function readRows<T>(
   rows: unknown,
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -24,6 +24,7 @@
   serving: ['b'],
   leaving: ['b'],
   versions: { config: 7, servers: 9 },
+  drained: { version: 11, zones: ['a', 'c'] },
 };
 
 test('a digest is read as it was written, and not taken for a hint', () => {
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -24,6 +24,7 @@
   calls: [['orders', 3]],
   down: ['e2'],
   versions: { config: 7, servers: 9 },
+  drained: { version: 11, zones: ['a', 'c'] },
 };
 
 test('a hint is read as it was written', () => {
@@ -56,6 +57,9 @@
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], undefined, 300],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], -1],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], []],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [-1]],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [4, 7]],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, 'x'],
   ];
   const sound = ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300];
   assert.ok(decodeHint(Buffer.from(JSON.stringify(sound))) !== undefined);
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, RandomSource, VersionedConfig } from '@camphorvane/core';
+import type { Clock, Millis, RandomSource, VersionedConfig, ZoneId } from '@camphorvane/core';
 import type {
   FollowedKind,
   WatchableStore,
@@ -10,11 +10,14 @@
   StoredObject,
 } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
+import type { SlowStart } from '@camphorvane/decisions';
+import type { DrainedZones } from '@camphorvane/peer/hints';
 import type { Unsubscribe } from '../host/ports.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import { composeRouting } from './composeRouting.ts';
 import type { ConfigFeed } from './HostAgreement.ts';
 import { ServerRoster } from './ServerRoster.ts';
+import { ZoneDrains } from './ZoneDrains.ts';
 
 const log = stateLog('deployment');
 
@@ -40,6 +43,10 @@
   readonly pollMs: () => Millis;
   /** Called when this host has learned of a change in the store. */
   readonly onNews: () => void;
+  /** Whether operators may drain availability zones. */
+  readonly drainsZones: boolean;
+  /** Told of servers that have just started. */
+  readonly slowStart: SlowStart;
 }
 
 /** An entry of the store, and the server that it names, if any. */
@@ -58,6 +65,11 @@
 
   private readonly roster = new ServerRoster();
 
+  /** Which availability zones are drained. */
+  readonly drains = new ZoneDrains();
+
+  private readonly drainEntries: KindFollower | undefined;
+
   private readonly listeners = new Set<(config: VersionedConfig) => void>();
 
   private deployed: DeployedConfig | undefined;
@@ -79,12 +91,16 @@
     this.options = options;
     this.configs = this.follow(options.format.configKind, (round) => this.takeConfig(round));
     this.servers = this.follow(options.format.serverKind, (round) => this.takeServers(round));
+    this.drainEntries = options.drainsZones
+      ? this.follow(options.format.drainedZoneKind, (round) => this.takeDrains(round))
+      : undefined;
   }
 
   /** Follows until stopped. */
   start(signal: AbortSignal): void {
     void this.configs.run(signal);
     void this.servers.run(signal);
+    void this.drainEntries?.run(signal);
   }
 
   /** Gets the versions of the store at the last changes of configuration and servers known here. */
@@ -98,6 +114,22 @@
     this.servers.noteNewer(versions.servers);
   }
 
+  /** Takes in which zones are drained, as the store or a peer says. */
+  receiveDrained(read: DrainedZones): void {
+    const wasKnown = this.drains.isKnown();
+    const { drained, restored } = this.drains.receive(read);
+    if (drained.length + restored.length > 0) {
+      log('zones_drained', {
+        drained: read.zones.join(' '),
+        restored: restored.join(' '),
+        revision: read.version,
+      });
+      this.noteRestored(restored);
+      this.options.onNews();
+    }
+    if (drained.length + restored.length > 0 || wasKnown !== this.drains.isKnown()) this.compose();
+  }
+
   /** {@inheritDoc ConfigFeed.current} */
   current(): VersionedConfig | undefined {
     return this.inForce;
@@ -122,12 +154,18 @@
   }
 
   /** {@inheritDoc ConfigFeed.state} */
-  state(): { readonly version: number; readonly answeredMsAgo: Millis; readonly servers: number } {
+  state(): {
+    readonly version: number;
+    readonly answeredMsAgo: Millis;
+    readonly servers: number;
+    readonly drainedZones: readonly ZoneId[];
+  } {
     const now = this.options.clock.now();
     return {
       version: this.inForce?.version ?? 0,
       answeredMsAgo: Math.round(now - this.configs.getAnsweredAt()),
       servers: this.roster.list(now).length,
+      drainedZones: this.drains.get().zones,
     };
   }
 
@@ -169,9 +207,12 @@
     const read = [...objects.values()].map((object): ReadServer => {
       const known = this.readServers.get(object.name);
       if (known?.object.version === object.version) return known;
-      return { object, server: format.readServer(object) };
+      const server = format.readServer(object);
+      this.noteStart(server);
+      return { object, server };
     });
     this.readServers = new Map(read.map((one) => [one.object.name, one]));
+    this.options.slowStart.keepOnly(new Set(this.readServers.keys()));
     const listed = read.map(({ server }) => server).filter((server) => server !== undefined);
     this.roster.update(listed, awayMs, clock.now());
     this.hasServers = true;
@@ -180,6 +221,26 @@
     if (change !== undefined) clock.after(change - clock.now(), () => this.compose());
   }
 
+  /** The store's answer is taken as a whole: a zone whose entry is missing is not drained any more. */
+  private takeDrains({ objects }: FollowedKind): void {
+    const version = this.drainEntries?.getVersion() ?? 0;
+    this.receiveDrained({ version, zones: [...objects.keys()].sort() });
+  }
+
+  private noteStart(server: ServerRecord | undefined): void {
+    if (server === undefined || server.startingMs === 0) return;
+    this.options.slowStart.started(server.id, server.startingMs, this.options.clock.now());
+  }
+
+  /** Servers of a drained zone may have started anew unseen, and their entries lag behind. */
+  private noteRestored(zones: readonly ZoneId[]): void {
+    const now = this.options.clock.now();
+    this.roster
+      .list(now)
+      .filter(({ zone }) => zones.includes(zone))
+      .forEach(({ id }) => this.options.slowStart.started(id, undefined, now));
+  }
+
   private announce(): void {
     const { config, servers } = this.getVersions();
     const versions = `${config} ${servers}`;
@@ -190,7 +251,12 @@
 
   private compose(): void {
     if (this.deployed === undefined || !this.hasServers) return;
-    const servers = this.roster.list(this.options.clock.now());
+    if (this.options.drainsZones && !this.drains.isKnown()) return;
+    const listed = this.roster.list(this.options.clock.now());
+    // What is left of a slow start changes with each heartbeat, and routing does not depend on it.
+    const servers = listed
+      .filter(({ zone }) => !this.drains.has(zone))
+      .map((server) => ({ ...server, startingMs: undefined }));
     const from = JSON.stringify([this.deployed.version, servers]);
     if (from === this.composedFrom) return;
     this.composedFrom = from;
@@ -201,6 +267,7 @@
       version: inForce.version,
       usable: servers.filter((server) => !server.leaving).length,
       leaving: servers.filter((server) => server.leaving).length,
+      drained: listed.length - servers.length,
     });
     this.listeners.forEach((listener) => listener(inForce));
   }
--- a/packages/router/src/agreement/DigestBuilder.ts
+++ b/packages/router/src/agreement/DigestBuilder.ts
@@ -10,7 +10,13 @@
 } from '@camphorvane/core';
 import type { PoolDemand } from '@camphorvane/decisions';
 import { hintLifetime, NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
-import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type {
+  DemandHint,
+  DrainedZones,
+  EngineHint,
+  HostDigest,
+  HostHint,
+} from '@camphorvane/peer/hints';
 
 /**
  * Engines that one digest names at most, those with the most on them: about 40 bytes each, and a
@@ -36,6 +42,7 @@
   readonly leaving: readonly HostId[];
   readonly serving: readonly HostId[];
   readonly versions: HostDigest['versions'];
+  readonly drained: DrainedZones;
 }
 
 /** What a digest says beside the sums. */
@@ -107,6 +114,9 @@
         config: Math.max(0, ...hints.map(({ versions }) => versions.config)),
         servers: Math.max(0, ...hints.map(({ versions }) => versions.servers)),
       },
+      drained: hints
+        .map(({ drained }) => drained)
+        .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
     };
   }
 
@@ -139,6 +149,7 @@
       leaving: sums.leaving.filter((host) => host !== receiver),
       serving: sums.serving,
       versions: sums.versions,
+      drained: sums.drained,
     };
   }
 
--- a/packages/router/src/agreement/GroupAgreement.ts
+++ b/packages/router/src/agreement/GroupAgreement.ts
@@ -1,6 +1,6 @@
 import type { HostId, Incarnation, Millis, ModelId } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
-import { RetryBudget } from '@camphorvane/decisions';
+import { RetryBudget, SlowStart } from '@camphorvane/decisions';
 import { DEFAULT_MEMBERSHIP, memberKey } from '@camphorvane/group';
 import type { PeerLink, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import { GroupAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
@@ -56,6 +56,9 @@
 
   readonly crashes: CrashGuard;
 
+  /** The configuration of our own interface has no bounds for servers that start. */
+  readonly slowStart = new SlowStart();
+
   readonly claims: IdempotencyClaims;
 
   readonly endsWithdrawn = true;
--- /dev/null
+++ b/packages/router/src/agreement/HintReceiver.ts
@@ -0,0 +1,71 @@
+import type { Clock, ModelId } from '@camphorvane/core';
+import type { EngineKnowledge, EngineUse } from '@camphorvane/decisions';
+import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { EngineProbes } from '../placing/EngineProbes.ts';
+import type { CallShares } from '../serving/CallShares.ts';
+import type { DeploymentFeed } from './DeploymentFeed.ts';
+import type { HostRoster } from './HostRoster.ts';
+import type { SharedRates } from './SharedRates.ts';
+
+/** The parts of a host that go by what its peers say. */
+export interface HintReceiverOptions {
+  readonly clock: Clock;
+  readonly hosts: HostRoster;
+  readonly rates: SharedRates;
+  readonly config: DeploymentFeed;
+  readonly knowledge: EngineKnowledge;
+  readonly probes: EngineProbes;
+  readonly calls: CallShares;
+}
+
+/** Takes what peers say to the parts of this host that go by it. */
+export class HintReceiver {
+  private readonly options: HintReceiverOptions;
+
+  /** @param options - The parts. */
+  constructor(options: HintReceiverOptions) {
+    this.options = options;
+  }
+
+  /** Takes in what one peer says of itself. */
+  receive(hint: HostHint): void {
+    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const now = clock.now();
+    hosts.receive(hint, now);
+    rates.receive(hint);
+    config.noteNewer(hint.versions);
+    config.receiveDrained(hint.drained);
+    const { use, demand, moves, waiting } = knowledge;
+    use.receive(hint.host, usesOf(hint.engines), now);
+    waiting.receive(hint.host, waitingOf(hint.demand), now);
+    demand.receive(hint.host, hint.incarnation, hint.demand, now);
+    moves.receive(hint.moves, now);
+    probes.receive(hint.down);
+    calls.receive(hint.host, new Map(hint.calls), now);
+  }
+
+  /** Takes in what all peers together say, as a relay has summed it up. */
+  receiveSum(digest: HostDigest): void {
+    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const now = clock.now();
+    hosts.receiveDigest(digest, now);
+    rates.receiveSum(digest);
+    config.noteNewer(digest.versions);
+    config.receiveDrained(digest.drained);
+    const { use, demand, moves, waiting } = knowledge;
+    use.receiveSum(usesOf(digest.engines), digest.heard, now);
+    waiting.receiveSum(waitingOf(digest.demand), digest.heard, now);
+    demand.receiveRelayed(`${digest.host} ${digest.incarnation}`, digest.demand, now);
+    moves.receive(digest.moves, now);
+    probes.receive(digest.down);
+    calls.receiveSum(new Map(digest.calls), digest.heard, now);
+  }
+}
+
+function usesOf(engines: readonly EngineHint[]): ReadonlyMap<string, EngineUse> {
+  return new Map(engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]));
+}
+
+function waitingOf(demand: readonly DemandHint[]): ReadonlyMap<ModelId, number> {
+  return new Map(demand.map(({ model, onTimeWaiting }) => [model, onTimeWaiting]));
+}
--- a/packages/router/src/agreement/HostAgreement.ts
+++ b/packages/router/src/agreement/HostAgreement.ts
@@ -1,4 +1,5 @@
 import type { Clock, ModelId, RandomSource, TeamConfig, VersionedConfig } from '@camphorvane/core';
+import type { SlowStart } from '@camphorvane/decisions';
 import type { PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import type { IdempotencyClaims } from '@camphorvane/store';
 import type {
@@ -48,6 +49,8 @@
   readonly repeats: RepeatGate;
   readonly placer: ChangingPlacer;
   readonly crashes: CrashGuard;
+  /** Bounds what this host sends to upstreams that have just started. */
+  readonly slowStart: SlowStart;
   /** Absent where calls that must not repeat are not claimed in the store. */
   readonly claims: IdempotencyClaims | undefined;
   /** Whether requests end when the key that they came with is withdrawn. */
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -90,6 +90,9 @@
   /** Names of all other hosts with a record, in order. */
   private others: readonly HostId[] = [];
 
+  /** See {@link HostRoster.getExpectedServing}; undefined where the records have changed since. */
+  private expectedServing: readonly HostId[] | undefined;
+
   private readonly hints = new Map<HostId, ReceivedHint>();
 
   /** Until when other signs of life count. */
@@ -135,6 +138,7 @@
     this.ranked = [...this.records.values()]
       .map(({ record }) => record)
       .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
+    this.expectedServing = undefined;
   }
 
   /** Takes in what a host says of itself. */
@@ -209,6 +213,20 @@
     return isServing(this.self, zone, this.countSharers());
   }
 
+  /**
+   * Gets the hosts that take callers while all hosts are up. It follows from the records alone, so
+   * that hosts which don't hear each other get the same answer.
+   */
+  getExpectedServing(): readonly HostId[] {
+    this.expectedServing ??= this.ranked
+      .filter(({ host, zone }) => {
+        const inZone = this.ranked.filter((record) => record.zone === zone);
+        return isServing(host, inZone, this.records.size);
+      })
+      .map(({ host }) => host);
+    return this.expectedServing;
+  }
+
   /**
    * Gets where this host's hints go in a large fleet: to the hosts that relay them, and to one host
    * that nobody has heard, another one each time.
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -1,14 +1,14 @@
 import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
-import type { EngineUse, RateTolerance, RepeatAllowance, GossipPace } from '@camphorvane/decisions';
-import { EngineKnowledge, RepeatBudget, gossipPace } from '@camphorvane/decisions';
+import type { RateTolerance, RepeatAllowance, GossipPace } from '@camphorvane/decisions';
+import {
+  EngineKnowledge,
+  RepeatBudget,
+  SlowStart,
+  gossipPace,
+  slowStartQuota,
+} from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
-import type {
-  DemandHint,
-  EngineHint,
-  HintLink,
-  HostDigest,
-  HostHint,
-} from '@camphorvane/peer/hints';
+import type { HintLink } from '@camphorvane/peer/hints';
 import { LEAST_POLL_MS } from '@camphorvane/store';
 import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RepeatGate, Unsubscribe } from '../host/ports.ts';
@@ -20,6 +20,7 @@
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { SharedRates } from './SharedRates.ts';
 import type { AgreementContext, AgreementFactory, HostAgreement } from './HostAgreement.ts';
+import { HintReceiver } from './HintReceiver.ts';
 import { HostRecords } from './HostRecords.ts';
 import { HostRoster } from './HostRoster.ts';
 import { PeerGossip } from './PeerGossip.ts';
@@ -45,6 +46,8 @@
   readonly strictKeysMs: Millis | undefined;
   /** See {@link DeploymentFeedOptions.watchMs}. */
   readonly watchMs: Millis;
+  /** Whether operators may drain availability zones; see {@link ZoneDrains}. */
+  readonly drainsZones: boolean;
   /** Milliseconds for which a lease holds that lets one host act for all. */
   readonly leaseMs: Millis;
   readonly metrics: Metrics;
@@ -69,6 +72,8 @@
 
   readonly crashes: CrashGuard;
 
+  readonly slowStart: SlowStart;
+
   readonly claims = undefined;
 
   readonly endsWithdrawn: boolean;
@@ -89,7 +94,7 @@
 
   private readonly talk: PeerGossip;
 
-  private readonly knowledge = new EngineKnowledge();
+  private readonly knowledge: EngineKnowledge;
 
   private readonly roles: RoleControl;
 
@@ -103,6 +108,11 @@
     const { clock, random, identity, incarnation, directory } = context;
     const { store, format } = options;
     this.clock = clock;
+    this.hosts = new HostRoster(identity.host, identity.zone);
+    this.slowStart = new SlowStart((upstream, perSecond) =>
+      slowStartQuota(upstream, identity.host, this.hosts.getExpectedServing(), perSecond),
+    );
+    this.knowledge = new EngineKnowledge(this.slowStart);
     this.endsWithdrawn = options.strictKeysMs !== undefined;
     this.config = new DeploymentFeed({
       store,
@@ -114,8 +124,9 @@
       mode: () => this.followMode(),
       pollMs: () => this.pollMs(),
       onNews: () => this.talk.noteNews(),
+      drainsZones: options.drainsZones,
+      slowStart: this.slowStart,
     });
-    this.hosts = new HostRoster(identity.host, identity.zone);
     this.records = new HostRecords({
       ...{ store, clock, identity, incarnation, strength: options.strength },
       kind: format.hostKind,
@@ -136,6 +147,11 @@
       group: this,
       suspicion: { crashes: CRASHES_TO_HOLD_BACK, memoryMs: HOLD_BACK_MS },
     });
+    const { config, hosts, rates, knowledge } = this;
+    const received = new HintReceiver({
+      ...{ clock, hosts, rates, config, knowledge },
+      ...{ probes: this.placer.probes, calls: context.calls },
+    });
     this.talk = new PeerGossip({
       self: identity.host,
       incarnation,
@@ -143,8 +159,8 @@
       link: options.hints,
       roster: this.hosts,
       hint: () => this.ownReport(),
-      onHint: (hint) => this.receive(hint),
-      onDigest: (digest) => this.receiveSum(digest),
+      onHint: (hint) => received.receive(hint),
+      onDigest: (digest) => received.receiveSum(digest),
     });
     this.roles = roleControlOf({
       ...{ options, context, knowledge: this.knowledge },
@@ -276,37 +292,10 @@
       down: this.placer.probes.getDown(),
       calls: [...this.context.calls.getOwn()],
       versions: this.config.getVersions(),
+      drained: this.config.drains.get(),
     };
   }
 
-  private receive(hint: HostHint): void {
-    const now = this.clock.now();
-    this.hosts.receive(hint, now);
-    this.rates.receive(hint);
-    this.config.noteNewer(hint.versions);
-    const { use, demand, moves, waiting } = this.knowledge;
-    use.receive(hint.host, usesOf(hint.engines), now);
-    waiting.receive(hint.host, waitingOf(hint.demand), now);
-    demand.receive(hint.host, hint.incarnation, hint.demand, now);
-    moves.receive(hint.moves, now);
-    this.placer.probes.receive(hint.down);
-    this.context.calls.receive(hint.host, new Map(hint.calls), now);
-  }
-
-  private receiveSum(digest: HostDigest): void {
-    const now = this.clock.now();
-    this.hosts.receiveDigest(digest, now);
-    this.rates.receiveSum(digest);
-    this.config.noteNewer(digest.versions);
-    const { use, demand, moves, waiting } = this.knowledge;
-    use.receiveSum(usesOf(digest.engines), digest.heard, now);
-    waiting.receiveSum(waitingOf(digest.demand), digest.heard, now);
-    demand.receiveRelayed(`${digest.host} ${digest.incarnation}`, digest.demand, now);
-    moves.receive(digest.moves, now);
-    this.placer.probes.receive(digest.down);
-    this.context.calls.receiveSum(new Map(digest.calls), digest.heard, now);
-  }
-
   /** Gets how many hosts come before this one by name, among those that are there to stay. */
   private rank(): number | undefined {
     if (this.leaving) return undefined;
@@ -315,14 +304,6 @@
   }
 }
 
-function usesOf(engines: readonly EngineHint[]): ReadonlyMap<string, EngineUse> {
-  return new Map(engines.map(({ engine, ...use }): [string, EngineUse] => [engine, use]));
-}
-
-function waitingOf(demand: readonly DemandHint[]): ReadonlyMap<ModelId, number> {
-  return new Map(demand.map(({ model, onTimeWaiting }) => [model, onTimeWaiting]));
-}
-
 /**
  * Gets the factory of an agreement over a store.
  *
--- a/packages/router/src/agreement/composeRouting.ts
+++ b/packages/router/src/agreement/composeRouting.ts
@@ -4,6 +4,7 @@
   RoutingConfig,
   ServiceConfig,
   ServiceServer,
+  SlowStartBounds,
 } from '@camphorvane/core';
 import { TOKENS_PER_PIECE } from '@camphorvane/core';
 import type {
@@ -60,7 +61,7 @@
   const bitsPerPiece = engines.tokenBytes * TOKENS_PER_PIECE * BITS_PER_BYTE;
   return {
     model: service.id,
-    engines: servers.map((server) => engineOf(server, engines)),
+    engines: servers.map((server) => engineOf(server, engines, service.slowStart)),
     maxTokens: engines.memoryTokens,
     ttftTargetMs: POOL_TTFT_TARGET_MS,
     itlTargetMs: POOL_ITL_TARGET_MS,
@@ -68,7 +69,11 @@
   };
 }
 
-function engineOf(server: ServerRecord, engines: DeployedEngines): EngineConfig {
+function engineOf(
+  server: ServerRecord,
+  engines: DeployedEngines,
+  slowStart: SlowStartBounds | undefined,
+): EngineConfig {
   return {
     id: server.id,
     url: `http://${server.address}`,
@@ -79,6 +84,7 @@
     checksFencing: false,
     roleSwitchMs: engines.roleSwitchMs,
     eventTokens: engines.eventTokens,
+    slowStart,
   };
 }
 
@@ -92,6 +98,7 @@
       url: `http://${server.address}`,
       zone: server.zone,
       maxConcurrent: server.slots,
+      slowStart: service.slowStart,
     })),
   };
 }
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -7,6 +7,7 @@
 import { VERSION } from '../version.ts';
 import type { HostParts } from './assembleHost.ts';
 import { assembleHost } from './assembleHost.ts';
+import { slowStartBounds } from './slowStartBounds.ts';
 import type { HostOptions } from './HostOptions.ts';
 
 const log = stateLog('host');
@@ -155,6 +156,7 @@
     this.parts.directory.reshape(config);
     this.parts.keys.update(config);
     this.parts.agreement.rates.setTeams(config.teams);
+    this.parts.agreement.slowStart.reshape(slowStartBounds(config));
     this.parts.agreement.placer.refresh();
     this.parts.gates.refresh();
     const ended = this.parts.agreement.endsWithdrawn ? this.endWithdrawn() : 0;
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -73,6 +73,7 @@
         strictKeysMs: settings.strictKeysMs,
         watchMs: settings.watchMs,
         leaseMs: settings.leaseMs,
+        drainsZones: settings.drainsZones,
         metrics,
       },
       (made) => {
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -47,12 +47,13 @@
   const directory = new UpstreamDirectory(options.engines, options.servers);
   const calls = new CallShares();
   const agreement = options.agreement({ clock, random, identity, incarnation, directory, calls });
-  const { config, group, rates, repeats, crashes, claims, placer } = agreement;
+  const { config, group, rates, repeats, crashes, claims, placer, slowStart } = agreement;
   const keys = new KeyRing();
   const authenticator = new Authenticator(config, keys);
   const keeper = new ReservationKeeper(clock, placer);
   const watch = new EngineWatch(clock, placer);
-  const gates = new ServiceGates(clock, random, directory, () => group.members().length, calls);
+  const hostCount = (): number => group.members().length;
+  const gates = new ServiceGates(clock, random, directory, hostCount, calls, slowStart);
   const inFlight = new InFlight();
   const completions = new CompletionServing({
     self: identity.host,
@@ -70,6 +71,7 @@
     clock,
     directory,
     gates,
+    slowStart,
     rates,
     claims,
     repeats,
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Clock, Millis, UpstreamId } from '@camphorvane/core';
-import type { EngineHealth } from '@camphorvane/decisions';
+import type { EngineHealth, SlowStart } from '@camphorvane/decisions';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
 
@@ -25,6 +25,7 @@
   readonly clock: Clock;
   readonly directory: Pick<UpstreamDirectory, 'getEngine' | 'getEngineIds'>;
   readonly health: EngineHealth;
+  readonly slowStart: SlowStart;
   /** Called after each change of what is known to be down. */
   readonly onChange: () => void;
 }
@@ -110,6 +111,7 @@
   private noteDown(id: UpstreamId, reason: string): void {
     if (this.down.has(id)) return;
     this.down.add(id);
+    this.options.slowStart.unreachable(id);
     log('engine_down', { engine: id, reason });
     this.options.onChange();
   }
@@ -120,6 +122,7 @@
     this.answeredAt.set(id, this.options.clock.now());
     this.options.health.trust(id);
     if (reason === 'not_listed') this.answeredAt.delete(id);
+    else this.options.slowStart.answered(id, this.options.clock.now());
     if (this.down.delete(id)) log('engine_up', { engine: id, reason });
     this.options.onChange();
   }
--- a/packages/router/src/placing/HeldWork.ts
+++ b/packages/router/src/placing/HeldWork.ts
@@ -54,6 +54,8 @@
     const reservation = `${this.prefix}.p${this.begun}`;
     use.change(prefillAt, { prefillTokens: promptTokens });
     use.change(pair.decode, { streams: 1, memoryTokens });
+    const { slowStart } = this.knowledge;
+    new Set([prefillAt, pair.decode]).forEach((engine) => slowStart.used(engine, now));
     this.prefilling.add(reservation);
     this.held.set(reservation, { ...work, wasIdle });
     return reservation;
@@ -74,12 +76,13 @@
   }
 
   /** Moves a request's room from its decode engine to another one. */
-  moveDecode(reservation: ReservationId, decode: UpstreamId): void {
+  moveDecode(reservation: ReservationId, decode: UpstreamId, now: Millis): void {
     const held = this.held.get(reservation);
     if (held === undefined) return;
     const { pair, memoryTokens } = held;
     this.knowledge.use.change(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
     this.knowledge.use.change(decode, { streams: 1, memoryTokens });
+    this.knowledge.slowStart.used(decode, now);
     this.held.set(reservation, { ...held, pair: { ...pair, decode } });
   }
 
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -25,6 +25,7 @@
   WorkItem,
 } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
+import { reachedNobody } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { ChangingPlacer } from '../agreement/HostAgreement.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
@@ -71,11 +72,9 @@
     this.knowledge = knowledge;
     this.onNews = onNews;
     this.held = new HeldWork(knowledge, incarnation);
-    const { health } = knowledge;
+    const { health, slowStart } = knowledge;
     this.probes = new EngineProbes({
-      clock,
-      directory,
-      health,
+      ...{ clock, directory, health, slowStart },
       onChange: () => this.scheduleAll(),
     });
   }
@@ -133,7 +132,7 @@
     const wish = { promptTokens, memoryTokens, avoid, longestPauseMs };
     const decode = pool.placement.chooseDecode(wish, pair.prefill, this.clock.now());
     if (decode === undefined) return undefined;
-    this.held.moveDecode(reservation, decode);
+    this.held.moveDecode(reservation, decode, this.clock.now());
     log('decode_moved', { reservation, from: pair.decode, to: decode });
     return decode;
   }
@@ -158,6 +157,7 @@
       case 'unreachable':
       case 'silent':
       case 'broken':
+        if (reachedNobody(error)) this.knowledge.slowStart.unreachable(engine);
         this.knowledge.health.failed(engine, this.clock.now());
         this.probes.suspect(engine);
         break;
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -192,6 +192,10 @@
     prefill: PrefillResult | undefined,
   ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
     const { plan } = this;
+    // The engine's zone may have been drained while the prompt was read.
+    if (this.engine(engine.id) === undefined) {
+      return this.failed(engine.id, 'decode', unconfigured());
+    }
     let delivered = 0;
     let lastAt: Millis | undefined;
     const stream = engine.decode(
--- a/packages/router/src/serving/ServiceGates.ts
+++ b/packages/router/src/serving/ServiceGates.ts
@@ -10,13 +10,16 @@
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { ServiceGate } from '@camphorvane/decisions';
-import type { GateCall, GateDecision } from '@camphorvane/decisions';
+import type { GateCall, GateDecision, SlowStart } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { stateLog } from '../observe/StateLog.ts';
 import type { CallShares } from './CallShares.ts';
 
+/** Milliseconds after which servers that have just started may get another waiting call. */
+const SLOW_START_RECHECK_MS: Millis = 50;
+
 const log = stateLog('service');
 
 type Chosen = Result<UpstreamId, Refusal>;
@@ -40,6 +43,8 @@
 
   private readonly shares: CallShares;
 
+  private readonly slowStart: SlowStart;
+
   private readonly gates = new Map<ServiceId, OpenGate>();
 
   /**
@@ -48,6 +53,7 @@
    * @param directory - Knows the servers.
    * @param hostCount - Gets how many hosts share the servers' places.
    * @param shares - Knows what the other hosts have on the servers.
+   * @param slowStart - Knows which servers have just started.
    */
   constructor(
     clock: Clock,
@@ -55,12 +61,14 @@
     directory: UpstreamDirectory,
     hostCount: () => number,
     shares: CallShares,
+    slowStart: SlowStart,
   ) {
     this.clock = clock;
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
     this.shares = shares;
+    this.slowStart = slowStart;
     shares.setOwn(() => this.countCalls());
   }
 
@@ -88,6 +96,7 @@
         gone();
         return;
       }
+      this.reshape(open, this.clock.now());
       const refusal = open.gate.submit(call, this.clock.now());
       if (refusal === undefined) this.schedule(open);
       else this.answer(open, call.request, err(refusal));
@@ -129,6 +138,7 @@
     const limits = servers.map(({ id, maxConcurrent }) => ({
       id,
       limit: Math.max(1, Math.min(maxConcurrent, Math.ceil(maxConcurrent * part))),
+      allowance: this.slowStart.allowance(id, now),
     }));
     gate.reshape(limits, Math.max(servers.length, Math.floor(share)));
     return share;
@@ -143,7 +153,7 @@
     const now = this.clock.now();
     const share = this.reshape(open, now);
     open.gate.step(now).forEach((decision) => this.carryOut(open, decision, share));
-    const wake = open.gate.nextWake();
+    const wake = this.nextWake(open, now);
     if (wake === undefined) return;
     // The gate's state is this host's own; a field of the entry is the natural place for its timer.
     Object.assign(open, {
@@ -151,9 +161,17 @@
     });
   }
 
+  private nextWake({ gate, service }: OpenGate, now: Millis): Millis | undefined {
+    const wake = gate.nextWake();
+    const servers = this.directory.getService(service)?.servers ?? [];
+    const isBounded = servers.some(({ id }) => this.slowStart.allowance(id, now) < Infinity);
+    return wake !== undefined && isBounded ? Math.min(wake, now + SLOW_START_RECHECK_MS) : wake;
+  }
+
   private carryOut(open: OpenGate, decision: GateDecision, share: number): void {
     switch (decision.type) {
       case 'place':
+        this.slowStart.used(decision.server, this.clock.now());
         log('placed', {
           id: decision.request,
           server: decision.server,
--- a/packages/router/src/serving/ServiceServing.ts
+++ b/packages/router/src/serving/ServiceServing.ts
@@ -1,7 +1,7 @@
 import type { ServiceReply } from '@camphorvane/caller';
 import type { Clock, HostId, Incarnation, Millis, Refusal, UpstreamId } from '@camphorvane/core';
 import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
-import type { GateCall } from '@camphorvane/decisions';
+import type { GateCall, SlowStart } from '@camphorvane/decisions';
 import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
 import { claimRefusal } from '@camphorvane/store';
 import type { ServiceAnswer, UpstreamError } from '@camphorvane/upstream';
@@ -34,6 +34,7 @@
   readonly clock: Clock;
   readonly directory: UpstreamDirectory;
   readonly gates: ServiceGates;
+  readonly slowStart: SlowStart;
   readonly rates: RateGate;
   /** Absent where each attempt of a caller is a call of its own, which runs once at most. */
   readonly claims: IdempotencyClaims | undefined;
@@ -254,6 +255,7 @@
     const result = await this.dispatch(work, call, chosen.value);
     this.options.gates.ended(work.service.id, call, chosen.value, hasFailed(result));
     this.noteCrash(work, chosen.value, result);
+    this.noteStart(chosen.value, result);
     if (result.isErr()) {
       const { type, dispatched, message } = result.error;
       log('try_failed', { id: work.id, server: chosen.value, error: type, dispatched, message });
@@ -274,6 +276,12 @@
     else this.options.crashes.failed(digest, server, result.error);
   }
 
+  private noteStart(server: UpstreamId, result: Result<ServiceAnswer, UpstreamError>): void {
+    const { slowStart, clock } = this.options;
+    if (result.isOk()) slowStart.answered(server, clock.now());
+    else if (reachedNobody(result.error)) slowStart.unreachable(server);
+  }
+
   private leftMs(work: KnownCall): Millis {
     return work.terms.deadlineAt - this.options.clock.now();
   }
--- /dev/null
+++ b/packages/router/tests/agreement/DeploymentFeed.test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import type { RoutingConfig } from '@camphorvane/core';
+import { RandomSource, VirtualClock } from '@camphorvane/core';
+import { SlowStart } from '@camphorvane/decisions';
+import type { DeploymentFormat, ServerRecord } from '@camphorvane/store';
+import { ok } from 'neverthrow';
+import { DeploymentFeed } from '../../src/agreement/DeploymentFeed.ts';
+import { ChangingStore } from '../support/ChangingStore.ts';
+
+const SLOW_START = { forMs: 3_000, requestsPerSecond: 30 };
+
+const FORMAT: DeploymentFormat = {
+  configKind: 'config',
+  configName: 'main',
+  serverKind: 'servers',
+  drainedZoneKind: 'drains',
+  hostKind: 'hosts',
+  leaseKind: 'leases',
+  readConfig: () =>
+    ok({
+      version: 1,
+      teams: [],
+      routes: [],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      services: [{ id: 'plain', engines: undefined, slowStart: SLOW_START }],
+    }),
+  readServer: ({ name, value }) =>
+    ({
+      ...{ id: name, service: 'plain', address: '10.0.0.1:1', slots: 4 },
+      ...{ leaving: false, role: undefined, startingMs: 0 },
+      ...(value as object),
+    }) as ServerRecord,
+};
+
+const stops: AbortController[] = [];
+
+afterEach(() => stops.splice(0).forEach((stop) => stop.abort()));
+
+class Host {
+  readonly clock = new VirtualClock();
+
+  readonly slowStart = new SlowStart(() => 1);
+
+  readonly feed: DeploymentFeed;
+
+  news = 0;
+
+  constructor(store: ChangingStore, drainsZones = true) {
+    this.slowStart.reshape(new Map(['s-a', 's-b'].map((id) => [id, SLOW_START])));
+    this.feed = new DeploymentFeed({
+      ...{ store: store.asStore(), format: FORMAT, clock: this.clock },
+      ...{ random: new RandomSource(1), strictKeysMs: undefined, watchMs: 2_000, drainsZones },
+      mode: () => 'watch',
+      pollMs: () => 2_000,
+      onNews: () => {
+        this.news += 1;
+      },
+      slowStart: this.slowStart,
+    });
+    const stop = new AbortController();
+    stops.push(stop);
+    this.feed.start(stop.signal);
+  }
+
+  async settle(): Promise<void> {
+    await this.clock.advance(1);
+  }
+
+  servers(): readonly string[] | undefined {
+    const config: RoutingConfig | undefined = this.feed.current()?.config;
+    return config?.services.flatMap(({ servers }) => servers.map(({ id }) => id));
+  }
+}
+
+function deployed(): ChangingStore {
+  const store = new ChangingStore();
+  store.put('config', 'main');
+  store.put('servers', 's-a', { zone: 'a' });
+  store.put('servers', 's-b', { zone: 'b' });
+  return store;
+}
+
+test('servers of a drained zone are out of use as long as its entry is there', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  await host.settle();
+  assert.deepEqual(host.servers(), ['s-a', 's-b']);
+  store.put('drains', 'a');
+  store.put('drains', 'a-zone-that-nobody-knows');
+  await host.settle();
+  assert.deepEqual(host.servers(), ['s-b']);
+  store.put('drains', 'b', 'no object');
+  await host.settle();
+  assert.deepEqual(host.servers(), []);
+  store.remove('drains', 'a');
+  await host.settle();
+  assert.deepEqual(host.servers(), ['s-a']);
+});
+
+// Guards against a host that starts during a drain and sends to the zone before it has read of it.
+test('a host that has not read which zones are drained does not serve', async () => {
+  const store = deployed();
+  store.put('drains', 'a');
+  const host = new Host(store);
+  store.isAway = true;
+  host.feed.receiveDrained({ version: 0, zones: [] });
+  assert.equal(host.servers(), undefined);
+  store.isAway = false;
+  await host.clock.advance(1_000);
+  assert.deepEqual(host.servers(), ['s-b']);
+});
+
+// Guards against a host that the store turns away and that goes on sending to a drained zone.
+test('a peer that has read later is believed, and one that read earlier is not', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  await host.settle();
+  const { news } = host;
+  host.feed.receiveDrained({ version: store.version + 5, zones: ['a'] });
+  assert.deepEqual(host.servers(), ['s-b']);
+  assert.equal(host.news, news + 1);
+  host.feed.receiveDrained({ version: store.version + 4, zones: [] });
+  assert.deepEqual(host.servers(), ['s-b']);
+  host.feed.receiveDrained({ version: store.version + 6, zones: [] });
+  assert.deepEqual(host.servers(), ['s-a', 's-b']);
+});
+
+test('where zones are not drained the store is not asked for them', async () => {
+  const store = deployed();
+  store.put('drains', 'a');
+  const host = new Host(store, false);
+  await host.settle();
+  assert.deepEqual(host.servers(), ['s-a', 's-b']);
+});
+
+// Guards against full load on a zone that comes back cold while its servers' entries still say nothing of it.
+test('servers of a zone that comes back are bounded like servers that have just started', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  await host.settle();
+  store.put('drains', 'a');
+  await host.settle();
+  store.remove('drains', 'a');
+  await host.settle();
+  const now = host.clock.now();
+  assert.deepEqual(host.servers(), ['s-a', 's-b']);
+  assert.equal(host.slowStart.allowance('s-a', now), 1);
+  assert.equal(host.slowStart.allowance('s-b', now), Infinity);
+  assert.equal(host.slowStart.allowance('s-a', now + SLOW_START.forMs), Infinity);
+});
+
+test('a server is bounded for as long as its entry says that it goes on starting', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  await host.settle();
+  const before = host.feed.current();
+  store.put('servers', 's-b', { zone: 'b', startingMs: 1_500 });
+  await host.settle();
+  const now = host.clock.now();
+  assert.equal(host.slowStart.allowance('s-b', now), 1);
+  assert.equal(host.slowStart.allowance('s-b', now + 1_500), Infinity);
+  assert.equal(host.feed.current(), before, 'the routing changed with a heartbeat');
+});
--- a/packages/router/tests/agreement/DigestBuilder.test.ts
+++ b/packages/router/tests/agreement/DigestBuilder.test.ts
@@ -15,6 +15,7 @@
   nextMs: 300,
   ...{ engines: [], charged: [], demand: [], moves: [], down: [], calls: [] },
   versions: { config: 1, servers: 1 },
+  drained: { version: 0, zones: [] },
   ...more,
 });
 
--- a/packages/router/tests/agreement/ServerRoster.test.ts
+++ b/packages/router/tests/agreement/ServerRoster.test.ts
@@ -12,6 +12,7 @@
     slots: 4,
     leaving,
     role: undefined,
+    startingMs: 0,
   };
 }
 
--- a/packages/router/tests/placing/EngineProbes.test.ts
+++ b/packages/router/tests/placing/EngineProbes.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { VirtualClock } from '@camphorvane/core';
-import { EngineHealth } from '@camphorvane/decisions';
+import { EngineHealth, SlowStart } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import { EngineProbes } from '../../src/placing/EngineProbes.ts';
@@ -18,6 +18,8 @@
 
   readonly down = new Set<string>();
 
+  readonly slowStart = new SlowStart();
+
   readonly listed = new Set(['e1', 'e2', 'e3', 'e4']);
 
   readonly probes: EngineProbes;
@@ -34,6 +36,7 @@
     this.probes = new EngineProbes({
       clock: this.clock,
       health: this.health,
+      slowStart: this.slowStart,
       directory: {
         getEngine: (id) =>
           this.listed.has(id) ? ({ cfg: {}, engine: engineOf(id) } as never) : undefined,
--- a/packages/router/tests/serving/Forwarding.test.ts
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -241,3 +241,24 @@
   await fleet.host.finishDrain(100);
   assert.equal(endOf(await fleet.send('/llm/x')), 'host_draining not_run');
 });
+
+// Guards against a request that reaches a drained zone because its engines were chosen before the drain.
+test('a stream whose decode engine is drained while the prompt is read goes to another one', async () => {
+  const fleet: ForwardFleet = new ForwardFleet({ onPrefill: () => fleet.remove(['d1']) });
+  const streams = await Promise.all([fleet.send('/llm/x'), fleet.send('/llm/y')]);
+  streams.forEach((events) => assert.equal(endOf(events), 'done'));
+  assert.deepEqual(new Set(fleet.decodes), new Set(['d2']));
+});
+
+// Guards against callers who wait for a service of which every zone is drained.
+test('requests for upstreams that are all drained are refused at once, as not run', async () => {
+  const fleet = new ForwardFleet({});
+  fleet.remove(['p1', 'd1', 'd2', 's1', 's2']);
+  const ends = await Promise.all(['/llm/x', '/safe/x', '/once/x'].map((path) => fleet.send(path)));
+  ends.forEach((events) => {
+    assert.equal(endOf(events), 'no_capacity not_run');
+    const last = events.at(-1);
+    assert.ok(last?.type === 'refused' && (last.refusal.retryAfterMs ?? 0) > 0);
+  });
+  assert.deepEqual([...fleet.prefills, ...fleet.decodes, ...fleet.calls], []);
+});
--- a/packages/router/tests/serving/ServiceGates.test.ts
+++ b/packages/router/tests/serving/ServiceGates.test.ts
@@ -3,6 +3,7 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import type { GateCall } from '@camphorvane/decisions';
+import { SlowStart, slowStartQuota } from '@camphorvane/decisions';
 import { CallShares } from '../../src/serving/CallShares.ts';
 import { ServiceGates } from '../../src/serving/ServiceGates.ts';
 
@@ -13,6 +14,7 @@
 const WORD_MS: Millis = 200;
 const STEP_MS: Millis = 2;
 const WAIT_MS: Millis = 386;
+const SLOW_START = { forMs: 60_000, requestsPerSecond: 15 };
 
 interface Load {
   readonly perSecond: number;
@@ -20,6 +22,8 @@
   readonly parts: readonly number[];
   /** Whether hosts tell each other what they have. */
   readonly areHeard: boolean;
+  /** Servers that have just started, and go on starting for the whole time. */
+  readonly starting?: readonly UpstreamId[];
 }
 
 interface Outcome {
@@ -27,10 +31,12 @@
   readonly placed: number;
   /** Most calls that one server had at once. */
   readonly most: number;
+  /** Times at which servers that have just started got calls. */
+  readonly startingAt: readonly Millis[];
 }
 
 /** Plays hosts before three servers, for four seconds. */
-async function play({ perSecond, parts, areHeard }: Load): Promise<Outcome> {
+async function play({ perSecond, parts, areHeard, starting = [] }: Load): Promise<Outcome> {
   const clock = new VirtualClock();
   const random = new RandomSource(7);
   const running = new Map<UpstreamId, number>(SERVERS.map((id) => [id, 0]));
@@ -39,10 +45,18 @@
   const hosts = Array.from({ length: HOSTS }, (_, i) => {
     const shares = new CallShares();
     const chance = new RandomSource(i + 1);
-    const gates = new ServiceGates(clock, chance, directory as never, () => HOSTS, shares);
+    const names = Array.from({ length: HOSTS }, (_one, index) => `h${index}`);
+    const slowStart = new SlowStart((server, bound) =>
+      slowStartQuota(server, `h${i}`, names, bound),
+    );
+    slowStart.reshape(new Map(starting.map((id) => [id, SLOW_START])));
+    starting.forEach((id) => slowStart.started(id, SLOW_START.forMs, 0));
+    const hostCount = (): number => HOSTS;
+    const sources = [clock, chance, directory as never, hostCount, shares, slowStart] as const;
+    const gates = new ServiceGates(...sources);
     return { shares, gates };
   });
-  let outcome: Outcome = { asked: 0, placed: 0, most: 0 };
+  let outcome: Outcome = { asked: 0, placed: 0, most: 0, startingAt: [] };
   const send = async (host: number): Promise<void> => {
     const gates = hosts[host]?.gates;
     assert.ok(gates !== undefined, 'no such host');
@@ -57,6 +71,9 @@
     running.set(chosen.value, busy);
     const most = Math.max(outcome.most, busy);
     outcome = { ...outcome, placed: outcome.placed + 1, most };
+    if (starting.includes(chosen.value)) {
+      outcome = { ...outcome, startingAt: [...outcome.startingAt, clock.now()] };
+    }
     clock.after(CALL_MS, () => {
       running.set(chosen.value, (running.get(chosen.value) ?? 1) - 1);
       gates.ended('orders', call, chosen.value, false);
@@ -120,3 +137,22 @@
   const outcome = await play({ perSecond: 420, parts: SKEWED, areHeard: true });
   assert.ok(outcome.most <= PLACES + 3, JSON.stringify(outcome));
 });
+
+// Guards against a burst that crashes a server which has just started, as it is empty and looks best to all.
+test('a server that has just started gets no more than its bound in a burst, and no call is lost', async () => {
+  const load = { perSecond: 90, parts: EVEN, areHeard: true, starting: ['s1'] };
+  const { asked, placed, startingAt } = await play(load);
+  const most = Math.max(
+    ...startingAt.map((at) => startingAt.filter((one) => one >= at && one < at + 1_000).length),
+  );
+  assert.ok(most <= SLOW_START.requestsPerSecond, `${most} in a second`);
+  assert.ok(startingAt.length >= 20, `${startingAt.length} in all`);
+  assert.equal(placed, asked);
+});
+
+// Guards against calls that wait although a server which has just started may get the next one.
+test('where all servers have just started, calls are served at the pace that is allowed', async () => {
+  const { placed } = await play({ perSecond: 90, parts: EVEN, areHeard: true, starting: SERVERS });
+  const allowed = SERVERS.length * SLOW_START.requestsPerSecond * (4_000 / 1_500);
+  assert.ok(placed >= allowed * 0.9, `${placed} of ${allowed}`);
+});
--- /dev/null
+++ b/packages/router/tests/support/ChangingStore.ts
@@ -0,0 +1,59 @@
+import type { PlatformError, StoredObject, WatchBatch, WatchableStore } from '@camphorvane/store';
+import { err, okAsync, ResultAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+const AWAY: PlatformError = { type: 'unavailable', message: 'away' };
+
+/** A store whose objects a test changes; its watches end with the next change of their kind. */
+export class ChangingStore {
+  version = 1;
+
+  isAway = false;
+
+  private objects: readonly StoredObject[] = [];
+
+  private readonly watches: { readonly kind: string; end(): void }[] = [];
+
+  /** Writes an object. */
+  put(kind: string, name: string, value: unknown = {}): void {
+    this.version += 1;
+    const others = this.objects.filter((one) => one.kind !== kind || one.name !== name);
+    this.objects = [...others, { kind, name, version: this.version, value }];
+    this.endWatches(kind);
+  }
+
+  /** Removes an object. */
+  remove(kind: string, name: string): void {
+    this.version += 1;
+    this.objects = this.objects.filter((one) => one.kind !== kind || one.name !== name);
+    this.endWatches(kind);
+  }
+
+  /** Gets the calls by which kinds are followed. */
+  asStore(): WatchableStore {
+    const store: Pick<WatchableStore, 'snapshot' | 'watch'> = {
+      snapshot: (kind) =>
+        this.isAway
+          ? new ResultAsync(Promise.resolve(err(AWAY)))
+          : okAsync({ objects: this.ofKind(kind), version: this.version }),
+      watch: (kind, _after, _waitMs, signal) =>
+        new ResultAsync(
+          new Promise<Result<WatchBatch, PlatformError>>((resolve) => {
+            // A watch that ends without events has the follower read everything anew.
+            const end = (): void => resolve(err({ type: 'invalid', message: 'gone' }));
+            this.watches.push({ kind, end });
+            signal.addEventListener('abort', () => resolve(err(AWAY)), { once: true });
+          }),
+        ),
+    };
+    return store as WatchableStore;
+  }
+
+  private ofKind(kind: string): readonly StoredObject[] {
+    return this.objects.filter((one) => one.kind === kind);
+  }
+
+  private endWatches(kind: string): void {
+    this.watches.filter((watch) => watch.kind === kind).forEach((watch) => watch.end());
+  }
+}
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -1,5 +1,11 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
-import type { EngineConfig, ForwardRoute, RoutingConfig, ServiceServer } from '@camphorvane/core';
+import type {
+  EngineConfig,
+  ForwardRoute,
+  RoutingConfig,
+  ServiceServer,
+  VersionedConfig,
+} from '@camphorvane/core';
 import { RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
 import { EngineKnowledge, RepeatBudget } from '@camphorvane/decisions';
 import { Host, Metrics } from '@camphorvane/router';
@@ -40,6 +46,8 @@
   readonly decode?: Readonly<Record<string, DecodeScript>>;
   readonly call?: Readonly<Record<string, CallScript>>;
   readonly route?: Partial<ForwardRoute>;
+  /** Called while an engine reads a prompt. */
+  readonly onPrefill?: () => void;
   /** Repeats beyond the first one, which can always be paid. */
   readonly repeats?: number;
 }
@@ -56,6 +64,10 @@
 
   readonly host: Host;
 
+  private inForce: VersionedConfig;
+
+  private readonly listeners: ((config: VersionedConfig) => void)[] = [];
+
   private readonly clock = new SystemClock();
 
   /** All fleets of a test file, which ends them so that no task outlives its tests. */
@@ -68,6 +80,7 @@
 
   constructor(private readonly options: ForwardFleetOptions) {
     ForwardFleet.all.push(this);
+    this.inForce = { version: 1, config: this.config() };
     this.host = new Host({
       identity: { host: 'h', zone: 'a', callerAddress: 'h:1', peerAddress: 'h:2' },
       incarnation: 'i',
@@ -104,6 +117,24 @@
     return events;
   }
 
+  /** Takes engines and servers out of the configuration. */
+  remove(ids: readonly string[]): void {
+    const { pools, services, ...rest } = this.inForce.config;
+    const config: RoutingConfig = {
+      ...rest,
+      pools: pools.map((pool) => ({
+        ...pool,
+        engines: pool.engines.filter(({ id }) => !ids.includes(id)),
+      })),
+      services: services.map((service) => ({
+        ...service,
+        servers: service.servers.filter(({ id }) => !ids.includes(id)),
+      })),
+    };
+    this.inForce = { version: this.inForce.version + 1, config };
+    this.listeners.forEach((listener) => listener(this.inForce));
+  }
+
   private config(): RoutingConfig {
     const engine = (id: string, role: 'prefill' | 'decode'): EngineConfig => ({
       id,
@@ -172,7 +203,6 @@
   }
 
   private agreement({ clock, directory }: AgreementContext): HostAgreement {
-    const inForce = { version: 1, config: this.config() };
     const group = {
       members: () => [],
       stewardOf: () => undefined,
@@ -190,11 +220,12 @@
     });
     return {
       config: {
-        current: () => inForce,
+        current: () => this.inForce,
         isConfirmed: () => true,
         confirmNow: async () => true,
         onChange: (listener) => {
-          listener(inForce);
+          this.listeners.push(listener);
+          listener(this.inForce);
           return () => undefined;
         },
         state: () => ({ version: 1 }),
@@ -203,6 +234,7 @@
       rates: new SharedRates(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       repeats: serviceRepeats(new RepeatBudget(allowance, () => 1)),
       placer,
+      slowStart: knowledge.slowStart,
       crashes: new CrashGuard({ self: 'h', clock, group, suspicion: { crashes: 3 } }),
       claims: undefined,
       endsWithdrawn: false,
@@ -227,6 +259,7 @@
       id: cfg.id,
       prefill: (cmd: PrefillCommand) => {
         this.prefills.push(cfg.id);
+        this.options.onPrefill?.();
         const { attempt } = cmd;
         return okAsync({ attempt, kvHandle: `${cfg.id}/k`, promptTokens: 100, cachedTokens: 0 });
       },
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -100,6 +100,7 @@
         down: [],
         calls: [],
         versions: { config: 1, servers: 1 },
+        drained: { version: 0, zones: [] },
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -2,7 +2,9 @@
   CallerLimits,
   EngineRole,
   ForwardRoute,
+  Millis,
   ServiceId,
+  SlowStartBounds,
   TeamConfig,
   Tokens,
   UpstreamId,
@@ -27,6 +29,8 @@
   readonly id: ServiceId;
   /** Undefined for a plain service. */
   readonly engines: DeployedEngines | undefined;
+  /** Undefined where its servers take their full load from their start on. */
+  readonly slowStart: SlowStartBounds | undefined;
 }
 
 /** A configuration that names no servers. */
@@ -52,6 +56,8 @@
   readonly leaving: boolean;
   /** Undefined for a server of a plain service. */
   readonly role: EngineRole | undefined;
+  /** Milliseconds of its slow start that were left when it wrote this; undefined where it does not say. */
+  readonly startingMs: Millis | undefined;
 }
 
 /** Where a deployment keeps its objects, and how they read. */
@@ -59,6 +65,8 @@
   readonly configKind: string;
   readonly configName: string;
   readonly serverKind: string;
+  /** Kind of the entries that each take an availability zone's servers out of use, by its name. */
+  readonly drainedZoneKind: string;
   /** Kind of the records that this program's own hosts write. */
   readonly hostKind: string;
   /** Kind of the leases by which one of them acts for all. */
