Drain availability zones at the product's own interface

Cause: only the platform's operators could take a zone's upstreams out of use; declarations and command line of camphorvane had no word for it.

Change: drained_zones in the configuration, drain-zone and restore-zone on the command line, ConfigBuilder.drainZone. UpstreamDirectory leaves drained zones out for both edges, so composing the platform's configuration filters nothing by itself any more. A zone without an upstream is a fault: misspelt, it would be thought drained. The part is stored only while a zone is drained, so that hosts of an earlier version can read the rest.

--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -165,6 +165,8 @@
   readonly pools: readonly PoolConfig[];
   readonly services: readonly ServiceConfig[];
   readonly waitRules: readonly WaitRule[];
+  /** Availability zones whose upstreams get nothing; none where absent. */
+  readonly drainedZones?: readonly ZoneId[];
   /** Routes by host name and path; absent where only our own interface is served. */
   readonly routes?: readonly ForwardRoute[];
   /** Bounds that the operators set; absent where the built-in ones hold. */
--- a/packages/operator/src/apply/ConfigItem.ts
+++ b/packages/operator/src/apply/ConfigItem.ts
@@ -1,8 +1,13 @@
 import type { RoutingConfig, WaitRule } from '@camphorvane/core';
 import { splitConfig, stableJson, type ConfigPart } from '@camphorvane/store';
 
-/** What operators change and conflict on: one team, pool or service, or the list of wait rules. */
-export type ItemName = `team ${string}` | `pool ${string}` | `service ${string}` | 'wait rules';
+/** What operators change and conflict on: a team, pool or service, the wait rules, or a drained zone. */
+export type ItemName =
+  | `team ${string}`
+  | `pool ${string}`
+  | `service ${string}`
+  | 'wait rules'
+  | `drained zone ${string}`;
 
 /** One field of an item that differs. */
 export interface FieldChange {
@@ -25,6 +30,9 @@
 
 type Value = object | readonly WaitRule[];
 
+/** What is said of a drained zone: it is drained, and that is all. */
+const DRAINED: Value = {};
+
 type Items = ReadonlyMap<ItemName, Value>;
 
 /**
@@ -89,6 +97,12 @@
     pools: pick('pool', (pool) => pool.model, theirs.pools, mine.pools),
     services: pick('service', (service) => service.id, theirs.services, mine.services),
     waitRules: changed.has('wait rules') ? mine.waitRules : theirs.waitRules,
+    drainedZones: pick(
+      'drained zone',
+      (zone) => zone,
+      theirs.drainedZones ?? [],
+      mine.drainedZones ?? [],
+    ),
   };
 }
 
@@ -107,6 +121,8 @@
       return [[`service ${part.service.id}`, part.service]];
     case 'wait_rules':
       return [['wait rules', part.rules]];
+    case 'drained_zones':
+      return part.zones.map((zone) => [`drained zone ${zone}`, DRAINED] as const);
     default:
       return part satisfies never;
   }
--- a/packages/operator/src/builder/ConfigBuilder.ts
+++ b/packages/operator/src/builder/ConfigBuilder.ts
@@ -1,4 +1,11 @@
-import type { ModelId, RoutingConfig, ServiceId, TeamId, WaitRule } from '@camphorvane/core';
+import type {
+  ModelId,
+  RoutingConfig,
+  ServiceId,
+  TeamId,
+  WaitRule,
+  ZoneId,
+} from '@camphorvane/core';
 import type { Result } from 'neverthrow';
 import type { DeclarationError } from '../declarations/DeclarationError.ts';
 import { parseDeclarations } from '../declarations/parseDeclarations.ts';
@@ -24,6 +31,8 @@
 
   private waitRules: readonly WaitRule[] = [];
 
+  private drainedZones: readonly ZoneId[] = [];
+
   /**
    * Adds a team.
    *
@@ -70,6 +79,16 @@
     return this;
   }
 
+  /**
+   * Takes the upstreams of an availability zone out of use; what runs there ends in its time.
+   *
+   * @param zone - The zone.
+   */
+  drainZone(zone: ZoneId): this {
+    this.drainedZones = [...new Set([...this.drainedZones, zone])];
+    return this;
+  }
+
   /**
    * Gets a team.
    *
@@ -144,6 +163,7 @@
       pools: this.pools.map((pool) => pool.build()),
       services: this.services.map((service) => service.build()),
       waitRules: this.waitRules,
+      drainedZones: this.drainedZones,
     };
   }
 
--- a/packages/operator/src/builder/toToml.ts
+++ b/packages/operator/src/builder/toToml.ts
@@ -32,6 +32,7 @@
       servers: sorted(service.servers, (server) => server.id),
     })),
     waitRules: config.waitRules,
+    drainedZones: [...(config.drainedZones ?? [])].sort(),
   };
 }
 
--- a/packages/operator/src/commands/declarationCommands.ts
+++ b/packages/operator/src/commands/declarationCommands.ts
@@ -93,6 +93,17 @@
   const changeId = req.changeId ?? derivedChangeId(req);
   const options = { changeId, base: base.value, merge: req.merge };
   const outcome = await applyConfig(context, config.value, options);
+  return applyResult(outcome, changeId);
+}
+
+/**
+ * Gets what a command prints of an apply.
+ *
+ * @param outcome - What became of it.
+ * @param changeId - Name of the change.
+ * @returns The text and the exit code of {@link applyCommand}.
+ */
+export function applyResult(outcome: Result<Applied, ApplyError>, changeId: string): CommandResult {
   return outcome.match(
     (applied) => appliedResult(applied, changeId),
     (error) => ({
@@ -132,7 +143,8 @@
   return result;
 }
 
-function readFailure(error: ReadError): CommandResult {
+/** Gets what a command prints where the configuration in force could not be read. */
+export function readFailure(error: ReadError): CommandResult {
   return { exitCode: EXIT.unavailable, text: error.message, json: { ok: false, error } };
 }
 
--- a/packages/operator/src/declarations/checkReferences.ts
+++ b/packages/operator/src/declarations/checkReferences.ts
@@ -31,6 +31,7 @@
     ...duplicates(rules(config), 'one rule for each team, model and class; the first one counts'),
     ...danglingModels(config),
     ...danglingRules(config),
+    ...danglingZones(config),
     ...unusablePools(config),
     ...unusableServices(config),
   ];
@@ -119,6 +120,18 @@
   ]);
 }
 
+/** A zone that is misspelt would be thought drained, and go on getting requests. */
+function danglingZones(config: RoutingConfig): readonly ReferenceFault[] {
+  const all = [
+    ...config.pools.flatMap((pool) => pool.engines),
+    ...config.services.flatMap((service) => service.servers),
+  ];
+  const zones = new Set(all.map(({ zone }) => zone));
+  return (config.drainedZones ?? []).flatMap((zone, i) =>
+    zones.has(zone) ? [] : [dangling(['drained_zones', i], zone, 'zone of an engine or server')],
+  );
+}
+
 function dangling(path: DeclarationPath, name: string, what: string): ReferenceFault {
   return { path, found: JSON.stringify(name), expected: `the name of a declared ${what}` };
 }
--- a/packages/operator/src/declarations/declarationSchema.ts
+++ b/packages/operator/src/declarations/declarationSchema.ts
@@ -132,6 +132,7 @@
     pools: list(pool, MAX_ENTRIES, 'pools').default([]),
     services: list(service, MAX_ENTRIES, 'services').default([]),
     wait_rules: list(waitRule, MAX_ENTRIES, 'wait rules').default([]),
+    drained_zones: list(id(), MAX_ENTRIES, 'availability zones').default([]),
   },
   { error: 'a table' },
 );
--- a/packages/operator/src/declarations/routingConfigOf.ts
+++ b/packages/operator/src/declarations/routingConfigOf.ts
@@ -54,6 +54,7 @@
       class: rule.class,
       maxWaitMs: rule.max_wait_ms,
     })),
+    drainedZones: declarations.drained_zones,
   };
 }
 
@@ -111,5 +112,6 @@
       class: rule.class,
       max_wait_ms: rule.maxWaitMs,
     })),
+    drained_zones: [...(config.drainedZones ?? [])],
   };
 }
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -24,3 +24,4 @@
 export * from './commands/hostCommands.ts';
 export * from './commands/keyCommand.ts';
 export * from './commands/renderDump.ts';
+export * from './commands/zoneCommand.ts';
--- a/packages/router/src/agreement/DeploymentFeed.ts
+++ b/packages/router/src/agreement/DeploymentFeed.ts
@@ -252,22 +252,22 @@
   private compose(): void {
     if (this.deployed === undefined || !this.hasServers) return;
     if (this.options.drainsZones && !this.drains.isKnown()) return;
-    const listed = this.roster.list(this.options.clock.now());
     // What is left of a slow start changes with each heartbeat, and routing does not depend on it.
-    const servers = listed
-      .filter(({ zone }) => !this.drains.has(zone))
+    const servers = this.roster
+      .list(this.options.clock.now())
       .map((server) => ({ ...server, startingMs: undefined }));
-    const from = JSON.stringify([this.deployed.version, servers]);
+    const { zones } = this.drains.get();
+    const from = JSON.stringify([this.deployed.version, servers, zones]);
     if (from === this.composedFrom) return;
     this.composedFrom = from;
-    const config = composeRouting(this.deployed, servers);
+    const config = composeRouting(this.deployed, servers, zones);
     const inForce = { version: this.deployed.version, config };
     this.inForce = inForce;
     log('servers', {
       version: inForce.version,
       usable: servers.filter((server) => !server.leaving).length,
       leaving: servers.filter((server) => server.leaving).length,
-      drained: listed.length - servers.length,
+      drained: servers.filter(({ zone }) => zones.includes(zone)).length,
     });
     this.listeners.forEach((listener) => listener(inForce));
   }
--- a/packages/router/src/agreement/ZoneDrains.ts
+++ b/packages/router/src/agreement/ZoneDrains.ts
@@ -26,11 +26,6 @@
     return this.newest;
   }
 
-  /** Tells whether the servers of a zone get no work. */
-  has(zone: ZoneId): boolean {
-    return this.newest.zones.includes(zone);
-  }
-
   /**
    * Takes in what the store said at some version; an older answer that comes late changes nothing.
    *
--- a/packages/router/src/agreement/composeRouting.ts
+++ b/packages/router/src/agreement/composeRouting.ts
@@ -5,6 +5,7 @@
   ServiceConfig,
   ServiceServer,
   SlowStartBounds,
+  ZoneId,
 } from '@camphorvane/core';
 import { TOKENS_PER_PIECE } from '@camphorvane/core';
 import type {
@@ -31,11 +32,13 @@
  *
  * @param config - The configuration.
  * @param servers - All servers that may get work.
+ * @param drainedZones - Availability zones whose servers get none.
  * @returns The routing configuration.
  */
 export function composeRouting(
   config: DeployedConfig,
   servers: readonly ServerRecord[],
+  drainedZones: readonly ZoneId[],
 ): RoutingConfig {
   const of = (service: DeployedService): readonly ServerRecord[] =>
     servers.filter((server) => server.service === service.id && !server.leaving);
@@ -44,6 +47,7 @@
     routes: config.routes,
     limits: config.limits,
     waitRules: [],
+    drainedZones,
     pools: config.services.flatMap((service) =>
       service.engines === undefined ? [] : [poolOf(service, service.engines, of(service))],
     ),
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -7,6 +7,7 @@
   ServiceId,
   ServiceServer,
   UpstreamId,
+  ZoneId,
 } from '@camphorvane/core';
 import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
 import type { EngineFactory, PlainServerFactory } from './ports.ts';
@@ -47,16 +48,24 @@
   }
 
   /**
-   * Takes a configuration into force; clients whose address is unchanged are kept.
+   * Takes a configuration into force; clients whose address is unchanged are kept. Upstreams of drained
+   * zones are left out, so that placing, capacity and roles go by what remains.
    *
    * @param config - The configuration.
    */
   reshape(config: RoutingConfig): void {
-    this.pools = new Map(config.pools.map((pool) => [pool.model, pool]));
-    this.services = new Map(config.services.map((service) => [service.id, service]));
-    const engineCfgs = config.pools.flatMap((pool) => pool.engines);
+    const { drainedZones = [] } = config;
+    const isUsed = ({ zone }: { readonly zone: ZoneId }): boolean => !drainedZones.includes(zone);
+    const pools = config.pools.map((pool) => ({ ...pool, engines: pool.engines.filter(isUsed) }));
+    const services = config.services.map((service) => ({
+      ...service,
+      servers: service.servers.filter(isUsed),
+    }));
+    this.pools = new Map(pools.map((pool) => [pool.model, pool]));
+    this.services = new Map(services.map((service) => [service.id, service]));
+    const engineCfgs = pools.flatMap((pool) => pool.engines);
     this.engines = new Map(engineCfgs.map((cfg) => [cfg.id, this.keepEngine(cfg)]));
-    const serverCfgs = config.services.flatMap((service) => service.servers);
+    const serverCfgs = services.flatMap((service) => service.servers);
     this.servers = new Map(serverCfgs.map((cfg) => [cfg.id, this.keepServer(cfg)]));
   }
 
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -8,6 +8,7 @@
 import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
 import { serveCommand } from './cli/serveCommand.ts';
 import { servePlatformModule } from './cli/servePlatformModule.ts';
+import { drainZoneModule, restoreZoneModule } from './cli/zoneCommands.ts';
 import { VERSION } from './version.ts';
 
 void yargs(hideBin(process.argv))
@@ -21,6 +22,8 @@
   .command(statusModule)
   .command(dumpModule)
   .command(drainModule)
+  .command(drainZoneModule)
+  .command(restoreZoneModule)
   .command(hostsCommand)
   .command(explainCommand)
   .command(lossesCommand)
--- a/packages/router/tests/agreement/DeploymentFeed.test.ts
+++ b/packages/router/tests/agreement/DeploymentFeed.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
-import type { RoutingConfig } from '@camphorvane/core';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import { SlowStart } from '@camphorvane/decisions';
 import type { DeploymentFormat, ServerRecord } from '@camphorvane/store';
 import { ok } from 'neverthrow';
 import { DeploymentFeed } from '../../src/agreement/DeploymentFeed.ts';
+import { UpstreamDirectory } from '../../src/host/UpstreamDirectory.ts';
 import { ChangingStore } from '../support/ChangingStore.ts';
 
 const SLOW_START = { forMs: 3_000, requestsPerSecond: 30 };
@@ -68,8 +68,14 @@
   }
 
   servers(): readonly string[] | undefined {
-    const config: RoutingConfig | undefined = this.feed.current()?.config;
-    return config?.services.flatMap(({ servers }) => servers.map(({ id }) => id));
+    const config = this.feed.current()?.config;
+    if (config === undefined) return undefined;
+    const directory = new UpstreamDirectory(
+      () => ({}) as never,
+      () => ({}) as never,
+    );
+    directory.reshape(config);
+    return directory.getService('plain')?.servers.map(({ id }) => id);
   }
 }
 
--- a/packages/store/src/config/ConfigPart.ts
+++ b/packages/store/src/config/ConfigPart.ts
@@ -5,6 +5,7 @@
   type ServiceConfig,
   type TeamConfig,
   type WaitRule,
+  type ZoneId,
 } from '@camphorvane/core';
 
 /** A piece of a configuration that is stored, fetched and compared on its own. */
@@ -12,7 +13,8 @@
   | { readonly type: 'teams'; readonly teams: readonly TeamConfig[] }
   | { readonly type: 'pool'; readonly pool: PoolConfig }
   | { readonly type: 'service'; readonly service: ServiceConfig }
-  | { readonly type: 'wait_rules'; readonly rules: readonly WaitRule[] };
+  | { readonly type: 'wait_rules'; readonly rules: readonly WaitRule[] }
+  | { readonly type: 'drained_zones'; readonly zones: readonly ZoneId[] };
 
 /** A part together with the name it has in a manifest. */
 export interface NamedPart {
@@ -68,6 +70,7 @@
       return { name: `service/${service.id}`, part };
     }),
     { name: 'wait_rules', part: { type: 'wait_rules', rules: config.waitRules } },
+    ...drainParts(config.drainedZones ?? []),
   ];
 }
 
@@ -83,9 +86,17 @@
     pools: parts.flatMap((part) => (part.type === 'pool' ? [part.pool] : [])),
     services: parts.flatMap((part) => (part.type === 'service' ? [part.service] : [])),
     waitRules: parts.flatMap((part) => (part.type === 'wait_rules' ? part.rules : [])),
+    drainedZones: parts.flatMap((part) => (part.type === 'drained_zones' ? part.zones : [])),
   };
 }
 
+/** Left out while no zone is drained, so that hosts which don't know of drains can read the rest. */
+function drainParts(zones: readonly ZoneId[]): readonly NamedPart[] {
+  if (zones.length === 0) return [];
+  const part = { type: 'drained_zones', zones: sorted(zones, (zone) => zone) } as const;
+  return [{ name: 'drained_zones', part }];
+}
+
 function teamParts(teams: readonly TeamConfig[], buckets: number): readonly NamedPart[] {
   const byBucket = new Map<number, TeamConfig[]>();
   teams.forEach((team) => {
--- a/packages/store/src/config/configSchema.ts
+++ b/packages/store/src/config/configSchema.ts
@@ -64,6 +64,7 @@
   z.object({ type: z.literal('pool'), pool }),
   z.object({ type: z.literal('service'), service }),
   z.object({ type: z.literal('wait_rules'), rules: z.array(waitRule) }),
+  z.object({ type: z.literal('drained_zones'), zones: z.array(z.string()) }),
 ]);
 
 const manifest = z.object({
