Queue callers that come back after a refusal behind those who ask first

Hypothesis: a refused caller comes back as a new request. It was given the time in which a first answer can be on time once more, and in a rush took the place of callers who can still be on time, although its own answer is late.

Change: CallerAges learns the longest patience of each route's callers; one that has less than 0.8 of it left counts as having asked that long ago, and its request as late when it comes. A request that is late when it comes teaches the roles nothing of how long others may wait.

In virtual time, where nothing else differs, 4 to 7 % more are on time in a rush of twice what fits (test placingUnderLoad). Kept for that.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -24,5 +24,6 @@
 export * from './local/PeerCounts.ts';
 export * from './local/isServing.ts';
 export * from './local/gossipPace.ts';
+export * from './queue/CallerAges.ts';
 export * from './local/SlowStart.ts';
 export * from './local/slowStartQuota.ts';
--- a/packages/decisions/src/shift/DemandBook.ts
+++ b/packages/decisions/src/shift/DemandBook.ts
@@ -37,6 +37,8 @@
     this.own.set(model, total);
     this.historyOf(model).receive(OWN, OWN, total, now);
     const patience = item.onTimeMs ?? item.maxWaitMs;
+    // A request that is late when it comes says nothing of how long others may wait.
+    if (patience <= 0) return;
     const mean = this.onTimeMs.get(model) ?? patience;
     this.onTimeMs.set(model, mean + (patience - mean) * PATIENCE_WEIGHT);
   }
--- a/packages/decisions/tests/local/placingUnderLoad.test.ts
+++ b/packages/decisions/tests/local/placingUnderLoad.test.ts
@@ -2,13 +2,15 @@
 import { test } from 'node:test';
 import type { EngineConfig, Millis } from '@camphorvane/core';
 import { RandomSource } from '@camphorvane/core';
-import { EngineKnowledge, LocalPlacement, LocalQueue } from '@camphorvane/decisions';
+import { CallerAges, EngineKnowledge, LocalPlacement, LocalQueue } from '@camphorvane/decisions';
 
 const STEP_MS = 5;
 const HINT_MS = 40;
 const TARGET_MS = 900;
 const ON_TIME_PART = 0.6;
 const PATIENCE_MS = 2_500;
+const RETURN_MS = 1_000;
+const CALLER_PATIENCE_MS = 14_000;
 const READ_PER_MS = 55;
 const STREAM_MS = 3_000;
 
@@ -27,6 +29,8 @@
   readonly areAllAlike?: boolean;
   /** Whether late requests wait in order of arrival, as they would without a rule for them. */
   readonly inOrder?: boolean;
+  /** Whether refused callers come back once, and whether they are known by the time they have left. */
+  readonly comeBack?: 'known' | 'unknown';
   /** Whether each host goes by its own queue alone. */
   readonly alone?: boolean;
 }
@@ -91,30 +95,52 @@
   const read = new Set<Running>();
   let outcome: Outcome = { asked: 0, onTime: 0, served: 0, refused: 0, longServed: 0 };
   let owed = 0;
+  const returns: {
+    readonly at: Millis;
+    readonly promptTokens: number;
+    readonly streamMs: Millis;
+  }[] = [];
+  const ages = new CallerAges();
+  const submit = (
+    now: Millis,
+    promptTokens: number,
+    streamMs: Millis,
+    askedAt: Millis,
+    request: string,
+  ): void => {
+    const ageMs = ages.note('r', CALLER_PATIENCE_MS - (now - askedAt), now);
+    const knownAgeMs = load.comeBack === 'known' ? ageMs : 0;
+    const memoryTokens = promptTokens + streamMs;
+    const lateMs = Math.max(0, TARGET_MS * ON_TIME_PART - knownAgeMs);
+    arrivals.set(request, { at: askedAt, promptTokens, memoryTokens, streamMs });
+    const host = load.hostOf?.(random) ?? random.int(0, load.hosts - 1);
+    hosts[host]?.queue.submit({
+      request,
+      team: 't',
+      priority: 1,
+      lateAt: load.inOrder === true ? Infinity : now + lateMs,
+      giveUpAt: now + PATIENCE_MS,
+      promptTokens,
+      memoryTokens,
+      memorySteps: load.areAllAlike === true ? 1 : memoryTokens * streamMs,
+      since: now,
+      avoid: [],
+    });
+  };
   Array.from({ length: (load.forMs + 5_000) / STEP_MS }, (_, i) => i * STEP_MS).forEach((now) => {
     owed += now < load.forMs ? (load.perSecond(now) * STEP_MS) / 1_000 : 0;
     while (owed >= 1) {
       owed -= 1;
-      const host = load.hostOf?.(random) ?? random.int(0, load.hosts - 1);
       const promptTokens = Math.round(load.promptTokens(random));
-      const request = `r${outcome.asked}`;
       const streamMs = load.streamMs?.(random) ?? STREAM_MS;
-      const memoryTokens = promptTokens + streamMs;
-      arrivals.set(request, { at: now, promptTokens, memoryTokens, streamMs });
+      submit(now, promptTokens, streamMs, now, `r${outcome.asked}`);
       outcome = { ...outcome, asked: outcome.asked + 1 };
-      hosts[host]?.queue.submit({
-        request,
-        team: 't',
-        priority: 1,
-        lateAt: load.inOrder === true ? Infinity : now + TARGET_MS * ON_TIME_PART,
-        giveUpAt: now + PATIENCE_MS,
-        promptTokens,
-        memoryTokens,
-        memorySteps: load.areAllAlike === true ? 1 : memoryTokens * streamMs,
-        since: now,
-        avoid: [],
-      });
     }
+    returns
+      .filter(({ at }) => at === now)
+      .forEach(({ promptTokens, streamMs }, i) => {
+        submit(now, promptTokens, streamMs, now - PATIENCE_MS - RETURN_MS, `again ${now} ${i}`);
+      });
     running
       .filter((one) => !read.has(one) && one.readAt <= now)
       .forEach((one) => {
@@ -144,6 +170,10 @@
         const arrival = arrivals.get(decision.request);
         if (decision.type === 'refuse' || arrival === undefined) {
           outcome = { ...outcome, refused: outcome.refused + 1 };
+          if (arrival !== undefined && load.comeBack !== undefined && arrival.at > now - 3_000) {
+            const { promptTokens, streamMs } = arrival;
+            returns.push({ at: now + RETURN_MS, promptTokens, streamMs });
+          }
         } else {
           const { prefill, decode } = decision.pair;
           const engine = prefill ?? decode;
@@ -277,3 +307,24 @@
   assert.ok(outcome.served >= capacity * 20 * 0.85, JSON.stringify({ outcome, capacity }));
   assert.equal(outcome.served + outcome.refused, outcome.asked);
 });
+
+// Guards against callers who come back late and take what would make those on time who ask first.
+test('callers that come back in a rush let those pass who ask for the first time', () => {
+  const load: Load = {
+    hosts: 6,
+    perSecond: (at) => (at < 9_000 ? 34 : 6),
+    promptTokens: steady,
+    forMs: 20_000,
+  };
+  const playAll = (comeBack: 'known' | 'unknown'): { onTime: number; served: number } =>
+    [3, 4]
+      .map((seed) => play({ ...load, comeBack }, seed))
+      .reduce((a, b) => ({ onTime: a.onTime + b.onTime, served: a.served + b.served }), {
+        onTime: 0,
+        served: 0,
+      });
+  const known = playAll('known');
+  const unknown = playAll('unknown');
+  assert.ok(known.onTime >= unknown.onTime * 1.04, JSON.stringify({ known, unknown }));
+  assert.ok(known.served >= unknown.served, JSON.stringify({ known, unknown }));
+});
--- a/packages/router/src/serving/Forwarding.ts
+++ b/packages/router/src/serving/Forwarding.ts
@@ -11,6 +11,7 @@
   WorkClass,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
+import { CallerAges } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller, Authenticator } from '../host/Authenticator.ts';
@@ -88,12 +89,16 @@
   readonly config: RoutingConfig;
   /** Time at which the caller or the operators give up. */
   readonly deadlineAt: Millis;
+  /** Milliseconds since the caller first asked, as far as that can be told. */
+  readonly ageMs: Millis;
 }
 
 /** Serves calls that are passed on byte for byte, by the same serving code as our own interface. */
 export class Forwarding implements ForwardBackend {
   private readonly options: ForwardingOptions;
 
+  private readonly ages = new CallerAges();
+
   /** @param options - What it is made of. */
   constructor(options: ForwardingOptions) {
     this.options = options;
@@ -151,15 +156,17 @@
       return err(notRun('no_capacity', 'The route leads nowhere.', NO_CONFIG_RETRY_MS));
     }
     const patienceMs = Math.min(route.timeoutMs, req.patienceMs ?? DEFAULT_PATIENCE_MS);
-    const deadlineAt = this.options.clock.now() + patienceMs;
+    const now = this.options.clock.now();
+    const deadlineAt = now + patienceMs;
     return this.callerOf(route, req).map((caller) => {
       this.options.metrics.count('request.accepted');
       const { name, kind, targetMs, longestPauseMs } = route;
       const { service } = target;
       const aims = { kind, targetMs, longestPauseMs };
       const version = this.version();
-      log('accepted', { id, route: name, service, team: caller.team.id, ...aims, version });
-      return { id, req, route, service: target.service, caller, config, deadlineAt };
+      const ageMs = Math.round(this.ages.note(name, patienceMs, now));
+      log('accepted', { id, route: name, service, team: caller.team.id, ...aims, ageMs, version });
+      return { id, req, route, service: target.service, caller, config, deadlineAt, ageMs };
     });
   }
 
@@ -195,7 +202,7 @@
         fromPosition: work?.lastPosition === undefined ? 0 : work.lastPosition + 1,
         expectedTokens: work?.expectedTokens,
         maxWaitMs: Math.min(route.targetMs * STREAM_WAIT_TARGETS, this.leftMs(call)),
-        onTimeMs: route.targetMs * STREAM_ON_TIME_PART,
+        onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_PART - call.ageMs),
         longestPauseMs: route.longestPauseMs,
         priority: caller.team.priority ?? route.priority,
       },
