Leave engines that have gone without closing a stream's connection

Cause: an engine that goes dark sends no reset, and a stream was bounded by its caller's time alone. A stream that may go on elsewhere can, and one that may not should end at once.

Change: after a second without an event the engine is asked for its load (StallWatch). An engine that answers only pauses, and is left alone. CompletionAttempt's ends moved to a file of their own.

Ruled out: silence alone as the sign, since preempted streams pause for as long.

Tests first, failing: a stream that may go on ended with its caller's time, and so did one that may not.

--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -8,6 +8,7 @@
   | 'request.refused'
   | 'attempt.dispatched'
   | 'attempt.failed'
+  | 'attempt.engine_gone'
   | 'attempt.resumed'
   | 'prefill.tokens'
   | 'prefill.wasted_tokens'
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -1,10 +1,11 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import { piecesFor, sleep } from '@camphorvane/core';
-import type { ReservationEnd } from '@camphorvane/decisions';
 import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import { reachedNobody } from '@camphorvane/upstream';
 import { stateLog } from '../observe/StateLog.ts';
 
+import { endedEarly, endOf, engineGone, unconfigured } from './attemptEnds.ts';
+import { StallWatch } from './StallWatch.ts';
 import type {
   AttemptEvent,
   AttemptOutcome,
@@ -21,6 +22,9 @@
  */
 const HANDLE_LIFE_MS: Millis = 350;
 
+/** Milliseconds without an event after which an engine is asked whether it is there. */
+const SILENT_MS: Millis = 1_000;
+
 /** Milliseconds between two looks for room; room comes back every some tens of milliseconds. */
 const ROOM_LOOK_MS: Millis = 10;
 
@@ -39,6 +43,9 @@
 
   private lost = false;
 
+  /** Whether the decode engine has gone without closing the connection. */
+  private isGone = false;
+
   /** The decode engine that has the request now. */
   private decodeAt: UpstreamId;
 
@@ -209,39 +216,59 @@
       },
       this.abort.signal,
     );
-    for await (const event of stream) {
-      if (event.isErr()) {
-        if (delivered === 0 && prefill !== undefined) {
-          this.tools.metrics.count('prefill.wasted_tokens', {}, prefill.promptTokens);
+    const stall = this.watchForStall(engine);
+    try {
+      for await (const event of stream) {
+        stall.progress();
+        if (event.isErr()) {
+          if (delivered === 0 && prefill !== undefined) {
+            this.tools.metrics.count('prefill.wasted_tokens', {}, prefill.promptTokens);
+          }
+          return this.failed(engine.id, 'decode', this.isGone ? engineGone() : event.error);
+        }
+        const { value } = event;
+        lastAt = this.noteInterval(engine.id, value, lastAt);
+        switch (value.type) {
+          case 'done':
+            return {
+              type: 'done',
+              reason: value.reason,
+              prefill,
+              outputTokens: plan.fromPosition + delivered,
+            };
+          case 'answer':
+            return { type: 'answered', engine: engine.id, head: value.head, body: value.body };
+          case 'head':
+          case 'token':
+          case 'piece':
+            if (prefill === undefined && delivered === 0) this.notePromptRead();
+            if (value.type !== 'head') delivered += 1;
+            yield value;
+            break;
+          default:
+            value satisfies never;
         }
-        return this.failed(engine.id, 'decode', event.error);
-      }
-      const { value } = event;
-      lastAt = this.noteInterval(engine.id, value, lastAt);
-      switch (value.type) {
-        case 'done':
-          return {
-            type: 'done',
-            reason: value.reason,
-            prefill,
-            outputTokens: plan.fromPosition + delivered,
-          };
-        case 'answer':
-          return { type: 'answered', engine: engine.id, head: value.head, body: value.body };
-        case 'head':
-        case 'token':
-        case 'piece':
-          if (prefill === undefined && delivered === 0) this.notePromptRead();
-          if (value.type !== 'head') delivered += 1;
-          yield value;
-          break;
-        default:
-          value satisfies never;
       }
+    } finally {
+      stall.close();
     }
     return this.failed(engine.id, 'decode', endedEarly());
   }
 
+  /** Ends the attempt where its engine is gone, so that the stream can go on at another one. */
+  private watchForStall(engine: ModelEngine): StallWatch {
+    return new StallWatch({
+      clock: this.tools.clock,
+      silentMs: SILENT_MS,
+      isThere: async () => (await engine.load()).isOk(),
+      onGone: () => {
+        this.isGone = true;
+        this.tools.metrics.count('attempt.engine_gone');
+        this.abort.abort();
+      },
+    });
+  }
+
   /** An engine that reads the prompt itself shows by its first event that it has done so. */
   private notePromptRead(): void {
     const { pool, placement } = this.plan;
@@ -320,24 +347,3 @@
     return { type: 'failed', engine, stage, error };
   }
 }
-
-function endOf(outcome: AttemptOutcome | undefined, callerGone: boolean): ReservationEnd {
-  if (callerGone || outcome === undefined) return 'caller_gone';
-  switch (outcome.type) {
-    case 'done':
-    case 'answered':
-      return 'done';
-    case 'failed':
-      return outcome.stage === 'decode' ? 'failed_in_decode' : 'failed_before_decode';
-    default:
-      return outcome satisfies never;
-  }
-}
-
-function unconfigured(): UpstreamError {
-  return { type: 'unreachable', dispatched: false, message: 'not in the configuration' };
-}
-
-function endedEarly(): UpstreamError {
-  return { type: 'broken', dispatched: true, message: 'stream ended early' };
-}
--- a/packages/router/tests/serving/Forwarding.test.ts
+++ b/packages/router/tests/serving/Forwarding.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import type { CallScript, DecodeScript } from '../support/ForwardFleet.ts';
 import {
   endOf,
@@ -16,6 +16,7 @@
 
 const CRASHED: UpstreamError = { type: 'broken', dispatched: true, message: 'crashed' };
 const FULL: UpstreamError = { type: 'rejected', dispatched: false, message: 'full' };
+const CANCELLED: UpstreamError = { type: 'cancelled', dispatched: true, message: 'cancelled' };
 const DOWN: UpstreamError = { type: 'unreachable', dispatched: false, message: 'down' };
 
 test('a stream is read by one engine, answered by another, and passed on piece by piece', async () => {
@@ -262,3 +263,61 @@
   });
   assert.deepEqual([...fleet.prefills, ...fleet.decodes, ...fleet.calls], []);
 });
+
+/** Gives two pieces, falls silent, and goes on after a while, unless it is stopped. */
+const pausing = (ms: number): DecodeScript =>
+  async function* script(cmd, signal) {
+    yield* pieces(cmd, cmd.fromPosition, 2);
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      signal.addEventListener('abort', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+    if (signal.aborted) yield err(CANCELLED);
+    else yield* wholeStream({ ...cmd, fromPosition: 2 });
+  };
+
+// Guards against callers who wait until they give up, since a crashed engine has not closed the connection.
+test('a stream that may go on leaves an engine that is gone without a word', async () => {
+  let runs = 0;
+  const first: DecodeScript = (cmd, signal) => {
+    runs += 1;
+    return runs === 1 ? pausing(60_000)(cmd, signal) : wholeStream(cmd);
+  };
+  const fleet = new ForwardFleet({
+    decode: { d1: first, d2: first },
+    route: { resumable: true, timeoutMs: 5_000 },
+  });
+  const events = await fleet.send('/llm/x', { patienceMs: 5_000 });
+  assert.equal(textOfAnswer(events), '0;1;2;3;');
+  assert.equal(endOf(events), 'done');
+  assert.equal(new Set(fleet.decodes).size, 2);
+});
+
+// Guards against callers who are kept waiting for an answer that nobody makes any more.
+test('a stream that may not go on ends when its engine is gone, well before its time is over', async () => {
+  const silent = pausing(60_000);
+  const fleet = new ForwardFleet({
+    decode: { d1: silent, d2: silent },
+    route: { timeoutMs: 9_000 },
+  });
+  const startedAt = Date.now();
+  const events = await fleet.send('/llm/x', { patienceMs: 9_000 });
+  assert.equal(endOf(events), 'upstream_failed unknown');
+  assert.ok(Date.now() - startedAt < 4_000);
+  assert.equal(fleet.decodes.length, 1);
+});
+
+// Guards against a second run of a stream whose engine only pauses.
+test('a stream is not taken from an engine that pauses and says that it is there', async () => {
+  const fleet = new ForwardFleet({
+    decode: { d1: pausing(1_500), d2: pausing(1_500) },
+    answering: ['d1', 'd2'],
+    route: { resumable: true, timeoutMs: 5_000 },
+  });
+  const events = await fleet.send('/llm/x', { patienceMs: 5_000 });
+  assert.equal(textOfAnswer(events), '0;1;2;3;');
+  assert.equal(fleet.decodes.length, 1);
+});
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -2,6 +2,7 @@
 import type {
   EngineConfig,
   ForwardRoute,
+  LoadSnapshot,
   RoutingConfig,
   ServiceServer,
   VersionedConfig,
@@ -46,12 +47,19 @@
   readonly decode?: Readonly<Record<string, DecodeScript>>;
   readonly call?: Readonly<Record<string, CallScript>>;
   readonly route?: Partial<ForwardRoute>;
+  /** Engines that answer when they are asked for their load; none where absent. */
+  readonly answering?: readonly string[];
   /** Called while an engine reads a prompt. */
   readonly onPrefill?: () => void;
   /** Repeats beyond the first one, which can always be paid. */
   readonly repeats?: number;
 }
 
+const LOAD: LoadSnapshot = {
+  ...{ role: 'decode', usedPieces: 0, memoryPieces: 10, running: 1, waiting: 0 },
+  attempts: [],
+};
+
 /** One host between scripted engines and servers, without a network. */
 export class ForwardFleet {
   readonly prefills: string[] = [];
@@ -272,7 +280,7 @@
         this.cancelled.push(cfg.id);
         return okAsync(undefined);
       },
-      load: () => rejected,
+      load: () => (this.options.answering?.includes(cfg.id) === true ? okAsync(LOAD) : rejected),
       order: () => rejected,
     };
   }
