--- a/packages/decisions/src/local/SlowStart.ts
+++ b/packages/decisions/src/local/SlowStart.ts
@@ -12,7 +12,7 @@
   readonly until: Millis;
   /** Time from which on it is taken for starting, whatever it says. */
   readonly startedAt: Millis;
-  /** Whether it gave no connection when it was last tried. */
+  /** Whether the last connection to it failed. */
   readonly isUnreachable: boolean;
 }
 
@@ -23,7 +23,7 @@
  *
  * Made for a zone that comes back empty: its upstreams look like the best choice to every host at once,
  * and crash under the full load before their caches are warm. Each host has a quota of its own, so that
- * the sum holds also among hosts that don't hear each other. Where a host can't know whether an upstream
+ * the sum holds also among hosts that get no hints of each other. Where a host can't know whether an upstream
  * has started anew, it takes it for starting.
  */
 export class SlowStart {
--- a/packages/decisions/src/queue/CallerAges.ts
+++ b/packages/decisions/src/queue/CallerAges.ts
@@ -19,7 +19,7 @@
 /**
  * Estimates how long ago a caller first asked, by the time that it says it will still wait.
  *
- * Made for rushes: a caller that was refused comes back as a new request. Taken for one, it would wait
+ * Made for overload: a caller that was refused comes back as a new request. Taken for one, it would wait
  * before others that can still be on time, although its own answer is late whatever is done.
  */
 export class CallerAges {
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -215,7 +215,7 @@
 
   /**
    * Gets the hosts that take callers while all hosts are up. It follows from the records alone, so
-   * that hosts which don't hear each other get the same answer.
+   * that hosts which get no hints of each other agree.
    */
   getExpectedServing(): readonly HostId[] {
     this.expectedServing ??= this.ranked
