Find the quotas of slow starts once, not with each placement

Change: a quota takes one hash (a run of hosts that begins elsewhere for each upstream, in place of an order by rendezvous) and is kept until the hosts that share the bound change; the list of these stays the same object meanwhile.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,3 +27,4 @@
 export * from './queue/CallerAges.ts';
 export * from './local/SlowStart.ts';
 export * from './local/slowStartQuota.ts';
+export * from './local/SlowStartQuotas.ts';
--- a/packages/decisions/src/local/isServing.ts
+++ b/packages/decisions/src/local/isServing.ts
@@ -1,4 +1,4 @@
-import type { HostId } from '@camphorvane/core';
+import type { HostId, ZoneId } from '@camphorvane/core';
 
 /** A host that could take callers. */
 export interface ServingCandidate {
@@ -37,6 +37,24 @@
   return strengthOf(zone.slice(0, index)) < all * SERVING_PART;
 }
 
+/**
+ * Gets the hosts of a fleet that take callers while all of them are up.
+ *
+ * @param fleet - All hosts, the strongest first.
+ * @returns Their names, by zone and strength.
+ */
+export function servingHosts(
+  fleet: readonly (ServingCandidate & { readonly zone: ZoneId })[],
+): readonly HostId[] {
+  const zones = [...new Set(fleet.map(({ zone }) => zone))].sort();
+  return zones.flatMap((zone) => {
+    const inZone = fleet.filter((one) => one.zone === zone);
+    return inZone
+      .filter(({ host }) => isServing(host, inZone, fleet.length))
+      .map(({ host }) => host);
+  });
+}
+
 function strengthOf(hosts: readonly ServingCandidate[]): number {
   return hosts.reduce((sum, { strength }) => sum + strength, 0);
 }
--- a/packages/decisions/tests/local/SlowStart.test.ts
+++ b/packages/decisions/tests/local/SlowStart.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Millis, SlowStartBounds } from '@camphorvane/core';
-import { SlowStart, slowStartQuota } from '@camphorvane/decisions';
+import { SlowStart, slowStartQuota, SlowStartQuotas } from '@camphorvane/decisions';
 import fc from 'fast-check';
 
 const BOUNDS: SlowStartBounds = { forMs: 3_000, requestsPerSecond: 31 };
@@ -71,6 +71,22 @@
   assert.equal(slowStartQuota('e1', 'stranger', names(3), 31), 0);
 });
 
+// Guards against a fleet that spends its processor time on quotas while a large zone comes back.
+test('quotas are found once for each upstream, and anew when the hosts change', () => {
+  const quotas = new SlowStartQuotas('h1');
+  const three = names(3);
+  const two = names(2);
+  assert.equal(quotas.get('e1', three, 30), 10);
+  assert.equal(quotas.get('e1', three, 30), 10);
+  assert.equal(quotas.get('e1', two, 30), 15);
+  const startedAt = performance.now();
+  const hosts = names(300);
+  Array.from({ length: 200 }).forEach(() =>
+    names(1_000).forEach((upstream) => quotas.get(upstream, hosts, 31)),
+  );
+  assert.ok(performance.now() - startedAt < 2_000);
+});
+
 // Guards against hosts that get no hints of each other and together crash a zone that comes back.
 test('hosts that send whenever they may keep the bound of a second without any hints', () => {
   const hosts = fc.integer({ min: 1, max: 90 });
--- a/packages/router/src/agreement/HostRoster.ts
+++ b/packages/router/src/agreement/HostRoster.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis, ZoneId } from '@camphorvane/core';
-import { isServing, hintLifetime, gossipPace } from '@camphorvane/decisions';
+import { isServing, hintLifetime, gossipPace, servingHosts } from '@camphorvane/decisions';
 import type { HostHint } from '@camphorvane/peer/hints';
 import type { FleetMember } from '../host/ports.ts';
 import type { HostRecord } from './hostRecord.ts';
@@ -90,8 +90,11 @@
   /** Names of all other hosts with a record, in order. */
   private others: readonly HostId[] = [];
 
-  /** See {@link HostRoster.getExpectedServing}; undefined where the records have changed since. */
-  private expectedServing: readonly HostId[] | undefined;
+  /** See {@link HostRoster.getExpectedServing}. */
+  private expectedServing: readonly HostId[] = [];
+
+  /** Whether the records were read since the hosts that are expected to serve were found. */
+  private hasNewRecords = false;
 
   private readonly hints = new Map<HostId, ReceivedHint>();
 
@@ -138,7 +141,7 @@
     this.ranked = [...this.records.values()]
       .map(({ record }) => record)
       .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
-    this.expectedServing = undefined;
+    this.hasNewRecords = true;
   }
 
   /** Takes in what a host says of itself. */
@@ -215,15 +218,13 @@
 
   /**
    * Gets the hosts that take callers while all hosts are up. It follows from the records alone, so
-   * that hosts which get no hints of each other agree.
+   * that hosts which get no hints of each other agree. The same list is returned until it changes.
    */
   getExpectedServing(): readonly HostId[] {
-    this.expectedServing ??= this.ranked
-      .filter(({ host, zone }) => {
-        const inZone = this.ranked.filter((record) => record.zone === zone);
-        return isServing(host, inZone, this.records.size);
-      })
-      .map(({ host }) => host);
+    if (!this.hasNewRecords) return this.expectedServing;
+    this.hasNewRecords = false;
+    const hosts = servingHosts(this.ranked);
+    if (hosts.join() !== this.expectedServing.join()) this.expectedServing = hosts;
     return this.expectedServing;
   }
 
--- a/packages/router/src/agreement/StoreAgreement.ts
+++ b/packages/router/src/agreement/StoreAgreement.ts
@@ -4,8 +4,8 @@
   EngineKnowledge,
   RepeatBudget,
   SlowStart,
+  SlowStartQuotas,
   gossipPace,
-  slowStartQuota,
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { HintLink } from '@camphorvane/peer/hints';
@@ -109,8 +109,9 @@
     const { store, format } = options;
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
+    const quotas = new SlowStartQuotas(identity.host);
     this.slowStart = new SlowStart((upstream, perSecond) =>
-      slowStartQuota(upstream, identity.host, this.hosts.getExpectedServing(), perSecond),
+      quotas.get(upstream, this.hosts.getExpectedServing(), perSecond),
     );
     this.knowledge = new EngineKnowledge(this.slowStart);
     this.endsWithdrawn = options.strictKeysMs !== undefined;
