--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -1,6 +1,8 @@
-// Runs the tests of every package, or of the packages and files named on the command line.
+// Runs the tests of every package, or of the packages and files named on the command line. Tests that
+// KNOWN-RED.txt lists as `test "NAME" in FILE;` may fail; all of them are printed.
 import { spawnSync } from 'node:child_process';
-import { readdirSync, statSync } from 'node:fs';
+import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync, statSync } from 'node:fs';
+import { tmpdir } from 'node:os';
 import path from 'node:path';
 
 const walk = (dir) =>
@@ -15,6 +17,13 @@
   return name.endsWith('.ts') ? [name] : walk(statSync(dir) && dir);
 };
 
+const readKnownRed = () =>
+  existsSync('KNOWN-RED.txt')
+    ? [...readFileSync('KNOWN-RED.txt', 'utf8').matchAll(/^test "(.+?)" in (\S+);/gm)].map(
+        ([, name, file]) => ({ name, file }),
+      )
+    : [];
+
 const named = process.argv.slice(2);
 const files = (
   named.length > 0 ? named.flatMap(expand) : [...walk('packages'), ...walk('platform')]
@@ -23,9 +32,33 @@
   console.error('no test files found');
   process.exit(1);
 }
+const folder = mkdtempSync(path.join(tmpdir(), 'tests-'));
+const failedFile = path.join(folder, 'failed.jsonl');
+const reporter = path.resolve('tools/failed-tests-reporter.mjs');
 const run = spawnSync(
   process.execPath,
-  ['--import', 'tsx', '--test', '--test-reporter=spec', '--test-concurrency=4', ...files],
+  [
+    ...['--import', 'tsx', '--test', '--test-concurrency=4'],
+    ...['--test-reporter=spec', '--test-reporter-destination=stdout'],
+    ...[`--test-reporter=${reporter}`, `--test-reporter-destination=${failedFile}`],
+    ...files,
+  ],
   { stdio: 'inherit' },
 );
-process.exit(run.status ?? 1);
+const failed = existsSync(failedFile)
+  ? readFileSync(failedFile, 'utf8')
+      .split('\n')
+      .filter((line) => line !== '')
+      .map((line) => JSON.parse(line))
+      .map(({ name, file }) => ({ name, file: path.relative('.', file ?? '') }))
+  : [];
+rmSync(folder, { recursive: true });
+const knownRed = readKnownRed();
+const isKnown = ({ name, file }) =>
+  knownRed.some((known) => known.name === name && known.file === file);
+knownRed.forEach((known) => {
+  const hasFailed = failed.some(({ name, file }) => name === known.name && file === known.file);
+  console.log(`known red: "${known.name}" in ${known.file} ${hasFailed ? 'failed' : 'passed'}`);
+});
+const isOnlyKnown = run.status === 1 && failed.length > 0 && failed.every(isKnown);
+process.exit(isOnlyKnown ? 0 : (run.status ?? 1));
