--- a/packages/core/src/Clock.ts
+++ b/packages/core/src/Clock.ts
@@ -14,7 +14,10 @@
   /** Gets the monotonic time in milliseconds since an arbitrary origin of this process. */
   now(): Millis;
 
-  /** Gets the wall time in milliseconds since the Unix epoch, for display and logs only. */
+  /**
+   * Gets the wall time in milliseconds since the Unix epoch. It may step, so it serves display, logs, and
+   * turns that hosts take without talking to each other.
+   */
   wall(): Millis;
 
   /**
@@ -27,6 +30,16 @@
   after(delay: Millis, run: () => void): CancelTimer;
 }
 
+/**
+ * Gets the function that converts times of a clock to wall time.
+ *
+ * @param clock - The clock.
+ * @returns The function.
+ */
+export function wallTimeOf(clock: Clock): (at: Millis) => Millis {
+  return (at) => clock.wall() + at - clock.now();
+}
+
 /**
  * Waits on a clock.
  *
--- /dev/null
+++ b/packages/core/src/UpstreamSignals.ts
@@ -0,0 +1,10 @@
+/** What an upstream tells its clients about itself in one answer. */
+export interface UpstreamSignals {
+  /** Requests a second that it takes from all hosts together; undefined where it names no limit. */
+  readonly requestsPerSecond: number | undefined;
+  /**
+   * Whether a limit that the answer doesn't name has ended. False for answers that may lack it for another
+   * reason, such as those to control calls.
+   */
+  readonly endsLimit: boolean;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,3 +11,4 @@
 export * from './Prompt.ts';
 export * from './RoutingConfig.ts';
 export * from './LoadReport.ts';
+export * from './UpstreamSignals.ts';
--- a/packages/decisions/src/local/EngineKnowledge.ts
+++ b/packages/decisions/src/local/EngineKnowledge.ts
@@ -4,7 +4,7 @@
 import { EngineHealth } from './EngineHealth.ts';
 import { InFlightTracker } from './InFlightTracker.ts';
 import { PeerCounts } from './PeerCounts.ts';
-import { SlowStart } from './SlowStart.ts';
+import { UpstreamAdmission } from './UpstreamAdmission.ts';
 
 /**
  * Lifetime of a peer's backlog report, in milliseconds. Reports arrive within 200 ms; a request that was
@@ -29,11 +29,11 @@
   /** Demand on each pool, over all hosts. */
   readonly demand = new DemandTracker();
 
-  /** Upstreams that have just started, and how many requests they may get. */
-  readonly slowStart: SlowStart;
+  /** How many requests each engine may get. */
+  readonly admission: UpstreamAdmission;
 
-  /** @param slowStart - Bounds on the requests to upstreams that have just started. */
-  constructor(slowStart = new SlowStart()) {
-    this.slowStart = slowStart;
+  /** @param admission - How many requests each engine may get. */
+  constructor(admission = new UpstreamAdmission()) {
+    this.admission = admission;
   }
 }
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -4,7 +4,9 @@
 import type { EngineHealth } from './EngineHealth.ts';
 import type { EngineKnowledge } from './EngineKnowledge.ts';
 import type { InFlightTracker } from './InFlightTracker.ts';
-import type { SlowStart } from './SlowStart.ts';
+import { mergeOpenings } from '../signals/openings.ts';
+import type { Opening } from '../signals/openings.ts';
+import type { UpstreamAdmission } from './UpstreamAdmission.ts';
 
 /** A request that needs engines. */
 export interface PlacementRequest {
@@ -47,6 +49,9 @@
 /** Cost of a full engine, in milliseconds of waiting: decode steps get longer as it fills. */
 const FULL_ENGINE_COST_MS: Millis = 250;
 
+/** Cost of a request to a reluctant engine, in milliseconds of waiting: other engines are used first. */
+const RELUCTANT_ENGINE_COST_MS: Millis = 250;
+
 /**
  * Fraction of the memory of an engine that is allocated to requests. The rest covers requests that
  * several hosts place at the same moment; an engine that runs out preempts a running stream and prefills
@@ -67,6 +72,8 @@
   readonly cfg: EngineConfig;
   /** Expected time until the prefill has ended, in milliseconds. */
   readonly prefillMs: Millis;
+  /** Cost of a reluctant engine; 0 for others. */
+  readonly reluctanceMs: Millis;
 }
 
 interface DecodeOption {
@@ -76,6 +83,8 @@
   readonly streams: number;
   /** Whether the engine has a prompt to prefill already. */
   readonly isPrefilling: boolean;
+  /** Cost of a reluctant engine; 0 for others. */
+  readonly reluctanceMs: Millis;
 }
 
 interface Choice {
@@ -102,7 +111,7 @@
 
   private readonly roleChanges: RoleChanges;
 
-  private readonly slowStart: SlowStart;
+  private readonly admission: UpstreamAdmission;
 
   private readonly random: RandomSource;
 
@@ -111,13 +120,13 @@
    * @param random - Samples engines in large fleets.
    */
   constructor(
-    { inFlight, health, roleChanges, slowStart }: EngineKnowledge,
+    { inFlight, health, roleChanges, admission }: EngineKnowledge,
     random = new RandomSource(1),
   ) {
     this.inFlight = inFlight;
     this.health = health;
     this.roleChanges = roleChanges;
-    this.slowStart = slowStart;
+    this.admission = admission;
     this.random = random;
   }
 
@@ -132,6 +141,19 @@
     return this.engines.some((engine) => engine.role === 'decode');
   }
 
+  /**
+   * Gets when decode engines take requests of this host, where all of them have asked for fewer.
+   *
+   * @param now - Present time.
+   * @returns The openings in order; undefined while a decode engine has asked for nothing.
+   */
+  decodeOpenings(now: Millis): readonly Opening[] | undefined {
+    const engines = this.engines.filter((engine) => engine.role === 'decode');
+    const isFree = engines.some(({ id }) => this.admission.openings(id, now) === undefined);
+    if (isFree || engines.length === 0) return undefined;
+    return mergeOpenings(engines.map(({ id }) => this.admission.openings(id, now)));
+  }
+
   /**
    * Chooses engines for a request.
    *
@@ -166,7 +188,7 @@
     now: Millis,
   ): UpstreamId | undefined {
     const cfg = this.engines.find((engine) => engine.id === prefill);
-    const source = cfg === undefined ? undefined : { cfg, prefillMs: 0 };
+    const source = cfg === undefined ? undefined : { cfg, prefillMs: 0, reluctanceMs: 0 };
     return this.decodeOptions(req, now)
       .map((decode) =>
         source === undefined
@@ -210,18 +232,23 @@
     return this.health.estimatePrefillMs(engine, tokens, this.engineIds);
   }
 
-  private colocatedChoice({ cfg, memoryFill }: DecodeOption, req: PlacementRequest): Choice {
+  private colocatedChoice(decode: DecodeOption, req: PlacementRequest): Choice {
+    const { cfg, memoryFill, reluctanceMs } = decode;
     const expectedPrefillMs = this.prefillMs(cfg.id, req.promptTokens) * DECODE_PREFILL_FACTOR;
     return {
       pair: { prefill: undefined, decode: cfg.id, expectedPrefillMs },
-      cost: expectedPrefillMs + DECODE_PREFILL_COST_MS + memoryFill * FULL_ENGINE_COST_MS,
+      cost:
+        expectedPrefillMs +
+        DECODE_PREFILL_COST_MS +
+        memoryFill * FULL_ENGINE_COST_MS +
+        reluctanceMs,
     };
   }
 
   private prefillOptions(req: PlacementRequest, now: Millis): readonly PrefillOption[] {
     return this.usableEngines('prefill', req, now).map((cfg) => {
       const prefillMs = this.backlogMs(cfg.id, now) + this.prefillMs(cfg.id, req.promptTokens);
-      return { cfg, prefillMs };
+      return { cfg, prefillMs, reluctanceMs: this.reluctanceMs(cfg.id, now) };
     });
   }
 
@@ -247,14 +274,15 @@
         memoryFill: (load.memoryTokens + req.memoryTokens) / (cfg.memoryPieces * TOKENS_PER_PIECE),
         streams: load.streams,
         isPrefilling: load.prefillTokens > 0,
+        reluctanceMs: this.reluctanceMs(cfg.id, now),
       }))
       .filter(({ memoryFill }) => memoryFill <= MEMORY_FILL_LIMIT);
   }
 
   /**
    * Gets the engines of a role that may be used. Those in back-off after a failure are left out while
-   * there are others; those that are suspected, change their role or have used up their slow-start quota
-   * are always left out.
+   * there are others; those that are suspected, change their role or take no more requests of
+   * this host now are always left out.
    */
   private usableEngines(
     role: EngineConfig['role'],
@@ -268,10 +296,14 @@
     return healthy.length > 0 ? healthy : usable;
   }
 
+  private reluctanceMs(id: UpstreamId, now: Millis): Millis {
+    return this.admission.isReluctant(id, now) ? RELUCTANT_ENGINE_COST_MS : 0;
+  }
+
   private isUsable(id: UpstreamId, now: Millis): boolean {
     if (this.health.isSuspected(id) || this.roleChanges.getTargetRole(id, now) !== undefined)
       return false;
-    return this.slowStart.allowance(id, now) > 0;
+    return this.admission.allowance(id, now) > 0;
   }
 }
 
@@ -279,7 +311,12 @@
   const zoneCostMs = prefill.cfg.zone === decode.cfg.zone ? 0 : CROSS_ZONE_COST_MS;
   return {
     pair: { prefill: prefill.cfg.id, decode: decode.cfg.id, expectedPrefillMs: prefill.prefillMs },
-    cost: prefill.prefillMs + zoneCostMs + decode.memoryFill * FULL_ENGINE_COST_MS,
+    cost:
+      prefill.prefillMs +
+      zoneCostMs +
+      decode.memoryFill * FULL_ENGINE_COST_MS +
+      prefill.reluctanceMs +
+      decode.reluctanceMs,
   };
 }
 
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -1,5 +1,6 @@
 import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
+import { openingFor } from '../signals/openings.ts';
 import { FootprintRanks } from './FootprintRanks.ts';
 import type { EnginePair, LocalPlacement, PlacementRequest } from './LocalPlacement.ts';
 
@@ -156,8 +157,11 @@
       const refusal = notRun('target_missed', 'No engine became free in time.', RETRY_AFTER_MS);
       return { type: 'refuse', request: expired.request, refusal };
     }
-    const [first] = [...this.waiting].sort((a, b) => this.compare(a, b, now));
+    const sorted = [...this.waiting].sort((a, b) => this.compare(a, b, now));
+    const [first] = sorted;
     if (first === undefined) return undefined;
+    const unservable = this.refuseUnservable(sorted, now);
+    if (unservable !== undefined) return unservable;
     if (this.yieldsToPeers(first, now)) {
       this.recordWaitReasons(first, 'turn');
       return undefined;
@@ -173,6 +177,28 @@
     return { type: 'place', request: first.request, pair, waitReason };
   }
 
+  /** Refuses the first request for which no engine opens before its callers give up. */
+  private refuseUnservable(
+    sorted: readonly RankedRequest[],
+    now: Millis,
+  ): QueueDecision | undefined {
+    const openings = this.placement.decodeOpenings(now);
+    if (openings === undefined) return undefined;
+    const opensAt = sorted.map((_, position) => openingFor(openings, position));
+    const index = sorted.findIndex((req, i) => (opensAt[i] ?? Infinity) > req.giveUpAt);
+    const req = sorted[index];
+    if (req === undefined) return undefined;
+    this.withdraw(req.request);
+    const at = opensAt[index] ?? openings.at(-1)?.at;
+    const text = 'The engines of this model take no more requests in time.';
+    const retryAfterMs = at === undefined ? RETRY_AFTER_MS : Math.max(0, at - now);
+    return {
+      type: 'refuse',
+      request: req.request,
+      refusal: notRun('no_capacity', text, retryAfterMs),
+    };
+  }
+
   /** Gets whether a request leaves free capacity to the requests that wait on other hosts. */
   private yieldsToPeers(req: RankedRequest, now: Millis): boolean {
     const peersOnTime = this.peersOnTime(now);
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -1,5 +1,7 @@
 import type { Millis, Refusal, RequestId, TeamId, UpstreamId, WorkClass } from '@camphorvane/core';
 import { notRun, RandomSource } from '@camphorvane/core';
+import { mergeOpenings, openingFor, takeOpening } from '../signals/openings.ts';
+import type { Opening } from '../signals/openings.ts';
 
 /** A server of a plain service, with this host's limits on it. */
 export interface ServiceQueueServer {
@@ -8,6 +10,10 @@
   readonly limit: number;
   /** Calls that this host may still send to the server now; absent if only the limit applies. */
   readonly allowance?: number;
+  /** When this host may send to the server; absent where the server has asked for nothing. */
+  readonly openings?: readonly Opening[];
+  /** Whether other servers are to be used first; by default not. */
+  readonly isReluctant?: boolean;
 }
 
 /** A call to be dispatched to a server. */
@@ -44,6 +50,9 @@
   inFlight: number;
   /** Calls that may still be sent to the server. */
   allowance: number;
+  /** When calls may be sent to the server; undefined where it has asked for nothing. */
+  openings: readonly Opening[] | undefined;
+  readonly isReluctant: boolean;
   /** Time until which other servers are preferred, since a call failed on this one. */
   cooldownUntil: Millis;
 }
@@ -62,6 +71,9 @@
 
 const RETRY_AFTER_MS: Millis = 500;
 
+/** Milliseconds for which a call counts against its team where servers take few calls. */
+const RECENT_CALL_MS: Millis = 4_000;
+
 const CLASSES_BY_PRIORITY: readonly WorkClass[] = ['lookup', 'certificate', 'summary'];
 
 /**
@@ -78,6 +90,9 @@
 
   private readonly inFlightByTeam = new Map<TeamId, number>();
 
+  /** Recent calls to servers that take few, by team. */
+  private readonly scarceCalls = new Map<TeamId, readonly Millis[]>();
+
   private queue: readonly QueueEntry[] = [];
 
   /** Most calls in flight from this host to all servers together. */
@@ -99,8 +114,8 @@
     const kept = servers.map((server): [UpstreamId, ServerState] => {
       const old = this.servers.get(server.id);
       const state = { inFlight: old?.inFlight ?? 0, cooldownUntil: old?.cooldownUntil ?? 0 };
-      const { limit, allowance = Infinity } = server;
-      return [server.id, { ...state, limit, allowance }];
+      const { limit, allowance = Infinity, openings, isReluctant = false } = server;
+      return [server.id, { ...state, limit, allowance, openings, isReluctant }];
     });
     this.servers.clear();
     kept.forEach(([id, state]) => this.servers.set(id, state));
@@ -161,7 +176,7 @@
       request: entry.call.request,
       refusal: notRun('target_missed', 'No server became free in time.', RETRY_AFTER_MS),
     }));
-    return [...refused, ...this.dispatchAll(now)];
+    return [...refused, ...this.dispatchAll(now), ...this.refuseUnservable(now)];
   }
 
   /** Gets when `step` refuses the next queued call, or undefined if none is queued. */
@@ -184,6 +199,27 @@
     return decisions;
   }
 
+  /** Refuses the calls for which no server opens before they time out. */
+  private refuseUnservable(now: Millis): readonly ServiceQueueDecision[] {
+    if ([...this.servers.values()].some(({ openings }) => openings === undefined)) return [];
+    const openings = mergeOpenings([...this.servers.values()].map((server) => server.openings));
+    if (openings === undefined) return [];
+    const sorted = [...this.queue].sort((a, b) => this.compare(a, b, now));
+    const served = sorted.map((_, position) => openingFor(openings, position));
+    const refused = sorted.filter((entry, i) => (served[i] ?? Infinity) > entry.timeoutAt);
+    refused.forEach(({ call }) => this.withdraw(call.request));
+    return refused.map(({ call }): ServiceQueueDecision => {
+      const at = served[sorted.findIndex((entry) => entry.call === call)] ?? openings.at(-1)?.at;
+      const retryAfterMs = at === undefined ? RETRY_AFTER_MS : Math.max(0, at - now);
+      const text = 'The servers of this service take no more calls in time.';
+      return {
+        type: 'refuse',
+        request: call.request,
+        refusal: notRun('no_capacity', text, retryAfterMs),
+      };
+    });
+  }
+
   private dispatchNext(now: Millis): ServiceQueueDecision | undefined {
     if (this.queue.length === 0 || this.inFlightCount >= this.maxInFlight) return undefined;
     const ordered = [...this.queue].sort((a, b) => this.compare(a, b, now));
@@ -197,12 +233,21 @@
     if (state !== undefined) {
       state.inFlight += 1;
       state.allowance -= 1;
+      if (state.openings !== undefined) {
+        state.openings = takeOpening(state.openings);
+        this.recordScarceCall(call.team, now);
+      }
     }
     this.inFlightByTeam.set(call.team, (this.inFlightByTeam.get(call.team) ?? 0) + 1);
     const waitedMs = now - choice.entry.queuedAt;
     return { type: 'place', request: call.request, server: choice.server, waitedMs };
   }
 
+  private recordScarceCall(team: TeamId, now: Millis): void {
+    const recent = (this.scarceCalls.get(team) ?? []).filter((at) => at > now - RECENT_CALL_MS);
+    this.scarceCalls.set(team, [...recent, now]);
+  }
+
   private compare(a: QueueEntry, b: QueueEntry, now: Millis): number {
     const byLateness = Number(isLate(a, now)) - Number(isLate(b, now));
     if (byLateness !== 0) return byLateness;
@@ -210,11 +255,18 @@
       CLASSES_BY_PRIORITY.indexOf(a.call.class) - CLASSES_BY_PRIORITY.indexOf(b.call.class);
     if (byClass !== 0) return byClass;
     const inFlight = (entry: QueueEntry): number => this.inFlightByTeam.get(entry.call.team) ?? 0;
-    return inFlight(a) - inFlight(b);
+    return inFlight(a) - inFlight(b) || this.scarceCount(a, now) - this.scarceCount(b, now);
+  }
+
+  /** Counts the recent calls of a team to servers that take few: these calls are too short to be in flight. */
+  private scarceCount({ call }: QueueEntry, now: Millis): number {
+    const calls = this.scarceCalls.get(call.team) ?? [];
+    return calls.filter((at) => at > now - RECENT_CALL_MS).length;
   }
 
   /**
-   * Chooses the least loaded server with free capacity; one that failed lately only if no other has any.
+   * Chooses the least loaded server with free capacity; a reluctant one only if no other has any,
+   * and one that failed lately only after these.
    *
    * Ties are broken at random. In a large fleet, each host has no calls on most servers most of the
    * time; if all hosts took the first of the list, that server would get twice the calls of the others.
@@ -224,8 +276,9 @@
       .filter(([id, state]) => hasCapacity(state) && !call.avoid.includes(id))
       .map(([id, state]) => ({ id, state, tieBreaker: this.random.next() }))
       .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.tieBreaker - b.tieBreaker);
-    const preferred = candidates.find(({ state }) => state.cooldownUntil <= now);
-    return (preferred ?? candidates[0])?.id;
+    const healthy = candidates.filter(({ state }) => state.cooldownUntil <= now);
+    const free = healthy.find(({ state }) => !state.isReluctant);
+    return (free ?? healthy[0] ?? candidates[0])?.id;
   }
 }
 
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,5 +1,7 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
+import type { UpstreamReport } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -59,6 +61,8 @@
   readonly versions: { readonly config: number; readonly servers: number };
   /** Drained zones at the newest store version that any of these hosts has read. */
   readonly drained: DrainedZones;
+  /** What upstreams said in recent answers to any of these hosts. */
+  readonly upstreams: readonly UpstreamReport[];
 }
 
 /**
@@ -89,6 +93,7 @@
       digest.calls,
       digest.serving,
       encodeDrainedZones(digest.drained),
+      encodeUpstreamReports(digest.upstreams),
     ]),
   );
 }
@@ -104,7 +109,8 @@
   if (fields?.[0] !== DIGEST_TAG) return undefined;
   const [, host, incarnation, sequence, hostCount, rows, charged, silent, leaving, versions] =
     fields;
-  const [demandRows, moveRows, down, calls, serving, drainedRow] = fields.slice(DEMAND_INDEX);
+  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows] =
+    fields.slice(DEMAND_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !isNonNegativeNumber(hostCount) || !Array.isArray(rows))
     return undefined;
@@ -116,7 +122,8 @@
   const [config, servers] = Array.isArray(versions) ? (versions as readonly unknown[]) : [];
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
-  if (drained === undefined) return undefined;
+  const upstreams = decodeUpstreamReports(upstreamRows);
+  if (drained === undefined || upstreams === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -129,6 +136,7 @@
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
     drained,
+    upstreams,
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,6 +7,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
+import type { UpstreamReport } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -23,6 +24,7 @@
   encodeEngineHint,
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
 const DOWN_INDEX = 9;
@@ -63,6 +65,8 @@
   /** Store versions up to which the host has read the configuration and the servers. */
   readonly versions: { readonly config: number; readonly servers: number };
   readonly drained: DrainedZones;
+  /** What upstreams said in recent answers to the host. */
+  readonly upstreams: readonly UpstreamReport[];
 }
 
 /**
@@ -92,6 +96,7 @@
     hint.calls,
     Math.round(hint.nextMs),
     encodeDrainedZones(hint.drained),
+    encodeUpstreamReports(hint.upstreams),
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -107,7 +112,7 @@
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, versions, demandRows, moveRows] =
     fields;
-  const [down, calls, nextMs, drainedRow] = fields.slice(DOWN_INDEX);
+  const [down, calls, nextMs, drainedRow, upstreamRows] = fields.slice(DOWN_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -122,7 +127,8 @@
   if (engines === undefined || demandHints === undefined || moveHints === undefined)
     return undefined;
   const drained = decodeDrainedZones(drainedRow);
-  if (drained === undefined) return undefined;
+  const upstreams = decodeUpstreamReports(upstreamRows);
+  if (drained === undefined || upstreams === undefined) return undefined;
   const [leaving, digestFrequency, serving] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -142,5 +148,6 @@
     calls: calls as readonly (readonly [ServiceId, number])[],
     versions: { config, servers },
     drained,
+    upstreams,
   };
 }
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -25,8 +25,12 @@
   leaving: ['b'],
   versions: { config: 7, servers: 9 },
   drained: { version: 11, zones: ['a', 'c'] },
+  upstreams: [{ type: 'limit', upstream: 's1', requestsPerSecond: 0.5, ageMs: 40 }],
 };
 
+/** Fields before the reports on upstreams; hosts of the version before them send and read only these. */
+const FIELDS_BEFORE_REPORTS = 16;
+
 test('a digest survives encoding and decoding and is not decoded as a hint', () => {
   const bytes = encodeDigest(DIGEST);
   assert.equal(isDigest(bytes), true);
@@ -34,6 +38,15 @@
   assert.equal(decodeHint(bytes), undefined);
 });
 
+// Guards against hosts without a relay during a rolling update, when one of them sends or expects a digest
+// without reports on upstreams.
+test('digests are exchanged with hosts that know no reports on upstreams', () => {
+  const fields = JSON.parse(encodeDigest(DIGEST).toString()) as readonly unknown[];
+  const before = fields.slice(0, FIELDS_BEFORE_REPORTS);
+  assert.deepEqual(decodeDigest(Buffer.from(JSON.stringify(before))), { ...DIGEST, upstreams: [] });
+  assert.equal(fields.length, FIELDS_BEFORE_REPORTS + 1, 'the reports come after all other fields');
+});
+
 // Any bytes may arrive at an open port. Malformed datagrams must neither crash the process nor be
 // decoded as a digest.
 test('malformed datagrams are not decoded as a digest', () => {
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -25,12 +25,28 @@
   down: ['e2'],
   versions: { config: 7, servers: 9 },
   drained: { version: 11, zones: ['a', 'c'] },
+  upstreams: [
+    { type: 'limit', upstream: 's1', requestsPerSecond: 3.1, ageMs: 40 },
+    { type: 'no_limit', upstream: 's2', ageMs: 0 },
+  ],
 };
 
+/** Fields before the reports on upstreams; hosts of the version before them send and read only these. */
+const FIELDS_BEFORE_REPORTS = 13;
+
 test('a hint survives encoding and decoding', () => {
   assert.deepEqual(decodeHint(encodeHint(HINT)), HINT);
 });
 
+// Guards against hosts that don't hear each other during a rolling update, when one of them sends or
+// expects a hint without reports on upstreams.
+test('hints are exchanged with hosts that know no reports on upstreams', () => {
+  const fields = JSON.parse(encodeHint(HINT).toString()) as readonly unknown[];
+  const before = fields.slice(0, FIELDS_BEFORE_REPORTS);
+  assert.deepEqual(decodeHint(Buffer.from(JSON.stringify(before))), { ...HINT, upstreams: [] });
+  assert.equal(fields.length, FIELDS_BEFORE_REPORTS + 1, 'the reports come after all other fields');
+});
+
 // Any bytes may arrive at an open port. Malformed datagrams must neither crash the process nor be
 // decoded as a hint.
 test('malformed datagrams are not decoded as a hint', () => {
@@ -60,6 +76,9 @@
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [-1]],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [4, 7]],
     ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, 'x'],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [1], 'x'],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [1], [['s', 1, -1]]],
+    ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300, [1], [['s', -7, 1]]],
   ];
   const valid = ['h', 'i', 3, [1, 0], [], [], [1, 1], [], [], [], [], 300];
   assert.ok(decodeHint(Buffer.from(JSON.stringify(valid))) !== undefined);
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -10,7 +10,7 @@
   StoredObject,
 } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
-import type { SlowStart } from '@camphorvane/decisions';
+import type { UpstreamAdmission } from '@camphorvane/decisions';
 import type { DrainedZones } from '@camphorvane/peer/hints';
 import type { Unsubscribe } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
@@ -45,8 +45,8 @@
   readonly onStateChange: () => void;
   /** Whether operators may drain availability zones. */
   readonly drainsZones: boolean;
-  /** Notified of servers that have just started. */
-  readonly slowStart: SlowStart;
+  /** Notified of servers that have just started, and of those that are listed. */
+  readonly admission: UpstreamAdmission;
 }
 
 /** Store entry with the server parsed from it; undefined where the entry is invalid. */
@@ -220,7 +220,10 @@
       return { object, server };
     });
     this.serverEntries = new Map(entries.map((entry) => [entry.object.name, entry]));
-    this.options.slowStart.retain(new Set(this.serverEntries.keys()));
+    const listedIds = new Set(this.serverEntries.keys());
+    const { slowStart, constraints } = this.options.admission;
+    slowStart.retain(listedIds);
+    constraints.retain(listedIds, clock.now());
     const listed = entries.map(({ server }) => server).filter((server) => server !== undefined);
     this.roster.update(listed, outageMs, clock.now());
     this.hasServers = true;
@@ -237,7 +240,8 @@
 
   private recordStart(server: ServerRecord | undefined): void {
     if (server === undefined || server.startingMs === 0) return;
-    this.options.slowStart.recordStart(server.id, server.startingMs, this.options.clock.now());
+    const { slowStart } = this.options.admission;
+    slowStart.recordStart(server.id, server.startingMs, this.options.clock.now());
   }
 
   /** Starts the slow start of servers in restored zones: they may have restarted, and their entries lag. */
@@ -246,7 +250,7 @@
     this.roster
       .list(now)
       .filter(({ zone }) => zones.includes(zone))
-      .forEach(({ id }) => this.options.slowStart.recordStart(id, undefined, now));
+      .forEach(({ id }) => this.options.admission.slowStart.recordStart(id, undefined, now));
   }
 
   private notifyNewVersions(): void {
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,8 +8,14 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { PoolDemand } from '@camphorvane/decisions';
-import { gossipTtlMs, NO_DEMAND, subtractDemand, sumDemand } from '@camphorvane/decisions';
+import type { PoolDemand, UpstreamReport } from '@camphorvane/decisions';
+import {
+  gossipTtlMs,
+  newestReports,
+  NO_DEMAND,
+  subtractDemand,
+  sumDemand,
+} from '@camphorvane/decisions';
 import type {
   DemandHint,
   DrainedZones,
@@ -43,6 +49,7 @@
   readonly serving: readonly HostId[];
   readonly versions: HostDigest['versions'];
   readonly drained: DrainedZones;
+  readonly upstreams: readonly UpstreamReport[];
 }
 
 /** Fields of a digest beside the sums. */
@@ -95,7 +102,7 @@
   }
 
   /** Sums up the hints of all hosts, once for all digests of a round. */
-  aggregate(): AggregatedHints {
+  aggregate(now: Millis): AggregatedHints {
     const hints = [...this.hints.values()].map(({ hint }) => hint);
     const demands = [...this.demandByHost.values()].flatMap((demand) => [...demand]);
     return {
@@ -117,6 +124,7 @@
       drained: hints
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
+      upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
     };
   }
 
@@ -152,6 +160,7 @@
       serving: sums.serving,
       versions: sums.versions,
       drained: sums.drained,
+      upstreams: sums.upstreams,
     };
   }
 
@@ -213,6 +222,11 @@
   return [model, onTimeWaiting];
 }
 
+/** Gets the reports of a hint with their ages now. */
+function agedReports({ hint, receivedAt }: ReceivedHint, now: Millis): readonly UpstreamReport[] {
+  return hint.upstreams.map((report) => ({ ...report, ageMs: report.ageMs + now - receivedAt }));
+}
+
 type Counts = readonly (readonly [string, number])[];
 
 function sumCounts(counts: Counts): ReadonlyMap<string, number> {
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -1,6 +1,6 @@
 import type { HostId, Incarnation, Millis, ModelId } from '@camphorvane/core';
-import { sleep } from '@camphorvane/core';
-import { RetryBudget, SlowStart } from '@camphorvane/decisions';
+import { sleep, wallTimeOf } from '@camphorvane/core';
+import { RetryBudget, UpstreamAdmission, UpstreamConstraints } from '@camphorvane/decisions';
 import { DEFAULT_MEMBERSHIP_SETTINGS, memberKey } from '@camphorvane/group';
 import type { PeerLink, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import { GroupShareAuthority, GroupRunner, TeamRates } from '@camphorvane/peer';
@@ -16,6 +16,7 @@
 import { ConfigRelay } from '../host/ConfigRelay.ts';
 import { GroupAdapter } from '../host/GroupAdapter.ts';
 import type { RetryGate } from '../host/ports.ts';
+import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import { FallbackPlacer } from '../placing/FallbackPlacer.ts';
 import { PlacementClient } from '../placing/PlacementClient.ts';
 import { CoordinatorRegistry } from '../placing/CoordinatorRegistry.ts';
@@ -60,8 +61,10 @@
 
   readonly crashGuard: CrashGuard;
 
-  /** Without bounds: the configuration of a group has no slow-start settings. */
-  readonly slowStart = new SlowStart();
+  /** Without slow start: the configuration of a group has no settings for it. */
+  readonly admission: UpstreamAdmission;
+
+  readonly signals: UpstreamSignalRecorder;
 
   readonly claims: IdempotencyClaims;
 
@@ -142,6 +145,17 @@
     });
     this.retryGate = teamRetryGate(new RetryBudget());
     this.crashGuard = new CrashGuard({ self: identity.host, clock, group, link });
+    const constraints = new UpstreamConstraints({
+      self: identity.host,
+      getSharers: () =>
+        group
+          .members()
+          .map((member) => member.host)
+          .sort(),
+      toTimeOfDay: wallTimeOf(clock),
+    });
+    this.admission = new UpstreamAdmission(undefined, constraints);
+    this.signals = new UpstreamSignalRecorder(constraints, clock, context.metrics);
     this.coordinators = new CoordinatorRegistry({ clock, random, group, directory, incarnation });
     this.fallback = new FallbackPlacer({
       clock,
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -1,6 +1,7 @@
 import type { Clock, ModelId } from '@camphorvane/core';
 import type { EngineKnowledge, InFlightLoad } from '@camphorvane/decisions';
 import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { EngineProbes } from '../placing/EngineProbes.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { DeploymentFeed } from './DeploymentFeed.ts';
@@ -16,6 +17,7 @@
   readonly knowledge: EngineKnowledge;
   readonly probes: EngineProbes;
   readonly calls: ConcurrencyShares;
+  readonly signals: UpstreamSignalRecorder;
 }
 
 /** Passes received hints and digests to the parts of this host that use them. */
@@ -29,7 +31,7 @@
 
   /** Receives the hint of one peer. */
   receive(hint: HostHint): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
     const now = clock.now();
     hosts.receive(hint, now);
     rates.receive(hint);
@@ -42,11 +44,12 @@
     roleChanges.receive(hint.moves, now);
     probes.receive(hint.down);
     calls.receive(hint.host, new Map(hint.calls), now);
+    signals.receive(hint.upstreams);
   }
 
   /** Receives the sums over all peers from a relay. */
   receiveDigest(digest: HostDigest): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
     const now = clock.now();
     hosts.receiveDigest(digest, now);
     rates.receiveDigest(digest);
@@ -59,6 +62,7 @@
     roleChanges.receive(digest.moves, now);
     probes.receive(digest.down);
     calls.receiveSum(new Map(digest.calls), digest.hostCount, now);
+    signals.receive(digest.upstreams);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -1,5 +1,5 @@
 import type { Clock, ModelId, RandomSource, TeamConfig, VersionedConfig } from '@camphorvane/core';
-import type { SlowStart } from '@camphorvane/decisions';
+import type { UpstreamAdmission } from '@camphorvane/decisions';
 import type { PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import type { IdempotencyClaims } from '@camphorvane/store';
 import type {
@@ -11,6 +11,8 @@
   Unsubscribe,
 } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import type { Placer } from '../placing/Placer.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
@@ -49,8 +51,10 @@
   readonly retryGate: RetryGate;
   readonly placer: ReconfigurablePlacer;
   readonly crashGuard: CrashGuard;
-  /** Limits the requests that this host sends to upstreams that have just started. */
-  readonly slowStart: SlowStart;
+  /** Bounds the requests that this host sends to each upstream. */
+  readonly admission: UpstreamAdmission;
+  /** Records what upstreams ask for in their answers. */
+  readonly signals: UpstreamSignalRecorder;
   /** Claims calls that must not run twice in the store; undefined where they are not claimed. */
   readonly claims: IdempotencyClaims | undefined;
   /** Whether running requests are aborted when their API key is withdrawn. */
@@ -90,6 +94,7 @@
   readonly directory: UpstreamDirectory;
   /** Shares of the concurrency of plain services, by the calls of all hosts. */
   readonly concurrencyShares: ConcurrencyShares;
+  readonly metrics: Metrics;
 }
 
 /** Creates the {@link HostCoordination} of a host. */
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -144,7 +144,7 @@
     const subscribers = this.builder.getSubscribers().filter(({ host }) => host !== self);
     if (this.builder.getLiveHosts().every((host) => host === self)) return;
     this.builder.receive(this.buildHint(), now);
-    const sums = this.builder.aggregate();
+    const sums = this.builder.aggregate(now);
     const received = new Set(this.builder.getLiveHosts());
     const silent = roster.getPeers().filter((host) => !received.has(host));
     const due = subscribers.filter((subscriber) => this.isDue(subscriber, now));
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,10 +1,13 @@
 import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
+import { wallTimeOf } from '@camphorvane/core';
 import type { RateTolerance, RetryAllowance, GossipTimings } from '@camphorvane/decisions';
 import {
   EngineKnowledge,
   ServiceRetryBudget,
   SlowStart,
   SlowStartQuotas,
+  UpstreamAdmission,
+  UpstreamConstraints,
   gossipTimings,
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
@@ -12,6 +15,7 @@
 import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
 import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RetryGate, Unsubscribe } from '../host/ports.ts';
+import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
 import type { RoleControl } from '../placing/RoleControl.ts';
@@ -76,7 +80,9 @@
 
   readonly crashGuard: CrashGuard;
 
-  readonly slowStart: SlowStart;
+  readonly admission: UpstreamAdmission;
+
+  readonly signals: UpstreamSignalRecorder;
 
   readonly claims = undefined;
 
@@ -114,10 +120,16 @@
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
     const quotas = new SlowStartQuotas(identity.host);
-    this.slowStart = new SlowStart((upstream, perSecond) =>
-      quotas.get(upstream, this.hosts.getExpectedServing(), perSecond),
+    const getSharers = (): readonly HostId[] => this.hosts.getExpectedServing();
+    const slowStart = new SlowStart((upstream, perSecond) =>
+      quotas.get(upstream, getSharers(), perSecond),
     );
-    this.knowledge = new EngineKnowledge(this.slowStart);
+    const toTimeOfDay = wallTimeOf(clock);
+    const constraints = new UpstreamConstraints({ self: identity.host, getSharers, toTimeOfDay });
+    this.admission = new UpstreamAdmission(slowStart, constraints);
+    this.signals = new UpstreamSignalRecorder(constraints, clock, options.metrics);
+    this.signals.onChange(() => this.gossip.recordStateChange());
+    this.knowledge = new EngineKnowledge(this.admission);
     this.abortsOnKeyWithdrawal = options.strictKeysMs !== undefined;
     this.config = new DeploymentFeed({
       store,
@@ -130,7 +142,7 @@
       pollMs: () => this.pollMs(),
       onStateChange: () => this.gossip.recordStateChange(),
       drainsZones: options.drainsZones,
-      slowStart: this.slowStart,
+      admission: this.admission,
     });
     this.records = new HostRecords({
       ...{ store, clock, identity, incarnation, strength: options.strength },
@@ -152,9 +164,9 @@
       group: this,
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, retentionMs: CRASH_BLOCK_MS },
     });
-    const { config, hosts, rates, knowledge } = this;
+    const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
-      ...{ clock, hosts, rates, config, knowledge },
+      ...{ clock, hosts, rates, config, knowledge, signals },
       ...{ probes: this.placer.probes, calls: context.concurrencyShares },
     });
     this.gossip = new PeerGossip({
@@ -262,6 +274,7 @@
       sharers: this.hosts.countHosts(),
       rates: this.rates.dump(),
       placing: this.placer.dump(),
+      constraints: this.admission.constraints.dump(this.clock.now()),
     };
   }
 
@@ -298,6 +311,7 @@
       calls: [...this.context.concurrencyShares.countLocal()],
       versions: this.config.getVersions(),
       drained: this.config.drains.get(),
+      upstreams: this.admission.constraints.getReports(this.clock.now()),
     };
   }
 
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -157,7 +157,7 @@
     this.components.directory.reconfigure(config);
     this.components.keys.update(config);
     this.components.coordination.rates.setTeams(config.teams);
-    this.components.coordination.slowStart.setBounds(slowStartBounds(config));
+    this.components.coordination.admission.slowStart.setBounds(slowStartBounds(config));
     this.components.coordination.placer.refresh();
     this.components.serviceQueues.refresh();
     const ended = this.components.coordination.abortsOnKeyWithdrawal ? this.abortWithdrawn() : 0;
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -81,8 +81,8 @@
         coordination = created;
       },
     ),
-    engines: (cfg) => new PlatformEngine(cfg, clock),
-    servers: (cfg) => new PlatformServer(cfg, clock),
+    engines: (cfg, onSignals) => new PlatformEngine(cfg, clock, onSignals),
+    servers: (cfg, onSignals) => new PlatformServer(cfg, clock, onSignals),
     metrics,
   });
   if (coordination === undefined) return err('the host did not create its coordination');
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -9,7 +9,7 @@
   UpstreamId,
   ZoneId,
 } from '@camphorvane/core';
-import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import type { ModelEngine, PlainServer, SignalListener } from '@camphorvane/upstream';
 import type { EngineFactory, PlainServerFactory } from './ports.ts';
 
 /** A configured engine and its client. */
@@ -38,6 +38,8 @@
 
   private services: ReadonlyMap<ServiceId, ServiceConfig> = new Map();
 
+  private signalListener: SignalListener = () => undefined;
+
   /**
    * @param createEngine - Creates the client of an engine.
    * @param createServer - Creates the client of a server.
@@ -69,6 +71,11 @@
     this.servers = new Map(serverCfgs.map((cfg) => [cfg.id, this.reuseOrCreateServer(cfg)]));
   }
 
+  /** Sets the listener for the signals in the answers of all upstreams. */
+  onSignals(listener: SignalListener): void {
+    this.signalListener = listener;
+  }
+
   /** Gets the models of all configured pools. */
   getModels(): readonly ModelId[] {
     return [...this.pools.keys()];
@@ -99,15 +106,17 @@
     return this.servers.get(id);
   }
 
+  private readonly forward: SignalListener = (id, signals) => this.signalListener(id, signals);
+
   private reuseOrCreateEngine(cfg: EngineConfig): EngineEntry {
     const previous = this.engines.get(cfg.id);
     const isUnchanged = previous !== undefined && previous.cfg.url === cfg.url;
-    return { cfg, engine: isUnchanged ? previous.engine : this.createEngine(cfg) };
+    return { cfg, engine: isUnchanged ? previous.engine : this.createEngine(cfg, this.forward) };
   }
 
   private reuseOrCreateServer(cfg: ServiceServer): ServerEntry {
     const previous = this.servers.get(cfg.id);
     const isUnchanged = previous !== undefined && previous.cfg.url === cfg.url;
-    return { cfg, server: isUnchanged ? previous.server : this.createServer(cfg) };
+    return { cfg, server: isUnchanged ? previous.server : this.createServer(cfg, this.forward) };
   }
 }
--- /dev/null
+++ b/packages/router/src/host/UpstreamSignalRecorder.ts
@@ -0,0 +1,56 @@
+import type { Clock, UpstreamId, UpstreamSignals } from '@camphorvane/core';
+import type { ConstraintChange, UpstreamConstraints, UpstreamReport } from '@camphorvane/decisions';
+import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
+
+const log = eventLog('upstreams');
+
+/** Records what upstreams ask for, in answers to this host and in reports of its peers. */
+export class UpstreamSignalRecorder {
+  readonly constraints: UpstreamConstraints;
+
+  private readonly clock: Clock;
+
+  private readonly metrics: Metrics;
+
+  private readonly listeners: (() => void)[] = [];
+
+  /**
+   * @param constraints - Decides by what is recorded.
+   * @param clock - Times the answers.
+   * @param metrics - Counts the changes.
+   */
+  constructor(constraints: UpstreamConstraints, clock: Clock, metrics: Metrics) {
+    this.constraints = constraints;
+    this.clock = clock;
+    this.metrics = metrics;
+  }
+
+  /** Registers a listener for each change of what an upstream asks for. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Records the signals of an answer. */
+  record(upstream: UpstreamId, signals: UpstreamSignals): void {
+    this.apply(this.constraints.record(upstream, signals, this.clock.now()));
+  }
+
+  /** Records what peers report. */
+  receive(reports: readonly UpstreamReport[]): void {
+    this.apply(this.constraints.receive(reports, this.clock.now()));
+  }
+
+  private apply(changes: readonly ConstraintChange[]): void {
+    if (changes.length === 0) return;
+    changes.forEach((change) => this.logChange(change));
+    this.listeners.forEach((changed) => changed());
+  }
+
+  private logChange(change: ConstraintChange): void {
+    const { type, upstream, ageMs, from } = change;
+    this.metrics.count('upstream.signal', { signal: type, from });
+    const value = type === 'limit_named' ? change.requestsPerSecond : undefined;
+    log(type, { server: upstream, value, ageMs: Math.round(ageMs), from });
+  }
+}
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -53,8 +53,9 @@
     incarnation,
     directory,
     concurrencyShares,
+    metrics,
   });
-  const { config, group, rates, retryGate, crashGuard, claims, placer, slowStart } = coordination;
+  const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
   const keys = new KeyRing();
   const authenticator = new Authenticator(config, keys);
   const renewer = new ReservationRenewer(clock, placer);
@@ -66,8 +67,10 @@
     directory,
     hostCount,
     concurrencyShares,
-    slowStart,
+    coordination.admission,
   );
+  directory.onSignals((upstream, heard) => signals.record(upstream, heard));
+  signals.onChange(() => serviceQueues.refresh());
   const inFlight = new InFlightRequests();
   const completions = new CompletionHandler({
     self: identity.host,
@@ -85,7 +88,7 @@
     clock,
     directory,
     queues: serviceQueues,
-    slowStart,
+    admission: coordination.admission,
     rates,
     claims,
     retryGate,
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -11,7 +11,7 @@
   ZoneId,
 } from '@camphorvane/core';
 import type { PeerAddress } from '@camphorvane/peer';
-import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import type { ModelEngine, PlainServer, SignalListener } from '@camphorvane/upstream';
 import type { ResultAsync } from 'neverthrow';
 
 /** Cancels a subscription. */
@@ -114,8 +114,8 @@
   tryRetry(target: RetryTarget, now: Millis): boolean;
 }
 
-/** Creates the client of an engine. */
-export type EngineFactory = (cfg: EngineConfig) => ModelEngine;
+/** Creates the client of an engine, which passes the signals of all answers to the listener. */
+export type EngineFactory = (cfg: EngineConfig, onSignals: SignalListener) => ModelEngine;
 
-/** Creates the client of a server of a plain service. */
-export type PlainServerFactory = (cfg: ServiceServer) => PlainServer;
+/** Creates the client of a server of a plain service, as {@link EngineFactory} does for an engine. */
+export type PlainServerFactory = (cfg: ServiceServer, onSignals: SignalListener) => PlainServer;
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -16,7 +16,8 @@
   | 'service.dispatched'
   | 'service.replayed'
   | 'config.changed'
-  | 'role.order';
+  | 'role.order'
+  | 'upstream.signal';
 
 /** Names of all gauges. */
 export type GaugeName = 'engines';
--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -9,6 +9,8 @@
   'sharers',
   'state',
   'left_out',
+  'limit_named',
+  'limit_ended',
 ]);
 
 /** Milliseconds before a request from which state events of its hosts are included. */
@@ -25,7 +27,7 @@
  */
 export function explainRequest(id: string, lines: readonly string[]): readonly string[] {
   const logLines = parseLogLines(lines);
-  const requestLines = logLines.filter((line) => line.fields.id === id).sort(byTime);
+  const requestLines = logLines.filter((line) => isOf(id, line)).sort(byTime);
   const [first] = requestLines;
   const last = requestLines.at(-1);
   if (first === undefined || last === undefined) return [];
@@ -40,6 +42,12 @@
   return [...stateLines, ...requestLines].sort(byTime).map((line) => formatLine(line, first.t));
 }
 
+/** Tells whether a line is about a request, or about one of its attempts, which have a number after the id. */
+function isOf(id: string, { fields }: LogLine): boolean {
+  const lineId = String(fields.id ?? '');
+  return lineId === id || lineId.replace(/\.\d+$/, '') === id;
+}
+
 function byTime(a: LogLine, b: LogLine): number {
   return a.t - b.t;
 }
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -14,7 +14,6 @@
   LocalPlacement,
   LocalQueue,
   meanMemoryTokens,
-  memorySteps,
   QUEUE_RECHECK_MS,
 } from '@camphorvane/decisions';
 import type {
@@ -32,6 +31,7 @@
 import { eventLog } from '../observe/EventLog.ts';
 import { EngineProbes } from './EngineProbes.ts';
 import { LocalReservations } from './LocalReservations.ts';
+import { DEFAULT_PRIORITY, queuedRequest } from './localPool.ts';
 import type { LocalPlacerOptions, LocalPool, ReserveResult } from './localPool.ts';
 import type { EnginePlacement } from './Placer.ts';
 
@@ -39,8 +39,7 @@
 
 type PlaceDecision = Extract<QueueDecision, { readonly type: 'place' }>;
 
-/** Priority passed to engines for requests without one: the middle of the scale. */
-const DEFAULT_PRIORITY = 5;
+type RefuseDecision = Extract<QueueDecision, { readonly type: 'refuse' }>;
 
 /** Places requests without a coordinator, by this host's observations and the load that peers report. */
 export class LocalPlacer implements ReconfigurablePlacer {
@@ -79,7 +78,8 @@
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
     this.reservations = new LocalReservations(knowledge, incarnation);
-    const { health, slowStart } = knowledge;
+    const { health, admission } = knowledge;
+    const { slowStart } = admission;
     this.probes = new EngineProbes({
       ...{ clock, directory, health, slowStart },
       onChange: () => this.scheduleAll(),
@@ -109,19 +109,7 @@
         onAbort();
         return;
       }
-      const refusal = pool.queue.submit({
-        request: item.request,
-        team: item.team,
-        priority: item.priority ?? DEFAULT_PRIORITY,
-        lateAt: this.clock.now() + (item.onTimeMs ?? item.maxWaitMs),
-        giveUpAt: this.clock.now() + item.maxWaitMs,
-        promptTokens: item.promptTokens,
-        memoryTokens: meanMemoryTokens(item),
-        memorySteps: memorySteps(item),
-        submittedAt: this.clock.now(),
-        avoid: item.avoid,
-        longestPauseMs: item.longestPauseMs,
-      });
+      const refusal = pool.queue.submit(queuedRequest(item, this.clock.now()));
       if (refusal === undefined) this.schedule(pool);
       else this.resolveRequest(pool, item.request, err(refusal));
     });
@@ -168,7 +156,7 @@
       case 'unreachable':
       case 'silent':
       case 'broken':
-        if (reachedNoUpstream(error)) this.knowledge.slowStart.recordUnreachable(engine);
+        if (reachedNoUpstream(error)) this.knowledge.admission.slowStart.recordUnreachable(engine);
         this.knowledge.health.recordFailure(engine, this.clock.now());
         this.probes.suspect(engine);
         break;
@@ -301,6 +289,7 @@
         this.place(pool, decision);
         break;
       case 'refuse':
+        this.logRefusal(pool, decision);
         this.resolveRequest(pool, decision.request, err(decision.refusal));
         break;
       default:
@@ -308,6 +297,14 @@
     }
   }
 
+  private logRefusal(pool: LocalPool, { request, refusal }: RefuseDecision): void {
+    if (refusal.code !== 'no_capacity') return;
+    const now = this.clock.now();
+    const ids = this.enginesOf(pool.model).map(({ id }) => id);
+    const asked = this.knowledge.admission.constraints.describeAll(ids, now);
+    log('no_engine_open', { id: request, retryAfterMs: refusal.retryAfterMs, asked });
+  }
+
   private place(pool: LocalPool, { request, pair, waitReason }: PlaceDecision): void {
     const waiting = pool.waiting.get(request);
     if (waiting === undefined) return;
--- a/packages/router/src/placing/LocalReservations.ts
+++ b/packages/router/src/placing/LocalReservations.ts
@@ -54,8 +54,8 @@
     const reservation = `${this.prefix}.p${this.startedCount}`;
     inFlight.adjust(prefillAt, { prefillTokens: promptTokens });
     inFlight.adjust(pair.decode, { streams: 1, memoryTokens });
-    const { slowStart } = this.knowledge;
-    new Set([prefillAt, pair.decode]).forEach((engine) => slowStart.recordRequest(engine, now));
+    const { admission } = this.knowledge;
+    new Set([prefillAt, pair.decode]).forEach((engine) => admission.recordRequest(engine, now));
     this.prefilling.add(reservation);
     this.reservations.set(reservation, { ...work, wasIdle });
     return reservation;
@@ -87,7 +87,7 @@
     const { pair, memoryTokens } = reserved;
     this.knowledge.inFlight.adjust(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
     this.knowledge.inFlight.adjust(decode, { streams: 1, memoryTokens });
-    this.knowledge.slowStart.recordRequest(decode, now);
+    this.knowledge.admission.recordRequest(decode, now);
     this.reservations.set(reservation, { ...reserved, pair: { ...pair, decode } });
   }
 
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -8,11 +8,13 @@
   TeamId,
   Tokens,
 } from '@camphorvane/core';
+import { meanMemoryTokens, memorySteps } from '@camphorvane/decisions';
 import type {
   EngineKnowledge,
   EnginePair,
   LocalPlacement,
   LocalQueue,
+  QueuedRequest,
   WorkItem,
 } from '@camphorvane/decisions';
 import type { Result } from 'neverthrow';
@@ -66,3 +68,29 @@
    */
   readonly onStateChange: () => void;
 }
+
+/** Priority passed to engines for requests without one: the middle of the scale. */
+export const DEFAULT_PRIORITY = 5;
+
+/**
+ * Converts a request to an entry of the queue of its pool.
+ *
+ * @param item - The request.
+ * @param now - Present time, at which it is submitted.
+ * @returns The entry.
+ */
+export function queuedRequest(item: WorkItem, now: Millis): QueuedRequest {
+  return {
+    request: item.request,
+    team: item.team,
+    priority: item.priority ?? DEFAULT_PRIORITY,
+    lateAt: now + (item.onTimeMs ?? item.maxWaitMs),
+    giveUpAt: now + item.maxWaitMs,
+    promptTokens: item.promptTokens,
+    memoryTokens: meanMemoryTokens(item),
+    memorySteps: memorySteps(item),
+    submittedAt: now,
+    avoid: item.avoid,
+    longestPauseMs: item.longestPauseMs,
+  };
+}
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -1,7 +1,7 @@
 import type { ServiceResponse } from '@camphorvane/caller';
 import type { Clock, HostId, Incarnation, Millis, Refusal, UpstreamId } from '@camphorvane/core';
 import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
-import type { ServiceQueueCall, SlowStart } from '@camphorvane/decisions';
+import type { ServiceQueueCall, UpstreamAdmission } from '@camphorvane/decisions';
 import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
 import { claimRefusal } from '@camphorvane/store';
 import type { UpstreamResponse, UpstreamError } from '@camphorvane/upstream';
@@ -34,7 +34,7 @@
   readonly clock: Clock;
   readonly directory: UpstreamDirectory;
   readonly queues: ServiceQueues;
-  readonly slowStart: SlowStart;
+  readonly admission: UpstreamAdmission;
   readonly rates: RateGate;
   /** Claims of non-idempotent calls; absent where every request of a caller is a call of its own. */
   readonly claims: IdempotencyClaims | undefined;
@@ -291,7 +291,8 @@
     server: UpstreamId,
     result: Result<UpstreamResponse, UpstreamError>,
   ): void {
-    const { slowStart, clock } = this.options;
+    const { clock, admission } = this.options;
+    const { slowStart } = admission;
     if (result.isOk()) slowStart.recordAnswer(server, clock.now());
     else if (reachedNoUpstream(result.error)) slowStart.recordUnreachable(server);
   }
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -10,18 +10,24 @@
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { ServiceQueue } from '@camphorvane/decisions';
-import type { ServiceQueueCall, ServiceQueueDecision, SlowStart } from '@camphorvane/decisions';
+import type {
+  ServiceQueueCall,
+  ServiceQueueDecision,
+  UpstreamAdmission,
+} from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { ConcurrencyShares } from './ConcurrencyShares.ts';
 
-/** Milliseconds between two checks whether servers in slow start may take another waiting call. */
-const SLOW_START_RECHECK_MS: Millis = 50;
+/** Milliseconds between two checks whether servers that take few calls may take another waiting one. */
+const ADMISSION_RECHECK_MS: Millis = 50;
 
 const log = eventLog('service');
 
+type RefuseDecision = Extract<ServiceQueueDecision, { readonly type: 'refuse' }>;
+
 type ServerChoice = Result<UpstreamId, Refusal>;
 
 interface QueueEntry {
@@ -44,7 +50,7 @@
 
   private readonly shares: ConcurrencyShares;
 
-  private readonly slowStart: SlowStart;
+  private readonly admission: UpstreamAdmission;
 
   private readonly queues = new Map<ServiceId, QueueEntry>();
 
@@ -54,7 +60,7 @@
    * @param directory - The configured servers.
    * @param hostCount - Gets the number of hosts that share the servers' slots.
    * @param shares - This host's share of each service's slots.
-   * @param slowStart - Limits requests to servers that have just started.
+   * @param admission - Bounds the calls to each server.
    */
   constructor(
     clock: Clock,
@@ -62,14 +68,14 @@
     directory: UpstreamDirectory,
     hostCount: () => number,
     shares: ConcurrencyShares,
-    slowStart: SlowStart,
+    admission: UpstreamAdmission,
   ) {
     this.clock = clock;
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
     this.shares = shares;
-    this.slowStart = slowStart;
+    this.admission = admission;
     shares.setLocalCounter(() => this.countCalls());
   }
 
@@ -152,7 +158,9 @@
     const limits = servers.map(({ id, maxConcurrent }) => ({
       id,
       limit: Math.max(1, Math.min(maxConcurrent, Math.ceil(maxConcurrent * ratio))),
-      allowance: this.slowStart.allowance(id, now),
+      allowance: this.admission.allowance(id, now),
+      openings: this.admission.openings(id, now),
+      isReluctant: this.admission.isReluctant(id, now),
     }));
     queue.reconfigure(limits, Math.max(servers.length, Math.floor(share)));
     return share;
@@ -178,24 +186,26 @@
   private nextWake({ queue, service }: QueueEntry, now: Millis): Millis | undefined {
     const wake = queue.nextWake();
     const servers = this.directory.getService(service)?.servers ?? [];
-    const isInSlowStart = servers.some(({ id }) => this.slowStart.allowance(id, now) < Infinity);
-    return wake !== undefined && isInSlowStart ? Math.min(wake, now + SLOW_START_RECHECK_MS) : wake;
+    const isBounded = servers.some(({ id }) => this.admission.allowance(id, now) < Infinity);
+    return wake !== undefined && isBounded ? Math.min(wake, now + ADMISSION_RECHECK_MS) : wake;
   }
 
   private apply(entry: QueueEntry, decision: ServiceQueueDecision, share: number): void {
     switch (decision.type) {
       case 'place':
-        this.slowStart.recordRequest(decision.server, this.clock.now());
+        this.admission.recordRequest(decision.server, this.clock.now());
         log('placed', {
           id: decision.request,
           server: decision.server,
           waitedMs: Math.round(decision.waitedMs),
           calls: entry.queue.callCount,
           share: Math.round(share * 10) / 10,
+          asked: this.admission.constraints.describe(decision.server, this.clock.now()),
         });
         this.settle(entry, decision.request, ok(decision.server));
         break;
       case 'refuse':
+        this.logRefusal(entry, decision);
         this.settle(entry, decision.request, err(decision.refusal));
         break;
       default:
@@ -203,6 +213,14 @@
     }
   }
 
+  private logRefusal({ service }: QueueEntry, { request, refusal }: RefuseDecision): void {
+    if (refusal.code !== 'no_capacity') return;
+    const now = this.clock.now();
+    const ids = (this.directory.getService(service)?.servers ?? []).map(({ id }) => id);
+    const asked = this.admission.constraints.describeAll(ids, now);
+    log('no_server_open', { id: request, retryAfterMs: refusal.retryAfterMs, asked });
+  }
+
   private settle(entry: QueueEntry, request: RequestId, choice: ServerChoice): void {
     const resolveCall = entry.resolvers.get(request);
     entry.resolvers.delete(request);
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
-import { SlowStart } from '@camphorvane/decisions';
+import { SlowStart, UpstreamAdmission } from '@camphorvane/decisions';
 import type { DeploymentFormat, ServerRecord } from '@camphorvane/store';
 import { ok } from 'neverthrow';
 import { DeploymentFeed } from '../../src/coordination/DeploymentFeed.ts';
@@ -56,7 +56,7 @@
       onStateChange: () => {
         this.stateChanges += 1;
       },
-      slowStart: this.slowStart,
+      admission: new UpstreamAdmission(this.slowStart),
     });
     const stop = new AbortController();
     stops.push(stop);
--- a/packages/router/tests/coordination/DigestBuilder.test.ts
+++ b/packages/router/tests/coordination/DigestBuilder.test.ts
@@ -16,6 +16,7 @@
   ...{ engines: [], charged: [], demand: [], moves: [], down: [], calls: [] },
   versions: { config: 1, servers: 1 },
   drained: { version: 0, zones: [] },
+  upstreams: [],
   ...more,
 });
 
@@ -37,7 +38,7 @@
     hint('c', { down: ['x'], leaving: true, versions: { config: 7, servers: 2 } }),
     0,
   );
-  const sums = builder.aggregate();
+  const sums = builder.aggregate(0);
   const forA = builder.digestFor('a', sums, HEAD);
   assert.deepEqual(forA.engines, [load('e', 1), load('f', 4)]);
   assert.deepEqual(forA.calls, [['s', 5]]);
@@ -62,7 +63,18 @@
   };
   receiveAll(10);
   receiveAll(14);
-  const [forA] = builder.digestFor('a', builder.aggregate(), HEAD).demand;
+  const [forA] = builder.digestFor('a', builder.aggregate(0), HEAD).demand;
   assert.equal(forA?.requests, 4);
   assert.equal(forA?.onTimeWaiting, 3);
 });
+
+// Guards against a relay that passes on an old limit as if it had just been named, after which hosts would
+// not believe that it has ended.
+test('a digest carries the newest report on each upstream, with its age', () => {
+  const builder = new DigestBuilder();
+  const named = { type: 'limit', upstream: 's', requestsPerSecond: 3, ageMs: 10 } as const;
+  builder.receive(hint('a', { upstreams: [named] }), 0);
+  builder.receive(hint('b', { upstreams: [{ type: 'no_limit', upstream: 's', ageMs: 20 }] }), 100);
+  const { upstreams } = builder.digestFor('c', builder.aggregate(150), HEAD);
+  assert.deepEqual(upstreams, [{ type: 'no_limit', upstream: 's', ageMs: 70 }]);
+});
--- a/packages/router/tests/observe/explainRequest.test.ts
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -23,3 +23,15 @@
 test('the timeline of an unknown request is empty', () => {
   assert.deepEqual(explainRequest('r9', LINES), []);
 });
+
+// Guards against a refused request whose timeline doesn't show that servers have asked for fewer requests.
+test('the timeline of a request shows its attempts and what servers ask for', () => {
+  const timeline = explainRequest('r1', [
+    'h1 {"t":900,"part":"upstreams","event":"limit_named","server":"s1","value":2,"ageMs":0}',
+    'h1 {"t":1000,"part":"request","event":"accepted","id":"r1"}',
+    'h1 {"t":1001,"part":"service","event":"no_server_open","id":"r1.0","asked":"s1: limit 2/s"}',
+    'h1 {"t":1002,"part":"request","event":"refused","id":"r1","retryAfterMs":400}',
+  ]);
+  assert.match(timeline[0] ?? '', /-100 ms \* h1 upstreams\.limit_named server=s1 value=2/);
+  assert.match(timeline[2] ?? '', /1 ms {3}h1 service\.no_server_open asked=s1: limit 2\/s/);
+});
--- a/packages/router/tests/serving/ServiceQueues.test.ts
+++ b/packages/router/tests/serving/ServiceQueues.test.ts
@@ -3,7 +3,7 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import type { ServiceQueueCall } from '@camphorvane/decisions';
-import { SlowStart, slowStartQuota } from '@camphorvane/decisions';
+import { SlowStart, slowStartQuota, UpstreamAdmission } from '@camphorvane/decisions';
 import { ConcurrencyShares } from '../../src/serving/ConcurrencyShares.ts';
 import { ServiceQueues } from '../../src/serving/ServiceQueues.ts';
 
@@ -57,7 +57,8 @@
     slowStart.setBounds(new Map(starting.map((id) => [id, SLOW_START])));
     starting.forEach((id) => slowStart.recordStart(id, SLOW_START.forMs, 0));
     const hostCount = (): number => HOSTS;
-    const args = [clock, hostRandom, directory as never, hostCount, shares, slowStart] as const;
+    const admission = new UpstreamAdmission(slowStart);
+    const args = [clock, hostRandom, directory as never, hostCount, shares, admission] as const;
     const gates = new ServiceQueues(...args);
     return { shares, gates };
   });
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -24,6 +24,7 @@
 import { err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
 import { GossipRateGate } from '../../src/coordination/GossipRateGate.ts';
+import { UpstreamSignalRecorder } from '../../src/host/UpstreamSignalRecorder.ts';
 import { LocalPlacer } from '../../src/placing/LocalPlacer.ts';
 import { CrashGuard } from '../../src/serving/CrashGuard.ts';
 import { serviceRetryGate } from '../../src/serving/retryGates.ts';
@@ -210,7 +211,7 @@
     };
   }
 
-  private agreement({ clock, directory }: CoordinationContext): HostCoordination {
+  private agreement({ clock, directory, metrics }: CoordinationContext): HostCoordination {
     const group = {
       members: () => [],
       coordinatorOf: () => undefined,
@@ -242,7 +243,8 @@
       rates: new GossipRateGate(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
       retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, () => 1)),
       placer,
-      slowStart: knowledge.slowStart,
+      admission: knowledge.admission,
+      signals: new UpstreamSignalRecorder(knowledge.admission.constraints, clock, metrics),
       crashGuard: new CrashGuard({ self: 'h', clock, group, suspicion: { minUpstreams: 3 } }),
       claims: undefined,
       abortsOnKeyWithdrawal: false,
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -6,6 +6,7 @@
   RoleChanges,
   InFlightTracker,
   PeerCounts,
+  UpstreamConstraints,
 } from '@camphorvane/decisions';
 import type { RoleChange, InFlightLoad } from '@camphorvane/decisions';
 import type { DemandHint, HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
@@ -33,6 +34,7 @@
   /** Role changes that it has ordered. */
   moves: readonly RoleChange[];
   readonly roleChanges: RoleChanges;
+  readonly constraints: UpstreamConstraints;
   sent: number;
   bytes: number;
   /** Has the next hint sent early. */
@@ -77,6 +79,11 @@
           peerBacklog: new PeerCounts(500),
           moves: [],
           roleChanges: new RoleChanges(),
+          constraints: new UpstreamConstraints({
+            self: name,
+            getSharers: () => roster.getExpectedServing(),
+            toTimeOfDay: (now) => now,
+          }),
         },
         ...{ sent: 0, bytes: 0, recordStateChange: () => undefined, isDown: false },
       };
@@ -108,6 +115,7 @@
         calls: [],
         versions: { config: 1, servers: 1 },
         drained: { version: 0, zones: [] },
+        upstreams: host.constraints.getReports(clock.now()),
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
@@ -120,6 +128,7 @@
         host.demand.receive(hint.host, hint.incarnation, hint.demand, clock.now());
         host.roleChanges.receive(hint.moves, clock.now());
         host.peerBacklog.receive(hint.host, backlogOf(hint.demand), clock.now());
+        host.constraints.receive(hint.upstreams, clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
@@ -139,6 +148,7 @@
         host.demand.receiveRelayed(relay, digest.demand, clock.now());
         host.roleChanges.receive(digest.moves, clock.now());
         host.peerBacklog.receiveSum(backlogOf(digest.demand), hostCount, clock.now());
+        host.constraints.receive(digest.upstreams, clock.now());
       },
     });
     Object.assign(host, { recordStateChange: () => gossip.recordStateChange() });
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -8,6 +8,7 @@
   TeamId,
   Tokens,
   UpstreamId,
+  UpstreamSignals,
   WorkClass,
 } from '@camphorvane/core';
 import type { ResultAsync, Result } from 'neverthrow';
@@ -32,6 +33,9 @@
   | { readonly type: 'mismatch'; readonly dispatched: true; readonly message: string }
   | { readonly type: 'cancelled'; readonly dispatched: boolean; readonly message: string };
 
+/** Called with what each answer of an upstream says about the upstream. */
+export type SignalListener = (upstream: UpstreamId, signals: UpstreamSignals) => void;
+
 /** Command to a prefill engine to run a prompt. */
 export interface PrefillCommand {
   readonly attempt: AttemptId;
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -5,3 +5,4 @@
 export * from './decodeStream.ts';
 export * from './upstreamErrors.ts';
 export * from './DedicatedConnection.ts';
+export type { UpstreamCall } from './UpstreamConnections.ts';
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -58,7 +58,8 @@
   knownRed.some((known) => known.name === name && known.file === file);
 knownRed.forEach((known) => {
   const hasFailed = failed.some(({ name, file }) => name === known.name && file === known.file);
-  console.log(`known red: "${known.name}" in ${known.file} ${hasFailed ? 'failed' : 'passed'}`);
+  const result = files.includes(known.file) ? 'passed' : 'not run';
+  console.log(`known red: "${known.name}" in ${known.file}: ${hasFailed ? 'failed' : result}`);
 });
 const isOnlyKnown = run.status === 1 && failed.length > 0 && failed.every(isKnown);
 process.exit(isOnlyKnown ? 0 : (run.status ?? 1));
