Give servers the rest that they ask for

Cause: Retry-After of a server's answer was read nowhere; a server on which a call had failed was only avoided for a second while others had room, and an engine that rejected a request was not avoided at all.

Evidence: front-kolkata-b-2 sent five calls within 1.8 s of the first rejection, first attempts, while another server served the same calls 5 ms later.

UpstreamConstraints counts a resting upstream as closed until then, for engines and servers of plain services alike, and tells when it opens, so that calls which no server takes in time are refused at once with that time. A withheld call is neither a failure of the upstream nor a retry. Rest is asked of one host and isn't gossiped. Log lines, counters, the state dump and explain show it.

A test of this change hung at first, since its fixture sent concurrent requests under one id; the fixture numbers them now.

--- a/packages/core/src/UpstreamSignals.ts
+++ b/packages/core/src/UpstreamSignals.ts
@@ -1,3 +1,5 @@
+import type { Millis } from './Clock.ts';
+
 /** What an upstream tells its clients about itself in one answer. */
 export interface UpstreamSignals {
   /** Requests a second that it takes from all hosts together; undefined where it names no limit. */
@@ -7,4 +9,6 @@
    * reason, such as those to control calls.
    */
   readonly endsLimit: boolean;
+  /** Milliseconds for which it wants no request from this host; undefined where it asks for no rest. */
+  readonly restMs: Millis | undefined;
 }
--- a/packages/decisions/src/local/UpstreamAdmission.ts
+++ b/packages/decisions/src/local/UpstreamAdmission.ts
@@ -36,7 +36,7 @@
     return this.constraints.openings(upstream, now);
   }
 
-  /** Tells whether other upstreams are to be used first, since this one takes few requests. */
+  /** Tells whether other upstreams are to be used first, since this one has asked for fewer requests. */
   isReluctant(upstream: UpstreamId, now: Millis): boolean {
     return (
       this.constraints.openings(upstream, now) !== undefined &&
--- a/packages/decisions/src/signals/UpstreamConstraints.ts
+++ b/packages/decisions/src/signals/UpstreamConstraints.ts
@@ -33,6 +33,8 @@
 
 interface Constraint {
   readonly limit: LimitState | undefined;
+  /** Time until which the upstream wants no request from this host. */
+  readonly restUntil: Millis;
   /** Requests of this host in the newest frame in which it sent any. */
   readonly spent: { readonly frame: number; readonly requests: number };
   /** Time of the last answer or report that said anything. */
@@ -43,6 +45,7 @@
 
 const UNCONSTRAINED: Constraint = {
   limit: undefined,
+  restUntil: -Infinity,
   spent: { frame: -Infinity, requests: 0 },
   heardAt: -Infinity,
 };
@@ -68,7 +71,7 @@
  *
  * A limit holds for all hosts together. Each host takes its own permits of it (see
  * {@link permitsInFrame}), so that the sum also holds among hosts that don't hear each other, and for one
- * that has just restarted. Reports of peers only make limits known sooner.
+ * that has just restarted. Reports of peers only make limits known sooner. Rest is asked of one host.
  */
 export class UpstreamConstraints {
   private readonly options: UpstreamConstraintsOptions;
@@ -95,12 +98,16 @@
    */
   record(
     upstream: UpstreamId,
-    { requestsPerSecond, endsLimit }: UpstreamSignals,
+    { requestsPerSecond, endsLimit, restMs }: UpstreamSignals,
     now: Millis,
   ): readonly ConstraintChange[] {
-    const endsKnown = endsLimit && this.limitOf(upstream) !== undefined;
-    if (requestsPerSecond === undefined && !endsKnown) return [];
-    return this.setLimit(upstream, { requestsPerSecond, observedAt: now, isOwn: true }, now);
+    const saysLimit =
+      requestsPerSecond !== undefined || (endsLimit && this.limitOf(upstream) !== undefined);
+    const limit = { requestsPerSecond, observedAt: now, isOwn: true };
+    return [
+      ...(saysLimit ? this.setLimit(upstream, limit, now) : []),
+      ...(restMs === undefined ? [] : this.setRest(upstream, restMs, now)),
+    ];
   }
 
   /**
@@ -130,6 +137,16 @@
     );
   }
 
+  /** Tells whether an upstream has asked this host for rest that has not ended. */
+  isResting(upstream: UpstreamId, now: Millis): boolean {
+    return this.getRestMs(upstream, now) > 0;
+  }
+
+  /** Gets how long an upstream wants no request from this host, in milliseconds; 0 where it asks for no rest. */
+  getRestMs(upstream: UpstreamId, now: Millis): Millis {
+    return Math.max(0, this.restEnd(upstream) - now);
+  }
+
   /**
    * Gets how many requests this host may send to an upstream now.
    *
@@ -138,6 +155,7 @@
    * @returns Number of requests; infinite for an upstream that has asked for nothing.
    */
   allowance(upstream: UpstreamId, now: Millis): number {
+    if (this.isResting(upstream, now)) return 0;
     const limit = this.limitOf(upstream);
     if (limit === undefined) return Infinity;
     const frame = this.frameAt(now);
@@ -154,11 +172,12 @@
    */
   openings(upstream: UpstreamId, now: Millis): readonly Opening[] | undefined {
     const limit = this.limitOf(upstream);
-    if (limit === undefined) return undefined;
+    const from = Math.max(now, this.restEnd(upstream));
+    if (limit === undefined) return from > now ? [{ at: from, requests: Infinity }] : undefined;
     const originMs = now - this.options.toTimeOfDay(now);
-    return nextPermits(this.positionFor(upstream), limit, this.frameAt(now), MAX_OPENINGS)
+    return nextPermits(this.positionFor(upstream), limit, this.frameAt(from), MAX_OPENINGS)
       .map(({ frame, permits }) => ({
-        at: Math.max(now, frame * LIMIT_FRAME_MS + originMs),
+        at: Math.max(from, frame * LIMIT_FRAME_MS + originMs),
         requests: permits - this.spentIn(upstream, frame),
       }))
       .filter(({ requests }) => requests > 0);
@@ -199,9 +218,14 @@
    */
   describe(upstream: UpstreamId, now: Millis): string | undefined {
     const limit = this.constraints.get(upstream)?.limit;
-    return limit?.requestsPerSecond === undefined
-      ? undefined
-      : `limit ${limit.requestsPerSecond}/s, ${Math.round(now - limit.observedAt)} ms old`;
+    const restMs = this.getRestMs(upstream, now);
+    const parts = [
+      ...(limit?.requestsPerSecond === undefined
+        ? []
+        : [`limit ${limit.requestsPerSecond}/s, ${Math.round(now - limit.observedAt)} ms old`]),
+      ...(restMs > 0 ? [`rest for ${Math.round(restMs)} ms more`] : []),
+    ];
+    return parts.length === 0 ? undefined : parts.join(', ');
   }
 
   /** Describes what several upstreams ask for; see {@link UpstreamConstraints.describe}. */
@@ -239,6 +263,17 @@
       : [{ type: 'limit_named', requestsPerSecond, ...origin }];
   }
 
+  private setRest(upstream: UpstreamId, restMs: Millis, now: Millis): readonly ConstraintChange[] {
+    const before = this.restEnd(upstream);
+    if (now + restMs <= before) return [];
+    this.update(upstream, { restUntil: now + restMs, heardAt: now });
+    return before > now ? [] : [{ type: 'rest', upstream, restMs, ageMs: 0, from: 'answer' }];
+  }
+
+  private restEnd(upstream: UpstreamId): Millis {
+    return this.constraints.get(upstream)?.restUntil ?? -Infinity;
+  }
+
   private update(upstream: UpstreamId, change: Partial<Constraint>): void {
     const known = this.constraints.get(upstream) ?? UNCONSTRAINED;
     this.constraints.set(upstream, { ...known, ...change });
--- a/packages/decisions/src/signals/upstreamReports.ts
+++ b/packages/decisions/src/signals/upstreamReports.ts
@@ -26,7 +26,9 @@
 
 /** A change of what an upstream asks for. */
 export type ConstraintChange =
-  (ChangeOf<'limit_named'> & { readonly requestsPerSecond: number }) | ChangeOf<'limit_ended'>;
+  | (ChangeOf<'limit_named'> & { readonly requestsPerSecond: number })
+  | ChangeOf<'limit_ended'>
+  | (ChangeOf<'rest'> & { readonly restMs: Millis });
 
 /**
  * Merges reports of several hosts.
--- a/packages/decisions/tests/signals/UpstreamConstraints.test.ts
+++ b/packages/decisions/tests/signals/UpstreamConstraints.test.ts
@@ -13,9 +13,14 @@
 const named = (requestsPerSecond: number): UpstreamSignals => ({
   requestsPerSecond,
   endsLimit: false,
+  restMs: undefined,
 });
 
-const NOT_NAMED: UpstreamSignals = { requestsPerSecond: undefined, endsLimit: true };
+const NOT_NAMED: UpstreamSignals = {
+  requestsPerSecond: undefined,
+  endsLimit: true,
+  restMs: undefined,
+};
 
 function createHosts(count: number, clockErrorMs = 0): readonly UpstreamConstraints[] {
   const random = new RandomSource(3);
@@ -129,6 +134,33 @@
   assert.deepEqual(a.getReports(11_000).length, 0);
 });
 
+// Guards against a rest that ends with a shorter one, or that keeps other hosts away.
+test('an upstream gets no request of this host until its rest has ended', () => {
+  const [a, b] = createHosts(2);
+  assert.ok(a !== undefined && b !== undefined);
+  const rest = (restMs: number) => ({ ...named(0), requestsPerSecond: undefined, restMs });
+  assert.deepEqual(
+    a.record('s', rest(3_000), 0).map(({ type }) => type),
+    ['rest'],
+  );
+  a.record('s', rest(500), 100);
+  assert.equal(a.allowance('s', 2_999), 0);
+  assert.deepEqual(a.openings('s', 2_000), [{ at: 3_000, requests: Infinity }]);
+  assert.equal(a.allowance('s', 3_000), Infinity);
+  assert.equal(a.openings('s', 3_000), undefined);
+  b.receive(a.getReports(200), 201);
+  assert.equal(b.allowance('s', 202), Infinity);
+});
+
+// Guards against requests to a server with a limit during its rest.
+test('a server with a limit that rests opens with the first permit after its rest', () => {
+  const [host] = createHosts(1);
+  host?.record('s', { ...named(2), restMs: 3_500 }, 0);
+  assert.equal(host?.allowance('s', 3_400), 0);
+  assert.equal(host?.openings('s', 100)?.[0]?.at, 3_500);
+  assert.ok((host?.allowance('s', 3_500) ?? 0) > 0);
+});
+
 test('openings tell when this host may send', () => {
   const hosts = createHosts(9);
   hosts.forEach((host) => {
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -9,8 +9,11 @@
   UpstreamId,
   ZoneId,
 } from '@camphorvane/core';
-import type { ModelEngine, PlainServer, SignalListener } from '@camphorvane/upstream';
-import type { EngineFactory, PlainServerFactory } from './ports.ts';
+import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import { GatedEngine } from './GatedEngine.ts';
+import { GatedServer } from './GatedServer.ts';
+import type { EngineFactory, PlainServerFactory, UpstreamWatch } from './ports.ts';
+import { RestGate } from './RestGate.ts';
 
 /** A configured engine and its client. */
 export interface EngineEntry {
@@ -38,7 +41,7 @@
 
   private services: ReadonlyMap<ServiceId, ServiceConfig> = new Map();
 
-  private signalListener: SignalListener = () => undefined;
+  private watch: UpstreamWatch | undefined;
 
   /**
    * @param createEngine - Creates the client of an engine.
@@ -71,9 +74,9 @@
     this.servers = new Map(serverCfgs.map((cfg) => [cfg.id, this.reuseOrCreateServer(cfg)]));
   }
 
-  /** Sets the listener for the signals in the answers of all upstreams. */
-  onSignals(listener: SignalListener): void {
-    this.signalListener = listener;
+  /** Sets what the clients of all upstreams report to, and ask before each call. */
+  setWatch(watch: UpstreamWatch): void {
+    this.watch = watch;
   }
 
   /** Gets the models of all configured pools. */
@@ -106,17 +109,29 @@
     return this.servers.get(id);
   }
 
-  private readonly forward: SignalListener = (id, signals) => this.signalListener(id, signals);
-
   private reuseOrCreateEngine(cfg: EngineConfig): EngineEntry {
     const previous = this.engines.get(cfg.id);
     const isUnchanged = previous !== undefined && previous.cfg.url === cfg.url;
-    return { cfg, engine: isUnchanged ? previous.engine : this.createEngine(cfg, this.forward) };
+    return { cfg, engine: isUnchanged ? previous.engine : this.gatedEngine(cfg) };
   }
 
   private reuseOrCreateServer(cfg: ServiceServer): ServerEntry {
     const previous = this.servers.get(cfg.id);
     const isUnchanged = previous !== undefined && previous.cfg.url === cfg.url;
-    return { cfg, server: isUnchanged ? previous.server : this.createServer(cfg, this.forward) };
+    return { cfg, server: isUnchanged ? previous.server : this.gatedServer(cfg) };
+  }
+
+  private gatedEngine(cfg: EngineConfig): ModelEngine {
+    const { watch } = this;
+    if (watch === undefined) return this.createEngine(cfg, () => undefined);
+    const engine = this.createEngine(cfg, (id, signals) => watch.record(id, signals));
+    return new GatedEngine(engine, new RestGate(cfg.id, watch));
+  }
+
+  private gatedServer(cfg: ServiceServer): PlainServer {
+    const { watch } = this;
+    if (watch === undefined) return this.createServer(cfg, () => undefined);
+    const server = this.createServer(cfg, (id, signals) => watch.record(id, signals));
+    return new GatedServer(server, new RestGate(cfg.id, watch));
   }
 }
--- a/packages/router/src/host/UpstreamSignalRecorder.ts
+++ b/packages/router/src/host/UpstreamSignalRecorder.ts
@@ -1,12 +1,13 @@
 import type { Clock, UpstreamId, UpstreamSignals } from '@camphorvane/core';
 import type { ConstraintChange, UpstreamConstraints, UpstreamReport } from '@camphorvane/decisions';
 import { eventLog } from '../observe/EventLog.ts';
+import type { UpstreamWatch } from './ports.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 
 const log = eventLog('upstreams');
 
 /** Records what upstreams ask for, in answers to this host and in reports of its peers. */
-export class UpstreamSignalRecorder {
+export class UpstreamSignalRecorder implements UpstreamWatch {
   readonly constraints: UpstreamConstraints;
 
   private readonly clock: Clock;
@@ -41,6 +42,23 @@
     this.apply(this.constraints.receive(reports, this.clock.now()));
   }
 
+  /** {@inheritDoc UpstreamWatch.isResting} */
+  isResting(upstream: UpstreamId): boolean {
+    return this.constraints.isResting(upstream, this.clock.now());
+  }
+
+  /** {@inheritDoc UpstreamWatch.recordControlCall} */
+  recordControlCall(upstream: UpstreamId): void {
+    this.constraints.recordRequest(upstream, this.clock.now());
+  }
+
+  /** {@inheritDoc UpstreamWatch.recordWithheld} */
+  recordWithheld(upstream: UpstreamId): void {
+    this.metrics.count('upstream.withheld');
+    const restMs = Math.round(this.constraints.getRestMs(upstream, this.clock.now()));
+    log('withheld', { server: upstream, restMs });
+  }
+
   private apply(changes: readonly ConstraintChange[]): void {
     if (changes.length === 0) return;
     changes.forEach((change) => this.logChange(change));
@@ -50,7 +68,20 @@
   private logChange(change: ConstraintChange): void {
     const { type, upstream, ageMs, from } = change;
     this.metrics.count('upstream.signal', { signal: type, from });
-    const value = type === 'limit_named' ? change.requestsPerSecond : undefined;
-    log(type, { server: upstream, value, ageMs: Math.round(ageMs), from });
+    log(type, { server: upstream, value: valueOf(change), ageMs: Math.round(ageMs), from });
+  }
+}
+
+/** Gets what the upstream asks for: requests a second, or milliseconds of rest. */
+function valueOf(change: ConstraintChange): number | undefined {
+  switch (change.type) {
+    case 'limit_named':
+      return change.requestsPerSecond;
+    case 'rest':
+      return Math.round(change.restMs);
+    case 'limit_ended':
+      return undefined;
+    default:
+      return change satisfies never;
   }
 }
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -69,7 +69,7 @@
     concurrencyShares,
     coordination.admission,
   );
-  directory.onSignals((upstream, heard) => signals.record(upstream, heard));
+  directory.setWatch(signals);
   signals.onChange(() => serviceQueues.refresh());
   const inFlight = new InFlightRequests();
   const completions = new CompletionHandler({
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -7,6 +7,7 @@
   TeamId,
   Tokens,
   UpstreamId,
+  UpstreamSignals,
   VersionedConfig,
   ZoneId,
 } from '@camphorvane/core';
@@ -114,6 +115,21 @@
   tryRetry(target: RetryTarget, now: Millis): boolean;
 }
 
+/** What the clients of upstreams report, and ask before each call. */
+export interface UpstreamWatch {
+  /** Records the signals of an answer. */
+  record(upstream: UpstreamId, signals: UpstreamSignals): void;
+
+  /** Tells whether the upstream has asked this host for rest, so that nothing may be sent to it. */
+  isResting(upstream: UpstreamId): boolean;
+
+  /** Records a call that serves no request: a load report, an order, or the release of a KV cache. */
+  recordControlCall(upstream: UpstreamId): void;
+
+  /** Records a call that was not sent, since the upstream rests. */
+  recordWithheld(upstream: UpstreamId): void;
+}
+
 /** Creates the client of an engine, which passes the signals of all answers to the listener. */
 export type EngineFactory = (cfg: EngineConfig, onSignals: SignalListener) => ModelEngine;
 
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -17,7 +17,8 @@
   | 'service.replayed'
   | 'config.changed'
   | 'role.order'
-  | 'upstream.signal';
+  | 'upstream.signal'
+  | 'upstream.withheld';
 
 /** Names of all gauges. */
 export type GaugeName = 'engines';
--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -11,6 +11,8 @@
   'left_out',
   'limit_named',
   'limit_ended',
+  'rest',
+  'withheld',
 ]);
 
 /** Milliseconds before a request from which state events of its hosts are included. */
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -98,7 +98,7 @@
       this.finish(id, report === undefined ? 'not_listed' : 'answered');
       return;
     }
-    this.markDown(id, report.error.message);
+    if (report.error.type !== 'withheld') this.markDown(id, report.error.message);
     if (this.isStopped) return;
     const nextMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     this.retryTimers.set(
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -24,7 +24,7 @@
   WorkItem,
 } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { reachedNoUpstream } from '@camphorvane/upstream';
+import { hasFailedToConnect } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { ReconfigurablePlacer } from '../coordination/HostCoordination.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
@@ -156,7 +156,7 @@
       case 'unreachable':
       case 'silent':
       case 'broken':
-        if (reachedNoUpstream(error)) this.knowledge.admission.slowStart.recordUnreachable(engine);
+        if (hasFailedToConnect(error)) this.knowledge.admission.slowStart.recordUnreachable(engine);
         this.knowledge.health.recordFailure(engine, this.clock.now());
         this.probes.suspect(engine);
         break;
@@ -164,6 +164,7 @@
         this.knowledge.health.recordFailure(engine, this.clock.now());
         break;
       case 'rejected':
+      case 'withheld':
       case 'cancelled':
         break;
       default:
--- a/packages/router/src/placing/RoleControl.ts
+++ b/packages/router/src/placing/RoleControl.ts
@@ -162,7 +162,8 @@
       const result = await engine.order({ type: 'role', role, fence, holder, expected });
       if (result.isOk()) return 'taken';
       // A rejected retry means that the first order was executed and its answer lost.
-      if (result.error.type === 'rejected') return last === 'unanswered' ? last : 'refused';
+      const wasRefused = result.error.type === 'rejected' || result.error.type === 'withheld';
+      if (wasRefused) return last === 'unanswered' ? last : 'refused';
       last = outcomeOf(result.error, last);
       await sleep(clock, ORDER_RETRY_MS);
     }
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -253,7 +253,10 @@
     return new StallDetector({
       clock: this.deps.clock,
       timeoutMs: STALL_TIMEOUT_MS,
-      probe: async () => (await engine.load()).isOk(),
+      probe: async () => {
+        const report = await engine.load();
+        return report.isOk() || report.error.type === 'withheld';
+      },
       onEngineGone: () => {
         this.isEngineGone = true;
         this.deps.metrics.count('attempt.engine_gone');
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -5,7 +5,7 @@
 import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
 import { claimRefusal } from '@camphorvane/store';
 import type { UpstreamResponse, UpstreamError } from '@camphorvane/upstream';
-import { reachedNoUpstream } from '@camphorvane/upstream';
+import { hasFailedToConnect, reachedNoUpstream } from '@camphorvane/upstream';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateGate, RetryGate } from '../host/ports.ts';
@@ -16,6 +16,13 @@
 import { abortRefusal } from './abortRefusal.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
 import { serviceCallDigest, serviceRetryTarget } from './resolvedCall.ts';
+import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
+import {
+  errorStatusFailure,
+  hasFailed,
+  MIN_FAILURE_STATUS,
+  withExecution,
+} from './serviceAttempts.ts';
 import type { ServiceQueues } from './ServiceQueues.ts';
 
 /** Most servers that a native call is sent to. */
@@ -24,9 +31,6 @@
 /** Retry-after in milliseconds where servers failed; most are back within seconds. */
 const RETRY_AFTER_MS: Millis = 1_000;
 
-/** Lowest status of an answer that counts as a failure of the server, which another server may not have. */
-const MIN_FAILURE_STATUS = 500;
-
 const log = eventLog('service');
 
 /** Options of a `ServiceCallHandler`. */
@@ -44,17 +48,6 @@
   readonly metrics: Metrics;
 }
 
-/** A failed attempt on one server. */
-interface FailedAttempt {
-  readonly server: UpstreamId;
-  readonly error: UpstreamError;
-}
-
-type AttemptOutcome =
-  | { readonly type: 'answer'; readonly server: UpstreamId; readonly answer: UpstreamResponse }
-  | { readonly type: 'refused'; readonly refusal: Refusal }
-  | ({ readonly type: 'failed' } & FailedAttempt);
-
 /** Serves calls to plain services; non-idempotent calls run at most once. */
 export class ServiceCallHandler {
   private readonly options: ServiceCallHandlerOptions;
@@ -132,10 +125,15 @@
       : notRun(
           'upstream_failed',
           'All servers that were tried for this call failed.',
-          RETRY_AFTER_MS,
+          this.retryAfterMs(call),
         );
   }
 
+  /** Gets when a caller may retry: once a server takes calls, where all have asked for fewer. */
+  private retryAfterMs({ service }: ResolvedCall): Millis {
+    return this.options.queues.getOpeningMs(service.id) ?? RETRY_AFTER_MS;
+  }
+
   /** Runs a non-idempotent call at most once, without a claim: a retry of its caller is another call. */
   private async serveOnceUnclaimed(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
     const outcome = await this.attemptUntilDispatched(call);
@@ -153,7 +151,7 @@
 
   private unclaimedRefusal(call: ResolvedCall, { error }: FailedAttempt): Refusal {
     if (!error.dispatched) {
-      return notRun('upstream_failed', 'No server accepted the call.', RETRY_AFTER_MS);
+      return notRun('upstream_failed', 'No server accepted the call.', this.retryAfterMs(call));
     }
     const text = 'The call was sent, but no complete answer came back.';
     return this.options.clock.now() >= call.policy.deadlineAt
@@ -199,7 +197,9 @@
       case 'failed':
         if (!outcome.error.dispatched) {
           await claims.releaseUndispatched(claim);
-          return err(notRun('upstream_failed', 'No server accepted the call.', RETRY_AFTER_MS));
+          return err(
+            notRun('upstream_failed', 'No server accepted the call.', this.retryAfterMs(call)),
+          );
         }
         void claims.markOutcomeUnknown(claim);
         return err(
@@ -294,7 +294,7 @@
     const { clock, admission } = this.options;
     const { slowStart } = admission;
     if (result.isOk()) slowStart.recordAnswer(server, clock.now());
-    else if (reachedNoUpstream(result.error)) slowStart.recordUnreachable(server);
+    else if (hasFailedToConnect(result.error)) slowStart.recordUnreachable(server);
   }
 
   private remainingMs(call: ResolvedCall): Millis {
@@ -333,18 +333,3 @@
     );
   }
 }
-
-function errorStatusFailure(server: UpstreamId): FailedAttempt {
-  const message = 'the server answered with an error status';
-  return { server, error: { type: 'broken', dispatched: true, message } };
-}
-
-function hasFailed(result: Result<UpstreamResponse, UpstreamError>): boolean {
-  return result.isErr() || result.value.status >= MIN_FAILURE_STATUS;
-}
-
-/** Sets a refusal's `execution` to `unknown` once a server may have run the call. */
-function withExecution(refusal: Refusal, failures: readonly FailedAttempt[]): Refusal {
-  const ran = failures.some((failure) => failure.error.dispatched);
-  return ran ? { ...refusal, execution: 'unknown' } : refusal;
-}
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -9,7 +9,7 @@
   UpstreamId,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { ServiceQueue } from '@camphorvane/decisions';
+import { mergeOpenings, ServiceQueue } from '@camphorvane/decisions';
 import type {
   ServiceQueueCall,
   ServiceQueueDecision,
@@ -130,6 +130,20 @@
     this.schedule(entry);
   }
 
+  /**
+   * Gets when a service takes calls of this host again.
+   *
+   * @param service - The service.
+   * @returns Milliseconds from now; undefined while a server has asked for nothing.
+   */
+  getOpeningMs(service: ServiceId): Millis | undefined {
+    const now = this.clock.now();
+    const servers = this.directory.getService(service)?.servers ?? [];
+    const openings = mergeOpenings(servers.map(({ id }) => this.admission.openings(id, now)));
+    const at = openings?.[0]?.at;
+    return at === undefined ? undefined : at - now;
+  }
+
   /** Applies a changed configuration, or a changed number of hosts, to all services. */
   refresh(): void {
     this.queues.forEach((entry) => this.schedule(entry));
--- /dev/null
+++ b/packages/router/src/serving/serviceAttempts.ts
@@ -0,0 +1,35 @@
+import type { Refusal, UpstreamId } from '@camphorvane/core';
+import type { UpstreamError, UpstreamResponse } from '@camphorvane/upstream';
+import type { Result } from 'neverthrow';
+
+/** Lowest status of an answer that counts as a failure of the server, which another server may not have. */
+export const MIN_FAILURE_STATUS = 500;
+
+/** A failed attempt on one server. */
+export interface FailedAttempt {
+  readonly server: UpstreamId;
+  readonly error: UpstreamError;
+}
+
+/** How an attempt on one server ended. */
+export type AttemptOutcome =
+  | { readonly type: 'answer'; readonly server: UpstreamId; readonly answer: UpstreamResponse }
+  | { readonly type: 'refused'; readonly refusal: Refusal }
+  | ({ readonly type: 'failed' } & FailedAttempt);
+
+/** Gets the failure of an attempt that a server answered with an error status. */
+export function errorStatusFailure(server: UpstreamId): FailedAttempt {
+  const message = 'the server answered with an error status';
+  return { server, error: { type: 'broken', dispatched: true, message } };
+}
+
+/** Tells whether an attempt failed, or was answered with the failure of a server. */
+export function hasFailed(result: Result<UpstreamResponse, UpstreamError>): boolean {
+  return result.isErr() || result.value.status >= MIN_FAILURE_STATUS;
+}
+
+/** Sets a refusal's `execution` to `unknown` once a server may have run the call. */
+export function withExecution(refusal: Refusal, failures: readonly FailedAttempt[]): Refusal {
+  const ran = failures.some((failure) => failure.error.dispatched);
+  return ran ? { ...refusal, execution: 'unknown' } : refusal;
+}
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -17,6 +17,7 @@
   ModelEngine,
   PlainServer,
   PrefillCommand,
+  SignalListener,
   UpstreamResponse,
   ServiceCall,
   UpstreamError,
@@ -73,6 +74,14 @@
 
   readonly host: Host;
 
+  /** Has the host hear signals as if from an answer of an upstream. */
+  signal: SignalListener = () => undefined;
+
+  /** Load reports that engines were asked for. */
+  readonly probes: string[] = [];
+
+  private sent = 0;
+
   private currentConfig: VersionedConfig;
 
   private readonly listeners: ((config: VersionedConfig) => void)[] = [];
@@ -97,7 +106,10 @@
       clock: this.clock,
       random: new RandomSource(1),
       coordination: (context) => this.agreement(context),
-      engines: (cfg) => this.engine(cfg),
+      engines: (cfg, onSignals) => {
+        this.signal = onSignals;
+        return this.engine(cfg);
+      },
       servers: (cfg) => this.server(cfg),
       metrics: new Metrics(),
     });
@@ -121,8 +133,10 @@
       work: { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: undefined },
       ...overrides,
     };
+    this.sent += 1;
+    const answer = this.host.forwarding.forward(`r${this.sent}`, req, signal);
     const events: ForwardEvent[] = [];
-    for await (const event of this.host.forwarding.forward('r1', req, signal)) events.push(event);
+    for await (const event of answer) events.push(event);
     return events;
   }
 
@@ -282,7 +296,10 @@
         this.cancelled.push(cfg.id);
         return okAsync(undefined);
       },
-      load: () => (this.options.probeable?.includes(cfg.id) === true ? okAsync(LOAD) : rejected),
+      load: () => {
+        this.probes.push(cfg.id);
+        return this.options.probeable?.includes(cfg.id) === true ? okAsync(LOAD) : rejected;
+      },
       order: () => rejected,
     };
   }
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -28,6 +28,8 @@
       readonly message: string;
     }
   | { readonly type: 'rejected'; readonly dispatched: false; readonly message: string }
+  /** Not sent: the upstream has asked this host for rest. */
+  | { readonly type: 'withheld'; readonly dispatched: false; readonly message: string }
   | { readonly type: 'broken'; readonly dispatched: true; readonly message: string }
   | { readonly type: 'silent'; readonly dispatched: boolean; readonly message: string }
   | { readonly type: 'mismatch'; readonly dispatched: true; readonly message: string }
--- a/packages/upstream/src/upstreamErrors.ts
+++ b/packages/upstream/src/upstreamErrors.ts
@@ -39,6 +39,16 @@
  * @returns True where nothing was sent and nothing responded.
  */
 export function reachedNoUpstream(error: UpstreamError): boolean {
+  return error.type === 'withheld' || hasFailedToConnect(error);
+}
+
+/**
+ * Tells whether no connection to an upstream could be established, so that it may be down.
+ *
+ * @param error - How the attempt failed.
+ * @returns True where nothing was sent and nothing responded.
+ */
+export function hasFailedToConnect(error: UpstreamError): boolean {
   return error.type === 'unreachable' && !error.dispatched && error.answered !== true;
 }
 
