Leave servers alone that say in their answers that they are leaving

Cause: as for limits and rest, no answer was read for what the server says of itself; a server's leaving was known from the store alone.

Such an upstream is not chosen any more, by this host or by the peers that it tells; answers that were on their way before change nothing. It ends when another process starts under the name, which the record of the server shows (born). Log, counter, state dump, explain as for the others.

--- a/packages/core/src/UpstreamSignals.ts
+++ b/packages/core/src/UpstreamSignals.ts
@@ -9,6 +9,8 @@
    * reason, such as those to control calls.
    */
   readonly endsLimit: boolean;
+  /** Whether it is about to stop, and wants no new requests. */
+  readonly leaving: boolean;
   /** Milliseconds for which it wants no request from this host; undefined where it asks for no rest. */
   readonly restMs: Millis | undefined;
 }
--- a/packages/decisions/src/signals/UpstreamConstraints.ts
+++ b/packages/decisions/src/signals/UpstreamConstraints.ts
@@ -1,12 +1,11 @@
 import type { HostId, Millis, UpstreamId, UpstreamSignals } from '@camphorvane/core';
+import type { Constraint, LimitState } from './Constraint.ts';
+import { describeConstraint, reportsOf, UNCONSTRAINED } from './Constraint.ts';
 import type { LimitSharer } from './limitPermits.ts';
 import { LIMIT_FRAME_MS, limitSharer, nextPermits, permitsInFrame } from './limitPermits.ts';
 import type { Opening } from './openings.ts';
 import type { ConstraintChange, UpstreamReport } from './upstreamReports.ts';
 
-/** Milliseconds for which a host reports to its peers what an answer said of a limit. */
-const LIMIT_REPORT_MS: Millis = 10_000;
-
 /**
  * Milliseconds for which the constraints of an upstream are kept once it is no longer listed. Entries of
  * live upstreams expire while the store is down, and return with it.
@@ -22,34 +21,8 @@
 /** Frames with permits of this host that are taken into account for a queue. */
 const MAX_OPENINGS = 16;
 
-/** What the newest answer said of the limit of an upstream. */
-interface LimitState {
-  /** Undefined where the limit has ended. */
-  readonly requestsPerSecond: number | undefined;
-  readonly observedAt: Millis;
-  /** Whether this host got the answer itself; only then does it report it. */
-  readonly isOwn: boolean;
-}
-
-interface Constraint {
-  readonly limit: LimitState | undefined;
-  /** Time until which the upstream wants no request from this host. */
-  readonly restUntil: Millis;
-  /** Requests of this host in the newest frame in which it sent any. */
-  readonly spent: { readonly frame: number; readonly requests: number };
-  /** Time of the last answer or report that said anything. */
-  readonly heardAt: Millis;
-}
-
 const SINGLE_SHARER: readonly HostId[] = [''];
 
-const UNCONSTRAINED: Constraint = {
-  limit: undefined,
-  restUntil: -Infinity,
-  spent: { frame: -Infinity, requests: 0 },
-  heardAt: -Infinity,
-};
-
 /** The host whose requests are constrained, and the hosts with which it shares limits. */
 export interface UpstreamConstraintsOptions {
   readonly self: HostId;
@@ -98,7 +71,7 @@
    */
   record(
     upstream: UpstreamId,
-    { requestsPerSecond, endsLimit, restMs }: UpstreamSignals,
+    { requestsPerSecond, endsLimit, leaving, restMs }: UpstreamSignals,
     now: Millis,
   ): readonly ConstraintChange[] {
     const saysLimit =
@@ -106,6 +79,7 @@
     const limit = { requestsPerSecond, observedAt: now, isOwn: true };
     return [
       ...(saysLimit ? this.setLimit(upstream, limit, now) : []),
+      ...(leaving ? this.setLeaving(upstream, now, true, now) : []),
       ...(restMs === undefined ? [] : this.setRest(upstream, restMs, now)),
     ];
   }
@@ -120,6 +94,9 @@
   receive(reports: readonly UpstreamReport[], now: Millis): readonly ConstraintChange[] {
     return reports.flatMap((report) => {
       const observedAt = now - report.ageMs;
+      if (report.type === 'leaving') {
+        return this.setLeaving(report.upstream, observedAt, false, now);
+      }
       const known = this.constraints.get(report.upstream)?.limit;
       if (known === undefined && report.type === 'no_limit') return [];
       if (known !== undefined && known.observedAt >= observedAt) return [];
@@ -130,13 +107,16 @@
 
   /** Gets what recent answers to this host said, for its peers. */
   getReports(now: Millis): readonly UpstreamReport[] {
-    return [...this.constraints].flatMap(([upstream, { limit }]) =>
-      limit?.isOwn === true && now - limit.observedAt <= LIMIT_REPORT_MS
-        ? [limitReport(upstream, limit, now)]
-        : [],
+    return [...this.constraints].flatMap(([upstream, constraint]) =>
+      reportsOf(upstream, constraint, now),
     );
   }
 
+  /** Tells whether an upstream has said that it is leaving. */
+  isLeaving(upstream: UpstreamId): boolean {
+    return this.constraints.get(upstream)?.leavingSince !== undefined;
+  }
+
   /** Tells whether an upstream has asked this host for rest that has not ended. */
   isResting(upstream: UpstreamId, now: Millis): boolean {
     return this.getRestMs(upstream, now) > 0;
@@ -155,7 +135,7 @@
    * @returns Number of requests; infinite for an upstream that has asked for nothing.
    */
   allowance(upstream: UpstreamId, now: Millis): number {
-    if (this.isResting(upstream, now)) return 0;
+    if (this.isLeaving(upstream) || this.isResting(upstream, now)) return 0;
     const limit = this.limitOf(upstream);
     if (limit === undefined) return Infinity;
     const frame = this.frameAt(now);
@@ -168,9 +148,11 @@
    *
    * @param upstream - The upstream.
    * @param now - Present time.
-   * @returns The next openings in order; undefined for an upstream that has asked for nothing.
+   * @returns The next openings in order, none for an upstream that is leaving; undefined for an upstream
+   *   that has asked for nothing.
    */
   openings(upstream: UpstreamId, now: Millis): readonly Opening[] | undefined {
+    if (this.isLeaving(upstream)) return [];
     const limit = this.limitOf(upstream);
     const from = Math.max(now, this.restEnd(upstream));
     if (limit === undefined) return from > now ? [{ at: from, requests: Infinity }] : undefined;
@@ -217,15 +199,7 @@
    * @returns A short text for logs; undefined for an upstream that has asked for nothing.
    */
   describe(upstream: UpstreamId, now: Millis): string | undefined {
-    const limit = this.constraints.get(upstream)?.limit;
-    const restMs = this.getRestMs(upstream, now);
-    const parts = [
-      ...(limit?.requestsPerSecond === undefined
-        ? []
-        : [`limit ${limit.requestsPerSecond}/s, ${Math.round(now - limit.observedAt)} ms old`]),
-      ...(restMs > 0 ? [`rest for ${Math.round(restMs)} ms more`] : []),
-    ];
-    return parts.length === 0 ? undefined : parts.join(', ');
+    return describeConstraint(this.constraints.get(upstream) ?? UNCONSTRAINED, now);
   }
 
   /** Describes what several upstreams ask for; see {@link UpstreamConstraints.describe}. */
@@ -263,6 +237,20 @@
       : [{ type: 'limit_named', requestsPerSecond, ...origin }];
   }
 
+  private setLeaving(
+    upstream: UpstreamId,
+    since: Millis,
+    isOwn: boolean,
+    now: Millis,
+  ): readonly ConstraintChange[] {
+    const known = this.constraints.get(upstream);
+    const isLeavingOwn = isOwn || known?.isLeavingOwn === true;
+    const leavingSince = known?.leavingSince ?? since;
+    this.update(upstream, { leavingSince, isLeavingOwn, heardAt: now });
+    if (known?.leavingSince !== undefined) return [];
+    return [{ type: 'leaving', upstream, ageMs: now - since, from: isOwn ? 'answer' : 'peer' }];
+  }
+
   private setRest(upstream: UpstreamId, restMs: Millis, now: Millis): readonly ConstraintChange[] {
     const before = this.restEnd(upstream);
     if (now + restMs <= before) return [];
@@ -305,14 +293,3 @@
     return Math.floor(this.options.toTimeOfDay(now) / LIMIT_FRAME_MS);
   }
 }
-
-function limitReport(
-  upstream: UpstreamId,
-  { requestsPerSecond, observedAt }: LimitState,
-  now: Millis,
-): UpstreamReport {
-  const ageMs = now - observedAt;
-  return requestsPerSecond === undefined
-    ? { type: 'no_limit', upstream, ageMs }
-    : { type: 'limit', upstream, requestsPerSecond, ageMs };
-}
--- a/packages/decisions/tests/signals/UpstreamConstraints.test.ts
+++ b/packages/decisions/tests/signals/UpstreamConstraints.test.ts
@@ -13,12 +13,14 @@
 const named = (requestsPerSecond: number): UpstreamSignals => ({
   requestsPerSecond,
   endsLimit: false,
+  leaving: false,
   restMs: undefined,
 });
 
 const NOT_NAMED: UpstreamSignals = {
   requestsPerSecond: undefined,
   endsLimit: true,
+  leaving: false,
   restMs: undefined,
 };
 
@@ -183,3 +185,22 @@
   host?.retain(new Set(), 61_000);
   assert.equal(host?.openings('s', 61_000), undefined);
 });
+
+// Guards against requests to a server that has said that it is leaving, also by hosts that it has not told.
+test('a server that is leaving gets no more requests, from hosts that heard so and from their peers', () => {
+  const [a, b] = createHosts(2);
+  assert.ok(a !== undefined && b !== undefined);
+  const leaving = { ...NOT_NAMED, leaving: true };
+  assert.deepEqual(
+    a.record('s', leaving, 0).map(({ type }) => type),
+    ['leaving'],
+  );
+  a.record('s', NOT_NAMED, 10);
+  assert.equal(a.allowance('s', 20), 0, 'an answer that was on its way before ends nothing');
+  assert.deepEqual(a.openings('s', 20), []);
+  b.receive(a.getReports(100), 101);
+  assert.equal(b.allowance('s', 102), 0);
+  assert.deepEqual(b.getReports(103), []);
+  a.forget('s');
+  assert.equal(a.allowance('s', 200), Infinity, 'another process has started under the name');
+});
--- a/packages/peer/src/hints/upstreamReportCodec.ts
+++ b/packages/peer/src/hints/upstreamReportCodec.ts
@@ -5,6 +5,9 @@
 /** Stands in place of a limit where the upstream no longer names one. */
 const NO_LIMIT = -1;
 
+/** Stands in place of a limit where the upstream is leaving. */
+const LEAVING = -2;
+
 type ReportRow = readonly [UpstreamId, number, number];
 
 /** Encodes what upstreams said as rows. */
@@ -16,6 +19,8 @@
         return [report.upstream, report.requestsPerSecond, ageMs];
       case 'no_limit':
         return [report.upstream, NO_LIMIT, ageMs];
+      case 'leaving':
+        return [report.upstream, LEAVING, ageMs];
       default:
         return report satisfies never;
     }
@@ -35,6 +40,7 @@
   const [upstream, value, ageMs] = row as readonly unknown[];
   if (typeof upstream !== 'string' || !isNonNegativeNumber(ageMs)) return undefined;
   if (value === NO_LIMIT) return { type: 'no_limit', upstream, ageMs };
+  if (value === LEAVING) return { type: 'leaving', upstream, ageMs };
   if (!isNonNegativeNumber(value)) return undefined;
   return { type: 'limit', upstream, requestsPerSecond: value, ageMs };
 }
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -28,6 +28,7 @@
   upstreams: [
     { type: 'limit', upstream: 's1', requestsPerSecond: 3.1, ageMs: 40 },
     { type: 'no_limit', upstream: 's2', ageMs: 0 },
+    { type: 'leaving', upstream: 's3', ageMs: 900 },
   ],
 };
 
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -216,7 +216,7 @@
       const known = this.serverEntries.get(object.name);
       if (known?.object.version === object.version) return known;
       const server = format.parseServer(object);
-      this.recordStart(server);
+      this.recordStart(server, known?.server);
       return { object, server };
     });
     this.serverEntries = new Map(entries.map((entry) => [entry.object.name, entry]));
@@ -238,9 +238,12 @@
     this.receiveDrainedZones({ version, zones: [...objects.keys()].sort() });
   }
 
-  private recordStart(server: ServerRecord | undefined): void {
+  private recordStart(server: ServerRecord | undefined, before: ServerRecord | undefined): void {
+    const { slowStart, constraints } = this.options.admission;
+    const isRestarted = before?.bornAt !== undefined && before.bornAt !== server?.bornAt;
+    // What a server has asked for doesn't bind the next process under its name.
+    if (isRestarted && server?.bornAt !== undefined) constraints.forget(server.id);
     if (server === undefined || server.startingMs === 0) return;
-    const { slowStart } = this.options.admission;
     slowStart.recordStart(server.id, server.startingMs, this.options.clock.now());
   }
 
--- a/packages/router/src/host/UpstreamSignalRecorder.ts
+++ b/packages/router/src/host/UpstreamSignalRecorder.ts
@@ -80,6 +80,7 @@
     case 'rest':
       return Math.round(change.restMs);
     case 'limit_ended':
+    case 'leaving':
       return undefined;
     default:
       return change satisfies never;
--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -11,6 +11,7 @@
   'left_out',
   'limit_named',
   'limit_ended',
+  'leaving',
   'rest',
   'withheld',
 ]);
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -42,6 +42,8 @@
 
   readonly slowStart = new SlowStart(() => 1);
 
+  readonly admission = new UpstreamAdmission(this.slowStart);
+
   readonly feed: DeploymentFeed;
 
   stateChanges = 0;
@@ -56,7 +58,7 @@
       onStateChange: () => {
         this.stateChanges += 1;
       },
-      admission: new UpstreamAdmission(this.slowStart),
+      admission: this.admission,
     });
     const stop = new AbortController();
     stops.push(stop);
@@ -168,3 +170,19 @@
   assert.equal(host.slowStart.allowance('s-b', now + 1_500), Infinity);
   assert.equal(host.feed.current(), before, 'the routing changed with a heartbeat');
 });
+
+// Guards against a server that gets no requests because the process before it, of the same name, was leaving.
+test('what a server has asked for ends when another process starts under its name', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  const leaving = { requestsPerSecond: 1, endsLimit: false, leaving: true, restMs: 9_000 };
+  store.put('servers', 's-b', { zone: 'b', bornAt: 1 });
+  await host.settle();
+  host.admission.constraints.record('s-b', leaving, host.clock.now());
+  store.put('servers', 's-b', { zone: 'b', bornAt: 1, slots: 5 });
+  await host.settle();
+  assert.equal(host.admission.allowance('s-b', host.clock.now()), 0);
+  store.put('servers', 's-b', { zone: 'b', bornAt: 2 });
+  await host.settle();
+  assert.equal(host.admission.allowance('s-b', host.clock.now()), Infinity);
+});
--- a/packages/router/tests/serving/upstreamSignals.test.ts
+++ b/packages/router/tests/serving/upstreamSignals.test.ts
@@ -20,12 +20,14 @@
 const rest = (restMs: number): UpstreamSignals => ({
   requestsPerSecond: undefined,
   endsLimit: false,
+  leaving: false,
   restMs,
 });
 
 const limit = (requestsPerSecond: number): UpstreamSignals => ({
   requestsPerSecond,
   endsLimit: false,
+  leaving: false,
   restMs: undefined,
 });
 
@@ -121,3 +123,16 @@
   assert.ok(fleet.calls.length <= 4, fleet.calls.join());
   assert.ok(fleet.decodes.length <= 4, fleet.decodes.join());
 });
+
+// Guards against new work on an upstream that has said in an answer that it is leaving, whatever the store says.
+test('an upstream that is leaving gets no new request', async () => {
+  const fleet = new ForwardFleet({});
+  ['s1', 'd1'].forEach((id) =>
+    fleet.signal(id, { ...limit(0), requestsPerSecond: undefined, leaving: true }),
+  );
+  const paths = ['/safe/x', '/once/x', '/llm/x', '/safe/y', '/llm/y'];
+  const endings = (await Promise.all(paths.map((path) => fleet.send(path)))).map(answerEnding);
+  endings.forEach((ending) => assert.equal(ending, 'done'));
+  assert.deepEqual(new Set(fleet.calls), new Set(['s2']));
+  assert.deepEqual(new Set(fleet.decodes), new Set(['d2']));
+});
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -58,6 +58,8 @@
   readonly role: EngineRole | undefined;
   /** Milliseconds of its slow start that remained when it wrote the record; undefined where not specified. */
   readonly startingMs: Millis | undefined;
+  /** Unix milliseconds of its start; undefined where not specified. */
+  readonly bornAt?: Millis;
 }
 
 /** Where a deployment stores its objects, and how to parse them. */
