Let servers ask for less in scenarios, and check that they get it

A step 'ask' has a server of a plain service name a limit, ask for rest or say that it is leaving, for a while; these may overlap. The check 'asked' holds hosts to the stated bounds; hosts that ignore what is asked are found out by it, for each of the three. Engines don't ask yet: the coordinators of a group don't take it into account.

--- a/packages/core/src/UpstreamSignals.ts
+++ b/packages/core/src/UpstreamSignals.ts
@@ -14,3 +14,11 @@
   /** Milliseconds for which it wants no request from this host; undefined where it asks for no rest. */
   readonly restMs: Millis | undefined;
 }
+
+/** Signals of a successful answer that asks for nothing. */
+export const NO_SIGNALS: UpstreamSignals = {
+  requestsPerSecond: undefined,
+  endsLimit: true,
+  leaving: false,
+  restMs: undefined,
+};
--- a/packages/scenario/src/checks/RunLog.ts
+++ b/packages/scenario/src/checks/RunLog.ts
@@ -5,7 +5,7 @@
 import type { Scenario } from '../language/scenarioSchema.ts';
 import type { Dispatch } from '../world/DispatchLog.ts';
 import type { SeenVersion } from '../world/HostSlot.ts';
-import type { AppliedConfig, Drain } from '../world/World.ts';
+import type { AppliedConfig, Asked, Drain } from '../world/World.ts';
 
 /** Memory that an engine still held when all was over. */
 export interface HeldMemory {
@@ -25,6 +25,7 @@
   readonly versions: readonly SeenVersion[];
   readonly applied: readonly AppliedConfig[];
   readonly drains: readonly Drain[];
+  readonly asked: readonly Asked[];
   readonly advice: readonly AdviceLog[];
   readonly held: readonly HeldMemory[];
   /** Hosts that were up when all was over. */
--- a/packages/scenario/src/checks/allChecks.ts
+++ b/packages/scenario/src/checks/allChecks.ts
@@ -7,6 +7,7 @@
   notRunIsTrue,
   positionsAreInOrder,
 } from './answerChecks.ts';
+import { askedIsGiven } from './askCheck.ts';
 import { checkExpectations } from './expectations.ts';
 import {
   changesAreAccepted,
@@ -33,6 +34,7 @@
   everyRequestEnds,
   keysStayInside,
   teamsStayWithinRate,
+  askedIsGiven,
   versionsOnlyGrow,
   changesAreAccepted,
   configurationIsInForce,
--- a/packages/scenario/src/language/scenarioSchema.ts
+++ b/packages/scenario/src/language/scenarioSchema.ts
@@ -142,6 +142,19 @@
   z.strictObject({ do: z.literal('heat'), ...at, ...lasting, upstream: name, capacity: share }),
   z.strictObject({ do: z.literal('cross_answers'), ...at, upstream: name, count }),
   z.strictObject({ do: z.literal('stall_transfers'), ...at, upstream: name, count }),
+  z.strictObject({
+    do: z.literal('ask'),
+    ...at,
+    ...lasting,
+    /** A server of a plain service, which asks in its answers for fewer requests. */
+    upstream: name,
+    /** Requests a second that it takes from all hosts together. */
+    limit: z.number().min(0).optional(),
+    /** Says that it is leaving. */
+    leaving: z.boolean().default(false),
+    /** Rejects everything, and asks each host for so many seconds of rest. */
+    rest: seconds.optional(),
+  }),
   z.strictObject({ do: z.literal('poison'), ...at, text: z.string().min(3) }),
 ]);
 
--- a/packages/scenario/src/runScenario.ts
+++ b/packages/scenario/src/runScenario.ts
@@ -33,7 +33,8 @@
 }
 
 function runLog(world: World, startedAt: number): RunLog {
-  const { scenario, requests, dispatches, versions, applied, drains, chooser, upstreams } = world;
+  const { scenario, requests, dispatches, versions, applied } = world;
+  const { drains, asked, chooser, upstreams } = world;
   return {
     scenario,
     startedAt,
@@ -44,6 +45,7 @@
     versions,
     applied,
     drains,
+    asked,
     advice: chooser.given,
     held: upstreams
       .allEngines()
--- a/packages/scenario/src/steps/runStep.ts
+++ b/packages/scenario/src/steps/runStep.ts
@@ -1,4 +1,4 @@
-import { RandomSource } from '@camphorvane/core';
+import { NO_SIGNALS, RandomSource } from '@camphorvane/core';
 import type { RoutingConfig } from '@camphorvane/core';
 import { hostNames } from '../language/names.ts';
 import type { LoadStep, Step } from '../language/scenarioSchema.ts';
@@ -108,6 +108,22 @@
   world.upstreams.server(of).loseAnswers(count);
 }
 
+/** Has a server ask for fewer requests in its answers; leaving is for good. */
+function ask(world: World, step: Extract<Step, { readonly do: 'ask' }>): void {
+  const server = world.upstreams.server(step.upstream);
+  const from = world.clock.now();
+  const to = step.for === undefined ? Infinity : from + step.for * SECOND_MS;
+  const signals = {
+    requestsPerSecond: step.limit,
+    endsLimit: step.limit === undefined && step.rest === undefined,
+    leaving: step.leaving,
+    restMs: step.rest === undefined ? undefined : step.rest * SECOND_MS,
+  };
+  server.setSignals(signals);
+  world.asked.push({ upstream: step.upstream, signals, from, to });
+  undoAfter(world, step.for, () => server.setSignals(NO_SIGNALS));
+}
+
 /**
  * Does one step.
  *
@@ -192,6 +208,9 @@
     case 'stall_transfers':
       upstreams.any(step.upstream).setFaults({ stalledTransfers: step.count });
       return;
+    case 'ask':
+      ask(world, step);
+      return;
     case 'poison':
       upstreams.setFaults({ poison: step.text });
       return;
--- a/packages/scenario/src/subject/Subject.ts
+++ b/packages/scenario/src/subject/Subject.ts
@@ -10,7 +10,7 @@
 import type { CallerBackend } from '@camphorvane/caller';
 import type { PeerHandler, PeerLink, PeerSender } from '@camphorvane/peer';
 import type { HostRegistry, ObjectStore } from '@camphorvane/store';
-import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import type { ModelEngine, PlainServer, SignalListener } from '@camphorvane/upstream';
 
 /** Everything that a host touches, in memory. */
 export interface HostEdges {
@@ -24,7 +24,7 @@
   readonly random: RandomSource;
   readonly store: ObjectStore & HostRegistry;
   readonly engines: (cfg: EngineConfig) => ModelEngine;
-  readonly servers: (cfg: ServiceServer) => PlainServer;
+  readonly servers: (cfg: ServiceServer, onSignals: SignalListener) => PlainServer;
   readonly peers: (sender: PeerSender) => PeerLink;
   /** Lets other hosts reach this one. */
   readonly listen: (handler: PeerHandler) => void;
--- a/packages/scenario/src/world/HostSlot.ts
+++ b/packages/scenario/src/world/HostSlot.ts
@@ -119,7 +119,8 @@
       random: world.random,
       store: new LinkedStore(world.store, this.id, life, world.wires),
       engines: (cfg) => new LinkedEngine(world.upstreams.engine(cfg.id), link(cfg.id), log),
-      servers: (cfg) => new LinkedServer(world.upstreams.server(cfg.id), link(cfg.id), log),
+      servers: (cfg, onSignals) =>
+        new LinkedServer(world.upstreams.server(cfg.id), link(cfg.id), log, onSignals),
       peers: (sender) => this.peerLink(sender, life),
       listen: (handler) => {
         world.network.attach(this.id, {
--- a/packages/scenario/src/world/LinkedServer.ts
+++ b/packages/scenario/src/world/LinkedServer.ts
@@ -5,6 +5,7 @@
   PlainServer,
   UpstreamResponse,
   ServiceCall,
+  SignalListener,
   UpstreamError,
 } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
@@ -18,6 +19,7 @@
     private readonly core: ServiceCore,
     private readonly link: UpstreamLink,
     private readonly log: DispatchLog,
+    private readonly onSignals: SignalListener,
   ) {}
 
   /** Gets the server's name. */
@@ -30,6 +32,8 @@
     this.log.dispatched(this.id, Buffer.from(call.body).toString('utf8'));
     return this.link
       .exchange(signal, call.timeoutMs, (far) => this.core.call(call, far))
+      .map((answer) => this.heard(answer))
+      .mapErr((error) => (error.type === 'rejected' ? this.heard(error) : error))
       .andThen((answer) =>
         answer.headers[ATTEMPT_HEADER] === call.attempt
           ? ok(answer)
@@ -40,4 +44,10 @@
             }),
       );
   }
+
+  /** Passes on what an answer says about the server. */
+  private heard<T>(answer: T): T {
+    this.onSignals(this.id, this.core.signals);
+    return answer;
+  }
 }
--- a/packages/scenario/src/world/World.ts
+++ b/packages/scenario/src/world/World.ts
@@ -1,5 +1,5 @@
 import { RandomSource, VirtualClock } from '@camphorvane/core';
-import type { HostId, Millis, RoutingConfig } from '@camphorvane/core';
+import type { HostId, Millis, RoutingConfig, UpstreamId, UpstreamSignals } from '@camphorvane/core';
 import { MemoryNetwork, MemoryObjectStore } from '@camphorvane/stand-ins';
 import type { ServiceSettings } from '@camphorvane/stand-ins';
 import type { RequestLog, Send } from '../callers/RequestLog.ts';
@@ -27,6 +27,14 @@
   readonly version: number | undefined;
 }
 
+/** What a server asked for in its answers, and when. */
+export interface Asked {
+  readonly upstream: UpstreamId;
+  readonly signals: UpstreamSignals;
+  readonly from: Millis;
+  readonly to: Millis;
+}
+
 /** A host that began to drain. */
 export interface Drain {
   readonly host: HostId;
@@ -59,6 +67,8 @@
 
   readonly drains: Drain[] = [];
 
+  readonly asked: Asked[] = [];
+
   private readonly started: { readonly log: RequestLog; readonly done: Promise<unknown> }[] = [];
 
   private readonly caller: Caller;
--- a/packages/scenario/tests/checks.test.ts
+++ b/packages/scenario/tests/checks.test.ts
@@ -100,6 +100,21 @@
   });
 });
 
+// Guards against a check that misses load on servers which ask for less in their answers.
+[['limit = 0.5'], ['leaving = true'], ['rest = 3']].forEach(([asked = '']) =>
+  test(`hosts that ignore servers with ${asked} are found out`, async () => {
+    const load = CALLS.replace('"burst"', '"load"').replace(
+      'count = 3',
+      'for = 12\nper_second = 20',
+    );
+    const steps = ['certificates-1', 'certificates-2'].map(
+      (server) => `\n[[step]]\ndo = "ask"\nat = 2\nupstream = "${server}"\n${asked}\n`,
+    );
+    const result = await run(load + steps.join(''), 'none');
+    assert.ok(result.violations.some(({ check }) => check === 'asked'));
+  }),
+);
+
 test('a server that runs each call twice is found out', async () => {
   // The service itself books a lot twice for one call: the buyer sees two reservations.
   const result = await run(CALLS, 'none', { executionsPerCall: 2 });
--- a/packages/scenario/tests/support/NaiveHost.ts
+++ b/packages/scenario/tests/support/NaiveHost.ts
@@ -140,7 +140,7 @@
       class: 'certificate' as const,
       timeoutMs: 5000,
     };
-    const client = this.edges.servers(server);
+    const client = this.edges.servers(server, () => undefined);
     if (this.fault === 'repeats_calls') {
       await client.call({ ...call, attempt: `${id}.0` }, signal);
     }
--- a/packages/stand-ins/src/service/ServiceCore.ts
+++ b/packages/stand-ins/src/service/ServiceCore.ts
@@ -1,5 +1,5 @@
-import { sha256Hex } from '@camphorvane/core';
-import type { Clock, Millis, UpstreamId } from '@camphorvane/core';
+import { NO_SIGNALS, sha256Hex } from '@camphorvane/core';
+import type { Clock, Millis, UpstreamId, UpstreamSignals } from '@camphorvane/core';
 import type {
   PlainServer,
   UpstreamResponse,
@@ -55,6 +55,8 @@
 
   private faultState: EngineFaults = NO_ENGINE_FAULTS;
 
+  private currentSignals: UpstreamSignals = NO_SIGNALS;
+
   private crashController = sharedAbortController();
 
   private answersToLose = 0;
@@ -81,6 +83,16 @@
     this.faultState = { ...this.faultState, ...change };
   }
 
+  /** Gets what the server says about itself in its answers. */
+  get signals(): UpstreamSignals {
+    return this.currentSignals;
+  }
+
+  /** Sets what the server says in its answers. One that asks for rest rejects all calls. */
+  setSignals(signals: UpstreamSignals): void {
+    this.currentSignals = signals;
+  }
+
   /** Drops the answers of the next `count` calls after they took effect. */
   loseAnswers(count: number): void {
     this.answersToLose += count;
@@ -118,6 +130,9 @@
     if (this.faultState.down) {
       return err({ type: 'unreachable', dispatched: false, message: 'connection refused' });
     }
+    if (this.currentSignals.restMs !== undefined) {
+      return err({ type: 'rejected', dispatched: false, message: 'busy, asks for rest' });
+    }
     if (this.callsToReject > 0) {
       this.callsToReject -= 1;
       return err({ type: 'rejected', dispatched: false, message: 'busy' });
