--- a/packages/router/tests/coordination/PeerGossip.test.ts
+++ b/packages/router/tests/coordination/PeerGossip.test.ts
@@ -245,3 +245,34 @@
     fleet.hosts.forEach((host) => assert.equal(host.roster.isServing(now), true, host.name));
   });
 });
+
+// Guards against hosts that go on with a limit, or without one, because their own permits are so rare that
+// they hardly ever get an answer of the server.
+[9, 350].forEach((count) =>
+  test(`a limit and its end reach all serving hosts of ${count} by gossip`, async () => {
+    const fleet = new GossipFleet(count);
+    const serving = (): readonly GossipHost[] => {
+      const names = fleet.hosts[0]?.roster.getExpectedServing() ?? [];
+      return fleet.hosts.filter(({ name }) => names.includes(name));
+    };
+    await fleet.clock.advance(6_000);
+    const [teller] = serving().slice(-1);
+    assert.ok(teller !== undefined);
+    const tell = (requestsPerSecond: number | undefined): void => {
+      const signals = { requestsPerSecond, endsLimit: true, leaving: false, restMs: undefined };
+      teller.constraints.record('s', signals, fleet.clock.now());
+      teller.recordStateChange();
+    };
+    const countLimited = (): number =>
+      serving().filter(
+        ({ constraints }) => constraints.openings('s', fleet.clock.now()) !== undefined,
+      ).length;
+    tell(3.1);
+    await fleet.clock.advance(2_000);
+    assert.equal(countLimited(), serving().length);
+    tell(undefined);
+    await fleet.clock.advance(2_000);
+    assert.equal(countLimited(), 0);
+    fleet.end();
+  }),
+);
