--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -148,9 +148,12 @@
    * @returns The openings in order; undefined while a decode engine has asked for nothing.
    */
   decodeOpenings(now: Millis): readonly Opening[] | undefined {
-    const engines = this.engines.filter((engine) => engine.role === 'decode');
-    const isFree = engines.some(({ id }) => this.admission.openings(id, now) === undefined);
-    if (isFree || engines.length === 0) return undefined;
+    const isDecode = ({ role }: EngineConfig): boolean => role === 'decode';
+    const isFree = this.engines.some(
+      (engine) => isDecode(engine) && this.admission.openings(engine.id, now) === undefined,
+    );
+    const engines = isFree ? [] : this.engines.filter(isDecode);
+    if (engines.length === 0) return undefined;
     return mergeOpenings(engines.map(({ id }) => this.admission.openings(id, now)));
   }
 
