Refuse a retry at once if no other server opens in time

What callers would see: a call that had failed on the only server that takes calls waited for its deadline, although the others rest or have used up their limits.

Cause: calls were refused early only if every server of the service had asked for less; the servers that a call must avoid were not left out. The new test fails on the code before: the call waits. Both queues now share one function for the refusal and its time.

--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -1,6 +1,6 @@
 import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { openingFor } from '../signals/openings.ts';
+import { refusalWithoutOpening } from '../signals/openings.ts';
 import { FootprintRanks } from './FootprintRanks.ts';
 import type { EnginePair, LocalPlacement, PlacementRequest } from './LocalPlacement.ts';
 
@@ -63,6 +63,11 @@
 /** Milliseconds after which a refused caller may retry: the time to work off a short burst. */
 const RETRY_AFTER_MS: Millis = 1_000;
 
+const NO_ENGINE_OPENS = {
+  text: 'The engines of this model take no more requests in time.',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
 /** Milliseconds between two scheduling passes while requests wait; a tenth of a prefill. */
 export const QUEUE_RECHECK_MS: Millis = 10;
 
@@ -184,19 +189,14 @@
   ): QueueDecision | undefined {
     const openings = this.placement.decodeOpenings(now);
     if (openings === undefined) return undefined;
-    const opensAt = sorted.map((_, position) => openingFor(openings, position));
-    const index = sorted.findIndex((req, i) => (opensAt[i] ?? Infinity) > req.giveUpAt);
-    const req = sorted[index];
-    if (req === undefined) return undefined;
+    const refusals = sorted.map(({ giveUpAt }, position) =>
+      refusalWithoutOpening({ openings, position }, giveUpAt, now, NO_ENGINE_OPENS),
+    );
+    const index = refusals.findIndex((refusal) => refusal !== undefined);
+    const [req, refusal] = [sorted[index], refusals[index]];
+    if (req === undefined || refusal === undefined) return undefined;
     this.withdraw(req.request);
-    const at = opensAt[index] ?? openings.at(-1)?.at;
-    const text = 'The engines of this model take no more requests in time.';
-    const retryAfterMs = at === undefined ? RETRY_AFTER_MS : Math.max(0, at - now);
-    return {
-      type: 'refuse',
-      request: req.request,
-      refusal: notRun('no_capacity', text, retryAfterMs),
-    };
+    return { type: 'refuse', request: req.request, refusal };
   }
 
   /** Gets whether a request leaves free capacity to the requests that wait on other hosts. */
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -1,6 +1,6 @@
 import type { Millis, Refusal, RequestId, TeamId, UpstreamId, WorkClass } from '@camphorvane/core';
 import { notRun, RandomSource } from '@camphorvane/core';
-import { mergeOpenings, openingFor, takeOpening } from '../signals/openings.ts';
+import { mergeOpenings, refusalWithoutOpening, takeOpening } from '../signals/openings.ts';
 import type { Opening } from '../signals/openings.ts';
 
 /** A server of a plain service, with this host's limits on it. */
@@ -71,6 +71,11 @@
 
 const RETRY_AFTER_MS: Millis = 500;
 
+const NO_SERVER_OPENS = {
+  text: 'The servers of this service take no more calls in time.',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
 /** Milliseconds for which a call counts against its team where servers take few calls. */
 const RECENT_CALL_MS: Millis = 4_000;
 
@@ -201,23 +206,26 @@
 
   /** Refuses the calls for which no server opens before they time out. */
   private refuseUnservable(now: Millis): readonly ServiceQueueDecision[] {
-    if ([...this.servers.values()].some(({ openings }) => openings === undefined)) return [];
-    const openings = mergeOpenings([...this.servers.values()].map((server) => server.openings));
-    if (openings === undefined) return [];
+    if (this.queue.length === 0) return [];
+    const hasFreeServer = [...this.servers.values()].some(({ openings }) => openings === undefined);
     const sorted = [...this.queue].sort((a, b) => this.compare(a, b, now));
-    const served = sorted.map((_, position) => openingFor(openings, position));
-    const refused = sorted.filter((entry, i) => (served[i] ?? Infinity) > entry.timeoutAt);
-    refused.forEach(({ call }) => this.withdraw(call.request));
-    return refused.map(({ call }): ServiceQueueDecision => {
-      const at = served[sorted.findIndex((entry) => entry.call === call)] ?? openings.at(-1)?.at;
-      const retryAfterMs = at === undefined ? RETRY_AFTER_MS : Math.max(0, at - now);
-      const text = 'The servers of this service take no more calls in time.';
-      return {
-        type: 'refuse',
-        request: call.request,
-        refusal: notRun('no_capacity', text, retryAfterMs),
-      };
+    const refused = sorted.flatMap(({ call, timeoutAt }, position) => {
+      if (hasFreeServer && call.avoid.length === 0) return [];
+      const openings = this.openingsFor(call);
+      const refusal =
+        openings && refusalWithoutOpening({ openings, position }, timeoutAt, now, NO_SERVER_OPENS);
+      return refusal === undefined ? [] : [{ request: call.request, refusal }];
     });
+    refused.forEach(({ request }) => this.withdraw(request));
+    return refused.map((one): ServiceQueueDecision => ({ type: 'refuse', ...one }));
+  }
+
+  /** Gets the openings of the servers that a call may go to; undefined where one has asked for nothing. */
+  private openingsFor({ avoid }: ServiceQueueCall): readonly Opening[] | undefined {
+    const candidates = [...this.servers].filter(([id]) => !avoid.includes(id));
+    // Without a candidate the call waits: a new server may be listed.
+    if (candidates.length === 0) return undefined;
+    return mergeOpenings(candidates.map(([, { openings }]) => openings));
   }
 
   private dispatchNext(now: Millis): ServiceQueueDecision | undefined {
--- a/packages/decisions/tests/service/ServiceQueue.limits.test.ts
+++ b/packages/decisions/tests/service/ServiceQueue.limits.test.ts
@@ -81,3 +81,10 @@
   assert.deepEqual(placed.filter((team) => team === 'few').length, 3);
   assert.ok(!placed.includes('late'));
 });
+
+// Guards against a retry that waits for its deadline since the only server it may still go to rests.
+test('a retry is refused at once if no other server opens in time', () => {
+  const servers = [limited('s1', 0, [{ at: 3_000, requests: Infinity }]), { id: 's2', limit: 2 }];
+  const { texts } = decide(servers, [call('a', { avoid: ['s2'] }), call('b')]);
+  assert.deepEqual([...texts].sort(), ['a: no_capacity 3000 ms', 'b: s2']);
+});
