--- a/packages/decisions/tests/signals/UpstreamConstraints.test.ts
+++ b/packages/decisions/tests/signals/UpstreamConstraints.test.ts
@@ -89,6 +89,25 @@
   });
 });
 
+// Guards against hosts that use permits twice when the time of day jumps, or more than one host uses one.
+[9, 117].forEach((count) =>
+  test(`the limit holds while the clocks of a third of ${count} hosts step by 2 s and back`, () => {
+    const names = Array.from({ length: count }, (_, i) => `h${i}`);
+    const isOff = (i: number, now: Millis): boolean => i % 3 === 0 && now >= 10_300 && now < 16_300;
+    [2_000, -2_000].forEach((stepMs) =>
+      [0.5, 3.1, 46].forEach((limit) => {
+        const hosts = names.map((self, i) => {
+          const toTimeOfDay = (now: Millis): Millis =>
+            EPOCH_MS + now + (isOff(i, now) ? stepMs : 0);
+          return new UpstreamConstraints({ self, getSharers: () => names, toTimeOfDay });
+        });
+        const most = mostInWindow(sendAll(hosts, limit));
+        assert.ok(most <= maxRequests(limit), `${most} requests at a limit of ${limit}`);
+      }),
+    );
+  }),
+);
+
 // Guards against a limit that outlives its cause.
 test('a limit ends with the first answer that no longer names it', () => {
   const [host] = createHosts(1);
