Bound absurd limits and rests that servers name

What callers would see: a server that names a limit of 1e300 requests a second in one answer gets no request any more, and one that asks for a rest of 1e300 s none until it starts again.

Cause: the numbers of requests since the epoch overflow, and the permits of a frame are not a number; the length of a rest was not bounded.

Change: at most 100,000 requests a second are dealt out, for which the numbers are exact, and a rest lasts an hour at most. The test fails on the code before, at the limit of 1e300, and passes now.

--- a/packages/decisions/src/signals/UpstreamConstraints.ts
+++ b/packages/decisions/src/signals/UpstreamConstraints.ts
@@ -18,6 +18,9 @@
  */
 const LIMIT_CONFIRM_MS: Millis = 1_000;
 
+/** Longest rest that is given, in milliseconds; a longer one is more likely an error of the server. */
+const MAX_REST_MS: Millis = 3_600_000;
+
 /** Frames with permits of this host that are taken into account for a queue. */
 const MAX_OPENINGS = 16;
 
@@ -253,9 +256,11 @@
 
   private setRest(upstream: UpstreamId, restMs: Millis, now: Millis): readonly ConstraintChange[] {
     const before = this.restEnd(upstream);
-    if (now + restMs <= before) return [];
-    this.update(upstream, { restUntil: now + restMs, heardAt: now });
-    return before > now ? [] : [{ type: 'rest', upstream, restMs, ageMs: 0, from: 'answer' }];
+    const givenMs = Math.min(MAX_REST_MS, restMs);
+    if (now + givenMs <= before) return [];
+    this.update(upstream, { restUntil: now + givenMs, heardAt: now });
+    if (before > now) return [];
+    return [{ type: 'rest', upstream, restMs: givenMs, ageMs: 0, from: 'answer' }];
   }
 
   private restEnd(upstream: UpstreamId): Millis {
--- a/packages/decisions/src/signals/limitPermits.ts
+++ b/packages/decisions/src/signals/limitPermits.ts
@@ -13,6 +13,9 @@
  */
 export const MIN_REQUESTS_PER_SECOND = 0.1;
 
+/** Highest limit that is divided, in requests per second; numbers of requests stay exact up to it. */
+const MAX_REQUESTS_PER_SECOND = 100_000;
+
 const MS_PER_SECOND = 1_000;
 
 /** Position of a host among the hosts that share the limit of an upstream. */
@@ -111,5 +114,9 @@
 }
 
 function requestsPerFrame(requestsPerSecond: number): number {
-  return (Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * LIMIT_FRAME_MS) / MS_PER_SECOND;
+  const divided = Math.min(
+    MAX_REQUESTS_PER_SECOND,
+    Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond),
+  );
+  return (divided * LIMIT_FRAME_MS) / MS_PER_SECOND;
 }
--- a/packages/decisions/tests/signals/UpstreamConstraints.test.ts
+++ b/packages/decisions/tests/signals/UpstreamConstraints.test.ts
@@ -223,3 +223,16 @@
   a.forget('s');
   assert.equal(a.allowance('s', 200), Infinity, 'another process has started under the name');
 });
+
+// Guards against a host that hangs, or a server that is out of use for good, because of one absurd header.
+test('absurd limits and rests are bounded', () => {
+  const [host] = createHosts(9);
+  assert.ok(host !== undefined);
+  [1e6, 1e9, 1e15, 1e300].forEach((limit) => {
+    host.record('s', named(limit), 0);
+    assert.ok(host.allowance('s', 10) > 1_000, `${limit}`);
+    assert.ok((host.openings('s', 10) ?? []).length > 0, `${limit}`);
+  });
+  host.record('t', { ...NOT_NAMED, restMs: 1e300 }, 0);
+  assert.equal(host.isResting('t', 3_600_000), false);
+});
