Add switches for overload controls to the configuration

The declarations have a table [overload]; a misspelled control or a value that is not a flag gets an error with line and key. Nothing reads the switches yet.

--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -1,4 +1,5 @@
 import type { ModelId, ServiceId, TeamId, UpstreamId, ZoneId } from './ids.ts';
+import type { OverloadPolicy } from './OverloadPolicy.ts';
 import type { Tokens } from './tokens.ts';
 
 /**
@@ -61,6 +62,14 @@
   readonly slowStart?: SlowStartBounds;
 }
 
+/** Ways in which the engines of a pool keep a running stream alive elsewhere. */
+export interface StreamRelocation {
+  /** Whether a running stream can be moved to another engine. */
+  readonly moves: boolean;
+  /** Whether a running stream can be copied to another engine as it grows. */
+  readonly backups: boolean;
+}
+
 /** A model and the engines that serve it. */
 export interface PoolConfig {
   readonly model: ModelId;
@@ -73,6 +82,8 @@
   readonly itlTargetMs: number;
   /** Bandwidth of the link into each decode engine, in pieces per second. */
   readonly linkPiecesPerSecond: number;
+  /** What the engines support for running streams; nothing where absent. */
+  readonly relocation?: StreamRelocation;
 }
 
 /** Rules for the calls of one route of a plain service. */
@@ -169,6 +180,8 @@
   readonly drainedZones?: readonly ZoneId[];
   /** Routes by host name and path; absent where only the native interface is served. */
   readonly routes?: readonly ForwardRoute[];
+  /** Controls for overload that are switched on; none where absent. */
+  readonly overload?: OverloadPolicy;
   /** Limits set by the operators; absent for the defaults. */
   readonly limits?: CallerLimits;
 }
--- a/packages/operator/src/apply/configDiff.ts
+++ b/packages/operator/src/apply/configDiff.ts
@@ -1,12 +1,13 @@
 import type { RoutingConfig, WaitRule } from '@camphorvane/core';
 import { splitConfig, stableJson, type ConfigPart } from '@camphorvane/store';
 
-/** The unit of diffs and conflicts: a team, pool or service, the wait rules, or a drained zone. */
+/** The unit of diffs and conflicts: a team, pool or service, the wait rules, the overload policy, or a drained zone. */
 export type ItemName =
   | `team ${string}`
   | `pool ${string}`
   | `service ${string}`
   | 'wait rules'
+  | 'overload'
   | `drained zone ${string}`;
 
 /** A field of an item that differs. */
@@ -98,6 +99,7 @@
     pools: mergeList('pool', (pool) => pool.model, theirs.pools, mine.pools),
     services: mergeList('service', (service) => service.id, theirs.services, mine.services),
     waitRules: changed.has('wait rules') ? mine.waitRules : theirs.waitRules,
+    overload: changed.has('overload') ? mine.overload : theirs.overload,
     drainedZones: mergeList(
       'drained zone',
       (zone) => zone,
@@ -124,6 +126,8 @@
       return [['wait rules', part.rules]];
     case 'drained_zones':
       return part.zones.map((zone) => [`drained zone ${zone}`, DRAINED_ZONE_VALUE] as const);
+    case 'overload':
+      return [['overload', part.policy]];
     default:
       return part satisfies never;
   }
--- a/packages/operator/src/builder/ConfigBuilder.ts
+++ b/packages/operator/src/builder/ConfigBuilder.ts
@@ -1,11 +1,13 @@
 import type {
   ModelId,
+  OverloadPolicy,
   RoutingConfig,
   ServiceId,
   TeamId,
   WaitRule,
   ZoneId,
 } from '@camphorvane/core';
+import { NO_OVERLOAD_POLICY } from '@camphorvane/core';
 import type { Result } from 'neverthrow';
 import type { DeclarationError } from '../declarations/DeclarationError.ts';
 import { parseDeclarations } from '../declarations/parseDeclarations.ts';
@@ -33,6 +35,8 @@
 
   private drainedZones: readonly ZoneId[] = [];
 
+  private overload: OverloadPolicy | undefined;
+
   /**
    * Adds a team.
    *
@@ -89,6 +93,16 @@
     return this;
   }
 
+  /**
+   * Switches controls for overload on or off; the others stay as they are.
+   *
+   * @param changes - The controls to change.
+   */
+  setOverload(changes: Partial<OverloadPolicy>): this {
+    this.overload = { ...(this.overload ?? NO_OVERLOAD_POLICY), ...changes };
+    return this;
+  }
+
   /**
    * Gets the builder of a team.
    *
@@ -164,6 +178,7 @@
       services: this.services.map((service) => service.build()),
       waitRules: this.waitRules,
       drainedZones: this.drainedZones,
+      ...(this.overload === undefined ? {} : { overload: this.overload }),
     };
   }
 
--- a/packages/operator/src/builder/toToml.ts
+++ b/packages/operator/src/builder/toToml.ts
@@ -10,9 +10,11 @@
  */
 export function toToml(config: RoutingConfig): string {
   const declarations = declarationsOf(normalizeOrder(config));
-  const nonEmptyLists = Object.entries(declarations).filter(([, list]) => list.length > 0);
-  const text = stringify(Object.fromEntries(nonEmptyLists));
-  return nonEmptyLists.length === 0 ? '' : `${text.trimEnd()}\n`;
+  const entries = Object.entries(declarations).filter(
+    ([, value]) => !Array.isArray(value) || value.length > 0,
+  );
+  const text = stringify(Object.fromEntries(entries));
+  return entries.length === 0 ? '' : `${text.trimEnd()}\n`;
 }
 
 /** Sorts lists whose order is insignificant; routes and wait rules keep their order. */
@@ -33,6 +35,7 @@
     })),
     waitRules: config.waitRules,
     drainedZones: [...(config.drainedZones ?? [])].sort(),
+    ...(config.overload === undefined ? {} : { overload: config.overload }),
   };
 }
 
--- a/packages/operator/src/declarations/declarationSchema.ts
+++ b/packages/operator/src/declarations/declarationSchema.ts
@@ -126,6 +126,19 @@
   max_wait_ms: integer(0, MAX_MILLIS),
 });
 
+const overload = z.strictObject(
+  {
+    admission: flag().default(false),
+    return_turns: flag().default(false),
+    fair_shares: flag().default(false),
+    bounded_buffers: flag().default(false),
+    completion_times: flag().default(false),
+    stream_moves: flag().default(false),
+    stream_backups: flag().default(false),
+  },
+  { error: 'a table' },
+);
+
 /** Schema of a parsed declarations file; see docs/CONFIG.md. */
 export const declarationSchema = z.strictObject(
   {
@@ -134,6 +147,7 @@
     services: list(service, MAX_ENTRIES, 'services').default([]),
     wait_rules: list(waitRule, MAX_ENTRIES, 'wait rules').default([]),
     drained_zones: list(id(), MAX_ENTRIES, 'availability zones').default([]),
+    overload: overload.optional(),
   },
   { error: 'a table' },
 );
--- a/packages/operator/src/declarations/routingConfigOf.ts
+++ b/packages/operator/src/declarations/routingConfigOf.ts
@@ -1,4 +1,4 @@
-import type { RoutingConfig } from '@camphorvane/core';
+import type { OverloadPolicy, RoutingConfig } from '@camphorvane/core';
 import type { Declarations } from './declarationSchema.ts';
 
 /**
@@ -55,6 +55,9 @@
       maxWaitMs: rule.max_wait_ms,
     })),
     drainedZones: declarations.drained_zones,
+    ...(declarations.overload === undefined
+      ? {}
+      : { overload: overloadPolicyOf(declarations.overload) }),
   };
 }
 
@@ -113,5 +116,30 @@
       max_wait_ms: rule.maxWaitMs,
     })),
     drained_zones: [...(config.drainedZones ?? [])],
+    ...(config.overload === undefined ? {} : { overload: overloadTableOf(config.overload) }),
+  };
+}
+
+function overloadPolicyOf(table: NonNullable<Declarations['overload']>): OverloadPolicy {
+  return {
+    admission: table.admission,
+    returnTurns: table.return_turns,
+    fairShares: table.fair_shares,
+    boundedBuffers: table.bounded_buffers,
+    completionTimes: table.completion_times,
+    streamMoves: table.stream_moves,
+    streamBackups: table.stream_backups,
+  };
+}
+
+function overloadTableOf(policy: OverloadPolicy): NonNullable<Declarations['overload']> {
+  return {
+    admission: policy.admission,
+    return_turns: policy.returnTurns,
+    fair_shares: policy.fairShares,
+    bounded_buffers: policy.boundedBuffers,
+    completion_times: policy.completionTimes,
+    stream_moves: policy.streamMoves,
+    stream_backups: policy.streamBackups,
   };
 }
--- a/packages/operator/tests/builder/ConfigBuilder.test.ts
+++ b/packages/operator/tests/builder/ConfigBuilder.test.ts
@@ -35,6 +35,13 @@
   assert.equal(parsed.value.pools[0]?.engines.length, 2);
 });
 
+test('overload controls of a builder are printed and parse back', () => {
+  const parsed = buildFleet().setOverload({ streamMoves: true }).check();
+  assert.ok(parsed.isOk());
+  assert.equal(parsed.value.overload?.streamMoves, true);
+  assert.equal(parsed.value.overload?.admission, false);
+});
+
 test('the TOML does not depend on the order in which entries were added', () => {
   assert.equal(buildFleet().toToml(), buildFleet(true).toToml());
   const parsed = parseDeclarations(TOML, 'fleet.toml');
--- a/packages/operator/tests/declarations/parseDeclarations.test.ts
+++ b/packages/operator/tests/declarations/parseDeclarations.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NO_OVERLOAD_POLICY } from '@camphorvane/core';
 import {
   declarationsOf,
   parseDeclarations,
@@ -27,6 +28,23 @@
   assert.deepEqual(routingConfigOf(declarationsOf(parsed.value)), parsed.value);
 });
 
+test('the overload table switches single controls on, and survives a round trip', () => {
+  const parsed = parseDeclarations('[overload]\nadmission = true\n', 'fleet.toml');
+  assert.ok(parsed.isOk());
+  assert.deepEqual(parsed.value.overload, { ...NO_OVERLOAD_POLICY, admission: true });
+  assert.deepEqual(routingConfigOf(declarationsOf(parsed.value)), parsed.value);
+});
+
+test('a control that is misspelled or not a flag is reported with its line and key', () => {
+  assert.deepEqual(parseErrors('[overload]\nfair_shares = 2\n'), [
+    'fleet.toml:2: overload.fair_shares: found 2, expected true or false',
+  ]);
+  assert.match(
+    parseErrors('[overload]\nfair_share = true\n')[0] ?? '',
+    /^fleet\.toml:2: overload\.fair_share: found an unknown key/,
+  );
+});
+
 test('an empty file is valid', () => {
   assert.deepEqual(parseErrors(''), []);
 });
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -1,4 +1,11 @@
-import type { Clock, Millis, RandomSource, VersionedConfig, ZoneId } from '@camphorvane/core';
+import type {
+  Clock,
+  Millis,
+  OverloadPolicy,
+  RandomSource,
+  VersionedConfig,
+  ZoneId,
+} from '@camphorvane/core';
 import type {
   KindCopy,
   WatchableStore,
@@ -45,6 +52,8 @@
   readonly onStateChange: () => void;
   /** Whether operators may drain availability zones. */
   readonly drainsZones: boolean;
+  /** Controls for overload that the host's settings switch on; none where absent. */
+  readonly overload?: OverloadPolicy;
   /** Notified of servers that have just started, and of those that are listed. */
   readonly admission: UpstreamAdmission;
 }
@@ -275,7 +284,7 @@
     const key = JSON.stringify([this.deployed.version, servers, zones]);
     if (key === this.composedKey) return;
     this.composedKey = key;
-    const config = composeRouting(this.deployed, servers, zones);
+    const config = composeRouting(this.deployed, servers, zones, this.options.overload);
     const inForce = { version: this.deployed.version, config };
     this.inForce = inForce;
     log('servers', {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
+import type { Clock, HostId, Millis, ModelId, OverloadPolicy } from '@camphorvane/core';
 import { wallTimeOf } from '@camphorvane/core';
 import type { RateTolerance, RetryAllowance, GossipTimings } from '@camphorvane/decisions';
 import {
@@ -56,6 +56,8 @@
   readonly watchMs: Millis;
   /** Whether operators may drain availability zones; see {@link ZoneDrains}. */
   readonly drainsZones: boolean;
+  /** Controls for overload that are switched on; none where absent. */
+  readonly overload?: OverloadPolicy;
   /** Duration of the lease with which one host acts for all, in milliseconds. */
   readonly leaseMs: Millis;
   readonly metrics: Metrics;
@@ -142,6 +144,7 @@
       pollMs: () => this.pollMs(),
       onStateChange: () => this.gossip.recordStateChange(),
       drainsZones: options.drainsZones,
+      overload: options.overload,
       admission: this.admission,
     });
     this.records = new HostRecords({
--- a/packages/router/src/coordination/composeRouting.ts
+++ b/packages/router/src/coordination/composeRouting.ts
@@ -1,5 +1,6 @@
 import type {
   EngineConfig,
+  OverloadPolicy,
   PoolConfig,
   RoutingConfig,
   ServiceConfig,
@@ -33,12 +34,14 @@
  * @param config - The configuration.
  * @param servers - All listed servers.
  * @param drainedZones - Availability zones whose servers get no work.
+ * @param overload - The controls for overload that the host's settings switch on.
  * @returns The routing configuration.
  */
 export function composeRouting(
   config: DeployedConfig,
   servers: readonly ServerRecord[],
   drainedZones: readonly ZoneId[],
+  overload?: OverloadPolicy,
 ): RoutingConfig {
   const serversOf = (service: DeployedService): readonly ServerRecord[] =>
     servers.filter((server) => server.service === service.id && !server.leaving);
@@ -48,6 +51,7 @@
     limits: config.limits,
     waitRules: [],
     drainedZones,
+    overload,
     pools: config.services.flatMap((service) =>
       service.engines === undefined ? [] : [poolOf(service, service.engines, serversOf(service))],
     ),
@@ -70,6 +74,7 @@
     ttftTargetMs: POOL_TTFT_TARGET_MS,
     itlTargetMs: POOL_ITL_TARGET_MS,
     linkPiecesPerSecond: (engines.linkMbps * BITS_PER_MEGABIT) / bitsPerPiece,
+    relocation: engines.relocation,
   };
 }
 
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -75,6 +75,7 @@
         watchMs: settings.watchMs,
         leaseMs: settings.leaseMs,
         drainsZones: settings.drainsZones,
+        overload: settings.overload,
         metrics,
       },
       (created) => {
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -1,6 +1,7 @@
 import type {
   EngineConfig,
   ModelId,
+  OverloadPolicy,
   PoolConfig,
   RoutingConfig,
   ServiceConfig,
@@ -9,6 +10,7 @@
   UpstreamId,
   ZoneId,
 } from '@camphorvane/core';
+import { NO_OVERLOAD_POLICY } from '@camphorvane/core';
 import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
 import { GatedEngine } from './GatedEngine.ts';
 import { GatedServer } from './GatedServer.ts';
@@ -41,6 +43,8 @@
 
   private services: ReadonlyMap<ServiceId, ServiceConfig> = new Map();
 
+  private overload: OverloadPolicy = NO_OVERLOAD_POLICY;
+
   private watch: UpstreamWatch | undefined;
 
   /**
@@ -59,7 +63,8 @@
    * @param config - The configuration.
    */
   reconfigure(config: RoutingConfig): void {
-    const { drainedZones = [] } = config;
+    const { drainedZones = [], overload = NO_OVERLOAD_POLICY } = config;
+    this.overload = overload;
     const isActive = ({ zone }: { readonly zone: ZoneId }): boolean => !drainedZones.includes(zone);
     const pools = config.pools.map((pool) => ({ ...pool, engines: pool.engines.filter(isActive) }));
     const services = config.services.map((service) => ({
@@ -79,6 +84,11 @@
     this.watch = watch;
   }
 
+  /** Gets the controls for overload that are in force. */
+  getOverloadPolicy(): OverloadPolicy {
+    return this.overload;
+  }
+
   /** Gets the models of all configured pools. */
   getModels(): readonly ModelId[] {
     return [...this.pools.keys()];
--- a/packages/store/src/config/ConfigPart.ts
+++ b/packages/store/src/config/ConfigPart.ts
@@ -1,5 +1,6 @@
 import {
   hashToUint48,
+  type OverloadPolicy,
   type PoolConfig,
   type RoutingConfig,
   type ServiceConfig,
@@ -14,7 +15,8 @@
   | { readonly type: 'pool'; readonly pool: PoolConfig }
   | { readonly type: 'service'; readonly service: ServiceConfig }
   | { readonly type: 'wait_rules'; readonly rules: readonly WaitRule[] }
-  | { readonly type: 'drained_zones'; readonly zones: readonly ZoneId[] };
+  | { readonly type: 'drained_zones'; readonly zones: readonly ZoneId[] }
+  | { readonly type: 'overload'; readonly policy: OverloadPolicy };
 
 /** A part with its name in the manifest. */
 export interface NamedPart {
@@ -71,6 +73,7 @@
     }),
     { name: 'wait_rules', part: { type: 'wait_rules', rules: config.waitRules } },
     ...drainedZoneParts(config.drainedZones ?? []),
+    ...overloadParts(config.overload),
   ];
 }
 
@@ -87,6 +90,7 @@
     services: parts.flatMap((part) => (part.type === 'service' ? [part.service] : [])),
     waitRules: parts.flatMap((part) => (part.type === 'wait_rules' ? part.rules : [])),
     drainedZones: parts.flatMap((part) => (part.type === 'drained_zones' ? part.zones : [])),
+    ...overloadOf(parts),
   };
 }
 
@@ -97,6 +101,17 @@
   return [{ name: 'drained_zones', part }];
 }
 
+/** Omitted while nothing is switched on, so that hosts without support for it can parse the rest. */
+function overloadParts(policy: OverloadPolicy | undefined): readonly NamedPart[] {
+  if (policy === undefined || !Object.values(policy).some(Boolean)) return [];
+  return [{ name: 'overload', part: { type: 'overload', policy } }];
+}
+
+function overloadOf(parts: readonly ConfigPart[]): { readonly overload?: OverloadPolicy } {
+  const policies = parts.flatMap((part) => (part.type === 'overload' ? [part.policy] : []));
+  return policies[0] === undefined ? {} : { overload: policies[0] };
+}
+
 function teamParts(teams: readonly TeamConfig[], buckets: number): readonly NamedPart[] {
   const byBucket = new Map<number, TeamConfig[]>();
   teams.forEach((team) => {
--- a/packages/store/src/config/configSchema.ts
+++ b/packages/store/src/config/configSchema.ts
@@ -58,6 +58,16 @@
   maxWaitMs: z.number(),
 });
 
+const overload = z.object({
+  admission: z.boolean(),
+  returnTurns: z.boolean(),
+  fairShares: z.boolean(),
+  boundedBuffers: z.boolean(),
+  completionTimes: z.boolean(),
+  streamMoves: z.boolean(),
+  streamBackups: z.boolean(),
+});
+
 /** Schema of one part of a configuration. */
 export const partSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('teams'), teams: z.array(team) }),
@@ -65,6 +75,7 @@
   z.object({ type: z.literal('service'), service }),
   z.object({ type: z.literal('wait_rules'), rules: z.array(waitRule) }),
   z.object({ type: z.literal('drained_zones'), zones: z.array(z.string()) }),
+  z.object({ type: z.literal('overload'), policy: overload }),
 ]);
 
 const manifest = z.object({
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -5,6 +5,7 @@
   Millis,
   ServiceId,
   SlowStartBounds,
+  StreamRelocation,
   TeamConfig,
   Tokens,
   UpstreamId,
@@ -22,6 +23,8 @@
   readonly roleSwitchMs: number | undefined;
   /** Output tokens in one event of a stream; undefined where not specified. */
   readonly eventTokens: Tokens | undefined;
+  /** What the engines support for running streams; undefined where not specified. */
+  readonly relocation?: StreamRelocation;
 }
 
 /** A service as declared by the operators; its servers register themselves. */
