--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,3 +33,5 @@
 export * from './signals/limitPermits.ts';
 export * from './signals/openings.ts';
 export * from './signals/upstreamReports.ts';
+export * from './shares/QueueOrder.ts';
+export * from './turns/TurnScheduler.ts';
