Read the configuration from peers while the store turns a host away

Ruled out: lost gossip (the hosts report the newer version) and slow polls (the calls end in refusals, resets or 429).

Change: a host whose reads fail reads a kind from peers, relays first, as soon as one reports a newer version. One that gets a newer configuration from nobody for 1.8 s is not ready and refuses requests as not run. Copies are given to hosts with a record in the store only.

Result: the new tests fail without the reads from peers.

--- /dev/null
+++ b/packages/peer/src/snapshots/HttpSnapshotExchange.ts
@@ -0,0 +1,114 @@
+import { createServer, get } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Clock, Millis } from '@camphorvane/core';
+import type { Snapshot, StoredObject } from '@camphorvane/store';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { SnapshotExchange, SnapshotSource } from './SnapshotExchange.ts';
+
+/** Milliseconds for a whole read; a peer that takes longer is down, and the next one is asked. */
+const FETCH_TIMEOUT_MS: Millis = 400;
+
+/** Largest accepted copy, in bytes; the store's own lists have about 1 MB a page. */
+const MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024;
+
+const PATH = /^\/snapshots\/([^/?]+)\?newer-than=(\d+)$/;
+
+const OK = 200;
+const NO_CONTENT = 204;
+const FORBIDDEN = 403;
+const NOT_FOUND = 404;
+
+/** Offers this host's copies of stored objects over HTTP, and reads those of its peers. */
+export class HttpSnapshotExchange implements SnapshotExchange {
+  private readonly clock: Clock;
+
+  private readonly server: Server;
+
+  private source: SnapshotSource = { get: () => undefined, isPeer: () => false };
+
+  /** @param clock - Clock for timeouts. */
+  constructor(clock: Clock) {
+    this.clock = clock;
+    this.server = createServer((req, res) => this.respond(req, res));
+  }
+
+  /** Listens for peers; the error is the message of the failed listener. */
+  listen(ip: string, port: number): Promise<Result<number, string>> {
+    return new Promise((resolve) => {
+      this.server.once('error', (error) => resolve(err(error.message)));
+      this.server.listen({ host: ip, port }, () => {
+        const bound = this.server.address();
+        resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
+      });
+    });
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.server.close();
+  }
+
+  /** {@inheritDoc SnapshotExchange.setSource} */
+  setSource(source: SnapshotSource): void {
+    this.source = source;
+  }
+
+  /** {@inheritDoc SnapshotExchange.fetch} */
+  fetch(address: string, kind: string, newerThan: number): Promise<Snapshot | undefined> {
+    const url = `http://${address}/snapshots/${encodeURIComponent(kind)}?newer-than=${newerThan}`;
+    return new Promise((resolve) => {
+      const abort = new AbortController();
+      const cancelTimer = this.clock.after(FETCH_TIMEOUT_MS, () => abort.abort());
+      const end = (snapshot: Snapshot | undefined): void => {
+        cancelTimer();
+        resolve(snapshot);
+      };
+      const req = get(url, { agent: false, signal: abort.signal }, (res) => {
+        void readSnapshot(res).then(end, () => end(undefined));
+      });
+      req.once('error', () => end(undefined));
+    });
+  }
+
+  private respond(req: IncomingMessage, res: ServerResponse): void {
+    const [, kind, newerThan] = PATH.exec(req.url ?? '') ?? [];
+    if (!this.source.isPeer(req.socket.remoteAddress ?? '')) {
+      res.writeHead(FORBIDDEN).end();
+      return;
+    }
+    if (kind === undefined) {
+      res.writeHead(NOT_FOUND).end();
+      return;
+    }
+    const snapshot = this.source.get(decodeURIComponent(kind));
+    if (snapshot === undefined || snapshot.version <= Number(newerThan)) {
+      res.writeHead(NO_CONTENT).end();
+      return;
+    }
+    res.writeHead(OK, { 'content-type': 'application/json' }).end(JSON.stringify(snapshot));
+  }
+}
+
+async function readSnapshot(res: IncomingMessage): Promise<Snapshot | undefined> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of res) {
+    size += (chunk as Uint8Array).length;
+    if (size > MAX_SNAPSHOT_BYTES) return undefined;
+    chunks.push(chunk as Uint8Array);
+  }
+  if (res.statusCode !== OK || !res.complete) return undefined;
+  return parseSnapshot(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+}
+
+function parseSnapshot(value: unknown): Snapshot | undefined {
+  const { version, objects } = value as { readonly version?: unknown; readonly objects?: unknown };
+  if (typeof version !== 'number' || !Array.isArray(objects)) return undefined;
+  return objects.every(isStoredObject) ? { version, objects } : undefined;
+}
+
+function isStoredObject(value: unknown): value is StoredObject {
+  const { kind, name, version } = (value ?? {}) as Partial<Record<keyof StoredObject, unknown>>;
+  return typeof kind === 'string' && typeof name === 'string' && typeof version === 'number';
+}
--- /dev/null
+++ b/packages/peer/src/snapshots/index.ts
@@ -0,0 +1,2 @@
+export * from './HttpSnapshotExchange.ts';
+export * from './SnapshotExchange.ts';
--- /dev/null
+++ b/packages/peer/tests/snapshots/HttpSnapshotExchange.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import { SystemClock } from '@camphorvane/core';
+import { HttpSnapshotExchange } from '@camphorvane/peer/snapshots';
+
+const COPY = {
+  objects: [{ kind: 'config', name: 'main', version: 9, value: { version: 3 } }],
+  version: 9,
+};
+
+async function listening(t: TestContext, isPeer = true): Promise<[HttpSnapshotExchange, string]> {
+  const exchange = new HttpSnapshotExchange(new SystemClock());
+  exchange.setSource({
+    get: (kind) => (kind === 'config' ? COPY : undefined),
+    isPeer: () => isPeer,
+  });
+  const port = (await exchange.listen('127.0.0.1', 0))._unsafeUnwrap();
+  t.after(() => exchange.close());
+  return [exchange, `127.0.0.1:${port}`];
+}
+
+test('a newer copy is sent, an older or unknown one is not', async (t) => {
+  const [exchange, address] = await listening(t);
+  assert.deepEqual(await exchange.fetch(address, 'config', 8), COPY);
+  assert.equal(await exchange.fetch(address, 'config', 9), undefined);
+  assert.equal(await exchange.fetch(address, 'servers', 0), undefined);
+});
+
+// Guards against copies, which contain keys, that anybody who reaches the port can read.
+test('an address that is no host of the fleet gets nothing', async (t) => {
+  const [exchange, address] = await listening(t, false);
+  assert.equal(await exchange.fetch(address, 'config', 0), undefined);
+});
+
+// Guards against a host that waits for a frozen or faulty peer while others have the copy.
+test('a peer that is down, silent or sends no copy counts as having none', async (t) => {
+  const [exchange] = await listening(t);
+  const bodies = ['{', 'null', '{"version":1,"objects":[{"kind":1}]}'];
+  const faulty = createServer((_req, res) => {
+    const body = bodies.shift();
+    if (body !== undefined) res.end(body);
+  });
+  await new Promise<void>((resolve) => {
+    faulty.listen(0, '127.0.0.1', resolve);
+  });
+  t.after(() => faulty.close().closeAllConnections());
+  const { port } = faulty.address() as { readonly port: number };
+  const answers = await Promise.all(
+    [0, 1, 2, 3].map(() => exchange.fetch(`127.0.0.1:${port}`, 'config', 0)),
+  );
+  assert.deepEqual(answers, [undefined, undefined, undefined, undefined]);
+  assert.equal(await exchange.fetch('127.0.0.1:1', 'config', 0), undefined);
+});
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -8,6 +8,8 @@
 } from '@camphorvane/core';
 import type {
   KindCopy,
+  KindFollowerOptions,
+  Snapshot,
   WatchableStore,
   DeployedConfig,
   DeploymentFormat,
@@ -28,6 +30,12 @@
 
 const log = eventLog('deployment');
 
+/**
+ * Longest time in milliseconds for which a host serves by a configuration that a peer has seen replaced. Reads
+ * from the store or from peers take less than a second, and a withdrawn key must be refused within three.
+ */
+const MAX_CONFIG_LAG_MS: Millis = 1_800;
+
 /** Options of a {@link DeploymentFeed}. */
 export interface DeploymentFeedOptions {
   readonly store: WatchableStore;
@@ -54,6 +62,8 @@
   readonly drainsZones: boolean;
   /** Controls for overload that the host's settings switch on; none where absent. */
   readonly overload?: OverloadPolicy;
+  /** See {@link KindFollowerOptions.readFromPeers}. */
+  readonly readFromPeers?: KindFollowerOptions['readFromPeers'];
   /** Notified of servers that have just started, and of those that are listed. */
   readonly admission: UpstreamAdmission;
 }
@@ -129,6 +139,21 @@
     this.servers.receiveVersion(versions.servers);
   }
 
+  /** Gets this host's copy of a kind for its peers; undefined where there is none. */
+  getCopy(kind: string): Snapshot | undefined {
+    const { format } = this.options;
+    if (kind === format.configKind) return this.configs.getCopy();
+    return kind === format.serverKind ? this.servers.getCopy() : undefined;
+  }
+
+  /**
+   * Tells whether a newer configuration is known to exist that this host could get neither from the
+   * store nor from a peer. It may then hold keys that have been withdrawn.
+   */
+  isOutdated(): boolean {
+    return this.configs.getLagMs() > MAX_CONFIG_LAG_MS;
+  }
+
   /** Receives the drained zones as read from the store by this host or a peer. */
   receiveDrainedZones(read: DrainedZones): void {
     const wasKnown = this.drains.isKnown();
@@ -196,6 +221,7 @@
       watchMs: this.options.watchMs,
       mode: this.options.mode,
       pollIntervalMs: this.options.pollMs,
+      readFromPeers: this.options.readFromPeers,
       onSync,
       onStoreState: (state, reason) => log(`store_${state}`, { kind, reason }),
     });
--- a/packages/router/src/coordination/HostRoster.ts
+++ b/packages/router/src/coordination/HostRoster.ts
@@ -1,8 +1,8 @@
-import type { HostId, Millis, ZoneId } from '@camphorvane/core';
+import type { HostId, Millis, RandomSource, ZoneId } from '@camphorvane/core';
 import { isServing, gossipTtlMs, gossipTimings, servingHosts } from '@camphorvane/decisions';
-import type { HostHint } from '@camphorvane/peer/hints';
 import type { FleetMember } from '../host/ports.ts';
 import type { HostRecord } from './hostRecord.ts';
+import type { HintAddresses, RelayedHostStates, ReportedHostState } from './hostStates.ts';
 
 /** Shortest TTL of a hint, in milliseconds. */
 const MIN_HINT_TTL_MS: Millis = 1_200;
@@ -24,27 +24,6 @@
  */
 const MIN_RELAYS = 3;
 
-/** Addresses that a host sends its hints to in a large fleet. */
-export interface HintAddresses {
-  /** Hosts asked for digests: the zone's relay, as cross-zone traffic costs more, and one without a hint. */
-  readonly digestSources: readonly string[];
-  /** Hosts that get hints but are not asked for digests. */
-  readonly hintOnly: readonly string[];
-}
-
-/** State of the other hosts as reported by a relay. */
-export interface RelayedHostStates {
-  readonly host: HostId;
-  /** Hosts with a record but no recent hint at the relay. */
-  readonly silent: readonly HostId[];
-  readonly leaving: readonly HostId[];
-  /** Hosts that take callers. */
-  readonly serving: readonly HostId[];
-}
-
-/** State of a host as reported by its hint. */
-export type ReportedHostState = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
-
 /** State from the last hint of a host, with its expiry. */
 interface ReceivedHint {
   readonly leaving: boolean;
@@ -192,6 +171,18 @@
     return this.records.get(host)?.record.peerAddress;
   }
 
+  /** Gets the addresses of the peers that are up: the relays first, then the others in random order. */
+  getLivePeerAddresses(now: Millis, random: RandomSource): readonly string[] {
+    const relays = this.getRelays(now).filter(({ host }) => host !== this.self);
+    const others = this.ranked
+      .filter(
+        (one) => one.host !== this.self && !relays.includes(one) && this.isAlive(one.host, now),
+      )
+      .map((record) => ({ record, sortKey: random.next() }))
+      .sort((a, b) => a.sortKey - b.sortKey);
+    return [...relays, ...others.map(({ record }) => record)].map(addressOf);
+  }
+
   /** Records that a message other than a hint arrived from a host. */
   recordSignOfLife(host: HostId, now: Millis): void {
     this.aliveUntil.set(host, now + this.peerTimeoutMs());
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,6 +1,6 @@
-import type { Clock, HostId, Millis, ModelId, OverloadPolicy } from '@camphorvane/core';
+import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
 import { wallTimeOf } from '@camphorvane/core';
-import type { RateTolerance, RetryAllowance, GossipTimings } from '@camphorvane/decisions';
+import type { GossipTimings } from '@camphorvane/decisions';
 import {
   EngineKnowledge,
   ServiceRetryBudget,
@@ -11,12 +11,10 @@
   gossipTimings,
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
-import type { HintLink } from '@camphorvane/peer/hints';
 import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
-import type { WatchableStore, DeploymentFormat, FollowMode } from '@camphorvane/store';
+import type { FollowMode } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RetryGate, Unsubscribe } from '../host/ports.ts';
 import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
-import type { Metrics } from '../observe/Metrics.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
 import type { RoleControl } from '../placing/RoleControl.ts';
 import { CrashGuard } from '../serving/CrashGuard.ts';
@@ -32,6 +30,8 @@
 import { HostRecords } from './HostRecords.ts';
 import { HostRoster } from './HostRoster.ts';
 import { PeerGossip } from './PeerGossip.ts';
+import { PeerSnapshots } from './PeerSnapshots.ts';
+import type { StoreCoordinationOptions } from './StoreCoordinationOptions.ts';
 import { createRoleControl } from './createRoleControl.ts';
 import type { HintContent } from './PeerGossip.ts';
 
@@ -41,28 +41,6 @@
 /** Milliseconds for which such a request is blocked; callers retry for some seconds. */
 const CRASH_BLOCK_MS: Millis = 60_000;
 
-/** Options of a {@link StoreCoordination}. */
-export interface StoreCoordinationOptions {
-  readonly store: WatchableStore;
-  readonly format: DeploymentFormat;
-  readonly hints: HintLink;
-  /** See {@link HostRecord.strength}. */
-  readonly strength: number;
-  readonly tolerance: RateTolerance;
-  readonly retryAllowance: RetryAllowance;
-  /** See {@link DeploymentFeedOptions.strictKeysMs}; where set, withdrawn keys also abort requests. */
-  readonly strictKeysMs: Millis | undefined;
-  /** See {@link DeploymentFeedOptions.watchMs}. */
-  readonly watchMs: Millis;
-  /** Whether operators may drain availability zones; see {@link ZoneDrains}. */
-  readonly drainsZones: boolean;
-  /** Controls for overload that are switched on; none where absent. */
-  readonly overload?: OverloadPolicy;
-  /** Duration of the lease with which one host acts for all, in milliseconds. */
-  readonly leaseMs: Millis;
-  readonly metrics: Metrics;
-}
-
 /**
  * Coordination through the store and gossip, without coordinators.
  *
@@ -100,6 +78,8 @@
 
   private readonly records: HostRecords;
 
+  private readonly snapshots: PeerSnapshots;
+
   private readonly listeners = new Set<() => void>();
 
   private leaving = false;
@@ -121,6 +101,10 @@
     const { store, format } = options;
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
+    this.snapshots = new PeerSnapshots({
+      ...{ clock, random, metrics: options.metrics, exchange: options.snapshots },
+      roster: this.hosts,
+    });
     const quotas = new SlowStartQuotas(identity.host);
     const getSharers = (): readonly HostId[] => this.hosts.getExpectedServing();
     const slowStart = new SlowStart((upstream, perSecond) =>
@@ -145,6 +129,7 @@
       onStateChange: () => this.gossip.recordStateChange(),
       drainsZones: options.drainsZones,
       overload: options.overload,
+      readFromPeers: (...wanted) => this.snapshots.read(...wanted),
       admission: this.admission,
     });
     this.records = new HostRecords({
@@ -191,6 +176,7 @@
 
   /** {@inheritDoc HostCoordination.start} */
   start(signal: AbortSignal): void {
+    this.snapshots.start((kind) => this.config.getCopy(kind));
     this.config.start(signal);
     this.records.start(signal);
     this.gossip.start(signal);
@@ -199,7 +185,7 @@
 
   /** Tells whether this host has a configuration and the host records, and can serve callers. */
   isReady(): boolean {
-    return this.config.current() !== undefined && this.hosts.isKnown();
+    return this.config.current() !== undefined && this.hosts.isKnown() && !this.config.isOutdated();
   }
 
   /** {@inheritDoc HostCoordination.beginLeaving} */
--- a/packages/router/src/coordination/createRoleControl.ts
+++ b/packages/router/src/coordination/createRoleControl.ts
@@ -2,7 +2,7 @@
 import { StoreLease } from '@camphorvane/store';
 import { RoleControl } from '../placing/RoleControl.ts';
 import type { CoordinationContext } from './HostCoordination.ts';
-import type { StoreCoordinationOptions } from './StoreCoordination.ts';
+import type { StoreCoordinationOptions } from './StoreCoordinationOptions.ts';
 
 /** Name of the lease of the host that changes the roles of engines. */
 const ROLES_LEASE = 'roles';
--- /dev/null
+++ b/packages/router/src/coordination/hostStates.ts
@@ -0,0 +1,23 @@
+import type { HostId } from '@camphorvane/core';
+import type { HostHint } from '@camphorvane/peer/hints';
+
+/** Addresses that a host sends its hints to in a large fleet. */
+export interface HintAddresses {
+  /** Hosts asked for digests: the zone's relay, as cross-zone traffic costs more, and one without a hint. */
+  readonly digestSources: readonly string[];
+  /** Hosts that get hints but are not asked for digests. */
+  readonly hintOnly: readonly string[];
+}
+
+/** State of the other hosts as reported by a relay. */
+export interface RelayedHostStates {
+  readonly host: HostId;
+  /** Hosts with a record but no recent hint at the relay. */
+  readonly silent: readonly HostId[];
+  readonly leaving: readonly HostId[];
+  /** Hosts that take callers. */
+  readonly serving: readonly HostId[];
+}
+
+/** State of a host as reported by its hint. */
+export type ReportedHostState = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@camphorvane/core';
 import { RandomSource, sleep, SystemClock } from '@camphorvane/core';
 import { HintSocket } from '@camphorvane/peer/hints';
+import { HttpSnapshotExchange } from '@camphorvane/peer/snapshots';
 import type { PlatformSettings } from '@camphorvane/platform';
 import {
   DirectoryServer,
@@ -50,6 +51,7 @@
 ): Promise<Result<PlatformHost, string>> {
   const clock = new SystemClock();
   const hints = new HintSocket();
+  const snapshots = new HttpSnapshotExchange(clock);
   const metrics = new Metrics();
   let coordination: StoreCoordination | undefined;
   const host = new Host({
@@ -68,6 +70,7 @@
         store: new ObjectApiStore(settings.storeAddress, clock),
         format: PLATFORM_FORMAT,
         hints,
+        snapshots,
         strength: settings.cpuCores,
         tolerance: settings.quota,
         retryAllowance: settings.retries,
@@ -104,6 +107,8 @@
   );
   const bound = await hints.listen(settings.ip, settings.peerPort);
   if (bound.isErr()) return err(`hints: ${bound.error}`);
+  const offered = await snapshots.listen(settings.ip, settings.peerPort);
+  if (offered.isErr()) return err(`snapshots: ${offered.error}`);
   const opened = await directory.listen([settings.directory, settings.readiness]);
   if (opened.isErr()) return err(`directory: ${opened.error}`);
   const listening = await ingress.listen(settings.callers);
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -33,6 +33,12 @@
    * @returns Whether the version is confirmed.
    */
   confirmNow(waitMs: Millis): Promise<boolean>;
+
+  /**
+   * Tells whether a newer version is known to be in force that this host could not get; absent where hosts
+   * confirm their version with each other.
+   */
+  isOutdated?(): boolean;
 }
 
 /** A host of the fleet, with its addresses for callers and peers. */
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -16,6 +16,7 @@
   | 'service.dispatched'
   | 'service.replayed'
   | 'config.changed'
+  | 'store.read_from_peer'
   | 'role.order'
   | 'upstream.signal'
   | 'upstream.withheld';
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -147,6 +147,10 @@
       const text = 'This host has no configuration yet.';
       return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
     }
+    if (this.options.config.isOutdated?.() === true) {
+      const text = 'This host could not get the configuration that is in force.';
+      return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
+    }
     if (this.options.isClosed()) {
       return err(notRun('host_draining', 'This host is leaving.', DRAINING_RETRY_MS));
     }
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -142,6 +142,22 @@
   assert.deepEqual(host.servers(), ['s-a', 's-b']);
 });
 
+// Guards against a host that serves withdrawn keys for as long as neither store nor peers give it the configuration.
+test('a host that could not get a newer configuration for long counts as outdated', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  await host.settle();
+  host.feed.receiveVersions({ config: store.version + 5, servers: store.version });
+  await host.clock.advance(1_500);
+  assert.equal(host.feed.isOutdated(), false);
+  await host.clock.advance(500);
+  assert.equal(host.feed.isOutdated(), true);
+  store.put('config', 'main');
+  Array.from({ length: 5 }).forEach(() => store.put('servers', 's-a', { zone: 'a' }));
+  await host.clock.advance(2_500);
+  assert.equal(host.feed.isOutdated(), false);
+});
+
 // Guards against full load on a restored zone whose servers have restarted and whose entries are stale.
 test('slow start applies to the servers of a restored zone', async () => {
   const store = deployed();
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -2,7 +2,7 @@
 import { InterruptibleSleep, sleep } from '@camphorvane/core';
 import { Backoff } from '../Backoff.ts';
 import type { ObjectVersion, StoredObject, WatchEvent } from '../ObjectStore.ts';
-import type { WatchableStore } from './WatchableStore.ts';
+import type { Snapshot, WatchableStore } from './WatchableStore.ts';
 
 /** The local copy of a kind after a successful read or watch. */
 export interface KindCopy {
@@ -29,6 +29,16 @@
   readonly mode?: () => FollowMode;
   /** Gets the poll interval in milliseconds while no peer reports a newer version. */
   readonly pollIntervalMs?: () => Millis;
+  /**
+   * Reads a copy of the kind from peers while the store does not answer this host.
+   *
+   * @returns A copy of at least the wanted version if a peer has one, else the newest one found.
+   */
+  readonly readFromPeers?: (
+    kind: string,
+    wanted: ObjectVersion,
+    known: ObjectVersion,
+  ) => Promise<Snapshot | undefined>;
   /** Called after each successful read or watch. */
   readonly onSync: (kind: KindCopy) => void;
   /** Called when the store becomes unavailable, with the reason, and when it is available again. */
@@ -84,6 +94,14 @@
   /** Highest version of a change that a peer has reported. */
   private reportedVersion: ObjectVersion = 0;
 
+  /** Store version up to which the objects are complete; unlike `after`, it outlasts an outage. */
+  private copyVersion: ObjectVersion = 0;
+
+  /** Since when a peer has known a newer version; undefined while none does. */
+  private behindSince: Millis | undefined;
+
+  private isReadingFromPeers = false;
+
   private wake: () => void = () => undefined;
 
   private readonly pause: InterruptibleSleep;
@@ -116,6 +134,19 @@
     if (version <= this.reportedVersion) return;
     this.reportedVersion = version;
     if (version > this.getVersion()) this.wake();
+    if (version > this.copyVersion) this.behindSince ??= this.options.clock.now();
+    if (this.isUnavailable) void this.readFromPeers();
+  }
+
+  /** Gets for how long a peer has known a newer version than this copy, in milliseconds. */
+  getLagMs(): Millis {
+    return this.behindSince === undefined ? 0 : this.options.clock.now() - this.behindSince;
+  }
+
+  /** Gets this copy, to be offered to peers; undefined before the first response. */
+  getCopy(): Snapshot | undefined {
+    if (this.copyVersion === 0) return undefined;
+    return { objects: [...this.objects.values()], version: this.copyVersion };
   }
 
   /** Follows the kind until the signal is aborted. */
@@ -125,6 +156,7 @@
       if (problem !== undefined && !signal.aborted) {
         this.after = undefined;
         this.recordOutage(problem);
+        void this.readFromPeers();
         await sleep(this.options.clock, this.backoff.nextDelayMs(), signal);
       }
     }
@@ -146,6 +178,33 @@
     return isFirst;
   }
 
+  /**
+   * The store may turn this host away while it serves others. Without their copy, the host would go on
+   * with a withdrawn key or a server that has left for as long as that lasts.
+   */
+  private async readFromPeers(): Promise<void> {
+    const { readFromPeers, kind } = this.options;
+    if (readFromPeers === undefined || this.isReadingFromPeers) return;
+    if (this.reportedVersion <= this.copyVersion) return;
+    this.isReadingFromPeers = true;
+    const copy = await readFromPeers(kind, this.reportedVersion, this.copyVersion);
+    this.isReadingFromPeers = false;
+    if (copy === undefined || copy.version <= this.copyVersion) return;
+    this.applySnapshot(copy);
+    this.options.onSync({ objects: this.objects, outageMs: 0 });
+  }
+
+  private applySnapshot({ objects, version }: Snapshot): void {
+    this.objects = new Map(objects.map((object) => [object.name, object]));
+    this.changedAt = objects.reduce((newest, one) => Math.max(newest, one.version), this.changedAt);
+    this.recordVersion(version);
+  }
+
+  private recordVersion(version: ObjectVersion): void {
+    this.copyVersion = Math.max(this.copyVersion, version);
+    if (this.copyVersion >= this.reportedVersion) this.behindSince = undefined;
+  }
+
   /** Waits for the poll interval or a version reported by a peer, then reads until caught up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
     this.wake = () => this.pause.interrupt();
@@ -165,10 +224,8 @@
     const snapshot = await this.options.store.snapshot(this.options.kind, freshness);
     if (snapshot.isErr()) return describe(snapshot.error);
     if (snapshot.value.version < this.getVersion()) return undefined;
-    this.objects = new Map(snapshot.value.objects.map((object) => [object.name, object]));
+    this.applySnapshot(snapshot.value);
     this.after = snapshot.value.version;
-    const versions = snapshot.value.objects.map((object) => object.version);
-    this.changedAt = versions.reduce((a, b) => Math.max(a, b), this.changedAt);
     this.recordResponse();
     return undefined;
   }
@@ -195,6 +252,7 @@
     this.objects = events.reduce(applyEvent, this.objects);
     this.after = Math.max(after, next);
     if (events.length > 0) this.changedAt = this.after;
+    this.recordVersion(this.after);
     this.recordResponse();
     return undefined;
   }
