Poll the store often while it turns all relays away

Cause: the relays watch the store for the fleet, and the others poll each 7 s, in step since every change wakes them together. Reads from peers alone don't help, since no peer has the version either.

Change: hints say whether a host watches and gets answers; digests say where nobody does. Polling hosts then poll about once a second at random moments, three reads a second over all hosts are consistent, and catching up doesn't wait for stale copies. A polling host retries an unavailable store at most each 2 s and asks other peers each 250 ms.

--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -59,6 +59,8 @@
   readonly serving: readonly HostId[];
   /** Newest store versions that any of these hosts has read. */
   readonly versions: { readonly config: number; readonly servers: number };
+  /** True if no host is known that watches the store and gets answers; absent otherwise. */
+  readonly unwatched?: true;
   /** Drained zones at the newest store version that any of these hosts has read. */
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to any of these hosts. */
@@ -73,7 +75,11 @@
  */
 export function encodeDigest(digest: HostDigest): Buffer {
   const { host, incarnation, sequence, hostCount, engines, charged, silent, leaving } = digest;
-  const versions = [digest.versions.config, digest.versions.servers];
+  const versions = [
+    digest.versions.config,
+    digest.versions.servers,
+    ...(digest.unwatched === true ? [1] : []),
+  ];
   const rows = engines.map(encodeEngineHint);
   return Buffer.from(
     JSON.stringify([
@@ -119,7 +125,9 @@
   if (!isStringArray(silent) || !isStringArray(leaving) || !isStringArray(serving))
     return undefined;
   if (!isStringArray(down)) return undefined;
-  const [config, servers] = Array.isArray(versions) ? (versions as readonly unknown[]) : [];
+  const [config, servers, unwatched] = Array.isArray(versions)
+    ? (versions as readonly unknown[])
+    : [];
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
@@ -135,6 +143,7 @@
     calls: calls as readonly (readonly [ServiceId, number])[],
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
+    ...(unwatched === 1 ? { unwatched: true } : {}),
     drained,
     upstreams,
   };
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -51,6 +51,8 @@
   readonly digests: DigestFrequency;
   /** Whether the host accepts callers; otherwise it is on standby. */
   readonly serving: boolean;
+  /** Whether the host watches the store and gets answers; absent where it doesn't. */
+  readonly watching?: true;
   /** Milliseconds within which the host sends its next hint. */
   readonly nextMs: Millis;
   readonly engines: readonly EngineHint[];
@@ -81,7 +83,12 @@
   const versionRow = [versions.config, versions.servers];
   const demand = hint.demand.map(encodeDemandHint);
   const moves = hint.moves.map(encodeRoleChangeHint);
-  const flags = [Number(leaving), DIGEST_FREQUENCIES.indexOf(hint.digests), Number(hint.serving)];
+  const flags = [
+    Number(leaving),
+    DIGEST_FREQUENCIES.indexOf(hint.digests),
+    Number(hint.serving),
+    ...(hint.watching === true ? [1] : []),
+  ];
   const fields = [
     host,
     incarnation,
@@ -129,7 +136,7 @@
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
   if (drained === undefined || upstreams === undefined) return undefined;
-  const [leaving, digestFrequency, serving] = Array.isArray(flags)
+  const [leaving, digestFrequency, serving, watching] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
   return {
@@ -139,6 +146,7 @@
     leaving: leaving === 1,
     digests: DIGEST_FREQUENCIES[Number(digestFrequency)] ?? 'none',
     serving: serving === 1,
+    ...(watching === 1 ? { watching: true } : {}),
     nextMs,
     engines,
     charged: charged as readonly (readonly [TeamId, Tokens])[],
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -56,6 +56,10 @@
   readonly mode: () => FollowMode;
   /** See {@link KindFollowerOptions.pollIntervalMs}. */
   readonly pollMs: () => Millis;
+  /** See {@link KindFollowerOptions.pollFreshness}. */
+  readonly pollFreshness?: KindFollowerOptions['pollFreshness'];
+  /** See {@link KindFollowerOptions.isUnwatched}. */
+  readonly isUnwatched?: KindFollowerOptions['isUnwatched'];
   /** Called when this host has learned of a change in the store, by itself or from a peer. */
   readonly onStateChange: () => void;
   /** Whether operators may drain availability zones. */
@@ -139,6 +143,17 @@
     this.servers.receiveVersion(versions.servers);
   }
 
+  /** Polls the store now, where this host polls. */
+  pollNow(): void {
+    this.configs.pollNow();
+    this.servers.pollNow();
+  }
+
+  /** Tells whether the store answers this host. */
+  isStoreAvailable(): boolean {
+    return this.configs.isAvailable() && this.servers.isAvailable();
+  }
+
   /** Gets this host's copy of a kind for its peers; undefined where there is none. */
   getCopy(kind: string): Snapshot | undefined {
     const { format } = this.options;
@@ -221,6 +236,8 @@
       watchMs: this.options.watchMs,
       mode: this.options.mode,
       pollIntervalMs: this.options.pollMs,
+      pollFreshness: this.options.pollFreshness,
+      isUnwatched: this.options.isUnwatched,
       readFromPeers: this.options.readFromPeers,
       onSync,
       onStoreState: (state, reason) => log(`store_${state}`, { kind, reason }),
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -48,6 +48,7 @@
   readonly leaving: readonly HostId[];
   readonly serving: readonly HostId[];
   readonly versions: HostDigest['versions'];
+  readonly unwatched: HostDigest['unwatched'];
   readonly drained: DrainedZones;
   readonly upstreams: readonly UpstreamReport[];
 }
@@ -121,6 +122,7 @@
         config: Math.max(0, ...hints.map(({ versions }) => versions.config)),
         servers: Math.max(0, ...hints.map(({ versions }) => versions.servers)),
       },
+      unwatched: hints.some(({ watching }) => watching === true) ? undefined : true,
       drained: hints
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
@@ -159,6 +161,7 @@
       leaving: sums.leaving.filter((host) => host !== receiver),
       serving: sums.serving,
       versions: sums.versions,
+      ...(sums.unwatched === undefined ? {} : { unwatched: sums.unwatched }),
       drained: sums.drained,
       upstreams: sums.upstreams,
     };
--- a/packages/router/src/coordination/HostRoster.ts
+++ b/packages/router/src/coordination/HostRoster.ts
@@ -36,6 +36,7 @@
   readonly silent: ReadonlySet<HostId>;
   readonly leaving: ReadonlySet<HostId>;
   readonly serving: ReadonlySet<HostId>;
+  readonly unwatched: boolean;
   readonly expiresAt: Millis;
 }
 
@@ -127,12 +128,14 @@
   }
 
   /** Receives the digest of a relay; hosts that it doesn't list as silent are alive. */
-  receiveDigest({ host, silent, leaving, serving }: RelayedHostStates, now: Millis): void {
+  receiveDigest(digest: RelayedHostStates, now: Millis): void {
+    const { host, silent, leaving, serving, unwatched = false } = digest;
     this.recordSignOfLife(host, now);
     this.digest = {
       silent: new Set(silent),
       leaving: new Set(leaving),
       serving: new Set(serving),
+      unwatched,
       expiresAt: now + this.peerTimeoutMs(),
     };
   }
@@ -193,6 +196,11 @@
     return this.digest !== undefined && this.digest.expiresAt >= now;
   }
 
+  /** Tells whether no host is known to watch the store: the relays don't reach it, but others may. */
+  isStoreUnwatched(now: Millis): boolean {
+    return this.hasFreshDigest(now) && this.digest?.unwatched === true;
+  }
+
   /** Tells whether this host takes callers; see {@link isServing}. */
   isServing(now: Millis): boolean {
     const zone = this.ranked.filter(
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -11,7 +11,6 @@
   gossipTimings,
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
-import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
 import type { FollowMode } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RetryGate, Unsubscribe } from '../host/ports.ts';
 import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
@@ -31,6 +30,7 @@
 import { HostRoster } from './HostRoster.ts';
 import { PeerGossip } from './PeerGossip.ts';
 import { PeerSnapshots } from './PeerSnapshots.ts';
+import { StorePolling } from './StorePolling.ts';
 import type { StoreCoordinationOptions } from './StoreCoordinationOptions.ts';
 import { createRoleControl } from './createRoleControl.ts';
 import type { HintContent } from './PeerGossip.ts';
@@ -80,6 +80,8 @@
 
   private readonly snapshots: PeerSnapshots;
 
+  private readonly storePolling: StorePolling;
+
   private readonly listeners = new Set<() => void>();
 
   private leaving = false;
@@ -101,6 +103,7 @@
     const { store, format } = options;
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
+    this.storePolling = new StorePolling(clock, random, this.hosts);
     this.snapshots = new PeerSnapshots({
       ...{ clock, random, metrics: options.metrics, exchange: options.snapshots },
       roster: this.hosts,
@@ -125,7 +128,9 @@
       strictKeysMs: options.strictKeysMs,
       watchMs: options.watchMs,
       mode: () => this.followMode(),
-      pollMs: () => this.pollMs(),
+      pollMs: () => this.storePolling.intervalMs(),
+      pollFreshness: () => this.storePolling.freshness(),
+      isUnwatched: () => this.storePolling.isUnwatched(),
       onStateChange: () => this.gossip.recordStateChange(),
       drainsZones: options.drainsZones,
       overload: options.overload,
@@ -165,7 +170,10 @@
       roster: this.hosts,
       hint: () => this.buildHint(),
       onHint: (hint) => hintReceiver.receive(hint),
-      onDigest: (digest) => hintReceiver.receiveDigest(digest),
+      onDigest: (digest) => {
+        hintReceiver.receiveDigest(digest);
+        if (this.storePolling.hasLostWatchers()) this.config.pollNow();
+      },
     });
     this.roles = createRoleControl({
       ...{ options, context, knowledge: this.knowledge },
@@ -281,15 +289,14 @@
     return !this.timings().isRelayed || this.hosts.isRelay(this.clock.now()) ? 'watch' : 'poll';
   }
 
-  /** A host that reads a change gossips it, so the interval grows with the fleet. */
-  private pollMs(): Millis {
-    const hasDigest = this.hosts.hasFreshDigest(this.clock.now());
-    return hasDigest ? this.timings().pollMs : MIN_POLL_INTERVAL_MS;
+  private isWatchingStore(): boolean {
+    return this.followMode() === 'watch' && this.config.isStoreAvailable();
   }
 
   private buildHint(): HintContent {
     return {
       leaving: this.leaving,
+      ...(this.isWatchingStore() ? { watching: true } : {}),
       engines: [...this.knowledge.inFlight.getOwn()].map(([engine, load]) => ({ engine, ...load })),
       charged: this.rates.getChargedTotals(),
       demand: this.knowledge.demand
--- /dev/null
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -0,0 +1,70 @@
+import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import { gossipTimings } from '@camphorvane/decisions';
+import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
+import type { HostRoster } from './HostRoster.ts';
+
+/**
+ * Mean poll interval in milliseconds while no relay reaches the store. A change must be in force within three
+ * seconds of its write, and gossip and the reads of the other hosts take one of them.
+ */
+const UNWATCHED_POLL_MS: Millis = 1_000;
+
+/** Consistent reads a second by all polling hosts together while no relay reaches the store. */
+const CONSISTENT_READS_PER_SECOND = 3;
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * When a host that does not watch the store polls it, and how.
+ *
+ * The relays watch, and the others learn of changes by gossip and poll at long intervals. The store may turn
+ * all relays away while it serves the others; these then poll often, at different moments, and a few of the
+ * reads are consistent, since cheap ones may be seconds old.
+ */
+export class StorePolling {
+  private readonly clock: Clock;
+
+  private readonly random: RandomSource;
+
+  private readonly roster: HostRoster;
+
+  private wasUnwatched = false;
+
+  /**
+   * @param clock - Tells whether digests are recent.
+   * @param random - Spreads polls over time.
+   * @param roster - Knows the hosts and what the relays report.
+   */
+  constructor(clock: Clock, random: RandomSource, roster: HostRoster) {
+    this.clock = clock;
+    this.random = random;
+    this.roster = roster;
+  }
+
+  /** Gets the milliseconds until the next poll. A host that reads a change gossips it. */
+  intervalMs(): Millis {
+    const now = this.clock.now();
+    if (this.roster.isStoreUnwatched(now)) return UNWATCHED_POLL_MS * 2 * this.random.next();
+    const { pollMs } = gossipTimings(this.roster.countHosts());
+    return this.roster.hasFreshDigest(now) ? pollMs : MIN_POLL_INTERVAL_MS;
+  }
+
+  /** Tells whether no relay reaches the store. */
+  isUnwatched(): boolean {
+    return this.roster.isStoreUnwatched(this.clock.now());
+  }
+
+  /** Gets whether the next poll is a consistent read. */
+  freshness(): 'newest' | 'any' {
+    if (!this.isUnwatched()) return 'any';
+    const pollsPerSecond = (this.roster.countHosts() * MS_PER_SECOND) / UNWATCHED_POLL_MS;
+    return this.random.next() < CONSISTENT_READS_PER_SECOND / pollsPerSecond ? 'newest' : 'any';
+  }
+
+  /** Tells whether the relays have lost the store since the last call. */
+  hasLostWatchers(): boolean {
+    const before = this.wasUnwatched;
+    this.wasUnwatched = this.isUnwatched();
+    return this.wasUnwatched && !before;
+  }
+}
--- a/packages/router/src/coordination/hostStates.ts
+++ b/packages/router/src/coordination/hostStates.ts
@@ -17,6 +17,8 @@
   readonly leaving: readonly HostId[];
   /** Hosts that take callers. */
   readonly serving: readonly HostId[];
+  /** True if no host is known that watches the store and gets answers. */
+  readonly unwatched?: true;
 }
 
 /** State of a host as reported by its hint. */
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -35,6 +35,12 @@
   moves: readonly RoleChange[];
   readonly roleChanges: RoleChanges;
   readonly constraints: UpstreamConstraints;
+  /** Store versions that it reports. */
+  versions: HostHint['versions'];
+  /** Whether it reports that it watches the store. */
+  isWatching: boolean;
+  /** Called with the versions that a hint or digest reports. */
+  onVersions: (versions: HostHint['versions']) => void;
   sent: number;
   bytes: number;
   /** Has the next hint sent early. */
@@ -85,6 +91,7 @@
             toTimeOfDay: (now) => now,
           }),
         },
+        ...{ versions: { config: 1, servers: 1 }, isWatching: true, onVersions: () => undefined },
         ...{ sent: 0, bytes: 0, recordStateChange: () => undefined, isDown: false },
       };
       return host;
@@ -113,12 +120,14 @@
         moves: host.moves,
         down: [],
         calls: [],
-        versions: { config: 1, servers: 1 },
+        versions: host.versions,
+        ...(host.isWatching ? { watching: true } : {}),
         drained: { version: 0, zones: [] },
         upstreams: host.constraints.getReports(clock.now()),
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
+        host.onVersions(hint.versions);
         host.rates.receive(hint.host, hint.incarnation, new Map(hint.charged), clock.now());
         host.inFlight.receive(
           hint.host,
@@ -133,6 +142,7 @@
       onDigest: (digest) => {
         host.digests.push(digest);
         host.roster.receiveDigest(digest, clock.now());
+        host.onVersions(digest.versions);
         const { hostCount, incarnation } = digest;
         const totals = new Map(digest.charged);
         host.rates.receiveDigest(
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -29,6 +29,10 @@
   readonly mode?: () => FollowMode;
   /** Gets the poll interval in milliseconds while no peer reports a newer version. */
   readonly pollIntervalMs?: () => Millis;
+  /** Gets whether a poll may be answered with a stale copy; `any` where absent. */
+  readonly pollFreshness?: () => 'newest' | 'any';
+  /** Tells whether peers learn of changes late, so that catching up must not wait for stale copies. */
+  readonly isUnwatched?: () => boolean;
   /**
    * Reads a copy of the kind from peers while the store does not answer this host.
    *
@@ -60,9 +64,18 @@
  */
 const WATCH_LAG_MS: Millis = 250;
 
+/** Milliseconds until other peers are asked where none of those asked has a newer copy. */
+const PEER_RETRY_MS: Millis = 250;
+
 /** Retry delays in milliseconds while the store is unavailable; short, so that changes take effect soon. */
 const RETRY = { baseMs: 100, maxMs: 500 };
 
+/**
+ * The same for a polling host: hundreds of them would call an unavailable store too often, and they learn by
+ * gossip of what those that watch read.
+ */
+const POLLING_RETRY = { baseMs: 200, maxMs: 2_000 };
+
 /**
  * Keeps a local copy of all objects of a kind: reads a snapshot, then watches from its version on.
  *
@@ -75,6 +88,8 @@
 
   private readonly backoff: Backoff;
 
+  private readonly pollingBackoff: Backoff;
+
   private objects: ReadonlyMap<string, StoredObject> = new Map();
 
   /** Version from which the next watch continues; undefined where a snapshot is needed. */
@@ -102,6 +117,8 @@
 
   private isReadingFromPeers = false;
 
+  private isStopped = false;
+
   private wake: () => void = () => undefined;
 
   private readonly pause: InterruptibleSleep;
@@ -110,6 +127,7 @@
   constructor(options: KindFollowerOptions) {
     this.options = options;
     this.backoff = new Backoff(options.random, RETRY);
+    this.pollingBackoff = new Backoff(options.random, POLLING_RETRY);
     this.pause = new InterruptibleSleep(options.clock);
     this.answeredAt = options.clock.now();
   }
@@ -138,6 +156,16 @@
     if (this.isUnavailable) void this.readFromPeers();
   }
 
+  /** Ends the pause before the next poll. */
+  pollNow(): void {
+    this.pause.interrupt();
+  }
+
+  /** Tells whether the store answered the last call. */
+  isAvailable(): boolean {
+    return this.copyVersion > 0 && !this.isUnavailable;
+  }
+
   /** Gets for how long a peer has known a newer version than this copy, in milliseconds. */
   getLagMs(): Millis {
     return this.behindSince === undefined ? 0 : this.options.clock.now() - this.behindSince;
@@ -157,9 +185,15 @@
         this.after = undefined;
         this.recordOutage(problem);
         void this.readFromPeers();
-        await sleep(this.options.clock, this.backoff.nextDelayMs(), signal);
+        await this.pause.wait(this.retryDelayMs(), signal);
       }
     }
+    this.isStopped = true;
+  }
+
+  private retryDelayMs(): Millis {
+    const isPolling = this.options.mode?.() === 'poll' && this.copyVersion > 0;
+    return (isPolling ? this.pollingBackoff : this.backoff).nextDelayMs();
   }
 
   private followOnce(signal: AbortSignal): Promise<string | undefined> {
@@ -189,7 +223,13 @@
     this.isReadingFromPeers = true;
     const copy = await readFromPeers(kind, this.reportedVersion, this.copyVersion);
     this.isReadingFromPeers = false;
-    if (copy === undefined || copy.version <= this.copyVersion) return;
+    if (copy === undefined || copy.version <= this.copyVersion) {
+      // The peers that were asked may be turned away too; others are asked next.
+      this.options.clock.after(PEER_RETRY_MS, () => {
+        if (this.isUnavailable && !this.isStopped) void this.readFromPeers();
+      });
+      return;
+    }
     this.applySnapshot(copy);
     this.options.onSync({ objects: this.objects, outageMs: 0 });
   }
@@ -210,11 +250,12 @@
     this.wake = () => this.pause.interrupt();
     await this.pause.wait(this.options.pollIntervalMs?.() ?? MIN_POLL_INTERVAL_MS, signal);
     let attempts = 0;
-    let problem = await this.readAll('any');
+    let problem = await this.readAll(this.options.pollFreshness?.() ?? 'any');
     while (problem === undefined && this.reportedVersion > this.getVersion() && !signal.aborted) {
       attempts += 1;
-      await sleep(this.options.clock, CATCH_UP_MS, signal);
-      problem = await this.readAll(attempts > MAX_CHEAP_ATTEMPTS ? 'newest' : 'any');
+      const maxCheap = this.options.isUnwatched?.() === true ? 0 : MAX_CHEAP_ATTEMPTS;
+      if (attempts <= maxCheap) await sleep(this.options.clock, CATCH_UP_MS, signal);
+      problem = await this.readAll(attempts > maxCheap ? 'newest' : 'any');
     }
     return problem;
   }
@@ -272,6 +313,7 @@
     const outageMs = this.isUnavailable ? now - this.answeredAt : 0;
     this.answeredAt = now;
     this.backoff.reset();
+    this.pollingBackoff.reset();
     if (this.isUnavailable)
       this.options.onStoreState?.('regained', `unavailable for ${Math.round(outageMs)} ms`);
     this.isUnavailable = false;
