Admit queued requests by expected wait

Cause: under overload, requests are held until their deadline passes, and capacity goes to late ones. Off by default; nothing is wired in the router yet.

--- a/packages/decisions/src/FairPoolScheduler.ts
+++ b/packages/decisions/src/FairPoolScheduler.ts
@@ -7,9 +7,9 @@
   type WorkClass,
   piecesFor,
 } from '@camphorvane/core';
-import { AdmissionControl } from './admit/AdmissionControl.ts';
-import { DrainRate } from './admit/DrainRate.ts';
-import { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './admit/QueueLimits.ts';
+import { PoolAdmission } from './admission/PoolAdmission.ts';
+import { NO_QUEUE_CONTROLS, type QueueControls } from './admission/QueueControls.ts';
+import { DEFAULT_QUEUE_LIMITS, type QueueLimits } from './admission/QueueLimits.ts';
 import { LinkLedger } from './ledger/LinkLedger.ts';
 import { MemoryLedger } from './ledger/MemoryLedger.ts';
 import { PrefixCacheIndex } from './place/PrefixCacheIndex.ts';
@@ -38,6 +38,8 @@
   /** Milliseconds after which a reservation expires unless it is renewed. */
   readonly reservationTtlMs?: Millis;
   readonly queueLimits?: QueueLimits;
+  /** Overload controls; none where absent. The order of this queue is always its own. */
+  readonly controls?: QueueControls;
 }
 
 /**
@@ -88,8 +90,6 @@
 
   private readonly classShares = new ClassShares();
 
-  private readonly drainRate = new DrainRate();
-
   private readonly queuedWork = new Map<RequestId, QueuedWork>();
 
   /** Queued requests by the time at which they are refused. */
@@ -97,7 +97,7 @@
 
   private readonly reservations: ReservationTable;
 
-  private readonly admission: AdmissionControl;
+  private readonly admission: PoolAdmission;
 
   private readonly ttlMs: Millis;
 
@@ -118,7 +118,8 @@
     this.table = new EngineTable(cfg, this.memory, this.links, this.cache);
     this.chooser = new EngineChooser(this.table, this.links);
     const limits = opts.queueLimits ?? DEFAULT_QUEUE_LIMITS;
-    this.admission = new AdmissionControl(this.queue, this.table, this.drainRate, limits);
+    const controls = opts.controls ?? NO_QUEUE_CONTROLS;
+    this.admission = new PoolAdmission(this.queue, this.table, limits, controls);
     this.ttlMs = opts.reservationTtlMs ?? DEFAULT_RESERVATION_TTL_MS;
     this.ttftTargetMs = cfg.ttftTargetMs;
     const prefix = opts.reservationPrefix ?? opts.random.int(0, MAX_RANDOM_PREFIX).toString(36);
@@ -157,7 +158,9 @@
     this.reservations.prefillEnded(reservation);
   }
 
-  release(reservation: ReservationId, _end: ReservationEnd, _now: Millis): void {
+  release(reservation: ReservationId, end: ReservationEnd, now: Millis): void {
+    const reservedAt = this.reservations.getReservedAt(reservation);
+    if (end === 'done' && reservedAt !== undefined) this.admission.holds.record(now - reservedAt);
     this.reservations.release(reservation);
   }
 
@@ -179,9 +182,10 @@
     this.table.endExpiredPauses(now);
     this.reclaimExpired(now);
     this.refuseTimedOut(now);
-    this.drainRate.advance(now, this.queue.size > 0);
+    this.admission.estimator.recordQueued(this.queue.size, now);
     while (this.placeNext(now));
-    this.drainRate.advance(now, this.queue.size > 0);
+    this.refuseTooLate(now);
+    this.admission.recordState((work) => this.chooser.choose(work, now).type === 'placed', now);
     const decisions = this.pendingDecisions;
     this.pendingDecisions = [];
     return decisions;
@@ -194,6 +198,7 @@
       this.timeouts.peekKey() ?? Infinity,
       this.linkRetryAt,
       this.table.nextPauseEnd ?? Infinity,
+      this.admission.nextReviewAt,
     );
     return next === Infinity ? undefined : Math.max(now, next);
   }
@@ -230,6 +235,7 @@
       giveUpAt: now + waitMs - minTtftMs,
       pieces: piecesFor(cost),
       cost,
+      estimatedMs: undefined,
       previous: undefined,
       next: undefined,
     };
@@ -255,15 +261,23 @@
     while (request !== undefined && (this.timeouts.peekKey() ?? Infinity) <= now) {
       const work = this.queuedWork.get(request);
       if (work === undefined) this.timeouts.delete(request);
-      else this.refuse(work);
+      else this.refuse(work, now);
       request = this.timeouts.peek();
     }
   }
 
   /** Refuses a queued request now: a later refusal would only keep its caller from going elsewhere. */
-  private refuse(work: QueuedWork): void {
+  private refuse(work: QueuedWork, now: Millis): void {
     this.dequeue(work);
-    this.pendingDecisions.push(this.admission.refuseTimedOut(work.item));
+    this.pendingDecisions.push(this.admission.refuseTimedOut(work, now));
+  }
+
+  /** Refuses queued requests that can no longer start in time by their expected wait. */
+  private refuseTooLate(now: Millis): void {
+    this.admission.review(now).forEach(({ work, decision }) => {
+      this.dequeue(work);
+      this.pendingDecisions.push(decision);
+    });
   }
 
   /** Places one request; false if none can be placed now. */
@@ -301,7 +315,7 @@
     this.dequeue(work);
     this.queue.charge(work);
     this.classShares.charge(item.class, work.cost, (name) => this.queue.getSize(name) > 0);
-    this.drainRate.recordPlaced(work.cost);
+    this.admission.recordPlaced(work, now);
     this.links.book(
       placement.decode.cfg.id,
       piecesFor(item.promptTokens),
--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -12,6 +12,7 @@
   UpstreamId,
   WorkClass,
 } from '@camphorvane/core';
+import type { CallerTimes } from './admission/CallerTimes.ts';
 
 /** A request to be placed on the engines of a pool. */
 export interface WorkItem {
@@ -38,6 +39,8 @@
   readonly longestPauseMs?: Millis;
   /** Priority set by the operators; lower goes first. Absent if only the class counts. */
   readonly priority?: number;
+  /** What is known of the caller's wait; absent where nothing is. */
+  readonly caller?: CallerTimes;
 }
 
 /** A prefix of a prompt that an engine may have in its cache, with the tokens that it covers. */
--- a/packages/decisions/src/ReservationTable.ts
+++ b/packages/decisions/src/ReservationTable.ts
@@ -27,6 +27,8 @@
   readonly isLookup: boolean;
   /** The decision that placed the request; undefined for adopted reservations. */
   readonly decision: PlaceDecision | undefined;
+  /** When the request was placed; undefined for adopted reservations. */
+  readonly reservedAt: Millis | undefined;
   prefillRunning: boolean;
   reclaimed: boolean;
 }
@@ -51,6 +53,11 @@
     return reservation === undefined ? undefined : this.entries.get(reservation)?.decision;
   }
 
+  /** Gets when the request of a live reservation was placed; undefined for unknown and adopted ones. */
+  getReservedAt(reservation: ReservationId): Millis | undefined {
+    return this.entries.get(reservation)?.reservedAt;
+  }
+
   /** Gets the number of reservations that use an engine for prefill or decode. */
   countReservations(engine: UpstreamId): number {
     return this.memory.countReservations(engine) + this.table.getInFlightPrefills(engine);
@@ -104,6 +111,7 @@
       prefillTokens,
       isLookup,
       decision,
+      reservedAt: now,
       prefillRunning: true,
       reclaimed: false,
     });
@@ -124,6 +132,7 @@
       prefillTokens: 0,
       isLookup: true,
       decision: undefined,
+      reservedAt: undefined,
       prefillRunning,
       reclaimed: false,
     });
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -1,44 +1,14 @@
 import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
+import { orderComparator } from '../admission/orderComparator.ts';
+import { QueueAdmission } from '../admission/QueueAdmission.ts';
+import { NO_QUEUE_CONTROLS } from '../admission/QueueControls.ts';
+import type { QueueControls } from '../admission/QueueControls.ts';
 import { refusalWithoutOpening } from '../signals/openings.ts';
 import { FootprintRanks } from './FootprintRanks.ts';
-import type { EnginePair, LocalPlacement, PlacementRequest } from './LocalPlacement.ts';
-
-/** A request that waits for engines. */
-export interface QueuedRequest extends PlacementRequest {
-  readonly request: RequestId;
-  readonly team: TeamId;
-  /** Lower goes first. */
-  readonly priority: number;
-  /** Memory footprint: memory times the output tokens for which it is held. */
-  readonly memorySteps: number;
-  /** Time at which the request was submitted. */
-  readonly submittedAt: Millis;
-  /** Time after which the first token can't meet its target any more. */
-  readonly lateAt: Millis;
-  /** Time at which the request is refused unless it was placed before. */
-  readonly giveUpAt: Millis;
-}
-
-/** A waiting request with the rank of its memory footprint. */
-interface RankedRequest extends QueuedRequest {
-  /** Fraction of the recent requests with a smaller footprint. */
-  readonly rank: number;
-}
-
-/** What a request waits for: memory (`room`), a free prefill engine (`reading`) or earlier requests. */
-export type WaitReason = 'room' | 'reading' | 'turn';
-
-/** A decision of the queue on one request. */
-export type QueueDecision =
-  | {
-      readonly type: 'place';
-      readonly request: RequestId;
-      readonly pair: EnginePair;
-      /** What the request waited for last; undefined where it did not wait. */
-      readonly waitReason: WaitReason | undefined;
-    }
-  | { readonly type: 'refuse'; readonly request: RequestId; readonly refusal: Refusal };
+import type { EnginePair, LocalPlacement } from './LocalPlacement.ts';
+import { footprintKey, waitedFraction, YIELD_FRACTION } from './queuedRequests.ts';
+import type { QueueDecision, QueuedRequest, RankedRequest, WaitReason } from './queuedRequests.ts';
 
 /**
  * Longest expected prefill time of a request that is dispatched, in milliseconds. Others stay queued
@@ -50,19 +20,26 @@
 /** Milliseconds by which the prefill of a late request may take longer than on an idle engine. */
 const LATE_PREFILL_MARGIN_MS: Millis = 60;
 
-/**
- * Fraction of its time to the target for which the request with the largest footprint yields to others.
- * In the remaining time it yields no more, so that under overload large requests are served less often,
- * but are not starved.
- */
-const YIELD_FRACTION = 0.8;
-
 /** Longest queue, in requests; more could not be served before their callers leave. */
 const MAX_QUEUE_LENGTH = 512;
 
 /** Milliseconds after which a refused caller may retry: the time to work off a short burst. */
 const RETRY_AFTER_MS: Millis = 1_000;
 
+const QUEUE_FULL = {
+  code: 'queue_full',
+  message: 'Too many requests wait for this model.',
+} as const;
+
+const TIMED_OUT = { code: 'target_missed', message: 'No engine became free in time.' } as const;
+
+const ADMISSION = {
+  /** A response takes some seconds; in a shorter time hardly any stream ends. */
+  drainDecayMs: 3_000,
+  message: 'No engine is expected to become free in time.',
+  unknownRetryAfterMs: RETRY_AFTER_MS,
+};
+
 const NO_ENGINE_OPENS = {
   text: 'The engines of this model take no more requests in time.',
   retryAfterMs: RETRY_AFTER_MS,
@@ -71,6 +48,12 @@
 /** Milliseconds between two scheduling passes while requests wait; a tenth of a prefill. */
 export const QUEUE_RECHECK_MS: Millis = 10;
 
+/** Overload controls of a queue, and what its expected drain rate follows from. */
+export interface LocalQueueControls extends QueueControls {
+  /** Counts the running streams of all hosts; absent where waits are estimated by measurement only. */
+  readonly countRunning?: (now: Millis) => number;
+}
+
 /**
  * The requests of one pool that wait on this host for engines.
  *
@@ -98,13 +81,30 @@
 
   private readonly peersOnTime: (now: Millis) => number;
 
+  private readonly controls: LocalQueueControls;
+
+  private readonly admission: QueueAdmission;
+
+  /** Refusals of the last review that `next` has not returned yet. */
+  private reviewed: QueueDecision[] = [];
+
+  /** The request that admission refused last; tells whether capacity is free for such requests. */
+  private lastRefused: RankedRequest | undefined;
+
   /**
    * @param placement - Chooses engines.
    * @param peersOnTime - Counts the requests that wait on other hosts and can still meet their target.
+   * @param controls - Overload controls of this queue; none by default.
    */
-  constructor(placement: LocalPlacement, peersOnTime: (now: Millis) => number = () => 0) {
+  constructor(
+    placement: LocalPlacement,
+    peersOnTime: (now: Millis) => number = () => 0,
+    controls: LocalQueueControls = NO_QUEUE_CONTROLS,
+  ) {
     this.placement = placement;
     this.peersOnTime = peersOnTime;
+    this.controls = controls;
+    this.admission = new QueueAdmission(ADMISSION, controls);
   }
 
   /** Gets the number of waiting requests. */
@@ -121,18 +121,25 @@
    * Enqueues a request.
    *
    * @param req - The request.
-   * @returns The refusal, where there is no engine or the queue is full; undefined otherwise.
+   * @returns The refusal, where there is no engine, the queue is full, or the request can't start in time;
+   *   undefined otherwise.
    */
   submit(req: QueuedRequest): Refusal | undefined {
     if (!this.placement.hasDecodeEngine()) {
       return notRun('no_capacity', 'No engine of this model is known.', RETRY_AFTER_MS);
     }
+    const now = req.submittedAt;
+    const entry = this.toRanked(req, now);
+    const isAdmissionOn = this.admission.isOn();
+    if (isAdmissionOn) this.admission.recordArrival(entry, now);
     if (this.waiting.length >= MAX_QUEUE_LENGTH) {
-      return notRun('queue_full', 'Too many requests wait for this model.', RETRY_AFTER_MS);
+      return isAdmissionOn
+        ? this.admission.refuseFor(entry, this.waiting.length, QUEUE_FULL, now)
+        : notRun(QUEUE_FULL.code, QUEUE_FULL.message, RETRY_AFTER_MS);
     }
-    this.waiting = [...this.waiting, { ...req, rank: this.ranks.rankOf(req.memorySteps) }];
-    this.ranks.record(req.memorySteps);
-    return undefined;
+    const refusal = isAdmissionOn ? this.submitByWait(entry, now) : this.enqueue(entry);
+    if (refusal === undefined) this.ranks.record(req.memorySteps);
+    return refusal;
   }
 
   /** Removes a waiting request; unknown ones are ignored. */
@@ -141,11 +148,17 @@
     this.waitReasons.delete(request);
   }
 
-  /** Records that a placed request of a team has ended. */
-  requestEnded(team: TeamId): void {
+  /**
+   * Records that a placed request of a team has ended.
+   *
+   * @param team - The team.
+   * @param heldMs - How long it held its engines, in milliseconds; absent where it did not run to its end.
+   */
+  requestEnded(team: TeamId, heldMs?: Millis): void {
     const remaining = (this.runningByTeam.get(team) ?? 1) - 1;
     if (remaining > 0) this.runningByTeam.set(team, remaining);
     else this.runningByTeam.delete(team);
+    if (heldMs !== undefined) this.admission.holds.record(heldMs);
   }
 
   /**
@@ -156,13 +169,92 @@
    * @returns The decision; undefined while all requests go on waiting.
    */
   next(now: Millis): QueueDecision | undefined {
+    const decision = this.refuseTimedOut(now) ?? this.placeFirst(now);
+    if (!this.admission.isOn()) {
+      if (decision === undefined) this.admission.pause(now);
+      return decision;
+    }
+    if (decision !== undefined) return decision;
+    this.review(now);
+    const refused = this.reviewed.shift();
+    if (refused === undefined) {
+      this.admission.recordState(this.waiting.length, () => this.hasFreeCapacity(now), now);
+    }
+    return refused;
+  }
+
+  private toRanked(req: QueuedRequest, now: Millis): RankedRequest {
+    const ageMs = req.caller?.ageMs ?? 0;
+    const status = this.controls.turns?.()?.statusOf(ageMs, req.priority, now);
+    const rank = this.ranks.rankOf(req.memorySteps);
+    return { ...req, rank, queuedAt: now, returnStatus: status ?? 'new', estimate: undefined };
+  }
+
+  private enqueue(entry: RankedRequest): undefined {
+    this.waiting = [...this.waiting, entry];
+  }
+
+  /** Queues a request that can start at once, or whose expected wait allows it; refuses others. */
+  private submitByWait(entry: RankedRequest, now: Millis): Refusal | undefined {
+    this.updatePrior(now);
+    const compare = this.comparator(now);
+    const ahead = this.waiting.filter((other) => compare(other, entry) <= 0).length;
+    if (ahead === 0 && this.canStart(entry, now)) return this.enqueue(entry);
+    const decision = this.admission.decide(entry, ahead, this.waiting.length, now);
+    if (decision.type === 'refuse') {
+      this.lastRefused = entry;
+      return decision.refusal;
+    }
+    return this.enqueue({ ...entry, estimate: this.admission.estimate(ahead, now) });
+  }
+
+  private canStart(req: RankedRequest, now: Millis): boolean {
+    if (this.yieldsToPeers(req, now)) return false;
+    const pair = this.placement.choose(req, now);
+    return pair !== undefined && pair.expectedPrefillMs <= this.maxPrefillMs(req, pair, now);
+  }
+
+  private hasFreeCapacity(now: Millis): boolean {
+    const { lastRefused } = this;
+    if (lastRefused === undefined || this.peersOnTime(now) > 0) return false;
+    return this.canStart(lastRefused, now);
+  }
+
+  /** The drain rate to expect: what all streams free, by this host's part of the waiting requests. */
+  private updatePrior(now: Millis): void {
+    const own = Math.max(1, this.countOnTime(now));
+    const part = own / (own + this.peersOnTime(now));
+    const running = this.controls.countRunning?.(now);
+    const capacity = running === undefined || running === 0 ? undefined : running * part;
+    this.admission.estimator.setPrior(capacity, this.admission.holds.get());
+  }
+
+  /** Refuses queued requests that can no longer start in time; see {@link QueueAdmission.review}. */
+  private review(now: Millis): void {
+    if (this.waiting.length === 0 || now < this.admission.nextReviewAt) return;
+    this.updatePrior(now);
+    const refused = this.admission.review([...this.waiting].sort(this.comparator(now)), now);
+    refused.forEach(({ request }) => this.withdraw(request));
+    this.reviewed.push(...refused.map((one): QueueDecision => ({ type: 'refuse', ...one })));
+  }
+
+  private refuseTimedOut(now: Millis): QueueDecision | undefined {
     const expired = this.waiting.find((req) => req.giveUpAt <= now);
-    if (expired !== undefined) {
-      this.withdraw(expired.request);
-      const refusal = notRun('target_missed', 'No engine became free in time.', RETRY_AFTER_MS);
-      return { type: 'refuse', request: expired.request, refusal };
+    if (expired === undefined) return undefined;
+    this.withdraw(expired.request);
+    const { request } = expired;
+    if (!this.admission.isOn()) {
+      const refusal = notRun(TIMED_OUT.code, TIMED_OUT.message, RETRY_AFTER_MS);
+      return { type: 'refuse', request, refusal };
     }
-    const sorted = [...this.waiting].sort((a, b) => this.compare(a, b, now));
+    this.admission.recordUnserved(expired, 0, now);
+    const refusal = this.admission.refuseFor(expired, this.waiting.length, TIMED_OUT, now);
+    return { type: 'refuse', request, refusal };
+  }
+
+  /** Places the first request, or refuses one for which no engine opens in time. */
+  private placeFirst(now: Millis): QueueDecision | undefined {
+    const sorted = [...this.waiting].sort(this.comparator(now));
     const [first] = sorted;
     if (first === undefined) return undefined;
     const unservable = this.refuseUnservable(sorted, now);
@@ -179,7 +271,9 @@
     const waitReason = this.waitReasons.get(first.request);
     this.withdraw(first.request);
     this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
-    return { type: 'place', request: first.request, pair, waitReason };
+    if (this.admission.isOn()) this.admission.recordStarted(first, now);
+    const { request, estimate } = first;
+    return { type: 'place', request, pair, waitReason, expectedMs: estimate?.waitMs };
   }
 
   /** Refuses the first request for which no engine opens before its callers give up. */
@@ -223,22 +317,21 @@
     return now >= req.lateAt ? idleMs : Math.max(MAX_PREFILL_MS, idleMs);
   }
 
-  /** Orders requests by lateness, priority, running requests of the team, and footprint. */
+  /** Gets the comparator of the order that is switched on, or else of the order of this queue. */
+  private comparator(now: Millis): (a: RankedRequest, b: RankedRequest) => number {
+    const order = this.controls.order?.();
+    if (order === undefined) return (a, b) => this.compare(a, b, now);
+    return orderComparator(order, (req) => footprintKey(req, now), now);
+  }
+
+  /** Orders requests by lateness, priority, return in turn, running requests of the team, and footprint. */
   private compare(a: RankedRequest, b: RankedRequest, now: Millis): number {
     const byLateness = Number(a.lateAt <= now) - Number(b.lateAt <= now);
     if (byLateness !== 0) return byLateness;
     if (a.priority !== b.priority) return a.priority - b.priority;
+    const byTurn = Number(b.returnStatus === 'in_turn') - Number(a.returnStatus === 'in_turn');
+    if (byTurn !== 0) return byTurn;
     const running = (req: RankedRequest): number => this.runningByTeam.get(req.team) ?? 0;
     return running(a) - running(b) || footprintKey(a, now) - footprintKey(b, now);
   }
 }
-
-/** Sort key by footprint, lower first; it falls with the time waited, so that no request is starved. */
-function footprintKey(req: RankedRequest, now: Millis): number {
-  return req.rank * YIELD_FRACTION - waitedFraction(req, now);
-}
-
-/** Gets which fraction of the time from submission to the target has passed. */
-function waitedFraction({ submittedAt, lateAt }: QueuedRequest, now: Millis): number {
-  return (now - submittedAt) / Math.max(1, lateAt - submittedAt);
-}
--- a/packages/decisions/src/place/DecodeBalancer.ts
+++ b/packages/decisions/src/place/DecodeBalancer.ts
@@ -1,4 +1,5 @@
-import type { Millis, Pieces, UpstreamId } from '@camphorvane/core';
+import type { Millis, Pieces, Tokens, UpstreamId } from '@camphorvane/core';
+import { TOKENS_PER_PIECE } from '@camphorvane/core';
 import type { MemoryLedger } from '../ledger/MemoryLedger.ts';
 import { IndexedHeap } from '../structures/IndexedHeap.ts';
 import { type EngineState, isAvailable } from './EngineState.ts';
@@ -35,6 +36,14 @@
     return this.byLoad.size;
   }
 
+  /** Gets the memory of the engines that accept new work, in tokens. */
+  getAvailableTokens(): Tokens {
+    const pieces = [...this.engines.values()]
+      .filter(({ cfg }) => this.byLoad.has(cfg.id))
+      .reduce((sum, { cfg }) => sum + cfg.memoryPieces, 0);
+    return pieces * TOKENS_PER_PIECE;
+  }
+
   /** Tells whether a list contains every decode engine of the pool, whether up or down. */
   areAllExcluded(ids: readonly UpstreamId[]): boolean {
     if (ids.length === 0) return false;
--- a/packages/decisions/src/queue/FairQueue.ts
+++ b/packages/decisions/src/queue/FairQueue.ts
@@ -90,13 +90,19 @@
    * @param team - The team.
    * @param weight - Its weight.
    * @param name - The class.
+   * @param behind - Tokens of the team that are queued but not served before; 0 for a new request.
    * @returns Tokens of the team itself and of others.
    */
-  getCostAhead(team: TeamId, weight: number, name: WorkClass): Tokens {
+  getCostAhead(team: TeamId, weight: number, name: WorkClass, behind: Tokens = 0): Tokens {
     const own = this.teams.get(team)?.lists[name].cost ?? 0;
     const all = this.classes[name];
     const totalWeight = own > 0 ? all.weight : all.weight + weight;
-    return Math.min(all.cost, own * (totalWeight / weight));
+    return Math.min(all.cost - behind, (own - behind) * (totalWeight / weight));
+  }
+
+  /** Gets the waiting request of each team in a class that was added last. */
+  getLastOfTeams(name: WorkClass): readonly QueuedWork[] {
+    return [...this.teams.values()].flatMap(({ lists }) => lists[name].tail ?? []);
   }
 
   /** Adds a request. */
--- a/packages/decisions/src/queue/QueuedWork.ts
+++ b/packages/decisions/src/queue/QueuedWork.ts
@@ -13,6 +13,8 @@
   readonly pieces: Pieces;
   /** Tokens charged to the team in fair queueing: prompt plus maximum output. */
   readonly cost: Tokens;
+  /** Wait estimated on submission, without correction; undefined where none was estimated. */
+  estimatedMs: Millis | undefined;
   previous: QueuedWork | undefined;
   next: QueuedWork | undefined;
 }
--- a/packages/decisions/src/queue/WorkList.ts
+++ b/packages/decisions/src/queue/WorkList.ts
@@ -26,6 +26,11 @@
     return this.first;
   }
 
+  /** Gets the request that was added last; undefined for an empty list. */
+  get tail(): QueuedWork | undefined {
+    return this.last;
+  }
+
   /** Appends a request. */
   push(work: QueuedWork): void {
     const added = work;
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -1,62 +1,21 @@
 import type { Millis, Refusal, RequestId, TeamId, UpstreamId, WorkClass } from '@camphorvane/core';
 import { notRun, RandomSource } from '@camphorvane/core';
-import { mergeOpenings, refusalWithoutOpening, takeOpening } from '../signals/openings.ts';
-import type { Opening } from '../signals/openings.ts';
-
-/** A server of a plain service, with this host's limits on it. */
-export interface ServiceQueueServer {
-  readonly id: UpstreamId;
-  /** Most calls in flight from this host to the server. */
-  readonly limit: number;
-  /** Calls that this host may still send to the server now; absent if only the limit applies. */
-  readonly allowance?: number;
-  /** When this host may send to the server; absent where the server has asked for nothing. */
-  readonly openings?: readonly Opening[];
-  /** Whether other servers are to be used first; by default not. */
-  readonly isReluctant?: boolean;
-}
-
-/** A call to be dispatched to a server. */
-export interface ServiceQueueCall {
-  readonly request: RequestId;
-  readonly team: TeamId;
-  readonly class: WorkClass;
-  /** Longest time in the queue, in milliseconds. */
-  readonly maxWaitMs: Millis;
-  /** Time from which a dispatch would make the answer late; absent if it never would. */
-  readonly lateAt?: Millis;
-  /** Servers not to choose, since this call has failed on them. */
-  readonly avoid: readonly UpstreamId[];
-}
-
-/** The decision for a queued call. */
-export type ServiceQueueDecision =
-  | {
-      readonly type: 'place';
-      readonly request: RequestId;
-      readonly server: UpstreamId;
-      readonly waitedMs: Millis;
-    }
-  | { readonly type: 'refuse'; readonly request: RequestId; readonly refusal: Refusal };
-
-interface QueueEntry {
+import type { AdmittedRequest } from '../admission/QueueAdmission.ts';
+import { QueueAdmission } from '../admission/QueueAdmission.ts';
+import { NO_QUEUE_CONTROLS } from '../admission/QueueControls.ts';
+import type { QueueControls } from '../admission/QueueControls.ts';
+import { orderComparator } from '../admission/orderComparator.ts';
+import { refusalWithoutOpening } from '../signals/openings.ts';
+import { ServerSlots } from './ServerSlots.ts';
+import type { ServiceQueueServer } from './ServerSlots.ts';
+import type { ServiceQueueCall, ServiceQueueDecision } from './ServiceQueueCall.ts';
+import { TeamCalls } from './TeamCalls.ts';
+
+interface QueueEntry extends AdmittedRequest {
   readonly call: ServiceQueueCall;
-  readonly queuedAt: Millis;
   readonly timeoutAt: Millis;
 }
 
-interface ServerState {
-  readonly limit: number;
-  inFlight: number;
-  /** Calls that may still be sent to the server. */
-  allowance: number;
-  /** When calls may be sent to the server; undefined where it has asked for nothing. */
-  openings: readonly Opening[] | undefined;
-  readonly isReluctant: boolean;
-  /** Time until which other servers are preferred, since a call failed on this one. */
-  cooldownUntil: Millis;
-}
-
 /**
  * Most calls queued for a service on one host. Calls take tens of milliseconds, so a longer queue
  * would only hold calls whose callers have given up.
@@ -66,9 +25,6 @@
 /** Most queued calls of one team: a quarter of the queue, so that a burst leaves room for others. */
 const MAX_QUEUED_PER_TEAM = 64;
 
-/** Milliseconds for which other servers are preferred to one on which a call failed. */
-const FAILURE_COOLDOWN_MS: Millis = 1_000;
-
 const RETRY_AFTER_MS: Millis = 500;
 
 const NO_SERVER_OPENS = {
@@ -76,8 +32,19 @@
   retryAfterMs: RETRY_AFTER_MS,
 };
 
-/** Milliseconds for which a call counts against its team where servers take few calls. */
-const RECENT_CALL_MS: Millis = 4_000;
+const QUEUE_FULL = {
+  code: 'queue_full',
+  message: 'Too many calls are queued for this service.',
+} as const;
+
+const TIMED_OUT = { code: 'target_missed', message: 'No server became free in time.' } as const;
+
+const ADMISSION = {
+  /** Calls take tens of milliseconds, and slow servers recover within a second. */
+  drainDecayMs: 1_000,
+  message: 'No server is expected to become free in time.',
+  unknownRetryAfterMs: RETRY_AFTER_MS,
+};
 
 const CLASSES_BY_PRIORITY: readonly WorkClass[] = ['lookup', 'certificate', 'summary'];
 
@@ -89,23 +56,27 @@
  * that can still be on time, and takes only capacity that none of them needs.
  */
 export class ServiceQueue {
-  private readonly random: RandomSource;
+  private readonly servers: ServerSlots;
 
-  private readonly servers = new Map<UpstreamId, ServerState>();
+  private readonly teamCalls = new TeamCalls();
 
-  private readonly inFlightByTeam = new Map<TeamId, number>();
+  private readonly controls: QueueControls;
 
-  /** Recent calls to servers that take few, by team. */
-  private readonly scarceCalls = new Map<TeamId, readonly Millis[]>();
+  private readonly admission: QueueAdmission;
 
   private queue: readonly QueueEntry[] = [];
 
-  /** Most calls in flight from this host to all servers together. */
-  private maxInFlight = Infinity;
+  /** Calls that this host may run at once on average; undefined where it is not known. */
+  private capacity: number | undefined;
 
-  /** @param random - Breaks ties between equally loaded servers. */
-  constructor(random: RandomSource = new RandomSource(0)) {
-    this.random = random;
+  /**
+   * @param random - Breaks ties between equally loaded servers.
+   * @param controls - Overload controls of this queue; none by default.
+   */
+  constructor(random: RandomSource = new RandomSource(0), controls = NO_QUEUE_CONTROLS) {
+    this.servers = new ServerSlots(random);
+    this.controls = controls;
+    this.admission = new QueueAdmission(ADMISSION, controls);
   }
 
   /**
@@ -113,22 +84,20 @@
    *
    * @param servers - All servers.
    * @param maxInFlight - Most calls in flight from this host to all of them together.
+   * @param capacity - Calls that this host may run at once on average, from which waits are estimated.
    */
-  reconfigure(servers: readonly ServiceQueueServer[], maxInFlight = Infinity): void {
-    this.maxInFlight = maxInFlight;
-    const kept = servers.map((server): [UpstreamId, ServerState] => {
-      const old = this.servers.get(server.id);
-      const state = { inFlight: old?.inFlight ?? 0, cooldownUntil: old?.cooldownUntil ?? 0 };
-      const { limit, allowance = Infinity, openings, isReluctant = false } = server;
-      return [server.id, { ...state, limit, allowance, openings, isReluctant }];
-    });
-    this.servers.clear();
-    kept.forEach(([id, state]) => this.servers.set(id, state));
+  reconfigure(
+    servers: readonly ServiceQueueServer[],
+    maxInFlight = Infinity,
+    capacity: number | undefined = undefined,
+  ): void {
+    this.servers.reconfigure(servers, maxInFlight);
+    this.capacity = capacity;
   }
 
   /** Gets the number of calls queued or in flight. */
   get callCount(): number {
-    return this.queue.length + this.inFlightCount;
+    return this.queue.length + this.servers.inFlightCount;
   }
 
   /** Gets the number of queued calls. */
@@ -137,7 +106,8 @@
   }
 
   /**
-   * Queues a call, or refuses it if the service has no servers or the queue is full.
+   * Queues a call, or refuses it if the service has no servers, the queue is full, or the call can't start
+   * in time.
    *
    * @param call - The call.
    * @param now - Present time.
@@ -145,53 +115,130 @@
    */
   submit(call: ServiceQueueCall, now: Millis): Refusal | undefined {
     const queuedOfTeam = this.queue.filter((entry) => entry.call.team === call.team).length;
-    if (this.servers.size === 0) {
+    if (this.servers.serverCount === 0) {
       return notRun('no_capacity', 'The service has no servers.', RETRY_AFTER_MS);
     }
+    const entry = this.toEntry(call, now);
+    const isAdmissionOn = this.admission.isOn();
+    if (isAdmissionOn) this.admission.recordArrival(entry, now);
     if (this.queue.length >= MAX_QUEUED || queuedOfTeam >= MAX_QUEUED_PER_TEAM) {
-      return notRun('queue_full', 'Too many calls are queued for this service.', RETRY_AFTER_MS);
+      return isAdmissionOn
+        ? this.admission.refuseFor(entry, this.queue.length, QUEUE_FULL, now)
+        : notRun(QUEUE_FULL.code, QUEUE_FULL.message, RETRY_AFTER_MS);
     }
-    this.queue = [...this.queue, { call, queuedAt: now, timeoutAt: now + call.maxWaitMs }];
-    return undefined;
+    if (!isAdmissionOn) {
+      this.queue = [...this.queue, entry];
+      return undefined;
+    }
+    return this.submitByWait(entry, now);
   }
 
   /** Removes a queued call whose caller has gone. */
   withdraw(request: RequestId): void {
-    this.queue = this.queue.filter((entry) => entry.call.request !== request);
+    this.queue = this.queue.filter((entry) => entry.request !== request);
   }
 
-  /** Records that a call in flight has ended. */
-  callEnded(team: TeamId, server: UpstreamId, failed: boolean, now: Millis): void {
-    const state = this.servers.get(server);
-    if (state !== undefined) {
-      state.inFlight = Math.max(0, state.inFlight - 1);
-      if (failed) state.cooldownUntil = now + FAILURE_COOLDOWN_MS;
-    }
-    const remaining = (this.inFlightByTeam.get(team) ?? 1) - 1;
-    if (remaining > 0) this.inFlightByTeam.set(team, remaining);
-    else this.inFlightByTeam.delete(team);
+  /**
+   * Records that a call in flight has ended.
+   *
+   * @param team - Its team.
+   * @param server - The server that ran it.
+   * @param failed - Whether it failed.
+   * @param now - Present time.
+   * @param heldMs - How long it held its slot, in milliseconds; absent where that is not known.
+   */
+  callEnded(team: TeamId, server: UpstreamId, failed: boolean, now: Millis, heldMs?: Millis): void {
+    this.servers.free(server, failed, now);
+    this.teamCalls.recordEnded(team);
+    if (heldMs !== undefined && !failed) this.admission.holds.record(heldMs);
   }
 
-  /** Refuses queued calls that have timed out, places others on servers, and gets these decisions. */
+  /**
+   * Refuses queued calls that have timed out or can't start in time any more, places others on servers, and
+   * gets these decisions.
+   */
   step(now: Millis): readonly ServiceQueueDecision[] {
+    const isAdmissionOn = this.admission.isOn();
     const timedOut = this.queue.filter((entry) => entry.timeoutAt < now);
     this.queue = this.queue.filter((entry) => entry.timeoutAt >= now);
     const refused = timedOut.map((entry): ServiceQueueDecision => ({
       type: 'refuse',
-      request: entry.call.request,
-      refusal: notRun('target_missed', 'No server became free in time.', RETRY_AFTER_MS),
+      request: entry.request,
+      refusal: isAdmissionOn
+        ? this.admission.refuseFor(entry, this.queue.length, TIMED_OUT, now)
+        : notRun(TIMED_OUT.code, TIMED_OUT.message, RETRY_AFTER_MS),
     }));
-    return [...refused, ...this.dispatchAll(now), ...this.refuseUnservable(now)];
+    const placed = this.dispatchAll(now);
+    const unservable = this.refuseUnservable(now);
+    if (!isAdmissionOn) {
+      this.admission.pause(now);
+      return [...refused, ...placed, ...unservable];
+    }
+    timedOut.forEach((entry) => this.admission.recordUnserved(entry, 0, now));
+    const reviewed = this.review(now);
+    this.admission.recordState(this.queue.length, () => this.servers.hasRoom(), now);
+    return [...refused, ...placed, ...unservable, ...reviewed];
   }
 
-  /** Gets when `step` refuses the next queued call, or undefined if none is queued. */
+  /** Gets when `step` is due for the next queued call, or undefined if none is queued. */
   nextWake(): Millis | undefined {
     if (this.queue.length === 0) return undefined;
-    return Math.min(...this.queue.map((entry) => entry.timeoutAt)) + 1;
+    const timeoutAt = Math.min(...this.queue.map((entry) => entry.timeoutAt)) + 1;
+    return this.admission.isOn() ? Math.min(timeoutAt, this.admission.nextReviewAt) : timeoutAt;
+  }
+
+  private toEntry(call: ServiceQueueCall, now: Millis): QueueEntry {
+    const { request, team, lateAt = Infinity, caller } = call;
+    const priority = call.priority ?? CLASSES_BY_PRIORITY.indexOf(call.class);
+    const status = this.controls.turns?.()?.statusOf(caller?.ageMs ?? 0, priority, now);
+    const timeoutAt = now + call.maxWaitMs;
+    return {
+      ...{ call, request, team, priority, lateAt, caller, timeoutAt },
+      giveUpAt: timeoutAt,
+      returnStatus: status ?? 'new',
+      queuedAt: now,
+      estimate: undefined,
+    };
+  }
+
+  /** Queues a call that can start at once, or whose expected wait allows it; refuses others. */
+  private submitByWait(entry: QueueEntry, now: Millis): Refusal | undefined {
+    this.updatePrior(now);
+    const ahead = this.countAhead(entry, now);
+    if (ahead === 0 && this.servers.hasRoom(entry.call.avoid)) {
+      this.queue = [...this.queue, entry];
+      return undefined;
+    }
+    const decision = this.admission.decide(entry, ahead, this.queue.length, now);
+    if (decision.type === 'refuse') return decision.refusal;
+    this.queue = [...this.queue, { ...entry, estimate: this.admission.estimate(ahead, now) }];
+    return undefined;
   }
 
-  private get inFlightCount(): number {
-    return [...this.servers.values()].reduce((sum, { inFlight }) => sum + inFlight, 0);
+  private countAhead(entry: QueueEntry, now: Millis): number {
+    const compare = this.comparator(now);
+    return this.queue.filter((other) => compare(other, entry) <= 0).length;
+  }
+
+  private updatePrior(now: Millis): void {
+    const { capacity, servers, admission } = this;
+    const usable = capacity === undefined ? undefined : capacity * servers.getHealthyFraction(now);
+    admission.estimator.setPrior(usable, admission.holds.get());
+  }
+
+  /** Refuses queued calls that can no longer start in time; see {@link QueueAdmission.review}. */
+  private review(now: Millis): readonly ServiceQueueDecision[] {
+    if (this.queue.length === 0 || now < this.admission.nextReviewAt) return [];
+    this.updatePrior(now);
+    const refused = this.admission.review(this.inOrder(this.queue, now), now);
+    return this.removeRefused(refused);
+  }
+
+  private removeRefused(
+    refused: readonly { readonly request: RequestId; readonly refusal: Refusal }[],
+  ): readonly ServiceQueueDecision[] {
+    refused.forEach(({ request }) => this.withdraw(request));
+    return refused.map((one): ServiceQueueDecision => ({ type: 'refuse', ...one }));
   }
 
   private dispatchAll(now: Millis): readonly ServiceQueueDecision[] {
@@ -207,97 +254,67 @@
   /** Refuses the calls for which no server opens before they time out. */
   private refuseUnservable(now: Millis): readonly ServiceQueueDecision[] {
     if (this.queue.length === 0) return [];
-    const hasFreeServer = [...this.servers.values()].some(({ openings }) => openings === undefined);
-    const sorted = [...this.queue].sort((a, b) => this.compare(a, b, now));
-    const refused = sorted.flatMap(({ call, timeoutAt }, position) => {
+    const hasFreeServer = this.servers.hasUnrestrictedServer;
+    if (hasFreeServer && this.queue.every(({ call }) => call.avoid.length === 0)) return [];
+    const refused = this.inOrder(this.queue, now).flatMap(({ call, timeoutAt }, position) => {
       if (hasFreeServer && call.avoid.length === 0) return [];
-      const openings = this.openingsFor(call);
+      const openings = this.servers.openingsFor(call.avoid);
       const refusal =
         openings && refusalWithoutOpening({ openings, position }, timeoutAt, now, NO_SERVER_OPENS);
       return refusal === undefined ? [] : [{ request: call.request, refusal }];
     });
-    refused.forEach(({ request }) => this.withdraw(request));
-    return refused.map((one): ServiceQueueDecision => ({ type: 'refuse', ...one }));
-  }
-
-  /** Gets the openings of the servers that a call may go to; undefined where one has asked for nothing. */
-  private openingsFor({ avoid }: ServiceQueueCall): readonly Opening[] | undefined {
-    const candidates = [...this.servers].filter(([id]) => !avoid.includes(id));
-    // Without a candidate the call waits: a new server may be listed.
-    if (candidates.length === 0) return undefined;
-    return mergeOpenings(candidates.map(([, { openings }]) => openings));
+    return this.removeRefused(refused);
   }
 
   private dispatchNext(now: Millis): ServiceQueueDecision | undefined {
-    if (this.queue.length === 0 || this.inFlightCount >= this.maxInFlight) return undefined;
-    const ordered = [...this.queue].sort((a, b) => this.compare(a, b, now));
-    const choice = ordered
-      .map((entry) => ({ entry, server: this.choose(entry.call, now) }))
+    if (this.queue.length === 0 || this.servers.isFull) return undefined;
+    const choice = this.dispatchCandidates(now)
+      .map((entry) => ({ entry, server: this.servers.choose(entry.call.avoid, now) }))
       .find((pair) => pair.server !== undefined);
     if (choice?.server === undefined) return undefined;
-    const { call } = choice.entry;
-    this.withdraw(call.request);
-    const state = this.servers.get(choice.server);
-    if (state !== undefined) {
-      state.inFlight += 1;
-      state.allowance -= 1;
-      if (state.openings !== undefined) {
-        state.openings = takeOpening(state.openings);
-        this.recordScarceCall(call.team, now);
-      }
-    }
-    this.inFlightByTeam.set(call.team, (this.inFlightByTeam.get(call.team) ?? 0) + 1);
-    const waitedMs = now - choice.entry.queuedAt;
-    return { type: 'place', request: call.request, server: choice.server, waitedMs };
+    const { entry, server } = choice;
+    const { request, team } = entry;
+    this.withdraw(request);
+    this.teamCalls.recordStarted(team, this.servers.take(server), now);
+    if (this.admission.isOn()) this.admission.recordStarted(entry, now);
+    const waitedMs = now - entry.queuedAt;
+    return { type: 'place', request, server, waitedMs, expectedMs: entry.estimate?.waitMs };
+  }
+
+  /**
+   * Gets the calls to find a server for, in order. With admission on, these are only the first one for which
+   * there is room: a choice for each call of a full queue costs more than all other work of a step.
+   */
+  private dispatchCandidates(now: Millis): readonly QueueEntry[] {
+    const ordered = this.inOrder(this.queue, now);
+    if (!this.admission.isOn()) return ordered;
+    const first = ordered.find(({ call }) => this.servers.hasRoom(call.avoid));
+    return first === undefined ? [] : [first];
   }
 
-  private recordScarceCall(team: TeamId, now: Millis): void {
-    const recent = (this.scarceCalls.get(team) ?? []).filter((at) => at > now - RECENT_CALL_MS);
-    this.scarceCalls.set(team, [...recent, now]);
+  private inOrder(entries: readonly QueueEntry[], now: Millis): readonly QueueEntry[] {
+    return [...entries].sort(this.comparator(now));
+  }
+
+  /** Gets the comparator of the order that is switched on, or else of the order of this queue. */
+  private comparator(now: Millis): (a: QueueEntry, b: QueueEntry) => number {
+    const order = this.controls.order?.();
+    if (order === undefined) return (a, b) => this.compare(a, b, now);
+    return orderComparator(order, ({ team }) => this.teamCalls.countScarce(team, now), now);
   }
 
   private compare(a: QueueEntry, b: QueueEntry, now: Millis): number {
-    const byLateness = Number(isLate(a, now)) - Number(isLate(b, now));
+    const byLateness = Number(a.lateAt <= now) - Number(b.lateAt <= now);
     if (byLateness !== 0) return byLateness;
     const byClass =
       CLASSES_BY_PRIORITY.indexOf(a.call.class) - CLASSES_BY_PRIORITY.indexOf(b.call.class);
     if (byClass !== 0) return byClass;
-    const inFlight = (entry: QueueEntry): number => this.inFlightByTeam.get(entry.call.team) ?? 0;
-    return inFlight(a) - inFlight(b) || this.scarceCount(a, now) - this.scarceCount(b, now);
-  }
-
-  /** Counts the recent calls of a team to servers that take few: these calls are too short to be in flight. */
-  private scarceCount({ call }: QueueEntry, now: Millis): number {
-    const calls = this.scarceCalls.get(call.team) ?? [];
-    return calls.filter((at) => at > now - RECENT_CALL_MS).length;
+    const byTurn = Number(b.returnStatus === 'in_turn') - Number(a.returnStatus === 'in_turn');
+    if (byTurn !== 0) return byTurn;
+    const { teamCalls } = this;
+    return (
+      teamCalls.countInFlight(a.team) - teamCalls.countInFlight(b.team) ||
+      teamCalls.countScarce(a.team, now) - teamCalls.countScarce(b.team, now)
+    );
   }
-
-  /**
-   * Chooses the least loaded server with free capacity; a reluctant one only if no other has any,
-   * and one that failed lately only after these.
-   *
-   * Ties are broken at random. In a large fleet, each host has no calls on most servers most of the
-   * time; if all hosts took the first of the list, that server would get twice the calls of the others.
-   */
-  private choose(call: ServiceQueueCall, now: Millis): UpstreamId | undefined {
-    const candidates = [...this.servers]
-      .filter(([id, state]) => hasCapacity(state) && !call.avoid.includes(id))
-      .map(([id, state]) => ({ id, state, tieBreaker: this.random.next() }))
-      .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.tieBreaker - b.tieBreaker);
-    const healthy = candidates.filter(({ state }) => state.cooldownUntil <= now);
-    const free = healthy.find(({ state }) => !state.isReluctant);
-    return (free ?? healthy[0] ?? candidates[0])?.id;
-  }
-}
-
-function isLate({ call: { lateAt = Infinity } }: QueueEntry, now: Millis): boolean {
-  return lateAt <= now;
-}
-
-function hasCapacity({ inFlight, limit, allowance }: ServerState): boolean {
-  return inFlight < limit && allowance > 0;
-}
-
-function loadOf({ inFlight, limit }: ServerState): number {
-  return inFlight / limit;
 }
