Wire admission by expected wait and whole slots into the router

Cause: hosts keep at least one call per server in flight, so calls wait at servers in no order. Change: ServiceQueues, LocalPlacer and PoolCoordinator read overload.admission at each decision; with it on, calls in flight are bounded by whole slots in rotation, and queues refuse by expected wait. The caller's age, deadline and target reach the queue entries. LocalPlacer and ForwardHandler are split.

--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -40,7 +40,7 @@
   /** Priority set by the operators; lower goes first. Absent if only the class counts. */
   readonly priority?: number;
   /** What is known of the caller's wait; absent where nothing is. */
-  readonly caller?: CallerTimes;
+  readonly callerTimes?: CallerTimes;
 }
 
 /** A prefix of a prompt that an engine may have in its cache, with the tokens that it covers. */
--- a/packages/decisions/src/admission/PoolAdmission.ts
+++ b/packages/decisions/src/admission/PoolAdmission.ts
@@ -249,9 +249,15 @@
     }
     const drainPerMs = this.estimator.getDrainPerMs(now);
     if (drainPerMs === undefined) return RETRY_AFTER_MS.unknown;
-    const { team, priority = WORK_CLASSES.indexOf(work.item.class), caller } = work.item;
-    const leftMs = (caller?.deadlineAt ?? work.giveUpAt) - now;
-    const request = { team, priority, units: work.cost, leftMs, targetMs: caller?.targetMs ?? 0 };
+    const { team, priority = WORK_CLASSES.indexOf(work.item.class), callerTimes } = work.item;
+    const leftMs = (callerTimes?.deadlineAt ?? work.giveUpAt) - now;
+    const request = {
+      team,
+      priority,
+      units: work.cost,
+      leftMs,
+      targetMs: callerTimes?.targetMs ?? 0,
+    };
     const drain = { drainPerMs, backlogMs: this.estimator.estimateWaitMs(backlog, now) };
     return retryAfter(this.controls.turns?.(), request, drain, RETRY_AFTER_MS.min, now);
   }
--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -35,7 +35,7 @@
   readonly giveUpAt: Millis;
   readonly returnStatus: ReturnStatus;
   /** What is known of the caller's wait; absent where nothing is. */
-  readonly caller?: CallerTimes;
+  readonly callerTimes?: CallerTimes;
 }
 
 /** A queued request, with what admission recorded when it was queued. */
@@ -271,9 +271,9 @@
   private retryAfterMs(req: AdmissionRequest, backlog: number, now: Millis): Millis {
     const drainPerMs = this.estimator.getDrainPerMs(now);
     if (drainPerMs === undefined) return this.options.unknownRetryAfterMs;
-    const { team, priority, caller, giveUpAt } = req;
-    const leftMs = (caller?.deadlineAt ?? giveUpAt) - now;
-    const turnRequest = { team, priority, units: 1, leftMs, targetMs: caller?.targetMs ?? 0 };
+    const { team, priority, callerTimes, giveUpAt } = req;
+    const leftMs = (callerTimes?.deadlineAt ?? giveUpAt) - now;
+    const turnRequest = { team, priority, units: 1, leftMs, targetMs: callerTimes?.targetMs ?? 0 };
     const backlogMs = this.estimator.estimateWaitMs(backlog + 1, now);
     const drain = { drainPerMs, backlogMs };
     return retryAfter(this.controls.turns?.(), turnRequest, drain, MIN_RETRY_AFTER_MS, now);
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -184,7 +184,7 @@
   }
 
   private toRanked(req: QueuedRequest, now: Millis): RankedRequest {
-    const ageMs = req.caller?.ageMs ?? 0;
+    const ageMs = req.callerTimes?.ageMs ?? 0;
     const status = this.controls.turns?.()?.statusOf(ageMs, req.priority, now);
     const rank = this.ranks.rankOf(req.memorySteps);
     return { ...req, rank, queuedAt: now, returnStatus: status ?? 'new', estimate: undefined };
--- a/packages/decisions/src/local/queuedRequests.ts
+++ b/packages/decisions/src/local/queuedRequests.ts
@@ -18,7 +18,7 @@
   /** Time at which the request is refused unless it was placed before. */
   readonly giveUpAt: Millis;
   /** What is known of the caller's wait; absent where nothing is. */
-  readonly caller?: CallerTimes;
+  readonly callerTimes?: CallerTimes;
 }
 
 /** A waiting request with the rank of its memory footprint. */
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -188,12 +188,12 @@
   }
 
   private toEntry(call: ServiceQueueCall, now: Millis): QueueEntry {
-    const { request, team, lateAt = Infinity, caller } = call;
+    const { request, team, lateAt = Infinity, callerTimes } = call;
     const priority = call.priority ?? CLASSES_BY_PRIORITY.indexOf(call.class);
-    const status = this.controls.turns?.()?.statusOf(caller?.ageMs ?? 0, priority, now);
+    const status = this.controls.turns?.()?.statusOf(callerTimes?.ageMs ?? 0, priority, now);
     const timeoutAt = now + call.maxWaitMs;
     return {
-      ...{ call, request, team, priority, lateAt, caller, timeoutAt },
+      ...{ call, request, team, priority, lateAt, callerTimes, timeoutAt },
       giveUpAt: timeoutAt,
       returnStatus: status ?? 'new',
       queuedAt: now,
--- a/packages/decisions/src/service/ServiceQueueCall.ts
+++ b/packages/decisions/src/service/ServiceQueueCall.ts
@@ -15,7 +15,7 @@
   /** Priority from the configuration, lower goes first; absent where only the class counts. */
   readonly priority?: number;
   /** What is known of the caller's wait; absent where nothing is. */
-  readonly caller?: CallerTimes;
+  readonly callerTimes?: CallerTimes;
 }
 
 /** The decision for a queued call. */
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -155,15 +155,11 @@
       toTimeOfDay: wallTimeOf(clock),
     });
     this.admission = new UpstreamAdmission(undefined, constraints);
-    this.signals = new UpstreamSignalRecorder(constraints, clock, context.metrics);
-    this.coordinators = new CoordinatorRegistry({ clock, random, group, directory, incarnation });
-    this.fallback = new FallbackPlacer({
-      clock,
-      random,
-      directory,
-      hostCount: () => group.members().length,
-      incarnation,
-    });
+    const { metrics } = context;
+    this.signals = new UpstreamSignalRecorder(constraints, clock, metrics);
+    const placing = { clock, random, directory, incarnation, metrics };
+    this.coordinators = new CoordinatorRegistry({ ...placing, group });
+    this.fallback = new FallbackPlacer({ ...placing, hostCount: () => group.members().length });
     this.placer = new PlacementClient({
       self: identity.host,
       clock,
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -159,7 +159,7 @@
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
-      onStateChange: () => this.gossip.recordStateChange(),
+      ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
     });
     this.crashGuard = new CrashGuard({
       self: identity.host,
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -68,6 +68,11 @@
     hostCount,
     concurrencyShares,
     coordination.admission,
+    {
+      sharers: { host: identity.host, members: () => group.members() },
+      isAdmissionOn: () => directory.getOverloadPolicy().admission,
+      metrics,
+    },
   );
   directory.setWatch(signals);
   signals.onChange(() => serviceQueues.refresh());
--- a/packages/router/src/placing/CoordinatorRegistry.ts
+++ b/packages/router/src/placing/CoordinatorRegistry.ts
@@ -3,6 +3,7 @@
 import type { PeerRequest, PeerResponse } from '@camphorvane/peer';
 import type { GroupGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import { PoolCoordinator } from './PoolCoordinator.ts';
 
 /** Milliseconds between two checks of which pools this host coordinates. */
@@ -34,6 +35,7 @@
   readonly directory: UpstreamDirectory;
   /** Incarnation of this host; keeps reservation ids unique across its restarts. */
   readonly incarnation: string;
+  readonly metrics?: Metrics;
 }
 
 /** Runs the coordinators of the pools assigned to this host and passes requests on to them. */
@@ -143,6 +145,7 @@
       directory: this.options.directory,
       reservationPrefix: `${this.options.incarnation}.${this.startedCount}`,
       mayAct: () => this.mayCoordinate(model),
+      metrics: this.options.metrics,
     });
     this.coordinators.set(model, coordinator);
     return coordinator;
--- a/packages/router/src/placing/FallbackPlacer.ts
+++ b/packages/router/src/placing/FallbackPlacer.ts
@@ -9,6 +9,7 @@
 import type { AdoptedReservation, ReservationEnd, WorkItem } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import { PoolCoordinator } from './PoolCoordinator.ts';
 
 /** Milliseconds without a request after which the fallback of a pool is closed, if it is idle. */
@@ -23,6 +24,7 @@
   readonly hostCount: () => number;
   /** Incarnation of this host; keeps reservation ids unique across its restarts. */
   readonly incarnation: string;
+  readonly metrics?: Metrics;
 }
 
 interface ActiveFallback {
@@ -133,6 +135,7 @@
       directory: this.options.directory,
       reservationPrefix: `${this.options.incarnation}.f${this.createdCount}`,
       mayAct: () => true,
+      metrics: this.options.metrics,
       rebuildMs: 0,
     });
     const fallback = { coordinator, lastUsed: this.options.clock.now() };
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -19,16 +19,18 @@
 import type {
   EngineKnowledge,
   EngineObservation,
+  LocalQueueControls,
   QueueDecision,
   ReservationEnd,
   WorkItem,
 } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { hasFailedToConnect } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { ReconfigurablePlacer } from '../coordination/HostCoordination.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { admissionReport, recordWaits, toLoggedWait } from '../observe/admissionReport.ts';
 import { eventLog } from '../observe/EventLog.ts';
+import { EngineFindings } from './EngineFindings.ts';
 import { EngineProbes } from './EngineProbes.ts';
 import { LocalReservations } from './LocalReservations.ts';
 import { DEFAULT_PRIORITY, queuedRequest } from './localPool.ts';
@@ -63,15 +65,14 @@
 
   private readonly onStateChange: () => void;
 
+  private readonly findings: EngineFindings;
+
+  private readonly options: LocalPlacerOptions;
+
   /** @param options - Dependencies. */
-  constructor({
-    clock,
-    random,
-    directory,
-    knowledge,
-    incarnation,
-    onStateChange,
-  }: LocalPlacerOptions) {
+  constructor(options: LocalPlacerOptions) {
+    const { clock, random, directory, knowledge, incarnation, onStateChange } = options;
+    this.options = options;
     this.random = random;
     this.clock = clock;
     this.directory = directory;
@@ -84,6 +85,7 @@
       ...{ clock, directory, health, slowStart },
       onChange: () => this.scheduleAll(),
     });
+    this.findings = new EngineFindings({ clock, directory, knowledge, probes: this.probes });
   }
 
   /** {@inheritDoc Placer.reserve} */
@@ -146,35 +148,19 @@
     const reserved = this.reservations.release(reservation, end);
     if (reserved === undefined) return;
     this.onStateChange();
-    this.pools.get(reserved.model)?.queue.requestEnded(reserved.team);
+    const heldMs = end === 'done' ? this.clock.now() - reserved.reservedAt : undefined;
+    this.pools.get(reserved.model)?.queue.requestEnded(reserved.team, heldMs);
     this.scheduleModel(reserved.model);
   }
 
   /** {@inheritDoc Placer.attemptFailed} */
   attemptFailed(engine: UpstreamId, error: UpstreamError): void {
-    switch (error.type) {
-      case 'unreachable':
-      case 'silent':
-      case 'broken':
-        if (hasFailedToConnect(error)) this.knowledge.admission.slowStart.recordUnreachable(engine);
-        this.knowledge.health.recordFailure(engine, this.clock.now());
-        this.probes.suspect(engine);
-        break;
-      case 'mismatch':
-        this.knowledge.health.recordFailure(engine, this.clock.now());
-        break;
-      case 'rejected':
-      case 'withheld':
-      case 'cancelled':
-        break;
-      default:
-        error satisfies never;
-    }
+    this.findings.attemptFailed(engine, error);
   }
 
   /** {@inheritDoc Placer.observe} */
   async observe(_model: ModelId, observations: readonly EngineObservation[]): Promise<void> {
-    observations.forEach((observation) => this.applyObservation(observation));
+    observations.forEach((observation) => this.findings.observe(observation));
   }
 
   /** Counts this host's waiting requests for a model that can still be on time. */
@@ -210,32 +196,6 @@
     };
   }
 
-  private applyObservation(observation: EngineObservation): void {
-    const now = this.clock.now();
-    switch (observation.type) {
-      case 'failed':
-        this.knowledge.health.recordFailure(observation.engine, now);
-        break;
-      case 'recovered':
-        this.knowledge.health.recordSuccess(observation.engine);
-        break;
-      case 'token_interval':
-        this.recordTokenInterval(observation.engine, observation.meanMs);
-        break;
-      case 'load':
-      case 'prefill_done':
-      case 'cache':
-        break;
-      default:
-        observation satisfies never;
-    }
-  }
-
-  private recordTokenInterval(id: UpstreamId, meanMs: Millis): void {
-    const tokens = this.directory.getEngine(id)?.cfg.eventTokens ?? 1;
-    this.knowledge.health.recordTokenInterval(id, meanMs / tokens);
-  }
-
   private poolFor(model: ModelId): LocalPool {
     const known = this.pools.get(model);
     if (known !== undefined) return known;
@@ -243,7 +203,11 @@
     const pool: LocalPool = {
       model,
       placement,
-      queue: new LocalQueue(placement, (now) => this.knowledge.peerBacklog.sum(model, now)),
+      queue: new LocalQueue(
+        placement,
+        (now) => this.knowledge.peerBacklog.sum(model, now),
+        this.controlsOf(model),
+      ),
       waiting: new Map(),
     };
     this.pools.set(model, pool);
@@ -251,6 +215,24 @@
     return pool;
   }
 
+  private controlsOf(model: ModelId): LocalQueueControls {
+    const { turns, order, metrics } = this.options;
+    return {
+      isAdmissionOn: () => this.directory.getOverloadPolicy().admission,
+      turns: () => turns?.(model),
+      order: () => order?.(model),
+      report: admissionReport(log, 'streams', model, metrics),
+      countRunning: (now) => this.countRunning(model, now),
+    };
+  }
+
+  /** Counts the streams of all hosts on the decode engines of a model. */
+  private countRunning(model: ModelId, now: Millis): number {
+    return this.enginesOf(model)
+      .filter(({ role }) => role === 'decode')
+      .reduce((sum, { id }) => sum + this.knowledge.inFlight.getTotal(id, now).streams, 0);
+  }
+
   private updateEngines(pool: LocalPool, model: ModelId): void {
     pool.placement.setEngines(this.enginesOf(model));
   }
@@ -306,7 +288,7 @@
     log('no_engine_open', { id: request, retryAfterMs: refusal.retryAfterMs, asked });
   }
 
-  private place(pool: LocalPool, { request, pair, waitReason }: PlaceDecision): void {
+  private place(pool: LocalPool, { request, pair, waitReason, expectedMs }: PlaceDecision): void {
     const waiting = pool.waiting.get(request);
     if (waiting === undefined) return;
     const { item } = waiting;
@@ -323,6 +305,8 @@
       pieces: piecesFor(memoryTokens),
       priority: item.priority ?? DEFAULT_PRIORITY,
     };
+    const waitedMs = this.clock.now() - waiting.since;
+    recordWaits('streams', expectedMs, waitedMs, this.options.metrics);
     log('placed', {
       id: request,
       prefill: pair.prefill,
@@ -330,7 +314,8 @@
       expectedReadMs: Math.round(pair.expectedPrefillMs),
       promptTokens: item.promptTokens,
       memoryTokens: Math.round(memoryTokens),
-      waitedMs: Math.round(this.clock.now() - waiting.since),
+      waitedMs: Math.round(waitedMs),
+      expectedMs: toLoggedWait(expectedMs),
       lacked: waitReason,
     });
     this.resolveRequest(pool, request, ok(placed));
--- a/packages/router/src/placing/LocalReservations.ts
+++ b/packages/router/src/placing/LocalReservations.ts
@@ -45,7 +45,7 @@
   }
 
   /** Reserves the engines of a request that is placed now. */
-  reserve(work: Omit<LocalReservation, 'wasIdle'>, now: Millis): ReservationId {
+  reserve(work: Omit<LocalReservation, 'wasIdle' | 'reservedAt'>, now: Millis): ReservationId {
     const { inFlight } = this.knowledge;
     const { pair, promptTokens, memoryTokens } = work;
     const prefillAt = pair.prefill ?? pair.decode;
@@ -57,7 +57,7 @@
     const { admission } = this.knowledge;
     new Set([prefillAt, pair.decode]).forEach((engine) => admission.recordRequest(engine, now));
     this.prefilling.add(reservation);
-    this.reservations.set(reservation, { ...work, wasIdle });
+    this.reservations.set(reservation, { ...work, wasIdle, reservedAt: now });
     return reservation;
   }
 
--- a/packages/router/src/placing/PoolCoordinator.ts
+++ b/packages/router/src/placing/PoolCoordinator.ts
@@ -18,8 +18,13 @@
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { admissionReport } from '../observe/admissionReport.ts';
+import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import { LONG_POLL_MS } from './longPoll.ts';
 
+const log = eventLog('placing');
+
 /**
  * Milliseconds after which a waiting request is dropped unless its holder polls again: the holder has
  * crashed, and engines reserved for it would be left unused.
@@ -58,6 +63,7 @@
   readonly rebuildMs?: Millis;
   /** Tells whether this host may still coordinate the pool; checked before each decision. */
   readonly mayAct: () => boolean;
+  readonly metrics?: Metrics;
 }
 
 /**
@@ -87,6 +93,10 @@
     this.scheduler = new FairPoolScheduler(options.pool, {
       random: options.random,
       reservationPrefix: options.reservationPrefix,
+      controls: {
+        isAdmissionOn: () => options.directory.getOverloadPolicy().admission,
+        report: admissionReport(log, 'pool', options.model, options.metrics),
+      },
     });
     const rebuildMs = options.rebuildMs ?? REBUILD_MS;
     this.rebuildUntil = options.clock.now() + rebuildMs;
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -15,10 +15,13 @@
   LocalPlacement,
   LocalQueue,
   QueuedRequest,
+  QueueOrder,
+  TurnScheduler,
   WorkItem,
 } from '@camphorvane/decisions';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import type { EnginePlacement } from './Placer.ts';
 
 /** Engines for a request, or why it was refused. */
@@ -42,6 +45,7 @@
   readonly memoryTokens: Tokens;
   /** See {@link WorkItem.longestPauseMs}. */
   readonly longestPauseMs: Millis | undefined;
+  readonly reservedAt: Millis;
 }
 
 /** Queue and placement of one model's requests on this host. */
@@ -67,6 +71,11 @@
    * or up, so that peers learn of it soon.
    */
   readonly onStateChange: () => void;
+  readonly metrics?: Metrics;
+  /** Gets what schedules the retries of a model's refused callers; undefined while that is off. */
+  readonly turns?: (model: ModelId) => TurnScheduler | undefined;
+  /** Gets the order of a model's waiting requests; undefined while that is off. */
+  readonly order?: (model: ModelId) => QueueOrder | undefined;
 }
 
 /** Priority passed to engines for requests without one: the middle of the scale. */
@@ -92,5 +101,6 @@
     submittedAt: now,
     avoid: item.avoid,
     longestPauseMs: item.longestPauseMs,
+    callerTimes: item.callerTimes,
   };
 }
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -299,6 +299,7 @@
       onTimeMs: completion.policy.onTimeMs,
       longestPauseMs: completion.policy.longestPauseMs,
       priority: completion.policy.priority,
+      callerTimes: completion.policy.callerTimes,
     };
     return this.options.placements.reserve(pool.model, item, completion.signal);
   }
--- a/packages/router/src/serving/ConcurrencyShares.ts
+++ b/packages/router/src/serving/ConcurrencyShares.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis, ServiceId } from '@camphorvane/core';
-import { PeerCounts, concurrencyShare } from '@camphorvane/decisions';
+import { PeerCounts, concurrencyShare, slotShare } from '@camphorvane/decisions';
 
 /**
  * Milliseconds for which a peer's load report counts. Peers gossip every 200 ms, and digests of large
@@ -7,6 +7,11 @@
  */
 const REPORT_TTL_MS: Millis = 1_500;
 
+interface CallCounts {
+  readonly ownCalls: number;
+  readonly peerCalls: number;
+}
+
 /**
  * Divides the concurrency slots of plain services among the hosts, by the calls that each has.
  *
@@ -51,15 +56,43 @@
    * @returns Slots, not rounded.
    */
   shareOf(service: ServiceId, concurrency: number, hosts: number, now: Millis): number {
-    const silentHosts = Math.max(0, hosts - 1 - this.peers.countPeers(now));
-    const peerCalls = this.peers.sum(service, now);
-    const ownCalls = this.reported.get(service) ?? 0;
-    return concurrencyShare({
+    const silentHosts = this.countSilent(hosts, now);
+    return concurrencyShare({ ...this.demandOf(service, now), concurrency, silentHosts, hosts });
+  }
+
+  /**
+   * Gets how many calls of a service this host may run at once on average, where the shares of the hosts
+   * that take callers are to sum to the slots. Standby hosts have no calls and get no equal share.
+   *
+   * @param service - The service.
+   * @param concurrency - Concurrency slots: calls that all servers of the service run at once.
+   * @param fleet - Number of all hosts, and of those that take callers, this one included.
+   * @param now - Present time.
+   * @returns Slots, not rounded.
+   */
+  slotShareOf(
+    service: ServiceId,
+    concurrency: number,
+    { hosts, serving }: { readonly hosts: number; readonly serving: number },
+    now: Millis,
+  ): number {
+    const silentHosts = (this.countSilent(hosts, now) * serving) / Math.max(1, hosts);
+    return slotShare({
+      ...this.demandOf(service, now),
       concurrency,
-      ownCalls,
-      peerCalls,
       silentHosts,
-      hosts,
+      hosts: serving,
     });
   }
+
+  private countSilent(hosts: number, now: Millis): number {
+    return Math.max(0, hosts - 1 - this.peers.countPeers(now));
+  }
+
+  private demandOf(service: ServiceId, now: Millis): CallCounts {
+    return {
+      ownCalls: this.reported.get(service) ?? 0,
+      peerCalls: this.peers.sum(service, now),
+    };
+  }
 }
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -12,6 +12,7 @@
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { RequestAgeEstimator } from '@camphorvane/decisions';
+import type { CallerTimes } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller, Authenticator } from '../host/Authenticator.ts';
@@ -21,7 +22,7 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
-import type { ServingEvent } from './resolvedCompletion.ts';
+import { toForwardEvents } from './forwardEvents.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { StreamTimer } from './StreamTimer.ts';
@@ -208,6 +209,7 @@
         onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
         longestPauseMs: route.longestPauseMs,
         priority: caller.team.priority ?? route.priority,
+        callerTimes: callerTimesOf(call),
       },
       signal,
     });
@@ -236,6 +238,8 @@
         maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, this.remainingMs(call)),
         lateAt: this.options.clock.now() + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
         deadlineAt: call.deadlineAt,
+        priority: caller.team.priority ?? route.priority,
+        callerTimes: callerTimesOf(call),
       },
       caller,
       service,
@@ -298,29 +302,8 @@
   }
 }
 
-function* toForwardEvents(event: ServingEvent): Generator<ForwardEvent> {
-  switch (event.type) {
-    case 'head':
-      yield { type: 'head', ...event.head };
-      break;
-    case 'piece':
-      yield { type: 'data', bytes: event.bytes };
-      break;
-    case 'token':
-      yield { type: 'data', bytes: Buffer.from(event.text) };
-      break;
-    case 'answer':
-      yield { type: 'head', ...event.head };
-      yield { type: 'data', bytes: event.body };
-      yield { type: 'done' };
-      break;
-    case 'done':
-    case 'refused':
-      yield event.type === 'done' ? { type: 'done' } : event;
-      break;
-    default:
-      event satisfies never;
-  }
+function callerTimesOf({ ageMs, deadlineAt, route }: RoutedCall): CallerTimes {
+  return { ageMs, deadlineAt, targetMs: route.targetMs };
 }
 
 function teamOf(caller: AuthenticatedCaller): string | undefined {
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -256,6 +256,8 @@
       maxWaitMs: call.policy.maxWaitMs,
       lateAt: call.policy.lateAt,
       avoid: failures.map((failure) => failure.server),
+      priority: call.policy.priority,
+      callerTimes: call.policy.callerTimes,
     };
     const chosen = await this.options.queues.acquireServer(call.service.id, queueCall, call.signal);
     if (chosen.isErr()) return { type: 'refused', refusal: chosen.error };
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -9,17 +9,24 @@
   UpstreamId,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { mergeOpenings, ServiceQueue } from '@camphorvane/decisions';
+import { mergeOpenings, NO_QUEUE_CONTROLS, ServiceQueue } from '@camphorvane/decisions';
 import type {
+  QueueControls,
+  QueueOrder,
   ServiceQueueCall,
   ServiceQueueDecision,
+  TurnScheduler,
   UpstreamAdmission,
 } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { admissionReport, recordWaits, toLoggedWait } from '../observe/admissionReport.ts';
 import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import type { ConcurrencyShares } from './ConcurrencyShares.ts';
+import { ServiceSlots } from './ServiceSlots.ts';
+import type { SlotSharers } from './ServiceSlots.ts';
 
 /** Milliseconds between two checks whether servers that take few calls may take another waiting one. */
 const ADMISSION_RECHECK_MS: Millis = 50;
@@ -35,9 +42,23 @@
   readonly queue: ServiceQueue;
   /** Resolvers of the waiting calls. */
   readonly resolvers: Map<RequestId, (choice: ServerChoice) => void>;
+  /** Times at which the running calls got their servers. */
+  readonly startedAt: Map<RequestId, Millis>;
   cancelTimer: CancelTimer;
 }
 
+/** Overload controls of the queues; they are read at each decision. */
+export interface ServiceQueuesControls {
+  readonly sharers: SlotSharers;
+  /** Whether admission by expected wait and whole slots are on. */
+  readonly isAdmissionOn: () => boolean;
+  /** Gets what schedules the retries of a service's refused callers; undefined while that is off. */
+  readonly turns?: (service: ServiceId) => TurnScheduler | undefined;
+  /** Gets the order of a service's waiting calls; undefined while that is off. */
+  readonly order?: (service: ServiceId) => QueueOrder | undefined;
+  readonly metrics?: Metrics;
+}
+
 /** Queues calls to plain services on this host, and gives them servers within its share of the slots. */
 export class ServiceQueues {
   private readonly clock: Clock;
@@ -48,7 +69,9 @@
 
   private readonly hostCount: () => number;
 
-  private readonly shares: ConcurrencyShares;
+  private readonly slots: ServiceSlots;
+
+  private readonly controls: ServiceQueuesControls | undefined;
 
   private readonly admission: UpstreamAdmission;
 
@@ -61,6 +84,7 @@
    * @param hostCount - Gets the number of hosts that share the servers' slots.
    * @param shares - This host's share of each service's slots.
    * @param admission - Bounds the calls to each server.
+   * @param controls - Overload controls; none where absent.
    */
   constructor(
     clock: Clock,
@@ -69,13 +93,15 @@
     hostCount: () => number,
     shares: ConcurrencyShares,
     admission: UpstreamAdmission,
+    controls?: ServiceQueuesControls,
   ) {
     this.clock = clock;
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
-    this.shares = shares;
+    this.slots = new ServiceSlots(clock, directory, shares, admission, controls?.sharers);
     this.admission = admission;
+    this.controls = controls;
     shares.setLocalCounter(() => this.countCalls());
   }
 
@@ -126,7 +152,11 @@
     failed: boolean,
   ): void {
     const entry = this.entryFor(service);
-    entry.queue.callEnded(call.team, server, failed, this.clock.now());
+    const now = this.clock.now();
+    const startedAt = entry.startedAt.get(call.request);
+    entry.startedAt.delete(call.request);
+    const heldMs = startedAt === undefined ? undefined : now - startedAt;
+    entry.queue.callEnded(call.team, server, failed, now, heldMs);
     this.schedule(entry);
   }
 
@@ -154,30 +184,38 @@
     if (known !== undefined) return known;
     const entry: QueueEntry = {
       service,
-      queue: new ServiceQueue(this.random),
+      queue: new ServiceQueue(this.random, this.controlsOf(service)),
       resolvers: new Map(),
+      startedAt: new Map(),
       cancelTimer: () => undefined,
     };
     this.queues.set(service, entry);
     return entry;
   }
 
-  /** Applies this host's share of the slots, at least one for each server, and gets the share. */
+  private controlsOf(service: ServiceId): QueueControls {
+    const { controls } = this;
+    if (controls === undefined) return NO_QUEUE_CONTROLS;
+    return {
+      isAdmissionOn: controls.isAdmissionOn,
+      turns: () => controls.turns?.(service),
+      order: () => controls.order?.(service),
+      report: admissionReport(log, 'service', service, controls.metrics),
+    };
+  }
+
+  private isAdmissionOn(): boolean {
+    return this.controls?.isAdmissionOn() ?? false;
+  }
+
+  /** Applies this host's share of the slots, and gets the share. */
   private applyShare({ queue, service }: QueueEntry, now: Millis): number {
-    const hosts = Math.max(1, this.hostCount());
-    const servers = this.directory.getService(service)?.servers ?? [];
-    const slots = servers.reduce((sum, { maxConcurrent }) => sum + maxConcurrent, 0);
-    const share = this.shares.shareOf(service, slots, hosts, now);
-    const ratio = share / Math.max(1, slots);
-    const limits = servers.map(({ id, maxConcurrent }) => ({
-      id,
-      limit: Math.max(1, Math.min(maxConcurrent, Math.ceil(maxConcurrent * ratio))),
-      allowance: this.admission.allowance(id, now),
-      openings: this.admission.openings(id, now),
-      isReluctant: this.admission.isReluctant(id, now),
-    }));
-    queue.reconfigure(limits, Math.max(servers.length, Math.floor(share)));
-    return share;
+    const isOn = this.isAdmissionOn();
+    const limits = isOn
+      ? this.slots.getWholeLimits(service, now)
+      : this.slots.getLimits(service, Math.max(1, this.hostCount()), now);
+    queue.reconfigure(limits.servers, limits.maxInFlight, limits.share);
+    return limits.share;
   }
 
   private countCalls(): ReadonlyMap<ServiceId, number> {
@@ -199,19 +237,27 @@
 
   private nextWake({ queue, service }: QueueEntry, now: Millis): Millis | undefined {
     const wake = queue.nextWake();
+    if (wake === undefined) return undefined;
     const servers = this.directory.getService(service)?.servers ?? [];
     const isBounded = servers.some(({ id }) => this.admission.allowance(id, now) < Infinity);
-    return wake !== undefined && isBounded ? Math.min(wake, now + ADMISSION_RECHECK_MS) : wake;
+    return Math.min(
+      wake,
+      isBounded ? now + ADMISSION_RECHECK_MS : Infinity,
+      this.isAdmissionOn() ? now + this.slots.getPeriodLeftMs() : Infinity,
+    );
   }
 
   private apply(entry: QueueEntry, decision: ServiceQueueDecision, share: number): void {
     switch (decision.type) {
       case 'place':
         this.admission.recordRequest(decision.server, this.clock.now());
+        entry.startedAt.set(decision.request, this.clock.now());
+        recordWaits('service', decision.expectedMs, decision.waitedMs, this.controls?.metrics);
         log('placed', {
           id: decision.request,
           server: decision.server,
           waitedMs: Math.round(decision.waitedMs),
+          expectedMs: toLoggedWait(decision.expectedMs),
           calls: entry.queue.callCount,
           share: Math.round(share * 10) / 10,
           asked: this.admission.constraints.describe(decision.server, this.clock.now()),
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -1,5 +1,6 @@
 import type { ServiceRequest } from '@camphorvane/caller';
 import type { Millis, RequestId, ServiceConfig, ServiceRoute, UpstreamId } from '@camphorvane/core';
+import type { CallerTimes } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
 import { CrashGuard } from './CrashGuard.ts';
@@ -14,6 +15,10 @@
   readonly maxWaitMs: Millis;
   /** Time from which a call that still waits for a server misses its target; absent without a target. */
   readonly lateAt?: Millis;
+  /** Priority from the configuration, lower goes first; absent where only the class counts. */
+  readonly priority?: number;
+  /** What is known of the caller's wait; absent where nothing is. */
+  readonly callerTimes?: CallerTimes;
   /** Deadline of the call, set by its caller or by the configuration. */
   readonly deadlineAt: Millis;
 }
