--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -91,6 +91,8 @@
   /** Arrivals that can be on time. */
   private readonly arrivals = new MeasuredRate(ARRIVAL_DECAY_MS);
 
+  private readonly allArrivals = new MeasuredRate(ARRIVAL_DECAY_MS);
+
   private readonly idleRefusals = new IdleRefusals();
 
   private readonly options: QueueAdmissionOptions;
@@ -116,6 +118,8 @@
 
   /** Records the arrival of a request, before any decision on it. */
   recordArrival({ lateAt }: AdmissionRequest, now: Millis): void {
+    this.allArrivals.advance(now, true);
+    this.allArrivals.record(1);
     this.arrivals.advance(now, true);
     if (lateAt > now) this.arrivals.record(1);
   }
@@ -194,6 +198,20 @@
     return notRun(text.code, text.message, this.retryAfterMs(req, backlog, now));
   }
 
+  /**
+   * Gets the load that arrives: requests per millisecond by the time for which each holds its capacity.
+   *
+   * It counts refused requests too. Without them, a host that refuses many would report little demand, get a
+   * small share of the capacity and refuse even more.
+   *
+   * @param now - Present time.
+   * @returns Requests that would run at once; undefined before the first one has ended.
+   */
+  getOfferedLoad(now: Millis): number | undefined {
+    const holdMs = this.holds.get();
+    return holdMs === undefined ? undefined : perMsOf(this.allArrivals, now) * holdMs;
+  }
+
   /** Records that a queued request starts, or one that did not have to wait. */
   recordStarted({ queuedAt, estimate }: AdmittedRequest, now: Millis): void {
     this.estimator.recordStarted(now - queuedAt, estimate?.uncorrectedMs, 1, now);
@@ -234,12 +252,12 @@
   pause(now: Millis): void {
     this.estimator.recordQueued(0, now);
     this.arrivals.advance(now, false);
+    this.allArrivals.advance(now, false);
     this.idleRefusals.takeWrong(now);
   }
 
   private measureFlow(now: Millis): Flow {
-    const { units, ms } = this.arrivals.getSample(now);
-    const arrivalsPerMs = units / Math.max(MIN_ARRIVAL_MS, ms);
+    const arrivalsPerMs = perMsOf(this.arrivals, now);
     return { drainPerMs: this.estimator.getDrainPerMs(now), arrivalsPerMs };
   }
 
@@ -280,6 +298,11 @@
   }
 }
 
+function perMsOf(arrivals: MeasuredRate, now: Millis): number {
+  const { units, ms } = arrivals.getSample(now);
+  return units / Math.max(MIN_ARRIVAL_MS, ms);
+}
+
 function expectWaits(
   { drainPerMs, arrivalsPerMs }: Flow,
   { lateAt }: AdmissionRequest,
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -100,6 +100,16 @@
     return this.queue.length + this.servers.inFlightCount;
   }
 
+  /**
+   * Gets the demand on the service at this host, from which its share of the slots follows: the calls queued
+   * or in flight, or with admission on the calls queued and the load that arrives. Calls in flight follow the
+   * share and vary by chance, so that shares by their number would, too.
+   */
+  getDemand(now: Millis): number {
+    const offered = this.admission.isOn() ? this.admission.getOfferedLoad(now) : undefined;
+    return offered === undefined ? this.callCount : this.queue.length + offered;
+  }
+
   /** Gets the number of queued calls. */
   get queuedCount(): number {
     return this.queue.length;
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -182,6 +182,7 @@
       onHint: (hint) => hintReceiver.receive(hint),
       onDigest: (digest) => hintReceiver.receiveDigest(digest),
     });
+    context.concurrencyShares.setChangeListener(() => this.gossip.recordStateChange());
     this.roles = createRoleControl({
       ...{ options, context, knowledge: this.knowledge },
       rank: () => this.rank(),
--- a/packages/router/src/serving/ConcurrencyShares.ts
+++ b/packages/router/src/serving/ConcurrencyShares.ts
@@ -7,10 +7,8 @@
  */
 const REPORT_TTL_MS: Millis = 1_500;
 
-interface CallCounts {
-  readonly ownCalls: number;
-  readonly peerCalls: number;
-}
+/** Fraction by which this host's calls must have changed since its last report for an early report. */
+const NOTABLE_CHANGE = 0.25;
 
 /**
  * Divides the concurrency slots of plain services among the hosts, by the calls that each has.
@@ -23,6 +21,8 @@
 
   private reported: ReadonlyMap<ServiceId, number> = new Map();
 
+  private onChange: () => void = () => undefined;
+
   private countLocalCalls: () => ReadonlyMap<ServiceId, number> = () => new Map();
 
   /** Sets the function that counts this host's calls by service, both running and waiting. */
@@ -30,6 +30,18 @@
     this.countLocalCalls = count;
   }
 
+  /** Sets the function that is called when this host's calls differ notably from those that it reported last. */
+  setChangeListener(listener: () => void): void {
+    this.onChange = listener;
+  }
+
+  /** Records the present calls of this host, so that its peers learn of a notable change soon. */
+  recordDemand(service: ServiceId, calls: number): void {
+    const reported = this.reported.get(service) ?? 0;
+    const change = Math.abs(calls - reported);
+    if (change >= Math.max(1, reported * NOTABLE_CHANGE)) this.onChange();
+  }
+
   /** Counts the calls of this host, to be reported to its peers. */
   countLocal(): ReadonlyMap<ServiceId, number> {
     this.reported = this.countLocalCalls();
@@ -57,7 +69,9 @@
    */
   shareOf(service: ServiceId, concurrency: number, hosts: number, now: Millis): number {
     const silentHosts = this.countSilent(hosts, now);
-    return concurrencyShare({ ...this.demandOf(service, now), concurrency, silentHosts, hosts });
+    const ownCalls = this.reported.get(service) ?? 0;
+    const peerCalls = this.peers.sum(service, now);
+    return concurrencyShare({ concurrency, ownCalls, peerCalls, silentHosts, hosts });
   }
 
   /**
@@ -68,6 +82,7 @@
    * @param concurrency - Concurrency slots: calls that all servers of the service run at once.
    * @param fleet - Number of all hosts, and of those that take callers, this one included.
    * @param now - Present time.
+   * @param ownCalls - Calls of this host; by default those that it reported last.
    * @returns Slots, not rounded.
    */
   slotShareOf(
@@ -75,24 +90,16 @@
     concurrency: number,
     { hosts, serving }: { readonly hosts: number; readonly serving: number },
     now: Millis,
+    ownCalls = this.reported.get(service) ?? 0,
   ): number {
     const silentHosts = (this.countSilent(hosts, now) * serving) / Math.max(1, hosts);
     return slotShare({
-      ...this.demandOf(service, now),
-      concurrency,
-      silentHosts,
-      hosts: serving,
+      ...{ concurrency, ownCalls, silentHosts, hosts: serving },
+      peerCalls: this.peers.sum(service, now),
     });
   }
 
   private countSilent(hosts: number, now: Millis): number {
     return Math.max(0, hosts - 1 - this.peers.countPeers(now));
   }
-
-  private demandOf(service: ServiceId, now: Millis): CallCounts {
-    return {
-      ownCalls: this.reported.get(service) ?? 0,
-      peerCalls: this.peers.sum(service, now),
-    };
-  }
 }
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -69,6 +69,8 @@
 
   private readonly hostCount: () => number;
 
+  private readonly shares: ConcurrencyShares;
+
   private readonly slots: ServiceSlots;
 
   private readonly controls: ServiceQueuesControls | undefined;
@@ -99,6 +101,7 @@
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
+    this.shares = shares;
     this.slots = new ServiceSlots(clock, directory, shares, admission, controls?.sharers);
     this.admission = admission;
     this.controls = controls;
@@ -212,14 +215,17 @@
   private applyShare({ queue, service }: QueueEntry, now: Millis): number {
     const isOn = this.isAdmissionOn();
     const limits = isOn
-      ? this.slots.getWholeLimits(service, now)
+      ? this.slots.getWholeLimits(service, queue.getDemand(now) + 1, now)
       : this.slots.getLimits(service, Math.max(1, this.hostCount()), now);
-    queue.reconfigure(limits.servers, limits.maxInFlight, limits.share);
+    queue.reconfigure(limits.servers, limits.maxInFlight, limits.capacity);
     return limits.share;
   }
 
   private countCalls(): ReadonlyMap<ServiceId, number> {
-    return new Map([...this.queues].map(([id, { queue }]) => [id, queue.callCount]));
+    const now = this.clock.now();
+    return new Map(
+      [...this.queues].map(([id, { queue }]) => [id, Math.round(queue.getDemand(now) * 10) / 10]),
+    );
   }
 
   private schedule(entry: QueueEntry): void {
@@ -227,6 +233,7 @@
     const now = this.clock.now();
     const share = this.applyShare(entry, now);
     entry.queue.step(now).forEach((decision) => this.apply(entry, decision, share));
+    if (this.isAdmissionOn()) this.shares.recordDemand(entry.service, entry.queue.getDemand(now));
     const wake = this.nextWake(entry, now);
     if (wake === undefined) return;
     // Kept in the entry, so that the next pass cancels it.
--- a/packages/router/src/serving/ServiceSlots.ts
+++ b/packages/router/src/serving/ServiceSlots.ts
@@ -16,6 +16,8 @@
 export interface ServiceLimits {
   /** Calls that it may run at once on average. */
   readonly share: number;
+  /** Calls that it may expect to run at once on average, once its peers know of its present calls. */
+  readonly capacity: number;
   /** Calls that it may run at once now. */
   readonly maxInFlight: number;
   readonly servers: readonly ServiceQueueServer[];
@@ -32,6 +34,13 @@
 /** Milliseconds for which the list of hosts is kept: with hundreds of hosts it is too costly for each call. */
 const HOSTS_TTL_MS: Millis = SHARE_PERIOD_MS;
 
+/**
+ * Largest factor by which a share, or an equal part of the slots, is expected to grow once the peers know of
+ * this host's present calls. The peers may have more calls by then, too: at the start of a burst on all hosts,
+ * shares don't grow at all.
+ */
+const MAX_EXPECTED_GROWTH = 2;
+
 /** Computes the limits of this host on the servers of plain services, from its share of their slots. */
 export class ServiceSlots {
   private readonly clock: Clock;
@@ -82,6 +91,7 @@
     const ratio = share / Math.max(1, slots);
     return {
       share,
+      capacity: share,
       maxInFlight: Math.max(servers.length, Math.floor(share)),
       servers: servers.map(({ id, maxConcurrent }) => ({
         ...this.boundsOf(id, now),
@@ -97,21 +107,25 @@
    * so that their calls don't meet at one server while another one is free.
    *
    * @param service - The service.
+   * @param demand - Present calls of this host.
    * @param now - Present time.
    * @returns The limits in the present period of the rotation.
    */
-  getWholeLimits(service: ServiceId, now: Millis): ServiceLimits {
+  getWholeLimits(service: ServiceId, demand: number, now: Millis): ServiceLimits {
     const servers = this.serversOf(service);
     const slots = sumSlots(servers);
     const { hosts, serving } = this.getSharingHosts(now);
     const host = this.sharers?.host ?? '';
     const fleet = { hosts, serving: serving.length };
     const share = this.shares.slotShareOf(service, slots, fleet, now);
+    const expected = this.shares.slotShareOf(service, slots, fleet, now, demand);
+    const mostExpected = Math.max(share, slots / serving.length) * MAX_EXPECTED_GROWTH;
     const maxInFlight = roundShare(share, host, serving, this.clock.wall());
     const ratio = maxInFlight / Math.max(1, slots);
     const first = rankOf(host, serving);
     return {
       share,
+      capacity: Math.max(share, Math.min(expected, mostExpected)),
       maxInFlight,
       servers: servers.map(({ id, maxConcurrent }, index) => ({
         ...this.boundsOf(id, now),
