--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -80,8 +80,8 @@
  * Admission to one queue of this host, by expected wait.
  *
  * Load: a burst of several times the capacity, or capacity that is lost while requests wait. The queue
- * orders its requests and reports what happens to them; this class tells which of them may wait, and when
- * refused callers may retry.
+ * orders its requests and reports what happens to them, also while admission is off, so that measurements
+ * exist when it is switched on. This class tells which requests may wait, and when refused callers may retry.
  */
 export class QueueAdmission {
   readonly estimator: WaitEstimator;
@@ -161,18 +161,26 @@
   /**
    * Repeats the decision for the queued requests, the last one in queue order first.
    *
-   * @param queued - All queued requests in order.
+   * @param queued - All queued requests, in any order.
+   * @param compare - Comparator of the queue order.
    * @param now - Present time.
    * @returns The requests that can no longer be served, with their refusals.
    */
-  review(
-    queued: readonly AdmittedRequest[],
+  review<T extends AdmittedRequest>(
+    queued: readonly T[],
+    compare: (a: T, b: T) => number,
     now: Millis,
   ): readonly { readonly request: RequestId; readonly refusal: Refusal }[] {
     this.reviewedAt = now;
     const flow = this.measureFlow(now);
     let remaining = queued.length;
-    return queued
+    // Sorting a long queue is costly, and not needed where each request could wait behind all others.
+    const couldAllBeLast = queued.every((req) =>
+      mayWait(req, expectWaits(flow, req, remaining - 1, remaining - 1, now), now),
+    );
+    if (couldAllBeLast) return [];
+    return [...queued]
+      .sort(compare)
       .map((req, ahead) => ({ req, ahead }))
       .reverse()
       .flatMap(({ req, ahead }) => {
@@ -239,7 +247,7 @@
    */
   recordState(queued: number, hasFreeCapacity: () => boolean, now: Millis): void {
     this.estimator.recordQueued(queued, now);
-    if (queued > 0 || !this.idleRefusals.isWatching || !hasFreeCapacity()) return;
+    if (!this.isOn() || queued > 0 || !this.idleRefusals.isWatching || !hasFreeCapacity()) return;
     const wrong = this.idleRefusals.takeWrong(now);
     wrong.forEach(({ refusedAt, uncorrectedMs }) =>
       this.estimator.recordWait(now - refusedAt, uncorrectedMs),
@@ -248,14 +256,6 @@
     this.controls.report?.({ type: 'refused_while_idle', count: wrong.length });
   }
 
-  /** Stops the measurements while admission is off; time without decisions must not count as waiting. */
-  pause(now: Millis): void {
-    this.estimator.recordQueued(0, now);
-    this.arrivals.advance(now, false);
-    this.allArrivals.advance(now, false);
-    this.idleRefusals.takeWrong(now);
-  }
-
   private measureFlow(now: Millis): Flow {
     const arrivalsPerMs = perMsOf(this.arrivals, now);
     return { drainPerMs: this.estimator.getDrainPerMs(now), arrivalsPerMs };
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -130,8 +130,8 @@
     }
     const now = req.submittedAt;
     const entry = this.toRanked(req, now);
+    this.admission.recordArrival(entry, now);
     const isAdmissionOn = this.admission.isOn();
-    if (isAdmissionOn) this.admission.recordArrival(entry, now);
     if (this.waiting.length >= MAX_QUEUE_LENGTH) {
       return isAdmissionOn
         ? this.admission.refuseFor(entry, this.waiting.length, QUEUE_FULL, now)
@@ -169,18 +169,13 @@
    * @returns The decision; undefined while all requests go on waiting.
    */
   next(now: Millis): QueueDecision | undefined {
-    const decision = this.refuseTimedOut(now) ?? this.placeFirst(now);
-    if (!this.admission.isOn()) {
-      if (decision === undefined) this.admission.pause(now);
-      return decision;
-    }
+    const decision = this.reviewed.shift() ?? this.refuseTimedOut(now) ?? this.placeFirst(now);
     if (decision !== undefined) return decision;
-    this.review(now);
+    if (this.admission.isOn()) this.review(now);
     const refused = this.reviewed.shift();
-    if (refused === undefined) {
-      this.admission.recordState(this.waiting.length, () => this.hasFreeCapacity(now), now);
-    }
-    return refused;
+    if (refused !== undefined) return refused;
+    this.admission.recordState(this.waiting.length, () => this.hasFreeCapacity(now), now);
+    return undefined;
   }
 
   private toRanked(req: QueuedRequest, now: Millis): RankedRequest {
@@ -233,8 +228,10 @@
   private review(now: Millis): void {
     if (this.waiting.length === 0 || now < this.admission.nextReviewAt) return;
     this.updatePrior(now);
-    const refused = this.admission.review([...this.waiting].sort(this.comparator(now)), now);
-    refused.forEach(({ request }) => this.withdraw(request));
+    const refused = this.admission.review(this.waiting, this.comparator(now), now);
+    const gone = new Set(refused.map(({ request }) => request));
+    gone.forEach((request) => this.waitReasons.delete(request));
+    this.waiting = this.waiting.filter(({ request }) => !gone.has(request));
     this.reviewed.push(...refused.map((one): QueueDecision => ({ type: 'refuse', ...one })));
   }
 
@@ -254,11 +251,11 @@
 
   /** Places the first request, or refuses one for which no engine opens in time. */
   private placeFirst(now: Millis): QueueDecision | undefined {
-    const sorted = [...this.waiting].sort(this.comparator(now));
-    const [first] = sorted;
-    if (first === undefined) return undefined;
-    const unservable = this.refuseUnservable(sorted, now);
+    if (this.waiting.length === 0) return undefined;
+    const unservable = this.refuseUnservable(now);
     if (unservable !== undefined) return unservable;
+    const compare = this.comparator(now);
+    const first = this.waiting.reduce((best, req) => (compare(req, best) < 0 ? req : best));
     if (this.yieldsToPeers(first, now)) {
       this.recordWaitReasons(first, 'turn');
       return undefined;
@@ -271,18 +268,16 @@
     const waitReason = this.waitReasons.get(first.request);
     this.withdraw(first.request);
     this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
-    if (this.admission.isOn()) this.admission.recordStarted(first, now);
+    this.admission.recordStarted(first, now);
     const { request, estimate } = first;
     return { type: 'place', request, pair, waitReason, expectedMs: estimate?.waitMs };
   }
 
   /** Refuses the first request for which no engine opens before its callers give up. */
-  private refuseUnservable(
-    sorted: readonly RankedRequest[],
-    now: Millis,
-  ): QueueDecision | undefined {
+  private refuseUnservable(now: Millis): QueueDecision | undefined {
     const openings = this.placement.decodeOpenings(now);
     if (openings === undefined) return undefined;
+    const sorted = [...this.waiting].sort(this.comparator(now));
     const refusals = sorted.map(({ giveUpAt }, position) =>
       refusalWithoutOpening({ openings, position }, giveUpAt, now, NO_ENGINE_OPENS),
     );
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -129,8 +129,8 @@
       return notRun('no_capacity', 'The service has no servers.', RETRY_AFTER_MS);
     }
     const entry = this.toEntry(call, now);
+    this.admission.recordArrival(entry, now);
     const isAdmissionOn = this.admission.isOn();
-    if (isAdmissionOn) this.admission.recordArrival(entry, now);
     if (this.queue.length >= MAX_QUEUED || queuedOfTeam >= MAX_QUEUED_PER_TEAM) {
       return isAdmissionOn
         ? this.admission.refuseFor(entry, this.queue.length, QUEUE_FULL, now)
@@ -180,12 +180,8 @@
     }));
     const placed = this.dispatchAll(now);
     const unservable = this.refuseUnservable(now);
-    if (!isAdmissionOn) {
-      this.admission.pause(now);
-      return [...refused, ...placed, ...unservable];
-    }
     timedOut.forEach((entry) => this.admission.recordUnserved(entry, 0, now));
-    const reviewed = this.review(now);
+    const reviewed = isAdmissionOn ? this.review(now) : [];
     this.admission.recordState(this.queue.length, () => this.servers.hasRoom(), now);
     return [...refused, ...placed, ...unservable, ...reviewed];
   }
@@ -240,14 +236,15 @@
   private review(now: Millis): readonly ServiceQueueDecision[] {
     if (this.queue.length === 0 || now < this.admission.nextReviewAt) return [];
     this.updatePrior(now);
-    const refused = this.admission.review(this.inOrder(this.queue, now), now);
-    return this.removeRefused(refused);
+    return this.removeRefused(this.admission.review(this.queue, this.comparator(now), now));
   }
 
   private removeRefused(
     refused: readonly { readonly request: RequestId; readonly refusal: Refusal }[],
   ): readonly ServiceQueueDecision[] {
-    refused.forEach(({ request }) => this.withdraw(request));
+    if (refused.length === 0) return [];
+    const gone = new Set(refused.map(({ request }) => request));
+    this.queue = this.queue.filter(({ request }) => !gone.has(request));
     return refused.map((one): ServiceQueueDecision => ({ type: 'refuse', ...one }));
   }
 
@@ -286,7 +283,7 @@
     const { request, team } = entry;
     this.withdraw(request);
     this.teamCalls.recordStarted(team, this.servers.take(server), now);
-    if (this.admission.isOn()) this.admission.recordStarted(entry, now);
+    this.admission.recordStarted(entry, now);
     const waitedMs = now - entry.queuedAt;
     return { type: 'place', request, server, waitedMs, expectedMs: entry.estimate?.waitMs };
   }
