--- a/packages/decisions/src/admission/AdmissionDecision.ts
+++ b/packages/decisions/src/admission/AdmissionDecision.ts
@@ -21,6 +21,8 @@
       readonly leftMs: Millis;
       /** Drain rate in units per millisecond; undefined while nothing is known of it. */
       readonly drainPerMs: number | undefined;
+      /** Milliseconds of measurement that the drain rate rests on; the prior counts for the rest. */
+      readonly measuredMs: Millis;
       /** Queued units. */
       readonly backlog: number;
       /** Factor by which estimates are corrected. */
@@ -77,7 +79,8 @@
   { waitMs, lateWaitMs }: ExpectedWaits,
   now: Millis,
 ): boolean {
-  if (lateAt > now && waitMs <= (lateAt - now) * TIME_LEFT_FACTOR) return true;
+  const startBy = Math.min(lateAt, giveUpAt);
+  if (startBy > now && canStartInTime(waitMs, startBy - now)) return true;
   if (returnStatus === 'in_turn' && waitMs <= giveUpAt - now) return true;
   return lateWaitMs <= giveUpAt - now;
 }
--- a/packages/decisions/src/admission/PoolAdmission.ts
+++ b/packages/decisions/src/admission/PoolAdmission.ts
@@ -196,6 +196,7 @@
     this.controls.report?.({
       ...{ type: 'refused', request, team, stage, waitMs, leftMs, correction, retryAfterMs },
       drainPerMs: this.estimator.getDrainPerMs(now),
+      measuredMs: this.estimator.getMeasuredMs(now),
       backlog: this.getBacklog(),
     });
     return refuse(work.item, 'target_missed', TOO_LATE, retryAfterMs);
--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -278,6 +278,7 @@
       waitMs,
       leftMs: req.lateAt - now,
       drainPerMs: this.estimator.getDrainPerMs(now),
+      measuredMs: this.estimator.getMeasuredMs(now),
       backlog,
       correction: this.estimator.correction,
       retryAfterMs: refusal.retryAfterMs ?? 0,
--- a/packages/decisions/src/admission/WaitEstimator.ts
+++ b/packages/decisions/src/admission/WaitEstimator.ts
@@ -144,6 +144,11 @@
     return sample === undefined ? undefined : sample.units / sample.ms / this.correction;
   }
 
+  /** Gets for how long the drain rate has been measured, less the measurements that have decayed. */
+  getMeasuredMs(now: Millis): Millis {
+    return this.drain.getSample(now).ms;
+  }
+
   private combined(now: Millis): RateSample | undefined {
     const measured = this.drain.getSample(now);
     if (this.priorPerMs === undefined) {
--- a/packages/decisions/tests/service/ServiceQueue.admission.test.ts
+++ b/packages/decisions/tests/service/ServiceQueue.admission.test.ts
@@ -42,6 +42,18 @@
   assert.deepEqual(refused, [...Array(40).keys()].slice(14));
 });
 
+test('a call without a target is refused when it can not start before its time-out', () => {
+  const queue = makeQueue(ON);
+  const refused = Array.from({ length: 30 }, (_, i) => i).filter((i) => {
+    const call = makeCall(`r${i}`, { lateAt: undefined, team: `t${i}`, maxWaitMs: 100 });
+    const refusal = queue.submit(call, 0);
+    queue.step(0);
+    return refusal !== undefined;
+  });
+  // Two start at once; 6 others are expected to start in 125 ms, a quarter more than the time-out.
+  assert.equal(refused[0], 2 + 6);
+});
+
 // Guards against a Retry-After that says 500 ms whatever the backlog is.
 test('a refusal tells when the backlog will have drained', () => {
   const queue = makeQueue(ON);
--- a/packages/router/src/observe/admissionReport.ts
+++ b/packages/router/src/observe/admissionReport.ts
@@ -37,6 +37,7 @@
           expectedMs: toLogged(event.waitMs),
           leftMs: toLogged(event.leftMs),
           drainPerS: perSecond(event.drainPerMs),
+          measuredMs: Math.round(event.measuredMs),
           backlog: Math.round(event.backlog),
           correction: Math.round(event.correction * 100) / 100,
           retryAfterMs: event.retryAfterMs,
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -3,6 +3,7 @@
   EngineConfig,
   ForwardRoute,
   LoadReport,
+  OverloadPolicy,
   RoutingConfig,
   ServiceServer,
   VersionedConfig,
@@ -158,6 +159,13 @@
     this.listeners.forEach((listener) => listener(this.currentConfig));
   }
 
+  /** Switches overload controls on or off in the configuration. */
+  setOverload(overload: OverloadPolicy): void {
+    const { version, config } = this.currentConfig;
+    this.currentConfig = { version: version + 1, config: { ...config, overload } };
+    this.listeners.forEach((listener) => listener(this.currentConfig));
+  }
+
   private config(): RoutingConfig {
     const engine = (id: string, role: 'prefill' | 'decode'): EngineConfig => ({
       id,
