--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -149,7 +149,7 @@
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
-      onStateChange: () => this.gossip.recordStateChange(),
+      ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
     });
     this.crashGuard = new CrashGuard({
       self: identity.host,
@@ -175,6 +175,7 @@
         if (this.storePolling.hasLostWatchers()) this.config.pollNow();
       },
     });
+    context.concurrencyShares.setChangeListener(() => this.gossip.recordStateChange());
     this.roles = createRoleControl({
       ...{ options, context, knowledge: this.knowledge },
       rank: () => this.rank(),
