Order queues by what teams use on all hosts

Queues are ordered by the requests that a team runs on one host, so a team that spreads over twelve hosts gets twelve shares, and plain calls by three fixed work classes.

TeamUsage sums what teams hold on all hosts, the gossip carries it in a field after the quoted waits, and FairOrder orders waiting requests by lateness, priority, return in turn, dominant share and footprint. FairQueues records waiting and placed requests and gives each queue its order while fair shares are switched on.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,3 +35,8 @@
 export * from './signals/upstreamReports.ts';
 export * from './shares/QueueOrder.ts';
 export * from './turns/TurnScheduler.ts';
+export * from './shares/usageRows.ts';
+export * from './shares/TeamUsage.ts';
+export * from './shares/dominantShare.ts';
+export * from './shares/priorityLevels.ts';
+export * from './shares/FairOrder.ts';
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -27,6 +27,10 @@
   readonly lateAt?: Millis;
   /** Servers not to choose, since this call has failed on them. */
   readonly avoid: readonly UpstreamId[];
+  /** Priority from the configuration; lower goes first. Absent where neither route nor team has one. */
+  readonly priority?: number;
+  /** Called at the placement, so that the order of the next one takes it into account. */
+  readonly onPlaced?: () => void;
 }
 
 /** The decision for a queued call. */
@@ -237,6 +241,7 @@
     if (choice?.server === undefined) return undefined;
     const { call } = choice.entry;
     this.withdraw(call.request);
+    call.onPlaced?.();
     const state = this.servers.get(choice.server);
     if (state !== undefined) {
       state.inFlight += 1;
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,7 +1,8 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
+import { decodeUsage, encodeUsage } from './usageCodec.ts';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -63,6 +64,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to any of these hosts. */
   readonly upstreams: readonly UpstreamReport[];
+  /** What teams hold on these hosts together; absent where none of them reports usage. */
+  readonly usage?: readonly UsageRow[];
 }
 
 /**
@@ -94,6 +97,7 @@
       digest.serving,
       encodeDrainedZones(digest.drained),
       encodeUpstreamReports(digest.upstreams),
+      ...encodeUsage(digest.usage),
     ]),
   );
 }
@@ -109,7 +113,7 @@
   if (fields?.[0] !== DIGEST_TAG) return undefined;
   const [, host, incarnation, sequence, hostCount, rows, charged, silent, leaving, versions] =
     fields;
-  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows] =
+  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows, , usageRows] =
     fields.slice(DEMAND_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !isNonNegativeNumber(hostCount) || !Array.isArray(rows))
@@ -123,7 +127,8 @@
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const usage = decodeUsage(usageRows);
+  if (drained === undefined || upstreams === undefined || usage === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -137,6 +142,7 @@
     versions: { config, servers },
     drained,
     upstreams,
+    ...usage,
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,7 +7,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -25,6 +25,7 @@
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
+import { decodeUsage, encodeUsage } from './usageCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
 const DOWN_INDEX = 9;
@@ -67,6 +68,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to the host. */
   readonly upstreams: readonly UpstreamReport[];
+  /** What teams hold on the host; absent in hints that report no usage, where the last report counts. */
+  readonly usage?: readonly UsageRow[];
 }
 
 /**
@@ -97,6 +100,7 @@
     Math.round(hint.nextMs),
     encodeDrainedZones(hint.drained),
     encodeUpstreamReports(hint.upstreams),
+    ...encodeUsage(hint.usage),
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -112,7 +116,7 @@
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, versions, demandRows, moveRows] =
     fields;
-  const [down, calls, nextMs, drainedRow, upstreamRows] = fields.slice(DOWN_INDEX);
+  const [down, calls, nextMs, drainedRow, upstreamRows, , usageRows] = fields.slice(DOWN_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -128,7 +132,8 @@
     return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const usage = decodeUsage(usageRows);
+  if (drained === undefined || upstreams === undefined || usage === undefined) return undefined;
   const [leaving, digestFrequency, serving] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -149,5 +154,6 @@
     versions: { config, servers },
     drained,
     upstreams,
+    ...usage,
   };
 }
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -23,6 +23,8 @@
   HostDigest,
   HostHint,
 } from '@camphorvane/peer/hints';
+import type { UsageSums } from './UsageReports.ts';
+import { UsageReports, usageWithout } from './UsageReports.ts';
 
 /**
  * Limit of the engines in one digest, which keeps those with the most memory in use: an engine takes
@@ -50,6 +52,7 @@
   readonly versions: HostDigest['versions'];
   readonly drained: DrainedZones;
   readonly upstreams: readonly UpstreamReport[];
+  readonly usage: UsageSums | undefined;
 }
 
 /** Fields of a digest beside the sums. */
@@ -72,8 +75,11 @@
   /** Demand at each host since its first hint here. */
   private readonly demandByHost = new Map<HostId, ReadonlyMap<ModelId, PoolDemand>>();
 
+  private readonly usage = new UsageReports();
+
   /** Receives the hint of a host, this one included. */
   receive(hint: HostHint, now: Millis): void {
+    this.usage.receive(hint.host, hint.usage, now);
     const before = this.hints.get(hint.host)?.hint;
     this.hints.set(hint.host, { hint, receivedAt: now });
     // What a host charged before its first hint here is part of no sum.
@@ -125,6 +131,7 @@
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
       upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
+      usage: this.usage.aggregate(now),
     };
   }
 
@@ -161,6 +168,7 @@
       versions: sums.versions,
       drained: sums.drained,
       upstreams: sums.upstreams,
+      usage: usageWithout(sums.usage, receiver),
     };
   }
 
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -4,6 +4,7 @@
 import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { EngineProbes } from '../placing/EngineProbes.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
+import type { FairQueues } from '../serving/FairQueues.ts';
 import type { DeploymentFeed } from './DeploymentFeed.ts';
 import type { HostRoster } from './HostRoster.ts';
 import type { GossipRateGate } from './GossipRateGate.ts';
@@ -18,6 +19,7 @@
   readonly probes: EngineProbes;
   readonly calls: ConcurrencyShares;
   readonly signals: UpstreamSignalRecorder;
+  readonly fairQueues: FairQueues;
 }
 
 /** Passes received hints and digests to the parts of this host that use them. */
@@ -31,7 +33,8 @@
 
   /** Receives the hint of one peer. */
   receive(hint: HostHint): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const { signals, fairQueues } = this.options;
     const now = clock.now();
     hosts.receive(hint, now);
     rates.receive(hint);
@@ -45,11 +48,13 @@
     probes.receive(hint.down);
     calls.receive(hint.host, new Map(hint.calls), now);
     signals.receive(hint.upstreams);
+    if (hint.usage !== undefined) fairQueues.usage.receive(hint.host, hint.usage, now);
   }
 
   /** Receives the sums over all peers from a relay. */
   receiveDigest(digest: HostDigest): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
+    const { signals, fairQueues } = this.options;
     const now = clock.now();
     hosts.receiveDigest(digest, now);
     rates.receiveDigest(digest);
@@ -63,6 +68,7 @@
     probes.receive(digest.down);
     calls.receiveSum(new Map(digest.calls), digest.hostCount, now);
     signals.receive(digest.upstreams);
+    if (digest.usage !== undefined) fairQueues.usage.receiveSum(digest.usage, now);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -16,6 +16,7 @@
 import type { Placer } from '../placing/Placer.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
+import type { FairQueues } from '../serving/FairQueues.ts';
 
 /** Configuration source that notifies listeners of each new version. */
 export interface ConfigFeed extends ConfigSource {
@@ -94,6 +95,8 @@
   readonly directory: UpstreamDirectory;
   /** Shares of the concurrency of plain services, by the calls of all hosts. */
   readonly concurrencyShares: ConcurrencyShares;
+  /** Usage of teams over all hosts, and the order of the queues that follows from it. */
+  readonly fairQueues: FairQueues;
   readonly metrics: Metrics;
 }
 
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -22,6 +22,12 @@
  */
 const BUSY_HOLD_MS: Millis = 3_000;
 
+/**
+ * Shortest time between two hints that carry the usage of teams, in milliseconds. Usage takes up to 2 KB; in
+ * each hint of a busy host, which sends one every 60 ms, it alone would exceed the budget of the gossip.
+ */
+const MIN_USAGE_PERIOD_MS: Millis = 200;
+
 /** Content of a hint without its header. */
 export type HintContent = Omit<
   HostHint,
@@ -69,6 +75,8 @@
   /** Time of the last digest sent to each host. */
   private readonly digestSentAt = new Map<HostId, Millis>();
 
+  private usageSentAt: Millis = -Infinity;
+
   private wasServing: boolean | undefined;
 
   private changedAt: Millis = -Infinity;
@@ -106,7 +114,7 @@
     const { link, roster, clock } = this.options;
     this.hasStateChange = false;
     this.logServing();
-    const hint = this.buildHint();
+    const hint = this.withDueUsage(this.buildHint());
     if (!this.timings().isRelayed) {
       link.sendHint(hint, roster.getPeerAddresses());
       return;
@@ -120,6 +128,16 @@
     if (!isRelayLost) link.sendHint(hint, hintOnly);
   }
 
+  /** Leaves out the usage where the last hint that carried it is recent. */
+  private withDueUsage(hint: HostHint): HostHint {
+    if (hint.usage === undefined) return hint;
+    const now = this.options.clock.now();
+    const periodMs = Math.max(MIN_USAGE_PERIOD_MS, this.timings().periodMs / 2);
+    if (now - this.usageSentAt < periodMs) return { ...hint, usage: undefined };
+    this.usageSentAt = now;
+    return hint;
+  }
+
   private async runSendLoop(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -117,7 +117,7 @@
   constructor(options: StoreCoordinationOptions, context: CoordinationContext) {
     this.options = options;
     this.context = context;
-    const { clock, random, identity, incarnation, directory } = context;
+    const { clock, random, identity, incarnation, directory, fairQueues } = context;
     const { store, format } = options;
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
@@ -158,7 +158,7 @@
     this.rates = new GossipRateGate(clock, options.tolerance);
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
-      ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
+      ...{ clock, random, directory, knowledge: this.knowledge, incarnation, fairQueues },
       onStateChange: () => this.gossip.recordStateChange(),
     });
     this.crashGuard = new CrashGuard({
@@ -170,7 +170,7 @@
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
-      ...{ probes: this.placer.probes, calls: context.concurrencyShares },
+      ...{ probes: this.placer.probes, calls: context.concurrencyShares, fairQueues },
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -315,6 +315,7 @@
       versions: this.config.getVersions(),
       drained: this.config.drains.get(),
       upstreams: this.admission.constraints.getReports(this.clock.now()),
+      usage: this.context.fairQueues.getReport(),
     };
   }
 
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -149,6 +149,7 @@
       ...this.components.coordination.dump(),
       crashes: this.components.coordination.crashGuard.dump(),
       serviceQueues: this.components.serviceQueues.dump(),
+      fairShares: this.components.fairQueues.dump(),
       counters: this.options.metrics.getCounts(),
     };
   }
@@ -156,6 +157,7 @@
   private applyConfig({ version, config }: VersionedConfig): void {
     this.components.directory.reconfigure(config);
     this.components.keys.update(config);
+    this.components.fairQueues.reconfigure(config);
     this.components.coordination.rates.setTeams(config.teams);
     this.components.coordination.admission.slowStart.setBounds(slowStartBounds(config));
     this.components.coordination.placer.refresh();
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -3,8 +3,10 @@
 import type { HostCoordination } from '../coordination/HostCoordination.ts';
 import { EngineObserver } from '../placing/EngineObserver.ts';
 import { ReservationRenewer } from '../placing/ReservationRenewer.ts';
+import { WaitingPlacer } from '../placing/WaitingPlacer.ts';
 import { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import { CompletionHandler } from '../serving/CompletionHandler.ts';
+import { FairQueues } from '../serving/FairQueues.ts';
 import { ForwardHandler } from '../serving/ForwardHandler.ts';
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
@@ -30,6 +32,7 @@
   readonly renewer: ReservationRenewer;
   readonly observer: EngineObserver;
   readonly serviceQueues: ServiceQueues;
+  readonly fairQueues: FairQueues;
   readonly inFlight: InFlightRequests;
   readonly backend: CallerBackend;
   readonly forwarding: ForwardBackend;
@@ -46,6 +49,7 @@
   const { clock, random, identity, incarnation, metrics } = options;
   const directory = new UpstreamDirectory(options.engines, options.servers);
   const concurrencyShares = new ConcurrencyShares();
+  const fairQueues = new FairQueues(clock, directory, metrics);
   const coordination = options.coordination({
     clock,
     random,
@@ -53,6 +57,7 @@
     incarnation,
     directory,
     concurrencyShares,
+    fairQueues,
     metrics,
   });
   const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
@@ -76,7 +81,7 @@
     self: identity.host,
     clock,
     directory,
-    placements: placer,
+    placements: new WaitingPlacer(placer, fairQueues, () => clock.now()),
     renewer,
     observer,
     metrics,
@@ -88,6 +93,7 @@
     clock,
     directory,
     queues: serviceQueues,
+    fairQueues,
     admission: coordination.admission,
     rates,
     claims,
@@ -105,6 +111,7 @@
     renewer,
     observer,
     serviceQueues,
+    fairQueues,
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
     forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission }),
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -18,14 +18,16 @@
   | 'config.changed'
   | 'role.order'
   | 'upstream.signal'
-  | 'upstream.withheld';
+  | 'upstream.withheld'
+  | 'shares.placed'
+  | 'shares.unplaced';
 
 /** Names of all gauges. */
 export type GaugeName = 'engines';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
-  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval';
+  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval' | 'shares.waited';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -71,13 +71,14 @@
     knowledge,
     incarnation,
     onStateChange,
+    fairQueues,
   }: LocalPlacerOptions) {
     this.random = random;
     this.clock = clock;
     this.directory = directory;
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
-    this.reservations = new LocalReservations(knowledge, incarnation);
+    this.reservations = new LocalReservations(knowledge, incarnation, fairQueues);
     const { health, admission } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
@@ -312,16 +313,17 @@
     const { item } = waiting;
     const { model } = pool;
     const memoryTokens = meanMemoryTokens(item);
-    const { team, promptTokens, longestPauseMs } = item;
+    const { team, promptTokens, longestPauseMs, priority = DEFAULT_PRIORITY } = item;
     const reserved = { model, team, pair, promptTokens, longestPauseMs, memoryTokens };
-    const reservation = this.reservations.reserve(reserved, this.clock.now());
+    const work = { ...reserved, request, priority };
+    const reservation = this.reservations.reserve(work, this.clock.now());
     this.onStateChange();
     const placed: EnginePlacement = {
       reservation,
       prefill: pair.prefill,
       decode: pair.decode,
       pieces: piecesFor(memoryTokens),
-      priority: item.priority ?? DEFAULT_PRIORITY,
+      priority,
     };
     log('placed', {
       id: request,
--- a/packages/router/src/placing/LocalReservations.ts
+++ b/packages/router/src/placing/LocalReservations.ts
@@ -1,6 +1,7 @@
 import type { Millis, ReservationId, UpstreamId } from '@camphorvane/core';
 import type { EngineKnowledge, ReservationEnd } from '@camphorvane/decisions';
-import type { LocalReservation } from './localPool.ts';
+import type { HeldStream } from '../serving/queuedWork.ts';
+import type { LocalReservation, StreamAccounts } from './localPool.ts';
 
 /**
  * Tracks the engine memory, streams and queued prompts of this host's placed requests.
@@ -13,6 +14,8 @@
 
   private readonly prefix: string;
 
+  private readonly accounts: StreamAccounts | undefined;
+
   private readonly reservations = new Map<ReservationId, LocalReservation>();
 
   /** Reservations whose prefill has not finished. */
@@ -23,10 +26,12 @@
   /**
    * @param knowledge - Receives the load in flight on the engines and the measured prefill speeds.
    * @param prefix - Prefix of reservation ids, unique to this incarnation of the host.
+   * @param accounts - Records what the streams of each team hold.
    */
-  constructor(knowledge: EngineKnowledge, prefix: string) {
+  constructor(knowledge: EngineKnowledge, prefix: string, accounts?: StreamAccounts) {
     this.knowledge = knowledge;
     this.prefix = prefix;
+    this.accounts = accounts;
   }
 
   /** Gets the number of active reservations. */
@@ -58,6 +63,7 @@
     new Set([prefillAt, pair.decode]).forEach((engine) => admission.recordRequest(engine, now));
     this.prefilling.add(reservation);
     this.reservations.set(reservation, { ...work, wasIdle });
+    this.accounts?.place(heldStream(work));
     return reservation;
   }
 
@@ -97,9 +103,15 @@
     if (reserved === undefined) return undefined;
     this.endPrefill(reservation);
     this.reservations.delete(reservation);
+    this.accounts?.release(heldStream(reserved));
     const { pair, memoryTokens } = reserved;
     this.knowledge.inFlight.adjust(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
     if (end === 'done') this.knowledge.health.recordSuccess(pair.decode);
     return reserved;
   }
 }
+
+function heldStream(work: Omit<LocalReservation, 'wasIdle'>): HeldStream {
+  const { request, model, team, priority, memoryTokens } = work;
+  return { type: 'stream', request, model, team, priority, memoryTokens };
+}
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -19,6 +19,7 @@
 } from '@camphorvane/decisions';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { HeldStream } from '../serving/queuedWork.ts';
 import type { EnginePlacement } from './Placer.ts';
 
 /** Engines for a request, or why it was refused. */
@@ -42,6 +43,8 @@
   readonly memoryTokens: Tokens;
   /** See {@link WorkItem.longestPauseMs}. */
   readonly longestPauseMs: Millis | undefined;
+  readonly request: RequestId;
+  readonly priority: number;
 }
 
 /** Queue and placement of one model's requests on this host. */
@@ -52,6 +55,15 @@
   readonly waiting: Map<RequestId, WaitingRequest>;
 }
 
+/** Records what streams hold. */
+export interface StreamAccounts {
+  /** Records a placed stream. */
+  place(stream: HeldStream): void;
+
+  /** Records that a placed stream has ended. */
+  release(stream: HeldStream): void;
+}
+
 /** Dependencies of {@link LocalPlacer}. */
 export interface LocalPlacerOptions {
   readonly clock: Clock;
@@ -67,6 +79,8 @@
    * or up, so that peers learn of it soon.
    */
   readonly onStateChange: () => void;
+  /** Records what the streams of each team hold; absent where queues are not ordered by it. */
+  readonly fairQueues?: StreamAccounts;
 }
 
 /** Priority passed to engines for requests without one: the middle of the scale. */
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -236,6 +236,7 @@
         maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, this.remainingMs(call)),
         lateAt: this.options.clock.now() + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
         deadlineAt: call.deadlineAt,
+        priority: caller.team.priority ?? route.priority,
       },
       caller,
       service,
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -13,7 +13,10 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { CrashGuard } from './CrashGuard.ts';
+import type { FairQueues } from './FairQueues.ts';
 import { abortRefusal } from './abortRefusal.ts';
+import type { HeldCall } from './queuedWork.ts';
+import { queueOf } from './queuedWork.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
 import { serviceCallDigest, serviceRetryTarget } from './resolvedCall.ts';
 import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
@@ -38,6 +41,7 @@
   readonly clock: Clock;
   readonly directory: UpstreamDirectory;
   readonly queues: ServiceQueues;
+  readonly fairQueues: FairQueues;
   readonly admission: UpstreamAdmission;
   readonly rates: RateGate;
   /** Claims of non-idempotent calls; absent where every request of a caller is a call of its own. */
@@ -249,22 +253,29 @@
     call: ResolvedCall,
     failures: readonly FailedAttempt[],
   ): Promise<AttemptOutcome> {
+    const request = `${call.id}.${failures.length}`;
+    const { team } = call.caller;
+    const { maxWaitMs, lateAt, priority = team.priority } = call.policy;
+    const { queues, fairQueues } = this.options;
+    const held: HeldCall = {
+      ...{ type: 'call', request, service: call.service.id, team: team.id, priority },
+    };
     const queueCall: ServiceQueueCall = {
-      request: `${call.id}.${failures.length}`,
-      team: call.caller.team.id,
-      class: call.route.class,
-      maxWaitMs: call.policy.maxWaitMs,
-      lateAt: call.policy.lateAt,
+      ...{ request, team: team.id, class: call.route.class, maxWaitMs, lateAt, priority },
       avoid: failures.map((failure) => failure.server),
+      onPlaced: () => fairQueues.place(held),
     };
-    const chosen = await this.options.queues.acquireServer(call.service.id, queueCall, call.signal);
+    fairQueues.enter({ ...held, queue: queueOf(held), lateAt });
+    const chosen = await queues.acquireServer(call.service.id, queueCall, call.signal);
+    fairQueues.leave(queueOf(held), request, chosen.isErr());
     if (chosen.isErr()) return { type: 'refused', refusal: chosen.error };
     if (failures.length === 0) {
-      const request = { team: call.caller.team.id, service: call.service.id };
-      this.options.retryGate.recordAttempt(request, [chosen.value], this.options.clock.now());
+      const attempted = { team: team.id, service: call.service.id };
+      this.options.retryGate.recordAttempt(attempted, [chosen.value], this.options.clock.now());
     }
     const result = await this.dispatch(call, queueCall, chosen.value);
-    this.options.queues.releaseServer(call.service.id, queueCall, chosen.value, hasFailed(result));
+    fairQueues.release(held);
+    queues.releaseServer(call.service.id, queueCall, chosen.value, hasFailed(result));
     this.recordCrash(call, chosen.value, result);
     this.recordReachability(chosen.value, result);
     if (result.isErr()) {
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -16,6 +16,8 @@
   readonly lateAt?: Millis;
   /** Deadline of the call, set by its caller or by the configuration. */
   readonly deadlineAt: Millis;
+  /** Priority of the call, lower goes first; absent where the configuration has none. */
+  readonly priority?: number;
 }
 
 /** A service call whose caller is authenticated and whose route is resolved. */
