--- a/packages/decisions/src/shares/FairOrder.ts
+++ b/packages/decisions/src/shares/FairOrder.ts
@@ -3,13 +3,15 @@
 import type { ResourceCapacity } from './dominantShare.ts';
 import type { PriorityLevels } from './priorityLevels.ts';
 import type { OrderedEntry, QueueOrder } from './QueueOrder.ts';
-import type { PriorityState } from './StarvationGuard.ts';
 import { StarvationGuard } from './StarvationGuard.ts';
 import type { TeamUsage } from './TeamUsage.ts';
 
 /** Fraction of the time to its target after which a waiting request moves up one priority. */
 const RAISE_FRACTION = 0.5;
 
+/** Rank of the requests of a priority that was passed over too often. */
+const STARVED_RANK = -Infinity;
+
 /** A waiting request as the order of a queue knows it before the queue compares it. */
 export type WaitingEntry = Pick<OrderedEntry, 'team' | 'priority' | 'submittedAt' | 'lateAt'>;
 
@@ -44,8 +46,12 @@
   readonly now: Millis;
   readonly usageRevision: number;
   readonly resources: readonly ResourceCapacity[];
-  readonly levels: PriorityLevels;
-  readonly priorities: PriorityState;
+  /** Priority that was passed over too often; undefined where none was. */
+  readonly starved: number | undefined;
+  /** Whether requests of the starved priority go first also while they can still wait. */
+  readonly mayOvertake: boolean;
+  /** Priority to which requests of each priority move up. */
+  readonly raisedTo: PriorityLevels;
   /** Dominant shares of the teams compared so far. */
   readonly shares: Map<TeamId, number>;
 }
@@ -76,12 +82,11 @@
     const pass = this.passAt(now);
     const isLateA = a.lateAt <= now;
     if (isLateA !== b.lateAt <= now) return isLateA ? 1 : -1;
-    const isFirstA = goesFirst(a, pass);
-    if (isFirstA !== goesFirst(b, pass)) return isFirstA ? -1 : 1;
-    const byPriority = priorityOf(a, pass) - priorityOf(b, pass);
-    if (byPriority !== 0) return byPriority;
-    const byReturn = Number(b.returnStatus === 'in_turn') - Number(a.returnStatus === 'in_turn');
-    if (byReturn !== 0) return byReturn;
+    const rankA = rankOf(a, pass);
+    const rankB = rankOf(b, pass);
+    if (rankA !== rankB) return rankA < rankB ? -1 : 1;
+    const isInTurnA = a.returnStatus === 'in_turn';
+    if (isInTurnA !== (b.returnStatus === 'in_turn')) return isInTurnA ? -1 : 1;
     if (a.team !== b.team) {
       const byShare = this.shareIn(pass, a.team) - this.shareIn(pass, b.team);
       if (byShare !== 0) return byShare;
@@ -138,13 +143,15 @@
   }
 
   private passAt(now: Millis): Pass {
-    const { usage, resources, levels } = this.options;
+    const { usage, resources } = this.options;
     const usageRevision = usage.revision;
     if (this.pass?.now === now && this.pass.usageRevision === usageRevision) return this.pass;
+    const { starved, endangered } = this.guard.assess(this.waiting.values(), now);
+    const levels = [...this.options.levels()].filter(([, raised]) => !endangered.has(raised));
     this.pass = {
-      ...{ now, usageRevision, shares: new Map<TeamId, number>() },
-      ...{ resources: resources(), levels: levels() },
-      priorities: this.guard.assess(this.getWaiting(), now),
+      ...{ now, usageRevision, resources: resources(), shares: new Map<TeamId, number>() },
+      ...{ starved, raisedTo: new Map(levels) },
+      mayOvertake: [...endangered].every((priority) => priority === starved),
     };
     return this.pass;
   }
@@ -160,25 +167,19 @@
 }
 
 /**
- * Gets the priority of a request. It moves up by one after half of the time to its target, unless a request
- * of that priority would become late by it.
- */
-function priorityOf(entry: WaitingEntry, { levels, now, priorities }: Pass): number {
-  const { priority } = entry;
-  if (!isRaised(entry, now)) return priority;
-  const raised = levels.get(priority) ?? priority;
-  return priorities.endangered.has(raised) ? priority : raised;
-}
-
-/**
- * Tells whether a request goes first, since its priority was passed over too often. One that is on time and
- * can still wait does so only if no request of another priority would become late by it.
+ * Gets the rank of a request among those that are on time, or among the late ones; lower goes first.
+ *
+ * It is the priority, which moves up by one after half of the time to the target unless a request of that
+ * priority would become late by it. A priority that was passed over too often goes first; with requests that
+ * can still wait only if no request of another priority would become late by it.
  */
-function goesFirst(entry: WaitingEntry, { now, priorities }: Pass): boolean {
-  const { starved, endangered } = priorities;
-  if (entry.priority !== starved) return false;
-  if (entry.lateAt <= now || isRaised(entry, now)) return true;
-  return endangered.size === 0 || (endangered.size === 1 && endangered.has(starved));
+function rankOf(entry: WaitingEntry, pass: Pass): number {
+  const { priority, lateAt } = entry;
+  const raised = isRaised(entry, pass.now);
+  if (priority === pass.starved && (raised || pass.mayOvertake || lateAt <= pass.now)) {
+    return STARVED_RANK;
+  }
+  return raised ? (pass.raisedTo.get(priority) ?? priority) : priority;
 }
 
 function isRaised({ submittedAt, lateAt }: WaitingEntry, now: Millis): boolean {
@@ -187,6 +188,7 @@
 
 function reasonOf(entry: WaitingEntry, pass: Pass): PlacementReason {
   if (entry.lateAt <= pass.now) return 'late';
-  if (goesFirst(entry, pass)) return 'starved';
-  return priorityOf(entry, pass) === entry.priority ? 'share' : 'raised';
+  const rank = rankOf(entry, pass);
+  if (rank === STARVED_RANK) return 'starved';
+  return rank === entry.priority ? 'share' : 'raised';
 }
--- a/packages/decisions/src/shares/StarvationGuard.ts
+++ b/packages/decisions/src/shares/StarvationGuard.ts
@@ -57,22 +57,40 @@
   }
 
   /** Gets how the priorities of the waiting requests fare. */
-  assess(waiting: readonly GuardedEntry[], now: Millis): PriorityState {
-    const priorities = new Set(waiting.map(({ priority }) => priority));
-    if (priorities.size < 2) return NOTHING_AT_RISK;
+  assess(waiting: Iterable<GuardedEntry>, now: Millis): PriorityState {
+    const timesByPriority = new Map<number, Millis[]>();
+    const entries = [...waiting];
+    entries.forEach(({ priority, lateAt }) => {
+      const times = timesByPriority.get(priority);
+      if (times === undefined) timesByPriority.set(priority, [lateAt]);
+      else times.push(lateAt);
+    });
+    if (timesByPriority.size < 2) return NOTHING_AT_RISK;
     const [starved] = [...this.passedOver]
-      .filter(([priority, count]) => count >= MAX_PASSED_OVER && priorities.has(priority))
+      .filter(([priority, count]) => count >= MAX_PASSED_OVER && timesByPriority.has(priority))
       .sort(([a, countA], [b, countB]) => countB - countA || b - a);
-    return { starved: starved?.[0], endangered: this.findEndangered(waiting, now) };
+    return { starved: starved?.[0], endangered: this.findEndangered(timesByPriority, now) };
   }
 
-  private findEndangered(waiting: readonly GuardedEntry[], now: Millis): ReadonlySet<number> {
+  private findEndangered(
+    timesByPriority: ReadonlyMap<number, readonly Millis[]>,
+    now: Millis,
+  ): ReadonlySet<number> {
     const { intervalMs = 0 } = this;
-    const endangered = waiting
-      .filter(({ lateAt }) => lateAt > now && lateAt < Infinity)
-      .sort((a, b) => a.priority - b.priority || a.lateAt - b.lateAt)
-      // It waits for those ahead of it, for the one that would go first, and for its own placement.
-      .filter(({ lateAt }, ahead) => lateAt <= now + (ahead + 2) * intervalMs * WAIT_MARGIN);
-    return new Set(endangered.map(({ priority }) => priority));
+    const endangered = new Set<number>();
+    // It waits for those ahead of it, for the one that would go first, and for its own placement.
+    let placements = 2;
+    [...timesByPriority]
+      .sort(([a], [b]) => a - b)
+      .forEach(([priority, times]) => {
+        // A typed array sorts numbers without a call of a comparison function.
+        Float64Array.from(times.filter((lateAt) => lateAt > now && lateAt < Infinity))
+          .sort()
+          .forEach((lateAt) => {
+            if (lateAt <= now + placements * intervalMs * WAIT_MARGIN) endangered.add(priority);
+            placements += 1;
+          });
+      });
+    return endangered;
   }
 }
--- a/packages/decisions/src/shares/dominantShare.ts
+++ b/packages/decisions/src/shares/dominantShare.ts
@@ -26,8 +26,9 @@
   weight: number,
   now: Millis,
 ): number {
-  const shares = resources.map(({ queue, capacity }) =>
-    usage.shareOf(team, queue, capacity, weight, now),
+  return resources.reduce(
+    (largest, { queue, capacity }) =>
+      Math.max(largest, usage.shareOf(team, queue, capacity, weight, now)),
+    0,
   );
-  return Math.max(0, ...shares);
 }
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -7,6 +7,7 @@
 import type { HostRoster } from './HostRoster.ts';
 import { DigestBuilder } from './DigestBuilder.ts';
 import type { AggregatedHints } from './DigestBuilder.ts';
+import { UsagePace } from './UsagePace.ts';
 
 const log = eventLog('hosts');
 
@@ -22,12 +23,6 @@
  */
 const BUSY_HOLD_MS: Millis = 3_000;
 
-/**
- * Shortest time between two hints that carry the usage of teams, in milliseconds. Usage takes up to 2 KB; in
- * each hint of a busy host, which sends one every 60 ms, it alone would exceed the budget of the gossip.
- */
-const MIN_USAGE_PERIOD_MS: Millis = 200;
-
 /** Content of a hint without its header. */
 export type HintContent = Omit<
   HostHint,
@@ -75,7 +70,9 @@
   /** Time of the last digest sent to each host. */
   private readonly digestSentAt = new Map<HostId, Millis>();
 
-  private usageSentAt: Millis = -Infinity;
+  private readonly hintUsage = new UsagePace();
+
+  private readonly digestUsage = new UsagePace();
 
   private wasServing: boolean | undefined;
 
@@ -128,14 +125,10 @@
     if (!isRelayLost) link.sendHint(hint, hintOnly);
   }
 
-  /** Leaves out the usage where the last hint that carried it is recent. */
   private withDueUsage(hint: HostHint): HostHint {
     if (hint.usage === undefined) return hint;
-    const now = this.options.clock.now();
-    const periodMs = Math.max(MIN_USAGE_PERIOD_MS, this.timings().periodMs / 2);
-    if (now - this.usageSentAt < periodMs) return { ...hint, usage: undefined };
-    this.usageSentAt = now;
-    return hint;
+    const isDue = this.hintUsage.takeTurn(this.timings(), this.options.clock.now());
+    return isDue ? hint : { ...hint, usage: undefined };
   }
 
   private async runSendLoop(signal: AbortSignal): Promise<void> {
@@ -163,13 +156,17 @@
     if (this.builder.getLiveHosts().every((host) => host === self)) return;
     this.builder.receive(this.buildHint(), now);
     const sums = this.builder.aggregate(now);
+    const isUsageDue = sums.usage !== undefined && this.digestUsage.takeTurn(this.timings(), now);
+    const withoutUsage = { ...sums, usage: undefined };
     const received = new Set(this.builder.getLiveHosts());
     const silent = roster.getPeers().filter((host) => !received.has(host));
     const due = subscribers.filter((subscriber) => this.isDue(subscriber, now));
-    due.forEach(({ host }) => {
+    due.forEach(({ host, digests }) => {
       this.digestSentAt.set(host, now);
       const address = roster.getPeerAddress(host);
-      if (address !== undefined) link.sendDigest(this.buildDigest(host, sums, silent), address);
+      // A standby host places no requests, and needs no usage.
+      const hostSums = isUsageDue && digests === 'often' ? sums : withoutUsage;
+      if (address !== undefined) link.sendDigest(this.buildDigest(host, hostSums, silent), address);
     });
     this.receiveDigest(this.buildDigest(self, sums, silent));
   }
