--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -6,6 +6,7 @@
   RoleChanges,
   InFlightTracker,
   PeerCounts,
+  TeamUsage,
   UpstreamConstraints,
 } from '@camphorvane/decisions';
 import type { RoleChange, InFlightLoad } from '@camphorvane/decisions';
@@ -35,6 +36,9 @@
   moves: readonly RoleChange[];
   readonly roleChanges: RoleChanges;
   readonly constraints: UpstreamConstraints;
+  readonly usage: TeamUsage;
+  /** Whether it reports its usage, as with fair shares. */
+  reportsUsage: boolean;
   sent: number;
   bytes: number;
   /** Has the next hint sent early. */
@@ -85,6 +89,7 @@
             toTimeOfDay: (now) => now,
           }),
         },
+        ...{ usage: new TeamUsage(), reportsUsage: false },
         ...{ sent: 0, bytes: 0, recordStateChange: () => undefined, isDown: false },
       };
       return host;
@@ -116,6 +121,7 @@
         versions: { config: 1, servers: 1 },
         drained: { version: 0, zones: [] },
         upstreams: host.constraints.getReports(clock.now()),
+        usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
@@ -129,6 +135,7 @@
         host.roleChanges.receive(hint.moves, clock.now());
         host.peerBacklog.receive(hint.host, backlogOf(hint.demand), clock.now());
         host.constraints.receive(hint.upstreams, clock.now());
+        if (hint.usage !== undefined) host.usage.receive(hint.host, hint.usage, clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
@@ -149,6 +156,7 @@
         host.roleChanges.receive(digest.moves, clock.now());
         host.peerBacklog.receiveSum(backlogOf(digest.demand), hostCount, clock.now());
         host.constraints.receive(digest.upstreams, clock.now());
+        if (digest.usage !== undefined) host.usage.receiveSum(digest.usage, clock.now());
       },
     });
     Object.assign(host, { recordStateChange: () => gossip.recordStateChange() });
