--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -282,6 +282,7 @@
     const { entry, server } = choice;
     const { request, team } = entry;
     this.withdraw(request);
+    entry.call.onPlaced?.();
     this.teamCalls.recordStarted(team, this.servers.take(server), now);
     this.admission.recordStarted(entry, now);
     const waitedMs = now - entry.queuedAt;
--- a/packages/decisions/src/service/ServiceQueueCall.ts
+++ b/packages/decisions/src/service/ServiceQueueCall.ts
@@ -16,6 +16,8 @@
   readonly priority?: number;
   /** What is known of the caller's wait; absent where nothing is. */
   readonly callerTimes?: CallerTimes;
+  /** Called at the placement, so that the order of the next one takes it into account. */
+  readonly onPlaced?: () => void;
 }
 
 /** The decision for a queued call. */
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -7,6 +7,7 @@
 import type { HostRoster } from './HostRoster.ts';
 import { DigestBuilder } from './DigestBuilder.ts';
 import type { AggregatedHints } from './DigestBuilder.ts';
+import { UsagePace } from './UsagePace.ts';
 
 const log = eventLog('hosts');
 
@@ -69,6 +70,10 @@
   /** Time of the last digest sent to each host. */
   private readonly digestSentAt = new Map<HostId, Millis>();
 
+  private readonly hintUsage = new UsagePace();
+
+  private readonly digestUsage = new UsagePace();
+
   private wasServing: boolean | undefined;
 
   private changedAt: Millis = -Infinity;
@@ -106,7 +111,7 @@
     const { link, roster, clock } = this.options;
     this.hasStateChange = false;
     this.logServing();
-    const hint = this.buildHint();
+    const hint = this.withDueUsage(this.buildHint());
     if (!this.timings().isRelayed) {
       link.sendHint(hint, roster.getPeerAddresses());
       return;
@@ -120,6 +125,12 @@
     if (!isRelayLost) link.sendHint(hint, hintOnly);
   }
 
+  private withDueUsage(hint: HostHint): HostHint {
+    if (hint.usage === undefined) return hint;
+    const isDue = this.hintUsage.takeTurn(this.timings(), this.options.clock.now());
+    return isDue ? hint : { ...hint, usage: undefined };
+  }
+
   private async runSendLoop(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
@@ -145,13 +156,17 @@
     if (this.builder.getLiveHosts().every((host) => host === self)) return;
     this.builder.receive(this.buildHint(), now);
     const sums = this.builder.aggregate(now);
+    const isUsageDue = sums.usage !== undefined && this.digestUsage.takeTurn(this.timings(), now);
+    const withoutUsage = { ...sums, usage: undefined };
     const received = new Set(this.builder.getLiveHosts());
     const silent = roster.getPeers().filter((host) => !received.has(host));
     const due = subscribers.filter((subscriber) => this.isDue(subscriber, now));
-    due.forEach(({ host }) => {
+    due.forEach(({ host, digests }) => {
       this.digestSentAt.set(host, now);
       const address = roster.getPeerAddress(host);
-      if (address !== undefined) link.sendDigest(this.buildDigest(host, sums, silent), address);
+      // A standby host places no requests, and needs no usage.
+      const hostSums = isUsageDue && digests === 'often' ? sums : withoutUsage;
+      if (address !== undefined) link.sendDigest(this.buildDigest(host, hostSums, silent), address);
     });
     this.receiveDigest(this.buildDigest(self, sums, silent));
   }
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -99,7 +99,7 @@
   constructor(options: StoreCoordinationOptions, context: CoordinationContext) {
     this.options = options;
     this.context = context;
-    const { clock, random, identity, incarnation, directory } = context;
+    const { clock, random, identity, incarnation, directory, fairQueues } = context;
     const { store, format } = options;
     this.clock = clock;
     this.hosts = new HostRoster(identity.host, identity.zone);
@@ -148,8 +148,9 @@
     this.rates = new GossipRateGate(clock, options.tolerance);
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
-      ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
+      ...{ clock, random, directory, knowledge: this.knowledge, incarnation, fairQueues },
       ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
+      order: (model) => fairQueues.orderOf({ type: 'pool', id: model }),
     });
     this.crashGuard = new CrashGuard({
       self: identity.host,
@@ -160,7 +161,7 @@
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
-      ...{ probes: this.placer.probes, calls: context.concurrencyShares },
+      ...{ probes: this.placer.probes, calls: context.concurrencyShares, fairQueues },
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -309,6 +310,7 @@
       versions: this.config.getVersions(),
       drained: this.config.drains.get(),
       upstreams: this.admission.constraints.getReports(this.clock.now()),
+      usage: this.context.fairQueues.getReport(),
     };
   }
 
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -21,7 +21,9 @@
   | 'upstream.signal'
   | 'upstream.withheld'
   | 'admission.refused'
-  | 'admission.refused_while_idle';
+  | 'admission.refused_while_idle'
+  | 'shares.placed'
+  | 'shares.unplaced';
 
 /** Names of all gauges. */
 export type GaugeName = 'engines';
@@ -33,7 +35,8 @@
   | 'request.pause'
   | 'request.token_interval'
   | 'admission.expected_wait'
-  | 'admission.real_wait';
+  | 'admission.real_wait'
+  | 'shares.waited';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -78,7 +78,7 @@
     this.directory = directory;
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
-    this.reservations = new LocalReservations(knowledge, incarnation);
+    this.reservations = new LocalReservations(knowledge, incarnation, options.fairQueues);
     const { health, admission } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
@@ -294,16 +294,17 @@
     const { item } = waiting;
     const { model } = pool;
     const memoryTokens = meanMemoryTokens(item);
-    const { team, promptTokens, longestPauseMs } = item;
+    const { team, promptTokens, longestPauseMs, priority = DEFAULT_PRIORITY } = item;
     const reserved = { model, team, pair, promptTokens, longestPauseMs, memoryTokens };
-    const reservation = this.reservations.reserve(reserved, this.clock.now());
+    const work = { ...reserved, request, priority };
+    const reservation = this.reservations.reserve(work, this.clock.now());
     this.onStateChange();
     const placed: EnginePlacement = {
       reservation,
       prefill: pair.prefill,
       decode: pair.decode,
       pieces: piecesFor(memoryTokens),
-      priority: item.priority ?? DEFAULT_PRIORITY,
+      priority,
     };
     const waitedMs = this.clock.now() - waiting.since;
     recordWaits('streams', expectedMs, waitedMs, this.options.metrics);
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -22,6 +22,7 @@
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import type { HeldStream } from '../serving/queuedWork.ts';
 import type { EnginePlacement } from './Placer.ts';
 
 /** Engines for a request, or why it was refused. */
@@ -46,6 +47,8 @@
   /** See {@link WorkItem.longestPauseMs}. */
   readonly longestPauseMs: Millis | undefined;
   readonly reservedAt: Millis;
+  readonly request: RequestId;
+  readonly priority: number;
 }
 
 /** Queue and placement of one model's requests on this host. */
@@ -56,6 +59,15 @@
   readonly waiting: Map<RequestId, WaitingRequest>;
 }
 
+/** Records what streams hold. */
+export interface StreamAccounts {
+  /** Records a placed stream. */
+  place(stream: HeldStream): void;
+
+  /** Records that a placed stream has ended. */
+  release(stream: HeldStream): void;
+}
+
 /** Dependencies of {@link LocalPlacer}. */
 export interface LocalPlacerOptions {
   readonly clock: Clock;
@@ -72,6 +84,8 @@
    */
   readonly onStateChange: () => void;
   readonly metrics?: Metrics;
+  /** Records what the streams of each team hold; absent where queues are not ordered by it. */
+  readonly fairQueues?: StreamAccounts;
   /** Gets what schedules the retries of a model's refused callers; undefined while that is off. */
   readonly turns?: (model: ModelId) => TurnScheduler | undefined;
   /** Gets the order of a model's waiting requests; undefined while that is off. */
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -6,6 +6,7 @@
   RoleChanges,
   InFlightTracker,
   PeerCounts,
+  TeamUsage,
   UpstreamConstraints,
 } from '@camphorvane/decisions';
 import type { RoleChange, InFlightLoad } from '@camphorvane/decisions';
@@ -41,6 +42,9 @@
   isWatching: boolean;
   /** Called with the versions that a hint or digest reports. */
   onVersions: (versions: HostHint['versions']) => void;
+  readonly usage: TeamUsage;
+  /** Whether it reports its usage, as with fair shares. */
+  reportsUsage: boolean;
   sent: number;
   bytes: number;
   /** Has the next hint sent early. */
@@ -92,6 +96,7 @@
           }),
         },
         ...{ versions: { config: 1, servers: 1 }, isWatching: true, onVersions: () => undefined },
+        ...{ usage: new TeamUsage(), reportsUsage: false },
         ...{ sent: 0, bytes: 0, recordStateChange: () => undefined, isDown: false },
       };
       return host;
@@ -124,6 +129,7 @@
         ...(host.isWatching ? { watching: true } : {}),
         drained: { version: 0, zones: [] },
         upstreams: host.constraints.getReports(clock.now()),
+        usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
@@ -138,6 +144,7 @@
         host.roleChanges.receive(hint.moves, clock.now());
         host.peerBacklog.receive(hint.host, backlogOf(hint.demand), clock.now());
         host.constraints.receive(hint.upstreams, clock.now());
+        if (hint.usage !== undefined) host.usage.receive(hint.host, hint.usage, clock.now());
       },
       onDigest: (digest) => {
         host.digests.push(digest);
@@ -159,6 +166,7 @@
         host.roleChanges.receive(digest.moves, clock.now());
         host.peerBacklog.receiveSum(backlogOf(digest.demand), hostCount, clock.now());
         host.constraints.receive(digest.upstreams, clock.now());
+        if (digest.usage !== undefined) host.usage.receiveSum(digest.usage, clock.now());
       },
     });
     Object.assign(host, { recordStateChange: () => gossip.recordStateChange() });
