Correct waits by weighted ratios, and share slots by the slots that calls need

Change: ratios count by the length of their estimate; a queued call counts as the slot time that it needs within 200 ms; drain rates for turns and for spare capacity are not corrected.

--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -58,6 +58,8 @@
   readonly drainPerMs: number | undefined;
   /** Requests per millisecond that arrive and can be on time. */
   readonly arrivalsPerMs: number;
+  /** Factor by which estimated waits are corrected. */
+  readonly correction: number;
 }
 
 /** Settings of the admission to one queue. */
@@ -258,7 +260,8 @@
 
   private measureFlow(now: Millis): Flow {
     const arrivalsPerMs = perMsOf(this.arrivals, now);
-    return { drainPerMs: this.estimator.getDrainPerMs(now), arrivalsPerMs };
+    const { correction } = this.estimator;
+    return { drainPerMs: this.estimator.getDrainPerMs(now), arrivalsPerMs, correction };
   }
 
   private refuse(
@@ -305,17 +308,17 @@
 }
 
 function expectWaits(
-  { drainPerMs, arrivalsPerMs }: Flow,
+  { drainPerMs, arrivalsPerMs, correction }: Flow,
   { lateAt }: AdmissionRequest,
   ahead: number,
   others: number,
   now: Millis,
 ): ExpectedWaits {
   if (drainPerMs === undefined) return { waitMs: 0, lateWaitMs: 0 };
-  const waitMs = (ahead + 1) / drainPerMs;
+  const waitMs = ((ahead + 1) / drainPerMs) * correction;
   // A request that is late already has its place behind the others; one that becomes late loses its place.
   const aheadWhenLate = lateAt <= now ? ahead : others;
   const sparePerMs = drainPerMs - arrivalsPerMs;
-  const lateWaitMs = sparePerMs > 0 ? (aheadWhenLate + 1) / sparePerMs : Infinity;
+  const lateWaitMs = sparePerMs > 0 ? ((aheadWhenLate + 1) / sparePerMs) * correction : Infinity;
   return { waitMs, lateWaitMs };
 }
--- a/packages/decisions/src/admission/WaitEstimator.ts
+++ b/packages/decisions/src/admission/WaitEstimator.ts
@@ -11,28 +11,35 @@
 /** Bounds of the correction of estimates. */
 const CORRECTION = { min: 1 / 4, max: 4 };
 
-/** Weight of the newest ratio in the running mean: about twenty requests correct an estimate. */
-const RATIO_WEIGHT = 0.05;
+/** Factor by which earlier waits lose weight with each request: some twenty requests correct an estimate. */
+const WAIT_DECAY = 0.95;
+
+/** Milliseconds of waits that count as estimated exactly at first, so that one request decides little. */
+const INITIAL_WAIT_MS: Millis = 500;
+
+/** Estimates below this, in milliseconds, are not compared with the real wait: clocks are no finer. */
+const MIN_COMPARED_MS: Millis = 1;
 
 /** Largest ratio of one request, so that a single long wait does not decide the mean. */
 const MAX_RATIO = 16;
 
-/** Estimates below this, in milliseconds, are not compared with the real wait: both are mostly rounding. */
-const MIN_COMPARED_MS: Millis = 5;
-
 /**
  * Estimates how long a request waits in a queue, from the work ahead of it and the drain rate.
  *
  * The drain rate is measured while work is queued, and combined with a prior from the known capacity. Both
  * may be wrong, for example where later requests go first, so estimates are multiplied by the running mean
- * of the ratio of real waits to estimates.
+ * of the ratio of real waits to estimates, weighted by the estimates.
  */
 export class WaitEstimator {
   private readonly drain: MeasuredRate;
 
   private priorPerMs: number | undefined;
 
-  private ratio = 1;
+  /** Real and estimated waits of recent requests, in milliseconds. */
+  private waits: { readonly realMs: Millis; readonly estimatedMs: Millis } = {
+    realMs: INITIAL_WAIT_MS,
+    estimatedMs: INITIAL_WAIT_MS,
+  };
 
   /** @param decayMs - Time constant of the measured drain rate, in milliseconds with queued work. */
   constructor(decayMs: Millis) {
@@ -41,7 +48,8 @@
 
   /** Gets the factor by which estimates are multiplied. */
   get correction(): number {
-    return Math.min(CORRECTION.max, Math.max(CORRECTION.min, this.ratio));
+    const { realMs, estimatedMs } = this.waits;
+    return Math.min(CORRECTION.max, Math.max(CORRECTION.min, realMs / estimatedMs));
   }
 
   /**
@@ -91,10 +99,14 @@
    * @param estimatedMs - The estimate without correction; undefined where none was made.
    */
   recordWait(waitedMs: Millis, estimatedMs: Millis | undefined): void {
-    if (estimatedMs === undefined || estimatedMs < MIN_COMPARED_MS) return;
-    if (estimatedMs === Infinity) return;
-    const ratio = Math.min(MAX_RATIO, waitedMs / estimatedMs);
-    this.ratio += (ratio - this.ratio) * RATIO_WEIGHT;
+    if (estimatedMs === undefined || estimatedMs === Infinity) return;
+    if (estimatedMs < MIN_COMPARED_MS) return;
+    const realMs = Math.min(waitedMs, estimatedMs * MAX_RATIO);
+    // Each ratio counts by the length of its estimate: the ratios of short ones are mostly chance.
+    this.waits = {
+      realMs: this.waits.realMs * WAIT_DECAY + realMs,
+      estimatedMs: this.waits.estimatedMs * WAIT_DECAY + estimatedMs,
+    };
   }
 
   /**
@@ -134,14 +146,14 @@
   }
 
   /**
-   * Gets the drain rate, with the correction of the estimates.
+   * Gets the drain rate. The correction is not applied: it corrects waits, which also depend on the order.
    *
    * @param now - Present time.
    * @returns Units per millisecond; undefined while nothing is known of it.
    */
   getDrainPerMs(now: Millis): number | undefined {
     const sample = this.combined(now);
-    return sample === undefined ? undefined : sample.units / sample.ms / this.correction;
+    return sample === undefined ? undefined : sample.units / sample.ms;
   }
 
   /** Gets for how long the drain rate has been measured, less the measurements that have decayed. */
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -46,6 +46,12 @@
   unknownRetryAfterMs: RETRY_AFTER_MS,
 };
 
+/**
+ * Milliseconds in which a host's queued calls are to get slots: about the time left of a queued call. If each counted
+ * as a slot, hosts with a queue would get a larger part than hosts with too few calls for one.
+ */
+const QUEUE_DRAIN_MS: Millis = 200;
+
 const CLASSES_BY_PRIORITY: readonly WorkClass[] = ['lookup', 'certificate', 'summary'];
 
 /**
@@ -102,12 +108,14 @@
 
   /**
    * Gets the demand on the service at this host, from which its share of the slots follows: the calls queued
-   * or in flight, or with admission on the calls queued and the load that arrives. Calls in flight follow the
-   * share and vary by chance, so that shares by their number would, too.
+   * or in flight, or with admission on the slots that the load that arrives and the queued calls need. Calls
+   * in flight follow the share and vary by chance, so that shares by their number would, too.
    */
   getDemand(now: Millis): number {
     const offered = this.admission.isOn() ? this.admission.getOfferedLoad(now) : undefined;
-    return offered === undefined ? this.callCount : this.queue.length + offered;
+    if (offered === undefined) return this.callCount;
+    const slotsPerQueuedCall = Math.min(1, (this.admission.holds.get() ?? 0) / QUEUE_DRAIN_MS);
+    return offered + this.queue.length * slotsPerQueuedCall;
   }
 
   /** Gets the number of queued calls. */
