Decisions and wire calls for moving running streams

Streams are preempted when their engine runs out of memory, and are cut off when it leaves. Adds the memory forecast, the planner, the state machine of a move, the kv-move and kv-handle calls, and what streams hold now in the engine rows of the gossip. Nothing uses them yet; no test was run.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,3 +35,8 @@
 export * from './signals/upstreamReports.ts';
 export * from './shares/QueueOrder.ts';
 export * from './turns/TurnScheduler.ts';
+export * from './relocation/relocationView.ts';
+export * from './relocation/forecastMemory.ts';
+export * from './relocation/RelocationPlanner.ts';
+export * from './relocation/StreamMove.ts';
+export * from './relocation/advanceMove.ts';
--- a/packages/decisions/src/local/InFlightTracker.ts
+++ b/packages/decisions/src/local/InFlightTracker.ts
@@ -1,4 +1,5 @@
 import type { HostId, Millis, Tokens, UpstreamId } from '@camphorvane/core';
+import type { HeldMemory } from '../relocation/relocationView.ts';
 import { gossipTimings } from './gossipTimings.ts';
 
 /** Load that one host has in flight on one engine. */
@@ -9,6 +10,8 @@
   readonly streams: number;
   /** KV memory of those requests, in tokens. */
   readonly memoryTokens: Tokens;
+  /** What they hold now; absent where it is not tracked. */
+  readonly held?: HeldMemory;
 }
 
 /** Prompts that were dispatched to an engine and whose prefill has not ended. */
@@ -50,6 +53,7 @@
   adjust(engine: UpstreamId, delta: Partial<InFlightLoad>): void {
     const load = this.own.get(engine) ?? NO_LOAD;
     const next: InFlightLoad = {
+      ...load,
       prefillTokens: Math.max(0, load.prefillTokens + (delta.prefillTokens ?? 0)),
       streams: Math.max(0, load.streams + (delta.streams ?? 0)),
       memoryTokens: Math.max(0, load.memoryTokens + (delta.memoryTokens ?? 0)),
@@ -59,6 +63,25 @@
     else this.own.set(engine, next);
   }
 
+  /** Sets what this host's streams hold on each engine that it uses; none where it is not tracked. */
+  setHeld(heldByEngine: ReadonlyMap<UpstreamId, HeldMemory>): void {
+    [...this.own].forEach(([engine, { held: _, ...load }]) => {
+      const held = heldByEngine.get(engine);
+      this.own.set(engine, held === undefined ? load : { ...load, held });
+    });
+  }
+
+  /**
+   * Gets what the streams of all hosts hold on an engine, with their growth since the reports. The mean
+   * memory stands in for hosts that don't report it.
+   */
+  getHeld(engine: UpstreamId, now: Millis): HeldMemory {
+    const own = heldOf(this.own.get(engine) ?? NO_LOAD, 0);
+    return this.freshReports(now)
+      .map(({ at, loads }) => heldOf(loads.get(engine) ?? NO_LOAD, now - at))
+      .reduce(sumHeld, own);
+  }
+
   /** Stores the report of one peer, in place of its previous one. */
   receive(peer: HostId, loads: ReadonlyMap<UpstreamId, InFlightLoad>, now: Millis): void {
     this.reports.delete(ALL_PEERS);
@@ -109,6 +132,16 @@
   }
 }
 
+function heldOf({ held, memoryTokens }: InFlightLoad, ageMs: Millis): HeldMemory {
+  const { tokens, growthPerMs } = held ?? { tokens: memoryTokens, growthPerMs: 0 };
+  return { tokens: tokens + growthPerMs * ageMs, growthPerMs };
+}
+
+/** Adds up what two groups of streams hold. */
+export function sumHeld(a: HeldMemory, b: HeldMemory): HeldMemory {
+  return { tokens: a.tokens + b.tokens, growthPerMs: a.growthPerMs + b.growthPerMs };
+}
+
 function sumLoads(a: InFlightLoad, b: InFlightLoad): InFlightLoad {
   return {
     prefillTokens: a.prefillTokens + b.prefillTokens,
--- a/packages/peer/src/hints/hintParts.ts
+++ b/packages/peer/src/hints/hintParts.ts
@@ -1,4 +1,5 @@
 import type { EngineRole, Millis, ModelId, Tokens, UpstreamId, ZoneId } from '@camphorvane/core';
+import type { HeldMemory } from '@camphorvane/decisions';
 
 /** Work that a host has in flight on one engine, as sent to its peers. */
 export interface EngineHint {
@@ -6,6 +7,8 @@
   readonly prefillTokens: Tokens;
   readonly streams: number;
   readonly memoryTokens: Tokens;
+  /** What the streams hold now; absent where the host does not track it. */
+  readonly held?: HeldMemory;
 }
 
 /** Demand on a host for one pool since its start, as sent to its peers. */
--- a/packages/peer/src/hints/hintRowCodec.ts
+++ b/packages/peer/src/hints/hintRowCodec.ts
@@ -1,24 +1,40 @@
 import type { UpstreamId } from '@camphorvane/core';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 
-type EngineRow = readonly [UpstreamId, number, number, number];
+type EngineRow = readonly [UpstreamId, ...number[]];
+
+/** Index of the held memory in an engine row. */
+const HELD_INDEX = 4;
+
+/** Growth is sent in tokens per second, rounded: a fraction would take twice the bytes. */
+const MS_PER_SECOND = 1_000;
 
 /** Encodes an engine's work as a row, which takes a quarter of the bytes of named fields. */
 export function encodeEngineHint(one: EngineHint): EngineRow {
-  return [one.engine, one.prefillTokens, one.streams, Math.round(one.memoryTokens)];
+  const { engine, prefillTokens, streams, memoryTokens, held } = one;
+  const row: EngineRow = [engine, prefillTokens, streams, Math.round(memoryTokens)];
+  if (held === undefined) return row;
+  return [...row, Math.round(held.tokens), Math.round(held.growthPerMs * MS_PER_SECOND)];
 }
 
-/** Decodes a row of {@link encodeEngineHint}; undefined where it is malformed. */
+/**
+ * Decodes a row of {@link encodeEngineHint}; undefined where it is malformed. Without the held memory it
+ * is valid: hosts of an earlier version, and hosts that don't track it, don't send it.
+ */
 export function decodeEngineHint(row: unknown): EngineHint | undefined {
   if (!Array.isArray(row)) return undefined;
-  const [engine, prefillTokens, streams, memoryTokens] = row as readonly unknown[];
+  const [engine, prefillTokens, streams, memoryTokens, heldTokens = 0, growth = 0] =
+    row as readonly unknown[];
   if (typeof engine !== 'string') return undefined;
-  if (![prefillTokens, streams, memoryTokens].every(isNonNegativeNumber)) return undefined;
+  const figures = [prefillTokens, streams, memoryTokens, heldTokens, growth];
+  if (!figures.every(isNonNegativeNumber)) return undefined;
+  const held = { tokens: heldTokens as number, growthPerMs: (growth as number) / MS_PER_SECOND };
   return {
     engine,
     prefillTokens: prefillTokens as number,
     streams: streams as number,
     memoryTokens: memoryTokens as number,
+    ...(row.length > HELD_INDEX ? { held } : {}),
   };
 }
 
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,13 +8,14 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { PoolDemand, UpstreamReport } from '@camphorvane/decisions';
+import type { HeldMemory, PoolDemand, UpstreamReport } from '@camphorvane/decisions';
 import {
   gossipTtlMs,
   newestReports,
   NO_DEMAND,
   subtractDemand,
   sumDemand,
+  sumHeld,
 } from '@camphorvane/decisions';
 import type {
   DemandHint,
@@ -30,6 +31,12 @@
  */
 const MAX_ENGINES = 1_200;
 
+/**
+ * Limit of the engines in one digest with what their streams hold, 12 bytes each: 7 KB per second for a
+ * host in a fleet of 350. Only engines that are nearly full need it.
+ */
+const MAX_HELD_ENGINES = 128;
+
 interface ReceivedHint {
   readonly hint: HostHint;
   readonly receivedAt: Millis;
@@ -256,10 +263,30 @@
         prefillTokens: one.prefillTokens + (sum?.prefillTokens ?? 0),
         streams: one.streams + (sum?.streams ?? 0),
         memoryTokens: one.memoryTokens + (sum?.memoryTokens ?? 0),
+        ...addHeld(sum, one),
       });
     }, new Map<UpstreamId, EngineHint>());
 }
 
+type Held = Pick<EngineHint, 'held'>;
+
+/** Adds up what streams hold; the mean memory stands in for hosts that don't report it. */
+function addHeld(sum: EngineHint | undefined, one: EngineHint): Held {
+  if (sum?.held === undefined && one.held === undefined) return {};
+  return { held: sumHeld(heldOrMean(sum), heldOrMean(one)) };
+}
+
+function subtractHeld({ held }: EngineHint, load: EngineHint): Held {
+  if (held === undefined) return {};
+  const own = heldOrMean(load);
+  const tokens = Math.max(0, held.tokens - own.tokens);
+  return { held: { tokens, growthPerMs: Math.max(0, held.growthPerMs - own.growthPerMs) } };
+}
+
+function heldOrMean(load: EngineHint | undefined): HeldMemory {
+  return load?.held ?? { tokens: load?.memoryTokens ?? 0, growthPerMs: 0 };
+}
+
 /** Gets the load of all hosts but one on the engines; an engine that only it uses is left out. */
 function enginesWithout(
   sums: ReadonlyMap<UpstreamId, EngineHint>,
@@ -275,9 +302,28 @@
         prefillTokens: Math.max(0, sum.prefillTokens - load.prefillTokens),
         streams: Math.max(0, sum.streams - load.streams),
         memoryTokens: Math.max(0, sum.memoryTokens - load.memoryTokens),
+        ...subtractHeld(sum, load),
       };
     })
     .filter((load) => load.prefillTokens + load.streams + load.memoryTokens > 0);
-  if (others.length <= MAX_ENGINES) return others;
-  return others.sort((a, b) => b.memoryTokens - a.memoryTokens).slice(0, MAX_ENGINES);
+  const kept =
+    others.length <= MAX_ENGINES
+      ? others
+      : others.sort((a, b) => b.memoryTokens - a.memoryTokens).slice(0, MAX_ENGINES);
+  return boundHeld(kept);
+}
+
+/** Keeps what streams hold for the engines that hold the most; the mean memory does for the others. */
+function boundHeld(engines: readonly EngineHint[]): readonly EngineHint[] {
+  const withHeld = engines.filter(({ held }) => held !== undefined);
+  if (withHeld.length <= MAX_HELD_ENGINES) return engines;
+  const fullest = new Set(
+    withHeld
+      .sort((a, b) => heldOrMean(b).tokens - heldOrMean(a).tokens)
+      .slice(0, MAX_HELD_ENGINES)
+      .map(({ engine }) => engine),
+  );
+  return engines.map(({ held, ...load }) =>
+    fullest.has(load.engine) && held !== undefined ? { ...load, held } : load,
+  );
 }
--- a/packages/router/src/host/GatedEngine.ts
+++ b/packages/router/src/host/GatedEngine.ts
@@ -4,12 +4,14 @@
   DecodeEvent,
   EngineOrder,
   ModelEngine,
+  MoveCommand,
+  MoveResult,
   PrefillCommand,
   PrefillResult,
   TransferCommand,
   UpstreamError,
 } from '@camphorvane/upstream';
-import { err, errAsync } from 'neverthrow';
+import { err, errAsync, okAsync } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
 import type { RestGate } from './RestGate.ts';
 
@@ -54,6 +56,20 @@
     else yield err(withheld);
   }
 
+  /** {@inheritDoc ModelEngine.move} */
+  move(cmd: MoveCommand): ResultAsync<MoveResult, UpstreamError> {
+    const withheld = this.gate.checkControlCall();
+    if (withheld !== undefined) return errAsync(withheld);
+    return this.engine.move?.(cmd) ?? okAsync({ type: 'refused' });
+  }
+
+  /** {@inheritDoc ModelEngine.dropHandle} */
+  dropHandle(kvHandle: string): ResultAsync<void, UpstreamError> {
+    const withheld = this.gate.checkControlCall();
+    if (withheld !== undefined) return errAsync(withheld);
+    return this.engine.dropHandle?.(kvHandle) ?? okAsync(undefined);
+  }
+
   /** {@inheritDoc ModelEngine.cancel} */
   cancel(attempt: AttemptId): ResultAsync<void, UpstreamError> {
     const withheld = this.gate.checkControlCall();
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -31,6 +31,7 @@
 import { eventLog } from '../observe/EventLog.ts';
 import { EngineProbes } from './EngineProbes.ts';
 import { LocalReservations } from './LocalReservations.ts';
+import { RelocationLedger } from './RelocationLedger.ts';
 import { DEFAULT_PRIORITY, queuedRequest } from './localPool.ts';
 import type { LocalPlacerOptions, LocalPool, ReserveResult } from './localPool.ts';
 import type { EnginePlacement } from './Placer.ts';
@@ -61,6 +62,9 @@
   /** Probes of engines that may be down. */
   readonly probes: EngineProbes;
 
+  /** {@inheritDoc Placer.relocation} */
+  readonly relocation: RelocationLedger;
+
   private readonly onStateChange: () => void;
 
   /** @param options - Dependencies. */
@@ -78,6 +82,7 @@
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
     this.reservations = new LocalReservations(knowledge, incarnation);
+    this.relocation = new RelocationLedger(knowledge, this.reservations, onStateChange);
     const { health, admission } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
--- a/packages/router/src/placing/LocalReservations.ts
+++ b/packages/router/src/placing/LocalReservations.ts
@@ -44,6 +44,11 @@
     return this.reservations.get(reservation);
   }
 
+  /** Gets all active reservations. */
+  entries(): readonly (readonly [ReservationId, LocalReservation])[] {
+    return [...this.reservations];
+  }
+
   /** Reserves the engines of a request that is placed now. */
   reserve(work: Omit<LocalReservation, 'wasIdle'>, now: Millis): ReservationId {
     const { inFlight } = this.knowledge;
--- a/packages/router/src/placing/Placer.ts
+++ b/packages/router/src/placing/Placer.ts
@@ -7,6 +7,7 @@
 } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
 import type { Result } from 'neverthrow';
+import type { RelocationLedger } from './RelocationLedger.ts';
 
 /** Engines reserved for a request. */
 export interface EnginePlacement {
@@ -21,6 +22,9 @@
 
 /** Reserves engines for requests, either through the coordinator of a pool or by this host alone. */
 export interface Placer {
+  /** What moves of running streams are based on; absent where a coordinator places requests. */
+  readonly relocation?: RelocationLedger;
+
   /**
    * Requests engines until the request is placed, refused or out of time.
    *
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -76,8 +76,41 @@
   /** Position of the first token to deliver, counted from 0 at the start of the output. */
   readonly fromPosition: number;
   readonly priority: number;
+  /** Base URL of the engine that receives a copy of the KV cache as it grows; none where absent. */
+  readonly backupUrl?: string;
+  /** Whether to decode from the copy that this engine has received. */
+  readonly fromBackup?: boolean;
 }
 
+/** Command to a decode engine to copy the KV cache of a running stream to another engine. */
+export interface MoveCommand {
+  /** The call whose stream runs on the engine. */
+  readonly prompt: OpaquePrompt;
+  /** Base URL of the engine that receives the copy. */
+  readonly targetUrl: string;
+  /** Whether the stream stops before the copy, so that it can go on at the other engine. */
+  readonly last: boolean;
+}
+
+/** What an engine did on a {@link MoveCommand}. */
+export type MoveResult =
+  | {
+      readonly type: 'copied';
+      /** KV cache to decode from, at the target or again at the source. */
+      readonly kvHandle: string;
+      /** Events of the stream that are in the copy. */
+      readonly events: number;
+    }
+  | {
+      /** The target has no room or can't be reached. */
+      readonly type: 'no_room';
+      /** KV cache that the source keeps if it has stopped the stream; undefined if the stream goes on. */
+      readonly kvHandle: string | undefined;
+      readonly events: number | undefined;
+    }
+  /** The engine does not run the stream, or copies it already. */
+  | { readonly type: 'refused' };
+
 /** Status and headers of an upstream's response, unchanged. */
 export interface UpstreamResponseHead {
   readonly status: number;
@@ -150,6 +183,12 @@
     signal: AbortSignal,
   ): AsyncIterable<Result<DecodeEvent, UpstreamError>>;
 
+  /** Copies the KV cache of a stream that runs here to another engine; absent where not supported. */
+  move?(cmd: MoveCommand): ResultAsync<MoveResult, UpstreamError>;
+
+  /** Frees a KV cache that {@link ModelEngine.move} has copied, at both engines. */
+  dropHandle?(kvHandle: string): ResultAsync<void, UpstreamError>;
+
   /** Frees what an attempt holds on this engine; idempotent. */
   cancel(attempt: AttemptId): ResultAsync<void, UpstreamError>;
 
