--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,3 +40,4 @@
 export * from './relocation/RelocationPlanner.ts';
 export * from './relocation/StreamMove.ts';
 export * from './relocation/advanceMove.ts';
+export * from './relocation/chooseBackup.ts';
--- a/packages/decisions/src/relocation/StreamMove.ts
+++ b/packages/decisions/src/relocation/StreamMove.ts
@@ -55,6 +55,8 @@
       readonly point: ResumePoint;
       /** Points to try after it. */
       readonly rest: readonly ResumePoint[];
+      /** Handles that the move has obtained; those that are not used are released. */
+      readonly handles: readonly string[];
       readonly until: Millis;
     }
   | { readonly step: 'moved' }
--- a/packages/decisions/src/relocation/advanceMove.ts
+++ b/packages/decisions/src/relocation/advanceMove.ts
@@ -45,7 +45,7 @@
  * @param now - Present time.
  */
 export function beginResume(point: ResumePoint, now: Millis): MoveTransition {
-  return resume([point], now);
+  return resume([point], [], now);
 }
 
 /**
@@ -70,15 +70,18 @@
       return advanceResuming(move, input, context);
     case 'moved':
     case 'failed':
-      // A copy that is confirmed after the end of the move must not hold memory at the target.
-      return input.type === 'copied'
-        ? { move, actions: [{ type: 'release', handle: input.handle }] }
-        : { move, actions: [] };
+      return { move, actions: releaseLate(input) };
     default:
       return move satisfies never;
   }
 }
 
+/** A KV cache that is confirmed after the end of the move must not hold memory. */
+function releaseLate(input: MoveInput): readonly MoveAction[] {
+  const handle = input.type === 'copied' || input.type === 'no_room' ? input.handle : undefined;
+  return handle === undefined ? [] : [{ type: 'release', handle }];
+}
+
 function advanceCopying(move: StreamMove, input: MoveInput, { now }: MoveContext): MoveTransition {
   switch (input.type) {
     case 'copied': {
@@ -198,7 +201,9 @@
       return isClosed ? resumeFromFirstCopy(move, now) : { move, actions: [] };
     case 'stopped': {
       const isComplete = received >= (response.events ?? Infinity);
-      return isClosed || isComplete ? resume(response.points, now) : { move, actions: [] };
+      return isClosed || isComplete
+        ? resume(response.points, [move.copy], now)
+        : { move, actions: [] };
     }
     default:
       return response satisfies never;
@@ -207,7 +212,7 @@
 
 function giveUpWaiting(move: Stopping, now: Millis): MoveTransition {
   const { response, isClosed, lastEventAt, copy } = move;
-  if (response.type === 'stopped') return resume(response.points, now);
+  if (response.type === 'stopped') return resume(response.points, [move.copy], now);
   const continues = !isClosed && now - lastEventAt < SILENCE_MS;
   return continues
     ? fail('stopping', 'no_response', true, [{ type: 'release', handle: copy }])
@@ -220,26 +225,32 @@
       { at: 'target', handle: copy },
       { at: 'source', handle: copy },
     ],
+    [copy],
     now,
   );
 }
 
 /** The previous connection is closed first: no request may run at two engines. */
-function resume(points: readonly ResumePoint[], now: Millis): MoveTransition {
+function resume(
+  points: readonly ResumePoint[],
+  handles: readonly string[],
+  now: Millis,
+): MoveTransition {
   const [point, ...rest] = points;
   if (point === undefined) return fail('resuming', 'both_failed', false, [{ type: 'close' }]);
   return {
-    move: { step: 'resuming', point, rest, until: now + RESUME_WAIT_MS },
+    move: { step: 'resuming', point, rest, handles, until: now + RESUME_WAIT_MS },
     actions: [{ type: 'close' }, { type: 'resume', point }],
   };
 }
 
-function resumeElsewhere({ rest }: Resuming, now: Millis): MoveTransition {
-  return resume(rest, now);
+function resumeElsewhere({ point, rest, handles }: Resuming, now: Millis): MoveTransition {
+  return resume(rest, [...handles, point.handle], now);
 }
 
-function accept({ point, rest }: Resuming): MoveTransition {
-  const unused = new Set(rest.map(({ handle }) => handle).filter((one) => one !== point.handle));
+function accept({ point, rest, handles }: Resuming): MoveTransition {
+  const known = [...handles, ...rest.map(({ handle }) => handle)];
+  const unused = new Set(known.filter((handle) => handle !== point.handle));
   const actions = [...unused].map((handle): MoveAction => ({ type: 'release', handle }));
   return point.at === 'target'
     ? { move: { step: 'moved' }, actions }
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -7,6 +7,7 @@
 import { CompletionHandler } from '../serving/CompletionHandler.ts';
 import { ForwardHandler } from '../serving/ForwardHandler.ts';
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
+import { StreamRelocator } from '../serving/StreamRelocator.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
 import { Authenticator } from './Authenticator.ts';
 import { HostBackend } from './HostBackend.ts';
@@ -80,6 +81,7 @@
     renewer,
     observer,
     metrics,
+    relocator: new StreamRelocator({ clock, random, directory, placements: placer, metrics }),
     rates,
     retryGate,
     crashGuard,
--- a/packages/router/src/placing/RelocationLedger.ts
+++ b/packages/router/src/placing/RelocationLedger.ts
@@ -14,8 +14,6 @@
 /** A copy of a running stream on another engine. */
 export interface BackupCopy {
   readonly engine: UpstreamId;
-  /** Memory that is reserved for it. */
-  readonly memoryTokens: Tokens;
   readonly held: HeldMemory;
 }
 
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -1,10 +1,10 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import { piecesFor, sleep } from '@camphorvane/core';
-import type { DecodeEvent, ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
+import type { ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import { reachedNoUpstream } from '@camphorvane/upstream';
 import { eventLog } from '../observe/EventLog.ts';
-import { streamTruncated, reservationEnd, engineGone, unconfigured } from './attemptEnds.ts';
-import { StallDetector } from './StallDetector.ts';
+import { reservationEnd, unconfigured } from './attemptEnds.ts';
+import { DecodeStage } from './DecodeStage.ts';
 import type {
   AttemptEvent,
   AttemptOutcome,
@@ -18,9 +18,6 @@
 /** Milliseconds after a prefill for another decode engine to start fetching its KV cache, kept for 500 ms. */
 const KV_FAILOVER_WINDOW_MS: Millis = 350;
 
-/** Milliseconds without an event after which an engine is probed. */
-const STALL_TIMEOUT_MS: Millis = 1_000;
-
 /** Milliseconds between two searches for a decode engine; capacity becomes free every few tens of ms. */
 const CAPACITY_POLL_MS: Millis = 10;
 
@@ -39,9 +36,6 @@
   /** Whether the coordinator no longer knows the reservation. */
   private isReservationLost = false;
 
-  /** Whether the decode engine disappeared without closing the connection. */
-  private isEngineGone = false;
-
   /** The decode engine that the request was last offered to. */
   private decodeEngine: UpstreamId;
 
@@ -191,104 +185,10 @@
     engine: ModelEngine,
     prefill: PrefillResult | undefined,
   ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
-    const { plan } = this;
-    // The engine's zone may have been drained during the prefill.
-    if (this.engine(engine.id) === undefined) {
-      return this.failed(engine.id, 'decode', unconfigured());
-    }
-    let delivered = 0;
-    let lastAt: Millis | undefined;
-    const stream = engine.decode(
-      {
-        attempt: plan.placement.reservation,
-        prompt: typeof plan.prompt === 'string' ? undefined : plan.prompt,
-        kvHandle: prefill?.kvHandle,
-        maxTokens: plan.maxTokens,
-        fromPosition: plan.fromPosition,
-        priority: plan.placement.priority,
-      },
-      this.abort.signal,
-    );
-    const stall = this.detectStall(engine);
-    try {
-      for await (const event of stream) {
-        stall.recordProgress();
-        if (event.isErr()) {
-          if (delivered === 0 && prefill !== undefined) {
-            this.deps.metrics.count('prefill.wasted_tokens', {}, prefill.promptTokens);
-          }
-          return this.failed(engine.id, 'decode', this.isEngineGone ? engineGone() : event.error);
-        }
-        const { value } = event;
-        lastAt = this.recordInterval(engine.id, value, lastAt);
-        switch (value.type) {
-          case 'done':
-            return {
-              type: 'done',
-              reason: value.reason,
-              prefill,
-              outputTokens: plan.fromPosition + delivered,
-            };
-          case 'answer':
-            return { type: 'answered', engine: engine.id, head: value.head, body: value.body };
-          case 'head':
-          case 'token':
-          case 'piece':
-            if (prefill === undefined && delivered === 0) this.recordPrefillEnd();
-            if (value.type !== 'head') delivered += 1;
-            yield value;
-            break;
-          default:
-            value satisfies never;
-        }
-      }
-    } finally {
-      stall.close();
-    }
-    return this.failed(engine.id, 'decode', streamTruncated());
-  }
-
-  /** Aborts the attempt if its engine disappears, so that another engine can resume the stream. */
-  private detectStall(engine: ModelEngine): StallDetector {
-    return new StallDetector({
-      clock: this.deps.clock,
-      timeoutMs: STALL_TIMEOUT_MS,
-      probe: async () => {
-        const report = await engine.load();
-        return report.isOk() || report.error.type === 'withheld';
-      },
-      onEngineGone: () => {
-        this.isEngineGone = true;
-        this.deps.metrics.count('attempt.engine_gone');
-        this.abort.abort();
-      },
-    });
-  }
-
-  /** The first event of an engine that runs the prefill itself shows that the prefill has ended. */
-  private recordPrefillEnd(): void {
-    const { pool, placement } = this.plan;
-    this.deps.placements.prefillEnded(pool.model, placement.reservation);
-  }
-
-  private recordInterval(
-    engine: UpstreamId,
-    event: DecodeEvent,
-    lastAt: Millis | undefined,
-  ): Millis | undefined {
-    if (event.type !== 'token' && event.type !== 'piece') return lastAt;
-    const now = this.deps.clock.now();
-    if (lastAt !== undefined) {
-      const { pool, placement } = this.plan;
-      this.deps.observer.recordTokenInterval(
-        pool.model,
-        engine,
-        placement.reservation,
-        now - lastAt,
-      );
-      this.deps.metrics.timing('request.token_interval', now - lastAt);
-    }
-    return now;
+    const { deps, plan, abort } = this;
+    const fail = (id: UpstreamId, error: UpstreamError): FailedAttempt =>
+      this.failed(id, 'decode', error);
+    return yield* new DecodeStage({ deps, plan, abort, fail }).run(engine, prefill);
   }
 
   private registerReservation(prefillRunning: boolean): void {
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -27,6 +27,7 @@
   completionRetryTarget,
   chargeableTokens,
   mayHaveExecuted,
+  streamLimits,
 } from './resolvedCompletion.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
 import { maxQueueWait } from './maxQueueWait.ts';
@@ -240,6 +241,7 @@
       deliveredText: progress.getDeliveredText(),
       fromPosition: progress.getNextPosition(),
       maxTokens: completion.maxTokens,
+      limits: streamLimits(completion.policy),
       tryRetry: () =>
         this.options.retryGate.tryRetry(
           completionRetryTarget(completion, pool, placement.decode),
--- /dev/null
+++ b/packages/router/src/serving/DecodeStage.ts
@@ -0,0 +1,173 @@
+import type { Millis, UpstreamId } from '@camphorvane/core';
+import type {
+  DecodeCommand,
+  ModelEngine,
+  PrefillResult,
+  UpstreamError,
+} from '@camphorvane/upstream';
+import { engineGone, streamTruncated, unconfigured } from './attemptEnds.ts';
+import type {
+  AttemptDependencies,
+  AttemptEvent,
+  AttemptOutcome,
+  AttemptPlan,
+  FailedAttempt,
+} from './completionAttemptPlan.ts';
+import { StallDetector } from './StallDetector.ts';
+import type { StreamRelocation } from './StreamRelocation.ts';
+
+/** Milliseconds without an event after which an engine is probed. */
+const STALL_TIMEOUT_MS: Millis = 1_000;
+
+/** What the decode of an attempt needs beside its plan. */
+export interface DecodeStageOptions {
+  readonly deps: AttemptDependencies;
+  readonly plan: AttemptPlan;
+  /** Ends the attempt. */
+  readonly abort: AbortController;
+  /** Records a failure, and gets the outcome. */
+  readonly fail: (engine: UpstreamId, error: UpstreamError) => FailedAttempt;
+}
+
+/** The decode of one attempt. */
+export class DecodeStage {
+  private readonly options: DecodeStageOptions;
+
+  /** Whether the decode engine disappeared without closing the connection. */
+  private isEngineGone = false;
+
+  /** The stream, where it may go on at another engine. */
+  private relocation: StreamRelocation | undefined;
+
+  /** @param options - Plan and components of the attempt. */
+  constructor(options: DecodeStageOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Decodes the request.
+   *
+   * @param engine - The decode engine.
+   * @param prefill - The prompt's KV cache; undefined where the engine runs the prefill itself.
+   * @returns The events of the answer; the generator's return value is the outcome.
+   */
+  async *run(
+    engine: ModelEngine,
+    prefill: PrefillResult | undefined,
+  ): AsyncGenerator<AttemptEvent, AttemptOutcome> {
+    const { plan, deps, fail } = this.options;
+    // The engine's zone may have been drained during the prefill.
+    if (deps.directory.getEngine(engine.id) === undefined) return fail(engine.id, unconfigured());
+    let delivered = 0;
+    let last: { readonly at: Millis; readonly engine: UpstreamId } | undefined;
+    const stream = this.open(engine, this.command(prefill));
+    const stall = this.detectStall(engine);
+    try {
+      for await (const event of stream) {
+        stall.recordProgress();
+        const { id } = this.currentEngine(engine);
+        if (event.isErr()) {
+          if (delivered === 0 && prefill !== undefined) {
+            deps.metrics.count('prefill.wasted_tokens', {}, prefill.promptTokens);
+          }
+          return fail(id, this.isEngineGone ? engineGone() : event.error);
+        }
+        const { value } = event;
+        if (value.type === 'token' || value.type === 'piece') {
+          const at = deps.clock.now();
+          // The pause of a switch between engines says nothing about the speed of either.
+          if (last?.engine === id) this.recordInterval(id, at - last.at);
+          last = { at, engine: id };
+        }
+        switch (value.type) {
+          case 'done':
+            return {
+              type: 'done',
+              reason: value.reason,
+              prefill,
+              outputTokens: plan.fromPosition + delivered,
+            };
+          case 'answer':
+            return { type: 'answered', engine: id, head: value.head, body: value.body };
+          case 'head':
+          case 'token':
+          case 'piece':
+            if (prefill === undefined && delivered === 0) this.recordPrefillEnd();
+            if (value.type !== 'head') delivered += 1;
+            yield value;
+            break;
+          default:
+            value satisfies never;
+        }
+      }
+    } finally {
+      stall.close();
+    }
+    return fail(this.currentEngine(engine).id, streamTruncated());
+  }
+
+  private command(prefill: PrefillResult | undefined): DecodeCommand {
+    const { plan } = this.options;
+    return {
+      attempt: plan.placement.reservation,
+      prompt: typeof plan.prompt === 'string' ? undefined : plan.prompt,
+      kvHandle: prefill?.kvHandle,
+      maxTokens: plan.maxTokens,
+      fromPosition: plan.fromPosition,
+      priority: plan.placement.priority,
+    };
+  }
+
+  private open(engine: ModelEngine, command: DecodeCommand): ReturnType<ModelEngine['decode']> {
+    const { plan, deps, abort } = this.options;
+    const { prompt } = command;
+    const entry = deps.directory.getEngine(engine.id);
+    this.relocation =
+      prompt === undefined || entry === undefined
+        ? undefined
+        : deps.relocator?.open({
+            ...{ id: plan.identity.request, reservation: plan.placement.reservation },
+            ...{ pool: plan.pool, engine: entry, command: { ...command, prompt } },
+            ...plan.limits,
+            signal: abort.signal,
+          });
+    return this.relocation?.events() ?? engine.decode(command, abort.signal);
+  }
+
+  /** Gets the engine that runs the stream now. */
+  private currentEngine(first: ModelEngine): ModelEngine {
+    return this.relocation?.getEngine().engine ?? first;
+  }
+
+  /** Aborts the attempt if its engine disappears, so that another engine can resume the stream. */
+  private detectStall(engine: ModelEngine): StallDetector {
+    const { deps, abort } = this.options;
+    return new StallDetector({
+      clock: deps.clock,
+      timeoutMs: STALL_TIMEOUT_MS,
+      probe: async () => {
+        const report = await this.currentEngine(engine).load();
+        return report.isOk() || report.error.type === 'withheld';
+      },
+      onEngineGone: () => {
+        deps.metrics.count('attempt.engine_gone');
+        if (this.relocation?.leaveLostEngine(engineGone()) === true) return;
+        this.isEngineGone = true;
+        abort.abort();
+      },
+    });
+  }
+
+  /** The first event of an engine that runs the prefill itself shows that the prefill has ended. */
+  private recordPrefillEnd(): void {
+    const { deps, plan } = this.options;
+    deps.placements.prefillEnded(plan.pool.model, plan.placement.reservation);
+  }
+
+  private recordInterval(engine: UpstreamId, ms: Millis): void {
+    const { deps, plan } = this.options;
+    const { reservation } = plan.placement;
+    deps.observer.recordTokenInterval(plan.pool.model, engine, reservation, ms);
+    deps.metrics.timing('request.token_interval', ms);
+  }
+}
--- /dev/null
+++ b/packages/router/src/serving/EngineRun.ts
@@ -0,0 +1,68 @@
+import type { DecodeEvent, UpstreamError } from '@camphorvane/upstream';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { EngineEntry } from '../host/UpstreamDirectory.ts';
+import { streamTruncated } from './attemptEnds.ts';
+import type { StreamRequest } from './streamRequest.ts';
+
+/** The decode of a stream at one engine. */
+export class EngineRun {
+  private readonly controller = new AbortController();
+
+  private readonly events: AsyncIterable<Result<DecodeEvent, UpstreamError>>;
+
+  private endsWithConnection = false;
+
+  /**
+   * Sends the request to the engine.
+   *
+   * @param entry - The engine.
+   * @param command - The request.
+   */
+  constructor(entry: EngineEntry, command: StreamRequest['command']) {
+    this.events = entry.engine.decode(command, this.controller.signal);
+  }
+
+  /** Tells whether only the close of the connection ends the stream, so that a cut looks like the end. */
+  hasUnmarkedEnd(): boolean {
+    return this.endsWithConnection;
+  }
+
+  /**
+   * Passes on the events until the end or {@link EngineRun.abort}.
+   *
+   * @param receive - Receives each event, and an error if the stream ends without `done`.
+   * @param waitForRoom - Awaited before the next event is read.
+   */
+  async read(
+    receive: (event: Result<DecodeEvent, UpstreamError>) => void,
+    waitForRoom: () => Promise<void>,
+  ): Promise<void> {
+    try {
+      for await (const event of this.events) {
+        if (this.isAborted()) return;
+        if (event.isOk() && event.value.type === 'head') {
+          this.endsWithConnection = event.value.head.endsWithConnection === true;
+        }
+        receive(event);
+        if (this.isAborted()) return;
+        await waitForRoom();
+        if (this.isAborted()) return;
+      }
+    } catch (thrown) {
+      const message = thrown instanceof Error ? thrown.message : String(thrown);
+      if (!this.isAborted()) receive(err({ type: 'broken', dispatched: true, message }));
+      return;
+    }
+    if (!this.isAborted()) receive(err(streamTruncated()));
+  }
+
+  /** Closes the connection; nothing is passed on any more. */
+  abort(): void {
+    this.controller.abort();
+  }
+
+  private isAborted(): boolean {
+    return this.controller.signal.aborted;
+  }
+}
--- /dev/null
+++ b/packages/router/src/serving/MoveExecution.ts
@@ -0,0 +1,192 @@
+import type { CancelTimer, Clock } from '@camphorvane/core';
+import type {
+  MoveAction,
+  MoveInput,
+  MoveTransition,
+  ResumePoint,
+  StreamMove,
+} from '@camphorvane/decisions';
+import { advanceMove, beginMove, beginResume } from '@camphorvane/decisions';
+import type { DecodeCommand, MoveResult, UpstreamError } from '@camphorvane/upstream';
+import type { Result } from 'neverthrow';
+import type { EngineEntry } from '../host/UpstreamDirectory.ts';
+import type { RelocationRecord } from './RelocationRecord.ts';
+import type { StreamRequest } from './streamRequest.ts';
+
+/** The last state of a move. */
+export type EndedMove = Extract<StreamMove, { readonly step: 'moved' | 'failed' }>;
+
+/** Where an engine gets the KV cache of a stream that goes on there. */
+export type KvOrigin = Pick<DecodeCommand, 'kvHandle' | 'fromBackup'>;
+
+/** The stream that a {@link MoveExecution} moves. */
+export interface MovingStream {
+  /** Gets the position of the next event. */
+  getPosition(): number;
+  /** Tells whether the stream is about to end, so that it is not stopped any more. */
+  isNearEnd(): boolean;
+  /** Closes the connection to the engine that ran the stream. */
+  closeRun(): void;
+  /** Sends the request to an engine that has the KV cache. */
+  resumeAt(engine: EngineEntry, origin: KvOrigin): void;
+  /** Called once at the end of the move. */
+  endMove(move: EndedMove): void;
+}
+
+/** Input of a {@link MoveExecution}. */
+export interface MovePlan {
+  readonly clock: Clock;
+  readonly prompt: StreamRequest['command']['prompt'];
+  readonly source: EngineEntry;
+  readonly target: EngineEntry;
+  readonly record: RelocationRecord;
+  readonly stream: MovingStream;
+}
+
+/** Executes the move of one stream, or its switch to a backup, as {@link advanceMove} decides. */
+export class MoveExecution {
+  private readonly plan: MovePlan;
+
+  private state: StreamMove = beginMove();
+
+  /** Whether the engine that was asked to resume has sent the head of its response. */
+  private hasHead = false;
+
+  private isFromBackup = false;
+
+  private hasEnded = false;
+
+  private cancelTimer: CancelTimer = () => undefined;
+
+  /** @param plan - What moves, and how. */
+  constructor(plan: MovePlan) {
+    this.plan = plan;
+  }
+
+  /** Asks the source for the first copy. */
+  startCopy(): void {
+    this.plan.record.begin();
+    void this.copy(false);
+  }
+
+  /** Sends the request to the engine that has received a copy as the stream grew. */
+  startFromBackup(): void {
+    this.isFromBackup = true;
+    this.plan.record.begin();
+    this.apply(beginResume({ at: 'target', handle: '' }, this.plan.clock.now()));
+  }
+
+  /** Gets the engine that the stream leaves. */
+  getSource(): EngineEntry {
+    return this.plan.source;
+  }
+
+  /** Gets the present step. */
+  getStep(): StreamMove['step'] {
+    return this.state.step;
+  }
+
+  /** Records that an engine has sent the head of its response. */
+  recordHead(): void {
+    this.hasHead = true;
+  }
+
+  /** Advances the move. */
+  advance(input: MoveInput): void {
+    const context = { now: this.plan.clock.now(), received: this.plan.stream.getPosition() };
+    this.apply(advanceMove(this.state, input, context));
+  }
+
+  /** Ends the move because the stream has ended, and releases the copy. */
+  abandon(): void {
+    if (this.state.step === 'stopping') this.release(this.state.copy);
+    const { step } = this.state;
+    if (step === 'moved' || step === 'failed') return;
+    const move = { step: 'failed', failedStep: step, failure: 'ended', isAlive: true } as const;
+    this.apply({ move, actions: [] });
+  }
+
+  /** Asks the source for a copy; the last one stops the run. */
+  private async copy(last: boolean): Promise<void> {
+    const { prompt, source, target, stream } = this.plan;
+    const result = await source.engine.move?.({ prompt, targetUrl: target.cfg.url, last });
+    const input = toMoveInput(result);
+    if (!last && input.type === 'copied' && stream.isNearEnd()) this.advance({ type: 'ended' });
+    this.advance(input);
+  }
+
+  private apply({ move, actions }: MoveTransition): void {
+    const before = this.state.step;
+    this.state = move;
+    actions.forEach((action) => this.perform(action));
+    // An action may have advanced the move already.
+    if (this.state !== move || this.hasEnded) return;
+    if (before !== move.step) this.plan.record.enter(move);
+    this.cancelTimer();
+    switch (move.step) {
+      case 'copying':
+        break;
+      case 'stopping':
+      case 'resuming':
+        this.cancelTimer = this.plan.clock.after(move.until - this.plan.clock.now(), () => {
+          if (this.state.step !== 'resuming' || !this.hasHead) this.advance({ type: 'timeout' });
+        });
+        break;
+      case 'moved':
+      case 'failed':
+        this.hasEnded = true;
+        this.plan.stream.endMove(move);
+        break;
+      default:
+        move satisfies never;
+    }
+  }
+
+  private perform(action: MoveAction): void {
+    switch (action.type) {
+      case 'stop':
+        void this.copy(true);
+        break;
+      case 'close':
+        this.plan.stream.closeRun();
+        break;
+      case 'resume':
+        this.resumeAt(action.point);
+        break;
+      case 'release':
+        this.release(action.handle);
+        break;
+      default:
+        action satisfies never;
+    }
+  }
+
+  private resumeAt({ at, handle }: ResumePoint): void {
+    const { source, target, stream } = this.plan;
+    this.hasHead = false;
+    const origin = this.isFromBackup
+      ? { kvHandle: undefined, fromBackup: true }
+      : { kvHandle: handle };
+    stream.resumeAt(at === 'target' ? target : source, origin);
+  }
+
+  private release(handle: string): void {
+    void this.plan.source.engine.dropHandle?.(handle);
+  }
+}
+
+function toMoveInput(result: Result<MoveResult, UpstreamError> | undefined): MoveInput {
+  if (result === undefined) return { type: 'refused' };
+  if (result.isErr()) return { type: result.error.dispatched ? 'lost' : 'refused' };
+  const { value } = result;
+  switch (value.type) {
+    case 'copied':
+      return { type: 'copied', handle: value.kvHandle, events: value.events };
+    case 'no_room':
+      return { type: 'no_room', handle: value.kvHandle, events: value.events };
+    case 'refused':
+      return { type: 'refused' };
+    default:
+      return value satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -0,0 +1,317 @@
+import type { Millis } from '@camphorvane/core';
+import type { RelocationReason, RunningStream } from '@camphorvane/decisions';
+import type { DecodeEvent, UpstreamError } from '@camphorvane/upstream';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { EngineEntry } from '../host/UpstreamDirectory.ts';
+import { streamTruncated } from './attemptEnds.ts';
+import { EngineRun } from './EngineRun.ts';
+import { EventBuffer } from './EventBuffer.ts';
+import { expectedRemainingTokens } from './expectedRemainingTokens.ts';
+import { MoveExecution } from './MoveExecution.ts';
+import type { EndedMove, KvOrigin, MovingStream } from './MoveExecution.ts';
+import { RelocationRecord } from './RelocationRecord.ts';
+import type {
+  RelocatableStream,
+  StreamBackup,
+  StreamDependencies,
+  StreamRequest,
+} from './streamRequest.ts';
+
+/** Milliseconds after a failed move in which the stream is not moved again. */
+const MOVE_BACKOFF_MS: Millis = 1_000;
+
+/** Events before the end at which a copied stream is not stopped any more. */
+const MIN_REMAINING_EVENTS = 10;
+
+/**
+ * A stream that can go on at another engine without its consumer noticing.
+ *
+ * Reads the stream of one engine at a time, and passes on each event once and in order: after a switch,
+ * events are filtered by their position, since the next engine may repeat some.
+ */
+export class StreamRelocation implements RelocatableStream, MovingStream {
+  readonly request: StreamRequest;
+
+  private readonly deps: StreamDependencies;
+
+  private readonly buffer = new EventBuffer<Result<DecodeEvent, UpstreamError>>();
+
+  private run: EngineRun | undefined;
+
+  /** Engine that runs the stream, or that it moves to. */
+  private engine: EngineEntry;
+
+  private backup: StreamBackup | undefined;
+
+  /** The move that is under way. */
+  private move: MoveExecution | undefined;
+
+  /** Position of the next event; undefined until the first one. */
+  private nextPosition: number | undefined;
+
+  /** Whether positions have had no gap and no repetition, so that events can be told apart. */
+  private hasOrderedPositions = true;
+
+  private hasSwitched = false;
+
+  private hasHead = false;
+
+  private isClosed = false;
+
+  private startedAt: Millis = 0;
+
+  private pinnedUntil: Millis = 0;
+
+  /** Why the engine was lost; passed on if no other engine takes the stream. */
+  private error: UpstreamError = streamTruncated();
+
+  /**
+   * @param request - The stream.
+   * @param backup - Engine that receives a copy of it; undefined for none.
+   * @param deps - Components of the host.
+   */
+  constructor(request: StreamRequest, backup: StreamBackup | undefined, deps: StreamDependencies) {
+    this.request = request;
+    this.engine = request.engine;
+    this.backup = backup;
+    this.deps = deps;
+  }
+
+  /** Decodes the stream; the iteration ends after `done`, a complete answer or an error. */
+  async *events(): AsyncGenerator<Result<DecodeEvent, UpstreamError>> {
+    const { signal, engine, command } = this.request;
+    const stop = (): void => {
+      const error: UpstreamError = { type: 'cancelled', dispatched: true, message: 'cancelled' };
+      this.finish(err(error));
+    };
+    signal.addEventListener('abort', stop, { once: true });
+    if (signal.aborted) stop();
+    else this.startRun(engine, command);
+    try {
+      let event = await this.buffer.take();
+      while (event !== undefined) {
+        yield event;
+        event = await this.buffer.take();
+      }
+    } finally {
+      signal.removeEventListener('abort', stop);
+      this.close();
+    }
+  }
+
+  /** {@inheritDoc RelocatableStream.getEngine} */
+  getEngine(): EngineEntry {
+    return this.engine;
+  }
+
+  /** {@inheritDoc RelocatableStream.getMoveSource} */
+  getMoveSource(): EngineEntry | undefined {
+    return this.move?.getSource();
+  }
+
+  /** {@inheritDoc RelocatableStream.getBackup} */
+  getBackup(): StreamBackup | undefined {
+    return this.backup;
+  }
+
+  /** {@inheritDoc RelocatableStream.describe} */
+  describe(now: Millis): RunningStream | undefined {
+    if (this.nextPosition === undefined || this.isClosed) return undefined;
+    const { reservation, command, longestPauseMs } = this.request;
+    return {
+      ...{ id: reservation, engine: this.engine.cfg.id, startedAt: this.startedAt, longestPauseMs },
+      heldTokens: command.prompt.tokens + this.generatedTokens(),
+      remainingTokens: expectedRemainingTokens(this.request, this.generatedTokens()),
+      priority: command.priority,
+      isPinned: this.move !== undefined || !this.hasOrderedPositions || now < this.pinnedUntil,
+    };
+  }
+
+  /** {@inheritDoc RelocatableStream.moveTo} */
+  moveTo(target: EngineEntry, reason: RelocationReason): void {
+    if (this.move !== undefined || this.run === undefined) return;
+    this.beginMove(target, reason).startCopy();
+  }
+
+  /**
+   * Goes on at another engine after the present one was found unresponsive.
+   *
+   * @param error - How the engine failed.
+   * @returns False where no other engine has the KV cache.
+   */
+  leaveLostEngine(error: UpstreamError): boolean {
+    if (this.move?.getStep() !== 'resuming') return this.resumeFromBackup(error);
+    this.receiveFailure(error);
+    return true;
+  }
+
+  /** {@inheritDoc MovingStream.getPosition} */
+  getPosition(): number {
+    return this.nextPosition ?? 0;
+  }
+
+  /** {@inheritDoc MovingStream.isNearEnd} */
+  isNearEnd(): boolean {
+    const remaining = expectedRemainingTokens(this.request, this.generatedTokens());
+    return remaining <= MIN_REMAINING_EVENTS * (this.engine.cfg.eventTokens ?? 1);
+  }
+
+  /** {@inheritDoc MovingStream.closeRun} */
+  closeRun(): void {
+    this.run?.abort();
+    this.run = undefined;
+  }
+
+  /** {@inheritDoc MovingStream.resumeAt} */
+  resumeAt(entry: EngineEntry, origin: KvOrigin): void {
+    if (entry !== this.engine) this.setEngine(entry);
+    if (entry === this.backup?.entry) this.dropBackup();
+    this.hasSwitched = true;
+    const fromPosition = this.getPosition();
+    this.startRun(entry, { ...this.request.command, ...origin, fromPosition });
+  }
+
+  /** {@inheritDoc MovingStream.endMove} */
+  endMove(move: EndedMove): void {
+    const source = this.move?.getSource();
+    this.move = undefined;
+    this.buffer.setBounded(true);
+    if (move.step === 'moved') return;
+    this.pinnedUntil = this.deps.clock.now() + MOVE_BACKOFF_MS;
+    if (source !== undefined && source !== this.engine) this.setEngine(source);
+    if (!move.isAlive && !this.resumeFromBackup(this.error)) this.finish(err(this.error));
+  }
+
+  private resumeFromBackup(error: UpstreamError): boolean {
+    const target = this.backup?.entry;
+    const canResume = this.nextPosition !== undefined && this.hasOrderedPositions;
+    if (target === undefined || this.move !== undefined || !canResume || this.isClosed)
+      return false;
+    this.error = error;
+    this.deps.placements.attemptFailed(this.engine.cfg.id, error);
+    this.beginMove(target, 'lost').startFromBackup();
+    return true;
+  }
+
+  /** Begins a move; the reservation follows at once, since the target's memory is used from now on. */
+  private beginMove(target: EngineEntry, reason: RelocationReason | 'lost'): MoveExecution {
+    const { id, command } = this.request;
+    const source = this.engine;
+    const { clock } = this.deps;
+    const subject = { id, from: source.cfg.id, to: target.cfg.id, reason };
+    const record = new RelocationRecord(this.deps, { ...subject, position: this.getPosition() });
+    const plan = { clock, prompt: command.prompt, source, target, record, stream: this };
+    this.move = new MoveExecution(plan);
+    this.setEngine(target);
+    this.buffer.setBounded(false);
+    return this.move;
+  }
+
+  /** Makes the reservation follow the stream. */
+  private setEngine(entry: EngineEntry): void {
+    this.engine = entry;
+    const { ledger, clock } = this.deps;
+    ledger.moveTo(this.request.reservation, entry.cfg.id, clock.now());
+  }
+
+  private dropBackup(): void {
+    if (this.backup === undefined) return;
+    const { entry, memoryTokens } = this.backup;
+    this.backup = undefined;
+    this.deps.ledger.adjustCopy(entry.cfg.id, -memoryTokens);
+  }
+
+  private startRun(entry: EngineEntry, command: StreamRequest['command']): void {
+    const backupUrl = this.backup?.entry.cfg.url;
+    const run = new EngineRun(entry, backupUrl === undefined ? command : { ...command, backupUrl });
+    this.run = run;
+    void run.read(
+      (event) => this.receive(run, event),
+      () => this.buffer.waitForRoom(),
+    );
+  }
+
+  private receive(run: EngineRun, event: Result<DecodeEvent, UpstreamError>): void {
+    if (event.isErr()) {
+      this.receiveFailure(event.error);
+      return;
+    }
+    const { value } = event;
+    const step = this.move?.getStep();
+    switch (value.type) {
+      case 'head':
+        this.move?.recordHead();
+        if (!this.hasHead) this.buffer.push(event);
+        this.hasHead = true;
+        break;
+      case 'answer':
+        if (step === 'resuming') this.move?.advance({ type: 'rejected' });
+        else this.finish(event);
+        break;
+      case 'done':
+        if (step === 'stopping' && run.hasUnmarkedEnd()) {
+          this.move?.advance({ type: 'closed' });
+        } else {
+          this.move?.advance({ type: 'ended' });
+          this.finish(event);
+        }
+        break;
+      case 'token':
+      case 'piece':
+        this.receivePiece(value);
+        break;
+      default:
+        value satisfies never;
+    }
+  }
+
+  private receivePiece(event: Extract<DecodeEvent, { readonly position: number }>): void {
+    const { position } = event;
+    const expected = this.nextPosition ?? position;
+    if (this.nextPosition === undefined) this.startedAt = this.deps.clock.now();
+    if (this.hasSwitched && position < expected) return;
+    if (this.hasSwitched && position > expected) {
+      this.receiveFailure({ type: 'broken', dispatched: true, message: 'events are missing' });
+      return;
+    }
+    this.hasOrderedPositions &&= position === expected;
+    this.nextPosition = position + 1;
+    this.buffer.push(ok(event));
+    const isResumed = this.move?.getStep() === 'resuming';
+    this.move?.advance({ type: isResumed ? 'accepted' : 'event' });
+  }
+
+  private receiveFailure(error: UpstreamError): void {
+    const step = this.move?.getStep();
+    if (step === 'resuming') {
+      this.deps.placements.attemptFailed(this.engine.cfg.id, error);
+      this.move?.advance({ type: 'rejected' });
+    } else if (this.move !== undefined) {
+      this.error = error;
+      this.move.advance({ type: 'closed' });
+    } else if (!this.resumeFromBackup(error)) {
+      this.finish(err(error));
+    }
+  }
+
+  private generatedTokens(): number {
+    return this.getPosition() * (this.engine.cfg.eventTokens ?? 1);
+  }
+
+  private finish(event: Result<DecodeEvent, UpstreamError>): void {
+    this.buffer.push(event);
+    this.buffer.end();
+    this.close();
+  }
+
+  /** Ends the stream at its engine, and frees copies that are not used any more; idempotent. */
+  private close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.closeRun();
+    this.move?.abandon();
+    this.dropBackup();
+    this.deps.onClosed(this);
+  }
+}
--- /dev/null
+++ b/packages/router/src/serving/StreamRelocator.ts
@@ -0,0 +1,200 @@
+import type {
+  CancelTimer,
+  Clock,
+  Millis,
+  ModelId,
+  PoolConfig,
+  RandomSource,
+  ReservationId,
+} from '@camphorvane/core';
+import type { HeldMemory, Relocation, RunningStream } from '@camphorvane/decisions';
+import { chooseBackup, heldByStream, RelocationPlanner } from '@camphorvane/decisions';
+import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
+import type { Placer } from '../placing/Placer.ts';
+import type { BackupCopy, RelocationLedger } from '../placing/RelocationLedger.ts';
+import { StreamRelocation } from './StreamRelocation.ts';
+import type { RelocatableStream, StreamBackup, StreamRequest } from './streamRequest.ts';
+
+const log = eventLog('relocation');
+
+/** Milliseconds between two passes; memory runs out within 400 ms of the first forecast that shows it. */
+const PASS_PERIOD_MS: Millis = 100;
+
+/** Mean fraction of its output that a copy holds; see `meanMemoryTokens`. */
+const MEAN_OUTPUT_FRACTION = 0.75;
+
+/** Milliseconds between two tokens that are assumed until they were measured. */
+const DEFAULT_TOKEN_MS: Millis = 1;
+
+/** Options of a {@link StreamRelocator}. */
+export interface StreamRelocatorOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly directory: UpstreamDirectory;
+  readonly placements: Placer;
+  readonly metrics: Metrics;
+}
+
+/** Keeps the running streams of this host alive on other engines, where that is switched on. */
+export class StreamRelocator {
+  private readonly options: StreamRelocatorOptions;
+
+  private readonly planner: RelocationPlanner;
+
+  private readonly streams = new Set<RelocatableStream>();
+
+  private cancelPass: CancelTimer | undefined;
+
+  /** @param options - Components of the host. */
+  constructor(options: StreamRelocatorOptions) {
+    this.options = options;
+    this.planner = new RelocationPlanner(options.random);
+  }
+
+  /**
+   * Opens a stream that may go on at another engine.
+   *
+   * @param request - The stream.
+   * @returns The stream; undefined where moves and backups are off, or the pool does not support them.
+   */
+  open(request: StreamRequest): StreamRelocation | undefined {
+    const ledger = this.options.placements.relocation;
+    const { pool } = request;
+    const hasBackups = this.hasBackups(pool);
+    if (ledger === undefined || !(this.hasMoves(pool) || hasBackups)) return undefined;
+    const backup = hasBackups ? this.placeBackup(request, ledger) : undefined;
+    const { clock, metrics, placements } = this.options;
+    const onClosed = (stream: RelocatableStream): void => this.remove(stream, ledger);
+    const deps = { clock, metrics, placements, ledger, onClosed };
+    const stream = new StreamRelocation(request, backup, deps);
+    this.streams.add(stream);
+    this.schedulePass(ledger);
+    return stream;
+  }
+
+  private hasMoves(pool: PoolConfig): boolean {
+    return (
+      this.options.directory.getOverloadPolicy().streamMoves && pool.relocation?.moves === true
+    );
+  }
+
+  private hasBackups(pool: PoolConfig): boolean {
+    const { streamBackups } = this.options.directory.getOverloadPolicy();
+    return streamBackups && pool.relocation?.backups === true;
+  }
+
+  private placeBackup(request: StreamRequest, ledger: RelocationLedger): StreamBackup | undefined {
+    const { id, pool, engine, command, isResumable, expectedTokens } = request;
+    const { clock, directory, metrics, random } = this.options;
+    const streams = this.streamsOf(pool.model);
+    const promptTokens = command.prompt.tokens;
+    const outputTokens = Math.min(command.maxTokens, expectedTokens ?? command.maxTokens);
+    const prompts = streams.reduce((sum, one) => sum + one.request.command.prompt.tokens, 0);
+    const chosen = chooseBackup(
+      { engine: engine.cfg.id, promptTokens, expectedTokens: outputTokens, isResumable },
+      {
+        streams: streams.length,
+        copies: streams.filter((one) => one.getBackup() !== undefined).length,
+        meanPromptTokens: prompts / Math.max(1, streams.length),
+      },
+      ledger.engines(pool, [], clock.now()),
+      random,
+    );
+    const entry = chosen === undefined ? undefined : directory.getEngine(chosen);
+    if (entry === undefined) return undefined;
+    const memoryTokens = promptTokens + outputTokens * MEAN_OUTPUT_FRACTION;
+    ledger.adjustCopy(entry.cfg.id, memoryTokens);
+    metrics.count('stream.backups', { outcome: 'placed' });
+    log('stream_backup_placed', { id, engine: engine.cfg.id, backup: entry.cfg.id });
+    return { entry, memoryTokens };
+  }
+
+  private remove(stream: RelocatableStream, ledger: RelocationLedger): void {
+    this.streams.delete(stream);
+    if (this.streams.size > 0) return;
+    this.cancelPass?.();
+    this.cancelPass = undefined;
+    ledger.clear();
+  }
+
+  private schedulePass(ledger: RelocationLedger): void {
+    this.cancelPass ??= this.options.clock.after(PASS_PERIOD_MS, () => {
+      this.cancelPass = undefined;
+      this.pass(ledger);
+    });
+  }
+
+  /** Publishes what the streams hold, and starts the moves that are due. */
+  private pass(ledger: RelocationLedger): void {
+    const { streamMoves, streamBackups } = this.options.directory.getOverloadPolicy();
+    if (!streamMoves && !streamBackups) {
+      ledger.clear();
+      return;
+    }
+    this.publish(ledger);
+    new Set([...this.streams].map(({ request }) => request.pool.model)).forEach((model) =>
+      this.planMoves(model, ledger),
+    );
+    this.schedulePass(ledger);
+  }
+
+  private publish(ledger: RelocationLedger): void {
+    const now = this.options.clock.now();
+    const described = [...this.streams].flatMap((stream) => {
+      const running = stream.describe(now);
+      return running === undefined ? [] : [{ stream, held: this.heldBy(stream, running, ledger) }];
+    });
+    const held = new Map<ReservationId, HeldMemory>(
+      described.map(({ stream, held: memory }) => [stream.request.reservation, memory]),
+    );
+    const copies = described.flatMap(({ stream, held: memory }): readonly BackupCopy[] => {
+      const backup = stream.getBackup();
+      return backup === undefined ? [] : [{ engine: backup.entry.cfg.id, held: memory }];
+    });
+    ledger.publish(held, copies);
+  }
+
+  private heldBy(
+    { request }: RelocatableStream,
+    { engine, heldTokens, remainingTokens }: RunningStream,
+    ledger: RelocationLedger,
+  ): HeldMemory {
+    const tokenMs = ledger.tokenMs(engine, request.pool) ?? DEFAULT_TOKEN_MS;
+    return heldByStream(heldTokens, remainingTokens, tokenMs);
+  }
+
+  private planMoves(model: ModelId, ledger: RelocationLedger): void {
+    const pool = this.options.directory.getPool(model);
+    if (pool === undefined || !this.hasMoves(pool)) return;
+    const now = this.options.clock.now();
+    const streams = this.streamsOf(model);
+    const sources = streams.flatMap((stream) => stream.getMoveSource()?.cfg.id ?? []);
+    const listed = new Set(
+      pool.engines.filter(({ role }) => role === 'decode').map(({ id }) => id),
+    );
+    const unlisted = new Map(
+      streams
+        .map((stream) => stream.getEngine().cfg)
+        .filter(({ id }) => !listed.has(id))
+        .map((cfg) => [cfg.id, cfg]),
+    );
+    const view = {
+      engines: ledger.engines(pool, [...unlisted.values()], now),
+      streams: streams.flatMap((stream) => stream.describe(now) ?? []),
+      busySources: new Set(sources),
+    };
+    this.planner.plan(view, now).forEach((relocation) => this.start(relocation, streams));
+  }
+
+  private start(relocation: Relocation, streams: readonly RelocatableStream[]): void {
+    const target = this.options.directory.getEngine(relocation.to);
+    const stream = streams.find(({ request }) => request.reservation === relocation.stream);
+    if (target !== undefined) stream?.moveTo(target, relocation.reason);
+  }
+
+  private streamsOf(model: ModelId): readonly RelocatableStream[] {
+    return [...this.streams].filter(({ request }) => request.pool.model === model);
+  }
+}
--- a/packages/router/src/serving/completionAttemptPlan.ts
+++ b/packages/router/src/serving/completionAttemptPlan.ts
@@ -1,4 +1,4 @@
-import type { Clock, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
+import type { Clock, Millis, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
 import type { AdoptedReservation, PromptPrefix } from '@camphorvane/decisions';
 import type { UpstreamResponseHead, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -6,6 +6,7 @@
 import type { EngineObserver } from '../placing/EngineObserver.ts';
 import type { EnginePlacement, Placer } from '../placing/Placer.ts';
 import type { ReservationRenewer } from '../placing/ReservationRenewer.ts';
+import type { StreamRelocator } from './StreamRelocator.ts';
 
 /** Components of the host that an attempt uses. */
 export interface AttemptDependencies {
@@ -15,6 +16,18 @@
   readonly renewer: ReservationRenewer;
   readonly observer: EngineObserver;
   readonly metrics: Metrics;
+  /** Moves running streams to other engines; absent where that is not supported. */
+  readonly relocator?: StreamRelocator;
+}
+
+/** What a stream's caller expects of it. */
+export interface StreamLimits {
+  /** Output that is expected; undefined where only the maximum is known. */
+  readonly expectedTokens: Tokens | undefined;
+  /** Longest pause between two events of an on-time stream; undefined if unlimited. */
+  readonly longestPauseMs: Millis | undefined;
+  /** Whether another engine may prefill and resume the stream if its engine fails. */
+  readonly isResumable: boolean;
 }
 
 /** Input of one attempt. */
@@ -29,6 +42,7 @@
   /** Position of the first token to deliver. */
   readonly fromPosition: number;
   readonly maxTokens: Tokens;
+  readonly limits: StreamLimits;
   /** Takes one retry from the budget, to send the request to another engine; false if none is left. */
   readonly tryRetry: () => boolean;
 }
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -13,7 +13,7 @@
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RetryTarget } from '../host/ports.ts';
-import type { AttemptOutcome, FailedAttempt } from './completionAttemptPlan.ts';
+import type { AttemptOutcome, FailedAttempt, StreamLimits } from './completionAttemptPlan.ts';
 import type { CompletionProgress } from './CompletionProgress.ts';
 import { CrashGuard } from './CrashGuard.ts';
 
@@ -103,6 +103,11 @@
   return progress.mayHaveStarted() ? charge.tokens : 0;
 }
 
+export function streamLimits(policy: CompletionPolicy): StreamLimits {
+  const { expectedTokens, longestPauseMs, resumable: isResumable } = policy;
+  return { expectedTokens, longestPauseMs, isResumable };
+}
+
 export function completionRetryTarget(
   completion: ResolvedCompletion,
   pool: PoolConfig,
--- /dev/null
+++ b/packages/router/src/serving/streamRequest.ts
@@ -0,0 +1,59 @@
+import type {
+  Clock,
+  Millis,
+  OpaquePrompt,
+  PoolConfig,
+  RequestId,
+  ReservationId,
+  Tokens,
+} from '@camphorvane/core';
+import type { RelocationReason, RunningStream } from '@camphorvane/decisions';
+import type { DecodeCommand } from '@camphorvane/upstream';
+import type { EngineEntry } from '../host/UpstreamDirectory.ts';
+import type { Metrics } from '../observe/Metrics.ts';
+import type { Placer } from '../placing/Placer.ts';
+import type { StreamLimits } from './completionAttemptPlan.ts';
+import type { RelocationLedger } from '../placing/RelocationLedger.ts';
+
+/** A stream to decode, which may go on at another engine. */
+export interface StreamRequest extends StreamLimits {
+  readonly id: RequestId;
+  readonly reservation: ReservationId;
+  readonly pool: PoolConfig;
+  readonly engine: EngineEntry;
+  readonly command: DecodeCommand & { readonly prompt: OpaquePrompt };
+  /** Aborted when the caller disconnects or the host ends the request. */
+  readonly signal: AbortSignal;
+}
+
+/** Components of the host that a running stream uses. */
+export interface StreamDependencies {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly placements: Placer;
+  readonly ledger: RelocationLedger;
+  /** Called once when a stream has ended. */
+  readonly onClosed: (stream: RelocatableStream) => void;
+}
+
+/** An engine that receives a copy of a stream as it grows. */
+export interface StreamBackup {
+  readonly entry: EngineEntry;
+  /** Memory that is reserved there. */
+  readonly memoryTokens: Tokens;
+}
+
+/** A running stream, as its host's relocator sees it. */
+export interface RelocatableStream {
+  readonly request: StreamRequest;
+  /** Engine that runs the stream, or that it moves to. */
+  getEngine(): EngineEntry;
+  /** Engine that it moves away from at the moment; undefined where it does not move. */
+  getMoveSource(): EngineEntry | undefined;
+  /** Engine that receives a copy of it; undefined for none. */
+  getBackup(): StreamBackup | undefined;
+  /** Describes the stream; undefined until its output has begun, and where it can't be moved. */
+  describe(now: Millis): RunningStream | undefined;
+  /** Starts to move it. */
+  moveTo(target: EngineEntry, reason: RelocationReason): void;
+}
