--- a/packages/router/src/placing/LocalReservations.ts
+++ b/packages/router/src/placing/LocalReservations.ts
@@ -89,9 +89,13 @@
   moveDecode(reservation: ReservationId, decode: UpstreamId, now: Millis): void {
     const reserved = this.reservations.get(reservation);
     if (reserved === undefined) return;
-    const { pair, memoryTokens } = reserved;
-    this.knowledge.inFlight.adjust(pair.decode, { streams: -1, memoryTokens: -memoryTokens });
-    this.knowledge.inFlight.adjust(decode, { streams: 1, memoryTokens });
+    const { pair, memoryTokens, promptTokens } = reserved;
+    // A stream that is moved after its first event may not have been recorded as prefilled yet.
+    const isPrefilling = pair.prefill === undefined && this.prefilling.has(reservation);
+    const prefillTokens = isPrefilling ? promptTokens : 0;
+    const left = { streams: -1, memoryTokens: -memoryTokens, prefillTokens: -prefillTokens };
+    this.knowledge.inFlight.adjust(pair.decode, left);
+    this.knowledge.inFlight.adjust(decode, { streams: 1, memoryTokens, prefillTokens });
     this.knowledge.admission.recordRequest(decode, now);
     this.reservations.set(reservation, { ...reserved, pair: { ...pair, decode } });
   }
--- a/packages/router/src/serving/MoveExecution.ts
+++ b/packages/router/src/serving/MoveExecution.ts
@@ -99,8 +99,8 @@
 
   /** Ends the move because the stream has ended, and releases the copy. */
   abandon(): void {
-    if (this.state.step === 'stopping') this.release(this.state.copy);
     const { step } = this.state;
+    this.obtainedHandles().forEach((handle) => this.release(handle));
     if (step === 'moved' || step === 'failed') return;
     const move = { step: 'failed', failedStep: step, failure: 'ended', isAlive: true } as const;
     this.apply({ move, actions: [] });
@@ -170,6 +170,25 @@
     stream.resumeAt(at === 'target' ? target : source, origin);
   }
 
+  /** Gets the handles that may still hold memory. */
+  private obtainedHandles(): readonly string[] {
+    const { state } = this;
+    switch (state.step) {
+      case 'stopping':
+        return [state.copy];
+      case 'resuming': {
+        const handles = [state.point, ...state.rest].map(({ handle }) => handle);
+        return this.isFromBackup ? [] : [...new Set([...state.handles, ...handles])];
+      }
+      case 'copying':
+      case 'moved':
+      case 'failed':
+        return [];
+      default:
+        return state satisfies never;
+    }
+  }
+
   private release(handle: string): void {
     void this.plan.source.engine.dropHandle?.(handle);
   }
--- /dev/null
+++ b/packages/router/tests/serving/StreamRelocation.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { RelocationWorld } from '../support/RelocationWorld.ts';
+import type { CallFault, WorldScript } from '../support/WorldEngine.ts';
+import { EVENT_COUNT, EVENT_MS } from '../support/WorldEngine.ts';
+
+const ALL_POSITIONS = Array.from({ length: EVENT_COUNT }, (_, i) => i);
+
+/** Longer pauses make a stream late. */
+const LONGEST_PAUSE_MS = 300;
+
+const MOVE_AT_MS = 10 * EVENT_MS;
+
+/** Runs a stream to its end; the move starts after ten events. */
+async function runStream(script: WorldScript, moveAt = MOVE_AT_MS): Promise<RelocationWorld> {
+  const world = new RelocationWorld(script);
+  await world.clock.advance(moveAt);
+  world.stream.moveTo(world.target.entry, 'memory');
+  await world.clock.advance(EVENT_COUNT * (EVENT_MS + (script.readMs ?? 0)) + 2_000);
+  return world;
+}
+
+function assertWhole(world: RelocationWorld): void {
+  assert.equal(world.ending, 'done');
+  assert.deepEqual(world.positions, ALL_POSITIONS);
+  assert.equal(world.mostWorking, 1, 'two engines worked on the request at a time');
+}
+
+test('a stream moves to another engine within one response, and its reservation follows', async () => {
+  const world = await runStream({});
+  assertWhole(world);
+  assert.ok(world.longestPause < 3 * EVENT_MS, `a pause of ${world.longestPause} ms`);
+  assert.equal(world.getReservedEngine(), 'target');
+  assert.deepEqual(world.released, ['source/h1'], 'the first copy was not released');
+});
+
+// Guards against duplicates if the new engine starts at an earlier event than it was asked to.
+test('events that the new engine repeats are delivered once', async () => {
+  assertWhole(await runStream({ repeats: 3 }));
+});
+
+// Guards against a stop that is taken for the end of the stream, as a body without a length ends with its
+// connection.
+test('a stopped stream whose end is not marked goes on at the other engine', async () => {
+  assertWhole(await runStream({ hasUnmarkedEnd: true }));
+});
+
+const BEFORE_THE_STOP: readonly CallFault[] = ['refused', 'no_room', 'response_lost', 'call_lost'];
+
+// Guards against a stream that is lost, and a copy that is kept, when no copy can be made.
+BEFORE_THE_STOP.forEach((copy) =>
+  test(`the run stays where it is when the first copy fails: ${copy}`, async () => {
+    const world = await runStream({ copy });
+    assertWhole(world);
+    assert.equal(world.getReservedEngine(), 'source');
+  }),
+);
+
+const AT_THE_STOP: readonly (readonly [CallFault, string])[] = [
+  ['no_room', 'source'],
+  ['expired', 'source'],
+  ['response_lost', 'target'],
+  ['call_lost', 'source'],
+  ['refused', 'source'],
+];
+
+// Guards against a stopped run that nobody resumes, and against a second run while the first one goes on.
+AT_THE_STOP.forEach(([stop, engine]) =>
+  test(`the run goes on at the ${engine} when the call that stops it fails: ${stop}`, async () => {
+    const world = await runStream({ stop });
+    assertWhole(world);
+    assert.equal(world.getReservedEngine(), engine);
+    assert.equal(world.countCopies(), 0, 'a copy was kept');
+  }),
+);
+
+// Guards against streams that are cut off although another engine has their KV cache, and against lost and
+// duplicate events, whenever an engine dies during a move.
+test('a move loses and repeats no event, whatever fails and when', async () => {
+  const faults = fc.constantFrom<CallFault>('none', ...BEFORE_THE_STOP, 'expired');
+  const death = fc.record({
+    engine: fc.constantFrom('source' as const, 'target' as const),
+    at: fc.integer({ min: MOVE_AT_MS - 50, max: MOVE_AT_MS + 400 }),
+  });
+  const script = fc.record({
+    ...{ copy: faults, stop: faults, repeats: fc.integer({ min: 0, max: 4 }) },
+    death: fc.option(death, { nil: undefined }),
+    hasUnmarkedEnd: fc.boolean(),
+    hasBackup: fc.boolean(),
+    readMs: fc.constantFrom(0, 30, 90),
+  });
+  await fc.assert(
+    fc.asyncProperty(script, fc.integer({ min: 0, max: EVENT_MS }), async (faulty, offset) => {
+      const world = await runStream(faulty, MOVE_AT_MS + offset);
+      assert.ok(world.ending !== undefined, 'the stream hangs');
+      assert.deepEqual(world.positions, ALL_POSITIONS.slice(0, world.positions.length));
+      assert.ok(world.mostWorking <= 1, 'two engines worked on the request at a time');
+      if (isSingleFault(faulty) && !world.isCacheLost) assert.equal(world.ending, 'done');
+      if (faulty.death === undefined)
+        assert.ok(world.longestPause <= LONGEST_PAUSE_MS, `a pause of ${world.longestPause} ms`);
+      if (world.ending === 'done') assert.equal(world.positions.length, EVENT_COUNT);
+      world.reservations.release(world.reservation, 'done');
+      assert.equal(world.knowledge.inFlight.getOwn().size, 0, 'load is left');
+    }),
+    { numRuns: 300 },
+  );
+});
+
+/** Tells whether at most one thing goes wrong; after two, both engines may lack the KV cache. */
+function isSingleFault({ copy, stop, death }: WorldScript): boolean {
+  return [copy !== 'none', stop !== 'none', death !== undefined].filter(Boolean).length <= 1;
+}
+
+// Guards against a copy that is kept, and an engine that works on, when the caller disconnects in a move.
+test('nothing is left when the caller disconnects during a move', async () => {
+  const checks = [0, 1, 3, 5, 7, 10, 50].map(async (afterMs) => {
+    const world = new RelocationWorld({});
+    await world.clock.advance(MOVE_AT_MS);
+    world.stream.moveTo(world.target.entry, 'memory');
+    await world.clock.advance(afterMs);
+    world.caller.abort();
+    await world.clock.advance(100);
+    assert.equal(world.ending, 'cancelled');
+    assert.equal(world.working.size, 0, `an engine works on, ${afterMs} ms`);
+    assert.equal(world.countCopies(), 0, `a copy was kept, ${afterMs} ms`);
+  });
+  await Promise.all(checks);
+});
+
+// Guards against a stream that is cut off, or prefilled again, although another engine has a copy of it.
+test('a stream goes on from its backup when its engine dies', async () => {
+  const world = new RelocationWorld({ hasBackup: true, death: { engine: 'source', at: 500 } });
+  await world.clock.advance(EVENT_COUNT * EVENT_MS + 1_000);
+  assertWhole(world);
+  assert.equal(world.getReservedEngine(), 'target');
+  world.reservations.release(world.reservation, 'done');
+  assert.equal(world.knowledge.inFlight.getOwn().size, 0, 'memory stays reserved for the copy');
+});
