--- a/packages/decisions/src/relocation/RelocationPlanner.ts
+++ b/packages/decisions/src/relocation/RelocationPlanner.ts
@@ -84,7 +84,7 @@
   ): { readonly reason: RelocationReason; readonly stream: RunningStream | undefined } {
     const movable = own.filter((stream) => paysOff(stream, engine)).sort(byPreemption);
     if (engine.isLeaving) return { reason: 'leaving', stream: movable[0] };
-    const late = movable.find((stream) => exceedsPause(engine, stream));
+    const late = movable.find((stream) => exceedsPause(engine, stream) && isSlow(stream));
     if (late !== undefined) return { reason: 'slow', stream: late };
     const isShort = this.isOwnTurn(engine, own);
     return { reason: 'memory', stream: isShort ? movable[0] : undefined };
@@ -151,6 +151,14 @@
   return tokenMs * eventTokens > longestPauseMs * PAUSE_BUDGET_FRACTION;
 }
 
+/**
+ * Tells whether the events of a stream come too slowly. The mean of its engine is not enough, as callers that
+ * read slowly raise it.
+ */
+function isSlow({ eventMs = 0, longestPauseMs = Infinity }: RunningStream): boolean {
+  return eventMs > longestPauseMs * PAUSE_BUDGET_FRACTION;
+}
+
 /** Orders streams as engines preempt them: the newest of the least urgent first. */
 function byPreemption(a: RunningStream, b: RunningStream): number {
   return b.priority - a.priority || b.startedAt - a.startedAt;
--- a/packages/decisions/src/relocation/relocationView.ts
+++ b/packages/decisions/src/relocation/relocationView.ts
@@ -42,7 +42,9 @@
   readonly startedAt: Millis;
   /** Longest pause between two events of an on-time stream; absent if unlimited. */
   readonly longestPauseMs?: Millis;
-  /** Whether a move of the stream is under way, or has failed recently. */
+  /** Mean time between two events while the caller read them at once; undefined while not measured. */
+  readonly eventMs?: Millis;
+  /** Whether a move of the stream is under way, or has ended recently. */
   readonly isPinned: boolean;
 }
 
--- a/packages/decisions/tests/relocation/RelocationPlanner.test.ts
+++ b/packages/decisions/tests/relocation/RelocationPlanner.test.ts
@@ -111,7 +111,11 @@
 
 test('streams leave an engine whose events come slower than their pause allows', () => {
   const slow = engine('full', { tokenMs: 4, streams: 2 });
-  const streams = [stream('s1', { longestPauseMs: undefined }), stream('s2')];
+  const streams = [
+    stream('s1', { longestPauseMs: undefined, eventMs: 308 }),
+    stream('s2', { eventMs: 308 }),
+    stream('read slowly', { eventMs: 50, startedAt: 10 }),
+  ];
   const moves = plan({ engines: [slow, ...TARGETS], streams });
   assert.deepEqual(
     moves.map((move) => [move.stream, move.reason]),
--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -7,6 +7,7 @@
 import { streamTruncated } from './attemptEnds.ts';
 import { EngineRun } from './EngineRun.ts';
 import { EventBuffer } from './EventBuffer.ts';
+import { EventSpeed } from './EventSpeed.ts';
 import { expectedRemainingTokens } from './expectedRemainingTokens.ts';
 import { MoveExecution } from './MoveExecution.ts';
 import type { EndedMove, KvOrigin, MovingStream } from './MoveExecution.ts';
@@ -18,7 +19,7 @@
   StreamRequest,
 } from './streamRequest.ts';
 
-/** Milliseconds after a failed move in which the stream is not moved again. */
+/** Milliseconds after a move, or a failed one, in which the stream is not moved again. */
 const MOVE_BACKOFF_MS: Millis = 1_000;
 
 /** Events before the end at which a copied stream is not stopped any more. */
@@ -59,6 +60,8 @@
 
   private isClosed = false;
 
+  private readonly speed = new EventSpeed();
+
   private startedAt: Millis = 0;
 
   private pinnedUntil: Millis = 0;
@@ -124,6 +127,7 @@
       heldTokens: command.prompt.tokens + this.generatedTokens(),
       remainingTokens: expectedRemainingTokens(this.request, this.generatedTokens()),
       priority: command.priority,
+      eventMs: this.speed.getMeanMs(),
       isPinned: this.move !== undefined || !this.hasOrderedPositions || now < this.pinnedUntil,
     };
   }
@@ -168,6 +172,7 @@
     if (entry !== this.engine) this.setEngine(entry);
     if (entry === this.backup?.entry) this.dropBackup();
     this.hasSwitched = true;
+    this.speed.reset();
     const fromPosition = this.getPosition();
     this.startRun(entry, { ...this.request.command, ...origin, fromPosition });
   }
@@ -177,8 +182,8 @@
     const source = this.move?.getSource();
     this.move = undefined;
     this.buffer.setBounded(true);
-    if (move.step === 'moved') return;
     this.pinnedUntil = this.deps.clock.now() + MOVE_BACKOFF_MS;
+    if (move.step === 'moved') return;
     if (source !== undefined && source !== this.engine) this.setEngine(source);
     if (!move.isAlive && !this.resumeFromBackup(this.error)) this.finish(err(this.error));
   }
@@ -228,10 +233,17 @@
     this.run = run;
     void run.read(
       (event) => this.receive(run, event),
-      () => this.buffer.waitForRoom(),
+      () => this.waitForRoom(),
     );
   }
 
+  private async waitForRoom(): Promise<void> {
+    const { clock } = this.deps;
+    const from = clock.now();
+    await this.buffer.waitForRoom();
+    this.speed.recordWait(clock.now() - from);
+  }
+
   private receive(run: EngineRun, event: Result<DecodeEvent, UpstreamError>): void {
     if (event.isErr()) {
       this.receiveFailure(event.error);
@@ -277,6 +289,7 @@
     }
     this.hasOrderedPositions &&= position === expected;
     this.nextPosition = position + 1;
+    this.speed.record(this.deps.clock.now());
     this.buffer.push(ok(event));
     const isResumed = this.move?.getStep() === 'resuming';
     this.move?.advance({ type: isResumed ? 'accepted' : 'event' });
