--- a/packages/decisions/src/relocation/RelocationPlanner.ts
+++ b/packages/decisions/src/relocation/RelocationPlanner.ts
@@ -120,6 +120,20 @@
   }
 }
 
+/**
+ * Tells whether any stream may have to leave an engine; a cheap test, as most passes find nothing to do.
+ *
+ * @param engine - The engine.
+ * @param streams - Running streams of this host.
+ */
+export function mayNeedRelocation(
+  engine: RelocationEngine,
+  streams: readonly RunningStream[],
+): boolean {
+  if (engine.isLeaving || forecastMemory(engine).shortageTokens > 0) return true;
+  return streams.some((stream) => stream.engine === engine.id && exceedsPause(engine, stream));
+}
+
 /**
  * Gets the fill of an engine at the end of a stream that moves there.
  *
--- a/packages/decisions/src/relocation/advanceMove.ts
+++ b/packages/decisions/src/relocation/advanceMove.ts
@@ -30,6 +30,12 @@
  */
 export const RESUME_WAIT_MS: Millis = 200;
 
+/**
+ * Milliseconds within which the engine with the copy of a lost stream must begin to send it: it may have to
+ * prefill what had not arrived, and no other engine can be asked.
+ */
+const BACKUP_WAIT_MS: Millis = 1_000;
+
 type Stopping = Extract<StreamMove, { readonly step: 'stopping' }>;
 type Resuming = Extract<StreamMove, { readonly step: 'resuming' }>;
 
@@ -45,7 +51,11 @@
  * @param now - Present time.
  */
 export function beginResume(point: ResumePoint, now: Millis): MoveTransition {
-  return resume([point], [], now);
+  const until = now + BACKUP_WAIT_MS;
+  return {
+    move: { step: 'resuming', point, rest: [], handles: [], until },
+    actions: [{ type: 'close' }, { type: 'resume', point }],
+  };
 }
 
 /**
--- a/packages/router/src/placing/RelocationLedger.ts
+++ b/packages/router/src/placing/RelocationLedger.ts
@@ -17,6 +17,9 @@
   readonly held: HeldMemory;
 }
 
+/** Gets the time between two tokens on an engine, or the mean of its pool; undefined while not measured. */
+export type TokenIntervals = (engine: UpstreamId) => Millis | undefined;
+
 /** What this host's streams hold on each engine, and the reservations that follow them. */
 export class RelocationLedger {
   private readonly knowledge: EngineKnowledge;
@@ -78,12 +81,11 @@
     this.onStateChange();
   }
 
-  /** Gets the time between two tokens of a stream on an engine; undefined while not measured. */
-  tokenMs(engine: UpstreamId, pool: PoolConfig): Millis | undefined {
-    return this.knowledge.health.tokenMs(
-      engine,
-      pool.engines.map(({ id }) => id),
-    );
+  /** Gets the function that estimates the time between two tokens on an engine of a pool. */
+  tokenIntervals(pool: PoolConfig): TokenIntervals {
+    const { health } = this.knowledge;
+    const meanMs = health.meanTokenIntervalMs(pool.engines.map(({ id }) => id));
+    return (engine) => health.tokenMs(engine, []) ?? meanMs;
   }
 
   /**
@@ -92,23 +94,27 @@
    * @param pool - The pool.
    * @param unlisted - Engines with streams of this host that are not in the configuration any more.
    * @param now - Present time.
+   * @param only - Engines to get; absent for all.
    * @returns The engines; unlisted ones are leaving.
    */
   engines(
     pool: PoolConfig,
     unlisted: readonly EngineConfig[],
     now: Millis,
+    only?: ReadonlySet<UpstreamId>,
   ): readonly RelocationEngine[] {
-    const listed = pool.engines.filter(({ role }) => role === 'decode');
+    const isWanted = ({ id }: EngineConfig): boolean => only === undefined || only.has(id);
+    const listed = pool.engines.filter((cfg) => cfg.role === 'decode' && isWanted(cfg));
+    const intervals = this.tokenIntervals(pool);
     return [
-      ...listed.map((cfg) => this.engine(cfg, pool, now, true)),
-      ...unlisted.map((cfg) => this.engine(cfg, pool, now, false)),
+      ...listed.map((cfg) => this.engine(cfg, intervals, now, true)),
+      ...unlisted.filter(isWanted).map((cfg) => this.engine(cfg, intervals, now, false)),
     ];
   }
 
   private engine(
     cfg: EngineConfig,
-    pool: PoolConfig,
+    intervals: TokenIntervals,
     now: Millis,
     isListed: boolean,
   ): RelocationEngine {
@@ -120,7 +126,7 @@
       capacityTokens: memoryPieces * TOKENS_PER_PIECE,
       reservedTokens: memoryTokens,
       held: inFlight.getHeld(id, now),
-      tokenMs: this.tokenMs(id, pool),
+      tokenMs: intervals(id),
       isLeaving: !isListed || admission.constraints.isLeaving(id),
       isOpen: isListed && this.isOpen(id, now) && !health.isBackingOff(id, now),
     };
--- a/packages/router/src/serving/DecodeStage.ts
+++ b/packages/router/src/serving/DecodeStage.ts
@@ -36,6 +36,8 @@
   /** Whether the decode engine disappeared without closing the connection. */
   private isEngineGone = false;
 
+  private stall: StallDetector | undefined;
+
   /** The stream, where it may go on at another engine. */
   private relocation: StreamRelocation | undefined;
 
@@ -61,10 +63,10 @@
     let delivered = 0;
     let last: { readonly at: Millis; readonly engine: UpstreamId } | undefined;
     const stream = this.open(engine, this.command(prefill));
-    const stall = this.detectStall(engine);
+    this.stall = this.detectStall(engine);
     try {
       for await (const event of stream) {
-        stall.recordProgress();
+        this.stall.recordProgress();
         const { id } = this.currentEngine(engine);
         if (event.isErr()) {
           if (delivered === 0 && prefill !== undefined) {
@@ -101,7 +103,7 @@
         }
       }
     } finally {
-      stall.close();
+      this.stall.close();
     }
     return fail(this.currentEngine(engine).id, streamTruncated());
   }
@@ -151,7 +153,10 @@
       },
       onEngineGone: () => {
         deps.metrics.count('attempt.engine_gone');
-        if (this.relocation?.leaveLostEngine(engineGone()) === true) return;
+        if (this.relocation?.leaveLostEngine(engineGone()) === true) {
+          this.stall = this.detectStall(engine);
+          return;
+        }
         this.isEngineGone = true;
         abort.abort();
       },
--- a/packages/router/src/serving/StreamRelocator.ts
+++ b/packages/router/src/serving/StreamRelocator.ts
@@ -1,14 +1,20 @@
 import type {
   CancelTimer,
   Clock,
+  EngineConfig,
   Millis,
   ModelId,
   PoolConfig,
   RandomSource,
   ReservationId,
 } from '@camphorvane/core';
-import type { HeldMemory, Relocation, RunningStream } from '@camphorvane/decisions';
-import { chooseBackup, heldByStream, RelocationPlanner } from '@camphorvane/decisions';
+import type { HeldMemory, Relocation } from '@camphorvane/decisions';
+import {
+  chooseBackup,
+  heldByStream,
+  mayNeedRelocation,
+  RelocationPlanner,
+} from '@camphorvane/decisions';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -142,9 +148,18 @@
 
   private publish(ledger: RelocationLedger): void {
     const now = this.options.clock.now();
+    const intervals = new Map(
+      [...new Set([...this.streams].map(({ request }) => request.pool))].map((pool) => [
+        pool.model,
+        ledger.tokenIntervals(pool),
+      ]),
+    );
     const described = [...this.streams].flatMap((stream) => {
       const running = stream.describe(now);
-      return running === undefined ? [] : [{ stream, held: this.heldBy(stream, running, ledger) }];
+      if (running === undefined) return [];
+      const { engine, heldTokens, remainingTokens } = running;
+      const tokenMs = intervals.get(stream.request.pool.model)?.(engine) ?? DEFAULT_TOKEN_MS;
+      return [{ stream, held: heldByStream(heldTokens, remainingTokens, tokenMs) }];
     });
     const held = new Map<ReservationId, HeldMemory>(
       described.map(({ stream, held: memory }) => [stream.request.reservation, memory]),
@@ -156,34 +171,20 @@
     ledger.publish(held, copies);
   }
 
-  private heldBy(
-    { request }: RelocatableStream,
-    { engine, heldTokens, remainingTokens }: RunningStream,
-    ledger: RelocationLedger,
-  ): HeldMemory {
-    const tokenMs = ledger.tokenMs(engine, request.pool) ?? DEFAULT_TOKEN_MS;
-    return heldByStream(heldTokens, remainingTokens, tokenMs);
-  }
-
   private planMoves(model: ModelId, ledger: RelocationLedger): void {
     const pool = this.options.directory.getPool(model);
     if (pool === undefined || !this.hasMoves(pool)) return;
     const now = this.options.clock.now();
     const streams = this.streamsOf(model);
-    const sources = streams.flatMap((stream) => stream.getMoveSource()?.cfg.id ?? []);
-    const listed = new Set(
-      pool.engines.filter(({ role }) => role === 'decode').map(({ id }) => id),
-    );
-    const unlisted = new Map(
-      streams
-        .map((stream) => stream.getEngine().cfg)
-        .filter(({ id }) => !listed.has(id))
-        .map((cfg) => [cfg.id, cfg]),
-    );
+    const running = streams.flatMap((stream) => stream.describe(now) ?? []);
+    const unlisted = unlistedEngines(pool, streams);
+    const used = new Set(running.map(({ engine }) => engine));
+    const sources = ledger.engines(pool, unlisted, now, used);
+    if (!sources.some((engine) => mayNeedRelocation(engine, running))) return;
     const view = {
-      engines: ledger.engines(pool, [...unlisted.values()], now),
-      streams: streams.flatMap((stream) => stream.describe(now) ?? []),
-      busySources: new Set(sources),
+      engines: ledger.engines(pool, unlisted, now),
+      streams: running,
+      busySources: new Set(streams.flatMap((stream) => stream.getMoveSource()?.cfg.id ?? [])),
     };
     this.planner.plan(view, now).forEach((relocation) => this.start(relocation, streams));
   }
@@ -198,3 +199,15 @@
     return [...this.streams].filter(({ request }) => request.pool.model === model);
   }
 }
+
+/** Gets the engines of streams that are not, or no longer, decode engines of the pool. */
+function unlistedEngines(
+  pool: PoolConfig,
+  streams: readonly RelocatableStream[],
+): readonly EngineConfig[] {
+  const listed = new Set(pool.engines.filter(({ role }) => role === 'decode').map(({ id }) => id));
+  const unlisted = streams
+    .map((stream) => stream.getEngine().cfg)
+    .filter(({ id }) => !listed.has(id));
+  return [...new Map(unlisted.map((cfg) => [cfg.id, cfg])).values()];
+}
--- a/packages/router/tests/serving/streamMoves.test.ts
+++ b/packages/router/tests/serving/streamMoves.test.ts
@@ -74,28 +74,34 @@
 
 // Guards against a non-resumable stream that is cut off although another engine has a copy of it, and against
 // copies for more than a quarter of the streams.
-test('one stream of four has a backup, and goes on from it when its engine fails', async () => {
-  const commands: DecodeCommand[] = [];
-  const script: DecodeScript = async function* run(cmd, signal) {
-    commands.push(cmd);
-    const hasBackup = cmd.backupUrl !== undefined;
-    yield* streamEvents(cmd, cmd.fromPosition, 2);
-    await sleep(new SystemClock(), 200, signal);
-    if (hasBackup) yield err({ type: 'broken', dispatched: true, message: 'crashed' });
-    else yield* completeStream({ ...cmd, fromPosition: Math.max(2, cmd.fromPosition) });
-  };
-  const fleet = new ForwardFleet({
-    decodeScripts: { d1: script, d2: script },
-    engineConfig: { memoryPieces: 1_000 },
-    overload: { ...NO_OVERLOAD_POLICY, streamBackups: true },
-    relocation: { moves: true, backups: true },
-  });
-  const answers = await Promise.all([1, 2, 3, 4].map((i) => fleet.send(`/llm/${i}`)));
-  answers.forEach((events) => assert.equal(answerText(events), '0;1;2;3;'));
-  assert.equal(commands.filter(({ backupUrl }) => backupUrl !== undefined).length, 1);
-  const resumed = commands.filter(({ fromBackup }) => fromBackup === true);
-  assert.deepEqual(
-    resumed.map(({ fromPosition, kvHandle }) => [fromPosition, kvHandle]),
-    [[2, undefined]],
-  );
-});
+[true, false].forEach((crashes) =>
+  test(`one stream of four has a backup, used when its engine ${crashes ? 'crashes' : 'falls silent'}`, async () => {
+    const commands: DecodeCommand[] = [];
+    const script: DecodeScript = async function* run(cmd, signal) {
+      commands.push(cmd);
+      const hasBackup = cmd.backupUrl !== undefined;
+      yield* streamEvents(cmd, cmd.fromPosition, 2);
+      await sleep(new SystemClock(), 200, signal);
+      if (hasBackup && !crashes) await sleep(new SystemClock(), 5_000, signal);
+      if (hasBackup) yield err({ type: 'broken', dispatched: true, message: 'crashed' });
+      else yield* completeStream({ ...cmd, fromPosition: Math.max(2, cmd.fromPosition) });
+    };
+    const fleet = new ForwardFleet({
+      decodeScripts: { d1: script, d2: script },
+      engineConfig: { memoryPieces: 1_000 },
+      overload: { ...NO_OVERLOAD_POLICY, streamBackups: true },
+      relocation: { moves: true, backups: true },
+      route: { timeoutMs: 4_000 },
+    });
+    const answers = await Promise.all(
+      [1, 2, 3, 4].map((i) => fleet.send(`/llm/${i}`, { callerTimeoutMs: 4_000 })),
+    );
+    answers.forEach((events) => assert.equal(answerText(events), '0;1;2;3;'));
+    assert.equal(commands.filter(({ backupUrl }) => backupUrl !== undefined).length, 1);
+    const resumed = commands.filter(({ fromBackup }) => fromBackup === true);
+    assert.deepEqual(
+      resumed.map(({ fromPosition, kvHandle }) => [fromPosition, kvHandle]),
+      [[2, undefined]],
+    );
+  }),
+);
