--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -9,6 +9,7 @@
 import { FairQueues } from '../serving/FairQueues.ts';
 import { ForwardHandler } from '../serving/ForwardHandler.ts';
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
+import { StreamRelocator } from '../serving/StreamRelocator.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
 import { Authenticator } from './Authenticator.ts';
 import { HostBackend } from './HostBackend.ts';
@@ -91,6 +92,7 @@
     renewer,
     observer,
     metrics,
+    relocator: new StreamRelocator({ clock, random, directory, placements: placer, metrics }),
     rates,
     retryGate,
     crashGuard,
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -18,6 +18,8 @@
   | 'config.changed'
   | 'store.read_from_peer'
   | 'role.order'
+  | 'stream.moves'
+  | 'stream.backups'
   | 'upstream.signal'
   | 'upstream.withheld'
   | 'admission.refused'
@@ -36,7 +38,8 @@
   | 'request.token_interval'
   | 'admission.expected_wait'
   | 'admission.real_wait'
-  | 'shares.waited';
+  | 'shares.waited'
+  | 'stream.move';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -33,6 +33,7 @@
 import { EngineFindings } from './EngineFindings.ts';
 import { EngineProbes } from './EngineProbes.ts';
 import { LocalReservations } from './LocalReservations.ts';
+import { RelocationLedger } from './RelocationLedger.ts';
 import { DEFAULT_PRIORITY, queuedRequest } from './localPool.ts';
 import type { LocalPlacerOptions, LocalPool, ReserveResult } from './localPool.ts';
 import type { EnginePlacement } from './Placer.ts';
@@ -63,6 +64,9 @@
   /** Probes of engines that may be down. */
   readonly probes: EngineProbes;
 
+  /** {@inheritDoc Placer.relocation} */
+  readonly relocation: RelocationLedger;
+
   private readonly onStateChange: () => void;
 
   private readonly findings: EngineFindings;
@@ -79,6 +83,7 @@
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
     this.reservations = new LocalReservations(knowledge, incarnation, options.fairQueues);
+    this.relocation = new RelocationLedger(knowledge, this.reservations, onStateChange);
     const { health, admission } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
