Assign retry times to refused callers by priority, team and drain

Refusals name times that rise without bound while a team is far over its rate, and callers that return together are refused again.

--- a/packages/decisions/src/rates/DistributedRateLimiter.ts
+++ b/packages/decisions/src/rates/DistributedRateLimiter.ts
@@ -1,37 +1,28 @@
 import type { HostId, Incarnation, Millis, TeamId, TeamRate, Tokens } from '@camphorvane/core';
 import { gossipTimings } from '../local/gossipTimings.ts';
+import type { RetryContext } from '../turns/RetryContext.ts';
+import type { TurnOffer } from '../turns/TurnScheduler.ts';
+import { bucketLimits } from './bucketLimits.ts';
+import type { BucketLimits, RateTolerance } from './bucketLimits.ts';
 import { UNKNOWN_PEER } from './peerCharges.ts';
 import type { RelayDigest, PeerCharges } from './peerCharges.ts';
-
-/** Tolerance by which all hosts together may exceed a team's rate. */
-export interface RateTolerance {
-  /** Fraction of the rate, such as 0.1. */
-  readonly over: number;
-  /** Tokens allowed beyond that in any window. */
-  readonly slackTokens: Tokens;
-  /** Length of a window, in milliseconds. */
-  readonly windowMs: Millis;
-}
+import { RateTurns } from './RateTurns.ts';
+import type { TeamTurns } from './RateTurns.ts';
 
 /** Result of charging a team. */
 export type ChargeOutcome =
-  { readonly type: 'charged' } | { readonly type: 'over_rate'; readonly retryAfterMs: Millis };
-
-/** Fraction of the tolerance added to the rate; the rest covers charges not yet known to peers. */
-const USED_TOLERANCE_FRACTION = 0.8;
-
-/** Fraction of the slack that raises the refill rate; the rest raises the burst. */
-const SLACK_REFILL_FRACTION = 0.5;
+  | { readonly type: 'charged' }
+  | {
+      readonly type: 'over_rate';
+      readonly retryAfterMs: Millis;
+      /** The caller's turn; absent where no turns are given. */
+      readonly offer?: TurnOffer;
+    };
 
 /** Time constant of the mean rate of a peer's charges, in milliseconds: some requests of one team. */
 const RATE_AVERAGING_MS: Millis = 1_000;
 
-const MS_PER_SECOND = 1_000;
-
-interface Bucket {
-  /** Refill rate in tokens a millisecond. */
-  readonly perMs: number;
-  readonly capacity: Tokens;
+interface Bucket extends BucketLimits {
   readonly level: number;
 }
 
@@ -70,9 +61,15 @@
 
   private updatedAt: Millis = 0;
 
-  /** @param tolerance - Tolerance by which all hosts together may exceed a rate. */
-  constructor(tolerance: RateTolerance) {
+  private readonly turns: RateTurns | undefined;
+
+  /**
+   * @param tolerance - Tolerance by which all hosts together may exceed a rate.
+   * @param turns - Turns of refused callers; used for charges with a retry context.
+   */
+  constructor(tolerance: RateTolerance, turns?: TeamTurns) {
     this.tolerance = tolerance;
+    this.turns = turns === undefined ? undefined : new RateTurns(turns);
   }
 
   /** Applies changed rates; a team without a rate is not limited. */
@@ -82,7 +79,7 @@
       .filter((team) => !rates.has(team))
       .forEach((team) => this.buckets.delete(team));
     rates.forEach((rate, team) => {
-      const limits = this.limitsOf(rate);
+      const limits = bucketLimits(rate, this.tolerance);
       // A host that has just started does not know what others have charged lately.
       const initialLevel = limits.capacity / this.hostCount();
       const level = Math.min(this.buckets.get(team)?.level ?? initialLevel, limits.capacity);
@@ -167,14 +164,23 @@
    * @param team - The team.
    * @param tokens - Most tokens that the request may use.
    * @param now - Present time.
+   * @param retry - What the caller declares; where present, a refused caller is given a turn.
    * @returns Whether they were charged, or in how many milliseconds to retry.
    */
-  charge(team: TeamId, tokens: Tokens, now: Millis): ChargeOutcome {
+  charge(team: TeamId, tokens: Tokens, now: Millis, retry?: RetryContext): ChargeOutcome {
     this.advance(now);
     const bucket = this.buckets.get(team);
     if (bucket === undefined) return { type: 'charged' };
     const needed = Math.min(tokens, bucket.capacity * this.ownShare(now));
-    if (bucket.level < needed) {
+    if (retry !== undefined && this.turns !== undefined) {
+      const { level, perMs } = bucket;
+      const peersPerMs = this.peerRate(team, perMs, now);
+      const hostCount = this.hostCount();
+      const req = { team, tokens, needed, level, perMs, peersPerMs, hostCount };
+      const offer = this.turns.refuse(req, retry, now);
+      if (offer !== undefined)
+        return { type: 'over_rate', retryAfterMs: offer.retryAfterMs, offer };
+    } else if (bucket.level < needed) {
       return this.refuse(team, bucket, needed - bucket.level, tokens, now);
     }
     this.buckets.set(team, { ...bucket, level: bucket.level - tokens });
@@ -309,6 +315,14 @@
     );
   }
 
+  /** Gets the recent charges of all peers in tokens a millisecond. */
+  private peerRate(team: TeamId, perMs: number, now: Millis): number {
+    return [...this.peers.values()].reduce((sum, peer) => {
+      const equalShare = (perMs * peer.hostCount) / this.hostCount();
+      return sum + (this.isTimedOut(peer, now) ? equalShare : (peer.chargeRates.get(team) ?? 0));
+    }, 0);
+  }
+
   /** Gets the fraction of each burst that is not reserved for timed-out peers. */
   private ownShare(now: Millis): number {
     return 1 - this.countTimedOut(now) / this.hostCount();
@@ -329,15 +343,4 @@
   private hostCount(): number {
     return this.peerHosts.length + 1;
   }
-
-  private limitsOf(rate: TeamRate): Pick<Bucket, 'perMs' | 'capacity'> {
-    const { over, slackTokens, windowMs } = this.tolerance;
-    const factor = 1 + over * USED_TOLERANCE_FRACTION;
-    const slack = slackTokens * USED_TOLERANCE_FRACTION;
-    const slackPerMs = (slack * SLACK_REFILL_FRACTION) / windowMs;
-    return {
-      perMs: (rate.tokensPerSecond / MS_PER_SECOND) * factor + slackPerMs,
-      capacity: rate.burstTokens * factor + slack * (1 - SLACK_REFILL_FRACTION),
-    };
-  }
 }
--- /dev/null
+++ b/packages/decisions/src/turns/QuotedWaits.ts
@@ -0,0 +1,133 @@
+import type { HostId, Millis } from '@camphorvane/core';
+import { DecayingSums } from '../structures/DecayingSums.ts';
+
+/** Time constant of the average over the turns of this host, in milliseconds. */
+const AVERAGING_MS: Millis = 1_000;
+
+/** Turns in the average below which a host quotes no wait: the last ones were some seconds ago. */
+const MIN_TURNS = 0.05;
+
+/**
+ * Milliseconds for which a peer's quotes count. Digests of large fleets arrive up to 700 ms apart, so a
+ * peer that sends none for two of them has timed out or refuses nobody.
+ */
+const PEER_TTL_MS: Millis = 1_500;
+
+/** Shortest time between two remembered averages, in milliseconds. */
+const HISTORY_STEP_MS: Millis = 200;
+
+/** Milliseconds for which an average is remembered, as long as callers that were told it may take to return. */
+const HISTORY_MS: Millis = 10_000;
+
+/** Key of the quotes that a relay reports for all peers. */
+const ALL_PEERS = '';
+
+/** The average wait that a host, or several, have recently told the callers of one priority. */
+export interface WaitQuote {
+  /** Lower goes first. */
+  readonly priority: number;
+  readonly waitMs: Millis;
+  /** Number of recent turns in the average. */
+  readonly turns: number;
+}
+
+interface PeerQuotes {
+  readonly at: Millis;
+  readonly quotes: readonly WaitQuote[];
+}
+
+interface PastWait {
+  readonly at: Millis;
+  readonly waitMs: Millis;
+}
+
+/** Average waits that this host and its peers tell the refused callers of one queue. */
+export class QuotedWaits {
+  private readonly waits = new DecayingSums<number>(AVERAGING_MS);
+
+  private readonly turns = new DecayingSums<number>(AVERAGING_MS);
+
+  private readonly peers = new Map<HostId, PeerQuotes>();
+
+  /** Averages of the recent past, by priority. */
+  private readonly history = new Map<number, readonly PastWait[]>();
+
+  /** Records the wait that a caller is told. */
+  record(priority: number, waitMs: Millis, now: Millis): void {
+    this.waits.add(priority, waitMs, now);
+    this.turns.add(priority, 1, now);
+    this.remember(priority, now);
+  }
+
+  /** Stores the quotes of one peer, in place of its previous ones. */
+  receive(peer: HostId, quotes: readonly WaitQuote[], now: Millis): void {
+    this.peers.delete(ALL_PEERS);
+    this.peers.set(peer, { at: now, quotes });
+    quotes.forEach(({ priority }) => this.remember(priority, now));
+  }
+
+  /** Stores the averages over all peers, in place of all earlier quotes of peers. */
+  receiveSum(quotes: readonly WaitQuote[], now: Millis): void {
+    this.peers.clear();
+    this.receive(ALL_PEERS, quotes, now);
+  }
+
+  /** Gets the quotes of this host, to be sent to its peers. */
+  getOwn(now: Millis): readonly WaitQuote[] {
+    return this.turns
+      .keys()
+      .map((priority) => ({
+        priority,
+        waitMs: this.waits.get(priority, now) / this.turns.get(priority, now),
+        turns: this.turns.get(priority, now),
+      }))
+      .filter(({ turns }) => turns >= MIN_TURNS);
+  }
+
+  /**
+   * Gets the wait that callers of a priority are told now, averaged over the recent turns of all hosts.
+   *
+   * @returns Milliseconds; undefined where no host gave a turn lately.
+   */
+  quotedNow(priority: number, now: Millis): Millis | undefined {
+    const peers = [...this.peers.values()]
+      .filter(({ at }) => now - at <= PEER_TTL_MS)
+      .flatMap(({ quotes }) => quotes);
+    const quotes = [...this.getOwn(now), ...peers].filter((one) => one.priority === priority);
+    const turns = quotes.reduce((sum, one) => sum + one.turns, 0);
+    if (turns <= 0) return undefined;
+    return quotes.reduce((sum, one) => sum + one.waitMs * one.turns, 0) / turns;
+  }
+
+  /** Gets the wait that callers of a priority were told at about an earlier time, if it is remembered. */
+  quotedAt(priority: number, at: Millis): Millis | undefined {
+    const isBefore = (past: PastWait): boolean => past.at <= at + HISTORY_STEP_MS;
+    return this.history.get(priority)?.findLast(isBefore)?.waitMs;
+  }
+
+  /** Tells whether nothing is known, so that this object can be dropped. */
+  isEmpty(): boolean {
+    return this.turns.keys().length === 0 && this.peers.size === 0 && this.history.size === 0;
+  }
+
+  /** Forgets what is no longer recent. */
+  prune(now: Millis): void {
+    this.waits.prune(now);
+    this.turns.prune(now);
+    [...this.peers]
+      .filter(([, { at }]) => now - at > PEER_TTL_MS)
+      .forEach(([peer]) => this.peers.delete(peer));
+    [...this.history]
+      .filter(([, waits]) => now - (waits.at(-1)?.at ?? 0) > HISTORY_MS)
+      .forEach(([priority]) => this.history.delete(priority));
+  }
+
+  private remember(priority: number, now: Millis): void {
+    const waits = this.history.get(priority) ?? [];
+    if (now - (waits.at(-1)?.at ?? -Infinity) < HISTORY_STEP_MS) return;
+    const waitMs = this.quotedNow(priority, now);
+    if (waitMs === undefined) return;
+    const recent = waits.filter(({ at }) => now - at <= HISTORY_MS);
+    this.history.set(priority, [...recent, { at: now, waitMs }]);
+  }
+}
