Gossip the quoted waits and pass callers' times to the rate gate

TurnRegistry holds the turns of services, pools and rates while overload.returnTurns is on; the charge of a rate carries priority, age, time left and target. With the switch off, datagrams and decisions are as before.

--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,7 +1,8 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { QueueQuote, UpstreamReport } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
+import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -16,6 +17,7 @@
   encodeDrainedZones,
   encodeRoleChangeHint,
   encodeEngineHint,
+  withoutTrailingEmpty,
 } from './hintRowCodec.ts';
 
 /** First field of a digest's datagram; a hint has the host id there. */
@@ -24,6 +26,9 @@
 /** Index of the demand rows among the fields; the fields before it are destructured by name. */
 const DEMAND_INDEX = 10;
 
+/** Number of fields that every digest has; the later ones are left out where they are empty. */
+const FIXED_FIELDS = 17;
+
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
 /**
@@ -63,6 +68,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to any of these hosts. */
   readonly upstreams: readonly UpstreamReport[];
+  /** Average waits that these hosts tell the callers that they refuse. */
+  readonly quotes: readonly QueueQuote[];
 }
 
 /**
@@ -75,27 +82,27 @@
   const { host, incarnation, sequence, hostCount, engines, charged, silent, leaving } = digest;
   const versions = [digest.versions.config, digest.versions.servers];
   const rows = engines.map(encodeEngineHint);
-  return Buffer.from(
-    JSON.stringify([
-      DIGEST_TAG,
-      host,
-      incarnation,
-      sequence,
-      hostCount,
-      rows,
-      charged,
-      silent,
-      leaving,
-      versions,
-      digest.demand.map(encodeDemandHint),
-      digest.moves.map(encodeRoleChangeHint),
-      digest.down,
-      digest.calls,
-      digest.serving,
-      encodeDrainedZones(digest.drained),
-      encodeUpstreamReports(digest.upstreams),
-    ]),
-  );
+  const fields = [
+    DIGEST_TAG,
+    host,
+    incarnation,
+    sequence,
+    hostCount,
+    rows,
+    charged,
+    silent,
+    leaving,
+    versions,
+    digest.demand.map(encodeDemandHint),
+    digest.moves.map(encodeRoleChangeHint),
+    digest.down,
+    digest.calls,
+    digest.serving,
+    encodeDrainedZones(digest.drained),
+    encodeUpstreamReports(digest.upstreams),
+    encodeWaitQuotes(digest.quotes),
+  ];
+  return Buffer.from(JSON.stringify(withoutTrailingEmpty(fields, FIXED_FIELDS)));
 }
 
 /**
@@ -109,7 +116,7 @@
   if (fields?.[0] !== DIGEST_TAG) return undefined;
   const [, host, incarnation, sequence, hostCount, rows, charged, silent, leaving, versions] =
     fields;
-  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows] =
+  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows, quoteRows] =
     fields.slice(DEMAND_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !isNonNegativeNumber(hostCount) || !Array.isArray(rows))
@@ -123,7 +130,8 @@
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const quotes = decodeWaitQuotes(quoteRows);
+  if (drained === undefined || upstreams === undefined || quotes === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -137,6 +145,7 @@
     versions: { config, servers },
     drained,
     upstreams,
+    quotes,
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,7 +7,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { QueueQuote, UpstreamReport } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -22,13 +22,18 @@
   encodeDrainedZones,
   encodeRoleChangeHint,
   encodeEngineHint,
+  withoutTrailingEmpty,
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
+import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
 const DOWN_INDEX = 9;
 
+/** Number of fields that every hint has; the later ones are left out where they are empty. */
+const FIXED_FIELDS = 14;
+
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
 
@@ -67,6 +72,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to the host. */
   readonly upstreams: readonly UpstreamReport[];
+  /** Waits that the host tells the callers that it refuses. */
+  readonly quotes: readonly QueueQuote[];
 }
 
 /**
@@ -97,8 +104,9 @@
     Math.round(hint.nextMs),
     encodeDrainedZones(hint.drained),
     encodeUpstreamReports(hint.upstreams),
+    encodeWaitQuotes(hint.quotes),
   ];
-  return Buffer.from(JSON.stringify(fields));
+  return Buffer.from(JSON.stringify(withoutTrailingEmpty(fields, FIXED_FIELDS)));
 }
 
 /**
@@ -112,7 +120,7 @@
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, versions, demandRows, moveRows] =
     fields;
-  const [down, calls, nextMs, drainedRow, upstreamRows] = fields.slice(DOWN_INDEX);
+  const [down, calls, nextMs, drainedRow, upstreamRows, quoteRows] = fields.slice(DOWN_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -128,7 +136,8 @@
     return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const quotes = decodeWaitQuotes(quoteRows);
+  if (drained === undefined || upstreams === undefined || quotes === undefined) return undefined;
   const [leaving, digestFrequency, serving] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -149,5 +158,6 @@
     versions: { config, servers },
     drained,
     upstreams,
+    quotes,
   };
 }
--- a/packages/peer/src/hints/hintRowCodec.ts
+++ b/packages/peer/src/hints/hintRowCodec.ts
@@ -112,6 +112,22 @@
   return Array.isArray(value) && value.every((name) => typeof name === 'string');
 }
 
+/**
+ * Leaves out the empty lists at the end of a datagram's fields, so that a feature that is off changes no
+ * datagram.
+ *
+ * @param fields - All fields.
+ * @param count - Number of fields that are always sent.
+ * @returns The fields to send.
+ */
+export function withoutTrailingEmpty(
+  fields: readonly unknown[],
+  count: number,
+): readonly unknown[] {
+  const last = fields.findLastIndex((field) => !Array.isArray(field) || field.length > 0);
+  return fields.slice(0, Math.max(count, last + 1));
+}
+
 /** Parses the fields of a datagram; undefined where the bytes are not a JSON array. */
 export function parseDatagram(bytes: Uint8Array): readonly unknown[] | undefined {
   try {
--- a/packages/peer/tests/hints/HostDigest.test.ts
+++ b/packages/peer/tests/hints/HostDigest.test.ts
@@ -26,6 +26,7 @@
   versions: { config: 7, servers: 9 },
   drained: { version: 11, zones: ['a', 'c'] },
   upstreams: [{ type: 'limit', upstream: 's1', requestsPerSecond: 0.5, ageMs: 40 }],
+  quotes: [],
 };
 
 /** Fields before the reports on upstreams; hosts of the version before them send and read only these. */
--- a/packages/peer/tests/hints/HostHint.test.ts
+++ b/packages/peer/tests/hints/HostHint.test.ts
@@ -30,6 +30,7 @@
     { type: 'no_limit', upstream: 's2', ageMs: 0 },
     { type: 'leaving', upstream: 's3', ageMs: 900 },
   ],
+  quotes: [],
 };
 
 /** Fields before the reports on upstreams; hosts of the version before them send and read only these. */
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,7 +8,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { PoolDemand, UpstreamReport } from '@camphorvane/decisions';
+import type { PoolDemand, QueueQuote, UpstreamReport } from '@camphorvane/decisions';
 import {
   gossipTtlMs,
   newestReports,
@@ -23,6 +23,7 @@
   HostDigest,
   HostHint,
 } from '@camphorvane/peer/hints';
+import { sumQuotes, quotesWithout } from './sumQuotes.ts';
 
 /**
  * Limit of the engines in one digest, which keeps those with the most memory in use: an engine takes
@@ -50,6 +51,7 @@
   readonly versions: HostDigest['versions'];
   readonly drained: DrainedZones;
   readonly upstreams: readonly UpstreamReport[];
+  readonly quotes: readonly QueueQuote[];
 }
 
 /** Fields of a digest beside the sums. */
@@ -125,6 +127,7 @@
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
       upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
+      quotes: sumQuotes(hints.flatMap((hint) => hint.quotes)),
     };
   }
 
@@ -161,6 +164,7 @@
       versions: sums.versions,
       drained: sums.drained,
       upstreams: sums.upstreams,
+      quotes: quotesWithout(sums.quotes, own?.quotes),
     };
   }
 
--- a/packages/router/src/coordination/GossipRateGate.ts
+++ b/packages/router/src/coordination/GossipRateGate.ts
@@ -1,7 +1,6 @@
 import type {
   Clock,
   HostId,
-  Millis,
   Refusal,
   TeamConfig,
   TeamId,
@@ -10,16 +9,19 @@
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { DistributedRateLimiter } from '@camphorvane/decisions';
-import type { RateTolerance } from '@camphorvane/decisions';
+import type { ChargeOutcome, RateTolerance, RetryContext } from '@camphorvane/decisions';
 import type { HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { errAsync, okAsync } from 'neverthrow';
 import type { ResultAsync } from 'neverthrow';
 import type { RateCharge } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
+import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 import type { TeamRateGate } from './HostCoordination.ts';
 
 const log = eventLog('rates');
 
+type OverRate = Extract<ChargeOutcome, { readonly type: 'over_rate' }>;
+
 /** Rate gate that charges teams by the gossiped charges of all hosts, without a request to a peer. */
 export class GossipRateGate implements TeamRateGate {
   private readonly clock: Clock;
@@ -29,13 +31,17 @@
   /** Rates logged last. Each change of the servers sets all teams again; unchanged rates are not logged. */
   private logged: ReadonlyMap<TeamId, TeamRate> = new Map();
 
+  private readonly turns: TurnRegistry | undefined;
+
   /**
    * @param clock - Clock that refills the token buckets.
    * @param tolerance - How far all hosts together may exceed a rate.
+   * @param turns - Scheduled retries of refused callers; none where absent.
    */
-  constructor(clock: Clock, tolerance: RateTolerance) {
+  constructor(clock: Clock, tolerance: RateTolerance, turns?: TurnRegistry) {
     this.clock = clock;
-    this.rates = new DistributedRateLimiter(tolerance);
+    this.turns = turns;
+    this.rates = new DistributedRateLimiter(tolerance, turns?.rates);
   }
 
   /** Applies the changed teams. A team without a rate is not limited. */
@@ -69,9 +75,13 @@
   }
 
   /** {@inheritDoc TeamRateGate.charge} */
-  charge(team: TeamId, tokens: Tokens): ResultAsync<RateCharge, Refusal> {
-    const outcome = this.rates.charge(team, tokens, this.clock.now());
-    if (outcome.type === 'over_rate') this.logRefusal(team, tokens, outcome.retryAfterMs);
+  charge(team: TeamId, tokens: Tokens, retry?: RetryContext): ResultAsync<RateCharge, Refusal> {
+    const context = this.turns?.isOn() === true ? retry : undefined;
+    if (context !== undefined) {
+      this.turns?.recordArrival({ kind: 'rate', name: team }, context.priority, context.ageMs);
+    }
+    const outcome = this.rates.charge(team, tokens, this.clock.now(), context);
+    if (outcome.type === 'over_rate') this.logRefusal(team, tokens, outcome, context);
     return outcome.type === 'charged'
       ? okAsync({ team, tokens })
       : errAsync(notRun('over_rate', 'The team is over its rate.', outcome.retryAfterMs));
@@ -82,7 +92,16 @@
     if (unused > 0) this.rates.refund(charge.team, unused, this.clock.now());
   }
 
-  private logRefusal(team: TeamId, tokens: Tokens, retryAfterMs: Millis): void {
+  private logRefusal(
+    team: TeamId,
+    tokens: Tokens,
+    { retryAfterMs, offer }: OverRate,
+    retry: RetryContext | undefined,
+  ): void {
+    if (retry !== undefined && offer !== undefined) {
+      const req = { ...retry, team, units: tokens };
+      this.turns?.recordOffer({ kind: 'rate', name: team }, req, offer);
+    }
     const { level, silentPeers } = this.rates.inspect(team, this.clock.now());
     log('over_rate', { team, tokens, level: Math.floor(level), silentPeers, retryAfterMs });
   }
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -4,6 +4,7 @@
 import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { EngineProbes } from '../placing/EngineProbes.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
+import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 import type { DeploymentFeed } from './DeploymentFeed.ts';
 import type { HostRoster } from './HostRoster.ts';
 import type { GossipRateGate } from './GossipRateGate.ts';
@@ -18,6 +19,7 @@
   readonly probes: EngineProbes;
   readonly calls: ConcurrencyShares;
   readonly signals: UpstreamSignalRecorder;
+  readonly turns: TurnRegistry;
 }
 
 /** Passes received hints and digests to the parts of this host that use them. */
@@ -31,7 +33,7 @@
 
   /** Receives the hint of one peer. */
   receive(hint: HostHint): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls, signals, turns } = this.options;
     const now = clock.now();
     hosts.receive(hint, now);
     rates.receive(hint);
@@ -45,11 +47,12 @@
     probes.receive(hint.down);
     calls.receive(hint.host, new Map(hint.calls), now);
     signals.receive(hint.upstreams);
+    turns.receive(hint.host, hint.quotes);
   }
 
   /** Receives the sums over all peers from a relay. */
   receiveDigest(digest: HostDigest): void {
-    const { clock, hosts, rates, config, knowledge, probes, calls, signals } = this.options;
+    const { clock, hosts, rates, config, knowledge, probes, calls, signals, turns } = this.options;
     const now = clock.now();
     hosts.receiveDigest(digest, now);
     rates.receiveDigest(digest);
@@ -63,6 +66,7 @@
     probes.receive(digest.down);
     calls.receiveSum(new Map(digest.calls), digest.hostCount, now);
     signals.receive(digest.upstreams);
+    turns.receiveSum(digest.quotes);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -16,6 +16,7 @@
 import type { Placer } from '../placing/Placer.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
+import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 
 /** Configuration source that notifies listeners of each new version. */
 export interface ConfigFeed extends ConfigSource {
@@ -95,6 +96,8 @@
   /** Shares of the concurrency of plain services, by the calls of all hosts. */
   readonly concurrencyShares: ConcurrencyShares;
   readonly metrics: Metrics;
+  /** Scheduled retries of refused callers. */
+  readonly turns: TurnRegistry;
 }
 
 /** Creates the {@link HostCoordination} of a host. */
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -155,7 +155,7 @@
       onPeersChange: (peers) => this.applyPeers(peers),
     });
     const hostCount = (): number => this.hosts.countHosts();
-    this.rates = new GossipRateGate(clock, options.tolerance);
+    this.rates = new GossipRateGate(clock, options.tolerance, context.turns);
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation },
@@ -170,7 +170,7 @@
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
-      ...{ probes: this.placer.probes, calls: context.concurrencyShares },
+      ...{ probes: this.placer.probes, calls: context.concurrencyShares, turns: context.turns },
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -278,6 +278,7 @@
       rates: this.rates.dump(),
       placing: this.placer.dump(),
       constraints: this.admission.constraints.dump(this.clock.now()),
+      turns: this.context.turns.dump(),
     };
   }
 
@@ -315,6 +316,7 @@
       versions: this.config.getVersions(),
       drained: this.config.drains.get(),
       upstreams: this.admission.constraints.getReports(this.clock.now()),
+      quotes: this.context.turns.getQuotes(),
     };
   }
 
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -8,6 +8,7 @@
 import { ForwardHandler } from '../serving/ForwardHandler.ts';
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
+import { TurnRegistry } from '../serving/TurnRegistry.ts';
 import { Authenticator } from './Authenticator.ts';
 import { HostBackend } from './HostBackend.ts';
 import type { HostOptions } from './HostOptions.ts';
@@ -46,6 +47,7 @@
   const { clock, random, identity, incarnation, metrics } = options;
   const directory = new UpstreamDirectory(options.engines, options.servers);
   const concurrencyShares = new ConcurrencyShares();
+  const turns = new TurnRegistry({ clock, directory, metrics });
   const coordination = options.coordination({
     clock,
     random,
@@ -54,6 +56,7 @@
     directory,
     concurrencyShares,
     metrics,
+    turns,
   });
   const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
   const keys = new KeyRing();
@@ -107,6 +110,6 @@
     serviceQueues,
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
-    forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission }),
+    forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission, turns }),
   };
 }
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -11,6 +11,7 @@
   VersionedConfig,
   ZoneId,
 } from '@camphorvane/core';
+import type { RetryContext } from '@camphorvane/decisions';
 import type { PeerAddress } from '@camphorvane/peer';
 import type { ModelEngine, PlainServer, SignalListener } from '@camphorvane/upstream';
 import type { ResultAsync } from 'neverthrow';
@@ -82,8 +83,15 @@
 
 /** Enforces the rate limits of teams. Over all hosts together, no team exceeds its rate and burst. */
 export interface RateGate {
-  /** Charges tokens to a team's rate, or refuses. */
-  charge(team: TeamId, tokens: Tokens): ResultAsync<RateCharge, Refusal>;
+  /**
+   * Charges tokens to a team's rate, or refuses.
+   *
+   * @param team - The team.
+   * @param tokens - Most tokens that the request may use.
+   * @param retry - What schedules the retry of a refused request; absent where its caller declares nothing.
+   * @returns The charge, or a refusal.
+   */
+  charge(team: TeamId, tokens: Tokens, retry?: RetryContext): ResultAsync<RateCharge, Refusal>;
 
   /** Refunds the tokens that a request did not use. */
   refund(charge: RateCharge, unused: Tokens): void;
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -17,6 +17,9 @@
   | 'service.replayed'
   | 'config.changed'
   | 'role.order'
+  | 'turns.expired'
+  | 'turns.offered'
+  | 'turns.returned'
   | 'upstream.signal'
   | 'upstream.withheld';
 
@@ -25,7 +28,7 @@
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
-  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval';
+  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval' | 'turns.wait';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -94,6 +94,7 @@
           completion.caller.team.id,
           completion.class,
         ),
+        retry: completion.policy.retry,
       },
       completion.signal,
     );
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -12,6 +12,7 @@
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { RequestAgeEstimator } from '@camphorvane/decisions';
+import type { RetryContext } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller, Authenticator } from '../host/Authenticator.ts';
@@ -21,10 +22,11 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
-import type { ServingEvent } from './resolvedCompletion.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
+import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { StreamTimer } from './StreamTimer.ts';
+import type { TurnRegistry } from './TurnRegistry.ts';
 
 /** Milliseconds that a caller is assumed to wait where it does not declare a timeout. */
 const DEFAULT_CALLER_TIMEOUT_MS: Millis = 30_000;
@@ -78,6 +80,7 @@
   readonly completions: CompletionHandler;
   readonly services: ServiceCallHandler;
   readonly metrics: Metrics;
+  readonly turns: TurnRegistry;
   /** Tells whether the host refuses new requests. */
   readonly isClosed: () => boolean;
 }
@@ -121,6 +124,8 @@
       return;
     }
     const call = routed.value;
+    const kind = call.route.kind === 'stream' ? 'pool' : 'service';
+    this.options.turns.recordArrival({ kind, name: call.service }, priorityOf(call), call.ageMs);
     const { abort, leave } = this.options.inFlight.addForCaller(id, call.caller, signal);
     const cancelTimer = this.options.clock.after(call.deadlineAt - this.options.clock.now(), () =>
       abort.abort(deadlinePassed()),
@@ -207,7 +212,8 @@
         maxWaitMs: Math.min(route.targetMs * STREAM_MAX_WAIT_TARGETS, this.remainingMs(call)),
         onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
         longestPauseMs: route.longestPauseMs,
-        priority: caller.team.priority ?? route.priority,
+        priority: priorityOf(call),
+        retry: this.retryContextOf(call),
       },
       signal,
     });
@@ -236,6 +242,7 @@
         maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, this.remainingMs(call)),
         lateAt: this.options.clock.now() + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
         deadlineAt: call.deadlineAt,
+        retry: this.retryContextOf(call),
       },
       caller,
       service,
@@ -262,6 +269,12 @@
     return Math.max(0, deadlineAt - this.options.clock.now());
   }
 
+  private retryContextOf(call: RoutedCall): RetryContext {
+    const { ageMs, route } = call;
+    const leftMs = this.remainingMs(call);
+    return { priority: priorityOf(call), ageMs, leftMs, targetMs: route.targetMs };
+  }
+
   private recordDone(
     { id, route, service }: RoutedCall,
     timer: StreamTimer,
@@ -298,29 +311,8 @@
   }
 }
 
-function* toForwardEvents(event: ServingEvent): Generator<ForwardEvent> {
-  switch (event.type) {
-    case 'head':
-      yield { type: 'head', ...event.head };
-      break;
-    case 'piece':
-      yield { type: 'data', bytes: event.bytes };
-      break;
-    case 'token':
-      yield { type: 'data', bytes: Buffer.from(event.text) };
-      break;
-    case 'answer':
-      yield { type: 'head', ...event.head };
-      yield { type: 'data', bytes: event.body };
-      yield { type: 'done' };
-      break;
-    case 'done':
-    case 'refused':
-      yield event.type === 'done' ? { type: 'done' } : event;
-      break;
-    default:
-      event satisfies never;
-  }
+function priorityOf({ caller, route }: RoutedCall): number {
+  return caller.team.priority ?? route.priority;
 }
 
 function teamOf(caller: AuthenticatedCaller): string | undefined {
--- a/packages/router/src/serving/RateQueue.ts
+++ b/packages/router/src/serving/RateQueue.ts
@@ -8,6 +8,7 @@
   WorkClass,
 } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
+import type { RetryContext } from '@camphorvane/decisions';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateCharge, RateGate } from '../host/ports.ts';
@@ -36,6 +37,8 @@
   readonly tokens: Tokens;
   /** Longest wait, in milliseconds. */
   readonly maxWaitMs: Millis;
+  /** What schedules the retry of a refused request; not used for requests that wait here. */
+  readonly retry?: RetryContext;
 }
 
 interface TeamQueue {
@@ -88,7 +91,8 @@
     const mayWait = req.class === 'summary';
     const isQueueing = mayWait && this.getQueuedTokens(req.team.id) > 0;
     if (isQueueing) return this.enqueue(req, 0, signal);
-    const first = await this.rates.charge(req.team.id, req.tokens);
+    const retry = mayWait ? undefined : req.retry;
+    const first = await this.rates.charge(req.team.id, req.tokens, retry);
     if (first.isErr() && !mayWait) this.lastRefusalAt.set(req.team.id, this.clock.now());
     if (first.isOk() || !mayWait || first.error.retryAfterMs === undefined) return first;
     return this.enqueue(req, first.error.retryAfterMs, signal);
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -64,7 +64,8 @@
    * @returns The complete answer, or a refusal.
    */
   async serve(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
-    const charge = await this.options.rates.charge(call.caller.team.id, call.route.costTokens);
+    const { caller, route, policy } = call;
+    const charge = await this.options.rates.charge(caller.team.id, route.costTokens, policy.retry);
     if (charge.isErr()) return err(charge.error);
     const reply = await this.serveCharged(call);
     const ran = reply.isOk() || reply.error.execution === 'unknown';
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -1,5 +1,6 @@
 import type { ServiceRequest } from '@camphorvane/caller';
 import type { Millis, RequestId, ServiceConfig, ServiceRoute, UpstreamId } from '@camphorvane/core';
+import type { RetryContext } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
 import { CrashGuard } from './CrashGuard.ts';
@@ -16,6 +17,8 @@
   readonly lateAt?: Millis;
   /** Deadline of the call, set by its caller or by the configuration. */
   readonly deadlineAt: Millis;
+  /** What schedules the retry of a refused call; absent where its caller declares nothing. */
+  readonly retry?: RetryContext;
 }
 
 /** A service call whose caller is authenticated and whose route is resolved. */
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -10,6 +10,7 @@
   UpstreamId,
   WorkClass,
 } from '@camphorvane/core';
+import type { RetryContext } from '@camphorvane/decisions';
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RetryTarget } from '../host/ports.ts';
@@ -38,6 +39,8 @@
   readonly longestPauseMs?: Millis;
   /** Priority from the configuration; lower goes first. */
   readonly priority?: number;
+  /** What schedules the retry of a refused request; absent where its caller declares nothing. */
+  readonly retry?: RetryContext;
 }
 
 /** Policy of the native API, which resumes every stream at the exact token. */
--- a/packages/router/tests/coordination/DigestBuilder.test.ts
+++ b/packages/router/tests/coordination/DigestBuilder.test.ts
@@ -17,6 +17,7 @@
   versions: { config: 1, servers: 1 },
   drained: { version: 0, zones: [] },
   upstreams: [],
+  quotes: [],
   ...more,
 });
 
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -116,6 +116,7 @@
         versions: { config: 1, servers: 1 },
         drained: { version: 0, zones: [] },
         upstreams: host.constraints.getReports(clock.now()),
+        quotes: [],
       }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
