--- a/packages/decisions/src/queue/RequestAgeEstimator.ts
+++ b/packages/decisions/src/queue/RequestAgeEstimator.ts
@@ -4,7 +4,7 @@
  * Fraction of the longest time left below which a request counts as a retry. Callers of a route differ in
  * their timeouts, and a caller that was refused before has lost some seconds.
  */
-const RETRY_THRESHOLD = 0.8;
+export const RETRY_THRESHOLD = 0.8;
 
 /** Window of the longest time left, in milliseconds; each value counts for one to two windows. */
 const WINDOW_MS: Millis = 30_000;
--- a/packages/decisions/src/rates/DistributedRateLimiter.ts
+++ b/packages/decisions/src/rates/DistributedRateLimiter.ts
@@ -173,10 +173,10 @@
     if (bucket === undefined) return { type: 'charged' };
     const needed = Math.min(tokens, bucket.capacity * this.ownShare(now));
     if (retry !== undefined && this.turns !== undefined) {
-      const { level, perMs } = bucket;
-      const peersPerMs = this.peerRate(team, perMs, now);
-      const hostCount = this.hostCount();
-      const req = { team, tokens, needed, level, perMs, peersPerMs, hostCount };
+      const perMs = bucket.perMs * this.ownShare(now);
+      const hostCount = this.hostCount() - this.countTimedOut(now);
+      const rates = { perMs, hostCount, peersPerMs: this.peerRate(team, now) };
+      const req = { team, tokens, needed, level: bucket.level, ...rates };
       const offer = this.turns.refuse(req, retry, now);
       if (offer !== undefined)
         return { type: 'over_rate', retryAfterMs: offer.retryAfterMs, offer };
@@ -315,12 +315,11 @@
     );
   }
 
-  /** Gets the recent charges of all peers in tokens a millisecond. */
-  private peerRate(team: TeamId, perMs: number, now: Millis): number {
-    return [...this.peers.values()].reduce((sum, peer) => {
-      const equalShare = (perMs * peer.hostCount) / this.hostCount();
-      return sum + (this.isTimedOut(peer, now) ? equalShare : (peer.chargeRates.get(team) ?? 0));
-    }, 0);
+  /** Gets the recent charges of the peers that have not timed out, in tokens a millisecond. */
+  private peerRate(team: TeamId, now: Millis): number {
+    return [...this.peers.values()]
+      .filter((peer) => !this.isTimedOut(peer, now))
+      .reduce((sum, { chargeRates }) => sum + (chargeRates.get(team) ?? 0), 0);
   }
 
   /** Gets the fraction of each burst that is not reserved for timed-out peers. */
--- a/packages/decisions/src/rates/RateTurns.ts
+++ b/packages/decisions/src/rates/RateTurns.ts
@@ -1,11 +1,42 @@
 import type { Millis, TeamId, Tokens } from '@camphorvane/core';
 import { DecayingSums } from '../structures/DecayingSums.ts';
+import { RETRY_THRESHOLD } from '../queue/RequestAgeEstimator.ts';
 import type { RetryContext } from '../turns/RetryContext.ts';
 import type { ReturnTurns } from '../turns/ReturnTurns.ts';
 import type { TurnOffer } from '../turns/TurnScheduler.ts';
 
-/** Time constant of the mean rate of this host's charges, in milliseconds: some requests of one team. */
-const RATE_AVERAGING_MS: Millis = 1_000;
+/**
+ * Time constant of the charges by which hosts divide a rate, in milliseconds. With 3 s, a host of twelve that
+ * charged two requests in a row gave out twice its part.
+ */
+const PART_AVERAGING_MS: Millis = 10_000;
+
+/** Milliseconds of charges for which equal parts count, beside the measured parts. */
+const PRIOR_MS: Millis = 1_000;
+
+/** Longest time for which the last known charges of the other hosts are extended, in milliseconds. */
+const MAX_EXTENSION_MS: Millis = 1_000;
+
+/**
+ * Fraction of the rate that turns take. Callers return at random hosts and at random moments; without a
+ * margin, each shortage that this causes would last.
+ */
+const BOOKED_FRACTION = 0.9;
+
+/**
+ * Milliseconds before its time at which the tokens of a turn must be there: hosts learn of each other's
+ * charges up to 700 ms late.
+ */
+const STOCK_LEAD_MS: Millis = 700;
+
+/** Time constant of the measured refusals, in milliseconds. */
+const DEMAND_AVERAGING_MS: Millis = 1_000;
+
+/**
+ * Fraction of its whole time after which a caller that returns can be told from a new one, with a margin for
+ * the times that callers round.
+ */
+const RECOGNISABLE_FRACTION = 1 - RETRY_THRESHOLD + 0.01;
 
 /** The turns of each team that is over its rate. */
 export interface TeamTurns {
@@ -24,11 +55,11 @@
   /** Tokens that the bucket must hold. */
   readonly needed: Tokens;
   readonly level: Tokens;
-  /** Refill rate in tokens a millisecond. */
+  /** Refill rate in tokens a millisecond, without the parts of hosts that have timed out. */
   readonly perMs: number;
-  /** Recent charges of all other hosts, in tokens a millisecond. */
+  /** Recent charges of the other hosts that this one hears, in tokens a millisecond. */
   readonly peersPerMs: number;
-  /** Number of hosts that share the rate. */
+  /** Number of hosts that this one hears, and itself. */
   readonly hostCount: number;
 }
 
@@ -41,7 +72,11 @@
 export class RateTurns {
   private readonly turns: TeamTurns;
 
-  private readonly ownCharges = new DecayingSums<TeamId>(RATE_AVERAGING_MS);
+  private readonly ownCharges = new DecayingSums<TeamId>(PART_AVERAGING_MS);
+
+  private readonly peerCharges = new DecayingSums<TeamId>(PART_AVERAGING_MS);
+
+  private readonly refusals = new DecayingSums<TeamId>(DEMAND_AVERAGING_MS);
 
   private prunedAt: Millis = 0;
 
@@ -62,35 +97,77 @@
     const { team, tokens, needed, level } = req;
     const { ageMs, priority, leftMs, targetMs } = retry;
     const known = this.turns.find(team);
-    const drainPerMs = req.perMs * this.ownPart(req, now);
+    const ownPart = this.ownPart(req, now);
+    const drainPerMs = req.perMs * ownPart * BOOKED_FRACTION;
     const isInTurn = known?.statusOf(ageMs, priority, now) === 'in_turn';
-    const reserved = known?.reservedUnits(priority, drainPerMs, now) ?? 0;
+    const reserved = this.reservedTokens(req, known, priority, ownPart, now);
     if (level - (isInTurn ? 0 : reserved) >= needed) {
       if (isInTurn) known?.recordReturn(priority, now);
       this.recordCharge(team, tokens, now);
       return undefined;
     }
-    const drain = { drainPerMs, backlogMs: Math.max(0, -level) / drainPerMs };
-    const inStock = Math.max(0, level - reserved);
+    this.refusals.add(team, tokens, now);
+    const refillMs = Math.max(0, -level) / req.perMs;
+    const backlogMs = Math.max(refillMs, this.recognisableMs(team, drainPerMs, retry, now));
+    const drain = { drainPerMs, backlogMs };
+    const inStock = Math.max(0, level - reserved) * ownPart;
     const turn = { team, priority, units: tokens, leftMs, targetMs };
     return this.turns.get(team).grant(turn, drain, now, inStock);
   }
 
+  /**
+   * Gets the tokens that are kept for the turns of all hosts, since they are all served from the same rate.
+   * Of the turns of other hosts, the quotes tell when they are due, and this host's own ones how many there are.
+   */
+  private reservedTokens(
+    { perMs }: RateRequest,
+    known: ReturnTurns | undefined,
+    priority: number,
+    ownPart: number,
+    now: Millis,
+  ): Tokens {
+    if (known === undefined) return 0;
+    const bookedPerMs = perMs * BOOKED_FRACTION;
+    const inflow = { drainPerMs: bookedPerMs * ownPart, leadMs: STOCK_LEAD_MS };
+    const own = known.reservedUnits(priority, inflow, now) / ownPart;
+    const isAnyDue = known.isAnyDue(priority, STOCK_LEAD_MS, now);
+    return Math.max(own, isAnyDue ? bookedPerMs * STOCK_LEAD_MS : 0);
+  }
+
   /**
    * Gets the fraction of a team's rate that this host gives out: its part of the team's recent charges on all
-   * hosts, but at least an equal part. Of 68 hosts only 12 may take callers; with equal parts alone most of
-   * the rate would be given to nobody.
+   * hosts, and an equal part for as long as little is known. The parts of all hosts sum up to one. Of 68 hosts
+   * only 12 may take callers; with equal parts alone most of the rate would be given to nobody.
+   */
+  private ownPart({ team, perMs, peersPerMs, hostCount }: RateRequest, now: Millis): number {
+    const elapsedMs = now - (this.peerCharges.updatedAt(team) ?? now);
+    this.peerCharges.add(team, peersPerMs * Math.min(elapsedMs, MAX_EXTENSION_MS), now);
+    const own = this.ownCharges.get(team, now);
+    const peers = this.peerCharges.get(team, now);
+    const prior = perMs * PRIOR_MS;
+    return (own + prior / hostCount) / (own + peers + prior);
+  }
+
+  /**
+   * Gets the milliseconds after which a returning caller can be told from a new one. It matters while new
+   * requests alone use up the rate: a caller that is taken for one of them finds no tokens.
    */
-  private ownPart({ team, peersPerMs, hostCount }: RateRequest, now: Millis): number {
-    const own = this.ownCharges.ratePerMs(team, now);
-    const equalPart = 1 / hostCount;
-    return own + peersPerMs > 0 ? Math.max(equalPart, own / (own + peersPerMs)) : equalPart;
+  private recognisableMs(
+    team: TeamId,
+    drainPerMs: number,
+    { ageMs, leftMs }: RetryContext,
+    now: Millis,
+  ): Millis {
+    if (this.refusals.ratePerMs(team, now) < drainPerMs) return 0;
+    return Math.max(0, (leftMs + ageMs) * RECOGNISABLE_FRACTION - ageMs);
   }
 
   private recordCharge(team: TeamId, tokens: Tokens, now: Millis): void {
     this.ownCharges.add(team, tokens, now);
-    if (now - this.prunedAt < RATE_AVERAGING_MS) return;
+    if (now - this.prunedAt < PART_AVERAGING_MS) return;
     this.prunedAt = now;
     this.ownCharges.prune(now);
+    this.peerCharges.prune(now);
+    this.refusals.prune(now);
   }
 }
--- a/packages/decisions/src/structures/DecayingSums.ts
+++ b/packages/decisions/src/structures/DecayingSums.ts
@@ -39,6 +39,11 @@
     return this.get(key, now) / this.decayMs;
   }
 
+  /** Gets the time of the last addition to a key; undefined where there was none lately. */
+  updatedAt(key: K): Millis | undefined {
+    return this.sums.get(key)?.at;
+  }
+
   /** Gets the keys to which something was added lately. */
   keys(): readonly K[] {
     return [...this.sums.keys()];
--- a/packages/decisions/src/turns/BookedTurns.ts
+++ b/packages/decisions/src/turns/BookedTurns.ts
@@ -17,6 +17,13 @@
   readonly units: number;
 }
 
+/** Units that flow into the stock from which turns are served. */
+export interface Inflow {
+  readonly drainPerMs: number;
+  /** Milliseconds before its time at which the units of a turn must be there. */
+  readonly leadMs: Millis;
+}
+
 /** The turns of one queue that their callers may still use, by time. */
 export class BookedTurns {
   private turns: readonly BookedTurn[] = [];
@@ -71,16 +78,16 @@
    * theirs. What flows in until the time of a turn need not be in stock.
    *
    * @param priority - The priority.
-   * @param drainPerMs - Units that flow in per millisecond.
+   * @param inflow - What flows in until then.
    * @param now - Present time.
    */
-  reservedUnits(priority: number, drainPerMs: number, now: Millis): number {
+  reservedUnits(priority: number, { drainPerMs, leadMs }: Inflow, now: Millis): number {
     return this.turns
       .filter((turn) => turn.priority <= priority)
       .reduce(
         ({ sum, reserved }, { at, units }) => {
           const due = sum + units;
-          const inflow = drainPerMs * Math.max(0, at - now);
+          const inflow = drainPerMs * Math.max(0, at - leadMs - now);
           return { sum: due, reserved: Math.max(reserved, due - inflow) };
         },
         { sum: 0, reserved: 0 },
--- a/packages/decisions/src/turns/QuotedWaits.ts
+++ b/packages/decisions/src/turns/QuotedWaits.ts
@@ -105,6 +105,15 @@
     return this.history.get(priority)?.findLast(isBefore)?.waitMs;
   }
 
+  /** Tells whether callers as urgent as a priority or more urgent return within a time, wherever refused. */
+  isAnyDue(priority: number, from: Millis, to: Millis): boolean {
+    return [...this.history]
+      .filter(([one]) => one <= priority)
+      .some(([, waits]) =>
+        waits.some(({ at, waitMs }) => at + waitMs >= from && at + waitMs <= to),
+      );
+  }
+
   /** Tells whether nothing is known, so that this object can be dropped. */
   isEmpty(): boolean {
     return this.turns.keys().length === 0 && this.peers.size === 0 && this.history.size === 0;
--- a/packages/decisions/src/turns/ReturnTurns.ts
+++ b/packages/decisions/src/turns/ReturnTurns.ts
@@ -1,5 +1,6 @@
 import type { HostId, Millis, TeamId } from '@camphorvane/core';
-import { BookedTurns } from './BookedTurns.ts';
+import { BookedTurns, TURN_GRACE_MS } from './BookedTurns.ts';
+import type { Inflow } from './BookedTurns.ts';
 import { QuotedWaits } from './QuotedWaits.ts';
 import type { WaitQuote } from './QuotedWaits.ts';
 import { RefusedDemand } from './RefusedDemand.ts';
@@ -27,6 +28,9 @@
 /** Milliseconds between two removals of what is no longer recent. */
 const PRUNE_INTERVAL_MS: Millis = 200;
 
+/** Milliseconds for which the last turn of a team is remembered, several times the spacing of its turns. */
+const TEAM_MEMORY_MS: Millis = 5_000;
+
 /** Retry time in milliseconds while nothing drains, as for an upstream that is gone. */
 const STALLED_RETRY_MS: Millis = 1_000;
 
@@ -56,8 +60,8 @@
 
   private readonly waits = new QuotedWaits();
 
-  /** Time of the last turn of each team, by priority and team. */
-  private readonly lastTurnAt = new Map<string, Millis>();
+  /** Time from which the last turn of each team had its part of the capacity, by priority and team. */
+  private readonly lastTurnFrom = new Map<string, Millis>();
 
   private prunedAt: Millis = -Infinity;
 
@@ -81,19 +85,20 @@
     const { drainPerMs, backlogMs } = drain;
     this.demand.record(team, priority, units, now);
     if (!(drainPerMs > 0) || !Number.isFinite(backlogMs)) return this.stalledOffer(backlogMs);
-    const share = this.demand.shareOf(priority, drainPerMs, now);
+    const shareOf = (one: number): number => this.demand.shareOf(one, drainPerMs, now);
     const usableMs = Math.min(leftMs * HONOURED_FRACTION, leftMs - targetMs);
+    const earliest = this.earliestFor(req, drainPerMs * shareOf(priority), now);
+    const from = Math.max(now + backlogMs, earliest);
     const place = this.intervals.find({
-      ...{ priority, drainPerMs, share },
+      ...{ priority, drainPerMs, shareOf, from },
       units: Math.max(0, units - inStock),
-      from: Math.max(now + backlogMs, this.earliestFor(req, drainPerMs * share, now)),
       limitAt: now + Math.max(0, usableMs),
     });
     const retryAfterMs = Math.max(1, Math.ceil(place.at - now));
     if (retryAfterMs > usableMs || this.booked.isFull) return { type: 'no_turn', retryAfterMs };
     this.intervals.book(place, priority);
     this.booked.add({ at: place.at, priority, units });
-    this.lastTurnAt.set(turnKey(req), place.at);
+    this.lastTurnFrom.set(turnKey(req), from);
     this.waits.record(priority, retryAfterMs, now);
     return { type: 'turn', retryAfterMs };
   }
@@ -131,9 +136,17 @@
   }
 
   /** Gets the units to keep in stock for turns that are as urgent as a priority or more urgent. */
-  reservedUnits(priority: number, drainPerMs: number, now: Millis): number {
+  reservedUnits(priority: number, inflow: Inflow, now: Millis): number {
     this.advance(now);
-    return this.booked.reservedUnits(priority, drainPerMs, now);
+    return this.booked.reservedUnits(priority, inflow, now);
+  }
+
+  /**
+   * Tells whether callers that are as urgent as a priority or more urgent return within a time, as far as the
+   * quotes of all hosts tell.
+   */
+  isAnyDue(priority: number, withinMs: Millis, now: Millis): boolean {
+    return this.waits.isAnyDue(priority, now - TURN_GRACE_MS, now + withinMs);
   }
 
   /** Gets the number of turns that may still be used. */
@@ -165,12 +178,10 @@
 
   /** Gets the earliest time of a team's next turn, so that the teams of a priority alternate. */
   private earliestFor(req: TurnRequest, drainPerMs: number, now: Millis): Millis {
-    const lastAt = this.lastTurnAt.get(turnKey(req));
-    if (lastAt === undefined || !this.options.isShared) return now;
+    const lastFrom = this.lastTurnFrom.get(turnKey(req));
+    if (lastFrom === undefined || !this.options.isShared) return now;
     const teams = this.demand.countTeams(req.priority, now);
-    const spacingMs = (req.units / drainPerMs) * (teams / (1 - RESERVED_FOR_NEW_TEAMS));
-    // A turn's time is the end of its part of the capacity, and the next one gets its own part after that.
-    return lastAt + spacingMs - req.units / drainPerMs;
+    return lastFrom + (req.units / drainPerMs) * (teams / (1 - RESERVED_FOR_NEW_TEAMS));
   }
 
   private stalledOffer(backlogMs: Millis): TurnOffer {
@@ -188,9 +199,9 @@
     this.intervals.prune(now);
     this.demand.prune(now);
     this.waits.prune(now);
-    [...this.lastTurnAt]
-      .filter(([, at]) => at < now)
-      .forEach(([key]) => this.lastTurnAt.delete(key));
+    [...this.lastTurnFrom]
+      .filter(([, from]) => from < now - TEAM_MEMORY_MS)
+      .forEach(([key]) => this.lastTurnFrom.delete(key));
   }
 }
 
--- a/packages/decisions/src/turns/TurnIntervals.ts
+++ b/packages/decisions/src/turns/TurnIntervals.ts
@@ -18,8 +18,8 @@
   readonly from: Millis;
   /** Units of capacity per millisecond. */
   readonly drainPerMs: number;
-  /** Largest fraction of each interval that this and all less urgent priorities may take. */
-  readonly share: number;
+  /** Gets the largest fraction of each interval that a priority and all less urgent ones may take. */
+  readonly shareOf: (priority: number) => number;
   /** Time after which the turn is of no use to its caller. */
   readonly limitAt: Millis;
 }
@@ -54,7 +54,7 @@
    * @returns Where it is free; beyond its limit only the time is exact.
    */
   find(demand: TurnDemand): TurnPlace {
-    const { drainPerMs, share, from, limitAt } = demand;
+    const { drainPerMs, priority, shareOf, from, limitAt } = demand;
     const parts: IntervalPart[] = [];
     let { units } = demand;
     let interval = intervalOf(from);
@@ -73,7 +73,7 @@
     }
     if (units <= EPSILON) return { at, parts };
     const restAt = Math.max(from, interval * INTERVAL_MS);
-    return { at: restAt + units / (drainPerMs * share), parts };
+    return { at: restAt + units / (drainPerMs * shareOf(priority)), parts };
   }
 
   /** Takes the capacity of a place. */
@@ -93,13 +93,16 @@
       .forEach((interval) => this.taken.delete(interval));
   }
 
-  private freeUnits({ priority, from, drainPerMs, share }: TurnDemand, interval: number): number {
+  private freeUnits({ priority, from, drainPerMs, shareOf }: TurnDemand, interval: number): number {
     const capacity = drainPerMs * INTERVAL_MS;
     const endAt = (interval + 1) * INTERVAL_MS;
     const remaining = drainPerMs * Math.min(INTERVAL_MS, endAt - from);
     const free = capacity - this.sumTaken(interval);
-    const withinShare = capacity * share - this.sumTaken(interval, priority);
-    return Math.max(0, Math.min(remaining, free, withinShare));
+    // Each more urgent priority bounds this one, too, which would otherwise find room where they find none.
+    const withinShares = [...(this.taken.get(interval)?.keys() ?? []), priority]
+      .filter((one) => one <= priority)
+      .map((one) => capacity * shareOf(one) - this.sumTaken(interval, one));
+    return Math.max(0, Math.min(remaining, free, ...withinShares));
   }
 
   /** Sums up what is taken by a priority and all less urgent ones; by all where it is absent. */
--- /dev/null
+++ b/packages/decisions/tests/turns/queueTurnsUnderLoad.test.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HostId, Millis } from '@camphorvane/core';
+import { RandomSource } from '@camphorvane/core';
+import { TurnBooks } from '@camphorvane/decisions';
+import type { ReturnTurns } from '@camphorvane/decisions';
+
+const STEP_MS = 5;
+const GOSSIP_MS = 200;
+/** Calls that all hosts together serve per second. */
+const DRAIN_PER_SECOND = 240;
+const LEFT_MS: Millis = 9_000;
+const TARGET_MS: Millis = 300;
+/** Longest expected wait of a call that is queued. */
+const MAX_WAIT_MS: Millis = 200;
+const BURST_MS: Millis = 2_000;
+const QUEUE = 'service/s';
+
+interface Load {
+  readonly hosts: number;
+  /** Time at which as many hosts join; never where absent. */
+  readonly doublesAt?: Millis;
+  /** Host that stops at a time. */
+  readonly stopsAt?: Millis;
+  readonly hasGossip?: boolean;
+  /** Fraction of callers that don't return. */
+  readonly leavers?: number;
+}
+
+interface Outcome {
+  /** Returns in booked turns, by time. */
+  readonly returns: readonly Millis[];
+  /** Calls that were served, by time. */
+  readonly served: readonly Millis[];
+  readonly retriesRefused: number;
+}
+
+interface Host {
+  readonly name: HostId;
+  readonly books: TurnBooks;
+  readonly turns: ReturnTurns;
+  backlog: number;
+}
+
+/** Simulates a burst of four times what fits, at hosts that each serve an equal part of the drain. */
+function simulate(load: Load): Outcome {
+  const random = new RandomSource(5);
+  const fleet = Array.from({ length: load.hosts * 2 }, (_, i): Host => {
+    const books = new TurnBooks({ onExpired: () => undefined });
+    return { name: `h${i}`, books, turns: books.get(QUEUE), backlog: 0 };
+  });
+  const returns: Millis[] = [];
+  const served: Millis[] = [];
+  let retriesRefused = 0;
+  let waiting: readonly { readonly firstAt: Millis; readonly at: Millis }[] = [];
+  let due = 0;
+  const hostsAt = (now: Millis): readonly Host[] =>
+    fleet.slice(
+      now >= (load.stopsAt ?? Infinity) ? 1 : 0,
+      load.hosts * (now >= (load.doublesAt ?? Infinity) ? 2 : 1),
+    );
+  const attempt = (firstAt: Millis, isReturn: boolean, now: Millis): void => {
+    const hosts = hostsAt(now);
+    const host = hosts[random.int(0, hosts.length - 1)];
+    if (host === undefined) return;
+    const drainPerMs = DRAIN_PER_SECOND / 1_000 / hosts.length;
+    const backlogMs = host.backlog / drainPerMs;
+    if (backlogMs <= MAX_WAIT_MS) {
+      host.backlog += 1;
+      return;
+    }
+    if (isReturn) retriesRefused += 1;
+    const leftMs = LEFT_MS - (now - firstAt);
+    const req = { team: 'a', priority: 1, units: 1, leftMs, targetMs: TARGET_MS };
+    const offer = host.turns.grant(req, { drainPerMs, backlogMs }, now);
+    const returnsLater = !isReturn && random.next() >= (load.leavers ?? 0);
+    if (offer.type === 'turn' && returnsLater) {
+      waiting = [...waiting, { firstAt, at: now + offer.retryAfterMs }];
+    }
+  };
+  Array.from({ length: 7_000 / STEP_MS }, (_, i) => i * STEP_MS).forEach((now) => {
+    const hosts = hostsAt(now);
+    if (now % GOSSIP_MS === 0 && load.hasGossip !== false) {
+      hosts.forEach((from) =>
+        hosts
+          .filter((to) => to !== from)
+          .forEach((to) => to.books.receive(from.name, from.books.getQuotes(now), now)),
+      );
+    }
+    hosts.forEach((host) => {
+      const before = Math.ceil(host.backlog);
+      const drained = (DRAIN_PER_SECOND / 1_000 / hosts.length) * STEP_MS;
+      Object.assign(host, { backlog: Math.max(0, host.backlog - drained) });
+      if (Math.ceil(host.backlog) < before) served.push(now);
+    });
+    due += now < BURST_MS ? (DRAIN_PER_SECOND * 4 * STEP_MS) / 1_000 : 0;
+    const arrivals = Math.floor(due);
+    due -= arrivals;
+    Array.from({ length: arrivals }).forEach(() => attempt(now, false, now));
+    const ready = waiting.filter(({ at }) => at <= now);
+    waiting = waiting.filter(({ at }) => at > now);
+    ready.forEach(({ firstAt, at }) => {
+      returns.push(at);
+      attempt(firstAt, true, now);
+    });
+  });
+  return { returns, served, retriesRefused };
+}
+
+/** Gets the most events within any second. */
+function mostPerSecond(at: readonly Millis[]): number {
+  return Math.max(
+    ...at.map((from) => at.filter((one) => one >= from && one < from + 1_000).length),
+  );
+}
+
+const countWithin = (at: readonly Millis[], from: Millis, to: Millis): number =>
+  at.filter((one) => one >= from && one < to).length;
+
+/** Returns above the drain that the ends of a second allow: one turn of each host. */
+const slackOf = (hosts: number): number => hosts;
+
+// Guards against returns that come faster than the servers serve, and are refused again.
+test('after a burst of four times what fits, no more callers return in a second than are served', () => {
+  const { returns, served, retriesRefused } = simulate({ hosts: 12 });
+  assert.ok(returns.length > 300, `${returns.length} returns`);
+  assert.ok(mostPerSecond(returns) <= DRAIN_PER_SECOND + slackOf(12), `${mostPerSecond(returns)}`);
+  const busy = countWithin(served, BURST_MS + 500, BURST_MS + 1_500) / DRAIN_PER_SECOND;
+  assert.ok(busy > 0.6, `servers were busy for ${busy} of the second after the burst`);
+  assert.ok(retriesRefused < returns.length * 0.45, `${retriesRefused} returns were refused`);
+});
+
+// Guards against hosts that each give turns for the whole drain when they do not hear each other.
+test('hosts that do not hear each other give turns at the drain rate together', () => {
+  const { returns } = simulate({ hosts: 12, hasGossip: false });
+  assert.ok(mostPerSecond(returns) <= DRAIN_PER_SECOND + slackOf(12), `${mostPerSecond(returns)}`);
+});
+
+// Guards against a doubled fleet whose hosts still give turns for their former parts of the drain.
+test('a fleet that doubles in a burst gives turns at the drain rate', () => {
+  const { returns } = simulate({ hosts: 12, doublesAt: 1_000 });
+  const most = mostPerSecond(returns.filter((at) => at > 1_000 + LEFT_MS / 3));
+  assert.ok(most <= DRAIN_PER_SECOND + slackOf(24), `${most}`);
+});
+
+// Guards against callers that are lost with the host that gave them turns.
+test('callers of a host that has stopped return to the others and are served', () => {
+  const { returns, retriesRefused, served } = simulate({ hosts: 12, stopsAt: 1_500 });
+  assert.ok(retriesRefused < returns.length * 0.45, `${retriesRefused} of ${returns.length}`);
+  assert.ok(countWithin(served, BURST_MS, BURST_MS + 1_000) > DRAIN_PER_SECOND * 0.6);
+});
+
+// Guards against capacity that waits for callers that do not return.
+test('capacity of callers that do not return goes to others', () => {
+  const all = simulate({ hosts: 12 });
+  const some = simulate({ hosts: 12, leavers: 0.5 });
+  const inBurst = ({ served }: Outcome): number => countWithin(served, 0, BURST_MS);
+  assert.ok(inBurst(some) >= inBurst(all) * 0.97, `${inBurst(some)} of ${inBurst(all)}`);
+  assert.ok(some.retriesRefused / some.returns.length <= all.retriesRefused / all.returns.length);
+});
