--- a/packages/decisions/src/turns/RefusedDemand.ts
+++ b/packages/decisions/src/turns/RefusedDemand.ts
@@ -37,21 +37,21 @@
   }
 
   /**
-   * Gets the fraction of the capacity that a priority and all less urgent ones may book.
+   * Gets the fractions of the capacity that priorities may book at a time.
    *
-   * @param priority - The priority.
    * @param drainPerMs - Units of capacity per millisecond.
    * @param now - Present time.
-   * @returns The fraction, above 0.
+   * @returns Gets the fraction, above 0, that a priority and all less urgent ones may book together.
    */
-  shareOf(priority: number, drainPerMs: number, now: Millis): number {
-    const urgent = this.units
-      .keys()
-      .filter((one) => one < priority)
-      .map((one) => this.units.ratePerMs(one, now))
-      .reduce((sum, perMs) => sum + perMs, 0);
-    if (urgent <= 0) return 1;
-    return Math.max(MIN_SHARE, 1 - Math.max(RESERVED_FOR_URGENT, urgent / drainPerMs));
+  sharesAt(drainPerMs: number, now: Millis): (priority: number) => number {
+    const rates = this.units.keys().map((one) => [one, this.units.ratePerMs(one, now)] as const);
+    return (priority) => {
+      const urgent = rates
+        .filter(([one]) => one < priority)
+        .reduce((sum, [, perMs]) => sum + perMs, 0);
+      if (urgent <= 0) return 1;
+      return Math.max(MIN_SHARE, 1 - Math.max(RESERVED_FOR_URGENT, urgent / drainPerMs));
+    };
   }
 
   /** Forgets what is no longer recent. */
--- a/packages/decisions/src/turns/ReturnTurns.ts
+++ b/packages/decisions/src/turns/ReturnTurns.ts
@@ -86,7 +86,7 @@
     const { drainPerMs, backlogMs } = drain;
     this.demand.record(team, priority, units, now);
     if (!(drainPerMs > 0) || !Number.isFinite(backlogMs)) return this.stalledOffer(backlogMs);
-    const shareOf = (one: number): number => this.demand.shareOf(one, drainPerMs, now);
+    const shareOf = this.demand.sharesAt(drainPerMs, now);
     const usableMs = Math.min(leftMs * HONOURED_FRACTION, leftMs - targetMs);
     const earliest = this.earliestFor(req, drainPerMs * shareOf(priority), now);
     const from = Math.max(now + backlogMs, earliest);
--- a/packages/decisions/src/turns/TurnIntervals.ts
+++ b/packages/decisions/src/turns/TurnIntervals.ts
@@ -37,8 +37,13 @@
   readonly parts: readonly IntervalPart[];
 }
 
-/** Capacity of an interval that is taken, by priority. */
-type TakenUnits = ReadonlyMap<number, number>;
+/** Capacity of an interval that is taken. */
+interface TakenUnits {
+  readonly total: number;
+  readonly byPriority: ReadonlyMap<number, number>;
+}
+
+const NOTHING_TAKEN: TakenUnits = { total: 0, byPriority: new Map() };
 
 /** Books the future capacity of a queue in short intervals, so that none is given away twice. */
 export class TurnIntervals {
@@ -66,7 +71,7 @@
         parts.push({ interval, units: taken });
         units -= taken;
         const startAt = Math.max(from, interval * INTERVAL_MS);
-        const endAt = interval * INTERVAL_MS + (this.sumTaken(interval) + taken) / drainPerMs;
+        const endAt = interval * INTERVAL_MS + (this.takenIn(interval).total + taken) / drainPerMs;
         at = Math.max(endAt, startAt + taken / drainPerMs);
       }
       interval += 1;
@@ -79,8 +84,10 @@
   /** Takes the capacity of a place. */
   book({ parts }: TurnPlace, priority: number): void {
     parts.forEach(({ interval, units }) => {
-      const taken = new Map(this.taken.get(interval));
-      this.taken.set(interval, taken.set(priority, (taken.get(priority) ?? 0) + units));
+      const { total, byPriority } = this.takenIn(interval);
+      const own = (byPriority.get(priority) ?? 0) + units;
+      const updated = new Map(byPriority).set(priority, own);
+      this.taken.set(interval, { total: total + units, byPriority: updated });
       this.lastInterval = Math.max(this.lastInterval, interval);
     });
   }
@@ -94,25 +101,31 @@
   }
 
   private freeUnits({ priority, from, drainPerMs, shareOf }: TurnDemand, interval: number): number {
+    const { total, byPriority } = this.takenIn(interval);
     const capacity = drainPerMs * INTERVAL_MS;
     const endAt = (interval + 1) * INTERVAL_MS;
     const remaining = drainPerMs * Math.min(INTERVAL_MS, endAt - from);
-    const free = capacity - this.sumTaken(interval);
+    const free = Math.min(remaining, capacity - total);
+    if (free <= EPSILON) return 0;
     // Each more urgent priority bounds this one, too, which would otherwise find room where they find none.
-    const withinShares = [...(this.taken.get(interval)?.keys() ?? []), priority]
+    const withinShares = [...new Set(byPriority.keys()).add(priority)]
       .filter((one) => one <= priority)
-      .map((one) => capacity * shareOf(one) - this.sumTaken(interval, one));
-    return Math.max(0, Math.min(remaining, free, ...withinShares));
+      .map((one) => capacity * shareOf(one) - sumFrom(byPriority, one));
+    return Math.max(0, Math.min(free, ...withinShares));
   }
 
-  /** Sums up what is taken by a priority and all less urgent ones; by all where it is absent. */
-  private sumTaken(interval: number, priority = -Infinity): number {
-    return [...(this.taken.get(interval) ?? [])]
-      .filter(([one]) => one >= priority)
-      .reduce((sum, [, units]) => sum + units, 0);
+  private takenIn(interval: number): TakenUnits {
+    return this.taken.get(interval) ?? NOTHING_TAKEN;
   }
 }
 
+/** Sums up what is taken by a priority and all less urgent ones. */
+function sumFrom(byPriority: ReadonlyMap<number, number>, priority: number): number {
+  return [...byPriority]
+    .filter(([one]) => one >= priority)
+    .reduce((sum, [, units]) => sum + units, 0);
+}
+
 function intervalOf(at: Millis): number {
   return Math.floor(at / INTERVAL_MS);
 }
