Let tokens of large requests flow in before their return is recognizable

A larger part of the window is theirs now; a request beyond what flows into the host's part within a third of its caller's time still gets no turn. Run: turns, rates, registry, rate queue and forwarding, 63 of 63 pass.

--- a/packages/decisions/src/rates/RateTurns.ts
+++ b/packages/decisions/src/rates/RateTurns.ts
@@ -107,10 +107,12 @@
       return undefined;
     }
     const refillMs = Math.max(0, -level) / req.perMs;
-    const backlogMs = Math.max(refillMs, this.recognisableMs(team, drainPerMs, retry, now));
-    this.refusals.add(team, tokens, now);
-    const drain = { drainPerMs, backlogMs };
     const inStock = Math.max(0, level - reserved) * ownPart;
+    // The tokens of a large request may flow in before its caller can be told from a new one.
+    const inflowMs = Math.max(0, tokens - inStock) / drainPerMs;
+    const recognisableMs = this.recognisableMs(team, drainPerMs, retry, now);
+    this.refusals.add(team, tokens, now);
+    const drain = { drainPerMs, backlogMs: Math.max(refillMs, recognisableMs - inflowMs) };
     const turn = { team, priority, units: tokens, leftMs, targetMs };
     return this.turns.get(team).grant(turn, drain, now, inStock);
   }
