Keep only the tokens that returns to any host are expected to need

Hosts now estimate the returns of the next 700 ms from the quotes of all hosts, which carry the number of turns.

--- a/packages/decisions/src/rates/RateTurns.ts
+++ b/packages/decisions/src/rates/RateTurns.ts
@@ -29,8 +29,8 @@
  */
 const STOCK_LEAD_MS: Millis = 700;
 
-/** Time constant of the measured refusals, in milliseconds. */
-const DEMAND_AVERAGING_MS: Millis = 1_000;
+/** Time constant of the measured refusals, in milliseconds; short, so that a burst shows after its first ones. */
+const DEMAND_AVERAGING_MS: Millis = 300;
 
 /**
  * Fraction of its whole time after which a caller that returns can be told from a new one, with a margin for
@@ -118,22 +118,20 @@
   }
 
   /**
-   * Gets the tokens that are kept for the turns of all hosts, since they are all served from the same rate.
-   * Of the turns of other hosts, the quotes tell when they are due, and this host's own ones how many there are.
+   * Gets the tokens that are kept for the turns of all hosts, since they are all served from the same rate: for
+   * those of this host, and for the returns to any host that the quotes let expect soon.
    */
   private reservedTokens(
-    { perMs }: RateRequest,
+    { perMs, tokens }: RateRequest,
     known: ReturnTurns | undefined,
     priority: number,
     ownPart: number,
     now: Millis,
   ): Tokens {
     if (known === undefined) return 0;
-    const bookedPerMs = perMs * BOOKED_FRACTION;
-    const inflow = { drainPerMs: bookedPerMs * ownPart, leadMs: STOCK_LEAD_MS };
-    const own = known.reservedUnits(priority, inflow, now) / ownPart;
-    const isAnyDue = known.isAnyDue(priority, STOCK_LEAD_MS, now);
-    return Math.max(own, isAnyDue ? bookedPerMs * STOCK_LEAD_MS : 0);
+    const drainPerMs = perMs * ownPart * BOOKED_FRACTION;
+    const own = known.reservedUnits(priority, { drainPerMs, leadMs: STOCK_LEAD_MS }, now);
+    return Math.max(own, known.dueUnits(priority, STOCK_LEAD_MS, now, tokens));
   }
 
   /**
--- a/packages/decisions/src/turns/BookedTurns.ts
+++ b/packages/decisions/src/turns/BookedTurns.ts
@@ -38,6 +38,12 @@
     return this.turns.length >= MAX_TURNS;
   }
 
+  /** Gets the mean units of a turn; undefined where there is none. */
+  meanUnits(): number | undefined {
+    const sum = this.turns.reduce((units, turn) => units + turn.units, 0);
+    return this.turns.length === 0 ? undefined : sum / this.turns.length;
+  }
+
   /** Adds a turn. */
   add(turn: BookedTurn): void {
     const following = this.turns.findIndex(({ at }) => at > turn.at);
--- a/packages/decisions/src/turns/QuotedWaits.ts
+++ b/packages/decisions/src/turns/QuotedWaits.ts
@@ -36,9 +36,9 @@
   readonly quotes: readonly WaitQuote[];
 }
 
-interface PastWait {
+/** An average over the turns of all hosts at some time. */
+interface PastWait extends Omit<WaitQuote, 'priority'> {
   readonly at: Millis;
-  readonly waitMs: Millis;
 }
 
 /** Average waits that this host and its peers tell the refused callers of one queue. */
@@ -90,13 +90,18 @@
    * @returns Milliseconds; undefined where no host gave a turn lately.
    */
   quotedNow(priority: number, now: Millis): Millis | undefined {
+    return this.averageNow(priority, now)?.waitMs;
+  }
+
+  private averageNow(priority: number, now: Millis): WaitQuote | undefined {
     const peers = [...this.peers.values()]
       .filter(({ at }) => now - at <= PEER_TTL_MS)
       .flatMap(({ quotes }) => quotes);
     const quotes = [...this.getOwn(now), ...peers].filter((one) => one.priority === priority);
     const turns = quotes.reduce((sum, one) => sum + one.turns, 0);
     if (turns <= 0) return undefined;
-    return quotes.reduce((sum, one) => sum + one.waitMs * one.turns, 0) / turns;
+    const waitMs = quotes.reduce((sum, one) => sum + one.waitMs * one.turns, 0) / turns;
+    return { priority, waitMs, turns };
   }
 
   /** Gets the wait that callers of a priority were told at about an earlier time, if it is remembered. */
@@ -105,13 +110,13 @@
     return this.history.get(priority)?.findLast(isBefore)?.waitMs;
   }
 
-  /** Tells whether callers as urgent as a priority or more urgent return within a time, wherever refused. */
-  isAnyDue(priority: number, from: Millis, to: Millis): boolean {
+  /** Estimates how many callers as urgent as a priority or more urgent return within a time, to any host. */
+  countDue(priority: number, from: Millis, to: Millis): number {
     return [...this.history]
       .filter(([one]) => one <= priority)
-      .some(([, waits]) =>
-        waits.some(({ at, waitMs }) => at + waitMs >= from && at + waitMs <= to),
-      );
+      .flatMap(([, waits]) => waits)
+      .filter(({ at, waitMs }) => at + waitMs >= from && at + waitMs <= to)
+      .reduce((sum, { turns }) => sum + (turns * HISTORY_STEP_MS) / AVERAGING_MS, 0);
   }
 
   /** Tells whether nothing is known, so that this object can be dropped. */
@@ -134,9 +139,9 @@
   private remember(priority: number, now: Millis): void {
     const waits = this.history.get(priority) ?? [];
     if (now - (waits.at(-1)?.at ?? -Infinity) < HISTORY_STEP_MS) return;
-    const waitMs = this.quotedNow(priority, now);
-    if (waitMs === undefined) return;
+    const average = this.averageNow(priority, now);
+    if (average === undefined) return;
     const recent = waits.filter(({ at }) => now - at <= HISTORY_MS);
-    this.history.set(priority, [...recent, { at: now, waitMs }]);
+    this.history.set(priority, [...recent, { ...average, at: now }]);
   }
 }
--- a/packages/decisions/src/turns/ReturnTurns.ts
+++ b/packages/decisions/src/turns/ReturnTurns.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis, TeamId } from '@camphorvane/core';
-import { BookedTurns, TURN_GRACE_MS } from './BookedTurns.ts';
+import { BookedTurns } from './BookedTurns.ts';
 import type { Inflow } from './BookedTurns.ts';
 import { QuotedWaits } from './QuotedWaits.ts';
 import type { WaitQuote } from './QuotedWaits.ts';
@@ -143,11 +143,17 @@
   }
 
   /**
-   * Tells whether callers that are as urgent as a priority or more urgent return within a time, as far as the
-   * quotes of all hosts tell.
+   * Estimates the units that callers as urgent as a priority or more urgent need who return within a time to
+   * any host. The quotes of all hosts tell how many there are; their mean size is that of the turns here.
+   *
+   * @param priority - The priority.
+   * @param withinMs - The time, in milliseconds.
+   * @param now - Present time.
+   * @param defaultUnits - Mean size where this host has given no turn.
    */
-  isAnyDue(priority: number, withinMs: Millis, now: Millis): boolean {
-    return this.waits.isAnyDue(priority, now - TURN_GRACE_MS, now + withinMs);
+  dueUnits(priority: number, withinMs: Millis, now: Millis, defaultUnits: number): number {
+    const meanUnits = this.booked.meanUnits() ?? defaultUnits;
+    return this.waits.countDue(priority, now, now + withinMs) * meanUnits;
   }
 
   /** Gets the number of turns that may still be used. */
