Bound the quotes of a hint to 8 and of a digest to 16

In a burst a host sends up to 16 hints a second to three relays; 16 quotes of about 40 bytes would have taken the whole budget for gossip (computed, not measured).

--- a/packages/decisions/src/turns/TurnBooks.ts
+++ b/packages/decisions/src/turns/TurnBooks.ts
@@ -17,10 +17,10 @@
 const RATE_PREFIX = 'rate/';
 
 /**
- * Most quotes in one hint, which has those with the most turns: a quote takes about 40 bytes, and in a burst
- * a host sends 16 hints a second to each relay.
+ * Most quotes in one hint, which has those with the most turns. A quote takes about 40 bytes, and in a burst a
+ * host sends 16 hints a second to each of three relays: 15 KB a second, half of the budget for gossip.
  */
-export const MAX_HINT_QUOTES = 16;
+export const MAX_HINT_QUOTES = 8;
 
 /** Milliseconds between two searches for books that have nothing to remember. */
 const PRUNE_INTERVAL_MS: Millis = 5_000;
--- a/packages/router/src/coordination/sumQuotes.ts
+++ b/packages/router/src/coordination/sumQuotes.ts
@@ -3,9 +3,9 @@
 
 /**
  * Most quotes in one digest, which has those with the most turns: a quote takes about 40 bytes, and a relay
- * sends a host up to ten digests a second.
+ * sends a host up to ten digests a second, or four in a fleet of 350 hosts.
  */
-const MAX_DIGEST_QUOTES = 32;
+const MAX_DIGEST_QUOTES = 16;
 
 /** Turns below which a sum counts as none; the differences of fractions are not exact. */
 const MIN_TURNS = 0.01;
