--- a/packages/decisions/src/turns/QuotedWaits.ts
+++ b/packages/decisions/src/turns/QuotedWaits.ts
@@ -39,6 +39,8 @@
 /** An average over the turns of all hosts at some time. */
 interface PastWait extends Omit<WaitQuote, 'priority'> {
   readonly at: Millis;
+  /** Time since the average before it, in milliseconds. */
+  readonly spanMs: Millis;
 }
 
 /** Average waits that this host and its peers tell the refused callers of one queue. */
@@ -116,7 +118,7 @@
       .filter(([one]) => one <= priority)
       .flatMap(([, waits]) => waits)
       .filter(({ at, waitMs }) => at + waitMs >= from && at + waitMs <= to)
-      .reduce((sum, { turns }) => sum + (turns * HISTORY_STEP_MS) / AVERAGING_MS, 0);
+      .reduce((sum, { turns, spanMs }) => sum + (turns * spanMs) / AVERAGING_MS, 0);
   }
 
   /** Tells whether nothing is known, so that this object can be dropped. */
@@ -138,10 +140,13 @@
 
   private remember(priority: number, now: Millis): void {
     const waits = this.history.get(priority) ?? [];
-    if (now - (waits.at(-1)?.at ?? -Infinity) < HISTORY_STEP_MS) return;
+    const sinceMs = now - (waits.at(-1)?.at ?? -Infinity);
+    if (sinceMs < HISTORY_STEP_MS) return;
     const average = this.averageNow(priority, now);
     if (average === undefined) return;
     const recent = waits.filter(({ at }) => now - at <= HISTORY_MS);
-    this.history.set(priority, [...recent, { ...average, at: now }]);
+    // Digests of large fleets arrive up to 700 ms apart; each average stands for the time since the last one.
+    const spanMs = recent.length === 0 ? HISTORY_STEP_MS : Math.min(sinceMs, AVERAGING_MS);
+    this.history.set(priority, [...recent, { ...average, at: now, spanMs }]);
   }
 }
