Forget sums to which nothing is added

A team that no peer charges kept an entry for good once one of its requests was checked, since its sum never fell below its bound of 0. The new test fails with the former comparison.

--- a/packages/decisions/src/structures/DecayingSums.ts
+++ b/packages/decisions/src/structures/DecayingSums.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '@camphorvane/core';
 
-/** Sum below which a key is forgotten, as a fraction of what was added last. */
+/** Sum below which a key is forgotten, as a fraction of the largest amount that was added. */
 const FORGET_FRACTION = 0.01;
 
 interface DecayingSum {
@@ -24,7 +24,8 @@
   /** Adds an amount to the sum of a key. */
   add(key: K, amount: number, now: Millis): void {
     const sum = this.get(key, now) + amount;
-    this.sums.set(key, { sum, at: now, forgetBelow: amount * FORGET_FRACTION });
+    const known = this.sums.get(key)?.forgetBelow ?? 0;
+    this.sums.set(key, { sum, at: now, forgetBelow: Math.max(known, amount * FORGET_FRACTION) });
   }
 
   /** Gets the present sum of a key; 0 where nothing was added lately. */
@@ -52,7 +53,7 @@
   /** Forgets the keys whose sums have decayed. */
   prune(now: Millis): void {
     [...this.sums]
-      .filter(([key, { forgetBelow }]) => this.get(key, now) < forgetBelow)
+      .filter(([key, { forgetBelow }]) => this.get(key, now) <= forgetBelow)
       .forEach(([key]) => this.sums.delete(key));
   }
 }
