--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,8 +1,9 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type { QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
-import { decodeUsage, encodeUsage } from './usageCodec.ts';
+import { decodeUsage, withOptionalFields } from './usageCodec.ts';
+import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -25,6 +26,9 @@
 /** Index of the demand rows among the fields; the fields before it are destructured by name. */
 const DEMAND_INDEX = 10;
 
+/** Number of fields that every digest has; the later ones are left out where they are empty. */
+const FIXED_FIELDS = 17;
+
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
 /**
@@ -66,6 +70,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to any of these hosts. */
   readonly upstreams: readonly UpstreamReport[];
+  /** Average waits that these hosts tell the callers that they refuse. */
+  readonly quotes: readonly QueueQuote[];
   /** What teams hold on these hosts together; absent where none of them reports usage. */
   readonly usage?: readonly UsageRow[];
 }
@@ -84,28 +90,27 @@
     ...(digest.unwatched === true ? [1] : []),
   ];
   const rows = engines.map(encodeEngineHint);
-  return Buffer.from(
-    JSON.stringify([
-      DIGEST_TAG,
-      host,
-      incarnation,
-      sequence,
-      hostCount,
-      rows,
-      charged,
-      silent,
-      leaving,
-      versions,
-      digest.demand.map(encodeDemandHint),
-      digest.moves.map(encodeRoleChangeHint),
-      digest.down,
-      digest.calls,
-      digest.serving,
-      encodeDrainedZones(digest.drained),
-      encodeUpstreamReports(digest.upstreams),
-      ...encodeUsage(digest.usage),
-    ]),
-  );
+  const fields = [
+    DIGEST_TAG,
+    host,
+    incarnation,
+    sequence,
+    hostCount,
+    rows,
+    charged,
+    silent,
+    leaving,
+    versions,
+    digest.demand.map(encodeDemandHint),
+    digest.moves.map(encodeRoleChangeHint),
+    digest.down,
+    digest.calls,
+    digest.serving,
+    encodeDrainedZones(digest.drained),
+    encodeUpstreamReports(digest.upstreams),
+    encodeWaitQuotes(digest.quotes),
+  ];
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest.usage)));
 }
 
 /**
@@ -119,7 +124,7 @@
   if (fields?.[0] !== DIGEST_TAG) return undefined;
   const [, host, incarnation, sequence, hostCount, rows, charged, silent, leaving, versions] =
     fields;
-  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows, , usageRows] =
+  const [demandRows, moveRows, down, calls, serving, drainedRow, upstreamRows, ...optional] =
     fields.slice(DEMAND_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !isNonNegativeNumber(hostCount) || !Array.isArray(rows))
@@ -135,8 +140,11 @@
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
+  const [quoteRows, usageRows] = optional;
+  const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
-  if (drained === undefined || upstreams === undefined || usage === undefined) return undefined;
+  if (drained === undefined || upstreams === undefined) return undefined;
+  if (quotes === undefined || usage === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -151,6 +159,7 @@
     ...(unwatched === 1 ? { unwatched: true } : {}),
     drained,
     upstreams,
+    quotes,
     ...usage,
   };
 }
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,7 +7,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type { QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -25,11 +25,15 @@
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
-import { decodeUsage, encodeUsage } from './usageCodec.ts';
+import { decodeUsage, withOptionalFields } from './usageCodec.ts';
+import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
 const DOWN_INDEX = 9;
 
+/** Number of fields that every hint has; the later ones are left out where they are empty. */
+const FIXED_FIELDS = 14;
+
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
 
@@ -70,6 +74,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to the host. */
   readonly upstreams: readonly UpstreamReport[];
+  /** Waits that the host tells the callers that it refuses. */
+  readonly quotes: readonly QueueQuote[];
   /** What teams hold on the host; absent in hints that report no usage, where the last report counts. */
   readonly usage?: readonly UsageRow[];
 }
@@ -107,9 +113,9 @@
     Math.round(hint.nextMs),
     encodeDrainedZones(hint.drained),
     encodeUpstreamReports(hint.upstreams),
-    ...encodeUsage(hint.usage),
+    encodeWaitQuotes(hint.quotes),
   ];
-  return Buffer.from(JSON.stringify(fields));
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint.usage)));
 }
 
 /**
@@ -123,7 +129,8 @@
   if (fields === undefined) return undefined;
   const [host, incarnation, sequence, flags, rows, charged, versions, demandRows, moveRows] =
     fields;
-  const [down, calls, nextMs, drainedRow, upstreamRows, , usageRows] = fields.slice(DOWN_INDEX);
+  const [down, calls, nextMs, drainedRow, upstreamRows, quoteRows, usageRows] =
+    fields.slice(DOWN_INDEX);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -139,8 +146,10 @@
     return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
+  const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
-  if (drained === undefined || upstreams === undefined || usage === undefined) return undefined;
+  if (drained === undefined || upstreams === undefined) return undefined;
+  if (quotes === undefined || usage === undefined) return undefined;
   const [leaving, digestFrequency, serving, watching] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -162,6 +171,7 @@
     versions: { config, servers },
     drained,
     upstreams,
+    quotes,
     ...usage,
   };
 }
--- a/packages/peer/src/hints/usageCodec.ts
+++ b/packages/peer/src/hints/usageCodec.ts
@@ -1,20 +1,27 @@
 import type { UsageRow } from '@camphorvane/decisions';
 import { MAX_USAGE_ROWS } from '@camphorvane/decisions';
-import { decodeRows, isNonNegativeNumber } from './hintRowCodec.ts';
-
-/** Stands in place of the quoted waits, the field before the usage, where a message has none. */
-const NO_QUOTES: readonly never[] = [];
+import { decodeRows, isNonNegativeNumber, withoutTrailingEmpty } from './hintRowCodec.ts';
 
 /**
- * Encodes the usage of teams as the last fields of a datagram. Without usage nothing is written, so that
- * the datagram is the same as before the field existed.
+ * Completes the fields of a datagram with the usage of teams, the last one. Without usage, fields that are
+ * empty are left out at the end, so that the datagram is the same as before they existed. Empty usage is
+ * written: it says that the teams hold nothing any more.
+ *
+ * @param fields - All fields before the usage.
+ * @param fixed - Number of fields that are always written.
+ * @param usage - Usage of the teams; undefined where none is reported.
+ * @returns The fields to write.
  */
-export function encodeUsage(rows: readonly UsageRow[] | undefined): readonly unknown[] {
-  return rows === undefined ? [] : [NO_QUOTES, rows];
+export function withOptionalFields(
+  fields: readonly unknown[],
+  fixed: number,
+  usage: readonly UsageRow[] | undefined,
+): readonly unknown[] {
+  return usage === undefined ? withoutTrailingEmpty(fields, fixed) : [...fields, usage];
 }
 
 /**
- * Decodes rows of {@link encodeUsage}; undefined where one is malformed. Missing rows are valid: hosts of
+ * Decodes the rows of the usage; undefined where one is malformed. Missing rows are valid: hosts of
  * an earlier version, which may run during a rolling update, don't send them. Rows beyond the bound are
  * ignored.
  */
--- a/packages/peer/tests/hints/usageCodec.test.ts
+++ b/packages/peer/tests/hints/usageCodec.test.ts
@@ -8,7 +8,7 @@
 
 const SHARED = {
   ...{ host: 'h', incarnation: 'i', sequence: 3, engines: [], charged: [], demand: [], moves: [] },
-  ...{ calls: [], down: [], versions: { config: 7, servers: 9 }, upstreams: [] },
+  ...{ calls: [], down: [], versions: { config: 7, servers: 9 }, upstreams: [], quotes: [] },
   drained: { version: 0, zones: [] },
 };
 const HINT: HostHint = { ...SHARED, leaving: false, serving: true, nextMs: 300, digests: 'often' };
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,7 +8,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { HeldMemory, PoolDemand, UpstreamReport } from '@camphorvane/decisions';
+import type { HeldMemory, PoolDemand, QueueQuote, UpstreamReport } from '@camphorvane/decisions';
 import {
   gossipTtlMs,
   newestReports,
@@ -26,6 +26,7 @@
 } from '@camphorvane/peer/hints';
 import type { UsageSums } from './UsageReports.ts';
 import { UsageReports, usageWithout } from './UsageReports.ts';
+import { sumQuotes, quotesWithout } from './sumQuotes.ts';
 
 /**
  * Limit of the engines in one digest, which keeps those with the most memory in use: an engine takes
@@ -60,6 +61,7 @@
   readonly unwatched: HostDigest['unwatched'];
   readonly drained: DrainedZones;
   readonly upstreams: readonly UpstreamReport[];
+  readonly quotes: readonly QueueQuote[];
   readonly usage: UsageSums | undefined;
 }
 
@@ -140,6 +142,7 @@
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
       upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
+      quotes: sumQuotes(hints.flatMap((hint) => hint.quotes)),
       usage: this.usage.aggregate(now),
     };
   }
@@ -178,6 +181,7 @@
       ...(sums.unwatched === undefined ? {} : { unwatched: sums.unwatched }),
       drained: sums.drained,
       upstreams: sums.upstreams,
+      quotes: quotesWithout(sums.quotes, own?.quotes),
       usage: usageWithout(sums.usage, receiver),
     };
   }
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -5,6 +5,7 @@
 import type { EngineProbes } from '../placing/EngineProbes.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { FairQueues } from '../serving/FairQueues.ts';
+import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 import type { DeploymentFeed } from './DeploymentFeed.ts';
 import type { HostRoster } from './HostRoster.ts';
 import type { GossipRateGate } from './GossipRateGate.ts';
@@ -20,6 +21,7 @@
   readonly calls: ConcurrencyShares;
   readonly signals: UpstreamSignalRecorder;
   readonly fairQueues: FairQueues;
+  readonly turns: TurnRegistry;
 }
 
 /** Passes received hints and digests to the parts of this host that use them. */
@@ -34,7 +36,7 @@
   /** Receives the hint of one peer. */
   receive(hint: HostHint): void {
     const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
-    const { signals, fairQueues } = this.options;
+    const { signals, fairQueues, turns } = this.options;
     const now = clock.now();
     hosts.receive(hint, now);
     rates.receive(hint);
@@ -49,12 +51,13 @@
     calls.receive(hint.host, new Map(hint.calls), now);
     signals.receive(hint.upstreams);
     if (hint.usage !== undefined) fairQueues.usage.receive(hint.host, hint.usage, now);
+    turns.receive(hint.host, hint.quotes);
   }
 
   /** Receives the sums over all peers from a relay. */
   receiveDigest(digest: HostDigest): void {
     const { clock, hosts, rates, config, knowledge, probes, calls } = this.options;
-    const { signals, fairQueues } = this.options;
+    const { signals, fairQueues, turns } = this.options;
     const now = clock.now();
     hosts.receiveDigest(digest, now);
     rates.receiveDigest(digest);
@@ -69,6 +72,7 @@
     calls.receiveSum(new Map(digest.calls), digest.hostCount, now);
     signals.receive(digest.upstreams);
     if (digest.usage !== undefined) fairQueues.usage.receiveSum(digest.usage, now);
+    turns.receiveSum(digest.quotes);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -17,6 +17,7 @@
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
 import type { FairQueues } from '../serving/FairQueues.ts';
+import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 
 /** Configuration source that notifies listeners of each new version. */
 export interface ConfigFeed extends ConfigSource {
@@ -98,6 +99,8 @@
   /** Usage of teams over all hosts, and the order of the queues that follows from it. */
   readonly fairQueues: FairQueues;
   readonly metrics: Metrics;
+  /** Scheduled retries of refused callers. */
+  readonly turns: TurnRegistry;
 }
 
 /** Creates the {@link HostCoordination} of a host. */
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -145,12 +145,13 @@
       onPeersChange: (peers) => this.applyPeers(peers),
     });
     const hostCount = (): number => this.hosts.countHosts();
-    this.rates = new GossipRateGate(clock, options.tolerance);
+    this.rates = new GossipRateGate(clock, options.tolerance, context.turns);
     this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation, fairQueues },
       ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
       order: (model) => fairQueues.orderOf({ type: 'pool', id: model }),
+      turns: (model) => context.turns.forPool(model),
     });
     this.crashGuard = new CrashGuard({
       self: identity.host,
@@ -162,6 +163,7 @@
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
       ...{ probes: this.placer.probes, calls: context.concurrencyShares, fairQueues },
+      turns: context.turns,
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -274,6 +276,7 @@
       rates: this.rates.dump(),
       placing: this.placer.dump(),
       constraints: this.admission.constraints.dump(this.clock.now()),
+      turns: this.context.turns.dump(),
     };
   }
 
@@ -311,6 +314,7 @@
       drained: this.config.drains.get(),
       upstreams: this.admission.constraints.getReports(this.clock.now()),
       usage: this.context.fairQueues.getReport(),
+      quotes: this.context.turns.getQuotes(),
     };
   }
 
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -11,6 +11,7 @@
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
 import { StreamRelocator } from '../serving/StreamRelocator.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
+import { TurnRegistry } from '../serving/TurnRegistry.ts';
 import { Authenticator } from './Authenticator.ts';
 import { HostBackend } from './HostBackend.ts';
 import type { HostOptions } from './HostOptions.ts';
@@ -51,6 +52,7 @@
   const directory = new UpstreamDirectory(options.engines, options.servers);
   const concurrencyShares = new ConcurrencyShares();
   const fairQueues = new FairQueues(clock, directory, metrics);
+  const turns = new TurnRegistry({ clock, directory, metrics });
   const coordination = options.coordination({
     clock,
     random,
@@ -60,6 +62,7 @@
     concurrencyShares,
     fairQueues,
     metrics,
+    turns,
   });
   const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
   const keys = new KeyRing();
@@ -78,6 +81,7 @@
       sharers: { host: identity.host, members: () => group.members() },
       isAdmissionOn: () => directory.getOverloadPolicy().admission,
       order: (service) => fairQueues.orderOf({ type: 'service', id: service }),
+      turns: (service) => turns.forService(service),
       metrics,
     },
   );
@@ -122,6 +126,6 @@
     fairQueues,
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
-    forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission }),
+    forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission, turns }),
   };
 }
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -20,6 +20,9 @@
   | 'role.order'
   | 'stream.moves'
   | 'stream.backups'
+  | 'turns.expired'
+  | 'turns.offered'
+  | 'turns.returned'
   | 'upstream.signal'
   | 'upstream.withheld'
   | 'admission.refused'
@@ -39,7 +42,8 @@
   | 'admission.expected_wait'
   | 'admission.real_wait'
   | 'shares.waited'
-  | 'stream.move';
+  | 'stream.move'
+  | 'turns.wait';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -1,6 +1,6 @@
 import type { ServiceRequest } from '@camphorvane/caller';
 import type { Millis, RequestId, ServiceConfig, ServiceRoute, UpstreamId } from '@camphorvane/core';
-import type { CallerTimes } from '@camphorvane/decisions';
+import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
 import { CrashGuard } from './CrashGuard.ts';
@@ -21,6 +21,8 @@
   readonly callerTimes?: CallerTimes;
   /** Deadline of the call, set by its caller or by the configuration. */
   readonly deadlineAt: Millis;
+  /** What schedules the retry of a refused call; absent where its caller declares nothing. */
+  readonly retry?: RetryContext;
 }
 
 /** A service call whose caller is authenticated and whose route is resolved. */
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -10,7 +10,7 @@
   UpstreamId,
   WorkClass,
 } from '@camphorvane/core';
-import type { CallerTimes } from '@camphorvane/decisions';
+import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RetryTarget } from '../host/ports.ts';
@@ -41,6 +41,8 @@
   readonly priority?: number;
   /** What is known of the caller's wait; absent where nothing is. */
   readonly callerTimes?: CallerTimes;
+  /** What schedules the retry of a refused request; absent where its caller declares nothing. */
+  readonly retry?: RetryContext;
 }
 
 /** Policy of the native API, which resumes every stream at the exact token. */
--- a/packages/router/tests/coordination/heldMemory.test.ts
+++ b/packages/router/tests/coordination/heldMemory.test.ts
@@ -7,7 +7,12 @@
 const hint = (host: string, engines: readonly EngineHint[]): HostHint => ({
   ...{ host, incarnation: 'i', sequence: 1, leaving: false, digests: 'often', serving: true },
   ...{ nextMs: 300, engines, charged: [], demand: [], moves: [], down: [], calls: [] },
-  ...{ versions: { config: 1, servers: 1 }, drained: { version: 0, zones: [] }, upstreams: [] },
+  ...{
+    versions: { config: 1, servers: 1 },
+    drained: { version: 0, zones: [] },
+    upstreams: [],
+    quotes: [],
+  },
 });
 
 const HEAD = { host: 'relay', incarnation: 'r', sequence: 1, silent: [] };
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -7,6 +7,7 @@
   RoutingConfig,
   ServiceServer,
   StreamRelocation,
+  TeamRate,
   VersionedConfig,
 } from '@camphorvane/core';
 import { RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
@@ -63,6 +64,8 @@
   readonly relocation?: StreamRelocation;
   /** Slack of the retry budget, which always allows one retry; 0 also disables the retries that requests earn. */
   readonly retrySlack?: number;
+  /** Rate of the team; unlimited where absent. */
+  readonly rate?: TeamRate;
 }
 
 const LOAD: LoadReport = {
@@ -204,7 +207,7 @@
       teams: [
         {
           id: 't',
-          rate: { tokensPerSecond: 0, burstTokens: 0 },
+          rate: this.options.rate ?? { tokensPerSecond: 0, burstTokens: 0 },
           keyDigests: [sha256Hex(KEY)],
           models: [],
           weight: 1,
@@ -244,7 +247,7 @@
     };
   }
 
-  private agreement({ clock, directory, metrics }: CoordinationContext): HostCoordination {
+  private agreement({ clock, directory, metrics, turns }: CoordinationContext): HostCoordination {
     const group = {
       members: () => [],
       coordinatorOf: () => undefined,
@@ -273,7 +276,7 @@
         state: () => ({ version: 1 }),
       },
       group,
-      rates: new GossipRateGate(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }),
+      rates: new GossipRateGate(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }, turns),
       retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, () => 1)),
       placer,
       admission: knowledge.admission,
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -129,6 +129,7 @@
         ...(host.isWatching ? { watching: true } : {}),
         drained: { version: 0, zones: [] },
         upstreams: host.constraints.getReports(clock.now()),
+        quotes: [],
         usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
       onHint: (hint) => {
