--- a/packages/decisions/src/service/concurrencyShare.ts
+++ b/packages/decisions/src/service/concurrencyShare.ts
@@ -36,19 +36,3 @@
     return ownCalls + (available - demand) / Math.max(1, hosts - silentHosts);
   return (available * ownCalls) / demand;
 }
-
-/**
- * Gets a host's share of a service's concurrency where it is kept to whole slots, see `roundShare`.
- *
- * A host whose first call has arrived since its last report has no share where the other hosts need all
- * slots. Until its next report it gets what one call would get if each host had one more.
- *
- * @param view - The capacity and the calls of the hosts.
- * @returns Most calls in flight, not rounded.
- */
-export function slotShare(view: ConcurrencyDemand): number {
-  const share = concurrencyShare(view);
-  if (view.ownCalls > 0) return share;
-  const available = Math.max(0, view.concurrency * (1 - view.silentHosts / view.hosts));
-  return Math.max(share, available / (view.peerCalls + view.hosts));
-}
