--- a/packages/decisions/src/admission/QueueAdmission.ts
+++ b/packages/decisions/src/admission/QueueAdmission.ts
@@ -93,8 +93,6 @@
   /** Arrivals that can be on time. */
   private readonly arrivals = new MeasuredRate(ARRIVAL_DECAY_MS);
 
-  private readonly allArrivals = new MeasuredRate(ARRIVAL_DECAY_MS);
-
   private readonly idleRefusals = new IdleRefusals();
 
   private readonly options: QueueAdmissionOptions;
@@ -120,8 +118,6 @@
 
   /** Records the arrival of a request, before any decision on it. */
   recordArrival({ lateAt }: AdmissionRequest, now: Millis): void {
-    this.allArrivals.advance(now, true);
-    this.allArrivals.record(1);
     this.arrivals.advance(now, true);
     if (lateAt > now) this.arrivals.record(1);
   }
@@ -208,20 +204,6 @@
     return notRun(text.code, text.message, this.retryAfterMs(req, backlog, now));
   }
 
-  /**
-   * Gets the load that arrives: requests per millisecond by the time for which each holds its capacity.
-   *
-   * It counts refused requests too. Without them, a host that refuses many would report little demand, get a
-   * small share of the capacity and refuse even more.
-   *
-   * @param now - Present time.
-   * @returns Requests that would run at once; undefined before the first one has ended.
-   */
-  getOfferedLoad(now: Millis): number | undefined {
-    const holdMs = this.holds.get();
-    return holdMs === undefined ? undefined : perMsOf(this.allArrivals, now) * holdMs;
-  }
-
   /** Records that a queued request starts, or one that did not have to wait. */
   recordStarted({ queuedAt, estimate }: AdmittedRequest, now: Millis): void {
     this.estimator.recordStarted(now - queuedAt, estimate?.uncorrectedMs, 1, now);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,7 +9,6 @@
 export * from './service/ServiceQueue.ts';
 export * from './service/ServiceQueueCall.ts';
 export * from './service/ServerSlots.ts';
-export * from './service/roundShare.ts';
 export * from './service/concurrencyShare.ts';
 export * from './structures/IndexedHeap.ts';
 export * from './retry/RetryBudget.ts';
--- a/packages/decisions/src/service/ServerSlots.ts
+++ b/packages/decisions/src/service/ServerSlots.ts
@@ -13,8 +13,6 @@
   readonly openings?: readonly Opening[];
   /** Whether other servers are to be used first; by default not. */
   readonly isReluctant?: boolean;
-  /** Decides between equally loaded servers, lower first; where absent or equal, chance decides. */
-  readonly preference?: number;
 }
 
 interface ServerState {
@@ -25,7 +23,6 @@
   /** When calls may be sent to the server; undefined where it has asked for nothing. */
   openings: readonly Opening[] | undefined;
   readonly isReluctant: boolean;
-  readonly preference: number;
   /** Time until which other servers are preferred, since a call failed on this one. */
   cooldownUntil: Millis;
 }
@@ -53,8 +50,8 @@
     const kept = servers.map((server): [UpstreamId, ServerState] => {
       const old = this.servers.get(server.id);
       const state = { inFlight: old?.inFlight ?? 0, cooldownUntil: old?.cooldownUntil ?? 0 };
-      const { limit, allowance = Infinity, openings, isReluctant = false, preference = 0 } = server;
-      return [server.id, { ...state, limit, allowance, openings, isReluctant, preference }];
+      const { limit, allowance = Infinity, openings, isReluctant = false } = server;
+      return [server.id, { ...state, limit, allowance, openings, isReluctant }];
     });
     this.servers.clear();
     kept.forEach(([id, state]) => this.servers.set(id, state));
@@ -138,12 +135,7 @@
     const candidates = [...this.servers]
       .filter(([id, state]) => hasCapacity(state) && !avoid.includes(id))
       .map(([id, state]) => ({ id, state, tieBreaker: this.random.next() }))
-      .sort(
-        (a, b) =>
-          loadOf(a.state) - loadOf(b.state) ||
-          a.state.preference - b.state.preference ||
-          a.tieBreaker - b.tieBreaker,
-      );
+      .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.tieBreaker - b.tieBreaker);
     const healthy = candidates.filter(({ state }) => state.cooldownUntil <= now);
     const free = healthy.find(({ state }) => !state.isReluctant);
     return (free ?? healthy[0] ?? candidates[0])?.id;
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -46,12 +46,6 @@
   unknownRetryAfterMs: RETRY_AFTER_MS,
 };
 
-/**
- * Milliseconds in which a host's queued calls are to get slots: about the time left of a queued call. If each counted
- * as a slot, hosts with a queue would get a larger part than hosts with too few calls for one.
- */
-const QUEUE_DRAIN_MS: Millis = 200;
-
 const CLASSES_BY_PRIORITY: readonly WorkClass[] = ['lookup', 'certificate', 'summary'];
 
 /**
@@ -106,18 +100,6 @@
     return this.queue.length + this.servers.inFlightCount;
   }
 
-  /**
-   * Gets the demand on the service at this host, from which its share of the slots follows: the calls queued
-   * or in flight, or with admission on the slots that the load that arrives and the queued calls need. Calls
-   * in flight follow the share and vary by chance, so that shares by their number would, too.
-   */
-  getDemand(now: Millis): number {
-    const offered = this.admission.isOn() ? this.admission.getOfferedLoad(now) : undefined;
-    if (offered === undefined) return this.callCount;
-    const slotsPerQueuedCall = Math.min(1, (this.admission.holds.get() ?? 0) / QUEUE_DRAIN_MS);
-    return offered + this.queue.length * slotsPerQueuedCall;
-  }
-
   /** Gets the number of queued calls. */
   get queuedCount(): number {
     return this.queue.length;
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -55,7 +55,7 @@
   /** Gets whether this host watches or polls the store. */
   readonly mode: () => FollowMode;
   /** See {@link KindFollowerOptions.pollIntervalMs}. */
-  readonly pollMs: () => Millis;
+  readonly pollMs: KindFollowerOptions['pollIntervalMs'];
   /** See {@link KindFollowerOptions.pollFreshness}. */
   readonly pollFreshness?: KindFollowerOptions['pollFreshness'];
   /** See {@link KindFollowerOptions.isUnwatched}. */
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -128,7 +128,7 @@
       strictKeysMs: options.strictKeysMs,
       watchMs: options.watchMs,
       mode: () => this.followMode(),
-      pollMs: () => this.storePolling.intervalMs(),
+      pollMs: (isUnavailable) => this.storePolling.intervalMs(isUnavailable),
       pollFreshness: () => this.storePolling.freshness(),
       isUnwatched: () => this.storePolling.isUnwatched(),
       onStateChange: () => this.gossip.recordStateChange(),
@@ -178,7 +178,6 @@
         if (this.storePolling.hasLostWatchers()) this.config.pollNow();
       },
     });
-    context.concurrencyShares.setChangeListener(() => this.gossip.recordStateChange());
     this.roles = createRoleControl({
       ...{ options, context, knowledge: this.knowledge },
       rank: () => this.rank(),
--- a/packages/router/src/coordination/StorePolling.ts
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -9,6 +9,9 @@
  */
 const UNWATCHED_POLL_MS: Millis = 1_000;
 
+/** Mean poll interval in milliseconds of a host whose last call failed. */
+const UNAVAILABLE_POLL_MS: Millis = 2_000;
+
 /** Consistent reads a second by all polling hosts together while no relay reaches the store. */
 const CONSISTENT_READS_PER_SECOND = 3;
 
@@ -41,9 +44,14 @@
     this.roster = roster;
   }
 
-  /** Gets the milliseconds until the next poll. A host that reads a change gossips it. */
-  intervalMs(): Millis {
+  /**
+   * Gets the milliseconds until the next poll. A host that reads a change gossips it.
+   *
+   * @param isUnavailable - Whether the store failed this host's last call; others read for it then.
+   */
+  intervalMs(isUnavailable: boolean): Millis {
     const now = this.clock.now();
+    if (isUnavailable) return UNAVAILABLE_POLL_MS * 2 * this.random.next();
     if (this.roster.isStoreUnwatched(now)) return UNWATCHED_POLL_MS * 2 * this.random.next();
     const { pollMs } = gossipTimings(this.roster.countHosts());
     return this.roster.hasFreshDigest(now) ? pollMs : MIN_POLL_INTERVAL_MS;
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -78,7 +78,6 @@
     concurrencyShares,
     coordination.admission,
     {
-      sharers: { host: identity.host, members: () => group.members() },
       isAdmissionOn: () => directory.getOverloadPolicy().admission,
       order: (service) => fairQueues.orderOf({ type: 'service', id: service }),
       turns: (service) => turns.forService(service),
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -26,7 +26,6 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import type { ConcurrencyShares } from './ConcurrencyShares.ts';
 import { ServiceSlots } from './ServiceSlots.ts';
-import type { SlotSharers } from './ServiceSlots.ts';
 
 /** Milliseconds between two checks whether servers that take few calls may take another waiting one. */
 const ADMISSION_RECHECK_MS: Millis = 50;
@@ -49,8 +48,7 @@
 
 /** Overload controls of the queues; they are read at each decision. */
 export interface ServiceQueuesControls {
-  readonly sharers: SlotSharers;
-  /** Whether admission by expected wait and whole slots are on. */
+  /** Whether admission by expected wait is on. */
   readonly isAdmissionOn: () => boolean;
   /** Gets what schedules the retries of a service's refused callers; undefined while that is off. */
   readonly turns?: (service: ServiceId) => TurnScheduler | undefined;
@@ -69,8 +67,6 @@
 
   private readonly hostCount: () => number;
 
-  private readonly shares: ConcurrencyShares;
-
   private readonly slots: ServiceSlots;
 
   private readonly controls: ServiceQueuesControls | undefined;
@@ -101,8 +97,7 @@
     this.random = random;
     this.directory = directory;
     this.hostCount = hostCount;
-    this.shares = shares;
-    this.slots = new ServiceSlots(clock, directory, shares, admission, controls?.sharers);
+    this.slots = new ServiceSlots(directory, shares, admission);
     this.admission = admission;
     this.controls = controls;
     shares.setLocalCounter(() => this.countCalls());
@@ -207,25 +202,15 @@
     };
   }
 
-  private isAdmissionOn(): boolean {
-    return this.controls?.isAdmissionOn() ?? false;
-  }
-
   /** Applies this host's share of the slots, and gets the share. */
   private applyShare({ queue, service }: QueueEntry, now: Millis): number {
-    const isOn = this.isAdmissionOn();
-    const limits = isOn
-      ? this.slots.getWholeLimits(service, queue.getDemand(now) + 1, now)
-      : this.slots.getLimits(service, Math.max(1, this.hostCount()), now);
-    queue.reconfigure(limits.servers, limits.maxInFlight, limits.capacity);
+    const limits = this.slots.getLimits(service, Math.max(1, this.hostCount()), now);
+    queue.reconfigure(limits.servers, limits.maxInFlight, limits.share);
     return limits.share;
   }
 
   private countCalls(): ReadonlyMap<ServiceId, number> {
-    const now = this.clock.now();
-    return new Map(
-      [...this.queues].map(([id, { queue }]) => [id, Math.round(queue.getDemand(now) * 10) / 10]),
-    );
+    return new Map([...this.queues].map(([id, { queue }]) => [id, queue.callCount]));
   }
 
   private schedule(entry: QueueEntry): void {
@@ -233,7 +218,6 @@
     const now = this.clock.now();
     const share = this.applyShare(entry, now);
     entry.queue.step(now).forEach((decision) => this.apply(entry, decision, share));
-    if (this.isAdmissionOn()) this.shares.recordDemand(entry.service, entry.queue.getDemand(now));
     const wake = this.nextWake(entry, now);
     if (wake === undefined) return;
     // Kept in the entry, so that the next pass cancels it.
@@ -247,11 +231,7 @@
     if (wake === undefined) return undefined;
     const servers = this.directory.getService(service)?.servers ?? [];
     const isBounded = servers.some(({ id }) => this.admission.allowance(id, now) < Infinity);
-    return Math.min(
-      wake,
-      isBounded ? now + ADMISSION_RECHECK_MS : Infinity,
-      this.isAdmissionOn() ? now + this.slots.getPeriodLeftMs() : Infinity,
-    );
+    return isBounded ? Math.min(wake, now + ADMISSION_RECHECK_MS) : wake;
   }
 
   private apply(entry: QueueEntry, decision: ServiceQueueDecision, share: number): void {
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -27,8 +27,12 @@
   readonly watchMs: Millis;
   /** Gets the current mode; `watch` where absent. */
   readonly mode?: () => FollowMode;
-  /** Gets the poll interval in milliseconds while no peer reports a newer version. */
-  readonly pollIntervalMs?: () => Millis;
+  /**
+   * Gets the poll interval in milliseconds while no peer reports a newer version.
+   *
+   * @param isUnavailable - Whether the last call to the store failed.
+   */
+  readonly pollIntervalMs?: (isUnavailable: boolean) => Millis;
   /** Gets whether a poll may be answered with a stale copy; `any` where absent. */
   readonly pollFreshness?: () => 'newest' | 'any';
   /** Tells whether peers learn of changes late, so that catching up must not wait for stale copies. */
@@ -70,12 +74,6 @@
 /** Retry delays in milliseconds while the store is unavailable; short, so that changes take effect soon. */
 const RETRY = { baseMs: 100, maxMs: 500 };
 
-/**
- * The same for a polling host: hundreds of them would call an unavailable store too often, and they learn by
- * gossip of what those that watch read.
- */
-const POLLING_RETRY = { baseMs: 200, maxMs: 2_000 };
-
 /**
  * Keeps a local copy of all objects of a kind: reads a snapshot, then watches from its version on.
  *
@@ -88,8 +86,6 @@
 
   private readonly backoff: Backoff;
 
-  private readonly pollingBackoff: Backoff;
-
   private objects: ReadonlyMap<string, StoredObject> = new Map();
 
   /** Version from which the next watch continues; undefined where a snapshot is needed. */
@@ -127,7 +123,6 @@
   constructor(options: KindFollowerOptions) {
     this.options = options;
     this.backoff = new Backoff(options.random, RETRY);
-    this.pollingBackoff = new Backoff(options.random, POLLING_RETRY);
     this.pause = new InterruptibleSleep(options.clock);
     this.answeredAt = options.clock.now();
   }
@@ -182,24 +177,24 @@
     while (!signal.aborted) {
       const problem = await this.followOnce(signal);
       if (problem !== undefined && !signal.aborted) {
-        this.after = undefined;
         this.recordOutage(problem);
         void this.readFromPeers();
-        await this.pause.wait(this.retryDelayMs(), signal);
+        // A host that polls goes on with cheap reads: hundreds of them would call an unavailable store too often.
+        if (this.isPolling()) continue;
+        this.after = undefined;
+        await sleep(this.options.clock, this.backoff.nextDelayMs(), signal);
       }
     }
     this.isStopped = true;
   }
 
-  private retryDelayMs(): Millis {
-    const isPolling = this.options.mode?.() === 'poll' && this.copyVersion > 0;
-    return (isPolling ? this.pollingBackoff : this.backoff).nextDelayMs();
+  private isPolling(): boolean {
+    return this.after !== undefined && this.options.mode?.() === 'poll';
   }
 
   private followOnce(signal: AbortSignal): Promise<string | undefined> {
     if (this.after === undefined) return this.readAll(this.isFirstRead() ? 'any' : 'newest');
-    const mode = this.options.mode?.() ?? 'watch';
-    return mode === 'watch' ? this.wait(this.after, signal) : this.poll(signal);
+    return this.isPolling() ? this.poll(signal) : this.wait(this.after, signal);
   }
 
   /**
@@ -248,7 +243,10 @@
   /** Waits for the poll interval or a version reported by a peer, then reads until caught up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
     this.wake = () => this.pause.interrupt();
-    await this.pause.wait(this.options.pollIntervalMs?.() ?? MIN_POLL_INTERVAL_MS, signal);
+    await this.pause.wait(
+      this.options.pollIntervalMs?.(this.isUnavailable) ?? MIN_POLL_INTERVAL_MS,
+      signal,
+    );
     let attempts = 0;
     let problem = await this.readAll(this.options.pollFreshness?.() ?? 'any');
     while (problem === undefined && this.reportedVersion > this.getVersion() && !signal.aborted) {
@@ -313,7 +311,6 @@
     const outageMs = this.isUnavailable ? now - this.answeredAt : 0;
     this.answeredAt = now;
     this.backoff.reset();
-    this.pollingBackoff.reset();
     if (this.isUnavailable)
       this.options.onStoreState?.('regained', `unavailable for ${Math.round(outageMs)} ms`);
     this.isUnavailable = false;
