Bound the buffers of a host and read at the caller's pace

Callers and servers may read slowly, and a host held whatever they had not taken yet: 60 callers that read nothing of answers of 8 MB made a host hold 407 MB, above the limit at which hosts are killed (178 MB the smallest).

With the switch overload.boundedBuffers, BufferBudget accounts for request bodies, answers, read-ahead of streams and bodies in flight to each upstream, within a quarter of limits.memory-mb. A body is admitted before it is read and refused with 503 and Retry-After (not run) otherwise. An answer without room is read from its server at the caller's pace; a stream has 64 KB or one chunk of read-ahead. A caller that sends or reads nothing for the idle timeout is cut off. Without the switch nothing changes.

--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -67,6 +67,10 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** What follows `body`, read from the server as it is asked for; absent where `body` is complete. */
+  readonly rest?: AsyncGenerator<Uint8Array>;
+  /** Returns the buffers of the response; called once it has been delivered or dropped. */
+  readonly release?: () => void;
   /** True where only the close of the server's connection ended the body. */
   readonly endsWithConnection?: boolean;
   /** True for the stored response to an earlier call with the same Idempotency-Key. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './rendezvous.ts';
 export * from './tokens.ts';
 export * from './Prompt.ts';
+export * from './Buffers.ts';
 export * from './OverloadPolicy.ts';
 export * from './RoutingConfig.ts';
 export * from './LoadReport.ts';
--- a/packages/router/src/host/GatedEngine.ts
+++ b/packages/router/src/host/GatedEngine.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, LoadReport, UpstreamId } from '@camphorvane/core';
+import type { AttemptId, LoadReport, Prompt, UpstreamId } from '@camphorvane/core';
 import type {
   DecodeCommand,
   DecodeEvent,
@@ -11,21 +11,26 @@
 } from '@camphorvane/upstream';
 import { err, errAsync } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
+import type { BodyGate } from '../buffers/BodyGate.ts';
 import type { RestGate } from './RestGate.ts';
 
-/** The client of an engine, which sends nothing while the engine rests. */
+/** The client of an engine, which sends nothing while the engine rests, and no request while it holds too much. */
 export class GatedEngine implements ModelEngine {
   private readonly engine: ModelEngine;
 
   private readonly gate: RestGate;
 
+  private readonly bodies: BodyGate;
+
   /**
    * @param engine - The client.
    * @param gate - Holds back its calls.
+   * @param bodies - Bounds the bodies that the engine holds.
    */
-  constructor(engine: ModelEngine, gate: RestGate) {
+  constructor(engine: ModelEngine, gate: RestGate, bodies: BodyGate) {
     this.engine = engine;
     this.gate = gate;
+    this.bodies = bodies;
   }
 
   /** {@inheritDoc ModelEngine.id} */
@@ -36,7 +41,11 @@
   /** {@inheritDoc ModelEngine.prefill} */
   prefill(cmd: PrefillCommand, signal: AbortSignal): ResultAsync<PrefillResult, UpstreamError> {
     const withheld = this.gate.check();
-    return withheld === undefined ? this.engine.prefill(cmd, signal) : errAsync(withheld);
+    if (withheld !== undefined) return errAsync(withheld);
+    const sent = this.bodies.enter(cmd.attempt, bodyBytes(cmd.prompt));
+    if ('type' in sent) return errAsync(sent);
+    const release = (): void => sent.release();
+    return this.engine.prefill(cmd, signal).andTee(release).orTee(release);
   }
 
   /** Not held back: the decode that follows is, and can go to another engine. */
@@ -50,8 +59,16 @@
     signal: AbortSignal,
   ): AsyncGenerator<Result<DecodeEvent, UpstreamError>> {
     const withheld = this.gate.check();
-    if (withheld === undefined) yield* this.engine.decode(cmd, signal);
-    else yield err(withheld);
+    const sent = withheld ?? this.bodies.enter(cmd.attempt, bodyBytes(cmd.prompt));
+    if ('type' in sent) {
+      yield err(sent);
+      return;
+    }
+    try {
+      yield* this.engine.decode(cmd, signal);
+    } finally {
+      sent.release();
+    }
   }
 
   /** {@inheritDoc ModelEngine.cancel} */
@@ -72,3 +89,7 @@
     return withheld === undefined ? this.engine.order(order) : errAsync(withheld);
   }
 }
+
+function bodyBytes(prompt: Prompt | undefined): number {
+  return prompt === undefined || typeof prompt === 'string' ? 0 : prompt.call.body.length;
+}
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -149,6 +149,7 @@
       ...this.components.coordination.dump(),
       crashes: this.components.coordination.crashGuard.dump(),
       serviceQueues: this.components.serviceQueues.dump(),
+      buffers: this.options.buffers?.dump(),
       counters: this.options.metrics.getCounts(),
     };
   }
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
 import type { CoordinationFactory } from '../coordination/HostCoordination.ts';
+import type { HostBuffers } from '../buffers/HostBuffers.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { EngineFactory, HostIdentity, PlainServerFactory } from './ports.ts';
 
@@ -19,4 +20,6 @@
   readonly engines: EngineFactory;
   readonly servers: PlainServerFactory;
   readonly metrics: Metrics;
+  /** Bounds what the host buffers, where the configuration says so; absent where nothing is bounded. */
+  readonly buffers?: HostBuffers;
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -15,6 +15,7 @@
 import type { Result } from 'neverthrow';
 import type { StoreCoordination } from '../coordination/StoreCoordination.ts';
 import { storeCoordination } from '../coordination/StoreCoordination.ts';
+import { HostBuffers } from '../buffers/HostBuffers.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
 import { Host } from './Host.ts';
@@ -51,6 +52,7 @@
   const clock = new SystemClock();
   const hints = new HintSocket();
   const metrics = new Metrics();
+  const buffers = new HostBuffers(clock, metrics, settings.memoryMb);
   let coordination: StoreCoordination | undefined;
   const host = new Host({
     identity: {
@@ -82,9 +84,10 @@
         coordination = created;
       },
     ),
-    engines: (cfg, onSignals) => new PlatformEngine(cfg, clock, onSignals),
-    servers: (cfg, onSignals) => new PlatformServer(cfg, clock, onSignals),
+    engines: (cfg, onSignals) => new PlatformEngine(cfg, clock, onSignals, buffers),
+    servers: (cfg, onSignals) => new PlatformServer(cfg, clock, onSignals, buffers),
     metrics,
+    buffers,
   });
   if (coordination === undefined) return err('the host did not create its coordination');
   const { config, group, isReady } = selectParts(coordination);
@@ -93,6 +96,7 @@
     backend: host.forwarding,
     isDraining: () => leaving,
     limits: () => config.current()?.config.limits,
+    buffers,
   });
   const directory = new DirectoryServer(
     {
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -1,4 +1,5 @@
 import type {
+  Buffers,
   EngineConfig,
   ModelId,
   OverloadPolicy,
@@ -12,6 +13,7 @@
 } from '@camphorvane/core';
 import { NO_OVERLOAD_POLICY } from '@camphorvane/core';
 import type { ModelEngine, PlainServer } from '@camphorvane/upstream';
+import { BodyGate } from '../buffers/BodyGate.ts';
 import { GatedEngine } from './GatedEngine.ts';
 import { GatedServer } from './GatedServer.ts';
 import type { EngineFactory, PlainServerFactory, UpstreamWatch } from './ports.ts';
@@ -47,6 +49,8 @@
 
   private watch: UpstreamWatch | undefined;
 
+  private buffers: Buffers | undefined;
+
   /**
    * @param createEngine - Creates the client of an engine.
    * @param createServer - Creates the client of a server.
@@ -84,6 +88,11 @@
     this.watch = watch;
   }
 
+  /** Sets the buffers that bound the request bodies sent to each upstream. */
+  setBuffers(buffers: Buffers): void {
+    this.buffers = buffers;
+  }
+
   /** Gets the controls for overload that are in force. */
   getOverloadPolicy(): OverloadPolicy {
     return this.overload;
@@ -135,13 +144,13 @@
     const { watch } = this;
     if (watch === undefined) return this.createEngine(cfg, () => undefined);
     const engine = this.createEngine(cfg, (id, signals) => watch.record(id, signals));
-    return new GatedEngine(engine, new RestGate(cfg.id, watch));
+    return new GatedEngine(engine, new RestGate(cfg.id, watch), new BodyGate(cfg.id, this.buffers));
   }
 
   private gatedServer(cfg: ServiceServer): PlainServer {
     const { watch } = this;
     if (watch === undefined) return this.createServer(cfg, () => undefined);
     const server = this.createServer(cfg, (id, signals) => watch.record(id, signals));
-    return new GatedServer(server, new RestGate(cfg.id, watch));
+    return new GatedServer(server, new RestGate(cfg.id, watch), new BodyGate(cfg.id, this.buffers));
   }
 }
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -70,6 +70,10 @@
     coordination.admission,
   );
   directory.setWatch(signals);
+  if (options.buffers !== undefined) {
+    directory.setBuffers(options.buffers);
+    options.buffers.setSwitch(() => directory.getOverloadPolicy().boundedBuffers);
+  }
   signals.onChange(() => serviceQueues.refresh());
   const inFlight = new InFlightRequests();
   const completions = new CompletionHandler({
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -18,10 +18,12 @@
   | 'config.changed'
   | 'role.order'
   | 'upstream.signal'
-  | 'upstream.withheld';
+  | 'upstream.withheld'
+  | 'buffers.refused'
+  | 'buffers.cut_off';
 
 /** Names of all gauges. */
-export type GaugeName = 'engines';
+export type GaugeName = 'engines' | 'buffers.bytes';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -24,6 +24,7 @@
 import type { ServingEvent } from './resolvedCompletion.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
+import { deliverResponse } from './deliverResponse.ts';
 import { StreamTimer } from './StreamTimer.ts';
 
 /** Milliseconds that a caller is assumed to wait where it does not declare a timeout. */
@@ -252,10 +253,7 @@
       yield { type: 'refused', refusal: reply.error };
       return;
     }
-    const { status, headers, body, endsWithConnection } = reply.value;
-    yield { type: 'head', status, headers, endsWithConnection };
-    yield { type: 'data', bytes: body };
-    yield { type: 'done' };
+    yield* deliverResponse(reply.value);
   }
 
   private remainingMs({ deadlineAt }: RoutedCall): Millis {
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -18,6 +18,7 @@
 import { serviceCallDigest, serviceRetryTarget } from './resolvedCall.ts';
 import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
 import {
+  areAllFull,
   errorStatusFailure,
   hasFailed,
   MIN_FAILURE_STATUS,
@@ -99,9 +100,13 @@
           : ok({ ...errorAnswer, replayed: false });
       }
       if (outcome.type === 'answer' && outcome.answer.status < MIN_FAILURE_STATUS) {
+        errorAnswer?.release?.();
         return ok({ ...outcome.answer, replayed: false });
       }
-      if (outcome.type === 'answer') errorAnswer = outcome.answer;
+      if (outcome.type === 'answer') {
+        errorAnswer?.release?.();
+        errorAnswer = outcome.answer;
+      }
       failures.push(outcome.type === 'answer' ? errorStatusFailure(outcome.server) : outcome);
       if (call.signal.aborted) break;
     }
@@ -114,7 +119,7 @@
     if (last === undefined) return true;
     const now = this.options.clock.now();
     if (now >= call.policy.deadlineAt) return false;
-    if (reachedNoUpstream(last.error)) return true;
+    if (reachedNoUpstream(last.error)) return !areAllFull(call, failures);
     return this.options.retryGate.tryRetry(serviceRetryTarget(call, last.server), now);
   }
 
@@ -237,7 +242,7 @@
       !outcome.error.dispatched &&
       failures.length + 1 < MAX_CALL_ATTEMPTS &&
       !call.signal.aborted &&
-      this.mayRetry(call, [outcome])
+      this.mayRetry(call, [...failures, outcome])
     ) {
       failures.push(outcome);
       outcome = await this.attemptOnce(call, failures);
@@ -264,6 +269,7 @@
       this.options.retryGate.recordAttempt(request, [chosen.value], this.options.clock.now());
     }
     const result = await this.dispatch(call, queueCall, chosen.value);
+    // Also where a rest is still to be read: the server has run the call, and a slow caller must not keep its slot.
     this.options.queues.releaseServer(call.service.id, queueCall, chosen.value, hasFailed(result));
     this.recordCrash(call, chosen.value, result);
     this.recordReachability(chosen.value, result);
--- a/packages/router/src/serving/serviceAttempts.ts
+++ b/packages/router/src/serving/serviceAttempts.ts
@@ -1,6 +1,7 @@
 import type { Refusal, UpstreamId } from '@camphorvane/core';
 import type { UpstreamError, UpstreamResponse } from '@camphorvane/upstream';
 import type { Result } from 'neverthrow';
+import type { ResolvedCall } from './resolvedCall.ts';
 
 /** Lowest status of an answer that counts as a failure of the server, which another server may not have. */
 export const MIN_FAILURE_STATUS = 500;
@@ -33,3 +34,12 @@
   const ran = failures.some((failure) => failure.error.dispatched);
   return ran ? { ...refusal, execution: 'unknown' } : refusal;
 }
+
+/** Tells whether no server of a call's service takes its body; waiting for another one would not help. */
+export function areAllFull({ service }: ResolvedCall, failures: readonly FailedAttempt[]): boolean {
+  return service.servers.every(({ id }) =>
+    failures.some(
+      ({ server, error }) => server === id && error.type === 'withheld' && error.isFull === true,
+    ),
+  );
+}
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -7,7 +7,7 @@
   ServiceServer,
   VersionedConfig,
 } from '@camphorvane/core';
-import { RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
+import { NO_OVERLOAD_POLICY, RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
 import { EngineKnowledge, ServiceRetryBudget } from '@camphorvane/decisions';
 import { Host, Metrics } from '@camphorvane/router';
 import type { CoordinationContext, HostCoordination } from '@camphorvane/router';
@@ -25,6 +25,7 @@
 import { err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
 import { GossipRateGate } from '../../src/coordination/GossipRateGate.ts';
+import type { HostBuffers } from '../../src/buffers/HostBuffers.ts';
 import { UpstreamSignalRecorder } from '../../src/host/UpstreamSignalRecorder.ts';
 import { LocalPlacer } from '../../src/placing/LocalPlacer.ts';
 import { CrashGuard } from '../../src/serving/CrashGuard.ts';
@@ -55,6 +56,10 @@
   readonly onPrefill?: () => void;
   /** Slack of the retry budget, which always allows one retry; 0 also disables the retries that requests earn. */
   readonly retrySlack?: number;
+  /** Bounds what the host buffers; the switch is on where given. */
+  readonly buffers?: HostBuffers;
+  /** Most calls that each server runs at once. */
+  readonly serverSlots?: number;
 }
 
 const LOAD: LoadReport = {
@@ -112,6 +117,7 @@
       },
       servers: (cfg) => this.server(cfg),
       metrics: new Metrics(),
+      buffers: options.buffers,
     });
     this.host.start();
   }
@@ -212,11 +218,12 @@
             id,
             url: `http://${id}`,
             zone: 'a',
-            maxConcurrent: 4,
+            maxConcurrent: this.options.serverSlots ?? 4,
           })),
         },
       ],
       waitRules: [],
+      overload: { ...NO_OVERLOAD_POLICY, boundedBuffers: this.options.buffers !== undefined },
       routes: [
         base,
         { ...plain, name: 'safe', pathPrefix: '/safe/', kind: 'idempotent' },
--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -16,12 +16,14 @@
 /** Socket errors of an aborted connection; undici reports an orderly close with a code of its own. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
-/** Timeouts of one call. */
+/** Timeouts of one call, and the bound of what is read ahead. */
 export interface CallTimeouts {
   /** Milliseconds within which the response headers must arrive. */
   readonly headersTimeoutMs: Millis;
   /** Milliseconds without a byte of the body after which the call times out. */
   readonly bodyTimeoutMs: Millis;
+  /** Bytes that are read ahead of the reader before the connection pauses; undici's default if absent. */
+  readonly readAheadBytes?: number;
 }
 
 /**
@@ -43,6 +45,8 @@
 
   private closed = false;
 
+  private isDetached = false;
+
   /** True if the connection was aborted rather than closed in order. */
   private wasReset = false;
 
@@ -67,7 +71,7 @@
   }
 
   /**
-   * Makes one call and always closes its connection afterwards.
+   * Makes one call and closes its connection afterwards, unless it was detached.
    *
    * @param origin - Base URL of the upstream.
    * @param clock - Times the call.
@@ -89,10 +93,15 @@
     } catch (thrown) {
       return err(connection.classifyError(thrown));
     } finally {
-      connection.close();
+      if (!connection.isDetached) connection.close();
     }
   }
 
+  /** Leaves the connection open after {@link run}, until its reader calls {@link close}. */
+  detach(): void {
+    this.isDetached = true;
+  }
+
   /**
    * Sends the call.
    *
@@ -100,12 +109,14 @@
    * @returns Status and headers, with the body still to be read; rejects with the errors of undici.
    */
   async send(call: UpstreamCall): Promise<Dispatcher.ResponseData> {
+    const { readAheadBytes } = this.timeouts;
     const res = await this.client.request({
       method: call.method,
       path: call.path,
       headers: { ...call.headers },
       body: call.body,
       signal: this.deadline.getSignal(),
+      ...(readAheadBytes === undefined ? {} : { highWaterMark: readAheadBytes }),
     });
     this.deadline.setTimeoutMs(this.timeouts.bodyTimeoutMs);
     return res;
@@ -158,7 +169,10 @@
 
   /** Connects as undici does, and records whether the connection is reset. */
   private connector(): buildConnector.connector {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const { readAheadBytes } = this.timeouts;
+    // Bounds the socket's own buffer; otherwise it holds up to 64 KB beside the body's buffer.
+    const socketBounds = readAheadBytes === undefined ? {} : { highWaterMark: 1 };
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...socketBounds });
     return (options, callback) =>
       connect(options, (...args) => {
         const [, socket] = args;
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -28,8 +28,14 @@
       readonly message: string;
     }
   | { readonly type: 'rejected'; readonly dispatched: false; readonly message: string }
-  /** Not sent: the upstream has asked this host for rest. */
-  | { readonly type: 'withheld'; readonly dispatched: false; readonly message: string }
+  /** Not sent: the upstream has asked this host for rest, or holds as many bytes as allowed. */
+  | {
+      readonly type: 'withheld';
+      readonly dispatched: false;
+      /** True where the upstream holds as many bytes of requests as allowed. */
+      readonly isFull?: boolean;
+      readonly message: string;
+    }
   | { readonly type: 'broken'; readonly dispatched: true; readonly message: string }
   | { readonly type: 'silent'; readonly dispatched: boolean; readonly message: string }
   | { readonly type: 'mismatch'; readonly dispatched: true; readonly message: string }
@@ -176,15 +182,19 @@
   readonly team?: TeamId;
 }
 
-/** A complete response of a plain service. */
+/** A response of a plain service; complete unless it has a `rest`. */
 export interface UpstreamResponse extends UpstreamResponseHead {
   readonly body: Uint8Array;
+  /** What follows `body`, read from the server as it is asked for; absent where `body` is complete. */
+  readonly rest?: AsyncGenerator<Uint8Array>;
+  /** Returns the buffers of the response; called once it has been delivered or dropped. */
+  readonly release?: () => void;
 }
 
 /** One server of a plain service. */
 export interface PlainServer {
   readonly id: UpstreamId;
 
-  /** Runs one call and reads its whole response. */
+  /** Runs one call and reads its response, whole as far as there is room for it. */
   call(call: ServiceCall, signal: AbortSignal): ResultAsync<UpstreamResponse, UpstreamError>;
 }
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,4 +1,5 @@
 export * from './ModelEngine.ts';
+export * from './readBody.ts';
 export * from './ProgressDeadline.ts';
 export * from './HttpModelEngine.ts';
 export * from './HttpPlainServer.ts';
--- /dev/null
+++ b/packages/upstream/src/readBody.ts
@@ -0,0 +1,64 @@
+import type { Reservation } from '@camphorvane/core';
+
+/** Read-ahead of a connection that pauses after each chunk, until that has been asked for. */
+export const MIN_READ_AHEAD_BYTES = 1;
+
+/** Read-ahead of a stream that has room: more than a usual answer, so that its engine needn't wait for the caller. */
+export const STREAM_READ_AHEAD_BYTES = 64 * 1024;
+
+/** A response body, read as far as there was room for it. */
+export type BodyRead =
+  | { readonly type: 'whole'; readonly bytes: Uint8Array }
+  | {
+      readonly type: 'begun';
+      readonly bytes: Uint8Array;
+      /** What follows; each chunk is read from the upstream when it is asked for. */
+      readonly rest: AsyncGenerator<Uint8Array>;
+    }
+  | { readonly type: 'too_large' };
+
+/** Bounds of a body. */
+export interface BodyBounds {
+  /** Largest accepted body, in bytes. */
+  readonly maxBytes: number;
+  /** Length that the upstream declared; undefined where it declared none. */
+  readonly declaredBytes: number | undefined;
+  /** Counts the body as it is read. */
+  readonly reservation: Reservation;
+}
+
+/**
+ * Reads a body whole while there is room to hold it. Upstreams cut off responses that remain unread for
+ * some seconds, so what there is no room for is left to be read at the caller's pace.
+ *
+ * @param chunks - The body.
+ * @param bounds - Its bounds.
+ * @returns The body, or its beginning and the rest.
+ */
+export async function readBody(
+  chunks: AsyncGenerator<Uint8Array>,
+  { maxBytes, declaredBytes, reservation }: BodyBounds,
+): Promise<BodyRead> {
+  // Reserved at once, so that responses read side by side don't each stop halfway for lack of room.
+  const isReserved = declaredBytes !== undefined && declaredBytes <= maxBytes;
+  if (isReserved && !reservation.tryGrow(declaredBytes)) {
+    return { type: 'begun', bytes: new Uint8Array(), rest: chunks };
+  }
+  const read: Uint8Array[] = [];
+  let size = 0;
+  let next = await chunks.next();
+  while (next.done !== true) {
+    const chunk = next.value;
+    read.push(chunk);
+    size += chunk.length;
+    if (size > maxBytes) {
+      await chunks.return(undefined);
+      return { type: 'too_large' };
+    }
+    if (!isReserved && !reservation.tryGrow(chunk.length)) {
+      return { type: 'begun', bytes: Buffer.concat(read), rest: chunks };
+    }
+    next = await chunks.next();
+  }
+  return { type: 'whole', bytes: Buffer.concat(read) };
+}
