Choose upstreams by expected completion

Of three equal servers, one that was 2.5 times slower for 600 ms still got its third of the calls, and streams went to engines at 0.7 of the usual speed while one at 1.7 had room.

With the switch overload.completionTimes, hosts average call times and token intervals and gossip them (callTimes, four places after the reports on upstreams; nothing is appended where no control is on). CompletionEstimator compares two free servers drawn at random, unless calls queue at the faster one, and sends a slow server one call after 500 ms without an observation. LocalPlacement counts the time by which an output completes sooner, while the engine has room. Without the switch decisions and messages are as before.

--- a/packages/decisions/src/local/EngineKnowledge.ts
+++ b/packages/decisions/src/local/EngineKnowledge.ts
@@ -4,6 +4,7 @@
 import { EngineHealth } from './EngineHealth.ts';
 import { InFlightTracker } from './InFlightTracker.ts';
 import { PeerCounts } from './PeerCounts.ts';
+import { UpstreamSpeeds } from '../completion/UpstreamSpeeds.ts';
 import { UpstreamAdmission } from './UpstreamAdmission.ts';
 
 /**
@@ -32,8 +33,15 @@
   /** How many requests each engine may get. */
   readonly admission: UpstreamAdmission;
 
-  /** @param admission - How many requests each engine may get. */
-  constructor(admission = new UpstreamAdmission()) {
+  /** How fast engines and servers are, over all hosts. */
+  readonly speeds: UpstreamSpeeds;
+
+  /**
+   * @param admission - How many requests each engine may get.
+   * @param speeds - How fast engines and servers are.
+   */
+  constructor(admission = new UpstreamAdmission(), speeds = new UpstreamSpeeds()) {
     this.admission = admission;
+    this.speeds = speeds;
   }
 }
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -6,7 +6,9 @@
 import type { InFlightTracker } from './InFlightTracker.ts';
 import { mergeOpenings } from '../signals/openings.ts';
 import type { Opening } from '../signals/openings.ts';
+import { speedGains } from './speedGains.ts';
 import type { UpstreamAdmission } from './UpstreamAdmission.ts';
+import type { UpstreamSpeeds } from '../completion/UpstreamSpeeds.ts';
 
 /** A request that needs engines. */
 export interface PlacementRequest {
@@ -17,6 +19,8 @@
   readonly avoid: readonly UpstreamId[];
   /** Longest pause between events of an on-time stream of this pool, in ms; absent if unlimited. */
   readonly longestPauseMs?: Millis;
+  /** Memory times expected output tokens; absent where the output is not known. */
+  readonly memorySteps?: number;
 }
 
 /** The engines chosen for a request. */
@@ -83,7 +87,7 @@
   readonly streams: number;
   /** Whether the engine has a prompt to prefill already. */
   readonly isPrefilling: boolean;
-  /** Cost of a reluctant engine; 0 for others. */
+  /** Cost of a reluctant engine, less the gain of a fast one; 0 for others. */
   readonly reluctanceMs: Millis;
 }
 
@@ -113,6 +117,8 @@
 
   private readonly admission: UpstreamAdmission;
 
+  private readonly speeds: UpstreamSpeeds;
+
   private readonly random: RandomSource;
 
   /**
@@ -120,13 +126,14 @@
    * @param random - Samples engines in large fleets.
    */
   constructor(
-    { inFlight, health, roleChanges, admission }: EngineKnowledge,
+    { inFlight, health, roleChanges, admission, speeds }: EngineKnowledge,
     random = new RandomSource(1),
   ) {
     this.inFlight = inFlight;
     this.health = health;
     this.roleChanges = roleChanges;
     this.admission = admission;
+    this.speeds = speeds;
     this.random = random;
   }
 
@@ -269,6 +276,7 @@
 
   /** Gets the decode engines with a free slot and memory for the request. */
   private decodeOptions(req: PlacementRequest, now: Millis): readonly DecodeOption[] {
+    const gainOf = speedGains(this.speeds, this.engines, req, now);
     return this.usableEngines('decode', req, now)
       .map((cfg) => ({ cfg, load: this.inFlight.getTotal(cfg.id, now) }))
       .filter(({ cfg, load }) => load.streams < (cfg.slots ?? Infinity))
@@ -279,7 +287,13 @@
         isPrefilling: load.prefillTokens > 0,
         reluctanceMs: this.reluctanceMs(cfg.id, now),
       }))
-      .filter(({ memoryFill }) => memoryFill <= MEMORY_FILL_LIMIT);
+      .filter(({ memoryFill }) => memoryFill <= MEMORY_FILL_LIMIT)
+      .map((option) => ({
+        ...option,
+        // A reluctant engine gains nothing by its speed: others are used first.
+        reluctanceMs:
+          option.reluctanceMs || -gainOf(option.cfg.id, option.memoryFill / MEMORY_FILL_LIMIT),
+      }));
   }
 
   /**
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -2,6 +2,7 @@
 import { notRun, RandomSource } from '@camphorvane/core';
 import { mergeOpenings, refusalWithoutOpening, takeOpening } from '../signals/openings.ts';
 import type { Opening } from '../signals/openings.ts';
+import type { ServerChooser } from './CompletionEstimator.ts';
 
 /** A server of a plain service, with this host's limits on it. */
 export interface ServiceQueueServer {
@@ -91,6 +92,8 @@
 export class ServiceQueue {
   private readonly random: RandomSource;
 
+  private readonly chooser: ServerChooser | undefined;
+
   private readonly servers = new Map<UpstreamId, ServerState>();
 
   private readonly inFlightByTeam = new Map<TeamId, number>();
@@ -103,9 +106,13 @@
   /** Most calls in flight from this host to all servers together. */
   private maxInFlight = Infinity;
 
-  /** @param random - Breaks ties between equally loaded servers. */
-  constructor(random: RandomSource = new RandomSource(0)) {
+  /**
+   * @param random - Breaks ties between equally loaded servers.
+   * @param chooser - Chooses among free servers; where it does not, the least loaded one is taken.
+   */
+  constructor(random: RandomSource = new RandomSource(0), chooser?: ServerChooser) {
     this.random = random;
+    this.chooser = chooser;
   }
 
   /**
@@ -285,8 +292,10 @@
       .map(([id, state]) => ({ id, state, tieBreaker: this.random.next() }))
       .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.tieBreaker - b.tieBreaker);
     const healthy = candidates.filter(({ state }) => state.cooldownUntil <= now);
-    const free = healthy.find(({ state }) => !state.isReluctant);
-    return (free ?? healthy[0] ?? candidates[0])?.id;
+    const free = healthy.filter(({ state }) => !state.isReluctant);
+    const preferred = [free, healthy, candidates].find((list) => list.length > 0) ?? [];
+    const options = preferred.map(({ id, state }) => ({ id, ...state }));
+    return this.chooser?.(options, now) ?? preferred[0]?.id;
   }
 }
 
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,12 +1,14 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { CallTime, UpstreamReport } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeCallTimes, encodeCallTimes } from './callTimeCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import {
   isNamedNumber,
   isNonNegativeNumber,
   isStringArray,
   parseDatagram,
+  withoutTrailingEmpty,
   decodeDemandHint,
   decodeDrainedZones,
   decodeRoleChangeHint,
@@ -24,6 +26,9 @@
 /** Index of the demand rows among the fields; the fields before it are destructured by name. */
 const DEMAND_INDEX = 10;
 
+/** Index of the call times, four places after the reports on upstreams. */
+const CALL_TIMES_INDEX = 20;
+
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
 /**
@@ -63,6 +68,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to any of these hosts. */
   readonly upstreams: readonly UpstreamReport[];
+  /** How fast upstreams were lately; absent where nothing is reported. */
+  readonly callTimes?: readonly CallTime[];
 }
 
 /**
@@ -94,6 +101,8 @@
       digest.serving,
       encodeDrainedZones(digest.drained),
       encodeUpstreamReports(digest.upstreams),
+      // The places of the quotes, the usage and the growth.
+      ...withoutTrailingEmpty([[], [], [], encodeCallTimes(digest.callTimes)]),
     ]),
   );
 }
@@ -123,7 +132,8 @@
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
+  if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -137,6 +147,7 @@
     versions: { config, servers },
     drained,
     upstreams,
+    ...(callTimes.length === 0 ? {} : { callTimes }),
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,12 +7,13 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { UpstreamReport } from '@camphorvane/decisions';
+import type { CallTime, UpstreamReport } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
   isStringArray,
   parseDatagram,
+  withoutTrailingEmpty,
   decodeDemandHint,
   decodeDrainedZones,
   decodeRoleChangeHint,
@@ -24,11 +25,15 @@
   encodeEngineHint,
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeCallTimes, encodeCallTimes } from './callTimeCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
 const DOWN_INDEX = 9;
 
+/** Index of the call times, four places after the reports on upstreams. */
+const CALL_TIMES_INDEX = 17;
+
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
 
@@ -67,6 +72,8 @@
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to the host. */
   readonly upstreams: readonly UpstreamReport[];
+  /** How fast upstreams were lately; absent where nothing is reported. */
+  readonly callTimes?: readonly CallTime[];
 }
 
 /**
@@ -97,6 +104,8 @@
     Math.round(hint.nextMs),
     encodeDrainedZones(hint.drained),
     encodeUpstreamReports(hint.upstreams),
+    // The places of the quotes, the usage and the growth.
+    ...withoutTrailingEmpty([[], [], [], encodeCallTimes(hint.callTimes)]),
   ];
   return Buffer.from(JSON.stringify(fields));
 }
@@ -113,6 +122,7 @@
   const [host, incarnation, sequence, flags, rows, charged, versions, demandRows, moveRows] =
     fields;
   const [down, calls, nextMs, drainedRow, upstreamRows] = fields.slice(DOWN_INDEX);
+  const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -128,7 +138,7 @@
     return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   const [leaving, digestFrequency, serving] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -149,5 +159,6 @@
     versions: { config, servers },
     drained,
     upstreams,
+    ...(callTimes.length === 0 ? {} : { callTimes }),
   };
 }
--- a/packages/peer/src/hints/hintRowCodec.ts
+++ b/packages/peer/src/hints/hintRowCodec.ts
@@ -121,3 +121,13 @@
     return undefined;
   }
 }
+
+/**
+ * Leaves out empty lists at the end, so that a message without them is the same as that of hosts of an
+ * earlier version, which don't know them.
+ */
+export function withoutTrailingEmpty(
+  lists: readonly (readonly unknown[])[],
+): readonly (readonly unknown[])[] {
+  return lists.slice(0, lists.findLastIndex((list) => list.length > 0) + 1);
+}
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,9 +8,10 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { PoolDemand, UpstreamReport } from '@camphorvane/decisions';
+import type { CallTime, PoolDemand, UpstreamReport } from '@camphorvane/decisions';
 import {
   gossipTtlMs,
+  newestCallTimes,
   newestReports,
   NO_DEMAND,
   subtractDemand,
@@ -50,6 +51,7 @@
   readonly versions: HostDigest['versions'];
   readonly drained: DrainedZones;
   readonly upstreams: readonly UpstreamReport[];
+  readonly callTimes: readonly CallTime[];
 }
 
 /** Fields of a digest beside the sums. */
@@ -125,6 +127,9 @@
         .map(({ drained }) => drained)
         .reduce((a, b) => (b.version > a.version ? b : a), { version: 0, zones: [] }),
       upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
+      callTimes: newestCallTimes(
+        [...this.hints.values()].flatMap((one) => agedCallTimes(one, now)),
+      ),
     };
   }
 
@@ -161,6 +166,7 @@
       versions: sums.versions,
       drained: sums.drained,
       upstreams: sums.upstreams,
+      callTimes: sums.callTimes,
     };
   }
 
@@ -227,6 +233,11 @@
   return hint.upstreams.map((report) => ({ ...report, ageMs: report.ageMs + now - receivedAt }));
 }
 
+function agedCallTimes({ hint, receivedAt }: ReceivedHint, now: Millis): readonly CallTime[] {
+  const times = hint.callTimes ?? [];
+  return times.map((time) => ({ ...time, ageMs: time.ageMs + now - receivedAt }));
+}
+
 type Counts = readonly (readonly [string, number])[];
 
 function sumCounts(counts: Counts): ReadonlyMap<string, number> {
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -45,6 +45,7 @@
     probes.receive(hint.down);
     calls.receive(hint.host, new Map(hint.calls), now);
     signals.receive(hint.upstreams);
+    knowledge.speeds.receive(hint.callTimes ?? [], now);
   }
 
   /** Receives the sums over all peers from a relay. */
@@ -63,6 +64,7 @@
     probes.receive(digest.down);
     calls.receiveSum(new Map(digest.calls), digest.hostCount, now);
     signals.receive(digest.upstreams);
+    knowledge.speeds.receive(digest.callTimes ?? [], now);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -1,5 +1,5 @@
 import type { Clock, ModelId, RandomSource, TeamConfig, VersionedConfig } from '@camphorvane/core';
-import type { UpstreamAdmission } from '@camphorvane/decisions';
+import type { UpstreamAdmission, UpstreamSpeeds } from '@camphorvane/decisions';
 import type { PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import type { IdempotencyClaims } from '@camphorvane/store';
 import type {
@@ -94,6 +94,8 @@
   readonly directory: UpstreamDirectory;
   /** Shares of the concurrency of plain services, by the calls of all hosts. */
   readonly concurrencyShares: ConcurrencyShares;
+  /** How fast upstreams are, over all hosts. */
+  readonly speeds: UpstreamSpeeds;
   readonly metrics: Metrics;
 }
 
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -131,7 +131,7 @@
     this.admission = new UpstreamAdmission(slowStart, constraints);
     this.signals = new UpstreamSignalRecorder(constraints, clock, options.metrics);
     this.signals.onChange(() => this.gossip.recordStateChange());
-    this.knowledge = new EngineKnowledge(this.admission);
+    this.knowledge = new EngineKnowledge(this.admission, context.speeds);
     this.abortsOnKeyWithdrawal = options.strictKeysMs !== undefined;
     this.config = new DeploymentFeed({
       store,
@@ -315,6 +315,7 @@
       versions: this.config.getVersions(),
       drained: this.config.drains.get(),
       upstreams: this.admission.constraints.getReports(this.clock.now()),
+      callTimes: this.knowledge.speeds.getReports(this.clock.now()),
     };
   }
 
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,4 +1,5 @@
 import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
+import { UpstreamSpeeds } from '@camphorvane/decisions';
 import { KeyRing } from '@camphorvane/store';
 import type { HostCoordination } from '../coordination/HostCoordination.ts';
 import { EngineObserver } from '../placing/EngineObserver.ts';
@@ -46,6 +47,7 @@
   const { clock, random, identity, incarnation, metrics } = options;
   const directory = new UpstreamDirectory(options.engines, options.servers);
   const concurrencyShares = new ConcurrencyShares();
+  const speeds = new UpstreamSpeeds(() => directory.getOverloadPolicy().completionTimes, random);
   const coordination = options.coordination({
     clock,
     random,
@@ -53,6 +55,7 @@
     incarnation,
     directory,
     concurrencyShares,
+    speeds,
     metrics,
   });
   const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
@@ -68,6 +71,8 @@
     hostCount,
     concurrencyShares,
     coordination.admission,
+    speeds,
+    metrics,
   );
   directory.setWatch(signals);
   if (options.buffers !== undefined) {
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -27,7 +27,7 @@
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
-  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval';
+  'request.ttft' | 'request.whole' | 'request.pause' | 'request.token_interval' | 'service.call';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, Clock, Millis, UpstreamId } from '@camphorvane/core';
-import type { EngineHealth, SlowStart } from '@camphorvane/decisions';
+import type { EngineHealth, SlowStart, UpstreamSpeeds } from '@camphorvane/decisions';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { eventLog } from '../observe/EventLog.ts';
 
@@ -26,6 +26,8 @@
   readonly directory: Pick<UpstreamDirectory, 'getEngine' | 'getEngineIds'>;
   readonly health: EngineHealth;
   readonly slowStart: SlowStart;
+  /** Learned speeds, from which engines that are down are dropped; absent where none are learned. */
+  readonly speeds?: UpstreamSpeeds;
   /** Called after each change of the engines known to be down. */
   readonly onChange: () => void;
 }
@@ -113,6 +115,7 @@
     if (this.down.has(id)) return;
     this.down.add(id);
     this.options.slowStart.recordUnreachable(id);
+    this.options.speeds?.forgetEngine(id, this.options.clock.now());
     log('engine_down', { engine: id, reason });
     this.options.onChange();
   }
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -78,10 +78,10 @@
     this.knowledge = knowledge;
     this.onStateChange = onStateChange;
     this.reservations = new LocalReservations(knowledge, incarnation);
-    const { health, admission } = knowledge;
+    const { health, admission, speeds } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
-      ...{ clock, directory, health, slowStart },
+      ...{ clock, directory, health, slowStart, speeds },
       onChange: () => this.scheduleAll(),
     });
   }
@@ -234,6 +234,7 @@
   private recordTokenInterval(id: UpstreamId, meanMs: Millis): void {
     const tokens = this.directory.getEngine(id)?.cfg.eventTokens ?? 1;
     this.knowledge.health.recordTokenInterval(id, meanMs / tokens);
+    this.knowledge.speeds.recordTokenInterval(id, meanMs / tokens, this.clock.now());
   }
 
   private poolFor(model: ModelId): LocalPool {
@@ -332,6 +333,7 @@
       memoryTokens: Math.round(memoryTokens),
       waitedMs: Math.round(this.clock.now() - waiting.since),
       lacked: waitReason,
+      ...this.knowledge.speeds.describe(pair.decode, this.clock.now()),
     });
     this.resolveRequest(pool, request, ok(placed));
   }
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -14,10 +14,12 @@
   ServiceQueueCall,
   ServiceQueueDecision,
   UpstreamAdmission,
+  UpstreamSpeeds,
 } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { ConcurrencyShares } from './ConcurrencyShares.ts';
 
@@ -52,6 +54,13 @@
 
   private readonly admission: UpstreamAdmission;
 
+  private readonly speeds: UpstreamSpeeds | undefined;
+
+  private readonly metrics: Metrics | undefined;
+
+  /** Times at which the calls in flight were given a server. */
+  private readonly placedAt = new Map<RequestId, Millis>();
+
   private readonly queues = new Map<ServiceId, QueueEntry>();
 
   /**
@@ -61,6 +70,8 @@
    * @param hostCount - Gets the number of hosts that share the servers' slots.
    * @param shares - This host's share of each service's slots.
    * @param admission - Bounds the calls to each server.
+   * @param speeds - How fast servers are; absent where they are chosen by their load alone.
+   * @param metrics - Metrics of the host.
    */
   constructor(
     clock: Clock,
@@ -69,6 +80,8 @@
     hostCount: () => number,
     shares: ConcurrencyShares,
     admission: UpstreamAdmission,
+    speeds?: UpstreamSpeeds,
+    metrics?: Metrics,
   ) {
     this.clock = clock;
     this.random = random;
@@ -76,6 +89,8 @@
     this.hostCount = hostCount;
     this.shares = shares;
     this.admission = admission;
+    this.speeds = speeds;
+    this.metrics = metrics;
     shares.setLocalCounter(() => this.countCalls());
   }
 
@@ -126,10 +141,20 @@
     failed: boolean,
   ): void {
     const entry = this.entryFor(service);
-    entry.queue.callEnded(call.team, server, failed, this.clock.now());
+    const now = this.clock.now();
+    const placedAt = this.placedAt.get(call.request);
+    this.placedAt.delete(call.request);
+    if (placedAt !== undefined && !failed) this.recordCall(server, now - placedAt, now);
+    entry.queue.callEnded(call.team, server, failed, now);
     this.schedule(entry);
   }
 
+  private recordCall(server: UpstreamId, tookMs: Millis, now: Millis): void {
+    if (this.speeds?.isUsed() !== true) return;
+    this.speeds.recordCall(server, tookMs, now);
+    this.metrics?.timing('service.call', tookMs);
+  }
+
   /**
    * Gets when a service takes calls of this host again.
    *
@@ -154,7 +179,9 @@
     if (known !== undefined) return known;
     const entry: QueueEntry = {
       service,
-      queue: new ServiceQueue(this.random),
+      queue: new ServiceQueue(this.random, (options, now) =>
+        this.speeds?.chooseServer(options, now),
+      ),
       resolvers: new Map(),
       cancelTimer: () => undefined,
     };
@@ -208,6 +235,7 @@
     switch (decision.type) {
       case 'place':
         this.admission.recordRequest(decision.server, this.clock.now());
+        this.placedAt.set(decision.request, this.clock.now());
         log('placed', {
           id: decision.request,
           server: decision.server,
@@ -215,6 +243,7 @@
           calls: entry.queue.callCount,
           share: Math.round(share * 10) / 10,
           asked: this.admission.constraints.describe(decision.server, this.clock.now()),
+          ...this.speeds?.describe(decision.server, this.clock.now()),
         });
         this.settle(entry, decision.request, ok(decision.server));
         break;
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -3,6 +3,7 @@
   EngineConfig,
   ForwardRoute,
   LoadReport,
+  OverloadPolicy,
   RoutingConfig,
   ServiceServer,
   VersionedConfig,
@@ -58,6 +59,8 @@
   readonly retrySlack?: number;
   /** Bounds what the host buffers; the switch is on where given. */
   readonly buffers?: HostBuffers;
+  /** Controls for overload that are switched on. */
+  readonly overload?: Partial<OverloadPolicy>;
   /** Most calls that each server runs at once. */
   readonly serverSlots?: number;
 }
@@ -223,7 +226,11 @@
         },
       ],
       waitRules: [],
-      overload: { ...NO_OVERLOAD_POLICY, boundedBuffers: this.options.buffers !== undefined },
+      overload: {
+        ...NO_OVERLOAD_POLICY,
+        boundedBuffers: this.options.buffers !== undefined,
+        ...this.options.overload,
+      },
       routes: [
         base,
         { ...plain, name: 'safe', pathPrefix: '/safe/', kind: 'idempotent' },
@@ -232,7 +239,7 @@
     };
   }
 
-  private agreement({ clock, directory, metrics }: CoordinationContext): HostCoordination {
+  private agreement({ clock, directory, metrics, speeds }: CoordinationContext): HostCoordination {
     const group = {
       members: () => [],
       coordinatorOf: () => undefined,
@@ -243,7 +250,7 @@
     };
     const { retrySlack: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
-    const knowledge = new EngineKnowledge();
+    const knowledge = new EngineKnowledge(undefined, speeds);
     const placer = new LocalPlacer({
       ...{ clock, random: new RandomSource(1), directory, knowledge, incarnation: 'i' },
       onStateChange: () => undefined,
