Read small chunks from upstreams of slow callers

An answer that the buffers have no room for is read at its caller's pace, but Node and undici held up to four chunks of 64 KB of it: 198 such answers took some 50 MB beside the budget. undici also throws an assertion outside of any call, which ends the process, where the server closes or resets a connection that undici has paused.

With bounded buffers, connections read 8 KB at a time (PacedSocket), pass their end on only while undici reads, and pass a reset on under another code. Without the switch connections are as before, and the assertion remains possible there.

Hosts repeat an observed call time for one second only.

--- a/packages/decisions/src/completion/UpstreamSpeeds.ts
+++ b/packages/decisions/src/completion/UpstreamSpeeds.ts
@@ -9,6 +9,9 @@
 /** Hundredths of a millisecond: the time between two tokens is less than one. */
 const LOG_PRECISION = 100;
 
+/** Age up to which a host repeats an observation: a few messages, since some are lost. */
+const MAX_REPORT_AGE_MS: Millis = 1_000;
+
 /**
  * How fast servers and engines are, as this host and its peers have observed. Nothing is learned, reported
  * or used unless the configuration in force switches it on.
@@ -59,7 +62,8 @@
   /** Gets the observations of this host to report to its peers. */
   getReports(now: Millis): readonly CallTime[] {
     if (!this.isSwitchedOn()) return [];
-    return newestCallTimes([...this.servers.getReports(now), ...this.engines.getReports(now)]);
+    const reports = [...this.servers.getReports(now), ...this.engines.getReports(now)];
+    return newestCallTimes(reports.filter(({ ageMs }) => ageMs <= MAX_REPORT_AGE_MS));
   }
 
   /** Gets what is known of an upstream, for the log; nothing where it decides nothing. */
--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import type { Clock, Millis } from '@camphorvane/core';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -5,6 +6,7 @@
 import type { Dispatcher } from 'undici';
 import type { UpstreamCall } from './UpstreamConnections.ts';
 import type { UpstreamError } from './ModelEngine.ts';
+import { PacedSocket } from './PacedSocket.ts';
 import { ProgressDeadline } from './ProgressDeadline.ts';
 
 /**
@@ -170,9 +172,10 @@
   /** Connects as undici does, and records whether the connection is reset. */
   private connector(): buildConnector.connector {
     const { readAheadBytes } = this.timeouts;
-    // Bounds the socket's own buffer; otherwise it holds up to 64 KB beside the body's buffer.
-    const socketBounds = readAheadBytes === undefined ? {} : { highWaterMark: 1 };
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...socketBounds });
+    const paced = readAheadBytes === undefined ? undefined : new PacedSocket();
+    // undici passes the options of its connector on to `net.connect`, though its types don't say so.
+    const onread = paced === undefined ? {} : { onread: paced.onread };
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...onread });
     return (options, callback) =>
       connect(options, (...args) => {
         const [, socket] = args;
@@ -184,7 +187,9 @@
         socket?.once('end', () => {
           this.wasReset ||= socket.remoteAddress === undefined;
         });
-        callback(...args);
+        if (paced === undefined || !socket) callback(...args);
+        // undici uses only the stream of a socket, and `ref` and `unref`.
+        else callback(null, paced.attach(socket) as unknown as Socket);
       });
   }
 
--- a/packages/upstream/src/readBody.ts
+++ b/packages/upstream/src/readBody.ts
@@ -3,8 +3,11 @@
 /** Read-ahead of a connection that pauses after each chunk, until that has been asked for. */
 export const MIN_READ_AHEAD_BYTES = 1;
 
-/** Read-ahead of a stream that has room: more than a usual answer, so that its engine needn't wait for the caller. */
-export const STREAM_READ_AHEAD_BYTES = 64 * 1024;
+/** Read-ahead of a stream that has room. */
+export const STREAM_READ_AHEAD_BYTES = 24 * 1024;
+
+/** What such a stream holds: its read-ahead and a chunk beyond it, and as much being delivered. */
+export const STREAM_BUFFER_BYTES = 64 * 1024;
 
 /** A response body, read as far as there was room for it. */
 export type BodyRead =
