--- a/packages/decisions/src/service/ServerSlots.ts
+++ b/packages/decisions/src/service/ServerSlots.ts
@@ -1,4 +1,5 @@
 import type { Millis, RandomSource, UpstreamId } from '@camphorvane/core';
+import type { ServerChooser } from './CompletionEstimator.ts';
 import { mergeOpenings, takeOpening } from '../signals/openings.ts';
 import type { Opening } from '../signals/openings.ts';
 
@@ -34,14 +35,20 @@
 export class ServerSlots {
   private readonly random: RandomSource;
 
+  private readonly chooser: ServerChooser | undefined;
+
   private readonly servers = new Map<UpstreamId, ServerState>();
 
   /** Most calls in flight from this host to all servers together. */
   private maxInFlight = Infinity;
 
-  /** @param random - Breaks ties between equally loaded servers. */
-  constructor(random: RandomSource) {
+  /**
+   * @param random - Breaks ties between equally loaded servers.
+   * @param chooser - Chooses among free servers; where it does not, the least loaded one is taken.
+   */
+  constructor(random: RandomSource, chooser?: ServerChooser) {
     this.random = random;
+    this.chooser = chooser;
   }
 
   /** Applies changed servers and limits; see `ServiceQueue.reconfigure`. */
@@ -137,8 +144,10 @@
       .map(([id, state]) => ({ id, state, tieBreaker: this.random.next() }))
       .sort((a, b) => loadOf(a.state) - loadOf(b.state) || a.tieBreaker - b.tieBreaker);
     const healthy = candidates.filter(({ state }) => state.cooldownUntil <= now);
-    const free = healthy.find(({ state }) => !state.isReluctant);
-    return (free ?? healthy[0] ?? candidates[0])?.id;
+    const free = healthy.filter(({ state }) => !state.isReluctant);
+    const preferred = [free, healthy, candidates].find((list) => list.length > 0) ?? [];
+    const options = preferred.map(({ id, state }) => ({ id, ...state }));
+    return this.chooser?.(options, now) ?? preferred[0]?.id;
   }
 }
 
--- a/packages/decisions/src/service/ServiceQueue.ts
+++ b/packages/decisions/src/service/ServiceQueue.ts
@@ -6,6 +6,7 @@
 import type { QueueControls } from '../admission/QueueControls.ts';
 import { orderComparator } from '../admission/orderComparator.ts';
 import { refusalWithoutOpening } from '../signals/openings.ts';
+import type { ServerChooser } from './CompletionEstimator.ts';
 import { ServerSlots } from './ServerSlots.ts';
 import type { ServiceQueueServer } from './ServerSlots.ts';
 import type { ServiceQueueCall, ServiceQueueDecision } from './ServiceQueueCall.ts';
@@ -72,9 +73,14 @@
   /**
    * @param random - Breaks ties between equally loaded servers.
    * @param controls - Overload controls of this queue; none by default.
+   * @param chooser - Chooses among free servers; where it does not, the least loaded one is taken.
    */
-  constructor(random: RandomSource = new RandomSource(0), controls = NO_QUEUE_CONTROLS) {
-    this.servers = new ServerSlots(random);
+  constructor(
+    random: RandomSource = new RandomSource(0),
+    controls = NO_QUEUE_CONTROLS,
+    chooser?: ServerChooser,
+  ) {
+    this.servers = new ServerSlots(random, chooser);
     this.controls = controls;
     this.admission = new QueueAdmission(ADMISSION, controls);
   }
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,8 +1,10 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type { CallTime, QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeCallTimes } from './callTimeCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
-import { decodeUsage, withOptionalFields } from './usageCodec.ts';
+import { withOptionalFields } from './optionalFields.ts';
+import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 import {
   isNamedNumber,
@@ -28,6 +30,8 @@
 
 /** Number of fields that every digest has; the later ones are left out where they are empty. */
 const FIXED_FIELDS = 17;
+/** Index of the call times, four places after the reports on upstreams. */
+const CALL_TIMES_INDEX = 20;
 
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
@@ -74,6 +78,8 @@
   readonly quotes: readonly QueueQuote[];
   /** What teams hold on these hosts together; absent where none of them reports usage. */
   readonly usage?: readonly UsageRow[];
+  /** How fast upstreams were lately; absent where nothing is reported. */
+  readonly callTimes?: readonly CallTime[];
 }
 
 /**
@@ -110,7 +116,7 @@
     encodeUpstreamReports(digest.upstreams),
     encodeWaitQuotes(digest.quotes),
   ];
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest.usage)));
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest)));
 }
 
 /**
@@ -143,7 +149,8 @@
   const [quoteRows, usageRows] = optional;
   const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
+  if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   if (quotes === undefined || usage === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
@@ -161,6 +168,7 @@
     upstreams,
     quotes,
     ...usage,
+    ...(callTimes.length === 0 ? {} : { callTimes }),
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,7 +7,7 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type { CallTime, QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -24,8 +24,10 @@
   encodeEngineHint,
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeCallTimes } from './callTimeCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
-import { decodeUsage, withOptionalFields } from './usageCodec.ts';
+import { withOptionalFields } from './optionalFields.ts';
+import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 
 /** Index of the unresponsive engines among the fields; earlier fields are destructured by name. */
@@ -33,6 +35,8 @@
 
 /** Number of fields that every hint has; the later ones are left out where they are empty. */
 const FIXED_FIELDS = 14;
+/** Index of the call times, four places after the reports on upstreams. */
+const CALL_TIMES_INDEX = 17;
 
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
@@ -78,6 +82,8 @@
   readonly quotes: readonly QueueQuote[];
   /** What teams hold on the host; absent in hints that report no usage, where the last report counts. */
   readonly usage?: readonly UsageRow[];
+  /** How fast upstreams were lately; absent where nothing is reported. */
+  readonly callTimes?: readonly CallTime[];
 }
 
 /**
@@ -115,7 +121,7 @@
     encodeUpstreamReports(hint.upstreams),
     encodeWaitQuotes(hint.quotes),
   ];
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint.usage)));
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint)));
 }
 
 /**
@@ -131,6 +137,7 @@
     fields;
   const [down, calls, nextMs, drainedRow, upstreamRows, quoteRows, usageRows] =
     fields.slice(DOWN_INDEX);
+  const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -148,7 +155,7 @@
   const upstreams = decodeUpstreamReports(upstreamRows);
   const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
-  if (drained === undefined || upstreams === undefined) return undefined;
+  if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   if (quotes === undefined || usage === undefined) return undefined;
   const [leaving, digestFrequency, serving, watching] = Array.isArray(flags)
     ? (flags as readonly unknown[])
@@ -173,5 +180,6 @@
     upstreams,
     quotes,
     ...usage,
+    ...(callTimes.length === 0 ? {} : { callTimes }),
   };
 }
--- /dev/null
+++ b/packages/peer/src/hints/optionalFields.ts
@@ -0,0 +1,32 @@
+import type { CallTime, UsageRow } from '@camphorvane/decisions';
+import { encodeCallTimes } from './callTimeCodec.ts';
+import { withoutTrailingEmpty } from './hintRowCodec.ts';
+
+/** Place of a field that no release has used yet. */
+const UNUSED: readonly never[] = [];
+
+/** Fields that a datagram has only where a control for overload reports them. */
+export interface OptionalFields {
+  readonly usage?: readonly UsageRow[];
+  readonly callTimes?: readonly CallTime[];
+}
+
+/**
+ * Completes the fields of a datagram with the optional ones. Fields that are empty are left out at the end,
+ * so that the datagram is the same as before they existed. Empty usage is written: it says that the teams
+ * hold nothing any more, while null says that none is reported.
+ *
+ * @param fields - All other fields.
+ * @param fixed - Number of fields that are always written.
+ * @param optional - The optional fields.
+ * @returns The fields to write.
+ */
+export function withOptionalFields(
+  fields: readonly unknown[],
+  fixed: number,
+  { usage, callTimes = [] }: OptionalFields,
+): readonly unknown[] {
+  if (callTimes.length > 0)
+    return [...fields, usage ?? null, UNUSED, encodeCallTimes(callTimes)];
+  return usage === undefined ? withoutTrailingEmpty(fields, fixed) : [...fields, usage];
+}
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -8,9 +8,16 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { HeldMemory, PoolDemand, QueueQuote, UpstreamReport } from '@camphorvane/decisions';
+import type {
+  CallTime,
+  HeldMemory,
+  PoolDemand,
+  QueueQuote,
+  UpstreamReport,
+} from '@camphorvane/decisions';
 import {
   gossipTtlMs,
+  newestCallTimes,
   newestReports,
   NO_DEMAND,
   subtractDemand,
@@ -26,6 +33,7 @@
 } from '@camphorvane/peer/hints';
 import type { UsageSums } from './UsageReports.ts';
 import { UsageReports, usageWithout } from './UsageReports.ts';
+import { countsWithout, sumCounts } from './countSums.ts';
 import { sumQuotes, quotesWithout } from './sumQuotes.ts';
 
 /**
@@ -63,6 +71,7 @@
   readonly upstreams: readonly UpstreamReport[];
   readonly quotes: readonly QueueQuote[];
   readonly usage: UsageSums | undefined;
+  readonly callTimes: readonly CallTime[];
 }
 
 /** Fields of a digest beside the sums. */
@@ -144,6 +153,9 @@
       upstreams: newestReports([...this.hints.values()].flatMap((one) => agedReports(one, now))),
       quotes: sumQuotes(hints.flatMap((hint) => hint.quotes)),
       usage: this.usage.aggregate(now),
+      callTimes: newestCallTimes(
+        [...this.hints.values()].flatMap((one) => agedCallTimes(one, now)),
+      ),
     };
   }
 
@@ -183,6 +195,7 @@
       upstreams: sums.upstreams,
       quotes: quotesWithout(sums.quotes, own?.quotes),
       usage: usageWithout(sums.usage, receiver),
+      callTimes: sums.callTimes,
     };
   }
 
@@ -249,23 +262,9 @@
   return hint.upstreams.map((report) => ({ ...report, ageMs: report.ageMs + now - receivedAt }));
 }
 
-type Counts = readonly (readonly [string, number])[];
-
-function sumCounts(counts: Counts): ReadonlyMap<string, number> {
-  return counts.reduce(
-    (sums, [name, count]) => sums.set(name, (sums.get(name) ?? 0) + count),
-    new Map<string, number>(),
-  );
-}
-
-function countsWithout(
-  sums: ReadonlyMap<string, number>,
-  own: Counts = [],
-): ReadonlyMap<string, number> {
-  return own.reduce(
-    (left, [name, count]) => left.set(name, (left.get(name) ?? 0) - count),
-    new Map(sums),
-  );
+function agedCallTimes({ hint, receivedAt }: ReceivedHint, now: Millis): readonly CallTime[] {
+  const times = hint.callTimes ?? [];
+  return times.map((time) => ({ ...time, ageMs: time.ageMs + now - receivedAt }));
 }
 
 function sumEngines(hints: readonly HostHint[]): ReadonlyMap<UpstreamId, EngineHint> {
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -52,6 +52,7 @@
     signals.receive(hint.upstreams);
     if (hint.usage !== undefined) fairQueues.usage.receive(hint.host, hint.usage, now);
     turns.receive(hint.host, hint.quotes);
+    knowledge.speeds.receive(hint.callTimes ?? [], now);
   }
 
   /** Receives the sums over all peers from a relay. */
@@ -73,6 +74,7 @@
     signals.receive(digest.upstreams);
     if (digest.usage !== undefined) fairQueues.usage.receiveSum(digest.usage, now);
     turns.receiveSum(digest.quotes);
+    knowledge.speeds.receive(digest.callTimes ?? [], now);
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -1,5 +1,5 @@
 import type { Clock, ModelId, RandomSource, TeamConfig, VersionedConfig } from '@camphorvane/core';
-import type { UpstreamAdmission } from '@camphorvane/decisions';
+import type { UpstreamAdmission, UpstreamSpeeds } from '@camphorvane/decisions';
 import type { PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
 import type { IdempotencyClaims } from '@camphorvane/store';
 import type {
@@ -98,6 +98,8 @@
   readonly concurrencyShares: ConcurrencyShares;
   /** Usage of teams over all hosts, and the order of the queues that follows from it. */
   readonly fairQueues: FairQueues;
+  /** How fast upstreams are, over all hosts. */
+  readonly speeds: UpstreamSpeeds;
   readonly metrics: Metrics;
   /** Scheduled retries of refused callers. */
   readonly turns: TurnRegistry;
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -118,7 +118,7 @@
     this.admission = new UpstreamAdmission(slowStart, constraints);
     this.signals = new UpstreamSignalRecorder(constraints, clock, options.metrics);
     this.signals.onChange(() => this.gossip.recordStateChange());
-    this.knowledge = new EngineKnowledge(this.admission);
+    this.knowledge = new EngineKnowledge(this.admission, context.speeds);
     this.abortsOnKeyWithdrawal = options.strictKeysMs !== undefined;
     this.config = new DeploymentFeed({
       store,
@@ -314,6 +314,7 @@
       upstreams: this.admission.constraints.getReports(this.clock.now()),
       usage: this.context.fairQueues.getReport(),
       quotes: this.context.turns.getQuotes(),
+      callTimes: this.knowledge.speeds.getReports(this.clock.now()),
     };
   }
 
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -150,6 +150,7 @@
       crashes: this.components.coordination.crashGuard.dump(),
       serviceQueues: this.components.serviceQueues.dump(),
       fairShares: this.components.fairQueues.dump(),
+      buffers: this.options.buffers?.dump(),
       counters: this.options.metrics.getCounts(),
     };
   }
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,4 +1,5 @@
 import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
+import { UpstreamSpeeds } from '@camphorvane/decisions';
 import { KeyRing } from '@camphorvane/store';
 import type { HostCoordination } from '../coordination/HostCoordination.ts';
 import { EngineObserver } from '../placing/EngineObserver.ts';
@@ -53,6 +54,7 @@
   const concurrencyShares = new ConcurrencyShares();
   const fairQueues = new FairQueues(clock, directory, metrics);
   const turns = new TurnRegistry({ clock, directory, metrics });
+  const speeds = new UpstreamSpeeds(() => directory.getOverloadPolicy().completionTimes, random);
   const coordination = options.coordination({
     clock,
     random,
@@ -61,6 +63,7 @@
     directory,
     concurrencyShares,
     fairQueues,
+    speeds,
     metrics,
     turns,
   });
@@ -81,10 +84,15 @@
       isAdmissionOn: () => directory.getOverloadPolicy().admission,
       order: (service) => fairQueues.orderOf({ type: 'service', id: service }),
       turns: (service) => turns.forService(service),
+      speeds,
       metrics,
     },
   );
   directory.setWatch(signals);
+  if (options.buffers !== undefined) {
+    directory.setBuffers(options.buffers);
+    options.buffers.setSwitch(() => directory.getOverloadPolicy().boundedBuffers);
+  }
   signals.onChange(() => serviceQueues.refresh());
   const inFlight = new InFlightRequests();
   const completions = new CompletionHandler({
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -28,10 +28,12 @@
   | 'admission.refused'
   | 'admission.refused_while_idle'
   | 'shares.placed'
-  | 'shares.unplaced';
+  | 'shares.unplaced'
+  | 'buffers.refused'
+  | 'buffers.cut_off';
 
 /** Names of all gauges. */
-export type GaugeName = 'engines';
+export type GaugeName = 'engines' | 'buffers.bytes';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
@@ -43,7 +45,8 @@
   | 'admission.real_wait'
   | 'shares.waited'
   | 'stream.move'
-  | 'turns.wait';
+  | 'turns.wait'
+  | 'service.call';
 
 /** Bucket bounds of the histograms in milliseconds, from a hop between zones to the longest wait of callers. */
 const BUCKETS_MS = [
--- a/packages/router/src/placing/EngineFindings.ts
+++ b/packages/router/src/placing/EngineFindings.ts
@@ -70,6 +70,8 @@
 
   private recordTokenInterval(id: UpstreamId, meanMs: Millis): void {
     const tokens = this.options.directory.getEngine(id)?.cfg.eventTokens ?? 1;
-    this.options.knowledge.health.recordTokenInterval(id, meanMs / tokens);
+    const { clock, knowledge } = this.options;
+    knowledge.health.recordTokenInterval(id, meanMs / tokens);
+    knowledge.speeds.recordTokenInterval(id, meanMs / tokens, clock.now());
   }
 }
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -84,10 +84,10 @@
     this.onStateChange = onStateChange;
     this.reservations = new LocalReservations(knowledge, incarnation, options.fairQueues);
     this.relocation = new RelocationLedger(knowledge, this.reservations, onStateChange);
-    const { health, admission } = knowledge;
+    const { health, admission, speeds } = knowledge;
     const { slowStart } = admission;
     this.probes = new EngineProbes({
-      ...{ clock, directory, health, slowStart },
+      ...{ clock, directory, health, slowStart, speeds },
       onChange: () => this.scheduleAll(),
     });
     this.findings = new EngineFindings({ clock, directory, knowledge, probes: this.probes });
@@ -323,6 +323,7 @@
       waitedMs: Math.round(waitedMs),
       expectedMs: toLoggedWait(expectedMs),
       lacked: waitReason,
+      ...this.knowledge.speeds.describe(pair.decode, this.clock.now()),
     });
     this.resolveRequest(pool, request, ok(placed));
   }
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -25,6 +25,7 @@
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
+import { deliverResponse } from './deliverResponse.ts';
 import { StreamTimer } from './StreamTimer.ts';
 import type { TurnRegistry } from './TurnRegistry.ts';
 
@@ -266,10 +267,7 @@
       yield { type: 'refused', refusal: reply.error };
       return;
     }
-    const { status, headers, body, endsWithConnection } = reply.value;
-    yield { type: 'head', status, headers, endsWithConnection };
-    yield { type: 'data', bytes: body };
-    yield { type: 'done' };
+    yield* deliverResponse(reply.value);
   }
 
   private remainingMs({ deadlineAt }: RoutedCall): Millis {
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -6,8 +6,8 @@
 import { claimRefusal } from '@camphorvane/store';
 import type { UpstreamResponse, UpstreamError } from '@camphorvane/upstream';
 import { hasFailedToConnect, reachedNoUpstream } from '@camphorvane/upstream';
-import { ResultAsync, err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import { err, errAsync, ok } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
 import type { RateGate, RetryGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -21,9 +21,11 @@
 import { serviceCallDigest, serviceRetryTarget } from './resolvedCall.ts';
 import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
 import {
+  areAllFull,
   errorStatusFailure,
   hasFailed,
   MIN_FAILURE_STATUS,
+  serverRemoved,
   withExecution,
 } from './serviceAttempts.ts';
 import type { ServiceQueues } from './ServiceQueues.ts';
@@ -104,9 +106,13 @@
           : ok({ ...errorAnswer, replayed: false });
       }
       if (outcome.type === 'answer' && outcome.answer.status < MIN_FAILURE_STATUS) {
+        errorAnswer?.release?.();
         return ok({ ...outcome.answer, replayed: false });
       }
-      if (outcome.type === 'answer') errorAnswer = outcome.answer;
+      if (outcome.type === 'answer') {
+        errorAnswer?.release?.();
+        errorAnswer = outcome.answer;
+      }
       failures.push(outcome.type === 'answer' ? errorStatusFailure(outcome.server) : outcome);
       if (call.signal.aborted) break;
     }
@@ -119,7 +125,7 @@
     if (last === undefined) return true;
     const now = this.options.clock.now();
     if (now >= call.policy.deadlineAt) return false;
-    if (reachedNoUpstream(last.error)) return true;
+    if (reachedNoUpstream(last.error)) return !areAllFull(call, failures);
     return this.options.retryGate.tryRetry(serviceRetryTarget(call, last.server), now);
   }
 
@@ -242,7 +248,7 @@
       !outcome.error.dispatched &&
       failures.length + 1 < MAX_CALL_ATTEMPTS &&
       !call.signal.aborted &&
-      this.mayRetry(call, [outcome])
+      this.mayRetry(call, [...failures, outcome])
     ) {
       failures.push(outcome);
       outcome = await this.attemptOnce(call, failures);
@@ -277,6 +283,7 @@
     }
     const result = await this.dispatch(call, queueCall, chosen.value);
     fairQueues.release(held);
+    // Also where a rest is still to be read: the server has run the call, and a slow caller must not keep its slot.
     queues.releaseServer(call.service.id, queueCall, chosen.value, hasFailed(result));
     this.recordCrash(call, chosen.value, result);
     this.recordReachability(chosen.value, result);
@@ -320,14 +327,7 @@
     server: UpstreamId,
   ): ResultAsync<UpstreamResponse, UpstreamError> {
     const client = this.options.directory.getServer(server)?.server;
-    if (client === undefined) {
-      const removed: UpstreamError = {
-        type: 'unreachable',
-        dispatched: false,
-        message: 'the server is no longer in the configuration',
-      };
-      return new ResultAsync(Promise.resolve(err(removed)));
-    }
+    if (client === undefined) return errAsync(serverRemoved());
     this.options.metrics.count('service.dispatched');
     // A non-idempotent call goes on after its caller disconnects: its answer is recorded for a retry.
     const signal = call.route.idempotent ? call.signal : new AbortController().signal;
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -17,6 +17,7 @@
   ServiceQueueDecision,
   TurnScheduler,
   UpstreamAdmission,
+  UpstreamSpeeds,
 } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -54,6 +55,8 @@
   readonly turns?: (service: ServiceId) => TurnScheduler | undefined;
   /** Gets the order of a service's waiting calls; undefined while that is off. */
   readonly order?: (service: ServiceId) => QueueOrder | undefined;
+  /** How fast servers are; absent where they are chosen by their load alone. */
+  readonly speeds?: UpstreamSpeeds;
   readonly metrics?: Metrics;
 }
 
@@ -154,10 +157,18 @@
     const startedAt = entry.startedAt.get(call.request);
     entry.startedAt.delete(call.request);
     const heldMs = startedAt === undefined ? undefined : now - startedAt;
+    if (heldMs !== undefined && !failed) this.recordCall(server, heldMs, now);
     entry.queue.callEnded(call.team, server, failed, now, heldMs);
     this.schedule(entry);
   }
 
+  private recordCall(server: UpstreamId, tookMs: Millis, now: Millis): void {
+    const { speeds, metrics } = this.controls ?? {};
+    if (speeds?.isUsed() !== true) return;
+    speeds.recordCall(server, tookMs, now);
+    metrics?.timing('service.call', tookMs);
+  }
+
   /**
    * Gets when a service takes calls of this host again.
    *
@@ -182,7 +193,9 @@
     if (known !== undefined) return known;
     const entry: QueueEntry = {
       service,
-      queue: new ServiceQueue(this.random, this.controlsOf(service)),
+      queue: new ServiceQueue(this.random, this.controlsOf(service), (options, now) =>
+        this.controls?.speeds?.chooseServer(options, now),
+      ),
       resolvers: new Map(),
       startedAt: new Map(),
       cancelTimer: () => undefined,
@@ -248,6 +261,7 @@
           calls: entry.queue.callCount,
           share: Math.round(share * 10) / 10,
           asked: this.admission.constraints.describe(decision.server, this.clock.now()),
+          ...this.controls?.speeds?.describe(decision.server, this.clock.now()),
         });
         this.settle(entry, decision.request, ok(decision.server));
         break;
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -10,7 +10,7 @@
   TeamRate,
   VersionedConfig,
 } from '@camphorvane/core';
-import { RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
+import { NO_OVERLOAD_POLICY, RandomSource, sha256Hex, SystemClock } from '@camphorvane/core';
 import { EngineKnowledge, ServiceRetryBudget } from '@camphorvane/decisions';
 import { Host, Metrics } from '@camphorvane/router';
 import type { CoordinationContext, HostCoordination } from '@camphorvane/router';
@@ -28,6 +28,7 @@
 import { err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result, ResultAsync } from 'neverthrow';
 import { GossipRateGate } from '../../src/coordination/GossipRateGate.ts';
+import type { HostBuffers } from '../../src/buffers/HostBuffers.ts';
 import { UpstreamSignalRecorder } from '../../src/host/UpstreamSignalRecorder.ts';
 import { LocalPlacer } from '../../src/placing/LocalPlacer.ts';
 import { CrashGuard } from '../../src/serving/CrashGuard.ts';
@@ -66,6 +67,10 @@
   readonly retrySlack?: number;
   /** Rate of the team; unlimited where absent. */
   readonly rate?: TeamRate;
+  /** Bounds what the host buffers; the switch is on where given. */
+  readonly buffers?: HostBuffers;
+  /** Most calls that each server runs at once. */
+  readonly serverSlots?: number;
 }
 
 const LOAD: LoadReport = {
@@ -123,6 +128,7 @@
       },
       servers: (cfg) => this.server(cfg),
       metrics: new Metrics(),
+      buffers: options.buffers,
     });
     this.host.start();
   }
@@ -233,12 +239,15 @@
             id,
             url: `http://${id}`,
             zone: 'a',
-            maxConcurrent: 4,
+            maxConcurrent: this.options.serverSlots ?? 4,
           })),
         },
       ],
       waitRules: [],
-      overload: this.options.overload,
+      overload: this.options.overload ?? {
+        ...NO_OVERLOAD_POLICY,
+        boundedBuffers: this.options.buffers !== undefined,
+      },
       routes: [
         base,
         { ...plain, name: 'safe', pathPrefix: '/safe/', kind: 'idempotent' },
@@ -247,7 +256,13 @@
     };
   }
 
-  private agreement({ clock, directory, metrics, turns }: CoordinationContext): HostCoordination {
+  private agreement({
+    clock,
+    directory,
+    metrics,
+    turns,
+    speeds,
+  }: CoordinationContext): HostCoordination {
     const group = {
       members: () => [],
       coordinatorOf: () => undefined,
@@ -258,7 +273,7 @@
     };
     const { retrySlack: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
-    const knowledge = new EngineKnowledge();
+    const knowledge = new EngineKnowledge(undefined, speeds);
     const placer = new LocalPlacer({
       ...{ clock, random: new RandomSource(1), directory, knowledge, incarnation: 'i' },
       onStateChange: () => undefined,
--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import type { Clock, Millis } from '@camphorvane/core';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -5,6 +6,7 @@
 import type { Dispatcher } from 'undici';
 import type { UpstreamCall } from './UpstreamConnections.ts';
 import type { UpstreamError } from './ModelEngine.ts';
+import { PacedSocket } from './PacedSocket.ts';
 import { ProgressDeadline } from './ProgressDeadline.ts';
 
 /**
@@ -16,12 +18,14 @@
 /** Socket errors of an aborted connection; undici reports an orderly close with a code of its own. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
-/** Timeouts of one call. */
+/** Timeouts of one call, and the bound of what is read ahead. */
 export interface CallTimeouts {
   /** Milliseconds within which the response headers must arrive. */
   readonly headersTimeoutMs: Millis;
   /** Milliseconds without a byte of the body after which the call times out. */
   readonly bodyTimeoutMs: Millis;
+  /** Bytes that are read ahead of the reader before the connection pauses; undici's default if absent. */
+  readonly readAheadBytes?: number;
 }
 
 /**
@@ -43,6 +47,8 @@
 
   private closed = false;
 
+  private isDetached = false;
+
   /** True if the connection was aborted rather than closed in order. */
   private wasReset = false;
 
@@ -67,7 +73,7 @@
   }
 
   /**
-   * Makes one call and always closes its connection afterwards.
+   * Makes one call and closes its connection afterwards, unless it was detached.
    *
    * @param origin - Base URL of the upstream.
    * @param clock - Times the call.
@@ -89,10 +95,15 @@
     } catch (thrown) {
       return err(connection.classifyError(thrown));
     } finally {
-      connection.close();
+      if (!connection.isDetached) connection.close();
     }
   }
 
+  /** Leaves the connection open after {@link run}, until its reader calls {@link close}. */
+  detach(): void {
+    this.isDetached = true;
+  }
+
   /**
    * Sends the call.
    *
@@ -100,12 +111,14 @@
    * @returns Status and headers, with the body still to be read; rejects with the errors of undici.
    */
   async send(call: UpstreamCall): Promise<Dispatcher.ResponseData> {
+    const { readAheadBytes } = this.timeouts;
     const res = await this.client.request({
       method: call.method,
       path: call.path,
       headers: { ...call.headers },
       body: call.body,
       signal: this.deadline.getSignal(),
+      ...(readAheadBytes === undefined ? {} : { highWaterMark: readAheadBytes }),
     });
     this.deadline.setTimeoutMs(this.timeouts.bodyTimeoutMs);
     return res;
@@ -158,7 +171,11 @@
 
   /** Connects as undici does, and records whether the connection is reset. */
   private connector(): buildConnector.connector {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const { readAheadBytes } = this.timeouts;
+    const paced = readAheadBytes === undefined ? undefined : new PacedSocket();
+    // undici passes the options of its connector on to `net.connect`, though its types don't say so.
+    const onread = paced === undefined ? {} : { onread: paced.onread };
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...onread });
     return (options, callback) =>
       connect(options, (...args) => {
         const [, socket] = args;
@@ -170,7 +187,9 @@
         socket?.once('end', () => {
           this.wasReset ||= socket.remoteAddress === undefined;
         });
-        callback(...args);
+        if (paced === undefined || !socket) callback(...args);
+        // undici uses only the stream of a socket, and `ref` and `unref`.
+        else callback(null, paced.attach(socket) as unknown as Socket);
       });
   }
 
