Estimate the drain of a pool by what its full engines free

The expected drain rate followed from the streams that run now. The capacity now counts slots and memory of the decode engines.

--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -50,8 +50,8 @@
 
 /** Overload controls of a queue, and what its expected drain rate follows from. */
 export interface LocalQueueControls extends QueueControls {
-  /** Counts the running streams of all hosts; absent where waits are estimated by measurement only. */
-  readonly countRunning?: (now: Millis) => number;
+  /** Gets how many streams the engines run at once; absent where waits are estimated by measurement only. */
+  readonly streamCapacity?: (now: Millis) => number;
 }
 
 /**
@@ -215,12 +215,15 @@
     return this.canStart(lastRefused, now);
   }
 
-  /** The drain rate to expect: what all streams free, by this host's part of the waiting requests. */
+  /**
+   * The drain rate to expect: what full engines free, by this host's part of the waiting requests. The streams
+   * that run now free less in a burst after a quiet time, and requests would be refused beside free engines.
+   */
   private updatePrior(now: Millis): void {
     const own = Math.max(1, this.countOnTime(now));
     const part = own / (own + this.peersOnTime(now));
-    const running = this.controls.countRunning?.(now);
-    const capacity = running === undefined || running === 0 ? undefined : running * part;
+    const streams = this.controls.streamCapacity?.(now);
+    const capacity = streams === undefined || streams === 0 ? undefined : streams * part;
     this.admission.estimator.setPrior(capacity, this.admission.holds.get());
   }
 
--- a/packages/decisions/tests/local/LocalQueue.admission.test.ts
+++ b/packages/decisions/tests/local/LocalQueue.admission.test.ts
@@ -2,7 +2,12 @@
 import { test } from 'node:test';
 import type { EngineConfig, Millis, UpstreamId } from '@camphorvane/core';
 import { RandomSource } from '@camphorvane/core';
-import { EngineKnowledge, LocalPlacement, LocalQueue } from '@camphorvane/decisions';
+import {
+  EngineKnowledge,
+  LocalPlacement,
+  LocalQueue,
+  streamCapacity,
+} from '@camphorvane/decisions';
 
 const HOSTS = 4;
 const STEP_MS: Millis = 10;
@@ -67,11 +72,9 @@
     const { inFlight, peerBacklog } = knowledge;
     const placement = new LocalPlacement(knowledge);
     placement.setEngines(ENGINES);
-    const countRunning = (now: Millis): number =>
-      ENGINES.reduce((sum, { id }) => sum + inFlight.getTotal(id, now).streams, 0);
     const queue = new LocalQueue(placement, (now) => peerBacklog.sum('m', now), {
       isAdmissionOn: () => load.isAdmissionOn,
-      countRunning,
+      streamCapacity: (now) => streamCapacity(ENGINES, inFlight, now),
       report: (event) => {
         if (event.type === 'refused_while_idle') wrong += event.count;
       },
--- a/packages/peer/src/hints/optionalFields.ts
+++ b/packages/peer/src/hints/optionalFields.ts
@@ -26,7 +26,6 @@
   fixed: number,
   { usage, callTimes = [] }: OptionalFields,
 ): readonly unknown[] {
-  if (callTimes.length > 0)
-    return [...fields, usage ?? null, UNUSED, encodeCallTimes(callTimes)];
+  if (callTimes.length > 0) return [...fields, usage ?? null, UNUSED, encodeCallTimes(callTimes)];
   return usage === undefined ? withoutTrailingEmpty(fields, fixed) : [...fields, usage];
 }
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -15,6 +15,7 @@
   LocalQueue,
   meanMemoryTokens,
   QUEUE_RECHECK_MS,
+  streamCapacity,
 } from '@camphorvane/decisions';
 import type {
   EngineKnowledge,
@@ -227,17 +228,10 @@
       turns: () => turns?.(model),
       order: () => order?.(model),
       report: admissionReport(log, 'streams', model, metrics),
-      countRunning: (now) => this.countRunning(model, now),
+      streamCapacity: (now) => streamCapacity(this.enginesOf(model), this.knowledge.inFlight, now),
     };
   }
 
-  /** Counts the streams of all hosts on the decode engines of a model. */
-  private countRunning(model: ModelId, now: Millis): number {
-    return this.enginesOf(model)
-      .filter(({ role }) => role === 'decode')
-      .reduce((sum, { id }) => sum + this.knowledge.inFlight.getTotal(id, now).streams, 0);
-  }
-
   private updateEngines(pool: LocalPool, model: ModelId): void {
     pool.placement.setEngines(this.enginesOf(model));
   }
