--- a/packages/router/tests/serving/ServiceQueues.admission.test.ts
+++ b/packages/router/tests/serving/ServiceQueues.admission.test.ts
@@ -169,5 +169,5 @@
   const hostOf = (random: RandomSource): number => (random.next() < 0.01 ? 11 : random.int(0, 10));
   const load = { isAdmissionOn: true, perSecond: () => CAPACITY * 2, forMs: 5_000, hostOf };
   const { served, sent } = await simulate(load);
-  assert.ok((served[11] ?? 0) >= sent * 0.01 * 0.15, JSON.stringify(served));
+  assert.ok((served[11] ?? 0) >= sent * 0.01 * 0.2, JSON.stringify(served));
 });
--- a/packages/router/tests/serving/admissionSwitch.test.ts
+++ b/packages/router/tests/serving/admissionSwitch.test.ts
@@ -54,7 +54,7 @@
   assert.equal(off.served, 64, JSON.stringify(off));
   fleet.setOverload({ ...NO_OVERLOAD_POLICY, admission: true });
   const on = await sendMany(fleet, 64);
-  assert.ok(on.served >= 12 && on.served < 64, JSON.stringify(on));
+  assert.ok(on.served >= 16 && on.served < 64, JSON.stringify(on));
   const early = on.refusedAfterMs.filter((ms) => ms < 250);
   assert.ok(early.length >= on.refusedAfterMs.length * 0.7, JSON.stringify(on));
   assert.ok(
