Log each crash recorded of a request, and each request refused for them

One line and one counter each, with the digest of the content, tell apart whether hosts count for themselves, miss crashes or clear them. No decision changes; the refusals of completions moved to a file of their own.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -85,6 +85,11 @@
     return decisive === undefined ? undefined : decisive + this.opts.retentionMs - now;
   }
 
+  /** Gets the number of distinct upstreams that crashed while they ran a request. */
+  countCrashes(digest: string, now: Millis): number {
+    return this.getRecent(digest, now).size;
+  }
+
   /** Gets all recorded crashes, to be sent to a host that joins the group. */
   getReports(now: Millis): readonly CrashReport[] {
     return [...this.crashes.keys()].flatMap((digest) =>
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -144,7 +144,8 @@
       mayAct: () => group.mayAct(),
     });
     this.retryGate = teamRetryGate(new RetryBudget());
-    this.crashGuard = new CrashGuard({ self: identity.host, clock, group, link });
+    const { metrics } = context;
+    this.crashGuard = new CrashGuard({ self: identity.host, clock, group, link, metrics });
     const constraints = new UpstreamConstraints({
       self: identity.host,
       getSharers: () =>
@@ -155,7 +156,6 @@
       toTimeOfDay: wallTimeOf(clock),
     });
     this.admission = new UpstreamAdmission(undefined, constraints);
-    const { metrics } = context;
     this.signals = new UpstreamSignalRecorder(constraints, clock, metrics);
     const placing = { clock, random, directory, incarnation, metrics };
     this.coordinators = new CoordinatorRegistry({ ...placing, group });
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -157,6 +157,7 @@
       self: identity.host,
       clock,
       group: this,
+      metrics: options.metrics,
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, retentionMs: CRASH_BLOCK_MS },
     });
     const { config, hosts, rates, knowledge, signals } = this;
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -25,6 +25,8 @@
   | 'turns.returned'
   | 'upstream.signal'
   | 'upstream.withheld'
+  | 'crashes.recorded'
+  | 'crashes.blocked'
   | 'admission.refused'
   | 'admission.refused_while_idle'
   | 'shares.placed'
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -1,5 +1,5 @@
 import type { HostId, Millis, PoolConfig, Refusal } from '@camphorvane/core';
-import { notRun, outcomeUnknown, piecesFor, countPromptTokens } from '@camphorvane/core';
+import { notRun, piecesFor, countPromptTokens } from '@camphorvane/core';
 import { planResume } from '@camphorvane/decisions';
 import type { WorkItem } from '@camphorvane/decisions';
 import { reachedNoUpstream } from '@camphorvane/upstream';
@@ -16,17 +16,17 @@
 import { CompletionAttempt } from './CompletionAttempt.ts';
 import type { CrashGuard } from './CrashGuard.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
-import { abortRefusal } from './abortRefusal.ts';
+import { budgetSpent, completionRefusal, enginesFailed } from './completionRefusals.ts';
 import { RateQueue } from './RateQueue.ts';
 import type { ResolvedCompletion, ServingEvent } from './resolvedCompletion.ts';
 import {
   completionDigest,
+  guardedCompletion,
   finalEvent,
   MAX_COMPLETION_ATTEMPTS,
   attemptMayHaveExecuted,
   completionRetryTarget,
   chargeableTokens,
-  mayHaveExecuted,
   streamLimits,
 } from './resolvedCompletion.ts';
 import { promptPrefixes } from './promptPrefixes.ts';
@@ -136,7 +136,10 @@
       attemptsLeft -= 1;
       const placement = await this.reserveNext(completion, pool, progress);
       if (placement.isErr()) {
-        yield { type: 'refused', refusal: this.refusalFor(completion, progress, placement.error) };
+        yield {
+          type: 'refused',
+          refusal: completionRefusal(completion, progress, placement.error),
+        };
         return;
       }
       const outcome = yield* this.runAttempt(completion, pool, progress, placement.value);
@@ -147,11 +150,11 @@
       }
       const refusal = this.refusalAfter(completion, pool, progress, outcome);
       if (refusal !== undefined) {
-        yield { type: 'refused', refusal: this.refusalFor(completion, progress, refusal) };
+        yield { type: 'refused', refusal: completionRefusal(completion, progress, refusal) };
         return;
       }
     }
-    yield { type: 'refused', refusal: this.refusalFor(completion, progress, enginesFailed()) };
+    yield { type: 'refused', refusal: completionRefusal(completion, progress, enginesFailed()) };
   }
 
   /** Reserves engines for the next attempt, unless the request has been quarantined. */
@@ -160,7 +163,7 @@
     pool: PoolConfig,
     progress: CompletionProgress,
   ): Promise<Result<EnginePlacement, Refusal>> {
-    const quarantined = this.options.crashGuard.refusalFor(progress.digest);
+    const quarantined = this.options.crashGuard.refusalFor(guardedCompletion(completion, progress));
     if (quarantined !== undefined) return err(quarantined);
     const placement = await this.reserve(completion, pool, progress);
     const isFirst = progress.getAvoidedEngines().length === 0;
@@ -191,7 +194,11 @@
     progress.recordFailure(outcome.engine);
     if (attemptMayHaveExecuted(completion, outcome)) progress.recordExecution();
     if (completion.signal.aborted) return enginesFailed();
-    this.options.crashGuard.recordFailure(progress.digest, outcome.engine, outcome.error);
+    this.options.crashGuard.recordFailure(
+      guardedCompletion(completion, progress),
+      outcome.engine,
+      outcome.error,
+    );
     if (progress.getExecutionCount() >= completion.policy.maxExecutions) return enginesFailed();
     const now = this.options.clock.now();
     const plan = planResume(
@@ -323,25 +330,4 @@
     }
     return ok(pool);
   }
-
-  /** Sets a refusal's `execution`, which must not be `not_run` once an engine may have run the request. */
-  private refusalFor(
-    completion: ResolvedCompletion,
-    progress: CompletionProgress,
-    refusal: Refusal,
-  ): Refusal {
-    const reason = completion.signal.aborted ? abortRefusal(completion.signal) : refusal;
-    return mayHaveExecuted(completion, progress)
-      ? { ...reason, execution: 'unknown' }
-      : { ...reason, execution: 'not_run' };
-  }
-}
-
-function enginesFailed(): Refusal {
-  return outcomeUnknown('upstream_failed', 'The engines that ran this request failed.');
-}
-
-function budgetSpent(): Refusal {
-  const text = 'The engine failed, and the retry budget is spent.';
-  return { ...outcomeUnknown('retry_budget_spent', text), retryAfterMs: 2_000 };
 }
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -1,25 +1,40 @@
-import type { Clock, HostId, Millis, Refusal, UpstreamId } from '@camphorvane/core';
+import type { Clock, HostId, Millis, Refusal, RequestId, UpstreamId } from '@camphorvane/core';
 import { notRun, sha256Hex } from '@camphorvane/core';
 import { CrashSuspects } from '@camphorvane/decisions';
 import type { CrashReport, CrashSuspectsOptions } from '@camphorvane/decisions';
 import type { PeerLink } from '@camphorvane/peer';
 import type { UpstreamError } from '@camphorvane/upstream';
 import type { GroupGate } from '../host/ports.ts';
+import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
 
 /** Milliseconds to wait for a peer to acknowledge a crash report. */
 const REPORT_TIMEOUT_MS: Millis = 1_000;
 
+/** Characters of a digest in the log; the digests of a day's requests differ in them. */
+const LOGGED_DIGEST_LENGTH = 16;
+
+const log = eventLog('crashes');
+
 /** Options of a `CrashGuard`. */
 export interface CrashGuardOptions {
   readonly self: HostId;
   readonly clock: Clock;
   readonly group: GroupGate;
+  readonly metrics: Metrics;
   /** Sends crash reports to the other hosts; absent where hosts have no peer link. */
   readonly link?: PeerLink;
   /** When a request is quarantined; defaults apply to limits that are not given. */
   readonly suspicion?: Partial<CrashSuspectsOptions>;
 }
 
+/** A request whose crashes are counted. */
+export interface GuardedRequest {
+  readonly id: RequestId;
+  /** Digest of the request's content; see {@link CrashGuard.digestOf}. */
+  readonly digest: string;
+}
+
 /**
  * Quarantines requests that crash the upstreams which run them.
  *
@@ -49,12 +64,17 @@
   /**
    * Gets the refusal of a quarantined request.
    *
-   * @param digest - The request's digest.
+   * @param request - The request.
    * @returns The refusal, or undefined where the request may run.
    */
-  refusalFor(digest: string): Refusal | undefined {
-    const quarantineMs = this.suspects.getBlockedMs(digest, this.options.clock.now());
+  refusalFor({ id, digest }: GuardedRequest): Refusal | undefined {
+    const now = this.options.clock.now();
+    const quarantineMs = this.suspects.getBlockedMs(digest, now);
     if (quarantineMs === undefined) return undefined;
+    this.options.metrics.count('crashes.blocked');
+    const crashes = this.suspects.countCrashes(digest, now);
+    const retryAfterMs = Math.round(quarantineMs);
+    log('request_blocked', { id, digest: shorten(digest), crashes, retryAfterMs });
     const text = 'Several upstreams crashed while running this request; it is quarantined for now.';
     return notRun('suspected_crasher', text, quarantineMs);
   }
@@ -62,14 +82,14 @@
   /**
    * Records a failed attempt, and reports it to the group if the upstream seems to have crashed.
    *
-   * @param digest - The request's digest.
+   * @param request - The request.
    * @param upstream - The upstream that ran it.
    * @param error - The error; only `broken`, a connection that broke off, counts as a crash.
    */
-  recordFailure(digest: string, upstream: UpstreamId, error: UpstreamError): void {
+  recordFailure(request: GuardedRequest, upstream: UpstreamId, error: UpstreamError): void {
     if (error.type !== 'broken') return;
-    const report: CrashReport = { digest, upstream, ageMs: 0 };
-    this.suspects.recordCrash(report, this.options.clock.now());
+    const report: CrashReport = { digest: request.digest, upstream, ageMs: 0 };
+    this.record(report, 'own', request.id);
     this.reportToGroup([report]);
   }
 
@@ -80,7 +100,7 @@
 
   /** Records crashes that other hosts reported. */
   receiveReports(reports: readonly CrashReport[]): void {
-    reports.forEach((report) => this.suspects.recordCrash(report, this.options.clock.now()));
+    reports.forEach((report) => this.record(report, 'peer'));
   }
 
   /** Gets the number of suspected requests, for the state dump. */
@@ -88,6 +108,15 @@
     return { suspected: this.suspects.size };
   }
 
+  private record(report: CrashReport, from: 'own' | 'peer', id?: RequestId): void {
+    const { clock, metrics } = this.options;
+    const { digest, upstream: server, ageMs } = report;
+    this.suspects.recordCrash(report, clock.now());
+    metrics.count('crashes.recorded', { from });
+    const crashes = this.suspects.countCrashes(digest, clock.now());
+    log('crash_recorded', { id, digest: shorten(digest), server, from, ageMs, crashes });
+  }
+
   private reportToGroup(reports: readonly CrashReport[]): void {
     const { group, link, self } = this.options;
     if (link === undefined) return;
@@ -100,3 +129,7 @@
       });
   }
 }
+
+function shorten(digest: string): string {
+  return digest.slice(0, LOGGED_DIGEST_LENGTH);
+}
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -18,7 +18,7 @@
 import type { HeldCall } from './queuedWork.ts';
 import { queueOf } from './queuedWork.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
-import { serviceCallDigest, serviceRetryTarget } from './resolvedCall.ts';
+import { guardedCall, serviceRetryTarget } from './resolvedCall.ts';
 import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
 import {
   areAllFull,
@@ -80,7 +80,7 @@
   }
 
   private async serveCharged(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
-    const quarantined = this.options.crashGuard.refusalFor(serviceCallDigest(call));
+    const quarantined = this.options.crashGuard.refusalFor(guardedCall(call));
     if (quarantined !== undefined) return err(quarantined);
     if (call.route.idempotent) return this.serveIdempotent(call);
     const { claims } = this.options;
@@ -302,9 +302,9 @@
     server: UpstreamId,
     result: Result<UpstreamResponse, UpstreamError>,
   ): void {
-    const digest = serviceCallDigest(call);
-    if (result.isOk()) this.options.crashGuard.recordSuccess(digest);
-    else this.options.crashGuard.recordFailure(digest, server, result.error);
+    const request = guardedCall(call);
+    if (result.isOk()) this.options.crashGuard.recordSuccess(request.digest);
+    else this.options.crashGuard.recordFailure(request, server, result.error);
   }
 
   private recordReachability(
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -4,6 +4,7 @@
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
 import { CrashGuard } from './CrashGuard.ts';
+import type { GuardedRequest } from './CrashGuard.ts';
 
 /** Limits on the attempts of one service call. */
 export interface CallPolicy {
@@ -40,11 +41,8 @@
   return { team: call.caller.team.id, service: call.service.id, upstream };
 }
 
-export function serviceCallDigest({ caller, req }: ResolvedCall): string {
-  return CrashGuard.digestOf(
-    caller.team.id,
-    req.method,
-    req.path,
-    Buffer.from(req.body).toString('base64'),
-  );
+/** Gets what identifies a call and its repeats where crashes are counted. */
+export function guardedCall({ id, caller, req }: ResolvedCall): GuardedRequest {
+  const body = Buffer.from(req.body).toString('base64');
+  return { id, digest: CrashGuard.digestOf(caller.team.id, req.method, req.path, body) };
 }
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -17,6 +17,7 @@
 import type { AttemptOutcome, FailedAttempt, StreamLimits } from './completionAttemptPlan.ts';
 import type { CompletionProgress } from './CompletionProgress.ts';
 import { CrashGuard } from './CrashGuard.ts';
+import type { GuardedRequest } from './CrashGuard.ts';
 
 /** Attempts for one completion; with more, one bad prompt could reach every engine. */
 export const MAX_COMPLETION_ATTEMPTS = 4;
@@ -127,6 +128,14 @@
   return CrashGuard.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
 }
 
+/** Gets what identifies a completion and its repeats where crashes are counted. */
+export function guardedCompletion(
+  { id }: ResolvedCompletion,
+  { digest }: CompletionProgress,
+): GuardedRequest {
+  return { id, digest };
+}
+
 export function finalEvent(
   outcome: Exclude<AttemptOutcome, FailedAttempt>,
   progress: CompletionProgress,
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -296,7 +296,9 @@
       placer,
       admission: knowledge.admission,
       signals: new UpstreamSignalRecorder(knowledge.admission.constraints, clock, metrics),
-      crashGuard: new CrashGuard({ self: 'h', clock, group, suspicion: { minUpstreams: 3 } }),
+      crashGuard: new CrashGuard({
+        ...{ self: 'h', clock, group, metrics, suspicion: { minUpstreams: 3 } },
+      }),
       claims: undefined,
       abortsOnKeyWithdrawal: false,
       start: () => undefined,
