--- a/packages/router/tests/support/WatchableMemoryStore.ts
+++ b/packages/router/tests/support/WatchableMemoryStore.ts
@@ -31,11 +31,24 @@
 
   /** Gets the store interface with the calls that followers use. */
   asStore(): WatchableStore {
-    const store: Pick<WatchableStore, 'snapshot' | 'watch'> = {
+    const store: Omit<WatchableStore, 'get'> = {
       snapshot: (kind) =>
         this.isUnavailable
           ? new ResultAsync(Promise.resolve(err(UNAVAILABLE)))
           : okAsync({ objects: this.ofKind(kind), version: this.version }),
+      put: (kind, name, value, expected) => {
+        if (this.isUnavailable) return new ResultAsync(Promise.resolve(err(UNAVAILABLE)));
+        const current = this.find(kind, name);
+        if ((current?.version ?? 'absent') !== expected) {
+          return new ResultAsync(Promise.resolve(err({ type: 'conflict', current })));
+        }
+        this.put(kind, name, value);
+        return okAsync({ kind, name, version: this.version, value });
+      },
+      remove: (kind, name, expected) => {
+        if (this.find(kind, name)?.version === expected) this.remove(kind, name);
+        return okAsync(undefined);
+      },
       watch: (kind, _after, _waitMs, signal) =>
         new ResultAsync(
           new Promise<Result<WatchBatch, PlatformError>>((resolve) => {
@@ -49,6 +62,10 @@
     return store as WatchableStore;
   }
 
+  private find(kind: string, name: string): StoredObject | undefined {
+    return this.ofKind(kind).find((one) => one.name === name);
+  }
+
   private ofKind(kind: string): readonly StoredObject[] {
     return this.objects.filter((one) => one.kind === kind);
   }
