Share the crashes of a request among hosts that coordinate through the store

Callers saw streams of one engine after the other break off: a request that crashes the engine which runs it was refused by each host only after three crashes of its own, so 9 hosts let it through 13 times where three, and three more after the stable window, are allowed.

Cause: reports of crashes go out by the link between peers. Hosts of a store have none, and no field of their datagrams carried crashes.

Hints and digests now end with two lists: crashes of upstreams with the digests of the requests that ran there, and successes that clear them. New crashes are in every message for two seconds, those of requests with several crashes again and again until they expire, so that a host that starts or returns learns them. A relay passes on what it hears from all hosts.

Who ran beside the culprit must not be refused for it. A crash that a request with more crashes explains does not count for the others, and neither does one within ten seconds after a success, of any host, of the same content. Times of crashes are the earliest heard, since passing them on would make them younger each time. A request stays blocked for ten minutes after its last crash and not for one: the bound has no end, and 60 s let it through again three times. Processes that restart under one name count separately.

Before: 0 of 9 and 0 of 350 hosts refuse the request three seconds after its third crash, at a third host; now all do. The test of a block's end expected 599,500 ms from the second crash's newest report; it now expects the whole block from the last crash, and the age of the first report of each.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -13,6 +13,7 @@
 export * from './structures/IndexedHeap.ts';
 export * from './retry/RetryBudget.ts';
 export * from './retry/ResumePlan.ts';
+export * from './retry/CrashReport.ts';
 export * from './retry/CrashSuspects.ts';
 export * from './roles/DemandTracker.ts';
 export * from './roles/DemandHistory.ts';
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -1,46 +1,89 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
-
-/** A crash of an upstream while it ran a request, as hosts report it to each other. */
-export interface CrashReport {
-  /** Digest of the request's content, the same for each retry by its caller. */
-  readonly digest: string;
-  readonly upstream: UpstreamId;
-  /** Milliseconds since the crash; an age instead of a time, since hosts do not share a clock. */
-  readonly ageMs: Millis;
-}
+import type { CrashReport, SuspicionReports } from './CrashReport.ts';
+import { RecentAnswers } from './RecentAnswers.ts';
 
 /** Limits of a {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
   /** Distinct upstreams that must have crashed before a request is blocked. */
   readonly minUpstreams: number;
+  /** Milliseconds after its last crash for which a request is blocked. */
+  readonly blockMs: Millis;
   /** Milliseconds after which a crash no longer counts. */
   readonly retentionMs: Millis;
-  /** Most digests kept; the one whose last crash report is oldest is evicted first. */
+  /** Most digests kept. */
   readonly maxDigests: number;
 }
 
 /**
  * Default limits. One crash may be a coincidence, and each further one costs all streams of an engine.
- * Ten minutes outlast a caller's usual retries, and the block ends once engines have been repaired.
- * The number of digests keeps the memory under a megabyte.
+ * Ten minutes outlast a caller's usual retries, and the block ends once engines have been repaired. Crashes
+ * count for longer than that: a request that comes again after its block is blocked by its next crash.
+ * The number of digests keeps the memory at a few megabytes.
  */
 export const DEFAULT_CRASH_SUSPECTS: CrashSuspectsOptions = {
   minUpstreams: 2,
-  retentionMs: 600_000,
+  blockMs: 600_000,
+  retentionMs: 3_600_000,
   maxDigests: 5_000,
 };
 
+/** Whether a host detected something itself or learned it from a peer. */
+export type ReportOrigin = 'own' | 'peer';
+
+/** Whom a report is for: the peers of this host, or all hosts that a relay reports to. */
+export type ReportAudience = 'peers' | 'relayed';
+
+/** Characters of a digest that identify a request; the full digest would take four times the bytes. */
+const KEY_LENGTH = 16;
+
+/** Most upstreams that are kept for a request, the latest ones. */
+const MAX_UPSTREAMS = 16;
+
+/** Crashes from which on a request is reported until they expire: hosts that start or return need them. */
+const MIN_REPEATED_CRASHES = 2;
+
+/** Milliseconds for which a new crash is in every report, so that losing some of them does no harm. */
+const FRESH_MS: Millis = 2_000;
+
+/** Milliseconds between two reports of older crashes to peers. */
+const REPEAT_MS: Millis = 2_000;
+
+/** Most crashes in one report, about 4 KB. */
+const MAX_REPORTED = 192;
+
+/** Milliseconds within which all reports of an upstream are of one crash: a host that was frozen reads late. */
+const SAME_CRASH_MS: Millis = 30_000;
+
+interface Crash {
+  readonly at: Millis;
+  readonly isOwn: boolean;
+}
+
+type Crashes = ReadonlyMap<UpstreamId, Crash>;
+
 /**
  * Records which requests were running when upstreams crashed, and blocks those seen at several crashes.
  *
  * Guards against a request that crashes each upstream that runs it while its caller keeps retrying, so
  * that one engine after the other fails with all its streams. Requests are identified by a digest of
- * their content, since each retry by a caller has a new id. Requests that merely ran on the same engine
- * are suspected as well, so a complete answer clears a request and every record expires.
+ * their content, since each retry by a caller has a new id.
+ *
+ * Requests that merely ran on the same engine are suspected as well. A success clears a request, and a
+ * crash that a request with more crashes explains does not count for the others.
  */
 export class CrashSuspects {
-  /** Time of the last crash of each upstream by digest, in order of the last report of the digest. */
-  private readonly crashes = new Map<string, ReadonlyMap<UpstreamId, Millis>>();
+  /** Crashes by request, in order of the last new crash of the request. */
+  private readonly suspects = new Map<string, Crashes>();
+
+  /** Requests with several crashes. */
+  private readonly repeated = new Set<string>();
+
+  /** Until when a request is in every report. */
+  private readonly freshUntil = new Map<string, Millis>();
+
+  private readonly answers = new RecentAnswers();
+
+  private repeatedAt: Millis = -Infinity;
 
   private readonly opts: CrashSuspectsOptions;
 
@@ -51,25 +94,57 @@
 
   /** Gets the number of digests kept. */
   get size(): number {
-    return this.crashes.size;
+    return this.suspects.size;
+  }
+
+  /**
+   * Records a crash that this host or a peer detected; a repeated report counts once.
+   *
+   * @param report - The crash.
+   * @param now - Present time.
+   * @param origin - Who detected it.
+   * @returns Whether it was unknown.
+   */
+  recordCrash(report: CrashReport, now: Millis, origin: ReportOrigin = 'own'): boolean {
+    const { upstream, ageMs } = report;
+    if (ageMs >= this.opts.retentionMs) return false;
+    const key = toKey(report.digest);
+    const crashes = new Map(this.suspects.get(key));
+    const known = crashes.get(upstream);
+    const at = now - ageMs;
+    const isNew = known === undefined || at > known.at + SAME_CRASH_MS;
+    const isOwn = origin === 'own' || known?.isOwn === true;
+    // The earliest time: reports arrive late, and would move it forward each time that they are passed on.
+    crashes.set(upstream, { at: isNew ? at : Math.min(at, known.at), isOwn });
+    if (!isNew) {
+      this.suspects.set(key, crashes);
+      return false;
+    }
+    this.suspects.delete(key);
+    this.suspects.set(key, newestCrashes(crashes));
+    if (crashes.size >= MIN_REPEATED_CRASHES) this.repeated.add(key);
+    this.freshUntil.set(key, now + FRESH_MS);
+    this.evict();
+    return true;
   }
 
-  /** Records a crash that this host or a peer detected; a repeated report counts once. */
-  recordCrash(report: CrashReport, now: Millis): void {
-    const crashedAt = now - report.ageMs;
-    if (report.ageMs >= this.opts.retentionMs) return;
-    const known = new Map(this.getRecent(report.digest, now));
-    known.set(report.upstream, Math.max(crashedAt, known.get(report.upstream) ?? -Infinity));
-    this.crashes.delete(report.digest);
-    this.crashes.set(report.digest, known);
-    if (this.crashes.size <= this.opts.maxDigests) return;
-    const oldest = this.crashes.keys().next();
-    if (!oldest.done) this.crashes.delete(oldest.value);
+  /**
+   * Records a success of a request, which clears it of earlier crashes.
+   *
+   * @param digest - Digest of the request's content.
+   * @param now - Present time.
+   * @param ageMs - Milliseconds since the success, for one that a peer reported.
+   */
+  recordAnswer(digest: string, now: Millis, ageMs?: Millis): void {
+    const key = toKey(digest);
+    const isOwn = ageMs === undefined;
+    if (isOwn && this.getCounted(key, now).length > 0) this.freshUntil.set(key, now + FRESH_MS);
+    this.answers.record(key, now - (ageMs ?? 0), isOwn);
   }
 
-  /** Clears a request that got its complete answer, so it did not cause the crashes. */
-  clear(digest: string): void {
-    this.crashes.delete(digest);
+  /** Gets the number of distinct upstreams whose crashes count against a request. */
+  countCrashes(digest: string, now: Millis): number {
+    return this.getUnexplained(toKey(digest), now).length;
   }
 
   /**
@@ -80,31 +155,113 @@
    * @returns Milliseconds, for the refusal's retry-after; undefined if the request may run.
    */
   getBlockedMs(digest: string, now: Millis): Millis | undefined {
-    const newestFirst = [...this.getRecent(digest, now).values()].sort((a, b) => b - a);
-    const decisive = newestFirst[this.opts.minUpstreams - 1];
-    return decisive === undefined ? undefined : decisive + this.opts.retentionMs - now;
+    const crashes = this.getUnexplained(toKey(digest), now);
+    if (crashes.length < this.opts.minUpstreams) return undefined;
+    const leftMs = Math.max(...crashes.map(([, { at }]) => at)) + this.opts.blockMs - now;
+    return leftMs > 0 ? leftMs : undefined;
   }
 
-  /** Gets the number of distinct upstreams that crashed while they ran a request. */
-  countCrashes(digest: string, now: Millis): number {
-    return this.getRecent(digest, now).size;
+  /**
+   * Gets what to report to other hosts: new crashes and successes for a short time, and the crashes of
+   * requests with several of them until they expire.
+   *
+   * @param now - Present time.
+   * @param audience - Peers get this host's own new crashes; a relay passes on those of all hosts.
+   * @returns The reports, those of the requests with most crashes first.
+   */
+  getReports(now: Millis, audience: ReportAudience): SuspicionReports {
+    const fresh = [...this.freshUntil].filter(([key, until]) => {
+      const isFresh = until > now && this.suspects.has(key);
+      if (!isFresh) this.freshUntil.delete(key);
+      return isFresh;
+    });
+    const freshKeys = fresh.map(([key]) => key).reverse();
+    const keys = new Set([...freshKeys, ...this.takeRepeated(now, audience)]);
+    const crashes = [...keys]
+      .map((digest) => ({ digest, crashes: this.getCounted(digest, now) }))
+      .sort((a, b) => b.crashes.length - a.crashes.length)
+      .flatMap((one) =>
+        one.crashes
+          .filter(
+            ([, { isOwn }]) =>
+              isOwn || audience === 'relayed' || one.crashes.length >= MIN_REPEATED_CRASHES,
+          )
+          .map(([upstream, { at }]) => ({ digest: one.digest, upstream, ageMs: now - at })),
+      )
+      .slice(0, MAX_REPORTED);
+    const answers = freshKeys
+      .flatMap((digest) => {
+        const answer = this.answers.get(digest);
+        const isReported = answer !== undefined && (answer.isOwn || audience === 'relayed');
+        return isReported ? [{ digest, ageMs: now - answer.at }] : [];
+      })
+      .slice(0, MAX_REPORTED);
+    return { crashes, answers };
+  }
+
+  /** Gets the crashes of blocked requests that this host detected one of itself, for hosts that start later. */
+  getBlockedReports(now: Millis): readonly CrashReport[] {
+    return [...this.repeated]
+      .filter((key) => this.getBlockedMs(key, now) !== undefined)
+      .map((digest) => ({ digest, crashes: this.getCounted(digest, now) }))
+      .filter(({ crashes }) => crashes.some(([, { isOwn }]) => isOwn))
+      .flatMap(({ digest, crashes }) =>
+        crashes.map(([upstream, { at }]) => ({ digest, upstream, ageMs: now - at })),
+      )
+      .slice(-MAX_REPORTED);
   }
 
-  /** Gets all recorded crashes, to be sent to a host that joins the group. */
-  getReports(now: Millis): readonly CrashReport[] {
-    return [...this.crashes.keys()].flatMap((digest) =>
-      [...this.getRecent(digest, now)].map(([upstream, at]) => ({
-        digest,
-        upstream,
-        ageMs: now - at,
-      })),
+  private takeRepeated(now: Millis, audience: ReportAudience): Iterable<string> {
+    if (audience === 'relayed') return this.repeated;
+    if (now - this.repeatedAt < REPEAT_MS) return [];
+    this.repeatedAt = now;
+    return this.repeated;
+  }
+
+  /** Gets the crashes of a request that no request with more crashes explains. */
+  private getUnexplained(key: string, now: Millis): readonly (readonly [UpstreamId, Crash])[] {
+    const own = this.getCounted(key, now);
+    if (own.length < this.opts.minUpstreams) return own;
+    const stronger = [...this.repeated]
+      .filter((other) => other !== key)
+      .map((other) => this.getCounted(other, now))
+      .filter((crashes) => crashes.length > own.length)
+      .map((crashes) => new Map(crashes));
+    return own.filter(
+      ([upstream, { at }]) =>
+        !stronger.some((crashes) => {
+          const other = crashes.get(upstream);
+          return other !== undefined && Math.abs(other.at - at) <= SAME_CRASH_MS;
+        }),
     );
   }
 
-  private getRecent(digest: string, now: Millis): ReadonlyMap<UpstreamId, Millis> {
-    const all = [...(this.crashes.get(digest) ?? [])];
-    const recent = all.filter(([, at]) => now - at < this.opts.retentionMs);
-    if (recent.length === 0) this.crashes.delete(digest);
-    return new Map(recent);
+  /** Gets the crashes of a request that neither have expired nor are cleared by a success. */
+  private getCounted(key: string, now: Millis): readonly (readonly [UpstreamId, Crash])[] {
+    const crashes = [...(this.suspects.get(key) ?? [])];
+    const since = Math.max(now - this.opts.retentionMs, this.answers.getClearedUntil(key));
+    const counted = crashes.filter(([, { at }]) => at > since);
+    if (counted.length < MIN_REPEATED_CRASHES) this.repeated.delete(key);
+    return counted;
   }
+
+  /** Drops the request whose last crash is oldest, one with a single crash if there is any. */
+  private evict(): void {
+    if (this.suspects.size <= this.opts.maxDigests) return;
+    const keys = [...this.suspects.keys()];
+    const dropped = keys.find((key) => !this.repeated.has(key)) ?? keys[0] ?? '';
+    this.suspects.delete(dropped);
+    this.repeated.delete(dropped);
+    this.freshUntil.delete(dropped);
+  }
+}
+
+function toKey(digest: string): string {
+  return digest.slice(0, KEY_LENGTH);
+}
+
+function newestCrashes(crashes: Crashes): Crashes {
+  if (crashes.size <= MAX_UPSTREAMS) return crashes;
+  const [oldest] = [...crashes].sort(([, a], [, b]) => a.at - b.at);
+  return new Map([...crashes].filter(([upstream]) => upstream !== oldest?.[0]));
 }
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -1,7 +1,14 @@
 import type { HostId, Incarnation, ServiceId, TeamId, Tokens, UpstreamId } from '@camphorvane/core';
-import type { CallTime, QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type {
+  CallTime,
+  QueueQuote,
+  SuspicionReports,
+  UpstreamReport,
+  UsageRow,
+} from '@camphorvane/decisions';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeCallTimes } from './callTimeCodec.ts';
+import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
 import { decodeUsage } from './usageCodec.ts';
@@ -32,6 +39,8 @@
 const FIXED_FIELDS = 17;
 /** Index of the call times, four places after the reports on upstreams. */
 const CALL_TIMES_INDEX = 20;
+/** Index of the reports on requests that were running on upstreams that crashed. */
+const SUSPICION_INDEX = 21;
 
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
@@ -80,6 +89,8 @@
   readonly usage?: readonly UsageRow[];
   /** How fast upstreams were lately; absent where nothing is reported. */
   readonly callTimes?: readonly CallTime[];
+  /** Requests that were running on upstreams that crashed; absent where nothing is reported. */
+  readonly suspicion?: SuspicionReports;
 }
 
 /**
@@ -150,8 +161,9 @@
   const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
+  const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
   if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
-  if (quotes === undefined || usage === undefined) return undefined;
+  if (quotes === undefined || usage === undefined || suspicion === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
   const demandHints = decodeRows(demandRows, decodeDemandHint);
   const moveHints = decodeRows(moveRows, decodeRoleChangeHint);
@@ -169,6 +181,7 @@
     quotes,
     ...usage,
     ...(callTimes.length === 0 ? {} : { callTimes }),
+    ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -7,7 +7,13 @@
   Tokens,
   UpstreamId,
 } from '@camphorvane/core';
-import type { CallTime, QueueQuote, UpstreamReport, UsageRow } from '@camphorvane/decisions';
+import type {
+  CallTime,
+  QueueQuote,
+  SuspicionReports,
+  UpstreamReport,
+  UsageRow,
+} from '@camphorvane/decisions';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -25,6 +31,7 @@
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeCallTimes } from './callTimeCodec.ts';
+import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
 import { decodeUsage } from './usageCodec.ts';
@@ -37,6 +44,8 @@
 const FIXED_FIELDS = 14;
 /** Index of the call times, four places after the reports on upstreams. */
 const CALL_TIMES_INDEX = 17;
+/** Index of the reports on requests that were running on upstreams that crashed. */
+const SUSPICION_INDEX = 18;
 
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
@@ -84,6 +93,8 @@
   readonly usage?: readonly UsageRow[];
   /** How fast upstreams were lately; absent where nothing is reported. */
   readonly callTimes?: readonly CallTime[];
+  /** Requests that were running on upstreams that crashed; absent where nothing is reported. */
+  readonly suspicion?: SuspicionReports;
 }
 
 /**
@@ -138,6 +149,7 @@
   const [down, calls, nextMs, drainedRow, upstreamRows, quoteRows, usageRows] =
     fields.slice(DOWN_INDEX);
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
+  const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -156,7 +168,7 @@
   const quotes = decodeWaitQuotes(quoteRows);
   const usage = decodeUsage(usageRows);
   if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
-  if (quotes === undefined || usage === undefined) return undefined;
+  if (quotes === undefined || usage === undefined || suspicion === undefined) return undefined;
   const [leaving, digestFrequency, serving, watching] = Array.isArray(flags)
     ? (flags as readonly unknown[])
     : [];
@@ -181,5 +193,6 @@
     quotes,
     ...usage,
     ...(callTimes.length === 0 ? {} : { callTimes }),
+    ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
   };
 }
--- a/packages/peer/src/hints/optionalFields.ts
+++ b/packages/peer/src/hints/optionalFields.ts
@@ -1,14 +1,16 @@
-import type { CallTime, UsageRow } from '@camphorvane/decisions';
+import type { CallTime, SuspicionReports, UsageRow } from '@camphorvane/decisions';
 import { encodeCallTimes } from './callTimeCodec.ts';
 import { withoutTrailingEmpty } from './hintRowCodec.ts';
+import { encodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 
 /** Place of a field that no release has used yet. */
 const UNUSED: readonly never[] = [];
 
-/** Fields that a datagram has only where a control for overload reports them. */
+/** Fields that a datagram has only where there is something to report. */
 export interface OptionalFields {
   readonly usage?: readonly UsageRow[];
   readonly callTimes?: readonly CallTime[];
+  readonly suspicion?: SuspicionReports;
 }
 
 /**
@@ -24,8 +26,12 @@
 export function withOptionalFields(
   fields: readonly unknown[],
   fixed: number,
-  { usage, callTimes = [] }: OptionalFields,
+  { usage, callTimes = [], suspicion }: OptionalFields,
 ): readonly unknown[] {
+  if (suspicion !== undefined && !isEmptySuspicion(suspicion)) {
+    const times = encodeCallTimes(callTimes);
+    return [...fields, usage ?? null, UNUSED, times, encodeSuspicion(suspicion)];
+  }
   if (callTimes.length > 0) return [...fields, usage ?? null, UNUSED, encodeCallTimes(callTimes)];
   return usage === undefined ? withoutTrailingEmpty(fields, fixed) : [...fields, usage];
 }
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -3,6 +3,7 @@
   Millis,
   OverloadPolicy,
   RandomSource,
+  UpstreamId,
   VersionedConfig,
   ZoneId,
 } from '@camphorvane/core';
@@ -126,6 +127,11 @@
     void this.drainEntries?.run(signal);
   }
 
+  /** Gets when the process of a listed server was started, by the server's clock. */
+  getStartTime(server: UpstreamId): Millis | undefined {
+    return this.roster.list(this.options.clock.now()).find(({ id }) => id === server)?.bornAt;
+  }
+
   /** Gets the store versions of the last known changes of the configuration and the servers. */
   getVersions(): { readonly config: ObjectVersion; readonly servers: ObjectVersion } {
     return {
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -75,7 +75,10 @@
 }
 
 /** Fields of a digest beside the sums. */
-export type DigestHeader = Pick<HostDigest, 'host' | 'incarnation' | 'sequence' | 'silent'>;
+export type DigestHeader = Pick<
+  HostDigest,
+  'host' | 'incarnation' | 'sequence' | 'silent' | 'suspicion'
+>;
 
 /**
  * Collects the hints of many hosts and builds a digest of them for each receiver.
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -216,7 +216,7 @@
           : { type: 'membership', message };
       }
       case 'crashes':
-        this.crashGuard.receiveReports(req.reports);
+        this.crashGuard.receiveCrashes(req.reports);
         return { type: 'ok' };
       case 'share_sync':
         return this.shares.handleSync(from, req.message);
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -4,6 +4,7 @@
 import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { EngineProbes } from '../placing/EngineProbes.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
+import type { CrashGuard } from '../serving/CrashGuard.ts';
 import type { FairQueues } from '../serving/FairQueues.ts';
 import type { TurnRegistry } from '../serving/TurnRegistry.ts';
 import type { DeploymentFeed } from './DeploymentFeed.ts';
@@ -22,6 +23,7 @@
   readonly signals: UpstreamSignalRecorder;
   readonly fairQueues: FairQueues;
   readonly turns: TurnRegistry;
+  readonly crashGuard: CrashGuard;
 }
 
 /** Passes received hints and digests to the parts of this host that use them. */
@@ -53,6 +55,12 @@
     if (hint.usage !== undefined) fairQueues.usage.receive(hint.host, hint.usage, now);
     turns.receive(hint.host, hint.quotes);
     knowledge.speeds.receive(hint.callTimes ?? [], now);
+    this.receiveSuspicion(hint);
+  }
+
+  /** Receives what a hint or a digest reports of requests that crash upstreams. */
+  receiveSuspicion({ suspicion }: Pick<HostHint, 'suspicion'>): void {
+    if (suspicion !== undefined) this.options.crashGuard.receive(suspicion);
   }
 
   /** Receives the sums over all peers from a relay. */
@@ -75,6 +83,7 @@
     if (digest.usage !== undefined) fairQueues.usage.receiveSum(digest.usage, now);
     turns.receiveSum(digest.quotes);
     knowledge.speeds.receive(digest.callTimes ?? [], now);
+    this.receiveSuspicion(digest);
   }
 }
 
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
 import { InterruptibleSleep, sleep } from '@camphorvane/core';
-import type { GossipTimings } from '@camphorvane/decisions';
+import type { GossipTimings, SuspicionReports } from '@camphorvane/decisions';
 import { gossipTimings } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { eventLog } from '../observe/EventLog.ts';
@@ -38,8 +38,12 @@
   readonly roster: HostRoster;
   /** Gets the content of this host's next hint. */
   readonly hint: () => HintContent;
+  /** Gets what a relay reports to all hosts of requests that crash upstreams. */
+  readonly getRelayedSuspicion: () => SuspicionReports;
   /** Called in a full mesh with each hint of a peer that is newer than the last one. */
   readonly onHint: (hint: HostHint) => void;
+  /** Called on a relay with each hint that it adds to its digests. */
+  readonly onRelayedHint: (hint: HostHint) => void;
   /** Called with each digest of the relay that this host follows. */
   readonly onDigest: (digest: HostDigest) => void;
 }
@@ -160,15 +164,17 @@
     const withoutUsage = { ...sums, usage: undefined };
     const received = new Set(this.builder.getLiveHosts());
     const silent = roster.getPeers().filter((host) => !received.has(host));
+    const suspicion = this.options.getRelayedSuspicion();
     const due = subscribers.filter((subscriber) => this.isDue(subscriber, now));
     due.forEach(({ host, digests }) => {
       this.digestSentAt.set(host, now);
       const address = roster.getPeerAddress(host);
       // A standby host places no requests, and needs no usage.
       const hostSums = isUsageDue && digests === 'often' ? sums : withoutUsage;
-      if (address !== undefined) link.sendDigest(this.buildDigest(host, hostSums, silent), address);
+      if (address === undefined) return;
+      link.sendDigest(this.buildDigest(host, hostSums, silent, suspicion), address);
     });
-    this.receiveDigest(this.buildDigest(self, sums, silent));
+    this.receiveDigest(this.buildDigest(self, sums, silent, suspicion));
   }
 
   /** Tells whether a digest is due; one due within half an interval is sent now: the next round is late. */
@@ -182,10 +188,11 @@
     receiver: HostId,
     sums: AggregatedHints,
     silent: readonly HostId[],
+    suspicion: SuspicionReports,
   ): HostDigest {
     const { self, incarnation } = this.options;
     this.sequence += 1;
-    const head = { host: self, incarnation, sequence: this.sequence, silent };
+    const head = { host: self, incarnation, sequence: this.sequence, silent, suspicion };
     return this.builder.digestFor(receiver, sums, head);
   }
 
@@ -208,6 +215,7 @@
     }
     roster.receive(hint, clock.now());
     this.builder.receive(hint, clock.now());
+    this.options.onRelayedHint(hint);
   }
 
   private receiveDigest(digest: HostDigest): void {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
+import type { Clock, HostId, ModelId } from '@camphorvane/core';
 import { wallTimeOf } from '@camphorvane/core';
 import type { GossipTimings } from '@camphorvane/decisions';
 import {
@@ -18,6 +18,7 @@
 import type { RoleControl } from '../placing/RoleControl.ts';
 import { CrashGuard } from '../serving/CrashGuard.ts';
 import { serviceRetryGate } from '../serving/retryGates.ts';
+import { buildHintContent } from './buildHintContent.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { GossipRateGate } from './GossipRateGate.ts';
 import type {
@@ -38,9 +39,6 @@
 /** Number of upstreams that a request must crash before it is blocked; fewer may be coincidence. */
 const MIN_CRASHED_UPSTREAMS = 3;
 
-/** Milliseconds for which such a request is blocked; callers retry for some seconds. */
-const CRASH_BLOCK_MS: Millis = 60_000;
-
 /**
  * Coordination through the store and gossip, without coordinators.
  *
@@ -70,9 +68,9 @@
 
   private readonly options: StoreCoordinationOptions;
 
-  private readonly context: CoordinationContext;
+  readonly context: CoordinationContext;
 
-  private readonly clock: Clock;
+  readonly clock: Clock;
 
   private readonly hosts: HostRoster;
 
@@ -88,7 +86,7 @@
 
   private readonly gossip: PeerGossip;
 
-  private readonly knowledge: EngineKnowledge;
+  readonly knowledge: EngineKnowledge;
 
   private readonly roles: RoleControl;
 
@@ -158,13 +156,16 @@
       clock,
       group: this,
       metrics: options.metrics,
-      suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, retentionMs: CRASH_BLOCK_MS },
+      suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS },
+      getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
+    this.crashGuard.onCrash(() => this.gossip.recordStateChange());
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
       ...{ probes: this.placer.probes, calls: context.concurrencyShares, fairQueues },
       turns: context.turns,
+      crashGuard: this.crashGuard,
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -173,7 +174,9 @@
       link: options.hints,
       roster: this.hosts,
       hint: () => this.buildHint(),
+      getRelayedSuspicion: () => this.crashGuard.getReports('relayed'),
       onHint: (hint) => hintReceiver.receive(hint),
+      onRelayedHint: (hint) => hintReceiver.receiveSuspicion(hint),
       onDigest: (digest) => {
         hintReceiver.receiveDigest(digest);
         if (this.storePolling.hasLostWatchers()) this.config.pollNow();
@@ -299,24 +302,7 @@
   }
 
   private buildHint(): HintContent {
-    return {
-      leaving: this.leaving,
-      ...(this.isWatchingStore() ? { watching: true } : {}),
-      engines: [...this.knowledge.inFlight.getOwn()].map(([engine, load]) => ({ engine, ...load })),
-      charged: this.rates.getChargedTotals(),
-      demand: this.knowledge.demand
-        .getOwnTotals()
-        .map((one) => ({ ...one, onTimeWaiting: this.placer.countOnTime(one.model) })),
-      moves: this.knowledge.roleChanges.getOwnChanges(this.clock.now()),
-      down: this.placer.probes.getDownEngines(),
-      calls: [...this.context.concurrencyShares.countLocal()],
-      versions: this.config.getVersions(),
-      drained: this.config.drains.get(),
-      upstreams: this.admission.constraints.getReports(this.clock.now()),
-      usage: this.context.fairQueues.getReport(),
-      quotes: this.context.turns.getQuotes(),
-      callTimes: this.knowledge.speeds.getReports(this.clock.now()),
-    };
+    return buildHintContent(this, { leaving: this.leaving, watching: this.isWatchingStore() });
   }
 
   /** Gets how many hosts that are not leaving precede this one by name. */
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -1,7 +1,13 @@
 import type { Clock, HostId, Millis, Refusal, RequestId, UpstreamId } from '@camphorvane/core';
 import { notRun, sha256Hex } from '@camphorvane/core';
 import { CrashSuspects } from '@camphorvane/decisions';
-import type { CrashReport, CrashSuspectsOptions } from '@camphorvane/decisions';
+import type {
+  CrashReport,
+  CrashSuspectsOptions,
+  ReportAudience,
+  ReportOrigin,
+  SuspicionReports,
+} from '@camphorvane/decisions';
 import type { PeerLink } from '@camphorvane/peer';
 import type { UpstreamError } from '@camphorvane/upstream';
 import type { GroupGate } from '../host/ports.ts';
@@ -26,6 +32,8 @@
   readonly link?: PeerLink;
   /** When a request is quarantined; defaults apply to limits that are not given. */
   readonly suspicion?: Partial<CrashSuspectsOptions>;
+  /** Gets when the process that an upstream runs was started, where the upstream tells. */
+  readonly getStartTime?: (upstream: UpstreamId) => Millis | undefined;
 }
 
 /** A request whose crashes are counted. */
@@ -45,6 +53,8 @@
 
   private readonly suspects: CrashSuspects;
 
+  private readonly listeners: (() => void)[] = [];
+
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
     this.options = options;
@@ -88,32 +98,58 @@
    */
   recordFailure(request: GuardedRequest, upstream: UpstreamId, error: UpstreamError): void {
     if (error.type !== 'broken') return;
-    const report: CrashReport = { digest: request.digest, upstream, ageMs: 0 };
+    const startedAt = this.options.getStartTime?.(upstream);
+    const name = startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
+    const report: CrashReport = { digest: request.digest, upstream: name, ageMs: 0 };
     this.record(report, 'own', request.id);
     this.reportToGroup([report]);
+    this.listeners.forEach((recorded) => recorded());
   }
 
   /** Clears a request that got a complete answer. */
   recordSuccess(digest: string): void {
-    this.suspects.clear(digest);
+    this.suspects.recordAnswer(digest, this.options.clock.now());
   }
 
   /** Records crashes that other hosts reported. */
-  receiveReports(reports: readonly CrashReport[]): void {
+  receiveCrashes(reports: readonly CrashReport[]): void {
     reports.forEach((report) => this.record(report, 'peer'));
   }
 
+  /** Records what other hosts reported. */
+  receive({ crashes, answers }: SuspicionReports): void {
+    const now = this.options.clock.now();
+    this.receiveCrashes(crashes);
+    answers.forEach(({ digest, ageMs }) => this.suspects.recordAnswer(digest, now, ageMs));
+  }
+
+  /** Gets what to report to other hosts. */
+  getReports(audience: ReportAudience): SuspicionReports {
+    return this.suspects.getReports(this.options.clock.now(), audience);
+  }
+
+  /** Gets the crashes of quarantined requests, to be kept for hosts that start. */
+  getQuarantine(): readonly CrashReport[] {
+    return this.suspects.getBlockedReports(this.options.clock.now());
+  }
+
+  /** Registers a listener for each crash that this host records. */
+  onCrash(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
   /** Gets the number of suspected requests, for the state dump. */
   dump(): object {
     return { suspected: this.suspects.size };
   }
 
-  private record(report: CrashReport, from: 'own' | 'peer', id?: RequestId): void {
+  private record(report: CrashReport, from: ReportOrigin, id?: RequestId): void {
     const { clock, metrics } = this.options;
-    const { digest, upstream: server, ageMs } = report;
-    this.suspects.recordCrash(report, clock.now());
+    const { digest, upstream: server } = report;
+    if (!this.suspects.recordCrash(report, clock.now(), from)) return;
     metrics.count('crashes.recorded', { from });
     const crashes = this.suspects.countCrashes(digest, clock.now());
+    const ageMs = Math.round(report.ageMs);
     log('crash_recorded', { id, digest: shorten(digest), server, from, ageMs, crashes });
   }
 
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -132,6 +132,8 @@
         quotes: [],
         usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
+      getRelayedSuspicion: () => ({ crashes: [], answers: [] }),
+      onRelayedHint: () => undefined,
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
         host.onVersions(hint.versions);
