Count as a crash what shows one, and nothing else

Callers could be refused for ten minutes though no upstream had crashed: any unusable answer counted, such as one without a signature, one too large, or one that the host had no room for. The other way round, an engine that fell silent and did not answer a probe was not counted, so that a request which makes engines go dark was never held back.

Cause: the guard took every error of type 'broken', and only those. Errors now say whether the upstream answered, and whether it failed a probe; a stream that ends in the middle of an event counts as cut off. A call that only times out still doesn't count: it may be slow.

--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -10,6 +10,7 @@
 } from '@camphorvane/decisions';
 import type { PeerLink } from '@camphorvane/peer';
 import type { UpstreamError } from '@camphorvane/upstream';
+import { mayHaveCrashed } from '@camphorvane/upstream';
 import type { GroupGate } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -94,10 +95,10 @@
    *
    * @param request - The request.
    * @param upstream - The upstream that ran it.
-   * @param error - The error; only `broken`, a connection that broke off, counts as a crash.
+   * @param error - The error; see `mayHaveCrashed`.
    */
   recordFailure(request: GuardedRequest, upstream: UpstreamId, error: UpstreamError): void {
-    if (error.type !== 'broken') return;
+    if (!mayHaveCrashed(error)) return;
     const startedAt = this.options.getStartTime?.(upstream);
     const name = startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
     const report: CrashReport = { digest: request.digest, upstream: name, ageMs: 0 };
--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -288,7 +288,8 @@
     if (this.nextPosition === undefined) this.startedAt = this.deps.clock.now();
     if (this.hasSwitched && position < expected) return;
     if (this.hasSwitched && position > expected) {
-      this.receiveFailure({ type: 'broken', dispatched: true, message: 'events are missing' });
+      const message = 'events are missing';
+      this.receiveFailure({ type: 'broken', dispatched: true, answered: true, message });
       return;
     }
     this.hasOrderedPositions &&= position === expected;
--- a/packages/router/src/serving/attemptEnds.ts
+++ b/packages/router/src/serving/attemptEnds.ts
@@ -38,6 +38,7 @@
   return {
     type: 'silent',
     dispatched: true,
+    isGone: true,
     message: 'the engine stalled and failed a probe',
   };
 }
--- a/packages/router/src/serving/serviceAttempts.ts
+++ b/packages/router/src/serving/serviceAttempts.ts
@@ -21,7 +21,7 @@
 /** Gets the failure of an attempt that a server answered with an error status. */
 export function errorStatusFailure(server: UpstreamId): FailedAttempt {
   const message = 'the server answered with an error status';
-  return { server, error: { type: 'broken', dispatched: true, message } };
+  return { server, error: { type: 'broken', dispatched: true, answered: true, message } };
 }
 
 /** Tells whether an attempt failed, or was answered with the failure of a server. */
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -90,6 +90,9 @@
 
   readonly host: Host;
 
+  /** Quarantine of the host. */
+  crashGuard!: CrashGuard;
+
   /** Has the host hear signals as if from an answer of an upstream. */
   signal: SignalListener = () => undefined;
 
@@ -273,6 +276,8 @@
     };
     const { retrySlack: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
+    const suspicion = { minUpstreams: 3 };
+    this.crashGuard = new CrashGuard({ self: 'h', clock, group, metrics, suspicion });
     const knowledge = new EngineKnowledge(undefined, speeds);
     const placer = new LocalPlacer({
       ...{ clock, random: new RandomSource(1), directory, knowledge, incarnation: 'i' },
@@ -296,9 +301,7 @@
       placer,
       admission: knowledge.admission,
       signals: new UpstreamSignalRecorder(knowledge.admission.constraints, clock, metrics),
-      crashGuard: new CrashGuard({
-        ...{ self: 'h', clock, group, metrics, suspicion: { minUpstreams: 3 } },
-      }),
+      crashGuard: this.crashGuard,
       claims: undefined,
       abortsOnKeyWithdrawal: false,
       start: () => undefined,
--- a/packages/upstream/src/HttpModelEngine.ts
+++ b/packages/upstream/src/HttpModelEngine.ts
@@ -246,11 +246,14 @@
   const message = `status ${res.statusCode}: ${text.slice(0, 200)}`;
   return res.statusCode < 500
     ? { type: 'rejected', dispatched: false, message }
-    : { type: 'broken', dispatched: true, message };
+    : { type: 'broken', dispatched: true, answered: true, message };
 }
 
 function parseBody<T>(text: string, schema: z.ZodType<T>): ResultAsync<T, UpstreamError> {
-  const broken: UpstreamError = { type: 'broken', dispatched: true, message: 'malformed response' };
+  const broken: UpstreamError = {
+    ...{ type: 'broken', dispatched: true, answered: true },
+    message: 'malformed response',
+  };
   try {
     const parsed = schema.safeParse(JSON.parse(text));
     return parsed.success ? okAsync(parsed.data) : errAsync(broken);
--- a/packages/upstream/src/HttpPlainServer.ts
+++ b/packages/upstream/src/HttpPlainServer.ts
@@ -100,7 +100,12 @@
   for await (const chunk of res.body) {
     size += chunk.length;
     if (size > MAX_RESPONSE_BYTES) {
-      return err({ type: 'broken', dispatched: true, message: 'response body too large' });
+      return err({
+        type: 'broken',
+        dispatched: true,
+        answered: true,
+        message: 'response body too large',
+      });
     }
     chunks.push(chunk);
   }
--- a/packages/upstream/src/ModelEngine.ts
+++ b/packages/upstream/src/ModelEngine.ts
@@ -36,8 +36,20 @@
       readonly isFull?: boolean;
       readonly message: string;
     }
-  | { readonly type: 'broken'; readonly dispatched: true; readonly message: string }
-  | { readonly type: 'silent'; readonly dispatched: boolean; readonly message: string }
+  | {
+      readonly type: 'broken';
+      readonly dispatched: true;
+      /** True where the upstream gave an answer that cannot be used; otherwise the connection broke off. */
+      readonly answered?: boolean;
+      readonly message: string;
+    }
+  | {
+      readonly type: 'silent';
+      readonly dispatched: boolean;
+      /** True where the upstream did not answer a probe either. */
+      readonly isGone?: boolean;
+      readonly message: string;
+    }
   | { readonly type: 'mismatch'; readonly dispatched: true; readonly message: string }
   | { readonly type: 'cancelled'; readonly dispatched: boolean; readonly message: string };
 
--- a/packages/upstream/src/decodeStream.ts
+++ b/packages/upstream/src/decodeStream.ts
@@ -45,7 +45,7 @@
       index += 1;
     }
   }
-  yield err(brokenError('stream ended before its done event'));
+  yield err(truncatedError());
 }
 
 function validateLine(
@@ -71,8 +71,12 @@
   }
 }
 
+function truncatedError(): UpstreamError {
+  return { type: 'broken', dispatched: true, message: 'stream ended before its done event' };
+}
+
 function brokenError(message: string): UpstreamError {
-  return { type: 'broken', dispatched: true, message };
+  return { type: 'broken', dispatched: true, answered: true, message };
 }
 
 function mismatchError(message: string): UpstreamError {
--- a/packages/upstream/src/upstreamErrors.ts
+++ b/packages/upstream/src/upstreamErrors.ts
@@ -52,6 +52,29 @@
   return error.type === 'unreachable' && !error.dispatched && error.answered !== true;
 }
 
+/**
+ * Tells whether an upstream seems to have crashed while it ran a request.
+ *
+ * @param error - How the attempt failed.
+ * @returns True where its connection broke off, or where it fell silent and did not answer a probe.
+ */
+export function mayHaveCrashed(error: UpstreamError): boolean {
+  switch (error.type) {
+    case 'broken':
+      return error.answered !== true;
+    case 'silent':
+      return error.isGone === true;
+    case 'unreachable':
+    case 'rejected':
+    case 'withheld':
+    case 'mismatch':
+    case 'cancelled':
+      return false;
+    default:
+      return error satisfies never;
+  }
+}
+
 function errorCode(thrown: unknown): string {
   if (typeof thrown !== 'object' || thrown === null) return '';
   const { code } = thrown as { readonly code?: unknown };
