Clear a request of its crashes by a success only

A request that crashes its engines was let through again after an answer that shows nothing about it: any answer cleared it, also a 500 of a server that fails part of its requests, before it had run the request. Now a whole answer with a status of 2xx is needed, and the end of a stream.

The test failed before with no crash left after a 500 and passes, for streams and for calls.

--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -2,7 +2,7 @@
 import { notRun, piecesFor, countPromptTokens } from '@camphorvane/core';
 import { planResume } from '@camphorvane/decisions';
 import type { WorkItem } from '@camphorvane/decisions';
-import { reachedNoUpstream } from '@camphorvane/upstream';
+import { isSuccessStatus, reachedNoUpstream } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateCharge, RateGate, RetryGate } from '../host/ports.ts';
@@ -144,7 +144,9 @@
       }
       const outcome = yield* this.runAttempt(completion, pool, progress, placement.value);
       if (outcome.type !== 'failed') {
-        this.options.crashGuard.recordSuccess(progress.digest);
+        if (outcome.type === 'done' || isSuccessStatus(outcome.head.status)) {
+          this.options.crashGuard.recordSuccess(progress.digest);
+        }
         yield finalEvent(outcome, progress);
         return;
       }
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -24,6 +24,7 @@
   areAllFull,
   errorStatusFailure,
   hasFailed,
+  isSuccess,
   MIN_FAILURE_STATUS,
   serverRemoved,
   withExecution,
@@ -303,8 +304,8 @@
     result: Result<UpstreamResponse, UpstreamError>,
   ): void {
     const request = guardedCall(call);
-    if (result.isOk()) this.options.crashGuard.recordSuccess(request.digest);
-    else this.options.crashGuard.recordFailure(request, server, result.error);
+    if (result.isErr()) this.options.crashGuard.recordFailure(request, server, result.error);
+    else if (isSuccess(result.value)) this.options.crashGuard.recordSuccess(request.digest);
   }
 
   private recordReachability(
--- a/packages/router/src/serving/serviceAttempts.ts
+++ b/packages/router/src/serving/serviceAttempts.ts
@@ -1,5 +1,6 @@
 import type { Refusal, UpstreamId } from '@camphorvane/core';
 import type { UpstreamError, UpstreamResponse } from '@camphorvane/upstream';
+import { isSuccessStatus } from '@camphorvane/upstream';
 import type { Result } from 'neverthrow';
 import type { ResolvedCall } from './resolvedCall.ts';
 
@@ -29,6 +30,11 @@
   return result.isErr() || result.value.status >= MIN_FAILURE_STATUS;
 }
 
+/** Tells whether a whole answer shows that the server has run the call to its end. */
+export function isSuccess({ status, rest }: UpstreamResponse): boolean {
+  return isSuccessStatus(status) && rest === undefined;
+}
+
 /** Sets a refusal's `execution` to `unknown` once a server may have run the call. */
 export function withExecution(refusal: Refusal, failures: readonly FailedAttempt[]): Refusal {
   const ran = failures.some((failure) => failure.error.dispatched);
--- a/packages/router/tests/serving/quarantine.test.ts
+++ b/packages/router/tests/serving/quarantine.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { errAsync } from 'neverthrow';
-import type { CallScript } from '../support/ForwardFleet.ts';
+import { errAsync, ok, okAsync } from 'neverthrow';
+import type { CallScript, DecodeScript } from '../support/ForwardFleet.ts';
 import { answerEnding, failingStream, ForwardFleet } from '../support/ForwardFleet.ts';
 
 after(() => ForwardFleet.stopAll());
@@ -14,6 +14,18 @@
   return fleet.crashGuard.getReports('peers').crashes.length;
 }
 
+/** Gets a script that reacts to the first request as one script, and to later ones as the other. */
+function inTurn<Args extends readonly unknown[], R>(
+  first: (...args: Args) => R,
+  later: (...args: Args) => R,
+): (...args: Args) => R {
+  let count = 0;
+  return (...args) => {
+    count += 1;
+    return count === 1 ? first(...args) : later(...args);
+  };
+}
+
 // Guards against blocking a request whose answers the host cannot use, while no upstream has crashed.
 test('an answer that cannot be used is no crash, and an upstream that is gone is one', async () => {
   const scripted = async (error: UpstreamError): Promise<number> => {
@@ -36,3 +48,36 @@
   assert.equal(await call(CRASHED), 1);
   assert.equal(await call({ ...CRASHED, answered: true }), 0);
 });
+
+// Guards against an error status, which shows nothing about the request, that clears its crashes.
+test('only a success clears a request of its crashes', async () => {
+  const streamed = async (status: number): Promise<readonly number[]> => {
+    const answer: DecodeScript = async function* script({ attempt }) {
+      yield ok({ type: 'answer', attempt, head: { status, headers: {} }, body: Buffer.from('') });
+    };
+    const script = inTurn(failingStream(0, CRASHED), answer);
+    const fleet = new ForwardFleet({ decodeScripts: { d1: script, d2: script } });
+    await fleet.send('/llm/x');
+    const reported = countReported(fleet);
+    await fleet.send('/llm/x');
+    assert.equal(fleet.decodes.length, 2);
+    return [reported, countReported(fleet)];
+  };
+  assert.deepEqual(await streamed(500), [1, 1]);
+  assert.deepEqual(await streamed(200), [1, 0]);
+  const called = async (status: number): Promise<readonly number[]> => {
+    const answer: CallScript = () => okAsync({ status, headers: {}, body: Buffer.from('') });
+    const script = inTurn<Parameters<CallScript>, ReturnType<CallScript>>(
+      () => errAsync(CRASHED),
+      answer,
+    );
+    const fleet = new ForwardFleet({ callScripts: { s1: script, s2: script } });
+    await fleet.send('/once/x');
+    const reported = countReported(fleet);
+    await fleet.send('/once/x');
+    assert.equal(fleet.calls.length, 2);
+    return [reported, countReported(fleet)];
+  };
+  assert.deepEqual(await called(500), [1, 1]);
+  assert.deepEqual(await called(200), [1, 0]);
+});
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -7,3 +7,4 @@
 export * from './upstreamErrors.ts';
 export * from './DedicatedConnection.ts';
 export type { UpstreamCall } from './UpstreamConnections.ts';
+export * from './isSuccessStatus.ts';
