Count the crash of an engine although the caller has left

A request that crashes its engines was not counted where its caller left in the moment of the crash: the handler returned for the caller's leaving before it recorded the crash. Callers that give up early and come back could so crash any number of engines through one host.

The test failed before with 0 crashes recorded, 1 expected, and passes.

--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -194,13 +194,13 @@
     outcome: FailedAttempt,
   ): Refusal | undefined {
     progress.recordFailure(outcome.engine);
-    if (attemptMayHaveExecuted(completion, outcome)) progress.recordExecution();
-    if (completion.signal.aborted) return enginesFailed();
     this.options.crashGuard.recordFailure(
       guardedCompletion(completion, progress),
       outcome.engine,
       outcome.error,
     );
+    if (attemptMayHaveExecuted(completion, outcome)) progress.recordExecution();
+    if (completion.signal.aborted) return enginesFailed();
     if (progress.getExecutionCount() >= completion.policy.maxExecutions) return enginesFailed();
     const now = this.options.clock.now();
     const plan = planResume(
--- a/packages/router/tests/serving/quarantine.test.ts
+++ b/packages/router/tests/serving/quarantine.test.ts
@@ -81,3 +81,15 @@
   assert.deepEqual(await called(500), [1, 1]);
   assert.deepEqual(await called(200), [1, 0]);
 });
+
+// Guards against crashes that are not counted because the caller left before the host noticed them.
+test('a crash counts although the caller has left', async () => {
+  const caller = new AbortController();
+  const script: DecodeScript = async function* crashing(cmd, signal) {
+    caller.abort();
+    yield* failingStream(0, CRASHED)(cmd, signal);
+  };
+  const fleet = new ForwardFleet({ decodeScripts: { d1: script, d2: script } });
+  await fleet.send('/llm/x', {}, caller.signal);
+  assert.equal(countReported(fleet), 1);
+});
