Ask again whether a request is quarantined before each send

A request could reach an upstream seconds after its host knew that it crashes them: the question was asked before the wait for an engine, and for calls only once, before all waits and retries. A decode followed its prefill whatever had been learned in between.

Now it is asked when the wait ends, for each retry of a call, and between prefill and decode. What was reserved is given back. The claim of a call moved to a file of its own.

--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -3,7 +3,7 @@
 import type { ModelEngine, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import { reachedNoUpstream } from '@camphorvane/upstream';
 import { eventLog } from '../observe/EventLog.ts';
-import { reservationEnd, unconfigured } from './attemptEnds.ts';
+import { quarantined, reservationEnd, unconfigured } from './attemptEnds.ts';
 import { DecodeStage } from './DecodeStage.ts';
 import type {
   AttemptEvent,
@@ -80,6 +80,7 @@
     if (prefill.type === 'failed') return prefill;
     const transfer = await this.transfer(decodeEngine, prefill.result, placement.prefill);
     if (transfer !== undefined) return transfer;
+    if (this.plan.guard.isBlocked()) return this.failed(decodeEngine.id, 'decode', quarantined());
     return yield* this.decodeWithFailover(decodeEngine, prefill.result);
   }
 
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -159,20 +159,26 @@
     yield { type: 'refused', refusal: completionRefusal(completion, progress, enginesFailed()) };
   }
 
-  /** Reserves engines for the next attempt, unless the request has been quarantined. */
+  /** Reserves engines for the next attempt, unless the request has been quarantined, also while it waits. */
   private async reserveNext(
     completion: ResolvedCompletion,
     pool: PoolConfig,
     progress: CompletionProgress,
   ): Promise<Result<EnginePlacement, Refusal>> {
-    const quarantined = this.options.crashGuard.refusalFor(guardedCompletion(completion, progress));
+    const { crashGuard, placements } = this.options;
+    const request = guardedCompletion(completion, progress);
+    const quarantined = crashGuard.refusalFor(request);
     if (quarantined !== undefined) return err(quarantined);
     const placement = await this.reserve(completion, pool, progress);
+    if (placement.isErr()) return placement;
+    const quarantinedSince = crashGuard.refusalFor(request);
+    if (quarantinedSince !== undefined) {
+      void placements.release(pool.model, placement.value.reservation, 'caller_gone');
+      return err(quarantinedSince);
+    }
     const isFirst = progress.getAvoidedEngines().length === 0;
-    return placement.map((pair) => {
-      if (isFirst) this.recordFirstAttempt(completion, pool, pair);
-      return pair;
-    });
+    if (isFirst) this.recordFirstAttempt(completion, pool, placement.value);
+    return placement;
   }
 
   private recordFirstAttempt(
@@ -252,6 +258,7 @@
       fromPosition: progress.getNextPosition(),
       maxTokens: completion.maxTokens,
       limits: streamLimits(completion.policy),
+      guard: this.options.crashGuard.guardFor(guardedCompletion(completion, progress)),
       tryRetry: () =>
         this.options.retryGate.tryRetry(
           completionRetryTarget(completion, pool, placement.decode),
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -14,6 +14,7 @@
 import type { GroupGate } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import type { RequestGuard } from './RequestGuard.ts';
 
 /** Milliseconds to wait for a peer to acknowledge a crash report. */
 const REPORT_TIMEOUT_MS: Millis = 1_000;
@@ -107,6 +108,15 @@
     this.listeners.forEach((recorded) => recorded());
   }
 
+  /** Gets the guard of one request, for its further attempts. */
+  guardFor(request: GuardedRequest): RequestGuard {
+    return {
+      recordFailure: (upstream, error) => this.recordFailure(request, upstream, error),
+      isBlocked: () =>
+        this.suspects.getBlockedMs(request.digest, this.options.clock.now()) !== undefined,
+    };
+  }
+
   /** Clears a request that got a complete answer. */
   recordSuccess(digest: string): void {
     this.suspects.recordAnswer(digest, this.options.clock.now());
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -1,8 +1,8 @@
 import type { ServiceResponse } from '@camphorvane/caller';
 import type { Clock, HostId, Incarnation, Millis, Refusal, UpstreamId } from '@camphorvane/core';
-import { notRun, outcomeUnknown, sha256Hex } from '@camphorvane/core';
+import { notRun, outcomeUnknown } from '@camphorvane/core';
 import type { ServiceQueueCall, UpstreamAdmission } from '@camphorvane/decisions';
-import type { Claim, ClaimRequest, IdempotencyClaims } from '@camphorvane/store';
+import type { Claim, IdempotencyClaims } from '@camphorvane/store';
 import { claimRefusal } from '@camphorvane/store';
 import type { UpstreamResponse, UpstreamError } from '@camphorvane/upstream';
 import { hasFailedToConnect, reachedNoUpstream } from '@camphorvane/upstream';
@@ -15,6 +15,7 @@
 import type { CrashGuard } from './CrashGuard.ts';
 import type { FairQueues } from './FairQueues.ts';
 import { abortRefusal } from './abortRefusal.ts';
+import { claimRequestOf } from './claimRequestOf.ts';
 import type { HeldCall } from './queuedWork.ts';
 import { queueOf } from './queuedWork.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
@@ -181,7 +182,7 @@
     call: ResolvedCall,
     claims: IdempotencyClaims,
   ): Promise<Result<ServiceResponse, Refusal>> {
-    const req = this.claimRequest(call);
+    const req = claimRequestOf(call, this.options.self);
     if (req.isErr()) return err(req.error);
     const outcome = await claims.claim(req.value);
     if (outcome.type === 'claimed') return this.runClaimed(call, claims, outcome.claim);
@@ -222,24 +223,6 @@
     }
   }
 
-  private claimRequest(call: ResolvedCall): Result<ClaimRequest, Refusal> {
-    const { idempotencyKey, method, path, body } = call.req;
-    if (idempotencyKey === undefined) {
-      const text = 'This call runs at most once and needs an Idempotency-Key header.';
-      return err(notRun('idempotency_key_required', text));
-    }
-    const [pathname = ''] = path.split('?');
-    return ok({
-      team: call.caller.team.id,
-      service: call.service.id,
-      route: `${method} ${pathname}`,
-      key: idempotencyKey,
-      requestDigest: sha256Hex(`${method} ${path}\n${Buffer.from(body).toString('base64')}`),
-      attempt: call.id,
-      ...this.options.self,
-    });
-  }
-
   /** Retries on other servers only while the call cannot have reached one. */
   private async attemptUntilDispatched(call: ResolvedCall): Promise<AttemptOutcome> {
     const failures: FailedAttempt[] = [];
@@ -278,6 +261,12 @@
     const chosen = await queues.acquireServer(call.service.id, queueCall, call.signal);
     fairQueues.leave(queueOf(held), request, chosen.isErr());
     if (chosen.isErr()) return { type: 'refused', refusal: chosen.error };
+    const quarantined = this.options.crashGuard.refusalFor(guardedCall(call));
+    if (quarantined !== undefined) {
+      fairQueues.release(held);
+      queues.releaseServer(call.service.id, queueCall, chosen.value, false);
+      return { type: 'refused', refusal: quarantined };
+    }
     if (failures.length === 0) {
       const attempted = { team: team.id, service: call.service.id };
       this.options.retryGate.recordAttempt(attempted, [chosen.value], this.options.clock.now());
--- a/packages/router/src/serving/attemptEnds.ts
+++ b/packages/router/src/serving/attemptEnds.ts
@@ -33,6 +33,11 @@
   };
 }
 
+/** Gets the error of a request that was not sent on, since it has crashed several upstreams. */
+export function quarantined(): UpstreamError {
+  return { type: 'withheld', dispatched: false, message: 'the request is quarantined' };
+}
+
 /** Gets the error for an engine that disappeared without closing its connection. */
 export function engineGone(): UpstreamError {
   return {
--- a/packages/router/src/serving/completionAttemptPlan.ts
+++ b/packages/router/src/serving/completionAttemptPlan.ts
@@ -6,6 +6,7 @@
 import type { EngineObserver } from '../placing/EngineObserver.ts';
 import type { EnginePlacement, Placer } from '../placing/Placer.ts';
 import type { ReservationRenewer } from '../placing/ReservationRenewer.ts';
+import type { RequestGuard } from './RequestGuard.ts';
 import type { StreamRelocator } from './StreamRelocator.ts';
 
 /** Components of the host that an attempt uses. */
@@ -43,6 +44,7 @@
   readonly fromPosition: number;
   readonly maxTokens: Tokens;
   readonly limits: StreamLimits;
+  readonly guard: RequestGuard;
   /** Takes one retry from the budget, to send the request to another engine; false if none is left. */
   readonly tryRetry: () => boolean;
 }
--- a/packages/router/tests/serving/quarantine.test.ts
+++ b/packages/router/tests/serving/quarantine.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
+import { sleep, SystemClock } from '@camphorvane/core';
 import type { UpstreamError } from '@camphorvane/upstream';
-import { errAsync, ok, okAsync } from 'neverthrow';
+import { errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import type { CallScript, DecodeScript } from '../support/ForwardFleet.ts';
 import { answerEnding, failingStream, ForwardFleet } from '../support/ForwardFleet.ts';
 
@@ -93,3 +94,65 @@
   await fleet.send('/llm/x', {}, caller.signal);
   assert.equal(countReported(fleet), 1);
 });
+
+/** Has peers report two more crashes of the request whose crash the host has recorded. */
+function reportFromPeers(fleet: ForwardFleet): void {
+  const [own] = fleet.crashGuard.getReports('relayed').crashes;
+  const { digest = '' } = own ?? {};
+  const reports = ['x1', 'x2'].map((upstream) => ({ digest, upstream, ageMs: 0 }));
+  fleet.crashGuard.receiveCrashes(reports);
+}
+
+// Guards against a decode of a request that became known to crash engines during its prefill.
+test('a request that is quarantined during its prefill gets no decode', async () => {
+  const cell: { fleet?: ForwardFleet } = {};
+  const crash = failingStream(0, CRASHED);
+  const fleet = new ForwardFleet({
+    decodeScripts: { d1: crash, d2: crash },
+    onPrefill: () => {
+      if (cell.fleet !== undefined && cell.fleet.decodes.length > 0) reportFromPeers(cell.fleet);
+    },
+  });
+  cell.fleet = fleet;
+  await fleet.send('/llm/x');
+  assert.equal(answerEnding(await fleet.send('/llm/x')), 'suspected_crasher not_run');
+  assert.equal(fleet.decodes.length, 1);
+  assert.equal(answerEnding(await fleet.send('/llm/x')), 'suspected_crasher not_run');
+  assert.equal(fleet.prefills.length, 2);
+});
+
+// Guards against a request that waited for an engine or a server while it became known to crash them.
+test('a request that is quarantined while it waits is not sent', async () => {
+  const cell: { fleet?: ForwardFleet } = {};
+  const crashed: CallScript = () => errAsync(CRASHED);
+  const slow: CallScript = () =>
+    new ResultAsync(
+      sleep(new SystemClock(), 100).then(() => {
+        if (cell.fleet !== undefined) reportFromPeers(cell.fleet);
+        return ok({ status: 200, headers: {}, body: Buffer.from('ok') });
+      }),
+    );
+  const script: CallScript = (call, signal) =>
+    (call.path === '/once/bad' ? crashed : slow)(call, signal);
+  const fleet = new ForwardFleet({
+    serverSlots: 1,
+    callScripts: { s1: script, s2: script },
+    route: { targetMs: 1_000 },
+  });
+  cell.fleet = fleet;
+  await fleet.send('/once/bad');
+  const others = [fleet.send('/once/a'), fleet.send('/once/b')];
+  const waiting = fleet.send('/once/bad');
+  await Promise.all(others);
+  assert.equal(answerEnding(await waiting), 'suspected_crasher not_run');
+  assert.equal(fleet.calls.length, 3);
+});
+
+// Guards against the retries of a call, each of which may crash one more server.
+test('a call that is quarantined by its crash is not retried', async () => {
+  const script: CallScript = () => errAsync(CRASHED);
+  const fleet = new ForwardFleet({ callScripts: { s1: script, s2: script } });
+  fleet.crashGuard.onCrash(() => reportFromPeers(fleet));
+  assert.equal(answerEnding(await fleet.send('/safe/x')), 'suspected_crasher unknown');
+  assert.equal(fleet.calls.length, 1);
+});
