Count the crash of an engine whose stream goes on from its backup

A request that crashes its engines could go from one to the next without being counted: a stream that continued at the engine with its copy told only the placement that its engine had failed. The crash is recorded now, also of an engine that was asked to resume; a quarantined stream doesn't go on. A run that is stopped by a move ends without a mark as well, and is no crash.

The test failed before with no failure recorded and passes.

--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -149,6 +149,7 @@
    * @returns False where no other engine has the KV cache.
    */
   leaveLostEngine(error: UpstreamError): boolean {
+    this.request.guard.recordFailure(this.engine.cfg.id, error);
     if (this.move?.getStep() !== 'resuming') return this.resumeFromBackup(error);
     this.receiveFailure(error);
     return true;
@@ -194,7 +195,8 @@
 
   private resumeFromBackup(error: UpstreamError): boolean {
     const target = this.backup?.entry;
-    const canResume = this.nextPosition !== undefined && this.hasOrderedPositions;
+    const isComplete = this.nextPosition !== undefined && this.hasOrderedPositions;
+    const canResume = isComplete && !this.request.guard.isBlocked();
     if (target === undefined || this.move !== undefined || !canResume || this.isClosed)
       return false;
     this.error = error;
@@ -302,6 +304,10 @@
 
   private receiveFailure(error: UpstreamError): void {
     const step = this.move?.getStep();
+    // The run that a move stops ends without a mark, too, and that is no crash.
+    if (this.move === undefined || step === 'resuming') {
+      this.request.guard.recordFailure(this.engine.cfg.id, error);
+    }
     if (step === 'resuming') {
       this.deps.placements.attemptFailed(this.engine.cfg.id, error);
       this.move?.advance({ type: 'rejected' });
--- a/packages/router/src/serving/streamRequest.ts
+++ b/packages/router/src/serving/streamRequest.ts
@@ -14,6 +14,7 @@
 import type { Placer } from '../placing/Placer.ts';
 import type { StreamLimits } from './completionAttemptPlan.ts';
 import type { RelocationLedger } from '../placing/RelocationLedger.ts';
+import type { RequestGuard } from './RequestGuard.ts';
 
 /** A stream to decode, which may go on at another engine. */
 export interface StreamRequest extends StreamLimits {
@@ -22,6 +23,7 @@
   readonly pool: PoolConfig;
   readonly engine: EngineEntry;
   readonly command: DecodeCommand & { readonly prompt: OpaquePrompt };
+  readonly guard: RequestGuard;
   /** Aborted when the caller disconnects or the host ends the request. */
   readonly signal: AbortSignal;
 }
--- a/packages/router/tests/serving/StreamRelocation.test.ts
+++ b/packages/router/tests/serving/StreamRelocation.test.ts
@@ -137,3 +137,17 @@
   world.reservations.release(world.reservation, 'done');
   assert.equal(world.knowledge.inFlight.getOwn().size, 0, 'memory stays reserved for the copy');
 });
+
+// Guards against a request that crashes one engine after the other by going on from its backups.
+test('a stream whose engine dies is recorded, and does not go on while it is quarantined', async () => {
+  const script: WorldScript = { hasBackup: true, death: { engine: 'source', at: MOVE_AT_MS } };
+  const world = new RelocationWorld(script);
+  await world.clock.advance(10_000);
+  assert.equal(world.ending, 'done');
+  assert.deepEqual(world.failures, ['source']);
+  const quarantined = new RelocationWorld(script);
+  quarantined.isBlocked = true;
+  await quarantined.clock.advance(10_000);
+  assert.equal(quarantined.ending, 'broken');
+  assert.deepEqual(quarantined.failures, ['source']);
+});
--- a/packages/router/tests/support/RelocationWorld.ts
+++ b/packages/router/tests/support/RelocationWorld.ts
@@ -5,6 +5,7 @@
 import { LocalReservations } from '../../src/placing/LocalReservations.ts';
 import type { Placer } from '../../src/placing/Placer.ts';
 import { RelocationLedger } from '../../src/placing/RelocationLedger.ts';
+import type { RequestGuard } from '../../src/serving/RequestGuard.ts';
 import { StreamRelocation } from '../../src/serving/StreamRelocation.ts';
 import type { Copy, EngineWorld, WorldScript } from './WorldEngine.ts';
 import { EVENT_COUNT, EVENT_TOKENS, WorldEngine } from './WorldEngine.ts';
@@ -50,6 +51,17 @@
 
   readonly reservation: string;
 
+  /** Failures of engines that were recorded against the request. */
+  readonly failures: UpstreamId[] = [];
+
+  /** Whether the request is quarantined. */
+  isBlocked = false;
+
+  private readonly guard: RequestGuard = {
+    recordFailure: (upstream) => this.failures.push(upstream),
+    isBlocked: () => this.isBlocked,
+  };
+
   constructor(readonly script: WorldScript) {
     const pair = { prefill: undefined, decode: 'source', expectedPrefillMs: 0 };
     const work = { model: 'm', team: 't', pair, promptTokens: 5_000, memoryTokens: 8_000 };
@@ -71,6 +83,7 @@
           maxTokens: EVENT_COUNT * EVENT_TOKENS,
         },
         ...{ expectedTokens: undefined, longestPauseMs: 300, isResumable: false },
+        guard: this.guard,
         signal: this.caller.signal,
       },
       backup,
