Keep the crashes of quarantined requests in the hosts' records

A request that had crashed three upstreams was let through again after its hosts had restarted: a host forgets at its end, and after a loss of power of all of them nobody was left to tell.

A host's record in the store now holds the crashes of quarantined requests of which it saw one itself, and is written at once when a crash quarantines a request. A host reads all records before it writes its own, which replaces the one of its last life, and goes on keeping what that one held. Ages count from the wall time of the record.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -27,8 +27,8 @@
   maxDigests: 5_000,
 };
 
-/** Whether a host detected something itself or learned it from a peer. */
-export type ReportOrigin = 'own' | 'peer';
+/** Whether a host detected a crash itself, learned it from a peer, or had stored it before its restart. */
+export type ReportOrigin = 'own' | 'peer' | 'stored';
 
 /** Whom a report is for: the peers of this host, or all hosts that a relay reports to. */
 export type ReportAudience = 'peers' | 'relayed';
@@ -113,7 +113,7 @@
     const known = crashes.get(upstream);
     const at = now - ageMs;
     const isNew = known === undefined || at > known.at + SAME_CRASH_MS;
-    const isOwn = origin === 'own' || known?.isOwn === true;
+    const isOwn = origin !== 'peer' || known?.isOwn === true;
     // The earliest time: reports arrive late, and would move it forward each time that they are passed on.
     crashes.set(upstream, { at: isNew ? at : Math.min(at, known.at), isOwn });
     if (!isNew) {
--- a/packages/router/src/coordination/HostRecords.ts
+++ b/packages/router/src/coordination/HostRecords.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Incarnation } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
-import type { GossipTimings } from '@camphorvane/decisions';
+import type { CrashReport, GossipTimings } from '@camphorvane/decisions';
 import { gossipTimings } from '@camphorvane/decisions';
 import type { StoredObject, WatchableStore } from '@camphorvane/store';
 import { SingleWriterObject } from '@camphorvane/store';
@@ -24,6 +24,10 @@
   /** Updated with all records. */
   readonly roster: HostRoster;
   readonly isLeaving: () => boolean;
+  /** Gets the crashes to keep in the store. */
+  readonly getQuarantine: () => readonly CrashReport[];
+  /** Called with the crashes in a record, this host's own or an earlier one under its name included. */
+  readonly onQuarantine: (crashes: readonly CrashReport[], from: HostId) => void;
   /** Called with the peers that have a record, whenever they change. */
   readonly onPeersChange: (others: readonly HostId[]) => void;
 }
@@ -44,19 +48,28 @@
 
   /** Writes and reads records until the signal is aborted. */
   start(signal: AbortSignal): void {
-    void this.runWriteLoop(signal);
-    void this.runReadLoop(signal);
+    void this.run(signal);
   }
 
   /** Writes the record of this host immediately. */
   async write(): Promise<void> {
     const { identity, incarnation, strength, clock, isLeaving } = this.options;
-    const record: HostRecord = { ...identity, incarnation, leaving: isLeaving(), strength };
+    const crashes = this.options.getQuarantine();
+    const quarantine = crashes.length === 0 ? {} : { quarantine: { at: clock.wall(), crashes } };
+    const host = { ...identity, incarnation, leaving: isLeaving(), strength };
+    const record: HostRecord = { ...host, ...quarantine };
     // The heartbeat makes each write a change, by which peers see that this host is alive.
     const problem = await this.own.write({ ...record, beat: Math.round(clock.now()) });
     if (problem !== undefined) log('record_not_written', { reason: problem.type });
   }
 
+  /** Reads before the first write, which replaces what an earlier process under this name has stored. */
+  private async run(signal: AbortSignal): Promise<void> {
+    await this.read();
+    void this.runWriteLoop(signal);
+    await this.runReadLoop(signal);
+  }
+
   private async runWriteLoop(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.write();
@@ -65,20 +78,26 @@
   }
 
   private async runReadLoop(signal: AbortSignal): Promise<void> {
-    const { store, kind, clock, roster } = this.options;
+    const { clock } = this.options;
     while (!signal.aborted) {
-      const read = await store.snapshot(kind, roster.isKnown() ? 'any' : 'newest');
-      if (read.isOk()) this.applyRecords(read.value.objects);
       await sleep(clock, this.timings().recordReadMs, signal);
+      if (!signal.aborted) await this.read();
     }
   }
 
+  private async read(): Promise<void> {
+    const { store, kind, roster } = this.options;
+    const read = await store.snapshot(kind, roster.isKnown() ? 'any' : 'newest');
+    if (read.isOk()) this.applyRecords(read.value.objects);
+  }
+
   private applyRecords(objects: readonly StoredObject[]): void {
     const { store, kind, clock, roster, onPeersChange } = this.options;
     const records = objects
       .map((object) => ({ record: readHostRecord(object), version: object.version }))
       .flatMap(({ record, version }) => (record === undefined ? [] : [{ record, version }]));
     roster.update(records, clock.now());
+    records.forEach(({ record }) => this.readQuarantine(record));
     roster.getExpired().forEach(({ host, version }) => {
       log('host_forgotten', { host });
       void store.remove(kind, host, version);
@@ -90,6 +109,17 @@
     onPeersChange(peers);
   }
 
+  /** Reads the crashes of a record with their ages now; the clock of its host may be ahead. */
+  private readQuarantine({ host, quarantine }: HostRecord): void {
+    if (quarantine === undefined) return;
+    const sinceMs = Math.max(0, this.options.clock.wall() - quarantine.at);
+    const { crashes } = quarantine;
+    this.options.onQuarantine(
+      crashes.map((crash) => ({ ...crash, ageMs: crash.ageMs + sinceMs })),
+      host,
+    );
+  }
+
   private timings(): GossipTimings {
     return gossipTimings(this.options.roster.countHosts());
   }
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -140,6 +140,11 @@
       kind: format.hostKind,
       roster: this.hosts,
       isLeaving: () => this.leaving,
+      getQuarantine: () => this.crashGuard.getQuarantine(),
+      onQuarantine: (crashes, from) =>
+        from === identity.host
+          ? this.crashGuard.receiveStored(crashes)
+          : this.crashGuard.receiveCrashes(crashes),
       onPeersChange: (peers) => this.applyPeers(peers),
     });
     const hostCount = (): number => this.hosts.countHosts();
@@ -159,7 +164,10 @@
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS },
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
-    this.crashGuard.onCrash(() => this.gossip.recordStateChange());
+    this.crashGuard.onCrash((isQuarantined) => {
+      this.gossip.recordStateChange();
+      if (isQuarantined) void this.records.write();
+    });
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
--- a/packages/router/src/coordination/hostRecord.ts
+++ b/packages/router/src/coordination/hostRecord.ts
@@ -1,4 +1,5 @@
-import type { HostId, Incarnation, ZoneId } from '@camphorvane/core';
+import type { HostId, Incarnation, Millis, ZoneId } from '@camphorvane/core';
+import type { CrashReport } from '@camphorvane/decisions';
 import type { StoredObject } from '@camphorvane/store';
 
 /** Record that a host writes to the store. */
@@ -11,6 +12,15 @@
   readonly leaving: boolean;
   /** Capacity of the host relative to others; the strongest hosts relay hints. */
   readonly strength: number;
+  /** Crashes of quarantined requests; absent where there are none. */
+  readonly quarantine?: StoredQuarantine;
+}
+
+/** Crashes of quarantined requests, kept in the store for hosts that have forgotten them. */
+export interface StoredQuarantine {
+  /** Wall time of the record, in milliseconds; the ages of the crashes count from it. */
+  readonly at: Millis;
+  readonly crashes: readonly CrashReport[];
 }
 
 /**
@@ -26,5 +36,20 @@
   const texts = [host, zone, callerAddress, peerAddress, incarnation];
   if (texts.some((text) => typeof text !== 'string')) return undefined;
   const strength = typeof record.strength === 'number' ? record.strength : 0;
-  return { ...(record as HostRecord), leaving: leaving === true, strength };
+  const quarantine = readQuarantine(record.quarantine);
+  return { ...(record as HostRecord), leaving: leaving === true, strength, quarantine };
+}
+
+/** Parses the quarantine of a record; undefined where it is missing or malformed. */
+function readQuarantine(value: unknown): StoredQuarantine | undefined {
+  if (value === null || typeof value !== 'object') return undefined;
+  const { at, crashes } = value as Partial<StoredQuarantine>;
+  if (typeof at !== 'number' || !Array.isArray(crashes)) return undefined;
+  return { at, crashes: crashes.filter(isCrashReport) };
+}
+
+function isCrashReport(value: unknown): value is CrashReport {
+  if (value === null || typeof value !== 'object') return false;
+  const { digest, upstream, ageMs } = value as Partial<CrashReport>;
+  return typeof digest === 'string' && typeof upstream === 'string' && typeof ageMs === 'number';
 }
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -55,7 +55,7 @@
 
   private readonly suspects: CrashSuspects;
 
-  private readonly listeners: (() => void)[] = [];
+  private readonly listeners: ((isQuarantined: boolean) => void)[] = [];
 
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
@@ -105,7 +105,8 @@
     const report: CrashReport = { digest: request.digest, upstream: name, ageMs: 0 };
     this.record(report, 'own', request.id);
     this.reportToGroup([report]);
-    this.listeners.forEach((recorded) => recorded());
+    const isQuarantined = this.guardFor(request).isBlocked();
+    this.listeners.forEach((recorded) => recorded(isQuarantined));
   }
 
   /** Gets the guard of one request, for its further attempts. */
@@ -134,6 +135,11 @@
     answers.forEach(({ digest, ageMs }) => this.suspects.recordAnswer(digest, now, ageMs));
   }
 
+  /** Records crashes that this host had stored; it goes on storing them. */
+  receiveStored(reports: readonly CrashReport[]): void {
+    reports.forEach((report) => this.record(report, 'stored'));
+  }
+
   /** Gets what to report to other hosts. */
   getReports(audience: ReportAudience): SuspicionReports {
     return this.suspects.getReports(this.options.clock.now(), audience);
@@ -144,8 +150,8 @@
     return this.suspects.getBlockedReports(this.options.clock.now());
   }
 
-  /** Registers a listener for each crash that this host records. */
-  onCrash(listener: () => void): void {
+  /** Registers a listener for each crash that this host detects, told whether its request is quarantined. */
+  onCrash(listener: (isQuarantined: boolean) => void): void {
     this.listeners.push(listener);
   }
 
--- a/packages/router/tests/coordination/sharedCrashes.test.ts
+++ b/packages/router/tests/coordination/sharedCrashes.test.ts
@@ -47,3 +47,76 @@
       assert.equal(countRefusing(fleet), count);
     })),
 );
+
+/** Has a request crash three upstreams, and waits until all hosts know of it. */
+async function quarantine(fleet: StoreFleet): Promise<void> {
+  await crash(fleet, fleet.hosts.slice(0, 3));
+  await fleet.clock.advance(KNOWN_MS);
+}
+
+// Guards against a request that is let through again, three times, after its hosts have restarted.
+test('hosts that restart refuse a request that crashed three upstreams before', () =>
+  withFleet(9, async (fleet) => {
+    await quarantine(fleet);
+    fleet.hosts.slice(0, 4).forEach((host) => fleet.restart(host));
+    await fleet.clock.advance(KNOWN_MS);
+    assert.equal(countRefusing(fleet), 9);
+    // All hosts forget at once, twice: nobody is left to tell, and only the store remembers.
+    Object.assign(fleet, { passes: () => false });
+    fleet.hosts.forEach((host) => fleet.restart(host));
+    await fleet.clock.advance(KNOWN_MS);
+    assert.equal(countRefusing(fleet), 9);
+    fleet.hosts.forEach((host) => fleet.restart(host));
+    await fleet.clock.advance(KNOWN_MS);
+    assert.equal(countRefusing(fleet), 9);
+  }));
+
+// Guards against a request that is let through once a minute, or that is refused for good.
+test('a request is refused for ten minutes after its last crash', () =>
+  withFleet(3, async (fleet) => {
+    await quarantine(fleet);
+    await fleet.clock.advance(590_000);
+    assert.equal(countRefusing(fleet), 3);
+    await fleet.clock.advance(20_000);
+    assert.equal(countRefusing(fleet), 0);
+    fleet.hosts[2]?.coordination.crashGuard.recordFailure(POISON, 'u9', CRASHED);
+    await fleet.clock.advance(KNOWN_MS);
+    assert.equal(countRefusing(fleet), 3);
+  }));
+
+// Guards against hosts that hear nothing of each other for a time, and that go on counting for themselves.
+test('hosts that were cut off from their peers learn of the crashes afterwards', () =>
+  withFleet(9, async (fleet) => {
+    const isCutOff = (name: string): boolean => name < 'h002';
+    const passes: StoreFleet['passes'] = (from, to) => isCutOff(from) === isCutOff(to);
+    Object.assign(fleet, { passes });
+    Object.assign(fleet.store, { isUnavailable: true });
+    await crash(fleet, [fleet.hosts[2], fleet.hosts[3], fleet.hosts[0], fleet.hosts[4]]);
+    assert.equal(countRefusing(fleet), 7);
+    await fleet.clock.advance(20_000);
+    Object.assign(fleet, { passes: () => true });
+    await fleet.clock.advance(KNOWN_MS);
+    assert.equal(countRefusing(fleet), 9);
+  }));
+
+// Guards against a success that one host sees and the others never learn of.
+test('a success at one host clears a request at all hosts', () =>
+  withFleet(9, async (fleet) => {
+    await quarantine(fleet);
+    fleet.hosts[7]?.coordination.crashGuard.recordSuccess(POISON.digest);
+    await fleet.clock.advance(1_000);
+    assert.equal(countRefusing(fleet), 0);
+  }));
+
+// Guards against messages that grow with what ran beside the culprit; a datagram holds 64 KB, and a host has
+// 30 KB a second for all of its control.
+test('the reports of a crash with hundreds of requests fit into small datagrams', () =>
+  withFleet(30, async (fleet) => {
+    fleet.hosts.forEach(({ coordination }, host) =>
+      Array.from({ length: 200 }, (_, n) => `${host}-${n}`).forEach((id) =>
+        coordination.crashGuard.recordFailure({ id, digest: id.padEnd(64, 'x') }, 'u0', CRASHED),
+      ),
+    );
+    await fleet.clock.advance(KNOWN_MS);
+    assert.ok(fleet.largestDatagram < 8_000, `${fleet.largestDatagram} bytes`);
+  }));
