Withdraw the crash of an upstream that answers a moment later

Requests could be quarantined though nothing had crashed: an upstream resets connections beyond its limit, and a link that fails resets them too. Counted over all hosts, three such resets are quickly together.

An upstream that answers any request between 200 ms and a second after a connection to it broke off is the same process: bytes sent before a crash have arrived by then, and a restart takes longer. The host that got the answer withdraws the crash and tells its peers, in a third list of the reports.

A crash that no longer counts also hid a later one of the same upstream, since all reports of 30 s are of one crash; it doesn't any more. Both tests failed before the change they guard and pass.

--- a/packages/decisions/src/retry/CrashReport.ts
+++ b/packages/decisions/src/retry/CrashReport.ts
@@ -17,8 +17,16 @@
   readonly ageMs: Millis;
 }
 
+/** An upstream that went on after a connection to it had broken off, so that it has not crashed. */
+export interface SurvivalReport {
+  readonly upstream: UpstreamId;
+  /** Milliseconds since the time up to which it certainly had not crashed. */
+  readonly ageMs: Millis;
+}
+
 /** What a host reports to its peers about requests that were running on upstreams that crashed. */
 export interface SuspicionReports {
   readonly crashes: readonly CrashReport[];
   readonly answers: readonly AnswerReport[];
+  readonly survivals: readonly SurvivalReport[];
 }
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -1,6 +1,7 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
-import type { CrashReport, SuspicionReports } from './CrashReport.ts';
+import type { CrashReport, SurvivalReport, SuspicionReports } from './CrashReport.ts';
 import { RecentAnswers } from './RecentAnswers.ts';
+import { UpstreamSurvivals } from './UpstreamSurvivals.ts';
 
 /** Limits of a {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
@@ -83,6 +84,8 @@
 
   private readonly answers = new RecentAnswers();
 
+  private readonly survivals = new UpstreamSurvivals();
+
   private repeatedAt: Millis = -Infinity;
 
   private readonly opts: CrashSuspectsOptions;
@@ -110,8 +113,11 @@
     if (ageMs >= this.opts.retentionMs) return false;
     const key = toKey(report.digest);
     const crashes = new Map(this.suspects.get(key));
-    const known = crashes.get(upstream);
+    const kept = crashes.get(upstream);
+    // A crash that no longer counts does not stand for a later one of the same upstream.
+    const known = this.counts(key, upstream, kept?.at ?? -Infinity, now) ? kept : undefined;
     const at = now - ageMs;
+    if (this.survivals.hasSurvived(upstream, at)) return false;
     const isNew = known === undefined || at > known.at + SAME_CRASH_MS;
     const isOwn = origin !== 'peer' || known?.isOwn === true;
     // The earliest time: reports arrive late, and would move it forward each time that they are passed on.
@@ -120,6 +126,7 @@
       this.suspects.set(key, crashes);
       return false;
     }
+    this.survivals.recordBreak(upstream, at);
     this.suspects.delete(key);
     this.suspects.set(key, newestCrashes(crashes));
     if (crashes.size >= MIN_REPEATED_CRASHES) this.repeated.add(key);
@@ -142,6 +149,22 @@
     this.answers.record(key, now - (ageMs ?? 0), isOwn);
   }
 
+  /**
+   * Records an answer of an upstream to any request, which may show that it has not crashed.
+   *
+   * @param upstream - The upstream.
+   * @param now - Present time.
+   * @returns Whether crashes of it were withdrawn.
+   */
+  recordSignOfLife(upstream: UpstreamId, now: Millis): boolean {
+    return this.survivals.recordAnswer(upstream, now);
+  }
+
+  /** Withdraws the crashes of an upstream that a peer found alive. */
+  receiveSurvival(report: SurvivalReport, now: Millis): void {
+    this.survivals.receive(report, now);
+  }
+
   /** Gets the number of distinct upstreams whose crashes count against a request. */
   countCrashes(digest: string, now: Millis): number {
     return this.getUnexplained(toKey(digest), now).length;
@@ -196,7 +219,7 @@
         return isReported ? [{ digest, ageMs: now - answer.at }] : [];
       })
       .slice(0, MAX_REPORTED);
-    return { crashes, answers };
+    return { crashes, answers, survivals: this.survivals.getReports(now, audience) };
   }
 
   /** Gets the crashes of blocked requests that this host detected one of itself, for hosts that start later. */
@@ -236,15 +259,21 @@
     );
   }
 
-  /** Gets the crashes of a request that neither have expired nor are cleared by a success. */
+  /** Gets the crashes of a request that count. */
   private getCounted(key: string, now: Millis): readonly (readonly [UpstreamId, Crash])[] {
-    const crashes = [...(this.suspects.get(key) ?? [])];
-    const since = Math.max(now - this.opts.retentionMs, this.answers.getClearedUntil(key));
-    const counted = crashes.filter(([, { at }]) => at > since);
+    const counted = [...(this.suspects.get(key) ?? [])].filter(([upstream, { at }]) =>
+      this.counts(key, upstream, at, now),
+    );
     if (counted.length < MIN_REPEATED_CRASHES) this.repeated.delete(key);
     return counted;
   }
 
+  /** Tells whether a crash has neither expired nor been cleared by a success or a survival. */
+  private counts(key: string, upstream: UpstreamId, at: Millis, now: Millis): boolean {
+    const isRecent = at > now - this.opts.retentionMs && at > this.answers.getClearedUntil(key);
+    return isRecent && !this.survivals.hasSurvived(upstream, at);
+  }
+
   /** Drops the request whose last crash is oldest, one with a single crash if there is any. */
   private evict(): void {
     if (this.suspects.size <= this.opts.maxDigests) return;
--- a/packages/decisions/tests/retry/CrashSuspects.test.ts
+++ b/packages/decisions/tests/retry/CrashSuspects.test.ts
@@ -114,3 +114,29 @@
     }),
   );
 });
+
+// Guards against blocking a request whose connections were reset by upstreams that only had too many.
+test('an upstream that answers within a second of the break has not crashed', () => {
+  const [own, peer] = [new CrashSuspects(), new CrashSuspects()];
+  record(own, 'r', { s1: 0, s2: 100 });
+  own.getReports(150, 'peers').crashes.forEach((one) => peer.recordCrash(one, 150, 'peer'));
+  assert.notEqual(peer.getBlockedMs('r', 150), undefined);
+  // What arrives at once may have been sent before the crash, and a second later another process answers.
+  assert.equal(own.recordSignOfLife('s2', 250), false);
+  assert.equal(own.recordSignOfLife('s1', 1_000), false);
+  assert.equal(own.recordSignOfLife('s2', 350), true);
+  assert.equal(own.getBlockedMs('r', 350), undefined);
+  own.getReports(350, 'peers').survivals.forEach((one) => peer.receiveSurvival(one, 350));
+  assert.equal(peer.getBlockedMs('r', 350), undefined);
+  record(own, 'r', { s2: 5_000 });
+  assert.notEqual(own.getBlockedMs('r', 5_000), undefined);
+});
+
+// Guards against a crash that is taken for an earlier one of the same upstream, which a success has cleared.
+test('an upstream that crashes again after a success counts', () => {
+  const suspects = new CrashSuspects({ minUpstreams: 1 });
+  record(suspects, 'r', { d1: 0 });
+  suspects.recordAnswer('r', 1_000);
+  record(suspects, 'r', { d1: 12_000 });
+  assert.equal(suspects.getBlockedMs('r', 12_000), BLOCK_MS);
+});
--- a/packages/peer/tests/hints/suspicion.test.ts
+++ b/packages/peer/tests/hints/suspicion.test.ts
@@ -18,6 +18,7 @@
     { digest: 'bad', upstream: 'd2', ageMs: 30_000 },
   ],
   answers: [{ digest: 'beside', ageMs: 12 }],
+  survivals: [{ upstream: 'd3', ageMs: 250 }],
 };
 
 function fieldsOf(bytes: Uint8Array): readonly unknown[] {
@@ -42,13 +43,20 @@
     const digestFields = fieldsOf(encodeDigest({ ...digest, suspicion: SUSPICION }));
     assert.deepEqual(decodeDigest(Buffer.from(JSON.stringify(digestFields.slice(0, -1)))), digest);
   });
-  const none = { ...HINT, suspicion: { crashes: [], answers: [] } };
+  const none = { ...HINT, suspicion: { crashes: [], answers: [], survivals: [] } };
   assert.deepEqual(encodeHint(none), encodeHint(HINT));
 });
 
 test('malformed reports on crashed upstreams make a message malformed', () => {
   const fields = fieldsOf(encodeHint({ ...HINT, suspicion: SUSPICION }));
-  [7, [[['d1', -1, 'bad']], []], [[['d1', 0, 7]], []], [[], [['bad']]], [[]]].forEach((field) => {
+  const malformed = [
+    ...[7, [[]], [[], []], [[], [['bad']], []], [[], [], [['d1', -1]]]],
+    ...[
+      [[['d1', -1, 'bad']], [], []],
+      [[['d1', 0, 7]], [], []],
+    ],
+  ];
+  malformed.forEach((field) => {
     const broken = [...fields.slice(0, -1), field];
     assert.equal(decodeHint(Buffer.from(JSON.stringify(broken))), undefined);
   });
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -164,6 +164,7 @@
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS },
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
+    this.signals.onAnswer((upstream) => this.crashGuard.recordSignOfLife(upstream));
     this.crashGuard.onCrash((isQuarantined) => {
       this.gossip.recordStateChange();
       if (isQuarantined) void this.records.write();
--- a/packages/router/src/host/UpstreamSignalRecorder.ts
+++ b/packages/router/src/host/UpstreamSignalRecorder.ts
@@ -16,6 +16,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  private readonly answerListeners: ((upstream: UpstreamId) => void)[] = [];
+
   /**
    * @param constraints - Decides by what is recorded.
    * @param clock - Times the answers.
@@ -32,8 +34,14 @@
     this.listeners.push(listener);
   }
 
+  /** Registers a listener for each answer of an upstream. */
+  onAnswer(listener: (upstream: UpstreamId) => void): void {
+    this.answerListeners.push(listener);
+  }
+
   /** Records the signals of an answer. */
   record(upstream: UpstreamId, signals: UpstreamSignals): void {
+    this.answerListeners.forEach((answered) => answered(upstream));
     this.apply(this.constraints.record(upstream, signals, this.clock.now()));
   }
 
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -27,6 +27,7 @@
   | 'upstream.withheld'
   | 'crashes.recorded'
   | 'crashes.blocked'
+  | 'crashes.withdrawn'
   | 'admission.refused'
   | 'admission.refused_while_idle'
   | 'shares.placed'
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -100,9 +100,8 @@
    */
   recordFailure(request: GuardedRequest, upstream: UpstreamId, error: UpstreamError): void {
     if (!mayHaveCrashed(error)) return;
-    const startedAt = this.options.getStartTime?.(upstream);
-    const name = startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
-    const report: CrashReport = { digest: request.digest, upstream: name, ageMs: 0 };
+    const process = this.processOf(upstream);
+    const report: CrashReport = { digest: request.digest, upstream: process, ageMs: 0 };
     this.record(report, 'own', request.id);
     this.reportToGroup([report]);
     const isQuarantined = this.guardFor(request).isBlocked();
@@ -123,14 +122,22 @@
     this.suspects.recordAnswer(digest, this.options.clock.now());
   }
 
+  /** Records an answer of an upstream to any request: one that answers has not crashed a moment ago. */
+  recordSignOfLife(upstream: UpstreamId): void {
+    if (!this.suspects.recordSignOfLife(this.processOf(upstream), this.options.clock.now())) return;
+    this.options.metrics.count('crashes.withdrawn');
+    log('crash_withdrawn', { server: upstream });
+  }
+
   /** Records crashes that other hosts reported. */
   receiveCrashes(reports: readonly CrashReport[]): void {
     reports.forEach((report) => this.record(report, 'peer'));
   }
 
   /** Records what other hosts reported. */
-  receive({ crashes, answers }: SuspicionReports): void {
+  receive({ crashes, answers, survivals }: SuspicionReports): void {
     const now = this.options.clock.now();
+    survivals.forEach((report) => this.suspects.receiveSurvival(report, now));
     this.receiveCrashes(crashes);
     answers.forEach(({ digest, ageMs }) => this.suspects.recordAnswer(digest, now, ageMs));
   }
@@ -160,6 +167,12 @@
     return { suspected: this.suspects.size };
   }
 
+  /** Names the process that runs as an upstream. */
+  private processOf(upstream: UpstreamId): string {
+    const startedAt = this.options.getStartTime?.(upstream);
+    return startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
+  }
+
   private record(report: CrashReport, from: ReportOrigin, id?: RequestId): void {
     const { clock, metrics } = this.options;
     const { digest, upstream: server } = report;
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -132,7 +132,7 @@
         quotes: [],
         usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
-      getRelayedSuspicion: () => ({ crashes: [], answers: [] }),
+      getRelayedSuspicion: () => ({ crashes: [], answers: [], survivals: [] }),
       onRelayedHint: () => undefined,
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
