--- a/packages/scenario/src/callers/Caller.ts
+++ b/packages/scenario/src/callers/Caller.ts
@@ -122,7 +122,7 @@
     left: Promise<Ended>,
   ): Promise<SendOutcome> {
     const { work, id } = request;
-    const body = JSON.stringify({ request: markOf(id), text: work.text });
+    const body = JSON.stringify({ request: markOf(work.content ?? id), text: work.text });
     const patience = this.patience(work.patience);
     const call = live.life.gate().then(async (): Promise<Ended> => {
       const { backend } = live.host;
--- a/packages/scenario/src/callers/plannedRequest.ts
+++ b/packages/scenario/src/callers/plannedRequest.ts
@@ -28,9 +28,10 @@
  */
 export function plannedRequest(id: string, work: LoadStep): PlannedRequest {
   const shared = sharedPart(work.team, work.shared_tokens);
-  const own = `${markOf(id)} ${work.text} #tokens=${work.output_tokens} `;
+  const content = work.content ?? id;
+  const own = `${markOf(content)} ${work.text} #tokens=${work.output_tokens} `;
   const length = work.prompt_tokens * CHARS_PER_TOKEN - shared.length - own.length;
-  const rest = filler(`${id} text`, length / CHARS_PER_TOKEN);
+  const rest = filler(`${content} text`, length / CHARS_PER_TOKEN);
   const prompt = shared + own + rest;
   const maxTokens = work.max_tokens ?? work.output_tokens;
   return { id, work, prompt, maxTokens, expectedText: answerText(prompt, maxTokens) };
--- a/packages/scenario/src/language/scenarioSchema.ts
+++ b/packages/scenario/src/language/scenarioSchema.ts
@@ -75,6 +75,8 @@
   max_tokens: z.number().int().min(1).max(10_000).optional(),
   /** A text put into the prompt or body; poison, for example. */
   text: z.string().default(''),
+  /** Requests with the same name here have the same content; else each one differs from all others. */
+  content: name.optional(),
   /** A host that all of it goes to; else callers follow the advice. */
   host: name.optional(),
   /** Callers that go before their answer is whole, this long after they sent. */
