--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -16,13 +16,17 @@
   'withheld',
 ]);
 
+/** Events that tell why a request with the same content is refused, at whatever host and time. */
+const CRASH_EVENTS: ReadonlySet<string> = new Set(['crash_recorded', 'request_blocked']);
+
 /** Milliseconds before a request from which state events of its hosts are included. */
 const STATE_WINDOW_MS = 2_000;
 
 /**
  * Formats the timeline of a request from the logs of several hosts.
  *
- * State events, which are marked with `*`, are included from shortly before the request.
+ * State events, which are marked with `*`, are included from shortly before the request. For a request that
+ * was running when upstreams crashed, the crashes under all requests with its content are included.
  *
  * @param id - Id of the request, as its caller knows it.
  * @param lines - Log lines in any order; the last word before the JSON is the name of the host.
@@ -42,7 +46,17 @@
       line.t >= first.t - STATE_WINDOW_MS &&
       line.t <= last.t,
   );
-  return [...stateLines, ...requestLines].sort(byTime).map((line) => formatLine(line, first.t));
+  const digests = new Set(requestLines.flatMap(({ fields }) => fields.digest ?? []));
+  const crashLines = logLines.filter(
+    (line) =>
+      CRASH_EVENTS.has(line.event) &&
+      digests.has(line.fields.digest ?? '') &&
+      line.t <= last.t &&
+      !requestLines.includes(line),
+  );
+  return [...stateLines, ...crashLines, ...requestLines]
+    .sort(byTime)
+    .map((line) => formatLine(line, first.t));
 }
 
 /** Tells whether a line is about a request, or about one of its attempts, which have a number after the id. */
@@ -60,6 +74,7 @@
   const fields = Object.entries(line.fields)
     .filter(([name]) => name !== 'id')
     .map(([name, value]) => `${name}=${String(value)}`);
-  const marker = STATE_EVENTS.has(line.event) ? '*' : ' ';
+  const isState = STATE_EVENTS.has(line.event) || CRASH_EVENTS.has(line.event);
+  const marker = isState ? '*' : ' ';
   return [elapsed, marker, line.host, `${line.part}.${line.event}`, ...fields].join(' ');
 }
--- a/packages/router/tests/observe/explainRequest.test.ts
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -35,3 +35,17 @@
   assert.match(timeline[0] ?? '', /-100 ms \* h1 upstreams\.limit_named server=s1 value=2/);
   assert.match(timeline[2] ?? '', /1 ms {3}h1 service\.no_server_open asked=s1: limit 2\/s/);
 });
+
+// Guards against a quarantined request whose timeline doesn't show which crashes it is refused for.
+test('the timeline of a request shows the crashes under other requests with its content', () => {
+  const timeline = explainRequest('r9', [
+    'h2 {"t":1000,"part":"crashes","event":"crash_recorded","id":"r1","digest":"ab","server":"e1"}',
+    'h3 {"t":1200,"part":"crashes","event":"crash_recorded","id":"r2","digest":"cd","server":"e1"}',
+    'h1 {"t":9000,"part":"request","event":"accepted","id":"r9"}',
+    'h1 {"t":9001,"part":"crashes","event":"request_blocked","id":"r9","digest":"ab","crashes":3}',
+    'h1 {"t":9002,"part":"request","event":"refused","id":"r9","code":"suspected_crasher"}',
+    'h2 {"t":9500,"part":"crashes","event":"request_blocked","id":"r10","digest":"ab","crashes":3}',
+  ]);
+  assert.equal(timeline.length, 4);
+  assert.match(timeline[0] ?? '', /-8000 ms \* h2 crashes\.crash_recorded digest=ab server=e1/);
+});
