Wait for a sign of life before a crash blocks new requests

On the platform a crash counts against new requests once it is a second old; hosts still share it at once. A request that has failed itself is not sent again meanwhile, and is told upstream_failed without the ten minutes: its repeats are optional, and each may cost an engine. The bound leaves three seconds for the third crash to be known. In a group, whose hosts don't share signs of life, crashes count at once as before.

The test of hosts that were cut off waits the three seconds of the bound instead of 300 ms.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -7,6 +7,8 @@
 export interface CrashSuspectsOptions {
   /** Distinct upstreams that must have crashed before a request is blocked. */
   readonly minUpstreams: number;
+  /** Milliseconds in which a crash may still be withdrawn, and blocks no new request. */
+  readonly confirmMs: Millis;
   /** Milliseconds after its last crash for which a request is blocked. */
   readonly blockMs: Millis;
   /** Milliseconds after which a crash no longer counts. */
@@ -23,6 +25,7 @@
  */
 export const DEFAULT_CRASH_SUSPECTS: CrashSuspectsOptions = {
   minUpstreams: 2,
+  confirmMs: 0,
   blockMs: 600_000,
   retentionMs: 3_600_000,
   maxDigests: 5_000,
@@ -178,12 +181,20 @@
    * @returns Milliseconds, for the refusal's retry-after; undefined if the request may run.
    */
   getBlockedMs(digest: string, now: Millis): Millis | undefined {
-    const crashes = this.getUnexplained(toKey(digest), now);
-    if (crashes.length < this.opts.minUpstreams) return undefined;
+    const { confirmMs, minUpstreams } = this.opts;
+    const crashes = this.getUnexplained(toKey(digest), now).filter(
+      ([, { at }]) => at <= now - confirmMs,
+    );
+    if (crashes.length < minUpstreams) return undefined;
     const leftMs = Math.max(...crashes.map(([, { at }]) => at)) + this.opts.blockMs - now;
     return leftMs > 0 ? leftMs : undefined;
   }
 
+  /** Tells whether a request has crashes enough to be blocked, though some may still be withdrawn. */
+  isSuspect(digest: string, now: Millis): boolean {
+    return this.getUnexplained(toKey(digest), now).length >= this.opts.minUpstreams;
+  }
+
   /**
    * Gets what to report to other hosts: new crashes and successes for a short time, and the crashes of
    * requests with several of them until they expire.
@@ -222,10 +233,10 @@
     return { crashes, answers, survivals: this.survivals.getReports(now, audience) };
   }
 
-  /** Gets the crashes of blocked requests that this host detected one of itself, for hosts that start later. */
-  getBlockedReports(now: Millis): readonly CrashReport[] {
+  /** Gets the crashes of suspected requests that this host detected one of itself, for hosts that start later. */
+  getSuspectReports(now: Millis): readonly CrashReport[] {
     return [...this.repeated]
-      .filter((key) => this.getBlockedMs(key, now) !== undefined)
+      .filter((key) => this.isSuspect(key, now))
       .map((digest) => ({ digest, crashes: this.getCounted(digest, now) }))
       .filter(({ crashes }) => crashes.some(([, { isOwn }]) => isOwn))
       .flatMap(({ digest, crashes }) =>
--- a/packages/decisions/tests/retry/CrashSuspects.test.ts
+++ b/packages/decisions/tests/retry/CrashSuspects.test.ts
@@ -140,3 +140,15 @@
   record(suspects, 'r', { d1: 12_000 });
   assert.equal(suspects.getBlockedMs('r', 12_000), BLOCK_MS);
 });
+
+// Guards against callers that are told to wait for ten minutes, though the next answer withdraws a crash.
+test('crashes that may still be withdrawn block no new request', () => {
+  const suspects = new CrashSuspects({ minUpstreams: 2, confirmMs: 1_000 });
+  record(suspects, 'r', { d1: 0, d2: 100 });
+  assert.equal(suspects.getBlockedMs('r', 1_000), undefined);
+  assert.equal(suspects.isSuspect('r', 100), true);
+  assert.equal(suspects.getBlockedMs('r', 1_100), BLOCK_MS - 1_000);
+  assert.equal(suspects.recordSignOfLife('d2', 900), true);
+  assert.equal(suspects.getBlockedMs('r', 1_100), undefined);
+  assert.equal(suspects.isSuspect('r', 1_100), false);
+});
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, ModelId } from '@camphorvane/core';
+import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
 import { wallTimeOf } from '@camphorvane/core';
 import type { GossipTimings } from '@camphorvane/decisions';
 import {
@@ -39,6 +39,9 @@
 /** Number of upstreams that a request must crash before it is blocked; fewer may be coincidence. */
 const MIN_CRASHED_UPSTREAMS = 3;
 
+/** Milliseconds in which a sign of life of an upstream, at any host, withdraws its crash. */
+const CRASH_CONFIRM_MS: Millis = 1_000;
+
 /**
  * Coordination through the store and gossip, without coordinators.
  *
@@ -161,13 +164,13 @@
       clock,
       group: this,
       metrics: options.metrics,
-      suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS },
+      suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, confirmMs: CRASH_CONFIRM_MS },
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
     this.signals.onAnswer((upstream) => this.crashGuard.recordSignOfLife(upstream));
-    this.crashGuard.onCrash((isQuarantined) => {
+    this.crashGuard.onCrash((isSuspect) => {
       this.gossip.recordStateChange();
-      if (isQuarantined) void this.records.write();
+      if (isSuspect) void this.records.write();
     });
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -169,6 +169,8 @@
     const request = guardedCompletion(completion, progress);
     const quarantined = crashGuard.refusalFor(request);
     if (quarantined !== undefined) return err(quarantined);
+    const isRetry = progress.getAvoidedEngines().length > 0;
+    if (isRetry && crashGuard.guardFor(request).isBlocked()) return err(enginesFailed());
     const placement = await this.reserve(completion, pool, progress);
     if (placement.isErr()) return placement;
     const quarantinedSince = crashGuard.refusalFor(request);
@@ -176,8 +178,7 @@
       void placements.release(pool.model, placement.value.reservation, 'caller_gone');
       return err(quarantinedSince);
     }
-    const isFirst = progress.getAvoidedEngines().length === 0;
-    if (isFirst) this.recordFirstAttempt(completion, pool, placement.value);
+    if (!isRetry) this.recordFirstAttempt(completion, pool, placement.value);
     return placement;
   }
 
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -55,7 +55,7 @@
 
   private readonly suspects: CrashSuspects;
 
-  private readonly listeners: ((isQuarantined: boolean) => void)[] = [];
+  private readonly listeners: ((isSuspect: boolean) => void)[] = [];
 
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
@@ -104,16 +104,15 @@
     const report: CrashReport = { digest: request.digest, upstream: process, ageMs: 0 };
     this.record(report, 'own', request.id);
     this.reportToGroup([report]);
-    const isQuarantined = this.guardFor(request).isBlocked();
-    this.listeners.forEach((recorded) => recorded(isQuarantined));
+    const isSuspect = this.guardFor(request).isBlocked();
+    this.listeners.forEach((recorded) => recorded(isSuspect));
   }
 
-  /** Gets the guard of one request, for its further attempts. */
+  /** Gets the guard of one request, for its further attempts: those are optional, and don't wait for certainty. */
   guardFor(request: GuardedRequest): RequestGuard {
     return {
       recordFailure: (upstream, error) => this.recordFailure(request, upstream, error),
-      isBlocked: () =>
-        this.suspects.getBlockedMs(request.digest, this.options.clock.now()) !== undefined,
+      isBlocked: () => this.suspects.isSuspect(request.digest, this.options.clock.now()),
     };
   }
 
@@ -158,13 +157,13 @@
     return this.suspects.getReports(this.options.clock.now(), audience);
   }
 
-  /** Gets the crashes of quarantined requests, to be kept for hosts that start. */
+  /** Gets the crashes of requests to be quarantined, to be kept for hosts that start. */
   getQuarantine(): readonly CrashReport[] {
-    return this.suspects.getBlockedReports(this.options.clock.now());
+    return this.suspects.getSuspectReports(this.options.clock.now());
   }
 
-  /** Registers a listener for each crash that this host detects, told whether its request is quarantined. */
-  onCrash(listener: (isQuarantined: boolean) => void): void {
+  /** Registers a listener for each crash that this host detects, told whether its request is to be quarantined. */
+  onCrash(listener: (isSuspect: boolean) => void): void {
     this.listeners.push(listener);
   }
 
--- a/packages/router/src/serving/RequestGuard.ts
+++ b/packages/router/src/serving/RequestGuard.ts
@@ -1,11 +1,11 @@
 import type { UpstreamId } from '@camphorvane/core';
 import type { UpstreamError } from '@camphorvane/upstream';
 
-/** Keeps one request away from upstreams while it is quarantined for the crashes that it has caused. */
+/** Keeps the further attempts of one request away from upstreams once it seems to crash them. */
 export interface RequestGuard {
   /** Records a failure of an upstream while it ran the request; see `CrashGuard.recordFailure`. */
   recordFailure(upstream: UpstreamId, error: UpstreamError): void;
 
-  /** Tells whether the request may not be sent to an upstream any more. */
+  /** Tells whether no further attempt may be sent to an upstream. */
   isBlocked(): boolean;
 }
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -127,6 +127,7 @@
     if (last === undefined) return true;
     const now = this.options.clock.now();
     if (now >= call.policy.deadlineAt) return false;
+    if (this.options.crashGuard.guardFor(guardedCall(call)).isBlocked()) return false;
     if (reachedNoUpstream(last.error)) return !areAllFull(call, failures);
     return this.options.retryGate.tryRetry(serviceRetryTarget(call, last.server), now);
   }
--- a/packages/router/tests/coordination/sharedCrashes.test.ts
+++ b/packages/router/tests/coordination/sharedCrashes.test.ts
@@ -92,6 +92,7 @@
     Object.assign(fleet, { passes });
     Object.assign(fleet.store, { isUnavailable: true });
     await crash(fleet, [fleet.hosts[2], fleet.hosts[3], fleet.hosts[0], fleet.hosts[4]]);
+    await fleet.clock.advance(KNOWN_MS - 300);
     assert.equal(countRefusing(fleet), 7);
     await fleet.clock.advance(20_000);
     Object.assign(fleet, { passes: () => true });
