End the suspicion of a request with its block

A request whose ten minutes were over would have run its prefill and then got no decode, and no retry of a call, for up to an hour: what keeps further attempts back went by the crashes that are remembered, without the block's end.

The test failed before with a suspect after the end of its block, and passes.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -181,18 +181,12 @@
    * @returns Milliseconds, for the refusal's retry-after; undefined if the request may run.
    */
   getBlockedMs(digest: string, now: Millis): Millis | undefined {
-    const { confirmMs, minUpstreams } = this.opts;
-    const crashes = this.getUnexplained(toKey(digest), now).filter(
-      ([, { at }]) => at <= now - confirmMs,
-    );
-    if (crashes.length < minUpstreams) return undefined;
-    const leftMs = Math.max(...crashes.map(([, { at }]) => at)) + this.opts.blockMs - now;
-    return leftMs > 0 ? leftMs : undefined;
+    return this.getBlockedMsBy(digest, now, this.opts.confirmMs);
   }
 
-  /** Tells whether a request has crashes enough to be blocked, though some may still be withdrawn. */
+  /** Tells whether a request is blocked, or will be unless one of its crashes is withdrawn. */
   isSuspect(digest: string, now: Millis): boolean {
-    return this.getUnexplained(toKey(digest), now).length >= this.opts.minUpstreams;
+    return this.getBlockedMsBy(digest, now, 0) !== undefined;
   }
 
   /**
@@ -245,6 +239,17 @@
       .slice(-MAX_REPORTED);
   }
 
+  /** Gets how much longer a request is blocked by its crashes of at least a certain age. */
+  private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
+    const { blockMs, minUpstreams } = this.opts;
+    const crashes = this.getUnexplained(toKey(digest), now).filter(
+      ([, { at }]) => at <= now - minAgeMs,
+    );
+    if (crashes.length < minUpstreams) return undefined;
+    const leftMs = Math.max(...crashes.map(([, { at }]) => at)) + blockMs - now;
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
   private takeRepeated(now: Millis, audience: ReportAudience): Iterable<string> {
     if (audience === 'relayed') return this.repeated;
     if (now - this.repeatedAt < REPEAT_MS) return [];
--- a/packages/decisions/tests/retry/CrashSuspects.test.ts
+++ b/packages/decisions/tests/retry/CrashSuspects.test.ts
@@ -152,3 +152,13 @@
   assert.equal(suspects.getBlockedMs('r', 1_100), undefined);
   assert.equal(suspects.isSuspect('r', 1_100), false);
 });
+
+// Guards against a request that runs again after its block, but gets no retry, and no decode after its prefill.
+test('a request is no suspect any more when its block has ended', () => {
+  const suspects = new CrashSuspects({ confirmMs: 1_000 });
+  record(suspects, 'r', { d1: 0, d2: 0 });
+  assert.equal(suspects.isSuspect('r', BLOCK_MS - 1), true);
+  assert.equal(suspects.isSuspect('r', BLOCK_MS), false);
+  record(suspects, 'r', { d3: BLOCK_MS });
+  assert.equal(suspects.isSuspect('r', BLOCK_MS), true);
+});
