Find out which upstreams a host reaches, and log each change

What callers saw: hosts that had lost their links to all servers refused what they were asked, for as long as the cut lasted. The logs of the incident show single failed attempts, and nothing of what a host believes of its links, so they can't tell a host without links from one whose servers are down.

Each connection to an upstream is observed now. Where one fails, or is not established after 100 ms, the host probes others of its service; a service whose upstreams fail, at least three of them or all, is out of reach until one connection is established. Peers' reports say whether others reach it, once hosts gossip them. The event 'upstreams_lost' of 'reach' names the service, how many upstreams of how many failed, since when and whether peers reach it, 'upstreams_back' the end; the gauge 'reach.services' counts services by the way to them.

--- a/packages/caller/src/http/refusalStatus.ts
+++ b/packages/caller/src/http/refusalStatus.ts
@@ -27,6 +27,7 @@
   idempotency_store_unavailable: 503,
   suspected_crasher: 422,
   upstream_failed: 502,
+  upstreams_unreachable: 503,
   outcome_unknown: 502,
   retry_budget_spent: 503,
   timed_out: 504,
--- a/packages/core/src/Refusal.ts
+++ b/packages/core/src/Refusal.ts
@@ -30,6 +30,7 @@
   'idempotency_store_unavailable',
   'suspected_crasher',
   'upstream_failed',
+  'upstreams_unreachable',
   'outcome_unknown',
   'retry_budget_spent',
   'timed_out',
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -65,3 +65,8 @@
 export * from './turns/QuotedWaits.ts';
 export * from './turns/RetryContext.ts';
 export * from './turns/TurnBooks.ts';
+export * from './reach/GroupReach.ts';
+export * from './reach/UpstreamReach.ts';
+export * from './reach/PeerReach.ts';
+export * from './reach/ReachReport.ts';
+export * from './reach/chooseRoute.ts';
--- /dev/null
+++ b/packages/decisions/src/reach/GroupReach.ts
@@ -0,0 +1,86 @@
+import type { Millis, UpstreamId } from '@camphorvane/core';
+
+/**
+ * Upstreams that must be out of reach before this host's own links are doubted; fewer may have failed by
+ * themselves.
+ */
+const MIN_FAILED_UPSTREAMS = 3;
+
+/** What the failed connections to a group of upstreams show. */
+export interface UnreachedUpstreams {
+  /** When the first of the failed connections was attempted. */
+  readonly since: Millis;
+  /** Upstreams to which connections have failed since any was reached. */
+  readonly failed: number;
+  /** All upstreams of the group. */
+  readonly listed: number;
+}
+
+/** Which upstreams of one group a host reaches, by the new connections that it attempts. */
+export class GroupReach {
+  private listed: readonly UpstreamId[] = [];
+
+  private contactAt: Millis = -Infinity;
+
+  /** Upstreams to which the last connection failed, with the time at which it was attempted. */
+  private readonly failedAt = new Map<UpstreamId, Millis>();
+
+  /** When the first connection that failed since the last contact was attempted. */
+  private failingSince: Millis = Infinity;
+
+  /** Applies the listed upstreams. */
+  setUpstreams(upstreams: readonly UpstreamId[]): void {
+    this.listed = upstreams;
+    const known = new Set(upstreams);
+    [...this.failedAt.keys()]
+      .filter((id) => !known.has(id))
+      .forEach((id) => this.failedAt.delete(id));
+    if (this.failedAt.size === 0) this.failingSince = Infinity;
+  }
+
+  /** Gets the listed upstreams, those that were not tried or failed longest ago first. */
+  getLeastRecentlyFailed(): readonly UpstreamId[] {
+    const at = (id: UpstreamId): Millis => this.failedAt.get(id) ?? -Infinity;
+    return [...this.listed].sort((a, b) => at(a) - at(b));
+  }
+
+  /**
+   * Records an established connection.
+   *
+   * Failures after it was attempted stand: connections that were opened before links were lost can live on.
+   */
+  recordContact(attemptedAt: Millis): void {
+    this.contactAt = Math.max(this.contactAt, attemptedAt);
+    [...this.failedAt]
+      .filter(([, at]) => at <= attemptedAt)
+      .forEach(([id]) => this.failedAt.delete(id));
+    if (attemptedAt >= this.failingSince) {
+      this.failingSince = Math.min(...this.failedAt.values());
+    }
+  }
+
+  /** Records a failed connection; one attempted before the last contact shows nothing of the links. */
+  recordFailure(upstream: UpstreamId, attemptedAt: Millis): void {
+    if (attemptedAt <= this.contactAt || !this.listed.includes(upstream)) return;
+    this.failedAt.set(upstream, attemptedAt);
+    this.failingSince = Math.min(this.failingSince, attemptedAt);
+  }
+
+  /** Gets when the last established connection was attempted; -Infinity before the first. */
+  getContactAt(): Millis {
+    return this.contactAt;
+  }
+
+  /** Tells whether a connection has failed since the last contact. */
+  isDoubtful(): boolean {
+    return this.failedAt.size > 0;
+  }
+
+  /** Gets what is out of reach; undefined unless enough upstreams have failed and none was reached since. */
+  getUnreached(): UnreachedUpstreams | undefined {
+    const failed = this.failedAt.size;
+    const listed = this.listed.length;
+    if (failed === 0 || failed < Math.min(MIN_FAILED_UPSTREAMS, listed)) return undefined;
+    return { since: this.failingSince, failed, listed };
+  }
+}
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -3,6 +3,7 @@
 import { notRun, sleep } from '@camphorvane/core';
 import type { HostStatus } from '@camphorvane/operator';
 import type { PeerHandler, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
+import type { ConnectObserver } from '@camphorvane/upstream';
 import { eventLog } from '../observe/EventLog.ts';
 import { VERSION } from '../version.ts';
 import type { HostComponents } from './assembleHost.ts';
@@ -23,6 +24,9 @@
   /** Serves requests that are forwarded to upstreams. */
   readonly forwarding: ForwardBackend;
 
+  /** Is told of all connections to upstreams. */
+  readonly connects: ConnectObserver;
+
   private readonly options: HostOptions;
 
   private readonly stopController = new AbortController();
@@ -42,6 +46,7 @@
     });
     this.backend = this.components.backend;
     this.forwarding = this.components.forwarding;
+    this.connects = this.components.reach;
   }
 
   /** Starts all background tasks and enters the state `serving`. */
@@ -100,6 +105,7 @@
     this.enterState('stopped');
     this.stopController.abort();
     this.components.coordination.stop();
+    this.components.reach.stop();
   }
 
   /** Gets the lifecycle state. */
@@ -157,6 +163,7 @@
 
   private applyConfig({ version, config }: VersionedConfig): void {
     this.components.directory.reconfigure(config);
+    this.components.reach.refresh();
     this.components.keys.update(config);
     this.components.fairQueues.reconfigure(config);
     this.components.coordination.rates.setTeams(config.teams);
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import type { UpstreamProbe } from '@camphorvane/upstream';
 import type { CoordinationFactory } from '../coordination/HostCoordination.ts';
 import type { HostBuffers } from '../buffers/HostBuffers.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -22,4 +23,6 @@
   readonly metrics: Metrics;
   /** Bounds what the host buffers, where the configuration says so; absent where nothing is bounded. */
   readonly buffers?: HostBuffers;
+  /** Probes links to upstreams; absent where they are not monitored. */
+  readonly probe?: UpstreamProbe;
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -12,6 +12,7 @@
   PlatformEngine,
   PlatformServer,
 } from '@camphorvane/platform';
+import { tcpProbe } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { StoreCoordination } from '../coordination/StoreCoordination.ts';
@@ -56,7 +57,7 @@
   const metrics = new Metrics();
   const buffers = new HostBuffers(clock, metrics, settings.memoryMb);
   let coordination: StoreCoordination | undefined;
-  const host = new Host({
+  const host: Host = new Host({
     identity: {
       host: settings.host,
       zone: settings.zone,
@@ -87,10 +88,11 @@
         coordination = created;
       },
     ),
-    engines: (cfg, onSignals) => new PlatformEngine(cfg, clock, onSignals, buffers),
-    servers: (cfg, onSignals) => new PlatformServer(cfg, clock, onSignals, buffers),
+    engines: (cfg, onSignals) => new PlatformEngine(cfg, clock, onSignals, buffers, host.connects),
+    servers: (cfg, onSignals) => new PlatformServer(cfg, clock, onSignals, buffers, host.connects),
     metrics,
     buffers,
+    probe: tcpProbe(clock),
   });
   if (coordination === undefined) return err('the host did not create its coordination');
   const { config, group, isReady } = selectParts(coordination);
--- a/packages/router/src/host/UpstreamDirectory.ts
+++ b/packages/router/src/host/UpstreamDirectory.ts
@@ -113,6 +113,11 @@
     return this.services.get(service);
   }
 
+  /** Gets the ids of all configured plain services. */
+  getServiceIds(): readonly ServiceId[] {
+    return [...this.services.keys()];
+  }
+
   /** Gets an engine, if it is configured. */
   getEngine(id: UpstreamId): EngineEntry | undefined {
     return this.engines.get(id);
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -5,6 +5,7 @@
 import { EngineObserver } from '../placing/EngineObserver.ts';
 import { ReservationRenewer } from '../placing/ReservationRenewer.ts';
 import { WaitingPlacer } from '../placing/WaitingPlacer.ts';
+import { ReachMonitor } from '../reach/ReachMonitor.ts';
 import { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import { CompletionHandler } from '../serving/CompletionHandler.ts';
 import { FairQueues } from '../serving/FairQueues.ts';
@@ -38,6 +39,7 @@
   readonly fairQueues: FairQueues;
   readonly inFlight: InFlightRequests;
   readonly backend: CallerBackend;
+  readonly reach: ReachMonitor;
   readonly forwarding: ForwardBackend;
 }
 
@@ -55,6 +57,7 @@
   const fairQueues = new FairQueues(clock, directory, metrics);
   const turns = new TurnRegistry({ clock, directory, metrics });
   const speeds = new UpstreamSpeeds(() => directory.getOverloadPolicy().completionTimes, random);
+  const reach = new ReachMonitor({ clock, directory, metrics, probe: options.probe });
   const coordination = options.coordination({
     clock,
     random,
@@ -133,6 +136,7 @@
     fairQueues,
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
+    reach,
     forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission, turns }),
   };
 }
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -36,7 +36,7 @@
   | 'buffers.cut_off';
 
 /** Names of all gauges. */
-export type GaugeName = 'engines' | 'buffers.bytes';
+export type GaugeName = 'engines' | 'buffers.bytes' | 'reach.services';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'neverthrow';
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import type { ConnectAttempt } from './ConnectObserver.ts';
 import type { UpstreamCall } from './UpstreamConnections.ts';
 import type { UpstreamError } from './ModelEngine.ts';
 import { PacedSocket } from './PacedSocket.ts';
@@ -18,7 +19,7 @@
 /** Socket errors of an aborted connection; undici reports an orderly close with a code of its own. */
 const RESET_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
 
-/** Timeouts of one call, and the bound of what is read ahead. */
+/** Timeouts of one call, the bound of what is read ahead, and who is told of the connection. */
 export interface CallTimeouts {
   /** Milliseconds within which the response headers must arrive. */
   readonly headersTimeoutMs: Millis;
@@ -26,6 +27,8 @@
   readonly bodyTimeoutMs: Millis;
   /** Bytes that are read ahead of the reader before the connection pauses; undici's default if absent. */
   readonly readAheadBytes?: number;
+  /** Called when the connection is attempted; see `ConnectObserver.begin`. */
+  readonly observeConnect?: (giveUp: () => void) => ConnectAttempt;
 }
 
 /**
@@ -45,6 +48,9 @@
 
   private connected = false;
 
+  /** The attempt to connect, until it has ended. */
+  private attempt: ConnectAttempt | undefined;
+
   private closed = false;
 
   private isDetached = false;
@@ -68,6 +74,7 @@
     });
     this.client.once('connect', () => {
       this.connected = true;
+      this.endAttempt('connected');
     });
     this.deadline = new ProgressDeadline(clock, timeouts.headersTimeoutMs, signal);
   }
@@ -111,7 +118,10 @@
    * @returns Status and headers, with the body still to be read; rejects with the errors of undici.
    */
   async send(call: UpstreamCall): Promise<Dispatcher.ResponseData> {
-    const { readAheadBytes } = this.timeouts;
+    const { readAheadBytes, observeConnect } = this.timeouts;
+    this.attempt = observeConnect?.(() => {
+      void this.client.destroy(new Error('given up'));
+    });
     const res = await this.client.request({
       method: call.method,
       path: call.path,
@@ -153,7 +163,9 @@
   classifyError(thrown: unknown): UpstreamError {
     const message = thrown instanceof Error ? thrown.message : String(thrown);
     const dispatched = this.connected;
-    switch (this.deadline.getAbortReason()) {
+    const reason = this.deadline.getAbortReason();
+    if (!dispatched) this.endAttempt(reason === 'caller' ? 'cancelled' : 'failed');
+    switch (reason) {
       case 'caller':
         return { type: 'cancelled', dispatched, message: 'cancelled' };
       case 'silent':
@@ -197,9 +209,16 @@
   close(): void {
     if (this.closed) return;
     this.closed = true;
+    this.endAttempt('cancelled');
     this.deadline.close();
     void this.client.destroy();
   }
+
+  private endAttempt(end: keyof ConnectAttempt): void {
+    const { attempt } = this;
+    this.attempt = undefined;
+    attempt?.[end]();
+  }
 }
 
 /**
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -8,3 +8,5 @@
 export * from './DedicatedConnection.ts';
 export type { UpstreamCall } from './UpstreamConnections.ts';
 export * from './isSuccessStatus.ts';
+export * from './ConnectObserver.ts';
+export * from './probeConnection.ts';
