Tell peers which services a host reaches, and name no host that is cut off

What callers saw: directories went on naming hosts that had lost their links to all servers; arrivals at the six cut hosts of the incident were 30 to 37 a second before and during the whole cut.

Hints and digests end with the services that a host does not reach, and with the age of its last contact with each service. A host counts as cut off while others have reached a service since it no longer does: where upstreams are down for all, nobody does. The directory leaves such hosts out unless all are, the standby hosts of a zone take over from them, and they don't change roles of engines.

--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -2,6 +2,7 @@
 import type {
   CallTime,
   QueueQuote,
+  ReachSummary,
   SuspicionReports,
   UpstreamReport,
   UsageRow,
@@ -11,6 +12,7 @@
 import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
+import { decodeReachSummary, encodeReachSummary } from './reachCodec.ts';
 import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 import {
@@ -41,6 +43,8 @@
 const CALL_TIMES_INDEX = 20;
 /** Index of the reports on requests that were running on upstreams that crashed. */
 const SUSPICION_INDEX = 21;
+/** Index of the services that hosts reach. */
+const REACH_INDEX = 22;
 
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
@@ -91,6 +95,8 @@
   readonly callTimes?: readonly CallTime[];
   /** Requests that were running on upstreams that crashed; absent where nothing is reported. */
   readonly suspicion?: SuspicionReports;
+  /** Which services hosts reach; absent where none of them reports it. */
+  readonly reach?: ReachSummary;
 }
 
 /**
@@ -127,7 +133,8 @@
     encodeUpstreamReports(digest.upstreams),
     encodeWaitQuotes(digest.quotes),
   ];
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest)));
+  const reach = digest.reach && encodeReachSummary(digest.reach);
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest, reach)));
 }
 
 /**
@@ -162,6 +169,7 @@
   const usage = decodeUsage(usageRows);
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
+  const reach = decodeReachSummary(fields[REACH_INDEX]);
   if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   if (quotes === undefined || usage === undefined || suspicion === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
@@ -182,6 +190,7 @@
     ...usage,
     ...(callTimes.length === 0 ? {} : { callTimes }),
     ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
+    ...(reach === undefined ? {} : { reach }),
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -10,6 +10,7 @@
 import type {
   CallTime,
   QueueQuote,
+  ReachReport,
   SuspicionReports,
   UpstreamReport,
   UsageRow,
@@ -34,6 +35,7 @@
 import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
+import { decodeReach, encodeReach } from './reachCodec.ts';
 import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 
@@ -46,6 +48,8 @@
 const CALL_TIMES_INDEX = 17;
 /** Index of the reports on requests that were running on upstreams that crashed. */
 const SUSPICION_INDEX = 18;
+/** Index of the services that the host reaches. */
+const REACH_INDEX = 19;
 
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
@@ -95,6 +99,8 @@
   readonly callTimes?: readonly CallTime[];
   /** Requests that were running on upstreams that crashed; absent where nothing is reported. */
   readonly suspicion?: SuspicionReports;
+  /** Which services the host reaches; absent where it serves no requests of other hosts. */
+  readonly reach?: ReachReport;
 }
 
 /**
@@ -132,7 +138,8 @@
     encodeUpstreamReports(hint.upstreams),
     encodeWaitQuotes(hint.quotes),
   ];
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint)));
+  const reach = hint.reach && encodeReach(hint.reach);
+  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint, reach)));
 }
 
 /**
@@ -150,6 +157,7 @@
     fields.slice(DOWN_INDEX);
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
+  const reach = decodeReach(fields[REACH_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -194,5 +202,6 @@
     ...usage,
     ...(callTimes.length === 0 ? {} : { callTimes }),
     ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
+    ...(reach === undefined ? {} : { reach }),
   };
 }
--- a/packages/peer/src/hints/optionalFields.ts
+++ b/packages/peer/src/hints/optionalFields.ts
@@ -13,6 +13,8 @@
   readonly suspicion?: SuspicionReports;
 }
 
+const NO_SUSPICION: SuspicionReports = { crashes: [], answers: [], survivals: [] };
+
 /**
  * Completes the fields of a datagram with the optional ones. Fields that are empty are left out at the end,
  * so that the datagram is the same as before they existed. Empty usage is written: it says that the teams
@@ -21,17 +23,18 @@
  * @param fields - All other fields.
  * @param fixed - Number of fields that are always written.
  * @param optional - The optional fields.
+ * @param reach - Which services hosts reach, encoded; absent where it is not reported.
  * @returns The fields to write.
  */
 export function withOptionalFields(
   fields: readonly unknown[],
   fixed: number,
-  { usage, callTimes = [], suspicion }: OptionalFields,
+  { usage, callTimes = [], suspicion = NO_SUSPICION }: OptionalFields,
+  reach?: readonly unknown[],
 ): readonly unknown[] {
-  if (suspicion !== undefined && !isEmptySuspicion(suspicion)) {
-    const times = encodeCallTimes(callTimes);
-    return [...fields, usage ?? null, UNUSED, times, encodeSuspicion(suspicion)];
-  }
-  if (callTimes.length > 0) return [...fields, usage ?? null, UNUSED, encodeCallTimes(callTimes)];
+  const times = [usage ?? null, UNUSED, encodeCallTimes(callTimes)];
+  if (reach !== undefined) return [...fields, ...times, encodeSuspicion(suspicion), reach];
+  if (!isEmptySuspicion(suspicion)) return [...fields, ...times, encodeSuspicion(suspicion)];
+  if (callTimes.length > 0) return [...fields, ...times];
   return usage === undefined ? withoutTrailingEmpty(fields, fixed) : [...fields, usage];
 }
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -13,6 +13,7 @@
   HeldMemory,
   PoolDemand,
   QueueQuote,
+  ReachSummary,
   UpstreamReport,
 } from '@camphorvane/decisions';
 import {
@@ -35,6 +36,8 @@
 import { UsageReports, usageWithout } from './UsageReports.ts';
 import { countsWithout, sumCounts } from './countSums.ts';
 import { sumQuotes, quotesWithout } from './sumQuotes.ts';
+import { sumReach } from './sumReach.ts';
+import type { ReceivedHint } from './sumReach.ts';
 
 /**
  * Limit of the engines in one digest, which keeps those with the most memory in use: an engine takes
@@ -48,11 +51,6 @@
  */
 const MAX_HELD_ENGINES = 128;
 
-interface ReceivedHint {
-  readonly hint: HostHint;
-  readonly receivedAt: Millis;
-}
-
 /** Sums over the recent hints of all hosts. */
 export interface AggregatedHints {
   readonly engines: ReadonlyMap<UpstreamId, EngineHint>;
@@ -72,6 +70,7 @@
   readonly quotes: readonly QueueQuote[];
   readonly usage: UsageSums | undefined;
   readonly callTimes: readonly CallTime[];
+  readonly reach: ReachSummary | undefined;
 }
 
 /** Fields of a digest beside the sums. */
@@ -159,6 +158,7 @@
       callTimes: newestCallTimes(
         [...this.hints.values()].flatMap((one) => agedCallTimes(one, now)),
       ),
+      reach: sumReach([...this.hints.values()], now),
     };
   }
 
@@ -199,6 +199,7 @@
       quotes: quotesWithout(sums.quotes, own?.quotes),
       usage: usageWithout(sums.usage, receiver),
       callTimes: sums.callTimes,
+      ...(sums.reach === undefined ? {} : { reach: sums.reach }),
     };
   }
 
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -110,7 +110,7 @@
     });
     const group = new GroupAdapter(
       this.runner,
-      { ...identity, leaving: false, serving: true },
+      { ...identity, leaving: false, serving: true, cutOff: false },
       clock,
     );
     this.group = group;
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -1,8 +1,10 @@
-import type { Clock, ModelId } from '@camphorvane/core';
+import type { Clock, Millis, ModelId } from '@camphorvane/core';
+import { gossipTtlMs } from '@camphorvane/decisions';
 import type { EngineKnowledge, InFlightLoad } from '@camphorvane/decisions';
 import type { DemandHint, EngineHint, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { EngineProbes } from '../placing/EngineProbes.ts';
+import type { ReachMonitor } from '../reach/ReachMonitor.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
 import type { FairQueues } from '../serving/FairQueues.ts';
@@ -24,8 +26,12 @@
   readonly fairQueues: FairQueues;
   readonly turns: TurnRegistry;
   readonly crashGuard: CrashGuard;
+  readonly reach: ReachMonitor;
 }
 
+/** Milliseconds for which a digest tells which services hosts reach; digests are less than a second apart. */
+const DIGEST_REACH_TTL_MS: Millis = 2_500;
+
 /** Passes received hints and digests to the parts of this host that use them. */
 export class HintReceiver {
   private readonly options: HintReceiverOptions;
@@ -56,6 +62,9 @@
     turns.receive(hint.host, hint.quotes);
     knowledge.speeds.receive(hint.callTimes ?? [], now);
     this.receiveSuspicion(hint);
+    const { reach } = this.options;
+    reach.peers.receive(hint.host, hint.reach, now + gossipTtlMs(hint.nextMs), now);
+    reach.recordPeerReports();
   }
 
   /** Receives what a hint or a digest reports of requests that crash upstreams. */
@@ -84,6 +93,9 @@
     turns.receiveSum(digest.quotes);
     knowledge.speeds.receive(digest.callTimes ?? [], now);
     this.receiveSuspicion(digest);
+    const { reach } = this.options;
+    reach.peers.receiveSummary(digest.reach, now + DIGEST_REACH_TTL_MS, now);
+    reach.recordPeerReports();
   }
 }
 
--- a/packages/router/src/coordination/HostCoordination.ts
+++ b/packages/router/src/coordination/HostCoordination.ts
@@ -14,6 +14,7 @@
 import type { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { Placer } from '../placing/Placer.ts';
+import type { ReachMonitor } from '../reach/ReachMonitor.ts';
 import type { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import type { CrashGuard } from '../serving/CrashGuard.ts';
 import type { FairQueues } from '../serving/FairQueues.ts';
@@ -101,6 +102,8 @@
   /** How fast upstreams are, over all hosts. */
   readonly speeds: UpstreamSpeeds;
   readonly metrics: Metrics;
+  /** Which upstreams this host and its peers reach. */
+  readonly reach: ReachMonitor;
   /** Scheduled retries of refused callers. */
   readonly turns: TurnRegistry;
 }
--- a/packages/router/src/coordination/HostRoster.ts
+++ b/packages/router/src/coordination/HostRoster.ts
@@ -2,7 +2,14 @@
 import { isServing, gossipTtlMs, gossipTimings, servingHosts } from '@camphorvane/decisions';
 import type { FleetMember } from '../host/ports.ts';
 import type { HostRecord } from './hostRecord.ts';
-import type { HintAddresses, RelayedHostStates, ReportedHostState } from './hostStates.ts';
+import type {
+  HintAddresses,
+  ReceivedDigest,
+  ReceivedHint,
+  RelayedHostStates,
+  ReportedHostState,
+  TrackedRecord,
+} from './hostStates.ts';
 
 /** Shortest TTL of a hint, in milliseconds. */
 const MIN_HINT_TTL_MS: Millis = 1_200;
@@ -24,29 +31,6 @@
  */
 const MIN_RELAYS = 3;
 
-/** State from the last hint of a host, with its expiry. */
-interface ReceivedHint {
-  readonly leaving: boolean;
-  readonly serving: boolean;
-  readonly expiresAt: Millis;
-}
-
-/** State from the last digest of a relay, with its expiry. */
-interface ReceivedDigest {
-  readonly silent: ReadonlySet<HostId>;
-  readonly leaving: ReadonlySet<HostId>;
-  readonly serving: ReadonlySet<HostId>;
-  readonly unwatched: boolean;
-  readonly expiresAt: Millis;
-}
-
-interface TrackedRecord {
-  readonly record: HostRecord;
-  readonly version: number;
-  /** Milliseconds since the record last changed, outages of the store not counted. */
-  readonly ageMs: Millis;
-}
-
 /**
  * Membership of the fleet, from the records in the store and the hints of the hosts.
  *
@@ -59,6 +43,8 @@
 
   private readonly zone: ZoneId;
 
+  private readonly isCutOff: (host: HostId, now: Millis) => boolean;
+
   private records: ReadonlyMap<HostId, TrackedRecord> = new Map();
 
   /** All records, the strongest host first. */
@@ -88,10 +74,16 @@
   /**
    * @param self - This host.
    * @param zone - Its availability zone.
+   * @param isCutOff - Tells whether a peer has lost its links to upstreams; by default none has.
    */
-  constructor(self: HostId, zone: ZoneId) {
+  constructor(
+    self: HostId,
+    zone: ZoneId,
+    isCutOff: (host: HostId, now: Millis) => boolean = () => false,
+  ) {
     this.self = self;
     this.zone = zone;
+    this.isCutOff = isCutOff;
   }
 
   /**
@@ -207,7 +199,9 @@
       (record) =>
         record.zone === this.zone &&
         (record.host === this.self ||
-          (this.isAlive(record.host, now) && !this.isLeaving(record, now))),
+          (this.isAlive(record.host, now) &&
+            !this.isLeaving(record, now) &&
+            !this.isCutOff(record.host, now))),
     );
     return isServing(this.self, zone, this.countHosts());
   }
@@ -286,6 +280,7 @@
       leaving: this.isLeaving(record, now),
       serving:
         record.host === this.self ? this.isServing(now) : this.isPeerServing(record.host, now),
+      cutOff: record.host !== this.self && this.isCutOff(record.host, now),
     }));
     const alive = all.filter(
       (member) => member.host === this.self || this.isAlive(member.host, now),
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -21,11 +21,7 @@
 import { buildHintContent } from './buildHintContent.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { GossipRateGate } from './GossipRateGate.ts';
-import type {
-  CoordinationContext,
-  CoordinationFactory,
-  HostCoordination,
-} from './HostCoordination.ts';
+import type { CoordinationContext, HostCoordination } from './HostCoordination.ts';
 import { HintReceiver } from './HintReceiver.ts';
 import { HostRecords } from './HostRecords.ts';
 import { HostRoster } from './HostRoster.ts';
@@ -103,7 +99,12 @@
     const { clock, random, identity, incarnation, directory, fairQueues } = context;
     const { store, format } = options;
     this.clock = clock;
-    this.hosts = new HostRoster(identity.host, identity.zone);
+    const { reach } = context;
+    this.hosts = new HostRoster(identity.host, identity.zone, (host, now) =>
+      reach.peers.isCutOff(host, now),
+    );
+    reach.setPeers(() => this.getRelayPeers());
+    reach.onChange(() => this.gossip.recordStateChange());
     this.storePolling = new StorePolling(clock, random, this.hosts);
     this.snapshots = new PeerSnapshots({
       ...{ clock, random, metrics: options.metrics, exchange: options.snapshots },
@@ -178,6 +179,7 @@
       ...{ probes: this.placer.probes, calls: context.concurrencyShares, fairQueues },
       turns: context.turns,
       crashGuard: this.crashGuard,
+      reach,
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -252,7 +254,8 @@
   members(): readonly FleetMember[] {
     const now = this.clock.now();
     const serving = this.hosts.isServing(now);
-    const self = { ...this.context.identity, leaving: this.leaving, serving };
+    const cutOff = this.context.reach.isCutOff();
+    const self = { ...this.context.identity, leaving: this.leaving, serving, cutOff };
     const members = this.hosts.getMembers(now);
     return [self, ...members.filter((member) => member.host !== self.host)];
   }
@@ -291,6 +294,7 @@
       rates: this.rates.dump(),
       placing: this.placer.dump(),
       constraints: this.admission.constraints.dump(this.clock.now()),
+      reach: this.context.reach.dump(),
       turns: this.context.turns.dump(),
     };
   }
@@ -317,28 +321,22 @@
     return buildHintContent(this, { leaving: this.leaving, watching: this.isWatchingStore() });
   }
 
-  /** Gets how many hosts that are not leaving precede this one by name. */
+  /** Gets the live hosts that serve callers and have not lost their links. */
+  private getRelayPeers(): readonly FleetMember[] {
+    const { host: self } = this.context.identity;
+    return this.hosts
+      .getMembers(this.clock.now())
+      .filter(
+        ({ host, leaving, serving, cutOff }) => host !== self && serving && !leaving && !cutOff,
+      );
+  }
+
+  /** Gets how many hosts that can act precede this one by name: they stay, and reach the upstreams. */
   private rank(): number | undefined {
-    if (this.leaving) return undefined;
+    const canAct = ({ leaving, cutOff }: FleetMember): boolean => !leaving && !cutOff;
     const { host } = this.context.identity;
-    return this.members().filter((member) => !member.leaving && member.host < host).length;
+    const members = this.members().filter(canAct);
+    if (!members.some((member) => member.host === host)) return undefined;
+    return members.filter((member) => member.host < host).length;
   }
 }
-
-/**
- * Gets the factory of a {@link StoreCoordination}.
- *
- * @param options - The store and the limits of the whole fleet.
- * @param onCreated - Called with the new instance, whose readiness the listeners report.
- * @returns The factory.
- */
-export function storeCoordination(
-  options: StoreCoordinationOptions,
-  onCreated: (coordination: StoreCoordination) => void,
-): CoordinationFactory {
-  return (context) => {
-    const coordination = new StoreCoordination(options, context);
-    onCreated(coordination);
-    return coordination;
-  };
-}
--- a/packages/router/src/coordination/buildHintContent.ts
+++ b/packages/router/src/coordination/buildHintContent.ts
@@ -9,7 +9,10 @@
 
 /** The parts of a host whose state its hints report. */
 export interface HintSources {
-  readonly context: Pick<CoordinationContext, 'concurrencyShares' | 'fairQueues' | 'turns'>;
+  readonly context: Pick<
+    CoordinationContext,
+    'concurrencyShares' | 'fairQueues' | 'turns' | 'reach'
+  >;
   readonly clock: Clock;
   readonly config: DeploymentFeed;
   readonly rates: GossipRateGate;
@@ -50,5 +53,6 @@
     quotes: context.turns.getQuotes(),
     callTimes: knowledge.speeds.getReports(now),
     suspicion: crashGuard.getReports('peers'),
+    reach: context.reach.getReport(),
   };
 }
--- a/packages/router/src/coordination/hostStates.ts
+++ b/packages/router/src/coordination/hostStates.ts
@@ -1,5 +1,6 @@
-import type { HostId } from '@camphorvane/core';
+import type { HostId, Millis } from '@camphorvane/core';
 import type { HostHint } from '@camphorvane/peer/hints';
+import type { HostRecord } from './hostRecord.ts';
 
 /** Addresses that a host sends its hints to in a large fleet. */
 export interface HintAddresses {
@@ -23,3 +24,27 @@
 
 /** State of a host as reported by its hint. */
 export type ReportedHostState = Pick<HostHint, 'host' | 'leaving' | 'serving' | 'nextMs'>;
+
+/** State from the last hint of a host, with its expiry. */
+export interface ReceivedHint {
+  readonly leaving: boolean;
+  readonly serving: boolean;
+  readonly expiresAt: Millis;
+}
+
+/** State from the last digest of a relay, with its expiry. */
+export interface ReceivedDigest {
+  readonly silent: ReadonlySet<HostId>;
+  readonly leaving: ReadonlySet<HostId>;
+  readonly serving: ReadonlySet<HostId>;
+  readonly unwatched: boolean;
+  readonly expiresAt: Millis;
+}
+
+/** A record, with the time since its host last wrote it. */
+export interface TrackedRecord {
+  readonly record: HostRecord;
+  readonly version: number;
+  /** Milliseconds since the record last changed, outages of the store not counted. */
+  readonly ageMs: Millis;
+}
--- a/packages/router/src/host/GroupAdapter.ts
+++ b/packages/router/src/host/GroupAdapter.ts
@@ -34,6 +34,7 @@
       peerAddress: member.peerAddress,
       leaving: member.draining,
       serving: true,
+      cutOff: false,
     }));
     return members.some((member) => member.host === this.self.host)
       ? members
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -16,7 +16,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { StoreCoordination } from '../coordination/StoreCoordination.ts';
-import { storeCoordination } from '../coordination/StoreCoordination.ts';
+import { storeCoordinationFactory } from '../coordination/storeCoordinationFactory.ts';
 import { HostBuffers } from '../buffers/HostBuffers.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
@@ -68,7 +68,7 @@
     drainGraceMs: settings.graceMs,
     clock,
     random: new RandomSource(randomBytes(4).readInt32BE()),
-    coordination: storeCoordination(
+    coordination: storeCoordinationFactory(
       {
         store: new ObjectApiStore(settings.storeAddress, clock),
         format: PLATFORM_FORMAT,
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -69,6 +69,7 @@
     speeds,
     metrics,
     turns,
+    reach,
   });
   const { config, group, rates, retryGate, crashGuard, claims, placer, signals } = coordination;
   const keys = new KeyRing();
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -51,10 +51,12 @@
   readonly leaving: boolean;
   /** Whether callers are sent to it; otherwise it is on standby. */
   readonly serving: boolean;
+  /** Whether it has lost its links to upstreams that other hosts reach. */
+  readonly cutOff: boolean;
 }
 
 /** Identity of a host, with its addresses for callers and peers. */
-export type HostIdentity = Omit<FleetMember, 'leaving' | 'serving'>;
+export type HostIdentity = Omit<FleetMember, 'leaving' | 'serving' | 'cutOff'>;
 
 /** Group membership and coordination, as request handling sees them. */
 export interface GroupGate {
--- a/packages/router/tests/host/callerAddresses.test.ts
+++ b/packages/router/tests/host/callerAddresses.test.ts
@@ -5,6 +5,7 @@
 
 const memberOf = (host: string, zone: string, more: Partial<FleetMember> = {}): FleetMember => ({
   ...{ host, zone, callerAddress: host, peerAddress: host, leaving: false, serving: true },
+  cutOff: false,
   ...more,
 });
 
@@ -37,3 +38,19 @@
   const hosts = ['a1', 'a2'].map((host) => memberOf(host, 'a', { serving: false }));
   assert.deepEqual(callerAddresses(hosts, 'a'), ['a1', 'a2']);
 });
+
+// Guards against callers that are sent to hosts which have lost their links to upstreams.
+test('leaves out hosts that are cut off from upstreams, in favour of other zones', () => {
+  const hosts = [
+    memberOf('a1', 'a', { cutOff: true }),
+    memberOf('a2', 'a', { cutOff: true }),
+    memberOf('b1', 'b'),
+  ];
+  assert.deepEqual(callerAddresses(hosts, 'a'), ['b1']);
+});
+
+// Guards against an empty list where no host reaches the upstreams.
+test('lists hosts that are cut off where all are', () => {
+  const hosts = ['a1', 'a2'].map((host) => memberOf(host, 'a', { cutOff: true }));
+  assert.deepEqual(callerAddresses(hosts, 'a'), ['a1', 'a2']);
+});
--- a/packages/router/tests/support/StoreFleet.ts
+++ b/packages/router/tests/support/StoreFleet.ts
@@ -1,13 +1,15 @@
-import type { Clock, Millis } from '@camphorvane/core';
+import type { Clock, Millis, RoutingConfig } from '@camphorvane/core';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import { UpstreamSpeeds } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { decodeDigest, decodeHint, encodeDigest, encodeHint } from '@camphorvane/peer/hints';
 import { Metrics } from '@camphorvane/router';
 import type { DeploymentFormat } from '@camphorvane/store';
+import type { UpstreamProbe } from '@camphorvane/upstream';
 import { err } from 'neverthrow';
 import { StoreCoordination } from '../../src/coordination/StoreCoordination.ts';
 import { UpstreamDirectory } from '../../src/host/UpstreamDirectory.ts';
+import { ReachMonitor } from '../../src/reach/ReachMonitor.ts';
 import { ConcurrencyShares } from '../../src/serving/ConcurrencyShares.ts';
 import { FairQueues } from '../../src/serving/FairQueues.ts';
 import { TurnRegistry } from '../../src/serving/TurnRegistry.ts';
@@ -22,6 +24,19 @@
   parseServer: () => undefined,
 };
 
+/** Servers of the service `s`. */
+const UPSTREAMS = ['u1', 'u2', 'u3'];
+
+const CONFIG = {
+  ...{ teams: [], pools: [], waitRules: [] },
+  services: [
+    {
+      ...{ id: 's', timeoutMs: 1_000, routes: [] },
+      servers: UPSTREAMS.map((id) => ({ id, url: `http://${id}`, zone: 'a', maxConcurrent: 4 })),
+    },
+  ],
+} as RoutingConfig;
+
 /** A host that coordinates through a store and gossip. */
 export interface StoreHost {
   readonly name: string;
@@ -47,6 +62,12 @@
   /** Changes a datagram on its way, as a host that does not know all of its fields reads it. */
   rewrite: (bytes: Buffer, from: string, to: string) => Buffer = (bytes) => bytes;
 
+  /** Tells whether a host reaches the upstreams of the service `s`. */
+  reaches: (host: string) => boolean = () => true;
+
+  /** Hosts that report no reach, as those of an earlier version. */
+  readonly reachless = new Set<string>();
+
   /** Largest datagram sent so far, in bytes. */
   largestDatagram = 0;
 
@@ -76,6 +97,14 @@
     Object.assign(host, { coordination: this.startHost(host.name) });
   }
 
+  /** Has a host connect to an upstream of the service `s`, as for a request. */
+  connect({ name, coordination }: StoreHost): void {
+    const attempt = coordination.context.reach.begin(UPSTREAMS[0] ?? '', () => undefined);
+    this.clock.after(NETWORK_DELAY_MS, () =>
+      attempt[this.reaches(name) ? 'connected' : 'failed'](),
+    );
+  }
+
   /** Stops all hosts. */
   end(): void {
     this.stops.forEach((stop) => stop.abort());
@@ -90,6 +119,7 @@
     const coordination = createCoordination({
       ...{ name, incarnation: `i${this.incarnations}`, clock },
       ...{ store: this.store, hints: this.linkOf(name, stop.signal) },
+      probe: this.reachless.has(name) ? undefined : async () => this.reaches(name),
     });
     coordination.start(stop.signal);
     return coordination;
@@ -139,13 +169,17 @@
   readonly clock: Clock;
   readonly store: WatchableMemoryStore;
   readonly hints: HintLink;
+  readonly probe: UpstreamProbe | undefined;
 }
 
 function createCoordination(parts: HostParts): StoreCoordination {
-  const { name, incarnation, clock, store, hints } = parts;
+  const { name, incarnation, clock, store, hints, probe } = parts;
   const metrics = new Metrics();
   const random = new RandomSource(Number(name.slice(1)));
-  const directory = new UpstreamDirectory(noClients, noClients);
+  const directory = new UpstreamDirectory(noClients, ({ id }) => ({ id, call: noClients }));
+  directory.reconfigure(CONFIG);
+  const reach = new ReachMonitor({ clock, directory, metrics, probe });
+  reach.refresh();
   const zone = ['a', 'b', 'c'][Number(name.slice(1)) % 3] ?? 'a';
   return new StoreCoordination(
     {
@@ -161,6 +195,7 @@
       fairQueues: new FairQueues(clock, directory, metrics),
       speeds: new UpstreamSpeeds(() => false, random),
       turns: new TurnRegistry({ clock, directory, metrics }),
+      reach,
     },
   );
 }
