--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -114,7 +114,12 @@
       /** True where closing the connection must end the body, as it did at the upstream. */
       readonly endsWithConnection?: boolean;
     }
-  | { readonly type: 'data'; readonly bytes: Uint8Array }
+  | {
+      readonly type: 'data';
+      readonly bytes: Uint8Array;
+      /** Position of a stream's event, after which it can go on; absent for other responses. */
+      readonly position?: number;
+    }
   | { readonly type: 'done' }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -69,4 +69,5 @@
 export * from './reach/UpstreamReach.ts';
 export * from './reach/PeerReach.ts';
 export * from './reach/ReachReport.ts';
+export * from './reach/RelayPeers.ts';
 export * from './reach/chooseRoute.ts';
--- /dev/null
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -0,0 +1,134 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Buffers, Clock } from '@camphorvane/core';
+import { UNCOUNTED_RESERVATION } from '@camphorvane/core';
+import { decodeRequest, encodeFrame } from './relayCodec.ts';
+import type { RelayFrame } from './relayCodec.ts';
+import type { RelayedRequest, RelayHandler } from './RelayLink.ts';
+import { ALIVE_INTERVAL_MS, RELAY_PATH } from './relayProtocol.ts';
+
+/** Most requests of other hosts that a host serves at once; it needs memory for each, and serves callers too. */
+const MAX_IN_FLIGHT = 256;
+
+/** Largest accepted request, in bytes; the host that received it applies the limits of the configuration. */
+const MAX_REQUEST_BYTES = 64 * 1024 * 1024;
+
+const OK = 200;
+const BAD_REQUEST = 400;
+const FORBIDDEN = 403;
+const UNAVAILABLE = 503;
+
+/** Options of a {@link RelayServer}. */
+export interface RelayServerOptions {
+  readonly clock: Clock;
+  /** Bounds what is buffered of requests; absent where nothing is bounded. */
+  readonly buffers?: Buffers;
+  /** Tells whether an IP address belongs to a host of the fleet; others get nothing. */
+  readonly isPeer: (ip: string) => boolean;
+  readonly handler: RelayHandler;
+}
+
+/** Serves the requests that peers pass on, which they don't pass on again. */
+export class RelayServer {
+  private readonly options: RelayServerOptions;
+
+  private inFlight = 0;
+
+  /** @param options - The handler and the bounds. */
+  constructor(options: RelayServerOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Responds to a request, if it is one for this server.
+   *
+   * @param req - The request.
+   * @param res - Its response.
+   * @returns Whether it is a relayed request.
+   */
+  handle(req: IncomingMessage, res: ServerResponse): boolean {
+    if (req.url !== RELAY_PATH || req.method !== 'POST') return false;
+    void this.respond(req, res);
+    return true;
+  }
+
+  private async respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { buffers, isPeer } = this.options;
+    const length = Number(req.headers['content-length'] ?? NaN);
+    const owner = { owner: req.socket.remoteAddress ?? '', request: undefined };
+    if (!isPeer(owner.owner)) return refuse(res, FORBIDDEN);
+    if (!(length <= MAX_REQUEST_BYTES)) return refuse(res, BAD_REQUEST);
+    if (this.inFlight >= MAX_IN_FLIGHT) return refuse(res, UNAVAILABLE);
+    const reservation =
+      buffers === undefined ? UNCOUNTED_RESERVATION : buffers.tryReserve('request', owner, length);
+    if (reservation === undefined) return refuse(res, UNAVAILABLE);
+    this.inFlight += 1;
+    try {
+      const relayed = decodeRequest(await readBody(req));
+      if (relayed === undefined) return refuse(res, BAD_REQUEST);
+      await this.serve(relayed, res);
+    } catch {
+      // The peer closed the connection: its caller has left, or the peer has failed.
+      res.destroy();
+    } finally {
+      this.inFlight -= 1;
+      reservation.release();
+    }
+    return undefined;
+  }
+
+  private async serve(relayed: RelayedRequest, res: ServerResponse): Promise<void> {
+    const closed = new AbortController();
+    res.once('close', () => closed.abort());
+    res.on('error', () => closed.abort());
+    res.writeHead(OK, { 'content-type': 'application/octet-stream' });
+    res.socket?.setNoDelay(true);
+    let cancelAlive = this.sendSignsOfLife(res);
+    for await (const event of this.options.handler(relayed, closed.signal)) {
+      cancelAlive();
+      await write(res, event, closed.signal);
+      cancelAlive = this.sendSignsOfLife(res);
+    }
+    cancelAlive();
+    res.end();
+  }
+
+  /** Sends signs of life until it is cancelled, so that the other host can tell slow work from a lost peer. */
+  private sendSignsOfLife(res: ServerResponse): () => void {
+    const { clock } = this.options;
+    let cancel = (): void => undefined;
+    const send = (): void => {
+      if (!res.writableNeedDrain) encodeFrame({ type: 'alive' }).forEach((part) => res.write(part));
+      cancel = clock.after(ALIVE_INTERVAL_MS, send);
+    };
+    cancel = clock.after(ALIVE_INTERVAL_MS, send);
+    return () => cancel();
+  }
+}
+
+/** Writes a frame, and waits until the socket has taken it. */
+async function write(res: ServerResponse, frame: RelayFrame, closed: AbortSignal): Promise<void> {
+  const isTaken = encodeFrame(frame)
+    .map((part) => res.write(part))
+    .every(Boolean);
+  if (isTaken || closed.aborted) return;
+  await new Promise<void>((resolve) => {
+    const done = (): void => {
+      res.off('drain', done);
+      closed.removeEventListener('abort', done);
+      resolve();
+    };
+    res.once('drain', done);
+    closed.addEventListener('abort', done, { once: true });
+  });
+}
+
+async function readBody(req: IncomingMessage): Promise<Buffer> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of req) chunks.push(chunk as Uint8Array);
+  return Buffer.concat(chunks);
+}
+
+function refuse(res: ServerResponse, status: number): undefined {
+  res.writeHead(status, { connection: 'close' }).end();
+  return undefined;
+}
--- /dev/null
+++ b/packages/peer/src/relay/index.ts
@@ -0,0 +1,3 @@
+export * from './HttpRelayLink.ts';
+export * from './RelayLink.ts';
+export * from './RelayServer.ts';
--- /dev/null
+++ b/packages/peer/src/relay/relayCodec.ts
@@ -0,0 +1,147 @@
+import type { RelayedRequest, RelayEvent } from './RelayLink.ts';
+
+/** Bytes of the length that precedes the fields of a request. */
+const LENGTH_BYTES = 4;
+
+/** Bytes of the kind and the length that precede each event. */
+const FRAME_HEAD_BYTES = 5;
+
+/** Largest accepted event, in bytes; upstreams send far smaller pieces, and whole responses are bounded. */
+const MAX_FRAME_BYTES = 32 * 1024 * 1024;
+
+const KINDS = ['alive', 'head', 'data', 'event', 'done', 'refused'] as const;
+
+type FrameKind = (typeof KINDS)[number];
+
+/** What a peer sends: an event, or a sign that it still works on the request. */
+export type RelayFrame = RelayEvent | { readonly type: 'alive' };
+
+/** Encodes a request: the length of its fields, the fields as JSON, and the body as it is. */
+export function encodeRequest({ id, call, context }: RelayedRequest): readonly Uint8Array[] {
+  const { body, ...rest } = call;
+  const fields = Buffer.from(JSON.stringify({ id, call: rest, context }));
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(fields.length);
+  return [length, fields, body];
+}
+
+/** Decodes a request; undefined where it is malformed. */
+export function decodeRequest(bytes: Uint8Array): RelayedRequest | undefined {
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  if (buffer.length < LENGTH_BYTES) return undefined;
+  const end = LENGTH_BYTES + buffer.readUInt32BE(0);
+  if (end > buffer.length) return undefined;
+  const fields = parseJson(buffer.subarray(LENGTH_BYTES, end));
+  if (!isRequestFields(fields)) return undefined;
+  return { ...fields, call: { ...fields.call, body: buffer.subarray(end) } };
+}
+
+/** Encodes an event. */
+export function encodeFrame(frame: RelayFrame): readonly Uint8Array[] {
+  switch (frame.type) {
+    case 'alive':
+    case 'done':
+      return [frameHead(frame.type, 0)];
+    case 'head':
+    case 'refused': {
+      const fields = Buffer.from(JSON.stringify(frame));
+      return [frameHead(frame.type, fields.length), fields];
+    }
+    case 'data': {
+      if (frame.position === undefined) return [frameHead('data', frame.bytes.length), frame.bytes];
+      const position = Buffer.alloc(LENGTH_BYTES);
+      position.writeUInt32BE(frame.position);
+      return [frameHead('event', LENGTH_BYTES + frame.bytes.length), position, frame.bytes];
+    }
+    default:
+      return frame satisfies never;
+  }
+}
+
+/** Splits the bytes of a response into frames. */
+export class FrameReader {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /**
+   * Adds bytes.
+   *
+   * @param chunk - The bytes.
+   * @returns The frames that are complete now; undefined where the bytes are malformed.
+   */
+  push(chunk: Uint8Array): readonly RelayFrame[] | undefined {
+    this.pending = Buffer.concat([this.pending, chunk]);
+    const frames: RelayFrame[] = [];
+    let length = this.nextLength();
+    while (length !== undefined && this.pending.length >= FRAME_HEAD_BYTES + length) {
+      const frame = decodeFrame(
+        KINDS[this.pending[0] ?? -1],
+        this.pending.subarray(FRAME_HEAD_BYTES, FRAME_HEAD_BYTES + length),
+      );
+      if (frame === undefined) return undefined;
+      frames.push(frame);
+      this.pending = this.pending.subarray(FRAME_HEAD_BYTES + length);
+      length = this.nextLength();
+    }
+    return length !== undefined && length > MAX_FRAME_BYTES ? undefined : frames;
+  }
+
+  private nextLength(): number | undefined {
+    return this.pending.length < FRAME_HEAD_BYTES ? undefined : this.pending.readUInt32BE(1);
+  }
+}
+
+function frameHead(kind: FrameKind, length: number): Buffer {
+  const head = Buffer.alloc(FRAME_HEAD_BYTES);
+  head.writeUInt8(KINDS.indexOf(kind));
+  head.writeUInt32BE(length, 1);
+  return head;
+}
+
+function decodeFrame(kind: FrameKind | undefined, bytes: Buffer): RelayFrame | undefined {
+  switch (kind) {
+    case 'alive':
+    case 'done':
+      return { type: kind };
+    case 'head':
+    case 'refused': {
+      const fields = parseJson(bytes) as Partial<RelayFrame> | undefined;
+      return fields?.type === kind ? (fields as RelayFrame) : undefined;
+    }
+    case 'data':
+      return { type: 'data', bytes };
+    case 'event':
+      if (bytes.length < LENGTH_BYTES) return undefined;
+      return {
+        type: 'data',
+        bytes: bytes.subarray(LENGTH_BYTES),
+        position: bytes.readUInt32BE(0),
+      };
+    case undefined:
+      return undefined;
+    default:
+      return kind satisfies never;
+  }
+}
+
+function isRequestFields(
+  value: unknown,
+): value is Omit<RelayedRequest, 'call'> & { readonly call: Omit<RelayedRequest['call'], 'body'> } {
+  const { id, call, context } = (value ?? {}) as Partial<RelayedRequest>;
+  if (typeof id !== 'string' || typeof call !== 'object' || typeof context !== 'object')
+    return false;
+  const texts = [call.host, call.method, call.path];
+  const numbers = [context.leftMs, context.ageMs, context.executions];
+  return (
+    texts.every((text) => typeof text === 'string') &&
+    typeof call.headers === 'object' &&
+    numbers.every((number) => typeof number === 'number' && Number.isFinite(number))
+  );
+}
+
+function parseJson(bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/peer/src/snapshots/HttpSnapshotExchange.ts
+++ b/packages/peer/src/snapshots/HttpSnapshotExchange.ts
@@ -19,6 +19,9 @@
 const FORBIDDEN = 403;
 const NOT_FOUND = 404;
 
+/** Responds to a request for another path; returns false for one that it does not know. */
+export type OtherHandler = (req: IncomingMessage, res: ServerResponse) => boolean;
+
 /** Offers this host's copies of stored objects over HTTP, and reads those of its peers. */
 export class HttpSnapshotExchange implements SnapshotExchange {
   private readonly clock: Clock;
@@ -27,6 +30,8 @@
 
   private source: SnapshotSource = { get: () => undefined, isPeer: () => false };
 
+  private handleOther: OtherHandler = () => false;
+
   /** @param clock - Clock for timeouts. */
   constructor(clock: Clock) {
     this.clock = clock;
@@ -54,6 +59,16 @@
     this.source = source;
   }
 
+  /** Sets what responds to requests for other paths at the same address. */
+  setOtherHandler(handler: OtherHandler): void {
+    this.handleOther = handler;
+  }
+
+  /** Tells whether an IP address belongs to a host of the fleet. */
+  isPeer(ip: string): boolean {
+    return this.source.isPeer(ip);
+  }
+
   /** {@inheritDoc SnapshotExchange.fetch} */
   fetch(address: string, kind: string, newerThan: number): Promise<Snapshot | undefined> {
     const url = `http://${address}/snapshots/${encodeURIComponent(kind)}?newer-than=${newerThan}`;
@@ -72,6 +87,7 @@
   }
 
   private respond(req: IncomingMessage, res: ServerResponse): void {
+    if (this.handleOther(req, res)) return;
     const [, kind, newerThan] = PATH.exec(req.url ?? '') ?? [];
     if (!this.source.isPeer(req.socket.remoteAddress ?? '')) {
       res.writeHead(FORBIDDEN).end();
--- /dev/null
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, test } from 'node:test';
+import { notRun, sleep, SystemClock } from '@camphorvane/core';
+import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
+import type {
+  RelayedRequest,
+  RelayEvent,
+  RelayFailure,
+  RelayHandler,
+} from '@camphorvane/peer/relay';
+
+const clock = new SystemClock();
+const servers: Server[] = [];
+after(() => servers.forEach((server) => server.close()));
+
+const REQUEST: RelayedRequest = {
+  id: 'r1',
+  call: {
+    ...{
+      key: 'k',
+      host: 'h.example',
+      method: 'POST',
+      path: '/a%2Fb?c=%20',
+      headers: { 'x-a': 'ä' },
+    },
+    body: Buffer.from([0, 255, 10, 13]),
+    work: { promptTokens: 5, maxTokens: 7, parts: [{ id: 'p', tokens: 5 }], lastPosition: 3 },
+  },
+  context: { from: 'h1', leftMs: 900, ageMs: 20, executions: 1, isCharged: true },
+};
+
+async function listen(server: Server): Promise<string> {
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function serve(handler: RelayHandler, isPeer = true): Promise<string> {
+  const relay = new RelayServer({ clock, handler, isPeer: () => isPeer });
+  return listen(
+    createServer((req, res) => {
+      if (!relay.handle(req, res)) res.writeHead(404).end();
+    }),
+  );
+}
+
+async function collect(
+  address: string,
+  signal = new AbortController().signal,
+): Promise<readonly (RelayEvent | RelayFailure)[]> {
+  const events: (RelayEvent | RelayFailure)[] = [];
+  for await (const event of new HttpRelayLink(clock, '127.0.0.1').relay(address, REQUEST, signal)) {
+    events.push(event);
+  }
+  return events;
+}
+
+// Guards against a request that is changed on its way over a peer.
+test('a request and its response pass unchanged', async () => {
+  const seen: RelayedRequest[] = [];
+  const events: readonly RelayEvent[] = [
+    { type: 'head', status: 200, headers: { 'x-b': 'c' }, endsWithConnection: true },
+    { type: 'data', bytes: Buffer.from('one'), position: 4 },
+    { type: 'data', bytes: Buffer.alloc(300_000, 7) },
+    { type: 'done' },
+  ];
+  const address = await serve(async function* respond(request) {
+    seen.push(request);
+    yield* events;
+  });
+  const received = await collect(address);
+  assert.deepEqual(seen, [REQUEST]);
+  assert.deepEqual(received, events);
+});
+
+test('a refusal passes unchanged', async () => {
+  const refusal = notRun('over_rate', 'too much', 250);
+  const address = await serve(async function* respond() {
+    yield { type: 'refused', refusal };
+  });
+  assert.deepEqual(await collect(address), [{ type: 'refused', refusal }]);
+});
+
+// Guards against requests of strangers that are served without a check of what they claim.
+test('only hosts of the fleet are served', async () => {
+  let served = 0;
+  const address = await serve(async function* respond() {
+    served += 1;
+    yield { type: 'done' };
+  }, false);
+  const [event] = await collect(address);
+  assert.deepEqual(event, { type: 'failed', dispatched: false, message: 'the peer answered 403' });
+  assert.equal(served, 0);
+});
+
+// Guards against an unknown outcome at a peer of an earlier version, which does not know the path.
+test('a peer that knows no relaying has certainly not run the request', async () => {
+  const address = await listen(createServer((_req, res) => res.writeHead(404).end()));
+  const [event] = await collect(address);
+  assert.equal(event?.type === 'failed' && event.dispatched, false);
+});
+
+test('a peer that can not be reached has certainly not run the request', async () => {
+  const server = createServer();
+  const address = await listen(server);
+  server.close();
+  const [event] = await collect(address);
+  assert.equal(event?.type === 'failed' && event.dispatched, false);
+});
+
+// Guards against a response that is cut off and looks complete, and against a false "not run".
+test('a peer that is lost in mid-response may have run the request', async () => {
+  const address = await listen(
+    createServer((req, res) => {
+      req.resume();
+      res.write(Buffer.from([2, 0, 0, 0, 1, 65]));
+      setTimeout(() => res.destroy(), 20);
+    }),
+  );
+  const events = await collect(address);
+  assert.deepEqual(
+    events.map((event) => (event.type === 'failed' ? event.dispatched : event.type)),
+    ['data', true],
+  );
+});
+
+// Guards against a caller that waits for its deadline while the peer of its request is frozen.
+test('a peer that falls silent is given up after a while, one that works is not', async () => {
+  const silent = await listen(createServer((req) => req.resume()));
+  const startedAt = clock.now();
+  const [failure] = await collect(silent);
+  assert.equal(failure?.type === 'failed' && failure.dispatched, true);
+  assert.ok(clock.now() - startedAt < 3_000);
+  const slow = await serve(async function* respond() {
+    await sleep(clock, 2_500);
+    yield { type: 'done' };
+  });
+  assert.deepEqual(await collect(slow), [{ type: 'done' }]);
+});
+
+// Guards against work that goes on at an upstream after the caller has left the host that it called.
+test('the peer learns at once that the caller has left', async () => {
+  const left = new AbortController();
+  let toldAfterMs = Infinity;
+  const address = await serve(async function* respond(_request, signal) {
+    yield { type: 'head', status: 200, headers: {} };
+    const startedAt = clock.now();
+    setTimeout(() => left.abort(), 50);
+    await sleep(clock, 5_000, signal);
+    toldAfterMs = clock.now() - startedAt;
+  });
+  const events = await collect(address, left.signal);
+  assert.equal(events.at(-1)?.type, 'failed');
+  await sleep(clock, 100);
+  assert.ok(toldAfterMs < 400, `${toldAfterMs} ms`);
+});
+
+// Guards against a peer that buffers a whole response for a caller that reads slowly.
+test('a slow reader holds back the peer', async () => {
+  let sent = 0;
+  const address = await serve(async function* respond() {
+    while (sent < 400) {
+      sent += 1;
+      yield { type: 'data', bytes: Buffer.alloc(65_536) };
+    }
+    yield { type: 'done' };
+  });
+  const events = new HttpRelayLink(clock, '127.0.0.1').relay(
+    address,
+    REQUEST,
+    new AbortController().signal,
+  );
+  await events.next();
+  await sleep(clock, 300);
+  assert.ok(sent < 200, `${sent} of 400 chunks sent`);
+  await events.return(undefined);
+});
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -104,7 +104,10 @@
       reach.peers.isCutOff(host, now),
     );
     reach.setPeers(() => this.getRelayPeers());
-    reach.onChange(() => this.gossip.recordStateChange());
+    reach.onChange(({ service }) => {
+      this.gossip.recordStateChange();
+      this.placer.refuseUnreachable(service);
+    });
     this.storePolling = new StorePolling(clock, random, this.hosts);
     this.snapshots = new PeerSnapshots({
       ...{ clock, random, metrics: options.metrics, exchange: options.snapshots },
@@ -159,6 +162,7 @@
       ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
       order: (model) => fairQueues.orderOf({ type: 'pool', id: model }),
       turns: (model) => context.turns.forPool(model),
+      refusalFor: (model) => reach.refusalFor(model),
     });
     this.crashGuard = new CrashGuard({
       self: identity.host,
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -1,9 +1,10 @@
 import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
+import type { RelayHandler } from '@camphorvane/peer/relay';
+import type { ConnectObserver } from '@camphorvane/upstream';
 import type { HostId, Millis, ModelId, VersionedConfig } from '@camphorvane/core';
 import { notRun, sleep } from '@camphorvane/core';
 import type { HostStatus } from '@camphorvane/operator';
 import type { PeerHandler, PeerRequest, PeerResponse, PeerSender } from '@camphorvane/peer';
-import type { ConnectObserver } from '@camphorvane/upstream';
 import { eventLog } from '../observe/EventLog.ts';
 import { VERSION } from '../version.ts';
 import type { HostComponents } from './assembleHost.ts';
@@ -24,6 +25,9 @@
   /** Serves requests that are forwarded to upstreams. */
   readonly forwarding: ForwardBackend;
 
+  /** Serves requests that peers pass on. */
+  readonly serveRelayed: RelayHandler;
+
   /** Is told of all connections to upstreams. */
   readonly connects: ConnectObserver;
 
@@ -45,8 +49,10 @@
       isClosed: () => this.closed,
     });
     this.backend = this.components.backend;
-    this.forwarding = this.components.forwarding;
-    this.connects = this.components.reach;
+    const { forwarding, reach } = this.components;
+    this.forwarding = forwarding;
+    this.serveRelayed = (request, signal) => forwarding.serveRelayed(request, signal);
+    this.connects = reach;
   }
 
   /** Starts all background tasks and enters the state `serving`. */
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import type { RelayLink } from '@camphorvane/peer/relay';
 import type { UpstreamProbe } from '@camphorvane/upstream';
 import type { CoordinationFactory } from '../coordination/HostCoordination.ts';
 import type { HostBuffers } from '../buffers/HostBuffers.ts';
@@ -25,4 +26,6 @@
   readonly buffers?: HostBuffers;
   /** Probes links to upstreams; absent where they are not monitored. */
   readonly probe?: UpstreamProbe;
+  /** Passes requests on to peers while links are lost; absent where the host uses its own links only. */
+  readonly relayLink?: RelayLink;
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@camphorvane/core';
 import { RandomSource, sleep, SystemClock } from '@camphorvane/core';
 import { HintSocket } from '@camphorvane/peer/hints';
+import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
 import { HttpSnapshotExchange } from '@camphorvane/peer/snapshots';
 import type { PlatformSettings } from '@camphorvane/platform';
 import {
@@ -93,7 +94,13 @@
     metrics,
     buffers,
     probe: tcpProbe(clock),
+    relayLink: new HttpRelayLink(clock, settings.ip),
   });
+  const relayServer = new RelayServer({
+    ...{ clock, buffers, handler: host.serveRelayed },
+    isPeer: (ip) => snapshots.isPeer(ip),
+  });
+  snapshots.setOtherHandler((req, res) => relayServer.handle(req, res));
   if (coordination === undefined) return err('the host did not create its coordination');
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -1,11 +1,12 @@
-import type { CallerBackend, ForwardBackend } from '@camphorvane/caller';
-import { UpstreamSpeeds } from '@camphorvane/decisions';
+import type { CallerBackend } from '@camphorvane/caller';
+import { RelayPeers, UpstreamSpeeds } from '@camphorvane/decisions';
 import { KeyRing } from '@camphorvane/store';
 import type { HostCoordination } from '../coordination/HostCoordination.ts';
 import { EngineObserver } from '../placing/EngineObserver.ts';
 import { ReservationRenewer } from '../placing/ReservationRenewer.ts';
 import { WaitingPlacer } from '../placing/WaitingPlacer.ts';
 import { ReachMonitor } from '../reach/ReachMonitor.ts';
+import { RequestRelay } from '../reach/RequestRelay.ts';
 import { ConcurrencyShares } from '../serving/ConcurrencyShares.ts';
 import { CompletionHandler } from '../serving/CompletionHandler.ts';
 import { FairQueues } from '../serving/FairQueues.ts';
@@ -40,7 +41,7 @@
   readonly inFlight: InFlightRequests;
   readonly backend: CallerBackend;
   readonly reach: ReachMonitor;
-  readonly forwarding: ForwardBackend;
+  readonly forwarding: ForwardHandler;
 }
 
 /**
@@ -88,10 +89,12 @@
       isAdmissionOn: () => directory.getOverloadPolicy().admission,
       order: (service) => fairQueues.orderOf({ type: 'service', id: service }),
       turns: (service) => turns.forService(service),
+      refusalFor: (service) => reach.refusalFor(service),
       speeds,
       metrics,
     },
   );
+  reach.onChange(({ service }) => serviceQueues.refuseUnreachable(service));
   directory.setWatch(signals);
   if (options.buffers !== undefined) {
     directory.setBuffers(options.buffers);
@@ -127,6 +130,13 @@
   });
   const commonOptions = { clock, random, authenticator, config, directory, inFlight, metrics };
   const handlers = { completions, services };
+  const relay =
+    options.relayLink === undefined
+      ? undefined
+      : new RequestRelay({
+          ...{ self: identity.host, clock, reach, link: options.relayLink, metrics },
+          peers: new RelayPeers(identity.zone, random),
+        });
   return {
     coordination,
     keys,
@@ -138,6 +148,8 @@
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
     reach,
-    forwarding: new ForwardHandler({ ...commonOptions, ...handlers, ...admission, turns }),
+    forwarding: new ForwardHandler({
+      ...{ ...commonOptions, ...handlers, ...admission, turns, retryGate, relay },
+    }),
   };
 }
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -32,6 +32,9 @@
   | 'admission.refused_while_idle'
   | 'shares.placed'
   | 'shares.unplaced'
+  | 'relay.sent'
+  | 'relay.served'
+  | 'relay.lost'
   | 'buffers.refused'
   | 'buffers.cut_off';
 
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -117,7 +117,8 @@
         onAbort();
         return;
       }
-      const refusal = pool.queue.submit(queuedRequest(item, this.clock.now()));
+      const unreachable = this.options.refusalFor?.(model);
+      const refusal = unreachable ?? pool.queue.submit(queuedRequest(item, this.clock.now()));
       if (refusal === undefined) this.schedule(pool);
       else this.resolveRequest(pool, item.request, err(refusal));
     });
@@ -185,6 +186,17 @@
     });
   }
 
+  /** Refuses the waiting requests for a model whose engines can't be reached any more. */
+  refuseUnreachable(model: ModelId): void {
+    const pool = this.pools.get(model);
+    const refusal = this.options.refusalFor?.(model);
+    if (pool === undefined || refusal === undefined) return;
+    [...pool.waiting.keys()].forEach((request) => {
+      pool.queue.withdraw(request);
+      this.resolveRequest(pool, request, err(refusal));
+    });
+  }
+
   /** Stops probes and timers; waiting requests end when their callers abort them. */
   stop(): void {
     this.probes.stop();
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -84,6 +84,8 @@
    */
   readonly onStateChange: () => void;
   readonly metrics?: Metrics;
+  /** Gets the refusal of requests while their engines can't be reached; undefined while they can. */
+  readonly refusalFor?: (model: ModelId) => Refusal | undefined;
   /** Records what the streams of each team hold; absent where queues are not ordered by it. */
   readonly fairQueues?: StreamAccounts;
   /** Gets what schedules the retries of a model's refused callers; undefined while that is off. */
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -15,17 +15,17 @@
 } from './completionAttemptPlan.ts';
 import { CompletionAttempt } from './CompletionAttempt.ts';
 import type { CrashGuard } from './CrashGuard.ts';
-import { CompletionProgress } from './CompletionProgress.ts';
+import type { CompletionProgress } from './CompletionProgress.ts';
 import { budgetSpent, completionRefusal, enginesFailed } from './completionRefusals.ts';
 import { RateQueue } from './RateQueue.ts';
 import type { ResolvedCompletion, ServingEvent } from './resolvedCompletion.ts';
 import {
-  completionDigest,
   guardedCompletion,
   finalEvent,
   MAX_COMPLETION_ATTEMPTS,
   attemptMayHaveExecuted,
   completionRetryTarget,
+  progressOf,
   chargeableTokens,
   streamLimits,
 } from './resolvedCompletion.ts';
@@ -84,6 +84,10 @@
       return;
     }
     const acceptedAt = this.options.clock.now();
+    if (completion.policy.isCharged === true) {
+      yield* this.runAttempts(completion, pool.value, progressOf(completion, acceptedAt));
+      return;
+    }
     const charge = await this.queue.charge(
       {
         team: completion.caller.team,
@@ -112,12 +116,7 @@
     charge: RateCharge,
     acceptedAt: Millis,
   ): AsyncGenerator<ServingEvent> {
-    const progress = new CompletionProgress(
-      countPromptTokens(completion.prompt),
-      acceptedAt,
-      completionDigest(completion),
-      completion.policy.fromPosition,
-    );
+    const progress = progressOf(completion, acceptedAt);
     try {
       yield* this.runAttempts(completion, pool, progress);
     } finally {
@@ -206,7 +205,10 @@
       outcome.engine,
       outcome.error,
     );
-    if (attemptMayHaveExecuted(completion, outcome)) progress.recordExecution();
+    if (attemptMayHaveExecuted(completion, outcome)) {
+      progress.recordExecution();
+      completion.policy.executions?.record();
+    }
     if (completion.signal.aborted) return enginesFailed();
     if (progress.getExecutionCount() >= completion.policy.maxExecutions) return enginesFailed();
     const now = this.options.clock.now();
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -6,26 +6,27 @@
   RandomSource,
   Refusal,
   RequestId,
-  RoutingConfig,
-  TeamConfig,
-  WorkClass,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { RequestAgeEstimator } from '@camphorvane/decisions';
-import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
+import type { RelayContext, RelayedRequest } from '@camphorvane/peer/relay';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AuthenticatedCaller, Authenticator } from '../host/Authenticator.ts';
 import type { InFlightRequests } from '../host/InFlightRequests.ts';
-import type { ConfigSource } from '../host/ports.ts';
+import type { ConfigSource, RetryGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import { eventLog } from '../observe/EventLog.ts';
+import type { RequestRelay, ServingState } from '../reach/RequestRelay.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
+import { ExecutionCount } from './ExecutionCount.ts';
 import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
+import { ANONYMOUS_CALLER, completionOf, priorityOf, serviceCallOf } from './routedCall.ts';
+import type { RoutedCall } from './routedCall.ts';
 import { StreamTimer } from './StreamTimer.ts';
 import type { TurnRegistry } from './TurnRegistry.ts';
 
@@ -38,36 +39,6 @@
 /** Retry-after in milliseconds of a draining host; short, as the retry goes to another host. */
 const DRAINING_RETRY_MS: Millis = 50;
 
-/** Fraction of the target in which a stream must get its engines; prefill, transfer and network follow. */
-const STREAM_ON_TIME_FRACTION = 0.6;
-
-/**
- * Longest wait of a stream for engines, in multiples of its target. Callers give up on a stream that has
- * not started after four targets; one that gets its engines within this wait starts before that.
- */
-const STREAM_MAX_WAIT_TARGETS = 2.8;
-
-/** Fraction of the target within which a plain call must get its server; the rest covers its execution. */
-const CALL_ON_TIME_FRACTION = 0.7;
-
-/**
- * Longest wait of a plain call for a server, in multiples of its target. After the first target the call is
- * late, and gets a server only when no call that can still be on time waits for one.
- */
-const CALL_MAX_WAIT_TARGETS = 2;
-
-/** The caller of a route that needs no API key. */
-const ANONYMOUS_CALLER: AuthenticatedCaller = {
-  team: {
-    id: '',
-    rate: { tokensPerSecond: 0, burstTokens: 0 },
-    keyDigests: [],
-    models: [],
-    weight: 1,
-  },
-  keyDigest: undefined,
-};
-
 const log = eventLog('request');
 
 /** Options of a `ForwardHandler`. */
@@ -82,24 +53,13 @@
   readonly services: ServiceCallHandler;
   readonly metrics: Metrics;
   readonly turns: TurnRegistry;
+  readonly retryGate: RetryGate;
+  /** Serves calls by way of a peer while links are lost; absent where hosts serve over their own links only. */
+  readonly relay: RequestRelay | undefined;
   /** Tells whether the host refuses new requests. */
   readonly isClosed: () => boolean;
 }
 
-/** A forwarded call whose caller is authenticated and whose route and service are chosen. */
-interface RoutedCall {
-  readonly id: RequestId;
-  readonly req: ForwardRequest;
-  readonly route: ForwardRoute;
-  readonly service: string;
-  readonly caller: AuthenticatedCaller;
-  readonly config: RoutingConfig;
-  /** Deadline of the call, set by its caller or by the route's timeout. */
-  readonly deadlineAt: Millis;
-  /** Estimated milliseconds since the caller's first attempt at this request. */
-  readonly ageMs: Millis;
-}
-
 /** Forwards calls byte for byte to upstreams, by the same handlers as the native API. */
 export class ForwardHandler implements ForwardBackend {
   private readonly options: ForwardHandlerOptions;
@@ -112,30 +72,39 @@
   }
 
   /** Serves one call (see `ForwardBackend.forward`); aborting the signal ends it. */
-  async *forward(
+  forward(id: RequestId, req: ForwardRequest, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+    return this.serveRouted(id, req, signal, undefined);
+  }
+
+  /** Serves a call that a peer has passed on, over this host's own links only. */
+  serveRelayed(request: RelayedRequest, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+    const { id, call, context } = request;
+    this.options.metrics.count('relay.served');
+    const req = { ...call, callerTimeoutMs: context.leftMs };
+    return this.serveRouted(id, req, signal, context);
+  }
+
+  private async *serveRouted(
     id: RequestId,
     req: ForwardRequest,
     signal: AbortSignal,
+    relayed: RelayContext | undefined,
   ): AsyncGenerator<ForwardEvent> {
     const startedAt = this.options.clock.now();
-    const routed = this.resolveRoute(id, req);
+    const routed = this.resolveRoute(id, req, relayed);
     if (routed.isErr()) {
       this.recordRefusal(id, routed.error, startedAt);
       yield { type: 'refused', refusal: routed.error };
       return;
     }
     const call = routed.value;
-    const kind = call.route.kind === 'stream' ? 'pool' : 'service';
-    this.options.turns.recordArrival({ kind, name: call.service }, priorityOf(call), call.ageMs);
     const { abort, leave } = this.options.inFlight.addForCaller(id, call.caller, signal);
     const cancelTimer = this.options.clock.after(call.deadlineAt - this.options.clock.now(), () =>
       abort.abort(deadlinePassed()),
     );
     try {
-      const isStream = call.route.kind === 'stream';
-      const events = isStream ? this.stream(call, abort.signal) : this.call(call, abort.signal);
       const timer = new StreamTimer(startedAt);
-      for await (const event of events) {
+      for await (const event of this.serve(call, abort.signal, relayed !== undefined)) {
         if (event.type === 'data') timer.recordEvent(this.options.clock.now());
         if (event.type === 'refused') this.recordRefusal(id, event.refusal, startedAt);
         if (event.type === 'done') this.recordDone(call, timer, startedAt);
@@ -147,7 +116,11 @@
     }
   }
 
-  private resolveRoute(id: RequestId, req: ForwardRequest): Result<RoutedCall, Refusal> {
+  private resolveRoute(
+    id: RequestId,
+    req: ForwardRequest,
+    relayed: RelayContext | undefined,
+  ): Result<RoutedCall, Refusal> {
     const config = this.options.config.current()?.config;
     if (config === undefined) {
       const text = 'This host has no configuration yet.';
@@ -177,9 +150,15 @@
       const { service } = target;
       const slos = { kind, targetMs, longestPauseMs };
       const version = this.version();
-      const ageMs = Math.round(this.callerAges.estimate(name, timeoutMs, now));
-      log('accepted', { id, route: name, service, team: caller.team.id, ...slos, ageMs, version });
-      return { id, req, route, service: target.service, caller, config, deadlineAt, ageMs };
+      const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
+      const by = relayed === undefined ? {} : { relayedBy: relayed.from };
+      const team = caller.team.id;
+      log('accepted', { id, route: name, service, team, ...slos, ageMs, version, ...by });
+      const executions = new ExecutionCount(relayed?.executions);
+      const isCharged = relayed?.isCharged ?? false;
+      return {
+        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, executions, isCharged },
+      };
     });
   }
 
@@ -187,44 +166,39 @@
     return route.open ? ok(ANONYMOUS_CALLER) : this.options.authenticator.authenticate(req.key);
   }
 
-  private async *stream(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
-    const { id, req, route, caller, config } = call;
-    const { work } = req;
-    const events = this.options.completions.serve({
-      id,
-      model: call.service,
-      prompt: {
-        tokens: work?.promptTokens ?? plainTokens(caller.team),
-        parts: work?.parts ?? [],
-        call: {
-          method: req.method,
-          path: req.path,
-          headers: req.headers,
-          body: req.body,
-          deadlineAt: call.deadlineAt,
-          team: teamOf(caller),
-        },
-      },
-      maxTokens: work?.maxTokens ?? 0,
-      class: 'lookup',
-      caller,
-      config,
-      policy: {
-        maxExecutions: route.maxAttempts,
-        resumable: route.resumable,
-        fromPosition: work?.lastPosition === undefined ? 0 : work.lastPosition + 1,
-        expectedTokens: work?.expectedOutputTokens,
-        maxWaitMs: Math.min(route.targetMs * STREAM_MAX_WAIT_TARGETS, this.remainingMs(call)),
-        onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
-        longestPauseMs: route.longestPauseMs,
-        priority: priorityOf(call),
-        callerTimes: callerTimesOf(call),
-        retry: this.retryContextOf(call),
+  /** Serves a call over this host's links, or by way of a peer while they are lost. */
+  private serve(
+    call: RoutedCall,
+    signal: AbortSignal,
+    isRelayed: boolean,
+  ): AsyncIterable<ForwardEvent> {
+    const { relay, retryGate, clock } = this.options;
+    const direct = ({ req, isCharged }: ServingState): AsyncGenerator<ForwardEvent> => {
+      const served = { ...call, req, isCharged };
+      return call.route.kind === 'stream' ? this.stream(served, signal) : this.call(served, signal);
+    };
+    if (relay === undefined) return direct(call);
+    if (isRelayed) return relay.serveForPeer(call.service, direct(call));
+    const { id, req, service, deadlineAt, ageMs, executions, route, caller } = call;
+    const { kind, maxAttempts, resumable } = route;
+    const target = { team: caller.team.id, service, upstream: '' };
+    return relay.serve(
+      {
+        ...{ id, req, service, deadlineAt, ageMs, maxAttempts, executions },
+        isRepeatable: kind === 'idempotent' || (kind === 'stream' && resumable),
+        isResumable: kind === 'stream' && resumable,
+        tryRetry: () => retryGate.tryRetry(target, clock.now()),
       },
+      direct,
       signal,
-    });
+    );
+  }
+
+  private async *stream(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+    this.recordArrival(call);
+    const { completions, clock } = this.options;
     let hasHead = false;
-    for await (const event of events) {
+    for await (const event of completions.serve(completionOf(call, clock.now(), signal))) {
       // A stream that resumes at another engine keeps the head of the first engine's answer.
       if (event.type !== 'head' || !hasHead) yield* toForwardEvents(event);
       if (event.type === 'head') hasHead = true;
@@ -232,37 +206,15 @@
   }
 
   private async *call(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
-    const { id, req, route, caller } = call;
-    const service = this.options.directory.getService(call.service);
+    this.recordArrival(call);
+    const { directory, services, clock } = this.options;
+    const service = directory.getService(call.service);
     if (service === undefined) {
       const refusal = notRun('no_capacity', 'The service has no servers.', UNAVAILABLE_RETRY_MS);
       yield { type: 'refused', refusal };
       return;
     }
-    const reply = await this.options.services.serve({
-      id,
-      req: { ...req, idempotencyKey: undefined },
-      policy: {
-        maxAttempts: route.maxAttempts,
-        claimed: false,
-        maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, this.remainingMs(call)),
-        lateAt: this.options.clock.now() + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
-        deadlineAt: call.deadlineAt,
-        priority: priorityOf(call),
-        callerTimes: callerTimesOf(call),
-        retry: this.retryContextOf(call),
-      },
-      caller,
-      service,
-      route: {
-        method: 'POST',
-        path: route.pathPrefix,
-        idempotent: route.kind === 'idempotent',
-        class: classOf(route),
-        costTokens: costOf(req, caller.team),
-      },
-      signal,
-    });
+    const reply = await services.serve(serviceCallOf(call, service, clock.now(), signal));
     if (reply.isErr()) {
       yield { type: 'refused', refusal: reply.error };
       return;
@@ -270,14 +222,10 @@
     yield* deliverResponse(reply.value);
   }
 
-  private remainingMs({ deadlineAt }: RoutedCall): Millis {
-    return Math.max(0, deadlineAt - this.options.clock.now());
-  }
-
-  private retryContextOf(call: RoutedCall): RetryContext {
-    const { ageMs, route } = call;
-    const leftMs = this.remainingMs(call);
-    return { priority: priorityOf(call), ageMs, leftMs, targetMs: route.targetMs };
+  /** Records the arrival of a call at the host that serves it. */
+  private recordArrival(call: RoutedCall): void {
+    const kind = call.route.kind === 'stream' ? 'pool' : 'service';
+    this.options.turns.recordArrival({ kind, name: call.service }, priorityOf(call), call.ageMs);
   }
 
   private recordDone(
@@ -316,30 +264,6 @@
   }
 }
 
-function callerTimesOf({ ageMs, deadlineAt, route }: RoutedCall): CallerTimes {
-  return { ageMs, deadlineAt, targetMs: route.targetMs };
-}
-
-function priorityOf({ caller, route }: RoutedCall): number {
-  return caller.team.priority ?? route.priority;
-}
-
-function teamOf(caller: AuthenticatedCaller): string | undefined {
-  return caller === ANONYMOUS_CALLER ? undefined : caller.team.id;
-}
-
-function plainTokens(team: TeamConfig): number {
-  return team.plainCallTokens ?? 0;
-}
-
-function costOf({ work }: ForwardRequest, team: TeamConfig): number {
-  return work === undefined ? plainTokens(team) : work.promptTokens + work.maxTokens;
-}
-
-function classOf(route: ForwardRoute): WorkClass {
-  return route.kind === 'idempotent' ? 'lookup' : 'certificate';
-}
-
 function deadlinePassed(): Refusal {
   return notRun('timed_out', 'The deadline of this request has passed.');
 }
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -73,6 +73,7 @@
    */
   async serve(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
     const { caller, route, policy } = call;
+    if (policy.isCharged === true) return this.serveCharged(call);
     const charge = await this.options.rates.charge(caller.team.id, route.costTokens, policy.retry);
     if (charge.isErr()) return err(charge.error);
     const reply = await this.serveCharged(call);
@@ -280,6 +281,7 @@
     this.recordReachability(chosen.value, result);
     if (result.isErr()) {
       const { type, dispatched, message } = result.error;
+      if (dispatched) call.policy.executions?.record();
       log('try_failed', { id: call.id, server: chosen.value, error: type, dispatched, message });
     }
     return result.match(
--- a/packages/router/src/serving/ServiceQueues.ts
+++ b/packages/router/src/serving/ServiceQueues.ts
@@ -55,6 +55,8 @@
   readonly turns?: (service: ServiceId) => TurnScheduler | undefined;
   /** Gets the order of a service's waiting calls; undefined while that is off. */
   readonly order?: (service: ServiceId) => QueueOrder | undefined;
+  /** Gets the refusal of calls while their service can't be reached; undefined while it can. */
+  readonly refusalFor?: (service: ServiceId) => Refusal | undefined;
   /** How fast servers are; absent where they are chosen by their load alone. */
   readonly speeds?: UpstreamSpeeds;
   readonly metrics?: Metrics;
@@ -139,7 +141,8 @@
         return;
       }
       this.applyShare(entry, this.clock.now());
-      const refusal = entry.queue.submit(call, this.clock.now());
+      const unreachable = this.controls?.refusalFor?.(service);
+      const refusal = unreachable ?? entry.queue.submit(call, this.clock.now());
       if (refusal === undefined) this.schedule(entry);
       else this.settle(entry, call.request, err(refusal));
     });
@@ -183,6 +186,17 @@
     return at === undefined ? undefined : at - now;
   }
 
+  /** Refuses the waiting calls of a service that can't be reached any more. */
+  refuseUnreachable(service: ServiceId): void {
+    const entry = this.queues.get(service);
+    const refusal = this.controls?.refusalFor?.(service);
+    if (entry === undefined || refusal === undefined) return;
+    [...entry.resolvers.keys()].forEach((request) => {
+      entry.queue.withdraw(request);
+      this.settle(entry, request, err(refusal));
+    });
+  }
+
   /** Applies a changed configuration, or a changed number of hosts, to all services. */
   refresh(): void {
     this.queues.forEach((entry) => this.schedule(entry));
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -3,6 +3,7 @@
 import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
+import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
 
@@ -24,6 +25,10 @@
   readonly deadlineAt: Millis;
   /** What schedules the retry of a refused call; absent where its caller declares nothing. */
   readonly retry?: RetryContext;
+  /** Whether the request is charged to its team already, by the host that passed it on. */
+  readonly isCharged?: boolean;
+  /** Counts the upstreams that may have run the request; absent where nobody asks for it. */
+  readonly executions?: ExecutionCount;
 }
 
 /** A service call whose caller is authenticated and whose route is resolved. */
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -10,12 +10,14 @@
   UpstreamId,
   WorkClass,
 } from '@camphorvane/core';
+import { countPromptTokens } from '@camphorvane/core';
 import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RetryTarget } from '../host/ports.ts';
 import type { AttemptOutcome, FailedAttempt, StreamLimits } from './completionAttemptPlan.ts';
-import type { CompletionProgress } from './CompletionProgress.ts';
+import { CompletionProgress } from './CompletionProgress.ts';
+import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
 
@@ -44,6 +46,10 @@
   readonly callerTimes?: CallerTimes;
   /** What schedules the retry of a refused request; absent where its caller declares nothing. */
   readonly retry?: RetryContext;
+  /** Whether the request is charged to its team already, by the host that passed it on. */
+  readonly isCharged?: boolean;
+  /** Counts the upstreams that may have run the request; absent where nobody asks for it. */
+  readonly executions?: ExecutionCount;
 }
 
 /** Policy of the native API, which resumes every stream at the exact token. */
@@ -128,6 +134,16 @@
   return CrashGuard.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
 }
 
+/** Gets the progress of a completion that was accepted a moment ago. */
+export function progressOf(completion: ResolvedCompletion, acceptedAt: Millis): CompletionProgress {
+  return new CompletionProgress(
+    countPromptTokens(completion.prompt),
+    acceptedAt,
+    completionDigest(completion),
+    completion.policy.fromPosition,
+  );
+}
+
 /** Gets what identifies a completion and its repeats where crashes are counted. */
 export function guardedCompletion(
   { id }: ResolvedCompletion,
--- /dev/null
+++ b/packages/router/src/serving/routedCall.ts
@@ -0,0 +1,187 @@
+import type { ForwardRequest } from '@camphorvane/caller';
+import type {
+  ForwardRoute,
+  Millis,
+  RequestId,
+  RoutingConfig,
+  ServiceConfig,
+  TeamConfig,
+  TeamId,
+  WorkClass,
+} from '@camphorvane/core';
+import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
+import type { AuthenticatedCaller } from '../host/Authenticator.ts';
+import type { ExecutionCount } from './ExecutionCount.ts';
+import type { ResolvedCall } from './resolvedCall.ts';
+import type { ResolvedCompletion } from './resolvedCompletion.ts';
+
+/** Fraction of the target in which a stream must get its engines; prefill, transfer and network follow. */
+const STREAM_ON_TIME_FRACTION = 0.6;
+
+/**
+ * Longest wait of a stream for engines, in multiples of its target. Callers give up on a stream that has
+ * not started after four targets; one that gets its engines within this wait starts before that.
+ */
+const STREAM_MAX_WAIT_TARGETS = 2.8;
+
+/** Fraction of the target within which a plain call must get its server; the rest covers its execution. */
+const CALL_ON_TIME_FRACTION = 0.7;
+
+/**
+ * Longest wait of a plain call for a server, in multiples of its target. After the first target the call is
+ * late, and gets a server only when no call that can still be on time waits for one.
+ */
+const CALL_MAX_WAIT_TARGETS = 2;
+
+/** The caller of a route that needs no API key. */
+export const ANONYMOUS_CALLER: AuthenticatedCaller = {
+  team: {
+    id: '',
+    rate: { tokensPerSecond: 0, burstTokens: 0 },
+    keyDigests: [],
+    models: [],
+    weight: 1,
+  },
+  keyDigest: undefined,
+};
+
+/** A forwarded call whose caller is authenticated and whose route and service are chosen. */
+export interface RoutedCall {
+  readonly id: RequestId;
+  readonly req: ForwardRequest;
+  readonly route: ForwardRoute;
+  readonly service: string;
+  readonly caller: AuthenticatedCaller;
+  readonly config: RoutingConfig;
+  /** Deadline of the call, set by its caller or by the route's timeout. */
+  readonly deadlineAt: Millis;
+  /** Estimated milliseconds since the caller's first attempt at this request. */
+  readonly ageMs: Millis;
+  readonly executions: ExecutionCount;
+  /** Whether the call is charged to its team already. */
+  readonly isCharged: boolean;
+}
+
+/**
+ * Gets a stream as its handler serves it.
+ *
+ * @param call - The call of a stream.
+ * @param now - Present time.
+ * @param signal - Ends the request when aborted.
+ */
+export function completionOf(
+  call: RoutedCall,
+  now: Millis,
+  signal: AbortSignal,
+): ResolvedCompletion {
+  const { id, req, route, caller, config, executions, isCharged } = call;
+  const { work } = req;
+  const { method, path, headers, body } = req;
+  const { deadlineAt } = call;
+  return {
+    id,
+    model: call.service,
+    prompt: {
+      tokens: work?.promptTokens ?? plainTokens(caller.team),
+      parts: work?.parts ?? [],
+      call: { method, path, headers, body, deadlineAt, team: teamOf(caller) },
+    },
+    maxTokens: work?.maxTokens ?? 0,
+    class: 'lookup',
+    caller,
+    config,
+    policy: {
+      maxExecutions: route.maxAttempts - executions.get(),
+      resumable: route.resumable,
+      fromPosition: work?.lastPosition === undefined ? 0 : work.lastPosition + 1,
+      expectedTokens: work?.expectedOutputTokens,
+      maxWaitMs: Math.min(route.targetMs * STREAM_MAX_WAIT_TARGETS, remainingMs(call, now)),
+      onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
+      longestPauseMs: route.longestPauseMs,
+      priority: priorityOf(call),
+      callerTimes: callerTimesOf(call),
+      retry: retryContextOf(call, now),
+      isCharged,
+      executions,
+    },
+    signal,
+  };
+}
+
+/**
+ * Gets a plain call as its handler serves it.
+ *
+ * @param call - The call.
+ * @param service - The service that it goes to.
+ * @param now - Present time.
+ * @param signal - Ends the request when aborted.
+ */
+export function serviceCallOf(
+  call: RoutedCall,
+  service: ServiceConfig,
+  now: Millis,
+  signal: AbortSignal,
+): ResolvedCall {
+  const { id, req, route, caller, executions, isCharged } = call;
+  return {
+    id,
+    req: { ...req, idempotencyKey: undefined },
+    policy: {
+      maxAttempts: route.maxAttempts - executions.get(),
+      claimed: false,
+      maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, remainingMs(call, now)),
+      lateAt: now + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
+      deadlineAt: call.deadlineAt,
+      priority: priorityOf(call),
+      callerTimes: callerTimesOf(call),
+      retry: retryContextOf(call, now),
+      isCharged,
+      executions,
+    },
+    caller,
+    service,
+    route: {
+      method: 'POST',
+      path: route.pathPrefix,
+      idempotent: route.kind === 'idempotent',
+      class: classOf(route),
+      costTokens: costOf(req, caller.team),
+    },
+    signal,
+  };
+}
+
+/** Gets the priority of a call; lower goes first. */
+export function priorityOf({ caller, route }: RoutedCall): number {
+  return caller.team.priority ?? route.priority;
+}
+
+function remainingMs({ deadlineAt }: RoutedCall, now: Millis): Millis {
+  return Math.max(0, deadlineAt - now);
+}
+
+function retryContextOf(call: RoutedCall, now: Millis): RetryContext {
+  const { ageMs, route } = call;
+  const leftMs = remainingMs(call, now);
+  return { priority: priorityOf(call), ageMs, leftMs, targetMs: route.targetMs };
+}
+
+function callerTimesOf({ ageMs, deadlineAt, route }: RoutedCall): CallerTimes {
+  return { ageMs, deadlineAt, targetMs: route.targetMs };
+}
+
+function teamOf(caller: AuthenticatedCaller): TeamId | undefined {
+  return caller === ANONYMOUS_CALLER ? undefined : caller.team.id;
+}
+
+function plainTokens(team: TeamConfig): number {
+  return team.plainCallTokens ?? 0;
+}
+
+function costOf({ work }: ForwardRequest, team: TeamConfig): number {
+  return work === undefined ? plainTokens(team) : work.promptTokens + work.maxTokens;
+}
+
+function classOf(route: ForwardRoute): WorkClass {
+  return route.kind === 'idempotent' ? 'lookup' : 'certificate';
+}
--- /dev/null
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -0,0 +1,235 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
+import type { Refusal } from '@camphorvane/core';
+import { notRun, RandomSource, VirtualClock } from '@camphorvane/core';
+import { RelayPeers } from '@camphorvane/decisions';
+import type { UpstreamRoute } from '@camphorvane/decisions';
+import type {
+  RelayContext,
+  RelayedRequest,
+  RelayEvent,
+  RelayFailure,
+} from '@camphorvane/peer/relay';
+import { Metrics } from '@camphorvane/router';
+import type { ReachMonitor, RelayPeer } from '../../src/reach/ReachMonitor.ts';
+import { RequestRelay } from '../../src/reach/RequestRelay.ts';
+import { ExecutionCount } from '../../src/serving/ExecutionCount.ts';
+import type { RelayableRequest, ServingState } from '../../src/reach/RequestRelay.ts';
+
+const REQ: ForwardRequest = {
+  ...{ key: 'k', host: 'h', method: 'POST', path: '/x', headers: {}, body: Buffer.from('b') },
+  callerTimeoutMs: 1_000,
+  work: { promptTokens: 1, maxTokens: 1, parts: [], lastPosition: undefined },
+};
+
+const UNREACHABLE = notRun('upstreams_unreachable', 'this host reaches no upstream');
+const LOST: RelayFailure = { type: 'failed', dispatched: true, message: 'lost' };
+const DOWN: RelayFailure = { type: 'failed', dispatched: false, message: 'down' };
+const WHOLE: readonly RelayEvent[] = [
+  { type: 'head', status: 200, headers: {} },
+  { type: 'data', bytes: Buffer.from('ok') },
+  { type: 'done' },
+];
+
+const refused = (refusal: Refusal): RelayEvent => ({ type: 'refused', refusal });
+
+const event = (position: number): RelayEvent => ({
+  ...{ type: 'data', bytes: Buffer.from(`${position};`), position },
+});
+
+interface World {
+  readonly routes: readonly UpstreamRoute[];
+  /** What the direct way yields, one list for each time that it is tried. */
+  readonly direct?: readonly (readonly ForwardEvent[])[];
+  /** What peers yield, one list for each request that is passed on. */
+  readonly peers?: readonly (readonly (RelayEvent | RelayFailure)[])[];
+  readonly peerCount?: number;
+  readonly isDoubtful?: boolean;
+  readonly request?: Partial<RelayableRequest>;
+}
+
+interface Outcome {
+  readonly events: readonly ForwardEvent[];
+  readonly directStates: readonly ServingState[];
+  readonly relayed: readonly { readonly to: string; readonly request: RelayedRequest }[];
+  readonly retries: number;
+}
+
+async function serve(world: World): Promise<Outcome> {
+  const routes = [...world.routes];
+  const peers = Array.from({ length: world.peerCount ?? 3 }, (_, i): RelayPeer => ({
+    ...{ host: `p${i}`, zone: 'a', peerAddress: `p${i}:1` },
+  }));
+  const reach = {
+    getRoute: () => (routes.length > 1 ? routes.shift() : routes[0]),
+    getRelayPeers: () => peers,
+    refusalFor: () => (routes[0] === 'direct' ? undefined : UNREACHABLE),
+    isDoubtful: () => world.isDoubtful ?? false,
+  } as unknown as ReachMonitor;
+  const relayed: { to: string; request: RelayedRequest }[] = [];
+  const directStates: ServingState[] = [];
+  const relay = new RequestRelay({
+    ...{ self: 'h', clock: new VirtualClock(), reach, metrics: new Metrics() },
+    peers: new RelayPeers('a', new RandomSource(1)),
+    link: {
+      async *relay(to, request) {
+        relayed.push({ to, request });
+        yield* world.peers?.[relayed.length - 1] ?? WHOLE;
+      },
+    },
+  });
+  let retries = 0;
+  const request: RelayableRequest = {
+    ...{ id: 'r', req: REQ, service: 's', deadlineAt: 1_000, ageMs: 5, maxAttempts: 2 },
+    ...{ isRepeatable: false, isResumable: false, executions: new ExecutionCount() },
+    tryRetry: () => {
+      retries += 1;
+      return true;
+    },
+    ...world.request,
+  };
+  const events: ForwardEvent[] = [];
+  const direct = async function* direct(state: ServingState): AsyncGenerator<ForwardEvent> {
+    directStates.push(state);
+    yield* world.direct?.[directStates.length - 1] ?? WHOLE;
+  };
+  for await (const one of relay.serve(request, direct, new AbortController().signal)) {
+    events.push(one);
+  }
+  return { events, directStates, relayed, retries };
+}
+
+function ending({ events }: Outcome): string {
+  const last = events.at(-1);
+  if (last?.type !== 'refused') return last?.type ?? 'nothing';
+  return `${last.refusal.code} ${last.refusal.execution}`;
+}
+
+function text({ events }: Outcome): string {
+  return events
+    .flatMap((one) => (one.type === 'data' ? [Buffer.from(one.bytes).toString()] : []))
+    .join('');
+}
+
+test('a request of a host that reaches its upstreams goes over no peer', async () => {
+  const outcome = await serve({ routes: ['direct'] });
+  assert.equal(ending(outcome), 'done');
+  assert.equal(outcome.relayed.length, 0);
+});
+
+// Guards against hosts that refuse what a peer could serve.
+test('a request of a host that is cut off goes over a peer', async () => {
+  const outcome = await serve({ routes: ['relayed'] });
+  assert.equal(text(outcome), 'ok');
+  assert.equal(outcome.directStates.length, 0);
+  const expected: RelayContext = {
+    ...{ from: 'h', leftMs: 990, ageMs: 5, executions: 0, isCharged: false },
+  };
+  assert.deepEqual(outcome.relayed[0]?.request, { id: 'r', call: REQ, context: expected });
+});
+
+// Guards against the first requests of a cut, which are refused before the host knows that it is cut off.
+test('a request that could not be sent goes on over a peer', async () => {
+  const early = await serve({ routes: ['direct', 'relayed'], direct: [[refused(UNREACHABLE)]] });
+  assert.equal(ending(early), 'done');
+  const failed = refused(notRun('upstream_failed', 'no server accepted the call'));
+  const doubtful = await serve({ routes: ['direct'], direct: [[failed]], isDoubtful: true });
+  assert.equal(ending(doubtful), 'done');
+  assert.equal(doubtful.relayed.length, 1);
+  const certain = await serve({ routes: ['direct'], direct: [[failed]] });
+  assert.equal(ending(certain), 'upstream_failed not_run');
+});
+
+// Guards against a second run of a call that must not repeat.
+test('a call that must not repeat goes over no second way once it may have run', async () => {
+  const unknown = { ...UNREACHABLE, execution: 'unknown' as const };
+  const sent = await serve({ routes: ['direct', 'relayed'], direct: [[refused(unknown)]] });
+  assert.equal(ending(sent), 'upstreams_unreachable unknown');
+  assert.equal(sent.relayed.length, 0);
+  const lost = await serve({ routes: ['relayed'], peers: [[LOST]] });
+  assert.equal(ending(lost), 'outcome_unknown unknown');
+  assert.equal(lost.relayed.length, 1);
+});
+
+test('a request goes to another peer while it has certainly not run', async () => {
+  const draining = refused(notRun('host_draining', 'leaving'));
+  const outcome = await serve({ routes: ['relayed'], peers: [[DOWN], [draining], WHOLE] });
+  assert.equal(ending(outcome), 'done');
+  assert.equal(new Set(outcome.relayed.map(({ to }) => to)).size, 3);
+  assert.equal(outcome.retries, 0);
+});
+
+// Guards against more runs than the route allows, and repeats that no budget pays for, over several hosts.
+test('a repeatable request counts its runs and its repeats over all hosts', async () => {
+  const request = { isRepeatable: true };
+  const once = await serve({ routes: ['relayed'], peers: [[LOST], WHOLE], request });
+  assert.equal(ending(once), 'done');
+  assert.equal(once.retries, 1);
+  assert.deepEqual(
+    once.relayed.map(({ request: { context } }) => [context.executions, context.isCharged]),
+    [
+      [0, false],
+      [1, true],
+    ],
+  );
+  const twice = await serve({ routes: ['relayed'], peers: [[LOST], [LOST], WHOLE], request });
+  assert.equal(ending(twice), 'outcome_unknown unknown');
+  assert.equal(twice.relayed.length, 2);
+  const unpaid = await serve({
+    ...{ routes: ['relayed'], peers: [[LOST], WHOLE] },
+    request: { isRepeatable: true, tryRetry: () => false },
+  });
+  assert.equal(ending(unpaid), 'outcome_unknown unknown');
+});
+
+// Guards against lost and repeated events where a stream goes on by way of a peer.
+test('a resumable stream goes on over a peer after its last event, under its first head', async () => {
+  const head: ForwardEvent = { type: 'head', status: 200, headers: { stamp: 'first' } };
+  const unknown = { ...UNREACHABLE, execution: 'unknown' as const };
+  const outcome = await serve({
+    routes: ['direct', 'relayed'],
+    direct: [[head, event(0), event(1), refused(unknown)]],
+    peers: [[{ type: 'head', status: 200, headers: {} }, event(2), { type: 'done' }]],
+    request: { isRepeatable: true, isResumable: true },
+  });
+  assert.equal(text(outcome), '0;1;2;');
+  assert.deepEqual(
+    outcome.events.filter(({ type }) => type === 'head'),
+    [head],
+  );
+  assert.equal(outcome.relayed[0]?.request.call.work?.lastPosition, 1);
+});
+
+// Guards against a response of which a caller gets the beginning twice.
+test('a call whose response has begun goes over no second way', async () => {
+  const begun = WHOLE.slice(0, 2);
+  const request = { isRepeatable: true };
+  const outcome = await serve({ routes: ['relayed'], peers: [[...begun, LOST]], request });
+  assert.equal(ending(outcome), 'outcome_unknown unknown');
+  assert.equal(outcome.relayed.length, 1);
+});
+
+// Guards against requests that circle among hosts, or storm the last one, while upstreams are down.
+test('a request is refused at once where no peer reaches the upstreams', async () => {
+  const nobody = await serve({ routes: ['none'], peerCount: 0 });
+  assert.equal(ending(nobody), 'upstreams_unreachable not_run');
+  const asked = Array.from({ length: 20 }, () => [refused(UNREACHABLE)]);
+  const all = await serve({ routes: ['relayed'], peers: asked, peerCount: 20 });
+  assert.equal(ending(all), 'upstreams_unreachable not_run');
+  assert.equal(all.relayed.length, 6);
+});
+
+// Guards against a refusal of the request itself that is asked for again at each peer.
+test('a refusal that tells of the request is passed on as it is', async () => {
+  const overRate = refused(notRun('over_rate', 'too much', 70));
+  const outcome = await serve({ routes: ['relayed'], peers: [[overRate], WHOLE] });
+  assert.deepEqual(outcome.events, [overRate]);
+});
+
+// Guards against requests that go on over peers after the links are back.
+test('a request that a peer did not serve is served directly once the links are back', async () => {
+  const outcome = await serve({ routes: ['relayed', 'direct'], peers: [[DOWN]] });
+  assert.equal(ending(outcome), 'done');
+  assert.equal(outcome.directStates.length, 1);
+});
