Hold no requests back after links are lost, as after a restart of upstreams

Cause: a failed connection counts as a sign that the upstream may have restarted, and the first answer afterwards as its start, also where the host's own links had failed. Engines stay out of use until their next probe, up to 1.5 s later.

Where peers have reached the service meanwhile, the failures are dropped with the end of the cut, the back-off of engines ends, and those that are down are probed at once. What an upstream reports of a start counts as before, and so do failures where nobody reached it.

--- a/packages/decisions/src/local/SlowStart.ts
+++ b/packages/decisions/src/local/SlowStart.ts
@@ -14,12 +14,15 @@
   readonly assumedStartAt: Millis;
   /** Whether the last connection to the upstream failed. */
   readonly isUnreachable: boolean;
+  /** Time of the first answer after a failed connection, from which the upstream counts as starting. */
+  readonly backAt: Millis;
 }
 
 const RUNNING: StartState = {
   reportedUntil: -Infinity,
   assumedStartAt: -Infinity,
   isUnreachable: false,
+  backAt: -Infinity,
 };
 
 /**
@@ -83,7 +86,22 @@
   recordAnswer(upstream: UpstreamId, now: Millis): void {
     const state = this.stateOf(upstream);
     if (!state.isUnreachable) return;
-    this.states.set(upstream, { ...state, isUnreachable: false, assumedStartAt: now });
+    this.states.set(upstream, { ...state, isUnreachable: false, backAt: now });
+  }
+
+  /**
+   * Records that connections to upstreams failed since this host had lost its links, and not since they were down.
+   *
+   * @param upstreams - The upstreams.
+   * @param since - When the links were lost; what upstreams report of a start since then still counts.
+   */
+  recordLinksBack(upstreams: readonly UpstreamId[], since: Millis): void {
+    upstreams.forEach((upstream) => {
+      const state = this.states.get(upstream);
+      if (state === undefined) return;
+      const backAt = state.backAt >= since ? -Infinity : state.backAt;
+      this.states.set(upstream, { ...state, isUnreachable: false, backAt });
+    });
   }
 
   /**
@@ -107,8 +125,9 @@
   }
 
   private isStarting(upstream: UpstreamId, { forMs }: SlowStartBounds, now: Millis): boolean {
-    const { reportedUntil, assumedStartAt, isUnreachable } = this.stateOf(upstream);
-    return isUnreachable || now < reportedUntil || now < assumedStartAt + forMs;
+    const { reportedUntil, assumedStartAt, isUnreachable, backAt } = this.stateOf(upstream);
+    const startedAt = Math.max(assumedStartAt, backAt);
+    return isUnreachable || now < reportedUntil || now < startedAt + forMs;
   }
 
   private recentlySent(upstream: UpstreamId, now: Millis): readonly Millis[] {
--- a/packages/decisions/tests/local/SlowStart.test.ts
+++ b/packages/decisions/tests/local/SlowStart.test.ts
@@ -57,6 +57,32 @@
   assert.equal(slowStart.allowance('e1', 12_030), Infinity);
 });
 
+// Guards against hosts that hold back requests for seconds after their own links were lost.
+test('an upstream that this host alone did not reach is not limited afterwards', () => {
+  const slowStart = bounded(1);
+  slowStart.recordUnreachable('e1');
+  slowStart.recordLinksBack(['e1', 'unknown'], 100);
+  slowStart.recordAnswer('e1', 200);
+  assert.equal(slowStart.allowance('e1', 200), Infinity);
+  slowStart.recordUnreachable('e1');
+  slowStart.recordAnswer('e1', 300);
+  slowStart.recordLinksBack(['e1'], 250);
+  assert.equal(slowStart.allowance('e1', 400), Infinity);
+});
+
+// Guards against full load on an upstream that has restarted while this host had lost its links.
+test('an upstream that reports a start is limited, also after links were lost', () => {
+  const slowStart = bounded(1);
+  slowStart.recordUnreachable('e1');
+  slowStart.recordStart('e1', 2_000, 150);
+  slowStart.recordLinksBack(['e1'], 100);
+  assert.equal(slowStart.allowance('e1', 200), 1);
+  slowStart.recordUnreachable('e1');
+  slowStart.recordAnswer('e1', 5_000);
+  slowStart.recordLinksBack(['e1'], 6_000);
+  assert.equal(slowStart.allowance('e1', 6_000), 1);
+});
+
 test('the quotas of all hosts add up to the bound', () => {
   fc.assert(
     fc.property(fc.integer({ min: 1, max: 400 }), fc.integer({ min: 1, max: 200 }), (n, bound) => {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -18,6 +18,7 @@
 import type { RoleControl } from '../placing/RoleControl.ts';
 import { CrashGuard } from '../serving/CrashGuard.ts';
 import { serviceRetryGate } from '../serving/retryGates.ts';
+import { applyReachChange } from './applyReachChange.ts';
 import { buildHintContent } from './buildHintContent.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
 import { GossipRateGate } from './GossipRateGate.ts';
@@ -104,9 +105,9 @@
       reach.peers.isCutOff(host, now),
     );
     reach.setPeers(() => this.getRelayPeers());
-    reach.onChange(({ service }) => {
+    reach.onChange((change) => {
       this.gossip.recordStateChange();
-      this.placer.refuseUnreachable(service);
+      applyReachChange(change, { ...this, directory });
     });
     this.storePolling = new StorePolling(clock, random, this.hosts);
     this.snapshots = new PeerSnapshots({
--- a/packages/router/src/placing/EngineProbes.ts
+++ b/packages/router/src/placing/EngineProbes.ts
@@ -86,6 +86,15 @@
     return this.down.size > listed * MAX_DOWN_FRACTION ? [] : [...this.down];
   }
 
+  /** Probes the engines that are down now, since this host has got its links back. */
+  retryNow(): void {
+    [...this.retryTimers].forEach(([engine, cancel]) => {
+      cancel();
+      this.retryTimers.delete(engine);
+      void this.probe(engine, INITIAL_RETRY_MS);
+    });
+  }
+
   /** Stops probing. */
   stop(): void {
     this.isStopped = true;
@@ -106,6 +115,7 @@
     this.retryTimers.set(
       id,
       clock.after(retryMs, () => {
+        this.retryTimers.delete(id);
         void this.probe(id, nextMs);
       }),
     );
--- a/packages/router/tests/placing/EngineProbes.test.ts
+++ b/packages/router/tests/placing/EngineProbes.test.ts
@@ -133,3 +133,21 @@
     'a newly suspected engine was probed after the stop',
   );
 });
+
+// Guards against engines that stay out of use for seconds after this host has got its links back.
+test('engines that are down are probed at once when links are back', async () => {
+  const fleet = new ProbedFleet();
+  fleet.listed.forEach((id) => fleet.down.add(id));
+  fleet.listed.forEach((id) => fleet.probes.suspect(id));
+  await fleet.clock.advance(5_000);
+  fleet.down.clear();
+  fleet.probes.retryNow();
+  await fleet.clock.advance(1);
+  assert.deepEqual(
+    [...fleet.listed].filter((id) => fleet.health.isSuspected(id)),
+    [],
+  );
+  const probed = new Map(fleet.probeCounts);
+  await fleet.clock.advance(5_000);
+  assert.deepEqual(fleet.probeCounts, probed);
+});
