Leave the permits and quotas of hosts that are cut off to the others

What callers would see: a server that names a limit, or that has just started, takes requests by each host's part. Hosts that are cut off send nothing and kept their part, so that six of nine hosts without links left two thirds of it unused while the requests were refused at the others.

The hosts that share what upstreams take are those that serve callers without those that are cut off; a host always counts itself. Without a cut nothing is computed.

--- a/packages/decisions/src/reach/PeerReach.ts
+++ b/packages/decisions/src/reach/PeerReach.ts
@@ -14,6 +14,9 @@
 export class PeerReach {
   private reports: ReadonlyMap<HostId, ReceivedReport> = new Map();
 
+  /** Number of hosts whose reports name unreached services. */
+  private unreachedCount = 0;
+
   /** Hosts that report no reach, by the last summary; undefined where hosts report by themselves. */
   private silent: ReadonlySet<HostId> | undefined;
 
@@ -36,7 +39,7 @@
       ([other, received]) => other !== host && received.expiresAt >= now,
     );
     const received = report && this.toReceived(host, report.unreached, expiresAt, now);
-    this.reports = new Map(received === undefined ? others : [...others, [host, received]]);
+    this.setReports(new Map(received === undefined ? others : [...others, [host, received]]));
     this.recordContacts(report?.contacts ?? [], now);
   }
 
@@ -49,9 +52,11 @@
    */
   receiveSummary(summary: ReachSummary | undefined, expiresAt: Millis, now: Millis): void {
     const rows = summary?.unreached ?? [];
-    this.reports = new Map(
-      rows.flatMap(({ services, hosts }) =>
-        hosts.map((host) => [host, this.toReceived(host, services, expiresAt, now)] as const),
+    this.setReports(
+      new Map(
+        rows.flatMap(({ services, hosts }) =>
+          hosts.map((host) => [host, this.toReceived(host, services, expiresAt, now)] as const),
+        ),
       ),
     );
     this.silent = summary && new Set(summary.silent);
@@ -78,12 +83,24 @@
     return at >= since && now - at < CONTACT_TTL_MS;
   }
 
+  /** Tells whether any host has reported a service that it does not reach. */
+  hasUnreached(): boolean {
+    return this.unreachedCount > 0;
+  }
+
   /** Tells whether a host has lost its links: others have reached a service since it no longer does. */
   isCutOff(host: HostId, now: Millis): boolean {
     const unreached = this.freshReport(host, now)?.unreached ?? [];
     return [...unreached].some(([service, since]) => this.isReached(service, since, now));
   }
 
+  private setReports(reports: ReadonlyMap<HostId, ReceivedReport>): void {
+    this.reports = reports;
+    this.unreachedCount = [...reports.values()].filter(
+      ({ unreached }) => unreached.size > 0,
+    ).length;
+  }
+
   private toReceived(
     host: HostId,
     services: readonly ServiceId[],
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -30,6 +30,7 @@
 import { PeerSnapshots } from './PeerSnapshots.ts';
 import { StorePolling } from './StorePolling.ts';
 import type { StoreCoordinationOptions } from './StoreCoordinationOptions.ts';
+import { UpstreamSharers } from './UpstreamSharers.ts';
 import { createRoleControl } from './createRoleControl.ts';
 import type { HintContent } from './PeerGossip.ts';
 
@@ -115,7 +116,9 @@
       roster: this.hosts,
     });
     const quotas = new SlowStartQuotas(identity.host);
-    const getSharers = (): readonly HostId[] => this.hosts.getExpectedServing();
+    const getServing = (): readonly HostId[] => this.hosts.getExpectedServing();
+    const sharers = new UpstreamSharers(identity.host, getServing, reach.peers);
+    const getSharers = (): readonly HostId[] => sharers.get(clock.now());
     const slowStart = new SlowStart((upstream, perSecond) =>
       quotas.get(upstream, getSharers(), perSecond),
     );
