--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -14,6 +14,8 @@
   'leaving',
   'rest',
   'withheld',
+  'upstreams_lost',
+  'upstreams_back',
 ]);
 
 /** Events that tell why a request with the same content is refused, at whatever host and time. */
--- a/packages/router/tests/observe/explainRequest.test.ts
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -49,3 +49,26 @@
   assert.equal(timeline.length, 4);
   assert.match(timeline[0] ?? '', /-8000 ms \* h2 crashes\.crash_recorded digest=ab server=e1/);
 });
+
+// Guards against a timeline that hides why a request was served by way of another host, or that it was.
+test('the timeline of a request that went over a peer shows both hosts, and which links were lost', () => {
+  const lines = [
+    'h1 {"t":900,"part":"reach","event":"upstreams_lost","service":"api","route":"relayed"}',
+    'h1 {"t":1000,"part":"request","event":"accepted","id":"q"}',
+    'h1 {"t":1001,"part":"relay","event":"relayed","id":"q","to":"h2"}',
+    'h2 {"t":1003,"part":"request","event":"accepted","id":"q","relayedBy":"h1"}',
+    'h2 {"t":1040,"part":"request","event":"whole","id":"q"}',
+    'h1 {"t":1042,"part":"request","event":"whole","id":"q"}',
+  ];
+  assert.deepEqual(
+    explainRequest('q', lines).map((line) => line.trim().split(/ +/).slice(2).join(' ')),
+    [
+      '* h1 reach.upstreams_lost service=api route=relayed',
+      'h1 request.accepted',
+      'h1 relay.relayed to=h2',
+      'h2 request.accepted relayedBy=h1',
+      'h2 request.whole',
+      'h1 request.whole',
+    ],
+  );
+});
--- a/packages/scenario/src/language/names.ts
+++ b/packages/scenario/src/language/names.ts
@@ -1,6 +1,9 @@
 import type { EngineRole, HostId, ServiceId, UpstreamId, ZoneId } from '@camphorvane/core';
 import type { Scenario } from './scenarioSchema.ts';
 
+/** Stands for all upstreams where a step names the end of a link. */
+export const ALL_UPSTREAMS = 'upstreams';
+
 const numbered = (prefix: string, count: number): readonly string[] =>
   Array.from({ length: count }, (_, index) => `${prefix}${index + 1}`);
 
--- a/packages/scenario/src/language/parseScenario.ts
+++ b/packages/scenario/src/language/parseScenario.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { parse, TomlError } from 'smol-toml';
-import { upstreamNames, hostNames } from './names.ts';
+import { ALL_UPSTREAMS, upstreamNames, hostNames } from './names.ts';
 import { scenarioSchema } from './scenarioSchema.ts';
 import type { Scenario, Step } from './scenarioSchema.ts';
 
@@ -49,7 +49,7 @@
   const hosts = hostNames(scenario);
   const upstreams = upstreamNames(scenario);
   const teams = scenario.team.map((team) => team.id);
-  const ends = [...hosts, ...upstreams, 'platform'];
+  const ends = [...hosts, ...upstreams, ALL_UPSTREAMS, 'platform'];
   const models = scenario.pool.map((pool) => pool.model);
   const services = scenario.service.map((service) => service.id);
   return [
--- a/packages/scenario/src/steps/runStep.ts
+++ b/packages/scenario/src/steps/runStep.ts
@@ -1,6 +1,6 @@
 import { NO_SIGNALS, RandomSource } from '@camphorvane/core';
 import type { RoutingConfig } from '@camphorvane/core';
-import { hostNames } from '../language/names.ts';
+import { ALL_UPSTREAMS, hostNames, upstreamNames } from '../language/names.ts';
 import type { LoadStep, Step } from '../language/scenarioSchema.ts';
 import type { World } from '../world/World.ts';
 
@@ -48,9 +48,10 @@
 ): void {
   const ends = hostFirst(world, between);
   if (ends === undefined) throw new Error(`no host among ${between.join(', ')}`);
-  const bothHosts = hostNames(world.scenario).includes(ends[1]);
-  if (bothHosts) betweenHosts(between[0], between[1]);
-  else toEnd(ends[0], ends[1]);
+  const [host, end] = ends;
+  if (hostNames(world.scenario).includes(end)) betweenHosts(between[0], between[1]);
+  else if (end === ALL_UPSTREAMS) upstreamNames(world.scenario).forEach((one) => toEnd(host, one));
+  else toEnd(host, end);
 }
 
 function heal(world: World, between: readonly [string, string]): void {
