Bound what a lost peer holds, and try another peer where one knows no route

Found by reading: a sender that is lost before it has sent its whole request, or that takes nothing of a response, held a place at the peer for minutes; an error after the response of a peer had no listener; and a peer with an older configuration would have refused a new route or key for good (404, 401), though this host knows it.

--- a/packages/peer/src/relay/RelayExchange.ts
+++ b/packages/peer/src/relay/RelayExchange.ts
@@ -52,7 +52,7 @@
     });
     this.response = new Promise((resolve, reject) => {
       this.req.once('response', resolve);
-      this.req.once('error', reject);
+      this.req.on('error', reject);
     });
     // The response may fail before anybody waits for it.
     this.response.catch(() => undefined);
--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Buffers, Clock } from '@camphorvane/core';
+import type { Buffers, Clock, Millis } from '@camphorvane/core';
 import { UNCOUNTED_RESERVATION } from '@camphorvane/core';
 import { decodeRequest, encodeFrame } from './relayCodec.ts';
 import type { RelayFrame } from './relayCodec.ts';
@@ -12,6 +12,12 @@
 /** Largest accepted request, in bytes; the host that received it applies the limits of the configuration. */
 const MAX_REQUEST_BYTES = 64 * 1024 * 1024;
 
+/** Milliseconds without a byte of a request, after which its sender has given it up. */
+const READ_TIMEOUT_MS: Millis = 1_500;
+
+/** Milliseconds for which a peer may take nothing of a response; its caller may read slowly. */
+const WRITE_TIMEOUT_MS: Millis = 15_000;
+
 const OK = 200;
 const BAD_REQUEST = 400;
 const FORBIDDEN = 403;
@@ -63,7 +69,9 @@
     if (reservation === undefined) return refuse(res, UNAVAILABLE);
     this.inFlight += 1;
     try {
+      req.setTimeout(READ_TIMEOUT_MS, () => req.destroy());
       const relayed = decodeRequest(await readBody(req));
+      req.setTimeout(0);
       if (relayed === undefined) return refuse(res, BAD_REQUEST);
       await this.serve(relayed, res);
     } catch {
@@ -85,13 +93,32 @@
     let cancelAlive = this.sendSignsOfLife(res);
     for await (const event of this.options.handler(relayed, closed.signal)) {
       cancelAlive();
-      await write(res, event, closed.signal);
+      await this.write(res, event, closed.signal);
       cancelAlive = this.sendSignsOfLife(res);
     }
     cancelAlive();
     res.end();
   }
 
+  /** Writes a frame, and waits until the socket has taken it. */
+  private async write(res: ServerResponse, frame: RelayFrame, closed: AbortSignal): Promise<void> {
+    const isTaken = encodeFrame(frame)
+      .map((part) => res.write(part))
+      .every(Boolean);
+    if (isTaken || closed.aborted) return;
+    const cancelTimer = this.options.clock.after(WRITE_TIMEOUT_MS, () => res.destroy());
+    await new Promise<void>((resolve) => {
+      const done = (): void => {
+        res.off('drain', done);
+        closed.removeEventListener('abort', done);
+        resolve();
+      };
+      res.once('drain', done);
+      closed.addEventListener('abort', done, { once: true });
+    });
+    cancelTimer();
+  }
+
   /** Sends signs of life until it is cancelled, so that the other host can tell slow work from a lost peer. */
   private sendSignsOfLife(res: ServerResponse): () => void {
     const { clock } = this.options;
@@ -105,23 +132,6 @@
   }
 }
 
-/** Writes a frame, and waits until the socket has taken it. */
-async function write(res: ServerResponse, frame: RelayFrame, closed: AbortSignal): Promise<void> {
-  const isTaken = encodeFrame(frame)
-    .map((part) => res.write(part))
-    .every(Boolean);
-  if (isTaken || closed.aborted) return;
-  await new Promise<void>((resolve) => {
-    const done = (): void => {
-      res.off('drain', done);
-      closed.removeEventListener('abort', done);
-      resolve();
-    };
-    res.once('drain', done);
-    closed.addEventListener('abort', done, { once: true });
-  });
-}
-
 async function readBody(req: IncomingMessage): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
   for await (const chunk of req) chunks.push(chunk as Uint8Array);
--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
 import { notRun, sleep, SystemClock } from '@camphorvane/core';
@@ -143,6 +144,25 @@
   assert.deepEqual(await collect(slow), [{ type: 'done' }]);
 });
 
+// Guards against a host that is full of requests whose sender was lost before it had sent them.
+test('a request that is not sent to its end is given up', async () => {
+  let served = 0;
+  const address = await serve(async function* respond() {
+    served += 1;
+    yield { type: 'done' };
+  });
+  const [host = '', port = ''] = address.split(':');
+  const socket = connect({ host, port: Number(port) });
+  socket.on('error', () => undefined);
+  socket.write('POST /relay HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n\r\nabc');
+  const startedAt = clock.now();
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  assert.ok(clock.now() - startedAt < 3_000);
+  assert.equal(served, 0);
+});
+
 // Guards against work that goes on at an upstream after the caller has left the host that it called.
 test('the peer learns at once that the caller has left', async () => {
   const left = new AbortController();
--- a/packages/router/src/reach/RequestRelay.ts
+++ b/packages/router/src/reach/RequestRelay.ts
@@ -19,11 +19,19 @@
 /** Milliseconds by which the deadline of a peer is earlier, so that its answer arrives before this host's own. */
 const ANSWER_MARGIN_MS: Millis = 10;
 
-/** Refusals that another host may not give: they tell of the peer, and not of the request or the upstreams. */
+/** Retry-after in milliseconds where peers did not reach the upstreams either. */
+const UNREACHABLE_RETRY_MS: Millis = 500;
+
+/**
+ * Refusals that another host may not give: they tell of the peer, and not of the request. Routes and keys are
+ * among them: this host knows them by its configuration, and the peer's may be older.
+ */
 const HOST_REFUSALS: ReadonlySet<Refusal['code']> = new Set([
   'upstreams_unreachable',
   'host_draining',
   'key_state_unconfirmed',
+  'unknown_service',
+  'unknown_key',
 ]);
 
 const log = eventLog('relay');
@@ -249,7 +257,8 @@
 }
 
 function unreachable(): Refusal {
-  return notRun('upstreams_unreachable', 'No host that was asked reaches the upstreams.');
+  const text = 'No host that was asked reaches the upstreams.';
+  return notRun('upstreams_unreachable', text, UNREACHABLE_RETRY_MS);
 }
 
 /** Gets the refusal of a request whose way over a peer was lost; the peer may have sent it to an upstream. */
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -227,6 +227,15 @@
   assert.deepEqual(outcome.events, [overRate]);
 });
 
+// Guards against a new route, or a new key, that a peer with an older configuration does not know yet.
+test('a request that a peer does not know goes to another one', async () => {
+  const unknown = refused(notRun('unknown_service', 'no route'));
+  const outcome = await serve({ routes: ['relayed'], peers: [[unknown], WHOLE] });
+  assert.equal(ending(outcome), 'done');
+  const nowhere = await serve({ routes: ['relayed'], peers: [[unknown], [unknown], [unknown]] });
+  assert.equal(ending(nowhere), 'unknown_service not_run');
+});
+
 // Guards against requests that go on over peers after the links are back.
 test('a request that a peer did not serve is served directly once the links are back', async () => {
   const outcome = await serve({ routes: ['relayed', 'direct'], peers: [[DOWN]] });
