--- a/packages/router/tests/support/RelayFleet.ts
+++ b/packages/router/tests/support/RelayFleet.ts
@@ -3,7 +3,7 @@
 import { RandomSource, sha256Hex, sleep, VirtualClock } from '@camphorvane/core';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import { decodeDigest, decodeHint, encodeDigest, encodeHint } from '@camphorvane/peer/hints';
-import type { RelayLink } from '@camphorvane/peer/relay';
+import type { RelayedRequest, RelayEvent, RelayLink } from '@camphorvane/peer/relay';
 import { Host, Metrics } from '@camphorvane/router';
 import type { DeployedConfig, DeploymentFormat, ServerRecord } from '@camphorvane/store';
 import type { PlainServer, UpstreamError, UpstreamResponse } from '@camphorvane/upstream';
@@ -220,15 +220,19 @@
   }
 
   private relayLinkOf(from: string): RelayLink {
-    const fleet = this;
-    return {
-      async *relay(address, request, signal) {
-        const peer = fleet.find(address);
-        fleet.relayed.push({ from, to: peer?.name ?? '', at: fleet.clock.now() });
-        await sleep(fleet.clock, NETWORK_DELAY_MS);
-        if (peer !== undefined) yield* peer.host.serveRelayed(request, signal);
-      },
-    };
+    return { relay: (...args) => this.relay(from, ...args) };
+  }
+
+  private async *relay(
+    from: string,
+    address: string,
+    request: RelayedRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<RelayEvent> {
+    const peer = this.find(address);
+    this.relayed.push({ from, to: peer?.name ?? '', at: this.clock.now() });
+    await sleep(this.clock, NETWORK_DELAY_MS);
+    if (peer !== undefined) yield* peer.host.serveRelayed(request, signal);
   }
 
   private linkOf(own: Pick<RelayHost, 'hint' | 'digest'>): HintLink {
