Keep the newer copy of a peer when the store answers with an older one

Callers of a host that the store had turned away could be served by a configuration that had been replaced, and by servers that had left, for as long as the store turned the host away, and the host did not know it. A stale read put back the older objects under the newer version; the host offered them to its peers as the newest copy, and a peer that took it was not behind any more. Evidence: the new test fails on the code before, and passes now. The copy's own version decides, so a copy and its version belong together.

--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -262,7 +262,11 @@
   private async readAll(freshness: 'newest' | 'any'): Promise<string | undefined> {
     const snapshot = await this.options.store.snapshot(this.options.kind, freshness);
     if (snapshot.isErr()) return describe(snapshot.error);
-    if (snapshot.value.version < this.getVersion()) return undefined;
+    // A stale copy must not replace the newer one of a peer, nor be offered to others under its version.
+    if (snapshot.value.version < this.copyVersion) {
+      if (freshness === 'newest') this.after = this.copyVersion;
+      return undefined;
+    }
     this.applySnapshot(snapshot.value);
     this.after = snapshot.value.version;
     this.recordResponse();
--- a/packages/store/tests/follow/KindFollower.peers.test.ts
+++ b/packages/store/tests/follow/KindFollower.peers.test.ts
@@ -10,6 +10,8 @@
 interface ClosingStore {
   isClosed: boolean;
   objects: Snapshot;
+  /** What cheap reads return, where it is older. */
+  stale?: Snapshot;
 }
 
 const AWAY = errAsync({ type: 'unavailable', message: 'turned away' });
@@ -17,7 +19,12 @@
 /** A store that serves snapshots until it is closed. */
 function asStore(store: ClosingStore): WatchableStore {
   const calls = {
-    snapshot: () => (store.isClosed ? AWAY : okAsync(store.objects)),
+    snapshot: (_kind: string, freshness: 'newest' | 'any') => {
+      if (!store.isClosed) {
+        return okAsync(freshness === 'any' ? (store.stale ?? store.objects) : store.objects);
+      }
+      return AWAY;
+    },
     watch: () => AWAY,
   };
   return calls as unknown as WatchableStore;
@@ -91,6 +98,23 @@
   assert.equal(host.follower.getLagMs(), 0);
 });
 
+// Guards against a host that goes back to an older copy, and hands it to its peers as the newest one.
+test('a stale answer of the store does not replace the newer copy of a peer', async () => {
+  const host = new Follower();
+  await host.start();
+  host.peerCopy = { objects: [object('config', 9)], version: 9 };
+  host.follower.receiveVersion(9);
+  await host.clock.advance(1_000);
+  assert.deepEqual(host.names(), ['config']);
+  host.store.objects = { objects: [object('config', 9)], version: 9 };
+  host.store.stale = { objects: [object('key-1', 7)], version: 7 };
+  host.store.isClosed = false;
+  await host.clock.advance(1_400);
+  assert.deepEqual(host.names(), ['config']);
+  const copy = host.follower.getCopy();
+  assert.deepEqual([copy?.version, copy?.objects.map(({ name }) => name)], [9, ['config']]);
+});
+
 test('peers are not asked while the store answers or no peer knows a newer version', async () => {
   const host = new Follower();
   await host.start();
