Read a reported version from peers while the store is slow or silent

A host that heard of a newer configuration waited for its own call to the store: 1.2 s until a silent call fails, and without end where the store answers slowly or with old copies. Meanwhile it served by the old one. Peers are asked after 150 ms in which the store has not given the version, whatever its call does, and again each 250 ms. Where they have nothing either, the next read of the store is a consistent one. A watch goes on from what a peer has given. The event caught_up tells how long a copy lagged, and where the version came from.

--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -37,6 +37,9 @@
  */
 const MAX_CONFIG_LAG_MS: Millis = 1_800;
 
+/** Milliseconds behind the peers from which on a copy that has caught up is logged. */
+const LOGGED_LAG_MS: Millis = 500;
+
 /** Options of a {@link DeploymentFeed}. */
 export interface DeploymentFeedOptions {
   readonly store: WatchableStore;
@@ -55,8 +58,8 @@
   readonly watchMs: Millis;
   /** Gets whether this host watches or polls the store. */
   readonly mode: () => FollowMode;
-  /** See {@link KindFollowerOptions.pollIntervalMs}. */
-  readonly pollMs: KindFollowerOptions['pollIntervalMs'];
+  /** See {@link KindFollowerOptions.nextPoll}. */
+  readonly nextPoll: KindFollowerOptions['nextPoll'];
   /** See {@link KindFollowerOptions.pollFreshness}. */
   readonly pollFreshness?: KindFollowerOptions['pollFreshness'];
   /** See {@link KindFollowerOptions.isUnwatched}. */
@@ -241,11 +244,15 @@
       random,
       watchMs: this.options.watchMs,
       mode: this.options.mode,
-      pollIntervalMs: this.options.pollMs,
+      nextPoll: this.options.nextPoll,
       pollFreshness: this.options.pollFreshness,
       isUnwatched: this.options.isUnwatched,
       readFromPeers: this.options.readFromPeers,
       onSync,
+      onCaughtUp: (behindMs, source) => {
+        if (behindMs < LOGGED_LAG_MS) return;
+        log('caught_up', { kind, behindMs: Math.round(behindMs), source });
+      },
       onStoreState: (state, reason) => log(`store_${state}`, { kind, reason }),
     });
   }
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -137,7 +137,7 @@
       strictKeysMs: options.strictKeysMs,
       watchMs: options.watchMs,
       mode: () => this.followMode(),
-      pollMs: (isUnavailable) => this.storePolling.intervalMs(isUnavailable),
+      nextPoll: (isUnavailable) => this.storePolling.next(isUnavailable),
       pollFreshness: () => this.storePolling.freshness(),
       isUnwatched: () => this.storePolling.isUnwatched(),
       onStateChange: () => this.gossip.recordStateChange(),
--- a/packages/router/src/coordination/StorePolling.ts
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
 import { gossipTimings } from '@camphorvane/decisions';
+import type { NextPoll } from '@camphorvane/store';
 import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
 import type { HostRoster } from './HostRoster.ts';
 
@@ -45,11 +46,15 @@
   }
 
   /**
-   * Gets the milliseconds until the next poll. A host that reads a change gossips it.
+   * Gets when and how to poll next. A host that reads a change gossips it.
    *
    * @param isUnavailable - Whether the store failed this host's last call; others read for it then.
    */
-  intervalMs(isUnavailable: boolean): Millis {
+  next(isUnavailable: boolean): NextPoll {
+    return { waitMs: this.intervalMs(isUnavailable), isTurn: false };
+  }
+
+  private intervalMs(isUnavailable: boolean): Millis {
     const now = this.clock.now();
     if (isUnavailable) return UNAVAILABLE_POLL_MS * 2 * this.random.next();
     if (this.roster.isStoreUnwatched(now)) return UNWATCHED_POLL_MS * 2 * this.random.next();
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -54,7 +54,7 @@
       ...{ store: store.asStore(), format: FORMAT, clock: this.clock },
       ...{ random: new RandomSource(1), strictKeysMs: undefined, watchMs: 2_000, drainsZones },
       mode: () => 'watch',
-      pollMs: () => 2_000,
+      nextPoll: () => ({ waitMs: 2_000, isTurn: false }),
       onStateChange: () => {
         this.stateChanges += 1;
       },
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -17,6 +17,17 @@
  */
 export type FollowMode = 'watch' | 'poll';
 
+/** Where a follower got a version from. */
+export type CopySource = 'store' | 'peer';
+
+/** When a follower polls next, and how. */
+export interface NextPoll {
+  /** Milliseconds until then, while no peer reports a newer version. */
+  readonly waitMs: Millis;
+  /** Whether the poll must be answered with the newest copy, since it is this host's turn to look for changes. */
+  readonly isTurn: boolean;
+}
+
 /** Settings of {@link KindFollower}. */
 export interface KindFollowerOptions {
   readonly store: WatchableStore;
@@ -28,17 +39,17 @@
   /** Gets the current mode; `watch` where absent. */
   readonly mode?: () => FollowMode;
   /**
-   * Gets the poll interval in milliseconds while no peer reports a newer version.
+   * Gets when to poll next.
    *
    * @param isUnavailable - Whether the last call to the store failed.
    */
-  readonly pollIntervalMs?: (isUnavailable: boolean) => Millis;
-  /** Gets whether a poll may be answered with a stale copy; `any` where absent. */
+  readonly nextPoll?: (isUnavailable: boolean) => NextPoll;
+  /** Gets whether a poll out of turn may be answered with a stale copy; `any` where absent. */
   readonly pollFreshness?: () => 'newest' | 'any';
   /** Tells whether peers learn of changes late, so that catching up must not wait for stale copies. */
   readonly isUnwatched?: () => boolean;
   /**
-   * Reads a copy of the kind from peers while the store does not answer this host.
+   * Reads a copy of the kind from peers while the store has not given this host a version that they report.
    *
    * @returns A copy of at least the wanted version if a peer has one, else the newest one found.
    */
@@ -49,6 +60,8 @@
   ) => Promise<Snapshot | undefined>;
   /** Called after each successful read or watch. */
   readonly onSync: (kind: KindCopy) => void;
+  /** Called when this copy has a version that peers had reported, with the milliseconds it lacked it and its source. */
+  readonly onCaughtUp?: (behindMs: Millis, source: CopySource) => void;
   /** Called when the store becomes unavailable, with the reason, and when it is available again. */
   readonly onStoreState?: (state: 'lost' | 'regained', reason: string) => void;
 }
@@ -59,6 +72,8 @@
 /** Milliseconds between two cheap reads while they lag behind a version that a peer reported. */
 const CATCH_UP_MS: Millis = 200;
 
+const DEFAULT_POLL: NextPoll = { waitMs: MIN_POLL_INTERVAL_MS, isTurn: false };
+
 /** Cheap catch-up reads that may return a stale copy before a consistent read is made. */
 const MAX_CHEAP_ATTEMPTS = 4;
 
@@ -68,6 +83,12 @@
  */
 const WATCH_LAG_MS: Millis = 250;
 
+/**
+ * Milliseconds for which the store alone is asked for a version that a peer has reported. It answers in a few;
+ * after that peers are asked as well, since calls to a silent or slow store end only after a second.
+ */
+const PEER_READ_DELAY_MS: Millis = 150;
+
 /** Milliseconds until other peers are asked where none of those asked has a newer copy. */
 const PEER_RETRY_MS: Millis = 250;
 
@@ -111,12 +132,19 @@
   /** Since when a peer has known a newer version; undefined while none does. */
   private behindSince: Millis | undefined;
 
-  private isReadingFromPeers = false;
+  /** Whether peers are being asked, or are about to be. */
+  private isAskingPeers = false;
+
+  /** Whether the last peers that were asked had no newer copy. */
+  private hasAskedInVain = false;
 
   private isStopped = false;
 
   private wake: () => void = () => undefined;
 
+  /** Ends the watch that is waiting; the next one goes on from the copy that a peer has given. */
+  private restartWatch: () => void = () => undefined;
+
   private readonly pause: InterruptibleSleep;
 
   /** @param options - The store, the kind and the callbacks. */
@@ -134,7 +162,7 @@
 
   /** Gets the store version up to which the copy is complete; 0 before the first response. */
   getVersion(): ObjectVersion {
-    return this.after ?? 0;
+    return this.copyVersion;
   }
 
   /** Gets the version of the last known change of this kind; 0 before the first response. */
@@ -146,9 +174,11 @@
   receiveVersion(version: ObjectVersion): void {
     if (version <= this.reportedVersion) return;
     this.reportedVersion = version;
-    if (version > this.getVersion()) this.wake();
-    if (version > this.copyVersion) this.behindSince ??= this.options.clock.now();
+    if (!this.isBehind()) return;
+    this.behindSince ??= this.options.clock.now();
+    this.wake();
     if (this.isUnavailable) void this.readFromPeers();
+    else this.askPeersIn(PEER_READ_DELAY_MS);
   }
 
   /** Ends the pause before the next poll. */
@@ -188,6 +218,11 @@
     this.isStopped = true;
   }
 
+  /** Tells whether a peer has reported a version that this copy lacks. */
+  private isBehind(): boolean {
+    return this.reportedVersion > this.copyVersion;
+  }
+
   private isPolling(): boolean {
     return this.after !== undefined && this.options.mode?.() === 'poll';
   }
@@ -207,57 +242,80 @@
     return isFirst;
   }
 
+  /** Asks peers after a delay, unless the store has given this host the version that they report by then. */
+  private askPeersIn(delayMs: Millis): void {
+    if (this.isAskingPeers || this.options.readFromPeers === undefined) return;
+    this.isAskingPeers = true;
+    this.options.clock.after(delayMs, () => {
+      this.isAskingPeers = false;
+      if (!this.isStopped) void this.readFromPeers();
+    });
+  }
+
   /**
-   * The store may turn this host away while it serves others. Without their copy, the host would go on
-   * with a withdrawn key or a server that has left for as long as that lasts.
+   * The store may serve others and turn this host away, answer it late, or not at all. Without a copy of its
+   * peers, the host would go on with a withdrawn key or a server that has left for as long as that lasts.
    */
   private async readFromPeers(): Promise<void> {
     const { readFromPeers, kind } = this.options;
-    if (readFromPeers === undefined || this.isReadingFromPeers) return;
-    if (this.reportedVersion <= this.copyVersion) return;
-    this.isReadingFromPeers = true;
+    if (readFromPeers === undefined || this.isAskingPeers || !this.isBehind()) return;
+    this.isAskingPeers = true;
     const copy = await readFromPeers(kind, this.reportedVersion, this.copyVersion);
-    this.isReadingFromPeers = false;
-    if (copy === undefined || copy.version <= this.copyVersion) {
-      // The peers that were asked may be turned away too; others are asked next.
-      this.options.clock.after(PEER_RETRY_MS, () => {
-        if (this.isUnavailable && !this.isStopped) void this.readFromPeers();
-      });
-      return;
+    this.isAskingPeers = false;
+    this.hasAskedInVain = copy === undefined || copy.version <= this.copyVersion;
+    if (copy !== undefined && copy.version > this.copyVersion) this.applyPeerCopy(copy);
+    // Those asked may not have the version yet, or lack what is newest by now; others are asked next.
+    if (this.isBehind()) this.askPeersIn(PEER_RETRY_MS);
+  }
+
+  private applyPeerCopy(copy: Snapshot): void {
+    this.applySnapshot(copy, 'peer');
+    if (this.after !== undefined) {
+      this.after = Math.max(this.after, copy.version);
+      this.restartWatch();
     }
-    this.applySnapshot(copy);
     this.options.onSync({ objects: this.objects, outageMs: 0 });
   }
 
-  private applySnapshot({ objects, version }: Snapshot): void {
+  private applySnapshot({ objects, version }: Snapshot, source: CopySource): void {
     this.objects = new Map(objects.map((object) => [object.name, object]));
     this.changedAt = objects.reduce((newest, one) => Math.max(newest, one.version), this.changedAt);
-    this.recordVersion(version);
+    this.recordVersion(version, source);
   }
 
-  private recordVersion(version: ObjectVersion): void {
+  private recordVersion(version: ObjectVersion, source: CopySource): void {
     this.copyVersion = Math.max(this.copyVersion, version);
-    if (this.copyVersion >= this.reportedVersion) this.behindSince = undefined;
+    if (this.isBehind()) return;
+    if (this.behindSince !== undefined) this.options.onCaughtUp?.(this.getLagMs(), source);
+    this.behindSince = undefined;
+    this.hasAskedInVain = false;
   }
 
-  /** Waits for the poll interval or a version reported by a peer, then reads until caught up. */
+  /** Waits for the next poll or a version reported by a peer, then reads until caught up. */
   private async poll(signal: AbortSignal): Promise<string | undefined> {
+    const { clock, nextPoll, pollFreshness } = this.options;
     this.wake = () => this.pause.interrupt();
-    await this.pause.wait(
-      this.options.pollIntervalMs?.(this.isUnavailable) ?? MIN_POLL_INTERVAL_MS,
-      signal,
-    );
+    const { waitMs, isTurn } = nextPoll?.(this.isUnavailable) ?? DEFAULT_POLL;
+    const dueAt = clock.now() + waitMs;
+    const mayReadNow = this.isBehind() && !this.isUnavailable;
+    if (!mayReadNow) await this.pause.wait(waitMs, signal);
+    const isDue = isTurn && clock.now() >= dueAt;
+    let problem = await this.readAll(isDue ? 'newest' : (pollFreshness?.() ?? 'any'));
     let attempts = 0;
-    let problem = await this.readAll(this.options.pollFreshness?.() ?? 'any');
-    while (problem === undefined && this.reportedVersion > this.getVersion() && !signal.aborted) {
+    while (problem === undefined && this.isBehind() && !signal.aborted) {
       attempts += 1;
-      const maxCheap = this.options.isUnwatched?.() === true ? 0 : MAX_CHEAP_ATTEMPTS;
-      if (attempts <= maxCheap) await sleep(this.options.clock, CATCH_UP_MS, signal);
-      problem = await this.readAll(attempts > maxCheap ? 'newest' : 'any');
+      const isCheap = attempts <= MAX_CHEAP_ATTEMPTS && this.mayWaitForOthers();
+      if (isCheap) await sleep(clock, CATCH_UP_MS, signal);
+      problem = await this.readAll(isCheap && this.mayWaitForOthers() ? 'any' : 'newest');
     }
     return problem;
   }
 
+  /** Tells whether hosts that watch the store may have the reported version, so that a cheap read will do for now. */
+  private mayWaitForOthers(): boolean {
+    return this.options.isUnwatched?.() !== true && !this.hasAskedInVain;
+  }
+
   /** Reads a snapshot, ignored where older than this copy; gets the reason of a failure. */
   private async readAll(freshness: 'newest' | 'any'): Promise<string | undefined> {
     const snapshot = await this.options.store.snapshot(this.options.kind, freshness);
@@ -267,7 +325,7 @@
       if (freshness === 'newest') this.after = this.copyVersion;
       return undefined;
     }
-    this.applySnapshot(snapshot.value);
+    this.applySnapshot(snapshot.value, 'store');
     this.after = snapshot.value.version;
     this.recordResponse();
     return undefined;
@@ -278,13 +336,15 @@
     const { store, kind, watchMs } = this.options;
     const superseded = new AbortController();
     this.wake = () => this.abortIfBehind(superseded);
+    this.restartWatch = () => superseded.abort();
     // A version that a peer reported between two watches is not reported again.
-    if (this.reportedVersion > after) this.wake();
+    if (this.isBehind()) this.wake();
     const stopOrSuperseded = AbortSignal.any([signal, superseded.signal]);
     const batch = await store.watch(kind, after, watchMs, stopOrSuperseded);
     this.wake = () => undefined;
+    this.restartWatch = () => undefined;
     if (superseded.signal.aborted) {
-      this.after = undefined;
+      if (this.isBehind()) this.after = undefined;
       return undefined;
     }
     if (batch.isErr()) {
@@ -295,7 +355,7 @@
     this.objects = events.reduce(applyEvent, this.objects);
     this.after = Math.max(after, next);
     if (events.length > 0) this.changedAt = this.after;
-    this.recordVersion(this.after);
+    this.recordVersion(this.after, 'store');
     this.recordResponse();
     return undefined;
   }
@@ -306,7 +366,7 @@
    */
   private abortIfBehind(superseded: AbortController): void {
     this.options.clock.after(WATCH_LAG_MS, () => {
-      if (this.reportedVersion > this.getVersion()) superseded.abort();
+      if (this.isBehind()) superseded.abort();
     });
   }
 
--- a/packages/store/tests/follow/KindFollower.peers.test.ts
+++ b/packages/store/tests/follow/KindFollower.peers.test.ts
@@ -3,12 +3,14 @@
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import type { KindCopy, Snapshot, WatchableStore } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
-import { errAsync, okAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 const object = (name: string, version: number) => ({ kind: 'k', name, version, value: name });
 
 interface ClosingStore {
   isClosed: boolean;
+  /** Whether calls get no response while the store is closed. */
+  isSilent: boolean;
   objects: Snapshot;
   /** What cheap reads return, where it is older. */
   stale?: Snapshot;
@@ -16,6 +18,8 @@
 
 const AWAY = errAsync({ type: 'unavailable', message: 'turned away' });
 
+const NO_RESPONSE = new ResultAsync<never, never>(new Promise(() => {}));
+
 /** A store that serves snapshots until it is closed. */
 function asStore(store: ClosingStore): WatchableStore {
   const calls = {
@@ -23,7 +27,7 @@
       if (!store.isClosed) {
         return okAsync(freshness === 'any' ? (store.stale ?? store.objects) : store.objects);
       }
-      return AWAY;
+      return store.isSilent ? NO_RESPONSE : AWAY;
     },
     watch: () => AWAY,
   };
@@ -35,6 +39,7 @@
 
   readonly store: ClosingStore = {
     isClosed: false,
+    isSilent: false,
     objects: { objects: [object('key-1', 5), object('key-2', 5)], version: 5 },
   };
 
@@ -51,7 +56,7 @@
     random: new RandomSource(1),
     watchMs: 1_000,
     mode: () => 'poll',
-    pollIntervalMs: () => 2_000,
+    nextPoll: () => ({ waitMs: 2_000, isTurn: false }),
     readFromPeers: async (_kind, wanted, known) => {
       this.asked.push([wanted, known]);
       return this.peerCopy;
@@ -98,6 +103,18 @@
   assert.equal(host.follower.getLagMs(), 0);
 });
 
+// Guards against a host that goes on with an old configuration until its call to a silent store times out.
+test('a host to which the store is silent gets a newer copy from a peer within half a second', async () => {
+  const host = new Follower();
+  await host.start();
+  host.store.isSilent = true;
+  host.peerCopy = { objects: [object('key-2', 5)], version: 9 };
+  host.follower.receiveVersion(9);
+  await host.clock.advance(500);
+  assert.deepEqual(host.names(), ['key-2']);
+  assert.equal(host.follower.getLagMs(), 0);
+});
+
 // Guards against a host that goes back to an older copy, and hands it to its peers as the newest one.
 test('a stale answer of the store does not replace the newer copy of a peer', async () => {
   const host = new Follower();
--- a/packages/store/tests/follow/KindFollower.test.ts
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -205,7 +205,7 @@
   const follower = new KindFollower({
     ...{ store, kind: 'k', clock, random: new RandomSource(1), watchMs: 1_000 },
     mode: () => 'poll',
-    pollIntervalMs: () => 10_000,
+    nextPoll: () => ({ waitMs: 10_000, isTurn: false }),
     onSync: () => undefined,
   });
   void follower.run(stop.signal);
