Have the hosts that don't watch the store take turns to look for changes

In a fleet above nine hosts a key that was withdrawn while the store was silent to the relays was accepted by all hosts, also by those that the store served. Only the relays watch; they learn of the silence when their watches time out, 3.5 s later, and report that they watch until then. Every 333 ms another host makes a consistent read, in an order by the time of day that mixes the zones: a third of the hosts or a zone without the store leaves no gap above 2.5 s, and about a second as a rule. Who reads a change gossips it. The cost does not grow with the fleet: three reads a second for each of two kinds.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,6 +38,7 @@
 export * from './local/PeerCounts.ts';
 export * from './local/isServing.ts';
 export * from './local/gossipTimings.ts';
+export * from './local/ReadTurns.ts';
 export * from './local/streamCapacity.ts';
 export * from './queue/RequestAgeEstimator.ts';
 export * from './local/SlowStart.ts';
--- a/packages/router/src/coordination/StorePolling.ts
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
-import { gossipTimings } from '@camphorvane/decisions';
+import { gossipTimings, ReadTurns } from '@camphorvane/decisions';
 import type { NextPoll } from '@camphorvane/store';
 import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
 import type { HostRoster } from './HostRoster.ts';
@@ -24,6 +24,9 @@
  * The relays watch, and the others learn of changes by gossip and poll at long intervals. The store may turn
  * all relays away while it serves the others; these then poll often, at different moments, and a few of the
  * reads are consistent, since cheap ones may be seconds old.
+ *
+ * A relay learns that the store has fallen silent only when its watch times out. So the hosts that don't watch
+ * take turns to make a consistent read, at all times.
  */
 export class StorePolling {
   private readonly clock: Clock;
@@ -32,6 +35,8 @@
 
   private readonly roster: HostRoster;
 
+  private readonly turns: ReadTurns;
+
   private wasUnwatched = false;
 
   /**
@@ -43,6 +48,7 @@
     this.clock = clock;
     this.random = random;
     this.roster = roster;
+    this.turns = new ReadTurns(roster.getSelf());
   }
 
   /**
@@ -51,7 +57,13 @@
    * @param isUnavailable - Whether the store failed this host's last call; others read for it then.
    */
   next(isUnavailable: boolean): NextPoll {
-    return { waitMs: this.intervalMs(isUnavailable), isTurn: false };
+    const waitMs = this.intervalMs(isUnavailable);
+    if (isUnavailable) return { waitMs, isTurn: false };
+    this.turns.setHosts(this.roster.getHosts());
+    const turnInMs = this.turns.nextInMs(this.clock.wall());
+    return turnInMs === undefined || turnInMs > waitMs
+      ? { waitMs, isTurn: false }
+      : { waitMs: turnInMs, isTurn: true };
   }
 
   private intervalMs(isUnavailable: boolean): Millis {
--- a/packages/router/tests/coordination/configUnderSilence.test.ts
+++ b/packages/router/tests/coordination/configUnderSilence.test.ts
@@ -16,7 +16,7 @@
   { hosts: 350, watchMs: 2_800, inForceMs: 3_000 },
 ];
 
-(['slow'] as const).forEach((treatment) => {
+(['silent', 'slow'] as const).forEach((treatment) => {
   DEPLOYMENTS.forEach(({ hosts: count, watchMs, inForceMs }) => {
     // Guards against a withdrawn key that all hosts accept until the watches of the relays have timed out.
     test(`a change reaches ${count} hosts while the store is ${treatment} to the relays`, async () => {
