--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -19,6 +19,7 @@
 import type { StoreCoordination } from '../coordination/StoreCoordination.ts';
 import { storeCoordinationFactory } from '../coordination/storeCoordinationFactory.ts';
 import { HostBuffers } from '../buffers/HostBuffers.ts';
+import { LoopDelay } from '../observe/LoopDelay.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
 import { Host } from './Host.ts';
@@ -130,6 +131,7 @@
     if (limits !== undefined) ingress.applyLimits(limits);
   });
   host.start();
+  void new LoopDelay(clock, metrics).run(new AbortController().signal);
   return ok({
     host,
     drain: async () => {
--- /dev/null
+++ b/packages/router/src/observe/LoopDelay.ts
@@ -0,0 +1,58 @@
+import type { Clock, Millis } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import { eventLog } from './EventLog.ts';
+import type { Metrics } from './Metrics.ts';
+
+/** Milliseconds between two measurements. */
+const PERIOD_MS: Millis = 100;
+
+/** Delay in milliseconds from which on the event loop counts as late; callers who leave are then noticed late. */
+const LATE_MS: Millis = 250;
+
+/** Milliseconds without a late measurement after which the event loop counts as on time again. */
+const RECOVERY_MS: Millis = 2_000;
+
+const log = eventLog('host');
+
+/** Measures how late timers fire on this host, which is how late it notices anything else. */
+export class LoopDelay {
+  private readonly clock: Clock;
+
+  private readonly metrics: Metrics;
+
+  private worstMs: Millis = 0;
+
+  private lateAt: Millis | undefined;
+
+  /**
+   * @param clock - Times the measurements.
+   * @param metrics - Receives the gauge.
+   */
+  constructor(clock: Clock, metrics: Metrics) {
+    this.clock = clock;
+    this.metrics = metrics;
+  }
+
+  /** Measures until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const dueAt = this.clock.now() + PERIOD_MS;
+      await sleep(this.clock, PERIOD_MS, signal);
+      this.record(Math.max(0, this.clock.now() - dueAt));
+    }
+  }
+
+  private record(delayMs: Millis): void {
+    const now = this.clock.now();
+    this.metrics.gauge('host.loop_delay', Math.round(delayMs));
+    if (delayMs >= LATE_MS) {
+      if (this.lateAt === undefined) log('loop_late', { delayMs: Math.round(delayMs) });
+      this.lateAt = now;
+      this.worstMs = Math.max(this.worstMs, delayMs);
+    } else if (this.lateAt !== undefined && now - this.lateAt >= RECOVERY_MS) {
+      log('loop_on_time', { worstMs: Math.round(this.worstMs) });
+      this.lateAt = undefined;
+      this.worstMs = 0;
+    }
+  }
+}
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -6,6 +6,7 @@
   | 'request.accepted'
   | 'request.whole'
   | 'request.refused'
+  | 'request.left'
   | 'attempt.dispatched'
   | 'attempt.failed'
   | 'attempt.engine_gone'
@@ -39,7 +40,7 @@
   | 'buffers.cut_off';
 
 /** Names of all gauges. */
-export type GaugeName = 'engines' | 'buffers.bytes' | 'reach.services';
+export type GaugeName = 'engines' | 'buffers.bytes' | 'reach.services' | 'host.loop_delay';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -102,20 +102,29 @@
     const cancelTimer = this.options.clock.after(call.deadlineAt - this.options.clock.now(), () =>
       abort.abort(deadlinePassed()),
     );
+    let hasEnded = false;
     try {
       const timer = new StreamTimer(startedAt);
       for await (const event of this.serve(call, abort.signal, relayed !== undefined)) {
         if (event.type === 'data') timer.recordEvent(this.options.clock.now());
         if (event.type === 'refused') this.recordRefusal(id, event.refusal, startedAt);
         if (event.type === 'done') this.recordDone(call, timer, startedAt);
+        hasEnded ||= event.type === 'done';
         yield event;
       }
     } finally {
       cancelTimer();
       leave();
+      if (signal.aborted && !hasEnded) this.recordCallerLeft(call, startedAt);
     }
   }
 
+  private recordCallerLeft({ id, route }: RoutedCall, startedAt: Millis): void {
+    const tookMs = Math.round(this.options.clock.now() - startedAt);
+    this.options.metrics.count('request.left', { stage: 'served' });
+    log('caller_left', { id, route: route.name, tookMs });
+  }
+
   private resolveRoute(
     id: RequestId,
     req: ForwardRequest,
