--- a/packages/decisions/src/local/ReadTurns.ts
+++ b/packages/decisions/src/local/ReadTurns.ts
@@ -14,20 +14,23 @@
 export class ReadTurns {
   private readonly self: HostId;
 
-  private hosts: readonly HostId[] = [];
+  private peers: readonly HostId[] | undefined;
 
-  private index = 0;
+  private hostCount = 0;
+
+  private index = -1;
 
   /** @param self - This host. */
   constructor(self: HostId) {
     this.self = self;
   }
 
-  /** Sets the hosts that take turns, this one included. */
-  setHosts(hosts: readonly HostId[]): void {
-    if (hosts === this.hosts) return;
-    this.hosts = hosts;
-    this.index = rendezvousOrder(ORDER_KEY, hosts).indexOf(this.self);
+  /** Sets the other hosts that take turns; an array that was set before is not read again. */
+  setPeers(peers: readonly HostId[]): void {
+    if (peers === this.peers) return;
+    this.peers = peers;
+    this.hostCount = peers.length + 1;
+    this.index = rendezvousOrder(ORDER_KEY, [this.self, ...peers]).indexOf(this.self);
   }
 
   /**
@@ -35,11 +38,11 @@
    * differ only make turns uneven.
    *
    * @param timeOfDay - Milliseconds since the Unix epoch.
-   * @returns Milliseconds from then, 1 or more; undefined where this host has no turn.
+   * @returns Milliseconds from then, 1 or more; undefined while the other hosts are not known.
    */
   nextInMs(timeOfDay: Millis): Millis | undefined {
-    if (this.index < 0 || this.hosts.length === 0) return undefined;
-    const roundMs = this.hosts.length * READ_TURN_MS;
+    if (this.index < 0) return undefined;
+    const roundMs = this.hostCount * READ_TURN_MS;
     const sinceMs = (Math.floor(timeOfDay) - this.index * READ_TURN_MS) % roundMs;
     return roundMs - (sinceMs < 0 ? sinceMs + roundMs : sinceMs);
   }
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -25,6 +25,7 @@
 import type { Unsubscribe } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import { composeRouting } from './composeRouting.ts';
+import { logCaughtUp } from './logCaughtUp.ts';
 import type { ConfigFeed } from './HostCoordination.ts';
 import { ServerRoster } from './ServerRoster.ts';
 import { ZoneDrains } from './ZoneDrains.ts';
@@ -37,9 +38,6 @@
  */
 const MAX_CONFIG_LAG_MS: Millis = 1_800;
 
-/** Milliseconds behind the peers from which on a copy that has caught up is logged. */
-const LOGGED_LAG_MS: Millis = 500;
-
 /** Options of a {@link DeploymentFeed}. */
 export interface DeploymentFeedOptions {
   readonly store: WatchableStore;
@@ -249,10 +247,7 @@
       isUnwatched: this.options.isUnwatched,
       readFromPeers: this.options.readFromPeers,
       onSync,
-      onCaughtUp: (behindMs, source) => {
-        if (behindMs < LOGGED_LAG_MS) return;
-        log('caught_up', { kind, behindMs: Math.round(behindMs), source });
-      },
+      onCaughtUp: (behindMs, source) => logCaughtUp(kind, behindMs, source),
       onStoreState: (state, reason) => log(`store_${state}`, { kind, reason }),
     });
   }
--- a/packages/router/src/coordination/HostRoster.ts
+++ b/packages/router/src/coordination/HostRoster.ts
@@ -53,9 +53,6 @@
   /** Names of all peers with a record, sorted. */
   private peers: readonly HostId[] = [];
 
-  /** Names of this host and its peers. */
-  private hosts: readonly HostId[];
-
   /** See {@link HostRoster.getExpectedServing}. */
   private expectedServing: readonly HostId[] = [];
 
@@ -85,7 +82,6 @@
     isCutOff: (host: HostId, now: Millis) => boolean = () => false,
   ) {
     this.self = self;
-    this.hosts = [self];
     this.zone = zone;
     this.isCutOff = isCutOff;
   }
@@ -110,9 +106,7 @@
         return [record.host, { record, version, ageMs: isSame ? known.ageMs + elapsedMs : 0 }];
       }),
     );
-    const peers = [...this.records.keys()].filter((host) => host !== this.self).sort();
-    if (peers.join() !== this.peers.join()) this.hosts = [this.self, ...peers];
-    this.peers = peers;
+    this.peers = [...this.records.keys()].filter((host) => host !== this.self).sort();
     this.ranked = [...this.records.values()]
       .map(({ record }) => record)
       .sort((a, b) => b.strength - a.strength || (a.host < b.host ? -1 : 1));
@@ -143,16 +137,6 @@
     return this.lastReadAt !== undefined;
   }
 
-  /** Gets the name of this host. */
-  getSelf(): HostId {
-    return this.self;
-  }
-
-  /** Gets all hosts, this one included. Returns the same array until the records change. */
-  getHosts(): readonly HostId[] {
-    return this.hosts;
-  }
-
   /** Gets all peers that have a record, sorted by name. */
   getPeers(): readonly HostId[] {
     return this.peers;
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -110,7 +110,7 @@
       this.gossip.recordStateChange();
       applyReachChange(change, { ...this, directory });
     });
-    this.storePolling = new StorePolling(clock, random, this.hosts);
+    this.storePolling = new StorePolling(identity.host, clock, random, this.hosts);
     this.snapshots = new PeerSnapshots({
       ...{ clock, random, metrics: options.metrics, exchange: options.snapshots },
       roster: this.hosts,
--- a/packages/router/src/coordination/StorePolling.ts
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import type { Clock, HostId, Millis, RandomSource } from '@camphorvane/core';
 import { gossipTimings, ReadTurns } from '@camphorvane/decisions';
 import type { NextPoll } from '@camphorvane/store';
 import { MIN_POLL_INTERVAL_MS } from '@camphorvane/store';
@@ -40,15 +40,16 @@
   private wasUnwatched = false;
 
   /**
+   * @param self - This host.
    * @param clock - Tells whether digests are recent.
    * @param random - Spreads polls over time.
    * @param roster - Knows the hosts and what the relays report.
    */
-  constructor(clock: Clock, random: RandomSource, roster: HostRoster) {
+  constructor(self: HostId, clock: Clock, random: RandomSource, roster: HostRoster) {
     this.clock = clock;
     this.random = random;
     this.roster = roster;
-    this.turns = new ReadTurns(roster.getSelf());
+    this.turns = new ReadTurns(self);
   }
 
   /**
@@ -59,7 +60,7 @@
   next(isUnavailable: boolean): NextPoll {
     const waitMs = this.intervalMs(isUnavailable);
     if (isUnavailable) return { waitMs, isTurn: false };
-    this.turns.setHosts(this.roster.getHosts());
+    this.turns.setPeers(this.roster.getPeers());
     const turnInMs = this.turns.nextInMs(this.clock.wall());
     return turnInMs === undefined || turnInMs > waitMs
       ? { waitMs, isTurn: false }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -18,6 +18,7 @@
 export * from './PlatformHttp.ts';
 export * from './follow/WatchableStore.ts';
 export * from './follow/KindFollower.ts';
+export * from './follow/KindFollowerOptions.ts';
 export * from './follow/SingleWriterObject.ts';
 export * from './follow/Deployment.ts';
 export * from './lease/StoreLease.ts';
