--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -7,6 +7,7 @@
   ServiceId,
   Tokens,
   WorkClass,
+  SoftwareVersion,
 } from '@camphorvane/core';
 import type { Result } from 'neverthrow';
 
@@ -103,6 +104,8 @@
   readonly callerTimeoutMs: Millis | undefined;
   /** Undefined where the caller declared none. */
   readonly work: DeclaredWork | undefined;
+  /** Id of the attempt that brought the first event of the stream which the caller takes up; undefined for none. */
+  readonly resumes?: RequestId;
 }
 
 /** An event of a forwarded call; the last one is `done` or `refused`. */
@@ -119,6 +122,8 @@
       readonly bytes: Uint8Array;
       /** Position of a stream's event, after which it can go on; absent for other responses. */
       readonly position?: number;
+      /** Software of the engine that brought the event; absent where engines have no versions. */
+      readonly softwareVersion?: SoftwareVersion;
     }
   | { readonly type: 'done' }
   | { readonly type: 'refused'; readonly refusal: Refusal };
--- a/packages/caller/src/http/refusalStatus.ts
+++ b/packages/caller/src/http/refusalStatus.ts
@@ -28,6 +28,8 @@
   suspected_crasher: 422,
   upstream_failed: 502,
   upstreams_unreachable: 503,
+  stream_version_unknown: 503,
+  stream_version_gone: 503,
   outcome_unknown: 502,
   retry_budget_spent: 503,
   timed_out: 504,
--- a/packages/core/src/Refusal.ts
+++ b/packages/core/src/Refusal.ts
@@ -31,6 +31,8 @@
   'suspected_crasher',
   'upstream_failed',
   'upstreams_unreachable',
+  'stream_version_unknown',
+  'stream_version_gone',
   'outcome_unknown',
   'retry_budget_spent',
   'timed_out',
--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -42,6 +42,10 @@
 export type EngineRole = 'prefill' | 'decode';
 
 /** One model engine. */
+/** Version of the software that an engine runs; an engine that names none, or none that can be read, has an unknown one. */
+export type SoftwareVersion =
+  { readonly type: 'known'; readonly name: string } | { readonly type: 'unknown' };
+
 export interface EngineConfig {
   readonly id: UpstreamId;
   /** Base URL with an IP address, such as `http://127.0.0.1:9101`. */
@@ -60,6 +64,8 @@
   readonly eventTokens?: Tokens;
   /** Absent where an engine takes its full load from its start on. */
   readonly slowStart?: SlowStartBounds;
+  /** Absent where all engines run the same software, so that any of them may go on with a stream. */
+  readonly softwareVersion?: SoftwareVersion;
 }
 
 /** Ways in which the engines of a pool keep a running stream alive elsewhere. */
--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -13,6 +13,7 @@
   WorkClass,
 } from '@camphorvane/core';
 import type { CallerTimes } from './admission/CallerTimes.ts';
+import type { StreamBinding } from './versions/StreamBinding.ts';
 
 /** A request to be placed on the engines of a pool. */
 export interface WorkItem {
@@ -41,6 +42,8 @@
   readonly priority?: number;
   /** What is known of the caller's wait; absent where nothing is. */
   readonly callerTimes?: CallerTimes;
+  /** Which engines may go on with its stream; any where absent. */
+  readonly binding?: StreamBinding;
 }
 
 /** A prefix of a prompt that an engine may have in its cache, with the tokens that it covers. */
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -6,9 +6,13 @@
 import type { InFlightTracker } from './InFlightTracker.ts';
 import { mergeOpenings } from '../signals/openings.ts';
 import type { Opening } from '../signals/openings.ts';
+import { cheaper, disaggregatedChoice, FULL_ENGINE_COST_MS } from './pairChoice.ts';
+import type { Choice, DecodeOption, EnginePair, PrefillOption } from './pairChoice.ts';
 import { speedGains } from './speedGains.ts';
 import type { UpstreamAdmission } from './UpstreamAdmission.ts';
 import type { UpstreamSpeeds } from '../completion/UpstreamSpeeds.ts';
+import type { StreamBinding } from '../versions/StreamBinding.ts';
+import { mayRunOn } from '../versions/StreamBinding.ts';
 
 /** A request that needs engines. */
 export interface PlacementRequest {
@@ -21,26 +25,13 @@
   readonly longestPauseMs?: Millis;
   /** Memory times expected output tokens; absent where the output is not known. */
   readonly memorySteps?: number;
-}
-
-/** The engines chosen for a request. */
-export interface EnginePair {
-  /** Undefined where the decode engine does the prefill itself. */
-  readonly prefill: UpstreamId | undefined;
-  readonly decode: UpstreamId;
-  /** Expected time until the prefill has ended, in milliseconds, including the prompts ahead of it. */
-  readonly expectedPrefillMs: Millis;
+  /** Which decode engines may take it; any where absent. */
+  readonly binding?: StreamBinding;
 }
 
 /** Factor by which a prefill takes longer on a decode engine, which interleaves it with decode steps. */
 const DECODE_PREFILL_FACTOR = 2;
 
-/**
- * Cost of a KV transfer between zones, in milliseconds of waiting. It takes twice as long as a transfer
- * within a zone, and its bytes cost three times as much.
- */
-const CROSS_ZONE_COST_MS: Millis = 40;
-
 /** Cost of a prefill on a decode engine, in milliseconds of waiting: it stalls the streams there. */
 const DECODE_PREFILL_COST_MS: Millis = 120;
 
@@ -50,9 +41,6 @@
  */
 const PAUSE_BUDGET_FRACTION = 0.9;
 
-/** Cost of a full engine, in milliseconds of waiting: decode steps get longer as it fills. */
-const FULL_ENGINE_COST_MS: Millis = 250;
-
 /** Cost of a request to a reluctant engine, in milliseconds of waiting: other engines are used first. */
 const RELUCTANT_ENGINE_COST_MS: Millis = 250;
 
@@ -72,31 +60,6 @@
 /** Engines of each role in a sample. */
 const SAMPLE_SIZE = 3;
 
-interface PrefillOption {
-  readonly cfg: EngineConfig;
-  /** Expected time until the prefill has ended, in milliseconds. */
-  readonly prefillMs: Millis;
-  /** Cost of a reluctant engine; 0 for others. */
-  readonly reluctanceMs: Millis;
-}
-
-interface DecodeOption {
-  readonly cfg: EngineConfig;
-  /** Fraction of the memory that is in use once the request has been placed. */
-  readonly memoryFill: number;
-  readonly streams: number;
-  /** Whether the engine has a prompt to prefill already. */
-  readonly isPrefilling: boolean;
-  /** Cost of a reluctant engine, less the gain of a fast one; 0 for others. */
-  readonly reluctanceMs: Millis;
-}
-
-interface Choice {
-  readonly pair: EnginePair;
-  /** Expected wait plus the costs above, in milliseconds. */
-  readonly cost: Millis;
-}
-
 /**
  * Chooses engines from what this host knows, without coordination.
  *
@@ -148,6 +111,14 @@
     return this.engines.some((engine) => engine.role === 'decode');
   }
 
+  /** Gets whether there is a decode engine that may go on with the stream of a request, now or later. */
+  hasEngineFor({ binding, avoid }: Pick<PlacementRequest, 'binding' | 'avoid'>): boolean {
+    return this.engines.some(
+      ({ id, role, softwareVersion }) =>
+        role === 'decode' && !avoid.includes(id) && mayRunOn(binding, softwareVersion),
+    );
+  }
+
   /**
    * Gets when decode engines take requests of this host, where all of them have asked for fewer.
    *
@@ -278,6 +249,7 @@
   private decodeOptions(req: PlacementRequest, now: Millis): readonly DecodeOption[] {
     const gainOf = speedGains(this.speeds, this.engines, req, now);
     return this.usableEngines('decode', req, now)
+      .filter(({ softwareVersion }) => mayRunOn(req.binding, softwareVersion))
       .map((cfg) => ({ cfg, load: this.inFlight.getTotal(cfg.id, now) }))
       .filter(({ cfg, load }) => load.streams < (cfg.slots ?? Infinity))
       .map(({ cfg, load }) => ({
@@ -323,20 +295,3 @@
     return this.admission.allowance(id, now) > 0;
   }
 }
-
-function disaggregatedChoice(prefill: PrefillOption, decode: DecodeOption): Choice {
-  const zoneCostMs = prefill.cfg.zone === decode.cfg.zone ? 0 : CROSS_ZONE_COST_MS;
-  return {
-    pair: { prefill: prefill.cfg.id, decode: decode.cfg.id, expectedPrefillMs: prefill.prefillMs },
-    cost:
-      prefill.prefillMs +
-      zoneCostMs +
-      decode.memoryFill * FULL_ENGINE_COST_MS +
-      prefill.reluctanceMs +
-      decode.reluctanceMs,
-  };
-}
-
-function cheaper(best: Choice | undefined, choice: Choice): Choice {
-  return best === undefined || choice.cost < best.cost ? choice : best;
-}
--- a/packages/decisions/src/local/LocalQueue.ts
+++ b/packages/decisions/src/local/LocalQueue.ts
@@ -3,12 +3,24 @@
 import { orderComparator } from '../admission/orderComparator.ts';
 import { QueueAdmission } from '../admission/QueueAdmission.ts';
 import { NO_QUEUE_CONTROLS } from '../admission/QueueControls.ts';
-import type { QueueControls } from '../admission/QueueControls.ts';
 import { refusalWithoutOpening } from '../signals/openings.ts';
 import { FootprintRanks } from './FootprintRanks.ts';
-import type { EnginePair, LocalPlacement } from './LocalPlacement.ts';
+import type { LocalQueueControls } from './LocalQueueControls.ts';
+import type { LocalPlacement } from './LocalPlacement.ts';
+import type { EnginePair } from './pairChoice.ts';
 import { footprintKey, waitedFraction, YIELD_FRACTION } from './queuedRequests.ts';
-import type { QueueDecision, QueuedRequest, RankedRequest, WaitReason } from './queuedRequests.ts';
+import {
+  ADMISSION,
+  isBound,
+  NO_ENGINE_OPENS,
+  noEngineKnown,
+  QUEUE_FULL,
+  RETRY_AFTER_MS,
+  TIMED_OUT,
+  versionGone,
+} from './queueRefusals.ts';
+import type { QueueDecision, QueuedRequest, RankedRequest } from './queuedRequests.ts';
+import { WaitReasons } from './WaitReasons.ts';
 
 /**
  * Longest expected prefill time of a request that is dispatched, in milliseconds. Others stay queued
@@ -23,37 +35,9 @@
 /** Longest queue, in requests; more could not be served before their callers leave. */
 const MAX_QUEUE_LENGTH = 512;
 
-/** Milliseconds after which a refused caller may retry: the time to work off a short burst. */
-const RETRY_AFTER_MS: Millis = 1_000;
-
-const QUEUE_FULL = {
-  code: 'queue_full',
-  message: 'Too many requests wait for this model.',
-} as const;
-
-const TIMED_OUT = { code: 'target_missed', message: 'No engine became free in time.' } as const;
-
-const ADMISSION = {
-  /** A response takes some seconds; in a shorter time hardly any stream ends. */
-  drainDecayMs: 3_000,
-  message: 'No engine is expected to become free in time.',
-  unknownRetryAfterMs: RETRY_AFTER_MS,
-};
-
-const NO_ENGINE_OPENS = {
-  text: 'The engines of this model take no more requests in time.',
-  retryAfterMs: RETRY_AFTER_MS,
-};
-
 /** Milliseconds between two scheduling passes while requests wait; a tenth of a prefill. */
 export const QUEUE_RECHECK_MS: Millis = 10;
 
-/** Overload controls of a queue, and what its expected drain rate follows from. */
-export interface LocalQueueControls extends QueueControls {
-  /** Gets how many streams the engines run at once; absent where waits are estimated by measurement only. */
-  readonly streamCapacity?: (now: Millis) => number;
-}
-
 /**
  * The requests of one pool that wait on this host for engines.
  *
@@ -75,7 +59,7 @@
   private waiting: readonly RankedRequest[] = [];
 
   /** What each waiting request has waited for last. */
-  private readonly waitReasons = new Map<RequestId, WaitReason>();
+  private readonly waitReasons = new WaitReasons();
 
   private readonly ranks = new FootprintRanks();
 
@@ -125,9 +109,8 @@
    *   undefined otherwise.
    */
   submit(req: QueuedRequest): Refusal | undefined {
-    if (!this.placement.hasDecodeEngine()) {
-      return notRun('no_capacity', 'No engine of this model is known.', RETRY_AFTER_MS);
-    }
+    if (!this.placement.hasDecodeEngine()) return noEngineKnown();
+    if (isBound(req) && !this.placement.hasEngineFor(req)) return versionGone();
     const now = req.submittedAt;
     const entry = this.toRanked(req, now);
     this.admission.recordArrival(entry, now);
@@ -137,7 +120,8 @@
         ? this.admission.refuseFor(entry, this.waiting.length, QUEUE_FULL, now)
         : notRun(QUEUE_FULL.code, QUEUE_FULL.message, RETRY_AFTER_MS);
     }
-    const refusal = isAdmissionOn ? this.submitByWait(entry, now) : this.enqueue(entry);
+    const isDecidedByWait = isAdmissionOn && !isBound(entry);
+    const refusal = isDecidedByWait ? this.submitByWait(entry, now) : this.enqueue(entry);
     if (refusal === undefined) this.ranks.record(req.memorySteps);
     return refusal;
   }
@@ -169,7 +153,12 @@
    * @returns The decision; undefined while all requests go on waiting.
    */
   next(now: Millis): QueueDecision | undefined {
-    const decision = this.reviewed.shift() ?? this.refuseTimedOut(now) ?? this.placeFirst(now);
+    const decision =
+      this.reviewed.shift() ??
+      this.refuseTimedOut(now) ??
+      this.refuseStranded() ??
+      this.placeBound(now) ??
+      this.placeFirst(now);
     if (decision !== undefined) return decision;
     if (this.admission.isOn()) this.review(now);
     const refused = this.reviewed.shift();
@@ -252,27 +241,58 @@
     return { type: 'refuse', request, refusal };
   }
 
+  /** Refuses a stream that no engine can go on with any more. */
+  private refuseStranded(): QueueDecision | undefined {
+    const stranded = this.waiting.find((req) => isBound(req) && !this.placement.hasEngineFor(req));
+    if (stranded === undefined) return undefined;
+    this.withdraw(stranded.request);
+    return { type: 'refuse', request: stranded.request, refusal: versionGone() };
+  }
+
+  /**
+   * Places the first stream that goes on, if an engine of its version has room. It goes before new streams, which
+   * would otherwise fill the engines of a rare version, and it does not hold up those that other engines can take.
+   */
+  private placeBound(now: Millis): QueueDecision | undefined {
+    const bound = this.waiting.filter(isBound).sort(this.comparator(now));
+    const choices = bound.map((req) => ({ req, pair: this.placement.choose(req, now) }));
+    const first = choices.find(
+      ({ req, pair }) =>
+        pair !== undefined && pair.expectedPrefillMs <= this.maxPrefillMs(req, pair, now),
+    );
+    choices.forEach(({ req, pair }) =>
+      this.waitReasons.set(req.request, pair === undefined ? 'room' : 'reading'),
+    );
+    return first?.pair === undefined ? undefined : this.place(first.req, first.pair, now);
+  }
+
   /** Places the first request, or refuses one for which no engine opens in time. */
   private placeFirst(now: Millis): QueueDecision | undefined {
     if (this.waiting.length === 0) return undefined;
     const unservable = this.refuseUnservable(now);
     if (unservable !== undefined) return unservable;
     const compare = this.comparator(now);
-    const first = this.waiting.reduce((best, req) => (compare(req, best) < 0 ? req : best));
+    const [head, ...others] = this.waiting.filter((req) => !isBound(req));
+    if (head === undefined) return undefined;
+    const first = others.reduce((best, req) => (compare(req, best) < 0 ? req : best), head);
     if (this.yieldsToPeers(first, now)) {
-      this.recordWaitReasons(first, 'turn');
+      this.waitReasons.record(first, 'turn', this.waiting);
       return undefined;
     }
     const pair = this.placement.choose(first, now);
     if (pair === undefined || pair.expectedPrefillMs > this.maxPrefillMs(first, pair, now)) {
-      this.recordWaitReasons(first, pair === undefined ? 'room' : 'reading');
+      this.waitReasons.record(first, pair === undefined ? 'room' : 'reading', this.waiting);
       return undefined;
     }
-    const waitReason = this.waitReasons.get(first.request);
-    this.withdraw(first.request);
-    this.runningByTeam.set(first.team, (this.runningByTeam.get(first.team) ?? 0) + 1);
-    this.admission.recordStarted(first, now);
-    const { request, estimate } = first;
+    return this.place(first, pair, now);
+  }
+
+  private place(req: RankedRequest, pair: EnginePair, now: Millis): QueueDecision {
+    const waitReason = this.waitReasons.get(req.request);
+    this.withdraw(req.request);
+    this.runningByTeam.set(req.team, (this.runningByTeam.get(req.team) ?? 0) + 1);
+    this.admission.recordStarted(req, now);
+    const { request, estimate } = req;
     return { type: 'place', request, pair, waitReason, expectedMs: estimate?.waitMs };
   }
 
@@ -299,13 +319,6 @@
     return smallerOnPeers >= 1 && waitedFraction(req, now) < req.rank * YIELD_FRACTION;
   }
 
-  private recordWaitReasons(first: QueuedRequest, reason: WaitReason): void {
-    this.waiting.forEach(({ request }) => {
-      if (request === first.request) this.waitReasons.set(request, reason);
-      else if (!this.waitReasons.has(request)) this.waitReasons.set(request, 'turn');
-    });
-  }
-
   /**
    * Gets the longest expected prefill time with which a request is dispatched. For a late request or a
    * long prompt, it is the time on an idle engine plus a margin.
--- a/packages/decisions/src/local/queuedRequests.ts
+++ b/packages/decisions/src/local/queuedRequests.ts
@@ -1,7 +1,8 @@
 import type { Millis, Refusal, RequestId, TeamId } from '@camphorvane/core';
 import type { CallerTimes } from '../admission/CallerTimes.ts';
 import type { AdmittedRequest } from '../admission/QueueAdmission.ts';
-import type { EnginePair, PlacementRequest } from './LocalPlacement.ts';
+import type { PlacementRequest } from './LocalPlacement.ts';
+import type { EnginePair } from './pairChoice.ts';
 
 /** A request that waits for engines. */
 export interface QueuedRequest extends PlacementRequest {
--- a/packages/decisions/src/relocation/RelocationPlanner.ts
+++ b/packages/decisions/src/relocation/RelocationPlanner.ts
@@ -9,6 +9,7 @@
   RunningStream,
 } from './relocationView.ts';
 import { FORECAST_HORIZON_MS } from './relocationView.ts';
+import { mayRunOn } from '../versions/StreamBinding.ts';
 
 /** Events before its end at which a stream is not moved any more: it ends before the move pays off. */
 const MIN_REMAINING_EVENTS = 10;
@@ -107,6 +108,7 @@
   ): RelocationEngine | undefined {
     const best = engines
       .filter((engine) => engine.id !== from.id && engine.isOpen && !engine.isLeaving)
+      .filter(({ softwareVersion }) => mayRunOn(stream.binding, softwareVersion))
       .filter((engine) => engine.streams < engine.slots && !exceedsPause(engine, stream))
       .map((engine) => ({ engine, fill: fillAfter(engine, stream) }))
       .filter(({ fill }) => fill <= MEMORY_FILL_LIMIT)
--- a/packages/decisions/src/relocation/chooseBackup.ts
+++ b/packages/decisions/src/relocation/chooseBackup.ts
@@ -1,4 +1,6 @@
 import type { RandomSource, Tokens, UpstreamId } from '@camphorvane/core';
+import type { StreamBinding } from '../versions/StreamBinding.ts';
+import { mayRunOn } from '../versions/StreamBinding.ts';
 import { fillAfter } from './RelocationPlanner.ts';
 import type { RelocationEngine } from './relocationView.ts';
 
@@ -21,6 +23,8 @@
   readonly expectedTokens: Tokens;
   /** Whether another engine may prefill and resume the stream without a copy. */
   readonly isResumable: boolean;
+  /** Which engines may go on with it; any where absent. */
+  readonly binding?: StreamBinding;
 }
 
 /** Running streams of this host in the pool. */
@@ -54,6 +58,7 @@
   const { promptTokens: heldTokens, expectedTokens: remainingTokens } = stream;
   const best = engines
     .filter(({ id, isOpen, isLeaving }) => id !== stream.engine && isOpen && !isLeaving)
+    .filter(({ softwareVersion }) => mayRunOn(stream.binding, softwareVersion))
     .map(({ id, ...engine }) => ({
       id,
       fill: fillAfter({ id, ...engine }, { heldTokens, remainingTokens }),
--- a/packages/decisions/src/relocation/relocationView.ts
+++ b/packages/decisions/src/relocation/relocationView.ts
@@ -1,4 +1,12 @@
-import type { Millis, ReservationId, Tokens, UpstreamId, ZoneId } from '@camphorvane/core';
+import type {
+  Millis,
+  ReservationId,
+  SoftwareVersion,
+  Tokens,
+  UpstreamId,
+  ZoneId,
+} from '@camphorvane/core';
+import type { StreamBinding } from '../versions/StreamBinding.ts';
 
 /** KV memory that streams hold on an engine, and how fast it grows. */
 export interface HeldMemory {
@@ -28,6 +36,8 @@
   readonly isLeaving: boolean;
   /** Whether this host may send it requests now. */
   readonly isOpen: boolean;
+  /** Absent where the engines of the pool have no versions. */
+  readonly softwareVersion?: SoftwareVersion;
 }
 
 /** A stream of this host whose output has begun. */
@@ -46,6 +56,8 @@
   readonly eventMs?: Millis;
   /** Whether a move of the stream is under way, or has ended recently. */
   readonly isPinned: boolean;
+  /** Which engines may go on with it; any where absent. */
+  readonly binding?: StreamBinding;
 }
 
 /** What a plan of relocations is based on. */
--- a/packages/decisions/tests/relocation/RelocationPlanner.test.ts
+++ b/packages/decisions/tests/relocation/RelocationPlanner.test.ts
@@ -152,3 +152,19 @@
   const fuller = TARGETS.map((one) => ({ ...one, reservedTokens: 51_000 }));
   assert.equal(choose({}, {}, fuller), undefined, 'an engine was filled by copies');
 });
+
+// Guards against a running stream that moves, or is copied, to an engine whose events don't fit to those before.
+test('a stream moves, and is copied, to engines of its software version only', () => {
+  const versions = ['v1', 'v2', 'v2', 'v2'].map((name) => ({ type: 'known', name }) as const);
+  const targets = TARGETS.map((one, i) => ({ ...one, softwareVersion: versions[i] }));
+  const binding = { type: 'bound', version: 'v1' } as const;
+  const moves = plansOf({ engines: [FULL, ...targets], streams: [stream('s', { binding })] });
+  assert.ok(moves.length > 0);
+  assert.deepEqual([...new Set(moves.map(({ to }) => to))], ['t1']);
+  const candidate = { engine: 'full', promptTokens: 5_000, expectedTokens: 700, binding };
+  const counts = { streams: 40, copies: 0, meanPromptTokens: 100 };
+  const copies = Array.from({ length: 50 }, () =>
+    chooseBackup({ ...candidate, isResumable: true }, counts, targets, random),
+  );
+  assert.deepEqual([...new Set(copies)], ['t1']);
+});
--- a/packages/peer/src/hints/HintSocket.ts
+++ b/packages/peer/src/hints/HintSocket.ts
@@ -1,11 +1,14 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import type { StreamOrigin } from '@camphorvane/decisions';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { HostDigest } from './HostDigest.ts';
 import { decodeDigest, encodeDigest, isDigest } from './HostDigest.ts';
 import type { HostHint } from './HostHint.ts';
 import { decodeHint, encodeHint } from './HostHint.ts';
+import type { OriginDatagrams } from '../origins/PeerOriginLink.ts';
+import { decodeOrigins } from '../origins/originCodec.ts';
 
 /** Sends hints and digests to other hosts and receives theirs, without acknowledgements. */
 export interface HintLink {
@@ -22,8 +25,8 @@
   onDigest(listener: (digest: HostDigest) => void): void;
 }
 
-/** Sends and receives hints and digests over UDP, one datagram each. */
-export class HintSocket implements HintLink {
+/** Sends and receives hints, digests and the origins of streams over UDP, one datagram each. */
+export class HintSocket implements HintLink, OriginDatagrams {
   private readonly socket: Socket = createSocket('udp4');
 
   private failures = 0;
@@ -70,6 +73,19 @@
     });
   }
 
+  /** {@inheritDoc OriginDatagrams.sendDatagram} */
+  sendDatagram(bytes: Buffer, to: string): void {
+    this.sendBytes(bytes, to);
+  }
+
+  /** {@inheritDoc OriginDatagrams.onOrigins} */
+  onOrigins(listener: (origins: readonly StreamOrigin[]) => void): void {
+    this.socket.on('message', (bytes) => {
+      const origins = decodeOrigins(bytes);
+      if (origins !== undefined) listener(origins);
+    });
+  }
+
   /** Gets the number of socket errors and failed sends, for the state dump. */
   getFailures(): number {
     return this.failures;
--- /dev/null
+++ b/packages/peer/src/origins/index.ts
@@ -0,0 +1,3 @@
+export * from './OriginLink.ts';
+export * from './PeerOriginLink.ts';
+export * from './originCodec.ts';
--- a/packages/peer/src/relay/RelayExchange.ts
+++ b/packages/peer/src/relay/RelayExchange.ts
@@ -1,10 +1,10 @@
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { CancelTimer, Clock, Millis } from '@camphorvane/core';
+import type { CancelTimer, Clock, Millis, SoftwareVersion } from '@camphorvane/core';
 import { encodeRequest, FrameReader } from './relayCodec.ts';
 import type { RelayFrame } from './relayCodec.ts';
 import type { RelayedRequest, RelayEvent, RelayFailure } from './RelayLink.ts';
-import { ALIVE_INTERVAL_MS, RELAY_PATH } from './relayProtocol.ts';
+import { ALIVE_INTERVAL_MS, BOUND_RELAY_PATH, RELAY_PATH } from './relayProtocol.ts';
 
 /** Connect timeout in milliseconds; a connection between hosts takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS: Millis = 200;
@@ -24,6 +24,9 @@
 
   private isConnected = false;
 
+  /** Version of the engine that brings the present events. */
+  private softwareVersion: SoftwareVersion | undefined;
+
   private cancelTimer: CancelTimer = () => undefined;
 
   /**
@@ -47,7 +50,8 @@
     const parts = encodeRequest(relayed);
     this.req = request({
       ...{ hostname, port: Number(port), localAddress, agent: false, signal },
-      ...{ method: 'POST', path: RELAY_PATH },
+      method: 'POST',
+      path: relayed.context.binding === undefined ? RELAY_PATH : BOUND_RELAY_PATH,
       headers: { 'content-length': parts.reduce((sum, part) => sum + part.length, 0) },
     });
     this.response = new Promise((resolve, reject) => {
@@ -84,7 +88,7 @@
           yield this.failure('malformed response');
           return;
         }
-        const events = frames.filter(isEvent);
+        const events = frames.flatMap((frame) => this.toEvents(frame));
         yield* events;
         const last = events.at(-1);
         if (last?.type === 'done' || last?.type === 'refused') return;
@@ -102,6 +106,26 @@
     this.req.destroy();
   }
 
+  private toEvents(frame: RelayFrame): readonly RelayEvent[] {
+    switch (frame.type) {
+      case 'alive':
+        return [];
+      case 'version':
+        this.softwareVersion = frame.version;
+        return [];
+      case 'data': {
+        const { softwareVersion } = this;
+        return [softwareVersion === undefined ? frame : { ...frame, softwareVersion }];
+      }
+      case 'head':
+      case 'done':
+      case 'refused':
+        return [frame];
+      default:
+        return frame satisfies never;
+    }
+  }
+
   private startTimer(ms: Millis, reason: string): void {
     this.cancelTimer();
     this.cancelTimer = this.clock.after(ms, () => this.req.destroy(new Error(reason)));
@@ -111,7 +135,3 @@
     return { type: 'failed', dispatched, message };
   }
 }
-
-function isEvent(frame: RelayFrame): frame is RelayEvent {
-  return frame.type !== 'alive';
-}
--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -1,4 +1,13 @@
-import type { HostId, Millis, PromptPart, Refusal, RequestId, Tokens } from '@camphorvane/core';
+import type {
+  HostId,
+  Millis,
+  PromptPart,
+  Refusal,
+  RequestId,
+  SoftwareVersion,
+  Tokens,
+} from '@camphorvane/core';
+import type { StreamBinding } from '@camphorvane/decisions';
 
 /** A caller's request as the host received it. */
 export interface RelayedCall {
@@ -11,6 +20,8 @@
   /** Only headers that are forwarded to an upstream; lower-case names. */
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** Id of the attempt that brought the first event of the stream which is taken up; undefined for none. */
+  readonly resumes?: RequestId;
   /** Undefined where the caller declared no work. */
   readonly work:
     | {
@@ -36,6 +47,11 @@
   readonly executions: number;
   /** Whether the request is charged to its team already. */
   readonly isCharged: boolean;
+  /**
+   * Present for a stream that may go on at another engine: the engines that may run it. A peer that does not know
+   * this field must not serve such a stream.
+   */
+  readonly binding?: StreamBinding;
 }
 
 /** A request that a host passes on to a peer, since it does not reach the upstreams itself. */
@@ -58,6 +74,8 @@
       readonly bytes: Uint8Array;
       /** Position of the stream's event, after which it can go on; absent for other responses. */
       readonly position?: number;
+      /** Software of the engine that brought the event; absent where engines have no versions. */
+      readonly softwareVersion?: SoftwareVersion;
     }
   | { readonly type: 'done' }
   | { readonly type: 'refused'; readonly refusal: Refusal };
--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Buffers, Clock, Millis } from '@camphorvane/core';
+import type { Buffers, Clock, Millis, SoftwareVersion } from '@camphorvane/core';
 import { abortOnDisconnect, UNCOUNTED_RESERVATION, untilArrivedIsRead } from '@camphorvane/core';
 import { decodeRequest, encodeFrame } from './relayCodec.ts';
 import type { RelayFrame } from './relayCodec.ts';
 import type { RelayedRequest, RelayHandler } from './RelayLink.ts';
-import { ALIVE_INTERVAL_MS, RELAY_PATH } from './relayProtocol.ts';
+import { ALIVE_INTERVAL_MS, BOUND_RELAY_PATH, RELAY_PATH } from './relayProtocol.ts';
 
 /** Most requests of other hosts that a host serves at once; it needs memory for each, and serves callers too. */
 const MAX_IN_FLIGHT = 256;
@@ -52,7 +52,8 @@
    * @returns Whether it is a relayed request.
    */
   handle(req: IncomingMessage, res: ServerResponse): boolean {
-    if (req.url !== RELAY_PATH || req.method !== 'POST') return false;
+    const isRelayed = req.url === RELAY_PATH || req.url === BOUND_RELAY_PATH;
+    if (!isRelayed || req.method !== 'POST') return false;
     void this.respond(req, res);
     return true;
   }
@@ -91,8 +92,16 @@
     res.writeHead(OK, { 'content-type': 'application/octet-stream' });
     res.socket?.setNoDelay(true);
     let cancelAlive = this.sendSignsOfLife(res);
+    // A host that sends no binding does not know this frame.
+    const tellsVersions = relayed.context.binding !== undefined;
+    let told: SoftwareVersion | undefined;
     for await (const event of this.options.handler(relayed, closed.signal)) {
       cancelAlive();
+      const version = event.type === 'data' ? event.softwareVersion : undefined;
+      if (tellsVersions && version !== undefined && told === undefined) {
+        told = version;
+        await this.write(res, { type: 'version', version }, closed.signal);
+      }
       await this.write(res, event, closed.signal);
       cancelAlive = this.sendSignsOfLife(res);
     }
--- a/packages/peer/src/relay/relayCodec.ts
+++ b/packages/peer/src/relay/relayCodec.ts
@@ -1,3 +1,4 @@
+import type { SoftwareVersion } from '@camphorvane/core';
 import type { RelayedRequest, RelayEvent } from './RelayLink.ts';
 
 /** Bytes of the length that precedes the fields of a request. */
@@ -9,12 +10,18 @@
 /** Largest accepted event, in bytes; upstreams send far smaller pieces, and whole responses are bounded. */
 const MAX_FRAME_BYTES = 32 * 1024 * 1024;
 
-const KINDS = ['alive', 'head', 'data', 'event', 'done', 'refused'] as const;
+const KINDS = ['alive', 'head', 'data', 'event', 'done', 'refused', 'version'] as const;
 
 type FrameKind = (typeof KINDS)[number];
 
-/** What a peer sends: an event, or a sign that it still works on the request. */
-export type RelayFrame = RelayEvent | { readonly type: 'alive' };
+/**
+ * What a peer sends: an event, a sign that it still works on the request, or the version of the engine that brings
+ * the events that follow.
+ */
+export type RelayFrame =
+  | RelayEvent
+  | { readonly type: 'alive' }
+  | { readonly type: 'version'; readonly version: SoftwareVersion };
 
 /** Encodes a request: the length of its fields, the fields as JSON, and the body as it is. */
 export function encodeRequest({ id, call, context }: RelayedRequest): readonly Uint8Array[] {
@@ -43,6 +50,7 @@
     case 'done':
       return [frameHead(frame.type, 0)];
     case 'head':
+    case 'version':
     case 'refused': {
       const fields = Buffer.from(JSON.stringify(frame));
       return [frameHead(frame.type, fields.length), fields];
@@ -103,6 +111,7 @@
     case 'done':
       return { type: kind };
     case 'head':
+    case 'version':
     case 'refused': {
       const fields = parseJson(bytes) as Partial<RelayFrame> | undefined;
       return fields?.type === kind ? (fields as RelayFrame) : undefined;
@@ -134,10 +143,19 @@
   return (
     texts.every((text) => typeof text === 'string') &&
     typeof call.headers === 'object' &&
-    numbers.every((number) => typeof number === 'number' && Number.isFinite(number))
+    numbers.every((number) => typeof number === 'number' && Number.isFinite(number)) &&
+    (context.binding === undefined || isBinding(context.binding))
   );
 }
 
+function isBinding(value: unknown): boolean {
+  const { type, version } = (value ?? {}) as {
+    readonly type?: unknown;
+    readonly version?: unknown;
+  };
+  return type === 'bound' ? typeof version === 'string' : type === 'free' || type === 'unbindable';
+}
+
 function parseJson(bytes: Buffer): unknown {
   try {
     return JSON.parse(bytes.toString('utf8'));
--- a/packages/router/src/coordination/composeRouting.ts
+++ b/packages/router/src/coordination/composeRouting.ts
@@ -94,6 +94,7 @@
     roleSwitchMs: engines.roleSwitchMs,
     eventTokens: engines.eventTokens,
     slowStart,
+    softwareVersion: server.softwareVersion,
   };
 }
 
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -64,6 +64,7 @@
     coordination.start(signal);
     void this.components.renewer.run(signal);
     void this.components.observer.run(signal);
+    void this.components.versions.run(signal);
     this.enterState('serving');
   }
 
@@ -162,6 +163,7 @@
       crashes: this.components.coordination.crashGuard.dump(),
       serviceQueues: this.components.serviceQueues.dump(),
       fairShares: this.components.fairQueues.dump(),
+      streamVersions: this.components.versions.dump(),
       buffers: this.options.buffers?.dump(),
       counters: this.options.metrics.getCounts(),
     };
@@ -170,6 +172,7 @@
   private applyConfig({ version, config }: VersionedConfig): void {
     this.components.directory.reconfigure(config);
     this.components.reach.refresh();
+    this.components.versions.recordVersions();
     this.components.keys.update(config);
     this.components.fairQueues.reconfigure(config);
     this.components.coordination.rates.setTeams(config.teams);
--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
+import type { OriginLink } from '@camphorvane/peer/origins';
 import type { RelayLink } from '@camphorvane/peer/relay';
 import type { UpstreamProbe } from '@camphorvane/upstream';
 import type { CoordinationFactory } from '../coordination/HostCoordination.ts';
@@ -28,4 +29,6 @@
   readonly probe?: UpstreamProbe;
   /** Passes requests on to peers while links are lost; absent where the host uses its own links only. */
   readonly relayLink?: RelayLink;
+  /** Tells peers which software versions began streams; absent where hosts share nothing of it. */
+  readonly originLink?: OriginLink;
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@camphorvane/core';
 import { RandomSource, sleep, SystemClock } from '@camphorvane/core';
 import { HintSocket } from '@camphorvane/peer/hints';
+import { PeerOriginLink } from '@camphorvane/peer/origins';
 import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
 import { HttpSnapshotExchange } from '@camphorvane/peer/snapshots';
 import type { PlatformSettings } from '@camphorvane/platform';
@@ -56,6 +57,7 @@
   const clock = new SystemClock();
   const hints = new HintSocket();
   const snapshots = new HttpSnapshotExchange(clock);
+  const originLink = new PeerOriginLink(clock, hints, (ip) => snapshots.isPeer(ip));
   const metrics = new Metrics();
   const buffers = new HostBuffers(clock, metrics, settings.memoryMb);
   let coordination: StoreCoordination | undefined;
@@ -96,12 +98,15 @@
     buffers,
     probe: tcpProbe(clock),
     relayLink: new HttpRelayLink(clock, settings.ip),
+    originLink,
   });
   const relayServer = new RelayServer({
     ...{ clock, buffers, handler: host.serveRelayed },
     isPeer: (ip) => snapshots.isPeer(ip),
   });
-  snapshots.setOtherHandler((req, res) => relayServer.handle(req, res));
+  snapshots.setOtherHandler(
+    (req, res) => relayServer.handle(req, res) || originLink.handle(req, res),
+  );
   if (coordination === undefined) return err('the host did not create its coordination');
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -13,6 +13,7 @@
 import { ForwardHandler } from '../serving/ForwardHandler.ts';
 import { ServiceQueues } from '../serving/ServiceQueues.ts';
 import { StreamRelocator } from '../serving/StreamRelocator.ts';
+import { StreamVersions } from '../serving/StreamVersions.ts';
 import { ServiceCallHandler } from '../serving/ServiceCallHandler.ts';
 import { TurnRegistry } from '../serving/TurnRegistry.ts';
 import { Authenticator } from './Authenticator.ts';
@@ -41,6 +42,7 @@
   readonly inFlight: InFlightRequests;
   readonly backend: CallerBackend;
   readonly reach: ReachMonitor;
+  readonly versions: StreamVersions;
   readonly forwarding: ForwardHandler;
 }
 
@@ -128,6 +130,10 @@
     self: { host: identity.host, incarnation },
     metrics,
   });
+  const versions = new StreamVersions({
+    ...{ self: identity.host, clock, directory, metrics, link: options.originLink },
+    getMembers: () => group.members(),
+  });
   const commonOptions = { clock, random, authenticator, config, directory, inFlight, metrics };
   const handlers = { completions, services };
   const relay =
@@ -148,8 +154,9 @@
     inFlight,
     backend: new HostBackend({ ...commonOptions, ...handlers, ...admission, group, incarnation }),
     reach,
+    versions,
     forwarding: new ForwardHandler({
-      ...{ ...commonOptions, ...handlers, ...admission, turns, retryGate, relay },
+      ...{ ...commonOptions, ...handlers, ...admission, turns, retryGate, relay, versions },
     }),
   };
 }
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -21,6 +21,7 @@
   | 'role.order'
   | 'stream.moves'
   | 'stream.backups'
+  | 'stream.takeups'
   | 'turns.expired'
   | 'turns.offered'
   | 'turns.returned'
@@ -40,7 +41,8 @@
   | 'buffers.cut_off';
 
 /** Names of all gauges. */
-export type GaugeName = 'engines' | 'buffers.bytes' | 'reach.services' | 'host.loop_delay';
+export type GaugeName =
+  'engines' | 'engines.versions' | 'buffers.bytes' | 'reach.services' | 'host.loop_delay';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
--- a/packages/router/src/placing/LocalPlacer.ts
+++ b/packages/router/src/placing/LocalPlacer.ts
@@ -136,8 +136,8 @@
     const reserved = this.reservations.get(reservation);
     const pool = reserved === undefined ? undefined : this.pools.get(reserved.model);
     if (reserved === undefined || pool === undefined) return undefined;
-    const { pair, memoryTokens, promptTokens, longestPauseMs } = reserved;
-    const request = { promptTokens, memoryTokens, avoid, longestPauseMs };
+    const { pair, memoryTokens, promptTokens, longestPauseMs, binding } = reserved;
+    const request = { promptTokens, memoryTokens, avoid, longestPauseMs, binding };
     const decode = pool.placement.chooseDecode(request, pair.prefill, this.clock.now());
     if (decode === undefined) return undefined;
     this.reservations.moveDecode(reservation, decode, this.clock.now());
@@ -305,8 +305,8 @@
     const { item } = waiting;
     const { model } = pool;
     const memoryTokens = meanMemoryTokens(item);
-    const { team, promptTokens, longestPauseMs, priority = DEFAULT_PRIORITY } = item;
-    const reserved = { model, team, pair, promptTokens, longestPauseMs, memoryTokens };
+    const { team, promptTokens, longestPauseMs, binding, priority = DEFAULT_PRIORITY } = item;
+    const reserved = { model, team, pair, promptTokens, longestPauseMs, memoryTokens, binding };
     const work = { ...reserved, request, priority };
     const reservation = this.reservations.reserve(work, this.clock.now());
     this.onStateChange();
--- a/packages/router/src/placing/RelocationLedger.ts
+++ b/packages/router/src/placing/RelocationLedger.ts
@@ -133,6 +133,7 @@
       tokenMs: intervals(id),
       isLeaving: !isListed || admission.constraints.isLeaving(id),
       isOpen: isListed && this.isOpen(id, now) && !health.isBackingOff(id, now),
+      softwareVersion: cfg.softwareVersion,
     };
   }
 
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -16,6 +16,7 @@
   LocalQueue,
   QueuedRequest,
   QueueOrder,
+  StreamBinding,
   TurnScheduler,
   WorkItem,
 } from '@camphorvane/decisions';
@@ -49,6 +50,8 @@
   readonly reservedAt: Millis;
   readonly request: RequestId;
   readonly priority: number;
+  /** See {@link WorkItem.binding}. */
+  readonly binding: StreamBinding | undefined;
 }
 
 /** Queue and placement of one model's requests on this host. */
@@ -118,5 +121,6 @@
     avoid: item.avoid,
     longestPauseMs: item.longestPauseMs,
     callerTimes: item.callerTimes,
+    binding: item.binding,
   };
 }
--- a/packages/router/src/reach/RelayProgress.ts
+++ b/packages/router/src/reach/RelayProgress.ts
@@ -1,4 +1,7 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
+import type { SoftwareVersion } from '@camphorvane/core';
+import type { StreamBinding } from '@camphorvane/decisions';
+import { bindingTo } from '@camphorvane/decisions';
 
 /** What the caller has got of a response, over all ways on which its request is served. */
 export class RelayProgress {
@@ -8,9 +11,15 @@
 
   private lastPosition: number | undefined;
 
-  /** @param req - The request as the caller sent it. */
-  constructor(req: ForwardRequest) {
+  private binding: StreamBinding;
+
+  /**
+   * @param req - The request as the caller sent it.
+   * @param binding - Which engines may run it.
+   */
+  constructor(req: ForwardRequest, binding: StreamBinding) {
     this.req = req;
+    this.binding = binding;
     this.lastPosition = req.work?.lastPosition;
   }
 
@@ -26,13 +35,25 @@
    * @returns Whether it is passed on: a stream that goes on keeps the head of its first response.
    */
   record(event: ForwardEvent): boolean {
-    if (event.type === 'data' && event.position !== undefined) this.lastPosition = event.position;
+    if (event.type === 'data' && event.position !== undefined) {
+      this.lastPosition = event.position;
+      this.bind(event.softwareVersion);
+    }
     if (event.type !== 'head') return true;
     const isFirst = !this.isBegun;
     this.isBegun = true;
     return isFirst;
   }
 
+  /** Gets which engines may go on with the response. */
+  getBinding(): StreamBinding {
+    return this.binding;
+  }
+
+  private bind(version: SoftwareVersion | undefined): void {
+    if (this.binding.type === 'free') this.binding = bindingTo(version);
+  }
+
   /** Gets the request for what the caller has not got yet. */
   getRest(): ForwardRequest {
     const { req, lastPosition } = this;
--- a/packages/router/src/reach/RequestRelay.ts
+++ b/packages/router/src/reach/RequestRelay.ts
@@ -1,7 +1,7 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
 import type { Clock, HostId, Millis, Refusal, RequestId, ServiceId } from '@camphorvane/core';
 import { notRun, outcomeUnknown } from '@camphorvane/core';
-import type { RelayPeers } from '@camphorvane/decisions';
+import type { RelayPeers, StreamBinding } from '@camphorvane/decisions';
 import type { RelayEvent, RelayFailure, RelayLink } from '@camphorvane/peer/relay';
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -51,6 +51,8 @@
   readonly isResumable: boolean;
   /** Upstreams that may have run the request. */
   readonly executions: ExecutionCount;
+  /** Which engines may run it. */
+  readonly binding: StreamBinding;
   /** Charges a repeat to the retry budget; false where it is spent. */
   readonly tryRetry: () => boolean;
 }
@@ -71,6 +73,8 @@
   readonly req: ForwardRequest;
   /** Whether the request is charged to its team already. */
   readonly isCharged: boolean;
+  /** Which engines may run it, by the events that its caller has got. */
+  readonly binding: StreamBinding;
 }
 
 /** Serves a request over this host's own links. */
@@ -113,7 +117,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<ForwardEvent> {
     const { reach } = this.options;
-    const progress = new RelayProgress(request.req);
+    const progress = new RelayProgress(request.req, request.binding);
     const tried = new Set<HostId>();
     let refusal = reach.refusalFor(request.service);
     let wasDirect = false;
@@ -123,7 +127,11 @@
       const peer = isDirect ? undefined : this.choosePeer(request.service, tried);
       if (!isDirect && peer === undefined) break;
       if (ways > 0 && !this.mayGoOn(request, progress, refusal)) break;
-      const state = { req: progress.getRest(), isCharged: refusal?.execution === 'unknown' };
+      const state = {
+        req: progress.getRest(),
+        isCharged: refusal?.execution === 'unknown',
+        binding: progress.getBinding(),
+      };
       const end: WayEnd =
         peer === undefined
           ? yield* this.serveDirectly(request, progress, direct(state))
@@ -198,14 +206,17 @@
     request: RelayableRequest,
     progress: RelayProgress,
     peer: RelayPeer,
-    { req, isCharged }: ServingState,
+    { req, isCharged, binding }: ServingState,
     signal: AbortSignal,
   ): AsyncGenerator<ForwardEvent, WayEnd> {
     const { clock, link, peers, metrics } = this.options;
     const { id, service, executions, ageMs, deadlineAt } = request;
     const leftMs = Math.max(1, deadlineAt - clock.now() - ANSWER_MARGIN_MS);
     const from = this.options.self;
-    const context = { from, leftMs, ageMs, executions: executions.get(), isCharged };
+    const context = {
+      ...{ from, leftMs, ageMs, executions: executions.get(), isCharged },
+      ...(request.isResumable ? { binding } : {}),
+    };
     log('relayed', { id, to: peer.host, service, executions: executions.get() });
     metrics.count('relay.sent');
     const leave = peers.enter(peer.host);
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -295,7 +295,10 @@
       this.options.metrics.timing('request.ttft', ttft, { class: completion.class });
     }
     if (event.type === 'token') progress.recordToken(event.text);
-    else progress.recordForwardedEvent(event.position);
+    else {
+      progress.recordVersion(event.softwareVersion);
+      progress.recordForwardedEvent(event.position);
+    }
   }
 
   private reserve(
@@ -322,6 +325,7 @@
       longestPauseMs: completion.policy.longestPauseMs,
       priority: completion.policy.priority,
       callerTimes: completion.policy.callerTimes,
+      binding: progress.getBinding(),
     };
     return this.options.placements.reserve(pool.model, item, completion.signal);
   }
--- a/packages/router/src/serving/CompletionProgress.ts
+++ b/packages/router/src/serving/CompletionProgress.ts
@@ -1,4 +1,6 @@
-import type { Millis, Tokens, UpstreamId } from '@camphorvane/core';
+import type { Millis, SoftwareVersion, Tokens, UpstreamId } from '@camphorvane/core';
+import type { StreamBinding } from '@camphorvane/decisions';
+import { bindingTo, FREE_STREAM } from '@camphorvane/decisions';
 
 /** Most engines that a request avoids after it failed there; the latest are kept. */
 const MAX_AVOIDED_ENGINES = 4;
@@ -19,6 +21,8 @@
 
   private executions = 0;
 
+  private binding: StreamBinding;
+
   /** Whether an engine has the request and has not failed. */
   private isInFlight = false;
 
@@ -27,14 +31,27 @@
    * @param startedAt - When the request was accepted.
    * @param digest - Digest of the request's content.
    * @param fromPosition - Position of the first token to deliver.
+   * @param binding - Which engines may go on with the stream.
    */
   constructor(
     readonly promptTokens: Tokens,
     readonly startedAt: Millis,
     readonly digest: string,
     fromPosition = 0,
+    binding: StreamBinding = FREE_STREAM,
   ) {
     this.position = fromPosition;
+    this.binding = binding;
+  }
+
+  /** Gets which engines may go on with the stream. */
+  getBinding(): StreamBinding {
+    return this.binding;
+  }
+
+  /** Records the version of the engine that brought an event; the first one binds the stream. */
+  recordVersion(version: SoftwareVersion | undefined): void {
+    if (this.binding.type === 'free') this.binding = bindingTo(version);
   }
 
   /** Gets the text that was delivered to the caller. */
--- a/packages/router/src/serving/DecodeStage.ts
+++ b/packages/router/src/serving/DecodeStage.ts
@@ -1,10 +1,11 @@
-import type { Millis, UpstreamId } from '@camphorvane/core';
+import type { Millis, SoftwareVersion, UpstreamId } from '@camphorvane/core';
 import type {
   DecodeCommand,
   ModelEngine,
   PrefillResult,
   UpstreamError,
 } from '@camphorvane/upstream';
+import { bindingTo, mayRunOn } from '@camphorvane/decisions';
 import { engineGone, streamTruncated, unconfigured } from './attemptEnds.ts';
 import type {
   AttemptDependencies,
@@ -19,6 +20,9 @@
 /** Milliseconds without an event after which an engine is probed. */
 const STALL_TIMEOUT_MS: Millis = 1_000;
 
+/** The version of an engine that was started again with other software while it began a stream. */
+const UNKNOWN_VERSION: SoftwareVersion = { type: 'unknown' };
+
 /** What the decode of an attempt needs beside its plan. */
 export interface DecodeStageOptions {
   readonly deps: AttemptDependencies;
@@ -60,6 +64,7 @@
     const { plan, deps, fail } = this.options;
     // The engine's zone may have been drained during the prefill.
     if (deps.directory.getEngine(engine.id) === undefined) return fail(engine.id, unconfigured());
+    const softwareVersion = this.versionOf(engine.id);
     let delivered = 0;
     let last: { readonly at: Millis; readonly engine: UpstreamId } | undefined;
     const stream = this.open(engine, this.command(prefill));
@@ -96,7 +101,11 @@
           case 'piece':
             if (prefill === undefined && delivered === 0) this.recordPrefillEnd();
             if (value.type !== 'head') delivered += 1;
-            yield value;
+            if (value.type === 'piece') {
+              const isSame =
+                delivered > 1 || isSameVersion(softwareVersion, this.versionOf(engine.id));
+              yield { ...value, softwareVersion: isSame ? softwareVersion : UNKNOWN_VERSION };
+            } else yield value;
             break;
           default:
             value satisfies never;
@@ -108,6 +117,10 @@
     return fail(this.currentEngine(engine).id, streamTruncated());
   }
 
+  private versionOf(engine: UpstreamId): SoftwareVersion | undefined {
+    return this.options.deps.directory.getEngine(engine)?.cfg.softwareVersion;
+  }
+
   private command(prefill: PrefillResult | undefined): DecodeCommand {
     const { plan } = this.options;
     return {
@@ -176,3 +189,12 @@
     deps.metrics.timing('request.token_interval', ms);
   }
 }
+
+/** Tells whether an engine still has the version with which it was asked; one that has left meanwhile had it. */
+function isSameVersion(
+  before: SoftwareVersion | undefined,
+  now: SoftwareVersion | undefined,
+): boolean {
+  if (now === undefined || before === undefined) return true;
+  return mayRunOn(bindingTo(before), now);
+}
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -8,7 +8,7 @@
   RequestId,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { RequestAgeEstimator } from '@camphorvane/decisions';
+import { FREE_STREAM, RequestAgeEstimator } from '@camphorvane/decisions';
 import type { RelayContext, RelayedRequest } from '@camphorvane/peer/relay';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -25,9 +25,17 @@
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
-import { ANONYMOUS_CALLER, completionOf, priorityOf, serviceCallOf } from './routedCall.ts';
+import {
+  ANONYMOUS_CALLER,
+  completionOf,
+  isResumableStream,
+  isTakeUp,
+  priorityOf,
+  serviceCallOf,
+} from './routedCall.ts';
 import type { RoutedCall } from './routedCall.ts';
 import { StreamTimer } from './StreamTimer.ts';
+import type { StreamVersions } from './StreamVersions.ts';
 import type { TurnRegistry } from './TurnRegistry.ts';
 
 /** Milliseconds that a caller is assumed to wait where it does not declare a timeout. */
@@ -54,6 +62,8 @@
   readonly metrics: Metrics;
   readonly turns: TurnRegistry;
   readonly retryGate: RetryGate;
+  /** Knows which software version began each stream. */
+  readonly versions: StreamVersions;
   /** Serves calls by way of a peer while links are lost; absent where hosts serve over their own links only. */
   readonly relay: RequestRelay | undefined;
   /** Tells whether the host refuses new requests. */
@@ -105,7 +115,11 @@
     let hasEnded = false;
     try {
       const timer = new StreamTimer(startedAt);
-      for await (const event of this.serve(call, abort.signal, relayed !== undefined)) {
+      const events =
+        relayed === undefined
+          ? this.serveBound(call, abort.signal)
+          : this.serve(call, abort.signal, true);
+      for await (const event of events) {
         if (event.type === 'data') timer.recordEvent(this.options.clock.now());
         if (event.type === 'refused') this.recordRefusal(id, event.refusal, startedAt);
         if (event.type === 'done') this.recordDone(call, timer, startedAt);
@@ -167,6 +181,7 @@
       const isCharged = relayed?.isCharged ?? false;
       return {
         ...{ id, req, route, service, caller, config, deadlineAt, ageMs, executions, isCharged },
+        binding: relayed?.binding ?? FREE_STREAM,
       };
     });
   }
@@ -175,6 +190,39 @@
     return route.open ? ok(ANONYMOUS_CALLER) : this.options.authenticator.authenticate(req.key);
   }
 
+  /** Serves a call; a stream goes on only at the software version that brought its first event. */
+  private async *serveBound(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+    if (!isResumableStream(call)) {
+      yield* this.serve(call, signal, false);
+      return;
+    }
+    const { versions } = this.options;
+    const { id, req, service } = call;
+    const streamId = isTakeUp(call) ? (req.resumes ?? id) : id;
+    let { binding } = call;
+    if (isTakeUp(call)) {
+      const decision = await versions.takeUp(id, req.resumes, service);
+      if (decision.type === 'unknown') {
+        const text = 'Which version began this stream is not known; begin it anew.';
+        yield { type: 'refused', refusal: notRun('stream_version_unknown', text) };
+        return;
+      }
+      binding = decision.binding;
+    }
+    let isBound = binding.type !== 'free';
+    try {
+      for await (const event of this.serve({ ...call, binding }, signal, false)) {
+        const version = event.type === 'data' ? event.softwareVersion : undefined;
+        // Told before the event leaves: this host may be lost as soon as its caller has got it.
+        if (!isBound && version?.type === 'known') versions.begin(streamId, version.name);
+        isBound ||= version !== undefined;
+        yield event;
+      }
+    } finally {
+      versions.end(streamId);
+    }
+  }
+
   /** Serves a call over this host's links, or by way of a peer while they are lost. */
   private serve(
     call: RoutedCall,
@@ -182,18 +230,19 @@
     isRelayed: boolean,
   ): AsyncIterable<ForwardEvent> {
     const { relay, retryGate, clock } = this.options;
-    const direct = ({ req, isCharged }: ServingState): AsyncGenerator<ForwardEvent> => {
-      const served = { ...call, req, isCharged };
+    const direct = (state: ServingState): AsyncGenerator<ForwardEvent> => {
+      const { req, isCharged, binding } = state;
+      const served = { ...call, req, isCharged, binding };
       return call.route.kind === 'stream' ? this.stream(served, signal) : this.call(served, signal);
     };
     if (relay === undefined) return direct(call);
     if (isRelayed) return relay.serveForPeer(call.service, direct(call));
-    const { id, req, service, deadlineAt, ageMs, executions, route, caller } = call;
+    const { id, req, service, deadlineAt, ageMs, executions, route, caller, binding } = call;
     const { kind, maxAttempts, resumable } = route;
     const target = { team: caller.team.id, service, upstream: '' };
     return relay.serve(
       {
-        ...{ id, req, service, deadlineAt, ageMs, maxAttempts, executions },
+        ...{ id, req, service, deadlineAt, ageMs, maxAttempts, executions, binding },
         isRepeatable: kind === 'idempotent' || (kind === 'stream' && resumable),
         isResumable: kind === 'stream' && resumable,
         tryRetry: () => retryGate.tryRetry(target, clock.now()),
--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '@camphorvane/core';
 import type { RelocationReason, RunningStream } from '@camphorvane/decisions';
+import { bindingTo } from '@camphorvane/decisions';
 import type { DecodeEvent, UpstreamError } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -132,6 +133,7 @@
       remainingTokens: expectedRemainingTokens(this.request, generatedTokens),
       priority: command.priority,
       eventMs: this.speed.getMeanMs(),
+      binding: bindingTo(this.request.engine.cfg.softwareVersion),
       isPinned: this.move !== undefined || !this.hasOrderedPositions || now < this.pinnedUntil,
     };
   }
--- a/packages/router/src/serving/StreamRelocator.ts
+++ b/packages/router/src/serving/StreamRelocator.ts
@@ -11,6 +11,7 @@
 } from '@camphorvane/core';
 import type { HeldMemory, Relocation, RunningStream } from '@camphorvane/decisions';
 import {
+  bindingTo,
   chooseBackup,
   heldByStream,
   mayNeedRelocation,
@@ -108,7 +109,10 @@
     const outputTokens = Math.min(command.maxTokens, expectedTokens ?? command.maxTokens);
     const prompts = streams.reduce((sum, one) => sum + one.request.command.prompt.tokens, 0);
     const chosen = chooseBackup(
-      { engine: engine.cfg.id, promptTokens, expectedTokens: outputTokens, isResumable },
+      {
+        ...{ engine: engine.cfg.id, promptTokens, expectedTokens: outputTokens, isResumable },
+        binding: bindingTo(engine.cfg.softwareVersion),
+      },
       {
         streams: streams.length,
         copies: streams.filter((one) => one.getBackup() !== undefined).length,
--- /dev/null
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -0,0 +1,184 @@
+import type { Clock, HostId, Millis, ModelId, RequestId } from '@camphorvane/core';
+import { sleep } from '@camphorvane/core';
+import {
+  decideTakeUp,
+  ORIGIN_TTL_MS,
+  peersToAsk,
+  peersToTell,
+  StreamOrigins,
+  VersionHistory,
+} from '@camphorvane/decisions';
+import type { StreamOrigin, TakeUpDecision } from '@camphorvane/decisions';
+import type { OriginLink } from '@camphorvane/peer/origins';
+import type { FleetMember } from '../host/ports.ts';
+import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
+import { eventLog } from '../observe/EventLog.ts';
+import type { Metrics } from '../observe/Metrics.ts';
+
+/** Milliseconds between two rounds in which peers are told of running streams; peers come and go meanwhile. */
+const TELL_PERIOD_MS: Millis = 1_000;
+
+const log = eventLog('versions');
+
+/** Options of {@link StreamVersions}. */
+export interface StreamVersionsOptions {
+  readonly self: HostId;
+  readonly clock: Clock;
+  readonly directory: UpstreamDirectory;
+  readonly metrics: Metrics;
+  /** Tells and asks peers; absent where hosts don't share what they know. */
+  readonly link: OriginLink | undefined;
+  /** Gets the live hosts. */
+  readonly getMembers: () => readonly FleetMember[];
+}
+
+/**
+ * Knows which software version began each stream, so that it goes on at that version only.
+ *
+ * A host tells a few peers, chosen by the id of the stream, before the first event leaves, and asks the same ones
+ * when a caller takes a stream up that it does not know.
+ */
+export class StreamVersions {
+  private readonly options: StreamVersionsOptions;
+
+  private readonly origins = new StreamOrigins();
+
+  private readonly history = new VersionHistory(ORIGIN_TTL_MS);
+
+  /** Streams that this host serves. */
+  private readonly running = new Map<RequestId, StreamOrigin>();
+
+  private readonly versionCounts = new Map<ModelId, number>();
+
+  /** @param options - Identity and components of the host. */
+  constructor(options: StreamVersionsOptions) {
+    this.options = options;
+    const { link, clock } = options;
+    link?.onTold((origins) => origins.forEach((origin) => this.origins.keep(origin, clock.now())));
+    link?.setSource((id, model) => ({ version: this.find(id, model) }));
+  }
+
+  /** Tells peers of running streams, and follows the versions of the engines, until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(this.options.clock, TELL_PERIOD_MS, signal);
+      this.recordVersions();
+      this.tell([...this.running.values()]);
+    }
+  }
+
+  /** Records which versions the engines of each pool have now. */
+  recordVersions(): void {
+    const { directory, clock } = this.options;
+    const models = directory.getModels();
+    models.forEach((model) => {
+      const engines = directory.getPool(model)?.engines ?? [];
+      const versions = engines.map(({ softwareVersion }) => softwareVersion);
+      this.history.record(model, versions, clock.now());
+      this.reportCount(model, new Set(versions.map((one) => JSON.stringify(one))).size);
+    });
+    this.history.retain(new Set(models));
+  }
+
+  /**
+   * Records the version that brought the first event of a stream, before the event leaves.
+   *
+   * @param id - Id of the attempt that brought it.
+   * @param version - Name of the version.
+   */
+  begin(id: RequestId, version: string): void {
+    const origin = { id, version };
+    this.origins.keep(origin, this.options.clock.now());
+    this.running.set(id, origin);
+    this.tell([origin]);
+    log('stream_bound', { id, version });
+  }
+
+  /** Records that this host does not serve a stream any more; callers may still take it up. */
+  end(id: RequestId): void {
+    this.running.delete(id);
+  }
+
+  /**
+   * Decides whether a stream that its caller takes up goes on.
+   *
+   * @param id - Id of the caller's present attempt.
+   * @param resumed - Id of the attempt that brought the first event; undefined where the caller names none.
+   * @param model - The pool.
+   * @returns The decision.
+   */
+  async takeUp(
+    id: RequestId,
+    resumed: RequestId | undefined,
+    model: ModelId,
+  ): Promise<TakeUpDecision> {
+    const { clock, directory, metrics } = this.options;
+    const engines = directory.getPool(model)?.engines ?? [];
+    const hasVersions = engines.some(({ softwareVersion }) => softwareVersion !== undefined);
+    const own = resumed === undefined ? undefined : this.origins.get(resumed, clock.now());
+    const isAsked = hasVersions && own === undefined && resumed !== undefined;
+    const peers = isAsked ? await this.askPeers(resumed, model) : [];
+    const soleVersion = this.history.getSoleVersion(model, clock.now());
+    const decision = decideTakeUp({ own, peers, soleVersion, hasVersions });
+    const outcome = decision.type === 'go_on' ? decision.source : decision.type;
+    metrics.count('stream.takeups', { outcome });
+    const version = decision.type === 'go_on' ? nameOf(decision) : undefined;
+    const ageMs = own === undefined ? undefined : Math.round(clock.now() - own.toldAt);
+    log('stream_taken_up', { id, resumed, outcome, version, ageMs });
+    if (resumed !== undefined && version !== undefined) this.begin(resumed, version);
+    return decision;
+  }
+
+  /** Gets the numbers that operators see. */
+  dump(): object {
+    return {
+      origins: this.origins.size,
+      running: this.running.size,
+      versions: Object.fromEntries(this.versionCounts),
+    };
+  }
+
+  private find(id: RequestId, model: ModelId): string | undefined {
+    const now = this.options.clock.now();
+    return this.origins.get(id, now)?.version ?? this.history.getSoleVersion(model, now);
+  }
+
+  private async askPeers(id: RequestId, model: ModelId): Promise<readonly string[]> {
+    const { link } = this.options;
+    if (link === undefined) return [];
+    const addresses = this.addressesOf((peers) => peersToAsk(id, peers));
+    const answers = await Promise.all(addresses.map((address) => link.ask(address, id, model)));
+    return answers.flatMap((answer) => answer?.version ?? []);
+  }
+
+  private tell(origins: readonly StreamOrigin[]): void {
+    const { link } = this.options;
+    if (link === undefined) return;
+    const byAddress = origins.reduce((all, origin) => {
+      this.addressesOf((peers) => peersToTell(origin.id, peers)).forEach((address) =>
+        all.set(address, [...(all.get(address) ?? []), origin]),
+      );
+      return all;
+    }, new Map<string, readonly StreamOrigin[]>());
+    byAddress.forEach((own, address) => link.tell(own, [address]));
+  }
+
+  private addressesOf(choose: (peers: readonly HostId[]) => readonly HostId[]): readonly string[] {
+    const peers = this.options.getMembers().filter(({ host }) => host !== this.options.self);
+    const byHost = new Map(peers.map(({ host, peerAddress }) => [host, peerAddress]));
+    return choose([...byHost.keys()]).flatMap((host) => byHost.get(host) ?? []);
+  }
+
+  private reportCount(model: ModelId, versions: number): void {
+    if (this.versionCounts.get(model) === versions) return;
+    this.versionCounts.set(model, versions);
+    this.options.metrics.gauge('engines.versions', versions, { model });
+    log('versions_serving', { model, versions });
+  }
+}
+
+function nameOf({
+  binding,
+}: Extract<TakeUpDecision, { readonly type: 'go_on' }>): string | undefined {
+  return binding.type === 'bound' ? binding.version : undefined;
+}
--- a/packages/router/src/serving/completionAttemptPlan.ts
+++ b/packages/router/src/serving/completionAttemptPlan.ts
@@ -1,4 +1,12 @@
-import type { Clock, Millis, PoolConfig, Prompt, Tokens, UpstreamId } from '@camphorvane/core';
+import type {
+  Clock,
+  Millis,
+  PoolConfig,
+  Prompt,
+  SoftwareVersion,
+  Tokens,
+  UpstreamId,
+} from '@camphorvane/core';
 import type { AdoptedReservation, PromptPrefix } from '@camphorvane/decisions';
 import type { UpstreamResponseHead, PrefillResult, UpstreamError } from '@camphorvane/upstream';
 import type { Metrics } from '../observe/Metrics.ts';
@@ -79,4 +87,10 @@
 export type AttemptEvent =
   | { readonly type: 'head'; readonly head: UpstreamResponseHead }
   | { readonly type: 'token'; readonly position: number; readonly text: string }
-  | { readonly type: 'piece'; readonly position: number; readonly bytes: Uint8Array };
+  | {
+      readonly type: 'piece';
+      readonly position: number;
+      readonly bytes: Uint8Array;
+      /** Software of the engine that brought it; absent where the engines of the pool have no versions. */
+      readonly softwareVersion?: SoftwareVersion;
+    };
--- a/packages/router/src/serving/forwardEvents.ts
+++ b/packages/router/src/serving/forwardEvents.ts
@@ -13,7 +13,10 @@
       yield { type: 'head', ...event.head };
       break;
     case 'piece':
-      yield { type: 'data', bytes: event.bytes, position: event.position };
+      yield {
+        ...{ type: 'data', bytes: event.bytes, position: event.position },
+        softwareVersion: event.softwareVersion,
+      };
       break;
     case 'token':
       yield { type: 'data', bytes: Buffer.from(event.text) };
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -11,11 +11,16 @@
   WorkClass,
 } from '@camphorvane/core';
 import { countPromptTokens } from '@camphorvane/core';
-import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
+import type { CallerTimes, RetryContext, StreamBinding } from '@camphorvane/decisions';
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RateCharge, RetryTarget } from '../host/ports.ts';
-import type { AttemptOutcome, FailedAttempt, StreamLimits } from './completionAttemptPlan.ts';
+import type {
+  AttemptEvent,
+  AttemptOutcome,
+  FailedAttempt,
+  StreamLimits,
+} from './completionAttemptPlan.ts';
 import { CompletionProgress } from './CompletionProgress.ts';
 import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
@@ -50,6 +55,8 @@
   readonly isCharged?: boolean;
   /** Counts the upstreams that may have run the request; absent where nobody asks for it. */
   readonly executions?: ExecutionCount;
+  /** Which engines may go on with the stream; any where absent. */
+  readonly binding?: StreamBinding;
 }
 
 /** Policy of the native API, which resumes every stream at the exact token. */
@@ -77,7 +84,7 @@
 export type ServingEvent =
   | CompletionEvent
   | { readonly type: 'head'; readonly head: UpstreamResponseHead }
-  | { readonly type: 'piece'; readonly position: number; readonly bytes: Uint8Array }
+  | Extract<AttemptEvent, { readonly type: 'piece' }>
   | { readonly type: 'answer'; readonly head: UpstreamResponseHead; readonly body: Uint8Array };
 
 /**
@@ -141,6 +148,7 @@
     acceptedAt,
     completionDigest(completion),
     completion.policy.fromPosition,
+    completion.policy.binding,
   );
 }
 
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -9,7 +9,7 @@
   TeamId,
   WorkClass,
 } from '@camphorvane/core';
-import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
+import type { CallerTimes, RetryContext, StreamBinding } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { ExecutionCount } from './ExecutionCount.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
@@ -60,6 +60,18 @@
   readonly executions: ExecutionCount;
   /** Whether the call is charged to its team already. */
   readonly isCharged: boolean;
+  /** Which engines may run it, where it is a stream. */
+  readonly binding: StreamBinding;
+}
+
+/** Tells whether a call takes a stream up after an event that its caller has got. */
+export function isTakeUp({ req, route }: Pick<RoutedCall, 'req' | 'route'>): boolean {
+  return route.kind === 'stream' && req.work?.lastPosition !== undefined;
+}
+
+/** Tells whether a call is a stream that may go on after an event, here or when its caller takes it up. */
+export function isResumableStream({ route }: Pick<RoutedCall, 'route'>): boolean {
+  return route.kind === 'stream' && route.resumable;
 }
 
 /**
@@ -103,6 +115,7 @@
       retry: retryContextOf(call, now),
       isCharged,
       executions,
+      binding: call.binding,
     },
     signal,
   };
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -3,7 +3,7 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
 import type { Refusal } from '@camphorvane/core';
 import { notRun, RandomSource, VirtualClock } from '@camphorvane/core';
-import { RelayPeers } from '@camphorvane/decisions';
+import { FREE_STREAM, RelayPeers } from '@camphorvane/decisions';
 import type { UpstreamRoute } from '@camphorvane/decisions';
 import type {
   RelayContext,
@@ -83,6 +83,7 @@
   const request: RelayableRequest = {
     ...{ id: 'r', req: REQ, service: 's', deadlineAt: 1_000, ageMs: 5, maxAttempts: 2 },
     ...{ isRepeatable: false, isResumable: false, executions: new ExecutionCount() },
+    binding: FREE_STREAM,
     tryRetry: () => {
       retries += 1;
       return true;
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -6,6 +6,7 @@
   OverloadPolicy,
   RoutingConfig,
   ServiceServer,
+  SoftwareVersion,
   StreamRelocation,
   TeamRate,
   VersionedConfig,
@@ -14,6 +15,7 @@
 import { EngineKnowledge, ServiceRetryBudget } from '@camphorvane/decisions';
 import { Host, Metrics } from '@camphorvane/router';
 import type { CoordinationContext, HostCoordination } from '@camphorvane/router';
+import type { OriginLink } from '@camphorvane/peer/origins';
 import type {
   DecodeCommand,
   DecodeEvent,
@@ -61,6 +63,10 @@
   readonly engines?: Readonly<Record<string, ModelEngine>>;
   readonly decodeIds?: readonly [string, string];
   readonly engineConfig?: Partial<EngineConfig>;
+  /** Software versions of the decode engines, in order; none where absent. */
+  readonly versions?: readonly [SoftwareVersion, SoftwareVersion];
+  /** Tells and asks peers which versions began streams. */
+  readonly originLink?: OriginLink;
   readonly overload?: OverloadPolicy;
   readonly relocation?: StreamRelocation;
   /** Slack of the retry budget, which always allows one retry; 0 also disables the retries that requests earn. */
@@ -73,6 +79,12 @@
   readonly serverSlots?: number;
 }
 
+/** The peer of a host that has an origin link. */
+const PEER = {
+  ...{ host: 'peer', zone: 'a', callerAddress: 'peer:1', peerAddress: 'peer:2' },
+  ...{ leaving: false, serving: true, cutOff: false },
+};
+
 const LOAD: LoadReport = {
   ...{ role: 'decode', usedPieces: 0, memoryPieces: 10, running: 1, waiting: 0 },
   attempts: [],
@@ -132,6 +144,7 @@
       servers: (cfg) => this.server(cfg),
       metrics: new Metrics(),
       buffers: options.buffers,
+      originLink: options.originLink,
     });
     this.host.start();
   }
@@ -225,7 +238,11 @@
       pools: [
         {
           model: 'llm',
-          engines: [engine('p1', 'prefill'), engine(first, 'decode'), engine(second, 'decode')],
+          engines: [
+            engine('p1', 'prefill'),
+            { ...engine(first, 'decode'), softwareVersion: this.options.versions?.[0] },
+            { ...engine(second, 'decode'), softwareVersion: this.options.versions?.[1] },
+          ],
           maxTokens: 10_000,
           ttftTargetMs: 300,
           itlTargetMs: 100,
@@ -267,7 +284,7 @@
     speeds,
   }: CoordinationContext): HostCoordination {
     const group = {
-      members: () => [],
+      members: () => (this.options.originLink === undefined ? [] : [PEER]),
       coordinatorOf: () => undefined,
       mayCoordinate: () => false,
       mayAct: () => true,
--- a/packages/router/tests/support/RelocationWorld.ts
+++ b/packages/router/tests/support/RelocationWorld.ts
@@ -65,7 +65,7 @@
   constructor(readonly script: WorldScript) {
     const pair = { prefill: undefined, decode: 'source', expectedPrefillMs: 0 };
     const work = { model: 'm', team: 't', pair, promptTokens: 5_000, memoryTokens: 8_000 };
-    const identity = { request: 'r1', priority: 3, longestPauseMs: 300 };
+    const identity = { request: 'r1', priority: 3, longestPauseMs: 300, binding: undefined };
     this.reservation = this.reservations.reserve({ ...work, ...identity }, 0);
     const ledger = new RelocationLedger(this.knowledge, this.reservations, () => undefined);
     const placements = { attemptFailed: () => undefined } as unknown as Placer;
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -5,6 +5,7 @@
   Millis,
   ServiceId,
   SlowStartBounds,
+  SoftwareVersion,
   StreamRelocation,
   TeamConfig,
   Tokens,
@@ -63,6 +64,8 @@
   readonly startingMs: Millis | undefined;
   /** Unix milliseconds of its start; undefined where not specified. */
   readonly bornAt?: Millis;
+  /** Absent where servers have no versions. */
+  readonly softwareVersion?: SoftwareVersion;
 }
 
 /** Where a deployment stores its objects, and how to parse them. */
