--- a/packages/peer/src/origins/OriginLink.ts
+++ b/packages/peer/src/origins/OriginLink.ts
@@ -5,6 +5,8 @@
 export interface OriginAnswer {
   /** The version; undefined where the peer does not know it. */
   readonly version: string | undefined;
+  /** Whether the peer was told, or else takes it for the only version that there was. */
+  readonly isTold: boolean;
 }
 
 /** Answers a peer that asks which version began a stream of a pool. */
--- a/packages/peer/src/origins/PeerOriginLink.ts
+++ b/packages/peer/src/origins/PeerOriginLink.ts
@@ -32,7 +32,7 @@
 
   private readonly isPeer: (ip: string) => boolean;
 
-  private source: OriginSource = () => ({ version: undefined });
+  private source: OriginSource = () => ({ version: undefined, isTold: false });
 
   /**
    * @param clock - Clock for timeouts.
@@ -110,8 +110,9 @@
     chunks.push(chunk as Uint8Array);
   }
   if (res.statusCode !== OK || !res.complete) return undefined;
-  const { version } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as {
+  const { version, isTold } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as {
     readonly version?: unknown;
+    readonly isTold?: unknown;
   };
-  return { version: typeof version === 'string' ? version : undefined };
+  return { version: typeof version === 'string' ? version : undefined, isTold: isTold === true };
 }
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -9,7 +9,7 @@
   VersionHistory,
 } from '@camphorvane/decisions';
 import type { StreamOrigin, TakeUpDecision } from '@camphorvane/decisions';
-import type { OriginLink } from '@camphorvane/peer/origins';
+import type { OriginAnswer, OriginLink } from '@camphorvane/peer/origins';
 import type { FleetMember } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import { eventLog } from '../observe/EventLog.ts';
@@ -55,7 +55,7 @@
     this.options = options;
     const { link, clock } = options;
     link?.onTold((origins) => origins.forEach((origin) => this.origins.keep(origin, clock.now())));
-    link?.setSource((id, model) => ({ version: this.find(id, model) }));
+    link?.setSource((id, model) => this.answer(id, model));
   }
 
   /** Tells peers of running streams, and follows the versions of the engines, until the signal is aborted. */
@@ -138,9 +138,11 @@
     };
   }
 
-  private find(id: RequestId, model: ModelId): string | undefined {
+  private answer(id: RequestId, model: ModelId): OriginAnswer {
     const now = this.options.clock.now();
-    return this.origins.get(id, now)?.version ?? this.history.getSoleVersion(model, now);
+    const told = this.origins.get(id, now)?.version;
+    const version = told ?? this.history.getSoleVersion(model, now);
+    return { version, isTold: told !== undefined };
   }
 
   private async askPeers(id: RequestId, model: ModelId): Promise<readonly string[]> {
@@ -148,7 +150,8 @@
     if (link === undefined) return [];
     const addresses = this.addressesOf((peers) => peersToAsk(id, peers));
     const answers = await Promise.all(addresses.map((address) => link.ask(address, id, model)));
-    return answers.flatMap((answer) => answer?.version ?? []);
+    const told = answers.filter((answer) => answer?.isTold === true);
+    return (told.length > 0 ? told : answers).flatMap((answer) => answer?.version ?? []);
   }
 
   private tell(origins: readonly StreamOrigin[]): void {
--- a/packages/router/tests/serving/streamVersions.test.ts
+++ b/packages/router/tests/serving/streamVersions.test.ts
@@ -54,7 +54,7 @@
     tell: (origins) => told.push(...origins.map((one) => `${one.id} ${one.version}`)),
     onTold: () => undefined,
     setSource: () => undefined,
-    ask: async () => ({ version }),
+    ask: async () => ({ version, isTold: version !== undefined }),
   };
   return { link, told };
 }
