Refuse a request that a peer accepted by a newer configuration

The request names the version by which it was accepted. A peer that has an older one refuses it as not run, by a code that tells of the peer, so that another way is tried. Hosts of the landed build ignore the field. Evidence: the new test fails on the code before ('done' where the peer is behind).

--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -47,6 +47,8 @@
   readonly executions: number;
   /** Whether the request is charged to its team already. */
   readonly isCharged: boolean;
+  /** Version of the sender's configuration, which the peer's must not be older than; absent from an earlier program. */
+  readonly configVersion?: number;
   /**
    * Present for a stream that may go on at another engine: the engines that may run it. A peer that does not know
    * this field must not serve such a stream.
--- a/packages/router/src/reach/RequestRelay.ts
+++ b/packages/router/src/reach/RequestRelay.ts
@@ -53,6 +53,8 @@
   readonly executions: ExecutionCount;
   /** Which engines may run it. */
   readonly binding: StreamBinding;
+  /** Version of the configuration by which it was accepted. */
+  readonly configVersion: number;
   /** Charges a repeat to the retry budget; false where it is spent. */
   readonly tryRetry: () => boolean;
 }
@@ -215,6 +217,7 @@
     const from = this.options.self;
     const context = {
       ...{ from, leftMs, ageMs, executions: executions.get(), isCharged },
+      configVersion: request.configVersion,
       ...(request.isResumable ? { binding } : {}),
     };
     log('relayed', { id, to: peer.host, service, executions: executions.get() });
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -153,6 +153,10 @@
       const text = 'This host could not get the configuration that is in force.';
       return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
     }
+    if ((relayed?.configVersion ?? 0) > this.version()) {
+      const text = 'This host has an older configuration than the one that passed the request on.';
+      return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
+    }
     if (this.options.isClosed()) {
       return err(notRun('host_draining', 'This host is leaving.', DRAINING_RETRY_MS));
     }
@@ -243,6 +247,7 @@
     return relay.serve(
       {
         ...{ id, req, service, deadlineAt, ageMs, maxAttempts, executions, binding },
+        configVersion: this.version(),
         isRepeatable: kind === 'idempotent' || (kind === 'stream' && resumable),
         isResumable: kind === 'stream' && resumable,
         tryRetry: () => retryGate.tryRetry(target, clock.now()),
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -84,6 +84,7 @@
     ...{ id: 'r', req: REQ, service: 's', deadlineAt: 1_000, ageMs: 5, maxAttempts: 2 },
     ...{ isRepeatable: false, isResumable: false, executions: new ExecutionCount() },
     binding: FREE_STREAM,
+    configVersion: 1,
     tryRetry: () => {
       retries += 1;
       return true;
@@ -125,7 +126,7 @@
   assert.equal(text(outcome), 'ok');
   assert.equal(outcome.directStates.length, 0);
   const expected: RelayContext = {
-    ...{ from: 'h', leftMs: 990, ageMs: 5, executions: 0, isCharged: false },
+    ...{ from: 'h', leftMs: 990, ageMs: 5, executions: 0, isCharged: false, configVersion: 1 },
   };
   assert.deepEqual(outcome.relayed[0]?.request, { id: 'r', call: REQ, context: expected });
 });
--- a/packages/router/tests/serving/ForwardHandler.test.ts
+++ b/packages/router/tests/serving/ForwardHandler.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
+import type { ForwardEvent } from '@camphorvane/caller';
 import type { UpstreamError } from '@camphorvane/upstream';
 import { err, errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import type { CallScript, DecodeScript } from '../support/ForwardFleet.ts';
@@ -7,6 +8,7 @@
   answerEnding,
   failingStream,
   ForwardFleet,
+  KEY,
   streamEvents,
   answerText,
   completeStream,
@@ -326,3 +328,23 @@
   assert.equal(answerText(events), '0;1;2;3;');
   assert.equal(fleet.decodes.length, 1);
 });
+
+// Guards against a host that goes back to an older configuration by passing requests on to a peer that lags.
+test('a request that a peer accepted by a newer configuration is refused as not run', async () => {
+  const fleet = new ForwardFleet({});
+  const call = {
+    ...{ key: KEY, host: 'h.example', method: 'POST', path: '/once/x', headers: {} },
+    ...{ body: Buffer.from(''), work: undefined },
+  };
+  const context = { from: 'p', leftMs: 1_000, ageMs: 0, executions: 0, isCharged: false };
+  const serve = async (configVersion: number): Promise<string> => {
+    const events: ForwardEvent[] = [];
+    const request = { id: `v${configVersion}`, call, context: { ...context, configVersion } };
+    const answer = fleet.host.serveRelayed(request, new AbortController().signal);
+    for await (const event of answer) events.push(event as ForwardEvent);
+    return answerEnding(events);
+  };
+  assert.equal(await serve(1), 'done');
+  assert.equal(await serve(2), 'key_state_unconfirmed not_run');
+  assert.equal(fleet.calls.length, 1);
+});
