--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -15,11 +15,22 @@
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 
-/** Milliseconds between two rounds in which peers are told of running streams; peers come and go meanwhile. */
+/** Milliseconds between two rounds in which new peers are told of running streams. */
 const TELL_PERIOD_MS: Millis = 1_000;
 
+/** Milliseconds after which the same peers are told again: datagrams may be lost, and peers forget. */
+const TELL_AGAIN_MS: Millis = 10_000;
+
 const log = eventLog('versions');
 
+/** A stream that this host serves. */
+interface RunningStream {
+  readonly origin: StreamOrigin;
+  /** Names of the peers that were live when peers were told of it. */
+  readonly toldAmong: string;
+  readonly toldAt: Millis;
+}
+
 /** Options of {@link StreamVersions}. */
 export interface StreamVersionsOptions {
   readonly self: HostId;
@@ -45,8 +56,7 @@
 
   private readonly history = new VersionHistory(ORIGIN_TTL_MS);
 
-  /** Streams that this host serves. */
-  private readonly running = new Map<RequestId, StreamOrigin>();
+  private readonly running = new Map<RequestId, RunningStream>();
 
   private readonly versionCounts = new Map<ModelId, number>();
 
@@ -63,7 +73,7 @@
     while (!signal.aborted) {
       await sleep(this.options.clock, TELL_PERIOD_MS, signal);
       this.recordVersions();
-      this.tell([...this.running.values()]);
+      this.tellAgain();
     }
   }
 
@@ -89,7 +99,6 @@
   begin(id: RequestId, version: string): void {
     const origin = { id, version };
     this.origins.keep(origin, this.options.clock.now());
-    this.running.set(id, origin);
     this.tell([origin]);
     log('stream_bound', { id, version });
   }
@@ -154,8 +163,20 @@
     return (told.length > 0 ? told : answers).flatMap((answer) => answer?.version ?? []);
   }
 
+  /** Tells of the running streams where other peers are live than when peers were told, or that was long ago. */
+  private tellAgain(): void {
+    const now = this.options.clock.now();
+    const among = namesOf(this.livePeers());
+    const due = [...this.running.values()].filter(
+      ({ toldAmong, toldAt }) => toldAmong !== among || now - toldAt >= TELL_AGAIN_MS,
+    );
+    this.tell(due.map(({ origin }) => origin));
+  }
+
   private tell(origins: readonly StreamOrigin[]): void {
-    const { link } = this.options;
+    const { link, clock } = this.options;
+    const told = { toldAmong: namesOf(this.livePeers()), toldAt: clock.now() };
+    origins.forEach((origin) => this.running.set(origin.id, { origin, ...told }));
     if (link === undefined) return;
     const byAddress = origins.reduce((all, origin) => {
       this.addressesOf((peers) => peersToTell(origin.id, peers)).forEach((address) =>
@@ -167,11 +188,14 @@
   }
 
   private addressesOf(choose: (peers: readonly HostId[]) => readonly HostId[]): readonly string[] {
-    const peers = this.options.getMembers().filter(({ host }) => host !== this.options.self);
-    const byHost = new Map(peers.map(({ host, peerAddress }) => [host, peerAddress]));
+    const byHost = new Map(this.livePeers().map(({ host, peerAddress }) => [host, peerAddress]));
     return choose([...byHost.keys()]).flatMap((host) => byHost.get(host) ?? []);
   }
 
+  private livePeers(): readonly FleetMember[] {
+    return this.options.getMembers().filter(({ host }) => host !== this.options.self);
+  }
+
   private reportCount(model: ModelId, versions: number): void {
     if (this.versionCounts.get(model) === versions) return;
     this.versionCounts.set(model, versions);
@@ -185,3 +209,7 @@
 }: Extract<TakeUpDecision, { readonly type: 'go_on' }>): string | undefined {
   return binding.type === 'bound' ? binding.version : undefined;
 }
+
+function namesOf(members: readonly FleetMember[]): string {
+  return members.map(({ host }) => host).join(' ');
+}
--- a/packages/router/tests/serving/ForwardHandler.test.ts
+++ b/packages/router/tests/serving/ForwardHandler.test.ts
@@ -341,7 +341,7 @@
     const events: ForwardEvent[] = [];
     const request = { id: `v${configVersion}`, call, context: { ...context, configVersion } };
     const answer = fleet.host.serveRelayed(request, new AbortController().signal);
-    for await (const event of answer) events.push(event as ForwardEvent);
+    for await (const event of answer) events.push(event);
     return answerEnding(events);
   };
   assert.equal(await serve(1), 'done');
