--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -16,6 +16,10 @@
   'withheld',
   'upstreams_lost',
   'upstreams_back',
+  'versions_serving',
+  'caught_up',
+  'loop_late',
+  'loop_on_time',
 ]);
 
 /** Events that tell why a request with the same content is refused, at whatever host and time. */
--- a/packages/router/tests/observe/explainRequest.test.ts
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -72,3 +72,15 @@
     ],
   );
 });
+
+// Guards against a refused take-up whose timeline doesn't show which versions served and what was known of the stream.
+test('the timeline of a stream that is taken up shows how its version was known', () => {
+  const timeline = explainRequest('r2', [
+    'h1 {"t":900,"part":"versions","event":"versions_serving","model":"m","versions":2}',
+    'h1 {"t":1000,"part":"versions","event":"stream_taken_up","id":"r2","resumed":"r1","outcome":"unknown"}',
+    'h1 {"t":1001,"part":"request","event":"refused","id":"r2","code":"stream_version_unknown"}',
+  ]);
+  assert.equal(timeline.length, 3);
+  assert.match(timeline[0] ?? '', /\* h1 versions\.versions_serving model=m versions=2/);
+  assert.match(timeline[1] ?? '', /stream_taken_up resumed=r1 outcome=unknown/);
+});
