Let a stream go on again at the engines where it failed, if no other runs its version

Its engine, the only one of its version, had reset the connection; the request avoids an engine at which it failed, so none was left, and it ended as stream_version_gone although the engine was up. Such a stream now goes on there, or waits for it as long as its route allows. Two cases of streamVersions expect the whole stream at one engine.

--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -112,10 +112,9 @@
   }
 
   /** Gets whether there is a decode engine that may go on with the stream of a request, now or later. */
-  hasEngineFor({ binding, avoid }: Pick<PlacementRequest, 'binding' | 'avoid'>): boolean {
+  hasEngineFor({ binding }: Pick<PlacementRequest, 'binding'>): boolean {
     return this.engines.some(
-      ({ id, role, softwareVersion }) =>
-        role === 'decode' && !avoid.includes(id) && mayRunOn(binding, softwareVersion),
+      ({ role, softwareVersion }) => role === 'decode' && mayRunOn(binding, softwareVersion),
     );
   }
 
@@ -248,8 +247,7 @@
   /** Gets the decode engines with a free slot and memory for the request. */
   private decodeOptions(req: PlacementRequest, now: Millis): readonly DecodeOption[] {
     const gainOf = speedGains(this.speeds, this.engines, req, now);
-    return this.usableEngines('decode', req, now)
-      .filter(({ softwareVersion }) => mayRunOn(req.binding, softwareVersion))
+    return this.fittingEngines(req, now)
       .map((cfg) => ({ cfg, load: this.inFlight.getTotal(cfg.id, now) }))
       .filter(({ cfg, load }) => load.streams < (cfg.slots ?? Infinity))
       .map(({ cfg, load }) => ({
@@ -268,6 +266,18 @@
       }));
   }
 
+  /**
+   * Gets the decode engines that may go on with a request's stream. Where those that it avoids are the only ones of
+   * its version, they are used again: the engine may have lost a connection and nothing else.
+   */
+  private fittingEngines(req: PlacementRequest, now: Millis): readonly EngineConfig[] {
+    const isFitting = ({ softwareVersion }: EngineConfig): boolean =>
+      mayRunOn(req.binding, softwareVersion);
+    const others = this.usableEngines('decode', req, now).filter(isFitting);
+    if (others.length > 0 || req.binding?.type !== 'bound') return others;
+    return this.usableEngines('decode', { ...req, avoid: [] }, now).filter(isFitting);
+  }
+
   /**
    * Gets the engines of a role that may be used. Those in back-off after a failure are left out while
    * there are others; those that are suspected, change their role or take no more requests of
