Log what a request shares with others at each crash that a host detects

'crash_recorded' of own attempts names the parts, without the last one, by short digests. Nothing is decided by them yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -15,6 +15,7 @@
 export * from './retry/ResumePlan.ts';
 export * from './retry/CrashReport.ts';
 export * from './retry/CrashSuspects.ts';
+export { toSharedDigest, isSharedDigest } from './retry/sharedDigest.ts';
 export * from './roles/DemandTracker.ts';
 export * from './roles/DemandHistory.ts';
 export * from './roles/RoleChanges.ts';
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -144,7 +144,7 @@
       const outcome = yield* this.runAttempt(completion, pool, progress, placement.value);
       if (outcome.type !== 'failed') {
         if (outcome.type === 'done' || isSuccessStatus(outcome.head.status)) {
-          this.options.crashGuard.recordSuccess(progress.digest);
+          this.options.crashGuard.recordSuccess(progress.traits.digest);
         }
         yield finalEvent(outcome, progress);
         return;
--- a/packages/router/src/serving/CompletionProgress.ts
+++ b/packages/router/src/serving/CompletionProgress.ts
@@ -1,6 +1,7 @@
 import type { Millis, SoftwareVersion, Tokens, UpstreamId } from '@camphorvane/core';
 import type { StreamBinding } from '@camphorvane/decisions';
 import { bindingTo, FREE_STREAM } from '@camphorvane/decisions';
+import type { GuardedRequest } from './CrashGuard.ts';
 
 /** Most engines that a request avoids after it failed there; the latest are kept. */
 const MAX_AVOIDED_ENGINES = 4;
@@ -29,14 +30,14 @@
   /**
    * @param promptTokens - Estimated tokens of the prompt.
    * @param startedAt - When the request was accepted.
-   * @param digest - Digest of the request's content.
+   * @param traits - What the request has in common with its repeats and with other requests.
    * @param fromPosition - Position of the first token to deliver.
    * @param binding - Which engines may go on with the stream.
    */
   constructor(
     readonly promptTokens: Tokens,
     readonly startedAt: Millis,
-    readonly digest: string,
+    readonly traits: Omit<GuardedRequest, 'id'>,
     fromPosition = 0,
     binding: StreamBinding = FREE_STREAM,
   ) {
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -43,6 +43,8 @@
   readonly id: RequestId;
   /** Digest of the request's content; see {@link CrashGuard.digestOf}. */
   readonly digest: string;
+  /** Digests of what the request shares with others; see {@link sharedTraitsOf}. */
+  readonly shared?: readonly string[];
 }
 
 /**
@@ -102,7 +104,7 @@
     if (!mayHaveCrashed(error)) return;
     const process = this.processOf(upstream);
     const report: CrashReport = { digest: request.digest, upstream: process, ageMs: 0 };
-    this.record(report, 'own', request.id);
+    this.record(report, 'own', request);
     this.reportToGroup([report]);
     const isSuspect = this.guardFor(request).isBlocked();
     this.listeners.forEach((recorded) => recorded(isSuspect));
@@ -178,14 +180,16 @@
     return startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
   }
 
-  private record(report: CrashReport, from: ReportOrigin, id?: RequestId): void {
+  private record(report: CrashReport, from: ReportOrigin, request?: GuardedRequest): void {
     const { clock, metrics } = this.options;
     const { digest, upstream: server } = report;
     if (!this.suspects.recordCrash(report, clock.now(), from)) return;
     metrics.count('crashes.recorded', { from });
     const crashes = this.suspects.countCrashes(digest, clock.now());
     const ageMs = Math.round(report.ageMs);
-    log('crash_recorded', { id, digest: shorten(digest), server, from, ageMs, crashes });
+    const { id, shared } = request ?? {};
+    const owner = { id, digest: shorten(digest), shared: shared?.join() };
+    log('crash_recorded', { ...owner, server, from, ageMs, crashes });
   }
 
   private reportToGroup(reports: readonly CrashReport[]): void {
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -1,11 +1,19 @@
 import type { ServiceRequest } from '@camphorvane/caller';
-import type { Millis, RequestId, ServiceConfig, ServiceRoute, UpstreamId } from '@camphorvane/core';
+import type {
+  Millis,
+  PromptPart,
+  RequestId,
+  ServiceConfig,
+  ServiceRoute,
+  UpstreamId,
+} from '@camphorvane/core';
 import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { RetryTarget } from '../host/ports.ts';
 import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
+import { sharedPartsOf } from './requestTraits.ts';
 
 /** Limits on the attempts of one service call. */
 export interface CallPolicy {
@@ -35,6 +43,8 @@
 export interface ResolvedCall {
   readonly id: RequestId;
   readonly req: Pick<ServiceRequest, 'method' | 'path' | 'headers' | 'body' | 'idempotencyKey'>;
+  /** Parts of the prompt, where the call declares them. */
+  readonly parts?: readonly PromptPart[];
   readonly policy: CallPolicy;
   readonly caller: AuthenticatedCaller;
   readonly service: ServiceConfig;
@@ -47,7 +57,9 @@
 }
 
 /** Gets what identifies a call and its repeats where crashes are counted. */
-export function guardedCall({ id, caller, req }: ResolvedCall): GuardedRequest {
+export function guardedCall(call: ResolvedCall): GuardedRequest {
+  const { id, caller, req, service, parts = [] } = call;
   const body = Buffer.from(req.body).toString('base64');
-  return { id, digest: CrashGuard.digestOf(caller.team.id, req.method, req.path, body) };
+  const digest = CrashGuard.digestOf(caller.team.id, req.method, req.path, body);
+  return { id, digest, shared: sharedPartsOf(service.id, parts) };
 }
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -25,6 +25,7 @@
 import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
+import { sharedTraitsOf } from './requestTraits.ts';
 
 /** Attempts for one completion; with more, one bad prompt could reach every engine. */
 export const MAX_COMPLETION_ATTEMPTS = 4;
@@ -135,7 +136,8 @@
   return { team: completion.caller.team.id, service: pool.model, upstream };
 }
 
-export function completionDigest({ model, prompt, caller }: ResolvedCompletion): string {
+/** Gets the digest of a completion's content, which is the same for each retry of its caller. */
+function completionDigest({ model, prompt, caller }: ResolvedCompletion): string {
   if (typeof prompt === 'string') return CrashGuard.digestOf(model, prompt);
   const { path, body } = prompt.call;
   return CrashGuard.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
@@ -146,7 +148,10 @@
   return new CompletionProgress(
     countPromptTokens(completion.prompt),
     acceptedAt,
-    completionDigest(completion),
+    {
+      digest: completionDigest(completion),
+      shared: sharedTraitsOf(completion.model, completion.prompt),
+    },
     completion.policy.fromPosition,
     completion.policy.binding,
   );
@@ -155,9 +160,9 @@
 /** Gets what identifies a completion and its repeats where crashes are counted. */
 export function guardedCompletion(
   { id }: ResolvedCompletion,
-  { digest }: CompletionProgress,
+  { traits }: CompletionProgress,
 ): GuardedRequest {
-  return { id, digest };
+  return { id, ...traits };
 }
 
 export function finalEvent(
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -139,6 +139,7 @@
   return {
     id,
     req: { ...req, idempotencyKey: undefined },
+    parts: req.work?.parts,
     policy: {
       maxAttempts: route.maxAttempts - executions.get(),
       claimed: false,
