--- a/packages/decisions/src/retry/CrashReport.ts
+++ b/packages/decisions/src/retry/CrashReport.ts
@@ -2,7 +2,7 @@
 
 /** A crash of an upstream while it ran a request, as hosts report it to each other. */
 export interface CrashReport {
-  /** Digest of the request's content, the same for each retry by its caller. */
+  /** Digest of a trait of the request: its whole content, or content that it shares with others. */
   readonly digest: string;
   /** The upstream; two processes that ran under the same id have different names here. */
   readonly upstream: UpstreamId;
@@ -10,7 +10,7 @@
   readonly ageMs: Millis;
 }
 
-/** The last success of a request that was running on upstreams that crashed. */
+/** The last success of a request with a trait that requests had which were running on upstreams that crashed. */
 export interface AnswerReport {
   readonly digest: string;
   /** Milliseconds since the answer was complete. */
@@ -24,9 +24,25 @@
   readonly ageMs: Millis;
 }
 
+/** How far the trial of a suspected trait has come; it has `ended` without a crash, or without a result. */
+export type TrialState = 'running' | 'failed' | 'ended';
+
+/** The trial of suspected traits: one request that has them is let through. */
+export interface TrialReport {
+  /** Digest of the combination of traits. */
+  readonly digest: string;
+  /** Milliseconds since its start. */
+  readonly ageMs: Millis;
+  readonly state: TrialState;
+  /** The upstream that crashed; present for a failed trial. */
+  readonly upstream?: UpstreamId;
+}
+
 /** What a host reports to its peers about requests that were running on upstreams that crashed. */
 export interface SuspicionReports {
   readonly crashes: readonly CrashReport[];
   readonly answers: readonly AnswerReport[];
   readonly survivals: readonly SurvivalReport[];
+  /** Absent where no trait is tried. */
+  readonly trials?: readonly TrialReport[];
 }
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -1,11 +1,19 @@
-import type { Millis, UpstreamId } from '@camphorvane/core';
-import type { CrashReport, SurvivalReport, SuspicionReports } from './CrashReport.ts';
-import { RecentAnswers } from './RecentAnswers.ts';
-import { UpstreamSurvivals } from './UpstreamSurvivals.ts';
+import type { Millis, RequestId, UpstreamId } from '@camphorvane/core';
+import { sha256Hex } from '@camphorvane/core';
+import type { CrashReport, SurvivalReport, SuspicionReports, TrialReport } from './CrashReport.ts';
+import { CrashRecords } from './CrashRecords.ts';
+import type { ReportOrigin } from './CrashRecords.ts';
+import { CrashReporter } from './CrashReporter.ts';
+import type { ReportAudience } from './CrashReporter.ts';
+import { CrashTrials } from './CrashTrials.ts';
+import type { TrialEnd } from './CrashTrials.ts';
+import { isSuspected, judgeTrait } from './judgeTraits.ts';
+import type { CrashVerdict, TraitRecord } from './judgeTraits.ts';
+import { isSharedDigest } from './sharedDigest.ts';
 
 /** Limits of a {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
-  /** Distinct upstreams that must have crashed before a request is blocked. */
+  /** Distinct upstreams that must have crashed before a request is blocked for its content. */
   readonly minUpstreams: number;
   /** Milliseconds in which a crash may still be withdrawn, and blocks no new request. */
   readonly confirmMs: Millis;
@@ -13,7 +21,7 @@
   readonly blockMs: Millis;
   /** Milliseconds after which a crash no longer counts. */
   readonly retentionMs: Millis;
-  /** Most digests kept. */
+  /** Most traits kept. */
   readonly maxDigests: number;
 }
 
@@ -21,7 +29,7 @@
  * Default limits. One crash may be a coincidence, and each further one costs all streams of an engine.
  * Ten minutes outlast a caller's usual retries, and the block ends once engines have been repaired. Crashes
  * count for longer than that: a request that comes again after its block is blocked by its next crash.
- * The number of digests keeps the memory between 2 MB, with one crash each, and 12 MB, with sixteen.
+ * The number of traits keeps the memory between 2 MB, with one crash each, and 12 MB, with sixteen.
  */
 export const DEFAULT_CRASH_SUSPECTS: CrashSuspectsOptions = {
   minUpstreams: 2,
@@ -31,76 +39,78 @@
   maxDigests: 5_000,
 };
 
-/** Whether a host detected a crash itself, learned it from a peer, or had stored it before its restart. */
-export type ReportOrigin = 'own' | 'peer' | 'stored';
-
-/** Whom a report is for: the peers of this host, or all hosts that a relay reports to. */
-export type ReportAudience = 'peers' | 'relayed';
+/** A request as crashes are counted for it. */
+export interface SuspectRequest {
+  readonly id: RequestId;
+  /** Digests of its traits. */
+  readonly traits: readonly string[];
+}
 
-/** Characters of a digest that identify a request; the full digest would take four times the bytes. */
+/** Whether a request may be sent to an upstream. */
+export type CrashAdmission =
+  | { readonly type: 'clear' }
+  /** Let through on trial, for the suspected traits that it has; `isNew` where this call started the trial. */
+  | { readonly type: 'trial'; readonly traits: readonly string[]; readonly isNew: boolean }
+  | {
+      readonly type: 'blocked';
+      readonly retryAfterMs: Millis;
+      /** The trait for which it is blocked, and the crashes that count against it. */
+      readonly trait: string;
+      readonly crashes: number;
+      /** Whether other requests may have the trait. */
+      readonly isShared: boolean;
+    };
+
+/** Distinct upstreams that must have crashed before a trait that requests share is suspected. */
+const MIN_SHARED_UPSTREAMS = 3;
+
+/** Characters of a digest that identify a trait; the full digest would take four times the bytes. */
 const KEY_LENGTH = 16;
 
-/** Most upstreams that are kept for a request, the latest ones. */
-const MAX_UPSTREAMS = 16;
-
-/** Crashes from which on a request is reported until they expire: hosts that start or return need them. */
-const MIN_REPEATED_CRASHES = 2;
-
-/** Milliseconds for which a new crash is in every report, so that losing some of them does no harm. */
-const FRESH_MS: Millis = 2_000;
-
-/** Milliseconds between two reports of older crashes to peers. */
-const REPEAT_MS: Millis = 2_000;
-
-/** Most crashes in one report: 4 KB where many requests share a crash, 11 KB where none do. */
-const MAX_REPORTED = 192;
-
-/** Milliseconds within which all reports of an upstream are of one crash: a host that was frozen reads late. */
-const SAME_CRASH_MS: Millis = 30_000;
-
-interface Crash {
-  readonly at: Millis;
-  readonly isOwn: boolean;
+interface OtherTraits {
+  /** Gets those that are suspected. */
+  readonly suspectsAt: (upstream: UpstreamId) => readonly TraitRecord[];
+  /** Gets those that different requests may have. */
+  readonly sharedAt: (upstream: UpstreamId) => readonly TraitRecord[];
 }
 
-type Crashes = ReadonlyMap<UpstreamId, Crash>;
+interface JudgedTrait {
+  readonly key: string;
+  readonly record: TraitRecord;
+  readonly verdict: CrashVerdict;
+}
 
 /**
- * Records which requests were running when upstreams crashed, and blocks those seen at several crashes.
+ * Finds out what crashes upstreams, and keeps requests with it away from them.
  *
- * Guards against a request that crashes each upstream that runs it while its caller keeps retrying, so
- * that one engine after the other fails with all its streams. Requests are identified by a digest of
- * their content, since each retry by a caller has a new id.
+ * Guards against requests that crash each upstream that runs them, so that one engine after the other fails with
+ * all its streams: one request that its caller repeats, or different ones that share a part of their prompts.
+ * Both are traits, known by a digest.
  *
- * Requests that merely ran on the same engine are suspected as well. A success clears a request, and a
- * crash that a request with more crashes explains does not count for the others.
+ * Requests that merely ran on the same engine have traits, too. A complete answer clears a trait of the crashes
+ * before it; a crash that another trait explains better does not count; and where only another request
+ * can tell, one is let through on trial.
  */
 export class CrashSuspects {
-  /** Crashes by request, in order of the last new crash of the request. */
-  private readonly suspects = new Map<string, Crashes>();
-
-  /** Requests with several crashes. */
-  private readonly repeated = new Set<string>();
+  private readonly records: CrashRecords;
 
-  /** Until when a request is in every report. */
-  private readonly freshUntil = new Map<string, Millis>();
+  private readonly trials: CrashTrials;
 
-  private readonly answers = new RecentAnswers();
-
-  private readonly survivals = new UpstreamSurvivals();
-
-  private repeatedAt: Millis = -Infinity;
+  private readonly reporter: CrashReporter;
 
   private readonly opts: CrashSuspectsOptions;
 
   /** @param opts - Limits; those left out have their defaults. */
   constructor(opts: Partial<CrashSuspectsOptions> = {}) {
     this.opts = { ...DEFAULT_CRASH_SUSPECTS, ...opts };
+    this.records = new CrashRecords(this.opts);
+    this.reporter = new CrashReporter(this.records);
+    this.trials = new CrashTrials(this.opts.blockMs);
   }
 
-  /** Gets the number of digests kept. */
+  /** Gets the number of traits kept. */
   get size(): number {
-    return this.suspects.size;
+    return this.records.size;
   }
 
   /**
@@ -112,44 +122,26 @@
    * @returns Whether it was unknown.
    */
   recordCrash(report: CrashReport, now: Millis, origin: ReportOrigin = 'own'): boolean {
-    const { upstream, ageMs } = report;
-    if (ageMs >= this.opts.retentionMs) return false;
     const key = toKey(report.digest);
-    const crashes = new Map(this.suspects.get(key));
-    const kept = crashes.get(upstream);
-    // A crash that no longer counts does not stand for a later one of the same upstream.
-    const known = this.counts(key, upstream, kept?.at ?? -Infinity, now) ? kept : undefined;
-    const at = now - ageMs;
-    if (this.survivals.hasSurvived(upstream, at)) return false;
-    const isNew = known === undefined || at > known.at + SAME_CRASH_MS;
-    const isOwn = origin !== 'peer' || known?.isOwn === true;
-    // The earliest time: reports arrive late, and would move it forward each time that they are passed on.
-    crashes.set(upstream, { at: isNew ? at : Math.min(at, known.at), isOwn });
-    if (!isNew) {
-      this.suspects.set(key, crashes);
-      return false;
-    }
-    this.survivals.recordBreak(upstream, at);
-    this.suspects.delete(key);
-    this.suspects.set(key, newestCrashes(crashes));
-    if (crashes.size >= MIN_REPEATED_CRASHES) this.repeated.add(key);
-    this.freshUntil.set(key, now + FRESH_MS);
-    this.evict();
+    if (!this.records.record(key, report, now, origin)) return false;
+    this.reporter.recordCrash(key, now);
     return true;
   }
 
   /**
-   * Records a success of a request, which clears it of earlier crashes.
+   * Records a complete answer to a request with a trait, which clears it of earlier crashes.
    *
-   * @param digest - Digest of the request's content.
+   * @param digest - Digest of the trait.
    * @param now - Present time.
-   * @param ageMs - Milliseconds since the success, for one that a peer reported.
+   * @param ageMs - Milliseconds since the answer, for one that a peer reported.
+   * @returns Whether other hosts should hear of it.
    */
-  recordAnswer(digest: string, now: Millis, ageMs?: Millis): void {
+  recordAnswer(digest: string, now: Millis, ageMs?: Millis): boolean {
     const key = toKey(digest);
-    const isOwn = ageMs === undefined;
-    if (isOwn && this.getCounted(key, now).length > 0) this.freshUntil.set(key, now + FRESH_MS);
-    this.answers.record(key, now - (ageMs ?? 0), isOwn);
+    const isNew = this.records.answers.record(key, now - (ageMs ?? 0), ageMs === undefined);
+    if (!isNew || !this.records.has(key)) return false;
+    this.reporter.recordAnswer(key, now);
+    return true;
   }
 
   /**
@@ -160,144 +152,155 @@
    * @returns Whether crashes of it were withdrawn.
    */
   recordSignOfLife(upstream: UpstreamId, now: Millis): boolean {
-    return this.survivals.recordAnswer(upstream, now);
+    return this.records.survivals.recordAnswer(upstream, now);
   }
 
   /** Withdraws the crashes of an upstream that a peer found alive. */
   receiveSurvival(report: SurvivalReport, now: Millis): void {
-    this.survivals.receive(report, now);
+    this.records.survivals.receive(report, now);
+  }
+
+  /** Records a trial at another host. */
+  receiveTrial(report: TrialReport, now: Millis): void {
+    this.trials.receive(report, now);
   }
 
-  /** Gets the number of distinct upstreams whose crashes count against a request. */
+  /**
+   * Decides whether a request may be sent to an upstream. Requests with a suspected trait are let through one at a
+   * time where another trait may explain the crashes, and after their block.
+   *
+   * @param request - The request.
+   * @param now - Present time.
+   * @param minAgeMs - Milliseconds since a crash from which on it counts; 0 for a further attempt of a request.
+   */
+  admit(request: SuspectRequest, now: Millis, minAgeMs = this.opts.confirmMs): CrashAdmission {
+    const keys = request.traits.map(toKey);
+    const held = this.judge(keys, now, minAgeMs);
+    const blocking = held
+      .filter(({ verdict }) => verdict === 'certain')
+      .map((one) => ({ ...one, leftMs: this.blockLeftMs(one.record, now) }))
+      .sort((a, b) => b.leftMs - a.leftMs)
+      .find(({ leftMs }) => leftMs > 0);
+    if (blocking !== undefined) return toBlocked(blocking, blocking.leftMs);
+    const [first] = held;
+    if (first === undefined) return { type: 'clear' };
+    const suspected = held.map(({ key }) => key);
+    const traits = [...new Set([...suspected, ...this.getUnansweredShared(keys, now)])].sort();
+    const isNew = !this.trials.isHolder(request.id);
+    const subject = toKey(sha256Hex(traits.join()));
+    const { suspectsAt } = this.othersThan(keys, now);
+    const isExplained = (upstream: UpstreamId): boolean => suspectsAt(upstream).length > 0;
+    const waitMs = this.trials.begin(subject, request.id, now, isExplained);
+    return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
+  }
+
+  /**
+   * Ends the trial of a request.
+   *
+   * @returns Whether it had one.
+   */
+  endTrial(request: RequestId, end: TrialEnd, now: Millis): boolean {
+    return this.trials.end(request, end, now);
+  }
+
+  /** Gets the number of distinct upstreams whose crashes count against a trait. */
   countCrashes(digest: string, now: Millis): number {
-    return this.getUnexplained(toKey(digest), now).length;
+    return this.records.getCrashes(toKey(digest), now).size;
+  }
+
+  /** Gets the numbers of suspected traits: whole requests, and what requests share. */
+  countSuspects(now: Millis): { readonly requests: number; readonly shared: number } {
+    const suspects = this.records.getRepeated().filter((key) => this.isSuspect(key, now));
+    const shared = suspects.filter(isSharedDigest).length;
+    return { requests: suspects.length - shared, shared };
   }
 
   /**
-   * Gets how much longer a request is blocked.
+   * Gets how much longer requests with nothing but a trait are blocked, or let through on trial only.
    *
-   * @param digest - Digest of the request's content.
+   * @param digest - Digest of the trait.
    * @param now - Present time.
-   * @returns Milliseconds, for the refusal's retry-after; undefined if the request may run.
+   * @returns Milliseconds; undefined if they may run.
    */
   getBlockedMs(digest: string, now: Millis): Millis | undefined {
     return this.getBlockedMsBy(digest, now, this.opts.confirmMs);
   }
 
-  /** Tells whether a request is blocked, or will be unless one of its crashes is withdrawn. */
+  /** Tells whether a trait is blocked, or will be unless one of its crashes is withdrawn. */
   isSuspect(digest: string, now: Millis): boolean {
     return this.getBlockedMsBy(digest, now, 0) !== undefined;
   }
 
-  /**
-   * Gets what to report to other hosts: new crashes and successes for a short time, and the crashes of
-   * requests with several of them until they expire.
-   *
-   * @param now - Present time.
-   * @param audience - Peers get this host's own new crashes; a relay passes on those of all hosts.
-   * @returns The reports, those of the requests with most crashes first.
-   */
+  /** Gets what to report to other hosts; see {@link CrashReporter.getReports}. */
   getReports(now: Millis, audience: ReportAudience): SuspicionReports {
-    const fresh = [...this.freshUntil].filter(([key, until]) => {
-      const isFresh = until > now && this.suspects.has(key);
-      if (!isFresh) this.freshUntil.delete(key);
-      return isFresh;
-    });
-    const freshKeys = fresh.map(([key]) => key).reverse();
-    const keys = new Set([...freshKeys, ...this.takeRepeated(now, audience)]);
-    const crashes = [...keys]
-      .map((digest) => ({ digest, crashes: this.getCounted(digest, now) }))
-      .sort((a, b) => b.crashes.length - a.crashes.length)
-      .flatMap((one) =>
-        one.crashes
-          .filter(
-            ([, { isOwn }]) =>
-              isOwn || audience === 'relayed' || one.crashes.length >= MIN_REPEATED_CRASHES,
-          )
-          .map(([upstream, { at }]) => ({ digest: one.digest, upstream, ageMs: now - at })),
-      )
-      .slice(0, MAX_REPORTED);
-    const answers = freshKeys
-      .flatMap((digest) => {
-        const answer = this.answers.get(digest);
-        const isReported = answer !== undefined && (answer.isOwn || audience === 'relayed');
-        return isReported ? [{ digest, ageMs: now - answer.at }] : [];
-      })
-      .slice(0, MAX_REPORTED);
-    return { crashes, answers, survivals: this.survivals.getReports(now, audience) };
+    const trials = this.trials.getReports(now, audience);
+    return {
+      ...this.reporter.getReports(now, audience),
+      survivals: this.records.survivals.getReports(now, audience),
+      ...(trials.length === 0 ? {} : { trials }),
+    };
   }
 
-  /** Gets the crashes of suspected requests that this host detected one of itself, for hosts that start later. */
+  /** Gets the crashes of suspected traits that this host detected one of itself, for hosts that start later. */
   getSuspectReports(now: Millis): readonly CrashReport[] {
-    return [...this.repeated]
-      .filter((key) => this.isSuspect(key, now))
-      .map((digest) => ({ digest, crashes: this.getCounted(digest, now) }))
-      .filter(({ crashes }) => crashes.some(([, { isOwn }]) => isOwn))
-      .flatMap(({ digest, crashes }) =>
-        crashes.map(([upstream, { at }]) => ({ digest, upstream, ageMs: now - at })),
-      )
-      .slice(-MAX_REPORTED);
+    const suspects = this.records.getRepeated().filter((key) => this.isSuspect(key, now));
+    return this.reporter.getOwn(suspects, now);
   }
 
-  /** Gets how much longer a request is blocked by its crashes of at least a certain age. */
-  private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
-    const { blockMs, minUpstreams } = this.opts;
-    const crashes = this.getUnexplained(toKey(digest), now).filter(
-      ([, { at }]) => at <= now - minAgeMs,
-    );
-    if (crashes.length < minUpstreams) return undefined;
-    const leftMs = Math.max(...crashes.map(([, { at }]) => at)) + blockMs - now;
-    return leftMs > 0 ? leftMs : undefined;
+  /** Judges a request by its suspected traits; gets those that may crash upstreams. */
+  private judge(keys: readonly string[], now: Millis, minAgeMs: Millis): readonly JudgedTrait[] {
+    const suspected = keys
+      .filter((key) => this.records.isRepeated(key) || this.minCrashes(key) === 1)
+      .map((key) => ({ key, record: this.records.getTrait(key, now, minAgeMs) }))
+      .filter(({ key, record }) => isSuspected(record, this.minCrashes(key)));
+    if (suspected.length === 0) return [];
+    const { suspectsAt, sharedAt } = this.othersThan(keys, now);
+    return suspected
+      .map((one) => ({ ...one, verdict: judgeTrait(one.record, suspectsAt, sharedAt) }))
+      .filter(({ verdict }) => verdict !== 'innocent');
   }
 
-  private takeRepeated(now: Millis, audience: ReportAudience): Iterable<string> {
-    if (audience === 'relayed') return this.repeated;
-    if (now - this.repeatedAt < REPEAT_MS) return [];
-    this.repeatedAt = now;
-    return this.repeated;
+  /** Gets, by upstream, the traits but the given ones that requests had which ran there when it crashed. */
+  private othersThan(keys: readonly string[], now: Millis): OtherTraits {
+    const recordOf = memoize((key: string) => this.records.getTrait(key, now));
+    const othersAt = (upstream: UpstreamId): readonly string[] =>
+      [...this.records.getTraitsAt(upstream)].filter((key) => !keys.includes(key));
+    return {
+      suspectsAt: memoize((upstream) =>
+        othersAt(upstream)
+          .filter((key) => this.records.isRepeated(key))
+          .filter((key) => isSuspected(recordOf(key), this.minCrashes(key)))
+          .map(recordOf),
+      ),
+      sharedAt: memoize((upstream) => othersAt(upstream).filter(isSharedDigest).map(recordOf)),
+    };
   }
 
-  /** Gets the crashes of a request that no request with more crashes explains. */
-  private getUnexplained(key: string, now: Millis): readonly (readonly [UpstreamId, Crash])[] {
-    const own = this.getCounted(key, now);
-    if (own.length < this.opts.minUpstreams) return own;
-    const stronger = [...this.repeated]
-      .filter((other) => other !== key)
-      .map((other) => this.getCounted(other, now))
-      .filter((crashes) => crashes.length > own.length)
-      .map((crashes) => new Map(crashes));
-    return own.filter(
-      ([upstream, { at }]) =>
-        !stronger.some((crashes) => {
-          const other = crashes.get(upstream);
-          return other !== undefined && Math.abs(other.at - at) <= SAME_CRASH_MS;
-        }),
+  /** Gets the shared traits that had a part in any crash, and in no complete answer. */
+  private getUnansweredShared(keys: readonly string[], now: Millis): readonly string[] {
+    return keys.filter(
+      (key) =>
+        isSharedDigest(key) &&
+        this.records.answers.get(key) === undefined &&
+        this.records.getCrashes(key, now).size > 0,
     );
   }
 
-  /** Gets the crashes of a request that count. */
-  private getCounted(key: string, now: Millis): readonly (readonly [UpstreamId, Crash])[] {
-    const counted = [...(this.suspects.get(key) ?? [])].filter(([upstream, { at }]) =>
-      this.counts(key, upstream, at, now),
+  private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
+    const leftMs = this.judge([toKey(digest)], now, minAgeMs).map(({ record }) =>
+      this.blockLeftMs(record, now),
     );
-    if (counted.length < MIN_REPEATED_CRASHES) this.repeated.delete(key);
-    return counted;
+    const [first] = leftMs;
+    return first !== undefined && first > 0 ? first : undefined;
   }
 
-  /** Tells whether a crash has neither expired nor been cleared by a success or a survival. */
-  private counts(key: string, upstream: UpstreamId, at: Millis, now: Millis): boolean {
-    const isRecent = at > now - this.opts.retentionMs && at > this.answers.getClearedUntil(key);
-    return isRecent && !this.survivals.hasSurvived(upstream, at);
+  private blockLeftMs({ crashes }: TraitRecord, now: Millis): Millis {
+    return Math.max(...crashes.values()) + this.opts.blockMs - now;
   }
 
-  /** Drops the request whose last crash is oldest, one with a single crash if there is any. */
-  private evict(): void {
-    if (this.suspects.size <= this.opts.maxDigests) return;
-    const keys = [...this.suspects.keys()];
-    const dropped = keys.find((key) => !this.repeated.has(key)) ?? keys[0] ?? '';
-    this.suspects.delete(dropped);
-    this.repeated.delete(dropped);
-    this.freshUntil.delete(dropped);
+  private minCrashes(key: string): number {
+    const { minUpstreams } = this.opts;
+    return isSharedDigest(key) ? Math.max(minUpstreams, MIN_SHARED_UPSTREAMS) : minUpstreams;
   }
 }
 
@@ -305,8 +308,16 @@
   return digest.slice(0, KEY_LENGTH);
 }
 
-function newestCrashes(crashes: Crashes): Crashes {
-  if (crashes.size <= MAX_UPSTREAMS) return crashes;
-  const [oldest] = [...crashes].sort(([, a], [, b]) => a.at - b.at);
-  return new Map([...crashes].filter(([upstream]) => upstream !== oldest?.[0]));
+function toBlocked({ key, record }: JudgedTrait, retryAfterMs: Millis): CrashAdmission {
+  const { crashes, isShared } = record;
+  return { type: 'blocked', retryAfterMs, trait: key, crashes: crashes.size, isShared };
+}
+
+function memoize<Key, T>(get: (key: Key) => T): (key: Key) => T {
+  const known = new Map<Key, T>();
+  return (key) => {
+    const value = known.get(key) ?? get(key);
+    known.set(key, value);
+    return value;
+  };
 }
--- a/packages/decisions/src/retry/RecentAnswers.ts
+++ b/packages/decisions/src/retry/RecentAnswers.ts
@@ -1,44 +1,52 @@
 import type { Millis } from '@camphorvane/core';
-
-/** Most requests whose successes are remembered, about a megabyte. */
-const MAX_ANSWERS = 5_000;
+import { isSharedDigest } from './sharedDigest.ts';
 
 /**
- * Milliseconds after a success in which crashes do not count against the same request. Callers that send the
- * same content, such as a popular lookup, would otherwise be blocked when many upstreams crash at once.
+ * Most answered traits that are remembered of each kind, about a megabyte. Whole requests are rarely repeated,
+ * and must not displace what many share.
  */
-const CLEARED_MS: Millis = 10_000;
+const MAX_ANSWERS = 5_000;
 
-/** The last success of a request. */
+/** Milliseconds by which answers that hosts pass on to each other seem later than they were. */
+const TRANSIT_MS: Millis = 1_000;
+
+/** The last complete answer to a request with a trait. */
 export interface RecentAnswer {
   readonly at: Millis;
   /** Whether this host received the answer. */
   readonly isOwn: boolean;
 }
 
-/** Remembers which requests succeeded lately, by the digest of their content. */
+/** Remembers with which traits requests were answered, the latest ones. */
 export class RecentAnswers {
-  private readonly answers = new Map<string, RecentAnswer>();
-
-  /** Records a success. */
-  record(key: string, at: Millis, isOwn: boolean): void {
-    const known = this.answers.get(key);
-    if (known !== undefined && known.at >= at) return;
-    this.answers.delete(key);
-    this.answers.set(key, { at, isOwn });
-    if (this.answers.size <= MAX_ANSWERS) return;
-    const oldest = this.answers.keys().next();
-    if (!oldest.done) this.answers.delete(oldest.value);
+  private readonly ofShared = new Map<string, RecentAnswer>();
+
+  private readonly ofRequests = new Map<string, RecentAnswer>();
+
+  /**
+   * Records a complete answer.
+   *
+   * @returns Whether it is later than the last one known, and not the same one passed on.
+   */
+  record(key: string, at: Millis, isOwn: boolean): boolean {
+    const answers = this.mapOf(key);
+    const known = answers.get(key);
+    if (known !== undefined && known.at >= at) return false;
+    answers.delete(key);
+    answers.set(key, { at, isOwn });
+    if (answers.size > MAX_ANSWERS) {
+      const oldest = answers.keys().next();
+      if (!oldest.done) answers.delete(oldest.value);
+    }
+    return known === undefined || at - known.at > TRANSIT_MS;
   }
 
-  /** Gets the last success of a request; undefined where none is remembered. */
+  /** Gets the last answer to a request with a trait; undefined where none is remembered. */
   get(key: string): RecentAnswer | undefined {
-    return this.answers.get(key);
+    return this.mapOf(key).get(key);
   }
 
-  /** Gets the time up to which crashes do not count against a request. */
-  getClearedUntil(key: string): Millis {
-    const answer = this.answers.get(key);
-    return answer === undefined ? -Infinity : answer.at + CLEARED_MS;
+  private mapOf(key: string): Map<string, RecentAnswer> {
+    return isSharedDigest(key) ? this.ofShared : this.ofRequests;
   }
 }
--- a/packages/decisions/src/retry/UpstreamSurvivals.ts
+++ b/packages/decisions/src/retry/UpstreamSurvivals.ts
@@ -1,5 +1,5 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
-import type { ReportAudience } from './CrashSuspects.ts';
+import type { ReportAudience } from './CrashReporter.ts';
 import type { SurvivalReport } from './CrashReport.ts';
 
 /** Milliseconds for which bytes that an upstream sent before its crash may still arrive. */
--- /dev/null
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CrashSuspects } from '@camphorvane/decisions';
+import type { CrashAdmission } from '@camphorvane/decisions';
+import * as fc from 'fast-check';
+
+const OPTIONS = { minUpstreams: 3, confirmMs: 1_000 };
+
+/** Records that requests with traits were running on an upstream when it crashed. */
+function crash(
+  suspects: CrashSuspects,
+  upstream: string,
+  at: number,
+  traits: readonly string[],
+): void {
+  traits.forEach((digest) => suspects.recordCrash({ digest, upstream, ageMs: 0 }, at));
+}
+
+/** Has requests with the same traits crash an upstream each, two seconds apart. */
+function crashes(suspects: CrashSuspects, count: number, traits: readonly string[]): number {
+  Array.from({ length: count }, (_, n) => crash(suspects, `u${n}`, n * 2_000, traits));
+  return count * 2_000;
+}
+
+function admit(
+  suspects: CrashSuspects,
+  id: string,
+  traits: readonly string[],
+  now: number,
+): CrashAdmission['type'] {
+  return suspects.admit({ id, traits }, now).type;
+}
+
+// Guards against requests that are all different and crash upstreams by a part that they share.
+test('a part of three crashed requests blocks others that have it', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 3, ['+bad']);
+  assert.equal(admit(suspects, 'r1', ['one', '+bad'], now), 'blocked');
+  assert.equal(admit(suspects, 'r2', ['two', '+other'], now), 'clear');
+});
+
+// Guards against sound requests that are refused for a part which all requests have, the crashing ones too.
+test('a complete answer to a request without the culprit clears the other parts', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 5, ['+common', '+bad']);
+  suspects.recordAnswer('+common', 4_500);
+  assert.equal(admit(suspects, 'r1', ['+common'], now), 'clear');
+  assert.equal(admit(suspects, 'r2', ['+common', '+bad'], now), 'blocked');
+});
+
+// Guards against a part that stays blocked since nothing with it runs any more that could clear it.
+test('of parts that were never seen apart, requests that lack one are let through one at a time', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+common', '+bad']);
+  assert.equal(admit(suspects, 'r0', ['+common', '+bad'], now), 'blocked');
+  assert.equal(admit(suspects, 'r1', ['+common'], now), 'trial');
+  assert.equal(admit(suspects, 'r1', ['+common'], now), 'trial');
+  assert.equal(admit(suspects, 'r2', ['+common'], now), 'blocked');
+  suspects.recordAnswer('+common', now + 500);
+  suspects.endTrial('r1', { state: 'ended' }, now + 500);
+  assert.equal(admit(suspects, 'r3', ['+common'], now + 500), 'clear');
+  assert.equal(admit(suspects, 'r4', ['+common', '+bad'], now + 500), 'blocked');
+});
+
+// Guards against trials of the culprit that go on without an end.
+test('a trial that crashes its upstream shows which part is the culprit', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+common', '+bad']);
+  const tried = [0, 1, 2, 3].filter((n) => {
+    const at = now + n * 3_000;
+    if (admit(suspects, `r${n}`, ['+bad'], at) !== 'trial') return false;
+    crash(suspects, `t${n}`, at + 50, ['+bad']);
+    suspects.endTrial(`r${n}`, { state: 'failed', upstream: `t${n}` }, at + 50);
+    return true;
+  });
+  assert.ok(tried.length <= 2, `${tried.length} trials`);
+  assert.equal(admit(suspects, 's', ['+common'], now + 20_000), 'clear');
+});
+
+// Guards against a second culprit that hides behind a part which has the crashes of both.
+test('each of two culprits beside the same sound part is blocked, and requests without them are tried', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  [...Array(8).keys()].forEach((n) =>
+    crash(suspects, `u${n}`, n * 1_000, ['+common', n % 2 === 0 ? '+bad' : '+worse']),
+  );
+  assert.equal(admit(suspects, 'r1', ['+common', '+bad'], 10_000), 'blocked');
+  assert.equal(admit(suspects, 'r2', ['+common', '+worse'], 10_000), 'blocked');
+  assert.equal(admit(suspects, 'r3', ['+common'], 10_000), 'trial');
+});
+
+// Guards against all requests with a popular part being refused for ten minutes after upstreams have crashed together.
+test('crashes of many upstreams at once block no part', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  [...Array(10).keys()].forEach((n) => crash(suspects, `u${n}`, n * 20, ['+new']));
+  assert.equal(admit(suspects, 'r1', ['+new'], 5_000), 'trial');
+  suspects.recordAnswer('+popular', 0);
+  [...Array(10).keys()].forEach((n) => crash(suspects, `u${n}`, 1_000 + n * 20, ['+popular']));
+  assert.equal(admit(suspects, 'r2', ['+popular'], 5_000), 'clear');
+});
+
+// Guards against ten minutes after which each host lets requests with the culprit through.
+test('after its block one request with a part is let through, over all hosts that hear of it', () => {
+  const [one, other] = [new CrashSuspects(OPTIONS), new CrashSuspects(OPTIONS)];
+  const now = crashes(one, 3, ['+bad']) + 600_000;
+  crashes(other, 3, ['+bad']);
+  assert.equal(admit(one, 'r1', ['+bad'], now), 'trial');
+  const { trials = [] } = one.getReports(now, 'peers');
+  trials.forEach((report) => other.receiveTrial(report, now + 100));
+  assert.equal(admit(other, 'r2', ['+bad'], now + 100), 'blocked');
+  crash(one, 't', now + 200, ['+bad']);
+  one.endTrial('r1', { state: 'failed', upstream: 't' }, now + 200);
+  assert.equal(admit(one, 'r3', ['+bad'], now + 10_000), 'blocked');
+});
+
+// Guards against an answer that only one host has seen.
+test('a host tells what it has answered once a peer reports a crash with it', () => {
+  const [one, other] = [new CrashSuspects(OPTIONS), new CrashSuspects(OPTIONS)];
+  one.recordAnswer('+rare', 0);
+  crashes(other, 4, ['+rare', '+bad']);
+  const { crashes: reports } = other.getReports(8_000, 'peers');
+  reports.forEach((report) => one.recordCrash(report, 8_000, 'peer'));
+  const { answers } = one.getReports(8_000, 'peers');
+  assert.deepEqual(answers, [{ digest: '+rare', ageMs: 8_000 }]);
+  answers.forEach(({ digest, ageMs }) => other.recordAnswer(digest, 8_000, ageMs));
+  assert.equal(admit(other, 'r', ['+rare'], 8_000), 'clear');
+});
+
+// Guards against a culprit that escapes, or sound parts that are held back, by what happens to run beside it.
+test('among random bystanders whose parts are answered, the culprit alone is blocked', () => {
+  const part = fc.nat(12).map((n) => `+p${n}`);
+  const engines = fc.array(fc.array(part, { maxLength: 20 }), { minLength: 5, maxLength: 12 });
+  fc.assert(
+    fc.property(engines, (beside) => {
+      const suspects = new CrashSuspects(OPTIONS);
+      beside.forEach((parts, n) => {
+        crash(suspects, `u${n}`, n * 1_500, [...new Set(parts), '+bad']);
+        new Set(parts).forEach((digest) => suspects.recordAnswer(digest, n * 1_500 + 700));
+      });
+      const now = beside.length * 1_500;
+      assert.equal(admit(suspects, 'bad', ['+p0', '+bad'], now), 'blocked');
+      const held = [...Array(13).keys()].filter(
+        (n) => admit(suspects, `s${n}`, [`+p${n}`], now) === 'blocked',
+      );
+      assert.deepEqual(held, []);
+    }),
+  );
+});
--- a/packages/peer/src/PeerLink.ts
+++ b/packages/peer/src/PeerLink.ts
@@ -3,6 +3,7 @@
   CrashReport,
   EngineObservation,
   ReservationEnd,
+  SuspicionReports,
   WorkItem,
 } from '@camphorvane/decisions';
 import type {
@@ -50,7 +51,13 @@
 /** A request from one host to another. */
 export type PeerRequest =
   | { readonly type: 'reserve'; readonly model: ModelId; readonly item: WorkItem }
-  | { readonly type: 'crashes'; readonly reports: readonly CrashReport[] }
+  | {
+      readonly type: 'crashes';
+      /** Crashes of whole requests. */
+      readonly reports: readonly CrashReport[];
+      /** What else is reported; absent from hosts of an earlier version, which don't read it either. */
+      readonly shared?: SuspicionReports;
+    }
   | { readonly type: 'config_version' }
   | { readonly type: 'config_root' }
   | { readonly type: 'config_chunk'; readonly digest: string }
--- a/packages/peer/tests/hints/suspicion.test.ts
+++ b/packages/peer/tests/hints/suspicion.test.ts
@@ -61,3 +61,48 @@
     assert.equal(decodeHint(Buffer.from(JSON.stringify(broken))), undefined);
   });
 });
+
+const SHARED: SuspicionReports = {
+  crashes: [...SUSPICION.crashes, { digest: '+part', upstream: 'd1@1700', ageMs: 40 }],
+  answers: [...SUSPICION.answers, { digest: '+other', ageMs: 7 }],
+  survivals: SUSPICION.survivals,
+  trials: [
+    { digest: 't1', ageMs: 90, state: 'running', upstream: undefined },
+    { digest: 't2', ageMs: 900, state: 'failed', upstream: 'd4' },
+  ],
+};
+
+test('reports on what requests share survive encoding and decoding', () => {
+  const hint = { ...HINT, suspicion: SHARED };
+  const digest = { ...DIGEST, suspicion: SHARED };
+  assert.deepEqual(decodeHint(encodeHint(hint)), hint);
+  assert.deepEqual(decodeDigest(encodeDigest(digest)), digest);
+});
+
+// Guards against hosts of an earlier version that take a part for a request with more crashes than others, and
+// let those run.
+test('hosts of an earlier version read nothing of what requests share', () => {
+  const plain = fieldsOf(encodeHint({ ...HINT, suspicion: SUSPICION })).at(-1);
+  const shared = fieldsOf(encodeHint({ ...HINT, suspicion: SHARED })).at(-1);
+  assert.deepEqual((shared as readonly unknown[]).slice(0, 3), plain);
+});
+
+test('malformed reports on what requests share make a message malformed', () => {
+  const fields = fieldsOf(encodeHint({ ...HINT, suspicion: SHARED }));
+  const trials = [
+    [7, 0, 0],
+    ['t', -1, 0],
+    ['t', 0, 3],
+    ['t', 0, 1, 7],
+  ];
+  const malformed = [
+    7,
+    [[['d1', -1, '+bad']]],
+    [[], [['+bad']]],
+    ...trials.map((row) => [[], [], [row]]),
+  ];
+  malformed.forEach((rows) => {
+    const broken = [...fields.slice(0, -1), [[], [], [], rows]];
+    assert.equal(decodeHint(Buffer.from(JSON.stringify(broken))), undefined);
+  });
+});
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -221,6 +221,7 @@
       }
       case 'crashes':
         this.crashGuard.receiveCrashes(req.reports);
+        if (req.shared !== undefined) this.crashGuard.receive(req.shared);
         return { type: 'ok' };
       case 'share_sync':
         return this.shares.handleSync(from, req.message);
--- a/packages/router/src/coordination/HostRecords.ts
+++ b/packages/router/src/coordination/HostRecords.ts
@@ -1,7 +1,7 @@
 import type { Clock, HostId, Incarnation } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
 import type { CrashReport, GossipTimings } from '@camphorvane/decisions';
-import { gossipTimings } from '@camphorvane/decisions';
+import { gossipTimings, isSharedDigest } from '@camphorvane/decisions';
 import type { StoredObject, WatchableStore } from '@camphorvane/store';
 import { SingleWriterObject } from '@camphorvane/store';
 import { eventLog } from '../observe/EventLog.ts';
@@ -54,8 +54,11 @@
   /** Writes the record of this host immediately. */
   async write(): Promise<void> {
     const { identity, incarnation, strength, clock, isLeaving } = this.options;
-    const crashes = this.options.getQuarantine();
-    const quarantine = crashes.length === 0 ? {} : { quarantine: { at: clock.wall(), crashes } };
+    const suspected = this.options.getQuarantine();
+    const shared = suspected.filter(({ digest }) => isSharedDigest(digest));
+    const crashes = suspected.filter(({ digest }) => !isSharedDigest(digest));
+    const stored = { at: clock.wall(), crashes, ...(shared.length === 0 ? {} : { shared }) };
+    const quarantine = suspected.length === 0 ? {} : { quarantine: stored };
     const host = { ...identity, incarnation, leaving: isLeaving(), strength };
     const record: HostRecord = { ...host, ...quarantine };
     // The heartbeat makes each write a change, by which peers see that this host is alive.
@@ -113,9 +116,9 @@
   private readQuarantine({ host, quarantine }: HostRecord): void {
     if (quarantine === undefined) return;
     const sinceMs = Math.max(0, this.options.clock.wall() - quarantine.at);
-    const { crashes } = quarantine;
+    const { crashes, shared = [] } = quarantine;
     this.options.onQuarantine(
-      crashes.map((crash) => ({ ...crash, ageMs: crash.ageMs + sinceMs })),
+      [...crashes, ...shared].map((crash) => ({ ...crash, ageMs: crash.ageMs + sinceMs })),
       host,
     );
   }
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -169,10 +169,7 @@
       refusalFor: (model) => reach.refusalFor(model),
     });
     this.crashGuard = new CrashGuard({
-      self: identity.host,
-      clock,
-      group: this,
-      metrics: options.metrics,
+      ...{ self: identity.host, clock, group: this, metrics: options.metrics },
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, confirmMs: CRASH_CONFIRM_MS },
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
@@ -181,6 +178,7 @@
       this.gossip.recordStateChange();
       if (isSuspect) void this.records.write();
     });
+    this.crashGuard.onNews(() => this.gossip.recordStateChange());
     const { config, hosts, rates, knowledge, signals } = this;
     const hintReceiver = new HintReceiver({
       ...{ clock, hosts, rates, config, knowledge, signals },
--- a/packages/router/src/coordination/hostRecord.ts
+++ b/packages/router/src/coordination/hostRecord.ts
@@ -20,7 +20,10 @@
 export interface StoredQuarantine {
   /** Wall time of the record, in milliseconds; the ages of the crashes count from it. */
   readonly at: Millis;
+  /** Crashes of whole requests. */
   readonly crashes: readonly CrashReport[];
+  /** Crashes of what requests share; apart, since hosts of an earlier version take all crashes for those of requests. */
+  readonly shared?: readonly CrashReport[];
 }
 
 /**
@@ -43,9 +46,9 @@
 /** Parses the quarantine of a record; undefined where it is missing or malformed. */
 function readQuarantine(value: unknown): StoredQuarantine | undefined {
   if (value === null || typeof value !== 'object') return undefined;
-  const { at, crashes } = value as Partial<StoredQuarantine>;
-  if (typeof at !== 'number' || !Array.isArray(crashes)) return undefined;
-  return { at, crashes: crashes.filter(isCrashReport) };
+  const { at, crashes, shared = [] } = value as Partial<StoredQuarantine>;
+  if (typeof at !== 'number' || !Array.isArray(crashes) || !Array.isArray(shared)) return undefined;
+  return { at, crashes: crashes.filter(isCrashReport), shared: shared.filter(isCrashReport) };
 }
 
 function isCrashReport(value: unknown): value is CrashReport {
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -29,6 +29,7 @@
   | 'upstream.withheld'
   | 'crashes.recorded'
   | 'crashes.blocked'
+  | 'crashes.tried'
   | 'crashes.withdrawn'
   | 'admission.refused'
   | 'admission.refused_while_idle'
@@ -42,7 +43,12 @@
 
 /** Names of all gauges. */
 export type GaugeName =
-  'engines' | 'engines.versions' | 'buffers.bytes' | 'reach.services' | 'host.loop_delay';
+  | 'engines'
+  | 'engines.versions'
+  | 'buffers.bytes'
+  | 'crashes.suspects'
+  | 'reach.services'
+  | 'host.loop_delay';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
--- a/packages/router/src/observe/explainRequest.ts
+++ b/packages/router/src/observe/explainRequest.ts
@@ -22,8 +22,12 @@
   'loop_on_time',
 ]);
 
-/** Events that tell why a request with the same content is refused, at whatever host and time. */
-const CRASH_EVENTS: ReadonlySet<string> = new Set(['crash_recorded', 'request_blocked']);
+/** Events that tell why requests with the same content, or the same part, are refused, at whatever host and time. */
+const CRASH_EVENTS: ReadonlySet<string> = new Set([
+  'crash_recorded',
+  'request_blocked',
+  'trial_started',
+]);
 
 /** Milliseconds before a request from which state events of its hosts are included. */
 const STATE_WINDOW_MS = 2_000;
@@ -32,7 +36,8 @@
  * Formats the timeline of a request from the logs of several hosts.
  *
  * State events, which are marked with `*`, are included from shortly before the request. For a request that
- * was running when upstreams crashed, the crashes under all requests with its content are included.
+ * was running when upstreams crashed, the crashes under all requests with its content are included, and for one
+ * that is refused for a part of its prompt those under all requests with that part.
  *
  * @param id - Id of the request, as its caller knows it.
  * @param lines - Log lines in any order; the last word before the JSON is the name of the host.
@@ -52,11 +57,11 @@
       line.t >= first.t - STATE_WINDOW_MS &&
       line.t <= last.t,
   );
-  const digests = new Set(requestLines.flatMap(({ fields }) => fields.digest ?? []));
+  const traits = new Set(requestLines.flatMap(traitsOf));
   const crashLines = logLines.filter(
     (line) =>
       CRASH_EVENTS.has(line.event) &&
-      digests.has(line.fields.digest ?? '') &&
+      traitsOf(line).some((trait) => traits.has(trait)) &&
       line.t <= last.t &&
       !requestLines.includes(line),
   );
@@ -65,6 +70,13 @@
     .map((line) => formatLine(line, first.t));
 }
 
+/** Gets the traits of requests that a line names: one's content, what it shares with others, or a combination. */
+function traitsOf({ fields }: LogLine): readonly string[] {
+  return [fields.digest, fields.trait, fields.traits]
+    .flatMap((names) => String(names ?? '').split(','))
+    .filter((name) => name !== '');
+}
+
 /** Tells whether a line is about a request, or about one of its attempts, which have a number after the id. */
 function isOf(id: string, { fields }: LogLine): boolean {
   const lineId = String(fields.id ?? '');
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -16,6 +16,7 @@
 import { CompletionAttempt } from './CompletionAttempt.ts';
 import type { CrashGuard } from './CrashGuard.ts';
 import type { CompletionProgress } from './CompletionProgress.ts';
+import { UNREAD_OUTCOME } from './attemptEnds.ts';
 import { budgetSpent, completionRefusal, enginesFailed } from './completionRefusals.ts';
 import { RateQueue } from './RateQueue.ts';
 import type { ResolvedCompletion, ServingEvent } from './resolvedCompletion.ts';
@@ -43,14 +44,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Return value of an attempt whose consumer stopped reading; it is never used. */
-const UNREAD_OUTCOME: AttemptOutcome = {
-  type: 'failed',
-  engine: '',
-  stage: 'decode',
-  error: { type: 'cancelled', dispatched: true, message: 'the consumer stopped reading' },
-};
-
 /** Options of a `CompletionHandler`. */
 export interface CompletionHandlerOptions extends AttemptDependencies {
   readonly self: HostId;
@@ -130,32 +123,36 @@
     pool: PoolConfig,
     progress: CompletionProgress,
   ): AsyncGenerator<ServingEvent> {
-    let attemptsLeft = MAX_COMPLETION_ATTEMPTS;
-    while (attemptsLeft > 0) {
-      attemptsLeft -= 1;
-      const placement = await this.reserveNext(completion, pool, progress);
-      if (placement.isErr()) {
-        yield {
-          type: 'refused',
-          refusal: completionRefusal(completion, progress, placement.error),
-        };
-        return;
-      }
-      const outcome = yield* this.runAttempt(completion, pool, progress, placement.value);
-      if (outcome.type !== 'failed') {
-        if (outcome.type === 'done' || isSuccessStatus(outcome.head.status)) {
-          this.options.crashGuard.recordSuccess(progress.traits.digest);
+    try {
+      let attemptsLeft = MAX_COMPLETION_ATTEMPTS;
+      while (attemptsLeft > 0) {
+        attemptsLeft -= 1;
+        const placement = await this.reserveNext(completion, pool, progress);
+        if (placement.isErr()) {
+          yield {
+            type: 'refused',
+            refusal: completionRefusal(completion, progress, placement.error),
+          };
+          return;
+        }
+        const outcome = yield* this.runAttempt(completion, pool, progress, placement.value);
+        if (outcome.type !== 'failed') {
+          if (outcome.type === 'done' || isSuccessStatus(outcome.head.status)) {
+            this.options.crashGuard.recordSuccess(guardedCompletion(completion, progress));
+          }
+          yield finalEvent(outcome, progress);
+          return;
+        }
+        const refusal = this.refusalAfter(completion, pool, progress, outcome);
+        if (refusal !== undefined) {
+          yield { type: 'refused', refusal: completionRefusal(completion, progress, refusal) };
+          return;
         }
-        yield finalEvent(outcome, progress);
-        return;
-      }
-      const refusal = this.refusalAfter(completion, pool, progress, outcome);
-      if (refusal !== undefined) {
-        yield { type: 'refused', refusal: completionRefusal(completion, progress, refusal) };
-        return;
       }
+      yield { type: 'refused', refusal: completionRefusal(completion, progress, enginesFailed()) };
+    } finally {
+      this.options.crashGuard.recordEnd(completion);
     }
-    yield { type: 'refused', refusal: completionRefusal(completion, progress, enginesFailed()) };
   }
 
   /** Reserves engines for the next attempt, unless the request has been quarantined, also while it waits. */
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -1,12 +1,15 @@
 import type { Clock, HostId, Millis, Refusal, RequestId, UpstreamId } from '@camphorvane/core';
 import { notRun, sha256Hex } from '@camphorvane/core';
-import { CrashSuspects } from '@camphorvane/decisions';
+import { CrashSuspects, isSharedDigest } from '@camphorvane/decisions';
 import type {
+  CrashAdmission,
   CrashReport,
   CrashSuspectsOptions,
   ReportAudience,
   ReportOrigin,
+  SuspectRequest,
   SuspicionReports,
+  TrialEnd,
 } from '@camphorvane/decisions';
 import type { PeerAddress, PeerLink } from '@camphorvane/peer';
 import type { UpstreamError } from '@camphorvane/upstream';
@@ -22,6 +25,9 @@
 /** Characters of a digest in the log; the digests of a day's requests differ in them. */
 const LOGGED_DIGEST_LENGTH = 16;
 
+/** Crashes from which on those of a shared trait are logged: each crash has all traits of what ran there. */
+const MIN_LOGGED_CRASHES = 2;
+
 const log = eventLog('crashes');
 
 /** Options of a `CrashGuard`. */
@@ -48,7 +54,7 @@
 }
 
 /**
- * Quarantines requests that crash the upstreams which run them.
+ * Keeps requests that crash upstreams away from them, and those that have in common with them what does so.
  *
  * Crashes are reported to all hosts of the group, so that a retry through another host is refused too.
  */
@@ -59,6 +65,8 @@
 
   private readonly listeners: ((isSuspect: boolean) => void)[] = [];
 
+  private readonly newsListeners: (() => void)[] = [];
+
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
     this.options = options;
@@ -81,16 +89,15 @@
    * @param request - The request.
    * @returns The refusal, or undefined where the request may run.
    */
-  refusalFor({ id, digest }: GuardedRequest): Refusal | undefined {
-    const now = this.options.clock.now();
-    const quarantineMs = this.suspects.getBlockedMs(digest, now);
-    if (quarantineMs === undefined) return undefined;
+  refusalFor(request: GuardedRequest): Refusal | undefined {
+    const admission = this.admit(request);
+    if (admission.type !== 'blocked') return undefined;
     this.options.metrics.count('crashes.blocked');
-    const crashes = this.suspects.countCrashes(digest, now);
-    const retryAfterMs = Math.round(quarantineMs);
-    log('request_blocked', { id, digest: shorten(digest), crashes, retryAfterMs });
-    const text = 'Several upstreams crashed while running this request; it is quarantined for now.';
-    return notRun('suspected_crasher', text, quarantineMs);
+    const { trait, crashes, isShared } = admission;
+    const retryAfterMs = Math.round(admission.retryAfterMs);
+    const { id, digest } = request;
+    log('request_blocked', { id, digest: shorten(digest), trait, crashes, retryAfterMs });
+    return notRun('suspected_crasher', refusalText(isShared), admission.retryAfterMs);
   }
 
   /**
@@ -103,10 +110,15 @@
   recordFailure(request: GuardedRequest, upstream: UpstreamId, error: UpstreamError): void {
     if (!mayHaveCrashed(error)) return;
     const process = this.processOf(upstream);
-    const report: CrashReport = { digest: request.digest, upstream: process, ageMs: 0 };
-    this.record(report, 'own', request);
-    this.reportToGroup([report]);
-    const isSuspect = this.guardFor(request).isBlocked();
+    const { traits } = toSuspect(request);
+    const crashes = traits.map((digest): CrashReport => ({ digest, upstream: process, ageMs: 0 }));
+    crashes.forEach((report) => this.record(report, 'own', request));
+    this.endTrial(request, { state: 'failed', upstream: process });
+    this.reportToGroup({ crashes, answers: [], survivals: [] });
+    const isSuspect = traits.some((digest) =>
+      this.suspects.isSuspect(digest, this.options.clock.now()),
+    );
+    this.updateGauge();
     this.listeners.forEach((recorded) => recorded(isSuspect));
   }
 
@@ -114,19 +126,33 @@
   guardFor(request: GuardedRequest): RequestGuard {
     return {
       recordFailure: (upstream, error) => this.recordFailure(request, upstream, error),
-      isBlocked: () => this.suspects.isSuspect(request.digest, this.options.clock.now()),
+      isBlocked: () => this.admit(request, 0).type === 'blocked',
     };
   }
 
-  /** Clears a request that got a complete answer. */
-  recordSuccess(digest: string): void {
-    this.suspects.recordAnswer(digest, this.options.clock.now());
+  /** Clears a request that got a complete answer, and what it shares with others. */
+  recordSuccess(request: GuardedRequest): void {
+    const now = this.options.clock.now();
+    const reported = toSuspect(request).traits.filter((digest) =>
+      this.suspects.recordAnswer(digest, now),
+    );
+    this.endTrial(request, { state: 'ended' });
+    if (reported.length === 0) return;
+    this.updateGauge();
+    const answers = reported.map((digest) => ({ digest, ageMs: 0 }));
+    this.reportToGroup({ crashes: [], answers, survivals: [] });
+    this.newsListeners.forEach((changed) => changed());
+  }
+
+  /** Ends the trial of a request that has ended in another way than by an answer or a crash. */
+  recordEnd(request: Pick<GuardedRequest, 'id'>): void {
+    this.endTrial(request, { state: 'ended' });
   }
 
   /** Tells a host that has joined the group of the requests that were running at several crashes. */
   informPeer(peer: PeerAddress): void {
-    const { crashes } = this.getReports('relayed');
-    if (crashes.length > 0) this.sendReports(peer, crashes);
+    const reports = this.getReports('relayed');
+    if (reports.crashes.length > 0) this.sendReports(peer, reports);
   }
 
   /** Records an answer of an upstream to any request: one that answers has not crashed a moment ago. */
@@ -139,14 +165,17 @@
   /** Records crashes that other hosts reported. */
   receiveCrashes(reports: readonly CrashReport[]): void {
     reports.forEach((report) => this.record(report, 'peer'));
+    if (reports.length > 0) this.updateGauge();
   }
 
   /** Records what other hosts reported. */
-  receive({ crashes, answers, survivals }: SuspicionReports): void {
+  receive({ crashes, answers, survivals, trials = [] }: SuspicionReports): void {
     const now = this.options.clock.now();
     survivals.forEach((report) => this.suspects.receiveSurvival(report, now));
     this.receiveCrashes(crashes);
     answers.forEach(({ digest, ageMs }) => this.suspects.recordAnswer(digest, now, ageMs));
+    trials.forEach((report) => this.suspects.receiveTrial(report, now));
+    if (answers.length > 0) this.updateGauge();
   }
 
   /** Records crashes that this host had stored; it goes on storing them. */
@@ -159,7 +188,7 @@
     return this.suspects.getReports(this.options.clock.now(), audience);
   }
 
-  /** Gets the crashes of requests to be quarantined, to be kept for hosts that start. */
+  /** Gets the crashes of traits to be quarantined, to be kept for hosts that start. */
   getQuarantine(): readonly CrashReport[] {
     return this.suspects.getSuspectReports(this.options.clock.now());
   }
@@ -169,9 +198,36 @@
     this.listeners.push(listener);
   }
 
-  /** Gets the number of suspected requests, for the state dump. */
+  /** Registers a listener for what peers should soon hear: an answer that clears a trait, or a trial. */
+  onNews(listener: () => void): void {
+    this.newsListeners.push(listener);
+  }
+
+  /** Gets the numbers of traits that are kept and that are suspected, for the state dump. */
   dump(): object {
-    return { suspected: this.suspects.size };
+    const { requests, shared } = this.suspects.countSuspects(this.options.clock.now());
+    return { suspected: this.suspects.size, requests, shared };
+  }
+
+  private admit(request: GuardedRequest, minAgeMs?: Millis): CrashAdmission {
+    const now = this.options.clock.now();
+    const admission = this.suspects.admit(toSuspect(request), now, minAgeMs);
+    if (admission.type !== 'trial' || !admission.isNew) return admission;
+    const { id, digest } = request;
+    this.options.metrics.count('crashes.tried');
+    log('trial_started', { id, digest: shorten(digest), traits: admission.traits.join() });
+    this.reportToGroup({
+      ...{ crashes: [], answers: [], survivals: [] },
+      trials: this.suspects.getReports(now, 'peers').trials,
+    });
+    this.newsListeners.forEach((changed) => changed());
+    return admission;
+  }
+
+  private endTrial({ id }: Pick<GuardedRequest, 'id'>, end: TrialEnd): void {
+    if (!this.suspects.endTrial(id, end, this.options.clock.now())) return;
+    log('trial_ended', { id, hasFailed: end.state === 'failed' });
+    this.newsListeners.forEach((changed) => changed());
   }
 
   /** Names the process that runs as an upstream. */
@@ -184,15 +240,24 @@
     const { clock, metrics } = this.options;
     const { digest, upstream: server } = report;
     if (!this.suspects.recordCrash(report, clock.now(), from)) return;
-    metrics.count('crashes.recorded', { from });
     const crashes = this.suspects.countCrashes(digest, clock.now());
+    const isShared = isSharedDigest(digest);
+    if (isShared && crashes < MIN_LOGGED_CRASHES) return;
+    if (!isShared) metrics.count('crashes.recorded', { from });
     const ageMs = Math.round(report.ageMs);
     const { id, shared } = request ?? {};
-    const owner = { id, digest: shorten(digest), shared: shared?.join() };
-    log('crash_recorded', { ...owner, server, from, ageMs, crashes });
+    const owner = isShared ? { id } : { id, shared: shared?.join() };
+    log('crash_recorded', { ...owner, digest: shorten(digest), server, from, ageMs, crashes });
+  }
+
+  private updateGauge(): void {
+    const { clock, metrics } = this.options;
+    const { requests, shared } = this.suspects.countSuspects(clock.now());
+    metrics.gauge('crashes.suspects', requests, { kind: 'request' });
+    metrics.gauge('crashes.suspects', shared, { kind: 'shared' });
   }
 
-  private reportToGroup(reports: readonly CrashReport[]): void {
+  private reportToGroup(reports: SuspicionReports): void {
     const { group, self } = this.options;
     group
       .members()
@@ -200,11 +265,26 @@
       .forEach(({ host, peerAddress: address }) => this.sendReports({ host, address }, reports));
   }
 
-  private sendReports(peer: PeerAddress, reports: readonly CrashReport[]): void {
-    void this.options.link?.ask(peer, { type: 'crashes', reports }, REPORT_TIMEOUT_MS);
+  private sendReports(peer: PeerAddress, { crashes, ...others }: SuspicionReports): void {
+    const reports = crashes.filter(({ digest }) => !isSharedDigest(digest));
+    const shared = {
+      ...others,
+      crashes: crashes.filter(({ digest }) => isSharedDigest(digest)),
+    };
+    void this.options.link?.ask(peer, { type: 'crashes', reports, shared }, REPORT_TIMEOUT_MS);
   }
 }
 
+function toSuspect({ id, digest, shared = [] }: GuardedRequest): SuspectRequest {
+  return { id, traits: [digest, ...shared] };
+}
+
+function refusalText(isShared: boolean): string {
+  return isShared
+    ? 'Several upstreams crashed while running requests with a part of this prompt; they are quarantined for now.'
+    : 'Several upstreams crashed while running this request; it is quarantined for now.';
+}
+
 function shorten(digest: string): string {
   return digest.slice(0, LOGGED_DIGEST_LENGTH);
 }
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -83,8 +83,13 @@
   }
 
   private async serveCharged(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
-    const quarantined = this.options.crashGuard.refusalFor(guardedCall(call));
+    const { crashGuard } = this.options;
+    const quarantined = crashGuard.refusalFor(guardedCall(call));
     if (quarantined !== undefined) return err(quarantined);
+    return this.serveAdmitted(call).finally(() => crashGuard.recordEnd(call));
+  }
+
+  private async serveAdmitted(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
     if (call.route.idempotent) return this.serveIdempotent(call);
     const { claims } = this.options;
     return claims === undefined || !call.policy.claimed
@@ -299,15 +304,15 @@
   ): void {
     const request = guardedCall(call);
     if (result.isErr()) this.options.crashGuard.recordFailure(request, server, result.error);
-    else if (isSuccess(result.value)) this.options.crashGuard.recordSuccess(request.digest);
+    else if (isSuccess(result.value)) this.options.crashGuard.recordSuccess(request);
   }
 
   private recordReachability(
     server: UpstreamId,
     result: Result<UpstreamResponse, UpstreamError>,
   ): void {
-    const { clock, admission } = this.options;
-    const { slowStart } = admission;
+    const { clock } = this.options;
+    const { slowStart } = this.options.admission;
     if (result.isOk()) slowStart.recordAnswer(server, clock.now());
     else if (hasFailedToConnect(result.error)) slowStart.recordUnreachable(server);
   }
--- a/packages/router/src/serving/attemptEnds.ts
+++ b/packages/router/src/serving/attemptEnds.ts
@@ -2,6 +2,14 @@
 import type { UpstreamError } from '@camphorvane/upstream';
 import type { AttemptOutcome } from './completionAttemptPlan.ts';
 
+/** Return value of an attempt whose consumer stopped reading; it is never used. */
+export const UNREAD_OUTCOME: AttemptOutcome = {
+  type: 'failed',
+  engine: '',
+  stage: 'decode',
+  error: { type: 'cancelled', dispatched: true, message: 'the consumer stopped reading' },
+};
+
 /**
  * Gets how an attempt ended, which the release of its reservation reports.
  *
--- a/packages/router/tests/coordination/sharedCrashes.test.ts
+++ b/packages/router/tests/coordination/sharedCrashes.test.ts
@@ -104,7 +104,7 @@
 test('a success at one host clears a request at all hosts', () =>
   withFleet(9, async (fleet) => {
     await quarantine(fleet);
-    fleet.hosts[7]?.coordination.crashGuard.recordSuccess(POISON.digest);
+    fleet.hosts[7]?.coordination.crashGuard.recordSuccess(POISON);
     await fleet.clock.advance(1_000);
     assert.equal(countRefusing(fleet), 0);
   }));
--- a/packages/router/tests/observe/explainRequest.test.ts
+++ b/packages/router/tests/observe/explainRequest.test.ts
@@ -50,6 +50,20 @@
   assert.match(timeline[0] ?? '', /-8000 ms \* h2 crashes\.crash_recorded digest=ab server=e1/);
 });
 
+// Guards against a request that is refused for a part of its prompt, and whose timeline shows no crash.
+test('the timeline of a request shows the crashes under requests with the part it is refused for', () => {
+  const timeline = explainRequest('r9', [
+    'h2 {"t":1000,"part":"crashes","event":"crash_recorded","id":"r1","digest":"+p","server":"e1"}',
+    'h3 {"t":1200,"part":"crashes","event":"crash_recorded","id":"r2","digest":"cd","server":"e1"}',
+    'h2 {"t":1500,"part":"crashes","event":"trial_started","id":"r3","digest":"ef","traits":"+o,+p"}',
+    'h1 {"t":9000,"part":"request","event":"accepted","id":"r9"}',
+    'h1 {"t":9001,"part":"crashes","event":"request_blocked","id":"r9","digest":"ab","trait":"+p"}',
+  ]);
+  assert.equal(timeline.length, 4);
+  assert.match(timeline[0] ?? '', /-8000 ms \* h2 crashes\.crash_recorded digest=\+p server=e1/);
+  assert.match(timeline[1] ?? '', /h2 crashes\.trial_started/);
+});
+
 // Guards against a timeline that hides why a request was served by way of another host, or that it was.
 test('the timeline of a request that went over a peer shows both hosts, and which links were lost', () => {
   const lines = [
--- a/packages/router/tests/serving/quarantine.test.ts
+++ b/packages/router/tests/serving/quarantine.test.ts
@@ -1,10 +1,18 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
+import type { DeclaredWork } from '@camphorvane/caller';
 import { sleep, SystemClock } from '@camphorvane/core';
+import { isSharedDigest } from '@camphorvane/decisions';
 import type { UpstreamError } from '@camphorvane/upstream';
 import { errAsync, ok, okAsync, ResultAsync } from 'neverthrow';
 import type { CallScript, DecodeScript } from '../support/ForwardFleet.ts';
-import { answerEnding, failingStream, ForwardFleet } from '../support/ForwardFleet.ts';
+import {
+  answeredCall,
+  answerEnding,
+  completeStream,
+  failingStream,
+  ForwardFleet,
+} from '../support/ForwardFleet.ts';
 
 after(() => ForwardFleet.stopAll());
 
@@ -156,3 +164,56 @@
   assert.equal(answerEnding(await fleet.send('/safe/x')), 'upstream_failed unknown');
   assert.equal(fleet.calls.length, 1);
 });
+
+/** Gets the work of a request whose prompt has parts, the last one its own. */
+function workOf(...ids: readonly string[]): DeclaredWork {
+  const parts = ids.map((id) => ({ id, tokens: 10 }));
+  return { promptTokens: 100, maxTokens: 50, parts, lastPosition: undefined };
+}
+
+/** Sends a request that is like no other but for the parts of its prompt. */
+async function sendWithParts(
+  fleet: ForwardFleet,
+  n: number,
+  ...ids: readonly string[]
+): Promise<string> {
+  const work = workOf(...ids, `own${n}`);
+  return answerEnding(await fleet.send(`/llm/${n}`, { body: Buffer.from(`body ${n}`), work }));
+}
+
+// Guards against requests that are told from each other by their content alone, while a part of their prompts crashes
+// one engine after the other; a first event of such a stream shows nothing.
+test('requests with a part that crashed engines get no engine, and others do', async () => {
+  const crash = failingStream(1, CRASHED);
+  const script: DecodeScript = (cmd, signal) => {
+    const isBad = cmd.prompt?.parts.some(({ id }) => id === 'bad') === true;
+    return isBad ? crash(cmd, signal) : completeStream(cmd);
+  };
+  const fleet = new ForwardFleet({ decodeScripts: { d1: script, d2: script } });
+  await sendWithParts(fleet, 1, 'bad');
+  const { crashes } = fleet.crashGuard.getReports('relayed');
+  const { digest = '' } = crashes.find((report) => isSharedDigest(report.digest)) ?? {};
+  const reports = [9_000, 6_000].map((ageMs) => ({ digest, upstream: `x${ageMs}`, ageMs }));
+  fleet.crashGuard.receiveCrashes(reports);
+  const sent = fleet.prefills.length;
+  assert.equal(await sendWithParts(fleet, 2, 'common', 'bad'), 'suspected_crasher not_run');
+  assert.equal(fleet.prefills.length, sent);
+  assert.equal(await sendWithParts(fleet, 3, 'common', 'good'), 'done');
+  assert.equal(await sendWithParts(fleet, 4, 'common'), 'done');
+});
+
+// Guards against traits of plain calls that nobody counts.
+test('a plain call with a part that crashed servers is not sent', async () => {
+  const script: CallScript = (call) =>
+    call.path === '/safe/bad' ? errAsync(CRASHED) : answeredCall();
+  const fleet = new ForwardFleet({ callScripts: { s1: script, s2: script } });
+  await fleet.send('/safe/bad', { work: workOf('bad', 'own') });
+  const { crashes } = fleet.crashGuard.getReports('relayed');
+  const { digest = '' } = crashes.find((report) => isSharedDigest(report.digest)) ?? {};
+  const reports = [9_000, 6_000].map((ageMs) => ({ digest, upstream: `x${ageMs}`, ageMs }));
+  fleet.crashGuard.receiveCrashes(reports);
+  const send = async (path: string, part: string): Promise<string> =>
+    answerEnding(await fleet.send(path, { work: workOf(part, 'own') }));
+  assert.equal(await send('/safe/x', 'bad'), 'suspected_crasher not_run');
+  assert.equal(await send('/safe/x', 'good'), 'done');
+});
--- a/packages/router/tests/support/CrashWorld.ts
+++ b/packages/router/tests/support/CrashWorld.ts
@@ -26,6 +26,14 @@
   readonly wasSent: boolean;
 }
 
+/** A request on its way to an engine. */
+export interface WorldSend {
+  readonly id: string;
+  /** Name of the host that sent it. */
+  readonly host: string;
+  readonly at: Millis;
+}
+
 interface Run {
   readonly host: StoreHost;
   readonly request: WorldRequest;
@@ -46,7 +54,7 @@
   readonly crashes = new Map<string, Millis[]>();
 
   /** Times at which requests with each trait were sent to an engine. */
-  readonly sends = new Map<string, { readonly id: string; readonly at: Millis }[]>();
+  readonly sends = new Map<string, readonly WorldSend[]>();
 
   private readonly engines: readonly Engine[];
 
@@ -76,10 +84,23 @@
     if (isAdmitted) this.run({ host, request, attempt: 1 });
   }
 
-  /** Counts the requests with a trait that were sent later than a time after the fifth crash by it. */
-  countLate(trait: string, afterMs: Millis): number {
+  /**
+   * Counts the requests with a trait that were sent later than a time after the fifth crash by it.
+   *
+   * @param trait - The trait.
+   * @param afterMs - Milliseconds after the fifth crash.
+   * @param isCounted - Tells which requests count; by default all.
+   * @returns Their number.
+   */
+  countLate(
+    trait: string,
+    afterMs: Millis,
+    isCounted = (_send: WorldSend): boolean => true,
+  ): number {
     const fifth = this.crashes.get(trait)?.[4] ?? Infinity;
-    const late = (this.sends.get(trait) ?? []).filter(({ at }) => at > fifth + afterMs);
+    const late = (this.sends.get(trait) ?? [])
+      .filter(({ at }) => at > fifth + afterMs)
+      .filter(isCounted);
     return new Set(late.map(({ id }) => id)).size;
   }
 
@@ -94,7 +115,10 @@
   private run(run: Run): void {
     const up = this.engines.filter(({ isUp }) => isUp);
     const engine = up[this.random.int(0, up.length - 1)];
-    if (engine === undefined) return;
+    if (engine === undefined) {
+      run.host.coordination.crashGuard.recordEnd(run.request);
+      return;
+    }
     const { host, request } = run;
     const { clock } = this.fleet;
     const { process } = engine;
@@ -103,7 +127,7 @@
     engine.runs.add(run);
     culprits.forEach((trait) => {
       const sends = this.sends.get(trait) ?? [];
-      this.sends.set(trait, [...sends, { id: request.id, at: clock.now() }]);
+      this.sends.set(trait, [...sends, { id: request.id, host: host.name, at: clock.now() }]);
     });
     const isRunning = (): boolean => engine.process === process && engine.runs.has(run);
     clock.after(culprits.length > 0 ? CRASH_MS : ANSWER_MS, () => {
@@ -113,7 +137,7 @@
         return;
       }
       engine.runs.delete(run);
-      crashGuard.recordSuccess(request.digest);
+      crashGuard.recordSuccess(request);
     });
   }
 
@@ -131,6 +155,7 @@
       crashGuard.recordFailure(run.request, name, CRASHED);
       const mayRetry = run.attempt < MAX_ATTEMPTS && !crashGuard.guardFor(run.request).isBlocked();
       if (mayRetry) this.run({ ...run, attempt: run.attempt + 1 });
+      else crashGuard.recordEnd(run.request);
     });
   }
 
