Withdraw a crash only by a sign of life that belongs to the process

Cause: a probe of the crashed engine's id reached the next process at its address, and any answer within a second of the break withdrew the crash. A sign of life belongs to a process, not to an address.

Answers carry what they tell of their process: a load report names its start, which has to be the one that is known, and counts if it was asked for after the break; an answer on a connection older than the break counts; an answer of a plain server counts where the call named its id, as before. Other answers of engines, prefills and errors among them, tell nothing. The log line names which it was.

Not done: engines that crash in turn are still taken for lost links, the second half of the issue.

--- a/packages/core/src/LoadReport.ts
+++ b/packages/core/src/LoadReport.ts
@@ -1,3 +1,4 @@
+import type { Millis } from './Clock.ts';
 import type { AttemptId } from './ids.ts';
 import type { Pieces } from './tokens.ts';
 
@@ -12,4 +13,6 @@
   readonly attempts: readonly AttemptId[];
   /** Orders accepted since the engine's start; absent where the engine does not report it. */
   readonly ordersTaken?: number;
+  /** Start of the engine's process, as it tells it itself; absent where it doesn't. */
+  readonly startedAt?: Millis;
 }
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -1,4 +1,4 @@
-import type { Millis, RequestId, UpstreamId } from '@camphorvane/core';
+import type { AnswerOrigin, Millis, RequestId, UpstreamId } from '@camphorvane/core';
 import { sha256Hex } from '@camphorvane/core';
 import type { CrashReport, SurvivalReport, SuspicionReports, TrialReport } from './CrashReport.ts';
 import { CrashRecords } from './CrashRecords.ts';
@@ -10,6 +10,7 @@
 import { isSuspected, judgeTrait } from './judgeTraits.ts';
 import type { CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
+import type { SignOfLife } from './UpstreamSurvivals.ts';
 
 /** Limits of a {@link CrashSuspects}. */
 export interface CrashSuspectsOptions {
@@ -144,15 +145,13 @@
     return true;
   }
 
-  /**
-   * Records an answer of an upstream to any request, which may show that it has not crashed.
-   *
-   * @param upstream - The upstream.
-   * @param now - Present time.
-   * @returns Whether crashes of it were withdrawn.
-   */
-  recordSignOfLife(upstream: UpstreamId, now: Millis): boolean {
-    return this.records.survivals.recordAnswer(upstream, now);
+  /** Records an answer of an upstream to any request; see {@link UpstreamSurvivals.recordAnswer}. */
+  recordSignOfLife(
+    upstream: UpstreamId,
+    now: Millis,
+    origin: AnswerOrigin,
+  ): SignOfLife | undefined {
+    return this.records.survivals.recordAnswer(upstream, now, origin);
   }
 
   /** Withdraws the crashes of an upstream that a peer found alive. */
--- a/packages/decisions/src/retry/UpstreamSurvivals.ts
+++ b/packages/decisions/src/retry/UpstreamSurvivals.ts
@@ -1,11 +1,11 @@
-import type { Millis, UpstreamId } from '@camphorvane/core';
+import type { AnswerOrigin, Millis, UpstreamId } from '@camphorvane/core';
 import type { ReportAudience } from './CrashReporter.ts';
 import type { SurvivalReport } from './CrashReport.ts';
 
 /** Milliseconds for which bytes that an upstream sent before its crash may still arrive. */
 const IN_FLIGHT_MS: Millis = 200;
 
-/** Milliseconds after a crash in which no other process answers under the name of the upstream. */
+/** Milliseconds after a crash in which no other process answers under the id of the upstream. */
 const MIN_RESTART_MS: Millis = 1_000;
 
 /** Milliseconds for which a survival is in every report. */
@@ -21,11 +21,15 @@
   readonly isOwn: boolean;
 }
 
+/** What shows that a process has not crashed: its own word, an older connection to it, or its id. */
+export type SignOfLife = 'process' | 'connection' | 'id';
+
 /**
- * Tells crashes of upstreams from connections that broke off for another reason.
+ * Tells crashes of upstreams from connections that broke off for another reason: an upstream resets connections
+ * beyond its limit, and links fail.
  *
- * An upstream resets connections beyond its limit, and links fail. One that answers a moment later is the same
- * process, since a restart takes longer.
+ * A sign of life belongs to a process, never to an address: the next process there may answer while the entry of
+ * the one that crashed is still listed.
  */
 export class UpstreamSurvivals {
   private readonly suspectedAt = new Map<UpstreamId, Millis>();
@@ -42,17 +46,21 @@
   /**
    * Records an answer of an upstream.
    *
-   * @param upstream - The upstream.
+   * @param upstream - The process, or the upstream where its process is not known.
    * @param now - Present time.
-   * @returns Whether it shows that the upstream has not crashed when its connection broke off.
+   * @param origin - What the answer tells of the process that gave it.
+   * @returns What shows that it has not crashed when its connection broke off; undefined where nothing does.
    */
-  recordAnswer(upstream: UpstreamId, now: Millis): boolean {
+  recordAnswer(upstream: UpstreamId, now: Millis, origin: AnswerOrigin): SignOfLife | undefined {
     const at = this.suspectedAt.get(upstream);
-    if (at === undefined || now - at < IN_FLIGHT_MS) return false;
+    if (at === undefined) return undefined;
+    const { askedAt } = origin;
+    const by = signOfLife(origin, at, now);
+    if (by === undefined) return undefined;
     this.suspectedAt.delete(upstream);
-    if (now - at >= MIN_RESTART_MS) return false;
-    this.set(upstream, { until: now - IN_FLIGHT_MS, learnedAt: now, isOwn: true });
-    return true;
+    const until = by === 'process' ? askedAt : now - IN_FLIGHT_MS;
+    this.set(upstream, { until, learnedAt: now, isOwn: true });
+    return by;
   }
 
   /** Records what a peer reported. */
@@ -82,6 +90,14 @@
   }
 }
 
+/** Gets what shows that a process whose connection broke off at a time goes on after it. */
+function signOfLife(origin: AnswerOrigin, at: Millis, now: Millis): SignOfLife | undefined {
+  if (origin.type === 'process' && origin.askedAt >= at) return 'process';
+  if (now - at < IN_FLIGHT_MS || now - at >= MIN_RESTART_MS) return undefined;
+  if (origin.askedAt < at) return 'connection';
+  return origin.type === 'id' ? 'id' : undefined;
+}
+
 function dropOldest<T>(entries: Map<UpstreamId, T>): void {
   if (entries.size <= MAX_UPSTREAMS) return;
   const oldest = entries.keys().next();
--- a/packages/decisions/tests/retry/CrashSuspects.test.ts
+++ b/packages/decisions/tests/retry/CrashSuspects.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { AnswerOrigin } from '@camphorvane/core';
 import { CrashSuspects } from '@camphorvane/decisions';
 import * as fc from 'fast-check';
 
@@ -12,6 +13,11 @@
   );
 }
 
+/** Gets what an answer tells of its process that doesn't name its start. */
+function answerOf(type: 'id' | 'address', askedAt: number): AnswerOrigin {
+  return { type, askedAt };
+}
+
 test('blocks a request that crashed two engines, on every host that gets the reports', () => {
   // Guards against a prompt that crashes each engine that runs it while its caller retries through
   // other hosts: each retry would fail one more engine with all its streams.
@@ -122,9 +128,9 @@
   own.getReports(150, 'peers').crashes.forEach((one) => peer.recordCrash(one, 150, 'peer'));
   assert.notEqual(peer.getBlockedMs('r', 150), undefined);
   // What arrives at once may have been sent before the crash, and a second later another process answers.
-  assert.equal(own.recordSignOfLife('s2', 250), false);
-  assert.equal(own.recordSignOfLife('s1', 1_000), false);
-  assert.equal(own.recordSignOfLife('s2', 350), true);
+  assert.equal(own.recordSignOfLife('s2', 250, answerOf('id', 250)), undefined);
+  assert.equal(own.recordSignOfLife('s1', 1_000, answerOf('id', 1_000)), undefined);
+  assert.equal(own.recordSignOfLife('s2', 350, answerOf('id', 340)), 'id');
   assert.equal(own.getBlockedMs('r', 350), undefined);
   own.getReports(350, 'peers').survivals.forEach((one) => peer.receiveSurvival(one, 350));
   assert.equal(peer.getBlockedMs('r', 350), undefined);
@@ -148,7 +154,7 @@
   assert.equal(suspects.getBlockedMs('r', 1_000), undefined);
   assert.equal(suspects.isSuspect('r', 100), true);
   assert.equal(suspects.getBlockedMs('r', 1_100), BLOCK_MS - 1_000);
-  assert.equal(suspects.recordSignOfLife('d2', 900), true);
+  assert.equal(suspects.recordSignOfLife('d2', 900, answerOf('id', 890)), 'id');
   assert.equal(suspects.getBlockedMs('r', 1_100), undefined);
   assert.equal(suspects.isSuspect('r', 1_100), false);
 });
@@ -162,3 +168,29 @@
   record(suspects, 'r', { d3: BLOCK_MS });
   assert.equal(suspects.isSuspect('r', BLOCK_MS), true);
 });
+
+// Guards against a crash that is withdrawn since the next process at the address answers a probe of the one before.
+test('an answer at the address of a crashed process is no sign of its life', () => {
+  const suspects = new CrashSuspects({ minUpstreams: 2 });
+  record(suspects, 'bad', { 'd1@1000': 0, 'd2@1000': 100 });
+  assert.equal(suspects.recordSignOfLife('d1@1000', 600, answerOf('address', 590)), undefined);
+  const next: AnswerOrigin = { type: 'process', startedAt: 1_500, askedAt: 590 };
+  assert.equal(suspects.recordSignOfLife('d1@1500', 600, next), undefined);
+  assert.notEqual(suspects.getBlockedMs('bad', 1_200), undefined);
+});
+
+// Guards against blocking a request whose connections were reset by engines that go on.
+test('an engine that names its process, or answers on an older connection, has not crashed', () => {
+  const suspects = new CrashSuspects({ minUpstreams: 1 });
+  record(suspects, 'r', { 'd1@1000': 0, 'd2@1000': 0 });
+  const before: AnswerOrigin = { type: 'process', startedAt: 1_000, askedAt: -5 };
+  assert.equal(suspects.recordSignOfLife('d1@1000', 5, before), undefined);
+  const after: AnswerOrigin = { ...before, askedAt: 5 };
+  assert.equal(suspects.recordSignOfLife('d1@1000', 10, after), 'process');
+  assert.notEqual(suspects.getBlockedMs('r', 300), undefined);
+  assert.equal(
+    suspects.recordSignOfLife('d2@1000', 300, answerOf('address', -1_000)),
+    'connection',
+  );
+  assert.equal(suspects.getBlockedMs('r', 300), undefined);
+});
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -173,7 +173,7 @@
       suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, confirmMs: CRASH_CONFIRM_MS },
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
-    this.signals.onAnswer((upstream) => this.crashGuard.recordSignOfLife(upstream));
+    this.signals.onAnswer((upstream, origin) => this.crashGuard.recordSignOfLife(upstream, origin));
     this.crashGuard.onCrash((isSuspect) => {
       this.gossip.recordStateChange();
       if (isSuspect) void this.records.write();
--- a/packages/router/src/host/UpstreamSignalRecorder.ts
+++ b/packages/router/src/host/UpstreamSignalRecorder.ts
@@ -1,4 +1,4 @@
-import type { Clock, UpstreamId, UpstreamSignals } from '@camphorvane/core';
+import type { AnswerOrigin, Clock, UpstreamId, UpstreamSignals } from '@camphorvane/core';
 import type { ConstraintChange, UpstreamConstraints, UpstreamReport } from '@camphorvane/decisions';
 import { eventLog } from '../observe/EventLog.ts';
 import type { UpstreamWatch } from './ports.ts';
@@ -16,7 +16,7 @@
 
   private readonly listeners: (() => void)[] = [];
 
-  private readonly answerListeners: ((upstream: UpstreamId) => void)[] = [];
+  private readonly answerListeners: ((upstream: UpstreamId, origin: AnswerOrigin) => void)[] = [];
 
   /**
    * @param constraints - Decides by what is recorded.
@@ -34,14 +34,16 @@
     this.listeners.push(listener);
   }
 
-  /** Registers a listener for each answer of an upstream. */
-  onAnswer(listener: (upstream: UpstreamId) => void): void {
+  /** Registers a listener for each answer of an upstream that tells what process gave it. */
+  onAnswer(listener: (upstream: UpstreamId, origin: AnswerOrigin) => void): void {
     this.answerListeners.push(listener);
   }
 
   /** Records the signals of an answer. */
   record(upstream: UpstreamId, signals: UpstreamSignals): void {
-    this.answerListeners.forEach((answered) => answered(upstream));
+    const { origin } = signals;
+    if (origin !== undefined)
+      this.answerListeners.forEach((answered) => answered(upstream, origin));
     this.apply(this.constraints.record(upstream, signals, this.clock.now()));
   }
 
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -1,4 +1,12 @@
-import type { Clock, HostId, Millis, Refusal, RequestId, UpstreamId } from '@camphorvane/core';
+import type {
+  AnswerOrigin,
+  Clock,
+  HostId,
+  Millis,
+  Refusal,
+  RequestId,
+  UpstreamId,
+} from '@camphorvane/core';
 import { notRun, sha256Hex } from '@camphorvane/core';
 import { CrashSuspects, isSharedDigest } from '@camphorvane/decisions';
 import type {
@@ -155,11 +163,21 @@
     if (reports.crashes.length > 0) this.sendReports(peer, reports);
   }
 
-  /** Records an answer of an upstream to any request: one that answers has not crashed a moment ago. */
-  recordSignOfLife(upstream: UpstreamId): void {
-    if (!this.suspects.recordSignOfLife(this.processOf(upstream), this.options.clock.now())) return;
+  /**
+   * Records an answer of an upstream to any request: a process that answers has not crashed a moment ago.
+   *
+   * @param upstream - The upstream that was asked.
+   * @param origin - What the answer tells of the process that gave it.
+   */
+  recordSignOfLife(upstream: UpstreamId, origin: AnswerOrigin): void {
+    const server =
+      origin.type === 'process'
+        ? processName(upstream, origin.startedAt)
+        : this.processOf(upstream);
+    const by = this.suspects.recordSignOfLife(server, this.options.clock.now(), origin);
+    if (by === undefined) return;
     this.options.metrics.count('crashes.withdrawn');
-    log('crash_withdrawn', { server: upstream });
+    log('crash_withdrawn', { server, by });
   }
 
   /** Records crashes that other hosts reported. */
@@ -233,7 +251,7 @@
   /** Names the process that runs as an upstream. */
   private processOf(upstream: UpstreamId): string {
     const startedAt = this.options.getStartTime?.(upstream);
-    return startedAt === undefined ? upstream : `${upstream}@${startedAt}`;
+    return startedAt === undefined ? upstream : processName(upstream, startedAt);
   }
 
   private record(report: CrashReport, from: ReportOrigin, request?: GuardedRequest): void {
@@ -279,6 +297,10 @@
   return { id, traits: [digest, ...shared] };
 }
 
+function processName(upstream: UpstreamId, startedAt: Millis): string {
+  return `${upstream}@${startedAt}`;
+}
+
 function refusalText(isShared: boolean): string {
   return isShared
     ? 'Several upstreams crashed while running requests with a part of this prompt; they are quarantined for now.'
