Play prompts that begin alike and crash engines in a scenario of the product's own interface

Different requests of one team whose text prompts go on alike after the text that all of its prompts share; a new field 'opening' of loads fills the 1,024 characters after the shared ones.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -139,8 +139,9 @@
    */
   recordAnswer(digest: string, now: Millis, ageMs?: Millis): boolean {
     const key = toKey(digest);
+    const clears = this.records.has(key) && this.records.getCrashes(key, now).size > 0;
     const isNew = this.records.answers.record(key, now - (ageMs ?? 0), ageMs === undefined);
-    if (!isNew || !this.records.has(key)) return false;
+    if (!isNew || !clears) return false;
     this.reporter.recordAnswer(key, now);
     return true;
   }
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -36,6 +36,9 @@
 /** Crashes from which on those of a shared trait are logged: each crash has all traits of what ran there. */
 const MIN_LOGGED_CRASHES = 2;
 
+/** Milliseconds between two updates of the gauge, each of which judges all traits with several crashes. */
+const GAUGE_INTERVAL_MS: Millis = 1_000;
+
 const log = eventLog('crashes');
 
 /** Options of a `CrashGuard`. */
@@ -75,6 +78,8 @@
 
   private readonly newsListeners: (() => void)[] = [];
 
+  private gaugeUpdatedAt: Millis = -Infinity;
+
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
     this.options = options;
@@ -270,6 +275,8 @@
 
   private updateGauge(): void {
     const { clock, metrics } = this.options;
+    if (clock.now() - this.gaugeUpdatedAt < GAUGE_INTERVAL_MS) return;
+    this.gaugeUpdatedAt = clock.now();
     const { requests, shared } = this.suspects.countSuspects(clock.now());
     metrics.gauge('crashes.suspects', requests, { kind: 'request' });
     metrics.gauge('crashes.suspects', shared, { kind: 'shared' });
--- a/packages/scenario/src/callers/plannedRequest.ts
+++ b/packages/scenario/src/callers/plannedRequest.ts
@@ -5,6 +5,9 @@
 
 const CHARS_PER_TOKEN = 4;
 
+/** Tokens of the text that prompts with the same opening have in common. */
+const OPENING_TOKENS = 256;
+
 function filler(seed: string, tokens: number): string {
   const chars = Math.max(0, tokens * CHARS_PER_TOKEN);
   return `${seed} `.repeat(Math.ceil(chars / (seed.length + 1))).slice(0, chars);
@@ -27,7 +30,8 @@
  * @returns The request with the answer that is expected.
  */
 export function plannedRequest(id: string, work: LoadStep): PlannedRequest {
-  const shared = sharedPart(work.team, work.shared_tokens);
+  const opening = work.opening === '' ? '' : filler(work.opening, OPENING_TOKENS);
+  const shared = sharedPart(work.team, work.shared_tokens) + opening;
   const content = work.content ?? id;
   const own = `${markOf(content)} ${work.text} #tokens=${work.output_tokens} `;
   const length = work.prompt_tokens * CHARS_PER_TOKEN - shared.length - own.length;
--- a/packages/scenario/src/language/scenarioSchema.ts
+++ b/packages/scenario/src/language/scenarioSchema.ts
@@ -75,6 +75,8 @@
   max_tokens: z.number().int().min(1).max(10_000).optional(),
   /** A text put into the prompt or body; poison, for example. */
   text: z.string().default(''),
+  /** A text that fills the 1,024 characters after the shared ones, so that prompts with it begin alike. */
+  opening: z.string().default(''),
   /** Requests with the same name here have the same content; else each one differs from all others. */
   content: name.optional(),
   /** A host that all of it goes to; else callers follow the advice. */
