Let one repeated request, or a rare part, explain the crashes of parts that all requests have

No sound stream had been answered since the crashes began, so the two parts that all streams have were at each crash, as many as the culprit had or more, and crashes of several causes added up.

Cause: presence at a crash was worth the same for a part that is on every engine all the time as for one request, which is hardly at several crashes by chance.

--- a/packages/decisions/src/retry/CrashRecords.ts
+++ b/packages/decisions/src/retry/CrashRecords.ts
@@ -2,6 +2,7 @@
 import type { CrashReport } from './CrashReport.ts';
 import type { TraitRecord } from './judgeTraits.ts';
 import { SAME_CRASH_MS } from './judgeTraits.ts';
+import { DecayingSums } from '../structures/DecayingSums.ts';
 import { RecentAnswers } from './RecentAnswers.ts';
 import { isSharedDigest } from './sharedDigest.ts';
 import { UpstreamSurvivals } from './UpstreamSurvivals.ts';
@@ -15,6 +16,12 @@
 /** Crashes from which on a trait is repeated, and reported until they expire: hosts that start or return need them. */
 const MIN_REPEATED_CRASHES = 2;
 
+/** Time constant in which the requests of callers are forgotten, in milliseconds. */
+const ARRIVAL_DECAY_MS: Millis = 10_000;
+
+/** Requests between two removals of traits that nobody asks for any more. */
+const ARRIVALS_PER_PRUNE = 1_000;
+
 /** A crash of an upstream that ran a request with a trait. */
 export interface Crash {
   readonly at: Millis;
@@ -38,6 +45,9 @@
 
   readonly survivals = new UpstreamSurvivals();
 
+  /** Requests that callers have sent lately, by shared trait. */
+  private readonly arrivals = new DecayingSums<string>(ARRIVAL_DECAY_MS);
+
   /** Crashes by trait, in order of the last new crash of the trait. */
   private readonly crashes = new Map<string, Crashes>();
 
@@ -47,6 +57,8 @@
   /** Traits with several crashes. */
   private readonly repeated = new Set<string>();
 
+  private arrivalCount = 0;
+
   private readonly opts: CrashRecordsOptions;
 
   /** @param opts - Limits. */
@@ -140,9 +152,17 @@
       crashes: new Map(counted.map(([upstream, { at }]) => [upstream, at])),
       wasAnswered: this.answers.get(key) !== undefined,
       isShared: isSharedDigest(key),
+      recentRequests: this.arrivals.get(key, now),
     };
   }
 
+  /** Records that a caller has sent a request with a shared trait. */
+  recordArrival(key: string, now: Millis): void {
+    this.arrivals.add(key, 1, now);
+    this.arrivalCount += 1;
+    if (this.arrivalCount % ARRIVALS_PER_PRUNE === 0) this.arrivals.prune(now);
+  }
+
   /** Tells whether a crash has neither expired nor been cleared by an answer or a survival. */
   private counts(key: string, upstream: UpstreamId, at: Millis, now: Millis): boolean {
     const isRecent =
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -63,7 +63,10 @@
     };
 
 /** Distinct upstreams that must have crashed before a trait that requests share is suspected. */
-const MIN_SHARED_UPSTREAMS = 3;
+const MIN_SHARED_UPSTREAMS = 4;
+
+/** Recent requests with a trait above which more than one caller's retries have it. */
+const MIN_REPEATED_REQUESTS = 2;
 
 /** Characters of a digest that identify a trait; the full digest would take four times the bytes. */
 const KEY_LENGTH = 16;
@@ -160,6 +163,14 @@
     this.records.survivals.receive(report, now);
   }
 
+  /** Records that a caller has sent a request with these traits to this host. */
+  recordArrival(traits: readonly string[], now: Millis): void {
+    traits
+      .map(toKey)
+      .filter(isSharedDigest)
+      .forEach((key) => this.records.recordArrival(key, now));
+  }
+
   /** Records a trial at another host. */
   receiveTrial(report: TrialReport, now: Millis): void {
     this.trials.receive(report, now);
@@ -188,8 +199,9 @@
     const traits = [...new Set([...suspected, ...this.getUnansweredShared(keys, now)])].sort();
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
-    const { suspectsAt } = this.othersThan(keys, now);
-    const isExplained = (upstream: UpstreamId): boolean => suspectsAt(upstream).length > 0;
+    const { suspectsAt, sharedAt } = this.othersThan(keys, now);
+    const isExplained = (upstream: UpstreamId): boolean =>
+      suspectsAt(upstream).length > 0 || sharedAt(upstream).some(isRepeatedCulprit);
     const waitMs = this.trials.begin(subject, request.id, now, isExplained);
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
   }
@@ -304,6 +316,11 @@
   }
 }
 
+/** Tells whether a trait of several requests was at several crashes and in no answer. */
+function isRepeatedCulprit({ crashes, wasAnswered, recentRequests }: TraitRecord): boolean {
+  return crashes.size > 1 && !wasAnswered && recentRequests > MIN_REPEATED_REQUESTS;
+}
+
 function toKey(digest: string): string {
   return digest.slice(0, KEY_LENGTH);
 }
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -124,6 +124,7 @@
     progress: CompletionProgress,
   ): AsyncGenerator<ServingEvent> {
     try {
+      this.options.crashGuard.recordArrival(guardedCompletion(completion, progress));
       let attemptsLeft = MAX_COMPLETION_ATTEMPTS;
       while (attemptsLeft > 0) {
         attemptsLeft -= 1;
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -96,6 +96,11 @@
     return sha256Hex(JSON.stringify(parts));
   }
 
+  /** Records that a caller has sent a request, before anything is decided about it. */
+  recordArrival(request: GuardedRequest): void {
+    this.suspects.recordArrival(toSuspect(request).traits, this.options.clock.now());
+  }
+
   /**
    * Gets the refusal of a quarantined request.
    *
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -84,7 +84,9 @@
 
   private async serveCharged(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
     const { crashGuard } = this.options;
-    const quarantined = crashGuard.refusalFor(guardedCall(call));
+    const request = guardedCall(call);
+    crashGuard.recordArrival(request);
+    const quarantined = crashGuard.refusalFor(request);
     if (quarantined !== undefined) return err(quarantined);
     return this.serveAdmitted(call).finally(() => crashGuard.recordEnd(call));
   }
@@ -311,9 +313,8 @@
     server: UpstreamId,
     result: Result<UpstreamResponse, UpstreamError>,
   ): void {
-    const { clock } = this.options;
     const { slowStart } = this.options.admission;
-    if (result.isOk()) slowStart.recordAnswer(server, clock.now());
+    if (result.isOk()) slowStart.recordAnswer(server, this.options.clock.now());
     else if (hasFailedToConnect(result.error)) slowStart.recordUnreachable(server);
   }
 
--- a/packages/router/tests/support/CrashWorld.ts
+++ b/packages/router/tests/support/CrashWorld.ts
@@ -79,6 +79,7 @@
   send(host: StoreHost, request: WorldRequest): void {
     const at = this.fleet.clock.now();
     const guard = host.coordination.crashGuard;
+    guard.recordArrival(request);
     const isAdmitted = guard.refusalFor(request) === undefined;
     this.outcomes.push({ request, at, wasSent: isAdmitted });
     if (isAdmitted) this.run({ host, request, attempt: 1 });
