--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -15,7 +15,7 @@
 /**
  * Whether a request would crash the upstream that runs it.
  *
- * - `innocent`: another trait explains all crashes of its own traits.
+ * - `innocent`: other traits explain the crashes of its own, or all but a coincidence.
  * - `uncertain`: it has a suspected trait, but also lacks one that may explain the crashes in its place.
  * - `certain`: only its own traits explain several crashes.
  */
@@ -34,8 +34,8 @@
 /** Crashes that no trait of other requests explains, from which on a trait is certain: one may be a coincidence. */
 const CERTAIN_CRASHES = 2;
 
-/** Crashes that a whole request may have less than a trait that many share, and still explain them better. */
-const CONTENT_LEAD = 2;
+/** A whole request explains crashes better than a trait with less than so many crashes more, which many share. */
+const CONTENT_LEAD_CRASHES = 2;
 
 /** Requests by which a trait is asked for more often than a suspect beside it, so that it is the usual one of both. */
 const MIN_LEAD_REQUESTS = 5;
@@ -105,11 +105,11 @@
  */
 function isStronger(one: TraitRecord, other: TraitRecord): boolean {
   if (one.wasAnswered !== other.wasAnswered) return other.wasAnswered;
-  const lead = !one.isShared && other.isShared ? CONTENT_LEAD : 0;
+  const lead = !one.isShared && other.isShared ? CONTENT_LEAD_CRASHES : 0;
   return one.crashes.size + lead > other.crashes.size;
 }
 
-/** Tells whether callers ask for a shared trait so much more often than for another one that it is at most crashes by chance. */
+/** Tells whether callers ask so much less often for a shared trait that the other one may be beside it by chance. */
 function isFarRarer(one: TraitRecord, other: TraitRecord): boolean {
   const lead = other.recentRequests - one.recentRequests;
   return one.isShared && mayExplain(one, other) && lead >= MIN_LEAD_REQUESTS;
