Block what many requests share only after trials or three crashes of its own, and for 30 s at first

Cause: a trait of few crashes was blocked as long as one request; whole requests were judged with the doubt that is due to what many share; and a request's own attempts counted like repeats of a caller. Failed trials are told to hosts that start, and over the links of a group.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export type { ReportOrigin } from './retry/CrashRecords.ts';
 export type { ReportAudience } from './retry/CrashReporter.ts';
 export * from './retry/CrashSuspects.ts';
+export * from './retry/CrashSuspectsOptions.ts';
 export type { SignOfLife } from './retry/UpstreamSurvivals.ts';
 export type { TrialEnd } from './retry/CrashTrials.ts';
 export { toSharedDigest, isSharedDigest } from './retry/sharedDigest.ts';
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -5,41 +5,15 @@
 import type { ReportOrigin } from './CrashRecords.ts';
 import { CrashReporter } from './CrashReporter.ts';
 import type { ReportAudience } from './CrashReporter.ts';
+import { DEFAULT_CRASH_SUSPECTS } from './CrashSuspectsOptions.ts';
+import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
 import { CrashTrials } from './CrashTrials.ts';
 import type { TrialEnd } from './CrashTrials.ts';
 import { isSuspected, judgeTrait } from './judgeTraits.ts';
-import type { CrashVerdict, TraitRecord } from './judgeTraits.ts';
+import type { CrashThresholds, CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
 import type { SignOfLife } from './UpstreamSurvivals.ts';
 
-/** Limits of a {@link CrashSuspects}. */
-export interface CrashSuspectsOptions {
-  /** Distinct upstreams that must have crashed before a request is blocked for its content. */
-  readonly minUpstreams: number;
-  /** Milliseconds in which a crash may still be withdrawn, and blocks no new request. */
-  readonly confirmMs: Millis;
-  /** Milliseconds after its last crash for which a request is blocked. */
-  readonly blockMs: Millis;
-  /** Milliseconds after which a crash no longer counts. */
-  readonly retentionMs: Millis;
-  /** Most traits kept. */
-  readonly maxDigests: number;
-}
-
-/**
- * Default limits. One crash may be a coincidence, and each further one costs all streams of an engine.
- * Ten minutes outlast a caller's usual retries, and the block ends once engines have been repaired. Crashes
- * count for longer than that: a request that comes again after its block is blocked by its next crash.
- * The number of traits keeps the memory between 2 MB, with one crash each, and 12 MB, with sixteen.
- */
-export const DEFAULT_CRASH_SUSPECTS: CrashSuspectsOptions = {
-  minUpstreams: 2,
-  confirmMs: 0,
-  blockMs: 600_000,
-  retentionMs: 3_600_000,
-  maxDigests: 5_000,
-};
-
 /** A request as crashes are counted for it. */
 export interface SuspectRequest {
   readonly id: RequestId;
@@ -62,12 +36,18 @@
       readonly isShared: boolean;
     };
 
-/** Distinct upstreams that must have crashed before a trait that requests share is suspected. */
-const MIN_SHARED_UPSTREAMS = 4;
+/** Distinct upstreams that must have crashed more for a trait that requests share than for a whole request. */
+const MORE_SHARED_UPSTREAMS = 1;
 
 /** Recent requests with a trait above which more than one caller's retries have it. */
 const MIN_REPEATED_REQUESTS = 2;
 
+/** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
+const SHARED_BLOCK_MS: Millis = 30_000;
+
+/** Milliseconds by which a crash may seem to be earlier at one host than at another. */
+const TRANSIT_MS: Millis = 500;
+
 /** Characters of a digest that identify a trait; the full digest would take four times the bytes. */
 const KEY_LENGTH = 16;
 
@@ -195,14 +175,16 @@
     if (blocking !== undefined) return toBlocked(blocking, blocking.leftMs);
     const [first] = held;
     if (first === undefined) return { type: 'clear' };
-    const suspected = held.map(({ key }) => key);
-    const traits = [...new Set([...suspected, ...this.getUnansweredShared(keys, now)])].sort();
+    const traits = held.map(({ key }) => key).sort();
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
-    const isExplained = (upstream: UpstreamId): boolean =>
-      suspectsAt(upstream).length > 0 || sharedAt(upstream).some(isRepeatedCulprit);
-    const waitMs = this.trials.begin(subject, request.id, now, isExplained);
+    const isExplained = (upstream: UpstreamId, since: Millis): boolean =>
+      [...suspectsAt(upstream), ...sharedAt(upstream)]
+        .filter((other) => this.isRepeatedCulprit(other))
+        .some(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS);
+    const isSingle = held.some(({ verdict }) => verdict === 'certain');
+    const waitMs = this.trials.begin(subject, request.id, now, { isSingle, isExplained });
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
   }
 
@@ -243,6 +225,11 @@
     return this.getBlockedMsBy(digest, now, 0) !== undefined;
   }
 
+  /** Gets what to report to other hosts of the trials alone. */
+  getTrialReports(now: Millis): readonly TrialReport[] {
+    return this.trials.getReports(now, 'peers');
+  }
+
   /** Gets what to report to other hosts; see {@link CrashReporter.getReports}. */
   getReports(now: Millis, audience: ReportAudience): SuspicionReports {
     const trials = this.trials.getReports(now, audience);
@@ -268,7 +255,10 @@
     if (suspected.length === 0) return [];
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
     return suspected
-      .map((one) => ({ ...one, verdict: judgeTrait(one.record, suspectsAt, sharedAt) }))
+      .map((one) => ({
+        ...one,
+        verdict: judgeTrait(one.record, this.thresholdsOf(one.key), suspectsAt, sharedAt),
+      }))
       .filter(({ verdict }) => verdict !== 'innocent');
   }
 
@@ -288,16 +278,6 @@
     };
   }
 
-  /** Gets the shared traits that had a part in any crash, and in no complete answer. */
-  private getUnansweredShared(keys: readonly string[], now: Millis): readonly string[] {
-    return keys.filter(
-      (key) =>
-        isSharedDigest(key) &&
-        this.records.answers.get(key) === undefined &&
-        this.records.getCrashes(key, now).size > 0,
-    );
-  }
-
   private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
     const leftMs = this.judge([toKey(digest)], now, minAgeMs).map(({ record }) =>
       this.blockLeftMs(record, now),
@@ -306,21 +286,34 @@
     return first !== undefined && first > 0 ? first : undefined;
   }
 
-  private blockLeftMs({ crashes }: TraitRecord, now: Millis): Millis {
-    return Math.max(...crashes.values()) + this.opts.blockMs - now;
+  /** Gets how much longer a trait is blocked; a shared one is tried again soon, since it may be blocked wrongly. */
+  private blockLeftMs({ crashes, isShared }: TraitRecord, now: Millis): Millis {
+    const blockMs = isShared ? Math.min(SHARED_BLOCK_MS, this.opts.blockMs) : this.opts.blockMs;
+    return Math.max(...crashes.values()) + blockMs - now;
+  }
+
+  /** Tells whether a trait was at crashes of several requests, or of one beyond its own attempts, and in no answer. */
+  private isRepeatedCulprit({
+    crashes,
+    wasAnswered,
+    isShared,
+    recentRequests,
+  }: TraitRecord): boolean {
+    if (wasAnswered) return false;
+    if (!isShared) return crashes.size > this.opts.minUpstreams;
+    return crashes.size > 1 && recentRequests > MIN_REPEATED_REQUESTS;
+  }
+
+  private thresholdsOf(key: string): CrashThresholds {
+    return { minCrashes: this.minCrashes(key), certainCrashes: this.opts.certainCrashes };
   }
 
   private minCrashes(key: string): number {
     const { minUpstreams } = this.opts;
-    return isSharedDigest(key) ? Math.max(minUpstreams, MIN_SHARED_UPSTREAMS) : minUpstreams;
+    return isSharedDigest(key) ? minUpstreams + MORE_SHARED_UPSTREAMS : minUpstreams;
   }
 }
 
-/** Tells whether a trait of several requests was at several crashes and in no answer. */
-function isRepeatedCulprit({ crashes, wasAnswered, recentRequests }: TraitRecord): boolean {
-  return crashes.size > 1 && !wasAnswered && recentRequests > MIN_REPEATED_REQUESTS;
-}
-
 function toKey(digest: string): string {
   return digest.slice(0, KEY_LENGTH);
 }
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -8,15 +8,24 @@
 /** Milliseconds between the starts of two trials; hosts that start one at once count it once. */
 const TRIAL_GAP_MS: Millis = 1_000;
 
-/** Failed trials after which no further one is started until they are forgotten. */
+/** Failed trials after which the next ones wait for longer. */
 const MAX_FAILED_TRIALS = 2;
 
+/** Milliseconds that the first trials after these wait; all later ones wait for the length of a block. */
+const GAPS_MS: readonly Millis[] = [30_000, 120_000];
+
 /** Milliseconds for which a change of a trial is in every report. */
 const REPORTED_MS: Millis = 2_000;
 
+/** Most trials in one report. */
+const MAX_REPORTED = 24;
+
 /** Most subjects whose trials are remembered, and most trials of each. */
 const MAX_SUBJECTS = 500;
-const MAX_TRIALS = 8;
+const MAX_TRIALS = 24;
+
+/** Times the block for which a failed trial is remembered: the next trials after it go one at a time. */
+const REMEMBERED_BLOCKS = 2;
 
 interface Trial {
   readonly at: Millis;
@@ -32,11 +41,20 @@
 export type TrialEnd =
   { readonly state: 'ended' } | { readonly state: 'failed'; readonly upstream: UpstreamId };
 
-/** Tells whether another suspect explains the crash of an upstream, so that a trial there shows nothing. */
-type IsExplained = (upstream: UpstreamId) => boolean;
+/** Tells whether another suspect explains a crash of an upstream since a time, so that a trial there shows nothing. */
+type IsExplained = (upstream: UpstreamId, since: Millis) => boolean;
+
+/** How requests with a suspected trait are let through. */
+export interface TrialMode {
+  /** Whether one at a time is let through before any has failed, too. */
+  readonly isSingle: boolean;
+  /** Tells which failed trials don't count. */
+  readonly isExplained: IsExplained;
+}
 
 /**
- * Lets single requests with suspected traits through, one at a time over all hosts in touch.
+ * Lets requests with suspected traits through until one of them crashes its upstream, and then single ones, one at a
+ * time over all hosts in touch.
  *
  * A trait that is only ever seen beside another one can be told from it by a request that has the one and not the
  * other. So the subject of a trial is the combination of suspected traits that a request has: a failure
@@ -45,8 +63,8 @@
 export class CrashTrials {
   private readonly trials = new Map<string, readonly Trial[]>();
 
-  /** @param forgetMs - Milliseconds after which a trial no longer counts. */
-  constructor(private readonly forgetMs: Millis) {}
+  /** @param blockMs - Milliseconds for which no trial is started after two have failed. */
+  constructor(private readonly blockMs: Millis) {}
 
   /**
    * Starts a trial for a request, or goes on with the one that it has.
@@ -54,12 +72,12 @@
    * @param subject - Digest of the combination of suspected traits that the request has.
    * @param holder - The request.
    * @param now - Present time.
-   * @param isExplained - Tells which failed trials don't count.
+   * @param mode - How requests are let through.
    * @returns Milliseconds to wait; 0 if the request is let through.
    */
-  begin(subject: string, holder: RequestId, now: Millis, isExplained: IsExplained): Millis {
+  begin(subject: string, holder: RequestId, now: Millis, mode: TrialMode): Millis {
     if (this.isHeld(subject, holder)) return 0;
-    const waitMs = this.waitFor(subject, now, isExplained);
+    const waitMs = this.waitFor(subject, now, mode);
     if (waitMs === 0) this.add(subject, { at: now, state: 'running', holder, changedAt: now });
     return waitMs;
   }
@@ -91,7 +109,7 @@
   /** Records the trial of another host. */
   receive({ digest: subject, ageMs, state, upstream }: TrialReport, now: Millis): void {
     const at = now - ageMs;
-    if (ageMs >= this.forgetMs) return;
+    if (ageMs >= this.blockMs * REMEMBERED_BLOCKS) return;
     const trials = this.get(subject, now);
     const known = trials.find((trial) => Math.abs(trial.at - at) < TRIAL_GAP_MS);
     if (known === undefined) {
@@ -108,36 +126,48 @@
     );
   }
 
-  /** Gets what to report to other hosts. */
+  /** Gets what to report to other hosts: news, and failures, which hosts that have started since need. */
   getReports(now: Millis, audience: ReportAudience): readonly TrialReport[] {
-    return [...this.trials].flatMap(([digest, trials]) =>
-      trials
-        .filter(({ changedAt }) => now - changedAt < REPORTED_MS)
-        .filter(({ holder }) => holder !== undefined || audience === 'relayed')
+    const reported = [...this.trials.keys()].flatMap((digest) =>
+      this.get(digest, now)
+        .filter(
+          ({ state, holder, changedAt }) =>
+            state === 'failed' ||
+            (now - changedAt < REPORTED_MS && (holder !== undefined || audience === 'relayed')),
+        )
         .map(({ at, state, upstream }) => ({ digest, ageMs: now - at, state, upstream })),
     );
+    return reported.slice(-MAX_REPORTED);
   }
 
   /** Gets how long no trial of a subject may start, in milliseconds. */
-  private waitFor(subject: string, now: Millis, isExplained: IsExplained): Millis {
+  private waitFor(subject: string, now: Millis, { isSingle, isExplained }: TrialMode): Millis {
     const trials = this.get(subject, now);
-    const oldestFailure = trials
+    const failures = trials
       .filter(({ state }) => state === 'failed')
-      .filter(({ upstream }) => upstream === undefined || !isExplained(upstream))
-      .at(-MAX_FAILED_TRIALS);
-    const forgottenAt = oldestFailure === undefined ? now : oldestFailure.at + this.forgetMs;
+      .filter(({ at, upstream }) => upstream === undefined || !isExplained(upstream, at));
+    if (failures.length === 0 && !isSingle) return 0;
+    const last = failures.at(-1);
+    const isExhausted = last !== undefined && failures.length >= MAX_FAILED_TRIALS;
+    const forgottenAt = isExhausted ? last.at + this.getGapMs(failures.length) : now;
     const waits = trials.map(
       ({ at, state }) => at + (state === 'running' ? MAX_TRIAL_MS : TRIAL_GAP_MS) - now,
     );
     return Math.max(0, forgottenAt - now, ...waits);
   }
 
+  /** Gets how long no trial starts after a number of failed ones; a block of what many share has to end soon if it is wrong. */
+  private getGapMs(failures: number): Millis {
+    return GAPS_MS[failures - MAX_FAILED_TRIALS] ?? this.blockMs;
+  }
+
   private isHeld(subject: string, holder: RequestId): boolean {
     return this.trials.get(subject)?.some((trial) => isHeldBy(trial, holder)) === true;
   }
 
   private get(subject: string, now: Millis): readonly Trial[] {
-    return (this.trials.get(subject) ?? []).filter(({ at }) => now - at < this.forgetMs);
+    const rememberedMs = this.blockMs * REMEMBERED_BLOCKS;
+    return (this.trials.get(subject) ?? []).filter(({ at }) => now - at < rememberedMs);
   }
 
   private add(subject: string, trial: Trial): void {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, Millis, ModelId } from '@camphorvane/core';
+import type { Clock, HostId, ModelId } from '@camphorvane/core';
 import { wallTimeOf } from '@camphorvane/core';
 import type { GossipTimings } from '@camphorvane/decisions';
 import {
@@ -34,11 +34,8 @@
 import { createRoleControl } from './createRoleControl.ts';
 import type { HintContent } from './PeerGossip.ts';
 
-/** Number of upstreams that a request must crash before it is blocked; fewer may be coincidence. */
-const MIN_CRASHED_UPSTREAMS = 3;
-
-/** Milliseconds in which a sign of life of an upstream, at any host, withdraws its crash. */
-const CRASH_CONFIRM_MS: Millis = 1_000;
+/** More crashes than by default before anything is blocked, and a second in which a sign of life withdraws one. */
+const CRASH_SUSPICION = { minUpstreams: 3, certainCrashes: 3, confirmMs: 1_000 } as const;
 
 /**
  * Coordination through the store and gossip, without coordinators.
@@ -170,7 +167,7 @@
     });
     this.crashGuard = new CrashGuard({
       ...{ self: identity.host, clock, group: this, metrics: options.metrics },
-      suspicion: { minUpstreams: MIN_CRASHED_UPSTREAMS, confirmMs: CRASH_CONFIRM_MS },
+      suspicion: CRASH_SUSPICION,
       getStartTime: (upstream) => this.config.getStartTime(upstream),
     });
     this.signals.onAnswer((upstream, origin) => this.crashGuard.recordSignOfLife(upstream, origin));
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -132,7 +132,8 @@
     const crashes = traits.map((digest): CrashReport => ({ digest, upstream: process, ageMs: 0 }));
     crashes.forEach((report) => this.record(report, 'own', request));
     this.endTrial(request, { state: 'failed', upstream: process });
-    this.reportToGroup({ crashes, answers: [], survivals: [] });
+    const trials = this.suspects.getTrialReports(this.options.clock.now());
+    this.reportToGroup({ crashes, answers: [], survivals: [], trials });
     const isSuspect = traits.some((digest) =>
       this.suspects.isSuspect(digest, this.options.clock.now()),
     );
@@ -246,7 +247,7 @@
     log('trial_started', { id, digest: shorten(digest), traits: admission.traits.join() });
     this.reportToGroup({
       ...{ crashes: [], answers: [], survivals: [] },
-      trials: this.suspects.getReports(now, 'peers').trials,
+      trials: this.suspects.getTrialReports(now),
     });
     this.newsListeners.forEach((changed) => changed());
     return admission;
