Count a crash as one failed trial, and try a blocked part after ten seconds

Cause: requests that were let through at once and ran on the same engine failed by one crash of it, and counted as three failed trials; and a wrong block of 30 s is longer than hosts have to recover. Now failures are counted by the upstream that crashed, and trials follow after 10 s, a minute, and ten minutes, which leaves three of a culprit within eleven minutes.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -43,7 +43,7 @@
 const MIN_REPEATED_REQUESTS = 2;
 
 /** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
-const SHARED_BLOCK_MS: Millis = 30_000;
+const SHARED_BLOCK_MS: Millis = 10_000;
 
 /** Milliseconds by which a crash may seem to be earlier at one host than at another. */
 const TRANSIT_MS: Millis = 500;
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -12,7 +12,7 @@
 const MAX_FAILED_TRIALS = 2;
 
 /** Milliseconds that the first trials after these wait; all later ones wait for the length of a block. */
-const GAPS_MS: readonly Millis[] = [30_000, 120_000];
+const GAPS_MS: readonly Millis[] = [10_000, 60_000];
 
 /** Milliseconds for which a change of a trial is in every report. */
 const REPORTED_MS: Millis = 2_000;
@@ -148,17 +148,19 @@
       .filter(({ at, upstream }) => upstream === undefined || !isExplained(upstream, at));
     if (failures.length === 0 && !isSingle) return 0;
     const last = failures.at(-1);
-    const isExhausted = last !== undefined && failures.length >= MAX_FAILED_TRIALS;
-    const forgottenAt = isExhausted ? last.at + this.getGapMs(failures.length) : now;
+    // Requests that run at once on an upstream fail by one crash of it.
+    const count = new Set(failures.map(({ at, upstream }) => upstream ?? at)).size;
+    const gaps = count - MAX_FAILED_TRIALS + (isSingle ? GAPS_MS.length : 0);
+    const forgottenAt = last === undefined || gaps < 0 ? now : last.at + this.getGapMs(gaps);
     const waits = trials.map(
       ({ at, state }) => at + (state === 'running' ? MAX_TRIAL_MS : TRIAL_GAP_MS) - now,
     );
     return Math.max(0, forgottenAt - now, ...waits);
   }
 
-  /** Gets how long no trial starts after a number of failed ones; a block of what many share has to end soon if it is wrong. */
-  private getGapMs(failures: number): Millis {
-    return GAPS_MS[failures - MAX_FAILED_TRIALS] ?? this.blockMs;
+  /** Gets how long no trial starts; a block of what many share has to end soon if it is wrong. */
+  private getGapMs(index: number): Millis {
+    return GAPS_MS[index] ?? this.blockMs;
   }
 
   private isHeld(subject: string, holder: RequestId): boolean {
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -83,6 +83,19 @@
   assert.equal(admit(suspects, 'r', ['last', '+bad'], now + 10_000), 'blocked');
 });
 
+// Guards against one crash that counts as many failed trials, since many requests were let through at once.
+test('requests that run on an upstream when it crashes fail one trial together', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  [...Array(4).keys()].forEach((n) => crash(suspects, `u${n}`, n * 2_000, ['+popular', '+beside']));
+  ['r1', 'r2', 'r3'].forEach((id) =>
+    assert.equal(admit(suspects, id, ['+popular'], 8_000), 'trial'),
+  );
+  ['r1', 'r2', 'r3'].forEach((id) =>
+    suspects.endTrial(id, { state: 'failed', upstream: 't' }, 8_100),
+  );
+  assert.equal(admit(suspects, 'r4', ['+popular'], 9_500), 'trial');
+});
+
 // Guards against trials of the culprit that go on without an end.
 test('a trial that crashes its upstream shows which part is the culprit', () => {
   const suspects = new CrashSuspects(OPTIONS);
