Take upstreams that are down while others are reached for no lost links

Cause: a contact with any upstream of a group cleared the failures of all others. Three engines that were down counted as three new failures whenever they were tried again, and links that come back have all engines that are down tried at once, so the loop fed itself.

Now an upstream that failed while others were reached is down by itself: it counts neither among the three nor among those listed until it is reached, and probes try the others first. Lost links are found as fast: all upstreams still fail, and those not down by themselves are probed first.

--- a/packages/decisions/src/reach/GroupReach.ts
+++ b/packages/decisions/src/reach/GroupReach.ts
@@ -25,6 +25,9 @@
   /** Upstreams to which the last connection failed, with the time at which it was attempted. */
   private readonly failedAt = new Map<UpstreamId, Millis>();
 
+  /** Upstreams that failed while others were reached, and have not been reached since: down by themselves. */
+  private readonly down = new Set<UpstreamId>();
+
   /** When the first connection that failed since the last contact was attempted. */
   private failingSince: Millis = Infinity;
 
@@ -35,25 +38,32 @@
     [...this.failedAt.keys()]
       .filter((id) => !known.has(id))
       .forEach((id) => this.failedAt.delete(id));
+    [...this.down].filter((id) => !known.has(id)).forEach((id) => this.down.delete(id));
     if (this.failedAt.size === 0) this.failingSince = Infinity;
   }
 
-  /** Gets the listed upstreams, those that were not tried or failed longest ago first. */
-  getLeastRecentlyFailed(): readonly UpstreamId[] {
+  /** Gets the listed upstreams: those down by themselves last, and of the others those that failed longest ago first. */
+  getMostTelling(): readonly UpstreamId[] {
     const at = (id: UpstreamId): Millis => this.failedAt.get(id) ?? -Infinity;
-    return [...this.listed].sort((a, b) => at(a) - at(b));
+    const rank = (id: UpstreamId): number => Number(this.down.has(id));
+    return [...this.listed].sort((a, b) => rank(a) - rank(b) || at(a) - at(b));
   }
 
   /**
    * Records an established connection.
    *
-   * Failures after it was attempted stand: connections that were opened before links were lost can live on.
+   * Failures after it was attempted stand: connections that were opened before links were lost can live on. Those
+   * before it were no failures of the links.
    */
-  recordContact(attemptedAt: Millis): void {
+  recordContact(upstream: UpstreamId, attemptedAt: Millis): void {
     this.contactAt = Math.max(this.contactAt, attemptedAt);
     [...this.failedAt]
       .filter(([, at]) => at <= attemptedAt)
-      .forEach(([id]) => this.failedAt.delete(id));
+      .forEach(([id]) => {
+        this.failedAt.delete(id);
+        this.down.add(id);
+      });
+    this.down.delete(upstream);
     if (attemptedAt >= this.failingSince) {
       this.failingSince = Math.min(...this.failedAt.values());
     }
@@ -81,6 +91,8 @@
     const failed = this.failedAt.size;
     const listed = this.listed.length;
     if (failed === 0 || failed < Math.min(MIN_FAILED_UPSTREAMS, listed)) return undefined;
+    const telling = [...this.failedAt.keys()].filter((id) => !this.down.has(id)).length;
+    if (telling < Math.min(MIN_FAILED_UPSTREAMS, listed - this.down.size)) return undefined;
     return { since: this.failingSince, failed, listed };
   }
 }
--- a/packages/decisions/src/reach/UpstreamReach.ts
+++ b/packages/decisions/src/reach/UpstreamReach.ts
@@ -53,7 +53,7 @@
 
   /** Records an established connection to an upstream; see {@link GroupReach.recordContact}. */
   recordContact(upstream: UpstreamId, attemptedAt: Millis): void {
-    this.groupOf.get(upstream)?.reach.recordContact(attemptedAt);
+    this.groupOf.get(upstream)?.reach.recordContact(upstream, attemptedAt);
   }
 
   /** Records a connection to an upstream that could not be established. */
@@ -91,12 +91,12 @@
    *
    * @param service - The service.
    * @param count - Most upstreams of each group.
-   * @returns Upstreams of its doubtful groups, those that failed longest ago first.
+   * @returns Upstreams of its doubtful groups, the most telling first; see {@link GroupReach.getMostTelling}.
    */
   getProbeTargets(service: ServiceId, count: number): readonly UpstreamId[] {
     return this.groupsOf(service)
       .filter(({ reach }) => reach.isDoubtful())
-      .flatMap(({ reach }) => reach.getLeastRecentlyFailed().slice(0, count));
+      .flatMap(({ reach }) => reach.getMostTelling().slice(0, count));
   }
 
   /** Gets what to report to other hosts. */
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -63,7 +63,7 @@
 export class CrashTrials {
   private readonly trials = new Map<string, readonly Trial[]>();
 
-  /** @param blockMs - Milliseconds for which no trial is started after two have failed. */
+  /** @param blockMs - Milliseconds that the next trial waits where several have failed already; the longest wait. */
   constructor(private readonly blockMs: Millis) {}
 
   /**
--- a/packages/router/tests/reach/ReachMonitor.test.ts
+++ b/packages/router/tests/reach/ReachMonitor.test.ts
@@ -131,6 +131,27 @@
   assert.ok(world.probes <= 8, `${world.probes} probes`);
 });
 
+// Guards against hosts that find their links lost and back again all the time while engines crash in turn.
+test('servers that go down in turn and are tried again show nothing of the links', async () => {
+  const world = new World();
+  await ['s1', 's2', 's3'].reduce(async (before, id, n, ids) => {
+    await before;
+    world.links.set(id, 'refusing');
+    const calls = ids.slice(0, n + 1).map((down) => world.call(down));
+    await world.clock.advance(500);
+    await Promise.all(calls);
+  }, Promise.resolve());
+  [0, 300, 600, 900].forEach((afterMs) =>
+    world.clock.after(afterMs, () => ['s1', 's2', 's3'].forEach((id) => world.call(id))),
+  );
+  await world.clock.advance(3_000);
+  assert.deepEqual(world.changes, []);
+  world.setLinks('refusing');
+  void world.call('s4');
+  await world.clock.advance(300);
+  assert.equal(world.changes.length, 1);
+});
+
 // Guards against callers that wait for upstreams which no host reaches, and against refusals before that is certain.
 test('requests are refused once no host has reached the upstreams for a while', async () => {
   const world = new World();
