Let no part that is asked for more often excuse a rarer one that crashes engines

What callers saw (virtual hosts; two decode engines, two culprits every 0.2 s, sound streams beside them from the start): all engines crashed again and again, 9 requests with a culprit were sent later than 3 s after its fifth crash, 25 crashes in all. Cause: while nothing is answered, the part that all sound requests have has the crashes of both culprits, so it explained those of each culprit by its greater number, and each culprit explained those of the sound part by being rarer. Both were innocent, and both ran. A failed trial of the culprit did not count either, since the sound part explained it.

A suspect that callers ask for more often than the judged one is the usual one of both, and its greater number of crashes shows nothing: the crash stays unexplained, and where nothing else tells, requests are tried one at a time. The calm that follows lets a sound one be answered, which clears its parts.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -9,7 +9,7 @@
 import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
 import { CrashTrials } from './CrashTrials.ts';
 import type { TrialEnd } from './CrashTrials.ts';
-import { isSuspected, judgeTrait } from './judgeTraits.ts';
+import { isRarer, isSuspected, judgeTrait } from './judgeTraits.ts';
 import type { CrashThresholds, CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
 import type { SignOfLife } from './UpstreamSurvivals.ts';
@@ -182,6 +182,7 @@
     const isExplained = (upstream: UpstreamId, since: Millis): boolean =>
       [...suspectsAt(upstream), ...sharedAt(upstream)]
         .filter((other) => this.isRepeatedCulprit(other))
+        .filter((other) => !held.some(({ record }) => isRarer(record, other)))
         .some(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS);
     const isSingle = held.some(({ verdict }) => verdict === 'certain');
     const waitMs = this.trials.begin(subject, request.id, now, { isSingle, isExplained });
--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -93,13 +93,17 @@
   const crashes = [...trait.crashes];
   const unexplained = crashes.filter(
     (crash) =>
-      !explainedBy(suspectsAt(crash[0]), crash, (other) => isStronger(other, trait, minCrashes)),
+      !explainedBy(
+        suspectsAt(crash[0]),
+        crash,
+        (other) => isStronger(other, trait, minCrashes) && !isRarer(trait, other),
+      ),
   );
   // Hardly any request is at several crashes by chance, so what else was there is no excuse.
   if (!trait.isShared) return unexplained.length >= minCrashes ? 'certain' : 'innocent';
   if (unexplained.length <= COINCIDENT_CRASHES) return 'innocent';
   const usual = unexplained.filter((crash) =>
-    explainedBy(suspectsAt(crash[0]), crash, (other) => isFarRarer(other, trait)),
+    explainedBy(suspectsAt(crash[0]), crash, (other) => isRarer(other, trait, MIN_LEAD_REQUESTS)),
   );
   if (2 * usual.length >= unexplained.length) return 'innocent';
   const certainSeries = trait.wasAnswered ? CERTAIN_SERIES_AFTER_ANSWER : CERTAIN_SERIES;
@@ -125,10 +129,16 @@
   return one.crashes.size + lead > other.crashes.size;
 }
 
-/** Tells whether callers ask so much less often for a shared trait that the other one may be beside it by chance. */
-function isFarRarer(one: TraitRecord, other: TraitRecord): boolean {
+/**
+ * Tells whether callers ask less often for a shared trait than for another one, which may then be beside it by chance.
+ *
+ * @param one - The trait.
+ * @param other - The other one.
+ * @param minLead - Recent requests that the other one has more.
+ */
+export function isRarer(one: TraitRecord, other: TraitRecord, minLead = 1): boolean {
   const lead = other.recentRequests - one.recentRequests;
-  return one.isShared && !(one.wasAnswered && !other.wasAnswered) && lead >= MIN_LEAD_REQUESTS;
+  return one.isShared && !(one.wasAnswered && !other.wasAnswered) && lead >= minLead;
 }
 
 /** Tells whether a trait may explain crashes in place of a shared one. */
--- a/packages/router/tests/coordination/sharedTraits.test.ts
+++ b/packages/router/tests/coordination/sharedTraits.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Millis } from '@camphorvane/core';
+import { RandomSource } from '@camphorvane/core';
 import { CrashWorld } from '../support/CrashWorld.ts';
 import type { WorldSend } from '../support/CrashWorld.ts';
 import { StoreFleet } from '../support/StoreFleet.ts';
@@ -27,6 +28,7 @@
   readonly beforeMs?: Millis;
   readonly engines?: number;
   readonly restartMs?: Millis;
+  readonly durationMs?: Millis;
 }
 
 /** Something that happens to the hosts while the load goes on, in milliseconds from its start. */
@@ -37,27 +39,30 @@
 
 const DURATION_MS: Millis = 25_000;
 
-/** Plays a load; hosts are called in turn. */
+/** Plays a load; hosts are called in turn, or at random times and in random order. */
 async function play(
   hostCount: number,
   load: Load,
   disturbances: readonly Disturbance[] = [],
+  random?: RandomSource,
 ): Promise<{ readonly world: CrashWorld; readonly to: Millis; readonly fleet: StoreFleet }> {
   const fleet = new StoreFleet(hostCount);
   const { bad, sound, badGapMs = 400, soundGapMs = 150, beforeMs = 0 } = load;
+  const { durationMs = DURATION_MS } = load;
   try {
     await fleet.settle();
     const { engines = 6, restartMs = 1_500 } = load;
     const world = new CrashWorld(fleet, [CULPRIT, SECOND], { engines, restartMs });
     const from = fleet.clock.now();
-    const to = from + beforeMs + DURATION_MS;
+    const to = from + beforeMs + durationMs;
     const repeat = (kind: string, gapMs: Millis, traits: Load['bad'], count = 0): void => {
       if (fleet.clock.now() >= to) return;
-      const host = fleet.hosts[(count * 7) % hostCount];
+      const host = fleet.hosts[random?.int(0, hostCount - 1) ?? (count * 7) % hostCount];
       const id = `${kind}${count}`;
       const digest = `${id}-`.padEnd(64, 'd');
       if (host !== undefined) world.send(host, { id, digest, shared: traits(count) });
-      fleet.clock.after(gapMs, () => repeat(kind, gapMs, traits, count + 1));
+      const waitMs = gapMs * (random === undefined ? 1 : 0.3 + 1.4 * random.next());
+      fleet.clock.after(waitMs, () => repeat(kind, gapMs, traits, count + 1));
     };
     repeat('s', soundGapMs, sound);
     fleet.clock.after(beforeMs, () => repeat('b', badGapMs, bad));
@@ -136,6 +141,23 @@
   ),
 );
 
+const ON_TWO_ENGINES: Load = {
+  bad: (n) => [COMMON, n % 2 === 0 ? CULPRIT : SECOND],
+  sound: SOUND,
+  ...{ badGapMs: 200, engines: 2, restartMs: 600, durationMs: 42_000 },
+};
+
+// Guards against culprits that hide behind a part which nobody has answered yet, since all engines crash all the time.
+[3, 9].forEach((count) =>
+  [1, 3, 5].forEach((seed) =>
+    test(`${count} hosts keep two parts that crash both engines at random times away from them, seed ${seed}`, async () => {
+      const { world, to } = await play(count, ON_TWO_ENGINES, [], new RandomSource(seed));
+      checkBounds(world, CULPRIT, to);
+      checkBounds(world, SECOND, to);
+    }),
+  ),
+);
+
 const RESTARTS: readonly Disturbance[] = [3_000, 6_000, 9_000, 12_000].map((at, n) => ({
   at,
   apply: (fleet) => fleet.hosts.slice(2 * n, 2 * n + 3).forEach((host) => fleet.restart(host)),
