Forget failed trials once the parts that were tried have been answered

The first one had failed 11 s before, and a request with these parts had been answered completely in between: an answer cleared the crashes of a part, but not the trials in which it had failed. Now trials before the last answer to all traits of the subject don't count.

Test: 'a failed trial counts no more once the parts that were tried have been answered', failed before.

--- a/packages/decisions/src/retry/CrashRecords.ts
+++ b/packages/decisions/src/retry/CrashRecords.ts
@@ -130,6 +130,11 @@
     return true;
   }
 
+  /** Gets when a request with a trait was last answered completely; -Infinity where none is remembered. */
+  getAnsweredAt(key: string): Millis {
+    return this.answers.get(key)?.at ?? -Infinity;
+  }
+
   /** Gets the crashes of a trait that count, by upstream. */
   getCrashes(key: string, now: Millis): Crashes {
     const counted = [...(this.crashes.get(key) ?? [])].filter(([upstream, { at }]) =>
@@ -165,8 +170,7 @@
 
   /** Tells whether a crash has neither expired nor been cleared by an answer or a survival. */
   private counts(key: string, upstream: UpstreamId, at: Millis, now: Millis): boolean {
-    const isRecent =
-      at > now - this.opts.retentionMs && at > (this.answers.get(key)?.at ?? -Infinity);
+    const isRecent = at > now - this.opts.retentionMs && at > this.getAnsweredAt(key);
     return isRecent && !this.survivals.hasSurvived(upstream, at);
   }
 
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -181,11 +181,13 @@
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
     const isExplained = (upstream: UpstreamId, since: Millis): boolean =>
       [...suspectsAt(upstream), ...sharedAt(upstream)]
-        .filter((other) => this.isRepeatedCulprit(other))
+        .filter((other) => this.mayBeCulprit(other))
         .filter((other) => !held.some(({ record }) => isRarer(record, other)))
         .some(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS);
     const isSingle = held.some(({ verdict }) => verdict === 'certain');
-    const waitMs = this.trials.begin(subject, request.id, now, { isSingle, isExplained });
+    const clearedAt = Math.min(...traits.map((key) => this.records.getAnsweredAt(key)));
+    const mode = { isSingle, isExplained, clearedAt };
+    const waitMs = this.trials.begin(subject, request.id, now, mode);
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
   }
 
@@ -293,13 +295,8 @@
     return Math.max(...crashes.values()) + blockMs - now;
   }
 
-  /** Tells whether a trait was at crashes of several requests, or of one beyond its own attempts, and in no answer. */
-  private isRepeatedCulprit({
-    crashes,
-    wasAnswered,
-    isShared,
-    recentRequests,
-  }: TraitRecord): boolean {
+  /** Tells whether a trait that was in no answer may be a culprit: several requests have it, or one beyond its own attempts. */
+  private mayBeCulprit({ crashes, wasAnswered, isShared, recentRequests }: TraitRecord): boolean {
     if (wasAnswered) return false;
     if (!isShared) return crashes.size > this.opts.minUpstreams;
     return crashes.size > 1 && recentRequests > MIN_REPEATED_REQUESTS;
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -50,6 +50,8 @@
   readonly isSingle: boolean;
   /** Tells which failed trials don't count. */
   readonly isExplained: IsExplained;
+  /** When all traits of the subject had been answered last; trials before that don't count. */
+  readonly clearedAt: Millis;
 }
 
 /**
@@ -141,8 +143,9 @@
   }
 
   /** Gets how long no trial of a subject may start, in milliseconds. */
-  private waitFor(subject: string, now: Millis, { isSingle, isExplained }: TrialMode): Millis {
-    const trials = this.get(subject, now);
+  private waitFor(subject: string, now: Millis, mode: TrialMode): Millis {
+    const { isSingle, isExplained, clearedAt } = mode;
+    const trials = this.get(subject, now).filter(({ at }) => at > clearedAt);
     const failures = trials
       .filter(({ state }) => state === 'failed')
       .filter(({ at, upstream }) => upstream === undefined || !isExplained(upstream, at));
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -96,6 +96,30 @@
   assert.equal(admit(suspects, 'r4', ['+popular'], 9_500), 'trial');
 });
 
+/** Has a request on trial crash an upstream. */
+function failTrial(
+  suspects: CrashSuspects,
+  id: string,
+  traits: readonly string[],
+  at: number,
+): void {
+  assert.equal(admit(suspects, id, traits, at), 'trial');
+  crash(suspects, `by ${id}`, at + 50, traits);
+  suspects.endTrial(id, { state: 'failed', upstream: `by ${id}` }, at + 50);
+}
+
+// Guards against sound parts that are blocked at once when upstreams crash again, for what an answer had cleared them of.
+test('a failed trial counts no more once the parts that were tried have been answered', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  failTrial(suspects, 'r1', ['+popular'], crashes(suspects, 4, ['+popular', '+beside']));
+  ['+popular', '+beside'].forEach((digest) => suspects.recordAnswer(digest, 9_000));
+  [...Array(4).keys()].forEach((n) =>
+    crash(suspects, `v${n}`, 10_000 + n * 2_000, ['+popular', '+beside']),
+  );
+  failTrial(suspects, 'r2', ['+popular'], 18_000);
+  assert.equal(admit(suspects, 'r3', ['+popular'], 19_500), 'trial');
+});
+
 // Guards against trials of the culprit that go on without an end.
 test('a trial that crashes its upstream shows which part is the culprit', () => {
   const suspects = new CrashSuspects(OPTIONS);
