Let a failed trial show nothing where a part that was never answered ran beside those that were tried

It crashed the engine, and the failure counted against the sound parts.

A failed trial is explained by any part that several recent requests have, that was in no answer and that ran on the engine when it crashed, also where that is its first crash. The culprit itself is found by its own crashes.

Test: 'a trial shows nothing where a part that was never answered ran beside those that were tried', failed before.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -299,7 +299,7 @@
   private mayBeCulprit({ crashes, wasAnswered, isShared, recentRequests }: TraitRecord): boolean {
     if (wasAnswered) return false;
     if (!isShared) return crashes.size > this.opts.minUpstreams;
-    return crashes.size > 1 && recentRequests > MIN_REPEATED_REQUESTS;
+    return crashes.size > 0 && recentRequests > MIN_REPEATED_REQUESTS;
   }
 
   private thresholdsOf(key: string): CrashThresholds {
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -120,6 +120,16 @@
   assert.equal(admit(suspects, 'r3', ['+popular'], 19_500), 'trial');
 });
 
+// Guards against sound parts that are blocked since requests with another part, not yet suspected, were tried.
+test('a trial shows nothing where a part that was never answered ran beside those that were tried', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+popular', '+beside']);
+  [0, 1, 2].forEach(() => suspects.recordArrival(['+popular', '+new', '+beside'], now));
+  failTrial(suspects, 'r1', ['+popular', '+new'], now);
+  failTrial(suspects, 'r2', ['+popular'], now + 2_000);
+  assert.equal(admit(suspects, 'r3', ['+popular'], now + 4_000), 'trial');
+});
+
 // Guards against trials of the culprit that go on without an end.
 test('a trial that crashes its upstream shows which part is the culprit', () => {
   const suspects = new CrashSuspects(OPTIONS);
