Let trials that fail amid other crashes block for ten seconds only, and count a late report once

Three engines crashed within three seconds by culprits that come a few times in ten seconds over all hosts; the sound parts had been let through on trial on each, and three failures blocked them for a minute. The culprits explained none of it, since each host had seen one or two requests with them.

A failed trial is weak now where a shared part that was in no answer, at two crashes or more, and not asked for more often ran beside it; weak ones block for ten seconds, unless there had been no crash by these parts for five seconds before. A failed trial of another host that is reported late (by a host that was paused or cut off) was taken for a new one and moved the block; one upstream crashes once, so it is known by its upstream.

Tests: 'trials that fail amid other crashes ...' and 'a failed trial that is reported late ...' failed on the code before.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -8,7 +8,7 @@
 import { DEFAULT_CRASH_SUSPECTS } from './CrashSuspectsOptions.ts';
 import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
 import { CrashTrials } from './CrashTrials.ts';
-import type { TrialEnd } from './CrashTrials.ts';
+import type { FailureWeight, TrialEnd } from './CrashTrials.ts';
 import { isRarer, isSuspected, judgeTrait } from './judgeTraits.ts';
 import type { CrashThresholds, CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
@@ -179,14 +179,17 @@
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
-    const isExplained = (upstream: UpstreamId, since: Millis): boolean =>
-      [...suspectsAt(upstream), ...sharedAt(upstream)]
-        .filter((other) => this.mayBeCulprit(other))
-        .filter((other) => !held.some(({ record }) => isRarer(record, other)))
-        .some(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS);
+    const weigh = (upstream: UpstreamId, since: Millis): FailureWeight => {
+      const others = [...suspectsAt(upstream), ...sharedAt(upstream)]
+        .filter(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS)
+        .filter((other) => !held.some(({ record }) => isRarer(record, other)));
+      if (others.some((other) => this.mayBeCulprit(other))) return 'none';
+      return others.some(isUnanswered) ? 'weak' : 'strong';
+    };
     const isSingle = held.some(({ verdict }) => verdict === 'certain');
     const clearedAt = Math.min(...traits.map((key) => this.records.getAnsweredAt(key)));
-    const mode = { isSingle, isExplained, clearedAt };
+    const crashTimes = held.flatMap(({ record }) => [...record.crashes.values()]);
+    const mode = { isSingle, weigh, clearedAt, crashTimes };
     const waitMs = this.trials.begin(subject, request.id, now, mode);
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
   }
@@ -312,6 +315,11 @@
   }
 }
 
+/** Tells whether a shared trait that was in no answer was at more than one crash. */
+function isUnanswered({ crashes, wasAnswered, isShared }: TraitRecord): boolean {
+  return isShared && !wasAnswered && crashes.size > 1;
+}
+
 function toKey(digest: string): string {
   return digest.slice(0, KEY_LENGTH);
 }
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -8,10 +8,13 @@
 /** Milliseconds between the starts of two trials; hosts that start one at once count it once. */
 const TRIAL_GAP_MS: Millis = 1_000;
 
-/** Failed trials after which the next ones wait for longer. */
+/** Failed trials from which on the next one waits. */
 const MAX_FAILED_TRIALS = 2;
 
-/** Milliseconds that the first trials after these wait; all later ones wait for the length of a block. */
+/** Milliseconds without a crash after which a failed trial is convincing, whatever ran beside it. */
+const CALM_MS: Millis = 5_000;
+
+/** Milliseconds that the next trial waits, by the number of convincing failures; after more it is the length of a block. */
 const GAPS_MS: readonly Millis[] = [10_000, 60_000];
 
 /** Milliseconds for which a change of a trial is in every report. */
@@ -41,17 +44,19 @@
 export type TrialEnd =
   { readonly state: 'ended' } | { readonly state: 'failed'; readonly upstream: UpstreamId };
 
-/** Tells whether another suspect explains a crash of an upstream since a time, so that a trial there shows nothing. */
-type IsExplained = (upstream: UpstreamId, since: Millis) => boolean;
+/** What a failed trial shows: `none` where another suspect explains its crash, `weak` where one may. */
+export type FailureWeight = 'none' | 'weak' | 'strong';
 
-/** How requests with a suspected trait are let through. */
+/** How requests with suspected traits are let through. */
 export interface TrialMode {
   /** Whether one at a time is let through before any has failed, too. */
   readonly isSingle: boolean;
-  /** Tells which failed trials don't count. */
-  readonly isExplained: IsExplained;
+  /** Gets what a trial shows that failed by a crash of an upstream since a time. */
+  readonly weigh: (upstream: UpstreamId, since: Millis) => FailureWeight;
   /** When all traits of the subject had been answered last; trials before that don't count. */
   readonly clearedAt: Millis;
+  /** Times of the crashes by the traits of the subject. */
+  readonly crashTimes: readonly Millis[];
 }
 
 /**
@@ -113,7 +118,10 @@
     const at = now - ageMs;
     if (ageMs >= this.blockMs * REMEMBERED_BLOCKS) return;
     const trials = this.get(subject, now);
-    const known = trials.find((trial) => Math.abs(trial.at - at) < TRIAL_GAP_MS);
+    const isSame = (trial: Trial): boolean =>
+      Math.abs(trial.at - at) < TRIAL_GAP_MS ||
+      (upstream !== undefined && trial.upstream === upstream);
+    const known = trials.find(isSame);
     if (known === undefined) {
       this.add(subject, { at, state, upstream, changedAt: now });
       return;
@@ -144,26 +152,28 @@
 
   /** Gets how long no trial of a subject may start, in milliseconds. */
   private waitFor(subject: string, now: Millis, mode: TrialMode): Millis {
-    const { isSingle, isExplained, clearedAt } = mode;
+    const { isSingle, weigh, clearedAt, crashTimes } = mode;
     const trials = this.get(subject, now).filter(({ at }) => at > clearedAt);
     const failures = trials
       .filter(({ state }) => state === 'failed')
-      .filter(({ at, upstream }) => upstream === undefined || !isExplained(upstream, at));
-    if (failures.length === 0 && !isSingle) return 0;
+      .map(({ at, upstream }) => ({
+        ...{ at, upstream: upstream ?? at },
+        weight: upstream === undefined ? 'strong' : weigh(upstream, at),
+      }))
+      .filter(({ weight }) => weight !== 'none');
     const last = failures.at(-1);
-    // Requests that run at once on an upstream fail by one crash of it.
-    const count = new Set(failures.map(({ at, upstream }) => upstream ?? at)).size;
-    const gaps = count - MAX_FAILED_TRIALS + (isSingle ? GAPS_MS.length : 0);
-    const forgottenAt = last === undefined || gaps < 0 ? now : last.at + this.getGapMs(gaps);
+    if (last === undefined && !isSingle) return 0;
+    const isCalm = (at: Millis): boolean =>
+      crashTimes.every((crashedAt) => crashedAt > at || crashedAt <= at - CALM_MS);
+    const convincing = failures.filter(({ at, weight }) => weight === 'strong' || isCalm(at));
+    const gaps = countUpstreams(convincing) - (isSingle ? 0 : MAX_FAILED_TRIALS);
+    const mustWait = isSingle || countUpstreams(failures) >= MAX_FAILED_TRIALS;
+    const gapMs = GAPS_MS[Math.max(0, gaps)] ?? this.blockMs;
+    const nextAt = last !== undefined && mustWait ? last.at + gapMs : now;
     const waits = trials.map(
       ({ at, state }) => at + (state === 'running' ? MAX_TRIAL_MS : TRIAL_GAP_MS) - now,
     );
-    return Math.max(0, forgottenAt - now, ...waits);
-  }
-
-  /** Gets how long no trial starts; a block of what many share has to end soon if it is wrong. */
-  private getGapMs(index: number): Millis {
-    return GAPS_MS[index] ?? this.blockMs;
+    return Math.max(0, nextAt - now, ...waits);
   }
 
   private isHeld(subject: string, holder: RequestId): boolean {
@@ -185,6 +195,11 @@
   }
 }
 
+/** Counts the upstreams that crashed: requests that run at once on one fail by a single crash. */
+function countUpstreams(failures: readonly { readonly upstream: UpstreamId | Millis }[]): number {
+  return new Set(failures.map(({ upstream }) => upstream)).size;
+}
+
 function isHeldBy({ holder, state }: Trial, request: RequestId): boolean {
   return holder === request && state === 'running';
 }
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -130,6 +130,29 @@
   assert.equal(admit(suspects, 'r3', ['+popular'], now + 4_000), 'trial');
 });
 
+// Guards against sound parts that are blocked for a minute, since several engines crash one after the other by rare culprits.
+test('trials that fail amid other crashes, where another part may be the cause, block for ten seconds only', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+popular', '+beside']);
+  ['r1', 'r2', 'r3'].forEach((id) => assert.equal(admit(suspects, id, ['+popular'], now), 'trial'));
+  ['r1', 'r2', 'r3'].forEach((id) => {
+    crash(suspects, `by ${id}`, now + 50, ['+popular', '+rare']);
+    suspects.endTrial(id, { state: 'failed', upstream: `by ${id}` }, now + 50);
+  });
+  assert.equal(admit(suspects, 'r4', ['+popular'], now + 9_500), 'blocked');
+  assert.equal(admit(suspects, 'r5', ['+popular'], now + 10_500), 'trial');
+});
+
+// Guards against a block that begins again each time that a host reports the failed trial which began it.
+test('a failed trial that is reported late is the one that is known', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+popular', '+beside']);
+  failTrial(suspects, 'r1', ['+popular'], now);
+  const reports = suspects.getTrialReports(now + 100);
+  reports.forEach((report) => suspects.receiveTrial(report, now + 4_000));
+  assert.equal(suspects.getTrialReports(now + 4_000).length, 1);
+});
+
 // Guards against trials of the culprit that go on without an end.
 test('a trial that crashes its upstream shows which part is the culprit', () => {
   const suspects = new CrashSuspects(OPTIONS);
