Block what callers ask for most by failed trials for ten seconds at first, also where nothing ran beside them

Seven engines and servers crashed within six seconds, by two parts, a repeated request and faults of the soak. Where no other part was at the crash in which a trial failed (an engine that the soak had crashed), it counted in full, and four such trials blocked the parts of all streams for ten minutes.

A failure amid other crashes is weak, too, where callers ask for the tried parts more often than for any part beside them at their crashes, and far more often than for one of those that was in no answer. weighFailure.ts has what a failed trial shows, as pure functions.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -8,11 +8,13 @@
 import { DEFAULT_CRASH_SUSPECTS } from './CrashSuspectsOptions.ts';
 import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
 import { CrashTrials } from './CrashTrials.ts';
-import type { FailureWeight, TrialEnd } from './CrashTrials.ts';
-import { isRarer, isSuspected, judgeTrait } from './judgeTraits.ts';
+import type { TrialEnd } from './CrashTrials.ts';
+import { isSuspected, judgeTrait } from './judgeTraits.ts';
 import type { CrashThresholds, CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
 import type { SignOfLife } from './UpstreamSurvivals.ts';
+import { isMostUsual, weighFailure } from './weighFailure.ts';
+import type { FailureWeight } from './weighFailure.ts';
 
 /** A request as crashes are counted for it. */
 export interface SuspectRequest {
@@ -39,9 +41,6 @@
 /** Distinct upstreams that must have crashed more for a trait that requests share than for a whole request. */
 const MORE_SHARED_UPSTREAMS = 1;
 
-/** Recent requests with a trait above which more than one caller's retries have it. */
-const MIN_REPEATED_REQUESTS = 2;
-
 /** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
 const SHARED_BLOCK_MS: Millis = 10_000;
 
@@ -179,16 +178,17 @@
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
+    const records = held.map(({ record }) => record);
+    const isUsual = isMostUsual(records, sharedAt);
     const weigh = (upstream: UpstreamId, since: Millis): FailureWeight => {
-      const others = [...suspectsAt(upstream), ...sharedAt(upstream)]
-        .filter(({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS)
-        .filter((other) => !held.some(({ record }) => isRarer(record, other)));
-      if (others.some((other) => this.mayBeCulprit(other))) return 'none';
-      return others.some(isUnanswered) ? 'weak' : 'strong';
+      const beside = [...suspectsAt(upstream), ...sharedAt(upstream)].filter(
+        ({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS,
+      );
+      return weighFailure(records, beside, { isUsual, minUpstreams: this.opts.minUpstreams });
     };
     const isSingle = held.some(({ verdict }) => verdict === 'certain');
     const clearedAt = Math.min(...traits.map((key) => this.records.getAnsweredAt(key)));
-    const crashTimes = held.flatMap(({ record }) => [...record.crashes.values()]);
+    const crashTimes = records.flatMap(({ crashes }) => [...crashes.values()]);
     const mode = { isSingle, weigh, clearedAt, crashTimes };
     const waitMs = this.trials.begin(subject, request.id, now, mode);
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
@@ -298,13 +298,6 @@
     return Math.max(...crashes.values()) + blockMs - now;
   }
 
-  /** Tells whether a trait that was in no answer may be a culprit: several requests have it, or one beyond its own attempts. */
-  private mayBeCulprit({ crashes, wasAnswered, isShared, recentRequests }: TraitRecord): boolean {
-    if (wasAnswered) return false;
-    if (!isShared) return crashes.size > this.opts.minUpstreams;
-    return crashes.size > 0 && recentRequests > MIN_REPEATED_REQUESTS;
-  }
-
   private thresholdsOf(key: string): CrashThresholds {
     return { minCrashes: this.minCrashes(key), certainCrashes: this.opts.certainCrashes };
   }
@@ -315,11 +308,6 @@
   }
 }
 
-/** Tells whether a shared trait that was in no answer was at more than one crash. */
-function isUnanswered({ crashes, wasAnswered, isShared }: TraitRecord): boolean {
-  return isShared && !wasAnswered && crashes.size > 1;
-}
-
 function toKey(digest: string): string {
   return digest.slice(0, KEY_LENGTH);
 }
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -1,6 +1,7 @@
 import type { Millis, RequestId, UpstreamId } from '@camphorvane/core';
 import type { TrialReport, TrialState } from './CrashReport.ts';
 import type { ReportAudience } from './CrashReporter.ts';
+import type { FailureWeight } from './weighFailure.ts';
 
 /** Milliseconds after which a trial without a result stands in the way of no other. */
 const MAX_TRIAL_MS: Millis = 5_000;
@@ -44,9 +45,6 @@
 export type TrialEnd =
   { readonly state: 'ended' } | { readonly state: 'failed'; readonly upstream: UpstreamId };
 
-/** What a failed trial shows: `none` where another suspect explains its crash, `weak` where one may. */
-export type FailureWeight = 'none' | 'weak' | 'strong';
-
 /** How requests with suspected traits are let through. */
 export interface TrialMode {
   /** Whether one at a time is let through before any has failed, too. */
--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -46,7 +46,7 @@
 const CONTENT_LEAD_CRASHES = 2;
 
 /** Requests by which a trait is asked for more often than a suspect beside it, so that it is the usual one of both. */
-const MIN_LEAD_REQUESTS = 5;
+export const MIN_LEAD_REQUESTS = 5;
 
 /** Milliseconds within which all reports of an upstream are of one crash: a host that was frozen reads late. */
 export const SAME_CRASH_MS: Millis = 30_000;
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -143,6 +143,29 @@
   assert.equal(admit(suspects, 'r5', ['+popular'], now + 10_500), 'trial');
 });
 
+// Guards against parts of all sound requests that are blocked for ten minutes, since engines crash by several causes at once.
+test('a part that callers ask for far more often than for a suspect is blocked for ten seconds by failed trials', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['+popular', '+beside', '+rare']);
+  const arrive = (at: number): void =>
+    [...Array(9).keys()].forEach(() => suspects.recordArrival(['+popular', '+beside'], at));
+  arrive(now);
+  const ids = ['r1', 'r2', 'r3', 'r4'];
+  ids.forEach((id) => assert.equal(admit(suspects, id, ['+popular'], now), 'clear'));
+  suspects.recordArrival(['+rare'], now);
+  [...Array(5).keys()].forEach((n) =>
+    crash(suspects, `v${n}`, now + n * 10, ['+popular', '+beside']),
+  );
+  ids.forEach((id) => assert.equal(admit(suspects, id, ['+popular'], now + 1_100), 'trial'));
+  ids.forEach((id) => {
+    crash(suspects, `by ${id}`, now + 1_200, ['+popular']);
+    suspects.endTrial(id, { state: 'failed', upstream: `by ${id}` }, now + 1_200);
+  });
+  assert.equal(admit(suspects, 'r5', ['+popular'], now + 9_500), 'blocked');
+  arrive(now + 13_000);
+  assert.equal(admit(suspects, 'r6', ['+popular'], now + 13_000), 'trial');
+});
+
 // Guards against a block that begins again each time that a host reports the failed trial which began it.
 test('a failed trial that is reported late is the one that is known', () => {
   const suspects = new CrashSuspects(OPTIONS);
