Let requests that come again explain crashes early, and block shared parts only after three series

A request that callers have sent more than twice lately is a repeated one, with any number of crashes; and a shared trait is blocked without a trial after three series of crashes instead of two. Before that, requests with it are let through until one fails.

Tests: 'a request that comes again and again ...' and 'a part is blocked without a trial by three series ...' failed before.

--- a/packages/decisions/src/retry/CrashRecords.ts
+++ b/packages/decisions/src/retry/CrashRecords.ts
@@ -45,7 +45,7 @@
 
   readonly survivals = new UpstreamSurvivals();
 
-  /** Requests that callers have sent lately, by shared trait. */
+  /** Requests that callers have sent lately, by trait. */
   private readonly arrivals = new DecayingSums<string>(ARRIVAL_DECAY_MS);
 
   /** Crashes by trait, in order of the last new crash of the trait. */
@@ -161,7 +161,7 @@
     };
   }
 
-  /** Records that a caller has sent a request with a shared trait. */
+  /** Records that a caller has sent a request with a trait. */
   recordArrival(key: string, now: Millis): void {
     this.arrivals.add(key, 1, now);
     this.arrivalCount += 1;
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -144,10 +144,7 @@
 
   /** Records that a caller has sent a request with these traits to this host. */
   recordArrival(traits: readonly string[], now: Millis): void {
-    traits
-      .map(toKey)
-      .filter(isSharedDigest)
-      .forEach((key) => this.records.recordArrival(key, now));
+    traits.map(toKey).forEach((key) => this.records.recordArrival(key, now));
   }
 
   /** Records a trial at another host. */
--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -8,7 +8,7 @@
   readonly wasAnswered: boolean;
   /** Whether different requests may have it; else it is the whole content of one. */
   readonly isShared: boolean;
-  /** Requests with it that callers have sent to this host lately, also refused ones; 0 for whole requests. */
+  /** Requests with it that callers have sent to this host lately, also refused ones. */
   readonly recentRequests: number;
 }
 
@@ -36,7 +36,7 @@
 const MIN_SERIES_AFTER_ANSWER = 2;
 
 /** Series of crashes from which on a trait may be certain. */
-const CERTAIN_SERIES = 2;
+const CERTAIN_SERIES = 3;
 const CERTAIN_SERIES_AFTER_ANSWER = 4;
 
 /** Crashes of a shared trait that nothing else explains, up to which they may be a coincidence. */
@@ -48,6 +48,9 @@
 /** Requests by which a trait is asked for more often than a suspect beside it, so that it is the usual one of both. */
 export const MIN_LEAD_REQUESTS = 5;
 
+/** Recent requests with a trait above which more than one caller's retries have it. */
+export const MIN_REPEATED_REQUESTS = 2;
+
 /** Milliseconds within which all reports of an upstream are of one crash: a host that was frozen reads late. */
 export const SAME_CRASH_MS: Millis = 30_000;
 
@@ -147,9 +150,13 @@
   return one.isShared ? one.crashes.size > COINCIDENT_CRASHES : isRepeatedRequest(one, minCrashes);
 }
 
-/** Tells whether a whole request has crashed more upstreams than its own attempts can. */
-function isRepeatedRequest({ isShared, crashes }: TraitRecord, minCrashes: number): boolean {
-  return !isShared && crashes.size >= minCrashes;
+/** Tells whether a whole request comes again and again, or has crashed more upstreams than its own attempts can. */
+function isRepeatedRequest(
+  { isShared, crashes, recentRequests }: TraitRecord,
+  minCrashes: number,
+): boolean {
+  if (isShared) return false;
+  return crashes.size >= minCrashes || recentRequests > MIN_REPEATED_REQUESTS;
 }
 
 /** Counts crashes, those that follow another one at once as one. */
--- a/packages/decisions/src/retry/weighFailure.ts
+++ b/packages/decisions/src/retry/weighFailure.ts
@@ -1,10 +1,7 @@
 import type { UpstreamId } from '@camphorvane/core';
-import { isRarer, MIN_LEAD_REQUESTS } from './judgeTraits.ts';
+import { isRarer, MIN_LEAD_REQUESTS, MIN_REPEATED_REQUESTS } from './judgeTraits.ts';
 import type { TraitRecord } from './judgeTraits.ts';
 
-/** Recent requests with a trait above which more than one caller's retries have it. */
-const MIN_REPEATED_REQUESTS = 2;
-
 /** What a failed trial shows: `none` where another trait explains its crash, `weak` where one may, else `strong`. */
 export type FailureWeight = 'none' | 'weak' | 'strong';
 
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -221,6 +221,25 @@
   assert.equal(admit(suspects, 'r2', ['repeated'], now), 'blocked');
 });
 
+// Guards against sound parts, not yet answered, that are blocked beside requests which come again and crash three engines each.
+test('a request that comes again and again explains crashes from its third one on', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  crashes(suspects, 3, ['repeated', '+common']);
+  [3, 4].forEach((n) => crash(suspects, `v${n}`, n * 2_000, ['+common']));
+  assert.equal(admit(suspects, 'r1', ['one', '+common'], 10_000), 'blocked');
+  [0, 1, 2].forEach(() => suspects.recordArrival(['repeated'], 10_000));
+  assert.equal(admit(suspects, 'r1', ['one', '+common'], 10_000), 'trial');
+});
+
+// Guards against sound parts, not yet answered, that are blocked by a zone that loses power and one crash more.
+test('a part is blocked without a trial by three series of crashes only', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  [0, 10, 20, 2_000].forEach((at, n) => crash(suspects, `u${n}`, at, ['+common']));
+  assert.equal(admit(suspects, 'r1', ['one', '+common'], 3_500), 'trial');
+  crash(suspects, 'u4', 4_000, ['+common']);
+  assert.equal(admit(suspects, 'r2', ['two', '+common'], 5_500), 'blocked');
+});
+
 // Guards against a part that hides behind requests with it which are sent several times each.
 test('a part is blocked although each request with it was repeated', () => {
   const suspects = new CrashSuspects(OPTIONS);
