--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -127,7 +127,10 @@
 function isStronger(one: TraitRecord, other: TraitRecord, minCrashes: number): boolean {
   if (one.isShared && !other.isShared) return false;
   if (one.wasAnswered !== other.wasAnswered) return other.wasAnswered;
-  const isUsual = isRepeatedRequest(one, minCrashes) && other.recentRequests >= MIN_LEAD_REQUESTS;
+  const isUsual =
+    other.isShared &&
+    isRepeatedRequest(one, minCrashes) &&
+    other.recentRequests >= MIN_LEAD_REQUESTS;
   const lead = isUsual ? CONTENT_LEAD_CRASHES : 0;
   return one.crashes.size + lead > other.crashes.size;
 }
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -231,6 +231,18 @@
   assert.equal(admit(suspects, 'r1', ['one', '+common'], 10_000), 'trial');
 });
 
+// Guards against two requests that come again and again, each of which excuses the other.
+test('a request that comes again explains no more crashes of another one than it has itself', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  crashes(suspects, 2, ['one', 'other']);
+  crash(suspects, 'v', 5_000, ['other']);
+  crash(suspects, 'w', 6_000, ['one']);
+  crash(suspects, 'x', 7_000, ['other']);
+  [...Array(6).keys()].forEach(() => suspects.recordArrival(['one'], 8_000));
+  [...Array(6).keys()].forEach(() => suspects.recordArrival(['other'], 8_000));
+  assert.equal(admit(suspects, 'r1', ['other'], 8_500), 'blocked');
+});
+
 // Guards against sound parts, not yet answered, that are blocked by a zone that loses power and one crash more.
 test('a part is blocked without a trial by three series of crashes only', () => {
   const suspects = new CrashSuspects(OPTIONS);
