--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -136,7 +136,7 @@
 }
 
 /**
- * Tells whether callers ask less often for a shared trait than for another one, which may then be beside it by chance.
+ * Tells whether callers ask less often for a shared trait than for another shared one, which may then be beside it by chance.
  *
  * @param one - The trait.
  * @param other - The other one.
@@ -144,7 +144,8 @@
  */
 export function isRarer(one: TraitRecord, other: TraitRecord, minLead = 1): boolean {
   const lead = other.recentRequests - one.recentRequests;
-  return one.isShared && !(one.wasAnswered && !other.wasAnswered) && lead >= minLead;
+  const areShared = one.isShared && other.isShared;
+  return areShared && !(one.wasAnswered && !other.wasAnswered) && lead >= minLead;
 }
 
 /** Tells whether a trait may explain crashes in place of a shared one. */
--- a/packages/decisions/tests/retry/sharedTraits.test.ts
+++ b/packages/decisions/tests/retry/sharedTraits.test.ts
@@ -252,6 +252,15 @@
   assert.equal(admit(suspects, 'r2', ['two', '+common'], 5_500), 'blocked');
 });
 
+// Guards against parts of rare sound requests that are refused beside a request which comes more often than they do.
+test('a request that is repeated more often than others ask for a part explains its crashes', () => {
+  const suspects = new CrashSuspects(OPTIONS);
+  const now = crashes(suspects, 4, ['repeated', '+common']);
+  crash(suspects, 'v', 1_000, ['repeated']);
+  [...Array(9).keys()].forEach(() => suspects.recordArrival(['repeated'], now));
+  assert.equal(admit(suspects, 'r1', ['one', '+common'], now), 'clear');
+});
+
 // Guards against a part that hides behind requests with it which are sent several times each.
 test('a part is blocked although each request with it was repeated', () => {
   const suspects = new CrashSuspects(OPTIONS);
