Review case 4: a stream without a length looks complete after a kill

Rule ORDER: a stream must not end as complete before its last piece.

Seen: an engine sends its stream without a length, which a sound server may; the host passes it on the same way. When the host is killed, the kernel closes the caller's connection in order, and the caller has a 200 whose stream ends as complete after about half of its events.

Code at fault: useCloseDelimitedBody in platform/src/Ingress.ts takes the framing of the upstream's response over for the caller's, where chunks would show the missing end.

--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -36,7 +36,10 @@
     };
     process.once('uncaughtException', fail);
     process.once('unhandledRejection', fail);
-    setTimeout(() => fail(new Error('the case took too long')), 100_000).unref();
+    setTimeout(
+      () => fail(new Error('the case took too long')),
+      Number(process.env.CAP ?? 100_000),
+    ).unref();
     this.prefix = `127.${64 + (n % 128)}.${1 + (Math.floor(n / 128) % 250)}`;
   }
 
--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -233,6 +233,11 @@
     if (res.destroyed || this.isDown) return;
     arrival.ranAt = world.now();
     if ((await onRun?.call(this, arrival, req, res)) === true) return;
+    // An answer may have no length, and end with its connection.
+    if (this.options.isUnframed === true) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+    }
     res.writeHead(200, { ...this.stamp(arrival.id), 'content-type': 'text/event-stream' });
     let position = arrival.last === undefined ? 0 : Number(arrival.last) + 1;
     arrival.events = 0;
