Review: the client of the cases tells a reset from an orderly end

Node shows a reset that comes with the last bytes as an end. The client now takes such an answer as broken off.

--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -152,7 +152,7 @@
       'discovery=platform',
       'entry=directory',
       'heartbeat-ms=1200',
-      'contracts=base,drain,config,cost,retry,recover,split,stream,engine,tenants,quota,platform',
+      `contracts=base,drain,config,cost,retry,recover,split,stream,engine,tenants,quota,platform${process.env.CONTRACTS ?? ''}`,
       `platform.address=${this.deployment.storeAddress}`,
       'platform.form=objects',
       'platform.writes-per-s=400',
@@ -255,11 +255,20 @@
       finish({ isComplete: false, error: 'the client gave up' });
       req.destroy();
     }, timeoutMs);
+    let wasReset = false;
+    // Node reports a reset that comes with the last bytes as an end; the socket then has no remote address.
+    req.once('socket', (socket) =>
+      socket.prependOnceListener('end', () => {
+        wasReset = socket.remoteAddress === undefined;
+      }),
+    );
     req.once('response', (res) => {
       head = res;
       onHead?.(res);
       res.on('data', (chunk) => chunks.push(chunk));
-      res.once('end', () => finish({ isComplete: res.complete }));
+      res.once('end', () =>
+        finish(wasReset ? { isComplete: false, error: 'reset' } : { isComplete: res.complete }),
+      );
       res.once('error', (error) => finish({ isComplete: false, error: error.message }));
       res.once('close', () => finish({ isComplete: res.complete }));
     });
