--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -63,10 +63,17 @@
     return server;
   }
 
-  async addHost(name, zone, bounds = {}) {
+  async addHost(name, zone, bounds = {}, storeAddress = this.storeAddress) {
     if (!existsSync(path.join(ROOT, 'target/camphorvane.cjs')))
       throw new Error('target/camphorvane.cjs is not built');
-    const host = new HostProcess(this, name, zone, this.ip(this.hosts.length + 1), bounds);
+    const host = new HostProcess(
+      this,
+      name,
+      zone,
+      this.ip(this.hosts.length + 1),
+      bounds,
+      storeAddress,
+    );
     await host.prepare();
     this.hosts.push(host);
     host.start();
@@ -97,8 +104,8 @@
 export class HostProcess {
   exits = [];
 
-  constructor(deployment, name, zone, ip, bounds) {
-    Object.assign(this, { deployment, name, zone, ip, bounds });
+  constructor(deployment, name, zone, ip, bounds, storeAddress) {
+    Object.assign(this, { deployment, name, zone, ip, bounds, storeAddress });
   }
 
   async prepare() {
@@ -153,7 +160,7 @@
       'entry=directory',
       'heartbeat-ms=1200',
       `contracts=base,drain,config,cost,retry,recover,split,stream,engine,tenants,quota,platform${process.env.CONTRACTS ?? ''}`,
-      `platform.address=${this.deployment.storeAddress}`,
+      `platform.address=${this.storeAddress}`,
       'platform.form=objects',
       'platform.writes-per-s=400',
       'platform.reads-per-s=2000',
@@ -239,9 +246,14 @@
     const chunks = [];
     let head;
     let isDone = false;
+    let resolveEnded;
+    const ended = new Promise((done) => {
+      resolveEnded = done;
+    });
     const finish = (end) => {
       if (isDone) return;
       isDone = true;
+      resolveEnded();
       clearTimeout(timer);
       resolve({
         status: head?.statusCode,
@@ -257,11 +269,13 @@
     }, timeoutMs);
     let wasReset = false;
     // Node reports a reset that comes with the last bytes as an end; the socket then has no remote address.
-    req.once('socket', (socket) =>
-      socket.prependOnceListener('end', () => {
+    req.once('socket', (socket) => {
+      const onEnd = () => {
         wasReset = socket.remoteAddress === undefined;
-      }),
-    );
+      };
+      socket.prependOnceListener('end', onEnd);
+      ended.then(() => socket.off('end', onEnd));
+    });
     req.once('response', (res) => {
       head = res;
       onHead?.(res);
--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -203,7 +203,11 @@
     const handle = randomBytes(6).toString('hex');
     world.handles.set(handle, { id: arrival.id, until: Date.now() + HANDLE_TTL_MS });
     arrival.status = 200;
-    const body = JSON.stringify({ 'prefill-handle': handle, tokens, version: 1 });
+    const body = JSON.stringify({
+      'prefill-handle': handle,
+      tokens: Math.max(0, tokens),
+      version: 1,
+    });
     res
       .writeHead(200, {
         'content-type': 'application/json',
