--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -15,6 +15,8 @@
 /** Bounds of the sheet, in milliseconds. */
 const DRAIN_MS = 2_000;
 const STABLE_WINDOW_MS = 3_000;
+/** The server goes on serving for `drain-ms` and a little longer, and then exits. */
+const SERVES_ON_MS = DRAIN_MS + 1_600;
 
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
@@ -39,7 +41,7 @@
     stage: 'decode',
   }),
 );
-const app = { ...common, service: 'ledger-app', slots: 6 };
+const app = { ...common, service: 'ledger-app', slots: 6, workMs: 300 };
 const servers = [];
 for (const [id, zone] of [
   ['i-app-1', 'kolkata-a'],
@@ -84,11 +86,11 @@
       body: `body ${id}`,
     };
     const { status } = await httpCall(call, 1_500);
-    calls.push({ id, host: host.name, sentAt, status });
+    calls.push({ id, path, host: host.name, sentAt, status });
     await sleep(100);
   }
 };
-const loads = hosts.flatMap((host) => [0, 1].map((index) => load(host, index)));
+const loads = hosts.flatMap((host) => [0, 1, 2, 3].map((index) => load(host, index)));
 await sleep(1_000);
 
 const [leaving] = servers;
@@ -105,7 +107,10 @@
 deployment.note(
   `the store acknowledges that the entry of ${leaving.id} is removed; the server goes on serving`,
 );
-await sleep(6_500);
+await sleep(SERVES_ON_MS);
+deployment.note(`${leaving.id} exits with ${leaving.running} requests at work`);
+leaving.crash();
+await sleep(6_500 - SERVES_ON_MS);
 isEnding = true;
 await Promise.all(loads);
 
@@ -121,11 +126,20 @@
     `${id} from ${hostOf.get(id)} reaches ${leaving.id} at ${at}, ${at - removedAt} ms after the acknowledgement and ${at - silentAt} ms after the silence`,
   ),
 );
+const lateIds = new Set(late.map(({ id }) => id));
+const lost = calls.filter(
+  ({ id, path, status }) => path.startsWith('/reserve') && lateIds.has(id) && status !== 200,
+);
+lost.forEach(({ id, status }) =>
+  deployment.note(
+    `the client of ${id}, which must not repeat, gets ${status ?? 'no answer'}: LOST with the server`,
+  ),
+);
 const served = calls.filter(({ status }) => status === 200).length;
 proxies.forEach((proxy) => proxy.close());
 if (served === 0 || before === 0)
   await deployment.finish(2, 'no request was served by the server that leaves');
 await deployment.finish(
   late.length > 0 ? 1 : 0,
-  `${calls.length} requests, ${served} served; ${late.length} reached the server that had left later than ${DRAIN_MS} ms after the acknowledgement, from hosts in touch`,
+  `${calls.length} requests, ${served} served; ${late.length} reached the server that had left later than ${DRAIN_MS} ms after the acknowledgement, from hosts in touch; ${lost.length} of these that must not repeat were lost as it exited`,
 );
