--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -36,6 +36,11 @@
     };
     process.once('uncaughtException', fail);
     process.once('unhandledRejection', fail);
+    ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((name) =>
+      process.once(name, () => fail(new Error(`ended by ${name}`))),
+    );
+    // Also where this process ends in another way, no host stays behind.
+    process.once('exit', () => this.hosts.forEach((host) => host.child?.kill('SIGKILL')));
     setTimeout(
       () => fail(new Error('the case took too long')),
       Number(process.env.CAP ?? 100_000),
@@ -82,6 +87,8 @@
 
   /** Writes the record, ends all processes and exits with the result. */
   async finish(code, summary) {
+    if (this.isFinished) return new Promise(() => undefined);
+    this.isFinished = true;
     this.note(summary);
     for (const host of this.hosts) await host.end();
     this.servers.forEach((server) => server.stop());
