Review: stand-ins beside the cases, loopback addresses, TROUBLE read in each

The stand-ins are files of review/ now, so that its folders are the five cases. The entry of case 2 has the address 127.0.0.300:8080, which is none either, and each case reads TROUBLE itself. No check has changed.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,13 +1,15 @@
 /* eslint-disable */
 // A resumable stream whose engine crashes is sent on to another engine, which answers 500.
-import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../lib/run.mjs';
-import { FakeServer, streamBody } from '../lib/servers.mjs';
+import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../run.mjs';
+import { FakeServer, streamBody } from '../servers.mjs';
 
 const STREAMS = 24;
 const EVENTS = 70;
 /** Part of its requests that the grey engine fails. */
 const FAILING_PART = 0.45;
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
 await deployment.startStore();
@@ -68,7 +70,7 @@
   return { id, sentAt, answer };
 });
 await sleep(1_100);
-if (deployment.isTroubled) {
+if (isTroubled) {
   deployment.note(
     `engine ${decode[0].id} crashes; engine ${decode[1].id} fails ${FAILING_PART} of its requests with status 500 from now on`,
   );
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,10 +1,12 @@
 /* eslint-disable */
 // Another writer leaves an entry among the servers whose address is none.
 import { Agent } from 'node:http';
-import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../lib/run.mjs';
-import { FakeServer, plainBody, streamBody } from '../lib/servers.mjs';
+import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../run.mjs';
+import { FakeServer, plainBody, streamBody } from '../servers.mjs';
 
 const EVENTS = 100;
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
 await deployment.startStore();
@@ -84,13 +86,13 @@
   for (let index = 0; index < 3; index += 1) send(host, '/reserve/1', undefined, 1_500, isPlain);
 await sleep(100);
 const wroteAt = world.now();
-if (deployment.isTroubled) {
+if (isTroubled) {
   deployment.note(
-    'an entry of another writer, with the address 10.128.0.300:8080, among the servers',
+    'an entry of another writer, with the address 127.0.0.300:8080, among the servers',
   );
   store.write('servers', 'i-other', {
     service: 'attar-llm',
-    address: '10.128.0.300:8080',
+    address: '127.0.0.300:8080',
     zone: 'kolkata-a',
     version: 'v1',
     slots: 48,
@@ -132,7 +134,7 @@
       ),
     );
 }
-if (deployment.isTroubled && ended.length > 0) {
+if (isTroubled && ended.length > 0) {
   ended[0].start();
   const isBack = await ended[0].waitUntilReady(6_000);
   deployment.note(
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,16 +1,18 @@
 /* eslint-disable */
 // A prefill engine spoils one byte in some of its answers.
 import { Agent } from 'node:http';
-import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../lib/run.mjs';
-import { FakeServer } from '../lib/servers.mjs';
+import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../run.mjs';
+import { FakeServer } from '../servers.mjs';
 
 const EVENTS = 20;
 /** One answer in so many is spoiled: 2.5 in 100. */
 const SPOILED_ONE_IN = 40;
-const TROUBLE_MS = 5_500;
+const SPOILING_MS = 5_500;
 const STREAMS_AT_ONCE = 16;
 const CALLS_AT_ONCE = 12;
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
 await deployment.startStore();
@@ -89,8 +91,8 @@
 };
 const loads = Array.from({ length: STREAMS_AT_ONCE + CALLS_AT_ONCE }, (_, index) => load(index));
 await sleep(1_000);
-isFaulty = deployment.isTroubled;
-await sleep(TROUBLE_MS);
+isFaulty = isTroubled;
+await sleep(SPOILING_MS);
 isFaulty = false;
 await sleep(500);
 isEnding = true;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,10 +1,12 @@
 /* eslint-disable */
 // A host is killed while it passes on streams whose servers send them without a length.
-import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../lib/run.mjs';
-import { FakeServer, streamBody } from '../lib/servers.mjs';
+import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../run.mjs';
+import { FakeServer, streamBody } from '../servers.mjs';
 
 const EVENTS = 70;
 const STREAMS = 16;
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
 await deployment.startStore();
@@ -45,7 +47,7 @@
   return { id, host, sentAt, endedAt: world.now(), answer };
 });
 await sleep(1_000);
-if (deployment.isTroubled) {
+if (isTroubled) {
   hosts[0].isExpectedToEnd = true;
   hosts[0].signal('SIGKILL');
 }
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,16 +1,8 @@
 /* eslint-disable */
 // A server's entry is removed while the hosts' open connections to the store are silent.
-import {
-  Deployment,
-  clientHeaders,
-  configOf,
-  freePorts,
-  httpCall,
-  newId,
-  sleep,
-} from '../lib/run.mjs';
-import { Proxy } from '../lib/proxy.mjs';
-import { FakeServer } from '../lib/servers.mjs';
+import { Deployment, clientHeaders, configOf, freePorts, httpCall, newId, sleep } from '../run.mjs';
+import { Proxy } from '../proxy.mjs';
+import { FakeServer } from '../servers.mjs';
 
 /** Bounds of the sheet, in milliseconds. */
 const DRAIN_MS = 2_000;
@@ -18,6 +10,8 @@
 /** The server goes on serving for `drain-ms` and a little longer, and then exits. */
 const SERVES_ON_MS = DRAIN_MS + 1_600;
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const deployment = new Deployment(import.meta.dirname);
 const { world, store } = deployment;
 await deployment.startStore();
@@ -95,7 +89,7 @@
 
 const [leaving] = servers;
 const silentAt = world.now();
-if (deployment.isTroubled) {
+if (isTroubled) {
   const count = proxies.reduce((sum, proxy) => sum + proxy.silenceOpen(), 0);
   deployment.note(`${count} open connections of the hosts to the store go silent; new ones work`);
 }
@@ -118,8 +112,7 @@
 const arrivals = world.arrivals.filter(({ server }) => server === leaving.id);
 const before = arrivals.filter(({ at }) => at <= removedAt).length;
 const late = arrivals.filter(
-  ({ at }) =>
-    at > removedAt + DRAIN_MS && (!deployment.isTroubled || at > silentAt + STABLE_WINDOW_MS),
+  ({ at }) => at > removedAt + DRAIN_MS && (!isTroubled || at > silentAt + STABLE_WINDOW_MS),
 );
 late.forEach(({ id, at }) =>
   deployment.note(
--- a/review/lib/run.mjs
+++ b/review/run.mjs
@@ -13,7 +13,7 @@
 
 export const HOST_NAME = 'ficu95.example';
 export const KEY = 'key-of-huka270';
-const ROOT = path.resolve(import.meta.dirname, '../..');
+const ROOT = path.resolve(import.meta.dirname, '..');
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -27,7 +27,6 @@
 
   constructor(caseFolder) {
     this.caseFolder = caseFolder;
-    this.isTroubled = process.env.TROUBLE !== '0';
     this.folder = mkdtempSync(path.join(tmpdir(), 'camphorvane-review-'));
     const n = process.pid;
     const fail = (error) => {
