--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,7 +3,7 @@
 import { Deployment, clientHeaders, configOf, httpCall, newId, sleep } from '../run.mjs';
 import { FakeServer, streamBody } from '../servers.mjs';
 
-const STREAMS = 24;
+const STREAMS = 150;
 const EVENTS = 70;
 /** Part of its requests that the grey engine fails. */
 const FAILING_PART = 0.45;
@@ -21,17 +21,18 @@
   new FakeServer({ ...common, id: 'i-prefill', zone: 'kolkata-a', stage: 'prefill' }),
 );
 const decode = [];
-for (const [id, zone] of [
-  ['i-decode-1', 'kolkata-a'],
-  ['i-decode-2', 'kolkata-b'],
-]) {
+const ZONES = ['kolkata-a', 'kolkata-b', 'howrah'];
+// With the prefill engine eight servers: two that crash are a share of 0.25, a grey one is 0.125.
+for (let n = 1; n <= 7; n += 1) {
+  const id = `i-decode-${n}`;
+  const zone = ZONES[n % 3];
   const server = new FakeServer({
     ...common,
     id,
     zone,
     stage: 'decode',
     onRun(arrival, req, res) {
-      if (!isGrey) return false;
+      if (!isGrey || id !== 'i-decode-3') return false;
       greyRequests += 1;
       const isFailed =
         Math.floor(greyRequests * FAILING_PART) > Math.floor((greyRequests - 1) * FAILING_PART);
@@ -53,7 +54,7 @@
 await sleep(1_500);
 
 const calls = Array.from({ length: STREAMS }, async (_, index) => {
-  await sleep(index * 25);
+  await sleep(index * 5);
   const id = newId();
   const host = hosts[index % hosts.length];
   const sentAt = world.now();
@@ -72,10 +73,11 @@
 await sleep(1_100);
 if (isTroubled) {
   deployment.note(
-    `engine ${decode[0].id} crashes; engine ${decode[1].id} fails ${FAILING_PART} of its requests with status 500 from now on`,
+    `engines ${decode[0].id} and ${decode[1].id} crash; engine ${decode[2].id} fails ${FAILING_PART} of its requests with status 500 from now on`,
   );
   isGrey = true;
   decode[0].crash();
+  decode[1].crash();
 }
 let broken = 0;
 let whole = 0;
