Refuse requests whose header names are no tokens, on every runtime

What callers could do: send `Authorization : Bearer other`, `Host : elsewhere` or `X-Camphorvane-Tenant : other` with a space before the colon. On Node.js 20.18.0 and 20.19.0 both edges served such a request (200), as a header of another name: it passed the checks of repeated and of reserved headers and was forwarded. The same held for an empty name, for a name with a space in a trailer, and for a target with bytes over 127; HTTP/0.9 and HTTP/2.0 in the request line were served on 20.20.2 as well.

Cause: the check was left to the runtime's parser, and versions of Node.js 20 differ in it. A bare server of five versions was asked with 54 raw inputs: 20.18.0 and 20.19.0 answer alike; 20.20.2 refuses the names, trailer and target; 20.11.0 also joins a line that begins with a blank to the one before (obs-fold), which can't be told apart behind the parser.

Fix: `checkSyntax` looks at names, trailers, target and version of the request itself, and both edges ask it before the body and after it; they answer 400 and close the connection. As folded lines can't be seen, the least version is 20.18 now, the oldest one that refuses them and could be run here (20.12 to 20.17 are not on the registry for arm64): README, `engines` and the start of the program say so (exit 2). Responses of servers are parsed by undici, which brings its own parser and refuses such names on all versions; a test holds it.

--- a/packages/caller/src/CallerServer.ts
+++ b/packages/caller/src/CallerServer.ts
@@ -19,6 +19,7 @@
   extractKey,
   selectForwardedHeaders,
 } from './http/requestChecks.ts';
+import { checkSyntax } from './http/requestSyntax.ts';
 import { ResponseWriter } from './http/ResponseWriter.ts';
 import { ServiceRoute } from './http/ServiceRoute.ts';
 import type { CompletionKind } from './openai/completionBody.ts';
@@ -84,6 +85,7 @@
   /** Creates the Hono application. */
   app(): Hono<Env> {
     const app = new Hono<Env>();
+    app.use(({ env }, next) => refuseMalformed(env, next));
     app.get('/v1/hosts', (c) => this.listHosts(c));
     app.get('/v1/models', (c) => this.listModels(c));
     app.post('/v1/chat/completions', (c) => this.complete(c, 'chat'));
@@ -247,7 +249,9 @@
     if (headers.isErr()) return headers.map(() => Buffer.alloc(0));
     const body = await this.bodies.read(req);
     return body.andThen((bytes) =>
-      checkKeyLeak(extractKey(req), req, bytes).andThen(() => ok(bytes)),
+      checkSyntax(req)
+        .andThen(() => checkKeyLeak(extractKey(req), req, bytes))
+        .andThen(() => ok(bytes)),
     );
   }
 
@@ -257,6 +261,16 @@
   }
 }
 
+/** Refuses a request that is not HTTP/1.1; its trailers are checked once its body has been read. */
+async function refuseMalformed(
+  { incoming, outgoing }: HttpBindings,
+  next: () => Promise<void>,
+): Promise<Response | void> {
+  const syntax = checkSyntax(incoming);
+  if (syntax.isErr()) return refuseAndClose(syntax.error, outgoing);
+  return next();
+}
+
 /** Closes the connection, so that the unread rest of the body is not parsed as the next request. */
 function refuseAndClose(refusal: Refusal, out: ServerResponse): Response {
   out.setHeader('connection', 'close');
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -6,11 +6,13 @@
 import { lossesCommand } from './cli/lossesCommand.ts';
 import { hostsCommand } from './cli/hostsCommand.ts';
 import { drainModule, dumpModule, keyModule, statusModule } from './cli/operatorCommands.ts';
+import { requireRuntime } from './cli/requireRuntime.ts';
 import { serveCommand } from './cli/serveCommand.ts';
 import { servePlatformModule } from './cli/servePlatformModule.ts';
 import { drainZoneModule, restoreZoneModule } from './cli/zoneCommands.ts';
 import { VERSION } from './version.ts';
 
+requireRuntime();
 yargs(hideBin(process.argv))
   .scriptName('camphorvane')
   .usage('$0 <command>: a router for separate prefill and decode pools')
