Take up at its version a stream whose caller declares no token counts

Cause: the position was a field of the declared work, so `isTakeUp` saw none without it, and it was asked on resumable routes only.

Fix: the position is a field of the request, read with or without token counts. A position that can't be read is refused with 400: nobody can tell which events the caller has. A take-up is bound to its version on each route of streams. Between hosts the position is sent at both places, and read from either, so that hosts of the landed build go on with what this one passes on and the other way round.

Fixtures have the position at its new place; what their tests ask is unchanged.

--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -87,8 +87,6 @@
   /** The caller's estimate of its output; correct in the median, but single values may be far off. */
   readonly expectedOutputTokens?: Tokens;
   readonly parts: readonly PromptPart[];
-  /** Last position received, after which the caller resumes a stream; undefined for a new one. */
-  readonly lastPosition: number | undefined;
 }
 
 /** A call that is routed by host name and path, and forwarded byte for byte. */
@@ -106,6 +104,10 @@
   readonly callerTimeoutMs: Millis | undefined;
   /** Undefined where the caller declared none. */
   readonly work: DeclaredWork | undefined;
+  /** Position of the last event that the caller has got of the stream which it takes up; absent for a new one. */
+  readonly lastPosition?: number;
+  /** True where the caller takes a stream up after an event whose position can't be read. */
+  readonly isPositionUnreadable?: boolean;
   /** Id of the attempt that brought the first event of the stream which the caller takes up; undefined for none. */
   readonly resumes?: RequestId;
 }
--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -20,6 +20,8 @@
   /** Only headers that are forwarded to an upstream; lower-case names. */
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** Position after which the stream goes on; absent from its beginning. */
+  readonly lastPosition?: number;
   /** Id of the attempt that brought the first event of the stream which is taken up; undefined for none. */
   readonly resumes?: RequestId;
   /** Undefined where the caller declared no work. */
@@ -29,8 +31,6 @@
         readonly maxTokens: Tokens;
         readonly expectedOutputTokens?: Tokens;
         readonly parts: readonly PromptPart[];
-        /** Position after which the stream goes on; undefined from its beginning. */
-        readonly lastPosition: number | undefined;
       }
     | undefined;
 }
--- a/packages/peer/src/relay/relayCodec.ts
+++ b/packages/peer/src/relay/relayCodec.ts
@@ -23,10 +23,18 @@
   | { readonly type: 'alive' }
   | { readonly type: 'version'; readonly version: SoftwareVersion };
 
+/** A call without its body; hosts of an earlier program send the position beside the declared work only. */
+type EncodedCall = Omit<RelayedRequest['call'], 'body' | 'work'> & {
+  readonly work?: NonNullable<RelayedRequest['call']['work']> & { readonly lastPosition?: number };
+};
+
 /** Encodes a request: the length of its fields, the fields as JSON, and the body as it is. */
 export function encodeRequest({ id, call, context }: RelayedRequest): readonly Uint8Array[] {
-  const { body, ...rest } = call;
-  const fields = Buffer.from(JSON.stringify({ id, call: rest, context }));
+  const { body, work, lastPosition, ...rest } = call;
+  // Hosts of an earlier program read the position beside the declared work.
+  const declared = work === undefined ? undefined : { ...work, lastPosition };
+  const encoded = { ...rest, work: declared, lastPosition };
+  const fields = Buffer.from(JSON.stringify({ id, call: encoded, context }));
   const length = Buffer.alloc(LENGTH_BYTES);
   length.writeUInt32BE(fields.length);
   return [length, fields, body];
@@ -40,7 +48,18 @@
   if (end > buffer.length) return undefined;
   const fields = parseJson(buffer.subarray(LENGTH_BYTES, end));
   if (!isRequestFields(fields)) return undefined;
-  return { ...fields, call: { ...fields.call, body: buffer.subarray(end) } };
+  const { work: declared, lastPosition, ...call } = fields.call as EncodedCall;
+  const { lastPosition: declaredPosition, ...work } = declared ?? {};
+  const position = lastPosition ?? declaredPosition;
+  return {
+    ...fields,
+    call: {
+      ...call,
+      ...(position === undefined ? {} : { lastPosition: position }),
+      work: declared === undefined ? undefined : (work as RelayedRequest['call']['work']),
+      body: buffer.subarray(end),
+    },
+  };
 }
 
 /** Encodes an event. */
--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -28,7 +28,8 @@
       headers: { 'x-a': 'ä' },
     },
     body: Buffer.from([0, 255, 10, 13]),
-    work: { promptTokens: 5, maxTokens: 7, parts: [{ id: 'p', tokens: 5 }], lastPosition: 3 },
+    work: { promptTokens: 5, maxTokens: 7, parts: [{ id: 'p', tokens: 5 }] },
+    lastPosition: 3,
   },
   context: { from: 'h1', leftMs: 900, ageMs: 20, executions: 1, isCharged: true },
 };
--- a/packages/router/src/reach/RelayProgress.ts
+++ b/packages/router/src/reach/RelayProgress.ts
@@ -40,7 +40,7 @@
   constructor(req: ForwardRequest, binding: StreamBinding) {
     this.req = req;
     this.binding = binding;
-    this.lastPosition = req.work?.lastPosition;
+    this.lastPosition = req.lastPosition;
   }
 
   /** Tells whether the caller has got the head of a response. */
@@ -116,8 +116,7 @@
   /** Gets the request for what the caller has not got yet. */
   getRest(): ForwardRequest {
     const { req, lastPosition } = this;
-    const { work } = req;
-    return work === undefined ? req : { ...req, work: { ...work, lastPosition } };
+    return lastPosition === undefined ? req : { ...req, lastPosition };
   }
 }
 
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -168,6 +168,9 @@
     if (route === undefined) {
       return err(notRun('unknown_service', 'No route matches this host name and path.'));
     }
+    if (route.kind === 'stream' && req.isPositionUnreadable === true) {
+      return err(notRun('bad_request', 'Last-Event-Id is not the position of an event.'));
+    }
     const target = chooseTarget(route.targets, this.options.random.next());
     if (target === undefined) {
       return err(notRun('no_capacity', 'The route has no usable target.', UNAVAILABLE_RETRY_MS));
@@ -184,7 +187,8 @@
       const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
       const by = relayed === undefined ? {} : { relayedBy: relayed.from };
       const team = caller.team.id;
-      log('accepted', { id, route: name, service, team, ...slos, ageMs, version, ...by });
+      const takesUp = req.lastPosition;
+      log('accepted', { id, route: name, service, team, ...slos, ageMs, version, takesUp, ...by });
       const executions = new ExecutionCount(relayed?.executions);
       const isCharged = relayed?.isCharged ?? false;
       return {
@@ -200,7 +204,7 @@
 
   /** Serves a call; a stream goes on only at the software version that brought its first event. */
   private async *serveBound(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
-    if (!isResumableStream(call)) {
+    if (!isResumableStream(call) && !isTakeUp(call)) {
       yield* this.serve(call, signal, false);
       return;
     }
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -66,7 +66,7 @@
 
 /** Tells whether a call takes a stream up after an event that its caller has got. */
 export function isTakeUp({ req, route }: Pick<RoutedCall, 'req' | 'route'>): boolean {
-  return route.kind === 'stream' && req.work?.lastPosition !== undefined;
+  return route.kind === 'stream' && req.lastPosition !== undefined;
 }
 
 /** Tells whether a call is a stream that may go on after an event, here or when its caller takes it up. */
@@ -105,7 +105,7 @@
     policy: {
       maxExecutions: route.maxAttempts - executions.get(),
       resumable: route.resumable,
-      fromPosition: work?.lastPosition === undefined ? 0 : work.lastPosition + 1,
+      fromPosition: req.lastPosition === undefined ? 0 : req.lastPosition + 1,
       expectedTokens: work?.expectedOutputTokens,
       maxWaitMs: Math.min(route.targetMs * STREAM_MAX_WAIT_TARGETS, remainingMs(call, now)),
       onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -20,7 +20,7 @@
 const REQ: ForwardRequest = {
   ...{ key: 'k', host: 'h', method: 'POST', path: '/x', headers: {}, body: Buffer.from('b') },
   callerTimeoutMs: 1_000,
-  work: { promptTokens: 1, maxTokens: 1, parts: [], lastPosition: undefined },
+  work: { promptTokens: 1, maxTokens: 1, parts: [] },
 };
 
 const UNREACHABLE = notRun('upstreams_unreachable', 'this host reaches no upstream');
@@ -202,7 +202,7 @@
     outcome.events.filter(({ type }) => type === 'head'),
     [head],
   );
-  assert.equal(outcome.relayed[0]?.request.call.work?.lastPosition, 1);
+  assert.equal(outcome.relayed[0]?.request.call.lastPosition, 1);
 });
 
 // Guards against a response of which a caller gets the beginning twice.
--- a/packages/router/tests/serving/ForwardHandler.test.ts
+++ b/packages/router/tests/serving/ForwardHandler.test.ts
@@ -89,8 +89,7 @@
 // A caller reconnects after its connection broke, and names the last event that it received.
 test('a caller that resumes a stream gets only the events that it lacks', async () => {
   const fleet = new ForwardFleet({ route: { resumable: true } });
-  const work = { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: 1 };
-  assert.equal(answerText(await fleet.send('/llm/x', { work })), '2;3;');
+  assert.equal(answerText(await fleet.send('/llm/x', { lastPosition: 1 })), '2;3;');
 });
 
 // Guards against a refusal with execution unknown, after which the caller may not retry, when all decode
--- a/packages/router/tests/serving/answerCause.test.ts
+++ b/packages/router/tests/serving/answerCause.test.ts
@@ -63,7 +63,7 @@
   const readOne = async (left: boolean): Promise<readonly string[]> => {
     const fleet = new ForwardFleet({ decodeScripts: { d1: stall, d2: stall } });
     const caller = new AbortController();
-    const work = { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: undefined };
+    const work = { promptTokens: 100, maxTokens: 50, parts: [] };
     const answer = fleet.host.forwarding.forward(
       'r',
       { ...CALL, callerTimeoutMs: 2_000, work },
@@ -126,7 +126,7 @@
 // Guards against a refusal in place of the loss of a host, after which a peer goes on elsewhere.
 test('a host that stops does not end what it serves for peers', async () => {
   const fleet = new ForwardFleet({ decodeScripts: { d1: stall, d2: stall } });
-  const work = { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: undefined };
+  const work = { promptTokens: 100, maxTokens: 50, parts: [] };
   const call = { ...CALL, work };
   const context = { from: 'peer', leftMs: 400, ageMs: 0, executions: 0, isCharged: false };
   const request = { id: 'r', call: { ...call, callerTimeoutMs: undefined }, context };
--- a/packages/router/tests/serving/emptyTakeUps.test.ts
+++ b/packages/router/tests/serving/emptyTakeUps.test.ts
@@ -18,7 +18,9 @@
 const CRASHED: UpstreamError = { type: 'broken', dispatched: true, message: 'crashed' };
 
 /** A take-up by the caller, which has the events before position 2. */
-const TAKE_UP = { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: 1 };
+const WORK = { promptTokens: 100, maxTokens: 50, parts: [] };
+
+const TAKE_UP = { work: WORK, lastPosition: 1 };
 
 /** Sends the head of a stream, and ends without an event. */
 function empty(ending: 'marked' | 'closed'): DecodeScript {
@@ -32,7 +34,7 @@
 /** Has the attempts of one request run the scripts in order, at whichever engine. */
 async function send(
   scripts: readonly DecodeScript[],
-  work: Partial<ForwardRequest['work']> = {},
+  overrides: Partial<ForwardRequest> = {},
   maxAttempts = scripts.length,
 ): Promise<{ readonly events: readonly ForwardEvent[]; readonly fleet: ForwardFleet }> {
   let attempts = 0;
@@ -46,7 +48,7 @@
     decodeScripts: Object.fromEntries(decodeIds.map((id) => [id, inOrder])),
     route: { resumable: true, maxAttempts },
   });
-  const request = { work: { ...TAKE_UP, lastPosition: undefined, ...work } };
+  const request = { work: WORK, ...overrides };
   return { events: await fleet.send('/llm/x', request), fleet };
 }
 
@@ -79,7 +81,7 @@
 test('a marked end, and one after all output that was asked for, need no second engine', async () => {
   const marked = [failingStream(2, CRASHED), empty('marked')];
   assert.deepEqual(await answerOf(marked, {}, 4), ['0;1; done', 2]);
-  const all = { ...TAKE_UP, maxTokens: 2 };
+  const all = { ...TAKE_UP, work: { ...WORK, maxTokens: 2 } };
   assert.deepEqual(await answerOf([empty('closed')], all, 4), [' done', 1]);
 });
 
--- a/packages/router/tests/serving/engineEnds.test.ts
+++ b/packages/router/tests/serving/engineEnds.test.ts
@@ -33,7 +33,7 @@
 
 const CALL = {
   callerTimeoutMs: TIMEOUT_MS,
-  work: { promptTokens: 100, maxTokens: 500, parts: [], lastPosition: undefined },
+  work: { promptTokens: 100, maxTokens: 500, parts: [] },
 };
 
 const NO_SIGNALS = { requestsPerSecond: undefined, endsLimit: false, restMs: undefined };
--- a/packages/router/tests/serving/ordersOfOtherHosts.test.ts
+++ b/packages/router/tests/serving/ordersOfOtherHosts.test.ts
@@ -42,8 +42,9 @@
     ...{ from: 'peer', leftMs: 4_000, ageMs: 0, executions, isCharged: false },
     binding: { type: 'free' },
   };
-  const work = { promptTokens: 5_000, maxTokens, parts: [], lastPosition };
-  const call = { key: KEY, host: 'h.example', method: 'POST', path: '/llm/x', headers: {}, work };
+  const work = { promptTokens: 5_000, maxTokens, parts: [] };
+  const target = { key: KEY, host: 'h.example', method: 'POST', path: '/llm/x' };
+  const call = { ...target, headers: {}, work, lastPosition };
   const request = { id: 'r1', call: { ...call, body: Buffer.from('body') }, context };
   const events: ForwardEvent[] = [];
   for await (const event of fleet.host.serveRelayed(request, new AbortController().signal))
@@ -125,7 +126,7 @@
   const { first, second } = createHosts();
   const maxTokens = (EVENT_COUNT + SPARE_EVENTS) * EVENT_TOKENS;
   const lost = new AbortController();
-  const work = { promptTokens: 5_000, maxTokens, parts: [], lastPosition: undefined };
+  const work = { promptTokens: 5_000, maxTokens, parts: [] };
   const begun = first.send('/llm/x', { callerTimeoutMs: 4_000, work }, lost.signal);
   await sleep(clock, 400);
   first.signal('source', {
--- a/packages/router/tests/serving/quarantine.test.ts
+++ b/packages/router/tests/serving/quarantine.test.ts
@@ -168,7 +168,7 @@
 /** Gets the work of a request whose prompt has parts, the last one its own. */
 function workOf(...ids: readonly string[]): DeclaredWork {
   const parts = ids.map((id) => ({ id, tokens: 10 }));
-  return { promptTokens: 100, maxTokens: 50, parts, lastPosition: undefined };
+  return { promptTokens: 100, maxTokens: 50, parts };
 }
 
 /** Sends a request that is like no other but for the parts of its prompt. */
--- a/packages/router/tests/serving/streamMoves.test.ts
+++ b/packages/router/tests/serving/streamMoves.test.ts
@@ -50,7 +50,7 @@
 
 const send = ({ fleet }: MoveFleet) =>
   fleet.send('/llm/x', {
-    ...{ callerTimeoutMs: 4_000, work: { ...WORK, lastPosition: undefined } },
+    ...{ callerTimeoutMs: 4_000, work: WORK },
   });
 
 const leave = ({ fleet }: MoveFleet): void =>
--- a/packages/router/tests/serving/streamVersions.test.ts
+++ b/packages/router/tests/serving/streamVersions.test.ts
@@ -22,7 +22,7 @@
 const BROKEN: UpstreamError = { type: 'broken', dispatched: true, message: 'crashed' };
 
 const TAKE_UP = {
-  work: { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: 1 },
+  lastPosition: 1,
   resumes: 'first',
 };
 
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -163,7 +163,7 @@
       headers: { 'x-id': 'r1' },
       body: Buffer.from('body'),
       callerTimeoutMs: 2_000,
-      work: { promptTokens: 100, maxTokens: 50, parts: [], lastPosition: undefined },
+      work: { promptTokens: 100, maxTokens: 50, parts: [] },
       ...overrides,
     };
     this.sent += 1;
