Take whether a pool has software versions from the pool, not from the engines listed

What callers would see: a stream taken up while no engine of its pool is listed is free to go on at any engine, also where the host knows which version began it; the version of the first engine that appears is then kept, and told to peers, as the one that began it.

Cause: `takeUp` derived from the engines listed just then whether the pool has versions, and `decideTakeUp` looks at that first.

Fix: a deployment says of its engines that they register versions, and `softwareVersions` of a pool holds those of all engines that are listed, an empty list where there are none. What isn't configured may have versions.

Not shown: a joined stream on a whole host. Placement refuses at once while nothing is listed (`no_capacity`, not run), so that an engine would have to appear between the decision and the placement.

--- a/packages/core/src/RoutingConfig.ts
+++ b/packages/core/src/RoutingConfig.ts
@@ -90,6 +90,11 @@
   readonly linkPiecesPerSecond: number;
   /** What the engines support for running streams; nothing where absent. */
   readonly relocation?: StreamRelocation;
+  /**
+   * Software versions of all engines that are listed, also of those that get no work; absent where engines have no
+   * versions, so that any of them may go on with a stream. Empty while none is listed, which says nothing of either.
+   */
+  readonly softwareVersions?: readonly SoftwareVersion[];
 }
 
 /** Rules for the calls of one route of a plain service. */
--- a/packages/router/src/coordination/composeRouting.ts
+++ b/packages/router/src/coordination/composeRouting.ts
@@ -6,6 +6,7 @@
   ServiceConfig,
   ServiceServer,
   SlowStartBounds,
+  SoftwareVersion,
   ZoneId,
 } from '@camphorvane/core';
 import { TOKENS_PER_PIECE } from '@camphorvane/core';
@@ -25,6 +26,8 @@
 /** Timeout of one attempt at a plain server, in milliseconds; each route has its own, shorter one. */
 const SERVICE_TIMEOUT_MS = 60_000;
 
+const UNKNOWN_VERSION: SoftwareVersion = { type: 'unknown' };
+
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT = 1e6;
 
@@ -43,8 +46,10 @@
   drainedZones: readonly ZoneId[],
   overload?: OverloadPolicy,
 ): RoutingConfig {
+  const listedOf = (service: DeployedService): readonly ServerRecord[] =>
+    servers.filter((server) => server.service === service.id);
   const serversOf = (service: DeployedService): readonly ServerRecord[] =>
-    servers.filter((server) => server.service === service.id && !server.leaving);
+    listedOf(service).filter((server) => !server.leaving);
   return {
     teams: config.teams,
     routes: config.routes,
@@ -53,7 +58,7 @@
     drainedZones,
     overload,
     pools: config.services.flatMap((service) =>
-      service.engines === undefined ? [] : [poolOf(service, service.engines, serversOf(service))],
+      service.engines === undefined ? [] : [poolOf(service, service.engines, listedOf(service))],
     ),
     services: config.services
       .filter((service) => service.engines === undefined)
@@ -64,8 +69,9 @@
 function poolOf(
   service: DeployedService,
   engines: DeployedEngines,
-  servers: readonly ServerRecord[],
+  listed: readonly ServerRecord[],
 ): PoolConfig {
+  const servers = listed.filter((server) => !server.leaving);
   const bitsPerPiece = engines.tokenBytes * TOKENS_PER_PIECE * BITS_PER_BYTE;
   return {
     model: service.id,
@@ -75,6 +81,10 @@
     itlTargetMs: POOL_ITL_TARGET_MS,
     linkPiecesPerSecond: (engines.linkMbps * BITS_PER_MEGABIT) / bitsPerPiece,
     relocation: engines.relocation,
+    softwareVersions:
+      engines.haveVersions === true
+        ? listed.map(({ softwareVersion = UNKNOWN_VERSION }) => softwareVersion)
+        : undefined,
   };
 }
 
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -104,6 +104,17 @@
   }
 
   /** Records that this host does not serve a stream any more; callers may still take it up. */
+  /**
+   * Tells whether the engines of a pool have versions. That is a fact of the pool: while no engine is listed, a stream
+   * has a version all the same. A pool that is not configured may have them.
+   *
+   * @param model - The pool.
+   */
+  haveVersions(model: ModelId): boolean {
+    const pool = this.options.directory.getPool(model);
+    return pool === undefined || pool.softwareVersions !== undefined;
+  }
+
   end(id: RequestId): void {
     this.running.delete(id);
   }
@@ -121,9 +132,8 @@
     resumed: RequestId | undefined,
     model: ModelId,
   ): Promise<TakeUpDecision> {
-    const { clock, directory, metrics } = this.options;
-    const engines = directory.getPool(model)?.engines ?? [];
-    const hasVersions = engines.some(({ softwareVersion }) => softwareVersion !== undefined);
+    const { clock, metrics } = this.options;
+    const hasVersions = this.haveVersions(model);
     const own = resumed === undefined ? undefined : this.origins.get(resumed, clock.now());
     const isAsked = hasVersions && own === undefined && resumed !== undefined;
     const peers = isAsked ? await this.askPeers(resumed, model) : [];
--- a/packages/router/tests/serving/streamVersionsFleet.test.ts
+++ b/packages/router/tests/serving/streamVersionsFleet.test.ts
@@ -16,6 +16,7 @@
   pools: [
     {
       model: 'm',
+      softwareVersions: VERSIONS.map((name) => ({ type: 'known', name })),
       engines: VERSIONS.map((name) => ({
         ...{ id: name, url: `http://${name}`, zone: 'a', role: 'decode', memoryPieces: 1 },
         softwareVersion: { type: 'known', name },
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -173,15 +173,23 @@
     return events;
   }
 
+  /** Lists all upstreams again, but for some. */
+  restoreUpstreams(except: readonly string[]): void {
+    this.currentConfig = { ...this.currentConfig, config: this.config() };
+    this.removeUpstreams(except);
+  }
+
   /** Removes engines and servers from the configuration. */
   removeUpstreams(ids: readonly string[]): void {
     const { pools, services, ...rest } = this.currentConfig.config;
     const config: RoutingConfig = {
       ...rest,
-      pools: pools.map((pool) => ({
-        ...pool,
-        engines: pool.engines.filter(({ id }) => !ids.includes(id)),
-      })),
+      pools: pools.map((pool) => {
+        const engines = pool.engines.filter(({ id }) => !ids.includes(id));
+        const versions = engines.flatMap(({ softwareVersion }) => softwareVersion ?? []);
+        const softwareVersions = pool.softwareVersions === undefined ? undefined : versions;
+        return { ...pool, engines, softwareVersions };
+      }),
       services: services.map((service) => ({
         ...service,
         servers: service.servers.filter(({ id }) => !ids.includes(id)),
@@ -250,6 +258,7 @@
           itlTargetMs: 100,
           linkPiecesPerSecond: 100,
           relocation: this.options.relocation,
+          softwareVersions: this.options.versions,
         },
       ],
       services: [
--- a/packages/store/src/follow/Deployment.ts
+++ b/packages/store/src/follow/Deployment.ts
@@ -26,6 +26,8 @@
   readonly eventTokens: Tokens | undefined;
   /** What the engines support for running streams; undefined where not specified. */
   readonly relocation?: StreamRelocation;
+  /** Whether each engine registers the version of its software, and may leave it unknown; not where absent. */
+  readonly haveVersions?: boolean;
 }
 
 /** A service as declared by the operators; its servers register themselves. */
