Name the only version of a pool only where the list of engines was current throughout

What callers would see: a stream that nobody was told of (all hosts that knew it were killed) goes on at the only version that a host knows, though another one began it: the host has an old list since its link to the store is cut, its process was paused or its machine suspended, or the engines of the other version are leaving and still serve.

Cause: the history of versions was recorded each second from whatever list the host had, without engines that are leaving, and a time without records counted as one in which nothing changed.

Fix: a list counts as current while the store has responded within a watch and two seconds, or relays that watch it are heard of, and no peer knows a newer one. Only such lists are recorded, with the engines that are leaving. After five seconds without, or a jump of the wall clock against the monotonic one, the 30 s begin again. Versions that hosts were told of are not touched: take-ups go on as often as before where the version is known.

`DeploymentFeedOptions` moved to a file of its own; the fixture of 'a single version is named only after ...' names the gap that it allows.

--- a/packages/decisions/tests/versions/versions.test.ts
+++ b/packages/decisions/tests/versions/versions.test.ts
@@ -29,7 +29,7 @@
 });
 
 test('a single version is named only after it alone was listed for as long as streams are taken up', () => {
-  const history = new VersionHistory(1_000);
+  const history = new VersionHistory(1_000, 1_500);
   history.record('m', [known('v1'), known('v1')], 0);
   assert.equal(history.getSoleVersion('m', 999), undefined);
   assert.equal(history.getSoleVersion('m', 1_000), 'v1');
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -1,32 +1,20 @@
-import type {
-  Clock,
-  Millis,
-  OverloadPolicy,
-  RandomSource,
-  UpstreamId,
-  VersionedConfig,
-  ZoneId,
-} from '@camphorvane/core';
+import type { Millis, UpstreamId, VersionedConfig, ZoneId } from '@camphorvane/core';
 import { contain, runInBackground } from '@camphorvane/core';
 import type {
   KindCopy,
-  KindFollowerOptions,
   Snapshot,
-  WatchableStore,
   DeployedConfig,
-  DeploymentFormat,
   ObjectVersion,
-  FollowMode,
   ServerRecord,
 } from '@camphorvane/store';
 import { KindFollower } from '@camphorvane/store';
-import type { UpstreamAdmission } from '@camphorvane/decisions';
 import type { DrainedZones } from '@camphorvane/peer/hints';
 import type { Unsubscribe } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import { composeRouting } from './composeRouting.ts';
 import { logCaughtUp } from './logCaughtUp.ts';
 import type { ConfigFeed } from './HostCoordination.ts';
+import type { DeploymentFeedOptions } from './DeploymentFeedOptions.ts';
 import type { ServerEntry } from './ServerEntry.ts';
 import { readServerEntry } from './ServerEntry.ts';
 import { ServerRoster } from './ServerRoster.ts';
@@ -40,41 +28,8 @@
  */
 const MAX_CONFIG_LAG_MS: Millis = 1_800;
 
-/** Options of a {@link DeploymentFeed}. */
-export interface DeploymentFeedOptions {
-  readonly store: WatchableStore;
-  readonly format: DeploymentFormat;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  /**
-   * Milliseconds without an answer of the store after which no API key is accepted; undefined where
-   * a host that is cut off from the store goes on accepting the keys that it knows.
-   */
-  readonly strictKeysMs: Millis | undefined;
-  /**
-   * Timeout of one watch, in milliseconds. A watch can stop delivering events without an error;
-   * changes are then only seen when it ends. A shorter timeout costs more calls to the store.
-   */
-  readonly watchMs: Millis;
-  /** Gets whether this host watches or polls the store. */
-  readonly mode: () => FollowMode;
-  /** See {@link KindFollowerOptions.nextPoll}. */
-  readonly nextPoll: KindFollowerOptions['nextPoll'];
-  /** See {@link KindFollowerOptions.pollFreshness}. */
-  readonly pollFreshness?: KindFollowerOptions['pollFreshness'];
-  /** See {@link KindFollowerOptions.isUnwatched}. */
-  readonly isUnwatched?: KindFollowerOptions['isUnwatched'];
-  /** Called when this host has learned of a change in the store, by itself or from a peer. */
-  readonly onStateChange: () => void;
-  /** Whether operators may drain availability zones. */
-  readonly drainsZones: boolean;
-  /** Controls for overload that the host's settings switch on; none where absent. */
-  readonly overload?: OverloadPolicy;
-  /** See {@link KindFollowerOptions.readFromPeers}. */
-  readonly readFromPeers?: KindFollowerOptions['readFromPeers'];
-  /** Notified of servers that have just started, and of those that are listed. */
-  readonly admission: UpstreamAdmission;
-}
+/** Milliseconds behind the end of a watch within which the next response of the store is due. */
+const LIST_MARGIN_MS: Millis = 2_000;
 
 /** Follows the configuration, the servers and the drained zones in the store. */
 export class DeploymentFeed implements ConfigFeed {
@@ -172,6 +127,14 @@
     return this.configs.getLagMs() > MAX_CONFIG_LAG_MS;
   }
 
+  /** {@inheritDoc ConfigSource.isListCurrent} */
+  isListCurrent(): boolean {
+    const { clock, watchMs, isWatchedByPeers } = this.options;
+    if (!this.hasServers || this.servers.getLagMs() > 0) return false;
+    const answeredMsAgo = clock.now() - this.servers.getLastResponseAt();
+    return answeredMsAgo <= watchMs + LIST_MARGIN_MS || isWatchedByPeers?.() === true;
+  }
+
   /** Receives the drained zones as read from the store by this host or a peer. */
   receiveDrainedZones(read: DrainedZones): void {
     const wasKnown = this.drains.isKnown();
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -137,6 +137,7 @@
       nextPoll: (isUnavailable) => this.storePolling.next(isUnavailable),
       pollFreshness: () => this.storePolling.freshness(),
       isUnwatched: () => this.storePolling.isUnwatched(),
+      isWatchedByPeers: () => this.storePolling.isWatched(),
       onStateChange: () => this.gossip.recordStateChange(),
       drainsZones: options.drainsZones,
       overload: options.overload,
--- a/packages/router/src/coordination/StorePolling.ts
+++ b/packages/router/src/coordination/StorePolling.ts
@@ -80,6 +80,12 @@
     return this.roster.isStoreUnwatched(this.clock.now());
   }
 
+  /** Tells whether relays have reported lately, and some of them reach the store. */
+  isWatched(): boolean {
+    const now = this.clock.now();
+    return this.roster.hasFreshDigest(now) && !this.roster.isStoreUnwatched(now);
+  }
+
   /** Gets whether the next poll is a consistent read. */
   freshness(): 'newest' | 'any' {
     if (!this.isUnwatched()) return 'any';
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -133,6 +133,7 @@
   const versions = new StreamVersions({
     ...{ self: identity.host, clock, directory, metrics, link: options.originLink },
     getMembers: () => group.members(),
+    isListCurrent: () => config.isListCurrent?.() ?? true,
   });
   const commonOptions = { clock, random, authenticator, config, directory, inFlight, metrics };
   const handlers = { completions, services };
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -45,6 +45,12 @@
    * confirm their version with each other.
    */
   isOutdated?(): boolean;
+
+  /**
+   * Tells whether the list of upstreams is known to be current; absent where it comes with the configuration. A host
+   * that neither reads the store nor hears of one that does may lack upstreams that others use.
+   */
+  isListCurrent?(): boolean;
 }
 
 /** A host of the fleet, with its addresses for callers and peers. */
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -21,6 +21,12 @@
 /** Milliseconds after which the same peers are told again: datagrams may be lost, and peers forget. */
 const TELL_AGAIN_MS: Millis = 10_000;
 
+/**
+ * Milliseconds without a current list of engines after which versions may have come and gone unseen. Longer than a
+ * watch of the store and the round after it.
+ */
+const MAX_LIST_GAP_MS: Millis = 5_000;
+
 const log = eventLog('versions');
 
 /** A stream that this host serves. */
@@ -41,6 +47,8 @@
   readonly link: OriginLink | undefined;
   /** Gets the live hosts. */
   readonly getMembers: () => readonly FleetMember[];
+  /** Tells whether the list of engines is known to be current. */
+  readonly isListCurrent: () => boolean;
 }
 
 /**
@@ -54,16 +62,20 @@
 
   private readonly origins = new StreamOrigins();
 
-  private readonly history = new VersionHistory(ORIGIN_TTL_MS);
+  private readonly history = new VersionHistory(ORIGIN_TTL_MS, MAX_LIST_GAP_MS);
 
   private readonly running = new Map<RequestId, RunningStream>();
 
   private readonly versionCounts = new Map<ModelId, number>();
 
+  /** Wall time less monotonic time. */
+  private wallOffsetMs: Millis;
+
   /** @param options - Identity and components of the host. */
   constructor(options: StreamVersionsOptions) {
     this.options = options;
     const { link, clock } = options;
+    this.wallOffsetMs = clock.wall() - clock.now();
     link?.onTold((origins) => origins.forEach((origin) => this.origins.keep(origin, clock.now())));
     link?.setSource((id, model) => this.answer(id, model));
   }
@@ -79,17 +91,30 @@
 
   /** Records which versions the engines of each pool have now. */
   recordVersions(): void {
-    const { directory, clock } = this.options;
+    const { directory, clock, isListCurrent } = this.options;
+    this.noticeSuspension();
+    const isCurrent = isListCurrent();
     const models = directory.getModels();
     models.forEach((model) => {
-      const engines = directory.getPool(model)?.engines ?? [];
-      const versions = engines.map(({ softwareVersion }) => softwareVersion);
-      this.history.record(model, versions, clock.now());
-      this.reportCount(model, new Set(versions.map((one) => JSON.stringify(one))).size);
+      const { engines = [], softwareVersions = [] } = directory.getPool(model) ?? {};
+      if (isCurrent) this.history.record(model, softwareVersions, clock.now());
+      const serving = engines.map(({ softwareVersion }) => JSON.stringify(softwareVersion));
+      this.reportCount(model, new Set(serving).size);
     });
     this.history.retain(new Set(models));
   }
 
+  /**
+   * Tells whether the engines of a pool have versions. That is a fact of the pool: while no engine is listed, a stream
+   * has a version all the same. A pool that is not configured may have them.
+   *
+   * @param model - The pool.
+   */
+  haveVersions(model: ModelId): boolean {
+    const pool = this.options.directory.getPool(model);
+    return pool === undefined || pool.softwareVersions !== undefined;
+  }
+
   /**
    * Records the version that brought the first event of a stream, before the event leaves.
    *
@@ -104,17 +129,6 @@
   }
 
   /** Records that this host does not serve a stream any more; callers may still take it up. */
-  /**
-   * Tells whether the engines of a pool have versions. That is a fact of the pool: while no engine is listed, a stream
-   * has a version all the same. A pool that is not configured may have them.
-   *
-   * @param model - The pool.
-   */
-  haveVersions(model: ModelId): boolean {
-    const pool = this.options.directory.getPool(model);
-    return pool === undefined || pool.softwareVersions !== undefined;
-  }
-
   end(id: RequestId): void {
     this.running.delete(id);
   }
@@ -137,13 +151,17 @@
     const own = resumed === undefined ? undefined : this.origins.get(resumed, clock.now());
     const isAsked = hasVersions && own === undefined && resumed !== undefined;
     const peers = isAsked ? await this.askPeers(resumed, model) : [];
-    const soleVersion = this.history.getSoleVersion(model, clock.now());
+    const soleVersion = this.getSoleVersion(model);
     const decision = decideTakeUp({ own, peers, soleVersion, hasVersions });
     const outcome = decision.type === 'go_on' ? decision.source : decision.type;
     metrics.count('stream.takeups', { outcome });
     const version = decision.type === 'go_on' ? nameOf(decision) : undefined;
     const ageMs = own === undefined ? undefined : Math.round(clock.now() - own.toldAt);
-    log('stream_taken_up', { id, resumed, outcome, version, ageMs });
+    log('stream_taken_up', {
+      ...{ id, resumed, outcome, version, ageMs },
+      listed: this.history.countVersions(model),
+      knownMs: Math.round(this.history.getKnownMs(model, clock.now())),
+    });
     if (resumed !== undefined && version !== undefined) this.begin(resumed, version);
     return decision;
   }
@@ -160,10 +178,28 @@
   private answer(id: RequestId, model: ModelId): OriginAnswer {
     const now = this.options.clock.now();
     const told = this.origins.get(id, now)?.version;
-    const version = told ?? this.history.getSoleVersion(model, now);
+    const version = told ?? this.getSoleVersion(model);
     return { version, isTold: told !== undefined };
   }
 
+  private getSoleVersion(model: ModelId): string | undefined {
+    const { clock, isListCurrent } = this.options;
+    this.noticeSuspension();
+    return isListCurrent() ? this.history.getSoleVersion(model, clock.now()) : undefined;
+  }
+
+  /** A machine may be suspended for a time that its monotonic clock does not count. */
+  private noticeSuspension(): void {
+    const { clock } = this.options;
+    const offsetMs = clock.wall() - clock.now();
+    if (Math.abs(offsetMs - this.wallOffsetMs) > MAX_LIST_GAP_MS) this.history.restart(clock.now());
+    this.wallOffsetMs = offsetMs;
+  }
+
+  /**
+   * Asks peers for the version that began a stream. What a peer was told holds; the only version that a peer has
+   * listed counts only if this host has listed no other one, as the peer may have an old list.
+   */
   private async askPeers(id: RequestId, model: ModelId): Promise<readonly string[]> {
     const { link } = this.options;
     if (link === undefined) return [];
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -158,6 +158,23 @@
   assert.equal(host.feed.isOutdated(), false);
 });
 
+// Guards against a host that takes the servers it knows for all there are, while others have read of new ones.
+test('the list of servers is current while the store responds and peers know no newer one', async () => {
+  const store = deployed();
+  const host = new Host(store);
+  assert.equal(host.feed.isListCurrent(), false);
+  await host.settle();
+  assert.equal(host.feed.isListCurrent(), true);
+  await host.clock.advance(4_500);
+  assert.equal(host.feed.isListCurrent(), false, 'a watch has ended without a response');
+  store.put('servers', 's-a', { zone: 'a' });
+  await host.settle();
+  assert.equal(host.feed.isListCurrent(), true);
+  host.feed.receiveVersions({ config: store.version, servers: store.version + 5 });
+  await host.settle();
+  assert.equal(host.feed.isListCurrent(), false);
+});
+
 // Guards against full load on a restored zone whose servers have restarted and whose entries are stale.
 test('slow start applies to the servers of a restored zone', async () => {
   const store = deployed();
--- a/packages/router/tests/serving/streamVersionsFleet.test.ts
+++ b/packages/router/tests/serving/streamVersionsFleet.test.ts
@@ -82,6 +82,7 @@
     const { clock, directory } = this;
     const versions = new StreamVersions({
       ...{ self: host.member.host, clock, directory, metrics: new Metrics(), link },
+      isListCurrent: () => true,
       getMembers: () => this.hosts.filter(({ isUp }) => isUp).map(({ member }) => member),
     });
     versions.recordVersions();
--- a/packages/router/tests/serving/unknownVersions.test.ts
+++ b/packages/router/tests/serving/unknownVersions.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
 import type { SoftwareVersion } from '@camphorvane/core';
+import { ORIGIN_TTL_MS } from '@camphorvane/decisions';
 import { answerEnding, ForwardFleet } from '../support/ForwardFleet.ts';
 import { linkTo } from '../support/linkTo.ts';
 import { ListingHost } from '../support/ListingHost.ts';
@@ -34,3 +35,52 @@
   fleet.removeUpstreams(['p1', 'd1', 'd2']);
   assert.equal(answerEnding(await fleet.send('/llm/x', TAKE_UP)), UNKNOWN);
 });
+
+/** Seconds after which the only version that was listed is named. */
+const WINDOW_S = ORIGIN_TTL_MS / 1_000;
+
+test('a version is named as the only one after a whole window in which the list was current', async () => {
+  const host = new ListingHost();
+  await host.pass(WINDOW_S - 1);
+  assert.equal(await host.takeUp(), 'unknown');
+  await host.pass(1);
+  assert.equal(await host.takeUp(), 'v1');
+});
+
+// Guards against an old version that is named as the only one by a host that does not hear of a new one.
+test('a host whose list of engines is not current names no version as the only one', async () => {
+  const host = new ListingHost();
+  await host.pass(WINDOW_S);
+  host.isListCurrent = false;
+  assert.equal(await host.takeUp(), 'unknown');
+  await host.pass(10);
+  host.isListCurrent = true;
+  await host.pass(WINDOW_S - 1);
+  assert.equal(await host.takeUp(), 'unknown', 'what was listed meanwhile is not known');
+  await host.pass(2);
+  assert.equal(await host.takeUp(), 'v1');
+});
+
+test('a short loss of the list does not make a host forget which version is the only one', async () => {
+  const host = new ListingHost();
+  await host.pass(WINDOW_S);
+  host.isListCurrent = false;
+  await host.pass(4);
+  host.isListCurrent = true;
+  await host.pass(1);
+  assert.equal(await host.takeUp(), 'v1');
+});
+
+// Guards against a time that the clock of a suspended machine does not count, in which versions may have changed.
+test('a host whose machine was suspended or whose process was paused names no version as the only one', async () => {
+  const suspended = new ListingHost();
+  await suspended.pass(WINDOW_S);
+  suspended.suspendedMs = 20_000;
+  assert.equal(await suspended.takeUp(), 'unknown');
+  const paused = new ListingHost();
+  await paused.pass(WINDOW_S);
+  await paused.clock.advance(20_000);
+  assert.equal(await paused.takeUp(), 'unknown');
+  await paused.pass(1);
+  assert.equal(await paused.takeUp(), 'unknown');
+});
--- a/packages/router/tests/support/ListingHost.ts
+++ b/packages/router/tests/support/ListingHost.ts
@@ -39,6 +39,7 @@
         after: (delay, run) => clock.after(delay, run),
       },
       getMembers: () => [PEER],
+      isListCurrent: () => this.isListCurrent,
     });
     this.versions.recordVersions();
   }
