Believe no version of a peer that this host's own list contradicts, and no begun stream without one

What callers would see: a take-up goes on at a wrong version by way of a peer. A peer with an old list names the only version that it knows, and a host of an earlier build passes a begun stream on with no binding or a free one, which was served at any engine.

Cause: what a peer supposes was believed like what it was told, and a relayed request's binding was taken as it came.

Evidence: 'the only version that a peer knows ...' ('v2' for 'unknown') and 'a begun stream that a peer passes on ...' ('done' twice) fail with the fix taken out.

--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -124,7 +124,7 @@
     try {
       const timer = new StreamTimer(startedAt);
       const events = isRelayed
-        ? this.serve(call, abort.signal, true)
+        ? this.serveForPeer(call, abort.signal)
         : this.serveBound(call, abort.signal);
       for await (const event of answer.observe(events)) {
         if (event.type === 'data') timer.recordEvent(this.options.clock.now());
@@ -215,8 +215,7 @@
     if (isTakeUp(call)) {
       const decision = await versions.takeUp(id, req.resumes, service);
       if (decision.type === 'unknown') {
-        const text = 'Which version began this stream is not known; begin it anew.';
-        yield { type: 'refused', refusal: notRun('stream_version_unknown', text) };
+        yield { type: 'refused', refusal: versionUnknown() };
         return;
       }
       binding = decision.binding;
@@ -235,6 +234,19 @@
     }
   }
 
+  /**
+   * Serves a call that a peer has passed on. A peer that runs an earlier program may pass a stream on that has begun,
+   * and leave out at which version.
+   */
+  private async *serveForPeer(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+    const { service, binding } = call;
+    if (isTakeUp(call) && binding.type === 'free' && this.options.versions.haveVersions(service)) {
+      yield { type: 'refused', refusal: versionUnknown() };
+      return;
+    }
+    yield* this.serve(call, signal, true);
+  }
+
   /** Serves a call over this host's links, or by way of a peer while they are lost. */
   private serve(
     call: RoutedCall,
@@ -304,6 +316,11 @@
   }
 }
 
+function versionUnknown(): Refusal {
+  const text = 'Which version began this stream is not known; begin it anew.';
+  return notRun('stream_version_unknown', text);
+}
+
 function deadlinePassed(): Refusal {
   return notRun('timed_out', 'The deadline of this request has passed.');
 }
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -205,8 +205,11 @@
     if (link === undefined) return [];
     const addresses = this.addressesOf((peers) => peersToAsk(id, peers));
     const answers = await Promise.all(addresses.map((address) => link.ask(address, id, model)));
-    const told = answers.filter((answer) => answer?.isTold === true);
-    return (told.length > 0 ? told : answers).flatMap((answer) => answer?.version ?? []);
+    const named = (isTold: boolean): readonly string[] =>
+      answers.flatMap((one) => (one?.isTold === isTold ? (one.version ?? []) : []));
+    const told = named(true);
+    if (told.length > 0) return told;
+    return named(false).filter((version) => this.history.hasNoOther(model, version));
   }
 
   /** Tells of the running streams where other peers are live than when peers were told, or that was long ago. */
--- a/packages/router/tests/serving/unknownVersions.test.ts
+++ b/packages/router/tests/serving/unknownVersions.test.ts
@@ -2,7 +2,8 @@
 import { after, test } from 'node:test';
 import type { SoftwareVersion } from '@camphorvane/core';
 import { ORIGIN_TTL_MS } from '@camphorvane/decisions';
-import { answerEnding, ForwardFleet } from '../support/ForwardFleet.ts';
+import type { RelayContext } from '@camphorvane/peer/relay';
+import { answerEnding, ForwardFleet, KEY } from '../support/ForwardFleet.ts';
 import { linkTo } from '../support/linkTo.ts';
 import { ListingHost } from '../support/ListingHost.ts';
 
@@ -84,3 +85,32 @@
   await paused.pass(1);
   assert.equal(await paused.takeUp(), 'unknown');
 });
+
+// Guards against a host of an earlier program that passes a begun stream on and leaves out its version.
+test('a begun stream that a peer passes on without its version is refused', async () => {
+  const fleet = fleetOf();
+  const answers = [undefined, { type: 'free' }, { type: 'bound', version: 'v2' }] as const;
+  const endings = await Promise.all(
+    answers.map(async (binding) => {
+      const context: RelayContext = {
+        ...{ from: 'peer', leftMs: 1_000, ageMs: 0, executions: 0, isCharged: false, binding },
+      };
+      const target = { key: KEY, host: 'h.example', method: 'POST', path: '/llm/x', headers: {} };
+      const call = { ...target, body: Buffer.from('b'), work: undefined, ...TAKE_UP };
+      const events = [];
+      const { signal } = new AbortController();
+      for await (const event of fleet.host.serveRelayed({ id: 'r1', call, context }, signal))
+        events.push(event);
+      return answerEnding(events);
+    }),
+  );
+  assert.deepEqual(endings, [UNKNOWN, UNKNOWN, 'done']);
+});
+
+// Guards against a peer with an old list, which takes a version for the only one that this host knows not to be.
+test('the only version that a peer knows counts where this host has listed no other one', async () => {
+  const supposing = { version: 'v2', isTold: false };
+  assert.equal(await new ListingHost(supposing).takeUp('first'), 'unknown');
+  assert.equal(await new ListingHost({ ...supposing, isTold: true }).takeUp('first'), 'v2');
+  assert.equal(await new ListingHost({ version: 'v1', isTold: false }).takeUp('first'), 'v1');
+});
