Report what a host throws over a relayed request, and stop its signs of life

What callers would notice: nothing at once. Each request over which the host that serves it for a peer throws left a timer behind that fires for as long as the process runs and writes to the closed response, and the fault was neither logged nor counted.

Cause: found on the paths related to the cases of one bad input: the signs of life were cancelled only where the events ended, and the catch behind them took every exception for a peer that has left.

Fix: they are cancelled in any case, and what is thrown while the peer's connection is open is reported as fault `peer.relay`.

--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -2,6 +2,7 @@
 import type { Buffers, Clock, Millis, SoftwareVersion } from '@camphorvane/core';
 import {
   abortOnDisconnect,
+  reportFault,
   runInBackground,
   UNCOUNTED_RESERVATION,
   untilArrivedIsRead,
@@ -80,8 +81,9 @@
       req.setTimeout(0);
       if (relayed === undefined) return refuse(res, BAD_REQUEST);
       await this.serve(relayed, res);
-    } catch {
-      // The peer closed the connection: its caller has left, or the peer has failed.
+    } catch (thrown) {
+      // A connection that the peer has closed is no fault: its caller has left, or the peer has failed.
+      if (!req.socket.destroyed) reportFault('peer.relay', thrown);
       res.destroy();
     } finally {
       this.inFlight -= 1;
@@ -100,17 +102,20 @@
     // A host that sends no binding does not know this frame.
     const tellsVersions = relayed.context.binding !== undefined;
     let told: SoftwareVersion | undefined;
-    for await (const event of this.options.handler(relayed, closed.signal)) {
-      cancelAlive();
-      const version = event.type === 'data' ? event.softwareVersion : undefined;
-      if (tellsVersions && version !== undefined && told === undefined) {
-        told = version;
-        await this.write(res, { type: 'version', version }, closed.signal);
+    try {
+      for await (const event of this.options.handler(relayed, closed.signal)) {
+        cancelAlive();
+        const version = event.type === 'data' ? event.softwareVersion : undefined;
+        if (tellsVersions && version !== undefined && told === undefined) {
+          told = version;
+          await this.write(res, { type: 'version', version }, closed.signal);
+        }
+        await this.write(res, event, closed.signal);
+        cancelAlive = this.sendSignsOfLife(res);
       }
-      await this.write(res, event, closed.signal);
-      cancelAlive = this.sendSignsOfLife(res);
+    } finally {
+      cancelAlive();
     }
-    cancelAlive();
     res.end();
   }
 
--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -4,7 +4,8 @@
 import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
-import { notRun, sleep, SystemClock } from '@camphorvane/core';
+import { notRun, setFaultListener, sleep, SystemClock } from '@camphorvane/core';
+import type { Clock } from '@camphorvane/core';
 import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
 import type {
   RelayedRequest,
@@ -12,6 +13,7 @@
   RelayFailure,
   RelayHandler,
 } from '@camphorvane/peer/relay';
+import { ALIVE_INTERVAL_MS } from '../../src/relay/relayProtocol.ts';
 
 const clock = new SystemClock();
 const servers: Server[] = [];
@@ -42,8 +44,8 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function serve(handler: RelayHandler, isPeer = true): Promise<string> {
-  const relay = new RelayServer({ clock, handler, isPeer: () => isPeer });
+function serve(handler: RelayHandler, isPeer = true, timers: Clock = clock): Promise<string> {
+  const relay = new RelayServer({ clock: timers, handler, isPeer: () => isPeer });
   return listen(
     createServer((req, res) => {
       if (!relay.handle(req, res)) res.writeHead(404).end();
@@ -88,6 +90,36 @@
   assert.deepEqual(await collect(address), [{ type: 'refused', refusal }]);
 });
 
+// Guards against a timer that each request leaves behind over which a host throws, and against a fault that goes unseen.
+test('a request over which the serving host throws is broken off and reported, and leaves no timer', async () => {
+  const faults: string[] = [];
+  setFaultListener((place) => faults.push(place));
+  let timers = 0;
+  const counting: Clock = {
+    now: () => clock.now(),
+    wall: () => clock.wall(),
+    after: (delay, run) => {
+      timers += 1;
+      return clock.after(delay, run);
+    },
+  };
+  const address = await serve(
+    async function* respond() {
+      yield { type: 'head', status: 200, headers: {} };
+      throw new Error('spoiled');
+    },
+    true,
+    counting,
+  );
+  const events = await collect(address);
+  setFaultListener(undefined);
+  assert.equal(events.at(-1)?.type, 'failed');
+  assert.deepEqual(faults, ['peer.relay']);
+  const before = timers;
+  await sleep(clock, 3 * ALIVE_INTERVAL_MS);
+  assert.equal(timers, before);
+});
+
 // Guards against requests of strangers that are served without a check of what they claim.
 test('only hosts of the fleet are served', async () => {
   let served = 0;
