Tests: an empty end of a stream's backup may be the loss of the backup

Trace of that script: the source gets no order (call_lost) and closes its stream behind the last event, without a mark and below the output that the request allows; as the order may still have stopped the run, its close is no end (streamStopped). The backup takes the stream up at position 40 of 40 and closes without an event, also without a mark (unconfirmedEnd). All 40 events were delivered once; the answer ends visibly as broken.

The case is allowed: an engine that is lost before its first event closes in the same way, so neither close tells the end (docs/incidents/broken-answers-that-look-complete.md, 'What remains'; 'a stream breaks off where the last engine that took it up closed before any event'). The property excuses such ends by isEndDoubtful, but the world's second engine overwrote the flag of the first one with false. The world now also counts the empty end of a run that took the stream up.

As strict as before elsewhere: the flag is still that of the last end, so that a backup which brings an event confirms the end. The script is an example of the property, and a test of its own asks for both sides: no confirmation by an empty close, and a whole stream with a marked end, after all output, and without the lost order.

--- a/packages/router/tests/serving/StreamRelocation.test.ts
+++ b/packages/router/tests/serving/StreamRelocation.test.ts
@@ -86,6 +86,19 @@
   laterMoves: [{ afterMs: 51, stop: 'none' as const }],
 };
 
+/** A stream whose engine and whose backup both end it by a close alone, the first while it may have been stopped. */
+const TWICE_UNCONFIRMED = {
+  ...({
+    copy: 'none',
+    stop: 'call_lost',
+    repeats: 0,
+    hasUnmarkedEnd: true,
+    hasBackup: true,
+  } as const),
+  ...({ death: undefined, readMs: 0, lateMs: 0, unusedEvents: 5 } as const),
+  laterMoves: [],
+};
+
 // Guards against streams that are cut off although another engine has their KV cache, and against lost and
 // duplicate events, whenever an engine dies during a move.
 test('a move loses and repeats no event, whatever fails and when', async () => {
@@ -123,7 +136,13 @@
       world.reservations.release(world.reservation, 'done');
       assert.equal(world.knowledge.inFlight.getOwn().size, 0, 'load is left');
     }),
-    { numRuns: 300, examples: [[RETURNING, 0]] },
+    {
+      numRuns: 300,
+      examples: [
+        [RETURNING, 0],
+        [TWICE_UNCONFIRMED, 0],
+      ],
+    },
   );
 });
 
@@ -186,6 +205,17 @@
   assertWhole(await runStream({ ...UNMARKED, unusedEvents: 5, stop: 'gone' }));
 });
 
+// Guards against an empty end of the backup that confirms an end which may be a stop: a lost backup ends alike.
+test('a backup that closes without an event confirms no end that may be a stop', async () => {
+  const stopped = { ...UNMARKED, stop: 'call_lost', hasBackup: true } as const;
+  const world = await runStream({ ...stopped, unusedEvents: 5 });
+  assert.equal(world.ending, 'cancelled');
+  assert.deepEqual(world.positions, ALL_POSITIONS);
+  assertWhole(await runStream(stopped));
+  assertWhole(await runStream({ ...stopped, hasUnmarkedEnd: false, unusedEvents: 5 }));
+  assertWhole(await runStream({ ...stopped, stop: 'none', unusedEvents: 5 }));
+});
+
 /**
  * Gets the longest pause. A stop that is carried out without a response is noticed by its close only, and its
  * response is awaited before the next engine repeats events.
--- a/packages/router/tests/support/WorldEngine.ts
+++ b/packages/router/tests/support/WorldEngine.ts
@@ -91,7 +91,10 @@
   isCacheLost: boolean;
   /** Whether an order without a response has stopped a run later, and no backup was left. */
   isStoppedLate: boolean;
-  /** Whether a stream ended in a way that looks like a stop, at an engine that left an order to stop it unanswered. */
+  /**
+   * Whether a stream ended in a way that looks like a stop, at an engine that left an order to stop it unanswered, or
+   * like the loss of an engine that had taken it up.
+   */
   isEndDoubtful: boolean;
   /** What goes wrong in the calls of the present move. */
   readonly faults: { readonly copy: CallFault; readonly stop: CallFault };
@@ -177,7 +180,11 @@
         position += 1;
       }
       const hasAllOutput = (script.unusedEvents ?? 0) === 0;
-      if (endsWithConnection && !hasAllOutput) this.world.isEndDoubtful = this.hasUnansweredStop;
+      if (endsWithConnection && !hasAllOutput) {
+        // A run that brings nothing new closes as one whose engine was lost before its first event.
+        const isEmpty = cmd.fromPosition > 0 && position === cmd.fromPosition;
+        this.world.isEndDoubtful = this.hasUnansweredStop || isEmpty;
+      }
       yield ok({ type: 'done', attempt, reason: 'stop', outputTokens: position, ending });
     } finally {
       this.position = undefined;
