--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -48,6 +48,8 @@
 
   stateChanges = 0;
 
+  isWatchedByPeers = false;
+
   constructor(store: WatchableMemoryStore, drainsZones = true, format = FORMAT) {
     this.slowStart.setBounds(new Map(['s-a', 's-b'].map((id) => [id, SLOW_START])));
     this.feed = new DeploymentFeed({
@@ -55,6 +57,7 @@
       ...{ random: new RandomSource(1), strictKeysMs: undefined, watchMs: 2_000, drainsZones },
       mode: () => 'watch',
       nextPoll: () => ({ waitMs: 2_000, isTurn: false }),
+      isWatchedByPeers: () => this.isWatchedByPeers,
       onStateChange: () => {
         this.stateChanges += 1;
       },
@@ -167,6 +170,12 @@
   assert.equal(host.feed.isListCurrent(), true);
   await host.clock.advance(4_500);
   assert.equal(host.feed.isListCurrent(), false, 'a watch has ended without a response');
+  host.isWatchedByPeers = true;
+  assert.equal(
+    host.feed.isListCurrent(),
+    true,
+    'peers that watch the store would have told a change',
+  );
   store.put('servers', 's-a', { zone: 'a' });
   await host.settle();
   assert.equal(host.feed.isListCurrent(), true);
--- a/packages/router/tests/serving/unknownVersions.test.ts
+++ b/packages/router/tests/serving/unknownVersions.test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
-import { after, test } from 'node:test';
+import { after, afterEach, test } from 'node:test';
 import type { SoftwareVersion } from '@camphorvane/core';
 import { ORIGIN_TTL_MS } from '@camphorvane/decisions';
 import type { RelayContext } from '@camphorvane/peer/relay';
+import { setLogOutput } from '../../src/observe/EventLog.ts';
+import { RateLimitedLog } from '../../src/observe/RateLimitedLog.ts';
 import { answerEnding, ForwardFleet, KEY } from '../support/ForwardFleet.ts';
 import { linkTo } from '../support/linkTo.ts';
 import { ListingHost } from '../support/ListingHost.ts';
 
 after(() => ForwardFleet.stopAll());
 
+afterEach(() => setLogOutput(undefined));
+
 const V1: SoftwareVersion = { type: 'known', name: 'v1' };
 const V2: SoftwareVersion = { type: 'known', name: 'v2' };
 
@@ -114,3 +118,15 @@
   assert.equal(await new ListingHost({ ...supposing, isTold: true }).takeUp('first'), 'v2');
   assert.equal(await new ListingHost({ version: 'v1', isTold: false }).takeUp('first'), 'v1');
 });
+
+// Guards against a log that can't tell a version that this host did not know from one that it has listed too shortly.
+test('a take-up is logged with the versions that the host has listed, and for how long', async () => {
+  const lines: object[] = [];
+  const host = new ListingHost();
+  setLogOutput(new RateLimitedLog(host.clock, { write: (fields) => lines.push(fields) }));
+  await host.pass(2);
+  await host.takeUp('first');
+  const [line] = lines.filter((fields) => 'event' in fields && fields.event === 'stream_taken_up');
+  const { outcome, listed, knownMs } = line as Readonly<Record<string, unknown>>;
+  assert.deepEqual({ outcome, listed, knownMs }, { outcome: 'unknown', listed: 1, knownMs: 2_000 });
+});
