Send no stream back to an engine that left more than half of its drain time ago

What callers saw: nothing at once; streams reached an engine 2.0 to 2.6 s after its notice (DRAIN, 2 s allowed), when it may exit at any moment and cut them off.

Cause: a stream goes on where its KV cache is, at the target of a move or at the engine that stopped it, and neither the move nor the switch to a backup asked whether that engine still takes requests.

Evidence, each on a scratch copy with that part taken out: without the check in the move 'a stream that can only go back to an engine that has left is broken off there' and, on a whole host, 'a failed move from an engine that takes requests for 1 ms after its notice' fail (two requests at the engine in place of one); without the check of the backup 'a stream does not go on from a backup at an engine that has left'; without the observation, or with the setting ignored, the test on the whole host.

Why it works: EngineDepartures knows since when the engines of running streams have left the configuration, looked at ten times a second. Such an engine gets a stream for half of bounds.drain-ms, which was not read before; the other half is what the notice takes to reach this host. Later the point counts as rejected, so that a resumable stream goes on elsewhere.

--- a/packages/router/src/host/HostOptions.ts
+++ b/packages/router/src/host/HostOptions.ts
@@ -17,6 +17,8 @@
   readonly incarnation: string;
   /** Longest wait for requests in flight on a drain, in milliseconds. */
   readonly drainGraceMs: Millis;
+  /** Milliseconds for which an engine that leaves takes requests; 2 000 by default. */
+  readonly upstreamDrainMs?: Millis | undefined;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly coordination: CoordinationFactory;
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -81,6 +81,7 @@
     },
     incarnation: randomBytes(INCARNATION_BYTES).toString('base64url'),
     drainGraceMs: settings.graceMs,
+    upstreamDrainMs: settings.upstreamDrainMs,
     clock,
     random: new RandomSource(randomBytes(4).readInt32BE()),
     coordination: storeCoordinationFactory(
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -112,7 +112,10 @@
     renewer,
     observer,
     metrics,
-    relocator: new StreamRelocator({ clock, random, directory, placements: placer, metrics }),
+    relocator: new StreamRelocator({
+      ...{ clock, random, directory, placements: placer, metrics },
+      drainMs: options.upstreamDrainMs,
+    }),
     rates,
     retryGate,
     crashGuard,
--- a/packages/router/src/serving/MoveExecution.ts
+++ b/packages/router/src/serving/MoveExecution.ts
@@ -1,4 +1,4 @@
-import type { CancelTimer, Clock } from '@camphorvane/core';
+import type { CancelTimer } from '@camphorvane/core';
 import { runInBackground } from '@camphorvane/core';
 import type {
   MoveAction,
@@ -13,7 +13,7 @@
 import type { EngineEntry } from '../host/UpstreamDirectory.ts';
 import type { RelocationRecord } from './RelocationRecord.ts';
 import type { StopOutcome } from './StopOrders.ts';
-import type { StreamRequest } from './streamRequest.ts';
+import type { StreamDependencies, StreamRequest } from './streamRequest.ts';
 
 /** The last state of a move. */
 export type EndedMove = Extract<StreamMove, { readonly step: 'moved' | 'failed' }>;
@@ -39,7 +39,7 @@
 
 /** Input of a {@link MoveExecution}. */
 export interface MovePlan {
-  readonly clock: Clock;
+  readonly deps: Pick<StreamDependencies, 'clock' | 'departures'>;
   readonly prompt: StreamRequest['command']['prompt'];
   readonly source: EngineEntry;
   readonly target: EngineEntry;
@@ -77,7 +77,7 @@
   startFromBackup(): void {
     this.isFromBackup = true;
     this.plan.record.begin();
-    this.apply(beginResume({ at: 'target', handle: '' }, this.plan.clock.now()));
+    this.apply(beginResume({ at: 'target', handle: '' }, this.plan.deps.clock.now()));
   }
 
   /** Gets the engine that the stream leaves. */
@@ -97,7 +97,7 @@
 
   /** Advances the move. */
   advance(input: MoveInput): void {
-    const context = { now: this.plan.clock.now(), received: this.plan.stream.getPosition() };
+    const context = { now: this.plan.deps.clock.now(), received: this.plan.stream.getPosition() };
     this.apply(advanceMove(this.state, input, context));
   }
 
@@ -134,9 +134,12 @@
         break;
       case 'stopping':
       case 'resuming':
-        this.cancelTimer = this.plan.clock.after(move.until - this.plan.clock.now(), () => {
-          if (this.state.step !== 'resuming' || !this.hasHead) this.advance({ type: 'timeout' });
-        });
+        this.cancelTimer = this.plan.deps.clock.after(
+          move.until - this.plan.deps.clock.now(),
+          () => {
+            if (this.state.step !== 'resuming' || !this.hasHead) this.advance({ type: 'timeout' });
+          },
+        );
         break;
       case 'moved':
       case 'failed':
@@ -168,12 +171,17 @@
   }
 
   private resumeAt({ at, handle }: ResumePoint): void {
-    const { source, target, stream } = this.plan;
+    const { source, target, stream, deps } = this.plan;
+    const entry = at === 'target' ? target : source;
     this.hasHead = false;
+    if (!deps.departures.mayGoOnAt(entry.cfg.id)) {
+      this.advance({ type: 'rejected' });
+      return;
+    }
     const origin = this.isFromBackup
       ? { kvHandle: undefined, fromBackup: true }
       : { kvHandle: handle };
-    stream.resumeAt(at === 'target' ? target : source, origin);
+    stream.resumeAt(entry, origin);
   }
 
   /** Gets the handles that may still hold memory. */
--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -213,6 +213,7 @@
     const canResume = isComplete && !this.request.guard.isBlocked();
     if (target === undefined || this.move !== undefined || !canResume || this.isClosed)
       return false;
+    if (!this.deps.departures.mayGoOnAt(target.cfg.id)) return false;
     this.error = error;
     this.deps.placements.attemptFailed(this.getEngine().cfg.id, error);
     this.beginMove(target, 'lost').startFromBackup();
@@ -223,10 +224,9 @@
   private beginMove(target: EngineEntry, reason: RelocationReason | 'lost'): MoveExecution {
     const { id, command } = this.request;
     const source = this.getEngine();
-    const { clock } = this.deps;
     const subject = { id, from: source.cfg.id, to: target.cfg.id, reason };
     const record = new RelocationRecord(this.deps, { ...subject, position: this.getPosition() });
-    const plan = { clock, prompt: command.prompt, source, target, record, stream: this };
+    const plan = { deps: this.deps, prompt: command.prompt, source, target, record, stream: this };
     this.move = new MoveExecution(plan);
     this.holding.moveTo(target);
     this.buffer.setBounded(false);
--- a/packages/router/src/serving/StreamRelocator.ts
+++ b/packages/router/src/serving/StreamRelocator.ts
@@ -22,6 +22,7 @@
 import type { Metrics } from '../observe/Metrics.ts';
 import type { Placer } from '../placing/Placer.ts';
 import type { BackupCopy, RelocationLedger } from '../placing/RelocationLedger.ts';
+import { EngineDepartures } from './EngineDepartures.ts';
 import { StopOrders } from './StopOrders.ts';
 import { StreamRelocation } from './StreamRelocation.ts';
 import type { RelocatableStream, StreamBackup, StreamRequest } from './streamRequest.ts';
@@ -47,6 +48,8 @@
   readonly directory: UpstreamDirectory;
   readonly placements: Placer;
   readonly metrics: Metrics;
+  /** Milliseconds for which an engine that leaves takes requests. */
+  readonly drainMs?: Millis | undefined;
 }
 
 interface DescribedStream {
@@ -64,12 +67,15 @@
 
   private readonly stops = new StopOrders();
 
+  private readonly departures: EngineDepartures;
+
   private cancelPass: CancelTimer | undefined;
 
   /** @param options - Components of the host. */
   constructor(options: StreamRelocatorOptions) {
     this.options = options;
     this.planner = new RelocationPlanner(options.random);
+    this.departures = new EngineDepartures(options);
   }
 
   /**
@@ -88,7 +94,8 @@
     const backup = hasBackups ? this.placeBackup(request, ledger) : undefined;
     const { clock, metrics, placements } = this.options;
     const onClosed = (stream: RelocatableStream): void => this.remove(stream, ledger);
-    const deps = { clock, metrics, placements, ledger, stops: this.stops, onClosed };
+    const { stops, departures } = this;
+    const deps = { clock, metrics, placements, ledger, stops, departures, onClosed };
     const stream = new StreamRelocation(request, backup, deps);
     this.streams.add(stream);
     this.schedulePass(ledger);
@@ -153,6 +160,7 @@
   /** Publishes what the streams hold, and starts the moves that are due. */
   private pass(ledger: RelocationLedger): void {
     const { streamMoves, streamBackups } = this.options.directory.getOverloadPolicy();
+    this.departures.observe([...this.streams].flatMap(enginesOf));
     if (!streamMoves && !streamBackups) {
       ledger.clear();
       return;
@@ -237,6 +245,12 @@
   }
 }
 
+/** Gets the engines at which a stream may go on. */
+function enginesOf(stream: RelocatableStream): readonly UpstreamId[] {
+  const entries = [stream.getEngine(), stream.getMoveSource(), stream.getBackup()?.entry];
+  return entries.flatMap((entry) => entry?.cfg.id ?? []);
+}
+
 /** Gets the engines of streams that are not, or no longer, decode engines of the pool. */
 function unlistedEngines(
   pool: PoolConfig,
--- a/packages/router/src/serving/streamRequest.ts
+++ b/packages/router/src/serving/streamRequest.ts
@@ -14,6 +14,7 @@
 import type { Placer } from '../placing/Placer.ts';
 import type { StreamLimits } from './completionAttemptPlan.ts';
 import type { RelocationLedger } from '../placing/RelocationLedger.ts';
+import type { EngineDepartures } from './EngineDepartures.ts';
 import type { RequestGuard } from './RequestGuard.ts';
 import type { StopOrders } from './StopOrders.ts';
 
@@ -37,6 +38,8 @@
   readonly ledger: RelocationLedger;
   /** Orders of this host to stop runs. */
   readonly stops: StopOrders;
+  /** Engines that have left the configuration. */
+  readonly departures: Pick<EngineDepartures, 'mayGoOnAt'>;
   /** Called once when a stream has ended. */
   readonly onClosed: (stream: RelocatableStream) => void;
 }
--- a/packages/router/tests/serving/StreamRelocation.test.ts
+++ b/packages/router/tests/serving/StreamRelocation.test.ts
@@ -78,6 +78,31 @@
   }),
 );
 
+// Guards against requests at an engine that leaves, later than it takes any: a failed move goes back to it.
+test('a stream that can only go back to an engine that has left is broken off there', async () => {
+  const returned = await runStream({ stop: 'expired' });
+  assertWhole(returned);
+  assert.equal(returned.source.requests, 2);
+  const world = new RelocationWorld({ stop: 'expired' });
+  world.departed.add('source');
+  await world.startMoves(MOVE_AT_MS);
+  await world.clock.advance(EVENT_COUNT * EVENT_MS);
+  assert.equal(world.ending, 'cancelled');
+  assert.equal(world.source.requests, 1);
+  assert.deepEqual(world.failures, [], 'the engine that left counts as crashed');
+  assert.equal(world.working.size, 0);
+  assert.equal(world.countCopies(), 0, 'a copy was kept');
+});
+
+// Guards against the same at the engine that has the copy of a lost stream.
+test('a stream does not go on from a backup at an engine that has left', async () => {
+  const world = new RelocationWorld({ hasBackup: true, death: { engine: 'source', at: 500 } });
+  world.departed.add('target');
+  await world.clock.advance(EVENT_COUNT * EVENT_MS);
+  assert.equal(world.ending, 'broken');
+  assert.equal(world.target.requests, 0);
+});
+
 /** A stream that has left the engine with its backup, and returns to one that dies with its KV cache. */
 const RETURNING = {
   ...({ copy: 'none', stop: 'none', repeats: 0, hasUnmarkedEnd: false, hasBackup: true } as const),
--- a/packages/router/tests/serving/streamMoves.test.ts
+++ b/packages/router/tests/serving/streamMoves.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
-import type { OverloadPolicy } from '@camphorvane/core';
+import type { Millis, OverloadPolicy } from '@camphorvane/core';
 import { NO_OVERLOAD_POLICY, sleep, SystemClock } from '@camphorvane/core';
 import type { DecodeCommand } from '@camphorvane/upstream';
 import { err } from 'neverthrow';
@@ -12,7 +12,7 @@
   ForwardFleet,
   streamEvents,
 } from '../support/ForwardFleet.ts';
-import type { EngineWorld } from '../support/WorldEngine.ts';
+import type { CallFault, EngineWorld } from '../support/WorldEngine.ts';
 import { EVENT_COUNT, EVENT_TOKENS, WorldEngine } from '../support/WorldEngine.ts';
 
 after(() => ForwardFleet.stopAll());
@@ -22,28 +22,44 @@
 interface MoveFleet {
   readonly fleet: ForwardFleet;
   readonly world: EngineWorld;
+  readonly engines: Readonly<Record<'source' | 'target', WorldEngine>>;
+}
+
+interface MoveFaults {
+  /** What goes wrong in the call that stops the run. */
+  readonly stop?: CallFault;
+  readonly upstreamDrainMs?: Millis;
+  readonly resumable?: boolean;
 }
 
 /** A host with two decode engines that support moves and backups. */
-function createFleet(overload: Partial<OverloadPolicy>): MoveFleet {
+function createFleet(
+  overload: Partial<OverloadPolicy>,
+  { stop = 'none', upstreamDrainMs, resumable = false }: MoveFaults = {},
+): MoveFleet {
   const world: EngineWorld = {
     ...{ clock: new SystemClock(), script: {}, copies: new Map(), released: [] },
     ...{ working: new Set(), mostWorking: 0, isCacheLost: false },
     ...{ isStoppedLate: false, isEndDoubtful: false },
     ...{
-      faults: { copy: 'none', stop: 'none' },
+      faults: { copy: 'none', stop },
       getOther: () => ({ isDead: false, hasRun: false }),
     },
   };
+  const engines = {
+    source: new WorldEngine('source', world),
+    target: new WorldEngine('target', world),
+  };
   const fleet = new ForwardFleet({
-    engines: { source: new WorldEngine('source', world), target: new WorldEngine('target', world) },
+    engines,
     decodeIds: ['source', 'target'],
     engineConfig: { memoryPieces: 1_000, slots: 12, eventTokens: EVENT_TOKENS },
     overload: { ...NO_OVERLOAD_POLICY, ...overload },
     relocation: { moves: true, backups: true },
-    route: { timeoutMs: 4_000 },
+    route: { timeoutMs: 4_000, resumable },
+    upstreamDrainMs,
   });
-  return { fleet, world };
+  return { fleet, world, engines };
 }
 
 const WORK = { promptTokens: 5_000, maxTokens: EVENT_COUNT * EVENT_TOKENS, parts: [] };
@@ -69,6 +85,22 @@
   assert.ok(moved.world.released.length > 0, 'the stream did not move');
 });
 
+// Guards against a failed move that goes back to an engine later than it takes requests as it leaves.
+[
+  { drainMs: 1, requests: 1 },
+  { drainMs: 60_000, requests: 2 },
+].forEach(({ drainMs, requests }) =>
+  test(`a failed move from an engine that takes requests for ${drainMs} ms after its notice`, async () => {
+    const faults = { stop: 'expired', upstreamDrainMs: drainMs, resumable: true } as const;
+    const moved = createFleet({ streamMoves: true }, faults);
+    setTimeout(() => moved.fleet.removeUpstreams(['source']), 400);
+    const events = await send(moved);
+    assert.equal(answerText(events), WHOLE);
+    assert.equal(answerEnding(events), 'done');
+    assert.equal(moved.engines.source.requests, requests);
+  }),
+);
+
 // Guards against moves where the switch is off.
 test('a stream stays where it is while moves are switched off', async () => {
   const kept = createFleet({});
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -3,6 +3,7 @@
   EngineConfig,
   ForwardRoute,
   LoadReport,
+  Millis,
   OverloadPolicy,
   RoutingConfig,
   ServiceServer,
@@ -69,6 +70,8 @@
   readonly originLink?: OriginLink;
   readonly overload?: OverloadPolicy;
   readonly relocation?: StreamRelocation;
+  /** Milliseconds for which an engine that leaves takes requests. */
+  readonly upstreamDrainMs?: Millis;
   /** Slack of the retry budget, which always allows one retry; 0 also disables the retries that requests earn. */
   readonly retrySlack?: number;
   /** Rate of the team; unlimited where absent. */
@@ -134,6 +137,7 @@
       identity: { host: 'h', zone: 'a', callerAddress: 'h:1', peerAddress: 'h:2' },
       incarnation: 'i',
       drainGraceMs: 1_000,
+      upstreamDrainMs: options.upstreamDrainMs,
       clock: this.clock,
       random: new RandomSource(1),
       coordination: (context) => this.agreement(context),
--- a/packages/router/tests/support/RelocationWorld.ts
+++ b/packages/router/tests/support/RelocationWorld.ts
@@ -62,6 +62,9 @@
   /** Engines whose crashes were recorded against the request. */
   readonly failures: UpstreamId[] = [];
 
+  /** Engines that have left, and take no requests any more. */
+  readonly departed = new Set<UpstreamId>();
+
   /** Whether the request is quarantined. */
   isBlocked = false;
 
@@ -80,7 +83,9 @@
     const ledger = new RelocationLedger(this.knowledge, this.reservations, () => undefined);
     const placements = { attemptFailed: () => undefined } as unknown as Placer;
     const stops = new StopOrders();
-    const deps = { clock: this.clock, metrics: new Metrics(), placements, ledger, stops };
+    const departures = { mayGoOnAt: (engine: UpstreamId) => !this.departed.has(engine) };
+    const metrics = new Metrics();
+    const deps = { clock: this.clock, metrics, placements, ledger, stops, departures };
     const backup =
       script.hasBackup === true ? { entry: this.target.entry, memoryTokens: 8_000 } : undefined;
     if (backup !== undefined) ledger.adjustCopy('target', backup.memoryTokens);
--- a/packages/router/tests/support/WorldEngine.ts
+++ b/packages/router/tests/support/WorldEngine.ts
@@ -115,6 +115,9 @@
   /** Whether the engine has taken the stream. */
   hasRun = false;
 
+  /** Requests to decode the stream, also those that were rejected. */
+  requests = 0;
+
   /** Position of the next event of the run; undefined while none runs. */
   private position: number | undefined;
 
@@ -152,6 +155,7 @@
   ): AsyncGenerator<Result<DecodeEvent, UpstreamError>> {
     const { clock, script, working } = this.world;
     const { attempt } = cmd;
+    this.requests += 1;
     await sleep(clock, 1, signal);
     if (this.isDead || !this.takeCopy(cmd)) {
       yield err(REJECTED);
