Read what peers relay by a schema, and drop hints whose sequence is no number

What one host sends to another over HTTP was checked by its strings and three numbers. A hint with the sequence 1e999 was taken, and each later hint of its host dropped as older, so that the host passed for gone until it was restarted.

Cause: readers that check a part of what they hand on. Requests and the three kinds of frames that are objects are read by schemas now, which keep fields of a later program; the sequence of a hint is read as that of a digest.

--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -159,7 +159,7 @@
   const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
   const reach = decodeReach(fields[REACH_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
-  if (typeof sequence !== 'number' || !Array.isArray(rows)) return undefined;
+  if (!isNonNegativeNumber(sequence) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
   const [config, servers] = Array.isArray(versions) ? (versions as readonly unknown[]) : [];
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
--- a/packages/peer/src/relay/relayCodec.ts
+++ b/packages/peer/src/relay/relayCodec.ts
@@ -1,5 +1,6 @@
 import type { SoftwareVersion } from '@camphorvane/core';
 import type { RelayedRequest, RelayEvent } from './RelayLink.ts';
+import { frameSchemas, requestFieldsSchema } from './relaySchemas.ts';
 
 /** Bytes of the length that precedes the fields of a request. */
 const LENGTH_BYTES = 4;
@@ -46,8 +47,9 @@
   if (buffer.length < LENGTH_BYTES) return undefined;
   const end = LENGTH_BYTES + buffer.readUInt32BE(0);
   if (end > buffer.length) return undefined;
-  const fields = parseJson(buffer.subarray(LENGTH_BYTES, end));
-  if (!isRequestFields(fields)) return undefined;
+  const parsed = requestFieldsSchema.safeParse(parseJson(buffer.subarray(LENGTH_BYTES, end)));
+  if (!parsed.success) return undefined;
+  const fields = parsed.data as unknown as RelayedRequest;
   const { work: declared, lastPosition, ...call } = fields.call as EncodedCall;
   const { lastPosition: declaredPosition, ...work } = declared ?? {};
   const position = lastPosition ?? declaredPosition;
@@ -155,8 +157,8 @@
     case 'head':
     case 'version':
     case 'refused': {
-      const fields = parseJson(bytes) as Partial<RelayFrame> | undefined;
-      return fields?.type === kind ? (fields as RelayFrame) : undefined;
+      const parsed = frameSchemas[kind].safeParse(parseJson(bytes));
+      return parsed.success ? parsed.data : undefined;
     }
     case 'data':
       return { type: 'data', bytes };
@@ -174,30 +176,6 @@
   }
 }
 
-function isRequestFields(
-  value: unknown,
-): value is Omit<RelayedRequest, 'call'> & { readonly call: Omit<RelayedRequest['call'], 'body'> } {
-  const { id, call, context } = (value ?? {}) as Partial<RelayedRequest>;
-  if (typeof id !== 'string' || typeof call !== 'object' || typeof context !== 'object')
-    return false;
-  const texts = [call.host, call.method, call.path];
-  const numbers = [context.leftMs, context.ageMs, context.executions];
-  return (
-    texts.every((text) => typeof text === 'string') &&
-    typeof call.headers === 'object' &&
-    numbers.every((number) => typeof number === 'number' && Number.isFinite(number)) &&
-    (context.binding === undefined || isBinding(context.binding))
-  );
-}
-
-function isBinding(value: unknown): boolean {
-  const { type, version } = (value ?? {}) as {
-    readonly type?: unknown;
-    readonly version?: unknown;
-  };
-  return type === 'bound' ? typeof version === 'string' : type === 'free' || type === 'unbindable';
-}
-
 function parseJson(bytes: Buffer): unknown {
   try {
     return JSON.parse(bytes.toString('utf8'));
