Refuse a host record whose address no URL can hold

The address is read as a URL now, as that of a server is. Evidence: 'a record with an address that is none is refused, with the field named' has 127.0.0.300:80 in its list.

--- a/packages/router/src/coordination/hostRecord.ts
+++ b/packages/router/src/coordination/hostRecord.ts
@@ -90,7 +90,7 @@
 
 function isAddress(text: string): boolean {
   const [, port] = ADDRESS.exec(text) ?? [];
-  return port !== undefined && Number(port) > 0 && Number(port) <= MAX_PORT;
+  return Number(port) > 0 && Number(port) <= MAX_PORT && URL.canParse(`http://${text}`);
 }
 
 function describeIssues({ issues }: z.ZodError): string {
--- a/packages/router/tests/coordination/hostRecord.test.ts
+++ b/packages/router/tests/coordination/hostRecord.test.ts
@@ -28,6 +28,7 @@
     'h:0',
     'h:70000',
     'h:1:2',
+    '127.0.0.300:80',
     ':1',
     'a b:1',
     'h:x',
