Store what ran beside suspected parts at their crashes, so that started hosts can tell them apart

The parts that all streams have had four crashes, and the culprit three, which those explained, so that it was no suspect and was not stored. After the loss the sound parts alone were read back, and nothing explained their crashes: all streams were blocked, or one with the culprit was sent on trial, and its crash confirmed them.

Evidence: 'a host that reads back stored crashes tells a culprit from the parts beside it' failed before with 'sound parts are blocked'.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -253,10 +253,21 @@
     };
   }
 
-  /** Gets the crashes of suspected traits that this host detected one of itself, for hosts that start later. */
+  /**
+   * Gets the crashes of suspected traits that this host detected one of itself, for hosts that start later. Traits that
+   * ran beside them at several crashes come first: without these, a host takes the suspects for the only cause.
+   */
   getSuspectReports(now: Millis): readonly CrashReport[] {
-    const suspects = this.records.getRepeated().filter((key) => this.isSuspect(key, now));
-    return this.reporter.getOwn(suspects, now);
+    const upstreamsOf = (key: string): readonly UpstreamId[] => [
+      ...this.records.getCrashes(key, now).keys(),
+    ];
+    const repeated = this.records.getRepeated();
+    const suspects = new Set(repeated.filter((key) => this.isSuspect(key, now)));
+    const crashed = new Set([...suspects].flatMap(upstreamsOf));
+    const beside = repeated.filter(
+      (key) => !suspects.has(key) && upstreamsOf(key).some((upstream) => crashed.has(upstream)),
+    );
+    return this.reporter.getOwn([...beside, ...suspects], now);
   }
 
   /** Judges a request by its suspected traits; gets those that may crash upstreams. */
--- a/packages/router/tests/serving/CrashGuard.test.ts
+++ b/packages/router/tests/serving/CrashGuard.test.ts
@@ -55,3 +55,46 @@
   await clock.advance(4_000);
   assert.equal(crashesAfter('next', 5_390), 1);
 });
+
+const BROKEN = { type: 'broken', dispatched: true, message: 'read ECONNRESET' } as const;
+
+/** Parts of all streams, and one that crashes engines. */
+const SOUND_PARTS = ['+sound1', '+sound2'];
+const CULPRIT_PART = '+culprit';
+
+// Guards against sound parts that pass for the only cause after a loss of all hosts, so that all streams are refused.
+test('a host that reads back stored crashes tells a culprit from the parts beside it', async () => {
+  const clock = new VirtualClock();
+  const group = { members: () => MEMBERS } as unknown as GroupGate;
+  const guardOf = (): CrashGuard =>
+    new CrashGuard({
+      ...{ self: 'h1', clock, group, metrics: new Metrics(), suspicion: { minUpstreams: 3 } },
+    });
+  const request = (id: string, ...own: readonly string[]) => ({
+    ...{ id, digest: id, shared: [...SOUND_PARTS, ...own] },
+  });
+  const before = guardOf();
+  await ['e1', 'e2', 'e3', 'e4'].reduce(async (earlier, engine) => {
+    await earlier;
+    await clock.advance(1_500);
+    before.recordFailure(request(`sound at ${engine}`), engine, BROKEN);
+    before.recordFailure(request(`culprit at ${engine}`, CULPRIT_PART), engine, BROKEN);
+  }, Promise.resolve());
+  await clock.advance(1_500);
+  before.recordFailure(request('sound at e5'), 'e5', BROKEN);
+  const stored = before.getQuarantine();
+  const started = guardOf();
+  started.receiveStored(stored);
+  assert.ok(
+    stored.some(({ digest }) => digest === SOUND_PARTS[0]),
+    'no sound part was suspected',
+  );
+  await clock.advance(1_500);
+  assert.equal(started.refusalFor(request('again', CULPRIT_PART))?.code, 'suspected_crasher');
+  const trial = request('trial');
+  assert.equal(started.refusalFor(trial), undefined, 'sound parts are blocked');
+  await clock.advance(1_000);
+  started.recordSuccess(trial);
+  assert.equal(started.refusalFor(request('next')), undefined);
+  assert.equal(started.refusalFor(request('once more', CULPRIT_PART))?.code, 'suspected_crasher');
+});
