Serve a relayed request at the service that the sending host chose

What callers saw: where a route is split between two pools, a stream that a host served by way of a peer could go on at the other pool after that way was lost. The text of two models came in one answer, with nothing in it that showed this.

Cause: a host chooses one of the targets of a route, and then serves the request directly or by way of a peer. The peer chose a target again, at random. The software version that binds a begun stream did not prevent it, since two pools may have versions of one name.

Fix: what a host tells the peer names the service that it has chosen. The peer serves the request there; a stream that has begun goes on there or is refused, also where the peer's configuration has other targets for the route, or a host of an earlier program names none and there are several.

--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -4,6 +4,7 @@
   PromptPart,
   Refusal,
   RequestId,
+  ServiceId,
   SoftwareVersion,
   Tokens,
 } from '@camphorvane/core';
@@ -43,6 +44,8 @@
   readonly leftMs: Millis;
   /** Estimated milliseconds since the caller's first attempt at the request. */
   readonly ageMs: Millis;
+  /** The service or pool that the sender has chosen among the targets of the route; absent from an earlier program. */
+  readonly service?: ServiceId;
   /** Upstreams that may have run the request already. */
   readonly executions: number;
   /** Whether the request is charged to its team already. */
--- a/packages/peer/src/relay/relaySchemas.ts
+++ b/packages/peer/src/relay/relaySchemas.ts
@@ -42,6 +42,7 @@
     from: z.string(),
     leftMs: z.number(),
     ageMs: z.number(),
+    service: z.string().optional(),
     executions: count,
     isCharged: z.boolean().optional(),
     configVersion: z.number().optional(),
--- a/packages/router/src/reach/RequestRelay.ts
+++ b/packages/router/src/reach/RequestRelay.ts
@@ -218,7 +218,7 @@
     const leftMs = Math.max(1, deadlineAt - clock.now() - ANSWER_MARGIN_MS);
     const from = this.options.self;
     const context = {
-      ...{ from, leftMs, ageMs, executions: executions.get(), isCharged },
+      ...{ from, leftMs, ageMs, service, executions: executions.get(), isCharged },
       configVersion: request.configVersion,
       ...(request.isResumable ? { binding } : {}),
     };
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -6,6 +6,7 @@
   RandomSource,
   Refusal,
   RequestId,
+  ServiceId,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import { FREE_STREAM, RequestAgeEstimator } from '@camphorvane/decisions';
@@ -23,7 +24,7 @@
 import { AnswerRecord } from './AnswerRecord.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
 import { ExecutionCount } from './ExecutionCount.ts';
-import { chooseTarget, findForwardRoute } from './findForwardRoute.ts';
+import { chooseTarget, findForwardRoute, isTarget } from './findForwardRoute.ts';
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
@@ -171,17 +172,15 @@
     if (route.kind === 'stream' && req.isPositionUnreadable === true) {
       return err(notRun('bad_request', 'Last-Event-Id is not the position of an event.'));
     }
-    const target = chooseTarget(route.targets, this.options.random.next());
-    if (target === undefined) {
-      return err(notRun('no_capacity', 'The route has no usable target.', UNAVAILABLE_RETRY_MS));
-    }
+    const chosen = this.chooseService(route, req, relayed);
+    if (chosen.isErr()) return err(chosen.error);
     const timeoutMs = Math.min(route.timeoutMs, req.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS);
     const now = this.options.clock.now();
     const deadlineAt = now + timeoutMs;
     return this.callerOf(route, req).map((caller) => {
       this.options.metrics.count('request.accepted');
       const { name, kind, targetMs, longestPauseMs } = route;
-      const { service } = target;
+      const service = chosen.value;
       const slos = { kind, targetMs, longestPauseMs };
       const version = this.version();
       const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
@@ -198,6 +197,26 @@
     });
   }
 
+  /**
+   * Chooses a service of a route. A request that a peer passes on goes to the one that the peer has chosen; a stream
+   * that has begun goes on there or nowhere, also if this host knows other targets of the route.
+   */
+  private chooseService(
+    route: ForwardRoute,
+    req: ForwardRequest,
+    relayed: RelayContext | undefined,
+  ): Result<ServiceId, Refusal> {
+    const { targets } = route;
+    const given = relayed?.service;
+    if (given !== undefined && isTarget(targets, given)) return ok(given);
+    const hasBegun = relayed !== undefined && isTakeUp({ req, route });
+    if (hasBegun && (given !== undefined || targets.length > 1)) return err(versionUnknown());
+    const target = chooseTarget(targets, this.options.random.next());
+    return target === undefined
+      ? err(notRun('no_capacity', 'The route has no usable target.', UNAVAILABLE_RETRY_MS))
+      : ok(target.service);
+  }
+
   private callerOf(route: ForwardRoute, req: ForwardRequest): Result<AuthenticatedCaller, Refusal> {
     return route.open ? ok(ANONYMOUS_CALLER) : this.options.authenticator.authenticate(req.key);
   }
--- a/packages/router/src/serving/findForwardRoute.ts
+++ b/packages/router/src/serving/findForwardRoute.ts
@@ -1,4 +1,4 @@
-import type { ForwardRoute, RouteTarget } from '@camphorvane/core';
+import type { ForwardRoute, RouteTarget, ServiceId } from '@camphorvane/core';
 
 /**
  * Finds the route of a forwarded call: the one with its host name and the longest matching path prefix.
@@ -41,3 +41,13 @@
     return weight > 0 && remaining < 0;
   });
 }
+
+/**
+ * Tells whether a route sends requests to a service.
+ *
+ * @param targets - The services of the route with their weights.
+ * @param service - The service.
+ */
+export function isTarget(targets: readonly RouteTarget[], service: ServiceId): boolean {
+  return targets.some((target) => target.service === service && target.weight > 0);
+}
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -126,7 +126,15 @@
   assert.equal(text(outcome), 'ok');
   assert.equal(outcome.directStates.length, 0);
   const expected: RelayContext = {
-    ...{ from: 'h', leftMs: 990, ageMs: 5, executions: 0, isCharged: false, configVersion: 1 },
+    ...{
+      from: 'h',
+      leftMs: 990,
+      ageMs: 5,
+      service: 's',
+      executions: 0,
+      isCharged: false,
+      configVersion: 1,
+    },
   };
   assert.deepEqual(outcome.relayed[0]?.request, { id: 'r', call: REQ, context: expected });
 });
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -5,6 +5,7 @@
   LoadReport,
   Millis,
   OverloadPolicy,
+  PoolConfig,
   RoutingConfig,
   ServiceServer,
   SoftwareVersion,
@@ -64,6 +65,8 @@
   readonly engines?: Readonly<Record<string, ModelEngine>>;
   readonly decodeIds?: readonly string[];
   readonly engineConfig?: Partial<EngineConfig>;
+  /** Whether there is a second pool, `llm2`, with the decode engines `e1` and `e2`, of the same software versions. */
+  readonly hasSecondPool?: boolean;
   /** Software versions of the decode engines, in order; none where absent. */
   readonly versions?: readonly [SoftwareVersion, SoftwareVersion];
   /** Tells and asks peers which versions began streams. */
@@ -222,6 +225,22 @@
       ...this.options.engineConfig,
     });
     const decodeIds = this.options.decodeIds ?? ['d1', 'd2'];
+    const pool = (model: string, prefillId: string, ids: readonly string[]): PoolConfig => ({
+      model,
+      engines: [
+        engine(prefillId, 'prefill'),
+        ...ids.map((id, i) => ({
+          ...engine(id, 'decode'),
+          softwareVersion: this.options.versions?.[i],
+        })),
+      ],
+      maxTokens: 10_000,
+      ttftTargetMs: 300,
+      itlTargetMs: 100,
+      linkPiecesPerSecond: 100,
+      relocation: this.options.relocation,
+      softwareVersions: this.options.versions,
+    });
     const base: ForwardRoute = {
       name: 'r',
       host: 'h.example',
@@ -248,22 +267,8 @@
         },
       ],
       pools: [
-        {
-          model: 'llm',
-          engines: [
-            engine('p1', 'prefill'),
-            ...decodeIds.map((id, i) => ({
-              ...engine(id, 'decode'),
-              softwareVersion: this.options.versions?.[i],
-            })),
-          ],
-          maxTokens: 10_000,
-          ttftTargetMs: 300,
-          itlTargetMs: 100,
-          linkPiecesPerSecond: 100,
-          relocation: this.options.relocation,
-          softwareVersions: this.options.versions,
-        },
+        pool('llm', 'p1', decodeIds),
+        ...(this.options.hasSecondPool === true ? [pool('llm2', 'p2', ['e1', 'e2'])] : []),
       ],
       services: [
         {
