Take a stream up at the pool that began it

What callers saw: where a route is split between pools, or a new configuration has moved it to another pool, a stream that its caller took up could go on at another model than the one that began it, answered 200 and to the end.

Cause: an origin named the software version only, and the pool was drawn by weight for each request. Versions are names within a pool; two pools may have versions of one name. Where the names differed, the stream was refused although its pool was there. The same holds for the only version of a pool, which was named for streams that the route's former pool had begun.

Evidence: 'a stream of a split route is taken up at the pool that began it' failed before (the third of eight streams went from one pool to the other), and passes now. 'a version is not named as the only one while the route has led to another pool within the window' and the two tests of decisions ask for what did not exist.

Fix: an origin names its pool, to peers in a row of its own that hosts of an earlier program take for another stream. A take-up goes to that pool if its route leads there, and is refused otherwise or where no host knows the pool of a split route. RoutePools knows which pools related routes have led to; the only version of a pool stands for an unknown origin only while no path that leads to it has led elsewhere for 30 s.

An origin whose id is too long for peers is left out of its datagram; before, peers dropped the whole datagram.

Result: take-ups at 9 and 350 hosts (streamVersionsFleet) as before, with a third killed, restarted, cut off or of the earlier program; half or more go on.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -59,6 +59,7 @@
 export * from './signals/upstreamReports.ts';
 export * from './shares/QueueOrder.ts';
 export * from './turns/TurnScheduler.ts';
+export * from './versions/RoutePools.ts';
 export * from './versions/StreamBinding.ts';
 export * from './versions/StreamOrigins.ts';
 export * from './versions/VersionHistory.ts';
--- a/packages/decisions/src/versions/StreamOrigins.ts
+++ b/packages/decisions/src/versions/StreamOrigins.ts
@@ -1,4 +1,4 @@
-import type { HostId, Millis, RequestId } from '@camphorvane/core';
+import type { HostId, Millis, ModelId, RequestId } from '@camphorvane/core';
 import { rendezvousOrder } from '@camphorvane/core';
 
 /**
@@ -16,16 +16,21 @@
 /** Peers that are asked; more than are told, since hosts differ in which peers they take for alive. */
 const ASKED_PEERS = 6;
 
-/** The software version that brought the first event of a stream. */
-export interface StreamOrigin {
+/** What brought the first event of a stream. */
+export interface Origin {
+  readonly version: string;
+  /** The pool whose version it is; absent where a host of an earlier program has told. */
+  readonly pool?: ModelId;
+}
+
+/** The origin of a stream. */
+export interface StreamOrigin extends Origin {
   /** Id of the caller's attempt that brought the first event. */
   readonly id: RequestId;
-  readonly version: string;
 }
 
 /** A kept origin. */
-export interface KeptOrigin {
-  readonly version: string;
+export interface KeptOrigin extends Origin {
   readonly toldAt: Millis;
 }
 
@@ -39,11 +44,11 @@
     return this.origins.size;
   }
 
-  /** Keeps an origin, or keeps it for longer. The first version that was told stays: a first event comes once. */
-  keep({ id, version }: StreamOrigin, now: Millis): void {
+  /** Keeps an origin, or keeps it for longer. The first one that was told stays: a first event comes once. */
+  keep({ id, ...told }: StreamOrigin, now: Millis): void {
     const known = this.origins.get(id);
     this.origins.delete(id);
-    this.origins.set(id, { version: known?.version ?? version, toldAt: now });
+    this.origins.set(id, { ...told, ...known, toldAt: now });
     this.dropOld(now);
   }
 
--- a/packages/decisions/tests/versions/versions.test.ts
+++ b/packages/decisions/tests/versions/versions.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { SoftwareVersion } from '@camphorvane/core';
+import type { ForwardRoute, SoftwareVersion } from '@camphorvane/core';
+import type { TakeUpKnowledge } from '@camphorvane/decisions';
 import {
   bindingTo,
   decideTakeUp,
@@ -10,6 +11,7 @@
   ORIGIN_TTL_MS,
   peersToAsk,
   peersToTell,
+  RoutePools,
   StreamOrigins,
   VersionHistory,
 } from '@camphorvane/decisions';
@@ -17,6 +19,11 @@
 const known = (name: string): SoftwareVersion => ({ type: 'known', name });
 const UNKNOWN: SoftwareVersion = { type: 'unknown' };
 
+const NOTHING: TakeUpKnowledge = {
+  ...{ own: undefined, peers: [], soleVersion: undefined },
+  ...{ pools: ['m'], hasVersions: true },
+};
+
 test('a stream runs on engines of its version only, and an unknown version equals none', () => {
   assert.ok([known('v1'), UNKNOWN, undefined].every((one) => mayRunOn(FREE_STREAM, one)));
   const bound = bindingTo(known('v1'));
@@ -63,25 +70,72 @@
 
 // Guards against a stream that goes on at the version of a peer that is wrong, or at one that is only likely.
 test('a taken up stream goes on where its version is certain', () => {
-  const nothing = { own: undefined, peers: [], soleVersion: undefined, hasVersions: true };
-  assert.equal(decideTakeUp(nothing).type, 'unknown');
-  assert.equal(decideTakeUp({ ...nothing, peers: ['v1', 'v2'] }).type, 'unknown');
+  assert.equal(decideTakeUp(NOTHING).type, 'unknown');
+  const [v1, v2] = [{ version: 'v1' }, { version: 'v2' }];
+  assert.equal(decideTakeUp({ ...NOTHING, peers: [v1, v2] }).type, 'unknown');
   const bound = { type: 'bound', version: 'v1' };
   const decisions = [
-    decideTakeUp({ ...nothing, own: { version: 'v1', toldAt: 0 }, peers: ['v2'] }),
-    decideTakeUp({ ...nothing, peers: ['v1', 'v1'], soleVersion: 'v2' }),
-    decideTakeUp({ ...nothing, soleVersion: 'v1' }),
+    decideTakeUp({ ...NOTHING, own: v1, peers: [v2] }),
+    decideTakeUp({ ...NOTHING, peers: [v1, v1], soleVersion: 'v2' }),
+    decideTakeUp({ ...NOTHING, soleVersion: 'v1' }),
   ];
   assert.deepEqual(
-    decisions.map((one) => (one.type === 'go_on' ? [one.source, one.binding] : one.type)),
+    decisions.map((one) => (one.type === 'go_on' ? [one.source, one.binding, one.pool] : one.type)),
     [
-      ['own', bound],
-      ['peer', bound],
-      ['sole_version', bound],
+      ['own', bound, 'm'],
+      ['peer', bound, 'm'],
+      ['sole_version', bound, 'm'],
     ],
   );
-  const free = decideTakeUp({ ...nothing, hasVersions: false });
-  assert.deepEqual(free, { type: 'go_on', binding: FREE_STREAM, source: 'no_versions' });
+  const free = { type: 'go_on', binding: FREE_STREAM, pool: undefined, source: 'no_versions' };
+  assert.deepEqual(decideTakeUp({ ...NOTHING, hasVersions: false }), free);
+});
+
+// Guards against a stream that goes on at another pool, whose version has the name of the one that began it.
+test('a taken up stream goes on at the pool that began it, if its route still leads there', () => {
+  const decide = (knowledge: Partial<TakeUpKnowledge>): string => {
+    const decision = decideTakeUp({ ...NOTHING, ...knowledge });
+    return decision.type === 'go_on' ? `${decision.pool}` : decision.type;
+  };
+  const [atM, atN] = [
+    { version: 'v1', pool: 'm' },
+    { version: 'v1', pool: 'n' },
+  ];
+  const both = { pools: ['n', 'm'] };
+  assert.equal(decide({ ...both, own: atM }), 'm');
+  assert.equal(decide({ ...both, peers: [atN, { version: 'v1' }, atN] }), 'n');
+  assert.equal(decide({ ...both, peers: [atN, atM] }), 'unknown');
+  assert.equal(decide({ ...both, own: { version: 'v1' } }), 'unknown', 'the pool is not known');
+  assert.equal(decide({ own: atN }), 'unknown', 'the route leads to another pool now');
+  assert.equal(decide({ own: { version: 'v1' } }), 'm');
+});
+
+/** A route of streams to pools. */
+function routeTo(pathPrefix: string, ...pools: readonly string[]): ForwardRoute {
+  const targets = pools.map((service) => ({ service, weight: 1 }));
+  return {
+    name: pathPrefix,
+    host: 'h',
+    pathPrefix,
+    kind: 'stream',
+    targets,
+  } as unknown as ForwardRoute;
+}
+
+// Guards against the only version of a pool that is named for a stream which another pool has begun.
+test('a pool is alone while no path that leads to it has led to another pool within the window', () => {
+  const pools = new RoutePools(1_000);
+  const isAlone = (): readonly boolean[] => ['m', 'n', 'o'].map((model) => pools.isAlone(model));
+  pools.record([routeTo('/a/', 'm'), routeTo('/b/', 'n'), routeTo('/b/c/', 'o')], 0);
+  assert.deepEqual(isAlone(), [true, false, false]);
+  pools.record([routeTo('/a/', 'n')], 500);
+  assert.deepEqual(isAlone(), [false, false, false]);
+  pools.record([routeTo('/a/', 'n')], 1_001);
+  assert.deepEqual(isAlone(), [true, true, true]);
+  const plain = { ...routeTo('/a/', 'm'), kind: 'idempotent' } as const;
+  const unused = { ...routeTo('/a/', 'n'), targets: [{ service: 'm', weight: 0 }] };
+  pools.record([routeTo('/a/', 'n'), plain, unused], 1_002);
+  assert.deepEqual(isAlone(), [true, true, true]);
 });
 
 [9, 350].forEach((count) => {
--- a/packages/peer/src/origins/OriginLink.ts
+++ b/packages/peer/src/origins/OriginLink.ts
@@ -5,6 +5,8 @@
 export interface OriginAnswer {
   /** The version; undefined where the peer does not know it. */
   readonly version: string | undefined;
+  /** The pool whose version it is; absent where the peer was not told, or runs an earlier program. */
+  readonly pool?: ModelId;
   /** Whether the peer was told, or else takes it for the only version that there was. */
   readonly isTold: boolean;
 }
--- a/packages/peer/src/origins/PeerOriginLink.ts
+++ b/packages/peer/src/origins/PeerOriginLink.ts
@@ -110,9 +110,14 @@
     chunks.push(chunk as Uint8Array);
   }
   if (res.statusCode !== OK || !res.complete) return undefined;
-  const { version, isTold } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as {
+  const { version, pool, isTold } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as {
     readonly version?: unknown;
+    readonly pool?: unknown;
     readonly isTold?: unknown;
   };
-  return { version: typeof version === 'string' ? version : undefined, isTold: isTold === true };
+  return {
+    version: typeof version === 'string' ? version : undefined,
+    ...(typeof pool === 'string' ? { pool } : {}),
+    isTold: isTold === true,
+  };
 }
--- a/packages/peer/tests/origins/PeerOriginLink.test.ts
+++ b/packages/peer/tests/origins/PeerOriginLink.test.ts
@@ -18,12 +18,26 @@
   const origins = [
     { id: 'a', version: 'v1' },
     { id: 'b "quoted"', version: 'v1.1' },
+    { id: 'c', version: 'v1', pool: 'm' },
   ];
   assert.deepEqual(decodeOrigins(encodeOrigins(origins)), origins);
   const malformed = ['origins ', 'origins {}', 'origins [["a"]]', 'origins [["a",1]]', '["h"]'];
   malformed.forEach((text) => assert.equal(decodeOrigins(Buffer.from(text)), undefined, text));
 });
 
+// Guards against one long id of a caller that has peers drop what they are told of other streams.
+test('an origin whose id is too long for peers is left out of its datagram', () => {
+  const sound = { id: 'a', version: 'v1', pool: 'm' };
+  const long = { ...sound, id: 'x'.repeat(128) };
+  assert.deepEqual(decodeOrigins(encodeOrigins([long, sound])), [sound]);
+});
+
+// Guards against hosts of an earlier program that can't read the rows with pools, and forget the versions beside them.
+test('a datagram with pools has rows of two texts only', () => {
+  const text = encodeOrigins([{ id: 'a', version: 'v1', pool: 'm' }]).toString();
+  assert.equal(text, 'origins [["a","v1"],[" pool a","m"]]');
+});
+
 // Guards against hosts of an earlier program that take a datagram with origins for a hint.
 test('a datagram with origins holds no hint and no digest', () => {
   const bytes = encodeOrigins([{ id: 'a', version: 'v1' }]);
@@ -56,7 +70,7 @@
 test('a peer answers what it knows, and answers nobody outside of the fleet', async () => {
   let isPeer = true;
   const asked = new PeerOriginLink(new SystemClock(), NO_DATAGRAMS, () => isPeer);
-  asked.setSource((id, model) => ({ version: `${model} of ${id}`, isTold: true }));
+  asked.setSource((id, pool) => ({ version: `version of ${id}`, pool, isTold: true }));
   const server = createServer((req, res) => {
     if (!asked.handle(req, res)) res.writeHead(404).end();
   });
@@ -65,7 +79,8 @@
   });
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const link = new PeerOriginLink(new SystemClock(), NO_DATAGRAMS, () => true);
-  assert.deepEqual(await link.ask(address, 'a/b', 'm'), { version: 'm of a/b', isTold: true });
+  const answer = { version: 'version of a/b', pool: 'm', isTold: true };
+  assert.deepEqual(await link.ask(address, 'a/b', 'm'), answer);
   isPeer = false;
   assert.equal(await link.ask(address, 'a', 'm'), undefined);
   server.close();
--- a/packages/peer/tests/spoiledMessages.test.ts
+++ b/packages/peer/tests/spoiledMessages.test.ts
@@ -92,13 +92,13 @@
 // Guards against the same in the versions that peers tell of streams.
 test('origins with a spoiled value are dropped, or are texts', () => {
   const prefix = encodeOrigins([]).toString().replace('[]', '');
-  const sound = encodeOrigins([{ id: 'r1', version: 'v1' }])
+  const sound = encodeOrigins([{ id: 'r1', version: 'v1', pool: 'm' }])
     .toString()
     .slice(prefix.length);
   const check = (text: string): void => {
     const origins = decodeOrigins(Buffer.from(`${prefix}${text}`)) ?? [];
-    origins.forEach(({ id, version }) =>
-      assert.deepEqual([typeof id, typeof version], ['string', 'string']),
+    origins.forEach((origin) =>
+      Object.values(origin).forEach((value) => assert.equal(typeof value, 'string')),
     );
   };
   fc.assert(fc.property(spoiledTexts(sound), check), RUNS);
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -24,7 +24,7 @@
 import { AnswerRecord } from './AnswerRecord.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
 import { ExecutionCount } from './ExecutionCount.ts';
-import { chooseTarget, findForwardRoute, isTarget } from './findForwardRoute.ts';
+import { chooseTarget, findForwardRoute, servicesOf } from './findForwardRoute.ts';
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
@@ -208,7 +208,7 @@
   ): Result<ServiceId, Refusal> {
     const { targets } = route;
     const given = relayed?.service;
-    if (given !== undefined && isTarget(targets, given)) return ok(given);
+    if (given !== undefined && servicesOf(targets).includes(given)) return ok(given);
     const hasBegun = relayed !== undefined && isTakeUp({ req, route });
     if (hasBegun && (given !== undefined || targets.length > 1)) return err(versionUnknown());
     const target = chooseTarget(targets, this.options.random.next());
@@ -228,23 +228,25 @@
       return;
     }
     const { versions } = this.options;
-    const { id, req, service } = call;
+    const { id, req, route } = call;
     const streamId = isTakeUp(call) ? (req.resumes ?? id) : id;
-    let { binding } = call;
+    let { binding, service } = call;
     if (isTakeUp(call)) {
-      const decision = await versions.takeUp(id, req.resumes, service);
+      const decision = await versions.takeUp(id, req.resumes, servicesOf(route.targets));
       if (decision.type === 'unknown') {
         yield { type: 'refused', refusal: versionUnknown() };
         return;
       }
       binding = decision.binding;
+      service = decision.pool ?? service;
     }
     let isBound = binding.type !== 'free';
     try {
-      for await (const event of this.serve({ ...call, binding }, signal, false)) {
+      for await (const event of this.serve({ ...call, service, binding }, signal, false)) {
         const version = event.type === 'data' ? event.softwareVersion : undefined;
         // Told before the event leaves: this host may be lost as soon as its caller has got it.
-        if (!isBound && version?.type === 'known') versions.begin(streamId, version.name);
+        if (!isBound && version?.type === 'known')
+          versions.begin(streamId, { version: version.name, pool: service });
         isBound ||= version !== undefined;
         yield event;
       }
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -1,14 +1,15 @@
-import type { Clock, HostId, Millis, ModelId, RequestId } from '@camphorvane/core';
+import type { Clock, ForwardRoute, HostId, Millis, ModelId, RequestId } from '@camphorvane/core';
 import { runLoop, sleep } from '@camphorvane/core';
 import {
   decideTakeUp,
   ORIGIN_TTL_MS,
   peersToAsk,
   peersToTell,
+  RoutePools,
   StreamOrigins,
   VersionHistory,
 } from '@camphorvane/decisions';
-import type { StreamOrigin, TakeUpDecision } from '@camphorvane/decisions';
+import type { Origin, StreamOrigin, TakeUpDecision } from '@camphorvane/decisions';
 import type { OriginAnswer, OriginLink } from '@camphorvane/peer/origins';
 import type { FleetMember } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
@@ -49,10 +50,12 @@
   readonly getMembers: () => readonly FleetMember[];
   /** Tells whether the list of engines is known to be current. */
   readonly isListCurrent: () => boolean;
+  /** Gets the routes of the configuration in force. */
+  readonly getRoutes: () => readonly ForwardRoute[];
 }
 
 /**
- * Knows which software version began each stream, so that it goes on at that version only.
+ * Knows which pool and which software version began each stream, so that it goes on there only.
  *
  * A host tells a few peers, chosen by the id of the stream, before the first event leaves, and asks the same ones
  * when a caller takes a stream up that it does not know.
@@ -64,6 +67,8 @@
 
   private readonly history = new VersionHistory(ORIGIN_TTL_MS, MAX_LIST_GAP_MS);
 
+  private readonly routePools = new RoutePools(ORIGIN_TTL_MS);
+
   private readonly running = new Map<RequestId, RunningStream>();
 
   private readonly versionCounts = new Map<ModelId, number>();
@@ -89,10 +94,11 @@
     });
   }
 
-  /** Records which versions the engines of each pool have now. */
+  /** Records which versions the engines of each pool have now, and which pools the routes lead to. */
   recordVersions(): void {
-    const { directory, clock, isListCurrent } = this.options;
+    const { directory, clock, isListCurrent, getRoutes } = this.options;
     this.noticeSuspension();
+    this.routePools.record(getRoutes(), clock.now());
     const isCurrent = isListCurrent();
     const models = directory.getModels();
     models.forEach((model) => {
@@ -116,16 +122,16 @@
   }
 
   /**
-   * Records the version that brought the first event of a stream, before the event leaves.
+   * Records what brought the first event of a stream, before the event leaves.
    *
    * @param id - Id of the attempt that brought it.
-   * @param version - Name of the version.
+   * @param origin - The pool, and the name of the version.
    */
-  begin(id: RequestId, version: string): void {
-    const origin = { id, version };
+  begin(id: RequestId, { version, pool }: Required<Origin>): void {
+    const origin = { id, version, pool };
     this.origins.keep(origin, this.options.clock.now());
     this.tell([origin]);
-    log('stream_bound', { id, version });
+    log('stream_bound', { id, version, pool });
   }
 
   /** Records that this host does not serve a stream any more; callers may still take it up. */
@@ -138,31 +144,34 @@
    *
    * @param id - Id of the caller's present attempt.
    * @param resumed - Id of the attempt that brought the first event; undefined where the caller names none.
-   * @param model - The pool.
+   * @param pools - The pools to which the route leads.
    * @returns The decision.
    */
   async takeUp(
     id: RequestId,
     resumed: RequestId | undefined,
-    model: ModelId,
+    pools: readonly ModelId[],
   ): Promise<TakeUpDecision> {
     const { clock, metrics } = this.options;
-    const hasVersions = this.haveVersions(model);
+    const hasVersions = pools.some((pool) => this.haveVersions(pool));
     const own = resumed === undefined ? undefined : this.origins.get(resumed, clock.now());
     const isAsked = hasVersions && own === undefined && resumed !== undefined;
-    const peers = isAsked ? await this.askPeers(resumed, model) : [];
-    const soleVersion = this.getSoleVersion(model);
-    const decision = decideTakeUp({ own, peers, soleVersion, hasVersions });
+    const peers = isAsked ? await this.askPeers(resumed, pools) : [];
+    const solePool = pools.length === 1 ? pools[0] : undefined;
+    const soleVersion = solePool === undefined ? undefined : this.getSoleVersion(solePool);
+    const decision = decideTakeUp({ own, peers, soleVersion, pools, hasVersions });
     const outcome = decision.type === 'go_on' ? decision.source : decision.type;
     metrics.count('stream.takeups', { outcome });
-    const version = decision.type === 'go_on' ? nameOf(decision) : undefined;
+    const origin = originOf(decision);
     const ageMs = own === undefined ? undefined : Math.round(clock.now() - own.toldAt);
+    const pool = origin?.pool ?? solePool;
     log('stream_taken_up', {
-      ...{ id, resumed, outcome, version, ageMs },
-      listed: this.history.countVersions(model),
-      knownMs: Math.round(this.history.getKnownMs(model, clock.now())),
+      ...{ id, resumed, outcome, version: origin?.version, pool, ageMs },
+      listed: pool === undefined ? undefined : this.history.countVersions(pool),
+      knownMs:
+        pool === undefined ? undefined : Math.round(this.history.getKnownMs(pool, clock.now())),
     });
-    if (resumed !== undefined && version !== undefined) this.begin(resumed, version);
+    if (resumed !== undefined && origin !== undefined) this.begin(resumed, origin);
     return decision;
   }
 
@@ -176,16 +185,17 @@
   }
 
   private answer(id: RequestId, model: ModelId): OriginAnswer {
-    const now = this.options.clock.now();
-    const told = this.origins.get(id, now)?.version;
-    const version = told ?? this.getSoleVersion(model);
-    return { version, isTold: told !== undefined };
+    const told = this.origins.get(id, this.options.clock.now());
+    if (told === undefined) return { version: this.getSoleVersion(model), isTold: false };
+    return { version: told.version, pool: told.pool, isTold: true };
   }
 
+  /** Gets the version that has begun each stream which may be taken up at a pool, if there is only one. */
   private getSoleVersion(model: ModelId): string | undefined {
     const { clock, isListCurrent } = this.options;
     this.noticeSuspension();
-    return isListCurrent() ? this.history.getSoleVersion(model, clock.now()) : undefined;
+    const isKnown = isListCurrent() && this.routePools.isAlone(model);
+    return isKnown ? this.history.getSoleVersion(model, clock.now()) : undefined;
   }
 
   /** A machine may be suspended for a time that its monotonic clock does not count. */
@@ -197,19 +207,23 @@
   }
 
   /**
-   * Asks peers for the version that began a stream. What a peer was told holds; the only version that a peer has
-   * listed counts only if this host has listed no other one, as the peer may have an old list.
+   * Asks peers for what began a stream. What a peer was told holds; the only version that a peer has listed counts
+   * only if the route leads to one pool, and this host has listed no other version, as the peer may have an old list.
    */
-  private async askPeers(id: RequestId, model: ModelId): Promise<readonly string[]> {
+  private async askPeers(id: RequestId, pools: readonly ModelId[]): Promise<readonly Origin[]> {
     const { link } = this.options;
-    if (link === undefined) return [];
+    const [model, ...others] = pools;
+    if (link === undefined || model === undefined) return [];
     const addresses = this.addressesOf((peers) => peersToAsk(id, peers));
     const answers = await Promise.all(addresses.map((address) => link.ask(address, id, model)));
-    const named = (isTold: boolean): readonly string[] =>
-      answers.flatMap((one) => (one?.isTold === isTold ? (one.version ?? []) : []));
+    const named = (isTold: boolean): readonly Origin[] =>
+      answers.flatMap((answer) => {
+        const { version, pool } = answer ?? {};
+        return version === undefined || answer?.isTold !== isTold ? [] : [{ version, pool }];
+      });
     const told = named(true);
-    if (told.length > 0) return told;
-    return named(false).filter((version) => this.history.hasNoOther(model, version));
+    if (told.length > 0 || others.length > 0 || !this.routePools.isAlone(model)) return told;
+    return named(false).filter(({ version }) => this.history.hasNoOther(model, version));
   }
 
   /** Tells of the running streams where other peers are live than when peers were told, or that was long ago. */
@@ -253,10 +267,11 @@
   }
 }
 
-function nameOf({
-  binding,
-}: Extract<TakeUpDecision, { readonly type: 'go_on' }>): string | undefined {
-  return binding.type === 'bound' ? binding.version : undefined;
+/** Gets the pool and the version at which a stream goes on; undefined where it goes on at any, or not at all. */
+function originOf(decision: TakeUpDecision): Required<Origin> | undefined {
+  if (decision.type === 'unknown' || decision.pool === undefined) return undefined;
+  const { binding, pool } = decision;
+  return binding.type === 'bound' ? { version: binding.version, pool } : undefined;
 }
 
 function namesOf(members: readonly FleetMember[]): string {
--- a/packages/router/src/serving/findForwardRoute.ts
+++ b/packages/router/src/serving/findForwardRoute.ts
@@ -42,12 +42,7 @@
   });
 }
 
-/**
- * Tells whether a route sends requests to a service.
- *
- * @param targets - The services of the route with their weights.
- * @param service - The service.
- */
-export function isTarget(targets: readonly RouteTarget[], service: ServiceId): boolean {
-  return targets.some((target) => target.service === service && target.weight > 0);
+/** Gets the services to which a route sends requests. */
+export function servicesOf(targets: readonly RouteTarget[]): readonly ServiceId[] {
+  return targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
 }
--- a/packages/router/tests/serving/splitStreams.test.ts
+++ b/packages/router/tests/serving/splitStreams.test.ts
@@ -6,6 +6,7 @@
 import type { UpstreamError } from '@camphorvane/upstream';
 import {
   answerEnding,
+  answerText,
   completeStream,
   failingStream,
   ForwardFleet,
@@ -37,7 +38,30 @@
   });
 }
 
-// Guards against text of two models in one answer: versions of two pools may have one name.
+// Guards against text of two models in one stream: versions of two pools may have one name.
+test('a stream of a split route is taken up at the pool that began it', async () => {
+  const fleet = fleetOf();
+  const streams = Array.from({ length: 8 }, (_, i) => i);
+  await streams.reduce(async (before, i) => {
+    await before;
+    await fleet.send('/llm/x');
+    const events = await fleet.send('/llm/x', { lastPosition: 1, resumes: `r${2 * i + 1}` });
+    assert.equal(answerText(events), '2;3;', answerEnding(events));
+    const [began, wentOn] = fleet.decodes.slice(2 * i).map((id) => id.slice(0, 1));
+    assert.equal(wentOn, began, `stream ${i}`);
+  }, Promise.resolve());
+  const pools = new Set(fleet.decodes.map((id) => id.slice(0, 1)));
+  assert.equal(pools.size, 2, 'all streams began at one pool');
+});
+
+test('a stream of a split route that no host knows is refused at once, as not run', async () => {
+  const fleet = fleetOf();
+  const events = await fleet.send('/llm/x', { lastPosition: 1, resumes: 'first' });
+  assert.equal(answerEnding(events), 'stream_version_unknown not_run');
+  assert.deepEqual(fleet.decodes, []);
+});
+
+// Guards against the same in one answer, where a host goes on with a stream by way of a peer.
 test('a request that a peer passes on is served by the pool that the peer has chosen', async () => {
   const fleet = fleetOf();
   const serve = async (service: string): Promise<string> => {
--- a/packages/router/tests/serving/streamVersionsFleet.test.ts
+++ b/packages/router/tests/serving/streamVersionsFleet.test.ts
@@ -83,6 +83,7 @@
     const versions = new StreamVersions({
       ...{ self: host.member.host, clock, directory, metrics: new Metrics(), link },
       isListCurrent: () => true,
+      getRoutes: () => [],
       getMembers: () => this.hosts.filter(({ isUp }) => isUp).map(({ member }) => member),
     });
     versions.recordVersions();
@@ -113,14 +114,14 @@
   const knowing = fleet.hosts.filter(({ isEarlier }) => !isEarlier);
   const streams = Array.from({ length: 200 }, (_, i) => {
     const version = VERSIONS[random.int(0, 1)] ?? '';
-    pick(knowing).versions.begin(`s${i}`, version);
+    pick(knowing).versions.begin(`s${i}`, { version, pool: 'm' });
     return { id: `s${i}`, version };
   });
   fleet.hosts.forEach(change);
   const live = knowing.filter(({ isUp }) => isUp);
   const results = await Promise.all(
     streams.map(async ({ id, version }) => {
-      const decision = await pick(live).versions.takeUp(`${id}-t`, id, 'm');
+      const decision = await pick(live).versions.takeUp(`${id}-t`, id, ['m']);
       if (decision.type === 'unknown') return 'refused';
       const { binding } = decision;
       return binding.type === 'bound' && binding.version === version ? 'went_on' : 'wrong';
--- a/packages/router/tests/serving/unknownVersions.test.ts
+++ b/packages/router/tests/serving/unknownVersions.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, afterEach, test } from 'node:test';
-import type { SoftwareVersion } from '@camphorvane/core';
+import type { ForwardRoute, SoftwareVersion } from '@camphorvane/core';
 import { ORIGIN_TTL_MS } from '@camphorvane/decisions';
 import type { RelayContext } from '@camphorvane/peer/relay';
 import { setLogOutput } from '../../src/observe/EventLog.ts';
@@ -119,6 +119,23 @@
   assert.equal(await new ListingHost({ version: 'v1', isTold: false }).takeUp('first'), 'v1');
 });
 
+// Guards against the only version of a pool that is named for a stream which the route's former pool has begun.
+test('a version is not named as the only one while the route has led to another pool within the window', async () => {
+  const routeTo = (service: string): ForwardRoute =>
+    ({
+      ...{ name: 'r', host: 'h', pathPrefix: '/r/', kind: 'stream' },
+      targets: [{ service, weight: 1 }],
+    }) as unknown as ForwardRoute;
+  const host = new ListingHost({ version: 'v1', isTold: false });
+  host.routes = [routeTo('n')];
+  await host.pass(WINDOW_S);
+  host.routes = [routeTo('m')];
+  await host.pass(1);
+  assert.deepEqual([await host.takeUp(), await host.takeUp('first')], ['unknown', 'unknown']);
+  await host.pass(WINDOW_S);
+  assert.equal(await host.takeUp(), 'v1');
+});
+
 // Guards against a log that can't tell a version that this host did not know from one that it has listed too shortly.
 test('a take-up is logged with the versions that the host has listed, and for how long', async () => {
   const lines: object[] = [];
--- a/packages/router/tests/support/ListingHost.ts
+++ b/packages/router/tests/support/ListingHost.ts
@@ -1,4 +1,4 @@
-import type { RoutingConfig, SoftwareVersion } from '@camphorvane/core';
+import type { ForwardRoute, RoutingConfig, SoftwareVersion } from '@camphorvane/core';
 import { VirtualClock } from '@camphorvane/core';
 import type { TakeUpDecision } from '@camphorvane/decisions';
 import type { OriginAnswer } from '@camphorvane/peer/origins';
@@ -18,6 +18,9 @@
 
   isListCurrent = true;
 
+  /** The routes of the configuration. */
+  routes: readonly ForwardRoute[] = [];
+
   /** Milliseconds for which the machine was suspended. */
   suspendedMs = 0;
 
@@ -40,6 +43,7 @@
       },
       getMembers: () => [PEER],
       isListCurrent: () => this.isListCurrent,
+      getRoutes: () => this.routes,
     });
     this.versions.recordVersions();
   }
@@ -58,7 +62,7 @@
 
   /** Takes a stream up; gets the version, or that it is not known. */
   async takeUp(resumed?: string): Promise<string> {
-    const decision: TakeUpDecision = await this.versions.takeUp('t', resumed, 'm');
+    const decision: TakeUpDecision = await this.versions.takeUp('t', resumed, ['m']);
     if (decision.type === 'unknown') return decision.type;
     return decision.binding.type === 'bound' ? decision.binding.version : decision.binding.type;
   }
