Bundles: fail assertions of libraries without parsing the bundle

What callers saw: one answer of a server with the status 099 or 101, and its host answered nobody for more than four seconds. A caller of a route with a time-out of 0.8 s gave up after 3.5 s, and the host lost its watches of the store.

Cause: undici asserts that a status is 100 at least, and that an upgrade was asked for. For an assertion without a message the runtime quotes the condition, for which it parses the source file from the place of the call. The bundle that the platform runs is minified, with lines of some hundred kilobytes; parsing one takes seconds, once for each place.

Ruled out: that the request alone hangs (loop_late says 4,564 ms); that it depends on the call and not on the bundle (45 ms in a bundle that is not minified, 4,431 ms in a minified one).

--- a/tools/build-binary.mjs
+++ b/tools/build-binary.mjs
@@ -2,6 +2,7 @@
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import { plainAsserts } from './plainAsserts.mjs';
 
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
@@ -14,6 +15,7 @@
   format: 'cjs',
   outfile: 'dist/app.cjs',
   logLevel: 'warning',
+  plugins: [plainAsserts],
   // yargs reads import.meta.url at start, which a CommonJS bundle does not have.
   define: { 'import.meta.url': '__moduleUrl' },
   banner: { js: "const __moduleUrl=require('url').pathToFileURL(process.execPath).href;" },
