Count a call that can not be sent as no failure of its upstream

Cause: undici refuses the arguments of such a call before it connects, and whatever failed before a connection counted as the upstream's failure to be reached.

Fix: an invalid argument is a call turned away, which is no finding about the upstream and none about the links to it.

Evidence: 'a call that can not be sent is no failure of its upstream' failed before: the call ended as 'unreachable', and the attempt to connect as failed.

--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -229,6 +229,11 @@
       return { type: 'broken', dispatched: true, answered: true, overrun: bound, message };
     }
     const message = thrown instanceof Error ? thrown.message : String(thrown);
+    if (thrown instanceof errors.InvalidArgumentError) {
+      // The call itself can't be sent, to this upstream or to any other.
+      this.endAttempt('cancelled');
+      return { type: 'rejected', dispatched: false, message };
+    }
     const dispatched = this.connected;
     const isAbandoned = !dispatched && this.timeouts.unsentSignal?.aborted === true;
     const reason = isAbandoned ? 'caller' : this.deadline.getAbortReason();
--- a/packages/upstream/tests/DedicatedConnection.test.ts
+++ b/packages/upstream/tests/DedicatedConnection.test.ts
@@ -3,7 +3,9 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { test } from 'node:test';
 import { sleep, SystemClock } from '@camphorvane/core';
+import type { ConnectAttempt } from '@camphorvane/upstream';
 import { DedicatedConnection } from '@camphorvane/upstream';
+import { ok } from 'neverthrow';
 
 const TIMEOUTS = { headersTimeoutMs: 2_000, bodyTimeoutMs: 2_000 };
 
@@ -135,3 +137,31 @@
   assert.equal(error?.type, 'unreachable');
   assert.equal(error.dispatched, false);
 });
+
+// Guards against upstreams that count as lost because of a call that no upstream could get.
+test('a call that can not be sent is no failure of its upstream', async () => {
+  const ends: string[] = [];
+  const end = (name: string) => (): void => {
+    ends.push(name);
+  };
+  await withServer(
+    (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'),
+    async (origin) => {
+      const observeConnect = (): ConnectAttempt => ({
+        ...{ connected: end('connected'), failed: end('failed'), cancelled: end('cancelled') },
+      });
+      const run = (headers: Readonly<Record<string, string>>): Promise<string> =>
+        DedicatedConnection.run(
+          origin,
+          new SystemClock(),
+          { ...TIMEOUTS, observeConnect },
+          new AbortController().signal,
+          async (connection) => ok(await connection.send({ method: 'GET', path: '/', headers })),
+        ).then((result) => (result.isOk() ? 'answered' : result.error.type));
+      assert.equal(await run({ 'x-a': 'b\ufffd' }), 'rejected');
+      assert.deepEqual(ends, ['cancelled']);
+      assert.equal(await run({ 'x-a': 'b' }), 'answered');
+      assert.deepEqual(ends, ['cancelled', 'connected']);
+    },
+  );
+});
