Drop hints whose flag of digests is no number without throwing

A hint of a peer with an object in place of the flag that asks for digests made its reader throw, which was contained and logged as a fault of the host. The flag is read as a number only; any other value asks for none.

Evidence: the property of spoiled hints draws an object with a field 'toString' as well now, and failed before at its 341st text ('Cannot convert object to primitive value').

--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -185,7 +185,9 @@
     incarnation,
     sequence,
     leaving: leaving === 1,
-    digests: DIGEST_FREQUENCIES[Number(digestFrequency)] ?? 'none',
+    digests:
+      (isNonNegativeNumber(digestFrequency) ? DIGEST_FREQUENCIES[digestFrequency] : undefined) ??
+      'none',
     serving: serving === 1,
     ...(watching === 1 ? { watching: true } : {}),
     nextMs,
--- a/packages/peer/tests/spoiledMessages.test.ts
+++ b/packages/peer/tests/spoiledMessages.test.ts
@@ -69,7 +69,9 @@
 function spoiledTexts(sound: string): fc.Arbitrary<string> {
   const value: unknown = JSON.parse(sound);
   const spoiled = fc.oneof(
-    fc.constantFrom<unknown>(-1, 0.5, 1e308, OVERFLOW, null, '', [], {}, true, '__proto__'),
+    fc.constantFrom<unknown>(
+      ...[-1, 0.5, 1e308, OVERFLOW, null, '', [], {}, true, '__proto__', { toString: 1 }],
+    ),
     fc.jsonValue(),
   );
   return fc
