Read settings again that can not be read as a host starts

The platform's settings may change at any time, also without a signal.

Cause: the file was read once, and one that is not whole ended the process.

Fix: at the start, settings that can't be read are read again for up to a second. A wrong file is refused after that, with the same lines; one that is not named is refused at once.

Evidence: 'settings that are being written as a host starts are read once they are whole' fails with a single read.

--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -1,16 +1,14 @@
-import { readFileSync } from 'node:fs';
 import { sleep, SystemClock } from '@camphorvane/core';
 import { EXIT } from '@camphorvane/operator/exit';
 import type { PlatformSettings } from '@camphorvane/platform';
-import { parsePlatformSettings, SETTINGS_VARIABLE } from '@camphorvane/platform';
-import { err } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import { SETTINGS_VARIABLE } from '@camphorvane/platform';
 import { startPlatformHost } from '../host/PlatformHost.ts';
 import { RateLimitedLog } from '../observe/RateLimitedLog.ts';
 import { setLogOutput, eventLog } from '../observe/EventLog.ts';
 import { stdoutSink } from '../observe/stdoutSink.ts';
 import { VERSION } from '../version.ts';
 import { onHangup } from './hangups.ts';
+import { awaitSettings, readSettings } from './platformSettings.ts';
 import { finishWithoutFault, waitForEnd } from './waitForEnd.ts';
 
 const log = eventLog('process');
@@ -24,8 +22,9 @@
   file: string | undefined = process.env[SETTINGS_VARIABLE],
 ): Promise<void> {
   const sink = stdoutSink();
-  setLogOutput(new RateLimitedLog(new SystemClock(), sink));
-  const settings = readSettings(file);
+  const clock = new SystemClock();
+  setLogOutput(new RateLimitedLog(clock, sink));
+  const settings = await awaitSettings(file, clock);
   if (settings.isErr()) {
     settings.error.forEach((problem) => process.stderr.write(`${file ?? ''}: ${problem}\n`));
     process.exitCode = EXIT.invalid;
@@ -42,22 +41,13 @@
   const reason = await waitForEnd();
   log('stop_begins', { host: settings.value.host, reason });
   // A drain that a fault keeps from ending must not keep the process from being started again.
-  const graceEnd = sleep(new SystemClock(), settings.value.graceMs).then(() => false);
+  const graceEnd = sleep(clock, settings.value.graceMs).then(() => false);
   const isDrained = await Promise.race([finishWithoutFault(started.value.drain()), graceEnd]);
   log('stop', { host: settings.value.host, cutOff: await started.value.cutOff() });
   await sink.flush();
   process.exit(isDrained && reason === 'asked' ? EXIT.ok : EXIT.failed);
 }
 
-function readSettings(file: string | undefined): Result<PlatformSettings, readonly string[]> {
-  if (file === undefined) return err([`${SETTINGS_VARIABLE} is not set`]);
-  try {
-    return parsePlatformSettings(readFileSync(file, 'utf8'));
-  } catch (thrown) {
-    return err([thrown instanceof Error ? thrown.message : String(thrown)]);
-  }
-}
-
 /**
  * Logs whether the settings have changed. Addresses and limits are fixed for the lifetime of a process;
  * changes take effect at its next start.
