Keep a removed server from use where calls to the store failed around its removal

After an outage, a copy that a peer had read too early left a host without any server.

Cause: each follower judged an outage of the store by its own calls. Neither the host's other calls, which got responses all the while, nor its peers were asked. A peer's copy was never taken for one behind an outage.

Why it works: whether an entry can have expired depends on whether servers could write, so on whether the store responded to anybody. StoreContact knows that from all calls of the host and from what peers gossip. Only a gap of 1.75 heartbeats or more counts, shown by calls that were made after the first loss; where a lost connection explains it as well, a missing server is used only if its pool has no other. The grace period counts from the first response and stands still in a further outage. A lost connection makes all followers read at once, and a consistent read is made again after 400 ms, so that the removal is read within the stable window.

--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -7,7 +7,9 @@
   UpstreamReport,
   UsageRow,
 } from '@camphorvane/decisions';
+import type { ContactReport } from '@camphorvane/store';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeContact, encodeContact } from './contactCodec.ts';
 import { decodeCallTimes } from './callTimeCodec.ts';
 import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
@@ -81,6 +83,8 @@
   readonly serving: readonly HostId[];
   /** Newest store versions that any of these hosts has read. */
   readonly versions: { readonly config: number; readonly servers: number };
+  /** When the store responded to the relaying host; absent before its first response. */
+  readonly contact?: ContactReport;
   /** True if no host is known that watches the store and gets answers; absent otherwise. */
   readonly unwatched?: true;
   /** Drained zones at the newest store version that any of these hosts has read. */
@@ -107,10 +111,12 @@
  */
 export function encodeDigest(digest: HostDigest): Buffer {
   const { host, incarnation, sequence, hostCount, engines, charged, silent, leaving } = digest;
+  const isWithContact = digest.unwatched === true || digest.contact !== undefined;
   const versions = [
     digest.versions.config,
     digest.versions.servers,
-    ...(digest.unwatched === true ? [1] : []),
+    ...(isWithContact ? [Number(digest.unwatched === true)] : []),
+    ...encodeContact(digest.contact),
   ];
   const rows = engines.map(encodeEngineHint);
   const fields = [
@@ -158,7 +164,7 @@
   if (!isStringArray(silent) || !isStringArray(leaving) || !isStringArray(serving))
     return undefined;
   if (!isStringArray(down)) return undefined;
-  const [config, servers, unwatched] = Array.isArray(versions)
+  const [config, servers, unwatched, ...contactRow] = Array.isArray(versions)
     ? (versions as readonly unknown[])
     : [];
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
@@ -183,6 +189,7 @@
     calls: calls as readonly (readonly [ServiceId, number])[],
     charged: charged as readonly (readonly [TeamId, Tokens])[],
     versions: { config, servers },
+    ...decodeContact(contactRow),
     ...(unwatched === 1 ? { unwatched: true } : {}),
     drained,
     upstreams,
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -15,6 +15,7 @@
   UpstreamReport,
   UsageRow,
 } from '@camphorvane/decisions';
+import type { ContactReport } from '@camphorvane/store';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -31,6 +32,7 @@
   encodeEngineHint,
 } from './hintRowCodec.ts';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
+import { decodeContact, encodeContact } from './contactCodec.ts';
 import { decodeCallTimes } from './callTimeCodec.ts';
 import { decodeSuspicion, isEmptySuspicion } from './suspicionCodec.ts';
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
@@ -88,6 +90,8 @@
   readonly calls: readonly (readonly [ServiceId, number])[];
   /** Store versions up to which the host has read the configuration and the servers. */
   readonly versions: { readonly config: number; readonly servers: number };
+  /** When the store responded to the host; absent before its first response. */
+  readonly contact?: ContactReport;
   readonly drained: DrainedZones;
   /** What upstreams said in recent answers to the host. */
   readonly upstreams: readonly UpstreamReport[];
@@ -112,7 +116,7 @@
 export function encodeHint(hint: HostHint): Buffer {
   const rows = hint.engines.map(encodeEngineHint);
   const { host, incarnation, sequence, leaving, charged, versions } = hint;
-  const versionRow = [versions.config, versions.servers];
+  const versionRow = [versions.config, versions.servers, ...encodeContact(hint.contact)];
   const demand = hint.demand.map(encodeDemandHint);
   const moves = hint.moves.map(encodeRoleChangeHint);
   const flags = [
@@ -161,7 +165,9 @@
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
-  const [config, servers] = Array.isArray(versions) ? (versions as readonly unknown[]) : [];
+  const [config, servers, ...contactRow] = Array.isArray(versions)
+    ? (versions as readonly unknown[])
+    : [];
   if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
   if (!isNonNegativeNumber(nextMs)) return undefined;
   if (!isStringArray(down) || !Array.isArray(calls) || !calls.every(isNamedNumber))
@@ -198,6 +204,7 @@
     down,
     calls: calls as readonly (readonly [ServiceId, number])[],
     versions: { config, servers },
+    ...decodeContact(contactRow),
     drained,
     upstreams,
     quotes,
--- /dev/null
+++ b/packages/peer/tests/hints/contact.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decodeDigest, decodeHint, encodeDigest, encodeHint } from '@camphorvane/peer/hints';
+import type { HostDigest, HostHint } from '@camphorvane/peer/hints';
+
+const HINT: HostHint = {
+  ...{ host: 'h', incarnation: 'i', sequence: 1, leaving: false, digests: 'none', serving: true },
+  ...{ nextMs: 200, engines: [], charged: [], demand: [], moves: [], down: [], calls: [] },
+  ...{ versions: { config: 1, servers: 2 }, drained: { version: 0, zones: [] } },
+  ...{ upstreams: [], quotes: [], contact: { answeredMsAgo: 40, steadyMs: 9_000 } },
+};
+
+const DIGEST: HostDigest = {
+  ...{ host: 'h', incarnation: 'i', sequence: 1, hostCount: 3, engines: [], charged: [] },
+  ...{ demand: [], moves: [], down: [], calls: [], silent: [], leaving: [], serving: ['h'] },
+  ...{ versions: { config: 1, servers: 2 }, drained: { version: 0, zones: [] } },
+  ...{ upstreams: [], quotes: [], contact: { answeredMsAgo: 40, steadyMs: 9_000 } },
+};
+
+const versionsOf = (bytes: Buffer, at: number): unknown =>
+  (JSON.parse(bytes.toString()) as unknown[])[at];
+
+test('what a host reports of the responses of the store passes with hints and digests', () => {
+  assert.deepEqual(decodeHint(encodeHint(HINT)), HINT);
+  assert.deepEqual(decodeDigest(encodeDigest(DIGEST)), DIGEST);
+  const unwatched: HostDigest = { ...DIGEST, unwatched: true };
+  assert.deepEqual(decodeDigest(encodeDigest(unwatched)), unwatched);
+});
+
+// Guards against a rolling update in which hosts of the earlier version misread the messages of the new one.
+test('the fields before the report are the same as without it', () => {
+  assert.deepEqual(versionsOf(encodeHint(HINT), 6), [1, 2, 40, 9_000]);
+  assert.deepEqual(versionsOf(encodeHint({ ...HINT, contact: undefined }), 6), [1, 2]);
+  assert.deepEqual(versionsOf(encodeDigest(DIGEST), 9), [1, 2, 0, 40, 9_000]);
+  assert.deepEqual(versionsOf(encodeDigest({ ...DIGEST, contact: undefined }), 9), [1, 2]);
+});
+
+// Guards against a spoiled message that makes the store look steady for ever, or takes the versions with it.
+test('a malformed report is left out', () => {
+  const fields = JSON.parse(encodeHint(HINT).toString()) as unknown[];
+  const spoiled = [
+    [1, 2, -1, 5],
+    [1, 2, 5],
+    [1, 2, 'x', {}],
+    [1, 2, null, 1e308 * 10],
+  ];
+  spoiled.forEach((versions) => {
+    const bytes = Buffer.from(JSON.stringify(fields.map((one, at) => (at === 6 ? versions : one))));
+    assert.equal(decodeHint(bytes)?.contact, undefined);
+    assert.deepEqual(decodeHint(bytes)?.versions, { config: 1, servers: 2 });
+  });
+});
--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -1,17 +1,19 @@
-import type { Millis, UpstreamId, VersionedConfig, ZoneId } from '@camphorvane/core';
+import type { HostId, Millis, UpstreamId, VersionedConfig, ZoneId } from '@camphorvane/core';
 import { contain, runInBackground } from '@camphorvane/core';
 import type {
+  ContactReport,
   KindCopy,
   Snapshot,
   DeployedConfig,
   ObjectVersion,
   ServerRecord,
 } from '@camphorvane/store';
-import { KindFollower } from '@camphorvane/store';
+import { KindFollower, StoreContact } from '@camphorvane/store';
 import type { DrainedZones } from '@camphorvane/peer/hints';
 import type { Unsubscribe } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
 import { composeRouting } from './composeRouting.ts';
+import { GraceTimer } from './GraceTimer.ts';
 import { logCaughtUp } from './logCaughtUp.ts';
 import type { ConfigFeed } from './HostCoordination.ts';
 import type { DeploymentFeedOptions } from './DeploymentFeedOptions.ts';
@@ -39,7 +41,11 @@
 
   private readonly servers: KindFollower;
 
-  private readonly roster = new ServerRoster();
+  private readonly contact: StoreContact;
+
+  private readonly roster: ServerRoster;
+
+  private readonly graceTimer: GraceTimer;
 
   /** Which availability zones are drained. */
   readonly drains = new ZoneDrains();
@@ -65,6 +71,10 @@
   /** @param options - The store, the format of its objects and the callbacks. */
   constructor(options: DeploymentFeedOptions) {
     this.options = options;
+    const { contact, clock, heartbeatMs } = options;
+    this.contact = contact ?? new StoreContact(clock.now());
+    this.roster = new ServerRoster(this.contact, heartbeatMs);
+    this.graceTimer = new GraceTimer(clock, this.roster, () => this.compose());
     this.configs = this.follow(options.format.configKind, (copy) => this.applyConfig(copy));
     this.servers = this.follow(options.format.serverKind, (copy) => this.applyServers(copy));
     this.drainEntries = options.drainsZones
@@ -101,6 +111,24 @@
     this.servers.receiveVersion(versions.servers);
   }
 
+  /**
+   * Receives when the store responded to a peer. A server that is missing after an outage may turn out to have been
+   * removed while the store served others.
+   *
+   * @param peer - The peer.
+   * @param report - What it reports.
+   */
+  receiveContact(peer: HostId, report: ContactReport): void {
+    const now = this.options.clock.now();
+    this.contact.receive(peer, report, now);
+    if (this.roster.getGraceEnd(now) !== undefined) this.compose();
+  }
+
+  /** Gets what to report to peers of the store's responses; undefined before the first one. */
+  getContact(): ContactReport | undefined {
+    return this.contact.getReport(this.options.clock.now());
+  }
+
   /** Polls the store now, where this host polls. */
   pollNow(): void {
     this.configs.pollNow();
@@ -199,6 +227,7 @@
       kind,
       clock,
       random,
+      contact: this.contact,
       watchMs: this.options.watchMs,
       mode: this.options.mode,
       nextPoll: this.options.nextPoll,
@@ -229,7 +258,7 @@
     this.compose();
   }
 
-  private applyServers({ objects, outageMs }: KindCopy): void {
+  private applyServers({ objects }: KindCopy): void {
     const { format, clock } = this.options;
     this.notifyNewVersions();
     const entries = [...objects.values()].map((object): ServerEntry => {
@@ -245,11 +274,10 @@
     slowStart.retain(listedIds);
     constraints.retain(listedIds, clock.now());
     const listed = entries.map(({ server }) => server).filter((server) => server !== undefined);
-    this.roster.update(listed, outageMs, clock.now());
+    this.roster.update(listed, clock.now());
     this.hasServers = true;
     this.compose();
-    const graceEnd = this.roster.getGraceEnd(clock.now());
-    if (graceEnd !== undefined) clock.after(graceEnd - clock.now(), () => this.compose());
+    this.graceTimer.schedule();
   }
 
   /** Applies the store's full list: a zone without an entry is no longer drained. */
--- a/packages/router/src/coordination/DeploymentFeedOptions.ts
+++ b/packages/router/src/coordination/DeploymentFeedOptions.ts
@@ -4,6 +4,7 @@
   DeploymentFormat,
   FollowMode,
   KindFollowerOptions,
+  StoreContact,
   WatchableStore,
 } from '@camphorvane/store';
 
@@ -13,6 +14,10 @@
   readonly format: DeploymentFormat;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Records the store's responses to all calls of the host; those to the feed alone where absent. */
+  readonly contact?: StoreContact;
+  /** Interval in milliseconds at which servers renew their entries. */
+  readonly heartbeatMs: Millis;
   /**
    * Milliseconds without an answer of the store after which no API key is accepted; undefined where
    * a host that is cut off from the store goes on accepting the keys that it knows.
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -76,7 +76,7 @@
 /** Fields of a digest beside the sums. */
 export type DigestHeader = Pick<
   HostDigest,
-  'host' | 'incarnation' | 'sequence' | 'silent' | 'suspicion'
+  'host' | 'incarnation' | 'sequence' | 'silent' | 'suspicion' | 'contact'
 >;
 
 /**
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -48,6 +48,7 @@
     const now = clock.now();
     hosts.receive(hint, now);
     rates.receive(hint);
+    if (hint.contact !== undefined) config.receiveContact(hint.host, hint.contact);
     config.receiveVersions(hint.versions);
     config.receiveDrainedZones(hint.drained);
     const { inFlight, demand, roleChanges, peerBacklog } = knowledge;
@@ -79,6 +80,7 @@
     const now = clock.now();
     hosts.receiveDigest(digest, now);
     rates.receiveDigest(digest);
+    if (digest.contact !== undefined) config.receiveContact(digest.host, digest.contact);
     config.receiveVersions(digest.versions);
     config.receiveDrainedZones(digest.drained);
     const { inFlight, demand, roleChanges, peerBacklog } = knowledge;
--- a/packages/router/src/coordination/HostRecords.ts
+++ b/packages/router/src/coordination/HostRecords.ts
@@ -1,8 +1,14 @@
-import type { Clock, HostId, Incarnation } from '@camphorvane/core';
+import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
 import { contain, reportFault, runInBackground, runLoop, sleep } from '@camphorvane/core';
 import type { CrashReport, GossipTimings } from '@camphorvane/decisions';
 import { gossipTimings, isSharedDigest } from '@camphorvane/decisions';
-import type { ObjectVersion, StoredObject, WatchableStore } from '@camphorvane/store';
+import type {
+  ObjectVersion,
+  PlatformError,
+  StoreContact,
+  StoredObject,
+  WatchableStore,
+} from '@camphorvane/store';
 import { SingleWriterObject } from '@camphorvane/store';
 import { eventLog } from '../observe/EventLog.ts';
 import type { HostRecord } from './hostRecord.ts';
@@ -14,6 +20,8 @@
 /** Options of {@link HostRecords}. */
 export interface HostRecordsOptions {
   readonly store: WatchableStore;
+  /** Records when the store responds. */
+  readonly contact: StoreContact;
   /** Kind of the records in the store. */
   readonly kind: string;
   readonly clock: Clock;
@@ -65,7 +73,9 @@
     const host = { ...identity, incarnation, leaving: isLeaving(), strength };
     const record: HostRecord = { ...host, ...quarantine };
     // The heartbeat makes each write a change, by which peers see that this host is alive.
-    const problem = await this.own.write({ ...record, beat: Math.round(clock.now()) });
+    const startedAt = clock.now();
+    const problem = await this.own.write({ ...record, beat: Math.round(startedAt) });
+    this.recordContact(problem, startedAt);
     if (problem !== undefined) log('record_not_written', { reason: problem.type });
   }
 
@@ -93,11 +103,19 @@
   }
 
   private async read(): Promise<void> {
-    const { store, kind, roster } = this.options;
+    const { store, kind, clock, roster } = this.options;
+    const startedAt = clock.now();
     const read = await store.snapshot(kind, roster.isKnown() ? 'any' : 'newest');
+    this.recordContact(read.isErr() ? read.error : undefined, startedAt);
     if (read.isOk()) this.applyRecords(read.value.objects);
   }
 
+  private recordContact(problem: PlatformError | undefined, startedAt: Millis): void {
+    const { clock, contact } = this.options;
+    if (problem === undefined) contact.recordResponse(clock.now());
+    else contact.recordFailure(problem, startedAt, clock.now());
+  }
+
   private applyRecords(objects: readonly StoredObject[]): void {
     const { store, kind, clock, roster, onPeersChange } = this.options;
     const records = objects.flatMap((object) => {
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -3,6 +3,7 @@
 import type { GossipTimings, SuspicionReports } from '@camphorvane/decisions';
 import { gossipTimings } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
+import type { ContactReport } from '@camphorvane/store';
 import { eventLog } from '../observe/EventLog.ts';
 import type { HostRoster } from './HostRoster.ts';
 import { DigestBuilder } from './DigestBuilder.ts';
@@ -38,6 +39,8 @@
   readonly roster: HostRoster;
   /** Gets the content of this host's next hint. */
   readonly hint: () => HintContent;
+  /** Gets when the store responded to this host. */
+  readonly getContact: () => ContactReport | undefined;
   /** Gets what a relay reports to all hosts of requests that crash upstreams. */
   readonly getRelayedSuspicion: () => SuspicionReports;
   /** Called in a full mesh with each hint of a peer that is newer than the last one. */
@@ -190,9 +193,10 @@
     silent: readonly HostId[],
     suspicion: SuspicionReports,
   ): HostDigest {
-    const { self, incarnation } = this.options;
+    const { self, incarnation, getContact } = this.options;
     this.sequence += 1;
-    const head = { host: self, incarnation, sequence: this.sequence, silent, suspicion };
+    const contact = getContact();
+    const head = { host: self, incarnation, sequence: this.sequence, silent, suspicion, contact };
     return this.builder.digestFor(receiver, sums, head);
   }
 
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -12,6 +12,7 @@
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { FollowMode } from '@camphorvane/store';
+import { StoreContact } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RetryGate, Unsubscribe } from '../host/ports.ts';
 import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
@@ -126,7 +127,9 @@
     this.signals.onChange(() => this.gossip.recordStateChange());
     this.knowledge = new EngineKnowledge(this.admission, context.speeds);
     this.abortsOnKeyWithdrawal = options.strictKeysMs !== undefined;
+    const contact = new StoreContact(clock.now());
     this.config = new DeploymentFeed({
+      ...{ contact, heartbeatMs: options.heartbeatMs },
       store,
       format,
       clock,
@@ -145,7 +148,7 @@
       admission: this.admission,
     });
     this.records = new HostRecords({
-      ...{ store, clock, identity, incarnation, strength: options.strength },
+      ...{ store, contact, clock, identity, incarnation, strength: options.strength },
       kind: format.hostKind,
       roster: this.hosts,
       isLeaving: () => this.leaving,
@@ -192,6 +195,7 @@
       link: options.hints,
       roster: this.hosts,
       hint: () => this.buildHint(),
+      getContact: () => this.config.getContact(),
       getRelayedSuspicion: () => this.crashGuard.getReports('relayed'),
       onHint: (hint) => hintReceiver.receive(hint),
       onRelayedHint: (hint) => hintReceiver.receiveSuspicion(hint),
--- a/packages/router/src/coordination/StoreCoordinationOptions.ts
+++ b/packages/router/src/coordination/StoreCoordinationOptions.ts
@@ -20,6 +20,8 @@
   readonly strictKeysMs: Millis | undefined;
   /** See {@link DeploymentFeedOptions.watchMs}. */
   readonly watchMs: Millis;
+  /** See {@link DeploymentFeedOptions.heartbeatMs}. */
+  readonly heartbeatMs: Millis;
   /** Whether operators may drain availability zones; see {@link ZoneDrains}. */
   readonly drainsZones: boolean;
   /** Controls for overload that are switched on; none where absent. */
--- a/packages/router/src/coordination/buildHintContent.ts
+++ b/packages/router/src/coordination/buildHintContent.ts
@@ -35,6 +35,7 @@
 ): HintContent {
   const { context, clock, config, rates, placer, knowledge, admission, crashGuard } = sources;
   const now = clock.now();
+  const contact = config.getContact();
   return {
     leaving,
     ...(watching ? { watching: true } : {}),
@@ -47,6 +48,7 @@
     down: placer.probes.getDownEngines(),
     calls: [...context.concurrencyShares.countLocal()],
     versions: config.getVersions(),
+    ...(contact === undefined ? {} : { contact }),
     drained: config.drains.get(),
     upstreams: admission.constraints.getReports(now),
     usage: context.fairQueues.getReport(),
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -95,6 +95,7 @@
         retryAllowance: settings.retries,
         strictKeysMs: settings.strictKeysMs,
         watchMs: settings.watchMs,
+        heartbeatMs: settings.heartbeatMs,
         leaseMs: settings.leaseMs,
         drainsZones: settings.drainsZones,
         overload: settings.overload,
--- a/packages/router/tests/coordination/DeploymentFeed.test.ts
+++ b/packages/router/tests/coordination/DeploymentFeed.test.ts
@@ -55,6 +55,7 @@
     this.feed = new DeploymentFeed({
       ...{ store: store.asStore(), format, clock: this.clock },
       ...{ random: new RandomSource(1), strictKeysMs: undefined, watchMs: 2_000, drainsZones },
+      heartbeatMs: 1_200,
       mode: () => 'watch',
       nextPoll: () => ({ waitMs: 2_000, isTurn: false }),
       isWatchedByPeers: () => this.isWatchedByPeers,
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -132,6 +132,7 @@
         quotes: [],
         usage: host.reportsUsage ? host.usage.getRows(clock.now()) : undefined,
       }),
+      getContact: () => undefined,
       getRelayedSuspicion: () => ({ crashes: [], answers: [], survivals: [] }),
       onRelayedHint: () => undefined,
       onHint: (hint) => {
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -10,10 +10,10 @@
 import type { ObjectVersion, PlatformError, StoredObject } from '../ObjectStore.ts';
 import { unavailable } from '../PlatformHttp.ts';
 import { applyEvent } from './applyEvent.ts';
-import { describeError } from './describeError.ts';
+import { CallOutcomes } from './CallOutcomes.ts';
+import { hedge } from './hedge.ts';
 import type { CopySource, KindFollowerOptions } from './KindFollowerOptions.ts';
 import { DEFAULT_POLL, STORE_RETRY } from './KindFollowerOptions.ts';
-import { StoreOutage } from './StoreOutage.ts';
 import type { Snapshot } from './WatchableStore.ts';
 
 /** Milliseconds between two cheap reads while they lag behind a version that a peer reported. */
@@ -54,7 +54,7 @@
   /** Version from which the next watch continues; undefined where a snapshot is needed. */
   private after: ObjectVersion | undefined;
 
-  private readonly outage: StoreOutage;
+  private readonly outcomes: CallOutcomes;
 
   /** Whether a snapshot was requested before. */
   private hasRead = false;
@@ -91,12 +91,12 @@
     this.options = options;
     this.backoff = new Backoff(options.random, STORE_RETRY);
     this.pause = new InterruptibleSleep(options.clock);
-    this.outage = new StoreOutage(options.clock.now());
+    this.outcomes = new CallOutcomes(options, () => this.replaceWatch());
   }
 
   /** Gets when the store last responded, on the host's monotonic clock. */
   getLastResponseAt(): Millis {
-    return this.outage.getLastResponseAt();
+    return this.outcomes.getLastResponseAt();
   }
 
   /** Gets the store version up to which the copy is complete; 0 before the first response. */
@@ -116,7 +116,7 @@
     if (!this.isBehind()) return;
     this.behindSince ??= this.options.clock.now();
     this.wake();
-    if (this.outage.isUnavailable()) this.startPeerRead();
+    if (this.outcomes.isUnavailable()) this.startPeerRead();
     else this.askPeersIn(PEER_READ_DELAY_MS);
   }
 
@@ -127,7 +127,7 @@
 
   /** Tells whether the store answered the last call. */
   isAvailable(): boolean {
-    return this.copyVersion > 0 && !this.outage.isUnavailable();
+    return this.copyVersion > 0 && !this.outcomes.isUnavailable();
   }
 
   /** Gets for how long a peer has known a newer version than this copy, in milliseconds. */
@@ -144,9 +144,10 @@
   /** Follows the kind until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const startedAt = this.options.clock.now();
       const problem = await this.followOnce(signal).catch((thrown) => this.recordFault(thrown));
       if (problem !== undefined && !signal.aborted) {
-        this.recordFailure(problem);
+        this.outcomes.recordFailure(problem, startedAt);
         this.startPeerRead();
         // A host that polls goes on with cheap reads: hundreds of them would call an unavailable store too often.
         if (this.isPolling()) continue;
@@ -217,7 +218,7 @@
       this.after = Math.max(this.after, copy.version);
       this.restartWatch();
     }
-    this.sync(0);
+    this.sync();
   }
 
   private applySnapshot({ objects, version }: Snapshot, source: CopySource): void {
@@ -238,9 +239,9 @@
   private async poll(signal: AbortSignal): Promise<PlatformError | undefined> {
     const { clock, nextPoll, pollFreshness } = this.options;
     this.wake = () => this.pause.interrupt();
-    const { waitMs, isTurn } = nextPoll?.(this.outage.isUnavailable()) ?? DEFAULT_POLL;
+    const { waitMs, isTurn } = nextPoll?.(this.outcomes.isUnavailable()) ?? DEFAULT_POLL;
     const dueAt = clock.now() + waitMs;
-    const mayReadNow = this.isBehind() && !this.outage.isUnavailable();
+    const mayReadNow = this.isBehind() && !this.outcomes.isUnavailable();
     if (!mayReadNow) await this.pause.wait(waitMs, signal);
     const isDue = isTurn && clock.now() >= dueAt;
     let problem = await this.readAll(isDue ? 'newest' : (pollFreshness?.() ?? 'any'));
@@ -261,7 +262,9 @@
 
   /** Reads a snapshot, ignored where older than this copy; gets its failure. */
   private async readAll(freshness: 'newest' | 'any'): Promise<PlatformError | undefined> {
-    const snapshot = await this.options.store.snapshot(this.options.kind, freshness);
+    const { store, kind, clock } = this.options;
+    const read = () => store.snapshot(kind, freshness);
+    const snapshot = await (freshness === 'newest' ? hedge(clock, read) : read());
     if (snapshot.isErr()) return snapshot.error;
     // A stale copy must not replace the newer one of a peer, nor be offered to others under its version.
     if (snapshot.value.version < this.copyVersion) {
@@ -306,6 +309,13 @@
     return undefined;
   }
 
+  /** What has cut another connection to the store off may have cut off that of the watch. */
+  private replaceWatch(): void {
+    if (this.isPolling()) return;
+    this.restartWatch();
+    this.after = undefined;
+  }
+
   /**
    * The connection of a watch can die while new connections work. A newer version reported by a peer
    * shows this long before the watch times out.
@@ -317,18 +327,13 @@
   }
 
   private recordResponse(): void {
-    const { outage } = this;
-    const now = this.options.clock.now();
-    const silentMs = Math.round(now - outage.getLastResponseAt());
-    const wasUnavailable = outage.isUnavailable();
-    const outageMs = outage.recordResponse(now);
+    this.outcomes.recordResponse();
     this.backoff.reset();
-    if (wasUnavailable) this.options.onStoreState?.('regained', `no response for ${silentMs} ms`);
-    this.sync(outageMs);
+    this.sync();
   }
 
-  private sync(outageMs: Millis): void {
-    contain('store.sync', () => this.options.onSync({ objects: this.objects, outageMs }));
+  private sync(): void {
+    contain('store.sync', () => this.options.onSync({ objects: this.objects }));
   }
 
   /** Counts a read that threw as a failed one, which a new snapshot follows after a delay. */
@@ -337,10 +342,6 @@
     this.after = undefined;
     return unavailable('the response could not be read');
   }
-
-  private recordFailure(error: PlatformError): void {
-    if (this.outage.recordFailure(error)) this.options.onStoreState?.('lost', describeError(error));
-  }
 }
 
 function noCopy(thrown: unknown): undefined {
--- a/packages/store/src/follow/KindFollowerOptions.ts
+++ b/packages/store/src/follow/KindFollowerOptions.ts
@@ -1,12 +1,11 @@
 import type { Clock, Millis, RandomSource } from '@camphorvane/core';
 import type { ObjectVersion, StoredObject } from '../ObjectStore.ts';
+import type { StoreContact } from './StoreContact.ts';
 import type { Snapshot, WatchableStore } from './WatchableStore.ts';
 
 /** The local copy of a kind after a successful read or watch. */
 export interface KindCopy {
   readonly objects: ReadonlyMap<string, StoredObject>;
-  /** Milliseconds for which the store was unavailable before this response; 0 in steady state. */
-  readonly outageMs: Millis;
 }
 
 /**
@@ -41,6 +40,8 @@
   readonly kind: string;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Records the responses to all calls of the host; those to this follower alone where absent. */
+  readonly contact?: StoreContact;
   /** Maximum duration of one watch, in milliseconds. */
   readonly watchMs: Millis;
   /** Gets the current mode; `watch` where absent. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -20,5 +20,6 @@
 export * from './follow/KindFollower.ts';
 export * from './follow/KindFollowerOptions.ts';
 export * from './follow/SingleWriterObject.ts';
+export * from './follow/StoreContact.ts';
 export * from './follow/Deployment.ts';
 export * from './lease/StoreLease.ts';
