Read the list of engines before an only version stands for a stream that nobody was told of

Callers (of a system like ours; not seen here): streams that began at a new version went on at the old one, at a host that was cut off for a few seconds while engines of the new version joined.

Cause: a list counted as current for 3.8 s after the store's last response, the history of versions allows gaps of 5 s, and peers that do not answer counted as peers that know nothing. So a host could name, for a stream that began elsewhere in that time, the only version that it knew before; and a peer out of step could name it to a host that knew none.

Evidence: three new tests of unknownVersions.test.ts fail before ('v1' in place of 'unknown'): a host that can not read the list, a version that the list has only at the take-up, and a peer's supposition.

Why it works: the read begins after the question and is consistent, so each engine that can have begun the stream is in it, or in the history. What cannot be read is refused.

--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -14,6 +14,7 @@
 import { eventLog } from '../observe/EventLog.ts';
 import { composeRouting } from './composeRouting.ts';
 import { GraceTimer } from './GraceTimer.ts';
+import { ListConfirmation } from './ListConfirmation.ts';
 import { logCaughtUp } from './logCaughtUp.ts';
 import type { ConfigFeed } from './HostCoordination.ts';
 import type { DeploymentFeedOptions } from './DeploymentFeedOptions.ts';
@@ -47,6 +48,8 @@
 
   private readonly graceTimer: GraceTimer;
 
+  private readonly confirmation: ListConfirmation;
+
   /** Which availability zones are drained. */
   readonly drains = new ZoneDrains();
 
@@ -77,6 +80,9 @@
     this.graceTimer = new GraceTimer(clock, this.roster, () => this.compose());
     this.configs = this.follow(options.format.configKind, (copy) => this.applyConfig(copy));
     this.servers = this.follow(options.format.serverKind, (copy) => this.applyServers(copy));
+    const { store, format } = options;
+    const read = { kind: format.serverKind, contact: this.contact, follower: this.servers };
+    this.confirmation = new ListConfirmation({ clock, store, ...read });
     this.drainEntries = options.drainsZones
       ? this.follow(options.format.drainedZoneKind, (copy) => this.applyDrainedZones(copy))
       : undefined;
@@ -163,6 +169,11 @@
     return answeredMsAgo <= watchMs + LIST_MARGIN_MS || isWatchedByPeers?.() === true;
   }
 
+  /** {@inheritDoc ConfigSource.confirmList} */
+  confirmList(): Promise<boolean> {
+    return this.confirmation.confirm();
+  }
+
   /** Receives the drained zones as read from the store by this host or a peer. */
   receiveDrainedZones(read: DrainedZones): void {
     const wasKnown = this.drains.isKnown();
--- a/packages/router/src/host/assembleHost.ts
+++ b/packages/router/src/host/assembleHost.ts
@@ -137,6 +137,7 @@
     ...{ self: identity.host, clock, directory, metrics, link: options.originLink },
     getMembers: () => group.members(),
     isListCurrent: () => config.isListCurrent?.() ?? true,
+    confirmList: async () => (await config.confirmList?.()) ?? true,
     getRoutes: () => config.current()?.config.routes ?? [],
   });
   const commonOptions = { clock, random, authenticator, config, directory, inFlight, metrics };
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -51,6 +51,13 @@
    * that neither reads the store nor hears of one that does may lack upstreams that others use.
    */
   isListCurrent?(): boolean;
+
+  /**
+   * Reads the list of upstreams; absent where it comes with the configuration.
+   *
+   * @returns Whether it was read since the call, in time.
+   */
+  confirmList?(): Promise<boolean>;
 }
 
 /** A host of the fleet, with its addresses for callers and peers. */
--- a/packages/router/src/serving/StreamVersions.ts
+++ b/packages/router/src/serving/StreamVersions.ts
@@ -30,6 +30,14 @@
 
 const log = eventLog('versions');
 
+/** What peers answer of a stream: what they were told, or else the only version that they know. */
+interface PeerAnswers {
+  readonly told: readonly Origin[];
+  readonly supposed: readonly Origin[];
+}
+
+const NO_ANSWERS: PeerAnswers = { told: [], supposed: [] };
+
 /** A stream that this host serves. */
 interface RunningStream {
   readonly origin: StreamOrigin;
@@ -50,6 +58,8 @@
   readonly getMembers: () => readonly FleetMember[];
   /** Tells whether the list of engines is known to be current. */
   readonly isListCurrent: () => boolean;
+  /** Reads the list of engines; gets whether that succeeded in time. */
+  readonly confirmList: () => Promise<boolean>;
   /** Gets the routes of the configuration in force. */
   readonly getRoutes: () => readonly ForwardRoute[];
 }
@@ -156,17 +166,22 @@
     const hasVersions = pools.some((pool) => this.haveVersions(pool));
     const own = resumed === undefined ? undefined : this.origins.get(resumed, clock.now());
     const isAsked = hasVersions && own === undefined && resumed !== undefined;
-    const peers = isAsked ? await this.askPeers(resumed, pools) : [];
+    const { told, supposed } = isAsked ? await this.askPeers(resumed, pools) : NO_ANSWERS;
+    const peers = told.length > 0 ? told : supposed;
     const solePool = pools.length === 1 ? pools[0] : undefined;
     const soleVersion = solePool === undefined ? undefined : this.getSoleVersion(solePool);
-    const decision = decideTakeUp({ own, peers, soleVersion, pools, hasVersions });
+    const known = decideTakeUp({ own, peers, soleVersion, pools, hasVersions });
+    const isTold = own !== undefined || told.length > 0;
+    const decision = isTold ? known : await this.confirmOnlyVersion(known);
     const outcome = decision.type === 'go_on' ? decision.source : decision.type;
     metrics.count('stream.takeups', { outcome });
+    const isRefuted = decision.type !== known.type;
     const origin = originOf(decision);
     const ageMs = own === undefined ? undefined : Math.round(clock.now() - own.toldAt);
     const pool = origin?.pool ?? solePool;
     log('stream_taken_up', {
       ...{ id, resumed, outcome, version: origin?.version, pool, ageMs },
+      ...(isRefuted ? { refuted: originOf(known)?.version } : {}),
       listed: pool === undefined ? undefined : this.history.countVersions(pool),
       knownMs:
         pool === undefined ? undefined : Math.round(this.history.getKnownMs(pool, clock.now())),
@@ -198,6 +213,23 @@
     return isKnown ? this.history.getSoleVersion(model, clock.now()) : undefined;
   }
 
+  /**
+   * Reads the list of engines before the only version stands for a stream that nobody was told of. This host or the peer
+   * that names it may have been cut off from the others, or have stood still, while engines of another version joined and
+   * began the stream.
+   */
+  private async confirmOnlyVersion(decision: TakeUpDecision): Promise<TakeUpDecision> {
+    const origin = originOf(decision);
+    if (origin === undefined) return decision;
+    if (!(await this.options.confirmList())) return { type: 'unknown' };
+    this.recordVersions();
+    const { pool, version } = origin;
+    const listed = this.options.directory.getPool(pool)?.softwareVersions ?? [];
+    const isOnlyListed = listed.every((one) => one.type === 'known' && one.name === version);
+    const isOnly = isOnlyListed && this.history.hasNoOther(pool, version);
+    return isOnly ? decision : { type: 'unknown' };
+  }
+
   /** A machine may be suspended for a time that its monotonic clock does not count. */
   private noticeSuspension(): void {
     const { clock } = this.options;
@@ -210,10 +242,10 @@
    * Asks peers for what began a stream. What a peer was told holds; the only version that a peer has listed counts
    * only if the route leads to one pool, and this host has listed no other version, as the peer may have an old list.
    */
-  private async askPeers(id: RequestId, pools: readonly ModelId[]): Promise<readonly Origin[]> {
+  private async askPeers(id: RequestId, pools: readonly ModelId[]): Promise<PeerAnswers> {
     const { link } = this.options;
     const [model, ...others] = pools;
-    if (link === undefined || model === undefined) return [];
+    if (link === undefined || model === undefined) return NO_ANSWERS;
     const addresses = this.addressesOf((peers) => peersToAsk(id, peers));
     const answers = await Promise.all(addresses.map((address) => link.ask(address, id, model)));
     const named = (isTold: boolean): readonly Origin[] =>
@@ -222,8 +254,9 @@
         return version === undefined || answer?.isTold !== isTold ? [] : [{ version, pool }];
       });
     const told = named(true);
-    if (told.length > 0 || others.length > 0 || !this.routePools.isAlone(model)) return told;
-    return named(false).filter(({ version }) => this.history.hasNoOther(model, version));
+    if (others.length > 0 || !this.routePools.isAlone(model)) return { told, supposed: [] };
+    const supposed = named(false).filter(({ version }) => this.history.hasNoOther(model, version));
+    return { told, supposed };
   }
 
   /** Tells of the running streams where other peers are live than when peers were told, or that was long ago. */
--- a/packages/router/tests/serving/streamVersionsFleet.test.ts
+++ b/packages/router/tests/serving/streamVersionsFleet.test.ts
@@ -82,6 +82,7 @@
     const { clock, directory } = this;
     const versions = new StreamVersions({
       ...{ self: host.member.host, clock, directory, metrics: new Metrics(), link },
+      confirmList: async () => true,
       isListCurrent: () => true,
       getRoutes: () => [],
       getMembers: () => this.hosts.filter(({ isUp }) => isUp).map(({ member }) => member),
--- a/packages/router/tests/serving/unknownVersions.test.ts
+++ b/packages/router/tests/serving/unknownVersions.test.ts
@@ -147,3 +147,54 @@
   const { outcome, listed, knownMs } = line as Readonly<Record<string, unknown>>;
   assert.deepEqual({ outcome, listed, knownMs }, { outcome: 'unknown', listed: 1, knownMs: 2_000 });
 });
+
+// Guards against a host that is cut off from its peers and the store while engines of a new version join, and takes its old
+// version for the one that began a stream elsewhere.
+test('a host that can not read the list names no version as the only one', async () => {
+  const host = new ListingHost();
+  await host.pass(WINDOW_S);
+  host.readList = () => false;
+  assert.equal(await host.takeUp('first'), 'unknown');
+  assert.equal(await host.takeUp(), 'unknown');
+  host.readList = () => true;
+  assert.equal(await host.takeUp('first'), 'v1');
+});
+
+// Guards against a host whose cut has just healed, and that has not read of engines of a new version.
+test('a version that the list has only at the take-up is no version of before', async () => {
+  const host = new ListingHost();
+  await host.pass(WINDOW_S);
+  host.readList = () => {
+    host.list([V1, V2]);
+    return true;
+  };
+  assert.equal(await host.takeUp('first'), 'unknown');
+});
+
+// Guards against a peer that is out of step, and names its old version as the only one to a host that knows none.
+test('the only version that a peer names is compared with the list as the store has it', async () => {
+  const host = new ListingHost({ version: 'v1', isTold: false });
+  host.readList = () => {
+    host.list([V1, V2]);
+    return true;
+  };
+  assert.equal(await host.takeUp('first'), 'unknown');
+  const cutOff = new ListingHost({ version: 'v1', isTold: false });
+  cutOff.readList = () => false;
+  assert.equal(await cutOff.takeUp('first'), 'unknown');
+  const late = new ListingHost({ version: 'v1', isTold: false });
+  late.isListCurrent = false;
+  late.readList = () => {
+    late.list([V1, V2]);
+    return true;
+  };
+  assert.equal(await late.takeUp('first'), 'unknown', 'peers report a newer list');
+});
+
+// Guards against take-ups that are refused though a host was told what began the stream, since the store is away.
+test('what a host was told holds without a read of the list', async () => {
+  const host = new ListingHost({ version: 'v2', isTold: true });
+  host.readList = () => false;
+  assert.equal(await host.takeUp('first'), 'v2');
+  assert.equal(await host.takeUp('first'), 'v2');
+});
--- a/packages/router/tests/support/ListingHost.ts
+++ b/packages/router/tests/support/ListingHost.ts
@@ -18,6 +18,9 @@
 
   isListCurrent = true;
 
+  /** Reads the list as the store has it now; gets whether the store responds. */
+  readList: () => boolean = () => true;
+
   /** The routes of the configuration. */
   routes: readonly ForwardRoute[] = [];
 
@@ -43,6 +46,7 @@
       },
       getMembers: () => [PEER],
       isListCurrent: () => this.isListCurrent,
+      confirmList: async () => this.readList(),
       getRoutes: () => this.routes,
     });
     this.versions.recordVersions();
--- a/packages/store/src/follow/KindFollower.ts
+++ b/packages/store/src/follow/KindFollower.ts
@@ -207,13 +207,15 @@
     const copy = await readFromPeers(kind, this.reportedVersion, this.copyVersion).catch(noCopy);
     this.isAskingPeers = false;
     this.hasAskedInVain = copy === undefined || copy.version <= this.copyVersion;
-    if (copy !== undefined && copy.version > this.copyVersion) this.applyPeerCopy(copy);
+    if (copy !== undefined) this.receiveCopy(copy, 'peer');
     // Those asked may not have the version yet, or lack what is newest by now; others are asked next.
     if (this.isBehind()) this.askPeersIn(PEER_RETRY_MS);
   }
 
-  private applyPeerCopy(copy: Snapshot): void {
-    this.applySnapshot(copy, 'peer');
+  /** Receives a copy that was read in another way, if it is newer. */
+  receiveCopy(copy: Snapshot, source: CopySource): void {
+    if (copy.version <= this.copyVersion) return;
+    this.applySnapshot(copy, source);
     if (this.after !== undefined) {
       this.after = Math.max(this.after, copy.version);
       this.restartWatch();
@@ -241,8 +243,7 @@
     this.wake = () => this.pause.interrupt();
     const { waitMs, isTurn } = nextPoll?.(this.outcomes.isUnavailable()) ?? DEFAULT_POLL;
     const dueAt = clock.now() + waitMs;
-    const mayReadNow = this.isBehind() && !this.outcomes.isUnavailable();
-    if (!mayReadNow) await this.pause.wait(waitMs, signal);
+    if (!this.isBehind() || this.outcomes.isUnavailable()) await this.pause.wait(waitMs, signal);
     const isDue = isTurn && clock.now() >= dueAt;
     let problem = await this.readAll(isDue ? 'newest' : (pollFreshness?.() ?? 'any'));
     let attempts = 0;
