--- a/packages/peer/tests/snapshots/HttpSnapshotExchange.test.ts
+++ b/packages/peer/tests/snapshots/HttpSnapshotExchange.test.ts
@@ -71,3 +71,17 @@
   assert.deepEqual(await exchange.fetch(address, 'config', 8), COPY);
   assert.deepEqual(faults, ['peer.request', 'peer.request']);
 });
+
+/** Nested more deeply than JSON can be written. */
+const DEEP = JSON.parse(`${'['.repeat(100_000)}${']'.repeat(100_000)}`) as unknown;
+
+// Guards against hosts that get no copy from their peers while one entry of another writer is nested too deeply to be sent.
+test('an object that can not be sent is left out, and the others are sent', async (t) => {
+  const [exchange, address] = await listening(t);
+  const odd = { kind: 'config', name: 'odd', version: 8, value: DEEP };
+  exchange.setSource({
+    get: () => ({ ...COPY, objects: [odd, ...COPY.objects] }),
+    isPeer: () => true,
+  });
+  assert.deepEqual(await exchange.fetch(address, 'config', 0), COPY);
+});
