Refuse versions of the store that can not be counted up

Cause: any number was a version, in answers of the store, in hints, digests and drained zones, and in copies of peers.

Why it works: a version is a safe integer everywhere it is read.

--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -8,6 +8,7 @@
   UsageRow,
 } from '@camphorvane/decisions';
 import type { ContactReport } from '@camphorvane/store';
+import { isVersion } from '@camphorvane/store';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 import { decodeContact, encodeContact } from './contactCodec.ts';
 import { decodeCallTimes } from './callTimeCodec.ts';
@@ -167,7 +168,7 @@
   const [config, servers, unwatched, ...contactRow] = Array.isArray(versions)
     ? (versions as readonly unknown[])
     : [];
-  if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
+  if (!isVersion(config) || !isVersion(servers)) return undefined;
   const drained = decodeDrainedZones(drainedRow);
   const upstreams = decodeUpstreamReports(upstreamRows);
   const [quoteRows, usageRows] = optional;
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -16,6 +16,7 @@
   UsageRow,
 } from '@camphorvane/decisions';
 import type { ContactReport } from '@camphorvane/store';
+import { isVersion } from '@camphorvane/store';
 import {
   isNamedNumber,
   isNonNegativeNumber,
@@ -168,7 +169,7 @@
   const [config, servers, ...contactRow] = Array.isArray(versions)
     ? (versions as readonly unknown[])
     : [];
-  if (!isNonNegativeNumber(config) || !isNonNegativeNumber(servers)) return undefined;
+  if (!isVersion(config) || !isVersion(servers)) return undefined;
   if (!isNonNegativeNumber(nextMs)) return undefined;
   if (!isStringArray(down) || !Array.isArray(calls) || !calls.every(isNamedNumber))
     return undefined;
--- a/packages/peer/src/hints/hintRowCodec.ts
+++ b/packages/peer/src/hints/hintRowCodec.ts
@@ -1,4 +1,5 @@
 import type { UpstreamId } from '@camphorvane/core';
+import { isVersion } from '@camphorvane/store';
 import type { DemandHint, DrainedZones, EngineHint, RoleChangeHint } from './hintParts.ts';
 
 type EngineRow = readonly [UpstreamId, ...number[]];
@@ -97,7 +98,7 @@
   if (row === undefined) return { version: 0, zones: [] };
   if (!Array.isArray(row)) return undefined;
   const [version, ...zones] = row as readonly unknown[];
-  return isNonNegativeNumber(version) && isStringArray(zones) ? { version, zones } : undefined;
+  return isVersion(version) && isStringArray(zones) ? { version, zones } : undefined;
 }
 
 /** Decodes a list of rows; undefined where the value is not a list or any row is malformed. */
--- a/packages/peer/src/snapshots/HttpSnapshotExchange.ts
+++ b/packages/peer/src/snapshots/HttpSnapshotExchange.ts
@@ -3,6 +3,7 @@
 import type { Clock, Millis } from '@camphorvane/core';
 import { reportFault } from '@camphorvane/core';
 import type { Snapshot, StoredObject } from '@camphorvane/store';
+import { isVersion } from '@camphorvane/store';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { SnapshotExchange, SnapshotSource } from './SnapshotExchange.ts';
@@ -152,11 +153,11 @@
 
 function parseSnapshot(value: unknown): Snapshot | undefined {
   const { version, objects } = value as { readonly version?: unknown; readonly objects?: unknown };
-  if (typeof version !== 'number' || !Array.isArray(objects)) return undefined;
+  if (!isVersion(version) || !Array.isArray(objects)) return undefined;
   return objects.every(isStoredObject) ? { version, objects } : undefined;
 }
 
 function isStoredObject(value: unknown): value is StoredObject {
   const { kind, name, version } = (value ?? {}) as Partial<Record<keyof StoredObject, unknown>>;
-  return typeof kind === 'string' && typeof name === 'string' && typeof version === 'number';
+  return typeof kind === 'string' && typeof name === 'string' && isVersion(version);
 }
--- a/packages/peer/tests/hints/contact.test.ts
+++ b/packages/peer/tests/hints/contact.test.ts
@@ -50,3 +50,16 @@
     assert.deepEqual(decodeHint(bytes)?.versions, { config: 1, servers: 2 });
   });
 });
+
+// Guards against a host that waits for a version of the store which no change can exceed.
+test('a message with versions that can not be counted up is malformed', () => {
+  const hint = JSON.parse(encodeHint(HINT).toString()) as unknown[];
+  const digest = JSON.parse(encodeDigest(DIGEST).toString()) as unknown[];
+  const spoil = (fields: readonly unknown[], at: number, value: unknown): Buffer =>
+    Buffer.from(JSON.stringify(fields.map((one, index) => (index === at ? value : one))));
+  [1e308, 2 ** 53, 0.5].forEach((version) => {
+    assert.equal(decodeHint(spoil(hint, 6, [1, version])), undefined);
+    assert.equal(decodeHint(spoil(hint, 12, [version])), undefined);
+    assert.equal(decodeDigest(spoil(digest, 9, [version, 2])), undefined);
+  });
+});
--- a/packages/peer/tests/snapshots/HttpSnapshotExchange.test.ts
+++ b/packages/peer/tests/snapshots/HttpSnapshotExchange.test.ts
@@ -85,3 +85,13 @@
   });
   assert.deepEqual(await exchange.fetch(address, 'config', 0), COPY);
 });
+
+// Guards against a copy of a peer under a version that no later copy can exceed.
+test('a copy whose version can not be counted up is none', async (t) => {
+  const [exchange, address] = await listening(t);
+  await [1e308, 2 ** 53, 1.5].reduce(async (before, version) => {
+    await before;
+    exchange.setSource({ get: () => ({ ...COPY, version }), isPeer: () => true });
+    assert.equal(await exchange.fetch(address, 'config', 0), undefined, String(version));
+  }, Promise.resolve());
+});
--- a/packages/store/src/ObjectStore.ts
+++ b/packages/store/src/ObjectStore.ts
@@ -4,6 +4,16 @@
 /** Store-wide version that increases with each write; comparable between objects. */
 export type ObjectVersion = number;
 
+/**
+ * Tells whether a value is a version. One that is too large to be counted up is none: a host that took it for the newest
+ * would wait for a newer one for good.
+ *
+ * @param value - The value.
+ */
+export function isVersion(value: unknown): value is ObjectVersion {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 /** A stored object; its value is JSON of at most 1 MB. */
 export interface StoredObject {
   readonly kind: string;
