--- a/packages/peer/tests/hints/contact.test.ts
+++ b/packages/peer/tests/hints/contact.test.ts
@@ -63,3 +63,13 @@
     assert.equal(decodeDigest(spoil(digest, 9, [version, 2])), undefined);
   });
 });
+
+// Guards against a peer's message nested so deeply that its reader exceeds the stack.
+test('a deeply nested field makes a message malformed, or is left out', () => {
+  const deep = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
+  const fields = JSON.parse(encodeHint(HINT).toString()) as unknown[];
+  fields.forEach((_, at) => {
+    const texts = fields.map((field, index) => (index === at ? deep : JSON.stringify(field)));
+    assert.doesNotThrow(() => decodeHint(Buffer.from(`[${texts.join()}]`)), `field ${at}`);
+  });
+});
--- a/packages/router/tests/coordination/hostRecord.test.ts
+++ b/packages/router/tests/coordination/hostRecord.test.ts
@@ -76,3 +76,17 @@
     options,
   );
 });
+
+// Guards against a record of another writer nested so deeply that its reader exceeds the stack.
+test('a deeply nested value in a record is refused, or ignored', () => {
+  const deep = JSON.parse(`${'['.repeat(100_000)}${']'.repeat(100_000)}`) as unknown;
+  assert.ok(read(deep).isErr());
+  ['host', 'zone', 'peerAddress'].forEach((field) =>
+    assert.ok(read({ ...SOUND, [field]: deep }).isErr(), field),
+  );
+  const { quarantine, ...record } = SOUND;
+  assert.deepEqual(read({ ...SOUND, odd: deep }), read(SOUND));
+  assert.deepEqual(read({ ...SOUND, quarantine: deep }), read(record));
+  const crashes = [deep, ...quarantine.crashes];
+  assert.deepEqual(read({ ...SOUND, quarantine: { at: 1, crashes } }), read(SOUND));
+});
