Vouch for the store across failures too short for entries to expire

A host cut off from the store uses a removed server until a peer vouches that the store has responded meanwhile. One failed call of a peer within the last seconds ended what it vouches for, though no entry expires in so short a time, so that the removed server stayed for the grace period.

Cause: any failure that was followed by another one began the steady time anew; the bound for a time without calls was a constant beside. Both are the shortest outage in which entries may expire now, from the heartbeat of the settings (minOutageMs).

Evidence: 'a host reports no longer steady contact than its responses show' has a failure of 0.4 s, after which 2,000 ms are reported; before, 0.

--- a/packages/router/src/coordination/DeploymentFeed.ts
+++ b/packages/router/src/coordination/DeploymentFeed.ts
@@ -8,7 +8,7 @@
   ObjectVersion,
   ServerRecord,
 } from '@camphorvane/store';
-import { KindFollower, StoreContact } from '@camphorvane/store';
+import { KindFollower, minOutageMs, StoreContact } from '@camphorvane/store';
 import type { DrainedZones } from '@camphorvane/peer/hints';
 import type { Unsubscribe } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
@@ -75,7 +75,7 @@
   constructor(options: DeploymentFeedOptions) {
     this.options = options;
     const { contact, clock, heartbeatMs } = options;
-    this.contact = contact ?? new StoreContact(clock.now());
+    this.contact = contact ?? new StoreContact(clock.now(), minOutageMs(heartbeatMs));
     this.roster = new ServerRoster(this.contact, heartbeatMs);
     this.graceTimer = new GraceTimer(clock, this.roster, () => this.compose());
     this.configs = this.follow(options.format.configKind, (copy) => this.applyConfig(copy));
--- a/packages/router/src/coordination/ServerRoster.ts
+++ b/packages/router/src/coordination/ServerRoster.ts
@@ -1,5 +1,6 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import type { ServerRecord, StoreContact } from '@camphorvane/store';
+import { minOutageMs } from '@camphorvane/store';
 
 /** Tells for how long the store responded to nobody. */
 export type OutageSource = Pick<StoreContact, 'getOutage' | 'getAwayMs'>;
@@ -10,12 +11,6 @@
  */
 const OUTAGE_GRACE_MS: Millis = 2_300;
 
-/**
- * Heartbeats that a server must miss within an outage for its entry to expire. It expires after three; the last one may
- * be more than an interval old as the outage begins.
- */
-const MIN_MISSED_HEARTBEATS = 1.75;
-
 /** A server whose entry vanished while the store may have been away. */
 interface MissingServer {
   readonly server: ServerRecord;
@@ -52,7 +47,7 @@
    */
   constructor(outages: OutageSource, heartbeatMs: Millis) {
     this.outages = outages;
-    this.minOutageMs = heartbeatMs * MIN_MISSED_HEARTBEATS;
+    this.minOutageMs = minOutageMs(heartbeatMs);
   }
 
   /**
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -12,7 +12,7 @@
 } from '@camphorvane/decisions';
 import type { PeerResponse } from '@camphorvane/peer';
 import type { FollowMode } from '@camphorvane/store';
-import { StoreContact } from '@camphorvane/store';
+import { minOutageMs, StoreContact } from '@camphorvane/store';
 import type { GroupGate, FleetMember, RetryGate, Unsubscribe } from '../host/ports.ts';
 import { UpstreamSignalRecorder } from '../host/UpstreamSignalRecorder.ts';
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
@@ -127,7 +127,7 @@
     this.signals.onChange(() => this.gossip.recordStateChange());
     this.knowledge = new EngineKnowledge(this.admission, context.speeds);
     this.abortsOnKeyWithdrawal = options.strictKeysMs !== undefined;
-    const contact = new StoreContact(clock.now());
+    const contact = new StoreContact(clock.now(), minOutageMs(options.heartbeatMs));
     this.config = new DeploymentFeed({
       ...{ contact, heartbeatMs: options.heartbeatMs },
       store,
--- a/packages/router/tests/coordination/ListConfirmation.test.ts
+++ b/packages/router/tests/coordination/ListConfirmation.test.ts
@@ -20,7 +20,7 @@
   isAway = false;
 
   readonly confirmation = new ListConfirmation({
-    ...{ clock: this.clock, kind: 'k', contact: new StoreContact(0) },
+    ...{ clock: this.clock, kind: 'k', contact: new StoreContact(0, 2_100) },
     store: { snapshot: () => this.snapshot() } as unknown as WatchableStore,
     follower: {
       receiveCopy: ({ version }: Snapshot) => {
--- a/packages/router/tests/coordination/ServerRoster.test.ts
+++ b/packages/router/tests/coordination/ServerRoster.test.ts
@@ -24,7 +24,7 @@
 
 /** A roster, and the responses of the store to its host. */
 class Host {
-  readonly contact = new StoreContact(0);
+  readonly contact = new StoreContact(0, 2_100);
 
   readonly roster = new ServerRoster(this.contact, HEARTBEAT_MS);
 
--- a/packages/store/src/follow/CallOutcomes.ts
+++ b/packages/store/src/follow/CallOutcomes.ts
@@ -25,7 +25,7 @@
     onConnectionLost: () => void,
   ) {
     this.clock = options.clock;
-    this.contact = options.contact ?? new StoreContact(options.clock.now());
+    this.contact = options.contact ?? new StoreContact(options.clock.now(), 0);
     this.contact.onConnectionLost(onConnectionLost);
     this.onStoreState = options.onStoreState;
     this.answeredAt = options.clock.now();
--- a/packages/store/src/follow/StoreContact.ts
+++ b/packages/store/src/follow/StoreContact.ts
@@ -18,7 +18,7 @@
 export interface ContactReport {
   /** Milliseconds since the store last responded to the host. */
   readonly answeredMsAgo: Millis;
-  /** Milliseconds for which it had responded by then without an outage. */
+  /** Milliseconds for which it had responded by then without an outage in which entries may expire. */
   readonly steadyMs: Millis;
 }
 
@@ -32,12 +32,6 @@
   readonly returnedAt: Millis;
 }
 
-/**
- * Milliseconds between two responses after which a host can't vouch for the store in between. A watch ends sooner; a host
- * that polls at long intervals reports only its last response.
- */
-const MAX_STEADY_GAP_MS: Millis = 2_100;
-
 /** How long an ended outage is remembered, in milliseconds. */
 const MEMORY_MS: Millis = 30_000;
 
@@ -54,7 +48,7 @@
 export class StoreContact {
   private answeredAt: Millis;
 
-  /** Since when the store has responded without an outage. */
+  /** Since when the store has responded without an outage in which entries may expire. */
   private steadySince: Millis;
 
   private hasAnswered = false;
@@ -70,10 +64,17 @@
   /** When the store responded to each peer, by its last report. */
   private readonly peers = new Map<HostId, TimeSpan>();
 
-  /** @param now - Present time. */
-  constructor(now: Millis) {
+  private readonly minOutageMs: Millis;
+
+  /**
+   * @param now - Present time.
+   * @param minOutageMs - Shortest outage in milliseconds in which entries may expire. For a longer time without a
+   * response a host does not vouch to its peers, also where it made no call.
+   */
+  constructor(now: Millis, minOutageMs: Millis) {
     this.answeredAt = now;
     this.steadySince = now;
+    this.minOutageMs = minOutageMs;
   }
 
   /**
@@ -96,8 +97,8 @@
       const recent = this.gaps.filter(({ until }) => now - until < MEMORY_MS);
       this.gaps = [...recent, { from: this.answeredAt, shownFrom, until: now }];
     }
-    const isSteady = this.hasAnswered && now - this.answeredAt <= MAX_STEADY_GAP_MS;
-    if (shownFrom !== undefined || !isSteady) this.steadySince = now;
+    const isSteady = this.hasAnswered && now - this.answeredAt < this.minOutageMs;
+    if (!isSteady) this.steadySince = now;
     this.hasAnswered = true;
     this.answeredAt = now;
     this.firstFailedAt = undefined;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -21,5 +21,6 @@
 export * from './follow/KindFollowerOptions.ts';
 export * from './follow/SingleWriterObject.ts';
 export * from './follow/StoreContact.ts';
+export * from './follow/minOutageMs.ts';
 export * from './follow/Deployment.ts';
 export * from './lease/StoreLease.ts';
--- a/packages/store/tests/follow/KindFollower.test.ts
+++ b/packages/store/tests/follow/KindFollower.test.ts
@@ -78,7 +78,7 @@
 }> {
   const { store, calls } = scriptedStore(steps);
   const clock = new VirtualClock();
-  const contact = new StoreContact(clock.now());
+  const contact = new StoreContact(clock.now(), 2_100);
   const rounds: Round[] = [];
   let readAt = clock.now();
   const states: string[] = [];
--- a/packages/store/tests/follow/StoreContact.test.ts
+++ b/packages/store/tests/follow/StoreContact.test.ts
@@ -7,7 +7,7 @@
 
 /** A host whose calls failed from one second to another. */
 function failing(from: number, until: number): StoreContact {
-  const contact = new StoreContact(0);
+  const contact = new StoreContact(0, 2_100);
   contact.recordResponse(from * 1_000);
   contact.recordFailure(CLOSED, from * 1_000, from * 1_000);
   contact.recordFailure(CLOSED, from * 1_000, from * 1_000 + 100);
@@ -17,7 +17,7 @@
 
 // Guards against several connections that are lost at once and pass for an outage of the store.
 test('calls that were made before the first loss show no outage', () => {
-  const contact = new StoreContact(0);
+  const contact = new StoreContact(0, 2_100);
   contact.recordResponse(1_000);
   contact.recordFailure(CLOSED, 500, 3_000);
   contact.recordFailure(CLOSED, 900, 3_001);
@@ -26,7 +26,7 @@
 });
 
 test('a failed call that was made after a loss shows an outage since the loss', () => {
-  const contact = new StoreContact(0);
+  const contact = new StoreContact(0, 2_100);
   contact.recordResponse(1_000);
   contact.recordFailure(CLOSED, 1_200, 3_500);
   contact.recordFailure(CLOSED, 3_600, 4_800);
@@ -58,17 +58,21 @@
 
 // Guards against a polling host that vouches for a time in which it made no call.
 test('a host reports no longer steady contact than its responses show', () => {
-  const contact = new StoreContact(0);
+  const contact = new StoreContact(0, 2_100);
   assert.equal(contact.getReport(500), undefined);
   contact.recordResponse(1_000);
   contact.recordResponse(2_500);
   assert.deepEqual(contact.getReport(3_000), { answeredMsAgo: 500, steadyMs: 1_500 });
+  contact.recordFailure(CLOSED, 2_500, 2_600);
+  contact.recordFailure(CLOSED, 2_700, 2_800);
+  contact.recordResponse(3_000);
+  assert.deepEqual(contact.getReport(3_000), { answeredMsAgo: 0, steadyMs: 2_000 });
   contact.recordResponse(12_500);
   assert.deepEqual(contact.getReport(12_600), { answeredMsAgo: 100, steadyMs: 0 });
 });
 
 test('listeners learn of the first loss since a response', () => {
-  const contact = new StoreContact(0);
+  const contact = new StoreContact(0, 2_100);
   let losses = 0;
   contact.onConnectionLost(() => {
     losses += 1;
