--- a/packages/router/tests/coordination/removedServers.test.ts
+++ b/packages/router/tests/coordination/removedServers.test.ts
@@ -3,7 +3,13 @@
 import type { Millis } from '@camphorvane/core';
 import { RandomSource, VirtualClock } from '@camphorvane/core';
 import { SlowStart, UpstreamAdmission } from '@camphorvane/decisions';
-import type { DeploymentFormat, PlatformError, ServerRecord, Snapshot } from '@camphorvane/store';
+import type {
+  DeploymentFormat,
+  FollowMode,
+  PlatformError,
+  ServerRecord,
+  Snapshot,
+} from '@camphorvane/store';
 import { ok } from 'neverthrow';
 import { DeploymentFeed } from '../../src/coordination/DeploymentFeed.ts';
 import { FaultyStore } from '../support/FaultyStore.ts';
@@ -42,6 +48,8 @@
 afterEach(() => stops.splice(0).forEach((stop) => stop.abort()));
 
 class Host {
+  private readonly followMode: FollowMode;
+
   readonly clock = new VirtualClock();
 
   readonly store = new FaultyStore(this.clock);
@@ -53,14 +61,15 @@
     ...{ store: this.store.asStore(), format: FORMAT, clock: this.clock },
     ...{ random: new RandomSource(1), strictKeysMs: undefined, watchMs: 1_800 },
     ...{ drainsZones: false, heartbeatMs: HEARTBEAT_MS },
-    mode: () => 'watch',
+    mode: () => this.followMode,
     nextPoll: () => ({ waitMs: 2_000, isTurn: false }),
     readFromPeers: async (kind) => (kind === 'servers' ? this.peerCopy : undefined),
     onStateChange: () => undefined,
     admission: new UpstreamAdmission(new SlowStart(() => 1)),
   });
 
-  constructor() {
+  constructor(followMode: FollowMode = 'watch') {
+    this.followMode = followMode;
     this.store.put('config', 'main');
     SERVERS.forEach((id) => this.store.put('servers', id));
     const stop = new AbortController();
@@ -127,6 +136,20 @@
   }),
 );
 
+// Guards against a polling host that has read a list without a server, and takes its own failed polls for an outage in which
+// the entry has expired.
+test('a removed server gets no work at a polling host once it has read the list', async () => {
+  const host = new Host('poll');
+  await host.clock.advance(1_000);
+  host.store.failNext('servers', 2, { type: 'refused', error: REFUSED });
+  host.store.remove('servers', 's-a');
+  const used = await host.timesOf(5_900, () => host.uses('s-a'));
+  assert.ok(used.length > 0, 'it reads no list before');
+  await host.clock.advance(300);
+  assert.equal(host.uses('s-a'), false);
+  assert.equal(host.countUsed(), 2);
+});
+
 // Guards against hosts that refuse every caller after an outage, as the entries of all servers have expired meanwhile.
 (['silent', 'refused'] as const).forEach((outage) =>
   test(`entries that expired in an outage with ${outage} calls leave no host without servers`, async () => {
