Space the reads that confirm the list of engines

Each read also ended the host's watch, since the store's revision grows with changes of all kinds.

Reads are at least 250 ms apart, so that 350 hosts make at most 1,400 a second; a question waits for the next one, within its half a second. A list that has not changed is not received. Evidence: 'reads are at least a quarter of a second apart, and no question waits for two' (100 questions in a second, at most 5 reads), and 'a list that has not changed is not received'.

--- a/packages/router/src/coordination/ListConfirmation.ts
+++ b/packages/router/src/coordination/ListConfirmation.ts
@@ -1,10 +1,16 @@
 import type { Clock, Millis } from '@camphorvane/core';
 import { sleep } from '@camphorvane/core';
-import type { KindFollower, StoreContact, WatchableStore } from '@camphorvane/store';
+import type { KindFollower, Snapshot, StoreContact, WatchableStore } from '@camphorvane/store';
 
 /** Longest time in milliseconds that a caller waits for a read; the store responds in a third of a second when it is slow. */
 const CONFIRM_TIMEOUT_MS: Millis = 500;
 
+/**
+ * Milliseconds between the starts of two reads. Many streams may be taken up at once, on all hosts of a large fleet, and the
+ * store takes about two thousand reads a second from them together.
+ */
+const READ_INTERVAL_MS: Millis = 250;
+
 /** Options of a {@link ListConfirmation}. */
 export interface ListConfirmationOptions {
   readonly clock: Clock;
@@ -23,8 +29,11 @@
 
   private running: Promise<boolean> | undefined;
 
+  /** The read that begins next, which questions wait for. */
   private next: Promise<boolean> | undefined;
 
+  private startedAt: Millis = -Infinity;
+
   /** @param options - The store and the follower of the list. */
   constructor(options: ListConfirmationOptions) {
     this.options = options;
@@ -46,22 +55,19 @@
   }
 
   private readNext(): Promise<boolean> {
-    if (this.running === undefined) return this.start();
-    this.next ??= this.running.then(() => {
-      this.next = undefined;
-      return this.start();
-    });
+    this.next ??= this.startNext();
     return this.next;
   }
 
-  private start(): Promise<boolean> {
-    const reading = this.read()
-      .catch(() => false)
-      .finally(() => {
-        if (this.running === reading) this.running = undefined;
-      });
-    this.running = reading;
-    return reading;
+  private async startNext(): Promise<boolean> {
+    const { clock } = this.options;
+    await this.running;
+    const waitMs = this.startedAt + READ_INTERVAL_MS - clock.now();
+    if (waitMs > 0) await sleep(clock, waitMs);
+    this.next = undefined;
+    this.startedAt = clock.now();
+    this.running = this.read().catch(() => false);
+    return this.running;
   }
 
   private async read(): Promise<boolean> {
@@ -73,7 +79,17 @@
       return false;
     }
     contact.recordResponse(clock.now());
-    follower.receiveCopy(read.value, 'store');
+    // A copy that changes nothing must not cut the follower's watch off.
+    if (!isSame(follower.getCopy(), read.value)) follower.receiveCopy(read.value, 'store');
     return true;
   }
 }
+
+function isSame(known: Snapshot | undefined, { objects }: Snapshot): boolean {
+  if (known === undefined) return false;
+  const versions = new Map(known.objects.map(({ name, version }) => [name, version]));
+  return (
+    versions.size === objects.length &&
+    objects.every(({ name, version }) => versions.get(name) === version)
+  );
+}
