Log what each host charges to the retry budgets, and what is sent without a charge

The lines retries.charged and retries.refused carry what this host has used in the window, what it may use, what its requests have earned and its part of the slack. RequestArrivals counts the arrivals of a request beside the retries charged for it, and retries.uncharged names each one beyond both. No decision changes. Metrics of the same names, by service.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from './roles/forecastLateShare.ts';
 export * from './roles/RoleSplit.ts';
 export * from './roles/RoleRebalancer.ts';
+export * from './retry/RequestArrivals.ts';
 export * from './retry/ServiceRetryBudget.ts';
 export * from './rates/DistributedRateLimiter.ts';
 export * from './rates/RateTurns.ts';
--- a/packages/decisions/src/retry/ServiceRetryBudget.ts
+++ b/packages/decisions/src/retry/ServiceRetryBudget.ts
@@ -14,6 +14,19 @@
 /** Fraction of the allowance that is used; the rest covers requests whose retries are in flight. */
 const USED_FRACTION = 0.85;
 
+/** What a host has charged to a service's budget in the last window, and what it may charge. */
+export interface RetryBudgetState {
+  /** Retries charged in the window. */
+  readonly used: number;
+  /** Retries that it may charge in the window: its part of the slack and what its requests have earned. */
+  readonly allowed: number;
+  readonly earned: number;
+  /** Its part of the slack, which may be less than one retry. */
+  readonly slack: number;
+  /** Number of hosts that share the slack. */
+  readonly hosts: number;
+}
+
 interface Counts {
   readonly requests: SlidingWindowCounter;
   readonly retries: SlidingWindowCounter;
@@ -51,12 +64,20 @@
 
   /** Charges one retry to a service; false if its budget is exhausted. */
   tryRetry(service: ServiceId, now: Millis): boolean {
+    const { used, allowed } = this.inspect(service, now);
+    if (used + 1 > allowed) return false;
+    this.countsOf(service).retries.add(now);
+    return true;
+  }
+
+  /** Gets what was charged to a service's budget, and what may be. */
+  inspect(service: ServiceId, now: Millis): RetryBudgetState {
     const { requests, retries } = this.countsOf(service);
     const earned = requests.count(now) * this.allowance.ratio * USED_FRACTION;
+    const slack = this.slackShare();
     // Each host is allowed one retry in a window, even if its share is below one.
-    if (retries.count(now) + 1 > Math.max(1, this.slackShare() + earned)) return false;
-    retries.add(now);
-    return true;
+    const allowed = Math.max(1, slack + earned);
+    return { used: retries.count(now), allowed, earned, slack, hosts: this.hostCount() };
   }
 
   private countsOf(service: ServiceId): Counts {
--- a/packages/router/src/coordination/GroupCoordination.ts
+++ b/packages/router/src/coordination/GroupCoordination.ts
@@ -146,8 +146,8 @@
       members: () => group.members().map((member) => member.host),
       mayAct: () => group.mayAct(),
     });
-    this.retryGate = teamRetryGate(new RetryBudget());
     const { metrics } = context;
+    this.retryGate = teamRetryGate(new RetryBudget(), metrics);
     this.crashGuard = new CrashGuard({ self: identity.host, clock, group, link, metrics });
     const constraints = new UpstreamConstraints({
       self: identity.host,
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -161,7 +161,8 @@
     });
     const hostCount = (): number => this.hosts.countHosts();
     this.rates = new GossipRateGate(clock, options.tolerance, context.turns);
-    this.retryGate = serviceRetryGate(new ServiceRetryBudget(options.retryAllowance, hostCount));
+    const budget = new ServiceRetryBudget(options.retryAllowance, hostCount);
+    this.retryGate = serviceRetryGate(budget, options.metrics);
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation, fairQueues },
       ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -132,6 +132,9 @@
   readonly upstream: UpstreamId;
 }
 
+/** What was sent without a charge, beyond the first arrival of its request. */
+export type UnchargedArrival = 'run' | 'prefill';
+
 /** Enforces the retry budget. */
 export interface RetryGate {
   /** Records the first attempt of a request, with the upstreams that it uses. */
@@ -147,6 +150,9 @@
    * @returns False if the budget is exhausted.
    */
   tryRetry(target: RetryTarget, now: Millis): boolean;
+
+  /** Records that a request is sent to a service once more without a charge. */
+  recordUncharged(service: string, arrival: UnchargedArrival): void;
 }
 
 /** What the clients of upstreams report, and ask before each call. */
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -41,6 +41,9 @@
   | 'relay.sent'
   | 'relay.served'
   | 'relay.lost'
+  | 'retries.charged'
+  | 'retries.refused'
+  | 'retries.uncharged'
   | 'buffers.refused'
   | 'buffers.cut_off'
   | 'fault';
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -103,7 +103,8 @@
     while (outcome.type === 'failed' && !outcome.error.dispatched && clock.now() < until) {
       rejectedBy.push(engine.id);
       if (this.abort.signal.aborted) return outcome;
-      if (!reachedNoUpstream(outcome.error) && !this.plan.tryRetry()) return outcome;
+      if (!reachedNoUpstream(outcome.error) && !this.plan.retries.tryRetry(engine.id))
+        return outcome;
       const next = await this.nextDecodeEngine(rejectedBy, until);
       if (next === undefined) return outcome;
       engine = next;
@@ -147,6 +148,8 @@
     const { reservation } = placement;
     placements.prefillEnded(pool.model, reservation, result.isOk() ? tookMs : undefined);
     this.registerReservation(false);
+    if (result.isOk() || !reachedNoUpstream(result.error))
+      this.plan.retries.recordPrefill(result.isOk());
     if (result.isErr()) return this.failed(engine.id, 'prefill', result.error);
     metrics.count('prefill.tokens', {}, result.value.promptTokens);
     const id = this.plan.identity.request;
@@ -190,7 +193,10 @@
     const { deps, plan, abort } = this;
     const fail = (id: UpstreamId, error: UpstreamError): FailedAttempt =>
       this.failed(id, 'decode', error);
-    return yield* new DecodeStage({ deps, plan, abort, fail }).run(engine, prefill);
+    plan.retries.recordRun();
+    const outcome = yield* new DecodeStage({ deps, plan, abort, fail }).run(engine, prefill);
+    if (outcome.type === 'failed' && reachedNoUpstream(outcome.error)) plan.retries.withdrawRun();
+    return outcome;
   }
 
   private registerReservation(prefillRunning: boolean): void {
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -19,13 +19,13 @@
 import { UNREAD_OUTCOME } from './attemptEnds.ts';
 import { budgetSpent, completionRefusal, enginesFailed } from './completionRefusals.ts';
 import { RateQueue } from './RateQueue.ts';
+import { RequestRetries } from './RequestRetries.ts';
 import type { ResolvedCompletion, ServingEvent } from './resolvedCompletion.ts';
 import {
   guardedCompletion,
   finalEvent,
   MAX_COMPLETION_ATTEMPTS,
   attemptMayHaveExecuted,
-  completionRetryTarget,
   progressOf,
   chargeableTokens,
   streamLimits,
@@ -78,7 +78,11 @@
     }
     const acceptedAt = this.options.clock.now();
     if (completion.policy.isCharged === true) {
-      yield* this.runAttempts(completion, pool.value, progressOf(completion, acceptedAt));
+      yield* this.runAttempts(
+        completion,
+        pool.value,
+        progressOf(completion, acceptedAt, this.retriesOf(completion)),
+      );
       return;
     }
     const charge = await this.queue.charge(
@@ -103,13 +107,18 @@
     yield* this.serveCharged(completion, pool.value, charge.value, acceptedAt);
   }
 
+  private retriesOf({ caller, model, policy }: ResolvedCompletion): RequestRetries {
+    const request = { team: caller.team.id, service: model };
+    return new RequestRetries(this.options, request, policy.arrivals);
+  }
+
   private async *serveCharged(
     completion: ResolvedCompletion,
     pool: PoolConfig,
     charge: RateCharge,
     acceptedAt: Millis,
   ): AsyncGenerator<ServingEvent> {
-    const progress = progressOf(completion, acceptedAt);
+    const progress = progressOf(completion, acceptedAt, this.retriesOf(completion));
     try {
       yield* this.runAttempts(completion, pool, progress);
     } finally {
@@ -175,21 +184,12 @@
       releaseInBackground(placements, pool.model, placement.value.reservation, 'caller_gone');
       return err(quarantinedSince);
     }
-    if (!isRetry) this.recordFirstAttempt(completion, pool, placement.value);
+    const { prefill, decode } = placement.value;
+    const engines = [prefill, decode].filter((engine) => engine !== undefined);
+    if (!isRetry) progress.retries.recordAttempt(engines);
     return placement;
   }
 
-  private recordFirstAttempt(
-    completion: ResolvedCompletion,
-    pool: PoolConfig,
-    pair: EnginePlacement,
-  ): void {
-    const now = this.options.clock.now();
-    const engines = [pair.prefill, pair.decode].filter((engine) => engine !== undefined);
-    const request = { team: completion.caller.team.id, service: pool.model };
-    this.options.retryGate.recordAttempt(request, engines, now);
-  }
-
   /** Decides whether another attempt follows a failed one; gets the refusal if none does. */
   private refusalAfter(
     completion: ResolvedCompletion,
@@ -224,11 +224,7 @@
         prefillTokensPerMs: MIN_PREFILL_TOKENS_PER_MS,
         transferMs: (piecesFor(progress.promptTokens) / pool.linkPiecesPerSecond) * MS_PER_SECOND,
         mayRetry: () =>
-          reachedNoUpstream(outcome.error) ||
-          this.options.retryGate.tryRetry(
-            completionRetryTarget(completion, pool, outcome.engine),
-            now,
-          ),
+          reachedNoUpstream(outcome.error) || progress.retries.tryRetry(outcome.engine),
       },
       now,
     );
@@ -261,11 +257,7 @@
       maxTokens: completion.maxTokens,
       limits: streamLimits(completion.policy),
       guard: this.options.crashGuard.guardFor(guardedCompletion(completion, progress)),
-      tryRetry: () =>
-        this.options.retryGate.tryRetry(
-          completionRetryTarget(completion, pool, placement.decode),
-          this.options.clock.now(),
-        ),
+      retries: progress.retries,
     });
     const events = attempt.run(completion.signal);
     try {
--- a/packages/router/src/serving/CompletionProgress.ts
+++ b/packages/router/src/serving/CompletionProgress.ts
@@ -5,6 +5,7 @@
 import { isStreamStopped, isUnconfirmedEnd } from './attemptEnds.ts';
 import type { AttemptPlan } from './completionAttemptPlan.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
+import type { RequestRetries } from './RequestRetries.ts';
 import type { CompletionPolicy } from './resolvedCompletion.ts';
 
 /** Most engines that a request avoids after it failed there; the latest are kept. */
@@ -53,12 +54,14 @@
    * @param startedAt - When the request was accepted.
    * @param traits - What the request has in common with its repeats and with other requests.
    * @param start - Where the stream goes on, at which engines, and whether another host had it before.
+   * @param retries - Charges its retries.
    */
   constructor(
     readonly promptTokens: Tokens,
     readonly startedAt: Millis,
     readonly traits: Omit<GuardedRequest, 'id'>,
     start: Pick<CompletionPolicy, 'fromPosition' | 'binding' | 'hasRunElsewhere'>,
+    readonly retries: RequestRetries,
   ) {
     this.position = start.fromPosition;
     this.binding = start.binding ?? FREE_STREAM;
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -9,7 +9,7 @@
   ServiceId,
 } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { FREE_STREAM, RequestAgeEstimator } from '@camphorvane/decisions';
+import { FREE_STREAM, RequestAgeEstimator, RequestArrivals } from '@camphorvane/decisions';
 import type { RelayContext, RelayedRequest } from '@camphorvane/peer/relay';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -189,9 +189,11 @@
       const takesUp = req.lastPosition;
       log('accepted', { id, route: name, service, team, ...slos, ageMs, version, takesUp, ...by });
       const executions = new ExecutionCount(relayed?.executions);
+      const arrivals = new RequestArrivals();
       const isCharged = relayed?.isCharged ?? false;
       return {
-        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, executions, isCharged },
+        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, isCharged },
+        ...{ executions, arrivals },
         binding: relayed?.binding ?? FREE_STREAM,
       };
     });
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -19,8 +19,9 @@
 import { endUnknown, finishClaimed, NO_COMPLETE_ANSWER } from './finishClaimed.ts';
 import type { HeldCall } from './queuedWork.ts';
 import { queueOf } from './queuedWork.ts';
-import type { ResolvedCall } from './resolvedCall.ts';
-import { guardedCall, serviceRetryTarget } from './resolvedCall.ts';
+import type { ResolvedCall, TrackedCall } from './resolvedCall.ts';
+import { guardedCall } from './resolvedCall.ts';
+import { RequestRetries } from './RequestRetries.ts';
 import type { AttemptOutcome, FailedAttempt } from './serviceAttempts.ts';
 import {
   areAllFull,
@@ -89,10 +90,12 @@
     crashGuard.recordArrival(request);
     const quarantined = crashGuard.refusalFor(request);
     if (quarantined !== undefined) return err(quarantined);
-    return this.serveAdmitted(call).finally(() => crashGuard.recordEnd(call));
+    const retryOf = { team: call.caller.team.id, service: call.service.id };
+    const retries = new RequestRetries(this.options, retryOf, call.policy.arrivals);
+    return this.serveAdmitted({ ...call, retries }).finally(() => crashGuard.recordEnd(call));
   }
 
-  private async serveAdmitted(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
+  private async serveAdmitted(call: TrackedCall): Promise<Result<ServiceResponse, Refusal>> {
     if (call.route.idempotent) return this.serveIdempotent(call);
     const { claims } = this.options;
     return claims === undefined || !call.policy.claimed
@@ -101,7 +104,7 @@
   }
 
   /** Retries on other servers after failures; if all fail, the last error answer of a server is returned. */
-  private async serveIdempotent(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
+  private async serveIdempotent(call: TrackedCall): Promise<Result<ServiceResponse, Refusal>> {
     const failures: FailedAttempt[] = [];
     let errorAnswer: UpstreamResponse | undefined;
     let attempts = 0;
@@ -131,14 +134,14 @@
     return err(withExecution(this.failedRefusal(call), failures));
   }
 
-  private mayRetry(call: ResolvedCall, failures: readonly FailedAttempt[]): boolean {
+  private mayRetry(call: TrackedCall, failures: readonly FailedAttempt[]): boolean {
     const last = failures.at(-1);
     if (last === undefined) return true;
     const now = this.options.clock.now();
     if (now >= call.policy.deadlineAt) return false;
     if (this.options.crashGuard.guardFor(guardedCall(call)).isBlocked()) return false;
     if (reachedNoUpstream(last.error)) return !areAllFull(call, failures);
-    return this.options.retryGate.tryRetry(serviceRetryTarget(call, last.server), now);
+    return call.retries.tryRetry(last.server);
   }
 
   private failedRefusal(call: ResolvedCall): Refusal {
@@ -158,7 +161,7 @@
   }
 
   /** Runs a non-idempotent call at most once, without a claim: a retry of its caller is another call. */
-  private async serveOnceUnclaimed(call: ResolvedCall): Promise<Result<ServiceResponse, Refusal>> {
+  private async serveOnceUnclaimed(call: TrackedCall): Promise<Result<ServiceResponse, Refusal>> {
     const outcome = await this.attemptUntilDispatched(call);
     switch (outcome.type) {
       case 'answer':
@@ -188,7 +191,7 @@
    * the caller, here or at another host, does not run it a second time.
    */
   private async serveOnceClaimed(
-    call: ResolvedCall,
+    call: TrackedCall,
     claims: IdempotencyClaims,
   ): Promise<Result<ServiceResponse, Refusal>> {
     const req = claimRequestOf(call, this.options.self);
@@ -203,7 +206,7 @@
   }
 
   private async runClaimed(
-    call: ResolvedCall,
+    call: TrackedCall,
     claims: IdempotencyClaims,
     claim: Claim,
   ): Promise<Result<ServiceResponse, Refusal>> {
@@ -228,7 +231,7 @@
   }
 
   /** Retries on other servers only while the call cannot have reached one. */
-  private async attemptUntilDispatched(call: ResolvedCall): Promise<AttemptOutcome> {
+  private async attemptUntilDispatched(call: TrackedCall): Promise<AttemptOutcome> {
     const failures: FailedAttempt[] = [];
     let outcome = await this.attemptOnce(call, failures);
     while (
@@ -245,7 +248,7 @@
   }
 
   private async attemptOnce(
-    call: ResolvedCall,
+    call: TrackedCall,
     failures: readonly FailedAttempt[],
   ): Promise<AttemptOutcome> {
     const request = `${call.id}.${failures.length}`;
@@ -273,11 +276,9 @@
       queues.releaseServer(call.service.id, queueCall, chosen.value, false);
       return { type: 'refused', refusal };
     }
-    if (failures.length === 0) {
-      const attempted = { team: team.id, service: call.service.id };
-      this.options.retryGate.recordAttempt(attempted, [chosen.value], this.options.clock.now());
-    }
+    if (failures.length === 0) call.retries.recordAttempt([chosen.value]);
     const sentAt = this.options.clock.now();
+    call.retries.recordRun();
     const result = await this.dispatch(call, queueCall, chosen.value);
     fairQueues.release(held);
     // Also where a rest is still to be read: the server has run the call, and a slow caller must not keep its slot.
@@ -287,6 +288,7 @@
     if (result.isErr()) {
       const { type, dispatched, message } = result.error;
       if (dispatched) call.policy.executions?.record();
+      if (reachedNoUpstream(result.error)) call.retries.withdrawRun();
       log('try_failed', { id: call.id, server: chosen.value, error: type, dispatched, message });
     }
     return result.match(
--- a/packages/router/src/serving/completionAttemptPlan.ts
+++ b/packages/router/src/serving/completionAttemptPlan.ts
@@ -15,6 +15,7 @@
 import type { EnginePlacement, Placer } from '../placing/Placer.ts';
 import type { ReservationRenewer } from '../placing/ReservationRenewer.ts';
 import type { RequestGuard } from './RequestGuard.ts';
+import type { RequestRetries } from './RequestRetries.ts';
 import type { StreamRelocator } from './StreamRelocator.ts';
 
 /** Components of the host that an attempt uses. */
@@ -61,8 +62,8 @@
   readonly maxTokens: Tokens;
   readonly limits: StreamLimits;
   readonly guard: RequestGuard;
-  /** Takes one retry from the budget, to send the request to another engine; false if none is left. */
-  readonly tryRetry: () => boolean;
+  /** Charges its retries, and counts its arrivals. */
+  readonly retries: RequestRetries;
 }
 
 /** How an attempt ended. */
--- a/packages/router/src/serving/resolvedCall.ts
+++ b/packages/router/src/serving/resolvedCall.ts
@@ -1,19 +1,12 @@
 import type { ServiceRequest } from '@camphorvane/caller';
-import type {
-  Millis,
-  PromptPart,
-  RequestId,
-  ServiceConfig,
-  ServiceRoute,
-  UpstreamId,
-} from '@camphorvane/core';
-import type { CallerTimes, RetryContext } from '@camphorvane/decisions';
+import type { Millis, PromptPart, RequestId, ServiceConfig, ServiceRoute } from '@camphorvane/core';
+import type { CallerTimes, RequestArrivals, RetryContext } from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
-import type { RetryTarget } from '../host/ports.ts';
 import type { ExecutionCount } from './ExecutionCount.ts';
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
 import { sharedPartsOf } from './requestTraits.ts';
+import type { RequestRetries } from './RequestRetries.ts';
 
 /** Limits on the attempts of one service call. */
 export interface CallPolicy {
@@ -37,6 +30,8 @@
   readonly isCharged?: boolean;
   /** Counts the upstreams that may have run the request; absent where nobody asks for it. */
   readonly executions?: ExecutionCount;
+  /** Arrivals of the request at upstreams; absent where no other host may have sent it. */
+  readonly arrivals?: RequestArrivals;
 }
 
 /** A service call whose caller is authenticated and whose route is resolved. */
@@ -52,9 +47,8 @@
   readonly signal: AbortSignal;
 }
 
-export function serviceRetryTarget(call: ResolvedCall, upstream: UpstreamId): RetryTarget {
-  return { team: call.caller.team.id, service: call.service.id, upstream };
-}
+/** A call whose retries are charged. */
+export type TrackedCall = ResolvedCall & { readonly retries: RequestRetries };
 
 /** Gets what identifies a call and its repeats where crashes are counted. */
 export function guardedCall(call: ResolvedCall): GuardedRequest {
--- a/packages/router/src/serving/resolvedCompletion.ts
+++ b/packages/router/src/serving/resolvedCompletion.ts
@@ -2,19 +2,22 @@
 import type {
   Millis,
   ModelId,
-  PoolConfig,
   Prompt,
   RequestId,
   RoutingConfig,
   Tokens,
-  UpstreamId,
   WorkClass,
 } from '@camphorvane/core';
 import { countPromptTokens } from '@camphorvane/core';
-import type { CallerTimes, RetryContext, StreamBinding } from '@camphorvane/decisions';
+import type {
+  CallerTimes,
+  RequestArrivals,
+  RetryContext,
+  StreamBinding,
+} from '@camphorvane/decisions';
 import type { UpstreamResponseHead } from '@camphorvane/upstream';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
-import type { RateCharge, RetryTarget } from '../host/ports.ts';
+import type { RateCharge } from '../host/ports.ts';
 import type {
   AttemptEvent,
   AttemptOutcome,
@@ -26,6 +29,7 @@
 import { CrashGuard } from './CrashGuard.ts';
 import type { GuardedRequest } from './CrashGuard.ts';
 import { sharedTraitsOf } from './requestTraits.ts';
+import type { RequestRetries } from './RequestRetries.ts';
 
 /** Attempts for one completion; with more, one bad prompt could reach every engine. */
 export const MAX_COMPLETION_ATTEMPTS = 4;
@@ -56,6 +60,8 @@
   readonly isCharged?: boolean;
   /** Counts the upstreams that may have run the request; absent where nobody asks for it. */
   readonly executions?: ExecutionCount;
+  /** Arrivals of the request at upstreams; absent where no other host may have sent it. */
+  readonly arrivals?: RequestArrivals;
   /** Whether an engine may have run it for another host, which passed it on or was lost. */
   readonly hasRunElsewhere?: boolean;
   /** Which engines may go on with the stream; any where absent. */
@@ -130,14 +136,6 @@
   return { expectedTokens, longestPauseMs, isResumable };
 }
 
-export function completionRetryTarget(
-  completion: ResolvedCompletion,
-  pool: PoolConfig,
-  upstream: UpstreamId,
-): RetryTarget {
-  return { team: completion.caller.team.id, service: pool.model, upstream };
-}
-
 /** Gets the digest of a completion's content, which is the same for each retry of its caller. */
 function completionDigest({ model, prompt, caller }: ResolvedCompletion): string {
   if (typeof prompt === 'string') return CrashGuard.digestOf(model, prompt);
@@ -145,8 +143,18 @@
   return CrashGuard.digestOf(caller.team.id, path, Buffer.from(body).toString('base64'));
 }
 
-/** Gets the progress of a completion that was accepted a moment ago. */
-export function progressOf(completion: ResolvedCompletion, acceptedAt: Millis): CompletionProgress {
+/**
+ * Gets the progress of a completion that was accepted a moment ago.
+ *
+ * @param completion - The completion.
+ * @param acceptedAt - When it was accepted.
+ * @param retries - Charges its retries.
+ */
+export function progressOf(
+  completion: ResolvedCompletion,
+  acceptedAt: Millis,
+  retries: RequestRetries,
+): CompletionProgress {
   return new CompletionProgress(
     countPromptTokens(completion.prompt),
     acceptedAt,
@@ -155,6 +163,7 @@
       shared: sharedTraitsOf(completion.model, completion.prompt),
     },
     completion.policy,
+    retries,
   );
 }
 
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -9,7 +9,12 @@
   TeamId,
   WorkClass,
 } from '@camphorvane/core';
-import type { CallerTimes, RetryContext, StreamBinding } from '@camphorvane/decisions';
+import type {
+  CallerTimes,
+  RequestArrivals,
+  RetryContext,
+  StreamBinding,
+} from '@camphorvane/decisions';
 import type { AuthenticatedCaller } from '../host/Authenticator.ts';
 import type { ExecutionCount } from './ExecutionCount.ts';
 import type { ResolvedCall } from './resolvedCall.ts';
@@ -58,6 +63,8 @@
   /** Estimated milliseconds since the caller's first attempt at this request. */
   readonly ageMs: Millis;
   readonly executions: ExecutionCount;
+  /** Arrivals at upstreams, over all hosts that it passes. */
+  readonly arrivals: RequestArrivals;
   /** Whether the call is charged to its team already. */
   readonly isCharged: boolean;
   /** Which engines may run it, where it is a stream. */
@@ -86,7 +93,7 @@
   now: Millis,
   signal: AbortSignal,
 ): ResolvedCompletion {
-  const { id, req, route, caller, config, executions, isCharged } = call;
+  const { id, req, route, caller, config, executions, arrivals, isCharged } = call;
   const { work } = req;
   const { method, path, headers, body } = req;
   const { deadlineAt } = call;
@@ -115,6 +122,7 @@
       retry: retryContextOf(call, now),
       isCharged,
       executions,
+      arrivals,
       hasRunElsewhere: executions.get() > 0,
       binding: call.binding,
     },
@@ -136,7 +144,7 @@
   now: Millis,
   signal: AbortSignal,
 ): ResolvedCall {
-  const { id, req, route, caller, executions, isCharged } = call;
+  const { id, req, route, caller, executions, arrivals, isCharged } = call;
   return {
     id,
     req: { ...req, idempotencyKey: undefined },
@@ -152,6 +160,7 @@
       retry: retryContextOf(call, now),
       isCharged,
       executions,
+      arrivals,
     },
     caller,
     service,
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -334,7 +334,7 @@
       },
       group,
       rates: new GossipRateGate(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }, turns),
-      retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, () => 1)),
+      retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, () => 1), metrics),
       placer,
       admission: knowledge.admission,
       signals: new UpstreamSignalRecorder(knowledge.admission.constraints, clock, metrics),
