Tests: retries of a fleet whose hosts restart while everything is rejected; KNOWN-RED

Hosts of StoreCoordination on a virtual clock, with records, gossip and new incarnations, retry every request as often as their budget allows while they are killed at once or in turn, stopped, replaced, cut off, alone or joined by others.

--- a/packages/router/tests/support/StoreFleet.ts
+++ b/packages/router/tests/support/StoreFleet.ts
@@ -15,6 +15,12 @@
 import { TurnRegistry } from '../../src/serving/TurnRegistry.ts';
 import { WatchableMemoryStore } from './WatchableMemoryStore.ts';
 
+/** Retries that all hosts together may send. */
+export const RETRY_ALLOWANCE = { ratio: 0.2, slack: 50, windowMs: 10_000 } as const;
+
+/** Milliseconds that a host takes to stop. */
+const STOP_MS: Millis = 300;
+
 const NETWORK_DELAY_MS: Millis = 2;
 
 const FORMAT: DeploymentFormat = {
@@ -75,6 +81,8 @@
 
   private readonly stops = new Map<string, AbortController>();
 
+  private readonly live: StoreHost[] = [];
+
   private incarnations = 0;
 
   /** @param count - Number of hosts; they start at once. */
@@ -83,6 +91,7 @@
       const name = `h${String(i).padStart(3, '0')}`;
       return { name, coordination: this.startHost(name) };
     });
+    this.live.push(...this.hosts);
   }
 
   /** Advances the clock until every host has read the records of all others. */
@@ -97,6 +106,34 @@
     Object.assign(host, { coordination: this.startHost(host.name) });
   }
 
+  /** Gets the hosts that run. */
+  getLiveHosts(): readonly StoreHost[] {
+    return this.live;
+  }
+
+  /** Ends a host for good. */
+  kill(host: StoreHost): void {
+    this.stops.get(host.name)?.abort();
+    host.coordination.stop();
+    this.live.splice(this.live.indexOf(host), 1);
+  }
+
+  /** Starts another host. */
+  add(name: string): StoreHost {
+    const host = { name, coordination: this.startHost(name) };
+    this.live.push(host);
+    return host;
+  }
+
+  /** Has a host stop by itself, and starts it again. */
+  stopAndRestart(host: StoreHost): void {
+    void host.coordination.beginLeaving();
+    this.clock.after(STOP_MS, () => {
+      void host.coordination.leave();
+      this.restart(host);
+    });
+  }
+
   /** Has a host connect to an upstream of the service `s`, as for a request. */
   connect({ name, coordination }: StoreHost): void {
     const attempt = coordination.context.reach.begin(UPSTREAMS[0] ?? '', () => undefined);
@@ -108,7 +145,7 @@
   /** Stops all hosts. */
   end(): void {
     this.stops.forEach((stop) => stop.abort());
-    this.hosts.forEach(({ coordination }) => coordination.stop());
+    this.live.forEach(({ coordination }) => coordination.stop());
   }
 
   private startHost(name: string): StoreCoordination {
@@ -185,7 +222,7 @@
     {
       ...{ store: store.asStore(), format: FORMAT, hints, strength: 1, metrics },
       tolerance: { over: 0.1, slackTokens: 0, windowMs: 8_000 },
-      retryAllowance: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      retryAllowance: RETRY_ALLOWANCE,
       ...{
         strictKeysMs: undefined,
         watchMs: 1_800,
