Divide the slack of retry budgets by what processes can have used within the window

Cause: each host counted its retries in memory, and a process that started had its whole part of the slack at once, within a window in which the one before it had used the same part. The class is a limit over a window whose memory ends with the process.

SlackShares gives a process its equal part once it has run for a window. A younger one gets an equal part of what neither its peers nor processes that have ended can have used, by what hosts gossip: what they have used of the slack, and which processes ended, with what those had reported if they left. A process that was lost is assumed to have used its part, and one that was lost early a part of what was left. A process learns of the one before it from its record in the store. While nobody can tell, the slack is used, so that hosts which hear nobody, or are lost all at once, retry what their own requests earn. Hosts that are gone keep their parts for a window, so that a host whose records vanish doesn't take the whole slack. Hosts with relays get the sums by digests.

A host was allowed one retry in a window even where its part is below one; that holds for processes that have run for a window.

--- a/packages/decisions/src/retry/ServiceRetryBudget.ts
+++ b/packages/decisions/src/retry/ServiceRetryBudget.ts
@@ -1,4 +1,6 @@
 import type { Millis, ServiceId } from '@camphorvane/core';
+import type { SlackUse } from './RetryReport.ts';
+import type { SlackShare } from './SlackShares.ts';
 import { SlidingWindowCounter } from './SlidingWindowCounter.ts';
 
 /** Retries that all hosts together may send to a service. */
@@ -22,9 +24,13 @@
   readonly allowed: number;
   readonly earned: number;
   /** Its part of the slack, which may be less than one retry. */
-  readonly slack: number;
-  /** Number of hosts that share the slack. */
-  readonly hosts: number;
+  readonly slack: SlackShare;
+}
+
+/** Divides the slack among hosts. */
+export interface SlackDivider {
+  /** Gets this host's part of the slack of a service. */
+  getShare(service: ServiceId, slack: number, now: Millis): SlackShare;
 }
 
 interface Counts {
@@ -36,25 +42,25 @@
  * Limits the retries that this host sends to each service.
  *
  * Guards against retry storms on a service whose servers fail or are full, where retries add to the
- * load that made the first attempts fail. The allowance is for all hosts together, so each host has an
- * equal share of the slack plus what its own requests earn. Requests and retries are counted over the
+ * load that made the first attempts fail. The allowance is for all hosts together, so each host has a
+ * part of the slack plus what its own requests earn. Requests and retries are counted over the
  * allowance's own window, so that all retries of a window may be sent at once: a server that crashes
  * fails all its requests, on all hosts, at the same moment.
  */
 export class ServiceRetryBudget {
   private readonly allowance: RetryAllowance;
 
-  private readonly hostCount: () => number;
+  private readonly divider: SlackDivider;
 
   private readonly counts = new Map<ServiceId, Counts>();
 
   /**
    * @param allowance - Retries of all hosts together.
-   * @param hostCount - Gets the number of hosts that share the allowance.
+   * @param divider - Divides the slack among the hosts.
    */
-  constructor(allowance: RetryAllowance, hostCount: () => number) {
+  constructor(allowance: RetryAllowance, divider: SlackDivider) {
     this.allowance = allowance;
-    this.hostCount = hostCount;
+    this.divider = divider;
   }
 
   /** Records the first attempt of a request, which earns part of a retry. */
@@ -74,10 +80,19 @@
   inspect(service: ServiceId, now: Millis): RetryBudgetState {
     const { requests, retries } = this.countsOf(service);
     const earned = requests.count(now) * this.allowance.ratio * USED_FRACTION;
-    const slack = this.slackShare();
-    // Each host is allowed one retry in a window, even if its share is below one.
-    const allowed = Math.max(1, slack + earned);
-    return { used: retries.count(now), allowed, earned, slack, hosts: this.hostCount() };
+    const slack = this.divider.getShare(service, this.allowance.slack * USED_FRACTION, now);
+    // Each host is allowed one retry in a window, even if its share is below one, unless one before it may have sent it.
+    const allowed = Math.max(slack.isSettled ? 1 : 0, slack.retries + earned);
+    return { used: retries.count(now), allowed, earned, slack };
+  }
+
+  /** Gets what this host has used of the slack of each service in the last window. */
+  getUsedSlack(now: Millis): SlackUse {
+    return [...this.counts].flatMap(([service, { requests, retries }]) => {
+      const earned = requests.count(now) * this.allowance.ratio * USED_FRACTION;
+      const used = Math.ceil(retries.count(now) - earned);
+      return used > 0 ? [[service, used] as const] : [];
+    });
   }
 
   private countsOf(service: ServiceId): Counts {
@@ -91,9 +106,4 @@
     this.counts.set(service, counts);
     return counts;
   }
-
-  /** Gets this host's share of the slack, which may be less than one retry. */
-  private slackShare(): number {
-    return (this.allowance.slack * USED_FRACTION) / Math.max(1, this.hostCount());
-  }
 }
--- a/packages/peer/src/hints/HostDigest.ts
+++ b/packages/peer/src/hints/HostDigest.ts
@@ -3,6 +3,7 @@
   CallTime,
   QueueQuote,
   ReachSummary,
+  RetrySummary,
   SuspicionReports,
   UpstreamReport,
   UsageRow,
@@ -16,6 +17,7 @@
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
 import { decodeReachSummary, encodeReachSummary } from './reachCodec.ts';
+import { decodeRetrySummary, encodeRetrySummary } from './retryCodec.ts';
 import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 import {
@@ -48,6 +50,8 @@
 const SUSPICION_INDEX = 21;
 /** Index of the services that hosts reach. */
 const REACH_INDEX = 22;
+/** Index of what hosts have used of retry budgets. */
+const RETRIES_INDEX = 23;
 
 const DIGEST_PREFIX = Buffer.from(`["${DIGEST_TAG}",`);
 
@@ -102,6 +106,8 @@
   readonly suspicion?: SuspicionReports;
   /** Which services hosts reach; absent where none of them reports it. */
   readonly reach?: ReachSummary;
+  /** What these hosts have used of retry budgets; absent from an earlier program. */
+  readonly retries?: RetrySummary;
 }
 
 /**
@@ -141,7 +147,10 @@
     encodeWaitQuotes(digest.quotes),
   ];
   const reach = digest.reach && encodeReachSummary(digest.reach);
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest, reach)));
+  const retries = encodeRetrySummary(digest.retries);
+  return Buffer.from(
+    JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, digest, reach, retries)),
+  );
 }
 
 /**
@@ -177,6 +186,7 @@
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
   const reach = decodeReachSummary(fields[REACH_INDEX]);
+  const retries = decodeRetrySummary(fields[RETRIES_INDEX]);
   if (drained === undefined || upstreams === undefined || callTimes === undefined) return undefined;
   if (quotes === undefined || usage === undefined || suspicion === undefined) return undefined;
   const engines = decodeRows(rows, decodeEngineHint);
@@ -199,6 +209,7 @@
     ...(callTimes.length === 0 ? {} : { callTimes }),
     ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
     ...(reach === undefined ? {} : { reach }),
+    ...(retries === undefined ? {} : { retries }),
   };
 }
 
--- a/packages/peer/src/hints/HostHint.ts
+++ b/packages/peer/src/hints/HostHint.ts
@@ -11,6 +11,7 @@
   CallTime,
   QueueQuote,
   ReachReport,
+  RetryReport,
   SuspicionReports,
   UpstreamReport,
   UsageRow,
@@ -39,6 +40,7 @@
 import { decodeUpstreamReports, encodeUpstreamReports } from './upstreamReportCodec.ts';
 import { withOptionalFields } from './optionalFields.ts';
 import { decodeReach, encodeReach } from './reachCodec.ts';
+import { decodeRetries, encodeRetries } from './retryCodec.ts';
 import { decodeUsage } from './usageCodec.ts';
 import { decodeWaitQuotes, encodeWaitQuotes } from './waitQuoteCodec.ts';
 
@@ -53,6 +55,8 @@
 const SUSPICION_INDEX = 18;
 /** Index of the services that the host reaches. */
 const REACH_INDEX = 19;
+/** Index of what the host has used of retry budgets. */
+const RETRIES_INDEX = 20;
 
 /** Values of {@link DigestFrequency}; a datagram carries the index. */
 const DIGEST_FREQUENCIES = ['none', 'seldom', 'often'] as const;
@@ -106,6 +110,8 @@
   readonly suspicion?: SuspicionReports;
   /** Which services the host reaches; absent where it serves no requests of other hosts. */
   readonly reach?: ReachReport;
+  /** What the host has used of retry budgets; absent where nothing is reported. */
+  readonly retries?: RetryReport;
 }
 
 /**
@@ -144,7 +150,10 @@
     encodeWaitQuotes(hint.quotes),
   ];
   const reach = hint.reach && encodeReach(hint.reach);
-  return Buffer.from(JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint, reach)));
+  const retries = encodeRetries(hint.retries);
+  return Buffer.from(
+    JSON.stringify(withOptionalFields(fields, FIXED_FIELDS, hint, reach, retries)),
+  );
 }
 
 /**
@@ -163,6 +172,7 @@
   const callTimes = decodeCallTimes(fields[CALL_TIMES_INDEX]);
   const suspicion = decodeSuspicion(fields[SUSPICION_INDEX]);
   const reach = decodeReach(fields[REACH_INDEX]);
+  const retries = decodeRetries(fields[RETRIES_INDEX]);
   if (typeof host !== 'string' || typeof incarnation !== 'string') return undefined;
   if (!isNonNegativeNumber(sequence) || !Array.isArray(rows)) return undefined;
   if (!Array.isArray(charged) || !charged.every(isNamedNumber)) return undefined;
@@ -213,5 +223,6 @@
     ...(callTimes.length === 0 ? {} : { callTimes }),
     ...(isEmptySuspicion(suspicion) ? {} : { suspicion }),
     ...(reach === undefined ? {} : { reach }),
+    ...(retries === undefined ? {} : { retries }),
   };
 }
--- a/packages/peer/src/hints/optionalFields.ts
+++ b/packages/peer/src/hints/optionalFields.ts
@@ -24,6 +24,7 @@
  * @param fixed - Number of fields that are always written.
  * @param optional - The optional fields.
  * @param reach - Which services hosts reach, encoded; absent where it is not reported.
+ * @param retries - What hosts have used of retry budgets, encoded; absent where it is not reported.
  * @returns The fields to write.
  */
 export function withOptionalFields(
@@ -31,8 +32,11 @@
   fixed: number,
   { usage, callTimes = [], suspicion = NO_SUSPICION }: OptionalFields,
   reach?: readonly unknown[],
+  retries?: readonly unknown[],
 ): readonly unknown[] {
   const times = [usage ?? null, UNUSED, encodeCallTimes(callTimes)];
+  if (retries !== undefined)
+    return [...fields, ...times, encodeSuspicion(suspicion), reach ?? null, retries];
   if (reach !== undefined) return [...fields, ...times, encodeSuspicion(suspicion), reach];
   if (!isEmptySuspicion(suspicion)) return [...fields, ...times, encodeSuspicion(suspicion)];
   if (callTimes.length > 0) return [...fields, ...times];
--- a/packages/router/src/coordination/DigestBuilder.ts
+++ b/packages/router/src/coordination/DigestBuilder.ts
@@ -10,10 +10,10 @@
 } from '@camphorvane/core';
 import type {
   CallTime,
-  HeldMemory,
   PoolDemand,
   QueueQuote,
   ReachSummary,
+  RetrySummary,
   UpstreamReport,
 } from '@camphorvane/decisions';
 import {
@@ -23,7 +23,6 @@
   NO_DEMAND,
   subtractDemand,
   sumDemand,
-  sumHeld,
 } from '@camphorvane/decisions';
 import type {
   DemandHint,
@@ -35,22 +34,11 @@
 import type { UsageSums } from './UsageReports.ts';
 import { UsageReports, usageWithout } from './UsageReports.ts';
 import { countsWithout, sumCounts } from './countSums.ts';
+import { enginesWithout, sumEngines } from './engineSums.ts';
 import { sumQuotes, quotesWithout } from './sumQuotes.ts';
 import { sumReach } from './sumReach.ts';
 import type { ReceivedHint } from './sumReach.ts';
 
-/**
- * Limit of the engines in one digest, which keeps those with the most memory in use: an engine takes
- * about 40 bytes, and a datagram holds 64 KB.
- */
-const MAX_ENGINES = 1_200;
-
-/**
- * Limit of the engines in one digest with what their streams hold, 12 bytes each: 7 KB per second for a
- * host in a fleet of 350. Only engines that are nearly full need it.
- */
-const MAX_HELD_ENGINES = 128;
-
 /** Sums over the recent hints of all hosts. */
 export interface AggregatedHints {
   readonly engines: ReadonlyMap<UpstreamId, EngineHint>;
@@ -71,13 +59,18 @@
   readonly usage: UsageSums | undefined;
   readonly callTimes: readonly CallTime[];
   readonly reach: ReachSummary | undefined;
+  /** What hosts have used of the slack of retry budgets, by service. */
+  readonly usedSlack: ReadonlyMap<ServiceId, number>;
 }
 
 /** Fields of a digest beside the sums. */
 export type DigestHeader = Pick<
   HostDigest,
   'host' | 'incarnation' | 'sequence' | 'silent' | 'suspicion' | 'contact'
->;
+> & {
+  /** What processes that have ended had used of retry budgets; absent where nobody counts it. */
+  readonly ended?: Omit<RetrySummary, 'used'>;
+};
 
 /**
  * Collects the hints of many hosts and builds a digest of them for each receiver.
@@ -159,6 +152,7 @@
         [...this.hints.values()].flatMap((one) => agedCallTimes(one, now)),
       ),
       reach: sumReach([...this.hints.values()], now),
+      usedSlack: sumCounts(hints.flatMap((hint) => hint.retries?.used ?? [])),
     };
   }
 
@@ -170,8 +164,9 @@
    * @param head - The other fields of the digest.
    * @returns The digest.
    */
-  digestFor(receiver: HostId, sums: AggregatedHints, head: DigestHeader): HostDigest {
+  digestFor(receiver: HostId, sums: AggregatedHints, { ended, ...head }: DigestHeader): HostDigest {
     const own = this.hints.get(receiver)?.hint;
+    const usedByOthers = countsWithout(sums.usedSlack, own?.retries?.used);
     return {
       ...head,
       hostCount: this.hints.size - (own === undefined ? 0 : 1),
@@ -200,6 +195,9 @@
       usage: usageWithout(sums.usage, receiver),
       callTimes: sums.callTimes,
       ...(sums.reach === undefined ? {} : { reach: sums.reach }),
+      ...(ended === undefined
+        ? {}
+        : { retries: { ...ended, used: [...usedByOthers].filter(([, used]) => used > 0) } }),
     };
   }
 
@@ -270,78 +268,3 @@
   const times = hint.callTimes ?? [];
   return times.map((time) => ({ ...time, ageMs: time.ageMs + now - receivedAt }));
 }
-
-function sumEngines(hints: readonly HostHint[]): ReadonlyMap<UpstreamId, EngineHint> {
-  return hints
-    .flatMap((hint) => hint.engines)
-    .reduce((sums, one) => {
-      const sum = sums.get(one.engine);
-      return sums.set(one.engine, {
-        engine: one.engine,
-        prefillTokens: one.prefillTokens + (sum?.prefillTokens ?? 0),
-        streams: one.streams + (sum?.streams ?? 0),
-        memoryTokens: one.memoryTokens + (sum?.memoryTokens ?? 0),
-        ...addHeld(sum, one),
-      });
-    }, new Map<UpstreamId, EngineHint>());
-}
-
-type Held = Pick<EngineHint, 'held'>;
-
-/** Adds up what streams hold; the mean memory stands in for hosts that don't report it. */
-function addHeld(sum: EngineHint | undefined, one: EngineHint): Held {
-  if (sum?.held === undefined && one.held === undefined) return {};
-  return { held: sumHeld(heldOrMean(sum), heldOrMean(one)) };
-}
-
-function subtractHeld({ held }: EngineHint, load: EngineHint): Held {
-  if (held === undefined) return {};
-  const own = heldOrMean(load);
-  const tokens = Math.max(0, held.tokens - own.tokens);
-  return { held: { tokens, growthPerMs: Math.max(0, held.growthPerMs - own.growthPerMs) } };
-}
-
-function heldOrMean(load: EngineHint | undefined): HeldMemory {
-  return load?.held ?? { tokens: load?.memoryTokens ?? 0, growthPerMs: 0 };
-}
-
-/** Gets the load of all hosts but one on the engines; an engine that only it uses is left out. */
-function enginesWithout(
-  sums: ReadonlyMap<UpstreamId, EngineHint>,
-  own: HostHint | undefined,
-): readonly EngineHint[] {
-  const ownLoads = new Map(own?.engines.map((one) => [one.engine, one]));
-  const others = [...sums.values()]
-    .map((sum) => {
-      const load = ownLoads.get(sum.engine);
-      if (load === undefined) return sum;
-      return {
-        engine: sum.engine,
-        prefillTokens: Math.max(0, sum.prefillTokens - load.prefillTokens),
-        streams: Math.max(0, sum.streams - load.streams),
-        memoryTokens: Math.max(0, sum.memoryTokens - load.memoryTokens),
-        ...subtractHeld(sum, load),
-      };
-    })
-    .filter((load) => load.prefillTokens + load.streams + load.memoryTokens > 0);
-  const kept =
-    others.length <= MAX_ENGINES
-      ? others
-      : others.sort((a, b) => b.memoryTokens - a.memoryTokens).slice(0, MAX_ENGINES);
-  return boundHeld(kept);
-}
-
-/** Keeps what streams hold for the engines that hold the most; the mean memory does for the others. */
-function boundHeld(engines: readonly EngineHint[]): readonly EngineHint[] {
-  const withHeld = engines.filter(({ held }) => held !== undefined);
-  if (withHeld.length <= MAX_HELD_ENGINES) return engines;
-  const fullest = new Set(
-    withHeld
-      .sort((a, b) => heldOrMean(b).tokens - heldOrMean(a).tokens)
-      .slice(0, MAX_HELD_ENGINES)
-      .map(({ engine }) => engine),
-  );
-  return engines.map(({ held, ...load }) =>
-    fullest.has(load.engine) && held !== undefined ? { ...load, held } : load,
-  );
-}
--- a/packages/router/src/coordination/HintReceiver.ts
+++ b/packages/router/src/coordination/HintReceiver.ts
@@ -12,6 +12,7 @@
 import type { DeploymentFeed } from './DeploymentFeed.ts';
 import type { HostRoster } from './HostRoster.ts';
 import type { GossipRateGate } from './GossipRateGate.ts';
+import type { SharedRetryBudget } from './SharedRetryBudget.ts';
 
 /** Options of a {@link HintReceiver}: the parts of a host that use what its peers report. */
 export interface HintReceiverOptions {
@@ -27,6 +28,7 @@
   readonly turns: TurnRegistry;
   readonly crashGuard: CrashGuard;
   readonly reach: ReachMonitor;
+  readonly retryBudget: SharedRetryBudget;
 }
 
 /** Milliseconds for which a digest tells which services hosts reach; digests are less than a second apart. */
@@ -62,14 +64,20 @@
     if (hint.usage !== undefined) fairQueues.usage.receive(hint.host, hint.usage, now);
     turns.receive(hint.host, hint.quotes);
     knowledge.speeds.receive(hint.callTimes ?? [], now);
-    this.receiveSuspicion(hint);
+    this.receiveRelayed(hint);
     const { reach } = this.options;
     reach.peers.receive(hint.host, hint.reach, now + gossipTtlMs(hint.nextMs), now);
     reach.recordPeerReports();
   }
 
+  /** Receives what this host needs of each hint that it relays, and of those of a full mesh. */
+  receiveRelayed(hint: HostHint): void {
+    this.receiveSuspicion(hint);
+    this.options.retryBudget.receive(hint);
+  }
+
   /** Receives what a hint or a digest reports of requests that crash upstreams. */
-  receiveSuspicion({ suspicion }: Pick<HostHint, 'suspicion'>): void {
+  private receiveSuspicion({ suspicion }: Pick<HostHint, 'suspicion'>): void {
     if (suspicion !== undefined) this.options.crashGuard.receive(suspicion);
   }
 
@@ -95,6 +103,7 @@
     turns.receiveSum(digest.quotes);
     knowledge.speeds.receive(digest.callTimes ?? [], now);
     this.receiveSuspicion(digest);
+    this.options.retryBudget.receiveDigest(digest);
     const { reach } = this.options;
     reach.peers.receiveSummary(digest.reach, now + DIGEST_REACH_TTL_MS, now);
     reach.recordPeerReports();
--- a/packages/router/src/coordination/HostRecords.ts
+++ b/packages/router/src/coordination/HostRecords.ts
@@ -36,7 +36,9 @@
   readonly getQuarantine: () => readonly CrashReport[];
   /** Called with the crashes in a record, this host's own or an earlier one under its name included. */
   readonly onQuarantine: (crashes: readonly CrashReport[], from: HostId) => void;
-  /** Called with the peers that have a record, whenever they change. */
+  /** Called before the first write with the incarnation of the process that has written the record of this host. */
+  readonly onEarlierProcess: (incarnation: Incarnation) => void;
+  /** Called with the peers that have a record, once they are known and whenever they change. */
   readonly onPeersChange: (others: readonly HostId[]) => void;
 }
 
@@ -46,7 +48,8 @@
 
   private readonly own: SingleWriterObject;
 
-  private peers: readonly HostId[] = [];
+  /** Names of the peers with a record; undefined until the records were read. */
+  private peers: readonly HostId[] | undefined;
 
   /** Versions of malformed records that were logged, by name. */
   private readonly unreadable = new Map<string, ObjectVersion>();
@@ -131,12 +134,20 @@
       runInBackground('records.remove', async () => store.remove(kind, host, version));
     });
     const peers = roster.getPeers();
-    if (peers.join() === this.peers.join()) return;
-    log('sharers', { before: this.peers.length + 1, now: peers.length + 1 });
+    const before = this.peers;
+    if (before === undefined) this.recordEarlierProcess(records.map(({ record }) => record));
+    else if (peers.join() === before.join()) return;
+    log('sharers', { before: (before?.length ?? 0) + 1, now: peers.length + 1 });
     this.peers = peers;
     onPeersChange(peers);
   }
 
+  private recordEarlierProcess(records: readonly HostRecord[]): void {
+    const { identity, incarnation, onEarlierProcess } = this.options;
+    const own = records.find(({ host }) => host === identity.host);
+    if (own !== undefined && own.incarnation !== incarnation) onEarlierProcess(own.incarnation);
+  }
+
   /** Reads a record; one that is malformed is left out, and logged once for each of its versions. */
   private readRecord(object: StoredObject): HostRecord | undefined {
     const read = contain('records.record', () => readHostRecord(object));
--- a/packages/router/src/coordination/PeerGossip.ts
+++ b/packages/router/src/coordination/PeerGossip.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Incarnation, Millis } from '@camphorvane/core';
 import { InterruptibleSleep, runInBackground, runLoop, sleep } from '@camphorvane/core';
-import type { GossipTimings, SuspicionReports } from '@camphorvane/decisions';
+import type { GossipTimings, RetrySummary, SuspicionReports } from '@camphorvane/decisions';
 import { gossipTimings } from '@camphorvane/decisions';
 import type { HintLink, HostDigest, HostHint } from '@camphorvane/peer/hints';
 import type { ContactReport } from '@camphorvane/store';
@@ -43,6 +43,8 @@
   readonly getContact: () => ContactReport | undefined;
   /** Gets what a relay reports to all hosts of requests that crash upstreams. */
   readonly getRelayedSuspicion: () => SuspicionReports;
+  /** Gets what a relay reports to all hosts of processes that have ended. */
+  readonly getEndedProcesses: () => Omit<RetrySummary, 'used'>;
   /** Called in a full mesh with each hint of a peer that is newer than the last one. */
   readonly onHint: (hint: HostHint) => void;
   /** Called on a relay with each hint that it adds to its digests. */
@@ -193,11 +195,12 @@
     silent: readonly HostId[],
     suspicion: SuspicionReports,
   ): HostDigest {
-    const { self, incarnation, getContact } = this.options;
+    const { self, incarnation, getContact, getEndedProcesses } = this.options;
     this.sequence += 1;
-    const contact = getContact();
-    const head = { host: self, incarnation, sequence: this.sequence, silent, suspicion, contact };
-    return this.builder.digestFor(receiver, sums, head);
+    const head = { host: self, incarnation, sequence: this.sequence, silent, suspicion };
+    return this.builder.digestFor(receiver, sums, {
+      ...{ ...head, contact: getContact(), ended: getEndedProcesses() },
+    });
   }
 
   private buildHint(): HostHint {
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -1,9 +1,7 @@
 import type { Clock, HostId, ModelId } from '@camphorvane/core';
 import { runInBackground, wallTimeOf } from '@camphorvane/core';
-import type { GossipTimings } from '@camphorvane/decisions';
 import {
   EngineKnowledge,
-  ServiceRetryBudget,
   SlowStart,
   SlowStartQuotas,
   UpstreamAdmission,
@@ -18,7 +16,6 @@
 import { LocalPlacer } from '../placing/LocalPlacer.ts';
 import type { RoleControl } from '../placing/RoleControl.ts';
 import { CrashGuard } from '../serving/CrashGuard.ts';
-import { serviceRetryGate } from '../serving/retryGates.ts';
 import { applyReachChange } from './applyReachChange.ts';
 import { buildHintContent } from './buildHintContent.ts';
 import { DeploymentFeed } from './DeploymentFeed.ts';
@@ -29,6 +26,8 @@
 import { HostRoster } from './HostRoster.ts';
 import { PeerGossip } from './PeerGossip.ts';
 import { PeerSnapshots } from './PeerSnapshots.ts';
+import { rankAmong } from './rankAmong.ts';
+import { SharedRetryBudget } from './SharedRetryBudget.ts';
 import { StorePolling } from './StorePolling.ts';
 import type { StoreCoordinationOptions } from './StoreCoordinationOptions.ts';
 import { UpstreamSharers } from './UpstreamSharers.ts';
@@ -53,6 +52,8 @@
 
   readonly retryGate: RetryGate;
 
+  readonly retryBudget: SharedRetryBudget;
+
   readonly placer: LocalPlacer;
 
   readonly crashGuard: CrashGuard;
@@ -96,10 +97,9 @@
   constructor(options: StoreCoordinationOptions, context: CoordinationContext) {
     this.options = options;
     this.context = context;
-    const { clock, random, identity, incarnation, directory, fairQueues } = context;
+    const { clock, random, identity, incarnation, directory, fairQueues, reach } = context;
     const { store, format } = options;
     this.clock = clock;
-    const { reach } = context;
     this.hosts = new HostRoster(identity.host, identity.zone, (host, now) =>
       reach.peers.isCutOff(host, now),
     );
@@ -114,8 +114,11 @@
       roster: this.hosts,
     });
     const quotas = new SlowStartQuotas(identity.host);
-    const getServing = (): readonly HostId[] => this.hosts.getExpectedServing();
-    const sharers = new UpstreamSharers(identity.host, getServing, reach.peers);
+    const sharers = new UpstreamSharers(
+      identity.host,
+      () => this.hosts.getExpectedServing(),
+      reach.peers,
+    );
     const getSharers = (): readonly HostId[] => sharers.get(clock.now());
     const slowStart = new SlowStart((upstream, perSecond) =>
       quotas.get(upstream, getSharers(), perSecond),
@@ -147,6 +150,8 @@
       readFromPeers: (...wanted) => this.snapshots.read(...wanted),
       admission: this.admission,
     });
+    this.retryBudget = new SharedRetryBudget(identity.host, options, clock);
+    this.retryGate = this.retryBudget.gate;
     this.records = new HostRecords({
       ...{ store, contact, clock, identity, incarnation, strength: options.strength },
       kind: format.hostKind,
@@ -158,11 +163,9 @@
           ? this.crashGuard.receiveStored(crashes)
           : this.crashGuard.receiveCrashes(crashes),
       onPeersChange: (peers) => this.applyPeers(peers),
+      onEarlierProcess: (earlier) => this.retryBudget.recordEarlierProcess(earlier),
     });
-    const hostCount = (): number => this.hosts.countHosts();
     this.rates = new GossipRateGate(clock, options.tolerance, context.turns);
-    const budget = new ServiceRetryBudget(options.retryAllowance, hostCount);
-    this.retryGate = serviceRetryGate(budget, options.metrics);
     this.placer = new LocalPlacer({
       ...{ clock, random, directory, knowledge: this.knowledge, incarnation, fairQueues },
       ...{ metrics: options.metrics, onStateChange: () => this.gossip.recordStateChange() },
@@ -188,6 +191,7 @@
       turns: context.turns,
       crashGuard: this.crashGuard,
       reach,
+      retryBudget: this.retryBudget,
     });
     this.gossip = new PeerGossip({
       self: identity.host,
@@ -199,7 +203,8 @@
       getContact: () => this.config.getContact(),
       getRelayedSuspicion: () => this.crashGuard.getReports('relayed'),
       onHint: (hint) => hintReceiver.receive(hint),
-      onRelayedHint: (hint) => hintReceiver.receiveSuspicion(hint),
+      getEndedProcesses: () => this.retryBudget.getEnded(),
+      onRelayedHint: (hint) => hintReceiver.receiveRelayed(hint),
       onDigest: (digest) => {
         hintReceiver.receiveDigest(digest);
         if (this.storePolling.hasLostWatchers()) this.config.pollNow();
@@ -310,16 +315,15 @@
 
   private applyPeers(peers: readonly HostId[]): void {
     this.rates.setPeers(peers);
+    this.retryBudget.setPeers(peers);
     this.listeners.forEach((changed) => changed());
   }
 
-  private timings(): GossipTimings {
-    return gossipTimings(this.hosts.countHosts());
-  }
-
   /** Relays watch the store; the other hosts learn of changes by gossip and poll at long intervals. */
   private followMode(): FollowMode {
-    return !this.timings().isRelayed || this.hosts.isRelay(this.clock.now()) ? 'watch' : 'poll';
+    return !gossipTimings(this.hosts.countHosts()).isRelayed || this.hosts.isRelay(this.clock.now())
+      ? 'watch'
+      : 'poll';
   }
 
   private isWatchingStore(): boolean {
@@ -340,12 +344,7 @@
       );
   }
 
-  /** Gets how many hosts that can act precede this one by name: they stay, and reach the upstreams. */
   private rank(): number | undefined {
-    const canAct = ({ leaving, cutOff }: FleetMember): boolean => !leaving && !cutOff;
-    const { host } = this.context.identity;
-    const members = this.members().filter(canAct);
-    if (!members.some((member) => member.host === host)) return undefined;
-    return members.filter((member) => member.host < host).length;
+    return rankAmong(this.members(), this.context.identity.host);
   }
 }
--- a/packages/router/src/coordination/buildHintContent.ts
+++ b/packages/router/src/coordination/buildHintContent.ts
@@ -5,6 +5,7 @@
 import type { DeploymentFeed } from './DeploymentFeed.ts';
 import type { GossipRateGate } from './GossipRateGate.ts';
 import type { CoordinationContext } from './HostCoordination.ts';
+import type { SharedRetryBudget } from './SharedRetryBudget.ts';
 import type { HintContent } from './PeerGossip.ts';
 
 /** The parts of a host whose state its hints report. */
@@ -20,6 +21,7 @@
   readonly knowledge: EngineKnowledge;
   readonly admission: UpstreamAdmission;
   readonly crashGuard: CrashGuard;
+  readonly retryBudget: SharedRetryBudget;
 }
 
 /**
@@ -34,6 +36,7 @@
   { leaving, watching }: { readonly leaving: boolean; readonly watching: boolean },
 ): HintContent {
   const { context, clock, config, rates, placer, knowledge, admission, crashGuard } = sources;
+  const { retryBudget } = sources;
   const now = clock.now();
   const contact = config.getContact();
   return {
@@ -56,5 +59,6 @@
     callTimes: knowledge.speeds.getReports(now),
     suspicion: crashGuard.getReports('peers'),
     reach: context.reach.getReport(),
+    retries: retryBudget.getReport(now),
   };
 }
--- a/packages/router/src/serving/retryGates.ts
+++ b/packages/router/src/serving/retryGates.ts
@@ -52,16 +52,10 @@
 }
 
 function fieldsOf({ service, upstream }: RetryTarget, state: RetryBudgetState): LogFields {
-  const { used, allowed, earned, slack, hosts } = state;
-  return {
-    service,
-    upstream,
-    used,
-    allowed: tenth(allowed),
-    earned: tenth(earned),
-    slack: tenth(slack),
-    hosts,
-  };
+  const { used, allowed, earned, slack } = state;
+  const { hosts, isSettled, retries } = slack;
+  const parts = { allowed: tenth(allowed), earned: tenth(earned), slack: tenth(retries) };
+  return { service, upstream, used, ...parts, hosts, settled: isSettled };
 }
 
 function tenth(value: number): number {
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -313,6 +313,9 @@
     };
     const { retrySlack: slack = 100 } = this.options;
     const allowance = { ratio: slack > 0 ? 1 : 0, slack, windowMs: 10_000 };
+    const whole = {
+      getShare: (_: string, retries: number) => ({ retries, isSettled: true, hosts: 1 }),
+    };
     const suspicion = { minUpstreams: 3 };
     this.crashGuard = new CrashGuard({ self: 'h', clock, group, metrics, suspicion });
     const knowledge = new EngineKnowledge(undefined, speeds);
@@ -334,7 +337,7 @@
       },
       group,
       rates: new GossipRateGate(clock, { over: 0, slackTokens: 0, windowMs: 1_000 }, turns),
-      retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, () => 1), metrics),
+      retryGate: serviceRetryGate(new ServiceRetryBudget(allowance, whole), metrics),
       placer,
       admission: knowledge.admission,
       signals: new UpstreamSignalRecorder(knowledge.admission.constraints, clock, metrics),
--- a/packages/router/tests/support/GossipFleet.ts
+++ b/packages/router/tests/support/GossipFleet.ts
@@ -135,6 +135,7 @@
       getContact: () => undefined,
       getRelayedSuspicion: () => ({ crashes: [], answers: [], survivals: [] }),
       onRelayedHint: () => undefined,
+      getEndedProcesses: () => ({ endedUse: [], lost: 0, lostEarly: 0 }),
       onHint: (hint) => {
         host.roster.receive(hint, clock.now());
         host.onVersions(hint.versions);
