Charge a request that goes on by way of a peer after an upstream has rejected it

Callers' requests came to engines once more than any budget paid: a host whose engines had rejected a request passed it on to a peer without asking for a retry, and the peer took it for a new one, which earned a part of a retry as well.

RequestArrivals now decides what is charged: each arrival beyond the first of a request, over all hosts that it passes. The relay asks for a retry where an upstream has got the request before, and tells the peer so, which charges what it sends beyond that run and earns nothing. A retry that reached no upstream leaves its charge to the next one. What is sent without a charge all the same is charged after the fact, and logged.

The test 'a request that an upstream has rejected is charged before it goes on over a peer' fails before: no retry was asked for. The relay's test plays the real RequestRetries in place of a stub that counted calls, since a way that is free is asked for now as well.

--- a/packages/decisions/src/retry/RequestArrivals.ts
+++ b/packages/decisions/src/retry/RequestArrivals.ts
@@ -23,11 +23,11 @@
 
   private charged: number;
 
-  /** @param earlier - Arrivals before the request came to this host, which are charged. */
+  /** @param earlier - Arrivals before the request came to this host; they and the next run are charged. */
   constructor(earlier: EarlierArrivals = NO_ARRIVALS) {
     this.count = earlier.count;
     this.isPromptRead = earlier.isPromptRead;
-    this.charged = Math.max(0, earlier.count - 1);
+    this.charged = earlier.count;
   }
 
   /** Tells whether the request has arrived at any upstream. */
--- a/packages/decisions/src/retry/ServiceRetryBudget.ts
+++ b/packages/decisions/src/retry/ServiceRetryBudget.ts
@@ -72,10 +72,15 @@
   tryRetry(service: ServiceId, now: Millis): boolean {
     const { used, allowed } = this.inspect(service, now);
     if (used + 1 > allowed) return false;
-    this.countsOf(service).retries.add(now);
+    this.recordRetry(service, now);
     return true;
   }
 
+  /** Charges a retry to a service that was sent without having been asked for. */
+  recordRetry(service: ServiceId, now: Millis): void {
+    this.countsOf(service).retries.add(now);
+  }
+
   /** Gets what was charged to a service's budget, and what may be. */
   inspect(service: ServiceId, now: Millis): RetryBudgetState {
     const { requests, retries } = this.countsOf(service);
--- a/packages/decisions/tests/retry/RequestArrivals.test.ts
+++ b/packages/decisions/tests/retry/RequestArrivals.test.ts
@@ -48,6 +48,8 @@
   first.recordRun();
   const next = new RequestArrivals(first.getEarlier());
   assert.ok(next.hasArrived());
+  assert.equal(next.retriesFor('run'), 0, 'the other host has charged the run');
+  assert.equal(next.retriesFor('prefill_and_run'), 1);
+  next.recordRun();
   assert.equal(next.retriesFor('run'), 1);
-  assert.equal(next.retriesFor('prefill_and_run'), 2);
 });
--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -8,7 +8,7 @@
   SoftwareVersion,
   Tokens,
 } from '@camphorvane/core';
-import type { StreamBinding } from '@camphorvane/decisions';
+import type { EarlierArrivals, StreamBinding } from '@camphorvane/decisions';
 
 /** A caller's request as the host received it. */
 export interface RelayedCall {
@@ -57,6 +57,8 @@
    * this field must not serve such a stream.
    */
   readonly binding?: StreamBinding;
+  /** Arrivals of the request at upstreams, which are charged with the next run; absent where there are none. */
+  readonly arrivals?: EarlierArrivals;
 }
 
 /** A request that a host passes on to a peer, since it does not reach the upstreams itself. */
--- a/packages/peer/src/relay/relaySchemas.ts
+++ b/packages/peer/src/relay/relaySchemas.ts
@@ -47,6 +47,7 @@
     isCharged: z.boolean().optional(),
     configVersion: z.number().optional(),
     binding: binding.optional(),
+    arrivals: z.looseObject({ count, isPromptRead: z.boolean() }).optional(),
   }),
 });
 
--- a/packages/router/src/host/ports.ts
+++ b/packages/router/src/host/ports.ts
@@ -151,8 +151,15 @@
    */
   tryRetry(target: RetryTarget, now: Millis): boolean;
 
-  /** Records that a request is sent to a service once more without a charge. */
-  recordUncharged(service: string, arrival: UnchargedArrival): void;
+  /**
+   * Charges a prefill of a prompt that was read before, where the budget counts it beside the run that follows.
+   *
+   * @returns False if the budget is exhausted.
+   */
+  tryPrefill(target: RetryTarget, now: Millis): boolean;
+
+  /** Charges what is sent to a service once more without having been asked for. */
+  recordUncharged(service: string, arrival: UnchargedArrival, now: Millis): void;
 }
 
 /** What the clients of upstreams report, and ask before each call. */
--- a/packages/router/src/reach/RequestRelay.ts
+++ b/packages/router/src/reach/RequestRelay.ts
@@ -6,6 +6,7 @@
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { ExecutionCount } from '../serving/ExecutionCount.ts';
+import type { RequestRetries } from '../serving/RequestRetries.ts';
 import { abortRefusal } from '../serving/abortRefusal.ts';
 import type { ReachMonitor, RelayPeer } from './ReachMonitor.ts';
 import { RelayProgress } from './RelayProgress.ts';
@@ -55,8 +56,8 @@
   readonly binding: StreamBinding;
   /** Version of the configuration by which it was accepted. */
   readonly configVersion: number;
-  /** Charges a repeat to the retry budget; false where it is spent. */
-  readonly tryRetry: () => boolean;
+  /** Charges its retries, and counts its arrivals. */
+  readonly retries: RequestRetries;
 }
 
 /** Options of a {@link RequestRelay}. */
@@ -166,15 +167,16 @@
     }
   }
 
-  /** Tells whether a request may be tried another way after one that was lost. */
+  /** Tells whether a request may be tried another way after one that was lost, and charges its retry. */
   private mayGoOn(
-    { isRepeatable, isResumable, executions, maxAttempts, tryRetry }: RelayableRequest,
+    { isRepeatable, isResumable, executions, maxAttempts, retries }: RelayableRequest,
     progress: RelayProgress,
     refusal: Refusal | undefined,
   ): boolean {
-    if (!progress.hasHead() && refusal?.execution !== 'unknown') return true;
+    const hasRun = progress.hasHead() || refusal?.execution === 'unknown';
     if (progress.hasHead() && !isResumable) return false;
-    return isRepeatable && executions.get() < maxAttempts && tryRetry();
+    if (hasRun && !(isRepeatable && executions.get() < maxAttempts)) return false;
+    return retries.tryRun('');
   }
 
   private choosePeer(service: ServiceId, tried: ReadonlySet<HostId>): RelayPeer | undefined {
@@ -214,22 +216,29 @@
     signal: AbortSignal,
   ): AsyncGenerator<ForwardEvent, WayEnd> {
     const { clock, link, peers, metrics } = this.options;
-    const { id, service, executions, ageMs, deadlineAt } = request;
+    const { id, service, executions, retries, ageMs, deadlineAt } = request;
+    const arrivals = retries.getEarlier();
     const leftMs = Math.max(1, deadlineAt - clock.now() - ANSWER_MARGIN_MS);
     const from = this.options.self;
     const context = {
       ...{ from, leftMs, ageMs, service, executions: executions.get(), isCharged },
       configVersion: request.configVersion,
       ...(request.isResumable ? { binding } : {}),
+      ...(arrivals === undefined ? {} : { arrivals }),
     };
     log('relayed', { id, to: peer.host, service, executions: executions.get() });
     metrics.count('relay.sent');
     const leave = peers.enter(peer.host);
     try {
+      let hasHead = false;
       const events = link.relay(peer.peerAddress, { id, call: req, context }, signal);
       for await (const event of events) {
         const end = this.endOf(event, request, peer, signal);
-        if (end !== undefined) return end;
+        if (end !== undefined) {
+          if (hasHead || (event.type === 'failed' && event.dispatched)) retries.recordElsewhere();
+          return end;
+        }
+        hasHead ||= event.type === 'head';
         if (event.type !== 'failed') {
           const place = progress.place(event);
           if (place === 'foreign') return this.answeredOtherwise(request, peer.host);
@@ -243,8 +252,12 @@
   }
 
   /** Gets how a way was lost whose answer can't follow the one that the caller has begun to get. */
-  private answeredOtherwise({ id, executions }: RelayableRequest, to: HostId | undefined): WayEnd {
+  private answeredOtherwise(
+    { id, executions, retries }: RelayableRequest,
+    to: HostId | undefined,
+  ): WayEnd {
     executions.record();
+    if (to !== undefined) retries.recordElsewhere();
     this.options.metrics.count('relay.lost', { dispatched: 'yes' });
     log('relay_lost', { id, to, dispatched: true, reason: 'another answer' });
     const text = 'An upstream answered a stream that goes on with something else.';
--- a/packages/router/src/serving/CompletionAttempt.ts
+++ b/packages/router/src/serving/CompletionAttempt.ts
@@ -103,8 +103,7 @@
     while (outcome.type === 'failed' && !outcome.error.dispatched && clock.now() < until) {
       rejectedBy.push(engine.id);
       if (this.abort.signal.aborted) return outcome;
-      if (!reachedNoUpstream(outcome.error) && !this.plan.retries.tryRetry(engine.id))
-        return outcome;
+      if (!this.plan.retries.tryRun(engine.id)) return outcome;
       const next = await this.nextDecodeEngine(rejectedBy, until);
       if (next === undefined) return outcome;
       engine = next;
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -2,7 +2,7 @@
 import { notRun, piecesFor, countPromptTokens } from '@camphorvane/core';
 import { planResume } from '@camphorvane/decisions';
 import type { WorkItem } from '@camphorvane/decisions';
-import { isSuccessStatus, reachedNoUpstream } from '@camphorvane/upstream';
+import { isSuccessStatus } from '@camphorvane/upstream';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { RateCharge, RateGate, RetryGate } from '../host/ports.ts';
@@ -223,8 +223,7 @@
         prefillWaitMs: 0,
         prefillTokensPerMs: MIN_PREFILL_TOKENS_PER_MS,
         transferMs: (piecesFor(progress.promptTokens) / pool.linkPiecesPerSecond) * MS_PER_SECOND,
-        mayRetry: () =>
-          reachedNoUpstream(outcome.error) || progress.retries.tryRetry(outcome.engine),
+        mayRetry: () => progress.retries.tryRun(outcome.engine),
       },
       now,
     );
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -29,6 +29,7 @@
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
 import { RequestLog } from './RequestLog.ts';
+import { RequestRetries } from './RequestRetries.ts';
 import {
   ANONYMOUS_CALLER,
   completionOf,
@@ -189,7 +190,7 @@
       const takesUp = req.lastPosition;
       log('accepted', { id, route: name, service, team, ...slos, ageMs, version, takesUp, ...by });
       const executions = new ExecutionCount(relayed?.executions);
-      const arrivals = new RequestArrivals();
+      const arrivals = new RequestArrivals(relayed?.arrivals);
       const isCharged = relayed?.isCharged ?? false;
       return {
         ...{ id, req, route, service, caller, config, deadlineAt, ageMs, isCharged },
@@ -276,7 +277,7 @@
     signal: AbortSignal,
     isRelayed: boolean,
   ): AsyncIterable<ForwardEvent> {
-    const { relay, retryGate, clock } = this.options;
+    const { relay } = this.options;
     const direct = (state: ServingState): AsyncGenerator<ForwardEvent> => {
       const { req, isCharged, binding } = state;
       const served = { ...call, req, isCharged, binding };
@@ -286,14 +287,14 @@
     if (isRelayed) return relay.serveForPeer(call.service, direct(call));
     const { id, req, service, deadlineAt, ageMs, executions, route, caller, binding } = call;
     const { kind, maxAttempts, resumable } = route;
-    const target = { team: caller.team.id, service, upstream: '' };
+    const retryOf = { team: caller.team.id, service };
     return relay.serve(
       {
         ...{ id, req, service, deadlineAt, ageMs, maxAttempts, executions, binding },
         configVersion: this.version(),
         isRepeatable: kind === 'idempotent' || (kind === 'stream' && resumable),
         isResumable: kind === 'stream' && resumable,
-        tryRetry: () => retryGate.tryRetry(target, clock.now()),
+        retries: new RequestRetries(this.options, retryOf, call.arrivals),
       },
       direct,
       signal,
--- a/packages/router/src/serving/ServiceCallHandler.ts
+++ b/packages/router/src/serving/ServiceCallHandler.ts
@@ -140,8 +140,8 @@
     const now = this.options.clock.now();
     if (now >= call.policy.deadlineAt) return false;
     if (this.options.crashGuard.guardFor(guardedCall(call)).isBlocked()) return false;
-    if (reachedNoUpstream(last.error)) return !areAllFull(call, failures);
-    return call.retries.tryRetry(last.server);
+    if (reachedNoUpstream(last.error) && areAllFull(call, failures)) return false;
+    return call.retries.tryRun(last.server);
   }
 
   private failedRefusal(call: ResolvedCall): Refusal {
--- a/packages/router/src/serving/retryGates.ts
+++ b/packages/router/src/serving/retryGates.ts
@@ -1,3 +1,4 @@
+import type { Millis } from '@camphorvane/core';
 import type { RetryBudget, RetryBudgetState, ServiceRetryBudget } from '@camphorvane/decisions';
 import type { RetryGate, RetryTarget } from '../host/ports.ts';
 import { eventLog } from '../observe/EventLog.ts';
@@ -20,6 +21,7 @@
     tryRetry: ({ team, upstream, service }, now) =>
       counted(metrics, service, budget.tryRetry(team, upstream, now)),
     // The budgets of teams count retries, and not what arrives for one.
+    tryPrefill: () => true,
     recordUncharged: () => undefined,
   };
 }
@@ -32,14 +34,17 @@
  * @returns The gate.
  */
 export function serviceRetryGate(budget: ServiceRetryBudget, metrics: Metrics): RetryGate {
+  const tryRetry = (target: RetryTarget, now: Millis): boolean => {
+    const isCharged = budget.tryRetry(target.service, now);
+    log(isCharged ? 'charged' : 'refused', fieldsOf(target, budget.inspect(target.service, now)));
+    return counted(metrics, target.service, isCharged);
+  };
   return {
     recordAttempt: ({ service }, _upstreams, now) => budget.recordAttempt(service, now),
-    tryRetry: (target, now) => {
-      const isCharged = budget.tryRetry(target.service, now);
-      log(isCharged ? 'charged' : 'refused', fieldsOf(target, budget.inspect(target.service, now)));
-      return counted(metrics, target.service, isCharged);
-    },
-    recordUncharged: (service, arrival) => {
+    tryRetry,
+    tryPrefill: tryRetry,
+    recordUncharged: (service, arrival, now) => {
+      budget.recordRetry(service, now);
       log('uncharged', { service, arrival });
       metrics.count('retries.uncharged', { service, arrival });
     },
--- a/packages/router/tests/reach/RequestRelay.test.ts
+++ b/packages/router/tests/reach/RequestRelay.test.ts
@@ -3,7 +3,7 @@
 import type { ForwardEvent, ForwardRequest } from '@camphorvane/caller';
 import type { Refusal } from '@camphorvane/core';
 import { notRun, RandomSource, VirtualClock } from '@camphorvane/core';
-import { FREE_STREAM, RelayPeers } from '@camphorvane/decisions';
+import { FREE_STREAM, RelayPeers, RequestArrivals } from '@camphorvane/decisions';
 import type { UpstreamRoute } from '@camphorvane/decisions';
 import type {
   RelayContext,
@@ -14,7 +14,9 @@
 import { Metrics } from '@camphorvane/router';
 import type { ReachMonitor, RelayPeer } from '../../src/reach/ReachMonitor.ts';
 import { RequestRelay } from '../../src/reach/RequestRelay.ts';
+import type { RetryGate } from '../../src/host/ports.ts';
 import { ExecutionCount } from '../../src/serving/ExecutionCount.ts';
+import { RequestRetries } from '../../src/serving/RequestRetries.ts';
 import type { RelayableRequest, ServingState } from '../../src/reach/RequestRelay.ts';
 
 const REQ: ForwardRequest = {
@@ -46,6 +48,9 @@
   readonly peers?: readonly (readonly (RelayEvent | RelayFailure)[])[];
   readonly peerCount?: number;
   readonly isDoubtful?: boolean;
+  readonly isBudgetSpent?: boolean;
+  /** Whether upstreams have rejected what the direct way yields. */
+  readonly hasRejections?: boolean;
   readonly request?: Partial<RelayableRequest>;
 }
 
@@ -56,6 +61,11 @@
   readonly retries: number;
 }
 
+/** Tells whether an event shows that the request has arrived at an upstream. */
+function hasArrived(one: ForwardEvent): boolean {
+  return one.type === 'head' || (one.type === 'refused' && one.refusal.execution === 'unknown');
+}
+
 async function serve(world: World): Promise<Outcome> {
   const routes = [...world.routes];
   const peers = Array.from({ length: world.peerCount ?? 3 }, (_, i): RelayPeer => ({
@@ -80,21 +90,32 @@
     },
   });
   let retries = 0;
+  const clock = new VirtualClock();
+  const arrivals = new RequestArrivals();
+  const retryGate: RetryGate = {
+    recordAttempt: () => undefined,
+    recordUncharged: () => undefined,
+    tryPrefill: () => true,
+    tryRetry: () => {
+      if (world.isBudgetSpent === true) return false;
+      retries += 1;
+      return true;
+    },
+  };
   const request: RelayableRequest = {
     ...{ id: 'r', req: REQ, service: 's', deadlineAt: 1_000, ageMs: 5, maxAttempts: 2 },
     ...{ isRepeatable: false, isResumable: false, executions: new ExecutionCount() },
     binding: FREE_STREAM,
     configVersion: 1,
-    tryRetry: () => {
-      retries += 1;
-      return true;
-    },
+    retries: new RequestRetries({ retryGate, clock }, { team: 't', service: 's' }, arrivals),
     ...world.request,
   };
   const events: ForwardEvent[] = [];
   const direct = async function* direct(state: ServingState): AsyncGenerator<ForwardEvent> {
     directStates.push(state);
-    yield* world.direct?.[directStates.length - 1] ?? WHOLE;
+    const given = world.direct?.[directStates.length - 1] ?? WHOLE;
+    if (world.hasRejections === true || given.some(hasArrived)) arrivals.recordRun();
+    yield* given;
   };
   for await (const one of relay.serve(request, direct, new AbortController().signal)) {
     events.push(one);
@@ -190,11 +211,26 @@
   assert.equal(twice.relayed.length, 2);
   const unpaid = await serve({
     ...{ routes: ['relayed'], peers: [[LOST], WHOLE] },
-    request: { isRepeatable: true, tryRetry: () => false },
+    ...{ isBudgetSpent: true, request: { isRepeatable: true } },
   });
   assert.equal(ending(unpaid), 'outcome_unknown unknown');
 });
 
+// Guards against repeats that no budget pays, since a peer takes a request which an engine has rejected for a new one.
+test('a request that an upstream has rejected is charged before it goes on over a peer', async () => {
+  const failed = refused(notRun('upstream_failed', 'no server accepted the call'));
+  const world = { routes: ['direct'], direct: [[failed]], isDoubtful: true } as const;
+  const paid = await serve({ ...world, hasRejections: true });
+  assert.equal(ending(paid), 'done');
+  assert.equal(paid.retries, 1);
+  assert.deepEqual(paid.relayed[0]?.request.context.arrivals, { count: 1, isPromptRead: false });
+  const spent = await serve({ ...world, hasRejections: true, isBudgetSpent: true });
+  assert.equal(ending(spent), 'upstream_failed not_run');
+  assert.equal(spent.relayed.length, 0);
+  const unsent = await serve(world);
+  assert.equal(`${ending(unsent)} ${unsent.retries}`, 'done 0');
+});
+
 // Guards against lost and repeated events where a stream goes on by way of a peer.
 test('a resumable stream goes on over a peer after its last event, under its first head', async () => {
   const head: ForwardEvent = { type: 'head', status: 200, headers: { stamp: 'first' } };
--- a/packages/router/tests/support/ForwardFleet.ts
+++ b/packages/router/tests/support/ForwardFleet.ts
@@ -108,6 +108,8 @@
 
   readonly host: Host;
 
+  readonly metrics = new Metrics();
+
   /** Quarantine of the host. */
   crashGuard!: CrashGuard;
 
@@ -149,7 +151,7 @@
         return options.engines?.[cfg.id] ?? this.engine(cfg);
       },
       servers: (cfg) => this.server(cfg),
-      metrics: new Metrics(),
+      metrics: this.metrics,
       buffers: options.buffers,
       originLink: options.originLink,
     });
