Have a prompt that was read before read by the decode engine, and charge it where it is not

Streams that went on at another engine cost their service two arrivals for one retry: their prompt was read again by a prefill engine, of which only the first accepted call is free, and then they ran.

A prompt that was read before is read by the decode engine that runs it, which is one arrival, so that the same budget saves as many streams as before. Where no decode engine can do so without making its streams late, a prefill engine reads it for a second retry, and without one the request is refused at once. A text prompt of the product's own interface pays its team one retry as before.

--- a/packages/decisions/src/PoolScheduler.ts
+++ b/packages/decisions/src/PoolScheduler.ts
@@ -44,6 +44,8 @@
   readonly callerTimes?: CallerTimes;
   /** Which engines may go on with its stream; any where absent. */
   readonly binding?: StreamBinding;
+  /** Whether an engine has read its prompt for another one before; absent where none has. */
+  readonly isPromptRead?: boolean;
 }
 
 /** A prefix of a prompt that an engine may have in its cache, with the tokens that it covers. */
--- a/packages/decisions/src/local/LocalPlacement.ts
+++ b/packages/decisions/src/local/LocalPlacement.ts
@@ -27,6 +27,8 @@
   readonly memorySteps?: number;
   /** Which decode engines may take it; any where absent. */
   readonly binding?: StreamBinding;
+  /** Whether its prompt was read before, so that a further prefill is a retry beside its run; absent where it was not. */
+  readonly isPromptRead?: boolean;
 }
 
 /** Factor by which a prefill takes longer on a decode engine, which interleaves it with decode steps. */
@@ -135,7 +137,8 @@
   }
 
   /**
-   * Chooses engines for a request.
+   * Chooses engines for a request. A prompt that was read before is read by the decode engine, where that makes no
+   * stream late: its run is one retry then, and not two.
    *
    * @param req - The request.
    * @param now - Present time.
@@ -147,10 +150,13 @@
     const disaggregated = decodes.flatMap((decode) =>
       prefills.map((prefill) => disaggregatedChoice(prefill, decode)),
     );
-    const colocated = decodes
+    const able = decodes.filter((decode) => prefills.length === 0 || this.mayPrefill(decode, req));
+    const colocated = able
       .filter((decode) => !decode.isPrefilling)
-      .filter((decode) => prefills.length === 0 || this.mayPrefill(decode, req))
       .map((decode) => this.colocatedChoice(decode, req));
+    if (req.isPromptRead === true && able.length > 0) {
+      return colocated.reduce<Choice | undefined>(cheaper, undefined)?.pair;
+    }
     return [...disaggregated, ...colocated].reduce<Choice | undefined>(cheaper, undefined)?.pair;
   }
 
--- a/packages/router/src/placing/localPool.ts
+++ b/packages/router/src/placing/localPool.ts
@@ -122,5 +122,6 @@
     longestPauseMs: item.longestPauseMs,
     callerTimes: item.callerTimes,
     binding: item.binding,
+    isPromptRead: item.isPromptRead,
   };
 }
--- a/packages/router/src/serving/CompletionHandler.ts
+++ b/packages/router/src/serving/CompletionHandler.ts
@@ -184,7 +184,11 @@
       releaseInBackground(placements, pool.model, placement.value.reservation, 'caller_gone');
       return err(quarantinedSince);
     }
-    const { prefill, decode } = placement.value;
+    const { prefill, decode, reservation } = placement.value;
+    if (prefill !== undefined && !progress.retries.tryPrefill(prefill)) {
+      releaseInBackground(placements, pool.model, reservation, 'caller_gone');
+      return err(budgetSpent());
+    }
     const engines = [prefill, decode].filter((engine) => engine !== undefined);
     if (!isRetry) progress.retries.recordAttempt(engines);
     return placement;
@@ -318,6 +322,7 @@
       priority: completion.policy.priority,
       callerTimes: completion.policy.callerTimes,
       binding: progress.getBinding(),
+      isPromptRead: progress.retries.isPromptRead(),
     };
     return this.options.placements.reserve(pool.model, item, completion.signal);
   }
