Charge streams that go on from a copy at another engine

A stream that moved, or went on from the copy at its backup, reached one more engine, and nobody charged it.

A stream whose budget is spent stays where it is, and is not taken up from its copy. The test in StreamRelocation.test.ts fails before: the move was made without a charge.

--- a/packages/router/src/serving/DecodeStage.ts
+++ b/packages/router/src/serving/DecodeStage.ts
@@ -201,7 +201,7 @@
             ...{ id: plan.identity.request, reservation: plan.placement.reservation },
             ...{ pool: plan.pool, engine: entry, command: { ...command, prompt } },
             ...plan.limits,
-            ...{ guard: plan.guard, signal: abort.signal },
+            ...{ guard: plan.guard, retries: plan.retries, signal: abort.signal },
           });
     return this.relocation?.events() ?? engine.decode(command, abort.signal);
   }
--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -144,6 +144,7 @@
     if (this.move !== undefined || this.run === undefined) return;
     // An order that was sent to the target before would stop the run there.
     if (this.deps.stops.isOutstanding(this.request.id, target.cfg.id)) return;
+    if (!this.request.retries.tryRun(this.getEngine().cfg.id)) return;
     this.beginMove(target, reason).startCopy();
   }
 
@@ -190,6 +191,7 @@
   resumeAt(entry: EngineEntry, origin: KvOrigin): void {
     if (entry !== this.getEngine()) this.holding.moveTo(entry);
     if (entry === this.getBackup()?.entry) this.holding.dropBackup();
+    this.request.retries.recordRun();
     this.order.recordSwitch();
     this.speed.reset();
     const fromPosition = this.getPosition();
@@ -214,6 +216,7 @@
     if (target === undefined || this.move !== undefined || !canResume || this.isClosed)
       return false;
     if (!this.deps.departures.mayGoOnAt(target.cfg.id)) return false;
+    if (!this.request.retries.tryRun(this.getEngine().cfg.id)) return false;
     this.error = error;
     this.deps.placements.attemptFailed(this.getEngine().cfg.id, error);
     this.beginMove(target, 'lost').startFromBackup();
--- a/packages/router/src/serving/streamRequest.ts
+++ b/packages/router/src/serving/streamRequest.ts
@@ -16,6 +16,7 @@
 import type { RelocationLedger } from '../placing/RelocationLedger.ts';
 import type { EngineDepartures } from './EngineDepartures.ts';
 import type { RequestGuard } from './RequestGuard.ts';
+import type { RequestRetries } from './RequestRetries.ts';
 import type { StopOrders } from './StopOrders.ts';
 
 /** A stream to decode, which may go on at another engine. */
@@ -26,6 +27,8 @@
   readonly engine: EngineEntry;
   readonly command: DecodeCommand & { readonly prompt: OpaquePrompt };
   readonly guard: RequestGuard;
+  /** Charges what goes on at another engine, and counts its arrivals. */
+  readonly retries: Pick<RequestRetries, 'tryRun' | 'recordRun'>;
   /** Aborted when the caller disconnects or the host ends the request. */
   readonly signal: AbortSignal;
 }
--- a/packages/router/tests/serving/StreamRelocation.test.ts
+++ b/packages/router/tests/serving/StreamRelocation.test.ts
@@ -38,6 +38,18 @@
   assert.deepEqual(world.released, ['source/h1'], 'the first copy was not released');
 });
 
+// Guards against moves that no retry budget pays: the engine that a stream moves to counts it as one more request.
+test('a move counts as a further run, and a stream whose budget is spent stays where it is', async () => {
+  const moved = await runStream({});
+  assert.equal(moved.furtherRuns, 1);
+  const unpaid = new RelocationWorld({});
+  unpaid.allowedRuns = 0;
+  await unpaid.startMoves(MOVE_AT_MS);
+  await unpaid.clock.advance(EVENT_COUNT * EVENT_MS + 2_000);
+  assertWhole(unpaid);
+  assert.equal(`${unpaid.getReservedEngine()} ${unpaid.furtherRuns}`, 'source 0');
+});
+
 // Guards against duplicates if the new engine starts at an earlier event than it was asked to.
 test('events that the new engine repeats are delivered once', async () => {
   assertWhole(await runStream({ repeats: 3 }));
--- a/packages/router/tests/support/RelocationWorld.ts
+++ b/packages/router/tests/support/RelocationWorld.ts
@@ -68,6 +68,19 @@
   /** Whether the request is quarantined. */
   isBlocked = false;
 
+  /** Further runs that the budget allows. */
+  allowedRuns = Infinity;
+
+  /** Runs at engines beyond the first one. */
+  furtherRuns = 0;
+
+  private readonly retries = {
+    tryRun: (): boolean => this.furtherRuns < this.allowedRuns,
+    recordRun: (): void => {
+      this.furtherRuns += 1;
+    },
+  };
+
   private readonly guard: RequestGuard = {
     recordFailure: (upstream, error) => {
       if (mayHaveCrashed(error)) this.failures.push(upstream);
@@ -100,6 +113,7 @@
         },
         ...{ expectedTokens: undefined, longestPauseMs: 300, isResumable: false },
         guard: this.guard,
+        retries: this.retries,
         signal: this.caller.signal,
       },
       backup,
