Start with no part of teams' bursts where a process before may have used it

A team got more than its rate and burst after a loss of all hosts: each process started with an equal part of every burst, whatever the one before it had charged a moment earlier. With seven hosts killed at once, and three times within five seconds, 14,000 and 21,000 tokens were charged in a window of which 13,000 are allowed.

It is the class of the retry budgets, a limit over a window whose memory ends with the process. A process that finds the record of one before it now starts with empty buckets, which refill at the teams' rates, and has its part once a peer that has run for a window reports: that one knows what was charged. Hosts that are killed in turn, one in a fleet, have it within a gossip period, as before; a fleet that has just been lost has the rates.

rateRestarts.test.ts fails before in two of four cases.

--- a/packages/decisions/src/rates/DistributedRateLimiter.ts
+++ b/packages/decisions/src/rates/DistributedRateLimiter.ts
@@ -4,7 +4,7 @@
 import type { TurnOffer } from '../turns/TurnScheduler.ts';
 import { bucketLimits } from './bucketLimits.ts';
 import type { BucketLimits, RateTolerance } from './bucketLimits.ts';
-import { UNKNOWN_PEER } from './peerCharges.ts';
+import { measureRates, UNKNOWN_PEER } from './peerCharges.ts';
 import type { RelayDigest, PeerCharges } from './peerCharges.ts';
 import { RateTurns } from './RateTurns.ts';
 import type { TeamTurns } from './RateTurns.ts';
@@ -19,9 +19,6 @@
       readonly offer?: TurnOffer;
     };
 
-/** Time constant of the mean rate of a peer's charges, in milliseconds: some requests of one team. */
-const RATE_AVERAGING_MS: Millis = 1_000;
-
 interface Bucket extends BucketLimits {
   readonly level: number;
 }
@@ -61,6 +58,9 @@
 
   private updatedAt: Millis = 0;
 
+  /** Whether a process of this host before this one may have used its part of the bursts, and no peer knows. */
+  private startsEmpty = false;
+
   private readonly turns: RateTurns | undefined;
 
   /**
@@ -81,12 +81,29 @@
     rates.forEach((rate, team) => {
       const limits = bucketLimits(rate, this.tolerance);
       // A host that has just started does not know what others have charged lately.
-      const initialLevel = limits.capacity / this.hostCount();
+      const initialLevel = this.startsEmpty ? 0 : limits.capacity / this.hostCount();
       const level = Math.min(this.buckets.get(team)?.level ?? initialLevel, limits.capacity);
       this.buckets.set(team, { ...limits, level });
     });
   }
 
+  /** Records that a process of this host before this one may have used its part of the bursts. */
+  recordEarlierProcess(now: Millis): void {
+    this.advance(now);
+    this.startsEmpty = true;
+    this.buckets.forEach((bucket, team) =>
+      this.buckets.set(team, { ...bucket, level: Math.min(0, bucket.level) }),
+    );
+  }
+
+  /** Records that a peer knows what hosts have charged lately, so that this one has its part of the bursts. */
+  recordLastingPeer(now: Millis): void {
+    if (!this.startsEmpty) return;
+    this.advance(now);
+    this.startsEmpty = false;
+    this.buckets.forEach(({ capacity }, team) => this.deduct(team, -capacity / this.hostCount()));
+  }
+
   /** Sets the other hosts that share the rates. */
   setPeerHosts(hosts: readonly HostId[], now: Millis): void {
     this.advance(now);
@@ -108,7 +125,7 @@
     const previousRates = previous?.chargeRates ?? this.equalShares(peerCount);
     const chargeRates =
       previous !== undefined && isContinuous
-        ? this.measureRates(previous, totals, now)
+        ? measureRates([...this.buckets.keys()], previous, totals, now)
         : previousRates;
     const hostCount = Math.min(peerCount, this.peerHosts.length);
     const assumed = new Map<TeamId, Tokens>();
@@ -145,7 +162,9 @@
     // Charges of a peer while it was timed out are covered by the equal share assumed for it.
     const isContinuous = isSameStart && !this.isTimedOut(known, now);
     if (isContinuous) this.reconcile(known, merged);
-    const chargeRates = isContinuous ? this.measureRates(known, merged, now) : this.equalShares(1);
+    const chargeRates = isContinuous
+      ? measureRates([...this.buckets.keys()], known, merged, now)
+      : this.equalShares(1);
     const assumed = new Map<TeamId, Tokens>();
     this.peers.set(host, {
       hostCount: 1,
@@ -297,24 +316,6 @@
     return new Map([...this.buckets].map(([team, bucket]) => [team, bucket.perMs * share]));
   }
 
-  /** Gets the moving average of a peer's charge rates, updated by its new totals. */
-  private measureRates(
-    known: PeerCharges,
-    totals: ReadonlyMap<TeamId, Tokens>,
-    now: Millis,
-  ): ReadonlyMap<TeamId, number> {
-    const elapsedMs = Math.max(1, now - (known.receivedAt ?? now));
-    const weight = 1 - Math.exp(-elapsedMs / RATE_AVERAGING_MS);
-    const teams = [...this.buckets.keys()];
-    return new Map(
-      teams.map((team) => {
-        const charged = (totals.get(team) ?? 0) - (known.totals.get(team) ?? 0);
-        const mean = known.chargeRates.get(team) ?? 0;
-        return [team, mean + (Math.max(0, charged) / elapsedMs - mean) * weight];
-      }),
-    );
-  }
-
   /** Gets the recent charges of the peers that have not timed out, in tokens a millisecond. */
   private peerRate(team: TeamId, now: Millis): number {
     return [...this.peers.values()]
--- a/packages/decisions/src/rates/peerCharges.ts
+++ b/packages/decisions/src/rates/peerCharges.ts
@@ -1,5 +1,8 @@
 import type { HostId, Incarnation, Millis, TeamId, Tokens } from '@camphorvane/core';
 
+/** Time constant of the mean rate of a peer's charges, in milliseconds: some requests of one team. */
+const RATE_AVERAGING_MS: Millis = 1_000;
+
 /** A relay's digest of the charges of all peers from which it receives hints. */
 export interface RelayDigest {
   /** The host that relays gossip. */
@@ -36,3 +39,28 @@
   chargeRates: new Map(),
   assumed: new Map(),
 };
+
+/**
+ * Gets the moving average of a peer's charge rates, updated by its new totals.
+ *
+ * @param teams - Teams with a rate.
+ * @param known - What is known of the peer.
+ * @param totals - Tokens charged to each team, as reported now.
+ * @param now - Present time.
+ */
+export function measureRates(
+  teams: readonly TeamId[],
+  known: PeerCharges,
+  totals: ReadonlyMap<TeamId, Tokens>,
+  now: Millis,
+): ReadonlyMap<TeamId, number> {
+  const elapsedMs = Math.max(1, now - (known.receivedAt ?? now));
+  const weight = 1 - Math.exp(-elapsedMs / RATE_AVERAGING_MS);
+  return new Map(
+    teams.map((team) => {
+      const charged = (totals.get(team) ?? 0) - (known.totals.get(team) ?? 0);
+      const mean = known.chargeRates.get(team) ?? 0;
+      return [team, mean + (Math.max(0, charged) / elapsedMs - mean) * weight];
+    }),
+  );
+}
--- a/packages/router/src/coordination/GossipRateGate.ts
+++ b/packages/router/src/coordination/GossipRateGate.ts
@@ -1,6 +1,7 @@
 import type {
   Clock,
   HostId,
+  Incarnation,
   Refusal,
   TeamConfig,
   TeamId,
@@ -58,8 +59,14 @@
     this.rates.setPeerHosts(hosts, this.clock.now());
   }
 
+  /** Records that a process of this host before this one may have charged teams. */
+  recordEarlierProcess(_incarnation: Incarnation): void {
+    this.rates.recordEarlierProcess(this.clock.now());
+  }
+
   /** Receives the charges of a peer. */
-  receive({ host, incarnation, charged }: HostHint): void {
+  receive({ host, incarnation, charged, retries }: HostHint): void {
+    if (retries?.isNew !== true) this.rates.recordLastingPeer(this.clock.now());
     this.rates.receive(host, incarnation, new Map(charged), this.clock.now());
   }
 
--- a/packages/router/src/coordination/StoreCoordination.ts
+++ b/packages/router/src/coordination/StoreCoordination.ts
@@ -66,8 +66,6 @@
 
   readonly abortsOnKeyWithdrawal: boolean;
 
-  private readonly options: StoreCoordinationOptions;
-
   readonly context: CoordinationContext;
 
   readonly clock: Clock;
@@ -95,7 +93,6 @@
    * @param context - This host.
    */
   constructor(options: StoreCoordinationOptions, context: CoordinationContext) {
-    this.options = options;
     this.context = context;
     const { clock, random, identity, incarnation, directory, fairQueues, reach } = context;
     const { store, format } = options;
@@ -163,7 +160,8 @@
           ? this.crashGuard.receiveStored(crashes)
           : this.crashGuard.receiveCrashes(crashes),
       onPeersChange: (peers) => this.applyPeers(peers),
-      onEarlierProcess: (earlier) => this.retryBudget.recordEarlierProcess(earlier),
+      onEarlierProcess: (earlier) =>
+        [this.retryBudget, this.rates].forEach((limit) => limit.recordEarlierProcess(earlier)),
     });
     this.rates = new GossipRateGate(clock, options.tolerance, context.turns);
     this.placer = new LocalPlacer({
