--- a/packages/decisions/src/retry/SlackShares.ts
+++ b/packages/decisions/src/retry/SlackShares.ts
@@ -86,6 +86,10 @@
     else
       this.earlierCounts.push({ hosts: this.countHosts(now), until: now + this.options.windowMs });
     this.peerHosts = hosts;
+    [...this.peers]
+      .filter(([, { receivedAt }]) => now - receivedAt > this.options.windowMs)
+      .filter(([host]) => !hosts.includes(host))
+      .forEach(([host]) => this.peers.delete(host));
   }
 
   /** Records the process of this host before this one, of which peers may know more. */
