--- a/packages/router/src/serving/StreamRelocation.ts
+++ b/packages/router/src/serving/StreamRelocation.ts
@@ -10,7 +10,7 @@
 import { EventBuffer } from './EventBuffer.ts';
 import { EventOrder } from './EventOrder.ts';
 import { EventSpeed } from './EventSpeed.ts';
-import { expectedRemainingTokens } from './expectedRemainingTokens.ts';
+import { expectedRemainingTokens, MIN_REMAINING_EVENTS } from './expectedRemainingTokens.ts';
 import { MoveExecution } from './MoveExecution.ts';
 import type { EndedMove, KvOrigin, MovingStream } from './MoveExecution.ts';
 import { RelocationRecord } from './RelocationRecord.ts';
@@ -28,9 +28,6 @@
 /** Milliseconds after a move, or a failed one, in which the stream is not moved again. */
 const MOVE_BACKOFF_MS: Millis = 1_000;
 
-/** Events before the end at which a copied stream is not stopped any more. */
-const MIN_REMAINING_EVENTS = 10;
-
 type PositionedEvent = Extract<DecodeEvent, { readonly position: number }>;
 
 /**
--- a/packages/router/src/serving/expectedRemainingTokens.ts
+++ b/packages/router/src/serving/expectedRemainingTokens.ts
@@ -1,6 +1,9 @@
 import type { Tokens } from '@camphorvane/core';
 import type { StreamRequest } from './streamRequest.ts';
 
+/** Events before the end at which a copied stream is not stopped any more. */
+export const MIN_REMAINING_EVENTS = 10;
+
 /**
  * Gets the output that a stream is expected to produce yet. One that exceeds its expected output may go on
  * to the most that is allowed.
