--- a/packages/decisions/tests/retry/SlackShares.test.ts
+++ b/packages/decisions/tests/retry/SlackShares.test.ts
@@ -78,3 +78,15 @@
   send('a1', 20_600);
   assert.equal(shares.getEnded(20_700).lost, 1);
 });
+
+// Guards against a host that takes the whole slack while the store does not tell it who shares it.
+test('a host that has read no records has no part, however long it runs', () => {
+  const shares = new SlackShares({ self: 'a', windowMs: WINDOW_MS, startedAt: 0 });
+  assert.equal(sharedBy(shares, 3 * WINDOW_MS), 0);
+});
+
+test('a host that stands still for a while has no more than its part afterwards', () => {
+  const shares = sharesOf('a', ['b', 'c'], 0);
+  assert.equal(sharedBy(shares, 20_000), 20);
+  assert.equal(sharedBy(shares, 28_000), 20);
+});
