Log what callers have not taken of ended answers when a host stops

What callers saw: a stream without a whole answer around a stop, of which the host's log said 'whole' or nothing. A host logged the end of an answer when its events had ended, and not whether its caller's socket had taken it, so that the logs did not tell an answer cut by the stop from one that was delivered.

OpenResponses tracks the responses of an HTTP server until the operating system has taken the last byte. Node.js emits 'finish' also as it drops what is left for a destroyed connection, so that event alone proves nothing. 'answer_undelivered' names an answer that had ended and was cut, with the counter 'answer.undelivered'; the steps of a stop say how many there are. explain tells of it. No logic changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './callerDisconnect.ts';
 export * from './contain.ts';
 export * from './InterruptibleSleep.ts';
+export * from './OpenResponses.ts';
 export * from './SystemClock.ts';
 export * from './VirtualClock.ts';
 export * from './RandomSource.ts';
--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -39,11 +39,16 @@
   log('start', { host: settings.value.host, version: VERSION });
   onHangup(() => logReload(file, settings.value));
   const reason = await waitForEnd();
-  log('stop_begins', { host: settings.value.host, reason });
+  const { host, getDelivery } = started.value;
+  const stopsAt = clock.now();
+  const { inFlight } = host.status();
+  log('stop_begins', { host: settings.value.host, reason, inFlight, ...getDelivery() });
   // A drain that a fault keeps from ending must not keep the process from being started again.
   const graceEnd = sleep(clock, settings.value.graceMs).then(() => false);
   const isDrained = await Promise.race([finishWithoutFault(started.value.drain()), graceEnd]);
-  log('stop', { host: settings.value.host, cutOff: await started.value.cutOff() });
+  const cutOff = await started.value.cutOff();
+  const tookMs = Math.round(clock.now() - stopsAt);
+  log('stop', { host: settings.value.host, cutOff, ...getDelivery(), tookMs });
   await sink.flush();
   process.exit(isDrained && reason === 'asked' ? EXIT.ok : EXIT.failed);
 }
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -26,12 +26,17 @@
 import type { StoreCoordination } from '../coordination/StoreCoordination.ts';
 import { storeCoordinationFactory } from '../coordination/storeCoordinationFactory.ts';
 import { HostBuffers } from '../buffers/HostBuffers.ts';
+import { DeliveryLog, summarizeDelivery } from '../observe/DeliveryLog.ts';
+import type { DeliverySummary } from '../observe/DeliveryLog.ts';
+import { eventLog } from '../observe/EventLog.ts';
 import { FaultLog } from '../observe/FaultLog.ts';
 import { LoopDelay } from '../observe/LoopDelay.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
 import { Host } from './Host.ts';
 
+const log = eventLog('host');
+
 /** Random bytes of an incarnation id; enough to be unique across restarts. */
 const INCARNATION_BYTES = 9;
 
@@ -51,6 +56,8 @@
   drain(): Promise<void>;
   /** Ends the requests that are still in flight; gets their number. */
   cutOff(): Promise<number>;
+  /** Gets what callers have not taken of answers that have ended. */
+  getDelivery(): DeliverySummary;
 }
 
 /**
@@ -123,13 +130,16 @@
   if (coordination === undefined) return err('the host did not create its coordination');
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
+  const delivery = new DeliveryLog(metrics, () => leaving);
   const ingress = new Ingress({
     backend: host.forwarding,
     isDraining: () => leaving,
     limits: () => config.current()?.config.limits,
     buffers,
     onLeftUnread: () => metrics.count('request.left', { stage: 'unread' }),
+    onUndelivered: (answer) => delivery.recordUndelivered(answer),
   });
+  const getDelivery = (): DeliverySummary => summarizeDelivery(ingress.getUndelivered());
   const directory = new DirectoryServer(
     {
       getAddresses: (zone) => callerAddresses(group.members(), zone),
@@ -156,10 +166,12 @@
   return ok({
     host,
     cutOff: () => host.cutOff(),
+    getDelivery,
     drain: async () => {
       leaving = true;
       runInBackground('host.task', () => host.beginDrain());
       await sleep(clock, LEAVING_PERIOD_MS);
+      log('listener_closed', { ...getDelivery() });
       ingress.stopListening();
       await host.finishDrain(settings.graceMs - LEAVING_PERIOD_MS - GRACE_END_MARGIN_MS);
     },
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -9,6 +9,7 @@
   | 'request.left'
   | 'answer.ended'
   | 'answer.illegal'
+  | 'answer.undelivered'
   | 'attempt.dispatched'
   | 'attempt.failed'
   | 'attempt.engine_gone'
--- a/packages/router/src/observe/explainEnd.ts
+++ b/packages/router/src/observe/explainEnd.ts
@@ -37,6 +37,7 @@
     ...illegalEvents(requestLines),
     ...causes(requestLines),
     ...endedHosts(requestLines, processLines),
+    ...undelivered(requestLines),
     ...peers(requestLines),
   ];
 }
@@ -123,6 +124,14 @@
   });
 }
 
+/** Answers that had ended, and whose connection closed before the caller had taken them. */
+function undelivered(lines: readonly LogLine[]): readonly string[] {
+  return linesOf(lines, 'answer_undelivered').map(({ host, fields }) => {
+    const when = fields.stage === 'stopping' ? ', while the host stopped' : '';
+    return `the connection closed at host ${host} before the caller had taken the end of the answer${when}`;
+  });
+}
+
 /** Peers by way of which the request was served. */
 function peers(lines: readonly LogLine[]): readonly string[] {
   return linesOf(lines, 'answer_ended')
--- a/packages/router/tests/observe/explainEnd.test.ts
+++ b/packages/router/tests/observe/explainEnd.test.ts
@@ -95,3 +95,15 @@
     'the answer broke off at host h1, by an event that could not follow, or a fault of the host',
   ]);
 });
+
+// Guards against a timeline that shows an answer as whole whose end its caller never got.
+test('the end of an answer tells that it was cut before its caller had taken it', () => {
+  const findings = findingsOf(
+    ACCEPTED,
+    `h1 {"t":1420,${WHOLE}}`,
+    'h1 {"t":3900,"part":"request","event":"answer_undelivered","id":"q","stage":"stopping"}',
+  );
+  assert.deepEqual(findings, [
+    'the connection closed at host h1 before the caller had taken the end of the answer, while the host stopped',
+  ]);
+});
