--- a/packages/core/src/OpenResponses.ts
+++ b/packages/core/src/OpenResponses.ts
@@ -4,6 +4,7 @@
 /** A response that its caller's socket has not taken as a whole. */
 export interface OpenResponse {
   readonly req: IncomingMessage;
+  readonly res: ServerResponse;
   /** Whether all of it was written; what is left waits for the caller to read. */
   readonly hasEnded: boolean;
   /** Bytes in this process that the socket has not taken, at most; undefined once its connection is closed. */
@@ -27,7 +28,9 @@
 
   private size = 0;
 
-  private arrivals = 0;
+  private connections = 0;
+
+  private requests = 0;
 
   private readonly idleWaiters: (() => void)[] = [];
 
@@ -38,7 +41,7 @@
   constructor(server: Server, onCut: CutResponseListener = () => undefined) {
     this.onCut = onCut;
     server.on('connection', () => {
-      this.arrivals += 1;
+      this.connections += 1;
     });
     server.prependListener('request', (req, res) => this.add(req, res));
   }
@@ -48,9 +51,14 @@
     return this.size;
   }
 
+  /** Gets the number of connections that were accepted so far. */
+  countConnections(): number {
+    return this.connections;
+  }
+
   /** Gets the number of connections and requests so far. */
   countArrivals(): number {
-    return this.arrivals;
+    return this.connections + this.requests;
   }
 
   /** Gets the open responses. */
@@ -58,6 +66,17 @@
     return [...this.bySocket.values()].flatMap((open) => [...open].map(describe));
   }
 
+  /** Gets the open responses on a connection, in the order of their requests. */
+  getOn(socket: Socket): readonly ServerResponse[] {
+    return [...(this.bySocket.get(socket) ?? [])];
+  }
+
+  /** Counts the open responses as gone, without a call of the listener. */
+  forget(): void {
+    this.bySocket.clear();
+    this.becomeIdle();
+  }
+
   /** Waits until no response is open. */
   async untilTaken(): Promise<void> {
     if (this.size === 0) return;
@@ -68,7 +87,7 @@
 
   private add(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    this.arrivals += 1;
+    this.requests += 1;
     const open = this.bySocket.get(socket) ?? this.addSocket(socket);
     open.add(res);
     this.size += 1;
@@ -99,11 +118,16 @@
   private remove(socket: Socket, res: ServerResponse): void {
     if (this.bySocket.get(socket)?.delete(res) !== true) return;
     this.size -= 1;
-    if (this.size === 0) this.idleWaiters.splice(0).forEach((resolve) => resolve());
+    if (this.size === 0) this.becomeIdle();
+  }
+
+  private becomeIdle(): void {
+    this.size = 0;
+    this.idleWaiters.splice(0).forEach((resolve) => resolve());
   }
 }
 
 function describe(res: ServerResponse): OpenResponse {
   const { req, writableEnded: hasEnded, writableLength } = res;
-  return { req, hasEnded, leftBytes: req.socket.destroyed ? undefined : writableLength };
+  return { req, res, hasEnded, leftBytes: req.socket.destroyed ? undefined : writableLength };
 }
