End a host once its callers have taken their answers

What callers saw: answers that the host had ended, and that waited in the process for a caller behind a slow link, were cut when the process ended; the host's log called them whole.

Cause: a stop waited for requests in flight, and a request leaves those when its events end. What its caller's socket has not taken is then known to nobody, and process.exit drops it.

Evidence: stoppedHost.test.ts stops a real host beside four callers that read nothing for 3.2 s. One that never reads is cut at the end of the grace period, visibly, named by answer_undelivered and counted in the line stop.

Why this works: HostStop waits until nothing is in flight, then until the sockets of callers and peers have taken all answers and a turn of the event loop has brought nothing more. In flight means what it did to slots, limits and placement. A caller that reads nothing holds the stop until shortly before the end of the grace period. Answers of the directory and to peers are waited for alike. An idle host ends as soon as before (2.5 s).

--- a/packages/peer/src/snapshots/HttpSnapshotExchange.ts
+++ b/packages/peer/src/snapshots/HttpSnapshotExchange.ts
@@ -1,7 +1,7 @@
 import { createServer, get } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Clock, Millis } from '@camphorvane/core';
-import { reportFault } from '@camphorvane/core';
+import { reportFault, ServerDrain } from '@camphorvane/core';
 import type { Snapshot, StoredObject } from '@camphorvane/store';
 import { isVersion } from '@camphorvane/store';
 import { err, ok } from 'neverthrow';
@@ -31,6 +31,8 @@
 
   private readonly server: Server;
 
+  private readonly drain: ServerDrain;
+
   private source: SnapshotSource = { get: () => undefined, isPeer: () => false };
 
   private handleOther: OtherHandler = () => false;
@@ -39,6 +41,7 @@
   constructor(clock: Clock) {
     this.clock = clock;
     this.server = createServer((req, res) => this.handle(req, res));
+    this.drain = new ServerDrain(this.server);
   }
 
   /** Listens for peers; the error is the message of the failed listener. */
@@ -57,6 +60,16 @@
     this.server.close();
   }
 
+  /** Stops listening once no connection waits to be accepted; open ones are served on. */
+  stopListening(): Promise<void> {
+    return this.drain.closeListener();
+  }
+
+  /** Waits until peers have taken all answers, and no further request has arrived. */
+  untilDelivered(): Promise<void> {
+    return this.drain.untilQuiet();
+  }
+
   /** {@inheritDoc SnapshotExchange.setSource} */
   setSource(source: SnapshotSource): void {
     this.source = source;
--- a/packages/router/src/cli/serveCommand.ts
+++ b/packages/router/src/cli/serveCommand.ts
@@ -58,7 +58,8 @@
   const { graceMs } = settings.value.drain;
   // A drain that a fault keeps from ending must not keep the process from being started again.
   const graceEnd = sleep(new SystemClock(), graceMs + DRAIN_MARGIN_MS).then(() => false);
-  const isDrained = await Promise.race([finishWithoutFault(running.drain()), graceEnd]);
+  const drained = finishWithoutFault(running.drain().then(() => true));
+  const isDrained = (await Promise.race([drained, graceEnd])) === true;
   await sink.flush();
   process.exit(isDrained && reason === 'asked' ? EXIT.ok : EXIT.failed);
 }
--- a/packages/router/src/cli/servePlatformCommand.ts
+++ b/packages/router/src/cli/servePlatformCommand.ts
@@ -1,15 +1,19 @@
+import type { Millis } from '@camphorvane/core';
 import { sleep, SystemClock } from '@camphorvane/core';
 import { EXIT } from '@camphorvane/operator/exit';
 import type { PlatformSettings } from '@camphorvane/platform';
 import { SETTINGS_VARIABLE } from '@camphorvane/platform';
 import { startPlatformHost } from '../host/PlatformHost.ts';
+import type { PlatformHost } from '../host/PlatformHost.ts';
 import { RateLimitedLog } from '../observe/RateLimitedLog.ts';
 import { setLogOutput, eventLog } from '../observe/EventLog.ts';
 import { stdoutSink } from '../observe/stdoutSink.ts';
+import type { FlushableSink } from '../observe/stdoutSink.ts';
 import { VERSION } from '../version.ts';
 import { onHangup } from './hangups.ts';
 import { awaitSettings, readSettings } from './platformSettings.ts';
 import { finishWithoutFault, waitForEnd } from './waitForEnd.ts';
+import type { EndReason } from './waitForEnd.ts';
 
 const log = eventLog('process');
 
@@ -39,18 +43,30 @@
   log('start', { host: settings.value.host, version: VERSION });
   onHangup(() => logReload(file, settings.value));
   const reason = await waitForEnd();
-  const { host, getDelivery } = started.value;
-  const stopsAt = clock.now();
-  const { inFlight } = host.status();
-  log('stop_begins', { host: settings.value.host, reason, inFlight, ...getDelivery() });
-  // A drain that a fault keeps from ending must not keep the process from being started again.
-  const graceEnd = sleep(clock, settings.value.graceMs).then(() => false);
-  const isDrained = await Promise.race([finishWithoutFault(started.value.drain()), graceEnd]);
-  const cutOff = await started.value.cutOff();
-  const tookMs = Math.round(clock.now() - stopsAt);
-  log('stop', { host: settings.value.host, cutOff, ...getDelivery(), tookMs });
+  await stopInTime(started.value, settings.value, reason, sink);
+}
+
+/** Stops the host and ends the process before the platform does, whatever keeps the host from stopping in order. */
+async function stopInTime(
+  running: PlatformHost,
+  { host: name, graceMs }: PlatformSettings,
+  reason: EndReason,
+  sink: FlushableSink,
+): Promise<void> {
+  const clock = new SystemClock();
+  const startedAt = clock.now();
+  const { inFlight } = running.host.status();
+  log('stop_begins', { host: name, reason, inFlight, ...running.getDelivery() });
+  const leftMs = (): Millis => Math.max(0, startedAt + graceMs - clock.now());
+  const graceEnd = sleep(clock, graceMs).then(() => undefined);
+  const drained = await Promise.race([finishWithoutFault(running.drain()), graceEnd]);
+  const cut = drained ?? (await running.cutOff());
+  log('stop', { host: name, ...cut, tookMs: Math.round(clock.now() - startedAt) });
   await sink.flush();
-  process.exit(isDrained && reason === 'asked' ? EXIT.ok : EXIT.failed);
+  // What has arrived in the meantime is refused, and its lines are written.
+  await Promise.race([running.untilDelivered(), sleep(clock, leftMs())]);
+  await sink.flush(leftMs());
+  process.exit(drained !== undefined && reason === 'asked' ? EXIT.ok : EXIT.failed);
 }
 
 /**
--- a/packages/router/src/cli/waitForEnd.ts
+++ b/packages/router/src/cli/waitForEnd.ts
@@ -29,14 +29,13 @@
  * Runs a drain to its end.
  *
  * @param drain - The drain.
- * @returns Whether it ended without a fault.
+ * @returns Its result; undefined where it ended with a fault.
  */
-export async function finishWithoutFault(drain: Promise<void>): Promise<boolean> {
+export async function finishWithoutFault<T>(drain: Promise<T>): Promise<T | undefined> {
   try {
-    await drain;
-    return true;
+    return await drain;
   } catch (thrown) {
     reportFault('drain', thrown);
-    return false;
+    return undefined;
   }
 }
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -103,13 +103,27 @@
    * @returns A promise that resolves when the host has stopped.
    */
   async finishDrain(graceMs: Millis): Promise<void> {
+    this.refuseNew();
+    const grace = sleep(this.options.clock, graceMs, this.stopController.signal);
+    await Promise.race([this.untilServed(), grace]);
+    await this.leave();
+  }
+
+  /** Refuses all new requests from now on. */
+  refuseNew(): void {
     this.closed = true;
+  }
+
+  /** Waits until no request is in flight, and the outcomes of those that must not repeat are stored. */
+  async untilServed(): Promise<void> {
     const { coordination, inFlight } = this.components;
-    const grace = sleep(this.options.clock, graceMs, this.stopController.signal);
-    await Promise.race([inFlight.waitUntilIdle(), grace]);
-    if (coordination.claims !== undefined)
-      await Promise.race([coordination.claims.whenDrained(), grace]);
-    await coordination.leave();
+    await inFlight.waitUntilIdle();
+    await coordination.claims?.whenDrained();
+  }
+
+  /** Leaves the group and stops. */
+  async leave(): Promise<void> {
+    await this.components.coordination.leave();
     this.stop();
   }
 
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -1,12 +1,5 @@
 import { randomBytes } from 'node:crypto';
-import type { Millis } from '@camphorvane/core';
-import {
-  RandomSource,
-  runInBackground,
-  setFaultListener,
-  sleep,
-  SystemClock,
-} from '@camphorvane/core';
+import { RandomSource, runInBackground, setFaultListener, SystemClock } from '@camphorvane/core';
 import { HintSocket } from '@camphorvane/peer/hints';
 import { PeerOriginLink } from '@camphorvane/peer/origins';
 import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
@@ -28,34 +21,26 @@
 import { HostBuffers } from '../buffers/HostBuffers.ts';
 import { DeliveryLog, summarizeDelivery } from '../observe/DeliveryLog.ts';
 import type { DeliverySummary } from '../observe/DeliveryLog.ts';
-import { eventLog } from '../observe/EventLog.ts';
 import { FaultLog } from '../observe/FaultLog.ts';
 import { LoopDelay } from '../observe/LoopDelay.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
 import { Host } from './Host.ts';
-
-const log = eventLog('host');
+import { HostStop } from './HostStop.ts';
+import type { CutOff } from './HostStop.ts';
 
 /** Random bytes of an incarnation id; enough to be unique across restarts. */
 const INCARNATION_BYTES = 9;
 
-/**
- * Milliseconds for which a leaving host still accepts requests. Callers stop using it after their
- * next response or host list; requests accepted later might not finish within the grace period.
- */
-const LEAVING_PERIOD_MS: Millis = 2_500;
-
-/** Milliseconds before the end of the grace period at which requests in flight are abandoned. */
-const GRACE_END_MARGIN_MS: Millis = 400;
-
 /** A running host on the users' platform. */
 export interface PlatformHost {
   readonly host: Host;
   /** Drains and stops the host; requests that can finish within the grace period do. */
-  drain(): Promise<void>;
-  /** Ends the requests that are still in flight; gets their number. */
-  cutOff(): Promise<number>;
+  drain(): Promise<CutOff>;
+  /** Ends what is left at once: requests in flight, and answers that callers have not taken. */
+  cutOff(): Promise<CutOff>;
+  /** Waits until all answers are taken, and nothing more has arrived. */
+  untilDelivered(): Promise<void>;
   /** Gets what callers have not taken of answers that have ended. */
   getDelivery(): DeliverySummary;
 }
@@ -163,17 +148,18 @@
   runInBackground('host.task', () =>
     new LoopDelay(clock, metrics).run(new AbortController().signal),
   );
+  const stop = new HostStop({
+    ...{ clock, host, ingress, graceMs: settings.graceMs },
+    others: [snapshots, directory],
+  });
   return ok({
     host,
-    cutOff: () => host.cutOff(),
     getDelivery,
-    drain: async () => {
+    cutOff: () => stop.cutOff(),
+    untilDelivered: () => stop.untilDelivered(),
+    drain: () => {
       leaving = true;
-      runInBackground('host.task', () => host.beginDrain());
-      await sleep(clock, LEAVING_PERIOD_MS);
-      log('listener_closed', { ...getDelivery() });
-      ingress.stopListening();
-      await host.finishDrain(settings.graceMs - LEAVING_PERIOD_MS - GRACE_END_MARGIN_MS);
+      return stop.run();
     },
   });
 }
--- a/packages/router/src/observe/DeliveryLog.ts
+++ b/packages/router/src/observe/DeliveryLog.ts
@@ -38,7 +38,7 @@
   }
 
   /** Records an answer that was ended, and whose connection closed before the caller had taken it. */
-  recordUndelivered({ id, leftBytes }: UndeliveredAnswer): void {
+  recordUndelivered({ id, leftBytes }: Omit<UndeliveredAnswer, 'hasEnded'>): void {
     const stage = this.isStopping() ? 'stopping' : 'serving';
     this.metrics.count('answer.undelivered', { stage });
     log('answer_undelivered', { id, stage, leftBytes });
--- a/packages/router/src/observe/stdoutSink.ts
+++ b/packages/router/src/observe/stdoutSink.ts
@@ -1,5 +1,6 @@
 import { pino } from 'pino';
 import SonicBoom from 'sonic-boom';
+import type { Millis } from '@camphorvane/core';
 import type { LineSink } from './RateLimitedLog.ts';
 
 /** File descriptor of standard output. */
@@ -19,8 +20,12 @@
 
 /** A sink that can be flushed before the process exits. */
 export interface FlushableSink extends LineSink {
-  /** Writes buffered lines; resolves after a short time even if nothing reads them. */
-  flush(): Promise<void>;
+  /**
+   * Writes buffered lines; resolves after a short time even if nothing reads them.
+   *
+   * @param maxMs - Longest wait, if shorter than the usual one, in milliseconds.
+   */
+  flush(maxMs?: Millis): Promise<void>;
 }
 
 /**
@@ -47,9 +52,9 @@
   );
   return {
     write: (fields) => logger.info(fields),
-    flush: () =>
+    flush: (maxMs = EXIT_FLUSH_TIMEOUT_MS) =>
       new Promise((resolve) => {
-        setTimeout(resolve, EXIT_FLUSH_TIMEOUT_MS);
+        setTimeout(resolve, Math.min(maxMs, EXIT_FLUSH_TIMEOUT_MS));
         // A flush during a write only awaits that write, and leaves what was buffered meanwhile.
         stream.flush(() => stream.flush(() => resolve()));
       }),
