--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -9,9 +9,9 @@
 import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
 import { CrashTrials } from './CrashTrials.ts';
 import type { TrialEnd } from './CrashTrials.ts';
-import { isSuspected, judgeTrait } from './judgeTraits.ts';
-import type { CrashThresholds, CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
+import type { JudgedTrait } from './TraitJudge.ts';
+import { TraitJudge } from './TraitJudge.ts';
 import type { SignOfLife } from './UpstreamSurvivals.ts';
 import { isMostUsual, weighFailure } from './weighFailure.ts';
 import type { FailureWeight } from './weighFailure.ts';
@@ -38,31 +38,12 @@
       readonly isShared: boolean;
     };
 
-/** Distinct upstreams that must have crashed more for a trait that requests share than for a whole request. */
-const MORE_SHARED_UPSTREAMS = 1;
-
-/** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
-const SHARED_BLOCK_MS: Millis = 10_000;
-
 /** Milliseconds by which a crash may seem to be earlier at one host than at another. */
 const TRANSIT_MS: Millis = 500;
 
 /** Characters of a digest that identify a trait; the full digest would take four times the bytes. */
 const KEY_LENGTH = 16;
 
-interface OtherTraits {
-  /** Gets those that are suspected. */
-  readonly suspectsAt: (upstream: UpstreamId) => readonly TraitRecord[];
-  /** Gets those that different requests may have. */
-  readonly sharedAt: (upstream: UpstreamId) => readonly TraitRecord[];
-}
-
-interface JudgedTrait {
-  readonly key: string;
-  readonly record: TraitRecord;
-  readonly verdict: CrashVerdict;
-}
-
 /**
  * Finds out what crashes upstreams, and keeps requests with it away from them.
  *
@@ -77,6 +58,8 @@
 export class CrashSuspects {
   private readonly records: CrashRecords;
 
+  private readonly judge: TraitJudge;
+
   private readonly trials: CrashTrials;
 
   private readonly reporter: CrashReporter;
@@ -87,6 +70,7 @@
   constructor(opts: Partial<CrashSuspectsOptions> = {}) {
     this.opts = { ...DEFAULT_CRASH_SUSPECTS, ...opts };
     this.records = new CrashRecords(this.opts);
+    this.judge = new TraitJudge(this.records, this.opts);
     this.reporter = new CrashReporter(this.records);
     this.trials = new CrashTrials(this.opts.blockMs);
   }
@@ -172,10 +156,10 @@
    */
   admit(request: SuspectRequest, now: Millis, minAgeMs = this.opts.confirmMs): CrashAdmission {
     const keys = request.traits.map(toKey);
-    const held = this.judge(keys, now, minAgeMs);
+    const held = this.judge.judge(keys, now, minAgeMs);
     const blocking = held
       .filter(({ verdict }) => verdict === 'certain')
-      .map((one) => ({ ...one, leftMs: this.blockLeftMs(one.record, now) }))
+      .map((one) => ({ ...one, leftMs: this.judge.blockLeftMs(one, now) }))
       .sort((a, b) => b.leftMs - a.leftMs)
       .find(({ leftMs }) => leftMs > 0);
     if (blocking !== undefined) return toBlocked(blocking, blocking.leftMs);
@@ -184,7 +168,7 @@
     const traits = held.map(({ key }) => key).sort();
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
-    const { suspectsAt, sharedAt } = this.othersThan(keys, now);
+    const { suspectsAt, sharedAt } = this.judge.othersThan(keys, now);
     const records = held.map(({ record }) => record);
     const isUsual = isMostUsual(records, sharedAt);
     const weigh = (upstream: UpstreamId, since: Millis): FailureWeight => {
@@ -270,60 +254,13 @@
     return this.reporter.getOwn([...beside, ...suspects], now);
   }
 
-  /** Judges a request by its suspected traits; gets those that may crash upstreams. */
-  private judge(keys: readonly string[], now: Millis, minAgeMs: Millis): readonly JudgedTrait[] {
-    const suspected = keys
-      .filter((key) => this.records.isRepeated(key) || this.minCrashes(key) === 1)
-      .map((key) => ({ key, record: this.records.getTrait(key, now, minAgeMs) }))
-      .filter(({ key, record }) => isSuspected(record, this.minCrashes(key)));
-    if (suspected.length === 0) return [];
-    const { suspectsAt, sharedAt } = this.othersThan(keys, now);
-    return suspected
-      .map((one) => ({
-        ...one,
-        verdict: judgeTrait(one.record, this.thresholdsOf(one.key), suspectsAt, sharedAt),
-      }))
-      .filter(({ verdict }) => verdict !== 'innocent');
-  }
-
-  /** Gets, by upstream, the traits but the given ones that requests had which ran there when it crashed. */
-  private othersThan(keys: readonly string[], now: Millis): OtherTraits {
-    const recordOf = memoize((key: string) => this.records.getTrait(key, now));
-    const othersAt = (upstream: UpstreamId): readonly string[] =>
-      [...this.records.getTraitsAt(upstream)].filter((key) => !keys.includes(key));
-    return {
-      suspectsAt: memoize((upstream) =>
-        othersAt(upstream)
-          .filter((key) => this.records.isRepeated(key))
-          .filter((key) => isSuspected(recordOf(key), this.minCrashes(key)))
-          .map(recordOf),
-      ),
-      sharedAt: memoize((upstream) => othersAt(upstream).filter(isSharedDigest).map(recordOf)),
-    };
-  }
-
   private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
-    const leftMs = this.judge([toKey(digest)], now, minAgeMs).map(({ record }) =>
-      this.blockLeftMs(record, now),
-    );
+    const leftMs = this.judge
+      .judge([toKey(digest)], now, minAgeMs)
+      .map((one) => this.judge.blockLeftMs(one, now));
     const [first] = leftMs;
     return first !== undefined && first > 0 ? first : undefined;
   }
-
-  /** Gets how much longer a trait is blocked; a shared one is tried again soon, since it may be blocked wrongly. */
-  private blockLeftMs({ crashes, isShared }: TraitRecord, now: Millis): Millis {
-    const blockMs = isShared ? Math.min(SHARED_BLOCK_MS, this.opts.blockMs) : this.opts.blockMs;
-    return Math.max(...crashes.values()) + blockMs - now;
-  }
-
-  private thresholdsOf(key: string): CrashThresholds {
-    return { minCrashes: this.minCrashes(key), certainCrashes: this.opts.certainCrashes };
-  }
-
-  private minCrashes(key: string): number {
-    const { minUpstreams } = this.opts;
-    return isSharedDigest(key) ? minUpstreams + MORE_SHARED_UPSTREAMS : minUpstreams;
-  }
 }
 
 function toKey(digest: string): string {
@@ -334,12 +271,3 @@
   const { crashes, isShared } = record;
   return { type: 'blocked', retryAfterMs, trait: key, crashes: crashes.size, isShared };
 }
-
-function memoize<Key, T>(get: (key: Key) => T): (key: Key) => T {
-  const known = new Map<Key, T>();
-  return (key) => {
-    const value = known.get(key) ?? get(key);
-    known.set(key, value);
-    return value;
-  };
-}
--- /dev/null
+++ b/packages/decisions/src/retry/TraitJudge.ts
@@ -0,0 +1,100 @@
+import type { Millis, UpstreamId } from '@camphorvane/core';
+import type { CrashRecords } from './CrashRecords.ts';
+import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
+import { isSuspected, judgeTrait } from './judgeTraits.ts';
+import type { CrashVerdict, TraitRecord } from './judgeTraits.ts';
+import { isSharedDigest } from './sharedDigest.ts';
+
+/** Distinct upstreams that must have crashed more for a trait that requests share than for a whole request. */
+const MORE_SHARED_UPSTREAMS = 1;
+
+/** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
+const SHARED_BLOCK_MS: Millis = 10_000;
+
+/** Traits of the requests that ran on an upstream when it crashed, without those of the request that is judged. */
+export interface OtherTraits {
+  /** Gets those that are suspected. */
+  readonly suspectsAt: (upstream: UpstreamId) => readonly TraitRecord[];
+  /** Gets those that different requests may have. */
+  readonly sharedAt: (upstream: UpstreamId) => readonly TraitRecord[];
+}
+
+/** A suspected trait of a request. */
+export interface JudgedTrait {
+  readonly key: string;
+  readonly record: TraitRecord;
+  readonly verdict: CrashVerdict;
+}
+
+/** Judges requests by the crashes of their traits. */
+export class TraitJudge {
+  /**
+   * @param records - What is known of all traits.
+   * @param opts - Limits.
+   */
+  constructor(
+    private readonly records: CrashRecords,
+    private readonly opts: CrashSuspectsOptions,
+  ) {}
+
+  /**
+   * Judges a request by its suspected traits.
+   *
+   * @param keys - All its traits.
+   * @param now - Present time.
+   * @param minAgeMs - Milliseconds since a crash from which on it counts.
+   * @returns Those that may crash upstreams.
+   */
+  judge(keys: readonly string[], now: Millis, minAgeMs: Millis): readonly JudgedTrait[] {
+    const suspected = keys
+      .filter((key) => this.records.isRepeated(key) || this.minCrashes(key) === 1)
+      .map((key) => ({ key, record: this.records.getTrait(key, now, minAgeMs) }))
+      .filter(({ key, record }) => isSuspected(record, this.minCrashes(key)));
+    if (suspected.length === 0) return [];
+    const { suspectsAt, sharedAt } = this.othersThan(keys, now);
+    const { certainCrashes } = this.opts;
+    return suspected
+      .map((one) => {
+        const thresholds = { minCrashes: this.minCrashes(one.key), certainCrashes };
+        return { ...one, verdict: judgeTrait(one.record, thresholds, suspectsAt, sharedAt) };
+      })
+      .filter(({ verdict }) => verdict !== 'innocent');
+  }
+
+  /** Gets, by upstream, the traits but the given ones that requests had which ran there when it crashed. */
+  othersThan(keys: readonly string[], now: Millis): OtherTraits {
+    const recordOf = memoize((key: string) => this.records.getTrait(key, now));
+    const othersAt = (upstream: UpstreamId): readonly string[] =>
+      [...this.records.getTraitsAt(upstream)].filter((key) => !keys.includes(key));
+    return {
+      suspectsAt: memoize((upstream) =>
+        othersAt(upstream)
+          .filter((key) => this.records.isRepeated(key))
+          .filter((key) => isSuspected(recordOf(key), this.minCrashes(key)))
+          .map(recordOf),
+      ),
+      sharedAt: memoize((upstream) => othersAt(upstream).filter(isSharedDigest).map(recordOf)),
+    };
+  }
+
+  /** Gets how much longer a trait is blocked; a shared one is tried again soon, since it may be blocked wrongly. */
+  blockLeftMs({ record: { crashes, isShared } }: JudgedTrait, now: Millis): Millis {
+    const { blockMs } = this.opts;
+    const ownBlockMs = isShared ? Math.min(SHARED_BLOCK_MS, blockMs) : blockMs;
+    return Math.max(...crashes.values()) + ownBlockMs - now;
+  }
+
+  private minCrashes(key: string): number {
+    const { minUpstreams } = this.opts;
+    return isSharedDigest(key) ? minUpstreams + MORE_SHARED_UPSTREAMS : minUpstreams;
+  }
+}
+
+function memoize<Key, T>(get: (key: Key) => T): (key: Key) => T {
+  const known = new Map<Key, T>();
+  return (key) => {
+    const value = known.get(key) ?? get(key);
+    known.set(key, value);
+    return value;
+  };
+}
