Log requests that are let through although a trait of theirs is suspected

The trace of the incident could not tell why requests with a part at eight crashes were sent without a trial. crashes.trait_excused names the trait and its crashes, at most one line in 200 ms, and the counter crashes.excused counts all.

--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -23,9 +23,16 @@
   readonly traits: readonly string[];
 }
 
+/** A suspected trait whose crashes others explain. */
+export interface ExcusedTrait {
+  readonly trait: string;
+  readonly crashes: number;
+}
+
 /** Whether a request may be sent to an upstream. */
 export type CrashAdmission =
-  | { readonly type: 'clear' }
+  /** Let through; `excused` is a shared trait that is suspected, and whose crashes others explain. */
+  | { readonly type: 'clear'; readonly excused?: ExcusedTrait }
   /** Let through on trial, for the suspected traits that it has; `isNew` where this call started the trial. */
   | { readonly type: 'trial'; readonly traits: readonly string[]; readonly isNew: boolean }
   | {
@@ -156,7 +163,8 @@
    */
   admit(request: SuspectRequest, now: Millis, minAgeMs = this.opts.confirmMs): CrashAdmission {
     const keys = request.traits.map(toKey);
-    const held = this.judge.judge(keys, now, minAgeMs);
+    const judged = this.judge.judge(keys, now, minAgeMs);
+    const held = judged.filter(isHeld);
     const blocking = held
       .filter(({ verdict }) => verdict === 'certain')
       .map((one) => ({ ...one, leftMs: this.judge.blockLeftMs(one, now) }))
@@ -164,7 +172,7 @@
       .find(({ leftMs }) => leftMs > 0);
     if (blocking !== undefined) return toBlocked(blocking, blocking.leftMs);
     const [first] = held;
-    if (first === undefined) return { type: 'clear' };
+    if (first === undefined) return toClear(judged);
     const traits = held.map(({ key }) => key).sort();
     const isNew = !this.trials.isHolder(request.id);
     const subject = toKey(sha256Hex(traits.join()));
@@ -257,6 +265,7 @@
   private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
     const leftMs = this.judge
       .judge([toKey(digest)], now, minAgeMs)
+      .filter(isHeld)
       .map((one) => this.judge.blockLeftMs(one, now));
     const [first] = leftMs;
     return first !== undefined && first > 0 ? first : undefined;
@@ -267,6 +276,17 @@
   return digest.slice(0, KEY_LENGTH);
 }
 
+function isHeld({ verdict }: JudgedTrait): boolean {
+  return verdict !== 'innocent';
+}
+
+function toClear(judged: readonly JudgedTrait[]): CrashAdmission {
+  const [excused] = judged
+    .filter(({ record }) => record.isShared)
+    .map(({ key, record }) => ({ trait: key, crashes: record.crashes.size }));
+  return excused === undefined ? { type: 'clear' } : { type: 'clear', excused };
+}
+
 function toBlocked({ key, record }: JudgedTrait, retryAfterMs: Millis): CrashAdmission {
   const { crashes, isShared } = record;
   return { type: 'blocked', retryAfterMs, trait: key, crashes: crashes.size, isShared };
--- a/packages/decisions/src/retry/TraitJudge.ts
+++ b/packages/decisions/src/retry/TraitJudge.ts
@@ -43,7 +43,7 @@
    * @param keys - All its traits.
    * @param now - Present time.
    * @param minAgeMs - Milliseconds since a crash from which on it counts.
-   * @returns Those that may crash upstreams.
+   * @returns Those that are suspected, the innocent ones included.
    */
   judge(keys: readonly string[], now: Millis, minAgeMs: Millis): readonly JudgedTrait[] {
     const suspected = keys
@@ -53,12 +53,10 @@
     if (suspected.length === 0) return [];
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
     const { certainCrashes } = this.opts;
-    return suspected
-      .map((one) => {
-        const thresholds = { minCrashes: this.minCrashes(one.key), certainCrashes };
-        return { ...one, verdict: judgeTrait(one.record, thresholds, suspectsAt, sharedAt) };
-      })
-      .filter(({ verdict }) => verdict !== 'innocent');
+    return suspected.map((one) => {
+      const thresholds = { minCrashes: this.minCrashes(one.key), certainCrashes };
+      return { ...one, verdict: judgeTrait(one.record, thresholds, suspectsAt, sharedAt) };
+    });
   }
 
   /** Gets, by upstream, the traits but the given ones that requests had which ran there when it crashed. */
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -34,6 +34,7 @@
   | 'crashes.recorded'
   | 'crashes.blocked'
   | 'crashes.tried'
+  | 'crashes.excused'
   | 'crashes.withdrawn'
   | 'admission.refused'
   | 'admission.refused_while_idle'
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -7,12 +7,13 @@
   RequestId,
   UpstreamId,
 } from '@camphorvane/core';
-import { notRun, runInBackground, sha256Hex } from '@camphorvane/core';
+import { runInBackground, sha256Hex } from '@camphorvane/core';
 import { CrashSuspects, isSharedDigest } from '@camphorvane/decisions';
 import type {
   CrashAdmission,
   CrashReport,
   CrashSuspectsOptions,
+  ExcusedTrait,
   ReportAudience,
   ReportOrigin,
   SuspectRequest,
@@ -26,6 +27,7 @@
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
 import type { RequestGuard } from './RequestGuard.ts';
+import { suspectRefusal } from './suspectRefusal.ts';
 
 /** Milliseconds to wait for a peer to acknowledge a crash report. */
 const REPORT_TIMEOUT_MS: Millis = 1_000;
@@ -39,6 +41,9 @@
 /** Milliseconds between two updates of the gauge, each of which judges all traits with several crashes. */
 const GAUGE_INTERVAL_MS: Millis = 1_000;
 
+/** Milliseconds between two lines about requests that are let through although a trait of theirs is suspected. */
+const EXCUSED_INTERVAL_MS: Millis = 200;
+
 const log = eventLog('crashes');
 
 /** Options of a `CrashGuard`. */
@@ -82,6 +87,8 @@
 
   private gaugeUpdatedAt: Millis = -Infinity;
 
+  private excusedLoggedAt: Millis = -Infinity;
+
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
     this.options = options;
@@ -117,7 +124,7 @@
     const retryAfterMs = Math.round(admission.retryAfterMs);
     const { id, digest } = request;
     log('request_blocked', { id, digest: shorten(digest), trait, crashes, retryAfterMs });
-    return notRun('suspected_crasher', refusalText(isShared), admission.retryAfterMs);
+    return suspectRefusal(isShared, admission.retryAfterMs);
   }
 
   /**
@@ -243,6 +250,9 @@
   private admit(request: GuardedRequest, minAgeMs?: Millis): CrashAdmission {
     const now = this.options.clock.now();
     const admission = this.suspects.admit(toSuspect(request), now, minAgeMs);
+    if (admission.type === 'clear' && admission.excused !== undefined) {
+      this.recordExcused(request, admission.excused);
+    }
     if (admission.type !== 'trial' || !admission.isNew) return admission;
     const { id, digest } = request;
     this.options.metrics.count('crashes.tried');
@@ -255,6 +265,15 @@
     return admission;
   }
 
+  /** Records that a request is let through although a trait of it is suspected. */
+  private recordExcused({ id }: GuardedRequest, { trait, crashes }: ExcusedTrait): void {
+    const now = this.options.clock.now();
+    this.options.metrics.count('crashes.excused');
+    if (now - this.excusedLoggedAt < EXCUSED_INTERVAL_MS) return;
+    this.excusedLoggedAt = now;
+    log('trait_excused', { id, trait, crashes });
+  }
+
   private endTrial({ id }: Pick<GuardedRequest, 'id'>, end: TrialEnd): void {
     if (!this.suspects.endTrial(id, end, this.options.clock.now())) return;
     log('trial_ended', { id, hasFailed: end.state === 'failed' });
@@ -325,12 +344,6 @@
   return `${upstream}@${startedAt}`;
 }
 
-function refusalText(isShared: boolean): string {
-  return isShared
-    ? 'Several upstreams crashed while running requests with a part of this prompt; they are quarantined for now.'
-    : 'Several upstreams crashed while running this request; it is quarantined for now.';
-}
-
 function shorten(digest: string): string {
   return digest.slice(0, LOGGED_DIGEST_LENGTH);
 }
