Excuse no part by another one once it has crashed five upstreams

Cause: a conclusion drawn by comparing numbers of crashes. A suspect whose crashes another one explains, by a greater number, was let through without a trial. Engines that crash seconds into a stream run both parts at each crash, so that the numbers differ by what one host has heard last: each trial of the one excused the other, for as long as its crash took, 3.5 s. Failed trials excused each other alike, counted for one combination of parts only, and ended with the process, so that each loss of all hosts began them anew.

Why this works: a shared trait with more crashes than make it a suspect, and no answer since, is unresolved: two requests at once try it until two have failed, whichever combination of parts they had, and no suspect excuses them. A crash after a calm of 5 s, without a rarer unanswered part beside it, is a relapse: blocked for a minute after the first, ten after the second. Relapses are read off the crashes, which are stored and told, so that a process that starts knows them. A trait whose crashes are older than the process is unresolved as well.

--- a/packages/decisions/src/retry/CrashRecords.ts
+++ b/packages/decisions/src/retry/CrashRecords.ts
@@ -43,6 +43,8 @@
   readonly retentionMs: Millis;
   /** Most traits kept. */
   readonly maxDigests: number;
+  /** When this process started. */
+  readonly startedAt: Millis;
 }
 
 /** Records which traits the requests had that were running when upstreams crashed, and which were answered. */
@@ -173,6 +175,7 @@
       wasAnswered: this.answers.get(key) !== undefined,
       isShared: isSharedDigest(key),
       recentRequests: this.arrivals.get(key, now),
+      hasEarlierCrash: counted.some(([, { at }]) => at < this.opts.startedAt),
     };
   }
 
--- a/packages/decisions/src/retry/CrashSuspects.ts
+++ b/packages/decisions/src/retry/CrashSuspects.ts
@@ -45,6 +45,9 @@
       readonly isShared: boolean;
     };
 
+/** Milliseconds after its last crash for which a trait is blocked or let through on trial only, at least. */
+const MIN_BLOCK_MS: Millis = 10_000;
+
 /** Milliseconds by which a crash may seem to be earlier at one host than at another. */
 const TRANSIT_MS: Millis = 500;
 
@@ -166,8 +169,7 @@
     const judged = this.judge.judge(keys, now, minAgeMs);
     const held = judged.filter(isHeld);
     const blocking = held
-      .filter(({ verdict }) => verdict === 'certain')
-      .map((one) => ({ ...one, leftMs: this.judge.blockLeftMs(one, now) }))
+      .map((one) => ({ ...one, leftMs: blockLeftMs(one, now) }))
       .sort((a, b) => b.leftMs - a.leftMs)
       .find(({ leftMs }) => leftMs > 0);
     if (blocking !== undefined) return toBlocked(blocking, blocking.leftMs);
@@ -179,16 +181,21 @@
     const { suspectsAt, sharedAt } = this.judge.othersThan(keys, now);
     const records = held.map(({ record }) => record);
     const isUsual = isMostUsual(records, sharedAt);
+    const unresolved = held.filter(({ verdict }) => verdict === 'unresolved');
+    const isUnresolved = unresolved.length > 0 && !isUsual;
     const weigh = (upstream: UpstreamId, since: Millis): FailureWeight => {
       const beside = [...suspectsAt(upstream), ...sharedAt(upstream)].filter(
         ({ crashes }) => (crashes.get(upstream) ?? -Infinity) >= since - TRANSIT_MS,
       );
-      return weighFailure(records, beside, { isUsual, minUpstreams: this.opts.minUpstreams });
+      const context = { isUsual, isUnresolved, minUpstreams: this.opts.minUpstreams };
+      return weighFailure(records, beside, context);
     };
     const isSingle = held.some(({ verdict }) => verdict === 'certain');
     const clearedAt = Math.min(...traits.map((key) => this.records.getAnsweredAt(key)));
     const crashTimes = records.flatMap(({ crashes }) => [...crashes.values()]);
-    const mode = { isSingle, weigh, clearedAt, crashTimes };
+    const hasCrashed = (upstream: UpstreamId): boolean =>
+      unresolved.some(({ record }) => record.crashes.has(upstream));
+    const mode = { isSingle, isUnresolved, weigh, clearedAt, crashTimes, hasCrashed };
     const waitMs = this.trials.begin(subject, request.id, now, mode);
     return waitMs > 0 ? toBlocked(first, waitMs) : { type: 'trial', traits, isNew };
   }
@@ -222,12 +229,17 @@
    * @returns Milliseconds; undefined if they may run.
    */
   getBlockedMs(digest: string, now: Millis): Millis | undefined {
-    return this.getBlockedMsBy(digest, now, this.opts.confirmMs);
+    const [judged] = this.judge.judge([toKey(digest)], now, this.opts.confirmMs).filter(isHeld);
+    if (judged === undefined) return undefined;
+    const leftMs = blockLeftMs({ ...judged, blockMs: Math.max(judged.blockMs, MIN_BLOCK_MS) }, now);
+    return leftMs > 0 ? leftMs : undefined;
   }
 
-  /** Tells whether a trait is blocked, or will be unless one of its crashes is withdrawn. */
+  /** Tells whether a trait is blocked or tried, or will be unless one of its crashes is withdrawn. */
   isSuspect(digest: string, now: Millis): boolean {
-    return this.getBlockedMsBy(digest, now, 0) !== undefined;
+    const { blockMs } = this.opts;
+    const judged = this.judge.judge([toKey(digest)], now, 0).filter(isHeld);
+    return judged.some((one) => blockLeftMs({ ...one, blockMs }, now) > 0);
   }
 
   /** Gets what to report to other hosts of the trials alone. */
@@ -261,21 +273,16 @@
     );
     return this.reporter.getOwn([...beside, ...suspects], now);
   }
-
-  private getBlockedMsBy(digest: string, now: Millis, minAgeMs: Millis): Millis | undefined {
-    const leftMs = this.judge
-      .judge([toKey(digest)], now, minAgeMs)
-      .filter(isHeld)
-      .map((one) => this.judge.blockLeftMs(one, now));
-    const [first] = leftMs;
-    return first !== undefined && first > 0 ? first : undefined;
-  }
 }
 
 function toKey(digest: string): string {
   return digest.slice(0, KEY_LENGTH);
 }
 
+function blockLeftMs({ record: { crashes }, blockMs }: JudgedTrait, now: Millis): Millis {
+  return Math.max(...crashes.values()) + blockMs - now;
+}
+
 function isHeld({ verdict }: JudgedTrait): boolean {
   return verdict !== 'innocent';
 }
--- a/packages/decisions/src/retry/CrashSuspectsOptions.ts
+++ b/packages/decisions/src/retry/CrashSuspectsOptions.ts
@@ -14,6 +14,8 @@
   readonly retentionMs: Millis;
   /** Most traits kept. */
   readonly maxDigests: number;
+  /** When this process started; what its trials showed before is not known. */
+  readonly startedAt: Millis;
 }
 
 /**
@@ -29,4 +31,5 @@
   blockMs: 600_000,
   retentionMs: 3_600_000,
   maxDigests: 5_000,
+  startedAt: -Infinity,
 };
--- a/packages/decisions/src/retry/CrashTrials.ts
+++ b/packages/decisions/src/retry/CrashTrials.ts
@@ -9,6 +9,9 @@
 /** Milliseconds between the starts of two trials; hosts that start one at once count it once. */
 const TRIAL_GAP_MS: Millis = 1_000;
 
+/** Most trials of an unresolved trait that run at once before any has failed. */
+const MAX_UNRESOLVED_TRIALS = 2;
+
 /** Failed trials from which on the next one waits. */
 const MAX_FAILED_TRIALS = 2;
 
@@ -49,12 +52,16 @@
 export interface TrialMode {
   /** Whether one at a time is let through before any has failed, too. */
   readonly isSingle: boolean;
+  /** Whether a trait is unresolved: it isn't tried by requests without number, and failures of all its trials count. */
+  readonly isUnresolved: boolean;
   /** Gets what a trial shows that failed by a crash of an upstream since a time. */
   readonly weigh: (upstream: UpstreamId, since: Millis) => FailureWeight;
   /** When all traits of the subject had been answered last; trials before that don't count. */
   readonly clearedAt: Millis;
   /** Times of the crashes by the traits of the subject. */
   readonly crashTimes: readonly Millis[];
+  /** Tells whether an unresolved trait of the subject was at the crash of an upstream. */
+  readonly hasCrashed: (upstream: UpstreamId) => boolean;
 }
 
 /**
@@ -150,17 +157,23 @@
 
   /** Gets how long no trial of a subject may start, in milliseconds. */
   private waitFor(subject: string, now: Millis, mode: TrialMode): Millis {
-    const { isSingle, weigh, clearedAt, crashTimes } = mode;
+    const { isSingle, isUnresolved, weigh, clearedAt, crashTimes } = mode;
     const trials = this.get(subject, now).filter(({ at }) => at > clearedAt);
-    const failures = trials
+    const others = isUnresolved ? this.getFailedElsewhere(subject, now, mode) : [];
+    const failures = [...trials, ...others]
       .filter(({ state }) => state === 'failed')
+      .sort((a, b) => a.at - b.at)
       .map(({ at, upstream }) => ({
         ...{ at, upstream: upstream ?? at },
         weight: upstream === undefined ? 'strong' : weigh(upstream, at),
       }))
       .filter(({ weight }) => weight !== 'none');
     const last = failures.at(-1);
-    if (last === undefined && !isSingle) return 0;
+    const running = trials.filter(
+      ({ at, state }) => state === 'running' && now - at < MAX_TRIAL_MS,
+    );
+    const isFull = isUnresolved && running.length >= MAX_UNRESOLVED_TRIALS;
+    if (last === undefined && !isSingle && !isFull) return 0;
     const isCalm = (at: Millis): boolean =>
       crashTimes.every((crashedAt) => crashedAt > at || crashedAt <= at - CALM_MS);
     const convincing = failures.filter(({ at, weight }) => weight === 'strong' || isCalm(at));
@@ -174,6 +187,19 @@
     return Math.max(0, nextAt - now, ...waits);
   }
 
+  /** Gets the failed trials of other subjects by which an unresolved trait of this one crashed an upstream. */
+  private getFailedElsewhere(
+    subject: string,
+    now: Millis,
+    { clearedAt, hasCrashed }: TrialMode,
+  ): readonly Trial[] {
+    return [...this.trials.keys()]
+      .filter((other) => other !== subject)
+      .flatMap((other) => this.get(other, now))
+      .filter(({ at, state }) => at > clearedAt && state === 'failed')
+      .filter(({ upstream }) => upstream !== undefined && hasCrashed(upstream));
+  }
+
   private isHeld(subject: string, holder: RequestId): boolean {
     return this.trials.get(subject)?.some((trial) => isHeldBy(trial, holder)) === true;
   }
--- a/packages/decisions/src/retry/TraitJudge.ts
+++ b/packages/decisions/src/retry/TraitJudge.ts
@@ -1,15 +1,18 @@
 import type { Millis, UpstreamId } from '@camphorvane/core';
 import type { CrashRecords } from './CrashRecords.ts';
 import type { CrashSuspectsOptions } from './CrashSuspectsOptions.ts';
-import { isSuspected, judgeTrait } from './judgeTraits.ts';
+import { countRelapses, isSuspected, judgeTrait } from './judgeTraits.ts';
 import type { CrashVerdict, TraitRecord } from './judgeTraits.ts';
 import { isSharedDigest } from './sharedDigest.ts';
 
 /** Distinct upstreams that must have crashed more for a trait that requests share than for a whole request. */
 const MORE_SHARED_UPSTREAMS = 1;
 
-/** Milliseconds after its last crash until a shared trait is tried; each failed trial makes the next one wait longer. */
-const SHARED_BLOCK_MS: Millis = 10_000;
+/**
+ * Milliseconds after its last crash until a shared trait is tried, by the number of its relapses; after more it is the
+ * length of a block. Crashes are stored and told to peers, so that the next process of a host waits as long.
+ */
+const SHARED_BLOCKS_MS: readonly Millis[] = [10_000, 60_000];
 
 /** Traits of the requests that ran on an upstream when it crashed, without those of the request that is judged. */
 export interface OtherTraits {
@@ -24,6 +27,8 @@
   readonly key: string;
   readonly record: TraitRecord;
   readonly verdict: CrashVerdict;
+  /** Milliseconds after its last crash for which requests with it are blocked. */
+  readonly blockMs: Millis;
 }
 
 /** Judges requests by the crashes of their traits. */
@@ -53,9 +58,12 @@
     if (suspected.length === 0) return [];
     const { suspectsAt, sharedAt } = this.othersThan(keys, now);
     const { certainCrashes } = this.opts;
-    return suspected.map((one) => {
-      const thresholds = { minCrashes: this.minCrashes(one.key), certainCrashes };
-      return { ...one, verdict: judgeTrait(one.record, thresholds, suspectsAt, sharedAt) };
+    return suspected.map(({ key, record }) => {
+      const minCrashes = this.minCrashes(key);
+      const thresholds = { minCrashes, certainCrashes };
+      const verdict = judgeTrait(record, thresholds, suspectsAt, sharedAt);
+      const blockMs = this.blockMsOf(record, minCrashes, verdict, sharedAt);
+      return { key, record, verdict, blockMs };
     });
   }
 
@@ -75,11 +83,18 @@
     };
   }
 
-  /** Gets how much longer a trait is blocked; a shared one is tried again soon, since it may be blocked wrongly. */
-  blockLeftMs({ record: { crashes, isShared } }: JudgedTrait, now: Millis): Millis {
+  /** Gets how long a trait is blocked after its last crash; a shared one is tried again soon, since it may be blocked wrongly. */
+  private blockMsOf(
+    record: TraitRecord,
+    minCrashes: number,
+    verdict: CrashVerdict,
+    sharedAt: OtherTraits['sharedAt'],
+  ): Millis {
     const { blockMs } = this.opts;
-    const ownBlockMs = isShared ? Math.min(SHARED_BLOCK_MS, blockMs) : blockMs;
-    return Math.max(...crashes.values()) + ownBlockMs - now;
+    if (!record.isShared) return blockMs;
+    const relapses = countRelapses(record, minCrashes, sharedAt);
+    const isBlocked = verdict === 'certain' || (verdict === 'unresolved' && relapses > 0);
+    return isBlocked ? Math.min(SHARED_BLOCKS_MS[relapses] ?? blockMs, blockMs) : 0;
   }
 
   private minCrashes(key: string): number {
--- a/packages/decisions/src/retry/judgeTraits.ts
+++ b/packages/decisions/src/retry/judgeTraits.ts
@@ -10,6 +10,8 @@
   readonly isShared: boolean;
   /** Requests with it that callers have sent to this host lately, also refused ones. */
   readonly recentRequests: number;
+  /** Whether a crash of it is older than this process, which doesn't know the trials since then. */
+  readonly hasEarlierCrash: boolean;
 }
 
 /** Crashes of distinct upstreams that it takes to judge a trait. */
@@ -25,9 +27,12 @@
  *
  * - `innocent`: other traits explain the crashes of its own, or all but a coincidence.
  * - `uncertain`: it has a suspected trait, but also lacks one that may explain the crashes in its place.
+ * - `unresolved`: others may explain the crashes, but of these there are more than it takes to suspect a trait, and
+ *   no answer since. Comparing numbers of crashes can't clear it: two culprits that run side by side have about as many.
+ *   The same holds where the process has started since, and doesn't know what the comparison rests on.
  * - `certain`: only its own traits explain several crashes.
  */
-export type CrashVerdict = 'innocent' | 'uncertain' | 'certain';
+export type CrashVerdict = 'innocent' | 'uncertain' | 'unresolved' | 'certain';
 
 /** Milliseconds from the first crash of a series to the next one; a common cause crashes many upstreams at once. */
 const SERIES_MS: Millis = 1_000;
@@ -45,6 +50,9 @@
 /** A whole request explains crashes better than an often asked for trait with less than so many crashes more. */
 const CONTENT_LEAD_CRASHES = 2;
 
+/** Milliseconds without a crash after which a further one is a relapse: what was under way before has ended. */
+const CALM_MS: Millis = 5_000;
+
 /** Requests by which a trait is asked for more often than a suspect beside it, so that it is the usual one of both. */
 export const MIN_LEAD_REQUESTS = 5;
 
@@ -80,19 +88,69 @@
  * @returns The verdict.
  */
 export function judgeTrait(
+  trait: TraitRecord,
+  thresholds: CrashThresholds,
+  suspectsAt: (upstream: UpstreamId) => readonly TraitRecord[],
+  sharedAt: (upstream: UpstreamId) => readonly TraitRecord[],
+): CrashVerdict {
+  const verdict = compareTrait(trait, thresholds, suspectsAt, sharedAt);
+  if (verdict === 'certain' || !trait.isShared) return verdict;
+  const isRepeated = trait.crashes.size > thresholds.minCrashes && hasCertainSeries(trait);
+  const isForgotten = verdict === 'uncertain' && trait.hasEarlierCrash;
+  return isRepeated || isForgotten ? 'unresolved' : verdict;
+}
+
+/**
+ * Counts the crashes that a shared trait has caused after a calm, when it had been held back: those without a rarer trait
+ * beside it that was in no answer.
+ *
+ * @param trait - The trait.
+ * @param minCrashes - Crashes from which on it is suspected.
+ * @param sharedAt - Gets the other shared traits of requests that ran on an upstream when it crashed.
+ */
+export function countRelapses(
+  trait: TraitRecord,
+  minCrashes: number,
+  sharedAt: (upstream: UpstreamId) => readonly TraitRecord[],
+): number {
+  const crashes = [...trait.crashes].sort(([, a], [, b]) => a - b);
+  return crashes.filter((crash, n) => {
+    const [, before = -Infinity] = crashes[n - 1] ?? [];
+    const isAfterCalm = n >= minCrashes && crash[1] - before >= CALM_MS;
+    return isAfterCalm && !hasRarerBeside(crash, trait, sharedAt);
+  }).length;
+}
+
+function hasRarerBeside(
+  crash: readonly [UpstreamId, Millis],
+  trait: TraitRecord,
+  sharedAt: (upstream: UpstreamId) => readonly TraitRecord[],
+): boolean {
+  return explainedBy(
+    sharedAt(crash[0]),
+    crash,
+    (other) =>
+      !other.wasAnswered && other.crashes.size > COINCIDENT_CRASHES && isRarer(other, trait),
+  );
+}
+
+function explainedBy(
+  others: readonly TraitRecord[],
+  [upstream, at]: readonly [UpstreamId, Millis],
+  explains: (other: TraitRecord) => boolean,
+): boolean {
+  return others.some(
+    (other) => explains(other) && isSameCrash(other.crashes.get(upstream) ?? Infinity, at),
+  );
+}
+
+/** Judges a suspected trait by comparing it with the others at its crashes. */
+function compareTrait(
   trait: TraitRecord,
   { minCrashes, certainCrashes }: CrashThresholds,
   suspectsAt: (upstream: UpstreamId) => readonly TraitRecord[],
   sharedAt: (upstream: UpstreamId) => readonly TraitRecord[],
 ): CrashVerdict {
-  const explainedBy = (
-    others: readonly TraitRecord[],
-    [upstream, at]: readonly [UpstreamId, Millis],
-    explains: (other: TraitRecord) => boolean,
-  ): boolean =>
-    others.some(
-      (other) => explains(other) && isSameCrash(other.crashes.get(upstream) ?? Infinity, at),
-    );
   const crashes = [...trait.crashes];
   const unexplained = crashes.filter(
     (crash) =>
@@ -109,8 +167,7 @@
     explainedBy(suspectsAt(crash[0]), crash, (other) => isRarer(other, trait, MIN_LEAD_REQUESTS)),
   );
   if (2 * usual.length >= unexplained.length) return 'innocent';
-  const certainSeries = trait.wasAnswered ? CERTAIN_SERIES_AFTER_ANSWER : CERTAIN_SERIES;
-  if (countSeries(trait) < certainSeries) return 'uncertain';
+  if (!hasCertainSeries(trait)) return 'uncertain';
   const own = unexplained.filter(
     (crash) =>
       !explainedBy([...suspectsAt(crash[0]), ...sharedAt(crash[0])], crash, (other) =>
@@ -163,6 +220,12 @@
   return crashes.size >= minCrashes || recentRequests > MIN_REPEATED_REQUESTS;
 }
 
+/** Tells whether the crashes of a trait are spread over enough time for a cause of their own. */
+function hasCertainSeries(trait: TraitRecord): boolean {
+  const minSeries = trait.wasAnswered ? CERTAIN_SERIES_AFTER_ANSWER : CERTAIN_SERIES;
+  return countSeries(trait) >= minSeries;
+}
+
 /** Counts crashes, those that follow another one at once as one. */
 function countSeries({ crashes }: TraitRecord): number {
   const times = [...crashes.values()].sort((a, b) => a - b);
--- a/packages/decisions/src/retry/weighFailure.ts
+++ b/packages/decisions/src/retry/weighFailure.ts
@@ -9,6 +9,8 @@
 export interface FailureContext {
   /** See {@link isMostUsual}. */
   readonly isUsual: boolean;
+  /** Whether one of them is unresolved; see `CrashVerdict`. */
+  readonly isUnresolved: boolean;
   /** Crashes that a whole request may have by its own attempts. */
   readonly minUpstreams: number;
 }
@@ -24,10 +26,13 @@
 export function weighFailure(
   tried: readonly TraitRecord[],
   beside: readonly TraitRecord[],
-  { isUsual, minUpstreams }: FailureContext,
+  { isUsual, isUnresolved, minUpstreams }: FailureContext,
 ): FailureWeight {
   const others = beside.filter((other) => !tried.some((trait) => isRarer(trait, other)));
-  if (others.some((other) => mayBeCulprit(other, minUpstreams))) return 'none';
+  // Requests with a part that is suspected are on trial themselves; two such parts would excuse each other for good.
+  const mayExcuse = (other: TraitRecord): boolean =>
+    mayBeCulprit(other, minUpstreams) && !(isUnresolved && other.crashes.size >= minUpstreams);
+  if (others.some(mayExcuse)) return 'none';
   return isUsual || others.some(isUnanswered) ? 'weak' : 'strong';
 }
 
--- a/packages/router/src/serving/CrashGuard.ts
+++ b/packages/router/src/serving/CrashGuard.ts
@@ -92,7 +92,7 @@
   /** @param options - Identity, clock, peers and limits. */
   constructor(options: CrashGuardOptions) {
     this.options = options;
-    this.suspects = new CrashSuspects(options.suspicion);
+    this.suspects = new CrashSuspects({ startedAt: options.clock.now(), ...options.suspicion });
   }
 
   /**
--- a/packages/router/tests/support/CrashWorld.ts
+++ b/packages/router/tests/support/CrashWorld.ts
@@ -6,7 +6,7 @@
 
 const CRASHED: UpstreamError = { type: 'broken', dispatched: true, message: 'other side closed' };
 
-/** Milliseconds from the start of a run to its crash, or to its complete answer unless options name another time. */
+/** Milliseconds from the start of a run to its crash, and to its complete answer, unless options name other times. */
 const CRASH_MS: Millis = 60;
 const ANSWER_MS: Millis = 400;
 
@@ -63,7 +63,7 @@
   /**
    * @param fleet - The hosts.
    * @param culprits - Traits that crash each engine that runs a request with them.
-   * @param options - Number of engines, and the milliseconds until the next process starts after a crash and until an answer is complete.
+   * @param options - Number of engines, and the milliseconds until the next process starts after a crash, until an answer is complete and until an engine crashes.
    */
   constructor(
     private readonly fleet: StoreFleet,
@@ -72,6 +72,7 @@
       readonly engines: number;
       readonly restartMs: Millis;
       readonly answerMs?: Millis;
+      readonly crashMs?: Millis;
     },
   ) {
     this.engines = Array.from({ length: options.engines }, () => ({
@@ -135,8 +136,8 @@
       this.sends.set(trait, [...sends, { id: request.id, host: host.name, at: clock.now() }]);
     });
     const isRunning = (): boolean => engine.process === process && engine.runs.has(run);
-    const { answerMs = ANSWER_MS } = this.options;
-    clock.after(culprits.length > 0 ? CRASH_MS : answerMs, () => {
+    const { answerMs = ANSWER_MS, crashMs = CRASH_MS } = this.options;
+    clock.after(culprits.length > 0 ? crashMs : answerMs, () => {
       if (!isRunning()) return;
       if (culprits.length > 0) {
         this.crash(engine, culprits);
