Bound what callers take of a host on every deployment, by what it takes of memory

What callers saw: a crowd of clients that never end their requests ended the process, and with it the requests of everybody on the host: 20 bodies of 0.5 MB in chunks of one byte were enough (JavaScript heap out of memory); 120 bodies of 1 MB that stop short of their end took 195 to 236 MB of a machine with 160; refused bodies were read on without end; 400 open connections took 430 descriptors of 320.

Cause: bounds that hold only where a contract switches them on, and bytes that are counted by their payload. A chunk of one byte is kept as an object of some hundred bytes beside the read buffer that it is a part of; connections were not counted at all.

What changed: HostBuffers counts always; only what upstreams hold, and the pace of reading from them, hang on the switch. A body of which less than 4 KiB arrives in a second makes way where room is needed (ArrivingBodies). Idle connections make way beyond a share of max-fds (limitConnections), also at the directory and the peers' listener, which have time limits now.

A test changed: 'nothing is bounded or counted while the switch is off' asserted the very fault. In its place stands that requests and answers are bounded then, and that what upstreams hold is not.

--- a/packages/core/src/Buffers.ts
+++ b/packages/core/src/Buffers.ts
@@ -28,6 +28,15 @@
   release(): void;
 }
 
+/** The room of a body that is being read. */
+export interface ArrivingReservation extends Reservation {
+  /** Records that so many bytes of the body have arrived. */
+  recordProgress(bytes: number): void;
+
+  /** Records that the body is whole, so that it makes way for no other. */
+  recordWhole(): void;
+}
+
 /** A reservation that is not counted. */
 export const UNCOUNTED_RESERVATION: Reservation = {
   tryGrow: () => true,
@@ -36,7 +45,10 @@
 
 /** Bounds the bytes that a host buffers for callers and upstreams. */
 export interface Buffers {
-  /** Tells whether the configuration in force bounds buffers; reservations always succeed otherwise. */
+  /**
+   * Tells whether the configuration in force also has the host read from upstreams at the pace of callers, and bounds
+   * what an upstream holds.
+   */
   isBounded(): boolean;
 
   /**
@@ -49,6 +61,20 @@
    */
   tryReserve(kind: BufferKind, owner: BufferOwner, bytes: number): Reservation | undefined;
 
+  /**
+   * Reserves bytes for the body of a request that is to be read.
+   *
+   * @param owner - Whom they are held for.
+   * @param bytes - How many.
+   * @param evict - Ends the reading and releases the room; called where the body arrives too slowly to keep it from others.
+   * @returns The reservation; undefined where there is no room.
+   */
+  tryReserveBody?(
+    owner: BufferOwner,
+    bytes: number,
+    evict: () => void,
+  ): ArrivingReservation | undefined;
+
   /**
    * Creates the refusal of a request that there is no room for.
    *
--- a/packages/core/src/ServerDrain.ts
+++ b/packages/core/src/ServerDrain.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Clock, Millis } from './Clock.ts';
 import { sleep } from './Clock.ts';
 import type { CutResponseListener, OpenResponse } from './OpenResponses.ts';
@@ -46,6 +47,11 @@
     return this.responses.list();
   }
 
+  /** Tells whether a request on a connection is being answered, or its answer waits to be taken. */
+  isServing(socket: Socket): boolean {
+    return this.responses.getOn(socket).length > 0;
+  }
+
   /**
    * Closes the listener once no connection waits to be accepted; one that waits would be reset. Open connections are
    * served on.
--- a/packages/peer/src/snapshots/HttpSnapshotExchange.ts
+++ b/packages/peer/src/snapshots/HttpSnapshotExchange.ts
@@ -1,7 +1,8 @@
 import { createServer, get } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Clock, Millis } from '@camphorvane/core';
-import { reportFault, ServerDrain } from '@camphorvane/core';
+import type { Socket } from 'node:net';
+import type { Clock, ConnectionLimitOptions, Millis } from '@camphorvane/core';
+import { limitConnections, reportFault, ServerDrain } from '@camphorvane/core';
 import type { Snapshot, StoredObject } from '@camphorvane/store';
 import { isVersion } from '@camphorvane/store';
 import { err, ok } from 'neverthrow';
@@ -14,6 +15,11 @@
 /** Largest accepted copy, in bytes; the store's own lists have about 1 MB a page. */
 const MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024;
 
+/** Milliseconds for the head of a request, for a whole one, and between two checks of them. */
+const HEAD_TIMEOUT_MS: Millis = 5_000;
+const REQUEST_TIMEOUT_MS: Millis = 30_000;
+const CHECK_INTERVAL_MS: Millis = 1_000;
+
 const PATH = /^\/snapshots\/([^/?]+)\?newer-than=(\d+)$/;
 
 const OK = 200;
@@ -37,11 +43,26 @@
 
   private handleOther: OtherHandler = () => false;
 
-  /** @param clock - Clock for timeouts. */
-  constructor(clock: Clock) {
+  /**
+   * @param clock - Clock for timeouts.
+   * @param connections - Bounds the open connections.
+   */
+  constructor(
+    clock: Clock,
+    connections: Omit<ConnectionLimitOptions, 'isServing'> = { max: undefined },
+  ) {
     this.clock = clock;
-    this.server = createServer((req, res) => this.handle(req, res));
+    this.server = createServer(
+      {
+        headersTimeout: HEAD_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      },
+      (req, res) => this.handle(req, res),
+    );
     this.drain = new ServerDrain(this.server);
+    const isServing = (socket: Socket): boolean => this.drain.isServing(socket);
+    limitConnections(this.server, { ...connections, isServing });
   }
 
   /** Listens for peers; the error is the message of the failed listener. */
--- a/packages/router/src/buffers/HostBuffers.ts
+++ b/packages/router/src/buffers/HostBuffers.ts
@@ -1,4 +1,5 @@
 import type {
+  ArrivingReservation,
   BufferKind,
   BufferOwner,
   Buffers,
@@ -10,6 +11,7 @@
 import { notRun, UNCOUNTED_RESERVATION } from '@camphorvane/core';
 import { eventLog } from '../observe/EventLog.ts';
 import type { Metrics } from '../observe/Metrics.ts';
+import { ArrivingBodies } from './ArrivingBodies.ts';
 import { BufferBudget } from './BufferBudget.ts';
 
 /** Bounds of `Retry-After`: a new connection takes some ms, and callers give up after some seconds. */
@@ -25,11 +27,14 @@
 /** Milliseconds between two updates of the gauge. */
 const GAUGE_INTERVAL_MS: Millis = 250;
 
+/** Milliseconds between two lines about refusals, and between two about evictions; the counters count all. */
+const LOG_INTERVAL_MS: Millis = 100;
+
 const KINDS: readonly BufferKind[] = ['request', 'response', 'stream', 'sent'];
 
 const log = eventLog('buffers');
 
-/** The buffers of a host, bounded where the configuration in force says so. */
+/** The buffers of a host: what they take of its memory is bounded always, what upstreams hold where the configuration says so. */
 export class HostBuffers implements Buffers {
   private readonly clock: Clock;
 
@@ -39,8 +44,14 @@
 
   private isSwitchedOn: () => boolean = () => false;
 
+  private readonly arriving = new ArrivingBodies();
+
   private isGaugeScheduled = false;
 
+  private refusalLoggedAt: Millis = -Infinity;
+
+  private evictionLoggedAt: Millis = -Infinity;
+
   /** Bytes released lately, decaying with {@link RATE_WINDOW_MS}. */
   private released = 0;
 
@@ -58,7 +69,7 @@
     this.releasedAt = clock.now();
   }
 
-  /** Sets what tells whether buffers are bounded at the moment. */
+  /** Sets what tells whether the configuration also bounds what upstreams hold; see {@link Buffers.isBounded}. */
   setSwitch(isSwitchedOn: () => boolean): void {
     this.isSwitchedOn = isSwitchedOn;
   }
@@ -70,20 +81,25 @@
 
   /** {@inheritDoc Buffers.tryReserve} */
   tryReserve(kind: BufferKind, owner: BufferOwner, bytes: number): Reservation | undefined {
-    if (!this.isSwitchedOn()) return UNCOUNTED_RESERVATION;
-    const reservation = this.budget.tryReserve(kind, owner.owner, bytes);
+    // What an upstream holds takes no memory here.
+    if (kind === 'sent' && !this.isSwitchedOn()) return UNCOUNTED_RESERVATION;
+    const reservation = this.makeRoom(() => this.budget.tryReserve(kind, owner.owner, bytes));
     this.scheduleGauge();
     if (reservation === undefined) {
       this.recordRefused(kind, owner, bytes);
       return undefined;
     }
+    let isReleased = false;
     return {
       tryGrow: (more) => {
-        const hasGrown = reservation.tryGrow(more);
-        if (!hasGrown) this.recordRefused(kind, owner, more);
-        return hasGrown;
+        const hasGrown = this.makeRoom(
+          () => !isReleased && (reservation.tryGrow(more) || undefined),
+        );
+        if (hasGrown !== true) this.recordRefused(kind, owner, more);
+        return hasGrown === true;
       },
       release: () => {
+        isReleased = true;
         const before = this.budget.getTotal();
         reservation.release();
         this.recordReleased(before - this.budget.getTotal());
@@ -92,6 +108,29 @@
     };
   }
 
+  /** {@inheritDoc Buffers.tryReserveBody} */
+  tryReserveBody(
+    owner: BufferOwner,
+    bytes: number,
+    evict: () => void,
+  ): ArrivingReservation | undefined {
+    const reservation = this.tryReserve('request', owner, bytes);
+    if (reservation === undefined) return undefined;
+    const body = this.arriving.add(this.clock.now(), () => {
+      this.recordEvicted(owner);
+      evict();
+    });
+    return {
+      tryGrow: (more) => reservation.tryGrow(more),
+      release: () => {
+        body.end();
+        reservation.release();
+      },
+      recordProgress: (arrived) => body.recordProgress(arrived, this.clock.now()),
+      recordWhole: () => body.end(),
+    };
+  }
+
   /** {@inheritDoc Buffers.refusal} */
   refusal(bytes: number): Refusal {
     return bytes > this.budget.totalBound
@@ -120,8 +159,26 @@
     };
   }
 
+  /** Repeats an attempt to reserve room while slow bodies can make way for it. */
+  private makeRoom<T>(attempt: () => T | undefined): T | undefined {
+    let reserved = attempt();
+    while (reserved === undefined && this.arriving.evictSlowest(this.clock.now())) {
+      reserved = attempt();
+    }
+    return reserved;
+  }
+
+  private recordEvicted({ owner, request }: BufferOwner): void {
+    this.metrics.count('buffers.evicted');
+    if (this.clock.now() - this.evictionLoggedAt < LOG_INTERVAL_MS) return;
+    this.evictionLoggedAt = this.clock.now();
+    log('evicted', { id: request, owner, held: this.budget.getTotal() });
+  }
+
   private recordRefused(kind: BufferKind, { owner, request }: BufferOwner, bytes: number): void {
     this.metrics.count('buffers.refused', { kind });
+    if (this.clock.now() - this.refusalLoggedAt < LOG_INTERVAL_MS) return;
+    this.refusalLoggedAt = this.clock.now();
     const { totalBound } = this.budget;
     const held = this.budget.getTotal();
     log('refused', { id: request, kind, owner, bytes, held, bound: totalBound });
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -25,6 +25,7 @@
 import { LoopDelay } from '../observe/LoopDelay.ts';
 import { Metrics } from '../observe/Metrics.ts';
 import { callerAddresses } from './callerAddresses.ts';
+import { connectionLimits } from './connectionLimits.ts';
 import { Host } from './Host.ts';
 import { HostStop } from './HostStop.ts';
 import type { CutOff } from './HostStop.ts';
@@ -57,9 +58,10 @@
 ): Promise<Result<PlatformHost, string>> {
   const clock = new SystemClock();
   const hints = new HintSocket();
-  const snapshots = new HttpSnapshotExchange(clock);
-  const originLink = new PeerOriginLink(clock, hints, (ip) => snapshots.isPeer(ip));
   const metrics = new Metrics();
+  const connectionLimitOf = connectionLimits(settings.connections, metrics, clock);
+  const snapshots = new HttpSnapshotExchange(clock, connectionLimitOf('peers'));
+  const originLink = new PeerOriginLink(clock, hints, (ip) => snapshots.isPeer(ip));
   const faults = new FaultLog(clock, metrics);
   setFaultListener((place, thrown) => faults.record(place, thrown));
   const buffers = new HostBuffers(clock, metrics, settings.memoryMb);
@@ -121,6 +123,8 @@
     isDraining: () => leaving,
     limits: () => config.current()?.config.limits,
     buffers,
+    maxConnections: settings.connections.callers,
+    onConnectionClosed: connectionLimitOf('callers').onClose,
     onLeftUnread: () => metrics.count('request.left', { stage: 'unread' }),
     onUndelivered: (answer) => delivery.recordUndelivered(answer),
   });
@@ -132,6 +136,7 @@
       metrics: () => metrics.getPrometheusText(),
     },
     settings.maxDirectoryTtlMs,
+    connectionLimitOf('directory'),
   );
   const bound = await hints.listen(settings.ip, settings.peerPort);
   if (bound.isErr()) return err(`hints: ${bound.error}`);
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -47,6 +47,8 @@
   | 'retries.refused'
   | 'retries.uncharged'
   | 'buffers.refused'
+  | 'buffers.evicted'
+  | 'connections.closed'
   | 'buffers.cut_off'
   | 'fault';
 
--- a/packages/router/tests/buffers/releases.test.ts
+++ b/packages/router/tests/buffers/releases.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
-import { SystemClock } from '@camphorvane/core';
+import { SystemClock, VirtualClock } from '@camphorvane/core';
 import { Metrics } from '@camphorvane/router';
 import { HostBuffers } from '../../src/buffers/HostBuffers.ts';
 import { pause, SIGNED, SocketFleet, within } from '../support/SocketFleet.ts';
@@ -73,12 +73,37 @@
   });
 });
 
-// Guards against hosts that refuse requests although the operators have switched nothing on.
-test('nothing is bounded or counted while the switch is off', () => {
+// Guards against a bound of the memory that holds only where the operators have switched something on.
+test('while the switch is off, what the host holds is bounded, and what upstreams hold is not', () => {
   const off = new HostBuffers(new SystemClock(), new Metrics(), 1);
   const owner = { owner: 'c', request: 'r' };
-  assert.notEqual(off.tryReserve('request', owner, 900 * MB), undefined);
-  assert.equal(off.dump().request, 0);
+  assert.equal(off.tryReserve('request', owner, 900 * MB), undefined);
+  assert.equal(off.tryReserve('response', owner, 900 * MB), undefined);
+  assert.notEqual(off.tryReserve('sent', owner, 900 * MB), undefined);
+  assert.deepEqual(off.dump(), { request: 0, response: 0, stream: 0, sent: 0 });
+});
+
+// Guards against callers that stop short of the end of their bodies and leave no room for others.
+test('a body that arrives too slowly makes way for another, one that goes on does not', async () => {
+  const clock = new VirtualClock();
+  const buffers = new HostBuffers(clock, new Metrics(), 4);
+  const evicted: string[] = [];
+  const [slow, quick] = ['slow', 'quick'].map((request) => {
+    const body = buffers.tryReserveBody({ owner: request, request }, MB / 2, () => {
+      evicted.push(request);
+      body?.release();
+    });
+    return body;
+  });
+  await clock.advance(900);
+  assert.equal(buffers.tryReserve('request', { owner: 'o', request: 'o' }, MB / 2), undefined);
+  quick?.recordProgress(8_192);
+  slow?.recordProgress(1);
+  await clock.advance(200);
+  const other = buffers.tryReserve('request', { owner: 'o', request: 'o' }, MB / 2);
+  assert.notEqual(other, undefined);
+  assert.deepEqual(evicted, ['slow']);
+  assert.equal(buffers.dump().request, MB);
 });
 
 // Guards against a `Retry-After` that says the same whatever the backlog is.
