Join what is read of callers, upstreams, peers and the store in one buffer each

What callers saw: a host of the product's own interface ended (SIGABRT, JavaScript heap out of memory) by 30 clients that send 0.3 MB each in chunks of one byte and don't end. BodyReader counts the capacity of a growing buffer now and has bodies in tiny pieces take turns; the readers of answers of upstreams, of relayed requests, of the store and of held bodies join alike.

--- a/packages/caller/src/http/BodyReader.ts
+++ b/packages/caller/src/http/BodyReader.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock, Millis, Refusal } from '@camphorvane/core';
-import { notRun } from '@camphorvane/core';
+import { ByteAccumulator, notRun, ReadingTurns } from '@camphorvane/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -8,7 +8,7 @@
 export interface BodyLimits {
   /** Largest body of one request, in bytes. */
   readonly maxBytes: number;
-  /** Total bytes of all bodies being read at once. */
+  /** Bytes that all bodies being read at once take of memory. */
   readonly maxTotalBytes: number;
   /** Milliseconds within which a whole body must arrive. */
   readonly timeoutMs: Millis;
@@ -32,6 +32,8 @@
 
   private readonly limits: BodyLimits;
 
+  private readonly turns = new ReadingTurns();
+
   private bufferedBytes = 0;
 
   /**
@@ -43,7 +45,7 @@
     this.limits = limits;
   }
 
-  /** Gets the total bytes of the bodies being read. */
+  /** Gets the bytes of memory that the bodies being read take. */
   getBufferedBytes(): number {
     return this.bufferedBytes;
   }
@@ -56,14 +58,15 @@
    */
   read(req: IncomingMessage): Promise<Result<Buffer, Refusal>> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const body = new ByteAccumulator();
+      const countPiece = this.turns.counterOf(req);
+      let held = 0;
       let cancelTimer = (): void => undefined;
       const finish = (result: Result<Buffer, Refusal>): void => {
         cancelTimer();
         req.removeAllListeners('data');
-        this.bufferedBytes -= size;
-        size = 0;
+        this.bufferedBytes -= held;
+        held = 0;
         if (result.isErr()) req.resume();
         resolve(result);
       };
@@ -71,13 +74,19 @@
         finish(err(notRun('body_timeout', 'The request body did not arrive in time.'))),
       );
       req.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        this.bufferedBytes += chunk.length;
-        chunks.push(chunk);
-        if (size > this.limits.maxBytes) finish(err(this.bodyTooLarge()));
-        else if (this.bufferedBytes > this.limits.maxTotalBytes) finish(err(this.bufferFull()));
+        countPiece();
+        const growth = body.growthFor(chunk.length);
+        if (body.length + chunk.length > this.limits.maxBytes) {
+          finish(err(this.bodyTooLarge()));
+        } else if (this.bufferedBytes + growth > this.limits.maxTotalBytes) {
+          finish(err(this.bufferFull()));
+        } else {
+          held += growth;
+          this.bufferedBytes += growth;
+          body.add(chunk);
+        }
       });
-      req.once('end', () => finish(ok(Buffer.concat(chunks))));
+      req.once('end', () => finish(ok(body.take())));
       req.once('error', () => finish(err(notRun('caller_gone', 'The request body was aborted.'))));
       req.once('close', () => finish(err(notRun('caller_gone', 'The request body was aborted.'))));
     });
--- a/packages/caller/src/http/HeldBody.ts
+++ b/packages/caller/src/http/HeldBody.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Refusal, Reservation } from '@camphorvane/core';
-import { outcomeUnknown } from '@camphorvane/core';
+import { ByteAccumulator, outcomeUnknown } from '@camphorvane/core';
 
 const HTTP_1_1 = 1;
 
@@ -27,9 +27,7 @@
 export class HeldBody {
   private readonly reservation: Reservation;
 
-  private readonly chunks: Uint8Array[] = [];
-
-  private bytes = 0;
+  private readonly body = new ByteAccumulator();
 
   /** @param reservation - Counts its bytes. */
   constructor(reservation: Reservation) {
@@ -43,17 +41,16 @@
    * @returns False where there is no room for them.
    */
   tryAdd(chunk: Uint8Array): boolean {
-    const size = this.bytes + chunk.length;
-    if (size > MAX_HELD_BYTES || !this.reservation.tryGrow(chunk.length)) return false;
-    this.chunks.push(chunk);
-    this.bytes = size;
+    if (this.body.length + chunk.length > MAX_HELD_BYTES) return false;
+    if (!this.reservation.tryGrow(this.body.growthFor(chunk.length))) return false;
+    this.body.add(chunk);
     return true;
   }
 
   /** Gets the whole body, and returns its room. */
   take(): Buffer {
     this.release();
-    return Buffer.concat(this.chunks);
+    return this.body.take();
   }
 
   /** Returns the room; idempotent. */
--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -2,6 +2,7 @@
 import type { Buffers, Clock, Millis, SoftwareVersion } from '@camphorvane/core';
 import {
   abortOnDisconnect,
+  ByteAccumulator,
   reportFault,
   runInBackground,
   UNCOUNTED_RESERVATION,
@@ -77,7 +78,7 @@
     this.inFlight += 1;
     try {
       req.setTimeout(READ_TIMEOUT_MS, () => req.destroy());
-      const relayed = decodeRequest(await readBody(req));
+      const relayed = decodeRequest(await readBody(req, length));
       req.setTimeout(0);
       if (relayed === undefined) return refuse(res, BAD_REQUEST);
       await this.serve(relayed, res);
@@ -151,10 +152,10 @@
   }
 }
 
-async function readBody(req: IncomingMessage): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  for await (const chunk of req) chunks.push(chunk as Uint8Array);
-  return Buffer.concat(chunks);
+async function readBody(req: IncomingMessage, length: number): Promise<Buffer> {
+  const body = new ByteAccumulator(length);
+  for await (const chunk of req) body.add(chunk as Uint8Array);
+  return body.take();
 }
 
 function refuse(res: ServerResponse, status: number): undefined {
--- a/packages/router/tests/support/HostProcess.ts
+++ b/packages/router/tests/support/HostProcess.ts
@@ -2,10 +2,9 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { freePort } from './freePort.ts';
 
 const ENTRY = 'packages/router/src/platformMain.ts';
 
@@ -92,11 +91,3 @@
     this.child.kill(signal);
   }
 }
-
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  return port;
-}
--- a/packages/store/src/PlatformHttp.ts
+++ b/packages/store/src/PlatformHttp.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from '@camphorvane/core';
-import { runInBackground } from '@camphorvane/core';
+import { ByteAccumulator, runInBackground } from '@camphorvane/core';
 import { ResultAsync, err, errAsync, ok, type Result } from 'neverthrow';
 import { Agent, request, type Dispatcher } from 'undici';
 import type { PlatformError } from './ObjectStore.ts';
@@ -185,15 +185,15 @@
 }
 
 async function readBounded(body: AsyncIterable<unknown>, maxBytes: number): Promise<string> {
-  const parts: Buffer[] = [];
-  let size = 0;
+  const read = new ByteAccumulator();
   for await (const part of body) {
     const bytes = part as Buffer;
-    size += bytes.length;
-    if (size > maxBytes) throw new Error('the response exceeds the size limit');
-    parts.push(bytes);
+    if (read.length + bytes.length > maxBytes) {
+      throw new Error('the response exceeds the size limit');
+    }
+    read.add(bytes);
   }
-  return Buffer.concat(parts).toString('utf8');
+  return read.take().toString('utf8');
 }
 
 /** Parses a body; one that is no JSON, such as a proxy's error page, is left to the schemas to reject. */
--- a/packages/upstream/src/HttpPlainServer.ts
+++ b/packages/upstream/src/HttpPlainServer.ts
@@ -1,5 +1,5 @@
 import type { Clock, UpstreamId } from '@camphorvane/core';
-import { runInBackground } from '@camphorvane/core';
+import { ByteAccumulator, runInBackground } from '@camphorvane/core';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
@@ -98,11 +98,10 @@
       message: 'response belongs to another attempt',
     });
   }
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of res.body) {
-    size += chunk.length;
-    if (size > MAX_RESPONSE_BYTES) {
+  const body = new ByteAccumulator();
+  for await (const read of res.body) {
+    const chunk = read as Uint8Array;
+    if (body.length + chunk.length > MAX_RESPONSE_BYTES) {
       return err({
         type: 'broken',
         dispatched: true,
@@ -110,12 +109,12 @@
         message: 'response body too large',
       });
     }
-    chunks.push(chunk);
+    body.add(chunk);
   }
   const headers = Object.fromEntries(
     Object.entries(res.headers)
       .filter(([name]) => !HOP_BY_HOP.has(name))
       .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : (value ?? '')]),
   );
-  return ok({ status: res.statusCode, headers, body: Buffer.concat(chunks) });
+  return ok({ status: res.statusCode, headers, body: body.take() });
 }
--- a/packages/upstream/src/readBody.ts
+++ b/packages/upstream/src/readBody.ts
@@ -1,4 +1,5 @@
 import type { Reservation } from '@camphorvane/core';
+import { ByteAccumulator } from '@camphorvane/core';
 import { ResponseOverrunError } from './readBounded.ts';
 
 /** Read-ahead of a connection that pauses after each chunk, until that has been asked for. */
@@ -51,23 +52,22 @@
   if (isReserved && !reservation.tryGrow(declaredBytes)) {
     return { type: 'begun', bytes: new Uint8Array(), rest: upTo(chunks, maxBytes) };
   }
-  const read: Uint8Array[] = [];
-  let size = 0;
+  const body = new ByteAccumulator(isReserved ? declaredBytes : 0);
   let next = await chunks.next();
   while (next.done !== true) {
     const chunk = next.value;
-    read.push(chunk);
-    size += chunk.length;
-    if (size > maxBytes) {
+    if (body.length + chunk.length > maxBytes) {
       await chunks.return(undefined);
       return { type: 'too_large' };
     }
-    if (!isReserved && !reservation.tryGrow(chunk.length)) {
-      return { type: 'begun', bytes: Buffer.concat(read), rest: upTo(chunks, maxBytes - size) };
+    const growth = body.growthFor(chunk.length);
+    body.add(chunk);
+    if (!isReserved && growth > 0 && !reservation.tryGrow(growth)) {
+      return { type: 'begun', bytes: body.take(), rest: upTo(chunks, maxBytes - body.length) };
     }
     next = await chunks.next();
   }
-  return { type: 'whole', bytes: Buffer.concat(read) };
+  return { type: 'whole', bytes: body.take() };
 }
 
 /** Passes a body on while it is within its bound; it is closed where it is not. */
--- a/packages/upstream/src/readBounded.ts
+++ b/packages/upstream/src/readBounded.ts
@@ -1,3 +1,5 @@
+import { ByteAccumulator } from '@camphorvane/core';
+
 /** Bound that a response exceeded: of the bytes of its body, of those around it, or of the time of its body. */
 export type ResponseBound = 'body' | 'framing' | 'time';
 
@@ -24,12 +26,10 @@
   chunks: AsyncIterable<Uint8Array>,
   maxBytes: number,
 ): Promise<Buffer> {
-  const read: Uint8Array[] = [];
-  let size = 0;
+  const body = new ByteAccumulator();
   for await (const chunk of chunks) {
-    size += chunk.length;
-    if (size > maxBytes) throw new ResponseOverrunError('body');
-    read.push(chunk);
+    if (body.length + chunk.length > maxBytes) throw new ResponseOverrunError('body');
+    body.add(chunk);
   }
-  return Buffer.concat(read);
+  return body.take();
 }
