--- a/packages/router/src/buffers/ArrivingBodies.ts
+++ b/packages/router/src/buffers/ArrivingBodies.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '@camphorvane/core';
 
-/** Milliseconds over which the progress of a body is measured. */
+/** Milliseconds of each window in which the progress of a body is counted. */
 const WINDOW_MS: Millis = 1_000;
 
 /** Bytes in that time below which a body makes way for others. */
