Log and measure what a request waited before it was accepted

The lines of a request began with 'accepted', and what it had waited until then was in none of them: a request that was passed on 587 ms after its time was over had ageMs 0. Nothing told a clock that starts late from a host that sheds nothing.

ReadLag bounds the wait that the operating system does not tell: whatever is read now arrived after the event loop was last idle, and a tick that is overdue shows that the process stood still. 'accepted' has waitedMs, request.waited is its histogram, host.read_lag its gauge. No decision uses them yet.

--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -142,9 +142,15 @@
    * @param id - The request's id, set by its caller.
    * @param req - The call.
    * @param signal - Aborted when the caller disconnects.
+   * @param waitedMs - Milliseconds that the call has waited since it arrived; 0 if absent.
    * @returns The events; `refused` after `head` means that the response is truncated.
    */
-  forward(id: RequestId, req: ForwardRequest, signal: AbortSignal): AsyncIterable<ForwardEvent>;
+  forward(
+    id: RequestId,
+    req: ForwardRequest,
+    signal: AbortSignal,
+    waitedMs?: Millis,
+  ): AsyncIterable<ForwardEvent>;
 }
 
 /** What the HTTP server needs of the host; scenarios call it without HTTP. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './contain.ts';
 export * from './InterruptibleSleep.ts';
 export * from './OpenResponses.ts';
+export * from './ReadLag.ts';
 export * from './ReadingTurns.ts';
 export * from './ServerDrain.ts';
 export * from './SystemClock.ts';
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -1,5 +1,11 @@
 import { randomBytes } from 'node:crypto';
-import { RandomSource, runInBackground, setFaultListener, SystemClock } from '@camphorvane/core';
+import {
+  RandomSource,
+  ReadLag,
+  runInBackground,
+  setFaultListener,
+  SystemClock,
+} from '@camphorvane/core';
 import { HintSocket } from '@camphorvane/peer/hints';
 import { PeerOriginLink } from '@camphorvane/peer/origins';
 import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
@@ -118,7 +124,9 @@
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
   const delivery = new DeliveryLog(metrics, () => leaving);
+  const lag = new ReadLag();
   const ingress = new Ingress({
+    lag,
     backend: host.forwarding,
     isDraining: () => leaving,
     limits: () => config.current()?.config.limits,
@@ -151,7 +159,7 @@
   });
   host.start();
   runInBackground('host.task', () =>
-    new LoopDelay(clock, metrics).run(new AbortController().signal),
+    new LoopDelay(clock, metrics, lag).run(new AbortController().signal),
   );
   const stop = new HostStop({
     ...{ clock, host, ingress, graceMs: settings.graceMs },
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -59,11 +59,13 @@
   | 'buffers.bytes'
   | 'crashes.suspects'
   | 'reach.services'
-  | 'host.loop_delay';
+  | 'host.loop_delay'
+  | 'host.read_lag';
 
 /** Names of all timings, which are in milliseconds. */
 export type TimingName =
   | 'request.ttft'
+  | 'request.waited'
   | 'request.whole'
   | 'request.pause'
   | 'request.token_interval'
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -1,37 +1,24 @@
 import type { ForwardBackend, ForwardEvent, ForwardRequest } from '@camphorvane/caller';
-import type {
-  Clock,
-  ForwardRoute,
-  Millis,
-  RandomSource,
-  Refusal,
-  RequestId,
-  ServiceId,
-} from '@camphorvane/core';
+import type { Clock, Millis, RandomSource, Refusal, RequestId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
-import { FREE_STREAM, RequestAgeEstimator, RequestArrivals } from '@camphorvane/decisions';
 import type { RelayContext, RelayedRequest } from '@camphorvane/peer/relay';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
-import type { AuthenticatedCaller, Authenticator } from '../host/Authenticator.ts';
+import type { Authenticator } from '../host/Authenticator.ts';
 import type { InFlightRequests } from '../host/InFlightRequests.ts';
 import type { ConfigSource, RetryGate } from '../host/ports.ts';
 import type { UpstreamDirectory } from '../host/UpstreamDirectory.ts';
 import type { Metrics } from '../observe/Metrics.ts';
-import { eventLog } from '../observe/EventLog.ts';
 import type { RequestRelay, ServingState } from '../reach/RequestRelay.ts';
 import { abortRefusal } from './abortRefusal.ts';
 import { AnswerRecord } from './AnswerRecord.ts';
 import type { CompletionHandler } from './CompletionHandler.ts';
-import { ExecutionCount } from './ExecutionCount.ts';
-import { chooseTarget, findForwardRoute, servicesOf } from './findForwardRoute.ts';
+import { servicesOf } from './findForwardRoute.ts';
 import { toForwardEvents } from './forwardEvents.ts';
 import type { ServiceCallHandler } from './ServiceCallHandler.ts';
 import { deliverResponse } from './deliverResponse.ts';
 import { RequestLog } from './RequestLog.ts';
 import { RequestRetries } from './RequestRetries.ts';
+import { RouteResolver, versionUnknown } from './RouteResolver.ts';
 import {
-  ANONYMOUS_CALLER,
   completionOf,
   isResumableStream,
   isTakeUp,
@@ -43,17 +30,9 @@
 import type { StreamVersions } from './StreamVersions.ts';
 import type { TurnRegistry } from './TurnRegistry.ts';
 
-/** Milliseconds that a caller is assumed to wait where it does not declare a timeout. */
-const DEFAULT_CALLER_TIMEOUT_MS: Millis = 30_000;
-
 /** Retry-after in milliseconds where the host has no configuration, or the route no servers. */
 const UNAVAILABLE_RETRY_MS: Millis = 500;
 
-/** Retry-after in milliseconds of a draining host; short, as the retry goes to another host. */
-const DRAINING_RETRY_MS: Millis = 50;
-
-const log = eventLog('request');
-
 /** Options of a `ForwardHandler`. */
 export interface ForwardHandlerOptions {
   readonly clock: Clock;
@@ -81,17 +60,23 @@
 
   private readonly requests: RequestLog;
 
-  private readonly callerAges = new RequestAgeEstimator();
+  private readonly routes: RouteResolver;
 
   /** @param options - Components of the host. */
   constructor(options: ForwardHandlerOptions) {
     this.options = options;
     this.requests = new RequestLog(options.clock, options.metrics, () => this.version());
+    this.routes = new RouteResolver(options, this.requests);
   }
 
   /** Serves one call (see `ForwardBackend.forward`); aborting the signal ends it. */
-  forward(id: RequestId, req: ForwardRequest, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
-    return this.serveRouted(id, req, signal, undefined);
+  forward(
+    id: RequestId,
+    req: ForwardRequest,
+    signal: AbortSignal,
+    waitedMs: Millis = 0,
+  ): AsyncGenerator<ForwardEvent> {
+    return this.serveRouted(id, req, signal, undefined, waitedMs);
   }
 
   /** Serves a call that a peer has passed on, over this host's own links only. */
@@ -99,7 +84,7 @@
     const { id, call, context } = request;
     this.options.metrics.count('relay.served');
     const req = { ...call, callerTimeoutMs: context.leftMs };
-    return this.serveRouted(id, req, signal, context);
+    return this.serveRouted(id, req, signal, context, 0);
   }
 
   private async *serveRouted(
@@ -107,9 +92,10 @@
     req: ForwardRequest,
     signal: AbortSignal,
     relayed: RelayContext | undefined,
+    waitedMs: Millis,
   ): AsyncGenerator<ForwardEvent> {
     const startedAt = this.options.clock.now();
-    const routed = this.resolveRoute(id, req, relayed);
+    const routed = this.routes.resolve(id, req, relayed, waitedMs);
     if (routed.isErr()) {
       this.requests.recordRefusal(id, routed.error, startedAt);
       yield { type: 'refused', refusal: routed.error };
@@ -145,85 +131,6 @@
     }
   }
 
-  private resolveRoute(
-    id: RequestId,
-    req: ForwardRequest,
-    relayed: RelayContext | undefined,
-  ): Result<RoutedCall, Refusal> {
-    const config = this.options.config.current()?.config;
-    if (config === undefined) {
-      const text = 'This host has no configuration yet.';
-      return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
-    }
-    if (this.options.config.isOutdated?.() === true) {
-      const text = 'This host could not get the configuration that is in force.';
-      return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
-    }
-    if ((relayed?.configVersion ?? 0) > this.version()) {
-      const text = 'This host has an older configuration than the one that passed the request on.';
-      return err(notRun('key_state_unconfirmed', text, UNAVAILABLE_RETRY_MS));
-    }
-    if (this.options.isClosed()) {
-      return err(notRun('host_draining', 'This host is leaving.', DRAINING_RETRY_MS));
-    }
-    const route = findForwardRoute(config.routes ?? [], req.host, req.path);
-    if (route === undefined) {
-      return err(notRun('unknown_service', 'No route matches this host name and path.'));
-    }
-    if (route.kind === 'stream' && req.isPositionUnreadable === true) {
-      return err(notRun('bad_request', 'Last-Event-Id is not the position of an event.'));
-    }
-    const chosen = this.chooseService(route, req, relayed);
-    if (chosen.isErr()) return err(chosen.error);
-    const timeoutMs = Math.min(route.timeoutMs, req.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS);
-    const now = this.options.clock.now();
-    const deadlineAt = now + timeoutMs;
-    return this.callerOf(route, req).map((caller) => {
-      this.options.metrics.count('request.accepted');
-      const { name, kind, targetMs, longestPauseMs } = route;
-      const service = chosen.value;
-      const slos = { kind, targetMs, longestPauseMs };
-      const version = this.version();
-      const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
-      const by = relayed === undefined ? {} : { relayedBy: relayed.from };
-      const team = caller.team.id;
-      const takesUp = req.lastPosition;
-      log('accepted', { id, route: name, service, team, ...slos, ageMs, version, takesUp, ...by });
-      const executions = new ExecutionCount(relayed?.executions);
-      const arrivals = new RequestArrivals(relayed?.arrivals);
-      const isCharged = relayed?.isCharged ?? false;
-      return {
-        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, isCharged },
-        ...{ executions, arrivals },
-        binding: relayed?.binding ?? FREE_STREAM,
-      };
-    });
-  }
-
-  /**
-   * Chooses a service of a route. A request that a peer passes on goes to the one that the peer has chosen; a stream
-   * that has begun goes on there or nowhere, also if this host knows other targets of the route.
-   */
-  private chooseService(
-    route: ForwardRoute,
-    req: ForwardRequest,
-    relayed: RelayContext | undefined,
-  ): Result<ServiceId, Refusal> {
-    const { targets } = route;
-    const given = relayed?.service;
-    if (given !== undefined && servicesOf(targets).includes(given)) return ok(given);
-    const hasBegun = relayed !== undefined && isTakeUp({ req, route });
-    if (hasBegun && (given !== undefined || targets.length > 1)) return err(versionUnknown());
-    const target = chooseTarget(targets, this.options.random.next());
-    return target === undefined
-      ? err(notRun('no_capacity', 'The route has no usable target.', UNAVAILABLE_RETRY_MS))
-      : ok(target.service);
-  }
-
-  private callerOf(route: ForwardRoute, req: ForwardRequest): Result<AuthenticatedCaller, Refusal> {
-    return route.open ? ok(ANONYMOUS_CALLER) : this.options.authenticator.authenticate(req.key);
-  }
-
   /** Serves a call; a stream goes on only at the software version that brought its first event. */
   private async *serveBound(call: RoutedCall, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
     if (!isResumableStream(call) && !isTakeUp(call)) {
@@ -340,11 +247,6 @@
   }
 }
 
-function versionUnknown(): Refusal {
-  const text = 'Which version began this stream is not known; begin it anew.';
-  return notRun('stream_version_unknown', text);
-}
-
 function deadlinePassed(): Refusal {
   return notRun('timed_out', 'The deadline of this request has passed.');
 }
--- a/packages/router/src/serving/RequestLog.ts
+++ b/packages/router/src/serving/RequestLog.ts
@@ -27,6 +27,12 @@
     this.getVersion = getVersion;
   }
 
+  /** Counts an accepted request, and what it waited before, in milliseconds. */
+  recordAccepted(waitedMs: Millis): void {
+    this.metrics.count('request.accepted');
+    this.metrics.timing('request.waited', waitedMs);
+  }
+
   /** Records a whole answer. */
   recordDone({ id, route, service }: RoutedCall, timer: StreamTimer, startedAt: Millis): void {
     const { kind } = route;
