Bound a call to a plain server by the request's time as a whole

Callers saw: a server that sends its head late and then a byte now and then held requests for almost twice their route's timeout: 504 after 1,669 ms of 800 (12 of 12), on a host that is on time.

Cause: the body of an answer had a timeout of its own, as long as the one for its head, and each byte started it anew. A call that may not repeat is not ended by the timer of its request once it is sent, so nothing else ended it.

CallTimeouts.totalTimeoutMs bounds the call whatever progress it makes. The connection is closed at that time, at which the server stops work as well, so that its slot is free; the caller gets 504. Where the answer is passed on as it arrives, the total bound ends with that: its caller reads it then, and what it does not take is no silence of the server.

--- a/packages/upstream/src/DedicatedConnection.ts
+++ b/packages/upstream/src/DedicatedConnection.ts
@@ -28,6 +28,8 @@
   readonly headersTimeoutMs: Millis;
   /** Milliseconds without a byte of the body after which the call times out. */
   readonly bodyTimeoutMs: Millis;
+  /** Milliseconds within which the call must end, unless its connection is detached before; absent for any time. */
+  readonly totalTimeoutMs?: Millis;
   /** Bytes that are read ahead of the reader before the connection pauses; undici's default if absent. */
   readonly readAheadBytes?: number;
   /** Called when the connection is attempted; see `ConnectObserver.begin`. */
@@ -92,6 +94,7 @@
       this.endAttempt('connected');
     });
     this.deadline = new ProgressDeadline(clock, timeouts.headersTimeoutMs, signal);
+    this.deadline.setTotalMs(timeouts.totalTimeoutMs);
   }
 
   /**
@@ -121,9 +124,13 @@
     }
   }
 
-  /** Leaves the connection open after {@link run}, until its reader calls {@link close}. */
+  /**
+   * Leaves the connection open after {@link run}, until its reader calls {@link close}. What is left of the body is
+   * read at the pace of its receiver, so that only its progress is timed from now on.
+   */
   detach(): void {
     this.isDetached = true;
+    this.deadline.setTotalMs(undefined);
   }
 
   /**
--- a/packages/upstream/src/ProgressDeadline.ts
+++ b/packages/upstream/src/ProgressDeadline.ts
@@ -23,6 +23,8 @@
 
   private cancelTimer: CancelTimer = () => undefined;
 
+  private cancelTotal: CancelTimer = () => undefined;
+
   private reason: AbortReason | undefined;
 
   /**
@@ -63,9 +65,21 @@
     this.recordProgress();
   }
 
-  /** Cancels the timer and removes the listener; does not abort the signal. */
+  /**
+   * Bounds the whole call, whatever progress it makes.
+   *
+   * @param totalMs - Milliseconds from now; undefined for no bound.
+   */
+  setTotalMs(totalMs: Millis | undefined): void {
+    this.cancelTotal();
+    if (totalMs === undefined || this.reason !== undefined) return;
+    this.cancelTotal = this.clock.after(totalMs, () => this.abortFor('silent'));
+  }
+
+  /** Cancels the timers and removes the listener; does not abort the signal. */
   close(): void {
     this.cancelTimer();
+    this.cancelTotal();
     this.callerSignal.removeEventListener('abort', this.onCallerAbort);
   }
 
@@ -73,6 +87,7 @@
     if (this.reason !== undefined) return;
     this.reason = reason;
     this.cancelTimer();
+    this.cancelTotal();
     this.controller.abort();
   }
 }
