Start the clock of a request with its arrival, and serve nothing late that a late host reads

Cause: a request's deadline, age and admission started once its body was read and the event loop had come round. What it had waited in the queue of connections, in its socket and for its body counted for nothing, so that a host that gets too little processor took all for fresh, accepted one connection a turn, served each in full, and fell behind without end. The class: a clock that starts when its host gets to the work.

ReadLag's bound now counts: the deadline of a request starts with its arrival, its body has to arrive within it, and its age includes its wait, on a host that takes it from a peer as well. RequestIntake starts requests: while the event loop is late, all that has arrived is read before another one starts, the newest first, and what has waited for longer than a call of its route may wait for a server is refused (503, not run, to be sent again at once), with what it waited in the log. A connection that may have waited as long as the shortest timeout of all routes is closed unread. On a host that is on time nothing changes.

Ruled out: the timeouts of single legs (fixed apart), as the first leg began late in the users' record.

--- a/packages/caller/src/CallerBackend.ts
+++ b/packages/caller/src/CallerBackend.ts
@@ -134,8 +134,22 @@
   | { readonly type: 'done' }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
+/** What tells how long a forwarded call may take. */
+export type ForwardTarget = Pick<ForwardRequest, 'host' | 'path' | 'callerTimeoutMs'>;
+
+/** How long a forwarded call may take, in milliseconds since it arrived. */
+export interface ForwardTimes {
+  /** Until it is answered. */
+  readonly timeoutMs: Millis;
+  /** Until it starts; one that waits for longer could not be answered in time to be of use. */
+  readonly maxWaitMs: Millis;
+}
+
 /** What an ingress for forwarded calls needs of the host. */
 export interface ForwardBackend {
+  /** Gets how long a call may take; undefined where it has no route. */
+  timesOf?(target: ForwardTarget): ForwardTimes | undefined;
+
   /**
    * Serves a forwarded call.
    *
--- /dev/null
+++ b/packages/core/src/RequestIntake.ts
@@ -0,0 +1,117 @@
+import { performance } from 'node:perf_hooks';
+import { untilArrivedIsRead } from './callerDisconnect.ts';
+import type { Millis } from './Clock.ts';
+import { runInBackground } from './contain.ts';
+import type { ReadLag } from './ReadLag.ts';
+import { untilPolled } from './turns.ts';
+
+/** Longest time for which what has arrived is read before the next request starts, in milliseconds. */
+const MAX_READING_MS: Millis = 50;
+
+/** A request that is to start. */
+export interface IntakeRequest {
+  /** Aborted when its caller leaves. */
+  readonly signal: AbortSignal;
+  /** Gets the longest time that it may wait for its start, in milliseconds. */
+  readonly getMaxWaitMs: () => Millis;
+}
+
+/** What becomes of a request: it starts, or it has waited too long. */
+export type IntakeDecision = 'start' | 'late';
+
+interface WaitingRequest {
+  readonly signal: AbortSignal;
+  readonly lateAt: Millis;
+  readonly resolve: (decision: IntakeDecision) => void;
+}
+
+/**
+ * Starts the requests of a process, one after the other where the event loop is late.
+ *
+ * A request costs more to serve than to refuse, and one new connection is accepted a turn of the event loop. Served as
+ * they come, requests beyond what the process can do wait in the operating system, unseen and without end. So all that
+ * has arrived is read before another one starts; the newest starts first, as the others are late already, and those
+ * that have waited too long are refused.
+ */
+export class RequestIntake {
+  private readonly lag: ReadLag;
+
+  private waiting: WaitingRequest[] = [];
+
+  private arrivals = 0;
+
+  private isStarting = false;
+
+  /** @param lag - Tells how long requests have waited before they are read. */
+  constructor(lag: ReadLag) {
+    this.lag = lag;
+  }
+
+  /** Records that a connection was accepted, or a request read. */
+  recordArrival(): void {
+    this.arrivals += 1;
+  }
+
+  /** Gets when what is read now arrived at the earliest, as a time of `performance.now`. */
+  getArrivalTime(): Millis {
+    return performance.now() - this.lag.getLagMs();
+  }
+
+  /**
+   * Tells whether what is read now may have waited for too long to be served.
+   *
+   * @param getMaxWaitMs - Gets the longest wait, in milliseconds; asked only where the event loop is late.
+   */
+  isLate(getMaxWaitMs: () => Millis): boolean {
+    const lagMs = this.lag.getLagMs();
+    return lagMs > 0 && lagMs >= getMaxWaitMs();
+  }
+
+  /**
+   * Waits until a request may start.
+   *
+   * @param request - The request, which has just been read.
+   * @returns Whether it starts; one whose caller has left does as well, as nothing is left to be refused.
+   */
+  async untilStart(request: IntakeRequest): Promise<IntakeDecision> {
+    const lagMs = this.lag.getLagMs();
+    if (!this.isStarting && lagMs === 0) {
+      await untilArrivedIsRead();
+      return 'start';
+    }
+    const lateAt = performance.now() - lagMs + request.getMaxWaitMs();
+    return new Promise((resolve) => {
+      this.waiting.push({ signal: request.signal, lateAt, resolve });
+      if (!this.isStarting) runInBackground('request.intake', () => this.startWaiting());
+    });
+  }
+
+  private async startWaiting(): Promise<void> {
+    this.isStarting = true;
+    while (this.waiting.length > 0) {
+      await this.readArrived();
+      this.releaseUnserved(performance.now());
+      this.waiting.pop()?.resolve('start');
+    }
+    this.isStarting = false;
+  }
+
+  /** Has the event loop accept and read what has arrived, until nothing more comes or that takes too long. */
+  private async readArrived(): Promise<void> {
+    const endsAt = performance.now() + MAX_READING_MS;
+    let before: number;
+    do {
+      before = this.arrivals;
+      await untilPolled();
+    } while (this.arrivals > before && performance.now() < endsAt);
+    if (this.arrivals === before) this.lag.recordCaughtUp();
+  }
+
+  private releaseUnserved(now: Millis): void {
+    const isServed = ({ signal, lateAt }: WaitingRequest): boolean =>
+      !signal.aborted && lateAt > now;
+    const unserved = this.waiting.filter((one) => !isServed(one));
+    this.waiting = this.waiting.filter(isServed);
+    unserved.forEach(({ signal, resolve }) => resolve(signal.aborted ? 'start' : 'late'));
+  }
+}
--- a/packages/core/src/callerDisconnect.ts
+++ b/packages/core/src/callerDisconnect.ts
@@ -8,6 +8,9 @@
  */
 const SHORT_TURN_MS: Millis = 20;
 
+/** Reason of the abort; without one, each abort captures a stack. */
+const DISCONNECTED = 'disconnected';
+
 /**
  * Gets a controller that is aborted once a caller has closed its connection, or its response has ended.
  *
@@ -22,7 +25,7 @@
   const { socket } = res;
   const abort = (): void => {
     socket?.off('end', abort);
-    controller.abort();
+    controller.abort(DISCONNECTED);
   };
   socket?.once('end', abort);
   res.once('close', abort);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './OpenResponses.ts';
 export * from './ReadLag.ts';
 export * from './ReadingTurns.ts';
+export * from './RequestIntake.ts';
 export * from './ServerDrain.ts';
 export * from './SystemClock.ts';
 export * from './VirtualClock.ts';
--- a/packages/peer/src/relay/RelayLink.ts
+++ b/packages/peer/src/relay/RelayLink.ts
@@ -114,8 +114,9 @@
   ): AsyncGenerator<RelayEvent | RelayFailure>;
 }
 
-/** Serves the requests that peers pass on. */
+/** Serves the requests that peers pass on, which have waited for some milliseconds since they arrived. */
 export type RelayHandler = (
   request: RelayedRequest,
   signal: AbortSignal,
+  waitedMs?: Millis,
 ) => AsyncIterable<RelayEvent>;
--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -1,12 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { performance } from 'node:perf_hooks';
 import type { Buffers, Clock, Millis, SoftwareVersion } from '@camphorvane/core';
 import {
   abortOnDisconnect,
   ByteAccumulator,
   reportFault,
   runInBackground,
+  ReadLag,
+  RequestIntake,
   UNCOUNTED_RESERVATION,
-  untilArrivedIsRead,
 } from '@camphorvane/core';
 import { decodeRequest, encodeFrame } from './relayCodec.ts';
 import type { RelayFrame } from './relayCodec.ts';
@@ -38,17 +40,22 @@
   /** Tells whether an IP address belongs to a host of the fleet; others get nothing. */
   readonly isPeer: (ip: string) => boolean;
   readonly handler: RelayHandler;
+  /** Starts the requests, beside those of callers; the server's own one if absent. */
+  readonly intake?: RequestIntake;
 }
 
 /** Serves the requests that peers pass on, which they don't pass on again. */
 export class RelayServer {
   private readonly options: RelayServerOptions;
 
+  private readonly intake: RequestIntake;
+
   private inFlight = 0;
 
   /** @param options - The handler and the bounds. */
   constructor(options: RelayServerOptions) {
     this.options = options;
+    this.intake = options.intake ?? new RequestIntake(new ReadLag());
   }
 
   /**
@@ -67,6 +74,8 @@
 
   private async respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { buffers, isPeer } = this.options;
+    this.intake.recordArrival();
+    const arrivedAt = this.intake.getArrivalTime();
     const length = Number(req.headers['content-length'] ?? NaN);
     const owner = { owner: req.socket.remoteAddress ?? '', request: undefined };
     if (!isPeer(owner.owner)) return refuse(res, FORBIDDEN);
@@ -81,7 +90,7 @@
       const relayed = decodeRequest(await readBody(req, length));
       req.setTimeout(0);
       if (relayed === undefined) return refuse(res, BAD_REQUEST);
-      await this.serve(relayed, res);
+      await this.serve(relayed, res, arrivedAt);
     } catch (thrown) {
       // A connection that the peer has closed is no fault: its caller has left, or the peer has failed.
       if (!req.socket.destroyed) reportFault('peer.relay', thrown);
@@ -93,10 +102,21 @@
     return undefined;
   }
 
-  private async serve(relayed: RelayedRequest, res: ServerResponse): Promise<void> {
+  private async serve(
+    relayed: RelayedRequest,
+    res: ServerResponse,
+    arrivedAt: Millis,
+  ): Promise<void> {
     const closed = abortOnDisconnect(res);
-    await untilArrivedIsRead();
-    if (closed.signal.aborted) return;
+    const { signal } = closed;
+    const getMaxWaitMs = (): Millis => relayed.context.leftMs;
+    const decision = await this.intake.untilStart({ signal, getMaxWaitMs });
+    if (signal.aborted) return;
+    if (decision === 'late') {
+      refuse(res, UNAVAILABLE);
+      return;
+    }
+    const waitedMs = performance.now() - arrivedAt;
     res.writeHead(OK, { 'content-type': 'application/octet-stream' });
     res.socket?.setNoDelay(true);
     let cancelAlive = this.sendSignsOfLife(res);
@@ -104,7 +124,7 @@
     const tellsVersions = relayed.context.binding !== undefined;
     let told: SoftwareVersion | undefined;
     try {
-      for await (const event of this.options.handler(relayed, closed.signal)) {
+      for await (const event of this.options.handler(relayed, closed.signal, waitedMs)) {
         cancelAlive();
         const version = event.type === 'data' ? event.softwareVersion : undefined;
         if (tellsVersions && version !== undefined && told === undefined) {
--- a/packages/router/src/host/Host.ts
+++ b/packages/router/src/host/Host.ts
@@ -57,7 +57,8 @@
     this.backend = this.components.backend;
     const { forwarding, reach } = this.components;
     this.forwarding = forwarding;
-    this.serveRelayed = (request, signal) => forwarding.serveRelayed(request, signal);
+    this.serveRelayed = (request, signal, waitedMs) =>
+      forwarding.serveRelayed(request, signal, waitedMs);
     this.connects = reach;
   }
 
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -1,7 +1,9 @@
 import { randomBytes } from 'node:crypto';
+import type { Millis } from '@camphorvane/core';
 import {
   RandomSource,
   ReadLag,
+  RequestIntake,
   runInBackground,
   setFaultListener,
   SystemClock,
@@ -27,6 +29,7 @@
 import { HostBuffers } from '../buffers/HostBuffers.ts';
 import { DeliveryLog, summarizeDelivery } from '../observe/DeliveryLog.ts';
 import type { DeliverySummary } from '../observe/DeliveryLog.ts';
+import { eventLog } from '../observe/EventLog.ts';
 import { FaultLog } from '../observe/FaultLog.ts';
 import { LoopDelay } from '../observe/LoopDelay.ts';
 import { Metrics } from '../observe/Metrics.ts';
@@ -39,6 +42,8 @@
 /** Random bytes of an incarnation id; enough to be unique across restarts. */
 const INCARNATION_BYTES = 9;
 
+const log = eventLog('request');
+
 /** A running host on the users' platform. */
 export interface PlatformHost {
   readonly host: Host;
@@ -113,8 +118,10 @@
     relayLink: new HttpRelayLink(clock, settings.ip),
     originLink,
   });
+  const lag = new ReadLag();
+  const intake = new RequestIntake(lag);
   const relayServer = new RelayServer({
-    ...{ clock, buffers, handler: host.serveRelayed },
+    ...{ clock, buffers, intake, handler: host.serveRelayed },
     isPeer: (ip) => snapshots.isPeer(ip),
   });
   snapshots.setOtherHandler(
@@ -124,9 +131,9 @@
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
   const delivery = new DeliveryLog(metrics, () => leaving);
-  const lag = new ReadLag();
+  let shortestTimeoutMs: Millis | undefined;
   const ingress = new Ingress({
-    lag,
+    intake,
     backend: host.forwarding,
     isDraining: () => leaving,
     limits: () => config.current()?.config.limits,
@@ -134,6 +141,12 @@
     maxConnections: settings.connections.callers,
     onConnectionClosed: connectionLimitOf('callers').onClose,
     onLeftUnread: () => metrics.count('request.left', { stage: 'unread' }),
+    maxAcceptWaitMs: () => shortestTimeoutMs,
+    onLateConnection: () => metrics.count('request.late', { stage: 'connection' }),
+    onLate: (id, waitedMs) => {
+      metrics.count('request.late', { stage: 'request' });
+      log('late', { id, waitedMs: Math.round(waitedMs) });
+    },
     onUndelivered: (answer) => delivery.recordUndelivered(answer),
   });
   const getDelivery = (): DeliverySummary => summarizeDelivery(ingress.getUndelivered());
@@ -154,7 +167,8 @@
   if (opened.isErr()) return err(`directory: ${opened.error}`);
   const listening = await ingress.listen(settings.callers);
   if (listening.isErr()) return err(`callers: ${listening.error}`);
-  config.onChange(({ config: { limits } }) => {
+  config.onChange(({ config: { limits, routes = [] } }) => {
+    shortestTimeoutMs = Math.min(...routes.map(({ timeoutMs }) => timeoutMs));
     if (limits !== undefined) ingress.applyLimits(limits);
   });
   host.start();
--- a/packages/router/src/observe/Metrics.ts
+++ b/packages/router/src/observe/Metrics.ts
@@ -6,6 +6,7 @@
   | 'request.accepted'
   | 'request.whole'
   | 'request.refused'
+  | 'request.late'
   | 'request.left'
   | 'answer.ended'
   | 'answer.illegal'
--- a/packages/router/src/serving/ForwardHandler.ts
+++ b/packages/router/src/serving/ForwardHandler.ts
@@ -1,4 +1,10 @@
-import type { ForwardBackend, ForwardEvent, ForwardRequest } from '@camphorvane/caller';
+import type {
+  ForwardBackend,
+  ForwardEvent,
+  ForwardRequest,
+  ForwardTarget,
+  ForwardTimes,
+} from '@camphorvane/caller';
 import type { Clock, Millis, RandomSource, Refusal, RequestId } from '@camphorvane/core';
 import { notRun } from '@camphorvane/core';
 import type { RelayContext, RelayedRequest } from '@camphorvane/peer/relay';
@@ -69,6 +75,11 @@
     this.routes = new RouteResolver(options, this.requests);
   }
 
+  /** {@inheritDoc ForwardBackend.timesOf} */
+  timesOf(target: ForwardTarget): ForwardTimes | undefined {
+    return this.routes.timesOf(target);
+  }
+
   /** Serves one call (see `ForwardBackend.forward`); aborting the signal ends it. */
   forward(
     id: RequestId,
@@ -80,11 +91,15 @@
   }
 
   /** Serves a call that a peer has passed on, over this host's own links only. */
-  serveRelayed(request: RelayedRequest, signal: AbortSignal): AsyncGenerator<ForwardEvent> {
+  serveRelayed(
+    request: RelayedRequest,
+    signal: AbortSignal,
+    waitedMs: Millis = 0,
+  ): AsyncGenerator<ForwardEvent> {
     const { id, call, context } = request;
     this.options.metrics.count('relay.served');
     const req = { ...call, callerTimeoutMs: context.leftMs };
-    return this.serveRouted(id, req, signal, context, 0);
+    return this.serveRouted(id, req, signal, context, waitedMs);
   }
 
   private async *serveRouted(
@@ -94,7 +109,7 @@
     relayed: RelayContext | undefined,
     waitedMs: Millis,
   ): AsyncGenerator<ForwardEvent> {
-    const startedAt = this.options.clock.now();
+    const startedAt = this.options.clock.now() - waitedMs;
     const routed = this.routes.resolve(id, req, relayed, waitedMs);
     if (routed.isErr()) {
       this.requests.recordRefusal(id, routed.error, startedAt);
--- a/packages/router/src/serving/RouteResolver.ts
+++ b/packages/router/src/serving/RouteResolver.ts
@@ -1,4 +1,4 @@
-import type { ForwardRequest } from '@camphorvane/caller';
+import type { ForwardRequest, ForwardTarget, ForwardTimes } from '@camphorvane/caller';
 import type {
   Clock,
   ForwardRoute,
@@ -19,7 +19,7 @@
 import { ExecutionCount } from './ExecutionCount.ts';
 import { chooseTarget, findForwardRoute, servicesOf } from './findForwardRoute.ts';
 import type { RequestLog } from './RequestLog.ts';
-import { ANONYMOUS_CALLER, isTakeUp } from './routedCall.ts';
+import { ANONYMOUS_CALLER, isTakeUp, maxWaitMsOf } from './routedCall.ts';
 import type { RoutedCall } from './routedCall.ts';
 
 /** Milliseconds that a caller is assumed to wait where it does not declare a timeout. */
@@ -31,6 +31,9 @@
 /** Retry-after in milliseconds of a draining host; short, as the retry goes to another host. */
 const DRAINING_RETRY_MS: Millis = 50;
 
+/** Retry-after in milliseconds of a host that is late; short, as the retry goes to another host. */
+const BUSY_RETRY_MS: Millis = 50;
+
 const log = eventLog('request');
 
 /** Options of a {@link RouteResolver}. */
@@ -60,6 +63,15 @@
     this.requests = requests;
   }
 
+  /** Gets how long a call may take since it arrived; undefined where it has no route. */
+  timesOf({ host, path, callerTimeoutMs }: ForwardTarget): ForwardTimes | undefined {
+    const routes = this.options.config.current()?.config.routes ?? [];
+    const route = findForwardRoute(routes, host, path);
+    return route === undefined
+      ? undefined
+      : { timeoutMs: timeoutMsOf(route, callerTimeoutMs), maxWaitMs: maxWaitMsOf(route) };
+  }
+
   /**
    * Resolves a call.
    *
@@ -100,16 +112,21 @@
     }
     const chosen = this.chooseService(route, req, relayed);
     if (chosen.isErr()) return err(chosen.error);
-    const timeoutMs = Math.min(route.timeoutMs, req.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS);
+    const timeoutMs = timeoutMsOf(route, req.callerTimeoutMs);
     const now = this.options.clock.now();
-    const deadlineAt = now + timeoutMs;
+    const deadlineAt = now - waitedMs + timeoutMs;
+    if (deadlineAt <= now) {
+      const text = 'The time of the request had passed before it could start.';
+      return err(notRun('timed_out', text, BUSY_RETRY_MS));
+    }
     return this.callerOf(route, req).map((caller) => {
       this.requests.recordAccepted(waitedMs);
       const { name, kind, targetMs, longestPauseMs } = route;
       const service = chosen.value;
       const slos = { kind, targetMs, longestPauseMs };
       const version = this.version();
-      const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
+      const earlierMs = relayed?.ageMs ?? this.callerAges.estimate(name, timeoutMs, now);
+      const ageMs = Math.round(earlierMs + waitedMs);
       const by = relayed === undefined ? {} : { relayedBy: relayed.from };
       const team = caller.team.id;
       const takesUp = req.lastPosition;
@@ -158,6 +175,10 @@
   }
 }
 
+function timeoutMsOf(route: ForwardRoute, callerTimeoutMs: Millis | undefined): Millis {
+  return Math.min(route.timeoutMs, callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS);
+}
+
 /** Gets the refusal of a stream that can't go on, since the version that began it is not known. */
 export function versionUnknown(): Refusal {
   const text = 'Which version began this stream is not known; begin it anew.';
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -38,6 +38,11 @@
  */
 const CALL_MAX_WAIT_TARGETS = 2;
 
+/** Gets the longest wait of a route's calls for a server or an engine, in milliseconds. */
+export function maxWaitMsOf({ kind, targetMs }: ForwardRoute): Millis {
+  return targetMs * (kind === 'stream' ? STREAM_MAX_WAIT_TARGETS : CALL_MAX_WAIT_TARGETS);
+}
+
 /** The caller of a route that needs no API key. */
 export const ANONYMOUS_CALLER: AuthenticatedCaller = {
   team: {
@@ -114,7 +119,7 @@
       resumable: route.resumable,
       fromPosition: req.lastPosition === undefined ? 0 : req.lastPosition + 1,
       expectedTokens: work?.expectedOutputTokens,
-      maxWaitMs: Math.min(route.targetMs * STREAM_MAX_WAIT_TARGETS, remainingMs(call, now)),
+      maxWaitMs: Math.min(maxWaitMsOf(route), remainingMs(call, now)),
       onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
       longestPauseMs: route.longestPauseMs,
       priority: priorityOf(call),
@@ -152,7 +157,7 @@
     policy: {
       maxAttempts: route.maxAttempts - executions.get(),
       claimed: false,
-      maxWaitMs: Math.min(route.targetMs * CALL_MAX_WAIT_TARGETS, remainingMs(call, now)),
+      maxWaitMs: Math.min(maxWaitMsOf(route), remainingMs(call, now)),
       lateAt: now + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
       deadlineAt: call.deadlineAt,
       priority: priorityOf(call),
