Drop the rest of a refused answer without an error that nothing handles

A plain server of the product's own interface that answered another attempt, with a part of its body still to come, had its body destroyed without a listener: undici emits an AbortError there, which reached the process as an uncaughtException.

RequestIntake.test.ts: a private member no longer has the name of one of its base class, which type checks refuse.

--- a/packages/core/tests/RequestIntake.test.ts
+++ b/packages/core/tests/RequestIntake.test.ts
@@ -8,17 +8,17 @@
 class FixedLag extends ReadLag {
   caughtUp = 0;
 
-  constructor(private lagMs: number) {
+  constructor(private fixedMs: number) {
     super();
   }
 
   override getLagMs(): number {
-    return this.lagMs;
+    return this.fixedMs;
   }
 
   override recordCaughtUp(): void {
     this.caughtUp += 1;
-    this.lagMs = 0;
+    this.fixedMs = 0;
   }
 }
 
--- a/packages/upstream/src/HttpPlainServer.ts
+++ b/packages/upstream/src/HttpPlainServer.ts
@@ -91,7 +91,7 @@
 ): Promise<Result<UpstreamResponse, UpstreamError>> {
   const echoedAttempt = res.headers[ATTEMPT_HEADER];
   if (echoedAttempt !== undefined && echoedAttempt !== call.attempt) {
-    res.body.destroy();
+    abandon(res);
     return err({
       type: 'mismatch',
       dispatched: true,
@@ -118,3 +118,9 @@
   );
   return ok({ status: res.statusCode, headers, body: body.take() });
 }
+
+/** Closes the connection of a response whose body is not read; the error that undici emits has no other listener. */
+function abandon({ body }: Dispatcher.ResponseData): void {
+  body.once('error', () => undefined);
+  body.destroy();
+}
