Take an answer whose status HTTP does not know for none

Callers got answers with status 600 or 999 as the server had sent them, with its stamp. RFC 9110 takes a status outside of 100 to 599 for invalid, and those below 200 end no request.

Such an answer is broken: the caller gets 502, as the request may have run. Statuses 000, 099 and 199 were refused before by the parser (502).

--- a/packages/peer/src/relay/relaySchemas.ts
+++ b/packages/peer/src/relay/relaySchemas.ts
@@ -6,8 +6,9 @@
 /** Events before the first one with an id are at -1. */
 const position = z.number().int().min(-1);
 
-const MIN_STATUS = 100;
-const MAX_STATUS = 999;
+/** Statuses of responses that end their requests. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 
 const headers = z.record(z.string(), z.string());
 
--- a/packages/upstream/src/HttpPlainServer.ts
+++ b/packages/upstream/src/HttpPlainServer.ts
@@ -3,6 +3,7 @@
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
+import { isFinalStatus } from './isFinalStatus.ts';
 import type { PlainServer, UpstreamResponse, ServiceCall, UpstreamError } from './ModelEngine.ts';
 import { ProgressDeadline } from './ProgressDeadline.ts';
 import { UpstreamConnections } from './UpstreamConnections.ts';
@@ -89,6 +90,11 @@
   res: Dispatcher.ResponseData,
   call: ServiceCall,
 ): Promise<Result<UpstreamResponse, UpstreamError>> {
+  if (!isFinalStatus(res.statusCode)) {
+    abandon(res);
+    const message = `${res.statusCode} is no status of HTTP`;
+    return err({ type: 'broken', dispatched: true, answered: true, message });
+  }
   const echoedAttempt = res.headers[ATTEMPT_HEADER];
   if (echoedAttempt !== undefined && echoedAttempt !== call.attempt) {
     abandon(res);
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -8,6 +8,7 @@
 export * from './upstreamErrors.ts';
 export * from './DedicatedConnection.ts';
 export type { UpstreamCall } from './UpstreamConnections.ts';
+export * from './isFinalStatus.ts';
 export * from './isSuccessStatus.ts';
 export * from './ConnectObserver.ts';
 export * from './probeConnection.ts';
