--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -4,7 +4,14 @@
 import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
-import { notRun, setFaultListener, sleep, SystemClock } from '@camphorvane/core';
+import {
+  ReadLag,
+  RequestIntake,
+  notRun,
+  setFaultListener,
+  sleep,
+  SystemClock,
+} from '@camphorvane/core';
 import type { Clock } from '@camphorvane/core';
 import { HttpRelayLink, RelayServer } from '@camphorvane/peer/relay';
 import type {
@@ -53,6 +60,19 @@
   );
 }
 
+// Guards against work that a late host begins for a peer whose request has no time left.
+test('a host that is late refuses what has waited for longer than it has left, unread by its handler', async () => {
+  const lag = new ReadLag();
+  lag.getLagMs = () => REQUEST.context.leftMs;
+  const relay = new RelayServer({
+    ...{ clock, isPeer: () => true, intake: new RequestIntake(lag) },
+    handler: () => assert.fail('began'),
+  });
+  const address = await listen(createServer((req, res) => void relay.handle(req, res)));
+  const [event] = await collect(address);
+  assert.equal(event?.type === 'failed' && !event.dispatched, true);
+});
+
 async function collect(
   address: string,
   signal = new AbortController().signal,
--- a/packages/router/tests/serving/ForwardHandler.test.ts
+++ b/packages/router/tests/serving/ForwardHandler.test.ts
@@ -348,3 +348,28 @@
   assert.equal(await serve(2), 'key_state_unconfirmed not_run');
   assert.equal(fleet.calls.length, 1);
 });
+
+// Guards against a clock that starts when the host gets to a request, so that it is passed on after its time.
+test('what a request has waited since it arrived counts, at the host that received it and at a peer', async () => {
+  const fleet = new ForwardFleet({ route: { timeoutMs: 900 } });
+  const call = {
+    ...{ key: KEY, host: 'h.example', method: 'POST', path: '/once/x', headers: {} },
+    ...{ body: Buffer.from(''), callerTimeoutMs: 5_000, work: undefined },
+  };
+  const context = { from: 'p', leftMs: 900, ageMs: 0, executions: 0, isCharged: false };
+  const { signal } = new AbortController();
+  const end = async (answer: AsyncIterable<ForwardEvent>): Promise<string> => {
+    const events: ForwardEvent[] = [];
+    for await (const event of answer) events.push(event);
+    return answerEnding(events);
+  };
+  const serve = (waitedMs: number): Promise<string> =>
+    end(fleet.host.forwarding.forward(`w${waitedMs}`, call, signal, waitedMs));
+  const serveForPeer = (waitedMs: number): Promise<string> =>
+    end(fleet.host.serveRelayed({ id: `p${waitedMs}`, call, context }, signal, waitedMs));
+  assert.equal(await serve(5_000), 'timed_out not_run');
+  assert.equal(await serveForPeer(900), 'timed_out not_run');
+  assert.equal(fleet.calls.length, 0);
+  assert.equal(await serve(100), 'done');
+  assert.equal(await serveForPeer(100), 'done');
+});
