Take a host that is busy with other work, and reads all that arrives, for on time

A host whose streams keep its event loop from ever being idle had a lag that grew without end, and with a lag beyond the longest wait a request was refused, or its connection closed, before anything could show that nothing waits: nothing seen, found by reading. At each tick of the loop's measurement a poll that brings no connection and no request shows now that all has been read. A connection may wait for half a second at least, so that one route with a very short timeout does not close those of others.

Tests: RequestIntake.test.ts and maxAcceptWait.test.ts fail without it; lateHosts.test.ts passes as before.

--- a/packages/core/src/RequestIntake.ts
+++ b/packages/core/src/RequestIntake.ts
@@ -52,6 +52,22 @@
     this.arrivals += 1;
   }
 
+  /**
+   * Records that a periodic timer has fired. A process that is busy with other work is never idle, and still reads all
+   * that arrives: a poll that brings nothing shows that.
+   *
+   * @param periodMs - Milliseconds until it is due again.
+   */
+  recordTick(periodMs: Millis): void {
+    this.lag.recordTick(periodMs);
+    if (this.lag.getLagMs() > 0) runInBackground('request.intake', () => this.readOnce());
+  }
+
+  /** Gets the longest time that what is read now may have waited, in milliseconds; see {@link ReadLag.getLagMs}. */
+  getLagMs(): Millis {
+    return this.lag.getLagMs();
+  }
+
   /** Gets when what is read now arrived at the earliest, as a time of `performance.now`. */
   getArrivalTime(): Millis {
     return performance.now() - this.lag.getLagMs();
@@ -99,12 +115,17 @@
   /** Has the event loop accept and read what has arrived, until nothing more comes or that takes too long. */
   private async readArrived(): Promise<void> {
     const endsAt = performance.now() + MAX_READING_MS;
-    let before: number;
-    do {
-      before = this.arrivals;
-      await untilPolled();
-    } while (this.arrivals > before && performance.now() < endsAt);
-    if (this.arrivals === before) this.lag.recordCaughtUp();
+    let isCaughtUp = await this.readOnce();
+    while (!isCaughtUp && performance.now() < endsAt) isCaughtUp = await this.readOnce();
+  }
+
+  /** Waits for a poll of all connections; gets whether it brought nothing, so that all that had arrived is read. */
+  private async readOnce(): Promise<boolean> {
+    const before = this.arrivals;
+    await untilPolled();
+    const isCaughtUp = this.arrivals === before;
+    if (isCaughtUp) this.lag.recordCaughtUp();
+    return isCaughtUp;
   }
 
   private releaseUnserved(now: Millis): void {
--- a/packages/core/tests/RequestIntake.test.ts
+++ b/packages/core/tests/RequestIntake.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ReadLag, RequestIntake } from '@camphorvane/core';
+import { ReadLag, RequestIntake, untilPolled } from '@camphorvane/core';
 
 const STAYS = new AbortController().signal;
 
@@ -81,3 +81,19 @@
     false,
   );
 });
+
+// Guards against refusals by a process that is never idle, as streams keep it busy, and reads all that arrives at once.
+test('a process that is busy with other work is not late, unless what arrives waits', async () => {
+  const { intake, lag } = intakeOf(900);
+  intake.recordTick(100);
+  await untilPolled();
+  await untilPolled();
+  assert.equal(lag.caughtUp, 1);
+  assert.equal(intake.getLagMs(), 0);
+  const behind = intakeOf(900);
+  behind.intake.recordTick(100);
+  setImmediate(() => behind.intake.recordArrival());
+  await untilPolled();
+  await untilPolled();
+  assert.equal(behind.lag.caughtUp, 0);
+});
--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -68,7 +68,11 @@
     ...{ clock, isPeer: () => true, intake: new RequestIntake(lag) },
     handler: () => assert.fail('began'),
   });
-  const address = await listen(createServer((req, res) => void relay.handle(req, res)));
+  const address = await listen(
+    createServer((req, res) => {
+      relay.handle(req, res);
+    }),
+  );
   const [event] = await collect(address);
   assert.equal(event?.type === 'failed' && !event.dispatched, true);
 });
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -38,6 +38,7 @@
 import { Host } from './Host.ts';
 import { HostStop } from './HostStop.ts';
 import type { CutOff } from './HostStop.ts';
+import { maxAcceptWait } from './maxAcceptWait.ts';
 
 /** Random bytes of an incarnation id; enough to be unique across restarts. */
 const INCARNATION_BYTES = 9;
@@ -118,8 +119,7 @@
     relayLink: new HttpRelayLink(clock, settings.ip),
     originLink,
   });
-  const lag = new ReadLag();
-  const intake = new RequestIntake(lag);
+  const intake = new RequestIntake(new ReadLag());
   const relayServer = new RelayServer({
     ...{ clock, buffers, intake, handler: host.serveRelayed },
     isPeer: (ip) => snapshots.isPeer(ip),
@@ -131,7 +131,7 @@
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
   const delivery = new DeliveryLog(metrics, () => leaving);
-  let shortestTimeoutMs: Millis | undefined;
+  let maxAcceptWaitMs: Millis | undefined;
   const ingress = new Ingress({
     intake,
     backend: host.forwarding,
@@ -141,7 +141,7 @@
     maxConnections: settings.connections.callers,
     onConnectionClosed: connectionLimitOf('callers').onClose,
     onLeftUnread: () => metrics.count('request.left', { stage: 'unread' }),
-    maxAcceptWaitMs: () => shortestTimeoutMs,
+    maxAcceptWaitMs: () => maxAcceptWaitMs,
     onLateConnection: () => metrics.count('request.late', { stage: 'connection' }),
     onLate: (id, waitedMs) => {
       metrics.count('request.late', { stage: 'request' });
@@ -168,12 +168,12 @@
   const listening = await ingress.listen(settings.callers);
   if (listening.isErr()) return err(`callers: ${listening.error}`);
   config.onChange(({ config: { limits, routes = [] } }) => {
-    shortestTimeoutMs = Math.min(...routes.map(({ timeoutMs }) => timeoutMs));
+    maxAcceptWaitMs = maxAcceptWait(routes);
     if (limits !== undefined) ingress.applyLimits(limits);
   });
   host.start();
   runInBackground('host.task', () =>
-    new LoopDelay(clock, metrics, lag).run(new AbortController().signal),
+    new LoopDelay(clock, metrics, intake).run(new AbortController().signal),
   );
   const stop = new HostStop({
     ...{ clock, host, ingress, graceMs: settings.graceMs },
--- a/packages/router/src/observe/LoopDelay.ts
+++ b/packages/router/src/observe/LoopDelay.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, ReadLag } from '@camphorvane/core';
+import type { Clock, Millis, RequestIntake } from '@camphorvane/core';
 import { runLoop, sleep } from '@camphorvane/core';
 import { eventLog } from './EventLog.ts';
 import type { Metrics } from './Metrics.ts';
@@ -20,7 +20,7 @@
 
   private readonly metrics: Metrics;
 
-  private readonly lag: ReadLag | undefined;
+  private readonly intake: RequestIntake | undefined;
 
   private worstMs: Millis = 0;
 
@@ -29,19 +29,19 @@
   /**
    * @param clock - Times the measurements.
    * @param metrics - Receives the gauges.
-   * @param lag - Is told of each measurement; absent where nothing is read.
+   * @param intake - Is told of each measurement; absent where no requests are read.
    */
-  constructor(clock: Clock, metrics: Metrics, lag?: ReadLag) {
+  constructor(clock: Clock, metrics: Metrics, intake?: RequestIntake) {
     this.clock = clock;
     this.metrics = metrics;
-    this.lag = lag;
+    this.intake = intake;
   }
 
   /** Measures until the signal is aborted. */
   run(signal: AbortSignal): Promise<void> {
     return runLoop({ place: 'observe.loop_delay', clock: this.clock, signal }, async () => {
       const dueAt = this.clock.now() + PERIOD_MS;
-      this.lag?.recordTick(PERIOD_MS);
+      this.intake?.recordTick(PERIOD_MS);
       await sleep(this.clock, PERIOD_MS, signal);
       this.record(Math.max(0, this.clock.now() - dueAt));
     });
@@ -50,8 +50,8 @@
   private record(delayMs: Millis): void {
     const now = this.clock.now();
     this.metrics.gauge('host.loop_delay', Math.round(delayMs));
-    if (this.lag !== undefined)
-      this.metrics.gauge('host.read_lag', Math.round(this.lag.getLagMs()));
+    if (this.intake !== undefined)
+      this.metrics.gauge('host.read_lag', Math.round(this.intake.getLagMs()));
     if (delayMs >= LATE_MS) {
       if (this.lateAt === undefined) log('loop_late', { delayMs: Math.round(delayMs) });
       this.lateAt = now;
