Report a refused connection of a pool instead of an exception that nothing catches

Found by a test of odd answers: beside load the probe of a server that had closed raised 'Cannot read properties of undefined (reading once)'. undici calls back with the error alone where a connection fails, and the connector of pooled connections took only null for no socket, so that the TypeError reached the process, which then leaves, and the call never ended. The product's own interface uses these pools for engines and plain servers; hosts on the users' platform don't.

The test fails before ('a call to a server that is down fails as unreachable'), and passes.

--- a/packages/upstream/src/ObservedConnector.ts
+++ b/packages/upstream/src/ObservedConnector.ts
@@ -24,7 +24,8 @@
     connect(options, (...args) => {
       const [, socket] = args;
       this.isReset = false;
-      if (socket === null) {
+      // undici leaves the socket of a failed attempt out, though its types say that it is null.
+      if (!socket) {
         callback(...args);
         return;
       }
--- a/packages/upstream/tests/HttpPlainServer.test.ts
+++ b/packages/upstream/tests/HttpPlainServer.test.ts
@@ -72,3 +72,25 @@
   });
   assert.equal(outcome, 5);
 });
+
+// Guards against an exception that nothing catches, after which a host leaves, where a server accepts no connection.
+test('a call to a server that is down fails as unreachable', async () => {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  const client = new HttpPlainServer('s', `http://127.0.0.1:${port}`, new SystemClock());
+  const reply = await client.call(
+    {
+      ...{ attempt: 'a', method: 'GET', path: '/', headers: {}, body: new Uint8Array() },
+      ...{ class: 'lookup', timeoutMs: 1_000, team: 't' },
+    },
+    new AbortController().signal,
+  );
+  await client.close();
+  assert.equal(reply.isErr() && reply.error.type, 'unreachable');
+});
