Tell what a busy host has not read from what it has, and close no connection unread

That a poll brings something doesn't show that the rest waits.

Timers fire behind a poll, so whatever is read arrived since the tick before the last one; half of the time since then is what it has waited on average, and that counts. Connections aren't closed unread any more. A late request is refused only where others wait behind it, or its time is over. What arrives is read in up to 16 polls before another request starts, instead of for 50 ms, which a host that stands still by turns never had.

--- a/packages/core/src/ReadLag.ts
+++ b/packages/core/src/ReadLag.ts
@@ -1,9 +1,12 @@
 import { performance } from 'node:perf_hooks';
 import type { Millis } from './Clock.ts';
 
-/** Milliseconds of lag below which what is read counts as just arrived. */
+/** Milliseconds without a look at what has arrived, below which it counts as just arrived. */
 const FRESH_MS: Millis = 50;
 
+/** Part of the time since the last look that has passed, on average, since something arrived. */
+const MEAN_WAIT = 0.5;
+
 /** The times of the process that a {@link ReadLag} reads. */
 export interface ProcessTimes {
   /** Gets the monotonic time. */
@@ -18,7 +21,7 @@
 };
 
 /**
- * Bounds for how long what is read now has waited in the operating system, which does not tell.
+ * Estimates for how long what is read now has waited in the operating system, which does not tell.
  *
  * Whatever arrives while the event loop is busy, or while the process gets no processor, waits until the loop comes
  * round, and a new connection until all before it are accepted.
@@ -31,11 +34,14 @@
   private idleMs: Millis;
 
   /** Longest wait of what was read at the last measurement. */
-  private lagMs: Millis = 0;
+  private longestMs: Millis = 0;
 
   /** When the next tick is due; a process that gets no processor misses it. */
   private tickDueAt: Millis = Infinity;
 
+  /** When the last tick was. */
+  private tickedAt: Millis = -Infinity;
+
   /** @param times - Times of the process. */
   constructor(times: ProcessTimes = PROCESS_TIMES) {
     this.times = times;
@@ -50,19 +56,23 @@
    */
   recordTick(periodMs: Millis): void {
     this.update();
-    this.tickDueAt = this.times.now() + periodMs;
+    const now = this.times.now();
+    // Timers fire behind a poll, which has read what had arrived at the tick before.
+    this.longestMs = Math.min(this.longestMs, now - this.tickedAt);
+    this.tickedAt = now;
+    this.tickDueAt = now + periodMs;
   }
 
   /** Records that all that had arrived has been read. */
   recordCaughtUp(): void {
     this.update();
-    this.lagMs = 0;
+    this.longestMs = 0;
   }
 
-  /** Gets the longest time that what is read now may have waited; 0 where the event loop is on time. */
+  /** Gets for how long what is read now has waited, on average; 0 where the event loop is on time. */
   getLagMs(): Millis {
     this.update();
-    return this.lagMs < FRESH_MS ? 0 : this.lagMs;
+    return this.longestMs < FRESH_MS ? 0 : this.longestMs * MEAN_WAIT;
   }
 
   private update(): void {
@@ -71,8 +81,8 @@
     const elapsedMs = now - this.measuredAt;
     const idledMs = idleMs - this.idleMs;
     // The loop was last idle at some time since the last measurement, in the worst case right after it.
-    const sinceIdleMs = idledMs > 0 ? Math.max(0, elapsedMs - idledMs) : this.lagMs + elapsedMs;
-    this.lagMs = Math.max(sinceIdleMs, now - this.tickDueAt);
+    const sinceIdleMs = idledMs > 0 ? Math.max(0, elapsedMs - idledMs) : this.longestMs + elapsedMs;
+    this.longestMs = Math.max(sinceIdleMs, now - this.tickDueAt);
     this.measuredAt = now;
     this.idleMs = idleMs;
   }
--- a/packages/core/src/RequestIntake.ts
+++ b/packages/core/src/RequestIntake.ts
@@ -5,8 +5,8 @@
 import type { ReadLag } from './ReadLag.ts';
 import { untilPolled } from './turns.ts';
 
-/** Longest time for which what has arrived is read before the next request starts, in milliseconds. */
-const MAX_READING_MS: Millis = 50;
+/** Most polls of all connections before the next request starts; each accepts one connection of each listener. */
+const MAX_POLLS = 16;
 
 /** A request that is to start. */
 export interface IntakeRequest {
@@ -31,7 +31,7 @@
  * A request costs more to serve than to refuse, and one new connection is accepted a turn of the event loop. Served as
  * they come, requests beyond what the process can do wait in the operating system, unseen and without end. So all that
  * has arrived is read before another one starts; the newest starts first, as the others are late already, and those
- * that have waited too long are refused.
+ * behind it that have waited too long are refused.
  */
 export class RequestIntake {
   private readonly lag: ReadLag;
@@ -63,18 +63,18 @@
     if (this.lag.getLagMs() > 0) runInBackground('request.intake', () => this.readOnce());
   }
 
-  /** Gets the longest time that what is read now may have waited, in milliseconds; see {@link ReadLag.getLagMs}. */
+  /** Gets for how long what is read now has waited, in milliseconds; see {@link ReadLag.getLagMs}. */
   getLagMs(): Millis {
     return this.lag.getLagMs();
   }
 
-  /** Gets when what is read now arrived at the earliest, as a time of `performance.now`. */
+  /** Gets when what is read now arrived, as a time of `performance.now`. */
   getArrivalTime(): Millis {
     return performance.now() - this.lag.getLagMs();
   }
 
   /**
-   * Tells whether what is read now may have waited for too long to be served.
+   * Tells whether what is read now has waited for too long to be served.
    *
    * @param getMaxWaitMs - Gets the longest wait, in milliseconds; asked only where the event loop is late.
    */
@@ -112,11 +112,12 @@
     this.isStarting = false;
   }
 
-  /** Has the event loop accept and read what has arrived, until nothing more comes or that takes too long. */
+  /** Has the event loop accept and read what has arrived, until nothing more comes or there is too much of it. */
   private async readArrived(): Promise<void> {
-    const endsAt = performance.now() + MAX_READING_MS;
-    let isCaughtUp = await this.readOnce();
-    while (!isCaughtUp && performance.now() < endsAt) isCaughtUp = await this.readOnce();
+    let isCaughtUp = false;
+    for (let polls = 0; polls < MAX_POLLS && !isCaughtUp; polls += 1) {
+      isCaughtUp = await this.readOnce();
+    }
   }
 
   /** Waits for a poll of all connections; gets whether it brought nothing, so that all that had arrived is read. */
@@ -128,11 +129,17 @@
     return isCaughtUp;
   }
 
+  /** Releases those whose callers have left, and those that are late, but for the newest: nothing else waits then. */
   private releaseUnserved(now: Millis): void {
-    const isServed = ({ signal, lateAt }: WaitingRequest): boolean =>
-      !signal.aborted && lateAt > now;
-    const unserved = this.waiting.filter((one) => !isServed(one));
-    this.waiting = this.waiting.filter(isServed);
-    unserved.forEach(({ signal, resolve }) => resolve(signal.aborted ? 'start' : 'late'));
+    const [gone, staying] = partition(this.waiting, ({ signal }) => signal.aborted);
+    const newest = staying.at(-1);
+    const [late, served] = partition(staying, (one) => one !== newest && one.lateAt <= now);
+    this.waiting = served;
+    gone.forEach(({ resolve }) => resolve('start'));
+    late.forEach(({ resolve }) => resolve('late'));
   }
 }
+
+function partition<T>(all: readonly T[], matches: (one: T) => boolean): readonly [T[], T[]] {
+  return [all.filter(matches), all.filter((one) => !matches(one))];
+}
--- a/packages/core/tests/RequestIntake.test.ts
+++ b/packages/core/tests/RequestIntake.test.ts
@@ -70,6 +70,13 @@
   assert.equal(decision, 'start');
 });
 
+// Guards against callers that are turned away by a late host, although it has nothing else to do.
+test('a late process starts a request that nothing else waits beside', async () => {
+  const { intake } = intakeOf(100);
+  const decision = await intake.untilStart({ signal: STAYS, getMaxWaitMs: () => 0 });
+  assert.equal(decision, 'start');
+});
+
 test('what was read too late is known before its body is read', () => {
   const { intake } = intakeOf(100);
   assert.equal(
--- a/packages/peer/src/relay/RelayServer.ts
+++ b/packages/peer/src/relay/RelayServer.ts
@@ -110,7 +110,8 @@
     const closed = abortOnDisconnect(res);
     const { signal } = closed;
     const getMaxWaitMs = (): Millis => relayed.context.leftMs;
-    const decision = await this.intake.untilStart({ signal, getMaxWaitMs });
+    const isLate = this.intake.isLate(getMaxWaitMs);
+    const decision = isLate ? 'late' : await this.intake.untilStart({ signal, getMaxWaitMs });
     if (signal.aborted) return;
     if (decision === 'late') {
       refuse(res, UNAVAILABLE);
--- a/packages/router/src/host/PlatformHost.ts
+++ b/packages/router/src/host/PlatformHost.ts
@@ -1,5 +1,4 @@
 import { randomBytes } from 'node:crypto';
-import type { Millis } from '@camphorvane/core';
 import {
   RandomSource,
   ReadLag,
@@ -38,7 +37,6 @@
 import { Host } from './Host.ts';
 import { HostStop } from './HostStop.ts';
 import type { CutOff } from './HostStop.ts';
-import { maxAcceptWait } from './maxAcceptWait.ts';
 
 /** Random bytes of an incarnation id; enough to be unique across restarts. */
 const INCARNATION_BYTES = 9;
@@ -131,7 +129,6 @@
   const { config, group, isReady } = selectParts(coordination);
   let leaving = false;
   const delivery = new DeliveryLog(metrics, () => leaving);
-  let maxAcceptWaitMs: Millis | undefined;
   const ingress = new Ingress({
     intake,
     backend: host.forwarding,
@@ -141,10 +138,8 @@
     maxConnections: settings.connections.callers,
     onConnectionClosed: connectionLimitOf('callers').onClose,
     onLeftUnread: () => metrics.count('request.left', { stage: 'unread' }),
-    maxAcceptWaitMs: () => maxAcceptWaitMs,
-    onLateConnection: () => metrics.count('request.late', { stage: 'connection' }),
     onLate: (id, waitedMs) => {
-      metrics.count('request.late', { stage: 'request' });
+      metrics.count('request.late');
       log('late', { id, waitedMs: Math.round(waitedMs) });
     },
     onUndelivered: (answer) => delivery.recordUndelivered(answer),
@@ -167,8 +162,7 @@
   if (opened.isErr()) return err(`directory: ${opened.error}`);
   const listening = await ingress.listen(settings.callers);
   if (listening.isErr()) return err(`callers: ${listening.error}`);
-  config.onChange(({ config: { limits, routes = [] } }) => {
-    maxAcceptWaitMs = maxAcceptWait(routes);
+  config.onChange(({ config: { limits } }) => {
     if (limits !== undefined) ingress.applyLimits(limits);
   });
   host.start();
