Count what a request has waited apart from the age of its caller's first attempt

A first attempt that had waited a millisecond counted as a retry that returns before its turn, and was put behind.

ageMs is the caller's again; waitedMs is taken off the time in which a request is on time.

--- a/packages/router/src/serving/RouteResolver.ts
+++ b/packages/router/src/serving/RouteResolver.ts
@@ -125,8 +125,7 @@
       const service = chosen.value;
       const slos = { kind, targetMs, longestPauseMs };
       const version = this.version();
-      const earlierMs = relayed?.ageMs ?? this.callerAges.estimate(name, timeoutMs, now);
-      const ageMs = Math.round(earlierMs + waitedMs);
+      const ageMs = relayed?.ageMs ?? Math.round(this.callerAges.estimate(name, timeoutMs, now));
       const by = relayed === undefined ? {} : { relayedBy: relayed.from };
       const team = caller.team.id;
       const takesUp = req.lastPosition;
@@ -139,7 +138,7 @@
       const arrivals = new RequestArrivals(relayed?.arrivals);
       const isCharged = relayed?.isCharged ?? false;
       return {
-        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, isCharged },
+        ...{ id, req, route, service, caller, config, deadlineAt, ageMs, waitedMs, isCharged },
         ...{ executions, arrivals },
         binding: relayed?.binding ?? FREE_STREAM,
       };
--- a/packages/router/src/serving/routedCall.ts
+++ b/packages/router/src/serving/routedCall.ts
@@ -65,8 +65,10 @@
   readonly config: RoutingConfig;
   /** Deadline of the call, set by its caller or by the route's timeout. */
   readonly deadlineAt: Millis;
-  /** Estimated milliseconds since the caller's first attempt at this request. */
+  /** Estimated milliseconds since the caller's first attempt at this request; 0 for an apparent first attempt. */
   readonly ageMs: Millis;
+  /** Milliseconds that this attempt has waited at this host before it was accepted. */
+  readonly waitedMs: Millis;
   readonly executions: ExecutionCount;
   /** Arrivals at upstreams, over all hosts that it passes. */
   readonly arrivals: RequestArrivals;
@@ -120,7 +122,7 @@
       fromPosition: req.lastPosition === undefined ? 0 : req.lastPosition + 1,
       expectedTokens: work?.expectedOutputTokens,
       maxWaitMs: Math.min(maxWaitMsOf(route), remainingMs(call, now)),
-      onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs),
+      onTimeMs: Math.max(0, route.targetMs * STREAM_ON_TIME_FRACTION - call.ageMs - call.waitedMs),
       longestPauseMs: route.longestPauseMs,
       priority: priorityOf(call),
       callerTimes: callerTimesOf(call),
@@ -158,7 +160,7 @@
       maxAttempts: route.maxAttempts - executions.get(),
       claimed: false,
       maxWaitMs: Math.min(maxWaitMsOf(route), remainingMs(call, now)),
-      lateAt: now + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs,
+      lateAt: now + route.targetMs * CALL_ON_TIME_FRACTION - call.ageMs - call.waitedMs,
       deadlineAt: call.deadlineAt,
       priority: priorityOf(call),
       callerTimes: callerTimesOf(call),
