Read a body in tiny pieces once a turn of the event loop

Cause: bodies in tiny pieces take turns, but a socket was paused by a callback that runs once the poll is over. Node's event loop reads a connection up to 32 times in a poll, 64 KB each, as long as it isn't paused: 349,525 pieces at once, and the host did nothing else for 0.8 to 0.9 s, up to five times in a row (logged in trials). A pause at the piece alone doesn't last, as the request resumes its socket after each.

Why the fix works: the socket is paused behind each piece's own callbacks, so that the poll ends with the one read that was on its way. A turn is now as long as its own reads took, without those of others in the same poll; one of those had the queue rest for a second at a time.

--- a/packages/core/src/ReadingTurns.ts
+++ b/packages/core/src/ReadingTurns.ts
@@ -31,13 +31,18 @@
   counterOf({ socket }: IncomingMessage): () => void {
     let pieces = 0;
     let from: Millis = 0;
+    let until: Millis = 0;
+    const pause = (): void => {
+      until = performance.now();
+      socket.pause();
+    };
     const endGo = (): void => {
       const isFragmented = pieces >= MIN_PIECES;
       pieces = 0;
       if (!isFragmented || socket.destroyed) return;
       // A paused request would keep the pieces that are read until then, one by one.
       socket.pause();
-      this.waiting.push({ socket, tookMs: performance.now() - from });
+      this.waiting.push({ socket, tookMs: until - from });
       this.next();
     };
     return () => {
@@ -46,6 +51,8 @@
         setImmediate(endGo);
       }
       pieces += 1;
+      // Node reads on from a socket until it is paused, and a request resumes its socket after each piece.
+      if (pieces >= MIN_PIECES) queueMicrotask(pause);
     };
   }
 
