Test odd answers by way of a peer

MIXED by way of a peer: an answer whose status is 000, 099, 199, 600 or 999 is none, and a part of an answer that came while the request was still being sent is not complete, whether the peer resets its connection or ends it. Played at the link between two hosts, not with processes.

--- a/packages/peer/tests/relay/HttpRelay.test.ts
+++ b/packages/peer/tests/relay/HttpRelay.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
-import { connect } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { connect, createServer as createNetServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { after, test } from 'node:test';
 import {
   ReadLag,
@@ -20,8 +19,13 @@
   RelayFailure,
   RelayHandler,
 } from '@camphorvane/peer/relay';
+import { encodeFrame } from '../../src/relay/relayCodec.ts';
 import { ALIVE_INTERVAL_MS } from '../../src/relay/relayProtocol.ts';
 
+/** Bytes of a request that a peer that reads nothing can not take, and milliseconds until it ends its response. */
+const LONG_BODY_BYTES = 8_000_000;
+const EARLY_GAP_MS = 50;
+
 const clock = new SystemClock();
 const servers: Server[] = [];
 after(() => servers.forEach((server) => server.close()));
@@ -80,9 +84,10 @@
 async function collect(
   address: string,
   signal = new AbortController().signal,
+  request = REQUEST,
 ): Promise<readonly (RelayEvent | RelayFailure)[]> {
   const events: (RelayEvent | RelayFailure)[] = [];
-  for await (const event of new HttpRelayLink(clock, '127.0.0.1').relay(address, REQUEST, signal)) {
+  for await (const event of new HttpRelayLink(clock, '127.0.0.1').relay(address, request, signal)) {
     events.push(event);
   }
   return events;
@@ -187,6 +192,50 @@
   );
 });
 
+/** Ends of a response that comes while the request is still being sent. */
+const EARLY_ENDS: Readonly<Record<string, (socket: Socket) => void>> = {
+  'is reset': (socket) => socket.resetAndDestroy(),
+  'ends with its connection': (socket) => socket.end(),
+};
+
+// Guards against a part of an answer that looks complete, since it came while the request was being sent.
+Object.entries(EARLY_ENDS).forEach(([how, end]) =>
+  test(`an early response of a peer that ${how} is not complete`, async () => {
+    const head = encodeFrame({ type: 'head', status: 200, headers: {} });
+    const data = encodeFrame({ type: 'data', bytes: Buffer.from('part') });
+    const server = createNetServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.pause();
+        socket.write(Buffer.concat([Buffer.from('HTTP/1.1 200 OK\r\n\r\n'), ...head, ...data]));
+        setTimeout(() => end(socket), EARLY_GAP_MS);
+      });
+    });
+    const address = await listen(server);
+    const call = { ...REQUEST.call, body: Buffer.alloc(LONG_BODY_BYTES) };
+    const events = await collect(address, undefined, { ...REQUEST, call });
+    assert.deepEqual(
+      events.map((event) => (event.type === 'failed' ? event.dispatched : event.type)),
+      ['head', 'data', true],
+    );
+  }),
+);
+
+// Guards against callers that get an answer whose status HTTP does not know, since their host had it from a peer.
+[0, 99, 199, 600, 999].forEach((status) =>
+  test(`an answer with status ${status} from a peer is none`, async () => {
+    const address = await serve(async function* respond() {
+      yield { type: 'head', status, headers: {} };
+      yield { type: 'done' };
+    });
+    const events = await collect(address);
+    assert.deepEqual(
+      events.map(({ type }) => type),
+      ['failed'],
+    );
+  }),
+);
+
 // Guards against a caller that waits for its deadline while the peer of its request is frozen.
 test('a peer that falls silent is given up after a while, one that works is not', async () => {
   const silent = await listen(createServer((req) => req.resume()));
