--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -66,6 +66,18 @@
     await new Promise((resolve) => this.server.listen(this.port, ip, resolve));
   }
 
+  /** Serves the same objects at a further address; gets what ends the service at the address before. */
+  async moveTo(ip) {
+    const before = this.server;
+    this.server = http.createServer((req, res) => this.serve(req, res));
+    this.server.keepAliveTimeout = 60_000;
+    await this.listen(ip);
+    return () => {
+      before.closeAllConnections();
+      before.close();
+    };
+  }
+
   close() {
     this.server.closeAllConnections();
     this.server.close();
@@ -560,3 +572,157 @@
     await finish(2, `the case could not run: ${thrown?.stack ?? thrown}`);
   }
 }
+
+/** A model server: reads prompts, or makes the events of a stream from a handle. Drops a request whose connection closes. */
+export class Engine {
+  constructor({
+    id,
+    service,
+    stage,
+    handles,
+    zone = 'akl-a',
+    slots = 8,
+    events = 70,
+    eventBytes = 340,
+    eventMs = 15,
+    onRun = () => undefined,
+    onEnd = () => undefined,
+  }) {
+    Object.assign(this, {
+      id,
+      service,
+      stage,
+      handles,
+      zone,
+      slots,
+      events,
+      eventBytes,
+      eventMs,
+      onRun,
+      onEnd,
+    });
+    this.born = Date.now();
+    this.running = 0;
+    this.server = http.createServer((req, res) => this.serve(req, res));
+  }
+
+  async listen(ip) {
+    await new Promise((resolve) => this.server.listen(0, ip, resolve));
+    this.address = `${ip}:${this.server.address().port}`;
+  }
+
+  entry(state = 'ready') {
+    const models = [{ name: 'm', version: 1, adapters: [] }];
+    return {
+      ...{
+        service: this.service,
+        address: this.address,
+        zone: this.zone,
+        version: 'v1',
+        slots: this.slots,
+        state,
+      },
+      ...{ 'cold-left-ms': 0, stage: this.stage, models, seq: 0, born: this.born },
+    };
+  }
+
+  close() {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  async serve(req, res) {
+    const chunks = [];
+    try {
+      for await (const chunk of req) chunks.push(chunk);
+    } catch {
+      return;
+    }
+    const json = (status, body) =>
+      res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    const expected = req.headers['x-camphorvane-expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      res.writeHead(421, { 'x-camphorvane-instance-id': this.id }).end();
+      return;
+    }
+    if (req.url === '/health') {
+      res.writeHead(200, { 'x-camphorvane-instance-id': this.id }).end();
+      return;
+    }
+    if (req.url === '/report') {
+      json(200, {
+        ...{
+          stage: this.stage,
+          models: [{ name: 'm', version: 1, adapters: [] }],
+          busy: false,
+          seq: 0,
+          waiting: 0,
+        },
+        ...{
+          running: this.running,
+          'kv-used': this.running * 1600,
+          'kv-total': 76160,
+          handles: 0,
+          born: this.born,
+        },
+      });
+      return;
+    }
+    if (req.url.startsWith('/kv-handle/')) {
+      this.handles.delete(decodeURIComponent(req.url.slice('/kv-handle/'.length)));
+      json(200, {});
+      return;
+    }
+    if (req.url === '/kv-move') {
+      json(404, {});
+      return;
+    }
+    const id = req.headers['x-camphorvane-request-id'];
+    const [tokens = 200] = (req.headers['x-camphorvane-token-count'] ?? '200,70')
+      .split(',')
+      .map(Number);
+    if ((req.headers['x-camphorvane-stage'] === 'prefill') !== (this.stage === 'prefill')) {
+      res.writeHead(421, { 'x-camphorvane-instance-id': this.id }).end();
+      return;
+    }
+    const refuse = () => res.writeHead(503, { 'x-camphorvane-not-executed': '1' }).end();
+    if (this.running >= this.slots) {
+      refuse();
+      return;
+    }
+    this.running += 1;
+    if (this.stage === 'prefill') {
+      await sleep(tokens / 55);
+      const handle = newId('h').replace('-', '');
+      this.handles.set(handle, now() + 500);
+      this.running -= 1;
+      json(200, { 'prefill-handle': handle, tokens, version: 1 });
+      return;
+    }
+    const source = req.headers['x-camphorvane-kv-source']?.split('/')[1];
+    const until = source === undefined ? Infinity : this.handles.get(source);
+    this.handles.delete(source);
+    if (!(until > now())) {
+      this.running -= 1;
+      refuse();
+      return;
+    }
+    if (source === undefined) await sleep((2 * tokens) / 55);
+    this.onRun(id, req);
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-camphorvane-request-id': id,
+      'x-camphorvane-server-stamp': `${this.id}.${id}`,
+    });
+    let next = Number(req.headers['last-event-id'] ?? -1) + 1;
+    while (next < this.events && !res.destroyed && !res.closed) {
+      const head = `id: ${next}\ndata: ${id} ${next} `;
+      res.write(`${head}${'.'.repeat(this.eventBytes - head.length - 2)}\n\n`);
+      next += 1;
+      await sleep(this.eventMs);
+    }
+    this.running -= 1;
+    this.onEnd(id, next, res.destroyed || res.closed);
+    if (!res.destroyed) res.end();
+  }
+}
