--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -155,6 +155,8 @@
     ({ id }) =>
       runs.get(id)?.server === leaving.id && runs.get(id).at <= boundAt && runs.get(id).at > ackAt,
   );
+  for (const { id, sentAt, end } of results)
+    record.addRequest({ id, sentAt, end, run: runs.get(id)?.server });
   for (const { id, end } of late)
     record.add(
       `${id} reached ${leaving.id} ${((runs.get(id).at - ackAt) / 1000).toFixed(2)} s after the acknowledgement; its client got ${end}`,
--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -43,6 +43,15 @@
     if (process.env.SHOW) console.log(line);
   }
 
+  /** Adds one line a request: when it was sent, how it ended for its client, and where it ran. */
+  addRequest({ id, sentAt, end, run }) {
+    const sent =
+      sentAt === undefined ? '' : `sent at ${((sentAt - this.from) / 1000).toFixed(3)}, `;
+    this.lines.push(
+      `          ${id}: ${sent}client: ${end ?? 'no answer'}; server: ${run ?? 'nothing ran'}`,
+    );
+  }
+
   save() {
     fs.writeFileSync(this.file, `${this.lines.join('\n')}\n`);
   }
