--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -44,10 +44,11 @@
     store.write('servers', id, server.entry());
     return server;
   };
-  for (let index = 0; index < 54; index += 1)
+  for (let index = 0; index < 49; index += 1)
     await add(`i-${(0x10000000 + index * 0x1000).toString(16)}`, 'lookup-api');
-  await add('i-2f41a7c0', 'cert-api');
-  await add('i-7f3a91c2', 'cert-api');
+  // `scale_in` takes a share of 0.141 of a service's servers at most: one of eight here.
+  for (let index = 0; index < 7; index += 1)
+    await add(`i-${(0x2f41a7c0 + index * 0x1000).toString(16)}`, 'cert-api');
   const leaving = await add('i-c24e08b1', 'cert-api');
   onEnd(() => servers.forEach((server) => server.close()));
   const routes = [
@@ -110,7 +111,7 @@
   const sending = (async () => {
     while (isSending) {
       send();
-      await sleep(33);
+      await sleep(16);
     }
   })();
   await sleep(2_000);
